Start with the shared types, verdict, clock, errors and checks

Cause: every later part needs the same ids, verdict type, error codes and clock; fixing them first lets the parts grow side by side.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+PYTHON ?= python3
+VENV ?= .venv
+PY := $(VENV)/bin/python
+SEEDS ?= 200
+export PYTHONPATH := .
+export PYTHONDONTWRITEBYTECODE := 1
+
+.PHONY: setup demo test lint format bench soak
+
+setup: $(VENV)/.ready
+
+$(VENV)/.ready: requirements.txt requirements-dev.txt
+	$(PYTHON) -m venv $(VENV)
+	$(PY) -m pip install --quiet -r requirements-dev.txt
+	touch $@
+
+demo: setup
+	$(PY) -m foxtailpick demo
+
+test: setup
+	$(PY) -m pytest -n 4
+
+lint: setup
+	$(PY) -m ruff format --check foxtailpick
+	$(PY) -m flake8 foxtailpick
+
+format: setup
+	$(PY) -m ruff format foxtailpick
+
+bench: setup
+	$(PY) -m foxtailpick.bench
+
+soak: setup
+	$(PY) -m foxtailpick.bench.soak --seeds $(SEEDS)
--- /dev/null
+++ b/foxtailpick/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces to the platform, one module per outside system."""
--- /dev/null
+++ b/foxtailpick/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the decision modules."""
--- /dev/null
+++ b/foxtailpick/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decision logic: no sockets, no platform."""
--- /dev/null
+++ b/foxtailpick/core/invariants.py
@@ -0,0 +1,65 @@
+"""Promises of the project, checked while it runs.
+
+A broken promise raises in tests and is counted and logged in production:
+a production process that stops serves nobody.
+"""
+
+import collections
+import enum
+import typing
+
+from loguru import logger
+
+from foxtailpick.core import errors
+
+
+class Promise(enum.Enum):
+    """What must always hold, one member per promise of the brief."""
+
+    LOAD_BOUND = 'no engine above the set multiple of the mean load'
+    SLOW_START = 'a fresh endpoint receives only what it can bear'
+    DOMAIN_OUT = 'a failure domain out of service receives no new work'
+    WHOLE_ANSWER = 'each caller receives the whole answer to its request'
+    TRUE_REFUSAL = 'a refusal that says not run is true'
+    AT_MOST_ONCE = 'a non-idempotent call runs at most once'
+    LEAVING = 'a leaving endpoint receives no new work'
+    GRACEFUL = 'a graceful shutdown cuts off no request in flight'
+    CONFIG_UPWARDS = 'an accepted configuration never reverts'
+    FAIR_SHARE = 'no partner crowds out another'
+    FENCING = 'a holder paused past its lease does no harm'
+
+
+class Monitor:
+    """Counts checks and breaches of promises.
+
+    :param is_strict: whether a breach raises instead of being logged.
+    """
+
+    def __init__(self, is_strict: bool = False) -> None:
+        self.is_strict = is_strict
+        self.checked: collections.Counter[Promise] = collections.Counter()
+        self.broken: collections.Counter[Promise] = collections.Counter()
+
+    def check(
+        self,
+        promise: Promise,
+        is_held: bool,
+        describe: typing.Callable[[], str],
+    ) -> None:
+        """Record one check of a promise.
+
+        :param promise: the promise concerned.
+        :param is_held: whether it holds.
+        :param describe: function that gives the details of a breach.
+        :raises errors.InvariantError: on a breach, in a strict monitor.
+        """
+        self.checked[promise] += 1
+        if is_held:
+            return
+        self.broken[promise] += 1
+        detail = f'{promise.value}: {describe()}'
+        logger.error('INVARIANT broken. {}', detail)
+        if self.is_strict:
+            raise errors.InvariantError(
+                errors.ErrorCode.INVARIANT_BROKEN, detail
+            )
--- /dev/null
+++ b/foxtailpick/router/__init__.py
@@ -0,0 +1,1 @@
+"""The router: a thin entry instance."""
--- /dev/null
+++ b/foxtailpick/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The sidecar: the only gate of its endpoint."""
--- /dev/null
+++ b/foxtailpick/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform, for tests and the demo."""
--- /dev/null
+++ b/foxtailpick/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, one file per module."""
