--- /dev/null
+++ b/foxtailpick/tests/test_fair_share.py
@@ -0,0 +1,176 @@
+"""Tests of fair queueing by partner and account."""
+
+import pytest
+
+from foxtailpick.core import account_queue
+from foxtailpick.core import errors
+from foxtailpick.core import fair_share
+from foxtailpick.core import share_tree
+from foxtailpick.core import types
+
+SHARES = {
+    'a1': share_tree.Share('a', 3.0, 1.0),
+    'a2': share_tree.Share('a', 3.0, 2.0),
+    'b1': share_tree.Share('b', 1.0, 1.0),
+}
+
+
+@pytest.fixture
+def queue():
+    options = fair_share.FairQueueOptions(
+        max_entries=200, initial_tokens_per_ms=1.0
+    )
+    return fair_share.FairQueue(options, SHARES.__getitem__)
+
+
+def fill(queue, account, count, tokens=10.0, **fields):
+    for number in range(count):
+        entry = account_queue.QueueEntry(
+            f'{account}-{number}', account, prompt_tokens=tokens, **fields
+        )
+        assert queue.enqueue(entry, 0.0) == ()
+
+
+def serve(queue, count):
+    served = dict.fromkeys(SHARES, 0.0)
+    for _ in range(count):
+        entry = queue.pop_next(0.0)
+        served[entry.account] += entry.tokens
+        queue.finish(entry.attempt)
+    return served
+
+
+def test_backlog_is_split_by_weights(queue):
+    for account in SHARES:
+        fill(queue, account, 60)
+    served = serve(queue, 80)
+    assert served == pytest.approx({'a1': 200, 'a2': 400, 'b1': 200}, abs=10)
+
+
+def test_cost_is_tokens_not_requests(queue):
+    fill(queue, 'a1', 10, tokens=100.0)
+    fill(queue, 'b1', 60, tokens=10.0)
+    served = serve(queue, 20)
+    assert served['a1'] / served['b1'] == pytest.approx(3.0, rel=0.35)
+
+
+def test_one_account_gets_all_without_contention(queue):
+    fill(queue, 'b1', 30)
+    assert serve(queue, 30)['b1'] == 300
+
+
+def test_idle_time_earns_no_credit(queue):
+    fill(queue, 'a1', 100)
+    serve(queue, 50)
+    fill(queue, 'b1', 40)
+    served = serve(queue, 40)
+    assert served['a1'] == pytest.approx(300, abs=10)
+
+
+def test_changed_shares_hold_at_once_for_running_work(queue):
+    fill(queue, 'a1', 50, expected_tokens=20.0)
+    fill(queue, 'b1', 50, expected_tokens=20.0)
+    for _ in range(16):
+        queue.pop_next(0.0)
+    swapped = {
+        account: share_tree.Share(share.partner, 1.0, 1.0)
+        for account, share in SHARES.items()
+    }
+    assert queue.apply_shares(swapped.__getitem__)
+    assert not queue.apply_shares(swapped.__getitem__)
+    for _ in range(8):
+        queue.pop_next(0.0)
+    assert queue.count_running('a1') == pytest.approx(12, abs=1)
+    assert queue.count_running('b1') == pytest.approx(12, abs=1)
+
+
+@pytest.mark.parametrize(
+    ('before', 'after'),
+    [
+        (types.Priority.BATCH, types.Priority.NORMAL),
+        (types.Priority.NORMAL, types.Priority.URGENT),
+    ],
+)
+def test_priority_orders_within_an_account_only(queue, before, after):
+    fill(queue, 'a1', 1, priority=before)
+    late = account_queue.QueueEntry('late', 'a1', after)
+    assert queue.enqueue(late, 0.0) == ()
+    fill(queue, 'b1', 1, priority=types.Priority.BATCH)
+    order = [queue.pop_next(0.0).attempt for _ in range(3)]
+    assert order.index('late') < order.index('a1-0')
+    assert order.index('b1-0') < 2
+
+
+def test_hopeless_deadline_is_refused_on_arrival(queue):
+    fill(queue, 'a1', 10, tokens=100.0)
+    entry = account_queue.QueueEntry(
+        'x', 'a1', deadline_ms=900.0, service_ms=100.0
+    )
+    (refusal,) = queue.enqueue(entry, 0.0)
+    assert refusal.entry is entry
+    assert refusal.code is errors.ErrorCode.DEADLINE_EXCEEDED
+    assert refusal.retry_after_ms == pytest.approx(200.0)
+    assert not queue.cancel('x')
+
+
+def test_deadline_lost_while_waiting_is_refused_by_the_sweep(queue):
+    fill(queue, 'a1', 1, tokens=100.0)
+    entry = account_queue.QueueEntry('x', 'a1', deadline_ms=500.0)
+    assert queue.enqueue(entry, 0.0) == ()
+    assert queue.sweep(300.0) == ()
+    (refusal,) = queue.sweep(450.0)
+    assert refusal.entry is entry
+    assert len(queue) == 1
+
+
+def test_expired_entry_is_never_started(queue):
+    fill(queue, 'a1', 1, deadline_ms=10.0)
+    assert queue.pop_next(11.0) is None
+    assert [refusal.entry.attempt for refusal in queue.sweep(11.0)] == ['a1-0']
+
+
+def test_full_queue_drops_the_account_above_its_share(queue):
+    fill(queue, 'a1', 199)
+    fill(queue, 'b1', 1)
+    entry = account_queue.QueueEntry('b1-x', 'b1')
+    (refusal,) = queue.enqueue(entry, 0.0)
+    assert refusal.entry.attempt == 'a1-198'
+    assert refusal.code is errors.ErrorCode.ACCOUNT_OVER_SHARE
+    assert len(queue) == 200
+
+
+def test_cancel_tells_whether_it_was_started(queue):
+    fill(queue, 'a1', 2)
+    started = queue.pop_next(0.0)
+    assert not queue.cancel(started.attempt)
+    assert queue.cancel('a1-1')
+    assert queue.pop_next(0.0) is None
+
+
+def test_generated_tokens_correct_a_wrong_estimate(queue):
+    fill(queue, 'a1', 30, expected_tokens=1.0)
+    fill(queue, 'b1', 30, expected_tokens=1.0)
+    first = queue.pop_next(0.0)
+    queue.record_generated(first.attempt, 300.0, 1.0)
+    rest = [queue.pop_next(1.0).account for _ in range(10)]
+    assert first.account not in rest
+
+
+def test_heavy_account_is_slowed_by_its_multiplier(queue):
+    queue.set_multipliers({'a1': 3.0})
+    fill(queue, 'a1', 60)
+    fill(queue, 'b1', 60)
+    served = serve(queue, 60)
+    assert served['a1'] / served['b1'] == pytest.approx(1.0, rel=0.1)
+
+
+def test_idle_accounts_leave_no_state(queue):
+    for account in SHARES:
+        fill(queue, account, 5)
+    serve(queue, 15)
+    assert not queue._tree.accounts
+    fill(queue, 'a1', 3)
+    fill(queue, 'b1', 50)
+    serve(queue, 50)
+    queue.sweep(0.0)
+    assert set(queue._tree.accounts) == {'b1'}
