Drop the last idle account of a partner

Cause: a partner's clock stands still while none of its accounts is chosen, so its last idle account was kept for ever; the test on state found it. Change: an account without a sibling is dropped, its partner keeps the debt; a kept partner takes the weight in force when an account joins it. Conclusion: state is bounded by accounts with work or with siblings.

--- a/foxtailpick/core/share_tree.py
+++ b/foxtailpick/core/share_tree.py
@@ -176,7 +176,8 @@
         if share is None:
             return
         partner = self._partners[share.partner]
-        if partner.accounts[account].vtime > partner.clock:
+        is_ahead = partner.accounts[account].vtime > partner.clock
+        if is_ahead and len(partner.accounts) > 1:
             return
         del partner.accounts[account]
         del self._shares[account]
@@ -237,6 +238,7 @@
         if partner is None:
             partner = _Partner(share.partner_weight, self._clock)
             self._partners[share.partner] = partner
+        partner.weight = share.partner_weight
         node = partner.accounts.get(account)
         if node is None:
             node = _Account(share.account_weight, partner.clock)
