Measure share errors and the effect of a surge

Cause: the target is a share error of 2 % over 10 s and a p95 first token that a surge moves by under 10 %.

--- /dev/null
+++ b/foxtailpick/bench/shares.py
@@ -0,0 +1,316 @@
+"""Fair shares of an overloaded endpoint, against FIFO and request counts."""
+
+import collections
+import dataclasses
+import random
+import typing
+
+from foxtailpick.bench import batching
+from foxtailpick.bench import tables
+from foxtailpick.core import account_queue
+from foxtailpick.core import fair_share
+from foxtailpick.core import share_tree
+from foxtailpick.core import types
+
+SEED = 11
+LIMIT = 88
+WINDOW_MS = 10.0 * types.SECOND_MS
+CHANGE_MS = 4 * WINDOW_MS
+END_MS = 7 * WINDOW_MS
+WAITING = 12
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Workload:
+    """Sizes of an account's requests.
+
+    :param prompt_tokens: mean of the prompt tokens to read.
+    :param generate_tokens: mean of the generated tokens.
+    :param rate_per_s: requests a second, for open arrivals.
+    """
+
+    prompt_tokens: int
+    generate_tokens: int
+    rate_per_s: float = 0.0
+
+
+BACKLOGGED = {
+    'a1': Workload(200, 60),
+    'a2': Workload(800, 600),
+    'a3': Workload(400, 300),
+    'b1': Workload(100, 900),
+    'b2': Workload(400, 300),
+}
+BEFORE = {
+    'a1': share_tree.Share('a', 50.0, 25.0),
+    'a2': share_tree.Share('a', 50.0, 25.0),
+    'a3': share_tree.Share('a', 50.0, 50.0),
+    'b1': share_tree.Share('b', 50.0, 80.0),
+    'b2': share_tree.Share('b', 50.0, 20.0),
+}
+AFTER = {
+    'a1': share_tree.Share('a', 70.0, 40.0),
+    'a2': share_tree.Share('a', 70.0, 40.0),
+    'a3': share_tree.Share('a', 70.0, 20.0),
+    'b1': share_tree.Share('b', 30.0, 30.0),
+    'b2': share_tree.Share('b', 30.0, 70.0),
+}
+SURGE_SHARES = {
+    f'{partner}{number}': share_tree.Share(partner)
+    for partner in 'ab'
+    for number in range(1, 6)
+}
+MakeScheduler = typing.Callable[[share_tree.ShareLookup], batching.Scheduler]
+
+
+class Fifo:
+    """Baseline: first come, first served."""
+
+    def __init__(self) -> None:
+        self._entries: collections.deque = collections.deque()
+
+    def enqueue(self, entry, now_ms):
+        """Add a request."""
+        self._entries.append(entry)
+        return ()
+
+    def pop_next(self, now_ms):
+        """Take the oldest request."""
+        return self._entries.popleft() if self._entries else None
+
+    def record_generated(self, attempt, tokens, now_ms):
+        """Ignore generated tokens."""
+
+    def finish(self, attempt):
+        """Ignore the end of a request."""
+
+    def apply_shares(self, share_of):
+        """Ignore shares."""
+
+
+class RequestCount(Fifo):
+    """Baseline: fair by the number of requests.
+
+    :param share_of: gives the share of an account.
+    """
+
+    def __init__(self, share_of: share_tree.ShareLookup) -> None:
+        self._entries = {}
+        self._queue = make_ours(0.0)(share_of)
+
+    def enqueue(self, entry, now_ms):
+        """Add a request at the cost of one."""
+        self._entries[entry.attempt] = entry
+        alike = dataclasses.replace(
+            entry, prompt_tokens=1.0, expected_tokens=0.0
+        )
+        return self._queue.enqueue(alike, now_ms)
+
+    def pop_next(self, now_ms):
+        """Take the next request."""
+        entry = self._queue.pop_next(now_ms)
+        return entry and self._entries.pop(entry.attempt)
+
+    def finish(self, attempt):
+        """Note the end of a request."""
+        self._queue.finish(attempt)
+
+    def apply_shares(self, share_of):
+        """Put new shares in force."""
+        self._queue.apply_shares(share_of)
+
+
+def make_ours(commit_tokens: float) -> MakeScheduler:
+    """Build a maker of our queue.
+
+    :param commit_tokens: expected tokens charged ahead of generation.
+    """
+    options = fair_share.FairQueueOptions(
+        max_entries=100_000, commit_tokens=commit_tokens
+    )
+
+    def make(share_of: share_tree.ShareLookup) -> fair_share.FairQueue:
+        return fair_share.FairQueue(options, share_of)
+
+    return make
+
+
+POLICIES: dict[str, MakeScheduler] = {
+    'FIFO': lambda share_of: Fifo(),
+    'request count': RequestCount,
+    'tokens, all charged at the start': make_ours(float('inf')),
+    'tokens, charged as generated': make_ours(0.0),
+    'tokens, 32 charged ahead': make_ours(32.0),
+    'tokens, 128 charged ahead': make_ours(128.0),
+}
+
+
+def measure() -> list[tables.Table]:
+    """Measure share errors and the effect of a surge."""
+    return [_measure_share_errors(), _measure_surge()]
+
+
+def _measure_share_errors() -> tables.Table:
+    table = tables.Table(
+        f'Largest share error of 5 backlogged accounts, {LIMIT} slots, '
+        f'shares changed at 40 s, seed {SEED}',
+        (
+            'policy',
+            'first 10 s after start (pp)',
+            '30-40 s (pp)',
+            '10 s after change (pp)',
+            '10-20 s after change (pp)',
+            '20-30 s after change (pp)',
+        ),
+    )
+    for name, make in POLICIES.items():
+        windows = _run_backlogged(make)
+        table.add_row(
+            name,
+            *(
+                _find_largest_error(windows[index], shares)
+                for index, shares in (
+                    (0, BEFORE),
+                    (3, BEFORE),
+                    (4, AFTER),
+                    (5, AFTER),
+                    (6, AFTER),
+                )
+            ),
+        )
+    return table
+
+
+def _run_backlogged(make: MakeScheduler) -> list[collections.Counter]:
+    rng = random.Random(SEED)
+    engine = batching.BatchingEngine(make(BEFORE.__getitem__), LIMIT)
+    waiting = collections.Counter()
+    windows = [collections.Counter() for _ in range(int(END_MS / WINDOW_MS))]
+    is_changed = False
+    while engine.now_ms < END_MS:
+        if not is_changed and engine.now_ms >= CHANGE_MS:
+            engine.scheduler.apply_shares(AFTER.__getitem__)
+            is_changed = True
+        _refill(engine, waiting, rng)
+        running = set(engine.running)
+        engine.admit()
+        for attempt in set(engine.running) - running:
+            waiting[engine.running[attempt].entry.account] -= 1
+        for served in engine.step():
+            index = min(int(served.at_ms / WINDOW_MS), len(windows) - 1)
+            windows[index][served.job.entry.account] += served.tokens
+    return windows
+
+
+def _refill(
+    engine: batching.BatchingEngine,
+    waiting: collections.Counter,
+    rng: random.Random,
+) -> None:
+    for account, workload in BACKLOGGED.items():
+        while waiting[account] < WAITING:
+            waiting[account] += 1
+            engine.submit(_make_job(account, workload, engine.now_ms, rng))
+
+
+def _make_job(
+    account: str, workload: Workload, now_ms: float, rng: random.Random
+) -> batching.Job:
+    prompt = int(rng.uniform(0.5, 1.5) * workload.prompt_tokens)
+    generate = int(rng.uniform(0.5, 1.5) * workload.generate_tokens)
+    entry = account_queue.QueueEntry(
+        f'{account}-{rng.getrandbits(64):x}',
+        account,
+        prompt_tokens=prompt,
+        expected_tokens=workload.generate_tokens,
+    )
+    return batching.Job(entry, generate, now_ms, prompt)
+
+
+def _find_largest_error(
+    window: collections.Counter, shares: dict[str, share_tree.Share]
+) -> float:
+    total = sum(window.values())
+    partners = {
+        share.partner: share.partner_weight for share in shares.values()
+    }
+    errors = []
+    for account, share in shares.items():
+        siblings = sum(
+            other.account_weight
+            for other in shares.values()
+            if other.partner == share.partner
+        )
+        agreed = (
+            share.partner_weight
+            / sum(partners.values())
+            * share.account_weight
+            / siblings
+        )
+        errors.append(abs(window[account] / total - agreed))
+    return 100 * max(errors)
+
+
+def _measure_surge() -> tables.Table:
+    table = tables.Table(
+        f'First token of an account at 6% of capacity while another account '
+        f'goes from 6% to 200%, {LIMIT} slots, seed {SEED}',
+        (
+            'policy',
+            'p95 before (ms)',
+            'p95 in surge (ms)',
+            'p50 before (ms)',
+            'p50 in surge (ms)',
+        ),
+    )
+    for name, make in POLICIES.items():
+        quiet = _run_open(make, 0.5)
+        surge = _run_open(make, 16.0)
+        table.add_row(
+            name,
+            _find_quantile(quiet, 0.95),
+            _find_quantile(surge, 0.95),
+            _find_quantile(quiet, 0.5),
+            _find_quantile(surge, 0.5),
+        )
+    return table
+
+
+def _run_open(make: MakeScheduler, surge_rate_per_s: float) -> list[float]:
+    rng = random.Random(SEED)
+    engine = batching.BatchingEngine(make(SURGE_SHARES.__getitem__), LIMIT)
+    rates = dict.fromkeys(SURGE_SHARES, 0.5)
+    rates['b1'] = surge_rate_per_s
+    arrivals = _make_arrivals(rates, rng)
+    first_tokens = []
+    while engine.now_ms < 6 * WINDOW_MS:
+        while arrivals and arrivals[-1].arrived_ms <= engine.now_ms:
+            engine.submit(arrivals.pop())
+        engine.admit()
+        if not engine.running:
+            engine.now_ms = arrivals[-1].arrived_ms
+            continue
+        for served in engine.step():
+            job = served.job
+            if job.generated == 1 and job.entry.account == 'a1':
+                first_tokens.append(served.at_ms - job.arrived_ms)
+    return first_tokens
+
+
+def _make_arrivals(
+    rates: dict[str, float], rng: random.Random
+) -> list[batching.Job]:
+    arrivals = []
+    workload = Workload(400, 300)
+    for account, rate_per_s in rates.items():
+        own = random.Random(f'{SEED}-{account}')
+        at_ms = 0.0
+        while at_ms < 6 * WINDOW_MS:
+            at_ms += own.expovariate(rate_per_s) * types.SECOND_MS
+            arrivals.append(_make_job(account, workload, at_ms, own))
+    return sorted(arrivals, key=lambda job: -job.arrived_ms)
+
+
+def _find_quantile(values: list[float], quantile: float) -> float:
+    ordered = sorted(values)
+    return ordered[int(quantile * (len(ordered) - 1))]
