Pause running requests of accounts above their share

Cause: after a change of shares running requests held their slots for up to 30 s, so the old split went on: 11.3 points of error in the first 10 s. Ruled out: another charge ahead (0 to 128 tokens: 11-14 points). Change: when an account that waits is behind by 512 tokens, or below its part of the slots, the youngest stream of an account above its part is paused and resumed in its account's turn; prompts wait in the queue while the engine has 512 tokens unread.

--- a/foxtailpick/bench/shares.py
+++ b/foxtailpick/bench/shares.py
@@ -17,7 +17,7 @@
 WINDOW_MS = 10.0 * types.SECOND_MS
 CHANGE_MS = 4 * WINDOW_MS
 END_MS = 7 * WINDOW_MS
-WAITING = 12
+WAITING = 60
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -120,13 +120,24 @@
         self._queue.apply_shares(share_of)
 
 
-def make_ours(commit_tokens: float) -> MakeScheduler:
+def make_ours(
+    commit_tokens: float,
+    pause_lead_tokens: float = float('inf'),
+    max_unread_tokens: float = float('inf'),
+) -> MakeScheduler:
     """Build a maker of our queue.
 
     :param commit_tokens: expected tokens charged ahead of generation.
+    :param pause_lead_tokens: how far an account may be ahead before
+        running requests of it are paused.
+    :param max_unread_tokens: started prompt tokens without a first token
+        from which on nothing is started.
     """
     options = fair_share.FairQueueOptions(
-        max_entries=100_000, commit_tokens=commit_tokens
+        max_entries=100_000,
+        commit_tokens=commit_tokens,
+        pause_lead_tokens=pause_lead_tokens,
+        max_unread_tokens=max_unread_tokens,
     )
 
     def make(share_of: share_tree.ShareLookup) -> fair_share.FairQueue:
@@ -135,13 +146,34 @@
     return make
 
 
-POLICIES: dict[str, MakeScheduler] = {
-    'FIFO': lambda share_of: Fifo(),
-    'request count': RequestCount,
-    'tokens, all charged at the start': make_ours(float('inf')),
-    'tokens, charged as generated': make_ours(0.0),
-    'tokens, 32 charged ahead': make_ours(32.0),
-    'tokens, 128 charged ahead': make_ours(128.0),
+@dataclasses.dataclass(frozen=True, slots=True)
+class Policy:
+    """A way to share an endpoint.
+
+    :param make: makes its queue.
+    :param is_pausing: whether running requests are paused.
+    """
+
+    make: MakeScheduler
+    is_pausing: bool = False
+
+
+POLICIES = {
+    'FIFO': Policy(lambda share_of: Fifo()),
+    'request count': Policy(RequestCount),
+    'tokens, all charged at the start': Policy(make_ours(float('inf'))),
+    'tokens, charged as generated': Policy(make_ours(0.0)),
+    'tokens, 32 ahead': Policy(make_ours(32.0)),
+    'tokens, 128 ahead': Policy(make_ours(128.0)),
+    '32 ahead, pausing at 128': Policy(make_ours(32.0, 128.0), True),
+    '32 ahead, pausing at 512': Policy(make_ours(32.0, 512.0), True),
+    '32 ahead, 512 unread': Policy(make_ours(32.0, float('inf'), 512.0)),
+    '32 ahead, pausing at 512, 512 unread': Policy(
+        make_ours(32.0, 512.0, 512.0), True
+    ),
+    '32 ahead, pausing at 512, 256 unread': Policy(
+        make_ours(32.0, 512.0, 256.0), True
+    ),
 }
 
 
@@ -161,10 +193,11 @@
             '10 s after change (pp)',
             '10-20 s after change (pp)',
             '20-30 s after change (pp)',
+            'pauses a second',
         ),
     )
-    for name, make in POLICIES.items():
-        windows = _run_backlogged(make)
+    for name, policy in POLICIES.items():
+        windows, pauses = _run_backlogged(policy)
         table.add_row(
             name,
             *(
@@ -177,13 +210,16 @@
                     (6, AFTER),
                 )
             ),
+            pauses / END_MS * types.SECOND_MS,
         )
     return table
 
 
-def _run_backlogged(make: MakeScheduler) -> list[collections.Counter]:
+def _run_backlogged(policy: Policy) -> tuple[list[collections.Counter], int]:
     rng = random.Random(SEED)
-    engine = batching.BatchingEngine(make(BEFORE.__getitem__), LIMIT)
+    engine = batching.BatchingEngine(
+        policy.make(BEFORE.__getitem__), LIMIT, policy.is_pausing
+    )
     waiting = collections.Counter()
     windows = [collections.Counter() for _ in range(int(END_MS / WINDOW_MS))]
     is_changed = False
@@ -192,14 +228,12 @@
             engine.scheduler.apply_shares(AFTER.__getitem__)
             is_changed = True
         _refill(engine, waiting, rng)
-        running = set(engine.running)
-        engine.admit()
-        for attempt in set(engine.running) - running:
-            waiting[engine.running[attempt].entry.account] -= 1
+        for job in engine.admit():
+            waiting[job.entry.account] -= not job.generated
         for served in engine.step():
             index = min(int(served.at_ms / WINDOW_MS), len(windows) - 1)
             windows[index][served.job.entry.account] += served.tokens
-    return windows
+    return windows, engine.pauses
 
 
 def _refill(
@@ -223,6 +257,7 @@
         account,
         prompt_tokens=prompt,
         expected_tokens=workload.generate_tokens,
+        is_pausable=True,
     )
     return batching.Job(entry, generate, now_ms, prompt)
 
@@ -261,24 +296,30 @@
             'p95 in surge (ms)',
             'p50 before (ms)',
             'p50 in surge (ms)',
+            'pauses a second',
         ),
     )
-    for name, make in POLICIES.items():
-        quiet = _run_open(make, 0.5)
-        surge = _run_open(make, 16.0)
+    for name, policy in POLICIES.items():
+        quiet = _run_open(policy, 0.5)[0]
+        surge, pauses = _run_open(policy, 16.0)
         table.add_row(
             name,
             _find_quantile(quiet, 0.95),
             _find_quantile(surge, 0.95),
             _find_quantile(quiet, 0.5),
             _find_quantile(surge, 0.5),
+            pauses / (6 * WINDOW_MS) * types.SECOND_MS,
         )
     return table
 
 
-def _run_open(make: MakeScheduler, surge_rate_per_s: float) -> list[float]:
+def _run_open(
+    policy: Policy, surge_rate_per_s: float
+) -> tuple[list[float], int]:
     rng = random.Random(SEED)
-    engine = batching.BatchingEngine(make(SURGE_SHARES.__getitem__), LIMIT)
+    engine = batching.BatchingEngine(
+        policy.make(SURGE_SHARES.__getitem__), LIMIT, policy.is_pausing
+    )
     rates = dict.fromkeys(SURGE_SHARES, 0.5)
     rates['b1'] = surge_rate_per_s
     arrivals = _make_arrivals(rates, rng)
@@ -292,9 +333,9 @@
             continue
         for served in engine.step():
             job = served.job
-            if job.generated == 1 and job.entry.account == 'a1':
+            if served.is_first_token and job.entry.account == 'a1':
                 first_tokens.append(served.at_ms - job.arrived_ms)
-    return first_tokens
+    return first_tokens, engine.pauses
 
 
 def _make_arrivals(
--- a/foxtailpick/core/account_queue.py
+++ b/foxtailpick/core/account_queue.py
@@ -1,4 +1,4 @@
-"""The waiting requests of one client account, by priority."""
+"""The waiting and paused requests of one client account, by priority."""
 
 import dataclasses
 import itertools
@@ -17,6 +17,8 @@
     :param expected_tokens: tokens that it is expected to generate.
     :param deadline_ms: when the answer must be complete.
     :param service_ms: time that the answer takes once started.
+    :param is_pausable: whether it may be paused once started: a stream
+        that the engine resumes, never a plain call.
     """
 
     attempt: types.AttemptId
@@ -26,6 +28,7 @@
     expected_tokens: float = 0.0
     deadline_ms: float = float('inf')
     service_ms: float = 0.0
+    is_pausable: bool = False
 
     @property
     def tokens(self) -> float:
@@ -34,61 +37,81 @@
 
 
 class AccountQueue:
-    """Waiting requests, in the order of priority, then of arrival."""
+    """Requests of an account, by priority, paused ones first, then by age.
+
+    Paused requests have run in part, so they are never refused.
+    """
 
     def __init__(self) -> None:
-        self._classes: dict[
-            types.Priority, dict[types.AttemptId, QueueEntry]
-        ] = {priority: {} for priority in sorted(types.Priority)}
-        self._tokens = dict.fromkeys(self._classes, 0.0)
+        self._waiting: dict[types.Priority, _Entries] = {
+            priority: {} for priority in sorted(types.Priority)
+        }
+        self._paused: dict[types.Priority, _Entries] = {
+            priority: {} for priority in self._waiting
+        }
+        self._tokens = dict.fromkeys(self._waiting, 0.0)
 
     def __len__(self) -> int:
-        """Return how many requests wait."""
-        return sum(map(len, self._classes.values()))
+        """Return how many requests wait or are paused."""
+        return self.count_waiting() + sum(map(len, self._paused.values()))
+
+    def count_waiting(self) -> int:
+        """Return how many requests wait and were never started."""
+        return sum(map(len, self._waiting.values()))
 
     def append(self, entry: QueueEntry) -> None:
         """Add a request behind those of its class."""
-        self._classes[entry.priority][entry.attempt] = entry
+        self._waiting[entry.priority][entry.attempt] = entry
         self._tokens[entry.priority] += entry.tokens
 
+    def append_paused(self, entry: QueueEntry) -> None:
+        """Add a request that was started before."""
+        self._paused[entry.priority][entry.attempt] = entry
+
     def find(self, attempt: types.AttemptId) -> QueueEntry:
-        """Return a waiting request.
+        """Return a request that waits or is paused.
 
-        :raises KeyError: if it does not wait here.
+        :raises KeyError: if it is not here.
         """
-        for entries in self._classes.values():
+        for entries in (*self._waiting.values(), *self._paused.values()):
             if attempt in entries:
                 return entries[attempt]
         raise KeyError(attempt)
 
     def remove(self, entry: QueueEntry) -> None:
-        """Remove a waiting request."""
-        del self._classes[entry.priority][entry.attempt]
+        """Remove a request that waits or is paused."""
+        if self._paused[entry.priority].pop(entry.attempt, None):
+            return
+        del self._waiting[entry.priority][entry.attempt]
         self._tokens[entry.priority] -= entry.tokens
 
     def pop_first(self) -> QueueEntry:
         """Remove and return the request that goes first.
 
-        :raises StopIteration: if none waits.
+        :raises IndexError: if there is none.
         """
-        entry = next(iter(self.list_entries()))
-        self.remove(entry)
-        return entry
+        for priority, waiting in self._waiting.items():
+            entries = self._paused[priority] or waiting
+            if entries:
+                entry = next(iter(entries.values()))
+                self.remove(entry)
+                return entry
+        raise IndexError('expected a request, got an empty queue')
 
     def pop_last(self) -> QueueEntry:
-        """Remove and return the request that would go last.
+        """Remove and return the waiting request that would go last.
 
         :raises IndexError: if none waits.
         """
-        entry = self.list_entries()[-1]
+        entry = self.list_waiting()[-1]
         self.remove(entry)
         return entry
 
-    def list_entries(self) -> list[QueueEntry]:
-        """Return the waiting requests, the first one first."""
+    def list_waiting(self) -> list[QueueEntry]:
+        """Return the requests never started, the first one first."""
         return list(
             itertools.chain.from_iterable(
-                entries.values() for entries in self._classes.values()
+                entries.values() for entries in self._waiting.values()
             )
         )
 
@@ -104,3 +127,6 @@
             for other, tokens in self._tokens.items()
             if other <= priority
         )
+
+
+_Entries = dict[types.AttemptId, QueueEntry]
--- a/foxtailpick/core/fair_share.py
+++ b/foxtailpick/core/fair_share.py
@@ -6,6 +6,7 @@
 generate, so neither long nor short answers gain from the order of starts.
 """
 
+import collections
 import dataclasses
 import typing
 
@@ -25,11 +26,19 @@
     :param max_entries: requests that may wait at a time, above zero.
     :param commit_tokens: expected tokens charged ahead of generation.
     :param initial_tokens_per_ms: service rate until one was observed.
+    :param pause_lead_tokens: how far an account may be ahead of one that
+        waits before running requests of it are paused, at least
+        `commit_tokens`.
+    :param max_unread_tokens: prompt tokens of started requests without a
+        first token, from which on nothing is started: prompts wait here,
+        in fair order, and not inside the engine.
     """
 
     max_entries: int = 1_024
     commit_tokens: float = 32.0
     initial_tokens_per_ms: float = 2.0
+    pause_lead_tokens: float = 512.0
+    max_unread_tokens: float = 512.0
 
     def __post_init__(self) -> None:
         """Check the ranges."""
@@ -38,6 +47,11 @@
                 f'expected at least one entry and a rate above zero, '
                 f'got {self}; correct the settings of the queue'
             )
+        if self.pause_lead_tokens < self.commit_tokens:
+            raise ValueError(
+                f'expected pause_lead_tokens of at least commit_tokens, got '
+                f'{self}; a paused request would be the next to start'
+            )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,6 +73,11 @@
     entry: account_queue.QueueEntry
     generated: float = 0.0
     charged: float = 0.0
+    is_unread: bool = True
+
+    @property
+    def done(self) -> float:
+        return self.entry.prompt_tokens + self.generated
 
 
 class FairQueue:
@@ -79,10 +98,12 @@
         self._queues: dict[types.AccountId, account_queue.AccountQueue] = {}
         self._accounts: dict[types.AttemptId, types.AccountId] = {}
         self._running: dict[types.AttemptId, _Running] = {}
+        self._paused: dict[types.AttemptId, _Running] = {}
         self._refused: list[Refusal] = []
+        self._unread_tokens = 0.0
 
     def __len__(self) -> int:
-        """Return how many requests wait."""
+        """Return how many requests wait or are paused."""
         return len(self._accounts)
 
     def is_running(self, attempt: types.AttemptId) -> bool:
@@ -113,8 +134,8 @@
         refusal = self._find_deadline_refusal(entry, ahead, now_ms)
         if refusal is not None:
             return (refusal,)
-        self._add_entry(entry)
-        if len(self) <= self._options.max_entries:
+        self._find_or_add_queue(entry).append(entry)
+        if len(self) - len(self._paused) <= self._options.max_entries:
             return ()
         return (self._drop_entry_of_longest_queue(),)
 
@@ -125,12 +146,18 @@
         refused; the next `sweep` returns them.
 
         :param now_ms: the current time.
-        :returns: the request, None if nothing waits.
+        :returns: the request, None if nothing waits, or if the engine has
+            enough prompts to read; call again after a first token.
         """
         self._rate.observe(now_ms, 0.0, bool(self._accounts))
+        if self._unread_tokens >= self._options.max_unread_tokens:
+            return None
         while (account := self._tree.select()) is not None:
             entry = self._queues[account].pop_first()
             self._note_removal(entry)
+            if entry.attempt in self._paused:
+                self._resume(entry)
+                return entry
             refusal = self._find_deadline_refusal(entry, 0.0, now_ms)
             if refusal is None:
                 self._start(entry)
@@ -149,7 +176,7 @@
         """
         for queue in list(self._queues.values()):
             ahead = 0.0
-            for entry in queue.list_entries():
+            for entry in queue.list_waiting():
                 refusal = self._find_deadline_refusal(entry, ahead, now_ms)
                 if refusal is None:
                     ahead += entry.tokens
@@ -163,10 +190,10 @@
         return tuple(refused)
 
     def cancel(self, attempt: types.AttemptId) -> bool:
-        """Remove a waiting request.
+        """Remove a request that waits or is paused.
 
         :param attempt: the attempt to remove.
-        :returns: whether it still waited, so that it was not run.
+        :returns: whether it was never started, so that it was not run.
         """
         account = self._accounts.get(attempt)
         if account is None:
@@ -175,7 +202,7 @@
         entry = queue.find(attempt)
         queue.remove(entry)
         self._note_removal(entry)
-        return True
+        return self._paused.pop(attempt, None) is None
 
     def record_generated(
         self, attempt: types.AttemptId, tokens: float, now_ms: float
@@ -189,6 +216,7 @@
         running = self._running.get(attempt)
         if running is None:
             return
+        self._note_prompt_read(running)
         running.generated += tokens
         self._rate.observe(now_ms, tokens, bool(self._accounts))
         self._charge_running(running, running.entry.expected_tokens)
@@ -201,9 +229,75 @@
         running = self._running.pop(attempt, None)
         if running is None:
             return
+        self._note_prompt_read(running)
         self._charge_running(running, running.generated)
         self._forget_if_idle(running.entry.account)
 
+    def plan_pause(self, limit: int) -> types.AttemptId | None:
+        """Find a running request to pause for the one that goes next.
+
+        Called when as many requests run as may. Only requests of accounts
+        with more than their part of the slots are paused, for an account
+        with less than its part or one that is far behind in tokens.
+
+        :param limit: requests that may run at a time.
+        :returns: the attempt to pause, None to wait for one to finish.
+        """
+        waiting = self._tree.select()
+        if waiting is None:
+            return None
+        counts = collections.Counter(
+            running.entry.account for running in self._running.values()
+        )
+        active = counts.keys() | self._queues.keys()
+        excess = {
+            account: counts[account]
+            - limit * self._tree.compute_fraction(account, active)
+            for account in active
+        }
+        max_lead = (
+            self._options.commit_tokens
+            if excess[waiting] <= -1
+            else self._options.pause_lead_tokens
+        )
+        candidates = [
+            running
+            for running in self._running.values()
+            if running.entry.is_pausable
+            and excess[running.entry.account] > 0
+            and running.entry.account != waiting
+            and self._tree.compute_lead(running.entry.account, waiting)
+            > max_lead
+        ]
+        if not candidates:
+            return None
+        account = max(
+            {running.entry.account for running in candidates},
+            key=excess.__getitem__,
+        )
+        return [
+            running.entry.attempt
+            for running in candidates
+            if running.entry.account == account
+        ][-1]
+
+    def pause(self, attempt: types.AttemptId) -> None:
+        """Record that a running request was taken off the engine.
+
+        It goes before what its account has waiting in its class, and
+        `pop_next` returns it again when its turn comes.
+
+        :param attempt: the running attempt.
+        """
+        running = self._running.pop(attempt)
+        self._note_prompt_read(running)
+        self._paused[attempt] = running
+        self._tree.charge(
+            running.entry.account, running.done - running.charged
+        )
+        running.charged = running.done
+        self._find_or_add_queue(running.entry).append_paused(running.entry)
+
     def charge(self, account: types.AccountId, tokens: float) -> None:
         """Add cost that belongs to no attempt of this queue.
 
@@ -230,8 +324,7 @@
         outstanding: dict[types.AccountId, float] = {}
         for running in self._running.values():
             account = running.entry.account
-            done = running.entry.prompt_tokens + running.generated
-            left = max(running.charged - done, 0.0)
+            left = max(running.charged - running.done, 0.0)
             outstanding[account] = outstanding.get(account, 0.0) + left
         return self._tree.apply_shares(share_of, outstanding)
 
@@ -266,19 +359,19 @@
             max(min(late_ms, wait_ms), MIN_RETRY_AFTER_MS),
         )
 
-    def _add_entry(self, entry: account_queue.QueueEntry) -> None:
-        queue = self._queues.get(entry.account)
-        if queue is None:
-            queue = account_queue.AccountQueue()
-            self._queues[entry.account] = queue
-        queue.append(entry)
+    def _find_or_add_queue(
+        self, entry: account_queue.QueueEntry
+    ) -> account_queue.AccountQueue:
         self._accounts[entry.attempt] = entry.account
         self._tree.set_backlogged(entry.account, True)
+        return self._queues.setdefault(
+            entry.account, account_queue.AccountQueue()
+        )
 
     def _drop_entry_of_longest_queue(self) -> Refusal:
         active = list(self._queues)
         account = max(
-            active,
+            (other for other in active if self._queues[other].count_waiting()),
             key=lambda other: (
                 self._queues[other].count_tokens()
                 / self._tree.compute_fraction(other, active)
@@ -306,6 +399,17 @@
     def _start(self, entry: account_queue.QueueEntry) -> None:
         running = _Running(entry)
         self._running[entry.attempt] = running
+        self._unread_tokens += entry.prompt_tokens
+        self._charge_running(running, entry.expected_tokens)
+
+    def _note_prompt_read(self, running: _Running) -> None:
+        if running.is_unread:
+            running.is_unread = False
+            self._unread_tokens -= running.entry.prompt_tokens
+
+    def _resume(self, entry: account_queue.QueueEntry) -> None:
+        running = self._paused.pop(entry.attempt)
+        self._running[entry.attempt] = running
         self._charge_running(running, entry.expected_tokens)
 
     def _charge_running(self, running: _Running, expected: float) -> None:
--- a/foxtailpick/core/share_tree.py
+++ b/foxtailpick/core/share_tree.py
@@ -136,6 +136,20 @@
         partner.clock = max(partner.clock, node.vtime)
         return account
 
+    def compute_lead(
+        self, account: types.AccountId, other: types.AccountId
+    ) -> float:
+        """Return how far an account is ahead of another one.
+
+        :returns: tokens that the account, or its partner if they have
+            different ones, has used above what its weight justifies.
+        """
+        partner, node = self._find_or_add(account)
+        other_partner, other_node = self._find_or_add(other)
+        if partner is other_partner:
+            return (node.vtime - other_node.vtime) * node.weight
+        return (partner.vtime - other_partner.vtime) * partner.weight
+
     def compute_fraction(
         self,
         account: types.AccountId,
