Let accounts save an unused part, and audit agreed shares

Cause: requests of a light account that came close together waited up to a second behind a surge, and behind its prompts inside the engine. Change: an account may save 1024 tokens of unused part; accounts below their part pass the limit on unread prompts, now 128 tokens; the split of each 10 s is checked from counted tokens as promise FAIR_SHARE.

--- a/foxtailpick/bench/shares.py
+++ b/foxtailpick/bench/shares.py
@@ -84,7 +84,7 @@
     def finish(self, attempt):
         """Ignore the end of a request."""
 
-    def apply_shares(self, share_of):
+    def apply_shares(self, share_of, now_ms):
         """Ignore shares."""
 
 
@@ -115,29 +115,27 @@
         """Note the end of a request."""
         self._queue.finish(attempt)
 
-    def apply_shares(self, share_of):
+    def apply_shares(self, share_of, now_ms):
         """Put new shares in force."""
-        self._queue.apply_shares(share_of)
+        self._queue.apply_shares(share_of, now_ms)
 
 
-def make_ours(
-    commit_tokens: float,
-    pause_lead_tokens: float = float('inf'),
-    max_unread_tokens: float = float('inf'),
-) -> MakeScheduler:
+def make_ours(commit_tokens: float, **fields: float) -> MakeScheduler:
     """Build a maker of our queue.
 
     :param commit_tokens: expected tokens charged ahead of generation.
-    :param pause_lead_tokens: how far an account may be ahead before
-        running requests of it are paused.
-    :param max_unread_tokens: started prompt tokens without a first token
-        from which on nothing is started.
+    :param fields: other options, see `fair_share.FairQueueOptions`; without
+        them nothing is paused or held back.
     """
+    unbounded = {
+        'pause_lead_tokens': float('inf'),
+        'max_unread_tokens': float('inf'),
+        'burst_tokens': 0.0,
+    }
     options = fair_share.FairQueueOptions(
         max_entries=100_000,
         commit_tokens=commit_tokens,
-        pause_lead_tokens=pause_lead_tokens,
-        max_unread_tokens=max_unread_tokens,
+        **(unbounded | fields),
     )
 
     def make(share_of: share_tree.ShareLookup) -> fair_share.FairQueue:
@@ -146,6 +144,17 @@
     return make
 
 
+DEFAULTS = {
+    field.name: field.default
+    for field in dataclasses.fields(fair_share.FairQueueOptions)
+    if field.name != 'max_entries'
+}
+PAUSING = make_ours(
+    **DEFAULTS | {'max_unread_tokens': float('inf'), 'burst_tokens': 0.0}
+)
+HOLDING = make_ours(**DEFAULTS | {'burst_tokens': 0.0})
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Policy:
     """A way to share an endpoint.
@@ -164,22 +173,23 @@
     'tokens, all charged at the start': Policy(make_ours(float('inf'))),
     'tokens, charged as generated': Policy(make_ours(0.0)),
     'tokens, 32 ahead': Policy(make_ours(32.0)),
-    'tokens, 128 ahead': Policy(make_ours(128.0)),
-    '32 ahead, pausing at 128': Policy(make_ours(32.0, 128.0), True),
-    '32 ahead, pausing at 512': Policy(make_ours(32.0, 512.0), True),
-    '32 ahead, 512 unread': Policy(make_ours(32.0, float('inf'), 512.0)),
-    '32 ahead, pausing at 512, 512 unread': Policy(
-        make_ours(32.0, 512.0, 512.0), True
-    ),
-    '32 ahead, pausing at 512, 256 unread': Policy(
-        make_ours(32.0, 512.0, 256.0), True
+    'with pauses at a lead of 512': Policy(PAUSING, True),
+    'and 128 unread tokens': Policy(HOLDING, True),
+    'and a burst of 1024 (default)': Policy(make_ours(**DEFAULTS), True),
+    'and a burst of 2048': Policy(
+        make_ours(**DEFAULTS | {'burst_tokens': 2_048.0}), True
     ),
 }
 
 
 def measure() -> list[tables.Table]:
     """Measure share errors and the effect of a surge."""
-    return [_measure_share_errors(), _measure_surge()]
+    return [
+        _measure_share_errors(),
+        _measure_surge(0.25, 0.25),
+        _measure_surge(0.25, 5.0),
+        _measure_surge(0.6, 0.6),
+    ]
 
 
 def _measure_share_errors() -> tables.Table:
@@ -225,7 +235,7 @@
     is_changed = False
     while engine.now_ms < END_MS:
         if not is_changed and engine.now_ms >= CHANGE_MS:
-            engine.scheduler.apply_shares(AFTER.__getitem__)
+            engine.scheduler.apply_shares(AFTER.__getitem__, engine.now_ms)
             is_changed = True
         _refill(engine, waiting, rng)
         for job in engine.admit():
@@ -286,10 +296,11 @@
     return 100 * max(errors)
 
 
-def _measure_surge() -> tables.Table:
+def _measure_surge(rate_per_s: float, before_per_s: float) -> tables.Table:
     table = tables.Table(
-        f'First token of an account at 6% of capacity while another account '
-        f'goes from 6% to 200%, {LIMIT} slots, seed {SEED}',
+        f'First token of nine accounts at {rate_per_s:g} requests a second '
+        f'each while the tenth goes from {before_per_s:g} to 16, '
+        f'{LIMIT} slots, seed {SEED}',
         (
             'policy',
             'p95 before (ms)',
@@ -300,8 +311,8 @@
         ),
     )
     for name, policy in POLICIES.items():
-        quiet = _run_open(policy, 0.5)[0]
-        surge, pauses = _run_open(policy, 16.0)
+        quiet, _ = _run_open(policy, rate_per_s, before_per_s)
+        surge, pauses = _run_open(policy, rate_per_s, 16.0)
         table.add_row(
             name,
             _find_quantile(quiet, 0.95),
@@ -314,13 +325,13 @@
 
 
 def _run_open(
-    policy: Policy, surge_rate_per_s: float
+    policy: Policy, rate_per_s: float, surge_rate_per_s: float
 ) -> tuple[list[float], int]:
     rng = random.Random(SEED)
     engine = batching.BatchingEngine(
         policy.make(SURGE_SHARES.__getitem__), LIMIT, policy.is_pausing
     )
-    rates = dict.fromkeys(SURGE_SHARES, 0.5)
+    rates = dict.fromkeys(SURGE_SHARES, rate_per_s)
     rates['b1'] = surge_rate_per_s
     arrivals = _make_arrivals(rates, rng)
     first_tokens = []
@@ -333,7 +344,7 @@
             continue
         for served in engine.step():
             job = served.job
-            if served.is_first_token and job.entry.account == 'a1':
+            if served.is_first_token and job.entry.account != 'b1':
                 first_tokens.append(served.at_ms - job.arrived_ms)
     return first_tokens, engine.pauses
 
--- a/foxtailpick/core/fair_share.py
+++ b/foxtailpick/core/fair_share.py
@@ -12,7 +12,9 @@
 
 from foxtailpick.core import account_queue
 from foxtailpick.core import errors
+from foxtailpick.core import invariants
 from foxtailpick.core import service_rate
+from foxtailpick.core import share_audit
 from foxtailpick.core import share_tree
 from foxtailpick.core import types
 
@@ -30,15 +32,17 @@
         waits before running requests of it are paused, at least
         `commit_tokens`.
     :param max_unread_tokens: prompt tokens of started requests without a
-        first token, from which on nothing is started: prompts wait here,
-        in fair order, and not inside the engine.
+        first token, from which on only accounts with less than their part
+        of the slots start more: prompts wait here, not inside the engine.
+    :param burst_tokens: unused part that an account may save up.
     """
 
     max_entries: int = 1_024
     commit_tokens: float = 32.0
     initial_tokens_per_ms: float = 2.0
     pause_lead_tokens: float = 512.0
-    max_unread_tokens: float = 512.0
+    max_unread_tokens: float = 128.0
+    burst_tokens: float = 1_024.0
 
     def __post_init__(self) -> None:
         """Check the ranges."""
@@ -85,15 +89,22 @@
 
     :param options: its settings.
     :param share_of: gives the share of an account in force.
+    :param monitor: checks the promise on shares; None to check nothing.
     """
 
     def __init__(
         self,
         options: FairQueueOptions,
         share_of: share_tree.ShareLookup,
+        monitor: invariants.Monitor | None = None,
     ) -> None:
         self._options = options
-        self._tree = share_tree.ShareTree(share_of)
+        self._share_of = share_of
+        self._audit = share_audit.ShareAudit(
+            monitor or invariants.Monitor(),
+            options.pause_lead_tokens + options.burst_tokens,
+        )
+        self._tree = share_tree.ShareTree(share_of, options.burst_tokens)
         self._rate = service_rate.ServiceRate(options.initial_tokens_per_ms)
         self._queues: dict[types.AccountId, account_queue.AccountQueue] = {}
         self._accounts: dict[types.AttemptId, types.AccountId] = {}
@@ -150,9 +161,9 @@
             enough prompts to read; call again after a first token.
         """
         self._rate.observe(now_ms, 0.0, bool(self._accounts))
-        if self._unread_tokens >= self._options.max_unread_tokens:
-            return None
         while (account := self._tree.select()) is not None:
+            if self._is_held_for_prompts(account):
+                return None
             entry = self._queues[account].pop_first()
             self._note_removal(entry)
             if entry.attempt in self._paused:
@@ -186,6 +197,7 @@
                 self._refused.append(refusal)
         for account in list(self._tree.accounts):
             self._forget_if_idle(account)
+        self._audit.close_if_due(self._share_of, self._queues, now_ms)
         refused, self._refused = self._refused, []
         return tuple(refused)
 
@@ -218,6 +230,7 @@
             return
         self._note_prompt_read(running)
         running.generated += tokens
+        self._audit.record(running.entry.account, tokens)
         self._rate.observe(now_ms, tokens, bool(self._accounts))
         self._charge_running(running, running.entry.expected_tokens)
 
@@ -246,9 +259,7 @@
         waiting = self._tree.select()
         if waiting is None:
             return None
-        counts = collections.Counter(
-            running.entry.account for running in self._running.values()
-        )
+        counts = self._count_running_by_account()
         active = counts.keys() | self._queues.keys()
         excess = {
             account: counts[account]
@@ -314,11 +325,15 @@
         :param multipliers: factor on the cost of an account, see `usage`.
         """
         self._tree.set_multipliers(multipliers)
+        self._audit.excuse()
 
-    def apply_shares(self, share_of: share_tree.ShareLookup) -> bool:
+    def apply_shares(
+        self, share_of: share_tree.ShareLookup, now_ms: float
+    ) -> bool:
         """Put the shares of a new configuration in force at once.
 
         :param share_of: gives the share of an account in force.
+        :param now_ms: the current time.
         :returns: whether a share of an account with work has changed.
         """
         outstanding: dict[types.AccountId, float] = {}
@@ -326,7 +341,11 @@
             account = running.entry.account
             left = max(running.charged - running.done, 0.0)
             outstanding[account] = outstanding.get(account, 0.0) + left
-        return self._tree.apply_shares(share_of, outstanding)
+        self._share_of = share_of
+        is_changed = self._tree.apply_shares(share_of, outstanding)
+        if is_changed:
+            self._audit.restart(self._queues, now_ms)
+        return is_changed
 
     def predict_wait_ms(
         self, account: types.AccountId, ahead_tokens: float
@@ -343,6 +362,23 @@
         fraction = self._tree.compute_fraction(account, active)
         return ahead_tokens / (fraction * self._rate.tokens_per_ms)
 
+    def _is_held_for_prompts(self, account: types.AccountId) -> bool:
+        if self._unread_tokens < self._options.max_unread_tokens:
+            return False
+        counts = self._count_running_by_account()
+        active = counts.keys() | self._queues.keys()
+        part = self._tree.compute_fraction(account, active) * len(
+            self._running
+        )
+        return counts[account] >= part
+
+    def _count_running_by_account(
+        self,
+    ) -> collections.Counter[types.AccountId]:
+        return collections.Counter(
+            running.entry.account for running in self._running.values()
+        )
+
     def _find_deadline_refusal(
         self,
         entry: account_queue.QueueEntry,
@@ -393,6 +429,7 @@
         if len(self._queues[entry.account]):
             return
         del self._queues[entry.account]
+        self._audit.note_empty(entry.account)
         self._tree.set_backlogged(entry.account, False)
         self._forget_if_idle(entry.account)
 
@@ -400,6 +437,9 @@
         running = _Running(entry)
         self._running[entry.attempt] = running
         self._unread_tokens += entry.prompt_tokens
+        self._audit.record(entry.account, entry.prompt_tokens)
+        if not entry.is_pausable:
+            self._audit.excuse()
         self._charge_running(running, entry.expected_tokens)
 
     def _note_prompt_read(self, running: _Running) -> None:
--- a/foxtailpick/core/share_tree.py
+++ b/foxtailpick/core/share_tree.py
@@ -2,8 +2,8 @@
 
 Start-time fair queueing in two levels. Each node has a virtual time: the
 cost charged to it, divided by its weight. The backlogged node with the
-lowest virtual time goes next. A node that becomes backlogged starts no
-earlier than the clock of its level, so idle time earns no credit.
+lowest virtual time goes next. A node that becomes backlogged starts at most
+a burst before the clock of its level, so idle time earns a bounded credit.
 """
 
 import dataclasses
@@ -61,10 +61,15 @@
     """Virtual times of the partners and accounts that have work.
 
     :param share_of: gives the share of an account.
+    :param burst_tokens: unused part that an account and a partner may
+        save up while others use the endpoint.
     """
 
-    def __init__(self, share_of: ShareLookup) -> None:
+    def __init__(
+        self, share_of: ShareLookup, burst_tokens: float = 0.0
+    ) -> None:
         self._share_of = share_of
+        self._burst_tokens = burst_tokens
         self._clock = 0.0
         self._partners: dict[types.PartnerId, _Partner] = {}
         self._shares: dict[types.AccountId, Share] = {}
@@ -98,9 +103,13 @@
         """
         partner, node = self._find_or_add(account)
         if is_backlogged and not partner.is_backlogged():
-            partner.vtime = max(partner.vtime, self._clock)
+            partner.vtime = max(
+                partner.vtime, self._find_start(self._clock, partner.weight)
+            )
         if is_backlogged and not node.is_backlogged:
-            node.vtime = max(node.vtime, partner.clock)
+            node.vtime = max(
+                node.vtime, self._find_start(partner.clock, node.weight)
+            )
         node.is_backlogged = is_backlogged
 
     def charge(self, account: types.AccountId, tokens: float) -> None:
@@ -190,12 +199,14 @@
         if share is None:
             return
         partner = self._partners[share.partner]
-        is_ahead = partner.accounts[account].vtime > partner.clock
+        node = partner.accounts[account]
+        is_ahead = node.vtime > self._find_start(partner.clock, node.weight)
         if is_ahead and len(partner.accounts) > 1:
             return
         del partner.accounts[account]
         del self._shares[account]
-        if not partner.accounts and partner.vtime <= self._clock:
+        start = self._find_start(self._clock, partner.weight)
+        if not partner.accounts and partner.vtime <= start:
             del self._partners[share.partner]
 
     def forget_all(self) -> None:
@@ -241,6 +252,9 @@
             if node.is_backlogged
         ]
 
+    def _find_start(self, clock: float, weight: float) -> float:
+        return max(clock - self._burst_tokens / weight, 0.0)
+
     def _find_or_add(
         self, account: types.AccountId
     ) -> tuple[_Partner, _Account]:
@@ -250,12 +264,14 @@
             self._shares[account] = share
         partner = self._partners.get(share.partner)
         if partner is None:
-            partner = _Partner(share.partner_weight, self._clock)
+            start = self._find_start(self._clock, share.partner_weight)
+            partner = _Partner(share.partner_weight, start)
             self._partners[share.partner] = partner
         partner.weight = share.partner_weight
         node = partner.accounts.get(account)
         if node is None:
-            node = _Account(share.account_weight, partner.clock)
+            start = self._find_start(partner.clock, share.account_weight)
+            node = _Account(share.account_weight, start)
             partner.accounts[account] = node
         return partner, node
 
--- a/foxtailpick/tests/test_fair_share.py
+++ b/foxtailpick/tests/test_fair_share.py
@@ -5,6 +5,7 @@
 from foxtailpick.core import account_queue
 from foxtailpick.core import errors
 from foxtailpick.core import fair_share
+from foxtailpick.core import invariants
 from foxtailpick.core import share_tree
 from foxtailpick.core import types
 
@@ -18,7 +19,10 @@
 @pytest.fixture
 def queue():
     options = fair_share.FairQueueOptions(
-        max_entries=200, initial_tokens_per_ms=1.0
+        max_entries=200,
+        initial_tokens_per_ms=1.0,
+        max_unread_tokens=float('inf'),
+        burst_tokens=0.0,
     )
     return fair_share.FairQueue(options, SHARES.__getitem__)
 
@@ -76,8 +80,8 @@
         account: share_tree.Share(share.partner, 1.0, 1.0)
         for account, share in SHARES.items()
     }
-    assert queue.apply_shares(swapped.__getitem__)
-    assert not queue.apply_shares(swapped.__getitem__)
+    assert queue.apply_shares(swapped.__getitem__, 0.0)
+    assert not queue.apply_shares(swapped.__getitem__, 0.0)
     for _ in range(8):
         queue.pop_next(0.0)
     assert queue.count_running('a1') == pytest.approx(12, abs=1)
@@ -174,3 +178,82 @@
     serve(queue, 50)
     queue.sweep(0.0)
     assert set(queue._tree.accounts) == {'b1'}
+
+
+def make_pausable(queue, account, count, **fields):
+    fill(queue, account, count, expected_tokens=99.0, is_pausable=True)
+    return [queue.pop_next(0.0).attempt for _ in range(count)]
+
+
+def test_youngest_stream_above_its_part_is_paused_and_resumed(queue):
+    streams = make_pausable(queue, 'b1', 8)
+    for attempt in streams:
+        queue.record_generated(attempt, 50.0, 1.0)
+    fill(queue, 'a1', 1)
+    assert queue.plan_pause(8) == streams[-1]
+    queue.pause(streams[-1])
+    assert queue.pop_next(2.0).account == 'a1'
+    assert queue.pop_next(2.0).attempt == streams[-1]
+    assert queue.count_running('b1') == 8
+
+
+@pytest.mark.parametrize('is_pausable', [True, False])
+def test_only_pausable_streams_above_their_part_are_paused(queue, is_pausable):
+    fill(queue, 'b1', 2, expected_tokens=99.0, is_pausable=is_pausable)
+    for _ in range(2):
+        queue.record_generated(queue.pop_next(0.0).attempt, 500.0, 1.0)
+    fill(queue, 'a1', 1)
+    assert (queue.plan_pause(2) is not None) is is_pausable
+    assert queue.plan_pause(64) is None
+
+
+def test_paused_stream_is_never_refused(queue):
+    (stream,) = make_pausable(queue, 'b1', 1)
+    queue.pause(stream)
+    assert queue.sweep(1e9) == ()
+    assert not queue.cancel(stream)
+    assert len(queue) == 0
+
+
+def test_prompts_wait_here_except_for_accounts_below_their_part():
+    options = fair_share.FairQueueOptions(max_unread_tokens=128.0)
+    queue = fair_share.FairQueue(options, SHARES.__getitem__)
+    fill(queue, 'b1', 4, tokens=100.0)
+    started = [queue.pop_next(0.0) for _ in range(3)]
+    assert [entry and entry.account for entry in started] == ['b1', 'b1', None]
+    fill(queue, 'a1', 1)
+    assert queue.pop_next(0.0).account == 'a1'
+    queue.record_generated('b1-0', 1.0, 1.0)
+    assert queue.pop_next(1.0).account == 'b1'
+
+
+def test_unused_part_is_saved_up_to_the_burst():
+    options = fair_share.FairQueueOptions(
+        max_unread_tokens=float('inf'), burst_tokens=50.0
+    )
+    queue = fair_share.FairQueue(options, SHARES.__getitem__)
+    fill(queue, 'a1', 150)
+    serve(queue, 100)
+    fill(queue, 'b1', 20)
+    assert serve(queue, 5)['b1'] == 50
+
+
+@pytest.mark.parametrize('is_crowding', [False, True])
+def test_crowding_out_breaks_the_promise(monitor, is_crowding):
+    options = fair_share.FairQueueOptions(max_entries=9_999)
+    queue = fair_share.FairQueue(options, SHARES.__getitem__, monitor)
+    queue.sweep(10_000.0)
+    for account in SHARES:
+        fill(queue, account, 900, tokens=100.0, is_pausable=True)
+    queue.sweep(20_000.0)
+    for _ in range(800):
+        queue.finish(queue.pop_next(20_000.0).attempt)
+    if is_crowding:
+        entry = queue.pop_next(20_000.0)
+        for _ in range(400):
+            queue.record_generated(entry.attempt, 100.0, 20_000.0)
+        with pytest.raises(errors.InvariantError, match='partner'):
+            queue.sweep(30_000.0)
+    else:
+        queue.sweep(30_000.0)
+        assert monitor.checked[invariants.Promise.FAIR_SHARE] == 4
