Grow the limit of a cold engine by first tokens, without a fall

Change: growth stops at a strain of 1.3 already; strain is taken in relation to a base that decays within 20 s; nothing starts while two first tokens are overdue; what was read before the cache was lost does not count.

--- a/foxtailpick/core/charts.py
+++ b/foxtailpick/core/charts.py
@@ -111,10 +111,18 @@
             states=list(chart.states),
             initial=chart.initial,
             auto_transitions=False,
-            ignore_invalid_triggers=True,
         )
         for transition in chart.transitions:
             self._add_transition(transition)
+        self._sources = {
+            trigger: {
+                source
+                for transition in chart.transitions
+                if transition.trigger == trigger
+                for source in transition.sources
+            }
+            for trigger in self._machine.events
+        }
         self._model = _Model()
         self._machine.add_model(self._model)
 
@@ -131,11 +139,13 @@
             is ignored.
         :raises ValueError: if the chart knows no such trigger.
         """
-        if trigger not in self._machine.events:
+        if trigger not in self._sources:
             raise ValueError(
-                f'expected one of {", ".join(sorted(self._machine.events))}, '
+                f'expected one of {", ".join(sorted(self._sources))}, '
                 f'got {trigger!r}; add it to the chart'
             )
+        if self._model.state not in self._sources[trigger]:
+            return False
         return self._model.trigger(trigger)
 
     def _add_transition(self, transition: Transition) -> None:
--- a/foxtailpick/core/limit_policy.py
+++ b/foxtailpick/core/limit_policy.py
@@ -16,6 +16,7 @@
     :param limit: the limit in force.
     :param in_flight: requests started and not finished.
     :param strain: averaged strain of recent first tokens.
+    :param last_strain: strain of this first token.
     :param age_ms: time since the engine was last found cold.
     :param first_token_ms: time to a first token without strain.
     :param since_cut_ms: time since the limit was last cut.
@@ -24,6 +25,7 @@
     limit: float
     in_flight: int
     strain: float
+    last_strain: float
     age_ms: float
     first_token_ms: float
     since_cut_ms: float
@@ -55,20 +57,27 @@
 
 
 def make_aimd(
-    gain: float = 0.25, cut: float = 0.7, max_strain: float = 1.6
+    gain: float = 1.0,
+    cut: float = 0.7,
+    grow_strain: float = 1.3,
+    max_strain: float = 1.6,
 ) -> LimitPolicy:
     """Build a policy of additive increase and multiplicative decrease.
 
     :param gain: growth with each first token without strain.
     :param cut: factor on the limit when there is strain.
-    :param max_strain: the strain that is still taken as none.
+    :param grow_strain: the strain from which on the limit does not grow.
+    :param max_strain: the strain from which on the limit is cut.
     """
 
     def choose_limit(seen: Observation) -> float:
         if seen.strain > max_strain:
             is_cut_due = seen.since_cut_ms > 4 * seen.first_token_ms
             return seen.limit * (cut if is_cut_due else 1.0)
-        return seen.limit + (gain if seen.is_limit_used else 0.0)
+        is_strained = max(seen.strain, seen.last_strain) > grow_strain
+        if is_strained or not seen.is_limit_used:
+            return seen.limit
+        return seen.limit + gain
 
     return choose_limit
 
--- a/foxtailpick/core/slow_start.py
+++ b/foxtailpick/core/slow_start.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import math
 
 from loguru import logger
 
@@ -14,6 +15,7 @@
 from foxtailpick.core import limit_policy
 from foxtailpick.core import types
 
+BASE_TIME_CONSTANT_MS = 20.0 * types.SECOND_MS
 HIT_RATIO_WEIGHT = 0.05
 STRAIN_WEIGHT = 0.2
 
@@ -29,6 +31,8 @@
     :param cold_samples: late first tokens needed to take it as cold.
     :param cold_hit_ratio: part of the usual cache hits below which an
         engine is taken to be cold.
+    :param hold_strain: strain of overdue first tokens from which on
+        nothing is started until they come.
     :param max_failures: failures in a row after which an engine counts as
         starting.
     """
@@ -39,6 +43,7 @@
     cold_strain: float = 4.0
     cold_samples: int = 3
     cold_hit_ratio: float = 0.25
+    hold_strain: float = 2.0
     max_failures: int = 3
 
     def __post_init__(self) -> None:
@@ -94,10 +99,14 @@
         )
         self._in_flight: dict[int, StartTicket] = {}
         self._pending: dict[int, StartTicket] = {}
+        self._carried: set[int] = set()
+        self._late_since_ms = float('inf')
         self._started = 0
         self._epoch = 0
         self._limit = options.initial_limit
         self._strain = 1.0
+        self._base_strain: float | None = None
+        self._base_ms = 0.0
         self._late_samples = 0
         self._failures = 0
         self._usual_hits: float | None = None
@@ -134,8 +143,8 @@
     def limit(self, now_ms: float) -> int:
         """Return how many requests may be in flight.
 
-        Requests that started before the engine went cold do not count
-        against what it bears now: their prompts have been read.
+        Requests with a first token from before the engine went cold do not
+        count against what it bears now: their prompts have been read.
 
         :param now_ms: the current time; first tokens overdue by then show
             that the engine went cold.
@@ -145,10 +154,11 @@
             return 1
         if self.state not in _OPEN_STATES:
             return 0
-        older = sum(
-            ticket.epoch < self._epoch for ticket in self._in_flight.values()
+        if self._count_overdue(self._options.hold_strain, now_ms) >= 2:
+            return min(self.in_flight, int(self._limit))
+        return int(
+            min(self._limit + len(self._carried), self._options.max_limit)
         )
-        return int(min(self._limit + older, self._options.max_limit))
 
     def on_started(
         self, now_ms: float, expected_ms: float | None = None
@@ -193,22 +203,25 @@
         if self._pending.pop(ticket.number, None) is None:
             return
         self._failures = 0
-        self._life.fire('answered')
+        is_first_answer = self._life.fire('answered')
         if ticket.epoch < self._epoch:
             return
         first_token_ms = max(now_ms - ticket.started_ms, 0.0)
-        strain = first_token_ms / ticket.expected_ms
+        strain = self._compare_with_base(
+            first_token_ms / ticket.expected_ms, now_ms
+        )
         self._strain += STRAIN_WEIGHT * (strain - self._strain)
-        self._note_late_sample(strain, now_ms)
+        self._note_late_sample(ticket, strain, now_ms)
         if hit_ratio is not None:
             self._note_hit_ratio(hit_ratio, now_ms)
-        if ticket.epoch == self._epoch:
-            self._move_limit(ticket, now_ms)
+        if ticket.epoch == self._epoch and not is_first_answer:
+            self._move_limit(ticket, strain, now_ms)
 
     def on_completed(self, ticket: StartTicket) -> None:
         """Record the end of a request, cancelled ones included."""
         self._in_flight.pop(ticket.number, None)
         self._pending.pop(ticket.number, None)
+        self._carried.discard(ticket.number)
 
     def on_failed(self, ticket: StartTicket, now_ms: float) -> None:
         """Record a request that failed by a fault of the engine.
@@ -256,26 +269,60 @@
     def _is_limit_reached(self) -> bool:
         return self._limit >= self._options.max_limit
 
-    def _look_for_overdue_first_tokens(self, now_ms: float) -> None:
-        if self.state is not types.EndpointState.READY:
-            return
-        overdue = sum(
-            now_ms - ticket.started_ms
-            > self._options.cold_strain * ticket.expected_ms
+    def _compare_with_base(self, strain: float, now_ms: float) -> float:
+        """Return the strain in relation to that of the idle engine.
+
+        A cold engine is slow even without load. What it can bear shows in
+        how first tokens slow down from there on. The base decays, because
+        an engine that warms up under growing load would hide the load.
+        """
+        base = self._find_base_strain(now_ms)
+        if self._base_strain is None or strain < base:
+            base = min(max(strain, 1.0), self._options.cold_strain)
+            self._base_strain = base
+            self._base_ms = now_ms
+        return strain / base
+
+    def _find_base_strain(self, now_ms: float) -> float:
+        if self._base_strain is None:
+            return self._options.cold_strain
+        age_ms = now_ms - self._base_ms
+        decay = math.exp(-age_ms / BASE_TIME_CONSTANT_MS)
+        return 1.0 + (self._base_strain - 1.0) * decay
+
+    def _count_overdue(self, strain: float, now_ms: float) -> int:
+        strain *= self._find_base_strain(now_ms)
+        return sum(
+            now_ms - ticket.started_ms > strain * ticket.expected_ms
             for ticket in self._pending.values()
             if ticket.epoch == self._epoch
         )
+
+    def _look_for_overdue_first_tokens(self, now_ms: float) -> None:
+        overdue = self._count_overdue(self._options.cold_strain, now_ms)
         if overdue + self._late_samples >= self._options.cold_samples:
-            self.on_cold(now_ms, 'first tokens overdue')
+            oldest = min(
+                (ticket.started_ms for ticket in self._pending.values()),
+                default=now_ms,
+            )
+            self._late_since_ms = min(self._late_since_ms, oldest)
+            self._go_cold_if_above_initial(now_ms, 'first tokens overdue')
+
+    def _go_cold_if_above_initial(self, now_ms: float, reason: str) -> None:
+        if self._limit > self._options.initial_limit:
+            self.on_cold(now_ms, reason)
 
-    def _note_late_sample(self, strain: float, now_ms: float) -> None:
+    def _note_late_sample(
+        self, ticket: StartTicket, strain: float, now_ms: float
+    ) -> None:
         if strain <= self._options.cold_strain:
             self._late_samples = 0
+            self._late_since_ms = float('inf')
             return
         self._late_samples += 1
-        is_ready = self.state is types.EndpointState.READY
-        if is_ready and self._late_samples >= self._options.cold_samples:
-            self.on_cold(now_ms, 'first tokens late')
+        self._late_since_ms = min(self._late_since_ms, ticket.started_ms)
+        if self._late_samples >= self._options.cold_samples:
+            self._go_cold_if_above_initial(now_ms, 'first tokens late')
 
     def _note_hit_ratio(self, hit_ratio: float, now_ms: float) -> None:
         if self._usual_hits is None or self._recent_hits is None:
@@ -283,20 +330,19 @@
             return
         self._recent_hits += STRAIN_WEIGHT * (hit_ratio - self._recent_hits)
         self._usual_hits += HIT_RATIO_WEIGHT * (hit_ratio - self._usual_hits)
-        is_ready = self.state is types.EndpointState.READY
         floor = self._options.cold_hit_ratio * self._usual_hits
-        if is_ready and self._recent_hits < floor:
-            self.on_cold(now_ms, 'cache misses')
+        if self._recent_hits < floor:
+            self._go_cold_if_above_initial(now_ms, 'cache misses')
 
-    def _move_limit(self, ticket: StartTicket, now_ms: float) -> None:
+    def _move_limit(
+        self, ticket: StartTicket, strain: float, now_ms: float
+    ) -> None:
         wanted = self._policy(
             limit_policy.Observation(
                 self._limit,
-                sum(
-                    other.epoch == self._epoch
-                    for other in self._in_flight.values()
-                ),
+                len(self._in_flight.keys() - self._carried),
                 self._strain,
+                strain,
                 now_ms - self._cold_ms,
                 ticket.expected_ms,
                 now_ms - self._cut_ms,
@@ -318,8 +364,16 @@
             self.in_flight,
         )
         self._epoch += 1
+        self._carried = {
+            number
+            for number, ticket in self._in_flight.items()
+            if number not in self._pending
+            and ticket.started_ms < self._late_since_ms
+        }
+        self._late_since_ms = float('inf')
         self._limit = self._options.initial_limit
         self._strain = 1.0
+        self._base_strain = None
         self._late_samples = 0
         self._failures = 0
         self._usual_hits = self._recent_hits = None
--- a/foxtailpick/tests/test_slow_start.py
+++ b/foxtailpick/tests/test_slow_start.py
@@ -63,8 +63,9 @@
 def test_cold_engine_starts_over(limiter, signal):
     now_ms = run_rounds(limiter, 40, hit_ratio=0.9)
     held = [limiter.on_started(now_ms) for _ in range(8)]
+    now_ms += 100.0
     for ticket in held:
-        limiter.on_first_token(ticket, now_ms + 100.0)
+        limiter.on_first_token(ticket, now_ms)
     if signal == 'late':
         tickets = [limiter.on_started(now_ms) for _ in range(3)]
         for ticket in tickets:
@@ -84,12 +85,15 @@
         limiter.on_cold(now_ms, 'reported by the engine')
     limit = limiter.limit(now_ms)
     assert limiter.state is types.EndpointState.WARMING
-    assert limit == limiter.in_flight + OPTIONS.initial_limit
+    assert limit == len(held) + OPTIONS.initial_limit
 
 
 def test_work_from_before_does_not_count(limiter):
     now_ms = run_rounds(limiter, 40)
     held = [limiter.on_started(now_ms) for _ in range(8)]
+    for ticket in held:
+        limiter.on_first_token(ticket, now_ms + 100.0)
+    limiter.on_started(now_ms)
     limiter.on_cold(now_ms, 'test')
     assert limiter.limit(now_ms) == 8 + OPTIONS.initial_limit
     limiter.on_completed(held[0])
