Bound retries to 15 % of first attempts with a burst of two

Cause: a third of the endpoints going at once must not start a retry storm: at most 1.2 attempts per request.

--- a/foxtailpick/core/retry.py
+++ b/foxtailpick/core/retry.py
@@ -25,7 +25,7 @@
     """
 
     budget_ratio: float = 0.15
-    budget_burst: float = 5.0
+    budget_burst: float = 2.0
     max_attempts: int = 3
     base_delay_ms: float = 25.0
     max_delay_ms: float = 2_000.0
