--- /dev/null
+++ b/foxtailpick/core/config_ini.py
@@ -0,0 +1,229 @@
+"""Sections of INI text against a declared set of fields.
+
+Initial configurations and patches share the same sections: `[KIND NAME]`
+with one key per field.
+"""
+
+import configparser
+import dataclasses
+import enum
+import math
+import re
+import typing
+
+from foxtailpick.core import errors
+
+REMOVE_KEY = 'remove'
+MAX_NAME_CHARS = 128
+
+_NAME = re.compile(r'[A-Za-z0-9][A-Za-z0-9._/@-]*')
+
+
+class _Required(enum.Enum):
+    REQUIRED = 'required'
+
+
+REQUIRED = _Required.REQUIRED
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Field:
+    """One key of a section.
+
+    :param name: the key, and the attribute of the item.
+    :param expected: what a value looks like, for error messages.
+    :param parse: text to value; raises ValueError on a bad text.
+    :param render: value to text.
+    :param default: value of a new item that lacks the key.
+    """
+
+    name: str
+    expected: str
+    parse: typing.Callable[[str], typing.Any]
+    render: typing.Callable[[typing.Any], str]
+    default: typing.Any = REQUIRED
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Kind:
+    """One kind of section.
+
+    :param name: first word of the section's head.
+    :param build: class of the item; its first argument is the name.
+    :param fields: the keys, in the order of the class's arguments.
+    """
+
+    name: str
+    build: typing.Callable[..., typing.Any]
+    fields: tuple[Field, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Section:
+    """A section as read.
+
+    :param kind: first word of its head.
+    :param name: the rest of its head, empty for `[patch]`.
+    :param values: its keys and texts.
+    """
+
+    kind: str
+    name: str
+    values: typing.Mapping[str, str]
+
+    @property
+    def title(self) -> str:
+        """Return the head of the section as written."""
+        return f'[{self.kind} {self.name}]' if self.name else f'[{self.kind}]'
+
+    @property
+    def is_removal(self) -> bool:
+        """Tell whether the section removes its item."""
+        return REMOVE_KEY in self.values
+
+
+def make_error(
+    title: str, key: str, expected: str, came: str
+) -> errors.PatchError:
+    """Return the error of one bad value.
+
+    :param title: head of the section.
+    :param key: the key concerned.
+    :param expected: what was expected.
+    :param came: what came instead.
+    """
+    return errors.PatchError(
+        errors.ErrorCode.PATCH_INVALID,
+        f'{title} {key}: expected {expected}, got {came!r}; '
+        f'correct it and submit the whole patch again',
+    )
+
+
+def read_sections(text: str) -> list[Section]:
+    """Split INI text into sections.
+
+    :param text: the text; no interpolation, no section of defaults.
+    :raises errors.PatchError: with code `PATCH_MALFORMED`.
+    """
+    parser = configparser.ConfigParser(
+        interpolation=None, delimiters=('=',), default_section=''
+    )
+    parser.optionxform = str
+    try:
+        parser.read_string(text)
+    except configparser.Error as exc:
+        raise errors.PatchError(
+            errors.ErrorCode.PATCH_MALFORMED,
+            f'expected INI sections, got: {exc}; correct the text',
+        ) from exc
+    return [_read_section(parser, head) for head in parser.sections()]
+
+
+def _read_section(parser: configparser.ConfigParser, head: str) -> Section:
+    kind, _, name = head.partition(' ')
+    return Section(kind, name.strip(), dict(parser.items(head)))
+
+
+def check_name(section: Section) -> None:
+    """Check the name in a section's head.
+
+    :raises errors.PatchError: if it is empty, too long or has odd letters.
+    """
+    is_short = len(section.name) <= MAX_NAME_CHARS
+    if is_short and _NAME.fullmatch(section.name):
+        return
+    expected = (
+        f'1 to {MAX_NAME_CHARS} letters, digits or any of . _ / @ - '
+        f'that start with a letter or digit'
+    )
+    raise make_error(section.title, 'name', expected, section.name)
+
+
+def build_item(
+    kind: Kind, section: Section, old: typing.Any = None
+) -> typing.Any:
+    """Build an item from a section.
+
+    :param kind: the kind of the section.
+    :param section: the section as read.
+    :param old: the present item, whose other fields are kept.
+    :raises errors.PatchError: on an unknown, missing or bad key.
+    """
+    check_name(section)
+    known = {field.name for field in kind.fields}
+    for key in section.values:
+        if key not in known:
+            expected = f'one of {", ".join(sorted(known))}'
+            raise make_error(section.title, 'key', expected, key)
+    values = [_pick_value(section, field, old) for field in kind.fields]
+    return kind.build(section.name, *values)
+
+
+def _pick_value(section: Section, field: Field, old: typing.Any) -> typing.Any:
+    text = section.values.get(field.name)
+    if text is not None:
+        return _parse_value(section, field, text)
+    if old is not None:
+        return getattr(old, field.name)
+    if field.default is REQUIRED:
+        raise make_error(section.title, field.name, field.expected, 'no key')
+    return field.default
+
+
+def _parse_value(section: Section, field: Field, text: str) -> typing.Any:
+    try:
+        return field.parse(text.strip())
+    except (ValueError, KeyError) as exc:
+        raise make_error(
+            section.title, field.name, field.expected, text
+        ) from exc
+
+
+def render_item(kind: Kind, name: str, item: typing.Any) -> str:
+    """Return the section of an item as INI text.
+
+    :param kind: its kind.
+    :param name: its name.
+    :param item: the item.
+    """
+    lines = [f'[{kind.name} {name}]']
+    for field in kind.fields:
+        text = field.render(getattr(item, field.name))
+        lines.append(f'{field.name} = {text}'.rstrip())
+    return '\n'.join(lines) + '\n'
+
+
+def parse_text(text: str) -> str:
+    """Parse a text that must not be empty."""
+    if not text:
+        raise ValueError('empty')
+    return text
+
+
+def parse_positive(text: str) -> float:
+    """Parse a finite number above zero."""
+    value = float(text)
+    if not math.isfinite(value) or value <= 0:
+        raise ValueError('not above zero')
+    return value
+
+
+def parse_names(text: str) -> frozenset[str]:
+    """Parse names that are parted by commas or lines."""
+    names = text.replace(',', ' ').split()
+    return frozenset(names)
+
+
+def render_names(names: frozenset[str]) -> str:
+    """Render names in order, parted by commas."""
+    return ', '.join(sorted(names))
+
+
+def parse_flag(text: str) -> bool:
+    """Parse `yes` or `no`."""
+    return {'yes': True, 'no': False}[text]
+
+
+def render_flag(is_set: bool) -> str:
+    """Render a flag as `yes` or `no`."""
+    return 'yes' if is_set else 'no'
