--- a/foxtailpick/core/config_ini.py
+++ b/foxtailpick/core/config_ini.py
@@ -26,6 +26,10 @@
 REQUIRED = _Required.REQUIRED
 
 
+def _keep_value(value: typing.Any) -> typing.Any:
+    return value
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Field:
     """One key of a section.
@@ -35,6 +39,7 @@
     :param parse: text to value; raises ValueError on a bad text.
     :param render: value to text.
     :param default: value of a new item that lacks the key.
+    :param unpack: wire value, as `pack_item` gives it, to value.
     """
 
     name: str
@@ -42,6 +47,7 @@
     parse: typing.Callable[[str], typing.Any]
     render: typing.Callable[[typing.Any], str]
     default: typing.Any = REQUIRED
+    unpack: typing.Callable[[typing.Any], typing.Any] = _keep_value
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -193,6 +199,38 @@
     return '\n'.join(lines) + '\n'
 
 
+def pack_item(kind: Kind, item: typing.Any) -> list[typing.Any]:
+    """Return the fields of an item as values that CBOR knows.
+
+    :param kind: its kind.
+    :param item: the item.
+    """
+    return [_pack_value(getattr(item, field.name)) for field in kind.fields]
+
+
+def _pack_value(value: typing.Any) -> typing.Any:
+    if isinstance(value, enum.Enum):
+        return value.value
+    if isinstance(value, frozenset):
+        return sorted(value)
+    return value
+
+
+def unpack_item(
+    kind: Kind, name: str, packed: typing.Sequence[typing.Any]
+) -> typing.Any:
+    """Build an item from its packed fields.
+
+    :param kind: its kind.
+    :param name: its name.
+    :param packed: what `pack_item` returned.
+    :raises ValueError: if the number of fields or a value is wrong.
+    """
+    pairs = zip(kind.fields, packed, strict=True)
+    values = [field.unpack(value) for field, value in pairs]
+    return kind.build(name, *values)
+
+
 def parse_text(text: str) -> str:
     """Parse a text that must not be empty."""
     if not text:
--- a/foxtailpick/core/configuration.py
+++ b/foxtailpick/core/configuration.py
@@ -303,6 +303,7 @@
         config_ini.parse_names,
         config_ini.render_names,
         frozenset(),
+        unpack=frozenset,
     )
 
 
@@ -317,6 +318,7 @@
             types.DomainState,
             _render_member,
             types.DomainState.IN_SERVICE,
+            unpack=types.DomainState,
         ),
     ),
 )
@@ -350,6 +352,7 @@
             _parse_priority,
             _render_priority,
             types.Priority.NORMAL,
+            unpack=types.Priority,
         ),
     ),
 )
@@ -358,7 +361,11 @@
     ServiceConfig,
     (
         config_ini.Field(
-            'kind', 'model or plain', types.EndpointKind, _render_member
+            'kind',
+            'model or plain',
+            types.EndpointKind,
+            _render_member,
+            unpack=types.EndpointKind,
         ),
         _make_names_field('models'),
         _make_names_field('once_paths'),
--- a/foxtailpick/core/errors.py
+++ b/foxtailpick/core/errors.py
@@ -107,6 +107,10 @@
     """An attempt that the sidecar refused; it was not run and never will."""
 
 
+class ConfigError(FoxtailError):
+    """A part of the configuration that is not at hand or does not fit."""
+
+
 class PatchError(FoxtailError):
     """A configuration patch that was not accepted, or may not have been."""
 
