Add the numbered configuration in the store

Change: one transaction a patch, guarded by the head's revision and by the absence of the patch's record; it also writes chunks and collects those that no number of the last 64 refers to. The head is read before the record, so an absent record under a moved head proves that the patch can never land. A patch older than the kept history is unknown.

--- /dev/null
+++ b/foxtailpick/core/config_delta.py
@@ -0,0 +1,240 @@
+"""Wire forms of a configuration: its index and the deltas between numbers."""
+
+import dataclasses
+import typing
+
+import cbor2
+
+from foxtailpick.core import account_table
+from foxtailpick.core import config_ini
+from foxtailpick.core import configuration
+from foxtailpick.core import errors
+from foxtailpick.core import patches
+from foxtailpick.core import types
+
+_SHARED_KINDS = tuple(
+    kind for kind in configuration.KINDS if kind.name != 'account'
+)
+_ACCOUNTS = 'account'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Delta:
+    """What one accepted patch changed.
+
+    :param number: the number it made.
+    :param patch_id: id of the patch.
+    :param author: who submitted it.
+    :param reason: why.
+    :param accepted_ms: when, in milliseconds since the Unix epoch.
+    :param changes: the items set or removed.
+    :param chunk_hashes: number and new hash of each account chunk changed.
+    :param index_hash: hash of the index that results.
+    """
+
+    number: types.ConfigNumber
+    patch_id: types.PatchId
+    author: types.OperatorId
+    reason: str
+    accepted_ms: float
+    changes: tuple[patches.ItemChange, ...]
+    chunk_hashes: tuple[tuple[int, bytes], ...]
+    index_hash: bytes
+
+    def encode(self) -> bytes:
+        """Return the delta in CBOR."""
+        return cbor2.dumps(
+            [
+                self.number,
+                self.patch_id,
+                self.author,
+                self.reason,
+                self.accepted_ms,
+                [_pack_change(change) for change in self.changes],
+                [list(pair) for pair in self.chunk_hashes],
+                self.index_hash,
+            ]
+        )
+
+    @classmethod
+    def decode(cls, raw: bytes) -> 'Delta':
+        """Read a delta.
+
+        :raises errors.ConfigError: with code `CONFIG_CORRUPT`.
+        """
+        try:
+            values = cbor2.loads(raw)
+            number, patch_id, author, reason, at_ms, changes, pairs, end = (
+                values
+            )
+            return cls(
+                types.ConfigNumber(number),
+                types.PatchId(patch_id),
+                types.OperatorId(author),
+                reason,
+                at_ms,
+                tuple(_unpack_change(change) for change in changes),
+                tuple((index, held) for index, held in pairs),
+                end,
+            )
+        except _DECODE_ERRORS as exc:
+            raise _make_corrupt_error('a delta', exc) from exc
+
+    def describe(self) -> str:
+        """Return one line for the history."""
+        items = ', '.join(
+            f'[{change.kind} {change.name}]' for change in self.changes
+        )
+        return f'{self.number} by {self.author} ({self.reason}): {items}'
+
+
+_DECODE_ERRORS = (cbor2.CBORDecodeError, KeyError, TypeError, ValueError)
+
+
+def _make_corrupt_error(expected: str, exc: Exception) -> errors.ConfigError:
+    return errors.ConfigError(
+        errors.ErrorCode.CONFIG_CORRUPT,
+        f'expected {expected}, got bytes that do not fit ({exc}); '
+        f'fetch it from another source',
+    )
+
+
+def _pack_change(change: patches.ItemChange) -> list[typing.Any]:
+    kind = configuration.KINDS_BY_NAME[change.kind]
+    packed = None
+    if change.item is not None:
+        packed = config_ini.pack_item(kind, change.item)
+    return [change.kind, change.name, packed]
+
+
+def _unpack_change(
+    values: typing.Sequence[typing.Any],
+) -> patches.ItemChange:
+    kind_name, name, packed = values
+    kind = configuration.KINDS_BY_NAME[kind_name]
+    item = None
+    if packed is not None:
+        item = config_ini.unpack_item(kind, name, packed)
+    return patches.ItemChange(kind_name, name, item)
+
+
+def encode_index(cfg: configuration.Configuration) -> bytes:
+    """Return all but the accounts, and the hash of each account chunk.
+
+    :param cfg: the configuration; its chunks need not be loaded.
+    """
+    table = account_table.AccountTable.from_mapping(cfg.accounts)
+    index: dict[str, typing.Any] = {
+        kind.name: _pack_items(kind, cfg) for kind in _SHARED_KINDS
+    }
+    index[_ACCOUNTS] = b''.join(table.hashes)
+    return cbor2.dumps(index)
+
+
+def _pack_items(
+    kind: config_ini.Kind, cfg: configuration.Configuration
+) -> dict[str, typing.Any]:
+    items = getattr(cfg, configuration.ATTRIBUTES[kind.name])
+    return {
+        name: config_ini.pack_item(kind, items[name]) for name in sorted(items)
+    }
+
+
+def decode_index(
+    raw: bytes, number: types.ConfigNumber
+) -> configuration.Configuration:
+    """Build a configuration of which no account is loaded yet.
+
+    :param raw: what `encode_index` returned.
+    :param number: the number it belongs to.
+    :raises errors.ConfigError: with code `CONFIG_CORRUPT`.
+    """
+    try:
+        index = cbor2.loads(raw)
+        shared = {
+            configuration.ATTRIBUTES[kind.name]: {
+                name: config_ini.unpack_item(kind, name, packed)
+                for name, packed in index[kind.name].items()
+            }
+            for kind in _SHARED_KINDS
+        }
+        hashes = _split_hashes(index[_ACCOUNTS])
+    except _DECODE_ERRORS as exc:
+        raise _make_corrupt_error('an index', exc) from exc
+    accounts = account_table.AccountTable.from_hashes(hashes)
+    return configuration.Configuration(number, accounts=accounts, **shared)
+
+
+def _split_hashes(joined: bytes) -> list[bytes]:
+    size = account_table.HASH_BYTES
+    if len(joined) != size * account_table.CHUNKS:
+        raise ValueError(f'{len(joined)} bytes of chunk hashes')
+    return [joined[i : i + size] for i in range(0, len(joined), size)]
+
+
+def make_delta(
+    patch: patches.Patch,
+    changes: tuple[patches.ItemChange, ...],
+    old: configuration.Configuration,
+    new: configuration.Configuration,
+    now_ms: float,
+) -> Delta:
+    """Return the delta of a checked patch.
+
+    :param patch: the patch.
+    :param changes: what it changes.
+    :param old: the configuration before, with `AccountTable` accounts.
+    :param new: the configuration after.
+    :param now_ms: wall clock time in milliseconds.
+    """
+    pairs = enumerate(zip(old.accounts.hashes, new.accounts.hashes))
+    moved = tuple(
+        (index, after) for index, (before, after) in pairs if before != after
+    )
+    return Delta(
+        new.number,
+        patch.patch_id,
+        patch.author,
+        patch.reason,
+        now_ms,
+        changes,
+        moved,
+        account_table.hash_content(encode_index(new)),
+    )
+
+
+def apply_delta(
+    cfg: configuration.Configuration, delta: Delta
+) -> configuration.Configuration:
+    """Return the configuration of the next number.
+
+    :param cfg: the present one, loaded in part or in full.
+    :param delta: the delta that makes the next number.
+    :raises errors.ConfigError: if it does not follow, or the result is not
+        what its hash says.
+    """
+    if delta.number != cfg.number + 1:
+        raise errors.ConfigError(
+            errors.ErrorCode.CONFIG_OUTDATED,
+            f'expected the delta to {cfg.number + 1}, got {delta.number}; '
+            f'fetch the deltas between',
+        )
+    accounts = {
+        types.AccountId(change.name): change.item
+        for change in delta.changes
+        if change.kind == _ACCOUNTS
+    }
+    table = account_table.AccountTable.from_mapping(cfg.accounts)
+    table = table.follow(accounts, dict(delta.chunk_hashes))
+    try:
+        after = patches.replace_shared(cfg, delta.changes, table)
+    except KeyError as exc:
+        raise _make_corrupt_error('a listed item to remove', exc) from exc
+    found = account_table.hash_content(encode_index(after))
+    if found != delta.index_hash:
+        raise errors.ConfigError(
+            errors.ErrorCode.CONFIG_CORRUPT,
+            f'expected index {delta.index_hash.hex()} at {delta.number}, '
+            f'got {found.hex()}; load the whole index',
+        )
+    return after
--- /dev/null
+++ b/foxtailpick/core/config_writer.py
@@ -0,0 +1,248 @@
+"""Submits patches: one write transaction each, and a true answer."""
+
+import dataclasses
+import random
+import typing
+
+import cbor2
+
+from foxtailpick.adapters import base
+from foxtailpick.core import account_table
+from foxtailpick.core import clock
+from foxtailpick.core import config_answers
+from foxtailpick.core import config_delta
+from foxtailpick.core import config_store
+from foxtailpick.core import configuration
+from foxtailpick.core import errors
+from foxtailpick.core import patches
+from foxtailpick.core import types
+from foxtailpick.core import verdict
+
+MAX_TRIES = 6
+BACKOFF_MS = 50.0
+MAX_CHANGES_SHOWN = 20
+CHUNKS_PER_WRITE = 64
+
+
+@dataclasses.dataclass(slots=True)
+class _Submission:
+    """State of one submission.
+
+    :param is_unsure: whether a write was sent whose reply never came.
+    :param number: the newest number seen.
+    """
+
+    patch: patches.Patch
+    is_unsure: bool = False
+    number: types.ConfigNumber | None = None
+
+
+class ConfigWriter:
+    """Changes the numbered head by compare-and-swap.
+
+    :param kv: the platform's key-value service.
+    :param wall: wall clock, for the history.
+    :param rng: source of jitter.
+    :param keys: names of the keys.
+    """
+
+    def __init__(
+        self,
+        kv: base.KeyValue,
+        wall: clock.Clock,
+        rng: random.Random,
+        keys: config_store.Keys = config_store.Keys(),
+    ) -> None:
+        self._kv = kv
+        self._wall = wall
+        self._rng = rng
+        self._keys = keys
+        self._held: configuration.Configuration | None = None
+        self.reader = config_store.ConfigReader(kv, keys)
+
+    async def create(self, cfg: configuration.Configuration) -> bool:
+        """Write the first configuration; tell whether it is the one in force.
+
+        Its chunks are written ahead of the head: nothing is collected
+        before a head exists.
+
+        :param cfg: a checked configuration with number 1.
+        :raises errors.StoreError: if the store did not do it, or may not.
+        """
+        table = account_table.AccountTable.from_mapping(cfg.accounts)
+        index = config_delta.encode_index(cfg)
+        raws = [index] + [
+            table.read_chunk(i) for i in range(len(table.hashes))
+        ]
+        puts = [self._put_chunk(raw) for raw in dict.fromkeys(raws)]
+        for first in range(0, len(puts), CHUNKS_PER_WRITE):
+            part = puts[first : first + CHUNKS_PER_WRITE]
+            await self._kv.transact([], part)
+        digest = account_table.hash_content(index)
+        head = config_store.Head(cfg.number, digest).encode()
+        result = await self._kv.put_if_absent(self._keys.head, head)
+        return result.is_applied or result.current[0].value == head
+
+    async def submit(self, text: str) -> config_answers.PatchAnswer:
+        """Submit a patch and say truly what became of it.
+
+        The same text may be submitted again after any answer.
+
+        :param text: the patch in INI.
+        """
+        try:
+            patch = patches.parse_patch(text)
+        except errors.PatchError as exc:
+            return config_answers.log_answer(
+                '?', config_answers.make_rejection(exc, None)
+            )
+        answer = await self._resolve(_Submission(patch))
+        return config_answers.log_answer(patch.patch_id, answer)
+
+    async def _resolve(
+        self, submission: _Submission
+    ) -> config_answers.PatchAnswer:
+        failure: errors.FoxtailError | None = None
+        for attempt in range(MAX_TRIES):
+            if attempt:
+                pause_ms = BACKOFF_MS * 2**attempt * self._rng.uniform(0.5, 1)
+                await clock.sleep_ms(pause_ms)
+            try:
+                answer = await self._try_once(submission)
+            except errors.PatchError as exc:
+                return config_answers.make_rejection(exc, submission.number)
+            except (errors.StoreError, errors.ConfigError) as exc:
+                failure = exc
+                if exc.verdict is not verdict.Verdict.NOT_RUN:
+                    submission.is_unsure = True
+                continue
+            if answer:
+                return answer
+        return config_answers.make_unknown(
+            submission.is_unsure, submission.number, failure
+        )
+
+    async def _try_once(
+        self, submission: _Submission
+    ) -> config_answers.PatchAnswer | None:
+        """Look what became of the patch, and write it if it may still land.
+
+        The head is read before the record of the patch: if the head has
+        moved past the patch's base and the record is absent afterwards, no
+        write of this patch can take effect any more.
+        """
+        patch = submission.patch
+        found = await self.reader.read_head()
+        if found is None:
+            raise errors.PatchError(
+                errors.ErrorCode.PATCH_OUTDATED,
+                'expected a configuration to patch, got none; create it',
+            )
+        head, revision = found
+        submission.number = head.number
+        record = await self._kv.get(self._keys.name_patch(patch.patch_id))
+        if record is not None:
+            return config_answers.read_record(patch, record.value)
+        if patch.base != head.number:
+            return await self._answer_outdated(patch, head)
+        return await self._write(submission, head, revision)
+
+    async def _answer_outdated(
+        self, patch: patches.Patch, head: config_store.Head
+    ) -> config_answers.PatchAnswer:
+        if patch.base < head.number - config_store.HISTORY_PATCHES:
+            return config_answers.make_forgotten(patch, head.number)
+        count = min(head.number - patch.base, MAX_CHANGES_SHOWN)
+        try:
+            since = await self.reader.read_history(head.number, count)
+        except errors.FoxtailError:
+            since = []
+        return config_answers.make_outdated(patch, head.number, since)
+
+    async def _write(
+        self,
+        submission: _Submission,
+        head: config_store.Head,
+        revision: types.Revision,
+    ) -> config_answers.PatchAnswer | None:
+        patch = submission.patch
+        old = await self._load(head, patch)
+        changes = patches.plan_changes(old, patch)
+        new = patches.apply_changes(old, changes)
+        delta = config_delta.make_delta(
+            patch, changes, old, new, self._wall.now()
+        )
+        writes = await self._plan_writes(patch, old, new, head, delta)
+        compares = [
+            base.Compare(self._keys.head, revision),
+            base.Compare(self._keys.name_patch(patch.patch_id), base.ABSENT),
+        ]
+        result = await self._kv.transact(compares, writes)
+        if not result.is_applied:
+            return None
+        self._held = new
+        return config_answers.PatchAnswer(
+            config_answers.Outcome.ACCEPTED, new.number
+        )
+
+    async def _load(
+        self, head: config_store.Head, patch: patches.Patch
+    ) -> configuration.Configuration:
+        cfg = self._held
+        if cfg is None or cfg.number != head.number:
+            cfg = await self.reader.load_index(head, cfg)
+        wanted = patches.find_needed_chunks(cfg, patch)
+        self._held = await self.reader.load_chunks(cfg, wanted)
+        return self._held
+
+    async def _plan_writes(
+        self,
+        patch: patches.Patch,
+        old: configuration.Configuration,
+        new: configuration.Configuration,
+        head: config_store.Head,
+        delta: config_delta.Delta,
+    ) -> list[base.Put | base.Delete]:
+        moved = [index for index, _ in delta.chunk_hashes]
+        raws = [new.accounts.read_chunk(index) for index in moved]
+        raws.append(config_delta.encode_index(new))
+        dropped = [old.accounts.hashes[index] for index in moved]
+        dropped.append(head.index_hash)
+        entry = await self._kv.get(self._keys.ledger)
+        ledger = config_store.Ledger()
+        if entry is not None:
+            ledger = config_store.Ledger.decode(entry.value)
+        added = [account_table.hash_content(raw) for raw in raws]
+        ledger, due = ledger.advance(new.number, added, _skip_empty(dropped))
+        next_head = config_store.Head(new.number, delta.index_hash)
+        record = cbor2.dumps([new.number, patch.digest])
+        return [
+            base.Put(self._keys.head, next_head.encode()),
+            base.Put(self._keys.ledger, ledger.encode()),
+            base.Put(self._keys.name_delta(new.number), delta.encode()),
+            base.Put(self._keys.name_patch(patch.patch_id), record),
+            *[self._put_chunk(raw) for raw in raws],
+            *[base.Delete(self._keys.name_chunk(item)) for item in due],
+            *await self._plan_forgetting(new.number),
+        ]
+
+    async def _plan_forgetting(self, number: int) -> list[base.Delete]:
+        oldest = number - config_store.HISTORY_PATCHES
+        if oldest < 1:
+            return []
+        delta = await self.reader.read_delta(oldest)
+        if delta is None:
+            return []
+        return [
+            base.Delete(self._keys.name_delta(oldest)),
+            base.Delete(self._keys.name_patch(delta.patch_id)),
+        ]
+
+    def _put_chunk(self, raw: bytes) -> base.Put:
+        digest = account_table.hash_content(raw)
+        return base.Put(self._keys.name_chunk(digest), raw)
+
+
+def _skip_empty(digests: typing.Iterable[bytes]) -> list[bytes]:
+    """Leave out the empty chunk, which many places of a table share."""
+    return [item for item in digests if item != account_table.EMPTY_HASH]
