--- /dev/null
+++ b/foxtailpick/core/messages.py
@@ -0,0 +1,294 @@
+"""Messages between routers and sidecars.
+
+Every frame carries the sender's configuration number beside its message,
+so that a newer configuration is heard of on traffic that flows anyway.
+Durations are milliseconds that remain, never instants: the clocks of two
+instances are not compared.
+"""
+
+import dataclasses
+
+from foxtailpick.core import errors
+from foxtailpick.core import types
+from foxtailpick.core import verdict as verdict_lib
+
+PROTOCOL_VERSION = 1
+MAX_FRAME_BYTES = 1_048_576
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hello:
+    """First frame of each side.
+
+    :param version: protocol version of the sender.
+    :param node: router id or endpoint id of the sender.
+    :param incarnation: changes when the sender's process is replaced.
+    """
+
+    version: int
+    node: str
+    incarnation: types.Incarnation
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OpenChat:
+    """Router asks the sidecar to run a chat completion.
+
+    :param attempt: id of this attempt, never used twice.
+    :param request: id of the caller's request.
+    :param account: client account that pays.
+    :param chat: chat that the request continues.
+    :param model: model asked for.
+    :param priority: scheduling class.
+    :param deadline_ms: time left until the caller's deadline.
+    :param cost_tokens: estimated prompt and generated tokens.
+    :param mean_load: the router's view of the pool's mean load.
+    :param body: request body for the engine, JSON.
+    """
+
+    attempt: types.AttemptId
+    request: types.RequestId
+    account: types.AccountId
+    chat: types.ChatId
+    model: types.ModelId
+    priority: types.Priority
+    deadline_ms: float
+    cost_tokens: int
+    mean_load: float | None
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OpenCall:
+    """Router asks the sidecar to run a call of a plain service.
+
+    :param attempt: id of this attempt, never used twice.
+    :param request: id of the caller's request.
+    :param account: client account that pays.
+    :param service: service asked for.
+    :param method: HTTP method.
+    :param path: path below the endpoint's URL.
+    :param key: idempotency key of the caller, empty for none.
+    :param content_type: media type of the body.
+    :param deadline_ms: time left until the caller's deadline.
+    :param body: request body.
+    """
+
+    attempt: types.AttemptId
+    request: types.RequestId
+    account: types.AccountId
+    service: types.ServiceId
+    method: str
+    path: str
+    key: types.IdempotencyKey
+    content_type: str
+    deadline_ms: float
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cancel:
+    """Router gives up an attempt; its work may stop.
+
+    :param attempt: the attempt.
+    """
+
+    attempt: types.AttemptId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Acknowledge:
+    """Router has handed on all chunks before a sequence number.
+
+    :param attempt: the attempt.
+    :param sequence: number of the first chunk not yet handed on.
+    """
+
+    attempt: types.AttemptId
+    sequence: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Resume:
+    """Router asks for the rest of a stream, maybe begun by another router.
+
+    :param attempt: the attempt.
+    :param account: client account that opened it.
+    :param sequence: number of the first chunk wanted.
+    """
+
+    attempt: types.AttemptId
+    account: types.AccountId
+    sequence: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Query:
+    """Router asks what became of an attempt.
+
+    An attempt that the sidecar never saw is closed by the answer.
+
+    :param attempt: the attempt.
+    :param incarnation: the sidecar's incarnation that it was sent to.
+    """
+
+    attempt: types.AttemptId
+    incarnation: types.Incarnation
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Accepted:
+    """Sidecar admitted an attempt, which runs or waits its turn.
+
+    :param attempt: the attempt.
+    :param queue_length: attempts that wait before it.
+    """
+
+    attempt: types.AttemptId
+    queue_length: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Chunks:
+    """Part of a stream.
+
+    :param attempt: the attempt.
+    :param sequence: number of the first chunk in this frame.
+    :param payloads: the chunks, one engine event each.
+    :param load: load of the endpoint relative to its capacity.
+    """
+
+    attempt: types.AttemptId
+    sequence: int
+    payloads: tuple[bytes, ...]
+    load: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finished:
+    """A stream is complete.
+
+    :param attempt: the attempt.
+    :param sequence: how many chunks the whole stream has.
+    :param load: load of the endpoint relative to its capacity.
+    """
+
+    attempt: types.AttemptId
+    sequence: int
+    load: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """The whole answer to a plain call.
+
+    :param attempt: the attempt.
+    :param status: HTTP status of the service.
+    :param content_type: media type of the body.
+    :param body: body of the answer.
+    """
+
+    attempt: types.AttemptId
+    status: int
+    content_type: str
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failed:
+    """An attempt ended without an answer, or was refused.
+
+    :param attempt: the attempt.
+    :param code: why.
+    :param verdict: whether it may have run; `NOT_RUN` closes it for good.
+    :param detail: what was expected, what came and what to do.
+    :param retry_after_ms: when another try may succeed.
+    :param load: load of the endpoint relative to its capacity.
+    """
+
+    attempt: types.AttemptId
+    code: errors.ErrorCode
+    verdict: verdict_lib.Verdict
+    detail: str
+    retry_after_ms: float | None
+    load: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outcome:
+    """Sidecar's answer to a query.
+
+    :param attempt: the attempt.
+    :param verdict: what is known of it.
+    :param is_running: whether it still runs and can be resumed.
+    """
+
+    attempt: types.AttemptId
+    verdict: verdict_lib.Verdict
+    is_running: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StateNotice:
+    """Sidecar's state, sent on a new connection and on each change.
+
+    :param state: life cycle state of the endpoint.
+    :param load: load of the endpoint relative to its capacity.
+    """
+
+    state: types.EndpointState
+    load: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigWanted:
+    """A node asks its peer for the configuration after a number.
+
+    :param after: number of the asker's configuration.
+    """
+
+    after: types.ConfigNumber
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigOffer:
+    """A configuration, or the change that leads to it.
+
+    :param number: number of the configuration reached.
+    :param payload: encoded by the configuration modules.
+    """
+
+    number: types.ConfigNumber
+    payload: bytes
+
+
+Message = (
+    Hello
+    | OpenChat
+    | OpenCall
+    | Cancel
+    | Acknowledge
+    | Resume
+    | Query
+    | Accepted
+    | Chunks
+    | Finished
+    | Answer
+    | Failed
+    | Outcome
+    | StateNotice
+    | ConfigWanted
+    | ConfigOffer
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Frame:
+    """A message with its envelope.
+
+    :param number: configuration number in force at the sender.
+    :param message: the message.
+    """
+
+    number: types.ConfigNumber
+    message: Message
