--- a/foxtailpick/core/messages.py
+++ b/foxtailpick/core/messages.py
@@ -43,7 +43,8 @@
     :param deadline_ms: time left until the caller's deadline.
     :param cost_tokens: estimated prompt and generated tokens.
     :param mean_load: the router's view of the pool's mean load.
-    :param body: request body for the engine, JSON.
+    :param resume_from: index of the first token wanted.
+    :param body: the caller's request body, JSON.
     """
 
     attempt: types.AttemptId
@@ -55,6 +56,7 @@
     deadline_ms: float
     cost_tokens: int
     mean_load: float | None
+    resume_from: int
     body: bytes
 
 
@@ -154,13 +156,13 @@
 
     :param attempt: the attempt.
     :param sequence: number of the first chunk in this frame.
-    :param payloads: the chunks, one engine event each.
+    :param texts: the chunks, one token each.
     :param load: load of the endpoint relative to its capacity.
     """
 
     attempt: types.AttemptId
     sequence: int
-    payloads: tuple[bytes, ...]
+    texts: tuple[str, ...]
     load: float
 
 
@@ -170,11 +172,17 @@
 
     :param attempt: the attempt.
     :param sequence: how many chunks the whole stream has.
+    :param finish_reason: why the engine ended it.
+    :param prompt_tokens: tokens of the prompt.
+    :param cached_tokens: prompt tokens found in the engine's cache.
     :param load: load of the endpoint relative to its capacity.
     """
 
     attempt: types.AttemptId
     sequence: int
+    finish_reason: str
+    prompt_tokens: int
+    cached_tokens: int
     load: float
 
 
--- /dev/null
+++ b/foxtailpick/router/links.py
@@ -0,0 +1,259 @@
+"""Connections of a router to sidecars, one for each sidecar in use."""
+
+import contextlib
+import typing
+
+from loguru import logger
+import trio
+from websockets import exceptions
+from websockets.trio import client
+
+from foxtailpick.adapters import wire
+from foxtailpick.core import clock as clock_lib
+from foxtailpick.core import errors
+from foxtailpick.core import messages
+from foxtailpick.core import types
+
+OUTGOING_FRAMES = 1_024
+INBOX_FRAMES = 256
+
+_OPEN_ERRORS = (
+    OSError,
+    TimeoutError,
+    exceptions.InvalidHandshake,
+    exceptions.ConnectionClosed,
+    trio.BrokenResourceError,
+)
+
+
+class Link:
+    """One connection to one sidecar; its task owns the socket.
+
+    :param address: `host:port` of the sidecar.
+    :param hello: what this router says of itself.
+    :param read_number: function that returns the configuration number.
+    :param hear: called with each frame and this link, before the frame
+        goes to its attempt.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        hello: messages.Hello,
+        read_number: typing.Callable[[], types.ConfigNumber],
+        hear: typing.Callable[['Link', messages.Frame], None],
+    ) -> None:
+        self.address = address
+        self.peer: messages.Hello | None = None
+        self.is_open = False
+        self._hello = hello
+        self._read_number = read_number
+        self._hear = hear
+        self._inboxes: dict[types.AttemptId, trio.MemorySendChannel] = {}
+        channel = trio.open_memory_channel(OUTGOING_FRAMES)
+        self._outgoing, self._to_write = channel
+        self._scope = trio.CancelScope()
+
+    async def run(
+        self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Own the connection until it is lost or closed.
+
+        :raises errors.LinkError: if it cannot be opened; the error is
+            raised before the task reports that it started.
+        """
+        try:
+            with self._scope:
+                await self._connect(task_status)
+        finally:
+            self._lose()
+
+    @contextlib.contextmanager
+    def subscribe(
+        self, attempt: types.AttemptId
+    ) -> typing.Iterator[trio.MemoryReceiveChannel]:
+        """Receive the messages of one attempt while the context is open.
+
+        The channel ends when the link is lost.
+        """
+        send, receive = trio.open_memory_channel(INBOX_FRAMES)
+        if self.is_open:
+            self._inboxes[attempt] = send
+        else:
+            send.close()
+        try:
+            yield receive
+        finally:
+            if self._inboxes.get(attempt) is send:
+                del self._inboxes[attempt]
+            receive.close()
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no attempt uses the link."""
+        return not self._inboxes
+
+    def send_soon(self, message: messages.Message) -> None:
+        """Queue a message without waiting; a lost link drops it."""
+        try:
+            self._outgoing.send_nowait(message)
+        except (trio.WouldBlock, trio.BrokenResourceError):
+            self.close()
+
+    def close(self) -> None:
+        """End the connection; its attempts see a lost link."""
+        self._scope.cancel()
+
+    async def _connect(self, task_status: trio.TaskStatus) -> None:
+        try:
+            async with client.connect(
+                f'ws://{self.address}',
+                proxy=None,
+                **wire.CONNECTION_OPTIONS,
+            ) as conn:
+                await self._shake_hands(conn)
+                self.is_open = True
+                task_status.started()
+                await self._exchange_frames(conn)
+        except _OPEN_ERRORS as exc:
+            if self.is_open:
+                return
+            raise errors.LinkError(
+                errors.ErrorCode.LINK_LOST,
+                f'expected a connection to {self.address}, got {exc!r:.120}',
+            ) from exc
+
+    async def _shake_hands(self, conn: typing.Any) -> None:
+        with trio.fail_after(wire.OPEN_TIMEOUT_S):
+            await wire.send_frame(
+                conn, messages.Frame(self._read_number(), self._hello)
+            )
+            frame = await wire.receive_frame(conn)
+        self.peer = wire.check_hello(frame)
+        self._hear(self, frame)
+
+    async def _exchange_frames(self, conn: typing.Any) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._write_frames, conn)
+            try:
+                await self._read_frames(conn)
+            except errors.LinkError as exc:
+                logger.info('LINK lost to {}. {}', self.address, exc)
+            nursery.cancel_scope.cancel()
+
+    async def _write_frames(self, conn: typing.Any) -> None:
+        async for message in self._to_write:
+            frame = messages.Frame(self._read_number(), message)
+            try:
+                await wire.send_frame(conn, frame)
+            except errors.LinkError:
+                self.close()
+                return
+
+    async def _read_frames(self, conn: typing.Any) -> None:
+        while True:
+            frame = await wire.receive_frame(conn)
+            self._hear(self, frame)
+            self._deliver(frame)
+
+    def _deliver(self, frame: messages.Frame) -> None:
+        attempt = getattr(frame.message, 'attempt', None)
+        inbox = self._inboxes.get(attempt)
+        if inbox is None:
+            return
+        try:
+            inbox.send_nowait(frame.message)
+        except trio.WouldBlock:
+            # A reader that falls behind must not hold up the others. It
+            # sees the end of its channel and resumes where it stopped.
+            del self._inboxes[attempt]
+            inbox.close()
+        except trio.BrokenResourceError:
+            del self._inboxes[attempt]
+
+    def _lose(self) -> None:
+        self.is_open = False
+        for inbox in self._inboxes.values():
+            inbox.close()
+        self._inboxes.clear()
+        self._to_write.close()
+
+
+class LinkPool:
+    """The links of a router; an async context manager.
+
+    :param hello: what this router says of itself.
+    :param max_links: links kept open at most; idle ones give way.
+    :param read_number: function that returns the configuration number.
+    :param hear: called with each frame that arrives and its link.
+    """
+
+    def __init__(
+        self,
+        hello: messages.Hello,
+        max_links: int,
+        read_number: typing.Callable[[], types.ConfigNumber],
+        hear: typing.Callable[[Link, messages.Frame], None],
+    ) -> None:
+        self._hello = hello
+        self._max_links = max_links
+        self._read_number = read_number
+        self._hear = hear
+        self._links: dict[str, Link] = {}
+        self._used_ms: dict[str, float] = {}
+        self._locks: dict[str, trio.Lock] = {}
+        self._nursery_manager = trio.open_nursery()
+        self._nursery: trio.Nursery | None = None
+
+    async def __aenter__(self) -> 'LinkPool':
+        self._nursery = await self._nursery_manager.__aenter__()
+        return self
+
+    async def __aexit__(self, *exc_info: typing.Any) -> bool | None:
+        self._nursery.cancel_scope.cancel()
+        return await self._nursery_manager.__aexit__(*exc_info)
+
+    async def acquire(self, address: str) -> Link:
+        """Return an open link to a sidecar, opening one if needed.
+
+        :param address: `host:port` of the sidecar.
+        :raises errors.LinkError: if none can be opened.
+        """
+        lock = self._locks.setdefault(address, trio.Lock())
+        async with lock:
+            link = self._links.get(address)
+            if link is None or not link.is_open:
+                link = await self._open(address)
+        self._used_ms[address] = clock_lib.Clock.from_trio().now()
+        return link
+
+    def list_open(self) -> list[Link]:
+        """Return the open links."""
+        return [link for link in self._links.values() if link.is_open]
+
+    def discard(self, link: Link) -> None:
+        """Close a link that has gone silent, so that a new one is opened."""
+        link.close()
+        if self._links.get(link.address) is link:
+            del self._links[link.address]
+
+    async def _open(self, address: str) -> Link:
+        self._close_longest_idle()
+        link = Link(address, self._hello, self._read_number, self._hear)
+        await self._nursery.start(link.run)
+        self._links[address] = link
+        logger.debug('LINK opened to {}.', address)
+        return link
+
+    def _close_longest_idle(self) -> None:
+        for address, link in list(self._links.items()):
+            if not link.is_open:
+                del self._links[address]
+        if len(self._links) < self._max_links:
+            return
+        idle = [link for link in self._links.values() if link.is_idle]
+        if idle:
+            oldest = min(
+                idle, key=lambda link: self._used_ms.get(link.address, 0.0)
+            )
+            self.discard(oldest)
--- a/foxtailpick/tests/test_codec.py
+++ b/foxtailpick/tests/test_codec.py
@@ -14,9 +14,19 @@
 FRAMES = [
     messages.Hello(1, 'router-1', 'a'),
     messages.OpenChat(
-        'a', 'r', 'acc', 'c', 'm', types.Priority.NORMAL, 9.5, 7, None, b'{}'
+        'a',
+        'r',
+        'acc',
+        'c',
+        'm',
+        types.Priority.NORMAL,
+        9.5,
+        7,
+        None,
+        0,
+        b'{}',
     ),
-    messages.Chunks('a', 3, (b'x', b'y'), 0.25),
+    messages.Chunks('a', 3, ('x', 'y'), 0.25),
     messages.Failed(
         'a',
         errors.ErrorCode.OVERLOADED,
