--- a/foxtailpick/adapters/base.py
+++ b/foxtailpick/adapters/base.py
@@ -2,6 +2,7 @@
 
 import abc
 import dataclasses
+import enum
 import typing
 
 from foxtailpick.core import types
@@ -186,3 +187,165 @@
 
         :raises errors.StoreError: if the list cannot be read.
         """
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChatMessage:
+    """One message of a chat.
+
+    :param role: `system`, `user` or `assistant`.
+    :param content: its text.
+    """
+
+    role: str
+    content: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChatCall:
+    """A chat completion to run.
+
+    :param request: id of the request, the same over all its attempts.
+    :param model: the model, or adapter, to run.
+    :param messages: the whole chat so far.
+    :param max_tokens: tokens of the answer, at least one.
+    :param chat: id of the returning chat, None for a single request.
+    :param priority: scheduling class, honoured by the engine.
+    :param resume_from: index of the first token wanted.
+    """
+
+    request: types.RequestId
+    model: types.ModelId
+    messages: tuple[ChatMessage, ...]
+    max_tokens: int
+    chat: types.ChatId | None = None
+    priority: types.Priority = types.Priority.NORMAL
+    resume_from: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Usage:
+    """Tokens that a completion took.
+
+    :param prompt_tokens: tokens of the messages.
+    :param cached_tokens: those of them found in the prefix cache.
+    :param completion_tokens: tokens generated in this attempt.
+    """
+
+    prompt_tokens: int
+    cached_tokens: int
+    completion_tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TokenChunk:
+    """A piece of an answer.
+
+    :param offset: index of its token in the whole answer.
+    :param text: its text, empty in the closing chunk.
+    :param finish_reason: why the answer ended, in the closing chunk only.
+    :param usage: what the attempt took, in the closing chunk only.
+    """
+
+    offset: int
+    text: str
+    finish_reason: str | None = None
+    usage: Usage | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReport:
+    """An engine's load as it reports it, some time late.
+
+    :param running: completions in its batch.
+    :param cached_tokens: tokens in its prefix cache.
+    :param age_ms: how old the reading is, in milliseconds.
+    """
+
+    running: int
+    cached_tokens: int
+    age_ms: float
+
+
+class CacheEventKind(enum.Enum):
+    """What happened to a chat's prefix in an engine's cache."""
+
+    STORED = 'stored'
+    EVICTED = 'evicted'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """A change of an engine's prefix cache, published late.
+
+    :param sequence: its number; a missing number is a lost event.
+    :param kind: what happened.
+    :param chat: the chat whose prefix it was.
+    :param tokens: length of the prefix.
+    """
+
+    sequence: int
+    kind: CacheEventKind
+    chat: types.ChatId
+    tokens: int
+
+
+class OrderKind(enum.Enum):
+    """What an endpoint can be ordered to do."""
+
+    LOAD_MODEL = 'load-model'
+    LOAD_ADAPTER = 'load-adapter'
+    SET_ROLE = 'set-role'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Order:
+    """An order to an endpoint.
+
+    :param kind: what to do.
+    :param target: the model, adapter or role.
+    :param fencing: the fencing number of the sender's lease.
+    """
+
+    kind: OrderKind
+    target: str
+    fencing: int
+
+
+class Engine(abc.ABC):
+    """A model engine.
+
+    Every call may raise `errors.RequestError`. Its verdict is `NOT_RUN`
+    if the engine was not reached or refused, else `MAY_HAVE_RUN`.
+    """
+
+    @abc.abstractmethod
+    def stream_chat(
+        self, call: ChatCall
+    ) -> typing.AsyncContextManager[typing.AsyncIterator[TokenChunk]]:
+        """Run a completion; leaving the context cancels what is left.
+
+        Used as `async with engine.stream_chat(call) as chunks:`. The last
+        chunk has a `finish_reason`; iteration that ends without an error
+        has given the whole answer.
+        """
+
+    @abc.abstractmethod
+    async def cancel(self, request: types.RequestId) -> bool:
+        """Cancel a running completion; tell whether there was one."""
+
+    @abc.abstractmethod
+    async def read_load(self) -> LoadReport:
+        """Return the engine's load report."""
+
+    @abc.abstractmethod
+    async def read_cache_events(self, after: int) -> list[CacheEvent]:
+        """Return published cache events with a higher sequence number."""
+
+    @abc.abstractmethod
+    async def send_order(self, order: Order) -> None:
+        """Give an order.
+
+        :raises errors.RequestError: with code `ORDER_FENCED` if the
+            engine has seen a higher fencing number.
+        """
--- /dev/null
+++ b/foxtailpick/adapters/http.py
@@ -0,0 +1,206 @@
+"""What the adapters over HTTP share: errors with verdicts, JSON bodies."""
+
+import contextlib
+import json
+import typing
+
+import httpcore
+
+from foxtailpick.core import errors
+from foxtailpick.core import types
+from foxtailpick.core import verdict as verdict_lib
+
+CONNECT_TIMEOUT_MS = 2_000.0
+READ_TIMEOUT_MS = 60_000.0
+MAX_CONNECTIONS = 256
+
+HTTP_OK = 200
+HTTP_CONFLICT = 409
+HTTP_TOO_MANY_REQUESTS = 429
+HTTP_CLIENT_ERROR = 400
+HTTP_SERVER_ERROR = 500
+HTTP_UNAVAILABLE = 503
+
+_NOT_SENT_ERRORS = (
+    httpcore.ConnectError,
+    httpcore.ConnectTimeout,
+    httpcore.PoolTimeout,
+    httpcore.UnsupportedProtocol,
+)
+_SENT_ERRORS = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+)
+
+
+class JsonClient:
+    """A pool of connections to one server that speaks JSON.
+
+    An async context manager; leaving it closes the connections.
+
+    :param base_url: scheme, host and port, without a path.
+    :param connect_timeout_ms: bound on opening a connection.
+    :param read_timeout_ms: bound on each wait for bytes.
+    """
+
+    def __init__(
+        self,
+        base_url: str,
+        connect_timeout_ms: float = CONNECT_TIMEOUT_MS,
+        read_timeout_ms: float = READ_TIMEOUT_MS,
+    ) -> None:
+        self.base_url = base_url.rstrip('/')
+        self._timeouts = {
+            'connect': connect_timeout_ms / types.SECOND_MS,
+            'pool': connect_timeout_ms / types.SECOND_MS,
+            'read': read_timeout_ms / types.SECOND_MS,
+            'write': read_timeout_ms / types.SECOND_MS,
+        }
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=MAX_CONNECTIONS
+        )
+
+    async def __aenter__(self) -> 'JsonClient':
+        return self
+
+    async def __aexit__(self, *_exc: object) -> None:
+        await self._pool.aclose()
+
+    @contextlib.asynccontextmanager
+    async def open_response(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b'',
+        headers: typing.Mapping[str, str] | None = None,
+    ) -> typing.AsyncIterator[httpcore.Response]:
+        """Send a request and give the response before its body is read.
+
+        Leaving the context early closes the connection.
+
+        :param method: HTTP method.
+        :param path: path and query, starting with a slash.
+        :param body: bytes of the body.
+        :param headers: further headers.
+        :raises errors.RequestError: `NOT_RUN` if no connection was made,
+            `MAY_HAVE_RUN` if one failed after that.
+        """
+        with translate_errors(self.base_url):
+            async with self._pool.stream(
+                method,
+                self.base_url + path,
+                headers=_encode_headers(headers or {}, body),
+                content=body,
+                extensions={'timeout': self._timeouts},
+            ) as response:
+                yield response
+
+    async def call_json(
+        self, method: str, path: str, message: object = None
+    ) -> typing.Any:
+        """Send a JSON body and return the decoded JSON answer.
+
+        :param method: HTTP method.
+        :param path: path and query, starting with a slash.
+        :param message: the body, None for no body.
+        :raises errors.RequestError: as `open_response`, and with a verdict
+            by status for an answer other than 200.
+        """
+        body = b'' if message is None else encode_json(message)
+        async with self.open_response(method, path, body) as response:
+            content = await response.aread()
+        require_ok(response.status, content, self.base_url)
+        return decode_json(content, self.base_url)
+
+
+def encode_json(message: object) -> bytes:
+    """Return compact JSON bytes of a message."""
+    return json.dumps(message, separators=(',', ':')).encode()
+
+
+def decode_json(content: bytes, peer: str) -> typing.Any:
+    """Return the value of a JSON body.
+
+    :param content: the body.
+    :param peer: who sent it, for the error.
+    :raises errors.RequestError: `MAY_HAVE_RUN` if it is not JSON.
+    """
+    try:
+        return json.loads(content)
+    except ValueError as exc:
+        raise errors.RequestError(
+            errors.ErrorCode.ENDPOINT_FAILED,
+            f'expected JSON from {peer}, got {content[:80]!r}; '
+            f'check what listens there',
+            verdict_lib.Verdict.MAY_HAVE_RUN,
+        ) from exc
+
+
+def require_ok(status: int, content: bytes, peer: str) -> None:
+    """Raise unless a status is 200.
+
+    A refusal (400 to 499, 503) was not run; any other failure may have.
+
+    :param status: HTTP status.
+    :param content: the body, quoted in the error.
+    :param peer: who answered, for the error.
+    :raises errors.RequestError: if the status is not 200.
+    """
+    if status == HTTP_OK:
+        return
+    code = errors.ErrorCode.ENDPOINT_FAILED
+    if status in (HTTP_UNAVAILABLE, HTTP_TOO_MANY_REQUESTS):
+        code = errors.ErrorCode.OVERLOADED
+    elif status == HTTP_CONFLICT:
+        code = errors.ErrorCode.ORDER_FENCED
+    is_refusal = (
+        HTTP_CLIENT_ERROR <= status < HTTP_SERVER_ERROR
+        or status == HTTP_UNAVAILABLE
+    )
+    verdict = verdict_lib.Verdict.MAY_HAVE_RUN
+    if is_refusal:
+        verdict = verdict_lib.Verdict.NOT_RUN
+    raise errors.RequestError(
+        code,
+        f'expected status 200 from {peer}, got {status}: {content[:200]!r}',
+        verdict,
+    )
+
+
+@contextlib.contextmanager
+def translate_errors(peer: str) -> typing.Iterator[None]:
+    """Turn errors of the HTTP library into request errors with a verdict.
+
+    :param peer: the server, for the error.
+    :raises errors.RequestError: in place of the library's error.
+    """
+    try:
+        yield
+    except _NOT_SENT_ERRORS as exc:
+        raise errors.RequestError(
+            errors.ErrorCode.ENDPOINT_FAILED,
+            f'expected a connection to {peer}, got {exc!r}; '
+            f'check that it runs and listens',
+            verdict_lib.Verdict.NOT_RUN,
+        ) from exc
+    except _SENT_ERRORS as exc:
+        raise errors.RequestError(
+            errors.ErrorCode.ENDPOINT_FAILED,
+            f'expected an answer from {peer}, got {exc!r}; '
+            f'the request may have run',
+            verdict_lib.Verdict.MAY_HAVE_RUN,
+        ) from exc
+
+
+def _encode_headers(
+    headers: typing.Mapping[str, str], body: bytes
+) -> list[tuple[bytes, bytes]]:
+    encoded = [
+        (name.encode('ascii'), value.encode('latin-1'))
+        for name, value in headers.items()
+    ]
+    encoded.append((b'Content-Length', str(len(body)).encode()))
+    if 'content-type' not in {name.lower() for name in headers}:
+        encoded.append((b'Content-Type', b'application/json'))
+    return encoded
