--- a/foxtailpick/core/codec.py
+++ b/foxtailpick/core/codec.py
@@ -35,6 +35,8 @@
     14: messages.StateNotice,
     15: messages.ConfigWanted,
     16: messages.ConfigOffer,
+    17: messages.Probe,
+    18: messages.ProbeReply,
 }
 _TAG_BY_TYPE = {kind: tag for tag, kind in _TAGS.items()}
 
--- a/foxtailpick/core/messages.py
+++ b/foxtailpick/core/messages.py
@@ -41,7 +41,8 @@
     :param model: model asked for.
     :param priority: scheduling class.
     :param deadline_ms: time left until the caller's deadline.
-    :param cost_tokens: estimated prompt and generated tokens.
+    :param prompt_tokens: estimated tokens of the prompt.
+    :param max_tokens: tokens of the answer at most.
     :param mean_load: the router's view of the pool's mean load.
     :param resume_from: index of the first token wanted.
     :param body: the caller's request body, JSON.
@@ -54,7 +55,8 @@
     model: types.ModelId
     priority: types.Priority
     deadline_ms: float
-    cost_tokens: int
+    prompt_tokens: int
+    max_tokens: int
     mean_load: float | None
     resume_from: int
     body: bytes
@@ -116,12 +118,18 @@
 
     :param attempt: the attempt.
     :param account: client account that opened it.
+    :param incarnation: the sidecar's incarnation that it was sent to.
+    :param age_ms: longest time since the attempt was sent.
     :param sequence: number of the first chunk wanted.
+    :param check: check value of the chunk before it, if it is known.
     """
 
     attempt: types.AttemptId
     account: types.AccountId
+    incarnation: types.Incarnation
+    age_ms: float
     sequence: int
+    check: int | None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -131,11 +139,15 @@
     An attempt that the sidecar never saw is closed by the answer.
 
     :param attempt: the attempt.
+    :param account: client account that opened it.
     :param incarnation: the sidecar's incarnation that it was sent to.
+    :param age_ms: longest time since the attempt was sent.
     """
 
     attempt: types.AttemptId
+    account: types.AccountId
     incarnation: types.Incarnation
+    age_ms: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -157,12 +169,14 @@
     :param attempt: the attempt.
     :param sequence: number of the first chunk in this frame.
     :param texts: the chunks, one token each.
+    :param checks: their chained check values, see `replay`.
     :param load: load of the endpoint relative to its capacity.
     """
 
     attempt: types.AttemptId
     sequence: int
     texts: tuple[str, ...]
+    checks: tuple[int, ...]
     load: float
 
 
@@ -172,6 +186,7 @@
 
     :param attempt: the attempt.
     :param sequence: how many chunks the whole stream has.
+    :param check: check value of the end of the stream.
     :param finish_reason: why the engine ended it.
     :param prompt_tokens: tokens of the prompt.
     :param cached_tokens: prompt tokens found in the engine's cache.
@@ -180,6 +195,7 @@
 
     attempt: types.AttemptId
     sequence: int
+    check: int
     finish_reason: str
     prompt_tokens: int
     cached_tokens: int
@@ -270,6 +286,26 @@
     payload: bytes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Probe:
+    """Sidecar asks for a reply in the order of the router's frames.
+
+    :param nonce: serial number of the probe on the connection.
+    """
+
+    nonce: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProbeReply:
+    """Router's reply; frames behind it were sent after the probe.
+
+    :param nonce: the number of the probe.
+    """
+
+    nonce: int
+
+
 Message = (
     Hello
     | OpenChat
@@ -287,6 +323,8 @@
     | StateNotice
     | ConfigWanted
     | ConfigOffer
+    | Probe
+    | ProbeReply
 )
 
 
--- a/foxtailpick/router/links.py
+++ b/foxtailpick/router/links.py
@@ -154,6 +154,8 @@
         while True:
             frame = await wire.receive_frame(conn)
             self._hear(self, frame)
+            if isinstance(frame.message, messages.Probe):
+                self.send_soon(messages.ProbeReply(frame.message.nonce))
             self._deliver(frame)
 
     def _deliver(self, frame: messages.Frame) -> None:
--- /dev/null
+++ b/foxtailpick/sidecar/connections.py
@@ -0,0 +1,278 @@
+"""Connections from routers: frames in, streams and answers out."""
+
+import itertools
+import typing
+
+from loguru import logger
+import trio
+
+from foxtailpick.adapters import wire
+from foxtailpick.core import clock as clock_lib
+from foxtailpick.core import errors
+from foxtailpick.core import messages
+from foxtailpick.core import replay
+from foxtailpick.core import types
+from foxtailpick.core import verdict as verdict_lib
+from foxtailpick.sidecar import runs
+from foxtailpick.sidecar import worker as worker_lib
+
+# Chunks that arrive within this time share a frame.
+JOIN_MS = 4.0
+# A waiting attempt is confirmed at least this often.
+HEARTBEAT_MS = 400.0
+PROBE_INTERVAL_MS = 5_000.0
+WINDOW_CHUNKS = 512
+MAX_FRAME_CHUNKS = 64
+
+Hear = typing.Callable[['Connection', messages.Frame], None]
+
+
+class Connection:
+    """One connection from a router; its task owns the socket.
+
+    :param conn: the websocket connection.
+    :param worker: runs the attempts.
+    :param hello: what this sidecar says of itself.
+    :param read_number: function that returns the configuration number.
+    :param hear: called with this connection and each frame that arrives.
+    """
+
+    def __init__(
+        self,
+        conn: typing.Any,
+        worker: worker_lib.Worker,
+        hello: messages.Hello,
+        read_number: typing.Callable[[], types.ConfigNumber],
+        hear: Hear,
+    ) -> None:
+        self.peer: messages.Hello | None = None
+        self._conn = conn
+        self._worker = worker
+        self._hello = hello
+        self._read_number = read_number
+        self._hear = hear
+        self._clock = clock_lib.Clock.from_trio()
+        self._sent_after_ms = self._clock.now()
+        self._probe_nonce = 0
+        self._probe_sent_ms = self._sent_after_ms
+        self._nursery: trio.Nursery | None = None
+        self._handlers = {
+            messages.OpenChat: self._on_open,
+            messages.OpenCall: self._on_open,
+            messages.Cancel: self._on_cancel,
+            messages.Acknowledge: self._on_acknowledge,
+            messages.Resume: self._on_resume,
+            messages.Query: self._on_query,
+            messages.ProbeReply: self._on_probe_reply,
+        }
+
+    async def serve(self) -> None:
+        """Own the connection until it is lost."""
+        try:
+            await self._shake_hands()
+            async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                nursery.start_soon(self._probe)
+                await self._read_frames()
+        except* errors.LinkError as group:
+            logger.info('LINK closed. {}', group.exceptions[0])
+
+    async def send(self, message: messages.Message) -> None:
+        """Send a message.
+
+        :raises errors.LinkError: if the connection is gone.
+        """
+        frame = messages.Frame(self._read_number(), message)
+        await wire.send_frame(self._conn, frame)
+
+    def send_soon(self, message: messages.Message) -> None:
+        """Send a message from a task of the connection."""
+        self._nursery.start_soon(self.send, message)
+
+    async def _shake_hands(self) -> None:
+        with trio.fail_after(wire.OPEN_TIMEOUT_S):
+            frame = await wire.receive_frame(self._conn)
+        try:
+            self.peer = wire.check_hello(frame)
+        except errors.LinkError as exc:
+            await wire.close_with_code(self._conn, exc)
+            raise
+        self._hear(self, frame)
+        await self.send(self._hello)
+        await self.send(
+            messages.StateNotice(
+                self._worker.gate.slow.state, self._worker.gate.load
+            )
+        )
+
+    async def _read_frames(self) -> None:
+        while True:
+            frame = await wire.receive_frame(self._conn)
+            self._hear(self, frame)
+            handler = self._handlers.get(type(frame.message))
+            if handler is not None:
+                await handler(frame.message)
+
+    async def _probe(self) -> None:
+        """Learn how old the frames that arrive can be at most."""
+        for nonce in itertools.count():
+            self._probe_nonce = nonce
+            self._probe_sent_ms = self._clock.now()
+            await self.send(messages.Probe(nonce))
+            await clock_lib.sleep_ms(PROBE_INTERVAL_MS)
+
+    async def _on_probe_reply(self, message: messages.ProbeReply) -> None:
+        if message.nonce == self._probe_nonce:
+            self._sent_after_ms = self._probe_sent_ms
+
+    async def _on_open(
+        self, message: messages.OpenChat | messages.OpenCall
+    ) -> None:
+        try:
+            run = self._worker.submit(message, self._sent_after_ms)
+        except errors.RefusedError as exc:
+            await self._send_failed(message.attempt, exc)
+            return
+        if run is None:
+            await self._send_failed(
+                message.attempt, _make_forgotten_error(message.attempt)
+            )
+            return
+        await self._send_accepted(run)
+        self._follow(run, replay.ResumePoint(message.attempt))
+
+    async def _on_cancel(self, message: messages.Cancel) -> None:
+        self._worker.cancel(message.attempt)
+
+    async def _on_acknowledge(self, message: messages.Acknowledge) -> None:
+        run = self._worker.table.find(message.attempt)
+        if run is not None:
+            run.acknowledge(message.sequence)
+
+    async def _on_resume(self, message: messages.Resume) -> None:
+        run = self._worker.table.find(message.attempt)
+        if run is None or run.work.account != message.account:
+            await self._report(message)
+            return
+        point = replay.ResumePoint(
+            message.attempt, message.sequence, message.check
+        )
+        try:
+            run.buffer.read_from(point)
+        except errors.LinkError as exc:
+            await self._send_failed(message.attempt, exc)
+            return
+        await self._send_accepted(run)
+        self._follow(run, point)
+
+    async def _on_query(self, message: messages.Query) -> None:
+        run = self._worker.table.find(message.attempt)
+        if run is None or run.work.account != message.account:
+            await self._report(message)
+            return
+        await self._send_accepted(run)
+        self._follow(run, replay.ResumePoint(message.attempt))
+
+    async def _report(self, message: messages.Query | messages.Resume) -> None:
+        report = self._worker.gate.attempts.query(
+            message.attempt,
+            message.incarnation,
+            message.age_ms,
+            self._clock.now(),
+        )
+        exc = _make_forgotten_error(message.attempt, report.verdict)
+        await self._send_failed(message.attempt, exc)
+
+    def _follow(self, run: runs.Run, point: replay.ResumePoint) -> None:
+        if run.follower is not None:
+            run.follower.cancel()
+        run.follower = trio.CancelScope()
+        self._nursery.start_soon(self._send_run, run, point, run.follower)
+
+    async def _send_run(
+        self,
+        run: runs.Run,
+        point: replay.ResumePoint,
+        scope: trio.CancelScope,
+    ) -> None:
+        try:
+            with scope:
+                await self._send_chunks(run, point)
+                await self.send(run.end)
+        finally:
+            if run.follower is scope:
+                run.follower = None
+                run.followed_ms = self._clock.now()
+
+    async def _send_chunks(
+        self, run: runs.Run, point: replay.ResumePoint
+    ) -> None:
+        while True:
+            chunks = self._read_window(run, point)
+            if chunks:
+                await self.send(self._make_chunks(run, chunks))
+                last = chunks[-1]
+                point = replay.ResumePoint(
+                    run.work.attempt, last.number + 1, last.check
+                )
+            elif run.end is not None and self._is_sent(run, point):
+                return
+            else:
+                await self._wait_change(run)
+
+    def _read_window(
+        self, run: runs.Run, point: replay.ResumePoint
+    ) -> list[replay.Chunk]:
+        if point.number - run.acknowledged >= WINDOW_CHUNKS:
+            return []
+        chunks = run.buffer.read_from(point)[:MAX_FRAME_CHUNKS]
+        return [chunk for chunk in chunks if not chunk.is_last]
+
+    def _is_sent(self, run: runs.Run, point: replay.ResumePoint) -> bool:
+        # The closing chunk is empty and travels as the end of the run.
+        closing = 1 if run.buffer.is_complete else 0
+        return point.number >= run.buffer.next_number - closing
+
+    async def _wait_change(self, run: runs.Run) -> None:
+        changed = run.changed
+        with trio.move_on_after(HEARTBEAT_MS / types.SECOND_MS) as scope:
+            await changed.wait()
+        if scope.cancelled_caught:
+            await self._send_accepted(run)
+        elif run.buffer.next_number > 1:
+            await clock_lib.sleep_ms(JOIN_MS)
+
+    def _make_chunks(
+        self, run: runs.Run, chunks: list[replay.Chunk]
+    ) -> messages.Chunks:
+        return messages.Chunks(
+            attempt=run.work.attempt,
+            sequence=chunks[0].number,
+            texts=tuple(chunk.data.decode() for chunk in chunks),
+            checks=tuple(chunk.check for chunk in chunks),
+            load=self._worker.gate.load,
+        )
+
+    async def _send_accepted(self, run: runs.Run) -> None:
+        await self.send(
+            messages.Accepted(run.work.attempt, self._worker.gate.queue_length)
+        )
+
+    async def _send_failed(
+        self, attempt: types.AttemptId, exc: errors.FoxtailError
+    ) -> None:
+        await self.send(
+            worker_lib.make_failed(attempt, exc, self._worker.gate.load)
+        )
+
+
+def _make_forgotten_error(
+    attempt: types.AttemptId,
+    verdict: verdict_lib.Verdict = verdict_lib.Verdict.MAY_HAVE_RUN,
+) -> errors.LinkError:
+    return errors.LinkError(
+        errors.ErrorCode.ATTEMPT_CLOSED,
+        f'expected a known attempt, got {attempt}; the verdict says whether '
+        f'it may have run',
+        verdict,
+    )
--- /dev/null
+++ b/foxtailpick/sidecar/gate.py
@@ -0,0 +1,333 @@
+"""The gate of an endpoint: which attempt may run, and when.
+
+Every attempt passes the same checks in the same order. A refusal here is
+final for the attempt: it was not run and never will be.
+"""
+
+import dataclasses
+import typing
+
+from loguru import logger
+
+from foxtailpick.core import account_queue
+from foxtailpick.core import attempts as attempts_lib
+from foxtailpick.core import configuration
+from foxtailpick.core import errors
+from foxtailpick.core import fair_share
+from foxtailpick.core import invariants
+from foxtailpick.core import messages
+from foxtailpick.core import settings
+from foxtailpick.core import share_tree
+from foxtailpick.core import slow_start
+from foxtailpick.core import types
+from foxtailpick.core import verdict as verdict_lib
+
+# A plain call has no tokens; each counts as one.
+CALL_TOKENS = 1.0
+STATE_RETRY_AFTER_MS = 1_000.0
+UNKNOWN_PARTNER = types.PartnerId('')
+
+
+Work = messages.OpenChat | messages.OpenCall
+
+
+@dataclasses.dataclass(slots=True)
+class Started:
+    """An attempt that was let through to the endpoint.
+
+    :param work: the attempt's own message.
+    :param ticket: its ticket of the slow start.
+    """
+
+    work: Work
+    ticket: slow_start.StartTicket
+
+
+class Gate:
+    """Admission of one endpoint.
+
+    :param cfg: settings of the sidecar.
+    :param attempts: the attempts of this incarnation.
+    :param slow: slow start and life cycle of the endpoint.
+    :param monitor: checks the promises kept here.
+    :param read_config: function that returns the configuration in force.
+    """
+
+    def __init__(
+        self,
+        cfg: settings.SidecarSettings,
+        attempts: attempts_lib.AttemptTable,
+        slow: slow_start.SlowStart,
+        monitor: invariants.Monitor,
+        read_config: typing.Callable[[], configuration.Configuration],
+    ) -> None:
+        self.attempts = attempts
+        self.slow = slow
+        self._endpoint = types.EndpointId(cfg.node.id)
+        self._domain = cfg.node.failure_domain
+        self._capacity = cfg.endpoint.capacity
+        self._first_token_ms = cfg.limits.first_token
+        self._monitor = monitor
+        self._read_config = read_config
+        self._queue = fair_share.FairQueue(
+            fair_share.FairQueueOptions(), self.find_share
+        )
+        self._waiting: dict[types.AttemptId, Work] = {}
+        self._given_up: list[tuple[Work, errors.RefusedError]] = []
+
+    @classmethod
+    def from_settings(
+        cls,
+        cfg: settings.SidecarSettings,
+        incarnation: types.Incarnation,
+        monitor: invariants.Monitor,
+        read_config: typing.Callable[[], configuration.Configuration],
+    ) -> 'Gate':
+        """Create the gate of a sidecar.
+
+        :param cfg: settings of the sidecar.
+        :param incarnation: incarnation of this process.
+        :param monitor: checks the promises kept here.
+        :param read_config: function that returns the configuration.
+        """
+        limit = float(cfg.endpoint.max_running)
+        options = slow_start.SlowStartOptions(
+            initial_limit=min(
+                slow_start.SlowStartOptions().initial_limit, limit
+            ),
+            max_limit=limit,
+            first_token_ms=cfg.limits.first_token,
+        )
+        return cls(
+            cfg,
+            attempts_lib.AttemptTable(incarnation, monitor),
+            slow_start.SlowStart.from_options(options, monitor),
+            monitor,
+            read_config,
+        )
+
+    @property
+    def load(self) -> float:
+        """Requests running and waiting, relative to the capacity."""
+        return (self.slow.in_flight + len(self._queue)) / self._capacity
+
+    @property
+    def queue_length(self) -> int:
+        """How many attempts wait."""
+        return len(self._queue)
+
+    def find_share(self, account: types.AccountId) -> share_tree.Share:
+        """Return the share of an account in the configuration in force."""
+        cfg = self._read_config()
+        found = cfg.accounts.get(account)
+        if found is None:
+            return share_tree.Share(UNKNOWN_PARTNER)
+        partner = cfg.partners[found.partner]
+        return share_tree.Share(found.partner, partner.share, found.share)
+
+    def apply_config(self) -> None:
+        """Put a new configuration in force for what waits and runs."""
+        self._queue.apply_shares(self.find_share)
+
+    def admit(
+        self, work: Work, sent_after_ms: float, now_ms: float
+    ) -> attempts_lib.Opening:
+        """Take in an attempt, which then waits its turn.
+
+        :param work: the attempt's own message.
+        :param sent_after_ms: time before which it cannot have been sent.
+        :param now_ms: the current time.
+        :returns: whether the attempt is new.
+        :raises errors.RefusedError: if it will not be run.
+        """
+        opening = self.attempts.open(
+            work.attempt, self.attempts.incarnation, sent_after_ms, now_ms
+        )
+        if opening is attempts_lib.Opening.DOUBLE:
+            return opening
+        try:
+            self._check_may_run(work)
+            self._enqueue(work, now_ms)
+        except errors.RefusedError as exc:
+            self.attempts.refuse(work.attempt, now_ms)
+            logger.info(
+                'GATE refused attempt {} account {}. {}',
+                work.attempt,
+                work.account,
+                exc,
+            )
+            raise
+        return opening
+
+    def pop_ready(self, now_ms: float) -> Started | None:
+        """Let the next attempt through if the endpoint can bear it.
+
+        :param now_ms: the current time.
+        :returns: the attempt, None if none may start now.
+        """
+        while self.slow.in_flight < self.slow.limit(now_ms):
+            entry = self._queue.pop_next(now_ms)
+            if entry is None:
+                return None
+            work = self._waiting.pop(entry.attempt)
+            try:
+                self._check_may_run(work)
+            except errors.RefusedError as exc:
+                self._queue.finish(entry.attempt)
+                self._given_up.append((work, exc))
+                continue
+            return self._start(work, now_ms)
+        return None
+
+    def sweep(self, now_ms: float) -> list[tuple[Work, errors.RefusedError]]:
+        """Give up waiting attempts that can no longer be answered.
+
+        :param now_ms: the current time.
+        :returns: what was given up, with the reason.
+        """
+        refused, self._given_up = self._given_up, []
+        for refusal in self._queue.sweep(now_ms):
+            work = self._waiting.pop(refusal.entry.attempt)
+            refused.append((work, _make_queue_error(refusal)))
+        for work in list(self._waiting.values()):
+            try:
+                self._check_may_run(work)
+            except errors.RefusedError as exc:
+                self._queue.cancel(work.attempt)
+                del self._waiting[work.attempt]
+                refused.append((work, exc))
+        for work, _ in refused:
+            self.attempts.refuse(work.attempt, now_ms)
+        return refused
+
+    def cancel_waiting(self, attempt: types.AttemptId, now_ms: float) -> bool:
+        """Drop an attempt that still waits.
+
+        :param attempt: the attempt.
+        :param now_ms: the current time.
+        :returns: whether it waited; it was then not run.
+        """
+        if not self._queue.cancel(attempt):
+            return False
+        del self._waiting[attempt]
+        self.attempts.refuse(attempt, now_ms)
+        return True
+
+    def record_first_token(
+        self, started: Started, hit_ratio: float | None, now_ms: float
+    ) -> None:
+        """Record the first sign of an answer."""
+        self.slow.on_first_token(started.ticket, now_ms, hit_ratio)
+
+    def record_generated(
+        self, started: Started, tokens: int, now_ms: float
+    ) -> None:
+        """Record tokens generated for a running attempt."""
+        self._queue.record_generated(started.work.attempt, tokens, now_ms)
+
+    def finish(
+        self,
+        started: Started,
+        verdict: verdict_lib.Verdict,
+        answer: bytes | None,
+        is_engine_fault: bool,
+        now_ms: float,
+    ) -> None:
+        """Record the end of a running attempt.
+
+        :param started: the attempt.
+        :param verdict: what became of it.
+        :param answer: a small whole answer to keep, None for none.
+        :param is_engine_fault: whether the endpoint failed.
+        :param now_ms: the current time.
+        """
+        self._queue.finish(started.work.attempt)
+        if is_engine_fault:
+            self.slow.on_failed(started.ticket, now_ms)
+        else:
+            self.slow.on_completed(started.ticket)
+        self.attempts.finish(started.work.attempt, verdict, answer, now_ms)
+
+    def _check_may_run(self, work: Work) -> None:
+        cfg = self._read_config()
+        if not cfg.is_domain_in_service(self._domain):
+            raise errors.RefusedError(
+                errors.ErrorCode.DOMAIN_OUT_OF_SERVICE,
+                f'expected failure domain {self._domain} in service, it is '
+                f'out in configuration {cfg.number}; try another endpoint',
+            )
+        if self.slow.state in _CLOSED_STATES:
+            raise errors.RefusedError(
+                errors.ErrorCode.ENDPOINT_DRAINING,
+                f'expected {self._endpoint} to take work, it is '
+                f'{self.slow.state.value}; try another endpoint',
+                retry_after_ms=STATE_RETRY_AFTER_MS,
+            )
+        account = cfg.accounts.get(work.account)
+        if account is None or not account.may_use_endpoint(self._endpoint):
+            raise errors.RefusedError(
+                errors.ErrorCode.ACCOUNT_UNKNOWN,
+                f'expected an account that may use {self._endpoint}, got '
+                f'{work.account}; try another endpoint',
+            )
+
+    def _enqueue(self, work: Work, now_ms: float) -> None:
+        entry = _make_entry(work, self._first_token_ms, now_ms)
+        self._waiting[work.attempt] = work
+        for refusal in self._queue.enqueue(entry, now_ms):
+            refused = self._waiting.pop(refusal.entry.attempt)
+            exc = _make_queue_error(refusal)
+            if refused is work:
+                raise exc
+            self._given_up.append((refused, exc))
+
+    def _start(self, work: Work, now_ms: float) -> Started:
+        cfg = self._read_config()
+        self._monitor.check(
+            invariants.Promise.DOMAIN_OUT,
+            cfg.is_domain_in_service(self._domain),
+            lambda: f'{work.attempt} started in {self._domain}',
+        )
+        self._monitor.check(
+            invariants.Promise.LEAVING,
+            self.slow.state not in _CLOSED_STATES,
+            lambda: f'{work.attempt} started while {self.slow.state}',
+        )
+        self.attempts.start(work.attempt)
+        return Started(work, self.slow.on_started(now_ms))
+
+
+_CLOSED_STATES = frozenset(
+    {types.EndpointState.DRAINING, types.EndpointState.GONE}
+)
+
+
+def _make_entry(
+    work: Work, first_token_ms: float, now_ms: float
+) -> account_queue.QueueEntry:
+    deadline_ms = now_ms + work.deadline_ms
+    if isinstance(work, messages.OpenCall):
+        return account_queue.QueueEntry(
+            work.attempt,
+            work.account,
+            prompt_tokens=CALL_TOKENS,
+            deadline_ms=deadline_ms,
+        )
+    return account_queue.QueueEntry(
+        work.attempt,
+        work.account,
+        work.priority,
+        prompt_tokens=work.prompt_tokens,
+        expected_tokens=work.max_tokens - work.resume_from,
+        deadline_ms=deadline_ms,
+        service_ms=first_token_ms,
+    )
+
+
+def _make_queue_error(refusal: fair_share.Refusal) -> errors.RefusedError:
+    return errors.RefusedError(
+        refusal.code,
+        f'expected room before the deadline of {refusal.entry.attempt}, '
+        f'found none; try again after the time given',
+        retry_after_ms=refusal.retry_after_ms,
+    )
--- /dev/null
+++ b/foxtailpick/sidecar/runs.py
@@ -0,0 +1,93 @@
+"""What each admitted attempt has produced, until nobody can ask for it."""
+
+import dataclasses
+
+import trio
+
+from foxtailpick.core import messages
+from foxtailpick.core import replay
+from foxtailpick.core import types
+from foxtailpick.sidecar import gate
+
+End = messages.Finished | messages.Answer | messages.Failed
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """One attempt, from its admission until its retention is over.
+
+    :param work: the attempt's own message.
+    :param buffer: what it has streamed; empty for a plain call.
+    :param followed_ms: when a connection last followed it.
+    :param end: how it ended, None while it waits or runs.
+    :param ended_ms: when it ended.
+    :param acknowledged: chunks that the reader has handed on.
+    """
+
+    work: gate.Work
+    buffer: replay.ReplayBuffer
+    followed_ms: float
+    end: End | None = None
+    ended_ms: float = 0.0
+    acknowledged: int = 0
+    scope: trio.CancelScope = dataclasses.field(
+        default_factory=trio.CancelScope
+    )
+    follower: trio.CancelScope | None = None
+    changed: trio.Event = dataclasses.field(default_factory=trio.Event)
+
+    def notify(self) -> None:
+        """Wake whoever waits for a change."""
+        self.changed.set()
+        self.changed = trio.Event()
+
+    def close(self, end: End, now_ms: float) -> None:
+        """Record the end.
+
+        :param end: the last message of the attempt.
+        :param now_ms: the current time.
+        """
+        self.end = end
+        self.ended_ms = now_ms
+        self.notify()
+
+    def acknowledge(self, sequence: int) -> None:
+        """Record what the reader has handed on."""
+        self.acknowledged = max(self.acknowledged, sequence)
+        self.buffer.acknowledge(sequence)
+        self.notify()
+
+
+class RunTable:
+    """The runs of a sidecar, by attempt.
+
+    :param stream_bytes: bound on what is kept of one stream.
+    :param retention_ms: how long an ended run is kept.
+    """
+
+    def __init__(self, stream_bytes: int, retention_ms: float) -> None:
+        self._stream_bytes = stream_bytes
+        self._retention_ms = retention_ms
+        self._runs: dict[types.AttemptId, Run] = {}
+
+    def add(self, work: gate.Work, now_ms: float) -> Run:
+        """Create the run of a new attempt."""
+        buffer = replay.ReplayBuffer(work.attempt, self._stream_bytes)
+        run = Run(work, buffer, now_ms)
+        self._runs[work.attempt] = run
+        return run
+
+    def find(self, attempt: types.AttemptId) -> Run | None:
+        """Return the run of an attempt, None if it is not kept."""
+        return self._runs.get(attempt)
+
+    def list_open(self) -> list[Run]:
+        """Return the runs that have not ended."""
+        return [run for run in self._runs.values() if run.end is None]
+
+    def drop_expired(self, now_ms: float) -> None:
+        """Forget runs whose retention is over."""
+        for attempt, run in list(self._runs.items()):
+            is_ended = run.end is not None
+            if is_ended and now_ms - run.ended_ms > self._retention_ms:
+                del self._runs[attempt]
--- /dev/null
+++ b/foxtailpick/sidecar/worker.py
@@ -0,0 +1,279 @@
+"""Runs admitted attempts at the endpoint."""
+
+import typing
+
+from loguru import logger
+import trio
+
+from foxtailpick.adapters import base
+from foxtailpick.core import attempts as attempts_lib
+from foxtailpick.core import chat_request
+from foxtailpick.core import clock as clock_lib
+from foxtailpick.core import errors
+from foxtailpick.core import messages
+from foxtailpick.core import settings
+from foxtailpick.core import types
+from foxtailpick.core import verdict as verdict_lib
+from foxtailpick.sidecar import gate as gate_lib
+from foxtailpick.sidecar import runs
+
+SWEEP_INTERVAL_MS = 50.0
+ROOM_POLL_MS = 20.0
+RUN_RETENTION_MS = 30_000.0
+
+
+class Worker:
+    """Owns the tasks that talk to the endpoint.
+
+    :param gate: admission of the endpoint.
+    :param cfg: bounds on work and waiting.
+    :param engine: the model engine, None for a plain service.
+    :param service: the plain service, None for a model engine.
+    """
+
+    def __init__(
+        self,
+        gate: gate_lib.Gate,
+        cfg: settings.LimitSettings,
+        engine: base.Engine | None,
+        service: base.PlainService | None,
+    ) -> None:
+        self.gate = gate
+        self.table = runs.RunTable(cfg.replay, RUN_RETENTION_MS)
+        self._engine = engine
+        self._service = service
+        self._grace_ms = cfg.resume_grace
+        self._clock = clock_lib.Clock.from_trio()
+        self._wake = trio.Event()
+
+    async def run(self) -> None:
+        """Start attempts as the endpoint can bear them, for ever."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                self._give_up_overdue()
+                self._start_ready(nursery)
+                self.table.drop_expired(self._clock.now())
+                with trio.move_on_after(SWEEP_INTERVAL_MS / types.SECOND_MS):
+                    await self._wake.wait()
+                self._wake = trio.Event()
+
+    def submit(
+        self, work: gate_lib.Work, sent_after_ms: float
+    ) -> runs.Run | None:
+        """Take in an attempt.
+
+        :param work: the attempt's own message.
+        :param sent_after_ms: time before which it cannot have been sent.
+        :returns: its run, None for a double whose run is forgotten.
+        :raises errors.RefusedError: if it will not be run.
+        """
+        now_ms = self._clock.now()
+        opening = self.gate.admit(work, sent_after_ms, now_ms)
+        if opening is attempts_lib.Opening.DOUBLE:
+            return self.table.find(work.attempt)
+        self._wake.set()
+        return self.table.add(work, now_ms)
+
+    def cancel(self, attempt: types.AttemptId) -> None:
+        """Stop an attempt that nobody waits for."""
+        run = self.table.find(attempt)
+        if run is None or run.end is not None:
+            return
+        now_ms = self._clock.now()
+        if self.gate.cancel_waiting(attempt, now_ms):
+            run.close(self._make_failed(run, _make_cancelled_error()), now_ms)
+            return
+        if isinstance(run.work, messages.OpenChat):
+            run.scope.cancel()
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing waits, runs or is still being read."""
+        is_read = all(run.follower is None for run in self.table.list_open())
+        return is_read and not self.table.list_open()
+
+    def _give_up_overdue(self) -> None:
+        now_ms = self._clock.now()
+        for work, exc in self.gate.sweep(now_ms):
+            run = self.table.find(work.attempt)
+            if run is not None:
+                run.close(self._make_failed(run, exc), now_ms)
+        for run in self.table.list_open():
+            is_followed = run.follower is not None
+            if not is_followed and now_ms - run.followed_ms > self._grace_ms:
+                self.cancel(run.work.attempt)
+
+    def _start_ready(self, nursery: trio.Nursery) -> None:
+        while started := self.gate.pop_ready(self._clock.now()):
+            run = self.table.find(started.work.attempt)
+            if isinstance(started.work, messages.OpenChat):
+                nursery.start_soon(self._run_chat, run, started)
+            else:
+                nursery.start_soon(self._run_call, run, started)
+
+    async def _run_chat(
+        self, run: runs.Run, started: gate_lib.Started
+    ) -> None:
+        end: runs.End | None = None
+        failure: errors.FoxtailError | None = None
+        try:
+            with run.scope:
+                end = await self._stream_chat(run, started)
+        except errors.FoxtailError as exc:
+            failure = exc
+        if end is not None:
+            self._finish(run, started, verdict_lib.Verdict.RAN, end)
+            return
+        is_fault = failure is not None
+        exc = failure or _make_cancelled_error(
+            verdict_lib.Verdict.MAY_HAVE_RUN
+        )
+        if run.buffer.next_number and is_fault:
+            exc = errors.RequestError(
+                exc.code, exc.message, verdict_lib.Verdict.MAY_HAVE_RUN
+            )
+        end = self._make_failed(run, exc)
+        self._finish(run, started, exc.verdict, end, is_fault)
+
+    async def _stream_chat(
+        self, run: runs.Run, started: gate_lib.Started
+    ) -> messages.Finished:
+        call = _make_chat_call(run.work)
+        async with self._engine.stream_chat(call) as chunks:
+            async for chunk in chunks:
+                if chunk.text:
+                    await self._keep_chunk(run, started, chunk)
+                if chunk.finish_reason is not None:
+                    return self._finish_stream(run, started, chunk)
+        raise errors.RequestError(
+            errors.ErrorCode.ENDPOINT_FAILED,
+            'expected a closing chunk from the engine, got none; resume',
+            verdict_lib.Verdict.MAY_HAVE_RUN,
+        )
+
+    async def _keep_chunk(
+        self,
+        run: runs.Run,
+        started: gate_lib.Started,
+        chunk: base.TokenChunk,
+    ) -> None:
+        now_ms = self._clock.now()
+        if run.buffer.next_number == 0:
+            self.gate.record_first_token(started, None, now_ms)
+            self._wake.set()
+        data = chunk.text.encode()
+        while not run.buffer.has_room(len(data)):
+            await clock_lib.sleep_ms(ROOM_POLL_MS)
+        run.buffer.append(data)
+        self.gate.record_generated(started, 1, now_ms)
+        run.notify()
+
+    def _finish_stream(
+        self,
+        run: runs.Run,
+        started: gate_lib.Started,
+        chunk: base.TokenChunk,
+    ) -> messages.Finished:
+        if run.buffer.next_number == 0:
+            self.gate.record_first_token(started, None, self._clock.now())
+        last = run.buffer.append(b'', is_last=True)
+        usage = chunk.usage or base.Usage(0, 0, 0)
+        return messages.Finished(
+            attempt=run.work.attempt,
+            sequence=last.number,
+            check=last.check,
+            finish_reason=chunk.finish_reason,
+            prompt_tokens=usage.prompt_tokens,
+            cached_tokens=usage.cached_tokens,
+            load=self.gate.load,
+        )
+
+    async def _run_call(
+        self, run: runs.Run, started: gate_lib.Started
+    ) -> None:
+        work = run.work
+        try:
+            answer = await self._service.call(
+                work.method,
+                work.path,
+                work.body,
+                {
+                    'content-type': work.content_type,
+                    'idempotency-key': work.key,
+                },
+            )
+        except errors.FoxtailError as exc:
+            end = self._make_failed(run, exc)
+            self._finish(run, started, exc.verdict, end, is_fault=True)
+            return
+        self.gate.record_first_token(started, None, self._clock.now())
+        end = messages.Answer(
+            work.attempt, answer.status, answer.content_type, answer.body
+        )
+        self._finish(run, started, verdict_lib.Verdict.RAN, end)
+
+    def _finish(
+        self,
+        run: runs.Run,
+        started: gate_lib.Started,
+        verdict: verdict_lib.Verdict,
+        end: runs.End,
+        is_fault: bool = False,
+    ) -> None:
+        now_ms = self._clock.now()
+        self.gate.finish(started, verdict, None, is_fault, now_ms)
+        run.close(end, now_ms)
+        logger.info(
+            'WORK attempt {} ended: {}, {}.',
+            run.work.attempt,
+            type(end).__name__,
+            verdict.value,
+        )
+        self._wake.set()
+
+    def _make_failed(
+        self, run: runs.Run, exc: errors.FoxtailError
+    ) -> messages.Failed:
+        return make_failed(run.work.attempt, exc, self.gate.load)
+
+
+def make_failed(
+    attempt: types.AttemptId, exc: errors.FoxtailError, load: float
+) -> messages.Failed:
+    """Return the message for an attempt that failed.
+
+    :param attempt: the attempt.
+    :param exc: why.
+    :param load: load of the endpoint.
+    """
+    return messages.Failed(
+        attempt=attempt,
+        code=exc.code,
+        verdict=exc.verdict,
+        detail=exc.message,
+        retry_after_ms=exc.retry_after_ms,
+        load=load,
+    )
+
+
+def _make_chat_call(work: messages.OpenChat) -> base.ChatCall:
+    req = chat_request.ChatRequest.from_json(work.body)
+    return base.ChatCall(
+        request=work.request,
+        model=work.model,
+        messages=req.messages,
+        max_tokens=work.max_tokens,
+        chat=work.chat,
+        priority=work.priority,
+        resume_from=work.resume_from,
+    )
+
+
+def _make_cancelled_error(
+    verdict: verdict_lib.Verdict = verdict_lib.Verdict.NOT_RUN,
+) -> errors.RequestError:
+    return errors.RequestError(
+        errors.ErrorCode.CANCELLED,
+        'expected a reader, got a cancellation or none; send it again',
+        verdict,
+    )
--- a/foxtailpick/tests/test_codec.py
+++ b/foxtailpick/tests/test_codec.py
@@ -22,11 +22,12 @@
         types.Priority.NORMAL,
         9.5,
         7,
+        8,
         None,
         0,
         b'{}',
     ),
-    messages.Chunks('a', 3, ('x', 'y'), 0.25),
+    messages.Chunks('a', 3, ('x', 'y'), (2**64 - 1, 5), 0.25),
     messages.Failed(
         'a',
         errors.ErrorCode.OVERLOADED,
