Place chats by a multi-probe ring and bound the load at the sidecar

Ranking all endpoints for each request was ruled out for its cost at 1,000 of them. The sidecar admits up to a multiple of the mean of its pool, with a floor for low load.

--- /dev/null
+++ b/foxtailpick/core/candidates.py
@@ -0,0 +1,157 @@
+"""The candidates of one placement decision, as they are gathered."""
+
+import typing
+
+from foxtailpick.core import decision as decision_lib
+from foxtailpick.core import types
+
+if typing.TYPE_CHECKING:
+    from foxtailpick.core import placement
+
+
+class Selection:
+    """Candidates and endpoints passed over so far.
+
+    :param table: the members.
+    :param req: the request to place.
+    """
+
+    def __init__(
+        self,
+        table: 'placement.PlacementTable',
+        req: decision_lib.PlacementRequest,
+    ) -> None:
+        self._table = table
+        self._req = req
+        self._chosen: dict[types.EndpointId, decision_lib.ChoiceReason] = {}
+        self._passed: dict[types.EndpointId, decision_lib.PassReason] = {}
+        self._unusable_hint: decision_lib.PassedOver | None = None
+
+    @property
+    def is_full(self) -> bool:
+        """Whether there are as many candidates as asked for."""
+        return len(self._chosen) >= self._req.max_candidates
+
+    @property
+    def is_in_one_domain(self) -> bool:
+        """Whether one failure domain holds all of several candidates."""
+        domains = {self._get_domain(endpoint) for endpoint in self._chosen}
+        return len(self._chosen) > 1 and len(domains) == 1
+
+    def offer(
+        self,
+        endpoint: types.EndpointId,
+        reason: decision_lib.ChoiceReason,
+    ) -> None:
+        """Take an endpoint, or note why it is passed over.
+
+        :param endpoint: the endpoint, next in order.
+        :param reason: why it would be a candidate.
+        """
+        if endpoint in self._chosen or endpoint in self._passed:
+            return
+        obstacle = find_obstacle(self._table, self._req, endpoint)
+        if obstacle is None:
+            self._chosen[endpoint] = reason
+        else:
+            self._passed[endpoint] = obstacle
+
+    def offer_hint(self, hint: decision_lib.LocationHint) -> None:
+        """Take the endpoint that the caller returned, if it is the same.
+
+        :param hint: where the chat ran last.
+        """
+        obstacle = find_obstacle(self._table, self._req, hint.endpoint)
+        if obstacle is None:
+            member = self._table.get_member(hint.endpoint)
+            if member.incarnation == hint.incarnation:
+                self._chosen[hint.endpoint] = decision_lib.ChoiceReason.HINT
+                return
+            # Its cache is gone, but the computed order may still name it.
+            obstacle = decision_lib.PassReason.OTHER_INCARNATION
+        self._unusable_hint = decision_lib.PassedOver(hint.endpoint, obstacle)
+
+    def spread_over_domains(
+        self, order: typing.Iterator[types.EndpointId]
+    ) -> None:
+        """Replace the last candidate by the next in another failure domain.
+
+        A failure domain that goes at once must not take all candidates.
+
+        :param order: the endpoints that follow in order.
+        """
+        last = next(reversed(self._chosen))
+        domain = self._get_domain(last)
+        for endpoint in order:
+            if endpoint in self._chosen:
+                continue
+            if find_obstacle(self._table, self._req, endpoint) is not None:
+                continue
+            if self._get_domain(endpoint) != domain:
+                del self._chosen[last]
+                reason = decision_lib.ChoiceReason.OTHER_DOMAIN
+                self._chosen[endpoint] = reason
+                return
+
+    def close(self) -> decision_lib.Decision:
+        """Return the decision, with avoided endpoints as a last resort."""
+        for endpoint, obstacle in self._passed.items():
+            if self.is_full:
+                break
+            if obstacle in decision_lib.AVOIDABLE:
+                reason = decision_lib.ChoiceReason.LAST_RESORT
+                self._chosen[endpoint] = reason
+        passed = self._list_passed()
+        return decision_lib.Decision(
+            self._req.key,
+            tuple(
+                decision_lib.Candidate(endpoint, reason)
+                for endpoint, reason in self._chosen.items()
+            ),
+            tuple(passed[: decision_lib.MAX_PASSED]),
+            max(0, len(passed) - decision_lib.MAX_PASSED),
+        )
+
+    def _list_passed(self) -> list[decision_lib.PassedOver]:
+        passed = [
+            decision_lib.PassedOver(endpoint, reason)
+            for endpoint, reason in self._passed.items()
+            if endpoint not in self._chosen
+        ]
+        hint = self._unusable_hint
+        if hint is None or hint.endpoint in self._chosen:
+            return passed
+        return [hint, *(p for p in passed if p.endpoint != hint.endpoint)]
+
+    def _get_domain(
+        self, endpoint: types.EndpointId
+    ) -> types.FailureDomainId | None:
+        member = self._table.get_member(endpoint)
+        return None if member is None else member.domain
+
+
+def find_obstacle(
+    table: 'placement.PlacementTable',
+    req: decision_lib.PlacementRequest,
+    endpoint: types.EndpointId,
+) -> decision_lib.PassReason | None:
+    """Return why an endpoint may not run a request, None if it may.
+
+    :param table: the members.
+    :param req: the request.
+    :param endpoint: the endpoint.
+    """
+    member = table.get_member(endpoint)
+    if member is None:
+        return decision_lib.PassReason.ABSENT
+    if member.is_leaving:
+        return decision_lib.PassReason.LEAVING
+    if member.domain in req.domains_out:
+        return decision_lib.PassReason.DOMAIN_OUT
+    if member.service != req.service:
+        return decision_lib.PassReason.OTHER_SERVICE
+    if not table.serves(endpoint, req.model):
+        return decision_lib.PassReason.MODEL_NOT_SERVED
+    if req.allowed is not None and endpoint not in req.allowed:
+        return decision_lib.PassReason.NOT_ALLOWED
+    return req.avoid.get(endpoint)
--- /dev/null
+++ b/foxtailpick/core/load_view.py
@@ -0,0 +1,91 @@
+"""The loads that a router saw last; stale by nature, never enforced.
+
+Replies and refusals carry the load of the endpoint that gave them. The
+router uses what is fresh: an endpoint that refused a moment ago is avoided
+until it may have room again.
+"""
+
+import typing
+
+from foxtailpick.core import decision as decision_lib
+from foxtailpick.core import load_bound
+from foxtailpick.core import types
+
+FULL_LIFE_MS = 500.0
+SEEN_LIFE_MS = 10_000.0
+
+
+class LoadView:
+    """Last seen loads by endpoint, with their ages.
+
+    :param full_life_ms: how long an endpoint that refused is avoided.
+    """
+
+    def __init__(self, full_life_ms: float = FULL_LIFE_MS) -> None:
+        self._full_life_ms = full_life_ms
+        self._full_until_ms: dict[types.EndpointId, float] = {}
+        self._seen: dict[types.EndpointId, tuple[float, float]] = {}
+
+    def observe(
+        self,
+        endpoint: types.EndpointId,
+        admission: load_bound.Admission,
+        now_ms: float,
+    ) -> None:
+        """Take over what a reply or refusal says.
+
+        :param endpoint: who gave it.
+        :param admission: what it carries.
+        :param now_ms: the current time.
+        """
+        self._seen.pop(endpoint, None)
+        self._seen[endpoint] = (admission.mean_tokens, now_ms)
+        if admission.is_admitted:
+            self._full_until_ms.pop(endpoint, None)
+        else:
+            self._full_until_ms.pop(endpoint, None)
+            self._full_until_ms[endpoint] = now_ms + self._full_life_ms
+        self._forget_old(now_ms)
+
+    def list_full(
+        self, now_ms: float
+    ) -> dict[types.EndpointId, decision_lib.PassReason]:
+        """Return the endpoints to avoid, as `PlacementRequest.avoid` wants.
+
+        :param now_ms: the current time.
+        """
+        self._forget_old(now_ms)
+        full = decision_lib.PassReason.FULL
+        return dict.fromkeys(self._full_until_ms, full)
+
+    def get_mean_tokens(self, now_ms: float) -> float | None:
+        """Return the mean that endpoints told last, None if none is fresh.
+
+        Rides on requests, for a sidecar that hears no peer.
+
+        :param now_ms: the current time.
+        """
+        self._forget_old(now_ms)
+        if not self._seen:
+            return None
+        means = [mean for mean, _at_ms in self._seen.values()]
+        return sum(means) / len(means)
+
+    def _forget_old(self, now_ms: float) -> None:
+        _drop_first_while(
+            self._full_until_ms, lambda until_ms: until_ms <= now_ms
+        )
+        _drop_first_while(
+            self._seen, lambda seen: seen[1] <= now_ms - SEEN_LIFE_MS
+        )
+
+
+def _drop_first_while(
+    entries: dict, is_old: typing.Callable[[typing.Any], bool]
+) -> None:
+    # Entries are inserted in order of time, so the oldest are first.
+    while entries:
+        key = next(iter(entries))
+        if not is_old(entries[key]):
+            return
+        del entries[key]
--- /dev/null
+++ b/foxtailpick/tests/test_load_bound.py
@@ -0,0 +1,127 @@
+"""Tests of the bounded load."""
+
+import pytest
+
+from foxtailpick.core import decision
+from foxtailpick.core import errors
+from foxtailpick.core import invariants
+from foxtailpick.core import load_bound
+from foxtailpick.core import load_view
+from foxtailpick.core import mean_estimate
+
+FLOOR = load_bound.FLOOR_TOKENS
+
+
+def make_bound(monitor, endpoint='ep-0', pool=10.0, **cfg):
+    settings = load_bound.LoadBoundSettings(**cfg)
+    bound = load_bound.LoadBound(endpoint, 1.0, monitor, settings)
+    return bound, bound.set_pool(None, pool)
+
+
+def make_sample(endpoint, load, at_ms=0.0, capacity=1.0):
+    return mean_estimate.LoadSample(endpoint, load, capacity, at_ms)
+
+
+def fill(bound, cost, count=10_000):
+    """Admit until the first refusal; return it."""
+    for number in range(count):
+        made = bound.admit(f'a-{number}', None, cost)
+        if not made.is_admitted:
+            return made
+    raise AssertionError(f'no refusal in {count} attempts')
+
+
+@pytest.mark.parametrize('multiple', [1.1, 1.25, 2.0])
+def test_refuses_above_the_multiple_of_the_mean(monitor, multiple):
+    bound, mean = make_bound(monitor, multiple=multiple, guard=0.02)
+    mean.observe([make_sample('ep-1', 50_000.0)], 0.0)
+    made = fill(bound, 100.0)
+    assert made.load_tokens <= multiple * made.mean_tokens
+    assert made.load_tokens > made.mean_tokens
+    assert monitor.checked[invariants.Promise.LOAD_BOUND] > 0
+
+
+def test_first_request_of_an_idle_pool_is_admitted(monitor):
+    bound, mean = make_bound(monitor, pool=1_000.0)
+    mean.observe([make_sample('ep-1', 0.0)], 0.0)
+    assert bound.admit('a', None, 10 * FLOOR).is_admitted
+
+
+@pytest.mark.parametrize('cost', [1.0, 500.0, 0.6 * FLOOR, 20 * FLOOR])
+@pytest.mark.parametrize('size', [1, 2, 3, 10])
+def test_some_endpoint_always_admits(monitor, cost, size):
+    names = [f'ep-{number}' for number in range(size)]
+    bounds = {n: make_bound(monitor, n, float(size)) for n in names}
+    for number in range(200):
+        samples = [bound.get_sample(0.0) for bound, _ in bounds.values()]
+        for bound, mean in bounds.values():
+            mean.observe(
+                [
+                    make_sample(s.endpoint, s.load_tokens, number)
+                    for s in samples
+                ],
+                number,
+            )
+        admitted = [
+            bound.admit(f'a-{number}', None, cost).is_admitted
+            for bound, _ in bounds.values()
+        ]
+        assert any(admitted)
+
+
+def test_repeated_attempt_counts_once_and_release_is_idempotent(monitor):
+    bound, _mean = make_bound(monitor)
+    for _ in range(3):
+        assert bound.admit('a', None, 100.0).is_admitted
+    assert bound.load_tokens == 100.0
+    for _ in range(3):
+        bound.release('a')
+    assert bound.load_tokens == 0.0
+
+
+def test_refusal_hints_at_the_first_fitting_candidate(monitor):
+    bound, mean = make_bound(monitor)
+    loads = {'ep-1': 90_000.0, 'ep-2': 20_000.0, 'ep-3': 10_000.0}
+    mean.observe([make_sample(*item) for item in loads.items()], 0.0)
+    fill(bound, 1_000.0)
+    made = bound.admit('b', None, 1_000.0, ['ep-1', 'ep-2', 'ep-3'])
+    assert made.hints == ('ep-2', 'ep-3')
+    made = bound.admit('b', None, 1_000.0)
+    assert made.hints[0] == 'ep-3'
+
+
+def test_mean_is_weighted_by_capacity_and_keeps_the_newest():
+    mean = mean_estimate.MeanEstimate('ep-0', 1.0, 4.0)
+    mean.observe([make_sample('ep-1', 100.0, 10.0, 3.0)], 10.0)
+    mean.observe([make_sample('ep-1', 900.0, 5.0, 3.0)], 10.0)
+    mean.observe([make_sample('ep-0', 900.0, 10.0)], 10.0)
+    assert mean.get_mean_tokens(20.0) == pytest.approx(0.25 * 20 + 0.75 * 100)
+
+
+def test_silent_peers_leave_the_last_mean_then_the_routers_view():
+    mean = mean_estimate.MeanEstimate('ep-0', 1.0, 1e9)
+    mean.observe([make_sample('ep-1', 100.0)], 0.0)
+    mean.observe_router_view(500.0, 1_000.0)
+    assert mean.get_mean_tokens(0.0) == pytest.approx(100.0)
+    mean.observe_router_view(500.0, mean_estimate.SAMPLE_LIFE_MS + 1.0)
+    assert mean.get_mean_tokens(0.0) == pytest.approx(500.0)
+
+
+@pytest.mark.parametrize(
+    'cfg',
+    [{'multiple': 1.0}, {'guard': 0.2}, {'guard': -0.1}, {'floor_tokens': 0}],
+)
+def test_settings_out_of_range_are_refused(cfg):
+    with pytest.raises(errors.SettingsError):
+        load_bound.LoadBoundSettings(**cfg)
+
+
+def test_view_avoids_an_endpoint_for_a_moment_after_its_refusal(monitor):
+    bound, mean = make_bound(monitor)
+    mean.observe([make_sample('ep-1', 50_000.0)], 0.0)
+    view = load_view.LoadView(full_life_ms=100.0)
+    view.observe('ep-0', fill(bound, 1_000.0), 0.0)
+    assert view.list_full(99.0) == {'ep-0': decision.PassReason.FULL}
+    assert view.list_full(100.0) == {}
+    assert view.get_mean_tokens(100.0) == pytest.approx(50_000.0, rel=0.05)
+    assert view.get_mean_tokens(load_view.SEEN_LIFE_MS) is None
--- /dev/null
+++ b/foxtailpick/tests/test_placement.py
@@ -0,0 +1,190 @@
+"""Tests of the placement of chats."""
+
+import collections
+import dataclasses
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from foxtailpick.adapters import base
+from foxtailpick.core import decision
+from foxtailpick.core import placement
+
+CHATS = [f'chat-{number}' for number in range(2_000)]
+MODELS = frozenset({'m'})
+HOLD_MS = placement.FLAP_HOLD_MS
+
+
+def make_members(count, regions=1, domains=3, **changes):
+    return [
+        base.Member(
+            f'ep-{i}',
+            f'inc-{i}',
+            '127.0.0.1:1',
+            f'region-{i % regions}',
+            f'domain-{i % domains}',
+            'svc',
+            **changes,
+        )
+        for i in range(count)
+    ]
+
+
+def make_table(members):
+    return placement.PlacementTable.from_members(
+        members, {member.endpoint: MODELS for member in members}
+    )
+
+
+def update_table(table, members, now_ms):
+    models = {member.endpoint: MODELS for member in members}
+    table.update(members, models, now_ms)
+
+
+def choose(table, chat='chat', **options):
+    req = decision.PlacementRequest(chat, 'svc', 'region-0', 'm', **options)
+    return placement.choose_endpoints(table, req)
+
+
+def list_homes(table, **options):
+    return {c: choose(table, c, **options).chosen.endpoint for c in CHATS}
+
+
+def list_moved(before, after):
+    return {chat for chat in before if before[chat] != after[chat]}
+
+
+# Endpoint sets on both sides of the change from one method to the other.
+@pytest.mark.parametrize('set_size', [None, 60, 8])
+def test_gone_endpoint_moves_only_its_own_chats(set_size):
+    members = make_members(60)
+    allowed = set_size and frozenset(m.endpoint for m in members[:set_size])
+    table = make_table(members)
+    before = list_homes(table, allowed=allowed)
+    update_table(table, members[1:], 0.0)
+    assert list_homes(table, allowed=allowed) == before
+    update_table(table, members[1:], HOLD_MS)
+    after = list_homes(table, allowed=allowed)
+    assert list_moved(before, after) == {
+        chat for chat in CHATS if before[chat] == 'ep-0'
+    }
+    update_table(table, members, HOLD_MS)
+    assert list_homes(table, allowed=allowed) == before
+
+
+def test_updated_table_equals_a_new_one():
+    members = make_members(40)
+    table = make_table(members)
+    list_homes(table)
+    doubled = [dataclasses.replace(m, capacity=2.0) for m in members[:5]]
+    added = make_members(50)[40:]
+    now_listed = [*doubled, *members[8:], *added]
+    update_table(table, now_listed, 0.0)
+    update_table(table, now_listed, HOLD_MS)
+    assert list_homes(table) == list_homes(make_table(now_listed))
+
+
+@pytest.mark.parametrize('size', [6, 60])
+def test_chats_follow_capacity(size):
+    members = make_members(size)
+    members[0] = dataclasses.replace(members[0], capacity=3.0)
+    allowed = frozenset(m.endpoint for m in members) if size == 6 else None
+    homes = list_homes(make_table(members), allowed=allowed)
+    share = collections.Counter(homes.values())['ep-0'] / len(CHATS)
+    assert share == pytest.approx(3.0 / (size + 2.0), rel=0.35)
+
+
+@pytest.mark.parametrize(
+    ('changes', 'options', 'reason'),
+    [
+        ({'is_leaving': True}, {}, decision.PassReason.LEAVING),
+        (
+            {},
+            {'domains_out': frozenset({'domain-0'})},
+            decision.PassReason.DOMAIN_OUT,
+        ),
+        (
+            {},
+            {'avoid': {'ep-0': decision.PassReason.FULL}},
+            decision.PassReason.FULL,
+        ),
+        (
+            {},
+            {'allowed': frozenset({'ep-1', 'ep-2'})},
+            decision.PassReason.NOT_ALLOWED,
+        ),
+        ({'service': 'other'}, {}, decision.PassReason.OTHER_SERVICE),
+    ],
+)
+def test_unfit_endpoint_is_passed_over_with_a_reason(changes, options, reason):
+    members = make_members(9)
+    members[0] = dataclasses.replace(members[0], **changes)
+    hint = decision.LocationHint('ep-0', 'inc-0')
+    made = choose(make_table(members), hint=hint, **options)
+    assert made.chosen.endpoint != 'ep-0'
+    assert decision.PassedOver('ep-0', reason) in made.passed
+    assert f'ep-0 ({reason.name})' in made.format_line()
+
+
+@pytest.mark.parametrize('incarnation', ['inc-7', 'inc-before'])
+def test_hint_is_followed_only_to_the_same_incarnation(incarnation):
+    hint = decision.LocationHint.from_text(f'ep-7;{incarnation}')
+    made = choose(make_table(make_members(20)), hint=hint)
+    is_followed = made.chosen.reason is decision.ChoiceReason.HINT
+    assert is_followed == (incarnation == 'inc-7')
+
+
+@pytest.mark.parametrize('text', ['', 'ep-1', ';', 'ep-1;', ';inc'])
+def test_malformed_hint_is_ignored(text):
+    assert decision.LocationHint.from_text(text) is None
+
+
+def test_avoided_endpoints_are_the_last_resort():
+    members = make_members(2)
+    avoid = {m.endpoint: decision.PassReason.FULL for m in members}
+    made = choose(make_table(members), avoid=avoid)
+    assert {c.reason for c in made.candidates} == {
+        decision.ChoiceReason.LAST_RESORT
+    }
+
+
+def test_candidates_span_failure_domains():
+    members = make_members(60, domains=2)
+    table = make_table(members)
+    for chat in CHATS:
+        made = choose(table, chat)
+        assert len({c.endpoint for c in made.candidates}) == 4
+        domains = {
+            table.get_member(c.endpoint).domain for c in made.candidates
+        }
+        assert len(domains) == 2
+
+
+def test_other_region_only_when_the_own_has_too_few():
+    members = make_members(20, regions=2)
+    table = make_table(members)
+    out = frozenset({'domain-0', 'domain-1', 'domain-2'})
+    assert not choose(table, domains_out=out).candidates
+    own = {m.endpoint for m in members if m.region == 'region-0'}
+    assert {c.endpoint for c in choose(table).candidates} <= own
+    allowed = frozenset({'ep-0', 'ep-1'})
+    made = choose(table, allowed=allowed)
+    assert [c.reason for c in made.candidates] == [
+        decision.ChoiceReason.HOME,
+        decision.ChoiceReason.OTHER_REGION,
+    ]
+
+
+@hypothesis.given(
+    st.lists(st.sets(st.integers(0, 11), min_size=1), min_size=1, max_size=12)
+)
+def test_any_history_of_lists_gives_the_same_place(history):
+    members = make_members(12)
+    table = make_table(members)
+    choose(table)
+    for step, listed in enumerate(history):
+        update_table(table, [members[i] for i in listed], step * HOLD_MS)
+    last = [members[i] for i in history[-1]]
+    update_table(table, last, (len(history) + 1) * HOLD_MS)
+    assert choose(table) == choose(make_table(last))
