--- a/foxtailpick/core/errors.py
+++ b/foxtailpick/core/errors.py
@@ -59,6 +59,8 @@
     ATTEMPT_CLOSED = 'FTP-506'
     WRONG_INCARNATION = 'FTP-507'
     CONFIG_OUTDATED = 'FTP-508'
+    STREAM_GAP = 'FTP-509'
+    CHUNK_FOREIGN = 'FTP-510'
 
     # Refusals of the sidecar; nothing was run.
     DOMAIN_OUT_OF_SERVICE = 'FTP-601'
--- /dev/null
+++ b/foxtailpick/core/replay.py
@@ -0,0 +1,396 @@
+"""Streams that resume without a chunk lost, doubled or crossed.
+
+The sidecar numbers the chunks of one attempt and keeps the newest of them
+in a `ReplayBuffer`. The reader, in any router, puts them together in a
+`StreamAssembler`. Each chunk carries a check value that is chained to the
+chunk before it and begins with the attempt id, so a chunk that belongs
+elsewhere is found even if its number fits.
+"""
+
+import collections
+import dataclasses
+import typing
+
+import xxhash
+
+from foxtailpick.core import errors
+from foxtailpick.core import invariants
+from foxtailpick.core import types
+from foxtailpick.core import verdict
+
+DEFAULT_STREAM_BYTES = 256 * 1024
+DEFAULT_TOTAL_BYTES = 8 * 1024 * 1024
+CHUNK_OVERHEAD_BYTES = 160
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Chunk:
+    """A numbered part of one attempt's answer.
+
+    :param attempt: the attempt it belongs to.
+    :param number: its place in the stream, from zero without gaps.
+    :param data: its bytes; may be empty in the last chunk.
+    :param check: chained check value of the stream up to here, 64 bit.
+    :param is_last: whether the answer ends with it.
+    """
+
+    attempt: types.AttemptId
+    number: int
+    data: bytes
+    check: int
+    is_last: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ResumePoint:
+    """Where a reader stands; enough to go on through another router.
+
+    :param attempt: the attempt being read.
+    :param number: number of the next chunk wanted.
+    :param check: check value of the chunk before it; None if the reader
+        knows only the number.
+    """
+
+    attempt: types.AttemptId
+    number: int = 0
+    check: int | None = None
+
+
+def compute_check(data: bytes, previous: int, is_last: bool) -> int:
+    """Return the check value of a chunk.
+
+    :param data: its bytes.
+    :param previous: check value of the chunk before it.
+    :param is_last: whether the answer ends with it.
+    """
+    digest = xxhash.xxh64(data, seed=previous)
+    digest.update(b'\x01' if is_last else b'\x00')
+    return digest.intdigest()
+
+
+def compute_first_check(attempt: types.AttemptId) -> int:
+    """Return the check value that stands before an attempt's first chunk."""
+    return xxhash.xxh64_intdigest(attempt.encode())
+
+
+class ReplayBuffer:
+    """The newest chunks of one attempt, within a byte bound.
+
+    Acknowledged chunks stay as long as they fit, because another router
+    may resume behind what the first one acknowledged.
+
+    :param attempt: the attempt that produces the stream.
+    :param max_bytes: bound on the bytes held, chunk overhead included.
+    """
+
+    def __init__(
+        self, attempt: types.AttemptId, max_bytes: int = DEFAULT_STREAM_BYTES
+    ) -> None:
+        _check_positive('max_bytes', max_bytes)
+        self.attempt = attempt
+        self.max_bytes = max_bytes
+        self.held_bytes = 0
+        self.is_complete = False
+        self._chunks: collections.deque[Chunk] = collections.deque()
+        self._next_number = 0
+        self._acknowledged = 0
+        self._unacknowledged_bytes = 0
+        self._check = compute_first_check(attempt)
+
+    @property
+    def next_number(self) -> int:
+        """Number that the next chunk will get."""
+        return self._next_number
+
+    @property
+    def first_held(self) -> int:
+        """Number of the oldest chunk held; `next_number` if none is."""
+        return self._next_number - len(self._chunks)
+
+    def has_room(self, data_bytes: int) -> bool:
+        """Tell whether a chunk fits without losing an unacknowledged one.
+
+        A producer that can wait should wait while this is false.
+
+        :param data_bytes: length of the chunk.
+        """
+        wanted = data_bytes + CHUNK_OVERHEAD_BYTES
+        return self._unacknowledged_bytes + wanted <= self.max_bytes
+
+    def append(self, data: bytes, is_last: bool = False) -> Chunk:
+        """Number a chunk and keep it, dropping the oldest beyond the bound.
+
+        :param data: its bytes.
+        :param is_last: whether the answer ends with it.
+        :raises ValueError: if the stream has already ended.
+        """
+        if self.is_complete:
+            raise ValueError(
+                f'expected no chunk after the last one of {self.attempt}, '
+                f'got {len(data)} bytes; open another attempt'
+            )
+        self._check = compute_check(data, self._check, is_last)
+        chunk = Chunk(
+            self.attempt, self._next_number, data, self._check, is_last
+        )
+        self._next_number += 1
+        self.is_complete = is_last
+        self._chunks.append(chunk)
+        self.held_bytes += _count_bytes(chunk)
+        self._unacknowledged_bytes += _count_bytes(chunk)
+        self._drop_oldest_beyond_bound()
+        return chunk
+
+    def acknowledge(self, number: int) -> None:
+        """Record that all chunks below a number have arrived.
+
+        :param number: number of the next chunk wanted; an older or doubled
+            acknowledgement is ignored, one beyond the end is cut to it.
+        """
+        bounded = min(number, self._next_number)
+        first = max(self._acknowledged, self.first_held)
+        for place in range(first, bounded):
+            chunk = self._chunks[place - self.first_held]
+            self._unacknowledged_bytes -= _count_bytes(chunk)
+        self._acknowledged = max(self._acknowledged, bounded)
+
+    def read_from(self, point: ResumePoint) -> list[Chunk]:
+        """Return the held chunks from a reader's position on.
+
+        :param point: the reader's position.
+        :raises errors.LinkError: with code `CHUNK_FOREIGN` if the position
+            is one of another stream, `STREAM_GAP` if a chunk that is
+            needed is no longer held.
+        """
+        self._check_same_stream(point)
+        if point.number < self.first_held:
+            raise errors.LinkError(
+                errors.ErrorCode.STREAM_GAP,
+                f'expected chunk {point.number} of {self.attempt} to be '
+                f'held, the oldest held is {self.first_held}; repeat the '
+                f'request if it is idempotent',
+                verdict.Verdict.MAY_HAVE_RUN,
+            )
+        skipped = point.number - self.first_held
+        return list(self._chunks)[skipped:]
+
+    def _check_same_stream(self, point: ResumePoint) -> None:
+        is_same = point.attempt == self.attempt
+        if is_same and point.number <= self._next_number:
+            known = self._find_check_before(point.number)
+            is_same = None in (known, point.check) or known == point.check
+        else:
+            is_same = False
+        if not is_same:
+            raise errors.LinkError(
+                errors.ErrorCode.CHUNK_FOREIGN,
+                f'expected a position in {self.attempt} up to chunk '
+                f'{self._next_number}, got chunk {point.number} of '
+                f'{point.attempt}; read the stream from its start',
+                verdict.Verdict.MAY_HAVE_RUN,
+            )
+
+    def _find_check_before(self, number: int) -> int | None:
+        if number == 0:
+            return compute_first_check(self.attempt)
+        place = number - 1 - self.first_held
+        return self._chunks[place].check if place >= 0 else None
+
+    def _drop_oldest_beyond_bound(self) -> None:
+        while self.held_bytes > self.max_bytes:
+            dropped = self._chunks.popleft()
+            self.held_bytes -= _count_bytes(dropped)
+            if dropped.number >= self._acknowledged:
+                self._unacknowledged_bytes -= _count_bytes(dropped)
+
+
+class ReplayStore:
+    """The replay buffers of one sidecar, within a total byte bound.
+
+    A buffer is dropped some time after its stream ended, or earlier, ended
+    ones first and by age, when the total passes the bound.
+
+    :param max_bytes: bound on the bytes of all buffers.
+    :param stream_bytes: bound on the bytes of one buffer.
+    :param retention_ms: how long an ended stream is kept, in milliseconds.
+    """
+
+    def __init__(
+        self,
+        max_bytes: int = DEFAULT_TOTAL_BYTES,
+        stream_bytes: int = DEFAULT_STREAM_BYTES,
+        retention_ms: float = 30 * types.SECOND_MS,
+    ) -> None:
+        _check_positive('max_bytes', max_bytes)
+        self._max_bytes = max_bytes
+        self._stream_bytes = stream_bytes
+        self._retention_ms = retention_ms
+        self._buffers: dict[types.AttemptId, ReplayBuffer] = {}
+        self._ended_ms: dict[types.AttemptId, float] = {}
+        self._held_bytes = 0
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes held in all buffers."""
+        return self._held_bytes
+
+    def append(
+        self,
+        attempt: types.AttemptId,
+        data: bytes,
+        is_last: bool,
+        now_ms: float,
+    ) -> Chunk:
+        """Number and keep a chunk of an attempt's stream.
+
+        :param attempt: the attempt; its first chunk creates its buffer.
+        :param data: the chunk's bytes.
+        :param is_last: whether the answer ends with it.
+        :param now_ms: current time in milliseconds.
+        """
+        buffer = self._buffers.get(attempt)
+        if buffer is None:
+            buffer = ReplayBuffer(attempt, self._stream_bytes)
+            self._buffers[attempt] = buffer
+        before = buffer.held_bytes
+        chunk = buffer.append(data, is_last)
+        self._held_bytes += buffer.held_bytes - before
+        if is_last:
+            self._ended_ms[attempt] = now_ms
+        self._drop_expired(now_ms)
+        self._drop_ended_beyond_bound()
+        return chunk
+
+    def get(self, attempt: types.AttemptId) -> ReplayBuffer:
+        """Return the buffer of an attempt.
+
+        :raises errors.LinkError: with code `STREAM_GAP` if none is held.
+        """
+        buffer = self._buffers.get(attempt)
+        if buffer is None:
+            raise errors.LinkError(
+                errors.ErrorCode.STREAM_GAP,
+                f'expected a stream of {attempt} to be held, found none; '
+                f'ask for the attempt itself',
+                verdict.Verdict.MAY_HAVE_RUN,
+            )
+        return buffer
+
+    def drop(self, attempt: types.AttemptId) -> None:
+        """Forget a stream, for one that ended without a last chunk."""
+        buffer = self._buffers.pop(attempt, None)
+        self._ended_ms.pop(attempt, None)
+        if buffer is not None:
+            self._held_bytes -= buffer.held_bytes
+
+    def _drop_expired(self, now_ms: float) -> None:
+        # Streams end in time order, so the first one that is kept ends the
+        # search.
+        while self._ended_ms:
+            attempt = next(iter(self._ended_ms))
+            if now_ms - self._ended_ms[attempt] < self._retention_ms:
+                return
+            self.drop(attempt)
+
+    def _drop_ended_beyond_bound(self) -> None:
+        while self._held_bytes > self._max_bytes and self._ended_ms:
+            self.drop(next(iter(self._ended_ms)))
+
+
+class StreamAssembler:
+    """The reader's side of one stream.
+
+    :param point: where to begin.
+    :param monitor: checks the promise of a whole answer.
+    """
+
+    def __init__(
+        self, point: ResumePoint, monitor: invariants.Monitor
+    ) -> None:
+        self._attempt = point.attempt
+        self._monitor = monitor
+        self._next_number = point.number
+        self._check = point.check
+        if point.number == 0:
+            self._check = compute_first_check(point.attempt)
+        self.is_complete = False
+        self.doubles = 0
+
+    @property
+    def point(self) -> ResumePoint:
+        """Where to resume."""
+        return ResumePoint(self._attempt, self._next_number, self._check)
+
+    def accept(self, chunk: Chunk) -> bytes | None:
+        """Take the next chunk.
+
+        After an error the position is unchanged: resume from `point`.
+
+        :param chunk: a chunk as it arrived.
+        :returns: its bytes to hand on, None for one that came before.
+        :raises errors.LinkError: with code `CHUNK_FOREIGN` for a chunk of
+            another stream, `STREAM_GAP` if a chunk before it is missing.
+        """
+        if not self._is_same_attempt(chunk):
+            raise self._make_foreign_error(chunk)
+        if chunk.number < self._next_number:
+            self.doubles += 1
+            return None
+        if chunk.number > self._next_number or self.is_complete:
+            raise errors.LinkError(
+                errors.ErrorCode.STREAM_GAP,
+                f'expected chunk {self._next_number} of {self._attempt}, '
+                f'got {chunk.number}; resume from the position reached',
+                verdict.Verdict.MAY_HAVE_RUN,
+            )
+        if not self._continues_chain(chunk):
+            raise self._make_foreign_error(chunk)
+        self._check_promise(chunk)
+        self._next_number += 1
+        self._check = chunk.check
+        self.is_complete = chunk.is_last
+        return chunk.data
+
+    def _is_same_attempt(self, chunk: Chunk) -> bool:
+        return chunk.attempt == self._attempt
+
+    def _continues_chain(self, chunk: Chunk) -> bool:
+        if self._check is None:
+            return True
+        expected = compute_check(chunk.data, self._check, chunk.is_last)
+        return chunk.check == expected
+
+    def _check_promise(self, chunk: Chunk) -> None:
+        is_next = (chunk.attempt, chunk.number) == (
+            self._attempt,
+            self._next_number,
+        )
+        is_linked = self._check is None or chunk.check == compute_check(
+            chunk.data, self._check, chunk.is_last
+        )
+        self._monitor.check(
+            invariants.Promise.WHOLE_ANSWER,
+            is_next and is_linked,
+            lambda: (
+                f'chunk {chunk.number} of {chunk.attempt} handed on as '
+                f'chunk {self._next_number} of {self._attempt}'
+            ),
+        )
+
+    def _make_foreign_error(self, chunk: Chunk) -> errors.LinkError:
+        return errors.LinkError(
+            errors.ErrorCode.CHUNK_FOREIGN,
+            f'expected the next chunk of {self._attempt}, got chunk '
+            f'{chunk.number} of {chunk.attempt} with check '
+            f'{chunk.check:016x}; drop it',
+            verdict.Verdict.MAY_HAVE_RUN,
+        )
+
+
+def _count_bytes(chunk: Chunk) -> int:
+    return len(chunk.data) + CHUNK_OVERHEAD_BYTES
+
+
+def _check_positive(name: str, value: typing.SupportsFloat) -> None:
+    if float(value) <= 0:
+        raise ValueError(f'expected {name} above 0, got {value}; raise it')
