Add plain service and membership list: stand-ins and adapters

Cause: bookings need an endpoint that counts its runs and loses replies, and routers need a membership list that lags and flaps.

Ruled out: any resend inside the adapter. A call is sent once; whoever holds the verdict decides about another attempt.

Change: a call that got no whole answer carries may-have-run, also when the connection closed before the service ran it, because the caller can't tell. Readers of the membership list lag by their name, so that two routers differ while a change spreads.

--- a/foxtailpick/adapters/base.py
+++ b/foxtailpick/adapters/base.py
@@ -349,3 +349,39 @@
         :raises errors.RequestError: with code `ORDER_FENCED` if the
             engine has seen a higher fencing number.
         """
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceAnswer:
+    """The whole answer of a plain service, whatever its status.
+
+    :param status: HTTP status.
+    :param headers: end-to-end headers, names in lower case.
+    :param body: bytes of the body.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+class PlainService(abc.ABC):
+    """A plain service beside the model engines."""
+
+    @abc.abstractmethod
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: typing.Mapping[str, str],
+    ) -> ServiceAnswer:
+        """Make one call, once; it is never sent again by the adapter.
+
+        :param method: HTTP method.
+        :param path: path and query, starting with a slash.
+        :param body: bytes of the body.
+        :param headers: headers to pass on.
+        :raises errors.RequestError: `NOT_RUN` if the service was not
+            reached, `MAY_HAVE_RUN` if no whole answer came.
+        """
--- /dev/null
+++ b/foxtailpick/adapters/membership.py
@@ -0,0 +1,57 @@
+"""Adapter for the platform's membership list over HTTP."""
+
+import dataclasses
+import typing
+import urllib.parse
+
+from foxtailpick.adapters import base
+from foxtailpick.adapters import http
+from foxtailpick.core import errors
+
+MEMBERS_PATH = '/members'
+
+
+class HttpMembershipList(base.MembershipList):
+    """The platform's list behind HTTP.
+
+    An async context manager; leaving it closes the connections.
+
+    :param client: connections to the list.
+    :param reader: name that this reader gives itself.
+    """
+
+    def __init__(self, client: http.JsonClient, reader: str = '') -> None:
+        self._client = client
+        query = urllib.parse.urlencode({'reader': reader})
+        self._path = f'{MEMBERS_PATH}?{query}'
+
+    @classmethod
+    def from_url(cls, base_url: str, reader: str = '') -> 'HttpMembershipList':
+        """Return an adapter with its own connections.
+
+        :param base_url: scheme, host and port of the list.
+        :param reader: name that this reader gives itself.
+        """
+        return cls(http.JsonClient(base_url), reader)
+
+    async def __aenter__(self) -> 'HttpMembershipList':
+        return self
+
+    async def __aexit__(self, *_exc: object) -> None:
+        await self._client.__aexit__()
+
+    async def list_members(self) -> list[base.Member]:
+        try:
+            answer = await self._client.call_json('GET', self._path)
+            return [_parse_member(row) for row in answer['members']]
+        except (errors.RequestError, LookupError, TypeError) as exc:
+            raise errors.StoreError(
+                errors.ErrorCode.STORE_UNAVAILABLE,
+                f'expected the membership list, got {exc!r}; '
+                f'keep the last known one',
+            ) from exc
+
+
+def _parse_member(row: dict[str, typing.Any]) -> base.Member:
+    known = {field.name for field in dataclasses.fields(base.Member)}
+    return base.Member(**{key: row[key] for key in row if key in known})
--- /dev/null
+++ b/foxtailpick/adapters/service.py
@@ -0,0 +1,102 @@
+"""Adapter for a plain service behind HTTP."""
+
+import typing
+
+import httpcore
+
+from foxtailpick.adapters import base
+from foxtailpick.adapters import http
+from foxtailpick.core import errors
+from foxtailpick.core import verdict as verdict_lib
+
+MAX_ANSWER_BYTES = 1_000_000
+
+# Headers that concern one connection and are not passed on.
+HOP_HEADERS = frozenset(
+    {
+        'connection',
+        'content-length',
+        'host',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    }
+)
+
+
+class HttpService(base.PlainService):
+    """A plain service behind HTTP.
+
+    An async context manager; leaving it closes the connections.
+
+    :param client: connections to the service.
+    """
+
+    def __init__(self, client: http.JsonClient) -> None:
+        self._client = client
+
+    @classmethod
+    def from_url(
+        cls, base_url: str, read_timeout_ms: float = http.READ_TIMEOUT_MS
+    ) -> 'HttpService':
+        """Return an adapter with its own connections.
+
+        :param base_url: scheme, host and port of the service.
+        :param read_timeout_ms: bound on each wait for bytes.
+        """
+        return cls(http.JsonClient(base_url, read_timeout_ms=read_timeout_ms))
+
+    async def __aenter__(self) -> 'HttpService':
+        return self
+
+    async def __aexit__(self, *_exc: object) -> None:
+        await self._client.__aexit__()
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: typing.Mapping[str, str],
+    ) -> base.ServiceAnswer:
+        passed = {
+            name: value
+            for name, value in headers.items()
+            if name.lower() not in HOP_HEADERS
+        }
+        async with self._client.open_response(
+            method, path, body, passed
+        ) as response:
+            return base.ServiceAnswer(
+                status=response.status,
+                headers=_decode_headers(response),
+                body=await _read_bounded_body(response),
+            )
+
+
+async def _read_bounded_body(response: httpcore.Response) -> bytes:
+    body = bytearray()
+    async for part in response.aiter_stream():
+        body += part
+        if len(body) > MAX_ANSWER_BYTES:
+            raise errors.RequestError(
+                errors.ErrorCode.ENDPOINT_FAILED,
+                f'expected an answer of at most {MAX_ANSWER_BYTES} bytes, '
+                f'got more; ask the service for less',
+                verdict_lib.Verdict.MAY_HAVE_RUN,
+            )
+    return bytes(body)
+
+
+def _decode_headers(
+    response: httpcore.Response,
+) -> tuple[tuple[str, str], ...]:
+    decoded = [
+        (name.decode('ascii').lower(), value.decode('latin-1'))
+        for name, value in response.headers
+    ]
+    return tuple(item for item in decoded if item[0] not in HOP_HEADERS)
--- /dev/null
+++ b/foxtailpick/tests/test_membership_adapter.py
@@ -0,0 +1,68 @@
+"""Tests of the membership list stand-in and its adapter."""
+
+import pytest
+
+from foxtailpick.adapters import base
+from foxtailpick.adapters import membership as membership_adapter
+from foxtailpick.core import clock
+from foxtailpick.core import errors
+from foxtailpick.standins import membership as membership_standin
+from foxtailpick.standins import serving
+
+
+def make_member(endpoint, **changes):
+    fields = {
+        'endpoint': endpoint,
+        'incarnation': f'{endpoint}-1',
+        'address': '127.0.0.1:1',
+        'region': 'pohjola',
+        'domain': 'alue-yksi',
+        'service': 'malli-palvelin',
+    }
+    return base.Member(**(fields | changes))
+
+
+def make_state(manual, **settings):
+    return membership_standin.MembershipState(
+        clock.Clock(manual.now), **settings
+    )
+
+
+async def test_list_travels_whole_and_an_outage_is_told(manual):
+    state = make_state(manual)
+    member = make_member('e1', capacity=2.0)
+    state.put(member)
+    state.mark_leaving('e1')
+    app = membership_standin.make_app(state)
+    async with serving.serve_app(app) as url:
+        adapter = membership_adapter.HttpMembershipList.from_url(url, 'r 1')
+        async with adapter:
+            (found,) = await adapter.list_members()
+            state.is_down = True
+            with pytest.raises(errors.StoreError):
+                await adapter.list_members()
+    assert found == make_member('e1', capacity=2.0, is_leaving=True)
+
+
+def test_readers_differ_while_a_change_spreads(manual):
+    state = make_state(manual, lag_ms=100.0, spread_ms=1_000.0)
+    manual.advance(5_000.0)
+    state.put(make_member('e1'))
+    manual.advance(99.0)
+    assert state.view('a') == []
+    manual.advance(501.0)
+    seen = {len(state.view(f'reader-{number}')) for number in range(20)}
+    assert seen == {0, 1}
+    manual.advance(501.0)
+    assert len(state.view('reader-3')) == 1
+
+
+def test_flapping_member_comes_and_goes(manual):
+    state = make_state(manual)
+    state.put(make_member('e1'), make_member('e2'))
+    state.flapping.add('e1')
+    assert len(state.view()) == 2
+    manual.advance(state.flap_every_ms)
+    assert [member.endpoint for member in state.view()] == ['e2']
+    state.remove('e2')
+    assert state.view() == []
