Join the whole path: a chat through router, sidecar and engine

Cause: every later part needs one real path to grow inside. Change: router application, placement, following and resuming of attempts, sidecar process, one deployment in one process with a network that can go silent, and a caller that checks what it gets. Figures: eight tests over loopback sockets. Conclusion: resuming works, also from another router.

--- /dev/null
+++ b/foxtailpick/node/__init__.py
@@ -0,0 +1,1 @@
+"""What routers and sidecars have in common as processes."""
--- /dev/null
+++ b/foxtailpick/node/http_server.py
@@ -0,0 +1,49 @@
+"""Serves an HTTP application inside the running loop."""
+
+import contextlib
+import functools
+import typing
+
+from hypercorn import config as hypercorn_config
+from hypercorn import trio as hypercorn_trio
+import trio
+
+from foxtailpick.core import types
+
+
+@contextlib.asynccontextmanager
+async def serve_app(
+    app: typing.Any, host: str, port: int, grace_ms: float
+) -> typing.AsyncIterator[str]:
+    """Serve an application until the context is left.
+
+    Leaving it stops listening first; responses under way may finish.
+
+    :param app: the ASGI application; it answers lifespan events.
+    :param host: IP number to listen on.
+    :param port: TCP port, 0 for any free one.
+    :param grace_ms: longest time for responses under way.
+    :returns: context whose value is the base URL.
+    """
+    stop = trio.Event()
+    serve = functools.partial(
+        hypercorn_trio.serve,
+        app,
+        _make_config(host, port, grace_ms),
+        shutdown_trigger=stop.wait,
+    )
+    async with trio.open_nursery() as nursery:
+        binds = await nursery.start(serve)
+        yield binds[0]
+        stop.set()
+
+
+def _make_config(
+    host: str, port: int, grace_ms: float
+) -> hypercorn_config.Config:
+    cfg = hypercorn_config.Config()
+    cfg.bind = [f'{host}:{port}']
+    cfg.errorlog = None
+    cfg.accesslog = None
+    cfg.graceful_timeout = grace_ms / types.SECOND_MS
+    return cfg
--- /dev/null
+++ b/foxtailpick/router/app.py
@@ -0,0 +1,143 @@
+"""HTTP applications of a router: one for callers, one for operators."""
+
+import functools
+import typing
+
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from foxtailpick.core import chat_request
+from foxtailpick.core import decision
+from foxtailpick.core import errors
+from foxtailpick.core import types
+from foxtailpick.router import chats
+from foxtailpick.router import context as context_lib
+from foxtailpick.router import jobs
+from foxtailpick.router import problems
+from foxtailpick.router import responses as router_responses
+
+MAX_BODY_BYTES = 900_000
+CHAT_PATH = '/v1/chat/completions'
+
+Handler = typing.Callable[
+    [requests.Request], typing.Awaitable[responses.Response]
+]
+
+
+def make_caller_app(ctx: context_lib.RouterContext) -> typing.Any:
+    """Create the application that callers use.
+
+    :param ctx: state of the router.
+    """
+    chat_router = chats.ChatRouter(ctx)
+
+    async def complete_chat(req: requests.Request) -> typing.Any:
+        _check_not_stopping(ctx)
+        job = await _read_chat_job(ctx, req)
+        ctx.metrics.count('chats')
+        if job.request.is_stream:
+            return router_responses.ChatStream(ctx, chat_router, job)
+        return await router_responses.answer_whole(ctx, chat_router, job, req)
+
+    routes = [
+        routing.Route(CHAT_PATH, _guard(complete_chat), methods=['POST']),
+        *make_health_routes(lambda: is_ready(ctx)),
+    ]
+    return applications.Starlette(routes=routes)
+
+
+def make_health_routes(
+    check_ready: typing.Callable[[], bool],
+) -> list[routing.Route]:
+    """Create the routes that the platform's balancer asks.
+
+    :param check_ready: function that tells whether new work is welcome.
+    """
+
+    async def health(req: requests.Request) -> responses.Response:
+        return responses.PlainTextResponse('alive')
+
+    async def ready(req: requests.Request) -> responses.Response:
+        if check_ready():
+            return responses.PlainTextResponse('ready')
+        return responses.PlainTextResponse('not ready', status_code=503)
+
+    return [
+        routing.Route('/health', health),
+        routing.Route('/ready', ready),
+    ]
+
+
+def is_ready(ctx: context_lib.RouterContext) -> bool:
+    """Tell whether a router can take requests.
+
+    :param ctx: state of the router.
+    """
+    is_loaded = ctx.read_config().number > 0 and ctx.members_loaded.is_set()
+    return is_loaded and not ctx.is_stopping
+
+
+def _guard(handler: Handler) -> Handler:
+    @functools.wraps(handler)
+    async def serve(req: requests.Request) -> responses.Response:
+        try:
+            return await handler(req)
+        except errors.FoxtailError as exc:
+            return problems.make_response(exc)
+
+    return serve
+
+
+def _check_not_stopping(ctx: context_lib.RouterContext) -> None:
+    if is_ready(ctx):
+        return
+    raise errors.RequestError(
+        errors.ErrorCode.SHUTTING_DOWN,
+        'expected a router that takes work, got one that starts or stops; '
+        'use another one',
+        retry_after_ms=types.SECOND_MS,
+    )
+
+
+async def _read_chat_job(
+    ctx: context_lib.RouterContext, req: requests.Request
+) -> jobs.ChatJob:
+    caller = jobs.parse_caller(
+        req.headers,
+        ctx.read_config(),
+        ctx.clock.now(),
+        ctx.cfg.limits.default_deadline,
+    )
+    body = await read_body(req)
+    return jobs.ChatJob(
+        caller=caller,
+        chat=types.ChatId(jobs.parse_name(req.headers, jobs.HEADER_CHAT)),
+        body=body,
+        request=chat_request.ChatRequest.from_json(body),
+        hint=decision.LocationHint.from_text(
+            req.headers.get(jobs.HEADER_LOCATION, '')
+        ),
+        position=jobs.StreamPosition.from_text(
+            req.headers.get(jobs.HEADER_RESUME, '')
+        ),
+    )
+
+
+async def read_body(req: requests.Request) -> bytes:
+    """Return the body of a request.
+
+    :param req: the request.
+    :raises errors.RequestError: if it is larger than a frame can carry.
+    """
+    body = bytearray()
+    async for part in req.stream():
+        body += part
+        if len(body) > MAX_BODY_BYTES:
+            raise errors.RequestError(
+                errors.ErrorCode.REQUEST_MALFORMED,
+                f'body: expected at most {MAX_BODY_BYTES} bytes, got more; '
+                f'shorten the request',
+            )
+    return bytes(body)
--- /dev/null
+++ b/foxtailpick/router/daemon.py
@@ -0,0 +1,104 @@
+"""The router as a process: wires its parts together."""
+
+import contextlib
+import dataclasses
+import random
+import typing
+
+from loguru import logger
+import trio
+
+from foxtailpick.adapters import etcd
+from foxtailpick.adapters import membership
+from foxtailpick.core import clock as clock_lib
+from foxtailpick.core import config_store
+from foxtailpick.core import errors
+from foxtailpick.core import invariants
+from foxtailpick.core import messages
+from foxtailpick.core import settings
+from foxtailpick.node import config_node as config_node_lib
+from foxtailpick.node import http_server
+from foxtailpick.router import app as app_lib
+from foxtailpick.router import context as context_lib
+from foxtailpick.router import jobs
+from foxtailpick.router import links as links_lib
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Router:
+    """A running router.
+
+    :param url: base URL for callers.
+    :param ctx: its state.
+    :param config: its configuration.
+    """
+
+    url: str
+    ctx: context_lib.RouterContext
+    config: config_node_lib.ConfigNode
+
+
+@contextlib.asynccontextmanager
+async def open_router(
+    cfg: settings.RouterSettings, monitor: invariants.Monitor
+) -> typing.AsyncIterator[Router]:
+    """Run a router until the context is left.
+
+    :param cfg: its settings.
+    :param monitor: checks the promises.
+    """
+    async with contextlib.AsyncExitStack() as stack:
+        store = await stack.enter_async_context(
+            etcd.EtcdKeyValue.from_settings(cfg.store)
+        )
+        keys = config_store.Keys(cfg.store.prefix)
+        node = config_node_lib.ConfigNode(
+            config_store.ConfigReader(store, keys), monitor
+        )
+        links = await stack.enter_async_context(_make_links(cfg, node))
+        ctx = context_lib.RouterContext(
+            cfg, node.read, links, monitor, random.Random()
+        )
+        node.on_change(ctx.refresh_table)
+        nursery = await stack.enter_async_context(trio.open_nursery())
+        stack.callback(nursery.cancel_scope.cancel)
+        nursery.start_soon(node.run)
+        nursery.start_soon(_follow_members, ctx)
+        url = await stack.enter_async_context(
+            http_server.serve_app(
+                app_lib.make_caller_app(ctx),
+                cfg.listen.host,
+                cfg.listen.port,
+                cfg.limits.shutdown,
+            )
+        )
+        logger.info('ROUTER {} listens on {}.', cfg.node.id, url)
+        yield Router(url, ctx, node)
+        ctx.is_stopping = True
+
+
+def _make_links(
+    cfg: settings.RouterSettings, node: config_node_lib.ConfigNode
+) -> links_lib.LinkPool:
+    hello = messages.Hello(
+        messages.PROTOCOL_VERSION, cfg.node.id, jobs.make_id()
+    )
+
+    def hear(link: links_lib.Link, frame: messages.Frame) -> None:
+        node.hear(frame.number)
+
+    return links_lib.LinkPool(
+        hello, cfg.limits.max_links, node.read_number, hear
+    )
+
+
+async def _follow_members(ctx: context_lib.RouterContext) -> None:
+    cfg = ctx.cfg.membership
+    adapter = membership.HttpMembershipList.from_url(cfg.url, ctx.cfg.node.id)
+    async with adapter as members:
+        while True:
+            try:
+                ctx.update_members(await members.list_members())
+            except errors.StoreError as exc:
+                logger.warning('MEMBER list not read. {}', exc)
+            await clock_lib.sleep_ms(cfg.poll_interval)
--- /dev/null
+++ b/foxtailpick/router/follow.py
@@ -0,0 +1,252 @@
+"""Follows one attempt at a sidecar until its end.
+
+The connection may go silent or be lost at any time. The attempt is then
+asked for on a new connection, and its stream goes on where it stopped.
+"""
+
+import dataclasses
+import math
+import typing
+
+import trio
+
+from foxtailpick.core import clock as clock_lib
+from foxtailpick.core import errors
+from foxtailpick.core import messages
+from foxtailpick.core import replay
+from foxtailpick.core import types
+from foxtailpick.core import verdict as verdict_lib
+from foxtailpick.router import links as links_lib
+
+MAX_RECONNECTS = 4
+RECONNECT_DELAY_MS = 50.0
+# A query may itself be under way for as long as a link may stay silent.
+QUERY_ALLOWANCE_MS = 20_000.0
+ACKNOWLEDGE_CHUNKS = 32
+
+End = messages.Finished | messages.Answer
+Deliver = typing.Callable[[list[str], int], typing.Awaitable[None]]
+
+
+@dataclasses.dataclass(slots=True)
+class Followed:
+    """One attempt as the router knows it.
+
+    :param attempt: its id.
+    :param account: the account that opened it.
+    :param address: address of the sidecar.
+    :param assembler: puts the stream together.
+    :param sent_ms: when it was first sent.
+    :param incarnation: the incarnation that it was sent to; empty until
+        then.
+    """
+
+    attempt: types.AttemptId
+    account: types.AccountId
+    address: str
+    assembler: replay.StreamAssembler
+    sent_ms: float = math.inf
+    incarnation: types.Incarnation = types.Incarnation('')
+    acknowledged: int = 0
+    is_first: bool = True
+
+    @property
+    def is_sent(self) -> bool:
+        """Whether its own message may have left this process."""
+        return self.sent_ms < math.inf
+
+
+class Follower:
+    """Follows attempts over the links of a router.
+
+    :param pool: connections to sidecars.
+    :param silence_ms: longest wait for a sign of an attempt.
+    """
+
+    def __init__(self, pool: links_lib.LinkPool, silence_ms: float) -> None:
+        self._pool = pool
+        self._silence_ms = silence_ms
+        self._clock = clock_lib.Clock.from_trio()
+
+    async def run(
+        self,
+        followed: Followed,
+        opening: messages.OpenChat | messages.OpenCall | None,
+        deliver: Deliver,
+    ) -> End:
+        """Send an attempt, or resume one, and wait for its end.
+
+        :param followed: the attempt; its position moves with the stream.
+        :param opening: its own message, None to resume one that another
+            router sent.
+        :param deliver: takes the texts of new chunks and the number of the
+            first one.
+        :returns: the last message of the attempt.
+        :raises errors.FoxtailError: if it has no answer; the verdict says
+            whether it may have run.
+        """
+        reconnects = 0
+        while True:
+            try:
+                return await self._run_on_link(followed, opening, deliver)
+            except _LostLinkError as exc:
+                reconnects += 1
+                if reconnects > MAX_RECONNECTS or not followed.is_sent:
+                    raise self._make_lost_error(followed, exc) from exc
+            await clock_lib.sleep_ms(RECONNECT_DELAY_MS * reconnects)
+
+    async def _run_on_link(
+        self,
+        followed: Followed,
+        opening: messages.OpenChat | messages.OpenCall | None,
+        deliver: Deliver,
+    ) -> End:
+        try:
+            link = await self._pool.acquire(followed.address)
+        except errors.LinkError as exc:
+            raise _LostLinkError(str(exc)) from exc
+        with link.subscribe(followed.attempt) as inbox:
+            self._send_request(link, followed, opening)
+            try:
+                return await self._read_until_end(
+                    link, inbox, followed, deliver
+                )
+            except (trio.Cancelled, OSError):
+                # The caller went away or its deadline passed.
+                link.send_soon(messages.Cancel(followed.attempt))
+                raise
+
+    def _send_request(
+        self,
+        link: links_lib.Link,
+        followed: Followed,
+        opening: messages.OpenChat | messages.OpenCall | None,
+    ) -> None:
+        now_ms = self._clock.now()
+        if opening is not None and not followed.is_sent:
+            followed.sent_ms = now_ms
+            followed.incarnation = link.peer.incarnation
+            link.send_soon(opening)
+            return
+        age_ms = now_ms - followed.sent_ms
+        if math.isinf(age_ms):
+            age_ms = 0.0
+        point = followed.assembler.point
+        link.send_soon(
+            messages.Resume(
+                followed.attempt,
+                followed.account,
+                followed.incarnation,
+                age_ms + QUERY_ALLOWANCE_MS,
+                point.number,
+                point.check,
+            )
+        )
+
+    async def _read_until_end(
+        self,
+        link: links_lib.Link,
+        inbox: trio.MemoryReceiveChannel,
+        followed: Followed,
+        deliver: Deliver,
+    ) -> End:
+        while True:
+            message = await self._read_message(link, inbox)
+            if isinstance(message, messages.Chunks):
+                texts = self._accept_chunks(followed, message)
+                if texts:
+                    first = followed.assembler.point.number - len(texts)
+                    await deliver(texts, first)
+                self._acknowledge(link, followed)
+            elif isinstance(message, messages.Finished):
+                self._accept_end(followed, message)
+                return message
+            elif isinstance(message, messages.Answer):
+                return message
+            elif isinstance(message, messages.Failed):
+                raise _make_failure(message)
+
+    async def _read_message(
+        self, link: links_lib.Link, inbox: trio.MemoryReceiveChannel
+    ) -> messages.Message:
+        message = None
+        with trio.move_on_after(self._silence_ms / types.SECOND_MS):
+            try:
+                message = await inbox.receive()
+            except trio.EndOfChannel as exc:
+                raise _LostLinkError('the link was lost') from exc
+        if message is None:
+            # Other attempts on this link look for themselves on a new one.
+            self._pool.discard(link)
+            raise _LostLinkError(f'silence for {self._silence_ms:.0f} ms')
+        return message
+
+    def _accept_chunks(
+        self, followed: Followed, message: messages.Chunks
+    ) -> list[str]:
+        texts = []
+        for offset, text in enumerate(message.texts):
+            chunk = replay.Chunk(
+                message.attempt,
+                message.sequence + offset,
+                text.encode(),
+                message.checks[offset],
+            )
+            if followed.assembler.accept(chunk) is not None:
+                texts.append(text)
+        return texts
+
+    def _accept_end(
+        self, followed: Followed, message: messages.Finished
+    ) -> None:
+        followed.assembler.accept(
+            replay.Chunk(
+                message.attempt, message.sequence, b'', message.check, True
+            )
+        )
+
+    def _acknowledge(self, link: links_lib.Link, followed: Followed) -> None:
+        number = followed.assembler.point.number
+        if number - followed.acknowledged >= ACKNOWLEDGE_CHUNKS:
+            followed.acknowledged = number
+            link.send_soon(messages.Acknowledge(followed.attempt, number))
+
+    def _make_lost_error(
+        self, followed: Followed, exc: Exception
+    ) -> errors.LinkError:
+        verdict = verdict_lib.Verdict.NOT_RUN
+        if followed.is_sent:
+            verdict = verdict_lib.Verdict.MAY_HAVE_RUN
+        return errors.LinkError(
+            errors.ErrorCode.LINK_LOST,
+            f'expected an answer from {followed.address}, got {exc}',
+            verdict,
+        )
+
+
+class _LostLinkError(Exception):
+    """The link is of no more use; the attempt may still run."""
+
+
+def _make_failure(message: messages.Failed) -> errors.FoxtailError:
+    kind = errors.RequestError
+    if message.code in REFUSAL_CODES:
+        kind = errors.RefusedError
+    return kind(
+        message.code, message.detail, message.verdict, message.retry_after_ms
+    )
+
+
+REFUSAL_CODES = frozenset(
+    {
+        errors.ErrorCode.ACCOUNT_OVER_SHARE,
+        errors.ErrorCode.ACCOUNT_UNKNOWN,
+        errors.ErrorCode.ATTEMPT_CLOSED,
+        errors.ErrorCode.DEADLINE_EXCEEDED,
+        errors.ErrorCode.DOMAIN_OUT_OF_SERVICE,
+        errors.ErrorCode.ENDPOINT_COLD,
+        errors.ErrorCode.ENDPOINT_DRAINING,
+        errors.ErrorCode.LOAD_BOUND_EXCEEDED,
+        errors.ErrorCode.OVERLOADED,
+    }
+)
--- /dev/null
+++ b/foxtailpick/router/responses.py
@@ -0,0 +1,264 @@
+"""Responses that stream an answer while it is made."""
+
+import json
+import time
+import typing
+
+from starlette import requests
+from starlette import responses
+import trio
+
+from foxtailpick.core import decision
+from foxtailpick.core import errors
+from foxtailpick.core import types
+from foxtailpick.router import chats
+from foxtailpick.router import context as context_lib
+from foxtailpick.router import jobs
+from foxtailpick.router import problems
+
+EVENT_STREAM = 'text/event-stream'
+
+
+async def run_unless_disconnected(
+    receive: typing.Callable[[], typing.Awaitable[dict]],
+    run: typing.Callable[[], typing.Awaitable[None]],
+) -> bool:
+    """Run something for a caller and cancel it if the caller goes away.
+
+    :param receive: ASGI receive function, after the body was read.
+    :param run: what to do.
+    :returns: whether it ran to its end.
+    """
+    is_done = False
+    async with trio.open_nursery() as nursery:
+
+        async def watch() -> None:
+            message = await receive()
+            while message['type'] != 'http.disconnect':
+                message = await receive()
+            nursery.cancel_scope.cancel()
+
+        nursery.start_soon(watch)
+        await run()
+        is_done = True
+        nursery.cancel_scope.cancel()
+    return is_done
+
+
+class ChatStream:
+    """An ASGI response that streams a chat completion.
+
+    The status line waits for the first token, so that a request that
+    cannot be answered gets a status of its own.
+
+    :param ctx: state of the router.
+    :param router: routes the completion.
+    :param job: what to do.
+    """
+
+    def __init__(
+        self,
+        ctx: context_lib.RouterContext,
+        router: chats.ChatRouter,
+        job: jobs.ChatJob,
+    ) -> None:
+        self._ctx = ctx
+        self._router = router
+        self._job = job
+        self._is_started = False
+        self._send: typing.Callable | None = None
+        self._started_ms = ctx.clock.now()
+        self._last_ms = self._started_ms
+
+    async def __call__(
+        self,
+        scope: typing.Any,
+        receive: typing.Callable,
+        send: typing.Callable,
+    ) -> None:
+        """Answer the request."""
+        self._send = send
+
+        async def run() -> None:
+            try:
+                end = await self._router.run(self._job, self._deliver)
+            except errors.FoxtailError as exc:
+                await self._fail(exc, scope, receive, send)
+                return
+            await self._finish(end)
+
+        if not await run_unless_disconnected(receive, run):
+            self._ctx.metrics.count('chats_abandoned')
+
+    async def _deliver(self, tokens: list[chats.Token]) -> None:
+        now_ms = self._ctx.clock.now()
+        if not self._is_started:
+            await self._start(tokens[0].position.endpoint)
+            self._ctx.metrics.record_ms(
+                'first_token', now_ms - self._started_ms
+            )
+        else:
+            self._ctx.metrics.record_ms('token_gap', now_ms - self._last_ms)
+        self._last_ms = now_ms
+        self._ctx.metrics.count('tokens', len(tokens))
+        body = b''.join(self._format_token(token) for token in tokens)
+        await self._send_body(body)
+
+    async def _start(self, endpoint: types.EndpointId) -> None:
+        self._is_started = True
+        hint = ''
+        member = self._ctx.table.get_member(endpoint)
+        if member is not None:
+            hint = decision.LocationHint(
+                endpoint, member.incarnation
+            ).to_text()
+        response = responses.Response(
+            media_type=EVENT_STREAM,
+            headers={
+                jobs.HEADER_REQUEST: self._job.caller.request,
+                jobs.HEADER_CHAT: self._job.chat,
+                jobs.HEADER_LOCATION: hint,
+                'cache-control': 'no-cache',
+            },
+        )
+        del response.headers['content-length']
+        await self._send(
+            {
+                'type': 'http.response.start',
+                'status': response.status_code,
+                'headers': response.raw_headers,
+            }
+        )
+
+    async def _finish(self, end: chats.ChatEnd) -> None:
+        if not self._is_started:
+            await self._start(end.endpoint)
+        choice = {
+            'index': 0,
+            'delta': {},
+            'finish_reason': end.finished.finish_reason,
+        }
+        chunk = self._make_chunk(choice)
+        chunk['usage'] = make_usage(end)
+        body = f'data: {json.dumps(chunk)}\n\ndata: [DONE]\n\n'.encode()
+        self._ctx.metrics.count('chats_answered')
+        await self._send_body(body, is_more=False)
+
+    async def _fail(
+        self,
+        exc: errors.FoxtailError,
+        scope: typing.Any,
+        receive: typing.Callable,
+        send: typing.Callable,
+    ) -> None:
+        self._ctx.metrics.count('chats_failed')
+        if not self._is_started:
+            response = problems.make_response(exc, self._job.caller.request)
+            await response(scope, receive, send)
+            return
+        problem = problems.make_body(exc, self._job.caller.request)
+        body = f'event: error\ndata: {json.dumps(problem)}\n\n'.encode()
+        await self._send_body(body, is_more=False)
+
+    async def _send_body(self, body: bytes, is_more: bool = True) -> None:
+        await self._send(
+            {
+                'type': 'http.response.body',
+                'body': body,
+                'more_body': is_more,
+            }
+        )
+
+    def _format_token(self, token: chats.Token) -> bytes:
+        choice = {
+            'index': 0,
+            'delta': {'content': token.text},
+            'finish_reason': None,
+        }
+        data = json.dumps(self._make_chunk(choice), separators=(',', ':'))
+        return f'id: {token.position.to_text()}\ndata: {data}\n\n'.encode()
+
+    def _make_chunk(self, choice: dict) -> dict:
+        return {
+            'id': self._job.caller.request,
+            'object': 'chat.completion.chunk',
+            'model': self._job.request.model,
+            'choices': [choice],
+        }
+
+
+def make_usage(end: chats.ChatEnd) -> dict:
+    """Return the usage member of a completion.
+
+    :param end: the end of the answer.
+    """
+    prompt = end.finished.prompt_tokens
+    return {
+        'prompt_tokens': prompt,
+        'completion_tokens': end.tokens,
+        'total_tokens': prompt + end.tokens,
+        'prompt_tokens_details': {'cached_tokens': end.finished.cached_tokens},
+    }
+
+
+async def answer_whole(
+    ctx: context_lib.RouterContext,
+    router: chats.ChatRouter,
+    job: jobs.ChatJob,
+    req: requests.Request,
+) -> responses.Response:
+    """Answer a completion that is not streamed.
+
+    :param ctx: state of the router.
+    :param router: routes the completion.
+    :param job: what to do.
+    :param req: the HTTP request; if it is given up the work is cancelled.
+    :raises errors.FoxtailError: if it cannot be answered.
+    """
+    texts: list[str] = []
+    outcome: list[chats.ChatEnd | errors.FoxtailError] = []
+
+    async def keep(tokens: list[chats.Token]) -> None:
+        texts.extend(token.text for token in tokens)
+
+    async def run() -> None:
+        # Raised later: a nursery would wrap the error in a group.
+        try:
+            outcome.append(await router.run(job, keep))
+        except errors.FoxtailError as exc:
+            outcome.append(exc)
+
+    if not await run_unless_disconnected(req.receive, run):
+        ctx.metrics.count('chats_abandoned')
+        return responses.Response(status_code=499)
+    if isinstance(outcome[0], errors.FoxtailError):
+        ctx.metrics.count('chats_failed')
+        raise outcome[0]
+    ctx.metrics.count('chats_answered')
+    return _make_whole(job, outcome[0], ''.join(texts))
+
+
+def _make_whole(
+    job: jobs.ChatJob, end: chats.ChatEnd, text: str
+) -> responses.Response:
+    hint = decision.LocationHint(end.endpoint, end.incarnation)
+    body = {
+        'id': job.caller.request,
+        'object': 'chat.completion',
+        'created': int(time.time()),
+        'model': job.request.model,
+        'choices': [
+            {
+                'index': 0,
+                'message': {'role': 'assistant', 'content': text},
+                'finish_reason': end.finished.finish_reason,
+            }
+        ],
+        'usage': make_usage(end),
+    }
+    headers = {
+        jobs.HEADER_REQUEST: job.caller.request,
+        jobs.HEADER_CHAT: job.chat,
+        jobs.HEADER_LOCATION: hint.to_text(),
+    }
+    return responses.JSONResponse(body, headers=headers)
--- /dev/null
+++ b/foxtailpick/sidecar/daemon.py
@@ -0,0 +1,117 @@
+"""The sidecar as a process: wires its parts together."""
+
+import contextlib
+import dataclasses
+import functools
+import typing
+
+from loguru import logger
+import trio
+from websockets.trio import server as ws_server
+
+from foxtailpick.adapters import engine as engine_adapter
+from foxtailpick.adapters import etcd
+from foxtailpick.adapters import service as service_adapter
+from foxtailpick.adapters import wire
+from foxtailpick.core import config_store
+from foxtailpick.core import invariants
+from foxtailpick.core import messages
+from foxtailpick.core import settings
+from foxtailpick.core import types
+from foxtailpick.node import config_node as config_node_lib
+from foxtailpick.router import jobs
+from foxtailpick.sidecar import connections
+from foxtailpick.sidecar import gate as gate_lib
+from foxtailpick.sidecar import worker as worker_lib
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sidecar:
+    """A running sidecar.
+
+    :param address: `host:port` that routers connect to.
+    :param incarnation: incarnation of this process.
+    :param worker: runs the attempts.
+    :param config: its configuration.
+    """
+
+    address: str
+    incarnation: types.Incarnation
+    worker: worker_lib.Worker
+    config: config_node_lib.ConfigNode
+
+
+@contextlib.asynccontextmanager
+async def open_sidecar(
+    cfg: settings.SidecarSettings, monitor: invariants.Monitor
+) -> typing.AsyncIterator[Sidecar]:
+    """Run a sidecar until the context is left.
+
+    :param cfg: its settings.
+    :param monitor: checks the promises.
+    """
+    incarnation = types.Incarnation(jobs.make_id())
+    async with contextlib.AsyncExitStack() as stack:
+        store = await stack.enter_async_context(
+            etcd.EtcdKeyValue.from_settings(cfg.store)
+        )
+        keys = config_store.Keys(cfg.store.prefix)
+        node = config_node_lib.ConfigNode(
+            config_store.ConfigReader(store, keys), monitor
+        )
+        gate = gate_lib.Gate.from_settings(
+            cfg, incarnation, monitor, node.read
+        )
+        node.on_change(gate.apply_config)
+        worker = await _open_worker(stack, cfg, gate)
+        nursery = await stack.enter_async_context(trio.open_nursery())
+        stack.callback(nursery.cancel_scope.cancel)
+        nursery.start_soon(node.run)
+        nursery.start_soon(worker.run)
+        address = await _serve_routers(nursery, cfg, worker, node, incarnation)
+        logger.info('SIDECAR {} listens on {}.', cfg.node.id, address)
+        yield Sidecar(address, incarnation, worker, node)
+
+
+async def _open_worker(
+    stack: contextlib.AsyncExitStack,
+    cfg: settings.SidecarSettings,
+    gate: gate_lib.Gate,
+) -> worker_lib.Worker:
+    if cfg.endpoint.kind is types.EndpointKind.MODEL:
+        engine = engine_adapter.HttpEngine.from_url(cfg.endpoint.url)
+        await stack.enter_async_context(engine)
+        return worker_lib.Worker(gate, cfg.limits, engine, None)
+    service = service_adapter.HttpService.from_url(cfg.endpoint.url)
+    await stack.enter_async_context(service)
+    return worker_lib.Worker(gate, cfg.limits, None, service)
+
+
+async def _serve_routers(
+    nursery: trio.Nursery,
+    cfg: settings.SidecarSettings,
+    worker: worker_lib.Worker,
+    node: config_node_lib.ConfigNode,
+    incarnation: types.Incarnation,
+) -> str:
+    hello = messages.Hello(messages.PROTOCOL_VERSION, cfg.node.id, incarnation)
+
+    def hear(conn: connections.Connection, frame: messages.Frame) -> None:
+        node.hear(frame.number)
+
+    async def handle(conn: typing.Any) -> None:
+        connection = connections.Connection(
+            conn, worker, hello, node.read_number, hear
+        )
+        await connection.serve()
+
+    serve = functools.partial(
+        ws_server.serve,
+        handle,
+        cfg.listen.port,
+        host=cfg.listen.host,
+        **wire.CONNECTION_OPTIONS,
+    )
+    server = await nursery.start(serve)
+    port = server.listeners[0].socket.getsockname()[1]
+    return f'{cfg.listen.host}:{port}'
--- a/foxtailpick/sidecar/worker.py
+++ b/foxtailpick/sidecar/worker.py
@@ -1,7 +1,5 @@
 """Runs admitted attempts at the endpoint."""
 
-import typing
-
 from loguru import logger
 import trio
 
@@ -20,6 +18,7 @@
 SWEEP_INTERVAL_MS = 50.0
 ROOM_POLL_MS = 20.0
 RUN_RETENTION_MS = 30_000.0
+DEFAULT_CONTENT_TYPE = 'application/octet-stream'
 
 
 class Worker:
@@ -208,7 +207,10 @@
             return
         self.gate.record_first_token(started, None, self._clock.now())
         end = messages.Answer(
-            work.attempt, answer.status, answer.content_type, answer.body
+            work.attempt,
+            answer.status,
+            answer.headers.get('content-type', DEFAULT_CONTENT_TYPE),
+            answer.body,
         )
         self._finish(run, started, verdict_lib.Verdict.RAN, end)
 
--- /dev/null
+++ b/foxtailpick/standins/fleet.py
@@ -0,0 +1,270 @@
+"""A whole deployment in one process, over real loopback sockets.
+
+The platform's stand-ins, engines, plain services, sidecars and routers each
+run in a task of their own and can be ended one by one.
+"""
+
+import contextlib
+import dataclasses
+import typing
+
+import trio
+
+from foxtailpick.adapters import base
+from foxtailpick.adapters import etcd
+from foxtailpick.core import clock as clock_lib
+from foxtailpick.core import config_store
+from foxtailpick.core import config_writer
+from foxtailpick.core import configuration
+from foxtailpick.core import invariants
+from foxtailpick.core import settings
+from foxtailpick.core import types
+from foxtailpick.node import http_server
+from foxtailpick.router import daemon as router_daemon
+from foxtailpick.sidecar import daemon as sidecar_daemon
+from foxtailpick.standins import engine
+from foxtailpick.standins import engine_state
+from foxtailpick.standins import etcd_server
+from foxtailpick.standins import keyvalue
+from foxtailpick.standins import membership
+from foxtailpick.standins import network
+from foxtailpick.standins import service
+
+LOOPBACK = '127.0.0.1'
+GRACE_MS = 200.0
+PREFIX = '/foxtailpick/'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointSpec:
+    """One endpoint of a deployment.
+
+    :param endpoint: its id.
+    :param service: its service.
+    :param domain: its failure domain.
+    :param region: its region.
+    :param models: its models, none for a plain service.
+    """
+
+    endpoint: types.EndpointId
+    service: types.ServiceId
+    domain: types.FailureDomainId
+    region: types.RegionId
+    models: tuple[types.ModelId, ...] = ()
+
+    @property
+    def kind(self) -> types.EndpointKind:
+        """What stands behind it."""
+        if self.models:
+            return types.EndpointKind.MODEL
+        return types.EndpointKind.PLAIN
+
+
+@dataclasses.dataclass(slots=True)
+class _Running:
+    scope: trio.CancelScope
+    value: typing.Any
+    done: trio.Event
+
+
+class Fleet:
+    """A running deployment; created by `open_fleet`.
+
+    :param nursery: runs its tasks.
+    :param limits: bounds used by all routers and sidecars.
+    :param monitor: checks the promises of all of them.
+    """
+
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        limits: settings.LimitSettings,
+        monitor: invariants.Monitor,
+    ) -> None:
+        clock = clock_lib.Clock.from_trio()
+        self.monitor = monitor
+        self.store = keyvalue.KeyValueState(clock.now)
+        self.members = membership.MembershipState(clock)
+        self.engines: dict[str, engine_state.EngineState] = {}
+        self.services: dict[str, service.ServiceState] = {}
+        self.networks: dict[str, network.Network] = {}
+        self.store_url = ''
+        self._nursery = nursery
+        self._limits = limits
+        self._running: dict[str, _Running] = {}
+        self._specs: dict[str, EndpointSpec] = {}
+        self._endpoint_urls: dict[str, str] = {}
+        self._members_url = ''
+
+    async def start_platform(self, cfg: configuration.Configuration) -> None:
+        """Start store and membership list, and write a configuration.
+
+        :param cfg: the first configuration.
+        """
+        self.store_url = await self._serve(
+            'store', etcd_server.make_app(self.store)
+        )
+        self._members_url = await self._serve(
+            'members', membership.make_app(self.members)
+        )
+        async with etcd.EtcdKeyValue((self.store_url,), 2_000.0) as kv:
+            writer = config_writer.ConfigWriter(
+                kv,
+                clock_lib.Clock.from_wall(),
+                None,
+                config_store.Keys(PREFIX),
+            )
+            await writer.create(cfg)
+
+    async def start_endpoint(
+        self,
+        spec: EndpointSpec,
+        engine_settings: engine_state.EngineSettings | None = None,
+    ) -> None:
+        """Start an endpoint and its sidecar, and list the instance.
+
+        :param spec: the endpoint.
+        :param engine_settings: how a model engine behaves.
+        """
+        self._specs[spec.endpoint] = spec
+        if spec.kind is types.EndpointKind.MODEL:
+            state = engine_state.EngineState(engine_settings)
+            self.engines[spec.endpoint] = state
+            app = engine.make_app(state)
+        else:
+            self.services[spec.endpoint] = service.ServiceState()
+            app = service.make_app(self.services[spec.endpoint])
+        url = await self._serve(f'endpoint/{spec.endpoint}', app)
+        self._endpoint_urls[spec.endpoint] = url
+        await self.start_sidecar(spec.endpoint)
+
+    async def start_sidecar(self, endpoint: str) -> sidecar_daemon.Sidecar:
+        """Start a sidecar, or its replacement, and list it."""
+        spec = self._specs[endpoint]
+        cfg = self._make_sidecar_settings(spec)
+        sidecar = await self._start(
+            endpoint, sidecar_daemon.open_sidecar(cfg, self.monitor)
+        )
+        if endpoint not in self.networks:
+            self.networks[endpoint] = await self._start(
+                f'network/{endpoint}', network.open_network(sidecar.address)
+            )
+        self.networks[endpoint].target = sidecar.address
+        self.members.put(
+            base.Member(
+                endpoint=spec.endpoint,
+                incarnation=sidecar.incarnation,
+                address=self.networks[endpoint].address,
+                region=spec.region,
+                domain=spec.domain,
+                service=spec.service,
+            )
+        )
+        return sidecar
+
+    async def start_router(
+        self, name: str, region: str, domain: str
+    ) -> router_daemon.Router:
+        """Start a router and wait until it is ready."""
+        cfg = self._make_router_settings(name, region, domain)
+        router = await self._start(
+            name, router_daemon.open_router(cfg, self.monitor)
+        )
+        await router.config.loaded.wait()
+        await router.ctx.members_loaded.wait()
+        return router
+
+    def get(self, name: str) -> typing.Any:
+        """Return a running sidecar or router."""
+        return self._running[name].value
+
+    async def kill(self, name: str) -> None:
+        """End a part at once, as if its process were killed."""
+        running = self._running.pop(name)
+        running.scope.cancel()
+        await running.done.wait()
+
+    async def kill_endpoint(self, endpoint: str) -> None:
+        """End an endpoint together with its sidecar."""
+        await self.kill(endpoint)
+        await self.kill(f'endpoint/{endpoint}')
+
+    async def _serve(self, name: str, app: typing.Any) -> str:
+        manager = http_server.serve_app(app, LOOPBACK, 0, GRACE_MS)
+        return await self._start(name, manager)
+
+    async def _start(
+        self, name: str, manager: typing.AsyncContextManager
+    ) -> typing.Any:
+        async def own(task_status: trio.TaskStatus) -> None:
+            running = _Running(trio.CancelScope(), None, trio.Event())
+            try:
+                with running.scope:
+                    async with manager as value:
+                        running.value = value
+                        task_status.started(running)
+                        await trio.sleep_forever()
+            finally:
+                running.done.set()
+
+        self._running[name] = await self._nursery.start(own)
+        return self._running[name].value
+
+    def _make_store_settings(self) -> settings.StoreSettings:
+        return settings.StoreSettings((self.store_url,), PREFIX)
+
+    def _make_sidecar_settings(
+        self, spec: EndpointSpec
+    ) -> settings.SidecarSettings:
+        return settings.SidecarSettings(
+            node=settings.NodeSettings(
+                spec.endpoint, spec.region, spec.domain
+            ),
+            listen=settings.ListenSettings(LOOPBACK, 0),
+            store=self._make_store_settings(),
+            endpoint=settings.EndpointSettings(
+                spec.service,
+                spec.kind,
+                self._endpoint_urls[spec.endpoint],
+                spec.models,
+            ),
+            limits=self._limits,
+        )
+
+    def _make_router_settings(
+        self, name: str, region: str, domain: str
+    ) -> settings.RouterSettings:
+        return settings.RouterSettings(
+            node=settings.NodeSettings(name, region, domain),
+            listen=settings.ListenSettings(LOOPBACK, 0),
+            store=self._make_store_settings(),
+            membership=settings.MembershipSettings(self._members_url, 200.0),
+            limits=self._limits,
+        )
+
+
+@contextlib.asynccontextmanager
+async def open_fleet(
+    cfg: configuration.Configuration,
+    monitor: invariants.Monitor,
+    limits: settings.LimitSettings | None = None,
+) -> typing.AsyncIterator[Fleet]:
+    """Run a deployment's platform until the context is left.
+
+    :param cfg: the first configuration.
+    :param monitor: checks the promises of all parts.
+    :param limits: bounds used by all routers and sidecars.
+    """
+    failure = None
+    async with trio.open_nursery() as nursery:
+        fleet = Fleet(nursery, limits or settings.LimitSettings(), monitor)
+        await fleet.start_platform(cfg)
+        # An error of the body is raised again outside the nursery, so that
+        # the caller sees it as it is.
+        try:
+            yield fleet
+        except Exception as exc:
+            failure = exc
+        nursery.cancel_scope.cancel()
+    if failure is not None:
+        raise failure
--- /dev/null
+++ b/foxtailpick/tests/test_path.py
@@ -0,0 +1,161 @@
+"""Tests of the whole path over loopback sockets."""
+
+import pytest
+import trio
+
+from foxtailpick.core import configuration
+from foxtailpick.standins import caller
+from foxtailpick.standins import engine_state
+from foxtailpick.standins import fleet as fleet_lib
+
+CREDENTIAL = 'hiker:secret'
+DIGEST = configuration.digest_credential(CREDENTIAL).hex()
+CONFIG = f"""
+[domain alue-yksi]
+region = pohjola
+[domain alue-kaksi]
+region = pohjola
+[partner outfitters]
+share = 1
+[model malli]
+[service malli-palvelin]
+kind = model
+models = malli
+[service lupa-sovellus]
+kind = plain
+once_paths = /bookings
+[account hiker]
+partner = outfitters
+credential_digest = {DIGEST}
+"""
+DOMAINS = ('alue-yksi', 'alue-kaksi')
+TIMEOUT_S = 30
+
+
+def _make_spec(name, domain, models=('malli',), service='malli-palvelin'):
+    return fleet_lib.EndpointSpec(name, service, domain, 'pohjola', models)
+
+
+@pytest.fixture
+async def fleet(monitor):
+    cfg = configuration.Configuration.from_ini(CONFIG)
+    with trio.fail_after(TIMEOUT_S):
+        async with fleet_lib.open_fleet(cfg, monitor) as fleet:
+            for index, domain in enumerate(DOMAINS):
+                await fleet.start_endpoint(_make_spec(f'm{index}', domain))
+            await fleet.start_router('r1', 'pohjola', 'alue-yksi')
+            yield fleet
+
+
+@pytest.fixture
+async def client(fleet):
+    async with caller.Caller(fleet.get('r1').url, CREDENTIAL) as client:
+        yield client
+
+
+async def test_chat_is_answered_whole(client):
+    headers = caller.make_request_headers('req-1', 'chat-1')
+    answer = await client.ask('malli', 'huts near the lake', 20, headers)
+    assert answer.status == 200
+    assert answer.texts == engine_state.expected_tokens('req-1', 20)
+    assert answer.is_whole
+
+
+async def _ask_in_task(nursery, client, request, tokens, answers, **kwargs):
+    headers = caller.make_request_headers(request, f'chat of {request}')
+
+    async def ask():
+        answers[request] = await client.ask(
+            'malli', 'zone rules', tokens, headers, **kwargs
+        )
+
+    nursery.start_soon(ask)
+
+
+async def _wait_until(condition):
+    while not condition():
+        await trio.sleep(0.005)
+
+
+def _find_busy(fleet):
+    for name, engine in fleet.engines.items():
+        if engine.running:
+            return name
+    return None
+
+
+def _assert_whole(answer, request, tokens):
+    assert answer.problem == {}
+    assert answer.texts == engine_state.expected_tokens(request, tokens)
+    assert answer.is_whole
+
+
+async def test_silent_connection_loses_no_token(fleet, client):
+    answers = {}
+    async with trio.open_nursery() as nursery:
+        await _ask_in_task(nursery, client, 'req-s', 300, answers)
+        await _wait_until(lambda: _find_busy(fleet))
+        assert fleet.networks[_find_busy(fleet)].silence_open() == 1
+    _assert_whole(answers['req-s'], 'req-s', 300)
+    assert sum(e.runs['req-s'] for e in fleet.engines.values()) == 1
+
+
+async def test_killed_endpoint_hands_its_stream_on(fleet, client):
+    answers = {}
+    async with trio.open_nursery() as nursery:
+        await _ask_in_task(nursery, client, 'req-k', 300, answers)
+        await _wait_until(lambda: _find_busy(fleet))
+        await fleet.kill_endpoint(_find_busy(fleet))
+    _assert_whole(answers['req-k'], 'req-k', 300)
+
+
+async def test_caller_that_leaves_cancels_its_work(fleet, client):
+    answers = {}
+    async with trio.open_nursery() as nursery:
+        await _ask_in_task(
+            nursery, client, 'req-c', 10_000, answers, stop_after=3
+        )
+    await _wait_until(lambda: _find_busy(fleet) is None)
+    assert len(answers['req-c'].texts) >= 3
+
+
+async def test_stream_resumes_through_another_router(fleet, client):
+    other = await fleet.start_router('r2', 'pohjola', 'alue-kaksi')
+    headers = caller.make_request_headers('req-r', 'chat-r')
+    answers = {}
+
+    async def ask():
+        try:
+            answers['cut'] = await client.ask(
+                'malli', 'bookings', 300, headers, stop_after=40
+            )
+        finally:
+            fleet.networks[_find_busy(fleet)].silence_open()
+
+    await ask()
+    cut = answers['cut']
+    client.url = other.url
+    headers['last-event-id'] = cut.position
+    rest = await client.ask('malli', 'bookings', 300, headers)
+    whole = engine_state.expected_tokens('req-r', 300)
+    received = len(cut.texts)
+    assert cut.texts == whole[:received]
+    assert rest.texts == whole[received:]
+
+
+@pytest.mark.parametrize(
+    ('model', 'credential', 'status', 'code'),
+    [
+        ('other', CREDENTIAL, 404, 'FTP-203'),
+        ('malli', 'hiker:wrong', 401, 'FTP-202'),
+        ('malli', 'nobody:secret', 401, 'FTP-202'),
+    ],
+)
+async def test_bad_request_gets_its_code(
+    fleet, model, credential, status, code
+):
+    async with caller.Caller(fleet.get('r1').url, credential) as client:
+        answer = await client.ask(model, 'hello', 5)
+    assert answer.status == status
+    assert answer.problem['code'] == code
+    assert answer.problem['verdict'] == 'not-run'
