--- /dev/null
+++ b/foxtailpick/patch_history.py
@@ -0,0 +1,242 @@
+"""Histories of configuration patches, and their check.
+
+The `at` of each event is a time or a counter that never goes back.
+"""
+
+import collections
+import dataclasses
+import enum
+import typing
+
+from foxtailpick.core import types
+from foxtailpick import history
+
+
+class PatchRule(enum.Enum):
+    """What a history of patches must keep to."""
+
+    NUMBER_BACK = "a node's number never goes back"
+    NUMBER_LATE = 'an accepted number is in force in time'
+    NUMBER_UNKNOWN = 'a number is seen only after its patch was invoked'
+    PATCH_DOUBLE = 'each number is that of one patch'
+    PATCH_GAP = 'numbers follow each other without a gap'
+    PATCH_MERGED = 'a patch is accepted only against the number before it'
+    PATCH_ORDER = 'the numbers respect real time'
+    PATCH_REFUSED = 'a patch is outdated only if a newer number exists'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PatchInvoked:
+    """An operator submitted a patch.
+
+    :param at: when.
+    :param patch: its id.
+    :param base: the number that it was written against.
+    """
+
+    at: float
+    patch: types.PatchId
+    base: types.ConfigNumber
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PatchReturned:
+    """An operator learnt the outcome of a patch.
+
+    :param at: when.
+    :param patch: its id.
+    :param number: the number it got, None if it has none, or if the
+        outcome is unknown.
+    :param is_known: whether the outcome is known.
+    :param is_outdated: whether it was refused for its base.
+    """
+
+    at: float
+    patch: types.PatchId
+    number: types.ConfigNumber | None
+    is_known: bool = True
+    is_outdated: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NumberSeen:
+    """A node put a number in force, or showed the one in force.
+
+    :param at: when.
+    :param node: the node; one that lost its memory counts as another.
+    :param number: the number.
+    """
+
+    at: float
+    node: str
+    number: types.ConfigNumber
+
+
+PatchEvent = PatchInvoked | PatchReturned | NumberSeen
+
+
+def check_patches(
+    events: typing.Iterable[PatchEvent],
+    first: types.ConfigNumber = types.ConfigNumber(0),
+    in_force_ms: float | None = None,
+) -> list[history.Breach]:
+    """Check a history of configuration patches.
+
+    The patches form one numbered order that respects real time, and no
+    node's number goes back.
+
+    :param events: the history, in order.
+    :param first: the number in force before the first event.
+    :param in_force_ms: how long after its acceptance a number must be the
+        least that any node shows, in the unit of `at`; None to skip this.
+    """
+    events = list(events)
+    invoked = {
+        event.patch: event
+        for event in events
+        if isinstance(event, PatchInvoked)
+    }
+    returns = [event for event in events if isinstance(event, PatchReturned)]
+    accepted = [event for event in returns if event.number is not None]
+    seen = [event for event in events if isinstance(event, NumberSeen)]
+    return [
+        *_find_double_numbers(accepted),
+        *_find_gaps(invoked, returns, accepted, first),
+        *_find_merged_patches(invoked, accepted),
+        *_find_order_breaches(invoked, accepted),
+        *_find_untrue_outdated(invoked, returns, first),
+        *_find_numbers_going_back(seen),
+        *_find_unknown_numbers(invoked, seen, first),
+        *_find_late_numbers(accepted, seen, in_force_ms),
+    ]
+
+
+def _find_double_numbers(
+    accepted: list[PatchReturned],
+) -> typing.Iterator[history.Breach]:
+    owners = collections.defaultdict(set)
+    for event in accepted:
+        owners[event.number].add(event.patch)
+    for number, patches in owners.items():
+        if len(patches) > 1:
+            detail = f'{number} is that of {sorted(patches)}'
+            yield history.Breach(PatchRule.PATCH_DOUBLE, detail)
+
+
+def _find_gaps(
+    invoked: dict[types.PatchId, PatchInvoked],
+    returns: list[PatchReturned],
+    accepted: list[PatchReturned],
+    first: types.ConfigNumber,
+) -> typing.Iterator[history.Breach]:
+    known = {event.number for event in accepted}
+    certain = {event.patch for event in returns if event.is_known}
+    # A patch without a known outcome may hold only the number after its
+    # base.
+    possible = {
+        call.base + 1
+        for patch, call in invoked.items()
+        if patch not in certain
+    }
+    for number in range(first + 1, max(known, default=first) + 1):
+        if number not in known | possible:
+            yield history.Breach(
+                PatchRule.PATCH_GAP, f'no patch can hold {number}'
+            )
+
+
+def _find_merged_patches(
+    invoked: dict[types.PatchId, PatchInvoked],
+    accepted: list[PatchReturned],
+) -> typing.Iterator[history.Breach]:
+    for event in accepted:
+        call = invoked.get(event.patch)
+        if call is None or event.number != call.base + 1:
+            yield history.Breach(
+                PatchRule.PATCH_MERGED, f'{event} after {call}'
+            )
+
+
+def _find_order_breaches(
+    invoked: dict[types.PatchId, PatchInvoked],
+    accepted: list[PatchReturned],
+) -> typing.Iterator[history.Breach]:
+    for earlier in accepted:
+        for later in accepted:
+            call = invoked.get(later.patch)
+            is_after = call is not None and call.at > earlier.at
+            if is_after and later.number <= earlier.number:
+                yield history.Breach(
+                    PatchRule.PATCH_ORDER, f'{later} after {earlier}'
+                )
+
+
+def _find_untrue_outdated(
+    invoked: dict[types.PatchId, PatchInvoked],
+    returns: list[PatchReturned],
+    first: types.ConfigNumber,
+) -> typing.Iterator[history.Breach]:
+    refused = {
+        event.patch
+        for event in returns
+        if event.is_known and event.number is None
+    }
+    for event in returns:
+        call = invoked.get(event.patch)
+        if not event.is_outdated or call is None:
+            continue
+        # Some other patch that was not refused must have got a number
+        # above the base before this one was answered.
+        has_rival = call.base < first or any(
+            rival.base >= call.base and rival.at < event.at
+            for rival in invoked.values()
+            if rival.patch not in refused
+        )
+        if not has_rival:
+            yield history.Breach(
+                PatchRule.PATCH_REFUSED, f'{event} after {call}'
+            )
+
+
+def _find_numbers_going_back(
+    seen: list[NumberSeen],
+) -> typing.Iterator[history.Breach]:
+    newest: dict[str, NumberSeen] = {}
+    for event in seen:
+        before = newest.get(event.node)
+        if before is not None and event.number < before.number:
+            yield history.Breach(
+                PatchRule.NUMBER_BACK, f'{event} after {before}'
+            )
+        newest[event.node] = event
+
+
+def _find_unknown_numbers(
+    invoked: dict[types.PatchId, PatchInvoked],
+    seen: list[NumberSeen],
+    first: types.ConfigNumber,
+) -> typing.Iterator[history.Breach]:
+    began: dict[int, float] = {}
+    for call in invoked.values():
+        number = call.base + 1
+        began[number] = min(call.at, began.get(number, call.at))
+    for event in seen:
+        is_new = event.number > first
+        if is_new and began.get(event.number, event.at) >= event.at:
+            yield history.Breach(PatchRule.NUMBER_UNKNOWN, f'{event}')
+
+
+def _find_late_numbers(
+    accepted: list[PatchReturned],
+    seen: list[NumberSeen],
+    in_force_ms: float | None,
+) -> typing.Iterator[history.Breach]:
+    if in_force_ms is None:
+        return
+    for event in seen:
+        for patch in accepted:
+            is_due = event.at >= patch.at + in_force_ms
+            if is_due and event.number < patch.number:
+                yield history.Breach(
+                    PatchRule.NUMBER_LATE, f'{event} after {patch}'
+                )
