Add the membership view: the platform's list joined with traffic

Cause: the list lags and flaps, and a router's own failures can't tell a dead member from a broken path to its failure domain.

Ruled out: counting failures alone. A router reaches each of a thousand servers about once in 50 s, so three failures in a row come after minutes; and a broken path would remove a whole region.

Change: a member's life in a chart that the code interprets, one shared machine for all members. One failure makes a member suspect and asks it again at once; a second removes it, unless several distinct members of its failure domain, region or of the whole fleet fail in a row. A member that drops out of the list is asked, and is kept while it answers. Replaced and departed incarnations stay barred for the longest lag of the list.

--- /dev/null
+++ b/foxtailpick/core/member_intake.py
@@ -0,0 +1,120 @@
+"""What a reading of the platform's list means for each member."""
+
+import collections
+import dataclasses
+import typing
+
+from foxtailpick.adapters import base
+from foxtailpick.core import member_chart
+from foxtailpick.core import member_lifecycle
+from foxtailpick.core import member_table
+from foxtailpick.core import member_types
+from foxtailpick.core import path_health
+from foxtailpick.core import types
+
+State = member_chart.MemberState
+Trigger = member_chart.MemberTrigger
+Reason = member_types.MemberReason
+
+
+class MemberIntake:
+    """Compares a list with the members known.
+
+    :param policy: times and thresholds.
+    :param table: the members.
+    :param lifecycle: changes their states.
+    """
+
+    def __init__(
+        self,
+        policy: member_types.MembershipPolicy,
+        table: member_table.MemberTable,
+        lifecycle: member_lifecycle.MemberLifecycle,
+    ) -> None:
+        self._policy = policy
+        self._table = table
+        self._lifecycle = lifecycle
+
+    def take_listed(self, member: base.Member, now_ms: float) -> None:
+        """Take in one member of a list.
+
+        :param member: the member as the list shows it.
+        :param now_ms: the current time.
+        """
+        endpoint = member.endpoint
+        record = self._table.get(endpoint)
+        is_new_to_list = (
+            record is None or record.listed_incarnation != member.incarnation
+        )
+        if is_new_to_list and self._table.is_barred(
+            endpoint, member.incarnation, now_ms
+        ):
+            return
+        if record is None:
+            record = self._lifecycle.add(member, member.incarnation, now_ms)
+        elif is_new_to_list and member.incarnation != (
+            record.member.incarnation
+        ):
+            record = self._lifecycle.replace(
+                record, member.incarnation, member.incarnation, now_ms
+            )
+        record.listed_incarnation = member.incarnation
+        record.unlisted_since_ms = None
+        record.is_mass_unlisted = False
+        self._update_member(record, member)
+        self._lifecycle.fire(record, Trigger.RELISTED, Reason.LISTED, now_ms)
+        if record.member.is_leaving:
+            self._lifecycle.fire(record, Trigger.LEAVE, Reason.LEAVING, now_ms)
+
+    def _update_member(
+        self, record: member_table.MemberRecord, member: base.Member
+    ) -> None:
+        # A reader may see an older list after a newer one, so a notice of
+        # leaving is not taken back within an incarnation.
+        newer = dataclasses.replace(
+            member,
+            incarnation=record.member.incarnation,
+            is_leaving=record.member.is_leaving or member.is_leaving,
+        )
+        if self._table.update_member(record, newer):
+            self._lifecycle.version += 1
+
+    def drop_unlisted(
+        self, listed: typing.Collection[types.EndpointId], now_ms: float
+    ) -> None:
+        """Deal with the members that a list does not show.
+
+        :param listed: the endpoints that it shows.
+        :param now_ms: the current time.
+        """
+        missing = [
+            record
+            for record in self._table
+            if record.member.endpoint not in listed
+        ]
+        lost = collections.Counter(
+            record.place
+            for record in missing
+            if record.state is not State.LEAVING
+        )
+        for record in missing:
+            self._drop(record, self._is_mass(record.place, lost), now_ms)
+
+    def _drop(
+        self, record: member_table.MemberRecord, is_mass: bool, now_ms: float
+    ) -> None:
+        if record.unlisted_since_ms is None:
+            record.unlisted_since_ms = now_ms
+            record.is_mass_unlisted = is_mass
+        reason = Reason.MANY_UNLISTED if is_mass else Reason.UNLISTED
+        self._lifecycle.fire(record, Trigger.UNLISTED, reason, now_ms)
+
+    def _is_mass(
+        self,
+        place: path_health.Place,
+        lost: collections.Counter[path_health.Place],
+    ) -> bool:
+        kind = path_health.ScopeKind.DOMAIN
+        size = self._table.count_members(kind, place)
+        needed = self._policy.mass_fraction * size
+        return lost[place] >= max(needed, self._policy.mass_members)
--- /dev/null
+++ b/foxtailpick/core/member_lifecycle.py
@@ -0,0 +1,229 @@
+"""Changes of members' states: the chart, its conditions, what follows."""
+
+import dataclasses
+
+from loguru import logger
+
+from foxtailpick.adapters import base
+from foxtailpick.core import member_chart
+from foxtailpick.core import member_prober
+from foxtailpick.core import member_table
+from foxtailpick.core import member_types
+from foxtailpick.core import path_health
+from foxtailpick.core import types
+
+State = member_chart.MemberState
+Trigger = member_chart.MemberTrigger
+Reason = member_types.MemberReason
+
+_AVOIDED_SCOPES = {
+    path_health.ScopeKind.DOMAIN: Reason.DOMAIN_TROUBLE,
+    path_health.ScopeKind.REGION: Reason.REGION_TROUBLE,
+}
+_FAILED_REASONS = {
+    State.SUSPECT: Reason.FAILED_AGAIN,
+    State.HELD: Reason.UNLISTED_AND_FAILED,
+}
+
+
+class MemberLifecycle:
+    """The only place that changes a member's state.
+
+    :param policy: times and thresholds.
+    :param table: the members.
+    :param prober: plans their probes.
+    """
+
+    def __init__(
+        self,
+        policy: member_types.MembershipPolicy,
+        table: member_table.MemberTable,
+        prober: member_prober.MemberProber,
+    ) -> None:
+        self._policy = policy
+        self._table = table
+        self._prober = prober
+        self._chart = member_chart.MemberChart()
+        self._health = path_health.PathHealth(table.count_members)
+        self.version = 0
+
+    def find_trouble(
+        self, record: member_table.MemberRecord, now_ms: float
+    ) -> path_health.ScopeKind | None:
+        """Return the widest scope of a member that is in trouble."""
+        return self._health.find_trouble(record.place, now_ms)
+
+    def note_answer(
+        self, record: member_table.MemberRecord, now_ms: float
+    ) -> None:
+        """Note that a member answered."""
+        record.last_answer_ms = now_ms
+        was_troubled = self.find_trouble(record, now_ms)
+        self._health.note_success(record.place)
+        if was_troubled:
+            self._end_trouble(record.place, now_ms)
+        self.fire(record, Trigger.ANSWERED, Reason.ANSWERED, now_ms)
+        self._prober.plan_after_answer(record, now_ms)
+
+    def note_failure(
+        self, record: member_table.MemberRecord, now_ms: float
+    ) -> None:
+        """Note that a member did not answer."""
+        record.last_failure_ms = now_ms
+        was_troubled = self.find_trouble(record, now_ms)
+        endpoint = record.member.endpoint
+        self._health.note_failure(endpoint, record.place, now_ms)
+        trouble = self.find_trouble(record, now_ms)
+        if trouble and not was_troubled:
+            self._begin_trouble(record.place, trouble, now_ms)
+        reason = _FAILED_REASONS.get(record.state, Reason.FAILED)
+        if not self.fire(record, Trigger.FAILED, reason, now_ms):
+            self._prober.plan_after_failure(record, now_ms)
+
+    def fire(
+        self,
+        record: member_table.MemberRecord,
+        trigger: Trigger,
+        reason: Reason,
+        now_ms: float,
+    ) -> bool:
+        """Give a member's chart an event.
+
+        :param record: the member.
+        :param trigger: the event.
+        :param reason: why, for the log and the status.
+        :param now_ms: the current time.
+        :returns: whether its state changed.
+        """
+        before = record.state
+        conditions = self._make_conditions(record, now_ms)
+        record.state = self._chart.step(before, trigger, conditions)
+        if record.state is before:
+            return False
+        record.reason = reason
+        record.since_ms = now_ms
+        self.version += 1
+        _log_change(record, before)
+        self._prober.plan_on_entry(record, now_ms)
+        if record.state is State.GONE:
+            if before is State.LEAVING:
+                self._table.bar(record.member, now_ms)
+            self._remove(record)
+        return True
+
+    def add(
+        self,
+        member: base.Member,
+        listed_incarnation: types.Incarnation,
+        now_ms: float,
+        reason: Reason = Reason.LISTED,
+    ) -> member_table.MemberRecord:
+        """Take in a new member."""
+        record = member_table.MemberRecord(
+            member, listed_incarnation, reason, now_ms
+        )
+        self._table.add(record)
+        self.version += 1
+        logger.info(
+            'MEMBER {}/{} new. {}.',
+            member.endpoint,
+            member.incarnation,
+            reason.value,
+        )
+        return record
+
+    def replace(
+        self,
+        record: member_table.MemberRecord,
+        incarnation: types.Incarnation,
+        listed_incarnation: types.Incarnation,
+        now_ms: float,
+    ) -> member_table.MemberRecord:
+        """Put another incarnation in a member's place, with no past.
+
+        :param record: the member as it was.
+        :param incarnation: the new incarnation.
+        :param listed_incarnation: the one that the list shows.
+        :param now_ms: the current time.
+        """
+        self._table.bar(record.member, now_ms)
+        self._remove(record)
+        member = dataclasses.replace(
+            record.member, incarnation=incarnation, is_leaving=False
+        )
+        return self.add(member, listed_incarnation, now_ms, Reason.REPLACED)
+
+    def make_status(
+        self, record: member_table.MemberRecord, now_ms: float
+    ) -> member_types.MemberStatus:
+        """Return a member with its reason and whether to avoid it."""
+        reason = record.reason
+        trouble = self.find_trouble(record, now_ms)
+        is_failing = record.last_failure_ms > record.last_answer_ms
+        if not is_failing and trouble in _AVOIDED_SCOPES:
+            reason = _AVOIDED_SCOPES[trouble]
+        return member_types.MemberStatus(
+            member=record.member,
+            state=record.state,
+            reason=reason,
+            since_ms=record.since_ms,
+            is_avoided=is_failing
+            or record.state is State.SUSPECT
+            or trouble in _AVOIDED_SCOPES,
+        )
+
+    def _make_conditions(
+        self, record: member_table.MemberRecord, now_ms: float
+    ) -> member_chart.MemberConditions:
+        trouble = self.find_trouble(record, now_ms)
+        return member_chart.MemberConditions(
+            is_path_trusted=trouble is None,
+            is_list_trusted=not record.is_mass_unlisted,
+            is_probation_over=now_ms >= record.probation_until_ms,
+            is_list_staying=not record.member.is_leaving,
+        )
+
+    def _begin_trouble(
+        self,
+        place: path_health.Place,
+        scope: path_health.ScopeKind,
+        now_ms: float,
+    ) -> None:
+        logger.warning(
+            'MEMBER trouble in {}. Nothing in the {} answers; '
+            'its members are avoided, none is removed.',
+            place.domain,
+            scope.value,
+        )
+        self.version += 1
+        # One answer ends the trouble, so that a streak by chance lasts no
+        # longer than a round trip.
+        others = [
+            record
+            for record in self._table
+            if record.place == place and record.state is State.LISTED
+        ]
+        self._prober.plan_sample(others, self._policy.mass_members, now_ms)
+
+    def _end_trouble(self, place: path_health.Place, now_ms: float) -> None:
+        logger.info('MEMBER trouble in {} is over.', place.domain)
+        self.version += 1
+        for record in self._table:
+            if record.place == place and record.state is State.SUSPECT:
+                self._prober.plan_spread(record, now_ms)
+
+    def _remove(self, record: member_table.MemberRecord) -> None:
+        self._table.remove(record)
+        self._prober.cancel(record.member)
+        self._health.forget(record.member.endpoint)
+
+
+def _log_change(record: member_table.MemberRecord, before: State) -> None:
+    logger.info(
+        'MEMBER {}/{} {} -> {}. {}.',
+        record.member.endpoint,
+        record.member.incarnation,
+        before.value,
+        record.state.value,
+        record.reason.value,
+    )
--- /dev/null
+++ b/foxtailpick/core/member_table.py
@@ -0,0 +1,152 @@
+"""The members a router knows, and the incarnations it no longer accepts."""
+
+import collections
+import dataclasses
+import typing
+
+from foxtailpick.adapters import base
+from foxtailpick.core import member_chart
+from foxtailpick.core import member_types
+from foxtailpick.core import path_health
+from foxtailpick.core import types
+
+_NEVER_MS = float('-inf')
+
+
+@dataclasses.dataclass(slots=True)
+class MemberRecord:
+    """All that is known of a member.
+
+    :param member: the member, with the incarnation last seen in traffic.
+    :param listed_incarnation: the incarnation in the platform's list.
+    :param reason: why it is in its state.
+    :param since_ms: when it entered its state.
+    :param state: its state.
+    :param last_answer_ms: when it answered last.
+    :param last_failure_ms: when it failed last.
+    :param last_suspect_ms: when it became suspect last.
+    :param backoff_ms: the wait before its latest probe.
+    :param flaps: suspicions in a row, each soon after the one before.
+    :param probation_until_ms: until when an answer does not clear it.
+    :param unlisted_since_ms: since when no list shows it, None if one does.
+    :param is_mass_unlisted: whether it dropped out of the list with much
+        of its failure domain.
+    """
+
+    member: base.Member
+    listed_incarnation: types.Incarnation
+    reason: member_types.MemberReason
+    since_ms: float
+    state: member_chart.MemberState = member_chart.MemberState.LISTED
+    last_answer_ms: float = _NEVER_MS
+    last_failure_ms: float = _NEVER_MS
+    last_suspect_ms: float = _NEVER_MS
+    backoff_ms: float = 0.0
+    flaps: int = 0
+    probation_until_ms: float = _NEVER_MS
+    unlisted_since_ms: float | None = None
+    is_mass_unlisted: bool = False
+
+    @property
+    def place(self) -> path_health.Place:
+        """Return where the member runs."""
+        return path_health.Place(self.member.region, self.member.domain)
+
+
+class MemberTable:
+    """Records by endpoint, sizes of scopes, and barred incarnations.
+
+    :param past_hold_ms: how long an incarnation stays barred.
+    """
+
+    def __init__(self, past_hold_ms: float) -> None:
+        self._past_hold_ms = past_hold_ms
+        self._records: dict[types.EndpointId, MemberRecord] = {}
+        self._sizes: collections.Counter[tuple[path_health.ScopeKind, str]] = (
+            collections.Counter()
+        )
+        self._past_until_ms: dict[
+            tuple[types.EndpointId, types.Incarnation], float
+        ] = {}
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def __iter__(self) -> typing.Iterator[MemberRecord]:
+        return iter(list(self._records.values()))
+
+    def get(self, endpoint: types.EndpointId) -> MemberRecord | None:
+        """Return a record, None if the endpoint is unknown."""
+        return self._records.get(endpoint)
+
+    def add(self, record: MemberRecord) -> None:
+        """Add a record; its endpoint must be unknown."""
+        self._records[record.member.endpoint] = record
+        self._count(record.member, 1)
+
+    def remove(self, record: MemberRecord) -> None:
+        """Remove a record."""
+        del self._records[record.member.endpoint]
+        self._count(record.member, -1)
+
+    def update_member(self, record: MemberRecord, member: base.Member) -> bool:
+        """Give a record the newer details of its member.
+
+        :param record: the record.
+        :param member: the details.
+        :returns: whether anything changed.
+        """
+        if member == record.member:
+            return False
+        self._count(record.member, -1)
+        self._count(member, 1)
+        record.member = member
+        return True
+
+    def bar(self, member: base.Member, now_ms: float) -> None:
+        """Refuse a member's incarnation for a while.
+
+        :param member: the member that was replaced or has left.
+        :param now_ms: the current time.
+        """
+        key = (member.endpoint, member.incarnation)
+        self._past_until_ms[key] = now_ms + self._past_hold_ms
+
+    def is_barred(
+        self,
+        endpoint: types.EndpointId,
+        incarnation: types.Incarnation,
+        now_ms: float,
+    ) -> bool:
+        """Tell whether an incarnation is refused now."""
+        until_ms = self._past_until_ms.get((endpoint, incarnation))
+        return until_ms is not None and until_ms > now_ms
+
+    def forget_barred(self, now_ms: float) -> None:
+        """Drop the bars whose time is over."""
+        self._past_until_ms = {
+            key: until_ms
+            for key, until_ms in self._past_until_ms.items()
+            if until_ms > now_ms
+        }
+
+    def count_members(
+        self, kind: path_health.ScopeKind, place: path_health.Place
+    ) -> int:
+        """Return how many members a scope of a place has."""
+        return self._sizes[kind, _get_scope_name(kind, place)]
+
+    def _count(self, member: base.Member, change: int) -> None:
+        place = path_health.Place(member.region, member.domain)
+        for kind in path_health.ScopeKind:
+            self._sizes[kind, _get_scope_name(kind, place)] += change
+
+
+def _get_scope_name(
+    kind: path_health.ScopeKind, place: path_health.Place
+) -> str:
+    if kind is path_health.ScopeKind.DOMAIN:
+        return place.domain
+    if kind is path_health.ScopeKind.REGION:
+        return place.region
+    return ''
--- /dev/null
+++ b/foxtailpick/core/path_health.py
@@ -0,0 +1,137 @@
+"""Tells a dead member from a broken path, by who else fails.
+
+A streak is the set of members of one scope that failed since the last
+success in that scope. Scopes are a failure domain, a region and the whole
+fleet. Several distinct members in a streak mean that the path to the
+scope, or the scope as a whole, is in trouble; a streak over the whole
+fleet means that this node itself is.
+"""
+
+import dataclasses
+import enum
+import typing
+
+from foxtailpick.core import types
+
+STREAK_WINDOW_MS = 60_000.0
+
+
+class ScopeKind(enum.Enum):
+    """How wide a scope is."""
+
+    DOMAIN = 'failure domain'
+    REGION = 'region'
+    FLEET = 'fleet'
+
+
+# Distinct members and distinct failure domains that a streak needs.
+STREAK_MEMBERS = {
+    ScopeKind.DOMAIN: 3,
+    ScopeKind.REGION: 4,
+    ScopeKind.FLEET: 6,
+}
+STREAK_DOMAINS = {
+    ScopeKind.DOMAIN: 1,
+    ScopeKind.REGION: 2,
+    ScopeKind.FLEET: 2,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Place:
+    """Where a member runs.
+
+    :param region: its region.
+    :param domain: its failure domain.
+    """
+
+    region: types.RegionId
+    domain: types.FailureDomainId
+
+
+_Scope = tuple[ScopeKind, str]
+
+
+class PathHealth:
+    """The streaks of all scopes.
+
+    :param count_members: function that returns how many members a place
+        has: in its failure domain, in its region, in the fleet.
+    :param window_ms: how long a failure counts, in milliseconds.
+    """
+
+    def __init__(
+        self,
+        count_members: typing.Callable[[ScopeKind, Place], int],
+        window_ms: float = STREAK_WINDOW_MS,
+    ) -> None:
+        self._count_members = count_members
+        self._window_ms = window_ms
+        self._streaks: dict[
+            _Scope, dict[types.EndpointId, tuple[float, Place]]
+        ] = {}
+
+    def note_failure(
+        self, endpoint: types.EndpointId, place: Place, now_ms: float
+    ) -> None:
+        """Add a member to the streaks of its scopes.
+
+        :param endpoint: the member that did not answer.
+        :param place: where it runs.
+        :param now_ms: the current time.
+        """
+        for scope in _list_scopes(place):
+            streak = self._streaks.setdefault(scope, {})
+            streak[endpoint] = (now_ms, place)
+
+    def note_success(self, place: Place) -> None:
+        """End the streaks of a place: something in it answered.
+
+        :param place: where the member runs that answered.
+        """
+        for scope in _list_scopes(place):
+            self._streaks.pop(scope, None)
+
+    def forget(self, endpoint: types.EndpointId) -> None:
+        """Remove a member from all streaks.
+
+        :param endpoint: the member.
+        """
+        for streak in self._streaks.values():
+            streak.pop(endpoint, None)
+
+    def find_trouble(self, place: Place, now_ms: float) -> ScopeKind | None:
+        """Return the widest scope of a place that is in trouble.
+
+        :param place: the place.
+        :param now_ms: the current time.
+        """
+        for kind, name in reversed(_list_scopes(place)):
+            if self._is_in_trouble((kind, name), place, now_ms):
+                return kind
+        return None
+
+    def _is_in_trouble(
+        self, scope: _Scope, place: Place, now_ms: float
+    ) -> bool:
+        streak = self._streaks.get(scope)
+        if not streak:
+            return False
+        oldest_ms = now_ms - self._window_ms
+        for endpoint, (at_ms, _) in list(streak.items()):
+            if at_ms < oldest_ms:
+                del streak[endpoint]
+        kind = scope[0]
+        size = self._count_members(kind, place)
+        # A scope of one member has no others to compare it with.
+        needed = max(2, min(STREAK_MEMBERS[kind], size))
+        domains = {member.domain for _, member in streak.values()}
+        return len(streak) >= needed and len(domains) >= STREAK_DOMAINS[kind]
+
+
+def _list_scopes(place: Place) -> list[_Scope]:
+    return [
+        (ScopeKind.DOMAIN, place.domain),
+        (ScopeKind.REGION, place.region),
+        (ScopeKind.FLEET, ''),
+    ]
--- /dev/null
+++ b/foxtailpick/core/probe_schedule.py
@@ -0,0 +1,68 @@
+"""When to probe which endpoint, within a node's control budget."""
+
+import heapq
+import typing
+
+from foxtailpick.core import types
+
+PROBES_PER_SECOND = 2.0
+BURST_PROBES = 8.0
+
+
+class ProbeSchedule:
+    """Due times of probes and a token bucket over them.
+
+    :param probes_per_second: long-run bound on probes.
+    :param burst_probes: how many may go at once after a quiet time.
+    """
+
+    def __init__(
+        self,
+        probes_per_second: float = PROBES_PER_SECOND,
+        burst_probes: float = BURST_PROBES,
+    ) -> None:
+        self._rate_per_ms = probes_per_second / types.SECOND_MS
+        self._burst = burst_probes
+        self._tokens = burst_probes
+        self._refilled_ms = 0.0
+        self._due: dict[types.EndpointId, float] = {}
+        self._heap: list[tuple[float, types.EndpointId]] = []
+
+    def plan(self, endpoint: types.EndpointId, due_ms: float) -> None:
+        """Set the time of an endpoint's next probe, replacing any other.
+
+        :param endpoint: the endpoint.
+        :param due_ms: when it is due.
+        """
+        self._due[endpoint] = due_ms
+        heapq.heappush(self._heap, (due_ms, endpoint))
+
+    def cancel(self, endpoint: types.EndpointId) -> None:
+        """Forget an endpoint's next probe.
+
+        :param endpoint: the endpoint.
+        """
+        self._due.pop(endpoint, None)
+
+    def take_due(self, now_ms: float) -> list[types.EndpointId]:
+        """Return the endpoints to probe now; each is planned no more.
+
+        :param now_ms: the current time.
+        """
+        self._refill(now_ms)
+        return list(self._pop_due(now_ms))
+
+    def _pop_due(self, now_ms: float) -> typing.Iterator[types.EndpointId]:
+        while self._heap and self._heap[0][0] <= now_ms and self._tokens >= 1:
+            due_ms, endpoint = heapq.heappop(self._heap)
+            # A plan that was replaced or cancelled leaves its old entry.
+            if self._due.get(endpoint) != due_ms:
+                continue
+            del self._due[endpoint]
+            self._tokens -= 1
+            yield endpoint
+
+    def _refill(self, now_ms: float) -> None:
+        gained = (now_ms - self._refilled_ms) * self._rate_per_ms
+        self._tokens = min(self._burst, self._tokens + max(gained, 0.0))
+        self._refilled_ms = now_ms
