Add the command line, operators' HTTP and two example deployments

Cause: operators drive the fleet by numbered patches and must be able to ask what a router decided; the daemons must stop without cutting answers.

--- /dev/null
+++ b/foxtailpick/cli.py
@@ -0,0 +1,221 @@
+"""The command line: `foxtailpick COMMAND`."""
+
+import json
+import pathlib
+import sys
+import uuid
+
+import defopt
+import httpcore
+from loguru import logger
+
+from foxtailpick.core import errors
+from foxtailpick.core import settings
+
+DEFAULT_URL = 'http://127.0.0.1:8081'
+HTTP_OK = 200
+PREFIX = '/foxtailpick/'
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+_LOG_FORMAT = '{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level} {message}'
+
+
+def router(cfg: pathlib.Path, *, log_level: str = 'INFO') -> int:
+    """Run a router until it is told to stop.
+
+    :param cfg: settings file.
+    :param log_level: least important level that is logged.
+    """
+    # Only the daemons need the servers, which cost memory and start time.
+    from foxtailpick.node import process
+    from foxtailpick.router import daemon
+
+    _start_log(log_level)
+    return process.run_daemon(
+        settings.RouterSettings.from_file(cfg), daemon.open_router
+    )
+
+
+def sidecar(cfg: pathlib.Path, *, log_level: str = 'INFO') -> int:
+    """Run a sidecar until it is told to stop.
+
+    :param cfg: settings file.
+    :param log_level: least important level that is logged.
+    """
+    from foxtailpick.node import process
+    from foxtailpick.sidecar import daemon
+
+    _start_log(log_level)
+    return process.run_daemon(
+        settings.SidecarSettings.from_file(cfg), daemon.open_sidecar
+    )
+
+
+def check(cfg: pathlib.Path) -> int:
+    """Check a settings file.
+
+    :param cfg: settings file of a router or a sidecar.
+    """
+    kind = settings.detect_settings_class(cfg)
+    kind.from_file(cfg)
+    print(f'{cfg}: good {kind.__name__}')
+    return 0
+
+
+def create(file: pathlib.Path, *, store: str, prefix: str = PREFIX) -> int:
+    """Write the first configuration of a deployment.
+
+    :param file: INI file with the whole configuration.
+    :param store: URL of the platform's key-value service.
+    :param prefix: prefix of all keys, as in the settings.
+    """
+    from foxtailpick.node import process
+
+    is_first = process.create_configuration(
+        file.read_text('utf-8'), store, prefix
+    )
+    if is_first:
+        print('number 1 is in force')
+        return 0
+    print('another configuration is in force already; submit a patch')
+    return EXIT_FAILED
+
+
+def show(*, url: str = DEFAULT_URL) -> int:
+    """Print the configuration in force, with its number.
+
+    :param url: operators' URL of a router.
+    """
+    return _print_reply('GET', f'{url}/v1/config')
+
+
+def patch(
+    file: pathlib.Path,
+    *,
+    base: int,
+    author: str,
+    reason: str,
+    id: str = '',
+    url: str = DEFAULT_URL,
+) -> int:
+    """Submit a patch against a numbered configuration.
+
+    After an unknown outcome, submit it again with the same id and words:
+    the answer then says what became of it.
+
+    :param file: INI file with the items to change.
+    :param base: number that the patch is made against.
+    :param author: who submits it.
+    :param reason: why.
+    :param id: id of the patch, a new one if empty.
+    :param url: operators' URL of a router.
+    """
+    patch_id = id or uuid.uuid4().hex
+    header = (
+        f'[patch]\nbase = {base}\nid = {patch_id}\n'
+        f'author = {author}\nreason = {reason}\n'
+    )
+    print(f'patch id {patch_id}')
+    body = header + file.read_text('utf-8')
+    return _print_reply('POST', f'{url}/v1/config/patches', body)
+
+
+def history(*, count: int = 20, url: str = DEFAULT_URL) -> int:
+    """Print the latest patches: who, when and why.
+
+    :param count: how many.
+    :param url: operators' URL of a router.
+    """
+    return _print_reply('GET', f'{url}/v1/config/history?count={count}')
+
+
+def status(*, url: str = DEFAULT_URL) -> int:
+    """Print what a router knows of the fleet.
+
+    :param url: operators' URL of the router.
+    """
+    return _print_reply('GET', f'{url}/v1/status')
+
+
+def explain(request: str, *, url: str = DEFAULT_URL) -> int:
+    """Print the decisions about a request.
+
+    :param request: id of the request.
+    :param url: operators' URL of the router that answered it.
+    """
+    return _print_reply('GET', f'{url}/v1/explain/{request}')
+
+
+def drain(*, url: str) -> int:
+    """Let an endpoint finish its work and take no more.
+
+    :param url: operators' URL of its sidecar.
+    """
+    return _print_reply('POST', f'{url}/v1/drain')
+
+
+def undrain(*, url: str) -> int:
+    """Let a drained endpoint take work again.
+
+    :param url: operators' URL of its sidecar.
+    """
+    return _print_reply('POST', f'{url}/v1/undrain')
+
+
+def demo(*, log: bool = False) -> int:
+    """Run a small deployment on stand-ins and check every promise.
+
+    :param log: whether to print the log lines.
+    """
+    from foxtailpick.demo import run
+
+    logger.remove()
+    if log:
+        _start_log('INFO')
+    return run.main()
+
+
+def main() -> int:
+    """Run the command line; return the exit status."""
+    commands = [
+        router,
+        sidecar,
+        check,
+        create,
+        show,
+        patch,
+        history,
+        status,
+        explain,
+        drain,
+        undrain,
+        demo,
+    ]
+    try:
+        return defopt.run(commands)
+    except errors.FoxtailError as exc:
+        print(f'foxtailpick: {exc}', file=sys.stderr)
+        return EXIT_USAGE
+    except (OSError, httpcore.NetworkError, httpcore.TimeoutException) as exc:
+        print(f'foxtailpick: {exc!r}', file=sys.stderr)
+        return EXIT_FAILED
+
+
+def _start_log(level: str) -> None:
+    logger.remove()
+    logger.add(sys.stderr, level=level, format=_LOG_FORMAT)
+
+
+def _print_reply(method: str, url: str, body: str = '') -> int:
+    with httpcore.ConnectionPool() as pool:
+        response = pool.request(method, url, content=body.encode())
+    text = response.content.decode('utf-8', 'replace')
+    print(_indent_json(text))
+    return 0 if response.status == HTTP_OK else EXIT_FAILED
+
+
+def _indent_json(text: str) -> str:
+    try:
+        return json.dumps(json.loads(text), indent=2, ensure_ascii=False)
+    except ValueError:
+        return text
--- a/foxtailpick/router/app.py
+++ b/foxtailpick/router/app.py
@@ -12,6 +12,7 @@
 from foxtailpick.core import decision
 from foxtailpick.core import errors
 from foxtailpick.core import types
+from foxtailpick.node import health
 from foxtailpick.router import chats
 from foxtailpick.router import context as context_lib
 from foxtailpick.router import jobs
@@ -42,34 +43,12 @@
         return await router_responses.answer_whole(ctx, chat_router, job, req)
 
     routes = [
-        routing.Route(CHAT_PATH, _guard(complete_chat), methods=['POST']),
-        *make_health_routes(lambda: is_ready(ctx)),
+        routing.Route(CHAT_PATH, guard(complete_chat), methods=['POST']),
+        *health.make_routes(lambda: is_ready(ctx)),
     ]
     return applications.Starlette(routes=routes)
 
 
-def make_health_routes(
-    check_ready: typing.Callable[[], bool],
-) -> list[routing.Route]:
-    """Create the routes that the platform's balancer asks.
-
-    :param check_ready: function that tells whether new work is welcome.
-    """
-
-    async def health(req: requests.Request) -> responses.Response:
-        return responses.PlainTextResponse('alive')
-
-    async def ready(req: requests.Request) -> responses.Response:
-        if check_ready():
-            return responses.PlainTextResponse('ready')
-        return responses.PlainTextResponse('not ready', status_code=503)
-
-    return [
-        routing.Route('/health', health),
-        routing.Route('/ready', ready),
-    ]
-
-
 def is_ready(ctx: context_lib.RouterContext) -> bool:
     """Tell whether a router can take requests.
 
@@ -79,7 +58,12 @@
     return is_loaded and not ctx.is_stopping
 
 
-def _guard(handler: Handler) -> Handler:
+def guard(handler: Handler) -> Handler:
+    """Return a handler that answers errors with problem details.
+
+    :param handler: the handler.
+    """
+
     @functools.wraps(handler)
     async def serve(req: requests.Request) -> responses.Response:
         try:
--- a/foxtailpick/router/chats.py
+++ b/foxtailpick/router/chats.py
@@ -3,8 +3,6 @@
 import dataclasses
 import typing
 
-import trio
-
 from foxtailpick.core import clock as clock_lib
 from foxtailpick.core import decision as decision_lib
 from foxtailpick.core import errors
@@ -71,15 +69,11 @@
         :returns: the end of the answer.
         :raises errors.FoxtailError: if it cannot be completed.
         """
-        seconds = job.caller.deadline_ms / types.SECOND_MS
         progress = _Progress(job, deliver)
-        with trio.move_on_at(seconds):
+        with self._ctx.limit_work(job.caller.deadline_ms):
             return await self._run_until_deadline(job, progress)
-        raise errors.RequestError(
-            errors.ErrorCode.DEADLINE_EXCEEDED,
-            f'expected the whole answer before the deadline, got '
-            f'{progress.tokens} tokens; allow more time',
-            progress.verdict,
+        raise self._ctx.make_stop_error(
+            progress.verdict, f'{progress.tokens} tokens'
         )
 
     async def _run_until_deadline(
--- a/foxtailpick/router/context.py
+++ b/foxtailpick/router/context.py
@@ -1,5 +1,6 @@
 """What the parts of a router share."""
 
+import contextlib
 import dataclasses
 import random
 import typing
@@ -10,18 +11,21 @@
 from foxtailpick.core import clock as clock_lib
 from foxtailpick.core import configuration
 from foxtailpick.core import decision
+from foxtailpick.core import errors
 from foxtailpick.core import invariants
 from foxtailpick.core import load_view
 from foxtailpick.core import placement
 from foxtailpick.core import retry
 from foxtailpick.core import settings
 from foxtailpick.core import types
+from foxtailpick.core import verdict as verdict_lib
 from foxtailpick.router import explain
 from foxtailpick.router import jobs
 from foxtailpick.router import links as links_lib
 from foxtailpick.router import metrics as metrics_lib
 
 UNREACHABLE_MS = 2_000.0
+STOP_POLL_MS = 10.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -65,7 +69,7 @@
         default_factory=dict
     )
     is_stopping: bool = False
-    in_flight: int = 0
+    active: set[trio.CancelScope] = dataclasses.field(default_factory=set)
 
     def __post_init__(self) -> None:
         """Create the budget from the options."""
@@ -90,6 +94,58 @@
         }
         self.table.update(self.members, models, self.clock.now())
 
+    @contextlib.contextmanager
+    def limit_work(self, deadline_ms: float) -> typing.Iterator[None]:
+        """Bound a request's work by its deadline and the router's stop.
+
+        :param deadline_ms: the deadline on the local clock.
+        """
+        seconds = deadline_ms / types.SECOND_MS
+        with trio.CancelScope(deadline=seconds) as scope:
+            self.active.add(scope)
+            try:
+                yield
+            finally:
+                self.active.discard(scope)
+
+    async def finish_work(self, limit_ms: float) -> None:
+        """Take no new work, and wait for what is in flight.
+
+        What is left after the limit is given up with a truthful verdict.
+
+        :param limit_ms: the longest wait.
+        """
+        self.is_stopping = True
+        with trio.move_on_after(limit_ms / types.SECOND_MS):
+            while self.active:
+                await clock_lib.sleep_ms(STOP_POLL_MS)
+        for scope in list(self.active):
+            scope.cancel()
+        while self.active:
+            await clock_lib.sleep_ms(STOP_POLL_MS)
+
+    def make_stop_error(
+        self, verdict: verdict_lib.Verdict, came: str
+    ) -> errors.RequestError:
+        """Return the error for work that was cut short.
+
+        :param verdict: whether it may have run.
+        :param came: how far it got.
+        """
+        if self.is_stopping:
+            return errors.RequestError(
+                errors.ErrorCode.SHUTTING_DOWN,
+                f'expected to finish before the router stops, got {came}; '
+                f'go on through another router',
+                verdict,
+            )
+        return errors.RequestError(
+            errors.ErrorCode.DEADLINE_EXCEEDED,
+            f'expected the whole answer before the deadline, got {came}; '
+            f'allow more time',
+            verdict,
+        )
+
     def note_unreachable(self, endpoint: types.EndpointId) -> None:
         """Avoid an endpoint for a while, as no link to it could be kept."""
         until_ms = self.clock.now() + UNREACHABLE_MS
--- a/foxtailpick/router/daemon.py
+++ b/foxtailpick/router/daemon.py
@@ -12,6 +12,7 @@
 from foxtailpick.adapters import membership
 from foxtailpick.core import clock as clock_lib
 from foxtailpick.core import config_store
+from foxtailpick.core import config_writer
 from foxtailpick.core import errors
 from foxtailpick.core import invariants
 from foxtailpick.core import messages
@@ -22,6 +23,7 @@
 from foxtailpick.router import context as context_lib
 from foxtailpick.router import jobs
 from foxtailpick.router import links as links_lib
+from foxtailpick.router import operators
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -29,11 +31,13 @@
     """A running router.
 
     :param url: base URL for callers.
+    :param admin_url: base URL for operators.
     :param ctx: its state.
     :param config: its configuration.
     """
 
     url: str
+    admin_url: str
     ctx: context_lib.RouterContext
     config: config_node_lib.ConfigNode
 
@@ -72,9 +76,28 @@
                 cfg.limits.shutdown,
             )
         )
-        logger.info('ROUTER {} listens on {}.', cfg.node.id, url)
-        yield Router(url, ctx, node)
-        ctx.is_stopping = True
+        writer = config_writer.ConfigWriter(
+            store, clock_lib.Clock.from_wall(), random.Random(), keys
+        )
+        admin_url = await stack.enter_async_context(
+            http_server.serve_app(
+                operators.make_operator_app(
+                    ctx, writer, writer.reader, node.hear
+                ),
+                cfg.listen.host,
+                cfg.listen.admin_port,
+                cfg.limits.shutdown,
+            )
+        )
+        logger.info(
+            'ROUTER {} listens on {}, for operators on {}.',
+            cfg.node.id,
+            url,
+            admin_url,
+        )
+        yield Router(url, admin_url, ctx, node)
+        logger.info('ROUTER {} stops.', cfg.node.id)
+        await ctx.finish_work(cfg.limits.shutdown)
 
 
 def _make_links(
--- a/foxtailpick/sidecar/daemon.py
+++ b/foxtailpick/sidecar/daemon.py
@@ -19,23 +19,29 @@
 from foxtailpick.core import settings
 from foxtailpick.core import types
 from foxtailpick.node import config_node as config_node_lib
+from foxtailpick.node import http_server
 from foxtailpick.router import jobs
 from foxtailpick.sidecar import connections
 from foxtailpick.sidecar import gate as gate_lib
+from foxtailpick.sidecar import operators
 from foxtailpick.sidecar import worker as worker_lib
 
+ADMIN_GRACE_MS = 1_000.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Sidecar:
     """A running sidecar.
 
     :param address: `host:port` that routers connect to.
+    :param admin_url: base URL for operators.
     :param incarnation: incarnation of this process.
     :param worker: runs the attempts.
     :param config: its configuration.
     """
 
     address: str
+    admin_url: str
     incarnation: types.Incarnation
     worker: worker_lib.Worker
     config: config_node_lib.ConfigNode
@@ -69,8 +75,23 @@
         nursery.start_soon(node.run)
         nursery.start_soon(worker.run)
         address = await _serve_routers(nursery, cfg, worker, node, incarnation)
-        logger.info('SIDECAR {} listens on {}.', cfg.node.id, address)
-        yield Sidecar(address, incarnation, worker, node)
+        admin_url = await stack.enter_async_context(
+            http_server.serve_app(
+                operators.make_operator_app(worker, node, monitor),
+                cfg.listen.host,
+                cfg.listen.admin_port,
+                ADMIN_GRACE_MS,
+            )
+        )
+        logger.info(
+            'SIDECAR {} listens on {}, for operators on {}.',
+            cfg.node.id,
+            address,
+            admin_url,
+        )
+        yield Sidecar(address, admin_url, incarnation, worker, node)
+        logger.info('SIDECAR {} stops.', cfg.node.id)
+        await worker.finish_work(cfg.limits.shutdown)
 
 
 async def _open_worker(
--- /dev/null
+++ b/foxtailpick/sidecar/operators.py
@@ -0,0 +1,73 @@
+"""HTTP application of a sidecar for operators and the platform."""
+
+import typing
+
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from foxtailpick.core import invariants
+from foxtailpick.core import types
+from foxtailpick.node import config_node as config_node_lib
+from foxtailpick.node import health
+from foxtailpick.sidecar import worker as worker_lib
+
+
+def make_operator_app(
+    worker: worker_lib.Worker,
+    node: config_node_lib.ConfigNode,
+    monitor: invariants.Monitor,
+) -> typing.Any:
+    """Create the application.
+
+    :param worker: runs the attempts.
+    :param node: the configuration.
+    :param monitor: counts the promises.
+    """
+    slow = worker.gate.slow
+
+    def is_ready() -> bool:
+        is_open = slow.state not in (
+            types.EndpointState.DRAINING,
+            types.EndpointState.GONE,
+        )
+        return node.current.number > 0 and is_open
+
+    async def drain(req: requests.Request) -> responses.Response:
+        slow.drain()
+        return responses.JSONResponse({'state': slow.state.value})
+
+    async def undrain(req: requests.Request) -> responses.Response:
+        slow.undrain()
+        return responses.JSONResponse({'state': slow.state.value})
+
+    async def status(req: requests.Request) -> responses.Response:
+        return responses.JSONResponse(
+            {
+                'state': slow.state.value,
+                'number': node.current.number,
+                'in_flight': slow.in_flight,
+                'waiting': worker.gate.queue_length,
+                'load': worker.gate.load,
+            }
+        )
+
+    async def metrics(req: requests.Request) -> responses.Response:
+        lines = [
+            f'foxtailpick_in_flight {slow.in_flight}',
+            f'foxtailpick_waiting {worker.gate.queue_length}',
+            f'foxtailpick_load {worker.gate.load:g}',
+            *health.format_promises(monitor),
+        ]
+        return responses.PlainTextResponse('\n'.join(lines) + '\n')
+
+    return applications.Starlette(
+        routes=[
+            routing.Route('/v1/drain', drain, methods=['POST']),
+            routing.Route('/v1/undrain', undrain, methods=['POST']),
+            routing.Route('/v1/status', status),
+            routing.Route('/metrics', metrics),
+            *health.make_routes(is_ready),
+        ]
+    )
--- a/foxtailpick/sidecar/runs.py
+++ b/foxtailpick/sidecar/runs.py
@@ -85,6 +85,13 @@
         """Return the runs that have not ended."""
         return [run for run in self._runs.values() if run.end is None]
 
+    def is_read(self) -> bool:
+        """Tell whether all runs have ended and nobody still reads one."""
+        return all(
+            run.end is not None and run.follower is None
+            for run in self._runs.values()
+        )
+
     def drop_expired(self, now_ms: float) -> None:
         """Forget runs whose retention is over."""
         for attempt, run in list(self._runs.items()):
--- a/foxtailpick/sidecar/worker.py
+++ b/foxtailpick/sidecar/worker.py
@@ -17,6 +17,7 @@
 
 SWEEP_INTERVAL_MS = 50.0
 ROOM_POLL_MS = 20.0
+LAST_WORD_MS = 500.0
 RUN_RETENTION_MS = 30_000.0
 DEFAULT_CONTENT_TYPE = 'application/octet-stream'
 
@@ -85,11 +86,23 @@
         if isinstance(run.work, messages.OpenChat):
             run.scope.cancel()
 
-    @property
-    def is_idle(self) -> bool:
-        """Whether nothing waits, runs or is still being read."""
-        is_read = all(run.follower is None for run in self.table.list_open())
-        return is_read and not self.table.list_open()
+    async def finish_work(self, limit_ms: float) -> None:
+        """Take no new work, and wait until all answers are read.
+
+        What is left after the limit is given up with a truthful verdict.
+
+        :param limit_ms: the longest wait.
+        """
+        self.gate.slow.drain()
+        with trio.move_on_after(limit_ms / types.SECOND_MS):
+            while not self.table.is_read():
+                await clock_lib.sleep_ms(SWEEP_INTERVAL_MS)
+        now_ms = self._clock.now()
+        for run in self.table.list_open():
+            run.close(self._make_failed(run, _make_stop_error()), now_ms)
+        with trio.move_on_after(LAST_WORD_MS / types.SECOND_MS):
+            while not self.table.is_read():
+                await clock_lib.sleep_ms(SWEEP_INTERVAL_MS)
 
     def _give_up_overdue(self) -> None:
         now_ms = self._clock.now()
@@ -271,6 +284,14 @@
     )
 
 
+def _make_stop_error() -> errors.RequestError:
+    return errors.RequestError(
+        errors.ErrorCode.SHUTTING_DOWN,
+        'expected to finish before the sidecar stops; go on elsewhere',
+        verdict_lib.Verdict.MAY_HAVE_RUN,
+    )
+
+
 def _make_cancelled_error(
     verdict: verdict_lib.Verdict = verdict_lib.Verdict.NOT_RUN,
 ) -> errors.RequestError:
--- a/foxtailpick/tests/test_settings.py
+++ b/foxtailpick/tests/test_settings.py
@@ -4,11 +4,12 @@
 
 import pytest
 
+from foxtailpick.core import configuration
 from foxtailpick.core import errors
 from foxtailpick.core import settings
 from foxtailpick.core import units
 
-EXAMPLES = pathlib.Path(__file__).parents[2] / 'examples'
+EXAMPLES = pathlib.Path(__file__).parents[1] / 'examples'
 ROUTER = """
 [node]
 id = router-1
@@ -70,6 +71,12 @@
     assert kind.from_file(path).node.id in path.stem
 
 
+@pytest.mark.parametrize('path', sorted(EXAMPLES.rglob('config.ini')))
+def test_example_configurations_are_good(path):
+    cfg = configuration.Configuration.from_ini(path.read_text())
+    assert len(cfg.accounts) == 10
+
+
 @pytest.mark.parametrize(
     ('text', 'expected'), [('250 ms', 250.0), ('3s', 3_000.0), ('1 h', 3.6e6)]
 )
