Route service calls, and share the attempt loop with chats

Cause: chats and calls need the same order of tries, hops and retries; the loop stood in the chat router only. Change: one loop over candidates with the verdict of all attempts; calls that run at most once need a key and end with a truthful verdict. Failures inside an HTTP application are logged; before, they were silent. Conclusion: a call that may have run is never tried again by the router.

--- a/foxtailpick/core/messages.py
+++ b/foxtailpick/core/messages.py
@@ -73,6 +73,7 @@
     :param method: HTTP method.
     :param path: path below the endpoint's URL.
     :param key: idempotency key of the caller, empty for none.
+    :param is_idempotent: whether running it twice equals running it once.
     :param content_type: media type of the body.
     :param deadline_ms: time left until the caller's deadline.
     :param body: request body.
@@ -85,6 +86,7 @@
     method: str
     path: str
     key: types.IdempotencyKey
+    is_idempotent: bool
     content_type: str
     deadline_ms: float
     body: bytes
--- a/foxtailpick/node/http_server.py
+++ b/foxtailpick/node/http_server.py
@@ -6,6 +6,7 @@
 
 from hypercorn import config as hypercorn_config
 from hypercorn import trio as hypercorn_trio
+from loguru import logger
 import trio
 
 from foxtailpick.core import types
@@ -28,7 +29,7 @@
     stop = trio.Event()
     serve = functools.partial(
         hypercorn_trio.serve,
-        app,
+        _log_failures(app),
         _make_config(host, port, grace_ms),
         shutdown_trigger=stop.wait,
     )
@@ -38,6 +39,21 @@
         stop.set()
 
 
+def _log_failures(app: typing.Any) -> typing.Any:
+    async def serve(
+        scope: typing.Any,
+        receive: typing.Callable,
+        send: typing.Callable,
+    ) -> None:
+        try:
+            await app(scope, receive, send)
+        except Exception:
+            logger.exception('HTTP request failed.')
+            raise
+
+    return serve
+
+
 def _make_config(
     host: str, port: int, grace_ms: float
 ) -> hypercorn_config.Config:
--- a/foxtailpick/router/app.py
+++ b/foxtailpick/router/app.py
@@ -13,6 +13,7 @@
 from foxtailpick.core import errors
 from foxtailpick.core import types
 from foxtailpick.node import health
+from foxtailpick.router import calls
 from foxtailpick.router import chats
 from foxtailpick.router import context as context_lib
 from foxtailpick.router import jobs
@@ -21,6 +22,9 @@
 
 MAX_BODY_BYTES = 900_000
 CHAT_PATH = '/v1/chat/completions'
+CALL_PATH = '/v1/services/{service}/{path:path}'
+SAFE_METHODS = frozenset({'GET', 'HEAD'})
+CALL_METHODS = ('GET', 'POST', 'PUT', 'DELETE')
 
 Handler = typing.Callable[
     [requests.Request], typing.Awaitable[responses.Response]
@@ -42,7 +46,30 @@
             return router_responses.ChatStream(ctx, chat_router, job)
         return await router_responses.answer_whole(ctx, chat_router, job, req)
 
+    call_router = calls.CallRouter(ctx)
+
+    async def call_service(req: requests.Request) -> responses.Response:
+        _check_not_stopping(ctx)
+        job = await _read_call_job(ctx, req)
+        ctx.metrics.count('calls')
+        answer = await router_responses.run_for_caller(
+            req, lambda: call_router.run(job)
+        )
+        if answer is None:
+            return responses.Response(
+                status_code=router_responses.HTTP_CLIENT_CLOSED
+            )
+        return responses.Response(
+            answer.body,
+            answer.status,
+            {jobs.HEADER_REQUEST: job.caller.request},
+            answer.content_type,
+        )
+
     routes = [
+        routing.Route(
+            CALL_PATH, guard(call_service), methods=list(CALL_METHODS)
+        ),
         routing.Route(CHAT_PATH, guard(complete_chat), methods=['POST']),
         *health.make_routes(lambda: is_ready(ctx)),
     ]
@@ -109,6 +136,53 @@
     )
 
 
+async def _read_call_job(
+    ctx: context_lib.RouterContext, req: requests.Request
+) -> jobs.CallJob:
+    cfg = ctx.read_config()
+    caller = jobs.parse_caller(
+        req.headers, cfg, ctx.clock.now(), ctx.cfg.limits.default_deadline
+    )
+    service = cfg.services.get(req.path_params['service'])
+    if service is None or service.kind is not types.EndpointKind.PLAIN:
+        raise errors.RequestError(
+            errors.ErrorCode.SERVICE_UNKNOWN,
+            f'service: expected a plain service, got '
+            f'{req.path_params["service"]!r:.60}; correct the path',
+        )
+    path = '/' + req.path_params['path']
+    is_safe = req.method in SAFE_METHODS
+    is_idempotent = is_safe or service.is_idempotent_path(path)
+    key = _read_key(req, is_idempotent)
+    if req.url.query:
+        path = f'{path}?{req.url.query}'
+    return jobs.CallJob(
+        caller=caller,
+        service=service.service,
+        method=req.method,
+        path=path,
+        key=key,
+        content_type=req.headers.get('content-type', ''),
+        body=await read_body(req),
+        is_idempotent=is_idempotent,
+    )
+
+
+def _read_key(
+    req: requests.Request, is_idempotent: bool
+) -> types.IdempotencyKey:
+    if jobs.HEADER_KEY in req.headers:
+        return types.IdempotencyKey(
+            jobs.parse_name(req.headers, jobs.HEADER_KEY)
+        )
+    if is_idempotent:
+        return types.IdempotencyKey('')
+    # Without a key a repeat by the caller cannot be told from a new call.
+    raise jobs.make_header_error(
+        jobs.HEADER_KEY, 'a key for a call that runs at most once', ''
+    )
+
+
 async def read_body(req: requests.Request) -> bytes:
     """Return the body of a request.
 
--- /dev/null
+++ b/foxtailpick/router/attempts.py
@@ -0,0 +1,170 @@
+"""Tries endpoints in the order of placement until one answers.
+
+A refusal costs a hop to the next candidate; a failure costs a retry from
+the budget. Neither happens if the request may have run and running it
+twice is not the same as running it once.
+"""
+
+import dataclasses
+import typing
+
+from foxtailpick.core import clock as clock_lib
+from foxtailpick.core import decision as decision_lib
+from foxtailpick.core import errors
+from foxtailpick.core import retry
+from foxtailpick.core import types
+from foxtailpick.core import verdict as verdict_lib
+from foxtailpick.router import context as context_lib
+from foxtailpick.router import jobs
+
+OVERLOAD_RETRY_AFTER_MS = 1_000.0
+
+End = typing.TypeVar('End')
+TryEndpoint = typing.Callable[[decision_lib.Candidate], typing.Awaitable[End]]
+
+
+@dataclasses.dataclass(slots=True)
+class Route:
+    """A request on its way to an endpoint.
+
+    :param caller: who asks.
+    :param key: the chat, or the request of a call without one.
+    :param service: the service asked for.
+    :param model: the model asked for, None for a plain service.
+    :param hint: where the chat ran last.
+    :param is_idempotent: whether running it twice equals running it once.
+    :param verdict: what is known of all attempts so far.
+    """
+
+    caller: jobs.Caller
+    key: str
+    service: types.ServiceId
+    model: types.ModelId | None
+    hint: decision_lib.LocationHint | None
+    is_idempotent: bool
+    verdict: verdict_lib.Verdict = verdict_lib.Verdict.NOT_RUN
+
+    def note(self, verdict: verdict_lib.Verdict) -> None:
+        """Take the verdict of an attempt into account."""
+        self.verdict = verdict_lib.merge_verdicts(self.verdict, verdict)
+
+    @property
+    def may_try_again(self) -> bool:
+        """Whether another attempt cannot run the request twice."""
+        return verdict_lib.is_retry_safe(self.verdict, self.is_idempotent)
+
+
+async def run_attempts(
+    ctx: context_lib.RouterContext,
+    route: Route,
+    try_endpoint: TryEndpoint[End],
+) -> End:
+    """Try endpoints until one answers, within the retry budget.
+
+    :param ctx: state of the router.
+    :param route: the request; its verdict is kept up to date.
+    :param try_endpoint: makes one attempt at a candidate.
+    :returns: what `try_endpoint` returned.
+    :raises errors.FoxtailError: if no attempt brought an answer.
+    """
+    ctx.budget.deposit(route.service)
+    attempts = 0
+    while True:
+        attempts += 1
+        try:
+            return await _try_candidates(ctx, route, try_endpoint)
+        except errors.FoxtailError as exc:
+            await _wait_for_retry(ctx, route, attempts, exc)
+
+
+async def _try_candidates(
+    ctx: context_lib.RouterContext,
+    route: Route,
+    try_endpoint: TryEndpoint[End],
+) -> End:
+    chosen = ctx.place(
+        route.caller, route.key, route.service, route.model, route.hint
+    )
+    refusals: list[errors.FoxtailError] = []
+    for candidate in chosen.candidates:
+        ctx.metrics.count('tries')
+        try:
+            return await try_endpoint(candidate)
+        except (errors.RefusedError, errors.LinkError) as exc:
+            route.note(exc.verdict)
+            _note_hop(ctx, route, candidate, exc)
+            if _is_final(exc) or not route.may_try_again:
+                raise
+            refusals.append(exc)
+        except errors.FoxtailError as exc:
+            route.note(exc.verdict)
+            raise
+    raise _make_exhausted_error(route, refusals)
+
+
+def _note_hop(
+    ctx: context_lib.RouterContext,
+    route: Route,
+    candidate: decision_lib.Candidate,
+    exc: errors.FoxtailError,
+) -> None:
+    if isinstance(exc, errors.LinkError):
+        ctx.note_unreachable(candidate.endpoint)
+    ctx.explain('HOP', route.caller, f'not at {candidate.endpoint}: {exc}')
+
+
+def _is_final(exc: errors.FoxtailError) -> bool:
+    # An attempt that was lost midway costs a retry, not a mere hop.
+    if isinstance(exc, errors.LinkError):
+        return exc.verdict is not verdict_lib.Verdict.NOT_RUN
+    return exc.code is errors.ErrorCode.DEADLINE_EXCEEDED
+
+
+async def _wait_for_retry(
+    ctx: context_lib.RouterContext,
+    route: Route,
+    attempts: int,
+    exc: errors.FoxtailError,
+) -> None:
+    failed = retry.FailedAttempt(
+        service=route.service,
+        attempts=attempts,
+        verdict=route.verdict,
+        is_idempotent=route.is_idempotent,
+        deadline_ms=route.caller.deadline_ms,
+        retry_after_ms=exc.retry_after_ms,
+    )
+    plan = retry.plan_retry(
+        failed, ctx.budget, ctx.retry_options, ctx.rng, ctx.clock.now()
+    )
+    line = f'{exc}; retry {plan.reason.value}.'
+    ctx.explain('RETRY', route.caller, line)
+    if not plan.is_allowed:
+        raise exc
+    ctx.metrics.count('retries')
+    await clock_lib.sleep_ms(plan.delay_ms)
+
+
+def _make_exhausted_error(
+    route: Route, refusals: list[errors.FoxtailError]
+) -> errors.RequestError:
+    if not refusals:
+        return errors.RequestError(
+            errors.ErrorCode.NO_ENDPOINT,
+            f'expected an endpoint of {route.service}, found none that the '
+            f'account may use; see the status of the fleet',
+            route.verdict,
+            OVERLOAD_RETRY_AFTER_MS,
+        )
+    waits_ms = [
+        exc.retry_after_ms
+        for exc in refusals
+        if exc.retry_after_ms is not None
+    ]
+    return errors.RequestError(
+        errors.ErrorCode.OVERLOADED,
+        f'expected room at one of {len(refusals)} endpoints, all refused, '
+        f'the last with {refusals[-1]}; try again after the time given',
+        route.verdict,
+        min(waits_ms, default=OVERLOAD_RETRY_AFTER_MS),
+    )
--- /dev/null
+++ b/foxtailpick/router/calls.py
@@ -0,0 +1,117 @@
+"""Routes calls of plain services, at most once where they ask for it."""
+
+from foxtailpick.core import decision as decision_lib
+from foxtailpick.core import errors
+from foxtailpick.core import messages
+from foxtailpick.core import replay
+from foxtailpick.core import types
+from foxtailpick.core import verdict as verdict_lib
+from foxtailpick.router import attempts
+from foxtailpick.router import context as context_lib
+from foxtailpick.router import follow
+from foxtailpick.router import jobs
+
+
+class CallRouter:
+    """Routes service calls for one router.
+
+    :param ctx: the state of the router.
+    """
+
+    def __init__(self, ctx: context_lib.RouterContext) -> None:
+        self._ctx = ctx
+        self._follower = follow.Follower(ctx.links, ctx.cfg.limits.silence)
+
+    async def run(self, job: jobs.CallJob) -> messages.Answer:
+        """Answer a call.
+
+        :param job: what to do.
+        :returns: the service's answer.
+        :raises errors.FoxtailError: if there is none; the verdict says
+            whether the call may have run.
+        """
+        route = attempts.Route(
+            job.caller,
+            job.key or job.caller.request,
+            job.service,
+            None,
+            None,
+            job.is_idempotent,
+        )
+
+        async def try_endpoint(
+            candidate: decision_lib.Candidate,
+        ) -> messages.Answer:
+            return await self._try_endpoint(job, candidate)
+
+        try:
+            with self._ctx.limit_work(job.caller.deadline_ms):
+                return await attempts.run_attempts(
+                    self._ctx, route, try_endpoint
+                )
+        except errors.FoxtailError as exc:
+            raise _make_truthful_error(exc, route) from exc
+        # The deadline or the stop of the router came first. The attempt in
+        # flight has no verdict, and it may have run.
+        raise self._ctx.make_stop_error(
+            verdict_lib.Verdict.MAY_HAVE_RUN, 'no answer'
+        )
+
+    async def _try_endpoint(
+        self, job: jobs.CallJob, candidate: decision_lib.Candidate
+    ) -> messages.Answer:
+        member = self._ctx.table.get_member(candidate.endpoint)
+        attempt = types.AttemptId(jobs.make_id())
+        followed = follow.Followed(
+            attempt,
+            job.caller.account.account,
+            member.address,
+            replay.StreamAssembler(
+                replay.ResumePoint(attempt), self._ctx.monitor
+            ),
+        )
+        opening = messages.OpenCall(
+            attempt=attempt,
+            request=job.caller.request,
+            account=job.caller.account.account,
+            service=job.service,
+            method=job.method,
+            path=job.path,
+            key=job.key,
+            is_idempotent=job.is_idempotent,
+            content_type=job.content_type,
+            deadline_ms=job.caller.deadline_ms - self._ctx.clock.now(),
+            body=job.body,
+        )
+        return await self._follower.run(followed, opening, _refuse_chunks)
+
+
+async def _refuse_chunks(texts: list[str], first: int) -> None:
+    raise errors.LinkError(
+        errors.ErrorCode.FRAME_MALFORMED,
+        f'expected one answer to a call, got {len(texts)} chunks',
+        verdict_lib.Verdict.MAY_HAVE_RUN,
+    )
+
+
+def _make_truthful_error(
+    exc: errors.FoxtailError, route: attempts.Route
+) -> errors.FoxtailError:
+    if route.may_try_again or exc.code in _OWN_WORDS:
+        return exc
+    return errors.RequestError(
+        errors.ErrorCode.OUTCOME_UNKNOWN,
+        f'expected an answer, got {exc}; repeat the call with the same key '
+        f'to learn what became of it',
+        route.verdict,
+        exc.retry_after_ms,
+    )
+
+
+_OWN_WORDS = frozenset(
+    {
+        errors.ErrorCode.OUTCOME_UNKNOWN,
+        errors.ErrorCode.KEY_REUSED,
+        errors.ErrorCode.CALL_IN_PROGRESS,
+    }
+)
--- a/foxtailpick/router/chats.py
+++ b/foxtailpick/router/chats.py
@@ -3,20 +3,17 @@
 import dataclasses
 import typing
 
-from foxtailpick.core import clock as clock_lib
 from foxtailpick.core import decision as decision_lib
 from foxtailpick.core import errors
 from foxtailpick.core import messages
 from foxtailpick.core import replay
-from foxtailpick.core import retry
 from foxtailpick.core import types
 from foxtailpick.core import verdict as verdict_lib
+from foxtailpick.router import attempts
 from foxtailpick.router import context as context_lib
 from foxtailpick.router import follow
 from foxtailpick.router import jobs
 
-OVERLOAD_RETRY_AFTER_MS = 1_000.0
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Token:
@@ -69,31 +66,28 @@
         :returns: the end of the answer.
         :raises errors.FoxtailError: if it cannot be completed.
         """
-        progress = _Progress(job, deliver)
+        service = self._find_service(job.request.model)
+        progress = _Progress(job, service, deliver)
         with self._ctx.limit_work(job.caller.deadline_ms):
             return await self._run_until_deadline(job, progress)
         raise self._ctx.make_stop_error(
-            progress.verdict, f'{progress.tokens} tokens'
+            progress.route.verdict, f'{progress.tokens} tokens'
         )
 
     async def _run_until_deadline(
         self, job: jobs.ChatJob, progress: '_Progress'
     ) -> ChatEnd:
-        service = self._find_service(job.request.model)
-        self._ctx.budget.deposit(service)
         if job.position is not None:
             end = await self._resume(job, progress)
             if end is not None:
                 return end
-        attempts = 0
-        while True:
-            attempts += 1
-            try:
-                return await self._try_candidates(job, progress, service)
-            except errors.FoxtailError as exc:
-                await self._wait_for_retry(
-                    job, progress, service, attempts, exc
-                )
+
+        async def try_endpoint(candidate: decision_lib.Candidate) -> ChatEnd:
+            return await self._try_endpoint(job, progress, candidate)
+
+        return await attempts.run_attempts(
+            self._ctx, progress.route, try_endpoint
+        )
 
     async def _resume(
         self, job: jobs.ChatJob, progress: '_Progress'
@@ -125,35 +119,6 @@
             return None
         return progress.make_end(member.incarnation, end)
 
-    async def _try_candidates(
-        self,
-        job: jobs.ChatJob,
-        progress: '_Progress',
-        service: types.ServiceId,
-    ) -> ChatEnd:
-        chosen = self._ctx.place(
-            job.caller, job.chat, service, job.request.model, job.hint
-        )
-        refusals: list[errors.FoxtailError] = []
-        for candidate in chosen.candidates:
-            self._ctx.metrics.count('tries')
-            try:
-                return await self._try_endpoint(job, progress, candidate)
-            except errors.RefusedError as exc:
-                line = f'{candidate.endpoint} refused: {exc}'
-                self._ctx.explain('HOP', job.caller, line)
-                refusals.append(exc)
-                if exc.code is errors.ErrorCode.DEADLINE_EXCEEDED:
-                    break
-            except errors.LinkError as exc:
-                self._ctx.note_unreachable(candidate.endpoint)
-                if exc.verdict is not verdict_lib.Verdict.NOT_RUN:
-                    raise
-                line = f'{candidate.endpoint} not reached: {exc}'
-                self._ctx.explain('HOP', job.caller, line)
-                refusals.append(exc)
-        raise _make_exhausted_error(job, refusals)
-
     async def _try_endpoint(
         self,
         job: jobs.ChatJob,
@@ -172,11 +137,7 @@
             ),
         )
         opening = self._make_opening(job, attempt, progress.tokens)
-        try:
-            end = await self._follower.run(followed, opening, progress.deliver)
-        except errors.FoxtailError as exc:
-            progress.note_failure(exc)
-            raise
+        end = await self._follower.run(followed, opening, progress.deliver)
         return progress.make_end(followed.incarnation, end)
 
     def _make_opening(
@@ -198,37 +159,6 @@
             body=job.body,
         )
 
-    async def _wait_for_retry(
-        self,
-        job: jobs.ChatJob,
-        progress: '_Progress',
-        service: types.ServiceId,
-        attempts: int,
-        exc: errors.FoxtailError,
-    ) -> None:
-        failed = retry.FailedAttempt(
-            service=service,
-            attempts=attempts,
-            verdict=progress.verdict,
-            # Repeating a completion yields an answer and books nothing.
-            is_idempotent=True,
-            deadline_ms=job.caller.deadline_ms,
-            retry_after_ms=exc.retry_after_ms,
-        )
-        plan = retry.plan_retry(
-            failed,
-            self._ctx.budget,
-            self._ctx.retry_options,
-            self._ctx.rng,
-            self._ctx.clock.now(),
-        )
-        line = f'{exc}; retry {plan.reason.value}.'
-        self._ctx.explain('RETRY', job.caller, line)
-        if not plan.is_allowed:
-            raise exc
-        self._ctx.metrics.count('retries')
-        await clock_lib.sleep_ms(plan.delay_ms)
-
     def _find_service(self, model: types.ModelId) -> types.ServiceId:
         cfg = self._ctx.read_config()
         for service, item in sorted(cfg.services.items()):
@@ -245,13 +175,27 @@
     """What the caller has received so far, over all attempts.
 
     :param job: the chat completion.
+    :param service: the service that offers its model.
     :param deliver: takes the tokens.
     """
 
-    def __init__(self, job: jobs.ChatJob, deliver: Deliver) -> None:
+    def __init__(
+        self,
+        job: jobs.ChatJob,
+        service: types.ServiceId,
+        deliver: Deliver,
+    ) -> None:
+        # Repeating a completion yields an answer and books nothing.
+        self.route = attempts.Route(
+            job.caller,
+            job.chat,
+            service,
+            job.request.model,
+            job.hint,
+            is_idempotent=True,
+        )
         position = job.position
         self.tokens = position.base + position.number if position else 0
-        self.verdict = verdict_lib.Verdict.NOT_RUN
         self._deliver = deliver
         self._endpoint = types.EndpointId('')
         self._attempt = types.AttemptId('')
@@ -270,7 +214,7 @@
 
     async def deliver(self, texts: list[str], first: int) -> None:
         """Hand on new chunks of the current attempt."""
-        self.verdict = verdict_lib.Verdict.MAY_HAVE_RUN
+        self.route.note(verdict_lib.Verdict.MAY_HAVE_RUN)
         tokens = [
             Token(
                 self._base + number,
@@ -284,43 +228,8 @@
         self.tokens = tokens[-1].index + 1
         await self._deliver(tokens)
 
-    def note_failure(self, exc: errors.FoxtailError) -> None:
-        """Take an attempt's verdict into account."""
-        self.verdict = verdict_lib.merge_verdicts(self.verdict, exc.verdict)
-
     def make_end(
         self, incarnation: types.Incarnation, finished: messages.Finished
     ) -> ChatEnd:
         """Return the end of the answer."""
         return ChatEnd(self._endpoint, incarnation, self.tokens, finished)
-
-
-def _make_exhausted_error(
-    job: jobs.ChatJob, refusals: list[errors.FoxtailError]
-) -> errors.RequestError:
-    if not refusals:
-        return errors.RequestError(
-            errors.ErrorCode.NO_ENDPOINT,
-            f'expected an endpoint for {job.request.model}, found none that '
-            f'the account may use; see the status of the fleet',
-            retry_after_ms=OVERLOAD_RETRY_AFTER_MS,
-        )
-    last = refusals[-1]
-    waits_ms = [
-        exc.retry_after_ms
-        for exc in refusals
-        if exc.retry_after_ms is not None
-    ]
-    verdict = verdict_lib.Verdict.NOT_RUN
-    for exc in refusals:
-        verdict = verdict_lib.merge_verdicts(verdict, exc.verdict)
-    code = errors.ErrorCode.OVERLOADED
-    if last.code is errors.ErrorCode.DEADLINE_EXCEEDED:
-        code = last.code
-    return errors.RequestError(
-        code,
-        f'expected room at one of {len(refusals)} endpoints, all refused, '
-        f'the last with {last}; try again after the time given',
-        verdict,
-        min(waits_ms, default=OVERLOAD_RETRY_AFTER_MS),
-    )
--- a/foxtailpick/router/responses.py
+++ b/foxtailpick/router/responses.py
@@ -17,6 +17,9 @@
 from foxtailpick.router import problems
 
 EVENT_STREAM = 'text/event-stream'
+HTTP_CLIENT_CLOSED = 499
+
+Result = typing.TypeVar('Result')
 
 
 async def run_unless_disconnected(
@@ -201,6 +204,33 @@
     }
 
 
+async def run_for_caller(
+    req: requests.Request,
+    run: typing.Callable[[], typing.Awaitable[Result]],
+) -> Result | None:
+    """Run something for a caller, who may go away.
+
+    :param req: the HTTP request, its body read.
+    :param run: what to do.
+    :returns: its result, None if the caller went away.
+    :raises errors.FoxtailError: what `run` raised.
+    """
+    results: list[Result] = []
+    failures: list[errors.FoxtailError] = []
+
+    async def keep_outcome() -> None:
+        # Raised later: a nursery would wrap the error in a group.
+        try:
+            results.append(await run())
+        except errors.FoxtailError as exc:
+            failures.append(exc)
+
+    await run_unless_disconnected(req.receive, keep_outcome)
+    if failures:
+        raise failures[0]
+    return results[0] if results else None
+
+
 async def answer_whole(
     ctx: context_lib.RouterContext,
     router: chats.ChatRouter,
@@ -216,26 +246,20 @@
     :raises errors.FoxtailError: if it cannot be answered.
     """
     texts: list[str] = []
-    outcome: list[chats.ChatEnd | errors.FoxtailError] = []
 
     async def keep(tokens: list[chats.Token]) -> None:
         texts.extend(token.text for token in tokens)
 
-    async def run() -> None:
-        # Raised later: a nursery would wrap the error in a group.
-        try:
-            outcome.append(await router.run(job, keep))
-        except errors.FoxtailError as exc:
-            outcome.append(exc)
-
-    if not await run_unless_disconnected(req.receive, run):
-        ctx.metrics.count('chats_abandoned')
-        return responses.Response(status_code=499)
-    if isinstance(outcome[0], errors.FoxtailError):
+    try:
+        end = await run_for_caller(req, lambda: router.run(job, keep))
+    except errors.FoxtailError:
         ctx.metrics.count('chats_failed')
-        raise outcome[0]
+        raise
+    if end is None:
+        ctx.metrics.count('chats_abandoned')
+        return responses.Response(status_code=HTTP_CLIENT_CLOSED)
     ctx.metrics.count('chats_answered')
-    return _make_whole(job, outcome[0], ''.join(texts))
+    return _make_whole(job, end, ''.join(texts))
 
 
 def _make_whole(
