Measure load skew, tries and control bytes of the bounded load

Cause: the bound needs the mean of the pool at each sidecar. Router views are sampled where requests go; at 100 engines their mean is too low after a while and too many attempts are refused.

--- /dev/null
+++ b/foxtailpick/bench/load.py
@@ -0,0 +1,431 @@
+"""Load skew, tries a request and control bytes, against baselines.
+
+Requests hold their tokens for as long as they run. Loads are the true
+outstanding tokens of the engines, looked at after every admission and at
+short intervals between.
+"""
+
+import bisect
+import dataclasses
+import heapq
+import itertools
+import random
+import typing
+
+from foxtailpick.adapters import base
+from foxtailpick.bench import tables
+from foxtailpick.core import decision
+from foxtailpick.core import invariants
+from foxtailpick.core import load_bound
+from foxtailpick.core import load_gossip
+from foxtailpick.core import load_view
+from foxtailpick.core import placement
+
+SEED = 4
+TOKEN_MS = 38.0
+MEAN_ANSWER_TOKENS = 307.0
+ANSWER_SIGMA = 0.8
+PROMPT_TOKENS = 200.0
+REQUESTS_PER_ENGINE_PER_S = 7.5
+CHATS_PER_ENGINE = 200
+HINT_SHARE = 0.8
+ZIPF_EXPONENT = 0.9
+SURGE_CHATS = 30
+SURGE_SHARE = 0.15
+SURGE_PERIOD_MS = 20_000.0
+SURGE_MS = 8_000.0
+WARM_MS = 20_000.0
+MISSING_SHARE = 0.02
+LIST_PERIOD_MS = 5_000.0
+LOST_GOSSIP_SHARE = 0.05
+MAX_TRIES = 4
+MIN_SCAN_EVENTS = 20
+UDP_HEADER_BYTES = 28
+MEAN_BYTES = 6
+ADMISSION_BYTES = 16
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fleet:
+    """Sizes of a run.
+
+    :param engines: engines of the pool.
+    :param routers: routers in front.
+    :param measured_ms: time measured, after the warm-up.
+    """
+
+    engines: int
+    routers: int
+    measured_ms: float
+
+
+@dataclasses.dataclass(slots=True)
+class Engine:
+    """A fake engine with its sidecar's bound."""
+
+    endpoint: str
+    bound: load_bound.LoadBound
+    gossip: load_gossip.GossipState
+    peers: list[str]
+    load: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request as it reaches a router."""
+
+    number: int
+    chat: str
+    cost: float
+    hold_ms: float
+    router: int
+    order: tuple[str, ...]
+    now_ms: float
+
+
+@dataclasses.dataclass(slots=True)
+class Result:
+    """What a run counted."""
+
+    requests: int = 0
+    tries: int = 0
+    refused: int = 0
+    moved: int = 0
+    max_ratio: float = 0.0
+    ratios: list[float] = dataclasses.field(default_factory=list)
+    gossip_bytes: int = 0
+    rider_bytes: int = 0
+
+
+class Simulation:
+    """One run of a policy on a fleet, with fixed seeds.
+
+    :param fleet: the sizes.
+    :param policy: function that runs one request, returns its engine.
+    :param gossips: whether sidecars exchange samples.
+    """
+
+    def __init__(self, fleet: Fleet, policy, gossips: bool) -> None:
+        self.fleet = fleet
+        self.policy = policy
+        self.gossips = gossips
+        self.rng = random.Random(SEED)
+        self.gossip_rng = random.Random(SEED + 1)
+        self.engines = _build_engines(fleet.engines)
+        self.names = list(self.engines)
+        self.table = _build_table(self.names)
+        self.views = [load_view.LoadView() for _ in range(fleet.routers)]
+        self.seen = [{} for _ in range(fleet.routers)]
+        self.total = 0.0
+        self.result = Result()
+        self._orders: dict[str, tuple[str, ...]] = {}
+        self._last_places: dict[str, str] = {}
+        self._ends: list[tuple[float, int, Engine, float]] = []
+        self._chats = _ZipfChats(fleet.engines * CHATS_PER_ENGINE)
+        self._missing = [frozenset()] * fleet.routers
+        self._is_measured = False
+
+    @property
+    def mean(self) -> float:
+        return self.total / len(self.engines)
+
+    def run(self) -> Result:
+        end_ms = WARM_MS + self.fleet.measured_ms
+        rate = REQUESTS_PER_ENGINE_PER_S * self.fleet.engines / 1_000.0
+        now_ms = gossip_ms = list_ms = 0.0
+        scan_events = max(MIN_SCAN_EVENTS, self.fleet.engines // 5)
+        for number in itertools.count():
+            now_ms += self.rng.expovariate(rate)
+            if now_ms > end_ms:
+                return self.result
+            self._is_measured = now_ms > WARM_MS
+            if now_ms >= list_ms:
+                self._redraw_lists()
+                list_ms += LIST_PERIOD_MS
+            if self.gossips and now_ms >= gossip_ms:
+                self._exchange_samples(now_ms)
+                gossip_ms += load_gossip.PERIOD_MS
+            self._end_requests(now_ms)
+            self._start_request(number, now_ms)
+            if self._is_measured and number % scan_events == 0:
+                self._scan_loads()
+
+    def place(self, engine: Engine, arrival: Arrival) -> None:
+        """Let an engine run a request."""
+        engine.load += arrival.cost
+        self.total += arrival.cost
+        end_ms = arrival.now_ms + arrival.hold_ms
+        heapq.heappush(
+            self._ends, (end_ms, arrival.number, engine, arrival.cost)
+        )
+        if self._is_measured:
+            ratio = engine.load / self.mean
+            self.result.max_ratio = max(self.result.max_ratio, ratio)
+            last = self._last_places.get(arrival.chat, engine.endpoint)
+            self.result.moved += engine.endpoint != last
+        self._last_places[arrival.chat] = engine.endpoint
+
+    def count_try(self, rider_bytes: int = 0) -> None:
+        if self._is_measured:
+            self.result.tries += 1
+            self.result.rider_bytes += rider_bytes
+
+    def _start_request(self, number: int, now_ms: float) -> None:
+        chat = self._draw_chat(now_ms)
+        tokens = self.rng.lognormvariate(0.0, ANSWER_SIGMA)
+        tokens *= MEAN_ANSWER_TOKENS / 1.377
+        arrival = Arrival(
+            number,
+            chat,
+            PROMPT_TOKENS + tokens,
+            tokens * TOKEN_MS,
+            self.rng.randrange(self.fleet.routers),
+            (),
+            now_ms,
+        )
+        missing = self._missing[arrival.router]
+        order = self._get_order(chat)
+        listed = tuple(e for e in order if e not in missing)
+        if self.rng.random() < HINT_SHARE and chat in self._last_places:
+            listed = (self._last_places[chat], *listed)
+            listed = tuple(dict.fromkeys(listed))
+        arrival = dataclasses.replace(arrival, order=listed)
+        engine = self.policy(self, arrival)
+        if self._is_measured:
+            self.result.requests += 1
+            self.result.refused += engine is None
+        if engine is not None:
+            self.place(engine, arrival)
+
+    def _draw_chat(self, now_ms: float) -> str:
+        is_surge = now_ms % SURGE_PERIOD_MS < SURGE_MS
+        if is_surge and self.rng.random() < SURGE_SHARE:
+            return f'surge-{self.rng.randrange(SURGE_CHATS)}'
+        return self._chats.draw(self.rng)
+
+    def _get_order(self, chat: str) -> tuple[str, ...]:
+        if chat not in self._orders:
+            req = decision.PlacementRequest(
+                chat, 'svc', 'region', max_candidates=MAX_TRIES + 2
+            )
+            made = placement.choose_endpoints(self.table, req)
+            self._orders[chat] = tuple(c.endpoint for c in made.candidates)
+        return self._orders[chat]
+
+    def _redraw_lists(self) -> None:
+        count = round(MISSING_SHARE * len(self.names))
+        self._missing = [
+            frozenset(self.rng.sample(self.names, count))
+            for _ in self._missing
+        ]
+
+    def _exchange_samples(self, now_ms: float) -> None:
+        for engine in self.engines.values():
+            own = engine.bound.get_sample(now_ms)
+            samples = engine.gossip.compose(own, now_ms)
+            size = len(load_gossip.encode_samples(samples, now_ms))
+            peers = load_gossip.draw_peers(engine.peers, self.gossip_rng)
+            for peer in peers:
+                if self._is_measured:
+                    self.result.gossip_bytes += size + UDP_HEADER_BYTES
+                if self.gossip_rng.random() >= LOST_GOSSIP_SHARE:
+                    self._deliver(self.engines[peer], samples, now_ms)
+
+    def _deliver(self, engine: Engine, samples, now_ms: float) -> None:
+        mean = engine.bound.set_pool(None, len(self.engines))
+        engine.gossip.accept(samples, mean, now_ms)
+
+    def _end_requests(self, now_ms: float) -> None:
+        while self._ends and self._ends[0][0] <= now_ms:
+            _end_ms, number, engine, cost = heapq.heappop(self._ends)
+            engine.load -= cost
+            self.total -= cost
+            engine.bound.release(number)
+
+    def _scan_loads(self) -> None:
+        mean = self.mean
+        loads = sorted(engine.load for engine in self.engines.values())
+        highest = loads[-1] / mean
+        self.result.max_ratio = max(self.result.max_ratio, highest)
+        self.result.ratios.append(loads[int(0.99 * len(loads))] / mean)
+
+
+class _ZipfChats:
+    def __init__(self, count: int) -> None:
+        weights = (rank**-ZIPF_EXPONENT for rank in range(1, count + 1))
+        self._sums = list(itertools.accumulate(weights))
+
+    def draw(self, rng: random.Random) -> str:
+        point = rng.random() * self._sums[-1]
+        return f'chat-{bisect.bisect(self._sums, point)}'
+
+
+def _build_engines(count: int) -> dict[str, Engine]:
+    monitor = invariants.Monitor(is_strict=True)
+    names = [f'ep-{number}' for number in range(count)]
+    engines = {}
+    for name in names:
+        bound = load_bound.LoadBound(name, 1.0, monitor)
+        bound.set_pool(None, float(count))
+        peers = [peer for peer in names if peer != name]
+        state = load_gossip.GossipState()
+        engines[name] = Engine(name, bound, state, peers)
+    return engines
+
+
+def _build_table(names: list[str]) -> placement.PlacementTable:
+    return placement.PlacementTable.from_members(
+        base.Member(
+            name, 'inc', '127.0.0.1:1', 'region', f'domain-{i % 3}', 'svc'
+        )
+        for i, name in enumerate(names)
+    )
+
+
+def run_random(sim: Simulation, arrival: Arrival) -> Engine:
+    """Any engine."""
+    sim.count_try()
+    return sim.engines[sim.rng.choice(sim.names)]
+
+
+def run_two_choices(sim: Simulation, arrival: Arrival) -> Engine:
+    """The one of two that the router saw last with the lower load."""
+    seen = sim.seen[arrival.router]
+    drawn = sim.rng.sample(sim.names, 2)
+    name = min(drawn, key=lambda endpoint: seen.get(endpoint, 0.0))
+    engine = sim.engines[name]
+    seen[name] = engine.load + arrival.cost
+    sim.count_try(ADMISSION_BYTES)
+    return engine
+
+
+def run_consistent(sim: Simulation, arrival: Arrival) -> Engine:
+    """The first in the computed order, whatever its load."""
+    sim.count_try()
+    return sim.engines[arrival.order[0]]
+
+
+def run_router_bound(sim: Simulation, arrival: Arrival) -> Engine:
+    """The first in order that the router's own view has below the bound."""
+    seen = sim.seen[arrival.router]
+    mean = sum(seen.values()) / len(seen) if seen else 0.0
+    limit = max(mean, load_bound.FLOOR_TOKENS) * load_bound.MULTIPLE
+    fits = [n for n in arrival.order if seen.get(n, 0.0) <= limit]
+    engine = sim.engines[fits[0] if fits else arrival.order[0]]
+    seen[engine.endpoint] = engine.load + arrival.cost
+    sim.count_try(ADMISSION_BYTES)
+    return engine
+
+
+def make_bounded(
+    uses_view: bool = False,
+    uses_truth: bool = False,
+    uses_hints: bool = True,
+    avoids_full: bool = True,
+) -> typing.Callable[[Simulation, Arrival], Engine | None]:
+    """Build a policy with the bound at the sidecar.
+
+    :param uses_view: whether the mean comes from the router's view.
+    :param uses_truth: whether the mean is the true one, by an oracle.
+    :param uses_hints: whether a hint goes before the computed order.
+    :param avoids_full: whether routers skip what refused a moment ago.
+    """
+
+    def run(sim: Simulation, arrival: Arrival) -> Engine | None:
+        view = sim.views[arrival.router]
+        full = view.list_full(arrival.now_ms) if avoids_full else {}
+        waiting = sorted(arrival.order, key=lambda name: name in full)
+        for _ in range(MAX_TRIES):
+            name = waiting.pop(0)
+            engine = sim.engines[name]
+            if uses_view or uses_truth:
+                mean = engine.bound.set_pool(None, len(sim.engines))
+                seen = sim.seen[arrival.router]
+                loads = seen.values() or (0.0,)
+                tokens = sim.mean if uses_truth else sum(loads) / len(loads)
+                mean.observe_router_view(tokens, arrival.now_ms)
+            made = engine.bound.admit(
+                arrival.number, None, arrival.cost, waiting
+            )
+            sim.count_try(MEAN_BYTES + ADMISSION_BYTES)
+            view.observe(name, made, arrival.now_ms)
+            sim.seen[arrival.router][name] = made.load_tokens
+            if made.is_admitted:
+                return engine
+            if uses_hints and made.hints:
+                waiting = [made.hints[0], *waiting]
+                waiting = list(dict.fromkeys(waiting))
+            if not waiting:
+                return None
+        return None
+
+    return run
+
+
+VARIANTS = (
+    ('random', run_random, False),
+    ('least of two, last seen', run_two_choices, False),
+    ('consistent hashing', run_consistent, False),
+    ('bound at the router', run_router_bound, False),
+    (
+        'bound at the sidecar, mean of the router',
+        make_bounded(uses_view=True, uses_hints=False),
+        False,
+    ),
+    (
+        'bound at the sidecar, gossip, no hint',
+        make_bounded(uses_hints=False),
+        True,
+    ),
+    ('ours: bound at the sidecar, gossip, hint', make_bounded(), True),
+    ('bound at the sidecar, true mean', make_bounded(uses_truth=True), False),
+)
+COLUMNS = (
+    'policy',
+    'max/mean over time',
+    'p99/mean, highest',
+    'tries a request',
+    'refused %',
+    'moved from its last place %',
+    'gossip B/s a sidecar, out',
+    'riders B/s a router',
+)
+FLEETS = (
+    Fleet(10, 3, 60_000.0),
+    Fleet(100, 36, 20_000.0),
+    Fleet(1_000, 360, 4_000.0),
+)
+
+
+def measure() -> list[tables.Table]:
+    """Run all policies on all fleets."""
+    return [_measure_fleet(fleet) for fleet in FLEETS]
+
+
+def _measure_fleet(fleet: Fleet) -> tables.Table:
+    table = tables.Table(
+        f'Load skew: {fleet.engines} engines, {fleet.routers} routers, '
+        f'Zipf {ZIPF_EXPONENT} chats, surges of {SURGE_SHARE:.0%}, '
+        f'lists lacking {MISSING_SHARE:.0%}, seed {SEED}',
+        COLUMNS,
+    )
+    for name, policy, gossips in VARIANTS:
+        result = Simulation(fleet, policy, gossips).run()
+        _add_result(table, name, fleet, result)
+    return table
+
+
+def _add_result(
+    table: tables.Table, name: str, fleet: Fleet, result: Result
+) -> None:
+    seconds = fleet.measured_ms / 1_000.0
+    table.add_row(
+        name,
+        result.max_ratio,
+        max(result.ratios),
+        result.tries / result.requests,
+        100.0 * result.refused / result.requests,
+        100.0 * result.moved / result.requests,
+        result.gossip_bytes / seconds / fleet.engines,
+        result.rider_bytes / seconds / fleet.routers,
+    )
