Run calls with an idempotency key at most once

Cause: a doubled booking or span log costs money, while replies of the store get lost, sidecars are replaced and two routers may send the same key. Ruled out: the engine in the router (each sees a sliver of the calls, so its writes cannot be joined, and its death would leave the outcome open); deciding by what a read shows (a late write changes it afterwards); one nonce for all tries of a key (a late removal could take a claim that runs). Change: claims with nonces, removal and replacement by compare-and-swap, shared leases, results stored, unknown outcomes stored as such. Conclusion: no order of two faults that was tried runs a key twice.

--- /dev/null
+++ b/foxtailpick/bench/claims_scenario.py
@@ -0,0 +1,65 @@
+"""Random runs of claims and attempts under faults, for the soak."""
+
+import random
+import typing
+
+from foxtailpick.bench import claims_world
+from foxtailpick import testing
+
+STEPS_A_RUN = 300
+CHECK_EVERY_STEPS = 50
+KEYS = ('k0', 'k1', 'k2', 'k3', 'k4')
+BODIES = (b'x', b'x', b'x', b'y')
+MAX_PICK = 1 << 16
+FAULT_SHARES = (0.0, 0.05, 0.3)
+
+
+def run(seed: int) -> None:
+    """Run claims and attempts under faults.
+
+    :param seed: seed of all picks.
+    :raises AssertionError: if the record breaks a rule.
+    """
+    rng = random.Random(seed)
+    world = claims_world.ClaimsWorld(slots=3)
+    # The share of faults differs, since many faults leave few calls that
+    # get far enough to meet the rarer orders of events.
+    fault_share = rng.choice(FAULT_SHARES)
+    for step in range(STEPS_A_RUN):
+        _take_claims_step(world, rng, fault_share)
+        if step % CHECK_EVERY_STEPS == 0:
+            testing.assert_calls(world.events)
+    world.drain()
+    testing.assert_calls(world.events)
+    if world.count_pending():
+        raise AssertionError(f'{world.count_pending()} keys stay unsettled')
+
+
+def _take_claims_step(
+    world: claims_world.ClaimsWorld, rng: random.Random, fault_share: float
+) -> None:
+    pick = rng.randrange(MAX_PICK)
+    fate = claims_world.Fate.DONE
+    if rng.random() < fault_share:
+        fate = rng.choice(list(claims_world.Fate))
+    is_fault = rng.random() < fault_share
+    steps: list[typing.Callable[[], object]] = [
+        lambda: world.send(rng.choice(KEYS), rng.choice(BODIES), pick),
+        lambda: world.deliver(pick, is_fault),
+        lambda: world.deliver(pick, False),
+        lambda: world.step(pick, fate),
+        lambda: world.step(pick, fate),
+        lambda: world.step(pick, fate),
+        lambda: world.ask(pick),
+        lambda: world.settle(pick),
+        lambda: world.land(pick),
+        lambda: world.clock.advance(rng.choice((10.0, 1_000.0, 4_000.0))),
+    ]
+    faults: list[typing.Callable[[], object]] = [
+        lambda: world.crash(pick, rng.choice(list(claims_world.Fate))),
+        lambda: world.cancel(pick, rng.choice(list(claims_world.Fate))),
+        world.state.take_down,
+        world.state.bring_up,
+    ]
+    is_rare = rng.random() < fault_share
+    rng.choice(faults if is_rare and is_fault else steps)()
--- /dev/null
+++ b/foxtailpick/bench/claims_world.py
@@ -0,0 +1,417 @@
+"""Sidecars, a store and a plain service, driven step by step.
+
+The claim engine, the attempt table and the store's state are the real
+ones. Every wait of a coroutine is a point where the driver picks what
+happens: a hypothesis machine in the tests, a seeded generator in the soak.
+No event loop runs, so that a run depends on the picks alone.
+"""
+
+import collections.abc
+import dataclasses
+import enum
+import types as python_types
+import typing
+
+from foxtailpick.adapters import base
+from foxtailpick.core import attempts
+from foxtailpick.core import claim_leases
+from foxtailpick.core import claim_records
+from foxtailpick.core import claimed_attempts
+from foxtailpick.core import claims
+from foxtailpick.core import clock as clock_lib
+from foxtailpick.core import errors
+from foxtailpick.core import invariants
+from foxtailpick.core import types
+from foxtailpick.core import verdict as verdict_lib
+from foxtailpick import history
+from foxtailpick.standins import keyvalue
+
+Verdict = verdict_lib.Verdict
+TIMES = claim_leases.LeaseTimes(
+    retention_ms=10_000_000.0, span_ms=100_000.0, max_claim_age_ms=5_000.0
+)
+ATTEMPT_LIMITS = attempts.AttemptLimits(
+    max_attempts=6, max_unopened=3, retention_ms=20_000.0
+)
+CLAIM_LIMITS = claims.ClaimLimits(max_records=4, cache_ms=3_000.0)
+MAX_STEPS_TO_DRAIN = 10_000
+
+
+class Fate(enum.Enum):
+    """What becomes of one operation on the store or the service."""
+
+    DONE = 'done'
+    REFUSED = 'refused'
+    REPLY_LOST = 'reply lost'
+    REQUEST_LOST = 'request lost'
+    LATE = 'takes effect later, reply lost'
+
+
+Operation = typing.Callable[[], object]
+
+
+@python_types.coroutine
+def _wait_for_fate(
+    operation: Operation,
+) -> collections.abc.Generator[Operation, Fate, Fate]:
+    return (yield operation)
+
+
+class SteppedKeyValue(base.KeyValue):
+    """A store whose every operation waits for its fate.
+
+    :param state: the shared state.
+    :param late: where writes wait that take effect later.
+    """
+
+    def __init__(
+        self,
+        state: keyvalue.KeyValueState,
+        late: list[Operation],
+    ) -> None:
+        self._state = state
+        self._late = late
+
+    async def get(self, key: str) -> base.Entry | None:
+        return await self._perform(lambda: self._state.read(key))
+
+    async def get_prefix(self, prefix: str) -> list[base.Entry]:
+        return await self._perform(lambda: self._state.read_prefix(prefix))
+
+    async def transact(
+        self,
+        compares: typing.Sequence[base.Compare],
+        writes: typing.Sequence[base.Put | base.Delete],
+    ) -> base.TxnResult:
+        return await self._perform(
+            lambda: self._state.transact(compares, writes)
+        )
+
+    async def grant_lease(self, ttl_ms: float) -> types.LeaseId:
+        return await self._perform(lambda: self._state.grant_lease(ttl_ms))
+
+    async def keep_lease(self, lease: types.LeaseId) -> None:
+        await self._perform(lambda: self._state.keep_lease(lease))
+
+    async def revoke_lease(self, lease: types.LeaseId) -> None:
+        await self._perform(lambda: self._state.revoke_lease(lease))
+
+    def watch(self, prefix: str, after: types.Revision) -> typing.NoReturn:
+        raise NotImplementedError('claims need no watch')
+
+    async def _perform(self, operation: Operation) -> object:
+        fate = await _wait_for_fate(operation)
+        if fate is Fate.REFUSED or self._state.faults.is_down:
+            raise errors.StoreError(
+                errors.ErrorCode.STORE_UNAVAILABLE, 'the store is down'
+            )
+        if fate is Fate.LATE:
+            self._late.append(operation)
+        elif fate is not Fate.REQUEST_LOST:
+            result = operation()
+        if fate is Fate.DONE:
+            return result
+        raise errors.StoreError(
+            errors.ErrorCode.STORE_OUTCOME_UNKNOWN,
+            'no reply',
+            Verdict.MAY_HAVE_RUN,
+        )
+
+
+@dataclasses.dataclass(slots=True)
+class Sending:
+    """One call on its way from a router to a sidecar.
+
+    :param call: its id, also that of its attempt.
+    :param key: names the call.
+    :param body: the request.
+    :param slot: place of the sidecar.
+    :param incarnation: the incarnation that it is sent to.
+    :param sent_ms: when it was sent.
+    :param is_returned: whether its caller knows its outcome.
+    """
+
+    call: types.AttemptId
+    key: claim_records.ClaimKey
+    body: bytes
+    slot: int
+    incarnation: types.Incarnation
+    sent_ms: float
+    is_returned: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Task:
+    """A coroutine of a sidecar.
+
+    :param coroutine: what it runs.
+    :param slot: place of the sidecar.
+    :param operation: what it waits for, None before its start.
+    """
+
+    coroutine: typing.Coroutine
+    slot: int
+    operation: Operation | None = None
+
+
+class Sidecar:
+    """One incarnation of a sidecar, with the real tables.
+
+    :param slot: its place.
+    :param incarnation: its incarnation.
+    :param world: the world it lives in.
+    """
+
+    def __init__(
+        self, slot: int, incarnation: types.Incarnation, world: 'ClaimsWorld'
+    ) -> None:
+        owner = claim_records.ClaimOwner(
+            types.EndpointId(f'e{slot}'), incarnation
+        )
+        self.incarnation = incarnation
+        self.table = attempts.AttemptTable(
+            incarnation, world.monitor, ATTEMPT_LIMITS
+        )
+        self.engine = claims.ClaimEngine(
+            SteppedKeyValue(world.state, world.late),
+            owner,
+            world.clock,
+            world.monitor,
+            TIMES,
+            CLAIM_LIMITS,
+        )
+
+
+class ClaimsWorld:
+    """Everything that one run needs, and the steps that change it.
+
+    Steps that take a `pick` use it modulo the number of candidates, and do
+    nothing if there is none.
+
+    :param slots: number of sidecars.
+    """
+
+    def __init__(self, slots: int = 2) -> None:
+        self.clock = clock_lib.ManualClock()
+        self.monitor = invariants.Monitor(is_strict=True)
+        self.state = keyvalue.KeyValueState(self.clock.now)
+        self.late: list[Operation] = []
+        self.events: list[history.CallEvent] = []
+        self.wire: list[Sending] = []
+        self.sent: list[Sending] = []
+        self.tasks: list[Task] = []
+        self._incarnations = 0
+        self.sidecars: list[Sidecar] = []
+        for slot in range(slots):
+            self.sidecars.append(self._make_sidecar(slot))
+
+    def send(self, key: str, body: bytes, slot: int) -> Sending:
+        """Send a call to a sidecar, as any router may."""
+        slot %= len(self.sidecars)
+        sending = Sending(
+            types.AttemptId(f'c{len(self.sent)}'),
+            claim_records.ClaimKey('acc', 'svc', types.IdempotencyKey(key)),
+            body,
+            slot,
+            self.sidecars[slot].incarnation,
+            self.clock.now(),
+        )
+        self.sent.append(sending)
+        self.wire.append(sending)
+        self._record(history.CallInvoked, sending.call, key, body)
+        return sending
+
+    def deliver(self, pick: int, is_doubled: bool) -> None:
+        """Let a frame arrive, once or for the first of two times."""
+        if not self.wire:
+            return
+        place = pick % len(self.wire)
+        sending = self.wire[place]
+        if not is_doubled:
+            del self.wire[place]
+        table = self.sidecars[sending.slot].table
+        try:
+            opening = table.open(
+                sending.call,
+                sending.incarnation,
+                sending.sent_ms,
+                self.clock.now(),
+            )
+        except errors.RefusedError as exc:
+            self._return(sending, exc.verdict, None)
+            return
+        if opening is attempts.Opening.NEW:
+            self._spawn(self._serve(sending), sending.slot)
+
+    def ask(self, pick: int) -> None:
+        """Ask what became of a call, as its router does after silence."""
+        unknown = [item for item in self.sent if not item.is_returned]
+        if not unknown:
+            return
+        sending = unknown[pick % len(unknown)]
+        report = self.sidecars[sending.slot].table.query(
+            sending.call,
+            sending.incarnation,
+            self.clock.now() - sending.sent_ms,
+            self.clock.now(),
+        )
+        if report.verdict is not Verdict.MAY_HAVE_RUN:
+            self._return(sending, report.verdict, report.answer)
+
+    def step(self, pick: int, fate: Fate) -> None:
+        """Let a task's operation meet its fate, and run on to the next."""
+        if self.tasks:
+            self._advance(self.tasks[pick % len(self.tasks)], fate)
+
+    def cancel(self, pick: int, fate: Fate) -> None:
+        """Stop one task where it waits; its operation meets its fate."""
+        if self.tasks:
+            self._stop(self.tasks[pick % len(self.tasks)], fate)
+
+    def crash(self, slot: int, fate: Fate) -> None:
+        """Replace a sidecar by a new incarnation, with empty tables."""
+        slot %= len(self.sidecars)
+        for task in [item for item in self.tasks if item.slot == slot]:
+            self._stop(task, fate)
+        self.sidecars[slot] = self._make_sidecar(slot)
+
+    def settle(self, slot: int) -> None:
+        """Begin to bring the store up to date."""
+        slot %= len(self.sidecars)
+        self._spawn(self._settle(self.sidecars[slot]), slot)
+
+    def land(self, pick: int) -> None:
+        """Let an operation take effect whose reply was lost long ago."""
+        if not self.late:
+            return
+        operation = self.late.pop(pick % len(self.late))
+        try:
+            operation()
+        except errors.StoreError:
+            return
+
+    def drain(self) -> None:
+        """End all faults, let everything finish, repeat every key."""
+        self.state.bring_up()
+        while self.wire:
+            self.deliver(0, False)
+        self._finish_tasks()
+        while self.late:
+            self.land(0)
+        for place in range(len(self.sent)):
+            self.ask(place)
+        for item in list(self.sent):
+            self._repeat(item)
+        for slot in range(len(self.sidecars)):
+            self.settle(slot)
+        self._finish_tasks()
+
+    def count_pending(self) -> int:
+        """Return how many keys the store is not up to date about."""
+        return sum(sidecar.engine.pending for sidecar in self.sidecars)
+
+    def find_breaches(self) -> list[history.Breach]:
+        """Return the breaches in the record so far."""
+        return history.check_calls(self.events)
+
+    def _repeat(self, item: Sending) -> None:
+        # By now the tables have forgotten the attempts before.
+        self.clock.advance(ATTEMPT_LIMITS.retention_ms)
+        self.send(item.key.key, item.body, item.slot + 1)
+        self.deliver(0, False)
+        self._finish_tasks()
+
+    def _finish_tasks(self) -> None:
+        for _ in range(MAX_STEPS_TO_DRAIN):
+            if not self.tasks:
+                return
+            self.step(0, Fate.DONE)
+        raise TimeoutError(
+            f'expected all tasks to end within {MAX_STEPS_TO_DRAIN} steps, '
+            f'{len(self.tasks)} go on; look for a loop'
+        )
+
+    def _make_sidecar(self, slot: int) -> Sidecar:
+        self._incarnations += 1
+        name = types.Incarnation(f'i{self._incarnations}')
+        return Sidecar(slot, name, self)
+
+    async def _serve(self, sending: Sending) -> None:
+        sidecar = self.sidecars[sending.slot]
+        try:
+            report = await claimed_attempts.serve_attempt(
+                sidecar.table,
+                sidecar.engine,
+                sending.call,
+                sending.key,
+                sending.body,
+                lambda: self._call_service(sending),
+                self.clock,
+            )
+        except errors.InvariantError:
+            raise
+        except errors.FoxtailError as exc:
+            self._return(sending, exc.verdict, None)
+        else:
+            self._return(sending, report.verdict, report.answer)
+
+    async def _settle(self, sidecar: Sidecar) -> None:
+        try:
+            await sidecar.engine.settle_pending()
+        except errors.StoreError:
+            return
+
+    async def _call_service(self, sending: Sending) -> bytes:
+        key = sending.key.key
+        answer = f'{key} {sending.call}'.encode()
+
+        def run() -> None:
+            self._record(history.CallRan, sending.call, key, answer)
+
+        fate = await _wait_for_fate(run)
+        if fate is Fate.REFUSED:
+            raise errors.RequestError(
+                errors.ErrorCode.ENDPOINT_FAILED, 'connection refused'
+            )
+        if fate is Fate.LATE:
+            self.late.append(run)
+        elif fate is not Fate.REQUEST_LOST:
+            run()
+        if fate is Fate.DONE:
+            return answer
+        raise errors.RequestError(
+            errors.ErrorCode.ENDPOINT_FAILED,
+            'connection lost',
+            Verdict.MAY_HAVE_RUN,
+        )
+
+    def _spawn(self, coroutine: typing.Coroutine, slot: int) -> None:
+        task = Task(coroutine, slot)
+        self.tasks.append(task)
+        self._advance(task, None)
+
+    def _advance(self, task: Task, fate: Fate | None) -> None:
+        try:
+            task.operation = task.coroutine.send(fate)
+        except StopIteration:
+            self.tasks.remove(task)
+
+    def _stop(self, task: Task, fate: Fate) -> None:
+        self.tasks.remove(task)
+        if fate in (Fate.DONE, Fate.REPLY_LOST):
+            self.late.append(task.operation)
+            self.land(len(self.late) - 1)
+        elif fate is Fate.LATE:
+            self.late.append(task.operation)
+        task.coroutine.close()
+
+    def _return(
+        self, sending: Sending, verdict: Verdict, answer: bytes | None
+    ) -> None:
+        if sending.is_returned:
+            return
+        sending.is_returned = True
+        self._record(history.CallReturned, sending.call, verdict, answer)
+
+    def _record(self, event_type: type, *fields: object) -> None:
+        self.events.append(event_type(float(len(self.events)), *fields))
--- a/foxtailpick/core/attempts.py
+++ b/foxtailpick/core/attempts.py
@@ -18,13 +18,10 @@
 
 import dataclasses
 import enum
-import functools
-import importlib.resources
-import json
 
-import transitions
 import xxhash
 
+from foxtailpick.core import chart_files
 from foxtailpick.core import errors
 from foxtailpick.core import invariants
 from foxtailpick.core import types
@@ -129,7 +126,7 @@
         self._answered: dict[types.AttemptId, None] = {}
         self._unopened = 0
         self._stored_bytes = 0
-        self._next_state = load_chart()
+        self._moves = chart_files.load_moves('attempt', AttemptState)
 
     def __len__(self) -> int:
         """Return the number of records held."""
@@ -195,7 +192,10 @@
         answer: bytes | None,
         now_ms: float,
     ) -> AttemptReport:
-        """Record the end of a started attempt.
+        """Record the end of an attempt.
+
+        One that was not started may finish too, with the stored answer of
+        an earlier call.
 
         :param attempt: the attempt.
         :param verdict: `RAN` with a whole answer, `MAY_HAVE_RUN` if the
@@ -206,6 +206,8 @@
         """
         record = self._require(attempt)
         is_refusal = verdict is Verdict.NOT_RUN
+        if is_refusal and record.state is AttemptState.REFUSED:
+            return self._report(record)
         self._move(record, 'refuse' if is_refusal else 'finish')
         record.verdict = verdict
         self._store_answer(record, answer)
@@ -299,7 +301,7 @@
         return len(self._records) - self._unopened
 
     def _move(self, record: _Record, event: str) -> None:
-        target = self._next_state.get((record.state, event))
+        target = self._moves.get((record.state, event))
         if target is None:
             raise self._make_closed_error(record)
         record.state = target
@@ -388,6 +390,8 @@
                 errors.ErrorCode.WRONG_INCARNATION,
                 f'expected an attempt sent to {self.incarnation}, got '
                 f'{attempt} sent to {incarnation}; read the members again',
+                # A double of its frame may have reached the other one.
+                Verdict.MAY_HAVE_RUN,
             )
 
     def _make_closed_error(self, record: _Record) -> errors.RefusedError:
@@ -411,29 +415,6 @@
         )
 
 
-Chart = dict[tuple[AttemptState, str], AttemptState]
-
-
-@functools.cache
-def load_chart() -> Chart:
-    """Return the moves between the states, as the chart's file states them.
-
-    The library reads and checks the chart; the table looks moves up, since
-    a model for each attempt costs 5 KB and 9 µs an event.
-    """
-    source = importlib.resources.files('foxtailpick.core')
-    text = source.joinpath('charts', 'attempt.json').read_text('utf-8')
-    machine = transitions.Machine(
-        model=None, auto_transitions=False, **json.loads(text)
-    )
-    chart: Chart = {}
-    for event in machine.events.values():
-        for source_name, moves in event.transitions.items():
-            state = AttemptState(source_name)
-            chart[state, event.name] = AttemptState(moves[0].dest)
-    return chart
-
-
 def _compute_answer_check(attempt: types.AttemptId, answer: bytes) -> int:
     seed = xxhash.xxh64_intdigest(attempt.encode())
     return xxhash.xxh64_intdigest(answer, seed=seed)
--- /dev/null
+++ b/foxtailpick/core/claim_store.py
@@ -0,0 +1,198 @@
+"""Reads and writes of claims that bear lost replies and late writes."""
+
+import dataclasses
+import typing
+
+from foxtailpick.adapters import base
+from foxtailpick.core import claim_leases
+from foxtailpick.core import claim_records
+from foxtailpick.core import errors
+from foxtailpick.core import types
+from foxtailpick.core import verdict as verdict_lib
+
+if typing.TYPE_CHECKING:
+    from foxtailpick.core import clock as clock_lib
+
+ErrorCode = errors.ErrorCode
+Verdict = verdict_lib.Verdict
+
+STORE_TRIES = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredClaim:
+    """A claim as found in the store.
+
+    :param claim: the claim.
+    :param revision: revision of its last change.
+    """
+
+    claim: claim_records.Claim
+    revision: types.Revision
+
+
+class ClaimStore:
+    """The claims in the platform's store.
+
+    :param kv: the store, or a `GroupCommitter` over it.
+    :param times: how long claims are kept.
+    :param clock: monotonic clock.
+    """
+
+    def __init__(
+        self,
+        kv: base.KeyValue,
+        times: claim_leases.LeaseTimes,
+        clock: 'clock_lib.Clock | clock_lib.ManualClock',
+    ) -> None:
+        self._kv = kv
+        self._clock = clock
+        self._leases = claim_leases.LeaseBucket(kv, times)
+
+    async def create(
+        self,
+        path: str,
+        claim: claim_records.Claim,
+        unused_nonces: typing.Collection[str],
+    ) -> StoredClaim:
+        """Store a claim where none is; return the one that is there then.
+
+        A claim whose nonce is unused is replaced. After a lost reply the
+        write is repeated: the store then shows whether it took effect.
+
+        :param path: key of the claim.
+        :param claim: the claim, with a nonce of its own.
+        :param unused_nonces: nonces of this process that never ran.
+        :raises errors.StoreError: with verdict `NOT_RUN` if the claim is
+            not in the store, `MAY_HAVE_RUN` if it may be.
+        """
+        revision = base.ABSENT
+        outcome = Verdict.NOT_RUN
+        for _ in range(STORE_TRIES):
+            try:
+                result = await self._put(path, revision, claim)
+            except errors.StoreError as exc:
+                outcome = verdict_lib.merge_verdicts(outcome, exc.verdict)
+                if _may_try_again(exc):
+                    continue
+                break
+            found = _read_result(result, claim)
+            if found is None:
+                # The claim that was to be replaced has gone since.
+                revision = base.ABSENT
+                continue
+            if found.claim.nonce not in unused_nonces:
+                return found
+            revision = found.revision
+        raise errors.StoreError(
+            ErrorCode.STORE_UNAVAILABLE,
+            f'expected to store {path}, got no reply that says so; try later',
+            outcome,
+        )
+
+    async def save(
+        self,
+        path: str,
+        claim: claim_records.Claim,
+        revision: types.Revision,
+    ) -> StoredClaim:
+        """Replace an own claim by its result; return what is there then.
+
+        :param path: key of the claim.
+        :param claim: the result, with the nonce that ran.
+        :param revision: revision of the claim when it was won.
+        :returns: the result, or another call's claim, which it does not
+            touch.
+        :raises errors.StoreError: if it is not known to be stored.
+        """
+        for _ in range(STORE_TRIES):
+            try:
+                result = await self._put(path, revision, claim)
+            except errors.StoreError as exc:
+                if _may_try_again(exc):
+                    continue
+                raise
+            found = _read_result(result, claim)
+            if found is None:
+                revision = base.ABSENT
+                continue
+            is_own = found.claim.nonce == claim.nonce
+            if not is_own or found.claim.state is claim.state:
+                return found
+            revision = found.revision
+        raise errors.StoreError(
+            ErrorCode.STORE_OUTCOME_UNKNOWN,
+            f'expected to store the result of {path}; try later',
+            Verdict.MAY_HAVE_RUN,
+        )
+
+    async def release(
+        self, path: str, unused_nonces: typing.Collection[str]
+    ) -> None:
+        """Remove a claim whose nonce never ran, if there is one.
+
+        :param path: key of the claim.
+        :param unused_nonces: nonces of this process that never ran.
+        :raises errors.StoreError: if it is not known to be removed.
+        """
+        for _ in range(STORE_TRIES):
+            entry = await self._kv.get(path)
+            if entry is None:
+                return
+            claim = claim_records.Claim.decode(entry.value)
+            if claim.nonce not in unused_nonces:
+                return
+            try:
+                await self._kv.transact(
+                    [base.Compare(path, entry.revision)], [base.Delete(path)]
+                )
+            except errors.StoreError as exc:
+                if not _may_try_again(exc):
+                    raise
+        raise errors.StoreError(
+            ErrorCode.STORE_OUTCOME_UNKNOWN,
+            f'expected to remove {path}; try later',
+            Verdict.MAY_HAVE_RUN,
+        )
+
+    async def _put(
+        self,
+        path: str,
+        revision: types.Revision,
+        claim: claim_records.Claim,
+    ) -> base.TxnResult:
+        lease = await self._acquire_lease()
+        try:
+            return await self._kv.transact(
+                [base.Compare(path, revision)],
+                [base.Put(path, claim.encode(), lease)],
+            )
+        except errors.StoreError as exc:
+            if exc.code is ErrorCode.LEASE_LOST:
+                self._leases.discard(lease)
+            raise
+
+    async def _acquire_lease(self) -> types.LeaseId:
+        try:
+            return await self._leases.acquire(self._clock.now())
+        except errors.StoreError as exc:
+            # A lease that may have been granted holds no claim.
+            raise errors.StoreError(
+                ErrorCode.STORE_UNAVAILABLE, exc.message, Verdict.NOT_RUN
+            ) from exc
+
+
+def _read_result(
+    result: base.TxnResult, written: claim_records.Claim
+) -> StoredClaim | None:
+    if result.is_applied:
+        return StoredClaim(written, result.revision)
+    if not result.current:
+        return None
+    entry = result.current[0]
+    return StoredClaim(claim_records.Claim.decode(entry.value), entry.revision)
+
+
+def _may_try_again(exc: errors.StoreError) -> bool:
+    is_unknown = exc.verdict is Verdict.MAY_HAVE_RUN
+    return is_unknown or exc.code is ErrorCode.LEASE_LOST
--- /dev/null
+++ b/foxtailpick/core/claimed_attempts.py
@@ -0,0 +1,62 @@
+"""An attempt of a non-idempotent call, from its opening to its report."""
+
+import typing
+
+from foxtailpick.core import attempts
+from foxtailpick.core import claim_records
+from foxtailpick.core import claims
+from foxtailpick.core import errors
+from foxtailpick.core import types
+from foxtailpick.core import verdict as verdict_lib
+
+if typing.TYPE_CHECKING:
+    from foxtailpick.core import clock as clock_lib
+
+Verdict = verdict_lib.Verdict
+
+
+async def serve_attempt(
+    table: attempts.AttemptTable,
+    engine: claims.ClaimEngine,
+    attempt: types.AttemptId,
+    key: claim_records.ClaimKey,
+    body: bytes,
+    call: claims.Call,
+    clock: 'clock_lib.Clock | clock_lib.ManualClock',
+) -> attempts.AttemptReport:
+    """Run an attempt that the table has opened as new.
+
+    Run it in a task of the sidecar, not of the link: a link that is lost
+    must not cancel a call.
+
+    :param table: the sidecar's attempts.
+    :param engine: the sidecar's claims.
+    :param attempt: the attempt.
+    :param key: names the call.
+    :param body: the request.
+    :param call: runs the call, see `ClaimEngine.run_once`.
+    :param clock: monotonic clock.
+    :returns: the report of an attempt that got the call's answer.
+    :raises errors.FoxtailError: as `ClaimEngine.run_once` does; the
+        table then holds its verdict.
+    """
+    is_started = False
+
+    async def start_and_call() -> bytes:
+        nonlocal is_started
+        table.start(attempt)
+        is_started = True
+        return await call()
+
+    try:
+        stored = await engine.run_once(key, body, start_and_call)
+    except errors.InvariantError:
+        raise
+    except errors.FoxtailError as exc:
+        table.finish(attempt, exc.verdict, None, clock.now())
+        raise
+    except BaseException:
+        verdict = Verdict.MAY_HAVE_RUN if is_started else Verdict.NOT_RUN
+        table.finish(attempt, verdict, None, clock.now())
+        raise
+    return table.finish(attempt, Verdict.RAN, stored.answer, clock.now())
--- a/foxtailpick/core/errors.py
+++ b/foxtailpick/core/errors.py
@@ -35,6 +35,7 @@
     SHUTTING_DOWN = 'FTP-212'
     ENDPOINT_FAILED = 'FTP-213'
     CANCELLED = 'FTP-214'
+    ANSWER_NOT_KEPT = 'FTP-215'
 
     # Configuration and patches.
     PATCH_MALFORMED = 'FTP-301'
--- a/foxtailpick/core/replay.py
+++ b/foxtailpick/core/replay.py
@@ -336,13 +336,7 @@
         if chunk.number < self._next_number:
             self.doubles += 1
             return None
-        if chunk.number > self._next_number or self.is_complete:
-            raise errors.LinkError(
-                errors.ErrorCode.STREAM_GAP,
-                f'expected chunk {self._next_number} of {self._attempt}, '
-                f'got {chunk.number}; resume from the position reached',
-                verdict.Verdict.MAY_HAVE_RUN,
-            )
+        self._check_no_gap(chunk)
         if not self._continues_chain(chunk):
             raise self._make_foreign_error(chunk)
         self._check_promise(chunk)
@@ -354,6 +348,15 @@
     def _is_same_attempt(self, chunk: Chunk) -> bool:
         return chunk.attempt == self._attempt
 
+    def _check_no_gap(self, chunk: Chunk) -> None:
+        if chunk.number > self._next_number or self.is_complete:
+            raise errors.LinkError(
+                errors.ErrorCode.STREAM_GAP,
+                f'expected chunk {self._next_number} of {self._attempt}, '
+                f'got {chunk.number}; resume from the position reached',
+                verdict.Verdict.MAY_HAVE_RUN,
+            )
+
     def _continues_chain(self, chunk: Chunk) -> bool:
         if self._check is None:
             return True
--- /dev/null
+++ b/foxtailpick/tests/test_claims_machine.py
@@ -0,0 +1,81 @@
+"""State machine over the real claims and attempts, any two faults at once."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from foxtailpick.bench import claims_world
+from foxtailpick import testing
+
+PICKS = strategies.integers(0, 5)
+FATES = strategies.sampled_from(claims_world.Fate)
+
+
+class ClaimsMachine(stateful.RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.world = claims_world.ClaimsWorld()
+
+    @stateful.rule(
+        key=strategies.sampled_from(['k0', 'k1']),
+        body=strategies.sampled_from([b'x', b'x', b'y']),
+        slot=PICKS,
+    )
+    def send(self, key, body, slot):
+        self.world.send(key, body, slot)
+
+    @stateful.rule(pick=PICKS, is_doubled=strategies.booleans())
+    def deliver(self, pick, is_doubled):
+        self.world.deliver(pick, is_doubled)
+
+    @stateful.rule(pick=PICKS)
+    def ask(self, pick):
+        self.world.ask(pick)
+
+    @stateful.rule(pick=PICKS, fate=FATES)
+    def meet_fate(self, pick, fate):
+        self.world.step(pick, fate)
+
+    @stateful.rule(pick=PICKS, steps=strategies.integers(1, 4))
+    def go_on(self, pick, steps):
+        for _ in range(steps):
+            self.world.step(pick, claims_world.Fate.DONE)
+
+    @stateful.rule(pick=PICKS, fate=FATES)
+    def cancel(self, pick, fate):
+        self.world.cancel(pick, fate)
+
+    @stateful.rule(slot=PICKS, fate=FATES)
+    def crash(self, slot, fate):
+        self.world.crash(slot, fate)
+
+    @stateful.rule(slot=PICKS)
+    def settle(self, slot):
+        self.world.settle(slot)
+
+    @stateful.rule(pick=PICKS)
+    def land(self, pick):
+        self.world.land(pick)
+
+    @stateful.rule(pause_ms=strategies.sampled_from([10.0, 3e3, 6e3, 2e4]))
+    def pause(self, pause_ms):
+        self.world.clock.advance(pause_ms)
+
+    @stateful.rule(is_down=strategies.booleans())
+    def change_store(self, is_down):
+        self.world.state.faults.is_down = is_down
+
+    @stateful.invariant()
+    def promises_hold(self):
+        testing.assert_calls(self.world.events)
+
+    def teardown(self):
+        self.world.drain()
+        testing.assert_calls(self.world.events)
+        assert self.world.count_pending() == 0
+
+
+ClaimsMachine.TestCase.settings = hypothesis.settings(
+    max_examples=150, stateful_step_count=40
+)
+TestClaims = ClaimsMachine.TestCase
