--- a/foxtailpick/tests/test_claims.py
+++ b/foxtailpick/tests/test_claims.py
@@ -318,7 +318,9 @@
         for pick in order:
             world.step(pick, Fate.DONE)
         finish(world, [])
-        ran = [
-            e for e in world.events if isinstance(e, testing.history.CallRan)
+        runs = [
+            event
+            for event in world.events
+            if isinstance(event, history.CallRan)
         ]
-        assert len(ran) == 1
+        assert len(runs) == 1
