Run bookings under a claim at the sidecar; meter control bytes

Cause: a booking must run at most once over lost replies, crossing retries and store outages, and the control budget has to be measured where the frames pass. Change: the sidecar wins a claim before a non-idempotent call and keeps its answer; a defect met by one attempt no longer ends the sidecar; frames are counted as control or request traffic. Conclusion: the router needs no state of its own for this promise.

--- a/foxtailpick/adapters/etcd.py
+++ b/foxtailpick/adapters/etcd.py
@@ -40,6 +40,7 @@
             max_connections=_MAX_CONNECTIONS
         )
         self._preferred = 0
+        self.exchanged_bytes = 0
 
     @classmethod
     def from_settings(cls, cfg: typing.Any) -> 'EtcdKeyValue':
@@ -149,13 +150,15 @@
         return await self._post(path, body)
 
     async def _post(self, path: str, body: dict) -> dict:
+        content = json.dumps(body).encode()
+        self.exchanged_bytes += len(content)
         for _ in self._urls:
             try:
                 response = await self._pool.request(
                     'POST',
                     self._urls[self._preferred] + path,
                     headers={'content-type': 'application/json'},
-                    content=json.dumps(body).encode(),
+                    content=content,
                     extensions={'timeout': self._timeouts},
                 )
             except (httpcore.ConnectError, httpcore.ConnectTimeout) as exc:
@@ -164,6 +167,7 @@
                 continue
             except _NETWORK_ERRORS as exc:
                 raise _make_unknown_error(exc) from exc
+            self.exchanged_bytes += len(response.content)
             return _parse_reply(response)
         raise _make_unavailable_error(refusal) from refusal
 
--- a/foxtailpick/adapters/wire.py
+++ b/foxtailpick/adapters/wire.py
@@ -1,5 +1,6 @@
 """Frames over a websocket connection, with coded closes."""
 
+import dataclasses
 import re
 import typing
 
@@ -28,39 +29,74 @@
 }
 
 
-async def send_frame(conn: typing.Any, frame: messages.Frame) -> None:
-    """Send a frame.
+@dataclasses.dataclass(slots=True)
+class TrafficMeter:
+    """Bytes of frames, sent and received.
 
-    :param conn: a websocket connection.
-    :param frame: the frame.
-    :raises errors.LinkError: with code `LINK_LOST` if the connection is
-        gone; the frame may have arrived.
+    :param control_bytes: of frames that belong to no request.
+    :param request_bytes: of frames that belong to one.
     """
-    try:
-        await conn.send(codec.encode_frame(frame))
-    except _LOST_ERRORS as exc:
-        raise make_lost_error(exc) from exc
 
+    control_bytes: int = 0
+    request_bytes: int = 0
 
-async def receive_frame(conn: typing.Any) -> messages.Frame:
-    """Wait for the next frame.
+    def count(self, frame: messages.Frame, size: int) -> None:
+        """Add a frame.
 
-    :param conn: a websocket connection.
-    :returns: the frame, checked.
-    :raises errors.LinkError: if the connection is gone or the frame is
-        bad; a bad frame closes the connection with its code.
+        :param frame: the frame.
+        :param size: its encoded size in bytes.
+        """
+        if hasattr(frame.message, 'attempt'):
+            self.request_bytes += size
+        else:
+            self.control_bytes += size
+
+
+class FrameStream:
+    """Frames over one websocket connection.
+
+    :param conn: the websocket connection.
+    :param meter: counts the bytes.
     """
-    try:
-        data = await conn.recv()
-    except _LOST_ERRORS as exc:
-        raise make_lost_error(exc) from exc
-    try:
-        if isinstance(data, str):
-            data = data.encode()
-        return codec.decode_frame(data)
-    except errors.LinkError as exc:
-        await close_with_code(conn, exc)
-        raise
+
+    def __init__(self, conn: typing.Any, meter: TrafficMeter) -> None:
+        self.conn = conn
+        self._meter = meter
+
+    async def send(self, frame: messages.Frame) -> None:
+        """Send a frame.
+
+        :param frame: the frame.
+        :raises errors.LinkError: with code `LINK_LOST` if the connection
+            is gone; the frame may have arrived.
+        """
+        data = codec.encode_frame(frame)
+        self._meter.count(frame, len(data))
+        try:
+            await self.conn.send(data)
+        except _LOST_ERRORS as exc:
+            raise make_lost_error(exc) from exc
+
+    async def receive(self) -> messages.Frame:
+        """Wait for the next frame.
+
+        :returns: the frame, checked.
+        :raises errors.LinkError: if the connection is gone or the frame is
+            bad; a bad frame closes the connection with its code.
+        """
+        try:
+            data = await self.conn.recv()
+        except _LOST_ERRORS as exc:
+            raise make_lost_error(exc) from exc
+        try:
+            if isinstance(data, str):
+                data = data.encode()
+            frame = codec.decode_frame(data)
+        except errors.LinkError as exc:
+            await close_with_code(self.conn, exc)
+            raise
+        self._meter.count(frame, len(data))
+        return frame
 
 
 async def close_with_code(conn: typing.Any, exc: errors.FoxtailError) -> None:
--- a/foxtailpick/node/http_server.py
+++ b/foxtailpick/node/http_server.py
@@ -48,6 +48,8 @@
         try:
             await app(scope, receive, send)
         except Exception:
+            if scope['type'] != 'http':
+                raise
             logger.exception('HTTP request failed.')
             raise
 
--- a/foxtailpick/router/calls.py
+++ b/foxtailpick/router/calls.py
@@ -97,6 +97,14 @@
 def _make_truthful_error(
     exc: errors.FoxtailError, route: attempts.Route
 ) -> errors.FoxtailError:
+    if exc.code is errors.ErrorCode.CALL_IN_PROGRESS:
+        # This attempt ran nothing, but an earlier one of the key may have.
+        return errors.RequestError(
+            exc.code,
+            exc.message,
+            verdict_lib.Verdict.MAY_HAVE_RUN,
+            exc.retry_after_ms,
+        )
     if route.may_try_again or exc.code in _OWN_WORDS:
         return exc
     return errors.RequestError(
--- a/foxtailpick/router/links.py
+++ b/foxtailpick/router/links.py
@@ -34,6 +34,7 @@
     :param read_number: function that returns the configuration number.
     :param hear: called with each frame and this link, before the frame
         goes to its attempt.
+    :param meter: counts the bytes.
     """
 
     def __init__(
@@ -42,6 +43,7 @@
         hello: messages.Hello,
         read_number: typing.Callable[[], types.ConfigNumber],
         hear: typing.Callable[['Link', messages.Frame], None],
+        meter: wire.TrafficMeter,
     ) -> None:
         self.address = address
         self.peer: messages.Hello | None = None
@@ -49,6 +51,7 @@
         self._hello = hello
         self._read_number = read_number
         self._hear = hear
+        self._meter = meter
         self._inboxes: dict[types.AttemptId, trio.MemorySendChannel] = {}
         channel = trio.open_memory_channel(OUTGOING_FRAMES)
         self._outgoing, self._to_write = channel
@@ -111,10 +114,11 @@
                 proxy=None,
                 **wire.CONNECTION_OPTIONS,
             ) as conn:
-                await self._shake_hands(conn)
+                stream = wire.FrameStream(conn, self._meter)
+                await self._shake_hands(stream)
                 self.is_open = True
                 task_status.started()
-                await self._exchange_frames(conn)
+                await self._exchange_frames(stream)
         except _OPEN_ERRORS as exc:
             if self.is_open:
                 return
@@ -123,36 +127,34 @@
                 f'expected a connection to {self.address}, got {exc!r:.120}',
             ) from exc
 
-    async def _shake_hands(self, conn: typing.Any) -> None:
+    async def _shake_hands(self, stream: wire.FrameStream) -> None:
         with trio.fail_after(wire.OPEN_TIMEOUT_S):
-            await wire.send_frame(
-                conn, messages.Frame(self._read_number(), self._hello)
-            )
-            frame = await wire.receive_frame(conn)
+            await stream.send(messages.Frame(self._read_number(), self._hello))
+            frame = await stream.receive()
         self.peer = wire.check_hello(frame)
         self._hear(self, frame)
 
-    async def _exchange_frames(self, conn: typing.Any) -> None:
+    async def _exchange_frames(self, stream: wire.FrameStream) -> None:
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._write_frames, conn)
+            nursery.start_soon(self._write_frames, stream)
             try:
-                await self._read_frames(conn)
+                await self._read_frames(stream)
             except errors.LinkError as exc:
                 logger.info('LINK lost to {}. {}', self.address, exc)
             nursery.cancel_scope.cancel()
 
-    async def _write_frames(self, conn: typing.Any) -> None:
+    async def _write_frames(self, stream: wire.FrameStream) -> None:
         async for message in self._to_write:
             frame = messages.Frame(self._read_number(), message)
             try:
-                await wire.send_frame(conn, frame)
+                await stream.send(frame)
             except errors.LinkError:
                 self.close()
                 return
 
-    async def _read_frames(self, conn: typing.Any) -> None:
+    async def _read_frames(self, stream: wire.FrameStream) -> None:
         while True:
-            frame = await wire.receive_frame(conn)
+            frame = await stream.receive()
             self._hear(self, frame)
             if isinstance(frame.message, messages.Probe):
                 self.send_soon(messages.ProbeReply(frame.message.nonce))
@@ -204,6 +206,7 @@
         self._links: dict[str, Link] = {}
         self._used_ms: dict[str, float] = {}
         self._locks: dict[str, trio.Lock] = {}
+        self.meter = wire.TrafficMeter()
         self._nursery_manager = trio.open_nursery()
         self._nursery: trio.Nursery | None = None
 
@@ -241,7 +244,9 @@
 
     async def _open(self, address: str) -> Link:
         self._close_longest_idle()
-        link = Link(address, self._hello, self._read_number, self._hear)
+        link = Link(
+            address, self._hello, self._read_number, self._hear, self.meter
+        )
         await self._nursery.start(link.run)
         self._links[address] = link
         logger.debug('LINK opened to {}.', address)
--- a/foxtailpick/sidecar/connections.py
+++ b/foxtailpick/sidecar/connections.py
@@ -35,6 +35,7 @@
     :param hello: what this sidecar says of itself.
     :param read_number: function that returns the configuration number.
     :param hear: called with this connection and each frame that arrives.
+    :param meter: counts the bytes.
     """
 
     def __init__(
@@ -44,9 +45,10 @@
         hello: messages.Hello,
         read_number: typing.Callable[[], types.ConfigNumber],
         hear: Hear,
+        meter: wire.TrafficMeter,
     ) -> None:
         self.peer: messages.Hello | None = None
-        self._conn = conn
+        self._stream = wire.FrameStream(conn, meter)
         self._worker = worker
         self._hello = hello
         self._read_number = read_number
@@ -83,7 +85,7 @@
         :raises errors.LinkError: if the connection is gone.
         """
         frame = messages.Frame(self._read_number(), message)
-        await wire.send_frame(self._conn, frame)
+        await self._stream.send(frame)
 
     def send_soon(self, message: messages.Message) -> None:
         """Send a message from a task of the connection."""
@@ -91,11 +93,11 @@
 
     async def _shake_hands(self) -> None:
         with trio.fail_after(wire.OPEN_TIMEOUT_S):
-            frame = await wire.receive_frame(self._conn)
+            frame = await self._stream.receive()
         try:
             self.peer = wire.check_hello(frame)
         except errors.LinkError as exc:
-            await wire.close_with_code(self._conn, exc)
+            await wire.close_with_code(self._stream.conn, exc)
             raise
         self._hear(self, frame)
         await self.send(self._hello)
@@ -107,7 +109,7 @@
 
     async def _read_frames(self) -> None:
         while True:
-            frame = await wire.receive_frame(self._conn)
+            frame = await self._stream.receive()
             self._hear(self, frame)
             handler = self._handlers.get(type(frame.message))
             if handler is not None:
--- a/foxtailpick/sidecar/daemon.py
+++ b/foxtailpick/sidecar/daemon.py
@@ -9,6 +9,7 @@
 import trio
 from websockets.trio import server as ws_server
 
+from foxtailpick.adapters import base
 from foxtailpick.adapters import engine as engine_adapter
 from foxtailpick.adapters import etcd
 from foxtailpick.adapters import service as service_adapter
@@ -23,6 +24,7 @@
 from foxtailpick.router import jobs
 from foxtailpick.sidecar import connections
 from foxtailpick.sidecar import gate as gate_lib
+from foxtailpick.sidecar import once
 from foxtailpick.sidecar import operators
 from foxtailpick.sidecar import worker as worker_lib
 
@@ -69,7 +71,7 @@
             cfg, incarnation, monitor, node.read
         )
         node.on_change(gate.apply_config)
-        worker = await _open_worker(stack, cfg, gate)
+        worker = await _open_worker(stack, cfg, gate, store, monitor)
         nursery = await stack.enter_async_context(trio.open_nursery())
         stack.callback(nursery.cancel_scope.cancel)
         nursery.start_soon(node.run)
@@ -98,6 +100,8 @@
     stack: contextlib.AsyncExitStack,
     cfg: settings.SidecarSettings,
     gate: gate_lib.Gate,
+    store: base.KeyValue,
+    monitor: invariants.Monitor,
 ) -> worker_lib.Worker:
     if cfg.endpoint.kind is types.EndpointKind.MODEL:
         engine = engine_adapter.HttpEngine.from_url(cfg.endpoint.url)
@@ -105,7 +109,9 @@
         return worker_lib.Worker(gate, cfg.limits, engine, None)
     service = service_adapter.HttpService.from_url(cfg.endpoint.url)
     await stack.enter_async_context(service)
-    return worker_lib.Worker(gate, cfg.limits, None, service)
+    endpoint = types.EndpointId(cfg.node.id)
+    runner = once.OnceRunner(gate, store, endpoint, monitor)
+    return worker_lib.Worker(gate, cfg.limits, None, service, runner)
 
 
 async def _serve_routers(
@@ -117,12 +123,14 @@
 ) -> str:
     hello = messages.Hello(messages.PROTOCOL_VERSION, cfg.node.id, incarnation)
 
+    meter = wire.TrafficMeter()
+
     def hear(conn: connections.Connection, frame: messages.Frame) -> None:
         node.hear(frame.number)
 
     async def handle(conn: typing.Any) -> None:
         connection = connections.Connection(
-            conn, worker, hello, node.read_number, hear
+            conn, worker, hello, node.read_number, hear, meter
         )
         await connection.serve()
 
--- a/foxtailpick/sidecar/gate.py
+++ b/foxtailpick/sidecar/gate.py
@@ -241,12 +241,23 @@
         :param is_engine_fault: whether the endpoint failed.
         :param now_ms: the current time.
         """
+        self.release(started, is_engine_fault, now_ms)
+        self.attempts.finish(started.work.attempt, verdict, answer, now_ms)
+
+    def release(
+        self, started: Started, is_engine_fault: bool, now_ms: float
+    ) -> None:
+        """Give back what a running attempt held of the endpoint.
+
+        :param started: the attempt.
+        :param is_engine_fault: whether the endpoint failed.
+        :param now_ms: the current time.
+        """
         self._queue.finish(started.work.attempt)
         if is_engine_fault:
             self.slow.on_failed(started.ticket, now_ms)
         else:
             self.slow.on_completed(started.ticket)
-        self.attempts.finish(started.work.attempt, verdict, answer, now_ms)
 
     def _check_may_run(self, work: Work) -> None:
         cfg = self._read_config()
@@ -293,7 +304,9 @@
             self.slow.state not in _CLOSED_STATES,
             lambda: f'{work.attempt} started while {self.slow.state}',
         )
-        self.attempts.start(work.attempt)
+        # A call under a claim starts when the claim is won.
+        if not needs_claim(work):
+            self.attempts.start(work.attempt)
         return Started(work, self.slow.on_started(now_ms))
 
 
@@ -302,6 +315,14 @@
 )
 
 
+def needs_claim(work: Work) -> bool:
+    """Tell whether an attempt runs under a claim in the store.
+
+    :param work: the attempt's own message.
+    """
+    return isinstance(work, messages.OpenCall) and not work.is_idempotent
+
+
 def _make_entry(
     work: Work, first_token_ms: float, now_ms: float
 ) -> account_queue.QueueEntry:
--- /dev/null
+++ b/foxtailpick/sidecar/once.py
@@ -0,0 +1,109 @@
+"""Runs calls that may run at most once, under a claim in the store."""
+
+import typing
+
+import cbor2
+from loguru import logger
+
+from foxtailpick.adapters import base
+from foxtailpick.core import claim_records
+from foxtailpick.core import claimed_attempts
+from foxtailpick.core import claims
+from foxtailpick.core import clock as clock_lib
+from foxtailpick.core import errors
+from foxtailpick.core import invariants
+from foxtailpick.core import messages
+from foxtailpick.core import types
+from foxtailpick.sidecar import gate as gate_lib
+
+SETTLE_INTERVAL_MS = 1_000.0
+
+CallService = typing.Callable[
+    [messages.OpenCall], typing.Awaitable[messages.Answer]
+]
+
+
+class OnceRunner:
+    """Runs the non-idempotent calls of one sidecar.
+
+    :param gate: admission of the endpoint.
+    :param kv: the platform's store.
+    :param endpoint: the endpoint.
+    :param monitor: checks the promises.
+    """
+
+    def __init__(
+        self,
+        gate: gate_lib.Gate,
+        kv: base.KeyValue,
+        endpoint: types.EndpointId,
+        monitor: invariants.Monitor,
+    ) -> None:
+        self._gate = gate
+        self._clock = clock_lib.Clock.from_trio()
+        owner = claim_records.ClaimOwner(endpoint, gate.attempts.incarnation)
+        self._engine = claims.ClaimEngine(kv, owner, self._clock, monitor)
+
+    async def run(
+        self, work: messages.OpenCall, call_service: CallService
+    ) -> messages.Answer:
+        """Run a call unless its key has been used.
+
+        :param work: the call.
+        :param call_service: calls the service.
+        :returns: the answer, or that of the earlier call of the key.
+        :raises errors.FoxtailError: with the verdict of this call.
+        """
+        key = claim_records.ClaimKey(work.account, work.service, work.key)
+
+        async def call() -> bytes:
+            return _pack_answer(await call_service(work))
+
+        report = await claimed_attempts.serve_attempt(
+            self._gate.attempts,
+            self._engine,
+            work.attempt,
+            key,
+            _join_request(work),
+            call,
+            self._clock,
+        )
+        if report.answer is None:
+            raise errors.RequestError(
+                errors.ErrorCode.OUTCOME_UNKNOWN,
+                f'expected the answer of {work.attempt} to be kept, it is '
+                f'too large; the call ran',
+                report.verdict,
+            )
+        return _unpack_answer(work.attempt, report.answer)
+
+    async def settle(self) -> None:
+        """Bring the store up to date, for ever."""
+        while True:
+            await clock_lib.sleep_ms(SETTLE_INTERVAL_MS)
+            await self.settle_once()
+
+    async def settle_once(self) -> None:
+        """Try once to bring the store up to date."""
+        if not self._engine.pending:
+            return
+        try:
+            await self._engine.settle_pending()
+        except errors.StoreError as exc:
+            logger.warning(
+                'CLAIM {} keys not settled. {}', self._engine.pending, exc
+            )
+
+
+def _join_request(work: messages.OpenCall) -> bytes:
+    # A key stands for one request: the same method, path and body.
+    return f'{work.method} {work.path}\n'.encode() + work.body
+
+
+def _pack_answer(answer: messages.Answer) -> bytes:
+    return cbor2.dumps([answer.status, answer.content_type, answer.body])
+
+
+def _unpack_answer(attempt: types.AttemptId, data: bytes) -> messages.Answer:
+    status, content_type, body = cbor2.loads(data)
+    return messages.Answer(attempt, status, content_type, body)
--- a/foxtailpick/sidecar/worker.py
+++ b/foxtailpick/sidecar/worker.py
@@ -1,5 +1,7 @@
 """Runs admitted attempts at the endpoint."""
 
+import typing
+
 from loguru import logger
 import trio
 
@@ -13,6 +15,7 @@
 from foxtailpick.core import types
 from foxtailpick.core import verdict as verdict_lib
 from foxtailpick.sidecar import gate as gate_lib
+from foxtailpick.sidecar import once as once_lib
 from foxtailpick.sidecar import runs
 
 SWEEP_INTERVAL_MS = 50.0
@@ -29,6 +32,7 @@
     :param cfg: bounds on work and waiting.
     :param engine: the model engine, None for a plain service.
     :param service: the plain service, None for a model engine.
+    :param once: runs the service's non-idempotent calls.
     """
 
     def __init__(
@@ -37,11 +41,13 @@
         cfg: settings.LimitSettings,
         engine: base.Engine | None,
         service: base.PlainService | None,
+        once: once_lib.OnceRunner | None = None,
     ) -> None:
         self.gate = gate
         self.table = runs.RunTable(cfg.replay, RUN_RETENTION_MS)
         self._engine = engine
         self._service = service
+        self._once = once
         self._grace_ms = cfg.resume_grace
         self._clock = clock_lib.Clock.from_trio()
         self._wake = trio.Event()
@@ -49,6 +55,8 @@
     async def run(self) -> None:
         """Start attempts as the endpoint can bear them, for ever."""
         async with trio.open_nursery() as nursery:
+            if self._once is not None:
+                nursery.start_soon(self._once.settle)
             while True:
                 self._give_up_overdue()
                 self._start_ready(nursery)
@@ -97,6 +105,8 @@
         with trio.move_on_after(limit_ms / types.SECOND_MS):
             while not self.table.is_read():
                 await clock_lib.sleep_ms(SWEEP_INTERVAL_MS)
+        if self._once is not None:
+            await self._once.settle_once()
         now_ms = self._clock.now()
         for run in self.table.list_open():
             run.close(self._make_failed(run, _make_stop_error()), now_ms)
@@ -119,9 +129,35 @@
         while started := self.gate.pop_ready(self._clock.now()):
             run = self.table.find(started.work.attempt)
             if isinstance(started.work, messages.OpenChat):
-                nursery.start_soon(self._run_chat, run, started)
+                run_work = self._run_chat
+            elif gate_lib.needs_claim(started.work):
+                run_work = self._run_once
             else:
-                nursery.start_soon(self._run_call, run, started)
+                run_work = self._run_call
+            nursery.start_soon(self._contain_defects, run_work, run, started)
+
+    async def _contain_defects(
+        self,
+        run_work: typing.Callable[
+            [runs.Run, gate_lib.Started], typing.Awaitable[None]
+        ],
+        run: runs.Run,
+        started: gate_lib.Started,
+    ) -> None:
+        """Keep a defect met by one attempt from ending all others."""
+        try:
+            await run_work(run, started)
+        except errors.InvariantError:
+            raise
+        except Exception:
+            logger.exception('WORK attempt {} failed.', run.work.attempt)
+            end = self._make_failed(run, _make_defect())
+            if gate_lib.needs_claim(run.work):
+                self.gate.release(started, True, self._clock.now())
+                self._close(run, end, self._clock.now())
+                return
+            verdict = verdict_lib.Verdict.MAY_HAVE_RUN
+            self._finish(run, started, verdict, end, is_fault=True)
 
     async def _run_chat(
         self, run: runs.Run, started: gate_lib.Started
@@ -203,29 +239,42 @@
     async def _run_call(
         self, run: runs.Run, started: gate_lib.Started
     ) -> None:
-        work = run.work
         try:
-            answer = await self._service.call(
-                work.method,
-                work.path,
-                work.body,
-                {
-                    'content-type': work.content_type,
-                    'idempotency-key': work.key,
-                },
-            )
+            end = await self._call_service(run.work)
         except errors.FoxtailError as exc:
             end = self._make_failed(run, exc)
             self._finish(run, started, exc.verdict, end, is_fault=True)
             return
         self.gate.record_first_token(started, None, self._clock.now())
-        end = messages.Answer(
+        self._finish(run, started, verdict_lib.Verdict.RAN, end)
+
+    async def _run_once(
+        self, run: runs.Run, started: gate_lib.Started
+    ) -> None:
+        is_fault = False
+        try:
+            end = await self._once.run(run.work, self._call_service)
+            self.gate.record_first_token(started, None, self._clock.now())
+        except errors.FoxtailError as exc:
+            end = self._make_failed(run, exc)
+            is_fault = exc.code is errors.ErrorCode.OUTCOME_UNKNOWN
+        now_ms = self._clock.now()
+        self.gate.release(started, is_fault, now_ms)
+        self._close(run, end, now_ms)
+
+    async def _call_service(self, work: messages.OpenCall) -> messages.Answer:
+        headers = {'content-type': work.content_type}
+        if work.key:
+            headers['idempotency-key'] = work.key
+        answer = await self._service.call(
+            work.method, work.path, work.body, headers
+        )
+        return messages.Answer(
             work.attempt,
             answer.status,
-            answer.headers.get('content-type', DEFAULT_CONTENT_TYPE),
+            dict(answer.headers).get('content-type', DEFAULT_CONTENT_TYPE),
             answer.body,
         )
-        self._finish(run, started, verdict_lib.Verdict.RAN, end)
 
     def _finish(
         self,
@@ -237,12 +286,16 @@
     ) -> None:
         now_ms = self._clock.now()
         self.gate.finish(started, verdict, None, is_fault, now_ms)
+        self._close(run, end, now_ms)
+
+    def _close(self, run: runs.Run, end: runs.End, now_ms: float) -> None:
         run.close(end, now_ms)
         logger.info(
-            'WORK attempt {} ended: {}, {}.',
+            'WORK attempt {} request {} account {} ended: {}.',
             run.work.attempt,
-            type(end).__name__,
-            verdict.value,
+            run.work.request,
+            run.work.account,
+            _describe_end(end),
         )
         self._wake.set()
 
@@ -271,6 +324,20 @@
     )
 
 
+def _make_defect() -> errors.RequestError:
+    return errors.RequestError(
+        errors.ErrorCode.INVARIANT_BROKEN,
+        'expected an answer, met a defect of the sidecar; see its log',
+        verdict_lib.Verdict.MAY_HAVE_RUN,
+    )
+
+
+def _describe_end(end: runs.End) -> str:
+    if isinstance(end, messages.Failed):
+        return f'{end.code.value} {end.verdict.value}'
+    return type(end).__name__
+
+
 def _make_chat_call(work: messages.OpenChat) -> base.ChatCall:
     req = chat_request.ChatRequest.from_json(work.body)
     return base.ChatCall(
--- a/foxtailpick/standins/fleet.py
+++ b/foxtailpick/standins/fleet.py
@@ -62,9 +62,12 @@
 
 @dataclasses.dataclass(slots=True)
 class _Running:
-    scope: trio.CancelScope
-    value: typing.Any
-    done: trio.Event
+    value: typing.Any = None
+    scope: trio.CancelScope = dataclasses.field(
+        default_factory=trio.CancelScope
+    )
+    stop: trio.Event = dataclasses.field(default_factory=trio.Event)
+    done: trio.Event = dataclasses.field(default_factory=trio.Event)
 
 
 class Fleet:
@@ -174,6 +177,10 @@
         await router.ctx.members_loaded.wait()
         return router
 
+    def list_names(self) -> list[str]:
+        """Return the names of the running parts."""
+        return list(self._running)
+
     def get(self, name: str) -> typing.Any:
         """Return a running sidecar or router."""
         return self._running[name].value
@@ -184,6 +191,12 @@
         running.scope.cancel()
         await running.done.wait()
 
+    async def stop(self, name: str) -> None:
+        """End a part as SIGTERM does: it finishes its work first."""
+        running = self._running.pop(name)
+        running.stop.set()
+        await running.done.wait()
+
     async def kill_endpoint(self, endpoint: str) -> None:
         """End an endpoint together with its sidecar."""
         await self.kill(endpoint)
@@ -197,13 +210,13 @@
         self, name: str, manager: typing.AsyncContextManager
     ) -> typing.Any:
         async def own(task_status: trio.TaskStatus) -> None:
-            running = _Running(trio.CancelScope(), None, trio.Event())
+            running = _Running()
             try:
                 with running.scope:
                     async with manager as value:
                         running.value = value
                         task_status.started(running)
-                        await trio.sleep_forever()
+                        await running.stop.wait()
             finally:
                 running.done.set()
 
--- a/foxtailpick/tests/test_path.py
+++ b/foxtailpick/tests/test_path.py
@@ -7,6 +7,7 @@
 from foxtailpick.standins import caller
 from foxtailpick.standins import engine_state
 from foxtailpick.standins import fleet as fleet_lib
+from foxtailpick.standins import service
 
 CREDENTIAL = 'hiker:secret'
 DIGEST = configuration.digest_credential(CREDENTIAL).hex()
@@ -159,3 +160,94 @@
     assert answer.status == status
     assert answer.problem['code'] == code
     assert answer.problem['verdict'] == 'not-run'
+
+
+@pytest.fixture
+async def bookings(fleet):
+    for index, domain in enumerate(DOMAINS):
+        spec = _make_spec(f's{index}', domain, (), 'lupa-sovellus')
+        await fleet.start_endpoint(spec)
+    context = fleet.get('r1').ctx
+    await _wait_until(lambda: len(context.members) == len(DOMAINS) * 2)
+    return fleet
+
+
+def _count_runs(fleet, key):
+    return sum(state.runs[key] for state in fleet.services.values())
+
+
+def _set_fault(fleet, fault):
+    for state in fleet.services.values():
+        state.faults.append(fault)
+
+
+async def test_booking_repeats_its_answer(bookings, client):
+    first = await client.call('lupa-sovellus', 'bookings', '{"hut": 1}', 'k1')
+    again = await client.call('lupa-sovellus', 'bookings', '{"hut": 1}', 'k1')
+    other = await client.call('lupa-sovellus', 'bookings', '{"hut": 2}', 'k1')
+    assert first.status == again.status == 201
+    assert first.body == again.body
+    assert other.body['code'] == 'FTP-209'
+    assert _count_runs(bookings, 'k1') == 1
+
+
+@pytest.mark.parametrize(
+    ('fault', 'code', 'verdict', 'runs'),
+    [
+        (service.Fault.LOST_REPLY, 'FTP-208', 'may-have-run', 1),
+        (service.Fault.CRASH_BEFORE_RUN, 'FTP-208', 'may-have-run', 0),
+    ],
+)
+async def test_unknown_outcome_says_so(
+    bookings, client, fault, code, verdict, runs
+):
+    _set_fault(bookings, fault)
+    for _ in range(2):
+        answer = await client.call('lupa-sovellus', 'bookings', '{}', 'k2')
+        assert answer.body['code'] == code
+        assert answer.body['verdict'] == verdict
+    assert _count_runs(bookings, 'k2') == runs
+
+
+async def test_booking_without_store_is_refused_truthfully(bookings, client):
+    bookings.store.take_down()
+    answer = await client.call('lupa-sovellus', 'bookings', '{}', 'k3')
+    bookings.store.bring_up()
+    assert answer.body['verdict'] == 'not-run'
+    assert _count_runs(bookings, 'k3') == 0
+    repeat = await client.call('lupa-sovellus', 'bookings', '{}', 'k3')
+    assert repeat.status == 201
+    assert _count_runs(bookings, 'k3') == 1
+
+
+async def test_lost_store_reply_does_not_book_twice(bookings, client):
+    bookings.store.faults.lost_replies = 1
+    answer = await client.call('lupa-sovellus', 'bookings', '{}', 'k4')
+    assert answer.status == 201
+    assert _count_runs(bookings, 'k4') == 1
+
+
+async def test_crossing_bookings_run_once(bookings, client):
+    other = await bookings.start_router('r2', 'pohjola', 'alue-kaksi')
+    answers = []
+
+    async def book(url):
+        async with caller.Caller(url, CREDENTIAL) as one:
+            answers.append(
+                await one.call('lupa-sovellus', 'bookings', '{}', 'k5')
+            )
+
+    async with trio.open_nursery() as nursery:
+        for url in (client.url, other.url) * 4:
+            nursery.start_soon(book, url)
+    assert _count_runs(bookings, 'k5') == 1
+    assert any(answer.status == 201 for answer in answers)
+    for answer in answers:
+        assert answer.status == 201 or answer.body['code'] == 'FTP-210'
+
+
+async def test_booking_needs_a_key(bookings, client):
+    answer = await client.call('lupa-sovellus', 'bookings', '{}')
+    assert answer.body['code'] == 'FTP-201'
+    read = await client.call('lupa-sovellus', 'bookings', '', method='GET')
+    assert read.status == 200
