Hint at peers drawn at random when the candidates of a chat are full

Cause: many callers of a hot chat share its four candidates; when these were full the request was refused everywhere.

--- a/foxtailpick/core/load_bound.py
+++ b/foxtailpick/core/load_bound.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import random
 import typing
 
 from foxtailpick.core import errors
@@ -83,6 +84,7 @@
     :param capacity: its relative capacity, above zero.
     :param monitor: checks the promise.
     :param cfg: the settings.
+    :param rng: source of the random hints.
     """
 
     def __init__(
@@ -91,11 +93,13 @@
         capacity: float,
         monitor: invariants.Monitor,
         cfg: LoadBoundSettings | None = None,
+        rng: random.Random | None = None,
     ) -> None:
         self._endpoint = endpoint
         self._capacity = capacity
         self._monitor = monitor
         self._cfg = cfg or LoadBoundSettings()
+        self._rng = rng or random.Random()
         self._costs: dict[types.AttemptId, float] = {}
         self._load_tokens = 0.0
         self._means: dict[
@@ -160,7 +164,9 @@
             self.load_tokens,
             limit,
             mean.get_mean_tokens(self.load_tokens),
-            () if is_admitted else self._list_hints(mean, limit, candidates),
+            ()
+            if is_admitted
+            else self._list_hints(mean, base, limit, candidates),
         )
 
     def release(self, attempt: types.AttemptId) -> None:
@@ -203,14 +209,22 @@
     def _list_hints(
         self,
         mean: mean_estimate.MeanEstimate,
+        base: float,
         limit: float,
         candidates: typing.Sequence[types.EndpointId],
     ) -> tuple[types.EndpointId, ...]:
-        fitting = []
-        for endpoint in candidates:
-            load = mean.get_load_tokens(endpoint)
-            if load is not None and load < limit:
-                fitting.append(endpoint)
-        if not candidates:
-            fitting = mean.list_least_loaded(MAX_HINTS)
-        return tuple(fitting[:MAX_HINTS])
+        # Samples are a second old: only a peer with room to spare fits.
+        fits_tokens = (base + limit) / 2.0
+        loads = {e: mean.get_load_tokens(e) for e in candidates}
+        hints = [
+            endpoint
+            for endpoint, load in loads.items()
+            if load is not None and load <= fits_tokens
+        ]
+        # Callers of a hot chat share its candidates and get their hints
+        # here. Peers drawn at random spread them; always naming the least
+        # loaded one would fill it at once.
+        others = mean.list_below(base)
+        drawn = self._rng.sample(others, min(MAX_HINTS, len(others)))
+        hints.extend(e for e in drawn if e not in loads)
+        return tuple(hints[:MAX_HINTS])
--- a/foxtailpick/core/mean_estimate.py
+++ b/foxtailpick/core/mean_estimate.py
@@ -127,14 +127,16 @@
         sample = self._samples.get(endpoint)
         return None if sample is None else sample.load_tokens
 
-    def list_least_loaded(self, count: int) -> list[types.EndpointId]:
-        """Return the peers with the lowest known loads, lowest first.
+    def list_below(self, load_tokens: float) -> list[types.EndpointId]:
+        """Return the peers whose last known load is below a value.
 
-        :param count: how many at most.
+        :param load_tokens: the value, tokens per unit of capacity.
         """
-        samples = self._samples.values()
-        ordered = sorted(samples, key=lambda sample: sample.load_tokens)
-        return [sample.endpoint for sample in ordered[:count]]
+        return [
+            sample.endpoint
+            for sample in self._samples.values()
+            if sample.load_tokens < load_tokens
+        ]
 
     def _forget_old_samples(self, now_ms: float) -> None:
         oldest_ms = now_ms - SAMPLE_LIFE_MS
