Add the demo: a deployment of the permit venture under failures

Cause: the promises have to be seen together, under failures, by anyone. Change: ten engines, three booking services and three routers in one process over sockets, while an endpoint is drained, one killed and replaced, connections go silent, a failure domain leaves and returns, patches race, the store goes down and a router stops. Found on the way and mended: a stopping router waited its whole grace of 30 s for idle connections of callers.

--- a/foxtailpick/cli.py
+++ b/foxtailpick/cli.py
@@ -169,9 +169,7 @@
     """
     from foxtailpick.demo import run
 
-    logger.remove()
-    if log:
-        _start_log('INFO')
+    _start_log('INFO' if log else 'ERROR')
     return run.main()
 
 
--- /dev/null
+++ b/foxtailpick/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A small deployment on stand-ins that checks every promise."""
--- /dev/null
+++ b/foxtailpick/demo/report.py
@@ -0,0 +1,172 @@
+"""What the demo checked, as a table."""
+
+import dataclasses
+import statistics
+import typing
+
+from foxtailpick.bench import tables
+from foxtailpick.core import invariants
+from foxtailpick.demo import events as events_lib
+from foxtailpick.demo import traffic as traffic_lib
+from foxtailpick.standins import fleet as fleet_lib
+
+IN_FORCE_BOUND_MS = 13_000.0
+CONTROL_BOUND_BYTES_S = 3_000.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Check:
+    """One promise as the demo saw it.
+
+    :param promise: the promise.
+    :param checked: what was checked.
+    :param count: how many checks there were.
+    :param is_held: whether it was held.
+    """
+
+    promise: invariants.Promise
+    checked: str
+    count: int
+    is_held: bool
+
+
+@dataclasses.dataclass(slots=True)
+class Skew:
+    """Samples of the load of the model engines.
+
+    :param ratios: highest load over mean load, one a sample.
+    """
+
+    ratios: list[float] = dataclasses.field(default_factory=list)
+
+    def sample(self, loads: typing.Sequence[int]) -> None:
+        """Take a sample of the completions in each engine."""
+        mean = statistics.fmean(loads)
+        if mean >= 1:
+            self.ratios.append(max(loads) / mean)
+
+
+def make_checks(
+    fleet: fleet_lib.Fleet,
+    traffic: traffic_lib.Traffic,
+    findings: events_lib.Findings,
+) -> list[Check]:
+    """Judge every promise.
+
+    :param fleet: the deployment after the run.
+    :param traffic: the callers.
+    :param findings: what the events showed.
+    """
+    promise = invariants.Promise
+    tally = traffic.tally
+    fell_over = sum(engine.fell_over for engine in fleet.engines.values())
+    keys = {key for state in fleet.services.values() for key in state.runs}
+    doubled = sum(traffic.count_runs(key) > 1 for key in keys)
+    wrong_races = findings.raced != ['accepted', 'rejected']
+    shown = [
+        (
+            promise.LOAD_BOUND,
+            'admissions within the bound',
+            fleet.monitor.checked[promise.LOAD_BOUND],
+            0,
+        ),
+        (
+            promise.SLOW_START,
+            'engines that fell over',
+            len(fleet.engines),
+            fell_over,
+        ),
+        (
+            promise.DOMAIN_OUT,
+            'runs begun in the domain after 3 s',
+            fleet.monitor.checked[promise.DOMAIN_OUT],
+            findings.runs_in_domain,
+        ),
+        (
+            promise.LEAVING,
+            'runs begun at the drained endpoint after 3 s',
+            fleet.monitor.checked[promise.LEAVING],
+            findings.runs_after_drain,
+        ),
+        (
+            promise.WHOLE_ANSWER,
+            'chat answers whole and their own',
+            tally.chats,
+            tally.broken_chats,
+        ),
+        (
+            promise.TRUE_REFUSAL,
+            'refusals as not run',
+            tally.refused_bookings + tally.failed_chats,
+            tally.false_refusals,
+        ),
+        (promise.AT_MOST_ONCE, 'booking keys', len(keys), doubled),
+        (
+            promise.GRACEFUL,
+            'streams cut by a stopping router',
+            1,
+            findings.cut_streams,
+        ),
+        (
+            promise.CONFIG_UPWARDS,
+            'patches in force everywhere within 13 s, one race',
+            findings.patches,
+            int(findings.in_force_ms > IN_FORCE_BOUND_MS) + wrong_races,
+        ),
+    ]
+    return [
+        Check(
+            item,
+            checked,
+            count,
+            failures == 0 and count > 0 and not fleet.monitor.broken[item],
+        )
+        for item, checked, count, failures in shown
+    ]
+
+
+def make_promise_table(checks: list[Check]) -> tables.Table:
+    """Return the table of promises."""
+    table = tables.Table(
+        'Promises', ('promise', 'what was checked', 'count', 'result')
+    )
+    for check in checks:
+        result = 'held' if check.is_held else 'BROKEN'
+        table.add_row(check.promise.value, check.checked, check.count, result)
+    return table
+
+
+def make_measure_table(
+    traffic: traffic_lib.Traffic,
+    findings: events_lib.Findings,
+    skew: Skew,
+    control_bytes_s: float,
+) -> tables.Table:
+    """Return the table of measures."""
+    tally = traffic.tally
+    table = tables.Table('Measures', ('what', 'value'))
+    reuse = tally.cached_tokens / max(tally.prompt_tokens, 1)
+    table.add_row('cache reuse of returning chats', reuse)
+    ratios = sorted(skew.ratios) or [0.0]
+    table.add_row('load skew, highest over mean, median', _pick(ratios, 0.5))
+    table.add_row('load skew, highest over mean, p99', _pick(ratios, 0.99))
+    table.add_row('control bytes a second per router', control_bytes_s)
+    table.add_row('chats answered', tally.chats)
+    table.add_row('chats failed', tally.failed_chats)
+    table.add_row('bookings confirmed', tally.bookings)
+    table.add_row('bookings refused as not run', tally.refused_bookings)
+    table.add_row('bookings of unknown outcome', tally.unknown_bookings)
+    table.add_row(
+        'chats a second while the domain was out',
+        findings.answered_while_out / max(findings.out_s, 1.0),
+    )
+    table.add_row(
+        'longest time until a patch was in force, ms', findings.in_force_ms
+    )
+    for code, count in sorted(tally.codes.items()):
+        table.add_row(f'callers given {code}', count)
+    return table
+
+
+def _pick(ordered: list[float], fraction: float) -> float:
+    return ordered[min(int(len(ordered) * fraction), len(ordered) - 1)]
--- a/foxtailpick/router/daemon.py
+++ b/foxtailpick/router/daemon.py
@@ -25,6 +25,10 @@
 from foxtailpick.router import links as links_lib
 from foxtailpick.router import operators
 
+# Work is finished before the servers are left; what remains are idle
+# connections of callers.
+LINGER_MS = 500.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Router:
@@ -73,7 +77,7 @@
                 app_lib.make_caller_app(ctx),
                 cfg.listen.host,
                 cfg.listen.port,
-                cfg.limits.shutdown,
+                LINGER_MS,
             )
         )
         writer = config_writer.ConfigWriter(
@@ -86,7 +90,7 @@
                 ),
                 cfg.listen.host,
                 cfg.listen.admin_port,
-                cfg.limits.shutdown,
+                LINGER_MS,
             )
         )
         logger.info(
