Add the tracker that keeps a node at the newest configuration

Cause: an accepted number must be in force on 1,360 nodes within 13 s, and a failure domain taken out must get no new work after 3 s, also with stale routers, a sidecar that was paused, and the store down. Ruled out: a watch a node (each counts as a call); freshness from one-way frames (a frame that lay in a buffer during a pause says nothing of now); refusing all work while the store is down. Change: numbers on frames, announcements with the delta to 6 random peers, two watchers a failure domain, and a jittered poll whose part that goes to the store shrinks as the fleet grows.

--- /dev/null
+++ b/foxtailpick/bench/config_fleet.py
@@ -0,0 +1,460 @@
+"""Trackers of many nodes joined by fakes, in virtual time.
+
+Peers, frames and the store are plain function calls with a delay. Nothing
+here decides anything: all decisions are those of the trackers.
+"""
+
+import collections
+import dataclasses
+import heapq
+import itertools
+import random
+import typing
+
+from foxtailpick.core import account_table
+from foxtailpick.core import config_actions
+from foxtailpick.core import config_delta
+from foxtailpick.core import config_exchange
+from foxtailpick.core import config_store
+from foxtailpick.core import configuration
+from foxtailpick.core import invariants
+from foxtailpick.core import patches
+from foxtailpick.core import propagation
+from foxtailpick.core import types
+
+ROUTER_SHARE = 360 / 1_360
+REGIONS = 5
+DOMAINS = 14
+SIGHT_MS = 50_000.0
+NEAR_MS = 1.0
+FAR_MS = 15.0
+STORE_MS = 5.0
+HOLD_MS = 1_000.0
+ENVELOPE_BYTES = 70
+HEAD_BYTES = 160
+
+
+@dataclasses.dataclass(slots=True)
+class FakeStore:
+    """The newest number as the store shows it.
+
+    :param delay_ms: time of a call.
+    :param is_down: whether calls fail.
+    """
+
+    offers: dict[int, config_exchange.Offer]
+    head: config_store.Head
+    delay_ms: float = STORE_MS
+    is_down: bool = False
+    reads: int = 0
+    watchers: set[str] = dataclasses.field(default_factory=set)
+
+
+@dataclasses.dataclass(slots=True)
+class Node:
+    """One node.
+
+    :param name: its id.
+    :param domain: its failure domain.
+    :param region: its region.
+    :param tracker: its tracker.
+    """
+
+    name: str
+    domain: str
+    region: str
+    tracker: propagation.ConfigTracker
+    wake_ms: float = float('inf')
+    paused: list[typing.Callable[[], None]] | None = None
+    bytes_moved: int = 0
+    held: list[float] = dataclasses.field(default_factory=list)
+
+
+class Fleet:
+    """Routers and sidecars with their trackers.
+
+    :param size: how many nodes.
+    :param seed: seed of every random choice.
+    :param has_traffic: whether frames flow between routers and sidecars.
+    :param options: options of the trackers.
+    """
+
+    def __init__(
+        self,
+        size: int,
+        seed: int,
+        has_traffic: bool = True,
+        options: propagation.TrackerOptions = propagation.TrackerOptions(),
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.now_ms = 0.0
+        self.monitor = invariants.Monitor(is_strict=True)
+        self.cfg = _make_first()
+        self.store = _make_store(self.cfg)
+        self.reached_ms: dict[str, float] = {}
+        self.admitted: list[tuple[float, str]] = []
+        self.cut_region: str | None = None
+        self.wants_witness = True
+        self._options = options
+        self._events: list[tuple[float, int, typing.Callable]] = []
+        self._order = itertools.count()
+        routers = max(int(size * ROUTER_SHARE), 1)
+        self.nodes = {
+            name: self._make_node(name, index)
+            for index, name in enumerate(
+                [f'r{i}' for i in range(routers)]
+                + [f's{i}' for i in range(size - routers)]
+            )
+        }
+        self.routers = [n for n in self.nodes.values() if n.name[0] == 'r']
+        self.sidecars = [n for n in self.nodes.values() if n.name[0] == 's']
+        self._set_peers()
+        for node in self.nodes.values():
+            self.after(self.rng.uniform(0, 500), lambda n=node: self.pump(n))
+        if has_traffic:
+            self._start_traffic()
+
+    def after(self, delay_ms: float, call: typing.Callable[[], None]) -> None:
+        """Run a function later."""
+        entry = (self.now_ms + delay_ms, next(self._order), call)
+        heapq.heappush(self._events, entry)
+
+    def run(self, duration_ms: float, number: int | None = None) -> None:
+        """Let time pass.
+
+        :param duration_ms: how long at most.
+        :param number: stop when all nodes that are not paused have it.
+        """
+        end_ms = self.now_ms + duration_ms
+        while self._events and self._events[0][0] <= end_ms:
+            self.now_ms, _, call = heapq.heappop(self._events)
+            call()
+            if number is not None and len(self.reached_ms) == len(self.nodes):
+                return
+        self.now_ms = end_ms
+
+    def accept(
+        self,
+        acceptor: Node,
+        changes: tuple[patches.ItemChange, ...],
+        urgent: typing.Iterable[str] = (),
+    ) -> int:
+        """Let a patch land and tell the node that submitted it."""
+        before = self.cfg
+        self.cfg = patches.apply_changes(before, changes)
+        number = self.cfg.number
+        patch = patches.Patch(
+            types.PatchId(f'p{number}'), before.number, 'op', 'why', (), b''
+        )
+        delta = config_delta.make_delta(
+            patch, changes, before, self.cfg, self.now_ms
+        )
+        raw = delta.encode()
+        self.store.offers[number] = config_exchange.Offer(number, (raw,))
+        self.store.head = config_store.Head(number, delta.index_hash)
+        self.reached_ms = {}
+        acceptor.tracker.on_accepted(self.cfg, delta, self.now_ms, urgent)
+        for name in sorted(self.store.watchers):
+            self._to_store(
+                lambda n=self.nodes[name], h=self.store.head: self._deliver(
+                    n, lambda: n.tracker.on_watch(h, self.now_ms)
+                ),
+                lambda: None,
+            )
+        self.pump(acceptor)
+        return number
+
+    def pause(self, node: Node) -> None:
+        """Stop a node; what arrives meanwhile waits in its buffers."""
+        node.paused = []
+
+    def resume(self, node: Node) -> None:
+        """Wake a paused node, which then reads its buffers."""
+        waiting, node.paused = node.paused or [], None
+        for call in waiting:
+            call()
+        self.pump(node)
+
+    def restart(self, node: Node) -> None:
+        """Replace a node by one that knows nothing."""
+        node.tracker = self._make_tracker(node.name)
+        self.reached_ms.pop(node.name, None)
+        self._set_peers_of(node)
+        self.pump(node)
+
+    def pump(self, node: Node) -> None:
+        """Let a node act until it waits."""
+        if node.paused is not None:
+            return
+        if node.tracker.number >= self.cfg.number:
+            self.reached_ms.setdefault(node.name, self.now_ms)
+        self._decide_on_held(node)
+        while True:
+            action = node.tracker.next_action(self.now_ms)
+            if isinstance(action, config_actions.Wait):
+                break
+            self._act(node, action)
+        if not self.now_ms < node.wake_ms <= action.until_ms:
+            node.wake_ms = action.until_ms
+            delay_ms = max(action.until_ms - self.now_ms, 0.1)
+            self.after(delay_ms, lambda: self._wake(node, action.until_ms))
+
+    def send_work(self, router: Node, sidecar: Node) -> None:
+        """Send one piece of new work, as a frame with the router's number."""
+        number = router.tracker.number
+        sent_ms = self.now_ms
+
+        def arrive() -> None:
+            sidecar.tracker.hear(number, router.name, self.now_ms)
+            sidecar.held.append(self.now_ms)
+            self.after(HOLD_MS + 1, lambda: self.pump(sidecar))
+            self._answer_frame(router, sidecar, sent_ms)
+
+        self._send(router, sidecar, 0, arrive)
+
+    # Carrying out actions.
+
+    def _act(self, node: Node, action: config_actions.Action) -> None:
+        asked_ms = self.now_ms
+        tracker = node.tracker
+
+        def fail() -> None:
+            self._deliver(
+                node, lambda: tracker.on_failure(action, self.now_ms)
+            )
+
+        if isinstance(action, config_actions.ReadHead):
+            self.store.reads += 1
+            node.bytes_moved += HEAD_BYTES
+            self._to_store(
+                lambda head=self.store.head: self._deliver(
+                    node, lambda: tracker.on_head(head, asked_ms, self.now_ms)
+                ),
+                fail,
+            )
+        elif isinstance(action, config_actions.FetchFromStore):
+            self.store.reads += 1
+            offer = self._read_store_offer(action)
+            node.bytes_moved += HEAD_BYTES + len(offer.encode())
+            self._to_store(
+                lambda: self._deliver(
+                    node,
+                    lambda: tracker.on_offer(
+                        None, offer, asked_ms, self.now_ms
+                    ),
+                ),
+                fail,
+            )
+        elif isinstance(action, config_actions.FetchFromPeer):
+            self._ask_peer(node, action, asked_ms, fail)
+        elif isinstance(action, config_actions.Announce):
+            for name in action.peers:
+                self._announce(node, self.nodes[name], action.offer)
+        elif isinstance(action, config_actions.OpenWatch):
+            self._to_store(lambda: self.store.watchers.add(node.name), fail)
+
+    def _read_store_offer(
+        self, action: config_actions.FetchFromStore
+    ) -> config_exchange.Offer:
+        numbers = range(action.after + 1, action.head.number + 1)
+        if 0 < action.after and len(numbers) <= config_store.MAX_DELTAS_READ:
+            raws = [self.store.offers[n].deltas[0] for n in numbers]
+            return config_exchange.Offer(action.head.number, tuple(raws))
+        index = config_delta.encode_index(self.cfg)
+        return config_exchange.Offer(self.cfg.number, index=index)
+
+    def _ask_peer(
+        self,
+        node: Node,
+        action: config_actions.FetchFromPeer,
+        asked_ms: float,
+        fail: typing.Callable[[], None],
+    ) -> None:
+        peer = self.nodes[action.peer]
+        if not self._is_joined(node, peer):
+            self.after(NEAR_MS, fail)
+            return
+        tracker = node.tracker
+
+        def answer() -> None:
+            offer = peer.tracker.make_offer(action.after)
+            self._send(
+                peer,
+                node,
+                len(offer.encode()),
+                lambda: tracker.on_offer(
+                    peer.name, offer, asked_ms, self.now_ms
+                ),
+            )
+
+        self._send(node, peer, 4, answer)
+
+    def _announce(
+        self, node: Node, peer: Node, offer: config_exchange.Offer
+    ) -> None:
+        size = len(offer.encode())
+        self._send(
+            node,
+            peer,
+            size,
+            lambda: peer.tracker.on_offer(node.name, offer, None, self.now_ms),
+        )
+
+    # Fakes of the network and the store.
+
+    def _send(
+        self,
+        sender: Node,
+        receiver: Node,
+        size: int,
+        arrive: typing.Callable[[], None],
+    ) -> None:
+        if not self._is_joined(sender, receiver):
+            return
+        if size:
+            sender.bytes_moved += size + ENVELOPE_BYTES
+            receiver.bytes_moved += size + ENVELOPE_BYTES
+        delay_ms = NEAR_MS if sender.region == receiver.region else FAR_MS
+        self.after(
+            delay_ms * self.rng.uniform(1, 2),
+            lambda: self._deliver(receiver, arrive),
+        )
+
+    def _deliver(self, node: Node, call: typing.Callable[[], None]) -> None:
+        if node.paused is not None:
+            node.paused.append(call)
+            return
+        call()
+        self.pump(node)
+
+    def _to_store(
+        self,
+        succeed: typing.Callable[[], None],
+        fail: typing.Callable[[], None],
+    ) -> None:
+        delay_ms = self.store.delay_ms * self.rng.uniform(0.5, 1.5)
+
+        def finish() -> None:
+            if self.store.is_down:
+                fail()
+            else:
+                succeed()
+
+        self.after(delay_ms, finish)
+
+    def _is_joined(self, node: Node, peer: Node) -> bool:
+        cut = self.cut_region
+        return cut is None or (node.region == cut) == (peer.region == cut)
+
+    def _answer_frame(
+        self, router: Node, sidecar: Node, sent_ms: float
+    ) -> None:
+        """Return the sidecar's number, and probe the router in turn."""
+        number = sidecar.tracker.number
+        asked_ms = self.now_ms
+
+        def arrive() -> None:
+            router.tracker.on_round_trip(
+                sidecar.name, number, sent_ms, self.now_ms
+            )
+            found = router.tracker.number
+            self._send(
+                router,
+                sidecar,
+                0,
+                lambda: sidecar.tracker.on_round_trip(
+                    router.name, found, asked_ms, self.now_ms
+                ),
+            )
+
+        if self.wants_witness:
+            self._send(sidecar, router, 0, arrive)
+
+    def _decide_on_held(self, node: Node) -> None:
+        """Decide on work that arrived, or waits for a verification."""
+        for arrived_ms in list(node.held):
+            verdict = node.tracker.check_admission(self.now_ms)
+            is_late = self.now_ms - arrived_ms > HOLD_MS
+            if verdict is propagation.Admission.ADMIT:
+                node.held.remove(arrived_ms)
+                if node.tracker.cfg.is_domain_in_service(node.domain):
+                    self.admitted.append((self.now_ms, node.domain))
+            elif is_late:
+                node.held.remove(arrived_ms)
+
+    def _wake(self, node: Node, planned_ms: float) -> None:
+        if node.wake_ms == planned_ms:
+            node.wake_ms = float('inf')
+            self.pump(node)
+
+    def _start_traffic(self) -> None:
+        mean_ms = SIGHT_MS / (len(self.routers) * len(self.sidecars))
+
+        def send() -> None:
+            router = self.rng.choice(self.routers)
+            sidecar = self.rng.choice(self.sidecars)
+            if router.paused is None and self._is_joined(router, sidecar):
+                self.send_work(router, sidecar)
+            self.after(self.rng.expovariate(1 / mean_ms), send)
+
+        self.after(0, send)
+
+    # Making nodes.
+
+    def _make_node(self, name: str, index: int) -> Node:
+        domain = index % DOMAINS
+        region = f'region-{domain % REGIONS}'
+        return Node(name, f'domain-{domain}', region, self._make_tracker(name))
+
+    def _make_tracker(self, name: str) -> propagation.ConfigTracker:
+        rng = random.Random(self.rng.getrandbits(64))
+        return propagation.ConfigTracker(
+            name, rng, self.monitor, self._options
+        )
+
+    def _set_peers(self) -> None:
+        self._by_domain = collections.defaultdict(list)
+        for node in self.sidecars:
+            self._by_domain[node.domain].append(node.name)
+        for node in self.nodes.values():
+            self._set_peers_of(node)
+
+    def _set_peers_of(self, node: Node) -> None:
+        others = [name for name in self.nodes if name != node.name]
+        node.tracker.set_peers(others, self._by_domain[node.domain])
+
+
+def _make_first() -> configuration.Configuration:
+    text = ''.join(
+        f'[domain domain-{i}]\nregion = region-{i % REGIONS}\n'
+        for i in range(DOMAINS)
+    )
+    cfg = configuration.Configuration.from_ini(
+        f'{text}[partner a]\nshare = 1\n'
+    )
+    table = account_table.AccountTable.from_mapping(cfg.accounts)
+    return dataclasses.replace(cfg, accounts=table)
+
+
+def _make_store(cfg: configuration.Configuration) -> FakeStore:
+    index = config_delta.encode_index(cfg)
+    digest = account_table.hash_content(index)
+    offer = config_exchange.Offer(cfg.number, index=index)
+    return FakeStore(
+        {cfg.number: offer}, config_store.Head(cfg.number, digest)
+    )
+
+
+def make_domain_change(
+    domain: str, state: types.DomainState
+) -> tuple[patches.ItemChange, ...]:
+    """Return the change that sets the state of a failure domain.
+
+    :param domain: the failure domain.
+    :param state: its new state.
+    """
+    number = int(domain.rpartition('-')[2])
+    item = configuration.DomainConfig(
+        domain, f'region-{number % REGIONS}', state
+    )
+    return (patches.ItemChange('domain', domain, item),)
--- a/foxtailpick/core/account_table.py
+++ b/foxtailpick/core/account_table.py
@@ -107,7 +107,11 @@
 
     def is_loaded(self, account: types.AccountId) -> bool:
         """Tell whether a lookup of an account would find its chunk."""
-        return self._chunks[find_chunk(account)] is not None
+        return self.is_chunk_loaded(find_chunk(account))
+
+    def is_chunk_loaded(self, index: int) -> bool:
+        """Tell whether a chunk is loaded."""
+        return self._chunks[index] is not None
 
     def find_unloaded(self) -> list[int]:
         """Return the chunks that are not loaded."""
@@ -137,6 +141,17 @@
         chunks[index] = raw
         return AccountTable(self.hashes, tuple(chunks))
 
+    def reuse_chunks(self, held: 'AccountTable') -> 'AccountTable':
+        """Return the table with the unchanged chunks of an earlier one.
+
+        :param held: the earlier table.
+        """
+        chunks = list(self._chunks)
+        for index, digest in enumerate(self.hashes):
+            if chunks[index] is None and held.hashes[index] == digest:
+                chunks[index] = held._chunks[index]
+        return AccountTable(self.hashes, tuple(chunks))
+
     def replace_accounts(self, changes: Changes) -> 'AccountTable':
         """Return the table with accounts replaced, None for removed.
 
--- a/foxtailpick/core/config_answers.py
+++ b/foxtailpick/core/config_answers.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from foxtailpick.core import config_delta
+from foxtailpick.core import configuration
 from foxtailpick.core import errors
 from foxtailpick.core import patches
 from foxtailpick.core import types
@@ -31,6 +32,8 @@
     :param code: the reason unless accepted.
     :param message: the reason in words.
     :param since: what changed after the patch's base, oldest first.
+    :param cfg: the configuration made, if this submission wrote it.
+    :param delta: what it changed, if this submission wrote it.
     """
 
     outcome: Outcome
@@ -38,6 +41,8 @@
     code: errors.ErrorCode | None = None
     message: str = ''
     since: tuple[config_delta.Delta, ...] = ()
+    cfg: configuration.Configuration | None = None
+    delta: config_delta.Delta | None = None
 
 
 def read_record(patch: patches.Patch, raw: bytes) -> PatchAnswer:
--- /dev/null
+++ b/foxtailpick/core/config_sources.py
@@ -0,0 +1,169 @@
+"""Whom a node may ask for the configuration, and what is under way."""
+
+import random
+import typing
+
+from foxtailpick.core import config_actions
+
+PEER_TIMEOUT_MS = 1_000.0
+STORE_TIMEOUT_MS = 3_000.0
+PEER_PAUSE_MS = 5_000.0
+STORE_PAUSE_MS = 5_000.0
+PAUSE_JITTER = 0.25
+
+
+class Sources:
+    """Peers and the store, with those that lately failed left alone.
+
+    :param rng: source of jitter and of random peers.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._peers: tuple[str, ...] = ()
+        self._bad_peers: dict[str, float] = {}
+        self._store_paused_ms = float('-inf')
+
+    @property
+    def size(self) -> int:
+        """Nodes of the fleet as far as known, this one included."""
+        return len(self._peers) + 1
+
+    def set_peers(self, peers: typing.Iterable[str]) -> None:
+        """Replace the peers."""
+        self._peers = tuple(peers)
+        known = set(self._peers)
+        self._bad_peers = {
+            peer: until
+            for peer, until in self._bad_peers.items()
+            if peer in known
+        }
+
+    def is_store_usable(self, now_ms: float) -> bool:
+        """Tell whether the store may be asked."""
+        return now_ms >= self._store_paused_ms
+
+    def on_store_good(self) -> None:
+        """Record an answer of the store in time."""
+        self._store_paused_ms = float('-inf')
+
+    def on_store_bad(self, now_ms: float) -> None:
+        """Leave the store alone for a while.
+
+        The pause is jittered, so that the fleet does not come back at once.
+        """
+        pause_ms = STORE_PAUSE_MS * self._draw_jitter()
+        self._store_paused_ms = now_ms + pause_ms
+
+    def on_peer_good(self, peer: str) -> None:
+        """Record an answer of a peer."""
+        self._bad_peers.pop(peer, None)
+
+    def on_peer_bad(self, peer: str, now_ms: float) -> None:
+        """Leave a peer alone for a while."""
+        if peer not in self._peers:
+            return
+        self._bad_peers[peer] = now_ms + PEER_PAUSE_MS * self._draw_jitter()
+
+    def count_good_peers(self, now_ms: float) -> int:
+        """Return how many peers may be asked."""
+        self._drop_ended_pauses(now_ms)
+        return len(self._peers) - len(self._bad_peers)
+
+    def pick_peers(
+        self, count: int, now_ms: float, skipped: typing.Collection[str] = ()
+    ) -> list[str]:
+        """Return random peers that may be asked.
+
+        :param count: how many at most.
+        :param now_ms: the current time.
+        :param skipped: peers to leave out.
+        """
+        self._drop_ended_pauses(now_ms)
+        wanted = count + len(skipped) + len(self._bad_peers)
+        drawn = self._rng.sample(self._peers, min(wanted, len(self._peers)))
+        good = [
+            peer
+            for peer in drawn
+            if peer not in self._bad_peers and peer not in skipped
+        ]
+        return good[:count]
+
+    def _drop_ended_pauses(self, now_ms: float) -> None:
+        ended = [p for p, until in self._bad_peers.items() if until <= now_ms]
+        for peer in ended:
+            del self._bad_peers[peer]
+
+    def _draw_jitter(self) -> float:
+        return 1 + self._rng.uniform(-PAUSE_JITTER, PAUSE_JITTER)
+
+
+class Flights:
+    """Actions handed out and not yet answered."""
+
+    def __init__(self) -> None:
+        self._started: dict[config_actions.Action, float] = {}
+
+    def add(self, action: config_actions.Action, now_ms: float) -> None:
+        """Record an action handed out."""
+        self._started[action] = now_ms
+
+    def end(self, action: config_actions.Action) -> None:
+        """Record its answer or failure."""
+        self._started.pop(action, None)
+
+    def find(
+        self, kind: type | tuple[type, ...]
+    ) -> list[config_actions.Action]:
+        """Return the actions of a kind that are under way."""
+        return [item for item in self._started if isinstance(item, kind)]
+
+    def end_peer(self, peer: str) -> None:
+        """Record an answer of a peer, whatever number it was asked with."""
+        for action in self.find(config_actions.FetchFromPeer):
+            if action.peer == peer:
+                del self._started[action]
+
+    def end_kind(self, kind: type | tuple[type, ...]) -> None:
+        """Record an answer to all actions of a kind."""
+        for action in self.find(kind):
+            del self._started[action]
+
+    def take_overdue(self, now_ms: float) -> list[config_actions.Action]:
+        """Remove and return the actions without an answer in time."""
+        overdue = [
+            action
+            for action, started_ms in self._started.items()
+            if now_ms - started_ms >= _find_timeout_ms(action)
+        ]
+        for action in overdue:
+            del self._started[action]
+        return overdue
+
+    def next_timeout_ms(self) -> float:
+        """Return when the next action becomes overdue."""
+        return min(
+            (
+                started_ms + _find_timeout_ms(action)
+                for action, started_ms in self._started.items()
+            ),
+            default=float('inf'),
+        )
+
+
+def is_store_action(action: config_actions.Action) -> bool:
+    """Tell whether an action needs the store."""
+    if isinstance(action, config_actions.FetchChunk):
+        return action.peer is None
+    return isinstance(action, _STORE_ACTIONS)
+
+
+def _find_timeout_ms(action: config_actions.Action) -> float:
+    return STORE_TIMEOUT_MS if is_store_action(action) else PEER_TIMEOUT_MS
+
+
+_STORE_ACTIONS = (
+    config_actions.FetchFromStore,
+    config_actions.OpenWatch,
+    config_actions.ReadHead,
+)
--- a/foxtailpick/core/config_store.py
+++ b/foxtailpick/core/config_store.py
@@ -11,6 +11,7 @@
 
 from foxtailpick.core import account_table
 from foxtailpick.core import config_delta
+from foxtailpick.core import config_exchange
 from foxtailpick.core import configuration
 from foxtailpick.core import errors
 from foxtailpick.core import types
@@ -21,6 +22,7 @@
 HISTORY_PATCHES = 2_000
 RETAINED_NUMBERS = 64
 MAX_COLLECTED_PER_PATCH = 24
+MAX_DELTAS_READ = 4
 
 _DECODE_ERRORS = (cbor2.CBORDecodeError, TypeError, ValueError)
 
@@ -175,7 +177,7 @@
         if held is None:
             return cfg
         return dataclasses.replace(
-            cfg, accounts=_reuse_chunks(cfg.accounts, held.accounts)
+            cfg, accounts=cfg.accounts.reuse_chunks(held.accounts)
         )
 
     async def load_chunks(
@@ -223,6 +225,23 @@
             return None
         return config_delta.Delta.decode(entry.value)
 
+    async def fetch_offer(
+        self, head: Head, after: types.ConfigNumber
+    ) -> config_exchange.Offer:
+        """Return what leads a node to a head: deltas if few, else the index.
+
+        :param head: the head to reach.
+        :param after: the node's number, zero for none.
+        :raises errors.ConfigError: if the index was collected meanwhile.
+        """
+        if after and head.number - after <= MAX_DELTAS_READ:
+            found = await self.read_history(head.number, head.number - after)
+            if len(found) == head.number - after:
+                raws = tuple(delta.encode() for delta in found)
+                return config_exchange.Offer(head.number, raws)
+        raw = await self.read_chunk(head.index_hash)
+        return config_exchange.Offer(head.number, index=raw)
+
     async def read_history(
         self, last: int, count: int
     ) -> list[config_delta.Delta]:
@@ -234,13 +253,3 @@
         first = max(last - count + 1, 1)
         found = [await self.read_delta(n) for n in range(first, last + 1)]
         return [delta for delta in found if delta is not None]
-
-
-def _reuse_chunks(
-    table: account_table.AccountTable, held: account_table.AccountTable
-) -> account_table.AccountTable:
-    unloaded = set(held.find_unloaded())
-    for index, digest in enumerate(table.hashes):
-        if index not in unloaded and held.hashes[index] == digest:
-            table = table.with_chunk(index, held.read_chunk(index))
-    return table
--- a/foxtailpick/core/config_writer.py
+++ b/foxtailpick/core/config_writer.py
@@ -182,7 +182,10 @@
             return None
         self._held = new
         return config_answers.PatchAnswer(
-            config_answers.Outcome.ACCEPTED, new.number
+            config_answers.Outcome.ACCEPTED,
+            new.number,
+            cfg=new,
+            delta=delta,
         )
 
     async def _load(
--- /dev/null
+++ b/foxtailpick/core/poll_schedule.py
@@ -0,0 +1,60 @@
+"""When a node polls for the newest number, and whom."""
+
+import dataclasses
+import random
+
+from foxtailpick.core import types
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PollOptions:
+    """Bounds of polling.
+
+    :param mean_ms: mean time between polls of one node.
+    :param jitter: part of it by which a poll may come early or late.
+    :param store_polls_per_s: polls of the whole fleet that go to the store;
+        the rest goes to peers.
+    """
+
+    mean_ms: float = 8_000.0
+    jitter: float = 0.25
+    store_polls_per_s: float = 100.0
+
+
+class PollSchedule:
+    """The next poll of one node.
+
+    :param rng: source of jitter.
+    :param options: the bounds.
+    """
+
+    def __init__(
+        self, rng: random.Random, options: PollOptions = PollOptions()
+    ) -> None:
+        self._rng = rng
+        self._options = options
+        self.due_ms = 0.0
+
+    def start(self, now_ms: float) -> bool:
+        """Begin a poll if one is due; tell whether it is.
+
+        :param now_ms: the current time.
+        """
+        if now_ms < self.due_ms:
+            return False
+        jitter = self._options.jitter
+        factor = 1 + self._rng.uniform(-jitter, jitter)
+        self.due_ms = now_ms + self._options.mean_ms * factor
+        return True
+
+    def is_store_turn(self, fleet_size: int) -> bool:
+        """Tell whether the poll goes to the store.
+
+        The part of all polls that do shrinks as the fleet grows, so that
+        the fleet's reads stay below a fixed rate.
+
+        :param fleet_size: nodes of the fleet as far as known.
+        """
+        mean_s = self._options.mean_ms / types.SECOND_MS
+        part = self._options.store_polls_per_s / (fleet_size / mean_s)
+        return self._rng.random() < part
