Measure the ways to store claims, and add tickets

Cause: which way to take depends on the writes a booking and on the delay they add at the size to design for. Change: a benchmark of leases, group commit and tickets at 100 sidecars; tickets bound to one incarnation; pending claims are settled together so that their writes join.

--- /dev/null
+++ b/foxtailpick/bench/claims.py
@@ -0,0 +1,249 @@
+"""Store writes a booking and the delay they add, for the ways weighed."""
+
+import dataclasses
+import functools
+import random
+import typing
+
+from hdrh import histogram
+from loguru import logger
+import trio
+import trio.testing
+
+from foxtailpick.adapters import base
+from foxtailpick.bench import tables
+from foxtailpick.core import claim_records
+from foxtailpick.core import claims
+from foxtailpick.core import clock as clock_lib
+from foxtailpick.core import group_commit
+from foxtailpick.core import invariants
+from foxtailpick.core import jobs
+from foxtailpick.core import tickets
+from foxtailpick.core import types
+from foxtailpick.standins import keyvalue
+
+SEED = 7
+STORE_DELAY_MS = 3.0
+SERVICE_MS = 20.0
+SIDECARS = 100
+SETTLE_EVERY_MS = 1_000.0
+RATES_AND_SECONDS = ((15, 30), (150, 10), (750, 5))
+MAX_DELAY_US = 60_000_000
+MICROS_A_MILLI = 1_000.0
+
+Book = typing.Callable[
+    [claim_records.ClaimKey, claims.Call], typing.Awaitable[object]
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Way:
+    """A way to run a booking at most once.
+
+    :param name: its row in the tables.
+    :param interval_ms: that of the group commit, None for none.
+    :param is_save_awaited: whether the result is stored before the reply.
+    """
+
+    name: str
+    interval_ms: float | None = None
+    is_save_awaited: bool = True
+
+
+OWN_LEASE = Way('claim, result, own lease')
+TICKET = Way('ticket')
+WAYS = (
+    OWN_LEASE,
+    Way('claim, result, shared lease'),
+    Way('group commit 150 ms', 150.0),
+    Way('group commit 150 ms, result later', 150.0, False),
+    Way('group commit 500 ms', 500.0),
+    Way('group commit 500 ms, result later', 500.0, False),
+    TICKET,
+)
+
+
+@dataclasses.dataclass(slots=True)
+class Result:
+    """What one run showed.
+
+    :param bookings: how many ran.
+    :param writes: writes and lease calls of the store.
+    :param before: delay before the call, in microseconds.
+    :param total: delay of the reply beyond the call, in microseconds.
+    """
+
+    bookings: int
+    writes: int
+    before: histogram.HdrHistogram
+    total: histogram.HdrHistogram
+
+
+class _Run:
+    """One run of one way at one rate."""
+
+    def __init__(self, way: Way, rate: int, seconds: int) -> None:
+        self.way = way
+        self.rate = rate
+        self.seconds = seconds
+        self.clock = clock_lib.Clock.from_trio()
+        self.state = keyvalue.KeyValueState(self.clock.now)
+        self.state.faults.delay_ms = STORE_DELAY_MS
+        self.monitor = invariants.Monitor(is_strict=True)
+        self.before = histogram.HdrHistogram(1, MAX_DELAY_US, 3)
+        self.total = histogram.HdrHistogram(1, MAX_DELAY_US, 3)
+        self.runs = 0
+
+    async def perform(self) -> Result:
+        rng = random.Random(SEED)
+        count = self.rate * self.seconds
+        async with trio.open_nursery() as services:
+            books = [
+                await self._start_sidecar(services, number)
+                for number in range(SIDECARS)
+            ]
+            async with trio.open_nursery() as callers:
+                for number in range(count):
+                    await clock_lib.sleep_ms(
+                        rng.expovariate(self.rate) * types.SECOND_MS
+                    )
+                    callers.start_soon(self._book, rng.choice(books), number)
+            # The results that wait are part of the cost.
+            await clock_lib.sleep_ms(4 * SETTLE_EVERY_MS)
+            services.cancel_scope.cancel()
+        calls = self.state.calls
+        writes = calls[keyvalue.Call.WRITE] + calls[keyvalue.Call.LEASE]
+        if self.runs != count:
+            raise AssertionError(f'{self.runs} runs of {count} bookings')
+        return Result(count, writes, self.before, self.total)
+
+    async def _book(self, book: Book, number: int) -> None:
+        began_ms = self.clock.now()
+
+        async def call() -> bytes:
+            self.runs += 1
+            _record_ms(self.before, self.clock.now() - began_ms)
+            await clock_lib.sleep_ms(SERVICE_MS)
+            return b'booked %d' % number
+
+        key = types.IdempotencyKey(f'k{number}')
+        await book(claim_records.ClaimKey('acc', 'svc', key), call)
+        _record_ms(self.total, self.clock.now() - began_ms - SERVICE_MS)
+
+    async def _start_sidecar(
+        self, services: trio.Nursery, number: int
+    ) -> Book:
+        owner = claim_records.ClaimOwner(f'e{number}', f'i{number}')
+        kv: base.KeyValue = keyvalue.MemoryKeyValue(self.state)
+        if self.way is OWN_LEASE:
+            return functools.partial(_book_with_own_lease, kv, owner)
+        if self.way is TICKET:
+            book = tickets.TicketBook(owner, self.clock, self.monitor)
+            return functools.partial(_book_with_ticket, book)
+        if self.way.interval_ms is not None:
+            limits = group_commit.CommitLimits(self.way.interval_ms)
+            kv = group_commit.GroupCommitter(kv, limits)
+            await services.start(kv.run)
+        engine = claims.ClaimEngine(
+            kv,
+            owner,
+            self.clock,
+            self.monitor,
+            limits=claims.ClaimLimits(
+                is_save_awaited=self.way.is_save_awaited
+            ),
+        )
+        services.start_soon(_settle_for_ever, engine)
+        return functools.partial(_book_with_claim, engine)
+
+
+async def _settle_for_ever(engine: claims.ClaimEngine) -> None:
+    while True:
+        await clock_lib.sleep_ms(SETTLE_EVERY_MS)
+        await engine.settle_pending(jobs.run_together)
+
+
+async def _book_with_claim(
+    engine: claims.ClaimEngine, key: claim_records.ClaimKey, call: claims.Call
+) -> None:
+    await engine.run_once(key, b'body', call)
+
+
+async def _book_with_ticket(
+    book: tickets.TicketBook, key: claim_records.ClaimKey, call: claims.Call
+) -> None:
+    ticket = book.issue()
+    key = claim_records.ClaimKey(key.account, key.service, ticket.key)
+    await book.run_once(key, b'body', call)
+
+
+async def _book_with_own_lease(
+    kv: base.KeyValue,
+    owner: claim_records.ClaimOwner,
+    key: claim_records.ClaimKey,
+    call: claims.Call,
+) -> None:
+    claim = claim_records.Claim(
+        claim_records.ClaimState.CLAIMED, key.key, b'digest', owner
+    )
+    lease = await kv.grant_lease(types.MINUTE_MS)
+    claimed = await kv.put_if_absent(key.path, claim.encode(), lease)
+    await call()
+    await kv.transact(
+        [base.Compare(key.path, claimed.revision)],
+        [base.Put(key.path, claim.encode(), lease)],
+    )
+
+
+def _record_ms(hist: histogram.HdrHistogram, value_ms: float) -> None:
+    hist.record_value(max(1, int(value_ms * MICROS_A_MILLI)))
+
+
+def _read_ms(hist: histogram.HdrHistogram, percentile: float) -> float:
+    return hist.get_value_at_percentile(percentile) / MICROS_A_MILLI
+
+
+def _perform(way: Way, rate: int, seconds: int) -> Result:
+    async def main() -> Result:
+        return await _Run(way, rate, seconds).perform()
+
+    return trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def measure() -> list[tables.Table]:
+    """Measure all ways at all rates; one table a rate."""
+    logger.disable('foxtailpick')
+    try:
+        return [
+            _measure_rate(rate, seconds) for rate, seconds in RATES_AND_SECONDS
+        ]
+    finally:
+        logger.enable('foxtailpick')
+
+
+def _measure_rate(rate: int, seconds: int) -> tables.Table:
+    table = tables.Table(
+        f'Claims: {rate} bookings/s at {SIDECARS} sidecars, store reply '
+        f'{STORE_DELAY_MS:.0f} ms, {seconds} s, seed {SEED}',
+        (
+            'way',
+            'writes a booking',
+            'writes/s',
+            'before the call p50 ms',
+            'p95 ms',
+            'p99 ms',
+            'reply p50 ms',
+            'p95 ms',
+            'p99 ms',
+        ),
+    )
+    for way in WAYS:
+        result = _perform(way, rate, seconds)
+        table.add_row(
+            way.name,
+            result.writes / result.bookings,
+            result.writes / seconds,
+            *(_read_ms(result.before, share) for share in (50, 95, 99)),
+            *(_read_ms(result.total, share) for share in (50, 95, 99)),
+        )
+    return table
--- a/foxtailpick/core/claims.py
+++ b/foxtailpick/core/claims.py
@@ -20,6 +20,7 @@
 """
 
 import dataclasses
+import functools
 import typing
 
 from loguru import logger
@@ -31,6 +32,7 @@
 from foxtailpick.core import claim_table
 from foxtailpick.core import errors
 from foxtailpick.core import invariants
+from foxtailpick.core import jobs as jobs_lib
 from foxtailpick.core import types
 from foxtailpick.core import verdict as verdict_lib
 
@@ -44,6 +46,7 @@
 Promise = invariants.Promise
 Verdict = verdict_lib.Verdict
 Call = typing.Callable[[], typing.Awaitable[bytes]]
+RunAll = typing.Callable[[list[jobs_lib.Job]], typing.Awaitable[None]]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -148,21 +151,32 @@
             await self._save_or_leave_pending(record)
         return StoredAnswer(answer, False)
 
-    async def settle_pending(self) -> None:
+    async def settle_pending(
+        self, run_all: RunAll = jobs_lib.run_in_turn
+    ) -> None:
         """Bring the store up to date: results and claims to remove.
 
         To be called about once a second while `pending` is above zero, and
         before the process ends.
 
+        :param run_all: runs the jobs; `jobs.run_together` lets a group
+            committer join their writes.
         :raises errors.StoreError: if the store is not available.
         """
-        for record in self._table.list_pending():
-            if not self._table.is_pending(record):
-                continue
-            if record.phase is ClaimPhase.IDLE:
-                await self._release(record)
-            elif record.phase in (ClaimPhase.RAN, ClaimPhase.UNKNOWN):
-                await self._save(record)
+        await run_all(
+            [
+                functools.partial(self._settle, record)
+                for record in self._table.list_pending()
+            ]
+        )
+
+    async def _settle(self, record: ClaimRecord) -> None:
+        if not self._table.is_pending(record):
+            return
+        if record.phase is ClaimPhase.IDLE:
+            await self._release(record)
+        elif record.phase in (ClaimPhase.RAN, ClaimPhase.UNKNOWN):
+            await self._save(record)
 
     def _enter(self, key: claim_records.ClaimKey, body: bytes) -> ClaimRecord:
         digest = claim_records.compute_body_digest(body)
--- /dev/null
+++ b/foxtailpick/core/tickets.py
@@ -0,0 +1,225 @@
+"""At most once without the store, bound to one sidecar incarnation.
+
+A caller that wants its call served during an outage of the store asks a
+sidecar for a ticket first and uses it as the idempotency key. The ticket
+names the incarnation that issued it, and no other one ever runs it, so
+that the table of that one process is enough. When the process is gone, so
+are its answers: a repeat gets "may have run".
+"""
+
+import dataclasses
+import enum
+import typing
+
+from foxtailpick.core import claim_errors
+from foxtailpick.core import claim_records
+from foxtailpick.core import claims
+from foxtailpick.core import errors
+from foxtailpick.core import invariants
+from foxtailpick.core import types
+from foxtailpick.core import verdict as verdict_lib
+
+if typing.TYPE_CHECKING:
+    from foxtailpick.core import clock as clock_lib
+
+Verdict = verdict_lib.Verdict
+
+PREFIX = 'ticket'
+SEPARATOR = '~'
+
+
+class _TicketState(enum.Enum):
+    RUNNING = 'running'
+    RAN = 'ran'
+    UNKNOWN = 'unknown'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ticket:
+    """An idempotency key that one incarnation issued.
+
+    :param owner: the sidecar that alone may run it.
+    :param issued_ms: when it was issued, by that sidecar's clock.
+    :param number: differs between the tickets of one incarnation.
+    """
+
+    owner: claim_records.ClaimOwner
+    issued_ms: int
+    number: int
+
+    @property
+    def key(self) -> types.IdempotencyKey:
+        """The ticket as an idempotency key."""
+        return types.IdempotencyKey(
+            SEPARATOR.join(
+                (
+                    PREFIX,
+                    self.owner.endpoint,
+                    self.owner.incarnation,
+                    str(self.issued_ms),
+                    str(self.number),
+                )
+            )
+        )
+
+    @classmethod
+    def from_key(cls, key: types.IdempotencyKey) -> 'Ticket | None':
+        """Read a ticket; None if the key is one that a caller made up."""
+        prefix, *parts = key.split(SEPARATOR)
+        if prefix != PREFIX or len(parts) != 4:
+            return None
+        endpoint, incarnation, issued_ms, number = parts
+        if not (issued_ms.isdecimal() and number.isdecimal()):
+            return None
+        owner = claim_records.ClaimOwner(endpoint, incarnation)
+        return cls(owner, int(issued_ms), int(number))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TicketLimits:
+    """Bounds of a ticket book.
+
+    :param lifetime_ms: how long after its issue a ticket may be used.
+    :param max_tickets: used tickets held; more calls are refused.
+    :param max_answer_bytes: the largest answer that is kept.
+    """
+
+    lifetime_ms: float = 10 * types.MINUTE_MS
+    max_tickets: int = 4_096
+    max_answer_bytes: int = 2 * 1024
+
+
+@dataclasses.dataclass(slots=True)
+class _Used:
+    body_digest: bytes
+    expires_ms: float
+    state: _TicketState = _TicketState.RUNNING
+    answer: bytes | None = None
+
+
+class TicketBook:
+    """The tickets of one incarnation of a sidecar.
+
+    :param owner: this sidecar.
+    :param clock: monotonic clock.
+    :param monitor: checks the promise of at most one run.
+    :param limits: bounds.
+    """
+
+    def __init__(
+        self,
+        owner: claim_records.ClaimOwner,
+        clock: 'clock_lib.Clock | clock_lib.ManualClock',
+        monitor: invariants.Monitor,
+        limits: TicketLimits | None = None,
+    ) -> None:
+        self.owner = owner
+        self._clock = clock
+        self._monitor = monitor
+        self._limits = limits or TicketLimits()
+        self._used: dict[str, _Used] = {}
+        self._next_number = 0
+
+    def issue(self) -> Ticket:
+        """Return a new ticket; nothing is kept until it is used."""
+        self._next_number += 1
+        issued_ms = int(self._clock.now())
+        return Ticket(self.owner, issued_ms, self._next_number)
+
+    async def run_once(
+        self,
+        key: claim_records.ClaimKey,
+        body: bytes,
+        call: claims.Call,
+    ) -> claims.StoredAnswer:
+        """Run a call whose key is a ticket, unless it was used.
+
+        :param key: names the call; its key is a ticket.
+        :param body: the request.
+        :param call: runs the call, see `ClaimEngine.run_once`.
+        :raises errors.RequestError: as `ClaimEngine.run_once` does, without
+            the codes that concern the store. A ticket of another
+            incarnation, or past its lifetime, gets `OUTCOME_UNKNOWN`.
+        """
+        digest = claim_records.compute_body_digest(body)
+        self._drop_expired()
+        self._check_is_own(key.key)
+        used = self._used.get(key.path)
+        if used is not None:
+            return self._recall(used, digest)
+        return await self._run(key, digest, call)
+
+    def _check_is_own(self, key: types.IdempotencyKey) -> None:
+        ticket = Ticket.from_key(key)
+        now_ms = self._clock.now()
+        if (
+            ticket is None
+            or ticket.owner != self.owner
+            or ticket.issued_ms > now_ms
+            or self._get_end(ticket) <= now_ms
+        ):
+            raise claim_errors.make_unknown_error()
+
+    def _get_end(self, ticket: Ticket) -> float:
+        return ticket.issued_ms + self._limits.lifetime_ms
+
+    def _recall(self, used: _Used, digest: bytes) -> claims.StoredAnswer:
+        if used.body_digest != digest:
+            raise claim_errors.make_key_reused_error()
+        if used.state is _TicketState.RUNNING:
+            raise claim_errors.make_in_progress_error()
+        if used.state is _TicketState.UNKNOWN:
+            raise claim_errors.make_unknown_error()
+        if used.answer is None:
+            raise claim_errors.make_answer_not_kept_error()
+        return claims.StoredAnswer(used.answer, True)
+
+    async def _run(
+        self, key: claim_records.ClaimKey, digest: bytes, call: claims.Call
+    ) -> claims.StoredAnswer:
+        used = self._add(key, digest)
+        try:
+            answer = await call()
+        except errors.InvariantError:
+            used.state = _TicketState.UNKNOWN
+            raise
+        except errors.FoxtailError as exc:
+            if exc.verdict is Verdict.NOT_RUN:
+                del self._used[key.path]
+                raise
+            used.state = _TicketState.UNKNOWN
+            raise claim_errors.make_unknown_error() from exc
+        except BaseException as exc:
+            used.state = _TicketState.UNKNOWN
+            if not isinstance(exc, Exception):
+                raise
+            raise claim_errors.make_unknown_error() from exc
+        used.state = _TicketState.RAN
+        if len(answer) <= self._limits.max_answer_bytes:
+            used.answer = answer
+        return claims.StoredAnswer(answer, False)
+
+    def _add(self, key: claim_records.ClaimKey, digest: bytes) -> _Used:
+        ticket = Ticket.from_key(key.key)
+        if len(self._used) >= self._limits.max_tickets:
+            raise claim_errors.make_full_error(self._limits.max_tickets)
+        self._monitor.check(
+            invariants.Promise.AT_MOST_ONCE,
+            key.path not in self._used and ticket.owner == self.owner,
+            lambda: f'{key.path} run again, or by {self.owner}',
+        )
+        used = _Used(digest, self._get_end(ticket))
+        self._used[key.path] = used
+        return used
+
+    def _drop_expired(self) -> None:
+        now_ms = self._clock.now()
+        if len(self._used) < self._limits.max_tickets:
+            return
+        # Only past its lifetime is a used ticket told from a new one by
+        # its issue alone.
+        self._used = {
+            path: used
+            for path, used in self._used.items()
+            if used.expires_ms > now_ms or used.state is _TicketState.RUNNING
+        }
--- /dev/null
+++ b/foxtailpick/tests/test_tickets.py
@@ -0,0 +1,146 @@
+"""Tests of tickets."""
+
+import pytest
+
+from foxtailpick.core import claim_records
+from foxtailpick.core import claims
+from foxtailpick.core import errors
+from foxtailpick.core import tickets
+from foxtailpick.core import verdict
+
+ErrorCode = errors.ErrorCode
+Verdict = verdict.Verdict
+LIMITS = tickets.TicketLimits(
+    lifetime_ms=1_000.0, max_tickets=2, max_answer_bytes=4
+)
+RUNS = []
+
+
+@pytest.fixture
+def make_book(manual, monitor):
+    RUNS.clear()
+
+    def make(endpoint='e1', incarnation='i1'):
+        owner = claim_records.ClaimOwner(endpoint, incarnation)
+        return tickets.TicketBook(owner, manual, monitor, LIMITS)
+
+    return make
+
+
+def make_key(book):
+    return claim_records.ClaimKey('acc', 'svc', book.issue().key)
+
+
+async def run():
+    RUNS.append('run')
+    return b'%d' % len(RUNS)
+
+
+async def expect(code, outcome, awaitable):
+    with pytest.raises(errors.RequestError) as caught:
+        await awaitable
+    assert (caught.value.code, caught.value.verdict) == (code, outcome)
+
+
+async def test_a_ticket_runs_once(make_book):
+    book = make_book()
+    key, other = make_key(book), make_key(book)
+    assert await book.run_once(key, b'x', run) == (
+        claims.StoredAnswer(b'1', False)
+    )
+    assert await book.run_once(key, b'x', run) == (
+        claims.StoredAnswer(b'1', True)
+    )
+    await expect(
+        ErrorCode.KEY_REUSED, Verdict.NOT_RUN, book.run_once(key, b'y', run)
+    )
+    assert (await book.run_once(other, b'x', run)).answer == b'2'
+
+
+@pytest.mark.parametrize('owner', [('e1', 'i2'), ('e2', 'i1')])
+async def test_only_its_own_incarnation_runs_a_ticket(make_book, owner):
+    key = make_key(make_book())
+    await expect(
+        ErrorCode.OUTCOME_UNKNOWN,
+        Verdict.MAY_HAVE_RUN,
+        make_book(*owner).run_once(key, b'x', run),
+    )
+    assert RUNS == []
+
+
+@pytest.mark.parametrize(
+    'text',
+    ['abc', 'ticket~e1~i1~9~1', 'ticket~e1~i1~x~1', 'ticket~e1~i1~0'],
+)
+async def test_a_made_up_ticket_is_not_run(make_book, text):
+    key = claim_records.ClaimKey('acc', 'svc', text)
+    await expect(
+        ErrorCode.OUTCOME_UNKNOWN,
+        Verdict.MAY_HAVE_RUN,
+        make_book().run_once(key, b'x', run),
+    )
+
+
+async def test_an_old_ticket_is_neither_run_nor_forgotten_early(
+    make_book, manual
+):
+    book = make_book()
+    keys = [make_key(book) for _ in range(3)]
+    for key in keys[:2]:
+        await book.run_once(key, b'x', run)
+    await expect(
+        ErrorCode.OVERLOADED,
+        Verdict.NOT_RUN,
+        book.run_once(keys[2], b'x', run),
+    )
+    manual.advance(LIMITS.lifetime_ms)
+    for key in keys:
+        await expect(
+            ErrorCode.OUTCOME_UNKNOWN,
+            Verdict.MAY_HAVE_RUN,
+            book.run_once(key, b'x', run),
+        )
+    await book.run_once(make_key(book), b'x', run)
+    assert len(RUNS) == 3
+
+
+@pytest.mark.parametrize(
+    ('outcome', 'code', 'runs'),
+    [
+        (Verdict.NOT_RUN, ErrorCode.ENDPOINT_FAILED, 1),
+        (Verdict.MAY_HAVE_RUN, ErrorCode.OUTCOME_UNKNOWN, 0),
+    ],
+)
+async def test_only_a_call_that_did_not_run_is_run_again(
+    make_book, outcome, code, runs
+):
+    async def fail():
+        raise errors.RequestError(ErrorCode.ENDPOINT_FAILED, 'x', outcome)
+
+    book = make_book()
+    key = make_key(book)
+    await expect(code, outcome, book.run_once(key, b'x', fail))
+    if runs:
+        await book.run_once(key, b'x', run)
+    else:
+        await expect(code, outcome, book.run_once(key, b'x', run))
+    assert len(RUNS) == runs
+
+
+async def test_a_ticket_in_use_is_not_run_again(make_book):
+    book = make_book()
+    key = make_key(book)
+
+    async def call_again():
+        await expect(
+            ErrorCode.CALL_IN_PROGRESS,
+            Verdict.MAY_HAVE_RUN,
+            book.run_once(key, b'x', run),
+        )
+        return b'12345'
+
+    assert (await book.run_once(key, b'x', call_again)).answer == b'12345'
+    await expect(
+        ErrorCode.ANSWER_NOT_KEPT, Verdict.RAN, book.run_once(key, b'x', run)
+    )
+    assert RUNS == []
