Enforce the load bound at the sidecar, with samples between sidecars

Cause: the demo showed a skew of 2.6 (highest over mean of completions) and no admission checked against the bound. Change: the sidecar admits against the mean of its pool; sidecars of a pool exchange samples by datagram; a refusal hints at endpoints with room, which the router tries first.

--- a/foxtailpick/core/messages.py
+++ b/foxtailpick/core/messages.py
@@ -45,6 +45,7 @@
     :param max_tokens: tokens of the answer at most.
     :param mean_load: the router's view of the pool's mean load.
     :param resume_from: index of the first token wanted.
+    :param candidates: endpoints that the router would try next.
     :param body: the caller's request body, JSON.
     """
 
@@ -59,6 +60,7 @@
     max_tokens: int
     mean_load: float | None
     resume_from: int
+    candidates: tuple[types.EndpointId, ...]
     body: bytes
 
 
@@ -76,6 +78,8 @@
     :param is_idempotent: whether running it twice equals running it once.
     :param content_type: media type of the body.
     :param deadline_ms: time left until the caller's deadline.
+    :param mean_load: the router's view of the pool's mean load.
+    :param candidates: endpoints that the router would try next.
     :param body: request body.
     """
 
@@ -89,6 +93,8 @@
     is_idempotent: bool
     content_type: str
     deadline_ms: float
+    mean_load: float | None
+    candidates: tuple[types.EndpointId, ...]
     body: bytes
 
 
@@ -157,11 +163,15 @@
     """Sidecar admitted an attempt, which runs or waits its turn.
 
     :param attempt: the attempt.
-    :param queue_length: attempts that wait before it.
+    :param queue_length: attempts that wait at the endpoint.
+    :param load: load of the endpoint, tokens per unit of capacity.
+    :param mean_load: mean load of its pool, as known there.
     """
 
     attempt: types.AttemptId
     queue_length: int
+    load: float
+    mean_load: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -172,7 +182,7 @@
     :param sequence: number of the first chunk in this frame.
     :param texts: the chunks, one token each.
     :param checks: their chained check values, see `replay`.
-    :param load: load of the endpoint relative to its capacity.
+    :param load: load of the endpoint, tokens per unit of capacity.
     """
 
     attempt: types.AttemptId
@@ -192,7 +202,7 @@
     :param finish_reason: why the engine ended it.
     :param prompt_tokens: tokens of the prompt.
     :param cached_tokens: prompt tokens found in the engine's cache.
-    :param load: load of the endpoint relative to its capacity.
+    :param load: load of the endpoint, tokens per unit of capacity.
     """
 
     attempt: types.AttemptId
@@ -229,7 +239,9 @@
     :param verdict: whether it may have run; `NOT_RUN` closes it for good.
     :param detail: what was expected, what came and what to do.
     :param retry_after_ms: when another try may succeed.
-    :param load: load of the endpoint relative to its capacity.
+    :param load: load of the endpoint, tokens per unit of capacity.
+    :param mean_load: mean load of its pool, as known there.
+    :param hints: endpoints that likely admit the attempt.
     """
 
     attempt: types.AttemptId
@@ -238,6 +250,8 @@
     detail: str
     retry_after_ms: float | None
     load: float
+    mean_load: float
+    hints: tuple[types.EndpointId, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -259,7 +273,7 @@
     """Sidecar's state, sent on a new connection and on each change.
 
     :param state: life cycle state of the endpoint.
-    :param load: load of the endpoint relative to its capacity.
+    :param load: load of the endpoint, tokens per unit of capacity.
     """
 
     state: types.EndpointState
--- a/foxtailpick/core/settings.py
+++ b/foxtailpick/core/settings.py
@@ -197,6 +197,7 @@
     node: NodeSettings
     listen: ListenSettings
     store: StoreSettings
+    membership: MembershipSettings
     endpoint: EndpointSettings
     limits: LimitSettings
 
--- a/foxtailpick/demo/events.py
+++ b/foxtailpick/demo/events.py
@@ -159,10 +159,10 @@
         context = self._fleet.get(STOPPED_ROUTER).ctx
         self._urls.remove(self._fleet.get(STOPPED_ROUTER).url)
         self._routers.remove(STOPPED_ROUTER)
-        failed_before = context.metrics.counters['chats_failed']
+        cut_before = context.metrics.counters['failed_shutting_down']
         await self._fleet.stop(STOPPED_ROUTER)
         self.findings.cut_streams = (
-            context.metrics.counters['chats_failed'] - failed_before
+            context.metrics.counters['failed_shutting_down'] - cut_before
         )
         await trio.sleep(1.0)
 
--- a/foxtailpick/router/attempts.py
+++ b/foxtailpick/router/attempts.py
@@ -18,9 +18,24 @@
 from foxtailpick.router import jobs
 
 OVERLOAD_RETRY_AFTER_MS = 1_000.0
+MAX_HOPS = 6
 
 End = typing.TypeVar('End')
-TryEndpoint = typing.Callable[[decision_lib.Candidate], typing.Awaitable[End]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Try:
+    """One attempt to make.
+
+    :param endpoint: where.
+    :param candidates: where the next ones would go.
+    """
+
+    endpoint: types.EndpointId
+    candidates: tuple[types.EndpointId, ...]
+
+
+TryEndpoint = typing.Callable[[Try], typing.Awaitable[End]]
 
 
 @dataclasses.dataclass(slots=True)
@@ -85,32 +100,53 @@
     chosen = ctx.place(
         route.caller, route.key, route.service, route.model, route.hint
     )
+    left = [candidate.endpoint for candidate in chosen.candidates]
+    tried: set[types.EndpointId] = set()
     refusals: list[errors.FoxtailError] = []
-    for candidate in chosen.candidates:
+    while left and len(tried) < MAX_HOPS:
+        endpoint = left.pop(0)
+        tried.add(endpoint)
         ctx.metrics.count('tries')
         try:
-            return await try_endpoint(candidate)
+            return await try_endpoint(Try(endpoint, tuple(left)))
         except (errors.RefusedError, errors.LinkError) as exc:
             route.note(exc.verdict)
-            _note_hop(ctx, route, candidate, exc)
+            _note_hop(ctx, route, endpoint, exc)
             if _is_final(exc) or not route.may_try_again:
                 raise
             refusals.append(exc)
+            left = _put_hints_first(ctx, left, tried, exc)
         except errors.FoxtailError as exc:
             route.note(exc.verdict)
             raise
     raise _make_exhausted_error(route, refusals)
 
 
+def _put_hints_first(
+    ctx: context_lib.RouterContext,
+    left: list[types.EndpointId],
+    tried: set[types.EndpointId],
+    exc: errors.FoxtailError,
+) -> list[types.EndpointId]:
+    hints = getattr(exc, 'hints', ())
+    usable = [
+        hint
+        for hint in hints
+        if hint not in tried and ctx.table.get_member(hint) is not None
+    ]
+    return usable + [item for item in left if item not in usable]
+
+
 def _note_hop(
     ctx: context_lib.RouterContext,
     route: Route,
-    candidate: decision_lib.Candidate,
+    endpoint: types.EndpointId,
     exc: errors.FoxtailError,
 ) -> None:
     if isinstance(exc, errors.LinkError):
-        ctx.note_unreachable(candidate.endpoint)
-    ctx.explain('HOP', route.caller, f'not at {candidate.endpoint}: {exc}')
+        ctx.note_unreachable(endpoint)
+    ctx.metrics.count('hops')
+    ctx.explain('HOP', route.caller, f'not at {endpoint}: {exc}')
 
 
 def _is_final(exc: errors.FoxtailError) -> bool:
--- a/foxtailpick/router/calls.py
+++ b/foxtailpick/router/calls.py
@@ -1,6 +1,5 @@
 """Routes calls of plain services, at most once where they ask for it."""
 
-from foxtailpick.core import decision as decision_lib
 from foxtailpick.core import errors
 from foxtailpick.core import messages
 from foxtailpick.core import replay
@@ -40,9 +39,9 @@
         )
 
         async def try_endpoint(
-            candidate: decision_lib.Candidate,
+            attempt_at: attempts.Try,
         ) -> messages.Answer:
-            return await self._try_endpoint(job, candidate)
+            return await self._try_endpoint(job, attempt_at)
 
         try:
             with self._ctx.limit_work(job.caller.deadline_ms):
@@ -58,9 +57,9 @@
         )
 
     async def _try_endpoint(
-        self, job: jobs.CallJob, candidate: decision_lib.Candidate
+        self, job: jobs.CallJob, attempt_at: attempts.Try
     ) -> messages.Answer:
-        member = self._ctx.table.get_member(candidate.endpoint)
+        member = self._ctx.table.get_member(attempt_at.endpoint)
         attempt = types.AttemptId(jobs.make_id())
         followed = follow.Followed(
             attempt,
@@ -70,6 +69,7 @@
                 replay.ResumePoint(attempt), self._ctx.monitor
             ),
         )
+        now_ms = self._ctx.clock.now()
         opening = messages.OpenCall(
             attempt=attempt,
             request=job.caller.request,
@@ -80,7 +80,9 @@
             key=job.key,
             is_idempotent=job.is_idempotent,
             content_type=job.content_type,
-            deadline_ms=job.caller.deadline_ms - self._ctx.clock.now(),
+            deadline_ms=job.caller.deadline_ms - now_ms,
+            mean_load=self._ctx.loads.get_mean_tokens(now_ms),
+            candidates=attempt_at.candidates,
             body=job.body,
         )
         return await self._follower.run(followed, opening, _refuse_chunks)
--- a/foxtailpick/router/chats.py
+++ b/foxtailpick/router/chats.py
@@ -3,7 +3,6 @@
 import dataclasses
 import typing
 
-from foxtailpick.core import decision as decision_lib
 from foxtailpick.core import errors
 from foxtailpick.core import messages
 from foxtailpick.core import replay
@@ -82,8 +81,8 @@
             if end is not None:
                 return end
 
-        async def try_endpoint(candidate: decision_lib.Candidate) -> ChatEnd:
-            return await self._try_endpoint(job, progress, candidate)
+        async def try_endpoint(attempt_at: attempts.Try) -> ChatEnd:
+            return await self._try_endpoint(job, progress, attempt_at)
 
         return await attempts.run_attempts(
             self._ctx, progress.route, try_endpoint
@@ -123,9 +122,9 @@
         self,
         job: jobs.ChatJob,
         progress: '_Progress',
-        candidate: decision_lib.Candidate,
+        attempt_at: attempts.Try,
     ) -> ChatEnd:
-        member = self._ctx.table.get_member(candidate.endpoint)
+        member = self._ctx.table.get_member(attempt_at.endpoint)
         attempt = types.AttemptId(jobs.make_id())
         progress.begin_attempt(member.endpoint, attempt, progress.tokens)
         followed = follow.Followed(
@@ -136,12 +135,18 @@
                 replay.ResumePoint(attempt), self._ctx.monitor
             ),
         )
-        opening = self._make_opening(job, attempt, progress.tokens)
+        opening = self._make_opening(
+            job, attempt, progress.tokens, attempt_at.candidates
+        )
         end = await self._follower.run(followed, opening, progress.deliver)
         return progress.make_end(followed.incarnation, end)
 
     def _make_opening(
-        self, job: jobs.ChatJob, attempt: types.AttemptId, resume_from: int
+        self,
+        job: jobs.ChatJob,
+        attempt: types.AttemptId,
+        resume_from: int,
+        candidates: tuple[types.EndpointId, ...],
     ) -> messages.OpenChat:
         now_ms = self._ctx.clock.now()
         return messages.OpenChat(
@@ -156,6 +161,7 @@
             max_tokens=job.request.max_tokens,
             mean_load=self._ctx.loads.get_mean_tokens(now_ms),
             resume_from=resume_from,
+            candidates=candidates,
             body=job.body,
         )
 
--- a/foxtailpick/router/context.py
+++ b/foxtailpick/router/context.py
@@ -37,6 +37,7 @@
     :param links: connections to sidecars.
     :param monitor: checks the promises.
     :param rng: source of jitter.
+    :param loads: loads that sidecars told last.
     """
 
     cfg: settings.RouterSettings
@@ -44,15 +45,13 @@
     links: links_lib.LinkPool
     monitor: invariants.Monitor
     rng: random.Random
+    loads: load_view.LoadView
     clock: clock_lib.Clock = dataclasses.field(
         default_factory=clock_lib.Clock.from_trio
     )
     table: placement.PlacementTable = dataclasses.field(
         default_factory=placement.PlacementTable
     )
-    loads: load_view.LoadView = dataclasses.field(
-        default_factory=load_view.LoadView
-    )
     retry_options: retry.RetryOptions = dataclasses.field(
         default_factory=retry.RetryOptions
     )
--- a/foxtailpick/router/daemon.py
+++ b/foxtailpick/router/daemon.py
@@ -9,16 +9,19 @@
 import trio
 
 from foxtailpick.adapters import etcd
-from foxtailpick.adapters import membership
 from foxtailpick.core import clock as clock_lib
 from foxtailpick.core import config_store
 from foxtailpick.core import config_writer
 from foxtailpick.core import errors
 from foxtailpick.core import invariants
+from foxtailpick.core import load_bound
+from foxtailpick.core import load_view
 from foxtailpick.core import messages
 from foxtailpick.core import settings
+from foxtailpick.core import types
 from foxtailpick.node import config_node as config_node_lib
 from foxtailpick.node import http_server
+from foxtailpick.node import member_feed
 from foxtailpick.router import app as app_lib
 from foxtailpick.router import context as context_lib
 from foxtailpick.router import jobs
@@ -63,15 +66,21 @@
         node = config_node_lib.ConfigNode(
             config_store.ConfigReader(store, keys), monitor
         )
-        links = await stack.enter_async_context(_make_links(cfg, node))
+        loads = load_view.LoadView()
+        links = await stack.enter_async_context(_make_links(cfg, node, loads))
         ctx = context_lib.RouterContext(
-            cfg, node.read, links, monitor, random.Random()
+            cfg, node.read, links, monitor, random.Random(), loads
         )
         node.on_change(ctx.refresh_table)
         nursery = await stack.enter_async_context(trio.open_nursery())
         stack.callback(nursery.cancel_scope.cancel)
         nursery.start_soon(node.run)
-        nursery.start_soon(_follow_members, ctx)
+        nursery.start_soon(
+            member_feed.follow_members,
+            cfg.membership,
+            cfg.node.id,
+            ctx.update_members,
+        )
         url = await stack.enter_async_context(
             http_server.serve_app(
                 app_lib.make_caller_app(ctx),
@@ -105,7 +114,9 @@
 
 
 def _make_links(
-    cfg: settings.RouterSettings, node: config_node_lib.ConfigNode
+    cfg: settings.RouterSettings,
+    node: config_node_lib.ConfigNode,
+    loads: load_view.LoadView,
 ) -> links_lib.LinkPool:
     hello = messages.Hello(
         messages.PROTOCOL_VERSION, cfg.node.id, jobs.make_id()
@@ -113,19 +124,29 @@
 
     def hear(link: links_lib.Link, frame: messages.Frame) -> None:
         node.hear(frame.number)
+        _note_load(loads, link, frame.message)
 
     return links_lib.LinkPool(
         hello, cfg.limits.max_links, node.read_number, hear
     )
 
 
-async def _follow_members(ctx: context_lib.RouterContext) -> None:
-    cfg = ctx.cfg.membership
-    adapter = membership.HttpMembershipList.from_url(cfg.url, ctx.cfg.node.id)
-    async with adapter as members:
-        while True:
-            try:
-                ctx.update_members(await members.list_members())
-            except errors.StoreError as exc:
-                logger.warning('MEMBER list not read. {}', exc)
-            await clock_lib.sleep_ms(cfg.poll_interval)
+def _note_load(
+    loads: load_view.LoadView,
+    link: links_lib.Link,
+    message: messages.Message,
+) -> None:
+    is_refused = isinstance(message, messages.Failed)
+    if not is_refused and not isinstance(message, messages.Accepted):
+        return
+    code = errors.ErrorCode.LOAD_BOUND_EXCEEDED
+    if is_refused and message.code is not code:
+        return
+    admission = load_bound.Admission(
+        is_admitted=not is_refused,
+        load_tokens=message.load,
+        limit_tokens=message.load,
+        mean_tokens=message.mean_load,
+    )
+    endpoint = types.EndpointId(link.peer.node)
+    loads.observe(endpoint, admission, clock_lib.Clock.from_trio().now())
--- a/foxtailpick/router/follow.py
+++ b/foxtailpick/router/follow.py
@@ -228,7 +228,25 @@
     """The link is of no more use; the attempt may still run."""
 
 
+class LoadRefusedError(errors.RefusedError):
+    """A refusal by the load bound.
+
+    :param message: the sidecar's message, with hints.
+    """
+
+    def __init__(self, message: messages.Failed) -> None:
+        super().__init__(
+            message.code,
+            message.detail,
+            message.verdict,
+            message.retry_after_ms,
+        )
+        self.hints = message.hints
+
+
 def _make_failure(message: messages.Failed) -> errors.FoxtailError:
+    if message.code is errors.ErrorCode.LOAD_BOUND_EXCEEDED:
+        return LoadRefusedError(message)
     kind = errors.RequestError
     if message.code in REFUSAL_CODES:
         kind = errors.RefusedError
@@ -246,7 +264,6 @@
         errors.ErrorCode.DOMAIN_OUT_OF_SERVICE,
         errors.ErrorCode.ENDPOINT_COLD,
         errors.ErrorCode.ENDPOINT_DRAINING,
-        errors.ErrorCode.LOAD_BOUND_EXCEEDED,
         errors.ErrorCode.OVERLOADED,
     }
 )
--- a/foxtailpick/router/responses.py
+++ b/foxtailpick/router/responses.py
@@ -155,6 +155,7 @@
         send: typing.Callable,
     ) -> None:
         self._ctx.metrics.count('chats_failed')
+        self._ctx.metrics.count(f'failed_{exc.code.name.lower()}')
         if not self._is_started:
             response = problems.make_response(exc, self._job.caller.request)
             await response(scope, receive, send)
--- a/foxtailpick/sidecar/connections.py
+++ b/foxtailpick/sidecar/connections.py
@@ -103,7 +103,7 @@
         await self.send(self._hello)
         await self.send(
             messages.StateNotice(
-                self._worker.gate.slow.state, self._worker.gate.load
+                self._worker.gate.slow.state, self._worker.gate.pool.load
             )
         )
 
@@ -252,19 +252,25 @@
             sequence=chunks[0].number,
             texts=tuple(chunk.data.decode() for chunk in chunks),
             checks=tuple(chunk.check for chunk in chunks),
-            load=self._worker.gate.load,
+            load=self._worker.gate.pool.load,
         )
 
     async def _send_accepted(self, run: runs.Run) -> None:
+        gate = self._worker.gate
         await self.send(
-            messages.Accepted(run.work.attempt, self._worker.gate.queue_length)
+            messages.Accepted(
+                run.work.attempt,
+                gate.queue_length,
+                gate.pool.load,
+                gate.pool.mean,
+            )
         )
 
     async def _send_failed(
         self, attempt: types.AttemptId, exc: errors.FoxtailError
     ) -> None:
         await self.send(
-            worker_lib.make_failed(attempt, exc, self._worker.gate.load)
+            worker_lib.make_failed(attempt, exc, self._worker.gate.pool)
         )
 
 
--- a/foxtailpick/sidecar/daemon.py
+++ b/foxtailpick/sidecar/daemon.py
@@ -3,6 +3,7 @@
 import contextlib
 import dataclasses
 import functools
+import random
 import typing
 
 from loguru import logger
@@ -21,9 +22,11 @@
 from foxtailpick.core import types
 from foxtailpick.node import config_node as config_node_lib
 from foxtailpick.node import http_server
+from foxtailpick.node import member_feed
 from foxtailpick.router import jobs
 from foxtailpick.sidecar import connections
 from foxtailpick.sidecar import gate as gate_lib
+from foxtailpick.sidecar import gossip
 from foxtailpick.sidecar import once
 from foxtailpick.sidecar import operators
 from foxtailpick.sidecar import worker as worker_lib
@@ -76,7 +79,16 @@
         stack.callback(nursery.cancel_scope.cancel)
         nursery.start_soon(node.run)
         nursery.start_soon(worker.run)
+        nursery.start_soon(
+            member_feed.follow_members,
+            cfg.membership,
+            cfg.node.id,
+            gate.pool.update_members,
+        )
         address = await _serve_routers(nursery, cfg, worker, node, incarnation)
+        port = int(address.rsplit(':', 1)[1])
+        talk = gossip.Gossip(gate.pool, cfg.listen.host, port, random.Random())
+        nursery.start_soon(talk.run)
         admin_url = await stack.enter_async_context(
             http_server.serve_app(
                 operators.make_operator_app(worker, node, monitor),
--- a/foxtailpick/sidecar/gate.py
+++ b/foxtailpick/sidecar/gate.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import random
 import typing
 
 from loguru import logger
@@ -21,14 +22,14 @@
 from foxtailpick.core import slow_start
 from foxtailpick.core import types
 from foxtailpick.core import verdict as verdict_lib
+from foxtailpick.sidecar import pool_load
+from foxtailpick.sidecar import work as work_lib
 
-# A plain call has no tokens; each counts as one.
-CALL_TOKENS = 1.0
 STATE_RETRY_AFTER_MS = 1_000.0
 UNKNOWN_PARTNER = types.PartnerId('')
 
 
-Work = messages.OpenChat | messages.OpenCall
+Work = work_lib.Work
 
 
 @dataclasses.dataclass(slots=True)
@@ -49,6 +50,7 @@
     :param cfg: settings of the sidecar.
     :param attempts: the attempts of this incarnation.
     :param slow: slow start and life cycle of the endpoint.
+    :param pool: its load among its pool.
     :param monitor: checks the promises kept here.
     :param read_config: function that returns the configuration in force.
     """
@@ -58,14 +60,15 @@
         cfg: settings.SidecarSettings,
         attempts: attempts_lib.AttemptTable,
         slow: slow_start.SlowStart,
+        pool: pool_load.PoolLoad,
         monitor: invariants.Monitor,
         read_config: typing.Callable[[], configuration.Configuration],
     ) -> None:
         self.attempts = attempts
         self.slow = slow
+        self.pool = pool
         self._endpoint = types.EndpointId(cfg.node.id)
         self._domain = cfg.node.failure_domain
-        self._capacity = cfg.endpoint.capacity
         self._first_token_ms = cfg.limits.first_token
         self._monitor = monitor
         self._read_config = read_config
@@ -102,15 +105,11 @@
             cfg,
             attempts_lib.AttemptTable(incarnation, monitor),
             slow_start.SlowStart.from_options(options, monitor),
+            pool_load.PoolLoad(cfg, monitor, random.Random()),
             monitor,
             read_config,
         )
 
-    @property
-    def load(self) -> float:
-        """Requests running and waiting, relative to the capacity."""
-        return (self.slow.in_flight + len(self._queue)) / self._capacity
-
     @property
     def queue_length(self) -> int:
         """How many attempts wait."""
@@ -147,9 +146,10 @@
             return opening
         try:
             self._check_may_run(work)
+            self.pool.admit(work, now_ms)
             self._enqueue(work, now_ms)
         except errors.RefusedError as exc:
-            self.attempts.refuse(work.attempt, now_ms)
+            self._refuse(work.attempt, now_ms)
             logger.info(
                 'GATE refused attempt {} account {}. {}',
                 work.attempt,
@@ -197,7 +197,7 @@
                 del self._waiting[work.attempt]
                 refused.append((work, exc))
         for work, _ in refused:
-            self.attempts.refuse(work.attempt, now_ms)
+            self._refuse(work.attempt, now_ms)
         return refused
 
     def cancel_waiting(self, attempt: types.AttemptId, now_ms: float) -> bool:
@@ -210,7 +210,7 @@
         if not self._queue.cancel(attempt):
             return False
         del self._waiting[attempt]
-        self.attempts.refuse(attempt, now_ms)
+        self._refuse(attempt, now_ms)
         return True
 
     def record_first_token(
@@ -254,11 +254,16 @@
         :param now_ms: the current time.
         """
         self._queue.finish(started.work.attempt)
+        self.pool.release(started.work.attempt)
         if is_engine_fault:
             self.slow.on_failed(started.ticket, now_ms)
         else:
             self.slow.on_completed(started.ticket)
 
+    def _refuse(self, attempt: types.AttemptId, now_ms: float) -> None:
+        self.pool.release(attempt)
+        self.attempts.refuse(attempt, now_ms)
+
     def _check_may_run(self, work: Work) -> None:
         cfg = self._read_config()
         if not cfg.is_domain_in_service(self._domain):
@@ -305,7 +310,7 @@
             lambda: f'{work.attempt} started while {self.slow.state}',
         )
         # A call under a claim starts when the claim is won.
-        if not needs_claim(work):
+        if not work_lib.needs_claim(work):
             self.attempts.start(work.attempt)
         return Started(work, self.slow.on_started(now_ms))
 
@@ -315,14 +320,6 @@
 )
 
 
-def needs_claim(work: Work) -> bool:
-    """Tell whether an attempt runs under a claim in the store.
-
-    :param work: the attempt's own message.
-    """
-    return isinstance(work, messages.OpenCall) and not work.is_idempotent
-
-
 def _make_entry(
     work: Work, first_token_ms: float, now_ms: float
 ) -> account_queue.QueueEntry:
@@ -331,7 +328,7 @@
         return account_queue.QueueEntry(
             work.attempt,
             work.account,
-            prompt_tokens=CALL_TOKENS,
+            prompt_tokens=work_lib.CALL_TOKENS,
             deadline_ms=deadline_ms,
         )
     return account_queue.QueueEntry(
--- /dev/null
+++ b/foxtailpick/sidecar/gossip.py
@@ -0,0 +1,77 @@
+"""Sends load samples to peers of the pool, one datagram at a time.
+
+Datagrams fit what a lost sample costs: nothing. A connection to each of
+three random peers twice a second would cost more than the samples.
+"""
+
+import random
+
+from loguru import logger
+import trio
+
+from foxtailpick.core import clock as clock_lib
+from foxtailpick.core import load_gossip
+from foxtailpick.sidecar import pool_load
+
+MAX_DATAGRAM_BYTES = 1_400
+# Peers that started together must not send at the same moments for ever.
+JITTER = 0.2
+
+
+class Gossip:
+    """Owns the datagram socket of a sidecar.
+
+    :param load: the load to tell and the samples heard.
+    :param host: IP number to bind.
+    :param port: UDP port, the same as the TCP port of the sidecar.
+    :param rng: source of jitter.
+    """
+
+    def __init__(
+        self,
+        load: pool_load.PoolLoad,
+        host: str,
+        port: int,
+        rng: random.Random,
+    ) -> None:
+        self._load = load
+        self._address = (host, port)
+        self._rng = rng
+        self._clock = clock_lib.Clock.from_trio()
+        self.sent_bytes = 0
+
+    async def run(self) -> None:
+        """Send and receive samples for ever."""
+        with trio.socket.socket(type=trio.socket.SOCK_DGRAM) as sock:
+            await sock.bind(self._address)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._send, sock)
+                await self._receive(sock)
+
+    async def _send(self, sock: trio.socket.SocketType) -> None:
+        while True:
+            spread = self._rng.uniform(1 - JITTER, 1 + JITTER)
+            await clock_lib.sleep_ms(load_gossip.PERIOD_MS * spread)
+            data, addresses = self._load.compose(self._clock.now())
+            for address in addresses:
+                await self._send_one(sock, data, address)
+
+    async def _send_one(
+        self, sock: trio.socket.SocketType, data: bytes, address: str
+    ) -> None:
+        host, port = address.rsplit(':', 1)
+        try:
+            await sock.sendto(data, (host, int(port)))
+            self.sent_bytes += len(data)
+        except OSError as exc:
+            logger.debug('LOAD sample not sent to {}. {}', address, exc)
+
+    async def _receive(self, sock: trio.socket.SocketType) -> None:
+        while True:
+            try:
+                data, _ = await sock.recvfrom(MAX_DATAGRAM_BYTES)
+            except OSError as exc:
+                # A peer that is gone shows as an error of the next receive.
+                logger.debug('LOAD receive failed. {}', exc)
+                continue
+            self._load.accept(data, self._clock.now())
--- a/foxtailpick/sidecar/operators.py
+++ b/foxtailpick/sidecar/operators.py
@@ -49,7 +49,7 @@
                 'number': node.current.number,
                 'in_flight': slow.in_flight,
                 'waiting': worker.gate.queue_length,
-                'load': worker.gate.load,
+                'load': worker.gate.pool.load,
             }
         )
 
@@ -57,7 +57,7 @@
         lines = [
             f'foxtailpick_in_flight {slow.in_flight}',
             f'foxtailpick_waiting {worker.gate.queue_length}',
-            f'foxtailpick_load {worker.gate.load:g}',
+            f'foxtailpick_load {worker.gate.pool.load:g}',
             *health.format_promises(monitor),
         ]
         return responses.PlainTextResponse('\n'.join(lines) + '\n')
--- /dev/null
+++ b/foxtailpick/sidecar/pool_load.py
@@ -0,0 +1,170 @@
+"""The load of an endpoint among the endpoints of its pool."""
+
+import random
+
+from loguru import logger
+
+from foxtailpick.adapters import base
+from foxtailpick.core import errors
+from foxtailpick.core import invariants
+from foxtailpick.core import load_bound
+from foxtailpick.core import load_gossip
+from foxtailpick.core import settings
+from foxtailpick.core import types
+from foxtailpick.sidecar import work as work_lib
+
+# A plain call counts as one, so a few calls are no sign of a skewed load.
+CALLS_FLOOR = 8.0
+REFUSAL_RETRY_AFTER_MS = 250.0
+
+
+class LoadRefusedError(errors.RefusedError):
+    """An attempt that would take the endpoint above its bound.
+
+    :param admission: the loads that decided.
+    """
+
+    def __init__(self, endpoint: str, admission: load_bound.Admission) -> None:
+        super().__init__(
+            errors.ErrorCode.LOAD_BOUND_EXCEEDED,
+            f'expected {endpoint} within {admission.limit_tokens:.0f} '
+            f'tokens, it carries {admission.load_tokens:.0f}; try the '
+            f'endpoints hinted at',
+            retry_after_ms=REFUSAL_RETRY_AFTER_MS,
+        )
+        self.admission = admission
+
+
+class PoolLoad:
+    """Bounds the load of one endpoint against the mean of its pool.
+
+    :param cfg: settings of the sidecar.
+    :param monitor: checks the promise of bounded load.
+    :param rng: source of random peers.
+    """
+
+    def __init__(
+        self,
+        cfg: settings.SidecarSettings,
+        monitor: invariants.Monitor,
+        rng: random.Random,
+    ) -> None:
+        self._endpoint = types.EndpointId(cfg.node.id)
+        self._region = cfg.node.region
+        self._service = cfg.endpoint.service
+        self._rng = rng
+        self._bound = load_bound.LoadBound(
+            self._endpoint,
+            cfg.endpoint.capacity,
+            monitor,
+            _make_bound_settings(cfg),
+            rng,
+        )
+        models = cfg.endpoint.models or (None,)
+        self._means = [
+            self._bound.set_pool(model, cfg.endpoint.capacity)
+            for model in models
+        ]
+        self._models = models
+        self._gossip = load_gossip.GossipState()
+        self._peers: dict[types.EndpointId, base.Member] = {}
+        self._peers_by_name: dict[int, tuple[types.EndpointId, float]] = {}
+
+    @property
+    def load(self) -> float:
+        """Outstanding tokens per unit of capacity."""
+        return self._bound.load_tokens
+
+    @property
+    def mean(self) -> float:
+        """Mean load of the pool, as known here."""
+        return self._means[0].get_mean_tokens(self.load)
+
+    def update_members(self, members: list[base.Member]) -> None:
+        """Take over a newer member list.
+
+        :param members: the list.
+        """
+        pool = [
+            member
+            for member in members
+            if member.service == self._service
+            and member.region == self._region
+            and not member.is_leaving
+        ]
+        capacity = sum(member.capacity for member in pool)
+        for model in self._models:
+            self._bound.set_pool(model, capacity)
+        self._peers = {
+            member.endpoint: member
+            for member in pool
+            if member.endpoint != self._endpoint
+        }
+        self._peers_by_name = {
+            load_gossip.hash_endpoint(endpoint): (endpoint, member.capacity)
+            for endpoint, member in self._peers.items()
+        }
+
+    def admit(self, work: work_lib.Work, now_ms: float) -> None:
+        """Count an attempt in, if it stays within the bound.
+
+        :param work: the attempt's own message.
+        :param now_ms: the current time.
+        :raises LoadRefusedError: if it does not.
+        """
+        model = getattr(work, 'model', None)
+        if work.mean_load is not None:
+            for mean in self._means:
+                mean.observe_router_view(work.mean_load, now_ms)
+        if model not in self._models:
+            raise errors.RefusedError(
+                errors.ErrorCode.MODEL_UNKNOWN,
+                f'expected a model of {self._endpoint}, got {model}; try '
+                f'another endpoint',
+            )
+        admission = self._bound.admit(
+            work.attempt, model, work_lib.get_cost(work), work.candidates
+        )
+        if not admission.is_admitted:
+            raise LoadRefusedError(self._endpoint, admission)
+
+    def release(self, attempt: types.AttemptId) -> None:
+        """Count an attempt out; an unknown one is no error."""
+        self._bound.release(attempt)
+
+    def compose(self, now_ms: float) -> tuple[bytes, list[str]]:
+        """Return a datagram with load samples, and whom to send it.
+
+        :param now_ms: the current time.
+        """
+        samples = self._gossip.compose(self._bound.get_sample(now_ms), now_ms)
+        drawn = load_gossip.draw_peers(list(self._peers), self._rng)
+        addresses = [self._peers[peer].address for peer in drawn]
+        return load_gossip.encode_samples(samples, now_ms), addresses
+
+    def accept(self, data: bytes, now_ms: float) -> None:
+        """Take over a datagram of a peer; a bad one is dropped.
+
+        :param data: the datagram.
+        :param now_ms: the current time.
+        """
+        try:
+            samples = load_gossip.decode_samples(
+                data, self._peers_by_name, now_ms
+            )
+        except errors.LinkError as exc:
+            logger.warning('LOAD datagram dropped. {}', exc)
+            return
+        if not samples:
+            return
+        for mean in self._means:
+            self._gossip.accept(samples, mean, now_ms)
+
+
+def _make_bound_settings(
+    cfg: settings.SidecarSettings,
+) -> load_bound.LoadBoundSettings:
+    multiple = cfg.limits.load_multiple
+    if cfg.endpoint.kind is types.EndpointKind.PLAIN:
+        return load_bound.LoadBoundSettings(multiple, floor_tokens=CALLS_FLOOR)
+    return load_bound.LoadBoundSettings(multiple)
--- a/foxtailpick/sidecar/runs.py
+++ b/foxtailpick/sidecar/runs.py
@@ -7,7 +7,7 @@
 from foxtailpick.core import messages
 from foxtailpick.core import replay
 from foxtailpick.core import types
-from foxtailpick.sidecar import gate
+from foxtailpick.sidecar import work as work_lib
 
 End = messages.Finished | messages.Answer | messages.Failed
 
@@ -24,7 +24,7 @@
     :param acknowledged: chunks that the reader has handed on.
     """
 
-    work: gate.Work
+    work: work_lib.Work
     buffer: replay.ReplayBuffer
     followed_ms: float
     end: End | None = None
@@ -70,7 +70,7 @@
         self._retention_ms = retention_ms
         self._runs: dict[types.AttemptId, Run] = {}
 
-    def add(self, work: gate.Work, now_ms: float) -> Run:
+    def add(self, work: work_lib.Work, now_ms: float) -> Run:
         """Create the run of a new attempt."""
         buffer = replay.ReplayBuffer(work.attempt, self._stream_bytes)
         run = Run(work, buffer, now_ms)
--- a/foxtailpick/sidecar/worker.py
+++ b/foxtailpick/sidecar/worker.py
@@ -16,7 +16,9 @@
 from foxtailpick.core import verdict as verdict_lib
 from foxtailpick.sidecar import gate as gate_lib
 from foxtailpick.sidecar import once as once_lib
+from foxtailpick.sidecar import pool_load
 from foxtailpick.sidecar import runs
+from foxtailpick.sidecar import work as work_lib
 
 SWEEP_INTERVAL_MS = 50.0
 ROOM_POLL_MS = 20.0
@@ -66,7 +68,7 @@
                 self._wake = trio.Event()
 
     def submit(
-        self, work: gate_lib.Work, sent_after_ms: float
+        self, work: work_lib.Work, sent_after_ms: float
     ) -> runs.Run | None:
         """Take in an attempt.
 
@@ -130,7 +132,7 @@
             run = self.table.find(started.work.attempt)
             if isinstance(started.work, messages.OpenChat):
                 run_work = self._run_chat
-            elif gate_lib.needs_claim(started.work):
+            elif work_lib.needs_claim(started.work):
                 run_work = self._run_once
             else:
                 run_work = self._run_call
@@ -152,7 +154,7 @@
         except Exception:
             logger.exception('WORK attempt {} failed.', run.work.attempt)
             end = self._make_failed(run, _make_defect())
-            if gate_lib.needs_claim(run.work):
+            if work_lib.needs_claim(run.work):
                 self.gate.release(started, True, self._clock.now())
                 self._close(run, end, self._clock.now())
                 return
@@ -233,7 +235,7 @@
             finish_reason=chunk.finish_reason,
             prompt_tokens=usage.prompt_tokens,
             cached_tokens=usage.cached_tokens,
-            load=self.gate.load,
+            load=self.gate.pool.load,
         )
 
     async def _run_call(
@@ -302,25 +304,32 @@
     def _make_failed(
         self, run: runs.Run, exc: errors.FoxtailError
     ) -> messages.Failed:
-        return make_failed(run.work.attempt, exc, self.gate.load)
+        return make_failed(run.work.attempt, exc, self.gate.pool)
 
 
 def make_failed(
-    attempt: types.AttemptId, exc: errors.FoxtailError, load: float
+    attempt: types.AttemptId,
+    exc: errors.FoxtailError,
+    pool: pool_load.PoolLoad,
 ) -> messages.Failed:
     """Return the message for an attempt that failed.
 
     :param attempt: the attempt.
     :param exc: why.
-    :param load: load of the endpoint.
+    :param pool: load of the endpoint among its pool.
     """
+    hints: tuple[types.EndpointId, ...] = ()
+    if isinstance(exc, pool_load.LoadRefusedError):
+        hints = exc.admission.hints
     return messages.Failed(
         attempt=attempt,
         code=exc.code,
         verdict=exc.verdict,
         detail=exc.message,
         retry_after_ms=exc.retry_after_ms,
-        load=load,
+        load=pool.load,
+        mean_load=pool.mean,
+        hints=hints,
     )
 
 
--- a/foxtailpick/standins/fleet.py
+++ b/foxtailpick/standins/fleet.py
@@ -32,6 +32,7 @@
 
 LOOPBACK = '127.0.0.1'
 GRACE_MS = 200.0
+MEMBERS_INTERVAL_MS = 200.0
 PREFIX = '/foxtailpick/'
 
 
@@ -235,6 +236,9 @@
             ),
             listen=settings.ListenSettings(LOOPBACK, 0),
             store=self._make_store_settings(),
+            membership=settings.MembershipSettings(
+                self._members_url, MEMBERS_INTERVAL_MS
+            ),
             endpoint=settings.EndpointSettings(
                 spec.service,
                 spec.kind,
@@ -251,7 +255,9 @@
             node=settings.NodeSettings(name, region, domain),
             listen=settings.ListenSettings(LOOPBACK, 0),
             store=self._make_store_settings(),
-            membership=settings.MembershipSettings(self._members_url, 200.0),
+            membership=settings.MembershipSettings(
+                self._members_url, MEMBERS_INTERVAL_MS
+            ),
             limits=self._limits,
         )
 
--- a/foxtailpick/standins/network.py
+++ b/foxtailpick/standins/network.py
@@ -44,8 +44,20 @@
         listeners = await trio.open_tcp_listeners(0, host=LOOPBACK)
         port = listeners[0].socket.getsockname()[1]
         self.address = f'{LOOPBACK}:{port}'
-        task_status.started()
-        await trio.serve_listeners(self._forward, listeners)
+        with trio.socket.socket(type=trio.socket.SOCK_DGRAM) as sock:
+            await sock.bind((LOOPBACK, port))
+            task_status.started()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._forward_datagrams, sock)
+                await trio.serve_listeners(self._forward, listeners)
+
+    async def _forward_datagrams(self, sock: trio.socket.SocketType) -> None:
+        while True:
+            with contextlib.suppress(OSError):
+                data, _ = await sock.recvfrom(RECEIVE_BYTES)
+                host, port = self.target.rsplit(':', 1)
+                if not self.is_cut:
+                    await sock.sendto(data, (host, int(port)))
 
     async def _forward(self, near: trio.SocketStream) -> None:
         if self.is_cut:
--- a/foxtailpick/tests/test_codec.py
+++ b/foxtailpick/tests/test_codec.py
@@ -25,6 +25,7 @@
         8,
         None,
         0,
+        ('e1',),
         b'{}',
     ),
     messages.Chunks('a', 3, ('x', 'y'), (2**64 - 1, 5), 0.25),
@@ -35,6 +36,8 @@
         'detail',
         None,
         1.0,
+        2.0,
+        (),
     ),
     messages.StateNotice(types.EndpointState.READY, 0.0),
 ]
