Let location hints expire when the prefix has probably been evicted

Cause: with hints always followed, an endpoint that is new gets new chats only, and its cache stays half empty while the others evict. Change: the hint carries an expiry; the sidecar knows how long its engine keeps prefixes.

--- a/foxtailpick/bench/placement.py
+++ b/foxtailpick/bench/placement.py
@@ -22,9 +22,9 @@
 from foxtailpick.core import types
 
 SEED = 11
-ENGINES = 12
-CACHE_TOKENS = 2_000_000
-CHATS = 38_000
+ENGINES = 24
+CACHE_TOKENS = 600_000
+CHATS = 12_000
 SHORT_PAUSE_MS = 180_000.0
 LONG_PAUSE_MS = 1_800_000.0
 LONG_PAUSE_SHARE = 0.15
@@ -32,10 +32,12 @@
 PROMPT_TOKENS = 200
 MEAN_ANSWER_TOKENS = 307.0
 ANSWER_SIGMA = 0.8
-TOKEN_MS = 38.0
-WARM_MS = 300_000.0
-END_MS = 720_000.0
-REPLACED_AT_MS = (360_000.0,)
+# Answers run several times as long as real ones, so that a run of few
+# requests has the concurrency of a large fleet.
+TOKEN_MS = 285.0
+WARM_MS = 480_000.0
+END_MS = 1_980_000.0
+REPLACED_AT_MS = (720_000.0,)
 FLAP_PERIOD_MS = 60_000.0
 FLAP_MS = 3_000.0
 LIST_LAGS_MS = (0.0, 2_500.0, 5_000.0)
@@ -56,15 +58,17 @@
         default_factory=collections.OrderedDict
     )
     cached_tokens: int = 0
+    kept_ms: float = LONG_PAUSE_MS
 
-    def run(self, chat: str, context: int, grown: int) -> int:
+    def run(self, chat: str, context: int, grown: int, now_ms: float) -> int:
         """Run a turn; return how many tokens of its context were cached."""
-        known = self.cached.pop(chat, 0)
-        self.cached[chat] = grown
+        known, _used_ms = self.cached.pop(chat, (0, 0.0))
+        self.cached[chat] = (grown, now_ms)
         self.cached_tokens += grown - known
         while self.cached_tokens > CACHE_TOKENS:
-            _chat, tokens = self.cached.popitem(last=False)
+            _chat, (tokens, used_ms) = self.cached.popitem(last=False)
             self.cached_tokens -= tokens
+            self.kept_ms = now_ms - used_ms
         return min(known, context)
 
 
@@ -212,8 +216,11 @@
         if name is not None:
             self._start(name, cost, tokens * TOKEN_MS)
             chat.context = grown
-            incarnation = self.members[name].incarnation
-            chat.hint = decision.LocationHint(name, incarnation)
+            chat.hint = decision.LocationHint(
+                name,
+                self.members[name].incarnation,
+                self.now_ms + self.engines[name].kept_ms,
+            )
         if self.rng.random() < 1.0 / TURNS:
             chat = Chat(f'chat-{next(self._names)}')
         self._schedule(self._draw_pause_ms(), self._turn, chat)
@@ -221,7 +228,9 @@
     def _count(self, chat: Chat, name: str | None, grown: int) -> None:
         reused = 0
         if name is not None:
-            reused = self.engines[name].run(chat.name, chat.context, grown)
+            reused = self.engines[name].run(
+                chat.name, chat.context, grown, self.now_ms
+            )
         if self.now_ms > WARM_MS:
             self.result.requests += 1
             self.result.refused += name is None
@@ -272,7 +281,7 @@
 
 def pick_consistent(sim, chat, cost, table) -> str | None:
     """The first live one in the computed order, whatever its load."""
-    for name in _list_candidates(chat, table):
+    for name in _list_candidates(sim, chat, table):
         sim.count_try()
         if name in sim.engines:
             return name
@@ -281,7 +290,7 @@
 
 def pick_ours(sim, chat, cost, table) -> str | None:
     """The first in order that admits the turn."""
-    for name in _list_candidates(chat, table):
+    for name in _list_candidates(sim, chat, table):
         sim.count_try()
         engine = sim.engines.get(name)
         if engine is None:
@@ -299,14 +308,18 @@
     return max(
         names or sim.engines,
         key=lambda name: (
-            sim.engines[name].cached.get(chat.name, 0),
+            sim.engines[name].cached.get(chat.name, (0, 0.0))[0],
             -sim.engines[name].load,
         ),
     )
 
 
-def _list_candidates(chat: Chat, table: placement.PlacementTable) -> list:
-    req = decision.PlacementRequest(chat.name, 'svc', 'region', hint=chat.hint)
+def _list_candidates(
+    sim: Simulation, chat: Chat, table: placement.PlacementTable
+) -> list[str]:
+    req = decision.PlacementRequest(
+        chat.name, 'svc', 'region', hint=chat.hint, wall_ms=sim.now_ms
+    )
     made = placement.choose_endpoints(table, req)
     return [candidate.endpoint for candidate in made.candidates]
 
--- a/foxtailpick/core/candidates.py
+++ b/foxtailpick/core/candidates.py
@@ -61,15 +61,14 @@
 
         :param hint: where the chat ran last.
         """
-        obstacle = find_obstacle(self._table, self._req, hint.endpoint)
+        obstacle = self._find_hint_obstacle(hint)
         if obstacle is None:
-            member = self._table.get_member(hint.endpoint)
-            if member.incarnation == hint.incarnation:
-                self._chosen[hint.endpoint] = decision_lib.ChoiceReason.HINT
-                return
-            # Its cache is gone, but the computed order may still name it.
-            obstacle = decision_lib.PassReason.OTHER_INCARNATION
-        self._unusable_hint = decision_lib.PassedOver(hint.endpoint, obstacle)
+            self._chosen[hint.endpoint] = decision_lib.ChoiceReason.HINT
+        else:
+            # The computed order may still name the endpoint; the note then
+            # tells why it does not come first.
+            passed = decision_lib.PassedOver(hint.endpoint, obstacle)
+            self._unusable_hint = passed
 
     def spread_over_domains(
         self, order: typing.Iterator[types.EndpointId]
@@ -112,6 +111,19 @@
             max(0, len(passed) - decision_lib.MAX_PASSED),
         )
 
+    def _find_hint_obstacle(
+        self, hint: decision_lib.LocationHint
+    ) -> decision_lib.PassReason | None:
+        obstacle = find_obstacle(self._table, self._req, hint.endpoint)
+        if obstacle is not None:
+            return obstacle
+        member = self._table.get_member(hint.endpoint)
+        if member.incarnation != hint.incarnation:
+            return decision_lib.PassReason.OTHER_INCARNATION
+        if hint.expires_ms <= self._req.wall_ms:
+            return decision_lib.PassReason.HINT_EXPIRED
+        return None
+
     def _list_passed(self) -> list[decision_lib.PassedOver]:
         passed = [
             decision_lib.PassedOver(endpoint, reason)
@@ -119,7 +131,7 @@
             if endpoint not in self._chosen
         ]
         hint = self._unusable_hint
-        if hint is None or hint.endpoint in self._chosen:
+        if hint is None:
             return passed
         return [hint, *(p for p in passed if p.endpoint != hint.endpoint)]
 
--- a/foxtailpick/core/decision.py
+++ b/foxtailpick/core/decision.py
@@ -33,6 +33,7 @@
     ABSENT = 'not in the membership list'
     DOMAIN_OUT = 'its failure domain is out of service'
     FULL = 'it refused by its load bound a moment ago'
+    HINT_EXPIRED = 'the prefix of the chat has probably been evicted there'
     LEAVING = 'the platform is taking it away'
     MODEL_NOT_SERVED = 'it does not serve the model'
     NOT_ALLOWED = 'outside the endpoint set of the client account'
@@ -50,10 +51,13 @@
 
     :param endpoint: the endpoint that ran it.
     :param incarnation: the incarnation that holds its cached prefix.
+    :param expires_ms: when the prefix has probably been evicted, by the
+        wall clock. The sidecar knows how long its engine keeps prefixes.
     """
 
     endpoint: types.EndpointId
     incarnation: types.Incarnation
+    expires_ms: float
 
     @classmethod
     def from_text(cls, text: str) -> typing.Optional['LocationHint']:
@@ -61,16 +65,26 @@
 
         A hint is advice from outside: a bad one is ignored, not refused.
 
-        :param text: `endpoint;incarnation`.
+        :param text: `endpoint;incarnation;expires_ms`.
         """
-        endpoint, separator, incarnation = text.partition(HINT_SEPARATOR)
-        if not (endpoint and separator and incarnation):
+        try:
+            endpoint, incarnation, expires_text = text.split(HINT_SEPARATOR)
+            expires_ms = float(int(expires_text))
+        except ValueError:
             return None
-        return cls(types.EndpointId(endpoint), types.Incarnation(incarnation))
+        if not (endpoint and incarnation):
+            return None
+        return cls(
+            types.EndpointId(endpoint),
+            types.Incarnation(incarnation),
+            expires_ms,
+        )
 
     def to_text(self) -> str:
         """Return the text form."""
-        return f'{self.endpoint}{HINT_SEPARATOR}{self.incarnation}'
+        expires_text = str(round(self.expires_ms))
+        fields = (self.endpoint, self.incarnation, expires_text)
+        return HINT_SEPARATOR.join(fields)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -84,6 +98,7 @@
     :param allowed: the endpoint set of the client account, None for all.
     :param domains_out: failure domains out of service.
     :param hint: where the chat ran last, as returned by the caller.
+    :param wall_ms: the wall-clock time; a hint that expired is not followed.
     :param avoid: endpoints to try only when nothing better is left.
     :param max_candidates: how many candidates to return, above zero.
     """
@@ -95,6 +110,7 @@
     allowed: frozenset[types.EndpointId] | None = None
     domains_out: frozenset[types.FailureDomainId] = NO_DOMAINS
     hint: LocationHint | None = None
+    wall_ms: float = 0.0
     avoid: typing.Mapping[types.EndpointId, PassReason] = dataclasses.field(
         default_factory=dict
     )
--- a/foxtailpick/tests/test_placement.py
+++ b/foxtailpick/tests/test_placement.py
@@ -120,22 +120,36 @@
 def test_unfit_endpoint_is_passed_over_with_a_reason(changes, options, reason):
     members = make_members(9)
     members[0] = dataclasses.replace(members[0], **changes)
-    hint = decision.LocationHint('ep-0', 'inc-0')
+    hint = decision.LocationHint('ep-0', 'inc-0', 1.0)
     made = choose(make_table(members), hint=hint, **options)
     assert made.chosen.endpoint != 'ep-0'
     assert decision.PassedOver('ep-0', reason) in made.passed
     assert f'ep-0 ({reason.name})' in made.format_line()
 
 
-@pytest.mark.parametrize('incarnation', ['inc-7', 'inc-before'])
-def test_hint_is_followed_only_to_the_same_incarnation(incarnation):
-    hint = decision.LocationHint.from_text(f'ep-7;{incarnation}')
-    made = choose(make_table(make_members(20)), hint=hint)
+@pytest.mark.parametrize(
+    ('text', 'reason'),
+    [
+        ('ep-7;inc-7;1001', None),
+        ('ep-7;inc-7;1000', decision.PassReason.HINT_EXPIRED),
+        ('ep-7;inc-old;1001', decision.PassReason.OTHER_INCARNATION),
+        ('ep-99;inc-99;1001', decision.PassReason.ABSENT),
+    ],
+)
+def test_hint_is_followed_while_the_cache_is_likely_there(text, reason):
+    hint = decision.LocationHint.from_text(text)
+    assert hint.to_text() == text
+    made = choose(make_table(make_members(20)), hint=hint, wall_ms=1000.0)
     is_followed = made.chosen.reason is decision.ChoiceReason.HINT
-    assert is_followed == (incarnation == 'inc-7')
+    assert is_followed == (reason is None)
+    if reason is not None:
+        passed = decision.PassedOver(hint.endpoint, reason)
+        assert passed in made.passed
 
 
-@pytest.mark.parametrize('text', ['', 'ep-1', ';', 'ep-1;', ';inc'])
+@pytest.mark.parametrize(
+    'text', ['', 'ep;inc', ';;', ';inc;1', 'ep;;1', 'ep;inc;x', 'ep;inc;1;2']
+)
 def test_malformed_hint_is_ignored(text):
     assert decision.LocationHint.from_text(text) is None
 
