--- a/foxtailpick/core/errors.py
+++ b/foxtailpick/core/errors.py
@@ -35,6 +35,7 @@
     SHUTTING_DOWN = 'FTP-212'
     ENDPOINT_FAILED = 'FTP-213'
     CANCELLED = 'FTP-214'
+    ANSWER_NOT_KEPT = 'FTP-215'
 
     # Configuration and patches.
     PATCH_MALFORMED = 'FTP-301'
@@ -59,6 +60,8 @@
     ATTEMPT_CLOSED = 'FTP-506'
     WRONG_INCARNATION = 'FTP-507'
     CONFIG_OUTDATED = 'FTP-508'
+    STREAM_GAP = 'FTP-509'
+    CHUNK_FOREIGN = 'FTP-510'
 
     # Refusals of the sidecar; nothing was run.
     DOMAIN_OUT_OF_SERVICE = 'FTP-601'
@@ -107,6 +110,10 @@
     """An attempt that the sidecar refused; it was not run and never will."""
 
 
+class ConfigError(FoxtailError):
+    """A part of the configuration that is not at hand or does not fit."""
+
+
 class PatchError(FoxtailError):
     """A configuration patch that was not accepted, or may not have been."""
 
--- /dev/null
+++ b/foxtailpick/sidecar/worker.py
@@ -0,0 +1,369 @@
+"""Runs admitted attempts at the endpoint."""
+
+import typing
+
+from loguru import logger
+import trio
+
+from foxtailpick.adapters import base
+from foxtailpick.core import attempts as attempts_lib
+from foxtailpick.core import chat_request
+from foxtailpick.core import clock as clock_lib
+from foxtailpick.core import errors
+from foxtailpick.core import messages
+from foxtailpick.core import settings
+from foxtailpick.core import types
+from foxtailpick.core import verdict as verdict_lib
+from foxtailpick.sidecar import gate as gate_lib
+from foxtailpick.sidecar import once as once_lib
+from foxtailpick.sidecar import runs
+
+SWEEP_INTERVAL_MS = 50.0
+ROOM_POLL_MS = 20.0
+LAST_WORD_MS = 500.0
+RUN_RETENTION_MS = 30_000.0
+DEFAULT_CONTENT_TYPE = 'application/octet-stream'
+
+
+class Worker:
+    """Owns the tasks that talk to the endpoint.
+
+    :param gate: admission of the endpoint.
+    :param cfg: bounds on work and waiting.
+    :param engine: the model engine, None for a plain service.
+    :param service: the plain service, None for a model engine.
+    :param once: runs the service's non-idempotent calls.
+    """
+
+    def __init__(
+        self,
+        gate: gate_lib.Gate,
+        cfg: settings.LimitSettings,
+        engine: base.Engine | None,
+        service: base.PlainService | None,
+        once: once_lib.OnceRunner | None = None,
+    ) -> None:
+        self.gate = gate
+        self.table = runs.RunTable(cfg.replay, RUN_RETENTION_MS)
+        self._engine = engine
+        self._service = service
+        self._once = once
+        self._grace_ms = cfg.resume_grace
+        self._clock = clock_lib.Clock.from_trio()
+        self._wake = trio.Event()
+
+    async def run(self) -> None:
+        """Start attempts as the endpoint can bear them, for ever."""
+        async with trio.open_nursery() as nursery:
+            if self._once is not None:
+                nursery.start_soon(self._once.settle)
+            while True:
+                self._give_up_overdue()
+                self._start_ready(nursery)
+                self.table.drop_expired(self._clock.now())
+                with trio.move_on_after(SWEEP_INTERVAL_MS / types.SECOND_MS):
+                    await self._wake.wait()
+                self._wake = trio.Event()
+
+    def submit(
+        self, work: gate_lib.Work, sent_after_ms: float
+    ) -> runs.Run | None:
+        """Take in an attempt.
+
+        :param work: the attempt's own message.
+        :param sent_after_ms: time before which it cannot have been sent.
+        :returns: its run, None for a double whose run is forgotten.
+        :raises errors.RefusedError: if it will not be run.
+        """
+        now_ms = self._clock.now()
+        opening = self.gate.admit(work, sent_after_ms, now_ms)
+        if opening is attempts_lib.Opening.DOUBLE:
+            return self.table.find(work.attempt)
+        self._wake.set()
+        return self.table.add(work, now_ms)
+
+    def cancel(self, attempt: types.AttemptId) -> None:
+        """Stop an attempt that nobody waits for."""
+        run = self.table.find(attempt)
+        if run is None or run.end is not None:
+            return
+        now_ms = self._clock.now()
+        if self.gate.cancel_waiting(attempt, now_ms):
+            run.close(self._make_failed(run, _make_cancelled_error()), now_ms)
+            return
+        if isinstance(run.work, messages.OpenChat):
+            run.scope.cancel()
+
+    async def finish_work(self, limit_ms: float) -> None:
+        """Take no new work, and wait until all answers are read.
+
+        What is left after the limit is given up with a truthful verdict.
+
+        :param limit_ms: the longest wait.
+        """
+        self.gate.slow.drain()
+        with trio.move_on_after(limit_ms / types.SECOND_MS):
+            while not self.table.is_read():
+                await clock_lib.sleep_ms(SWEEP_INTERVAL_MS)
+        if self._once is not None:
+            await self._once.settle_once()
+        now_ms = self._clock.now()
+        for run in self.table.list_open():
+            run.close(self._make_failed(run, _make_stop_error()), now_ms)
+        with trio.move_on_after(LAST_WORD_MS / types.SECOND_MS):
+            while not self.table.is_read():
+                await clock_lib.sleep_ms(SWEEP_INTERVAL_MS)
+
+    def _give_up_overdue(self) -> None:
+        now_ms = self._clock.now()
+        for work, exc in self.gate.sweep(now_ms):
+            run = self.table.find(work.attempt)
+            if run is not None:
+                run.close(self._make_failed(run, exc), now_ms)
+        for run in self.table.list_open():
+            is_followed = run.follower is not None
+            if not is_followed and now_ms - run.followed_ms > self._grace_ms:
+                self.cancel(run.work.attempt)
+
+    def _start_ready(self, nursery: trio.Nursery) -> None:
+        while started := self.gate.pop_ready(self._clock.now()):
+            run = self.table.find(started.work.attempt)
+            if isinstance(started.work, messages.OpenChat):
+                run_work = self._run_chat
+            elif gate_lib.needs_claim(started.work):
+                run_work = self._run_once
+            else:
+                run_work = self._run_call
+            nursery.start_soon(self._contain_defects, run_work, run, started)
+
+    async def _contain_defects(
+        self,
+        run_work: typing.Callable[
+            [runs.Run, gate_lib.Started], typing.Awaitable[None]
+        ],
+        run: runs.Run,
+        started: gate_lib.Started,
+    ) -> None:
+        """Keep a defect met by one attempt from ending all others."""
+        try:
+            await run_work(run, started)
+        except errors.InvariantError:
+            raise
+        except Exception:
+            logger.exception('WORK attempt {} failed.', run.work.attempt)
+            end = self._make_failed(run, _make_defect())
+            if gate_lib.needs_claim(run.work):
+                self.gate.release(started, True, self._clock.now())
+                self._close(run, end, self._clock.now())
+                return
+            verdict = verdict_lib.Verdict.MAY_HAVE_RUN
+            self._finish(run, started, verdict, end, is_fault=True)
+
+    async def _run_chat(
+        self, run: runs.Run, started: gate_lib.Started
+    ) -> None:
+        end: runs.End | None = None
+        failure: errors.FoxtailError | None = None
+        try:
+            with run.scope:
+                end = await self._stream_chat(run, started)
+        except errors.FoxtailError as exc:
+            failure = exc
+        if end is not None:
+            self._finish(run, started, verdict_lib.Verdict.RAN, end)
+            return
+        is_fault = failure is not None
+        exc = failure or _make_cancelled_error(
+            verdict_lib.Verdict.MAY_HAVE_RUN
+        )
+        if run.buffer.next_number and is_fault:
+            exc = errors.RequestError(
+                exc.code, exc.message, verdict_lib.Verdict.MAY_HAVE_RUN
+            )
+        end = self._make_failed(run, exc)
+        self._finish(run, started, exc.verdict, end, is_fault)
+
+    async def _stream_chat(
+        self, run: runs.Run, started: gate_lib.Started
+    ) -> messages.Finished:
+        call = _make_chat_call(run.work)
+        async with self._engine.stream_chat(call) as chunks:
+            async for chunk in chunks:
+                if chunk.text:
+                    await self._keep_chunk(run, started, chunk)
+                if chunk.finish_reason is not None:
+                    return self._finish_stream(run, started, chunk)
+        raise errors.RequestError(
+            errors.ErrorCode.ENDPOINT_FAILED,
+            'expected a closing chunk from the engine, got none; resume',
+            verdict_lib.Verdict.MAY_HAVE_RUN,
+        )
+
+    async def _keep_chunk(
+        self,
+        run: runs.Run,
+        started: gate_lib.Started,
+        chunk: base.TokenChunk,
+    ) -> None:
+        now_ms = self._clock.now()
+        if run.buffer.next_number == 0:
+            self.gate.record_first_token(started, None, now_ms)
+            self._wake.set()
+        data = chunk.text.encode()
+        while not run.buffer.has_room(len(data)):
+            await clock_lib.sleep_ms(ROOM_POLL_MS)
+        run.buffer.append(data)
+        self.gate.record_generated(started, 1, now_ms)
+        run.notify()
+
+    def _finish_stream(
+        self,
+        run: runs.Run,
+        started: gate_lib.Started,
+        chunk: base.TokenChunk,
+    ) -> messages.Finished:
+        if run.buffer.next_number == 0:
+            self.gate.record_first_token(started, None, self._clock.now())
+        last = run.buffer.append(b'', is_last=True)
+        usage = chunk.usage or base.Usage(0, 0, 0)
+        return messages.Finished(
+            attempt=run.work.attempt,
+            sequence=last.number,
+            check=last.check,
+            finish_reason=chunk.finish_reason,
+            prompt_tokens=usage.prompt_tokens,
+            cached_tokens=usage.cached_tokens,
+            load=self.gate.load,
+        )
+
+    async def _run_call(
+        self, run: runs.Run, started: gate_lib.Started
+    ) -> None:
+        try:
+            end = await self._call_service(run.work)
+        except errors.FoxtailError as exc:
+            end = self._make_failed(run, exc)
+            self._finish(run, started, exc.verdict, end, is_fault=True)
+            return
+        self.gate.record_first_token(started, None, self._clock.now())
+        self._finish(run, started, verdict_lib.Verdict.RAN, end)
+
+    async def _run_once(
+        self, run: runs.Run, started: gate_lib.Started
+    ) -> None:
+        is_fault = False
+        try:
+            end = await self._once.run(run.work, self._call_service)
+            self.gate.record_first_token(started, None, self._clock.now())
+        except errors.FoxtailError as exc:
+            end = self._make_failed(run, exc)
+            is_fault = exc.code is errors.ErrorCode.OUTCOME_UNKNOWN
+        now_ms = self._clock.now()
+        self.gate.release(started, is_fault, now_ms)
+        self._close(run, end, now_ms)
+
+    async def _call_service(self, work: messages.OpenCall) -> messages.Answer:
+        headers = {'content-type': work.content_type}
+        if work.key:
+            headers['idempotency-key'] = work.key
+        answer = await self._service.call(
+            work.method, work.path, work.body, headers
+        )
+        return messages.Answer(
+            work.attempt,
+            answer.status,
+            dict(answer.headers).get('content-type', DEFAULT_CONTENT_TYPE),
+            answer.body,
+        )
+
+    def _finish(
+        self,
+        run: runs.Run,
+        started: gate_lib.Started,
+        verdict: verdict_lib.Verdict,
+        end: runs.End,
+        is_fault: bool = False,
+    ) -> None:
+        now_ms = self._clock.now()
+        self.gate.finish(started, verdict, None, is_fault, now_ms)
+        self._close(run, end, now_ms)
+
+    def _close(self, run: runs.Run, end: runs.End, now_ms: float) -> None:
+        run.close(end, now_ms)
+        logger.info(
+            'WORK attempt {} request {} account {} ended: {}.',
+            run.work.attempt,
+            run.work.request,
+            run.work.account,
+            _describe_end(end),
+        )
+        self._wake.set()
+
+    def _make_failed(
+        self, run: runs.Run, exc: errors.FoxtailError
+    ) -> messages.Failed:
+        return make_failed(run.work.attempt, exc, self.gate.load)
+
+
+def make_failed(
+    attempt: types.AttemptId, exc: errors.FoxtailError, load: float
+) -> messages.Failed:
+    """Return the message for an attempt that failed.
+
+    :param attempt: the attempt.
+    :param exc: why.
+    :param load: load of the endpoint.
+    """
+    return messages.Failed(
+        attempt=attempt,
+        code=exc.code,
+        verdict=exc.verdict,
+        detail=exc.message,
+        retry_after_ms=exc.retry_after_ms,
+        load=load,
+    )
+
+
+def _make_defect() -> errors.RequestError:
+    return errors.RequestError(
+        errors.ErrorCode.INVARIANT_BROKEN,
+        'expected an answer, met a defect of the sidecar; see its log',
+        verdict_lib.Verdict.MAY_HAVE_RUN,
+    )
+
+
+def _describe_end(end: runs.End) -> str:
+    if isinstance(end, messages.Failed):
+        return f'{end.code.value} {end.verdict.value}'
+    return type(end).__name__
+
+
+def _make_chat_call(work: messages.OpenChat) -> base.ChatCall:
+    req = chat_request.ChatRequest.from_json(work.body)
+    return base.ChatCall(
+        request=work.request,
+        model=work.model,
+        messages=req.messages,
+        max_tokens=work.max_tokens,
+        chat=work.chat,
+        priority=work.priority,
+        resume_from=work.resume_from,
+    )
+
+
+def _make_stop_error() -> errors.RequestError:
+    return errors.RequestError(
+        errors.ErrorCode.SHUTTING_DOWN,
+        'expected to finish before the sidecar stops; go on elsewhere',
+        verdict_lib.Verdict.MAY_HAVE_RUN,
+    )
+
+
+def _make_cancelled_error(
+    verdict: verdict_lib.Verdict = verdict_lib.Verdict.NOT_RUN,
+) -> errors.RequestError:
+    return errors.RequestError(
+        errors.ErrorCode.CANCELLED,
+        'expected a reader, got a cancellation or none; send it again',
+        verdict,
+    )
