Let only the store and the node's own questions confirm its number

Cause: three stale routers that answer probes would have confirmed a paused sidecar's old number, because any round trip on a link counted. Change: peers that are asked are the other sidecars, chosen at random; routers are only told. Freshness is renewed at 1.5 s while work flows, the store bearing at most 200 reads a second of that in the whole fleet. A peer found behind by a poll is told what it misses.

--- a/foxtailpick/bench/config_fleet.py
+++ b/foxtailpick/bench/config_fleet.py
@@ -26,6 +26,7 @@
 REGIONS = 5
 DOMAINS = 14
 SIGHT_MS = 50_000.0
+LINKS = 64
 NEAR_MS = 1.0
 FAR_MS = 15.0
 STORE_MS = 5.0
@@ -94,7 +95,6 @@
         self.reached_ms: dict[str, float] = {}
         self.admitted: list[tuple[float, str]] = []
         self.cut_region: str | None = None
-        self.wants_witness = True
         self._options = options
         self._events: list[tuple[float, int, typing.Callable]] = []
         self._order = itertools.count()
@@ -202,13 +202,15 @@
     def send_work(self, router: Node, sidecar: Node) -> None:
         """Send one piece of new work, as a frame with the router's number."""
         number = router.tracker.number
-        sent_ms = self.now_ms
 
-        def arrive() -> None:
-            sidecar.tracker.hear(number, router.name, self.now_ms)
+        def arrive() -> bool:
+            has_news = sidecar.tracker.hear(number, None, self.now_ms)
             sidecar.held.append(self.now_ms)
-            self.after(HOLD_MS + 1, lambda: self.pump(sidecar))
-            self._answer_frame(router, sidecar, sent_ms)
+            self._decide_on_held(sidecar)
+            if sidecar.held:
+                self.after(HOLD_MS + 1, lambda: self.pump(sidecar))
+            self._answer_frame(router, sidecar)
+            return has_news or bool(sidecar.held)
 
         self._send(router, sidecar, 0, arrive)
 
@@ -292,6 +294,9 @@
     def _announce(
         self, node: Node, peer: Node, offer: config_exchange.Offer
     ) -> None:
+        if peer.paused is not None:
+            # A connection to a paused process does not open.
+            return
         size = len(offer.encode())
         self._send(
             node,
@@ -324,8 +329,8 @@
         if node.paused is not None:
             node.paused.append(call)
             return
-        call()
-        self.pump(node)
+        if call() is not False:
+            self.pump(node)
 
     def _to_store(
         self,
@@ -346,29 +351,14 @@
         cut = self.cut_region
         return cut is None or (node.region == cut) == (peer.region == cut)
 
-    def _answer_frame(
-        self, router: Node, sidecar: Node, sent_ms: float
-    ) -> None:
-        """Return the sidecar's number, and probe the router in turn."""
+    def _answer_frame(self, router: Node, sidecar: Node) -> None:
         number = sidecar.tracker.number
-        asked_ms = self.now_ms
-
-        def arrive() -> None:
-            router.tracker.on_round_trip(
-                sidecar.name, number, sent_ms, self.now_ms
-            )
-            found = router.tracker.number
-            self._send(
-                router,
-                sidecar,
-                0,
-                lambda: sidecar.tracker.on_round_trip(
-                    router.name, found, asked_ms, self.now_ms
-                ),
-            )
-
-        if self.wants_witness:
-            self._send(sidecar, router, 0, arrive)
+        self._send(
+            sidecar,
+            router,
+            0,
+            lambda: router.tracker.hear(number, sidecar.name, self.now_ms),
+        )
 
     def _decide_on_held(self, node: Node) -> None:
         """Decide on work that arrived, or waits for a verification."""
@@ -420,8 +410,15 @@
             self._set_peers_of(node)
 
     def _set_peers_of(self, node: Node) -> None:
-        others = [name for name in self.nodes if name != node.name]
-        node.tracker.set_peers(others, self._by_domain[node.domain])
+        peers = [n.name for n in self.sidecars if n is not node]
+        listeners = []
+        if node in self.sidecars:
+            links = len(self.routers) * LINKS // len(self.sidecars) + 1
+            found = self.rng.sample(
+                self.routers, min(links, len(self.routers))
+            )
+            listeners = [router.name for router in found]
+        node.tracker.set_peers(peers, self._by_domain[node.domain], listeners)
 
 
 def _make_first() -> configuration.Configuration:
--- a/foxtailpick/core/config_announcer.py
+++ b/foxtailpick/core/config_announcer.py
@@ -1,6 +1,7 @@
 """When a node tells peers of a new number, and how many."""
 
 import dataclasses
+import typing
 
 from foxtailpick.core import config_sources
 from foxtailpick.core import types
@@ -11,6 +12,7 @@
     """Bounds of announcements.
 
     :param fanout: peers told of a new number.
+    :param listener_fanout: routers told of a new number.
     :param accept_fanout: peers told by the node that accepted the patch.
     :param burst: announcements at once.
     :param refill_ms: time in which one more is earned. A node that may not
@@ -18,6 +20,7 @@
     """
 
     fanout: int = 6
+    listener_fanout: int = 3
     accept_fanout: int = 24
     burst: float = 5.0
     refill_ms: float = 2_000.0
@@ -35,8 +38,13 @@
         self._counted_ms = 0.0
         self._told = types.ConfigNumber(0)
         self._urgent: tuple[str, ...] = ()
+        self._listeners: tuple[str, ...] = ()
         self._fanout = options.fanout
 
+    def set_listeners(self, listeners: typing.Iterable[str]) -> None:
+        """Replace the routers that can be told."""
+        self._listeners = tuple(listeners)
+
     def on_accepted(self, urgent: tuple[str, ...]) -> None:
         """Tell more peers of the next number, which nobody else knows.
 
@@ -68,7 +76,8 @@
         self._left -= 1
         self._told = number
         drawn = sources.pick_peers(self._fanout, now_ms)
-        peers = tuple(dict.fromkeys((*self._urgent, *drawn)))
+        heard = sources.sample(self._listeners, self._options.listener_fanout)
+        peers = tuple(dict.fromkeys((*self._urgent, *drawn, *heard)))
         self._urgent = ()
         self._fanout = self._options.fanout
         return peers
--- a/foxtailpick/core/config_sources.py
+++ b/foxtailpick/core/config_sources.py
@@ -81,7 +81,7 @@
         """
         self._drop_ended_pauses(now_ms)
         wanted = count + len(skipped) + len(self._bad_peers)
-        drawn = self._rng.sample(self._peers, min(wanted, len(self._peers)))
+        drawn = self.sample(self._peers, wanted)
         good = [
             peer
             for peer in drawn
@@ -89,6 +89,10 @@
         ]
         return good[:count]
 
+    def sample(self, names: tuple[str, ...], count: int) -> list[str]:
+        """Return random names, as many as wanted if there are."""
+        return self._rng.sample(names, min(count, len(names)))
+
     def _drop_ended_pauses(self, now_ms: float) -> None:
         ended = [p for p, until in self._bad_peers.items() if until <= now_ms]
         for peer in ended:
--- a/foxtailpick/core/freshness.py
+++ b/foxtailpick/core/freshness.py
@@ -7,6 +7,8 @@
 import dataclasses
 
 FRESH_MS = 2_500.0
+RENEW_MS = 1_500.0
+ROUTINE_MS = 10_000.0
 WITNESSES = 3
 
 
@@ -15,10 +17,14 @@
     """Bounds of freshness.
 
     :param fresh_ms: how long a confirmation holds.
+    :param renew_ms: age at which work makes a node confirm anew.
+    :param routine_ms: age above which a node was idle or paused.
     :param witnesses: distinct peers that together stand in for the store.
     """
 
     fresh_ms: float = FRESH_MS
+    renew_ms: float = RENEW_MS
+    routine_ms: float = ROUTINE_MS
     witnesses: int = WITNESSES
 
 
@@ -63,11 +69,6 @@
         newest = sorted(self._peers_ms.values())[-wanted:]
         return max(self._store_ms, newest[0])
 
-    def is_fresh(self, now_ms: float, known_peers: int) -> bool:
-        """Tell whether the number was confirmed recently enough."""
-        age_ms = now_ms - self.confirmed_ms(known_peers)
-        return age_ms <= self._options.fresh_ms
-
     def list_peers(self, since_ms: float) -> set[str]:
         """Return the peers that answered a question asked since a time."""
         return {
--- a/foxtailpick/core/poll_schedule.py
+++ b/foxtailpick/core/poll_schedule.py
@@ -55,6 +55,20 @@
 
         :param fleet_size: nodes of the fleet as far as known.
         """
-        mean_s = self._options.mean_ms / types.SECOND_MS
-        part = self._options.store_polls_per_s / (fleet_size / mean_s)
+        part = find_store_part(
+            self._options.store_polls_per_s, fleet_size, self._options.mean_ms
+        )
         return self._rng.random() < part
+
+
+def find_store_part(
+    budget_per_s: float, fleet_size: int, every_ms: float
+) -> float:
+    """Return the part of the fleet's questions that may go to the store.
+
+    :param budget_per_s: reads a second allowed for these questions.
+    :param fleet_size: nodes that ask.
+    :param every_ms: time between questions of one node.
+    """
+    asked_per_s = fleet_size / (every_ms / types.SECOND_MS)
+    return min(budget_per_s / asked_per_s, 1.0)
--- a/foxtailpick/core/propagation.py
+++ b/foxtailpick/core/propagation.py
@@ -48,6 +48,8 @@
     :param poll: bounds of polling.
     :param announce: bounds of announcements.
     :param fresh: bounds of freshness.
+    :param store_checks_per_s: renewals of freshness by the whole fleet that
+        go to the store; the rest goes to peers.
     :param hedge_ms: wait for a source before the next one is asked too.
     :param store_slow_ms: an answer of the store slower than this sends
         verifications to peers.
@@ -62,6 +64,7 @@
         config_announcer.AnnouncerOptions()
     )
     fresh: freshness.FreshnessOptions = freshness.FreshnessOptions()
+    store_checks_per_s: float = 200.0
     hedge_ms: float = 250.0
     store_slow_ms: float = 1_000.0
     behind_limit_ms: float = 30_000.0
@@ -85,6 +88,7 @@
         options: TrackerOptions = TrackerOptions(),
     ) -> None:
         self._node = node
+        self._rng = rng
         self._options = options
         self._held = node_config.NodeConfig(node, monitor)
         self._sources = config_sources.Sources(rng)
@@ -99,6 +103,7 @@
         self._head_asked_ms = float('-inf')
         self._has_been_confirmed = False
         self._given_up = types.ConfigNumber(0)
+        self._lagging: dict[str, types.ConfigNumber] = {}
         self._wants_watch = False
         self._is_watching = False
         self._called_ms = float('-inf')
@@ -125,8 +130,8 @@
 
         :param now_ms: the current time.
         """
-        known = self._sources.count_good_peers(now_ms)
-        is_confirmed = self._fresh.is_fresh(now_ms, known)
+        age_ms = now_ms - self._confirmed_ms(now_ms)
+        is_confirmed = age_ms <= self._options.fresh.fresh_ms
         return is_confirmed and not self._is_held_back(now_ms)
 
     def may_serve(self, now_ms: float) -> bool:
@@ -138,8 +143,7 @@
         :param now_ms: the current time.
         """
         if not self._has_been_confirmed and self.number > 0:
-            known = self._sources.count_good_peers(now_ms)
-            confirmed_ms = self._fresh.confirmed_ms(known)
+            confirmed_ms = self._confirmed_ms(now_ms)
             self._has_been_confirmed = confirmed_ms > float('-inf')
         return self._has_been_confirmed
 
@@ -153,12 +157,33 @@
         """
         if not self.may_serve(now_ms):
             return Admission.NOT_READY
+        age_ms = now_ms - self._confirmed_ms(now_ms)
+        if age_ms > self._options.fresh.renew_ms:
+            is_routine = age_ms <= self._options.fresh.routine_ms
+            self._verification.start(self._may_ask_store(is_routine), now_ms)
         if self.is_fresh(now_ms):
-            self._verification.end()
             return Admission.ADMIT
-        self._verification.start(now_ms)
         return Admission.VERIFY
 
+    def _may_ask_store(self, is_routine: bool) -> bool:
+        """Tell whether a verification may use the store.
+
+        A node that was paused always may. A busy one renews every few
+        seconds, of which the store bears a fixed rate in all.
+        """
+        if not is_routine:
+            return True
+        renew_ms = self._options.fresh.renew_ms
+        budget = self._options.store_checks_per_s
+        part = poll_schedule.find_store_part(
+            budget, self._sources.size, renew_ms
+        )
+        return self._rng.random() < part
+
+    def _confirmed_ms(self, now_ms: float) -> float:
+        known = self._sources.count_good_peers(now_ms)
+        return self._fresh.confirmed_ms(known)
+
     def _is_held_back(self, now_ms: float) -> bool:
         """Tell whether a higher number may still be learned.
 
@@ -187,47 +212,37 @@
         self,
         peers: typing.Iterable[str],
         domain_nodes: typing.Collection[str] = (),
+        listeners: typing.Iterable[str] = (),
     ) -> None:
         """Replace the peers.
 
-        :param peers: nodes that can be asked.
+        :param peers: nodes that can be asked: the other sidecars. Routers
+            are left out, for those that send work may all be stale.
+        :param listeners: routers with an open connection, told of a new
+            number though never asked.
         :param domain_nodes: nodes of this failure domain that may hold a
             watch; without this node in it, it never does.
         """
         self._sources.set_peers(peers)
+        self._announcer.set_listeners(listeners)
         self._wants_watch = self._node in domain_nodes and watchers.is_watcher(
             self._node, domain_nodes
         )
 
     def hear(
         self, number: types.ConfigNumber, peer: str | None, now_ms: float
-    ) -> None:
+    ) -> bool:
         """Record the number on a frame.
 
         :param number: the number in force at the sender.
         :param peer: the sender, None if it cannot be asked.
         :param now_ms: the current time.
+        :returns: whether the driver should ask for the next action.
         """
-        if number > self.number:
-            self._catch_up.hear(number, peer, now_ms)
-
-    def on_round_trip(
-        self,
-        peer: str,
-        number: types.ConfigNumber,
-        asked_ms: float,
-        now_ms: float,
-    ) -> None:
-        """Record a peer's number from an answer to any question of ours.
-
-        :param peer: the peer.
-        :param number: the number on the frame of its answer.
-        :param asked_ms: when the question was sent.
-        :param now_ms: the current time.
-        """
-        self.hear(number, peer, now_ms)
         if number <= self.number:
-            self._fresh.on_peer_answer(peer, asked_ms)
+            return False
+        self._catch_up.hear(number, peer, now_ms)
+        return True
 
     def on_head(
         self,
@@ -288,7 +303,10 @@
         elif asked_ms is not None:
             self._flights.end_peer(peer)
             self._sources.on_peer_good(peer)
-            self.on_round_trip(peer, offer.number, asked_ms, now_ms)
+            if offer.number <= self.number:
+                self._fresh.on_peer_answer(peer, asked_ms)
+            if offer.number < self.number:
+                self._lagging[peer] = offer.number
 
     def on_accepted(
         self,
@@ -402,6 +420,9 @@
     def _plan_announcement(
         self, now_ms: float
     ) -> config_actions.Action | None:
+        if self._lagging:
+            peer, number = self._lagging.popitem()
+            return config_actions.Announce((peer,), self.make_offer(number))
         peers = self._announcer.pick_peers(self.number, self._sources, now_ms)
         if not peers:
             return None
@@ -450,13 +471,11 @@
         self, now_ms: float
     ) -> config_actions.Action | None:
         if not self.may_serve(now_ms):
-            self._verification.start(now_ms)
+            self._verification.start(True, now_ms)
+        self._verification.end_if_done(self._confirmed_ms(now_ms))
         is_needed = self._verification.is_under_way
         if not is_needed or self._is_held_back(now_ms):
             return None
-        if self.is_fresh(now_ms):
-            self._verification.end()
-            return None
         if self._verification.pick_store(self._sources, now_ms):
             action = self._ask_head(now_ms)
             if action is not None:
--- a/foxtailpick/core/verification.py
+++ b/foxtailpick/core/verification.py
@@ -14,17 +14,27 @@
     def __init__(self, hedge_ms: float) -> None:
         self._hedge_ms = hedge_ms
         self._since_ms: float | None = None
+        self._may_ask_store = True
         self._has_asked_store = False
 
-    def start(self, now_ms: float) -> None:
-        """Begin, unless one is under way."""
+    def start(self, may_ask_store: bool, now_ms: float) -> None:
+        """Begin, unless one is under way.
+
+        :param may_ask_store: whether the store is asked, before peers.
+        :param now_ms: the current time.
+        """
         if self._since_ms is None:
             self._since_ms = now_ms
+            self._may_ask_store = may_ask_store
             self._has_asked_store = False
 
-    def end(self) -> None:
-        """End, because the number is confirmed."""
-        self._since_ms = None
+    def end_if_done(self, confirmed_ms: float) -> None:
+        """End once the number is confirmed as of the beginning or later.
+
+        :param confirmed_ms: time up to which it is confirmed.
+        """
+        if self._since_ms is not None and confirmed_ms >= self._since_ms:
+            self._since_ms = None
 
     def on_store_answer(self) -> None:
         """Allow another question to the store, should this one be late."""
@@ -39,7 +49,7 @@
         self, sources: config_sources.Sources, now_ms: float
     ) -> bool:
         """Tell whether to ask the store now."""
-        if self._has_asked_store or not sources.is_store_usable(now_ms):
+        if self._has_asked_store or not self._is_store_wanted(sources, now_ms):
             return False
         self._has_asked_store = True
         return True
@@ -59,7 +69,7 @@
         :param now_ms: the current time.
         """
         is_store_awaited = now_ms - self._since_ms < self._hedge_ms
-        if is_store_awaited and sources.is_store_usable(now_ms):
+        if is_store_awaited and self._is_store_wanted(sources, now_ms):
             return None
         asked = {
             action.peer
@@ -73,3 +83,8 @@
     def next_ms(self, now_ms: float) -> float:
         """Return when to look again."""
         return now_ms + self._hedge_ms if self.is_under_way else float('inf')
+
+    def _is_store_wanted(
+        self, sources: config_sources.Sources, now_ms: float
+    ) -> bool:
+        return self._may_ask_store and sources.is_store_usable(now_ms)
--- a/foxtailpick/tests/test_propagation.py
+++ b/foxtailpick/tests/test_propagation.py
@@ -143,7 +143,8 @@
     tracker.on_head(head, 0.0, 5.0)
     assert tracker.check_admission(10.0) is ADMIT
     # The answer that lay in the buffer while paused proves nothing.
-    tracker.on_round_trip('a', source.number, 20.0, 60_000.0)
+    for peer in PEERS:
+        tracker.hear(source.number, peer, 60_000.0)
     tracker.on_head(head, 30.0, 60_000.0)
     assert tracker.check_admission(60_000.0) is VERIFY
     peers = list_peers_asked(take_actions(tracker, 60_000.0))
