Measure bookings while the store is away

Cause: an outage, a slow store and lost replies each need an answer to what a booking gets. Change: a benchmark with 600 bookings at 20 sidecars, 8 s of fault, retries through any sidecar; no claim, claim and ticket side by side.

--- /dev/null
+++ b/foxtailpick/bench/claims_outage.py
@@ -0,0 +1,224 @@
+"""What bookings get while the store is away, by the ways weighed."""
+
+import collections
+import enum
+import random
+import typing
+
+from hdrh import histogram
+from loguru import logger
+import trio
+
+from foxtailpick.bench import tables
+from foxtailpick.bench import virtual_time
+from foxtailpick.core import claim_records
+from foxtailpick.core import claims
+from foxtailpick.core import clock as clock_lib
+from foxtailpick.core import errors
+from foxtailpick.core import group_commit
+from foxtailpick.core import invariants
+from foxtailpick.core import jobs
+from foxtailpick.core import tickets
+from foxtailpick.core import types
+from foxtailpick.core import verdict
+from foxtailpick.standins import keyvalue
+
+SEED = 11
+SIDECARS = 20
+RATE = 30
+SECONDS = 20
+FAULT_BEGIN_MS = 5_000.0
+FAULT_MS = 8_000.0
+NORMAL_DELAY_MS = 3.0
+SLOW_DELAY_MS = 400.0
+MANY = 1_000_000
+SERVICE_MS = 20.0
+LOST_ANSWERS = 6
+RETRY_MS = 1_000.0
+MAX_TRIES = 15
+MAX_REPLY_MS = 600_000
+
+
+class Fault(enum.Enum):
+    """What happens to the store for 8 s."""
+
+    DOWN = 'down'
+    SLOW = 'replies after 400 ms'
+    LOSES_REPLIES = 'loses all replies to writes'
+
+
+class Way(enum.Enum):
+    """How a booking is kept from running twice."""
+
+    NONE = 'no claim, retry on any error'
+    CLAIM = 'claim, paced 500 ms, burst 3'
+    TICKET = 'ticket'
+
+
+class _Run:
+    """One run of one way under one fault."""
+
+    def __init__(self, way: Way, fault: Fault) -> None:
+        self.way = way
+        self.fault = fault
+        self.rng = random.Random(SEED)
+        lost = self.rng.sample(range(RATE * SECONDS), LOST_ANSWERS)
+        self.lost = {f'k{number}' for number in lost}
+        self.clock = clock_lib.Clock.from_trio()
+        self.state = keyvalue.KeyValueState(self.clock.now)
+        self.state.faults.delay_ms = NORMAL_DELAY_MS
+        self.monitor = invariants.Monitor(is_strict=True)
+        self.runs: collections.Counter[str] = collections.Counter()
+        self.outcomes: collections.Counter[str] = collections.Counter()
+        self.reply = histogram.HdrHistogram(1, MAX_REPLY_MS, 3)
+        self.engines: list[claims.ClaimEngine] = []
+        self.books: list[tickets.TicketBook] = []
+
+    async def perform(self) -> '_Run':
+        async with trio.open_nursery() as services:
+            for number in range(SIDECARS):
+                await self._start_sidecar(services, number)
+            services.start_soon(self._inject_fault)
+            async with trio.open_nursery() as callers:
+                for number in range(RATE * SECONDS):
+                    callers.start_soon(self._book, f'k{number}')
+                    await clock_lib.sleep_ms(
+                        self.rng.expovariate(RATE) * types.SECOND_MS
+                    )
+            services.cancel_scope.cancel()
+        return self
+
+    async def _start_sidecar(
+        self, services: trio.Nursery, number: int
+    ) -> None:
+        owner = claim_records.ClaimOwner(f'e{number}', f'i{number}')
+        kv = group_commit.GroupCommitter(keyvalue.MemoryKeyValue(self.state))
+        await services.start(kv.run)
+        engine = claims.ClaimEngine(kv, owner, self.clock, self.monitor)
+        self.engines.append(engine)
+        self.books.append(tickets.TicketBook(owner, self.clock, self.monitor))
+        services.start_soon(_settle_for_ever, engine)
+
+    async def _inject_fault(self) -> None:
+        faults = self.state.faults
+        await clock_lib.sleep_ms(FAULT_BEGIN_MS)
+        if self.fault is Fault.DOWN:
+            faults.is_down = True
+        elif self.fault is Fault.SLOW:
+            faults.delay_ms = SLOW_DELAY_MS
+        else:
+            faults.lost_replies = MANY
+        await clock_lib.sleep_ms(FAULT_MS)
+        faults.is_down = False
+        faults.delay_ms = NORMAL_DELAY_MS
+        faults.lost_replies = 0
+
+    async def _book(self, name: str) -> None:
+        began_ms = self.clock.now()
+        perform = self._choose_way(name)
+        for _ in range(MAX_TRIES):
+            try:
+                await perform()
+            except errors.FoxtailError as exc:
+                if not self._may_retry(exc):
+                    self.outcomes['unknown'] += 1
+                    return
+                self.outcomes['refusals'] += 1
+                await clock_lib.sleep_ms(RETRY_MS)
+                continue
+            self.outcomes['answered'] += 1
+            self.reply.record_value(max(1, int(self.clock.now() - began_ms)))
+            return
+        self.outcomes['refused'] += 1
+
+    def _may_retry(self, exc: errors.FoxtailError) -> bool:
+        return (
+            self.way is Way.NONE
+            or exc.verdict is verdict.Verdict.NOT_RUN
+            or exc.code is errors.ErrorCode.CALL_IN_PROGRESS
+        )
+
+    def _choose_way(
+        self, name: str
+    ) -> typing.Callable[[], typing.Awaitable[object]]:
+        async def call() -> bytes:
+            return await self._call_service(name)
+
+        if self.way is Way.NONE:
+            return call
+        if self.way is Way.TICKET:
+            book = self.rng.choice(self.books)
+            key = claim_records.ClaimKey('acc', 'svc', book.issue().key)
+            return lambda: book.run_once(key, b'body', call)
+        # Retries go anywhere, as routers with differing lists send them.
+        key = claim_records.ClaimKey('acc', 'svc', name)
+        return lambda: self.rng.choice(self.engines).run_once(
+            key, b'body', call
+        )
+
+    async def _call_service(self, name: str) -> bytes:
+        await clock_lib.sleep_ms(SERVICE_MS)
+        self.runs[name] += 1
+        if name in self.lost and self.runs[name] == 1:
+            raise errors.RequestError(
+                errors.ErrorCode.ENDPOINT_FAILED,
+                'connection lost',
+                verdict.Verdict.MAY_HAVE_RUN,
+            )
+        return b'booked'
+
+
+async def _settle_for_ever(engine: claims.ClaimEngine) -> None:
+    while True:
+        await clock_lib.sleep_ms(claims.SETTLE_EVERY_MS)
+        try:
+            await engine.settle_pending(jobs.run_together)
+        except errors.StoreError:
+            continue
+
+
+def measure() -> list[tables.Table]:
+    """Measure all ways under all faults."""
+    table = tables.Table(
+        f'{RATE * SECONDS} bookings in {SECONDS} s at {SIDECARS} sidecars, '
+        f'store at fault for {FAULT_MS / types.SECOND_MS:.0f} s, '
+        f'{LOST_ANSWERS} answers lost by the service, retry each second, '
+        f'seed {SEED}',
+        (
+            'store',
+            'way',
+            'answered',
+            'unknown',
+            'refused',
+            'retries',
+            'keys run twice',
+            'reply p50 ms',
+            'p95 ms',
+        ),
+    )
+    logger.disable('foxtailpick')
+    try:
+        for fault in Fault:
+            for way in Way:
+                _add_row(table, way, fault)
+    finally:
+        logger.enable('foxtailpick')
+    return [table]
+
+
+def _add_row(table: tables.Table, way: Way, fault: Fault) -> None:
+    async def main() -> _Run:
+        return await _Run(way, fault).perform()
+
+    run = virtual_time.run(main, SEED)
+    table.add_row(
+        fault.value,
+        way.value,
+        run.outcomes['answered'],
+        run.outcomes['unknown'],
+        run.outcomes['refused'],
+        run.outcomes['refusals'],
+        sum(count > 1 for count in run.runs.values()),
+        run.reply.get_value_at_percentile(50),
+        run.reply.get_value_at_percentile(95),
+    )
