Read a claim back after a lost reply

Cause: after a lost reply the claim was written again, at the pace of writes, and four such tries made a refusal. Ruled out: counting the repeats outside of the pace, which breaks the bound on writes.

--- a/foxtailpick/core/claim_store.py
+++ b/foxtailpick/core/claim_store.py
@@ -58,27 +58,27 @@
         """Store a claim where none is; return the one that is there then.
 
         A claim whose nonce is unused is replaced. After a lost reply the
-        write is repeated: the store then shows whether it took effect.
+        key is read, which is cheaper than a write; if nothing is there yet
+        the write is repeated, and only one of the two can take effect.
 
         :param path: key of the claim.
         :param claim: the claim, with a nonce of its own.
         :param unused_nonces: nonces of this process that never ran.
         :raises errors.StoreError: with verdict `NOT_RUN` if the claim is
             not in the store, `MAY_HAVE_RUN` if it may be.
+        :raises errors.RequestError: if what is there cannot be read.
         """
         revision = base.ABSENT
         outcome = Verdict.NOT_RUN
         for _ in range(STORE_TRIES):
             try:
-                result = await self._put(path, revision, claim)
+                found = await self._put(path, revision, claim)
             except errors.StoreError as exc:
                 outcome = verdict_lib.merge_verdicts(outcome, exc.verdict)
-                if _may_try_again(exc):
-                    continue
-                break
-            found = _read_result(result, claim)
+                if not _may_try_again(exc):
+                    break
+                found = await self._read_back(path)
             if found is None:
-                # The claim that was to be replaced has gone since.
                 revision = base.ABSENT
                 continue
             if found.claim.nonce not in unused_nonces:
@@ -104,15 +104,15 @@
         :returns: the result, or another call's claim, which it does not
             touch.
         :raises errors.StoreError: if it is not known to be stored.
+        :raises errors.RequestError: if what is there cannot be read.
         """
         for _ in range(STORE_TRIES):
             try:
-                result = await self._put(path, revision, claim)
+                found = await self._put(path, revision, claim)
             except errors.StoreError as exc:
-                if _may_try_again(exc):
-                    continue
-                raise
-            found = _read_result(result, claim)
+                if not _may_try_again(exc):
+                    raise
+                found = await self._read_back(path)
             if found is None:
                 revision = base.ABSENT
                 continue
@@ -139,8 +139,7 @@
             entry = await self._kv.get(path)
             if entry is None:
                 return
-            claim = claim_records.Claim.decode(entry.value)
-            if claim.nonce not in unused_nonces:
+            if not _is_unused(entry, unused_nonces):
                 return
             try:
                 await self._kv.transact(
@@ -160,10 +159,11 @@
         path: str,
         revision: types.Revision,
         claim: claim_records.Claim,
-    ) -> base.TxnResult:
+    ) -> StoredClaim | None:
+        """Write once; return what is stored then, None if nothing is."""
         lease = await self._acquire_lease()
         try:
-            return await self._kv.transact(
+            result = await self._kv.transact(
                 [base.Compare(path, revision)],
                 [base.Put(path, claim.encode(), lease)],
             )
@@ -171,6 +171,17 @@
             if exc.code is ErrorCode.LEASE_LOST:
                 self._leases.discard(lease)
             raise
+        if result.is_applied:
+            return StoredClaim(claim, result.revision)
+        return _decode(result.current[0]) if result.current else None
+
+    async def _read_back(self, path: str) -> StoredClaim | None:
+        """Return what is stored, None if nothing is or nobody answers."""
+        try:
+            entry = await self._kv.get(path)
+        except errors.StoreError:
+            return None
+        return _decode(entry) if entry else None
 
     async def _acquire_lease(self) -> types.LeaseId:
         try:
@@ -182,15 +193,19 @@
             ) from exc
 
 
-def _read_result(
-    result: base.TxnResult, written: claim_records.Claim
-) -> StoredClaim | None:
-    if result.is_applied:
-        return StoredClaim(written, result.revision)
-    if not result.current:
-        return None
-    entry = result.current[0]
-    return StoredClaim(claim_records.Claim.decode(entry.value), entry.revision)
+def _is_unused(
+    entry: base.Entry, unused_nonces: typing.Collection[str]
+) -> bool:
+    try:
+        return _decode(entry).claim.nonce in unused_nonces
+    except errors.RequestError:
+        # Not written by this release, so not by this process.
+        return False
+
+
+def _decode(entry: base.Entry) -> StoredClaim:
+    claim = claim_records.Claim.decode(entry.value)
+    return StoredClaim(claim, entry.revision)
 
 
 def _may_try_again(exc: errors.StoreError) -> bool:
--- a/foxtailpick/core/claims.py
+++ b/foxtailpick/core/claims.py
@@ -309,7 +309,12 @@
         is_ran = record.phase is ClaimPhase.RAN
         state = ClaimState.RAN if is_ran else ClaimState.UNKNOWN
         claim = record.make_claim(state, self.owner)
-        found = await self._store.save(record.path, claim, record.revision)
+        try:
+            found = await self._store.save(record.path, claim, record.revision)
+        except errors.RequestError as exc:
+            raise errors.StoreError(
+                errors.ErrorCode.STORE_REFUSED, exc.message, exc.verdict
+            ) from exc
         self._monitor.check(
             Promise.AT_MOST_ONCE,
             found.claim.nonce == record.nonce,
