Measure membership and bring a reading of the list within its budget

The chart library logs each event that has no arrow.

Ruled out: a machine for each member (5 KB each); dropping the chart.

Change: unchanged members are passed over, events without an arrow don't reach the library, streaks keep their own order of time, members of one place share its trouble. A failed attempt that began before a trouble ended is no evidence. Probes may burst to 20.

--- a/foxtailpick/core/member_chart.py
+++ b/foxtailpick/core/member_chart.py
@@ -68,8 +68,14 @@
             transitions=chart['transitions'],
             initial=chart['initial'],
             auto_transitions=False,
-            ignore_invalid_triggers=True,
         )
+        # The library logs each event without an arrow, which costs more
+        # than the event.
+        self._known = {
+            (trigger, source)
+            for trigger, event in self._machine.events.items()
+            for source in event.transitions
+        }
 
     def step(
         self,
@@ -83,6 +89,8 @@
         :param trigger: the event.
         :param conditions: the conditions at this moment.
         """
+        if (trigger.value, state.value) not in self._known:
+            return state
         self._cursor.conditions = conditions
         self._machine.set_state(state.value, self._cursor)
         self._cursor.trigger(trigger.value)
--- a/foxtailpick/core/member_intake.py
+++ b/foxtailpick/core/member_intake.py
@@ -41,24 +41,25 @@
         :param member: the member as the list shows it.
         :param now_ms: the current time.
         """
-        endpoint = member.endpoint
-        record = self._table.get(endpoint)
-        is_new_to_list = (
-            record is None or record.listed_incarnation != member.incarnation
+        record = self._table.get(member.endpoint)
+        # Most readings show what the one before showed.
+        if record and record.unlisted_since_ms is None:
+            if record.listed == member:
+                return
+        is_new = (
+            record is None or record.listed.incarnation != member.incarnation
         )
-        if is_new_to_list and self._table.is_barred(
-            endpoint, member.incarnation, now_ms
+        if is_new and self._table.is_barred(
+            member.endpoint, member.incarnation, now_ms
         ):
             return
         if record is None:
-            record = self._lifecycle.add(member, member.incarnation, now_ms)
-        elif is_new_to_list and member.incarnation != (
-            record.member.incarnation
-        ):
+            record = self._lifecycle.add(member, member, now_ms)
+        elif is_new and member.incarnation != record.member.incarnation:
             record = self._lifecycle.replace(
-                record, member.incarnation, member.incarnation, now_ms
+                record, member.incarnation, member, now_ms
             )
-        record.listed_incarnation = member.incarnation
+        record.listed = member
         record.unlisted_since_ms = None
         record.is_mass_unlisted = False
         self._update_member(record, member)
--- a/foxtailpick/core/member_lifecycle.py
+++ b/foxtailpick/core/member_lifecycle.py
@@ -48,34 +48,46 @@
         self.version = 0
 
     def find_trouble(
-        self, record: member_table.MemberRecord, now_ms: float
+        self, place: path_health.Place, now_ms: float
     ) -> path_health.ScopeKind | None:
-        """Return the widest scope of a member that is in trouble."""
-        return self._health.find_trouble(record.place, now_ms)
+        """Return the widest scope of a place that is in trouble."""
+        return self._health.find_trouble(place, now_ms)
 
     def note_answer(
         self, record: member_table.MemberRecord, now_ms: float
     ) -> None:
         """Note that a member answered."""
         record.last_answer_ms = now_ms
-        was_troubled = self.find_trouble(record, now_ms)
-        self._health.note_success(record.place)
+        was_troubled = self.find_trouble(record.place, now_ms)
+        self._health.note_success(record.place, now_ms)
         if was_troubled:
             self._end_trouble(record.place, now_ms)
         self.fire(record, Trigger.ANSWERED, Reason.ANSWERED, now_ms)
         self._prober.plan_after_answer(record, now_ms)
 
     def note_failure(
-        self, record: member_table.MemberRecord, now_ms: float
+        self,
+        record: member_table.MemberRecord,
+        began_ms: float,
+        now_ms: float,
     ) -> None:
-        """Note that a member did not answer."""
-        record.last_failure_ms = now_ms
-        was_troubled = self.find_trouble(record, now_ms)
+        """Note that a member did not answer an attempt.
+
+        :param record: the member.
+        :param began_ms: when the attempt began.
+        :param now_ms: the current time.
+        """
+        was_troubled = self.find_trouble(record.place, now_ms)
         endpoint = record.member.endpoint
-        self._health.note_failure(endpoint, record.place, now_ms)
-        trouble = self.find_trouble(record, now_ms)
+        if was_troubled or self._health.is_trusted(
+            record.place, began_ms, now_ms
+        ):
+            self._health.note_failure(endpoint, record.place, now_ms)
+        trouble = self.find_trouble(record.place, now_ms)
         if trouble and not was_troubled:
             self._begin_trouble(record.place, trouble, now_ms)
+        record.last_failure_ms = now_ms
+        record.failed_began_ms = began_ms
         reason = _FAILED_REASONS.get(record.state, Reason.FAILED)
         if not self.fire(record, Trigger.FAILED, reason, now_ms):
             self._prober.plan_after_failure(record, now_ms)
@@ -114,14 +126,12 @@
     def add(
         self,
         member: base.Member,
-        listed_incarnation: types.Incarnation,
+        listed: base.Member,
         now_ms: float,
         reason: Reason = Reason.LISTED,
     ) -> member_table.MemberRecord:
         """Take in a new member."""
-        record = member_table.MemberRecord(
-            member, listed_incarnation, reason, now_ms
-        )
+        record = member_table.MemberRecord(member, listed, reason, now_ms)
         self._table.add(record)
         self.version += 1
         logger.info(
@@ -136,14 +146,14 @@
         self,
         record: member_table.MemberRecord,
         incarnation: types.Incarnation,
-        listed_incarnation: types.Incarnation,
+        listed: base.Member,
         now_ms: float,
     ) -> member_table.MemberRecord:
         """Put another incarnation in a member's place, with no past.
 
         :param record: the member as it was.
         :param incarnation: the new incarnation.
-        :param listed_incarnation: the one that the list shows.
+        :param listed: the member as the list shows it.
         :param now_ms: the current time.
         """
         self._table.bar(record.member, now_ms)
@@ -151,33 +161,16 @@
         member = dataclasses.replace(
             record.member, incarnation=incarnation, is_leaving=False
         )
-        return self.add(member, listed_incarnation, now_ms, Reason.REPLACED)
-
-    def make_status(
-        self, record: member_table.MemberRecord, now_ms: float
-    ) -> member_types.MemberStatus:
-        """Return a member with its reason and whether to avoid it."""
-        reason = record.reason
-        trouble = self.find_trouble(record, now_ms)
-        is_failing = record.last_failure_ms > record.last_answer_ms
-        if not is_failing and trouble in _AVOIDED_SCOPES:
-            reason = _AVOIDED_SCOPES[trouble]
-        return member_types.MemberStatus(
-            member=record.member,
-            state=record.state,
-            reason=reason,
-            since_ms=record.since_ms,
-            is_avoided=is_failing
-            or record.state is State.SUSPECT
-            or trouble in _AVOIDED_SCOPES,
-        )
+        return self.add(member, listed, now_ms, Reason.REPLACED)
 
     def _make_conditions(
         self, record: member_table.MemberRecord, now_ms: float
     ) -> member_chart.MemberConditions:
-        trouble = self.find_trouble(record, now_ms)
+        began_ms = max(record.failed_began_ms, record.last_answer_ms)
         return member_chart.MemberConditions(
-            is_path_trusted=trouble is None,
+            is_path_trusted=self._health.is_trusted(
+                record.place, began_ms, now_ms
+            ),
             is_list_trusted=not record.is_mass_unlisted,
             is_probation_over=now_ms >= record.probation_until_ms,
             is_list_staying=not record.member.is_leaving,
@@ -218,6 +211,29 @@
         self._health.forget(record.member.endpoint)
 
 
+def make_status(
+    record: member_table.MemberRecord, trouble: path_health.ScopeKind | None
+) -> member_types.MemberStatus:
+    """Return a member with its reason and whether to avoid it.
+
+    :param record: the member.
+    :param trouble: the widest scope of its place that is in trouble.
+    """
+    reason = record.reason
+    is_failing = record.last_failure_ms > record.last_answer_ms
+    if not is_failing and trouble in _AVOIDED_SCOPES:
+        reason = _AVOIDED_SCOPES[trouble]
+    return member_types.MemberStatus(
+        member=record.member,
+        state=record.state,
+        reason=reason,
+        since_ms=record.since_ms,
+        is_avoided=is_failing
+        or record.state is State.SUSPECT
+        or trouble in _AVOIDED_SCOPES,
+    )
+
+
 def _log_change(record: member_table.MemberRecord, before: State) -> None:
     logger.info(
         'MEMBER {}/{} {} -> {}. {}.',
--- a/foxtailpick/core/member_table.py
+++ b/foxtailpick/core/member_table.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import functools
 import typing
 
 from foxtailpick.adapters import base
@@ -18,12 +19,13 @@
     """All that is known of a member.
 
     :param member: the member, with the incarnation last seen in traffic.
-    :param listed_incarnation: the incarnation in the platform's list.
+    :param listed: the member as the platform's list showed it last.
     :param reason: why it is in its state.
     :param since_ms: when it entered its state.
     :param state: its state.
     :param last_answer_ms: when it answered last.
     :param last_failure_ms: when it failed last.
+    :param failed_began_ms: when the attempt began that failed last.
     :param last_suspect_ms: when it became suspect last.
     :param backoff_ms: the wait before its latest probe.
     :param flaps: suspicions in a row, each soon after the one before.
@@ -34,12 +36,13 @@
     """
 
     member: base.Member
-    listed_incarnation: types.Incarnation
+    listed: base.Member
     reason: member_types.MemberReason
     since_ms: float
     state: member_chart.MemberState = member_chart.MemberState.LISTED
     last_answer_ms: float = _NEVER_MS
     last_failure_ms: float = _NEVER_MS
+    failed_began_ms: float = _NEVER_MS
     last_suspect_ms: float = _NEVER_MS
     backoff_ms: float = 0.0
     flaps: int = 0
@@ -50,7 +53,7 @@
     @property
     def place(self) -> path_health.Place:
         """Return where the member runs."""
-        return path_health.Place(self.member.region, self.member.domain)
+        return _make_place(self.member.region, self.member.domain)
 
 
 class MemberTable:
@@ -142,6 +145,14 @@
             self._sizes[kind, _get_scope_name(kind, place)] += change
 
 
+# Members in the same place share one value.
+@functools.lru_cache(maxsize=1_024)
+def _make_place(
+    region: types.RegionId, domain: types.FailureDomainId
+) -> path_health.Place:
+    return path_health.Place(region, domain)
+
+
 def _get_scope_name(
     kind: path_health.ScopeKind, place: path_health.Place
 ) -> str:
--- a/foxtailpick/core/membership.py
+++ b/foxtailpick/core/membership.py
@@ -5,6 +5,7 @@
 removes a member alone while the other speaks for it.
 """
 
+import functools
 import random
 import typing
 
@@ -115,7 +116,7 @@
             if self._table.is_barred(endpoint, incarnation, now_ms):
                 return
             record = self._lifecycle.replace(
-                record, incarnation, record.listed_incarnation, now_ms
+                record, incarnation, record.listed, now_ms
             )
         self._lifecycle.note_answer(record, now_ms)
 
@@ -124,6 +125,7 @@
         endpoint: types.EndpointId,
         incarnation: types.Incarnation,
         now_ms: float,
+        began_ms: float | None = None,
     ) -> None:
         """Note that a member could not be reached or went silent.
 
@@ -132,11 +134,14 @@
         :param endpoint: the member.
         :param incarnation: the incarnation that was addressed.
         :param now_ms: the current time.
+        :param began_ms: when the attempt began, by default now.
         """
         record = self._table.get(endpoint)
         if record is None or record.member.incarnation != incarnation:
             return
-        self._lifecycle.note_failure(record, now_ms)
+        if began_ms is None:
+            began_ms = now_ms
+        self._lifecycle.note_failure(record, began_ms, now_ms)
 
     def on_notice(
         self,
@@ -169,7 +174,8 @@
         """Return the members that may receive new work, by endpoint.
 
         Members that are down appear, to be avoided, only where their
-        service has nothing else.
+        service has nothing else. Call it when `version` has changed, and
+        once a second.
 
         :param now_ms: the current time.
         """
@@ -184,8 +190,13 @@
         ]
         for record in usable:
             self._check_not_leaving(record.member, now_ms)
+        # Many members share a place.
+        find_trouble = functools.cache(
+            lambda place: self._lifecycle.find_trouble(place, now_ms)
+        )
         return [
-            self._lifecycle.make_status(record, now_ms) for record in usable
+            member_lifecycle.make_status(record, find_trouble(record.place))
+            for record in usable
         ]
 
     def get_state(self, endpoint: types.EndpointId) -> State:
@@ -215,7 +226,7 @@
         record = next(iter(self._table), None)
         if record is None:
             return False
-        trouble = self._lifecycle.find_trouble(record, now_ms)
+        trouble = self._lifecycle.find_trouble(record.place, now_ms)
         return trouble is path_health.ScopeKind.FLEET
 
     def _expire(self, now_ms: float) -> None:
--- a/foxtailpick/core/path_health.py
+++ b/foxtailpick/core/path_health.py
@@ -7,6 +7,7 @@
 fleet means that this node itself is.
 """
 
+import collections
 import dataclasses
 import enum
 import typing
@@ -67,9 +68,8 @@
     ) -> None:
         self._count_members = count_members
         self._window_ms = window_ms
-        self._streaks: dict[
-            _Scope, dict[types.EndpointId, tuple[float, Place]]
-        ] = {}
+        self._streaks: dict[_Scope, _Streak] = {}
+        self._trouble_ended_ms: dict[_Scope, float] = {}
 
     def note_failure(
         self, endpoint: types.EndpointId, place: Place, now_ms: float
@@ -81,24 +81,43 @@
         :param now_ms: the current time.
         """
         for scope in _list_scopes(place):
-            streak = self._streaks.setdefault(scope, {})
-            streak[endpoint] = (now_ms, place)
+            streak = self._streaks.setdefault(scope, _Streak())
+            streak.add(endpoint, place.domain, now_ms)
 
-    def note_success(self, place: Place) -> None:
+    def note_success(self, place: Place, now_ms: float) -> None:
         """End the streaks of a place: something in it answered.
 
         :param place: where the member runs that answered.
+        :param now_ms: the current time.
         """
         for scope in _list_scopes(place):
+            if self._is_in_trouble(scope, place, now_ms):
+                self._trouble_ended_ms[scope] = now_ms
             self._streaks.pop(scope, None)
 
+    def is_trusted(self, place: Place, began_ms: float, now_ms: float) -> bool:
+        """Tell whether a failed attempt speaks of its member alone.
+
+        An attempt from before the end of a trouble comes in late and
+        speaks of the trouble.
+
+        :param place: where the member runs.
+        :param began_ms: when the attempt began.
+        :param now_ms: the current time.
+        """
+        ended_ms = max(
+            self._trouble_ended_ms.get(scope, began_ms)
+            for scope in _list_scopes(place)
+        )
+        return began_ms >= ended_ms and not self.find_trouble(place, now_ms)
+
     def forget(self, endpoint: types.EndpointId) -> None:
         """Remove a member from all streaks.
 
         :param endpoint: the member.
         """
         for streak in self._streaks.values():
-            streak.pop(endpoint, None)
+            streak.discard(endpoint)
 
     def find_trouble(self, place: Place, now_ms: float) -> ScopeKind | None:
         """Return the widest scope of a place that is in trouble.
@@ -115,18 +134,59 @@
         self, scope: _Scope, place: Place, now_ms: float
     ) -> bool:
         streak = self._streaks.get(scope)
-        if not streak:
+        if streak is None:
             return False
-        oldest_ms = now_ms - self._window_ms
-        for endpoint, (at_ms, _) in list(streak.items()):
-            if at_ms < oldest_ms:
-                del streak[endpoint]
+        streak.drop_older_than(now_ms - self._window_ms)
         kind = scope[0]
         size = self._count_members(kind, place)
         # A scope of one member has no others to compare it with.
         needed = max(2, min(STREAK_MEMBERS[kind], size))
-        domains = {member.domain for _, member in streak.values()}
-        return len(streak) >= needed and len(domains) >= STREAK_DOMAINS[kind]
+        return (
+            len(streak) >= needed
+            and streak.count_domains() >= STREAK_DOMAINS[kind]
+        )
+
+
+class _Streak:
+    """Members by the time of their latest failure."""
+
+    def __init__(self) -> None:
+        self._failures: collections.OrderedDict[
+            types.EndpointId, tuple[float, types.FailureDomainId]
+        ] = collections.OrderedDict()
+        self._domains: collections.Counter[types.FailureDomainId] = (
+            collections.Counter()
+        )
+
+    def __len__(self) -> int:
+        return len(self._failures)
+
+    def add(
+        self,
+        endpoint: types.EndpointId,
+        domain: types.FailureDomainId,
+        now_ms: float,
+    ) -> None:
+        self.discard(endpoint)
+        self._failures[endpoint] = (now_ms, domain)
+        self._domains[domain] += 1
+
+    def discard(self, endpoint: types.EndpointId) -> None:
+        if endpoint in self._failures:
+            _, domain = self._failures.pop(endpoint)
+            self._domains[domain] -= 1
+            if not self._domains[domain]:
+                del self._domains[domain]
+
+    def drop_older_than(self, oldest_ms: float) -> None:
+        while self._failures:
+            endpoint, (at_ms, _) = next(iter(self._failures.items()))
+            if at_ms >= oldest_ms:
+                return
+            self.discard(endpoint)
+
+    def count_domains(self) -> int:
+        return len(self._domains)
 
 
 def _list_scopes(place: Place) -> list[_Scope]:
--- a/foxtailpick/core/probe_schedule.py
+++ b/foxtailpick/core/probe_schedule.py
@@ -6,7 +6,7 @@
 from foxtailpick.core import types
 
 PROBES_PER_SECOND = 2.0
-BURST_PROBES = 8.0
+BURST_PROBES = 20.0
 
 
 class ProbeSchedule:
--- a/foxtailpick/tests/test_membership.py
+++ b/foxtailpick/tests/test_membership.py
@@ -206,3 +206,15 @@
     status = statuses(view, 300.0)['book-1']
     assert status.state is State.DOWN
     assert status.is_avoided
+
+
+def test_attempts_from_before_the_end_of_trouble_remove_nobody(view):
+    fail(view, MEMBERS, 100.0)
+    view.on_success(FIRST, 'i1', 1_000.0)
+    for member in MEMBERS[1:]:
+        view.on_failure(member.endpoint, 'i1', 1_500.0, began_ms=500.0)
+    assert len(statuses(view, 1_500.0)) == len(MEMBERS)
+    for now_ms in (2_000.0, 3_000.0):
+        view.on_success(FIRST, 'i1', now_ms)
+        view.on_failure(MEMBERS[1].endpoint, 'i1', now_ms)
+    assert view.get_state(MEMBERS[1].endpoint) is State.DOWN
