Drive configuration and membership by their decision modules

Cause: the router avoided dead endpoints by a table of its own, heard of a drain only by being refused, and every node polled the store each second. Change: one driver carries out what the configuration tracker decides over store, watches and peers; routers hold the membership view with probes and state notices; accounts are loaded when first needed, also from the router that asks, which the content hash makes safe; drained endpoints and those of a domain that is out no longer count in the mean of the pool. Seen and not mended here: the queue predicts waits from generated tokens alone and gives up requests with 28 s left; the router then holds them for the 20 s it was told to wait.

--- a/foxtailpick/core/codec.py
+++ b/foxtailpick/core/codec.py
@@ -37,6 +37,8 @@
     16: messages.ConfigOffer,
     17: messages.Probe,
     18: messages.ProbeReply,
+    19: messages.ChunkWanted,
+    20: messages.ChunkOffer,
 }
 _TAG_BY_TYPE = {kind: tag for tag, kind in _TAGS.items()}
 
--- a/foxtailpick/core/messages.py
+++ b/foxtailpick/core/messages.py
@@ -302,6 +302,30 @@
     payload: bytes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChunkWanted:
+    """A node asks its peer for a chunk of accounts.
+
+    :param index: the chunk.
+    :param digest: its content hash.
+    """
+
+    index: int
+    digest: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChunkOffer:
+    """A chunk of accounts.
+
+    :param index: the chunk.
+    :param payload: its bytes, empty if the sender does not hold it.
+    """
+
+    index: int
+    payload: bytes
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Probe:
     """Sidecar asks for a reply in the order of the router's frames.
@@ -341,6 +365,8 @@
     | ConfigOffer
     | Probe
     | ProbeReply
+    | ChunkWanted
+    | ChunkOffer
 )
 
 
--- a/foxtailpick/router/app.py
+++ b/foxtailpick/router/app.py
@@ -81,7 +81,7 @@
 
     :param ctx: state of the router.
     """
-    is_loaded = ctx.read_config().number > 0 and ctx.members_loaded.is_set()
+    is_loaded = ctx.node.is_ready() and ctx.fleet.loaded.is_set()
     return is_loaded and not ctx.is_stopping
 
 
@@ -112,15 +112,24 @@
     )
 
 
-async def _read_chat_job(
+async def _read_caller(
     ctx: context_lib.RouterContext, req: requests.Request
-) -> jobs.ChatJob:
-    caller = jobs.parse_caller(
+) -> jobs.Caller:
+    now_ms = ctx.clock.now()
+    account = jobs.parse_account_name(req.headers)
+    await ctx.node.require_account(account)
+    return jobs.parse_caller(
         req.headers,
         ctx.read_config(),
-        ctx.clock.now(),
+        now_ms,
         ctx.cfg.limits.default_deadline,
     )
+
+
+async def _read_chat_job(
+    ctx: context_lib.RouterContext, req: requests.Request
+) -> jobs.ChatJob:
+    caller = await _read_caller(ctx, req)
     body = await read_body(req)
     return jobs.ChatJob(
         caller=caller,
@@ -139,10 +148,8 @@
 async def _read_call_job(
     ctx: context_lib.RouterContext, req: requests.Request
 ) -> jobs.CallJob:
+    caller = await _read_caller(ctx, req)
     cfg = ctx.read_config()
-    caller = jobs.parse_caller(
-        req.headers, cfg, ctx.clock.now(), ctx.cfg.limits.default_deadline
-    )
     service = cfg.services.get(req.path_params['service'])
     if service is None or service.kind is not types.EndpointKind.PLAIN:
         raise errors.RequestError(
--- a/foxtailpick/router/attempts.py
+++ b/foxtailpick/router/attempts.py
@@ -132,7 +132,7 @@
     usable = [
         hint
         for hint in hints
-        if hint not in tried and ctx.table.get_member(hint) is not None
+        if hint not in tried and ctx.fleet.table.get_member(hint) is not None
     ]
     return usable + [item for item in left if item not in usable]
 
@@ -144,7 +144,7 @@
     exc: errors.FoxtailError,
 ) -> None:
     if isinstance(exc, errors.LinkError):
-        ctx.note_unreachable(endpoint)
+        ctx.fleet.note_unreachable(endpoint)
     ctx.metrics.count('hops')
     ctx.explain('HOP', route.caller, f'not at {endpoint}: {exc}')
 
--- a/foxtailpick/router/calls.py
+++ b/foxtailpick/router/calls.py
@@ -59,7 +59,7 @@
     async def _try_endpoint(
         self, job: jobs.CallJob, attempt_at: attempts.Try
     ) -> messages.Answer:
-        member = self._ctx.table.get_member(attempt_at.endpoint)
+        member = self._ctx.fleet.table.get_member(attempt_at.endpoint)
         attempt = types.AttemptId(jobs.make_id())
         followed = follow.Followed(
             attempt,
@@ -81,7 +81,7 @@
             is_idempotent=job.is_idempotent,
             content_type=job.content_type,
             deadline_ms=job.caller.deadline_ms - now_ms,
-            mean_load=self._ctx.loads.get_mean_tokens(now_ms),
+            mean_load=self._ctx.fleet.loads.get_mean_tokens(now_ms),
             candidates=attempt_at.candidates,
             body=job.body,
         )
--- a/foxtailpick/router/chats.py
+++ b/foxtailpick/router/chats.py
@@ -92,7 +92,7 @@
         self, job: jobs.ChatJob, progress: '_Progress'
     ) -> ChatEnd | None:
         position = job.position
-        member = self._ctx.table.get_member(position.endpoint)
+        member = self._ctx.fleet.table.get_member(position.endpoint)
         if member is None:
             return None
         followed = follow.Followed(
@@ -124,7 +124,7 @@
         progress: '_Progress',
         attempt_at: attempts.Try,
     ) -> ChatEnd:
-        member = self._ctx.table.get_member(attempt_at.endpoint)
+        member = self._ctx.fleet.table.get_member(attempt_at.endpoint)
         attempt = types.AttemptId(jobs.make_id())
         progress.begin_attempt(member.endpoint, attempt, progress.tokens)
         followed = follow.Followed(
@@ -159,7 +159,7 @@
             deadline_ms=job.caller.deadline_ms - now_ms,
             prompt_tokens=job.request.prompt_tokens,
             max_tokens=job.request.max_tokens,
-            mean_load=self._ctx.loads.get_mean_tokens(now_ms),
+            mean_load=self._ctx.fleet.loads.get_mean_tokens(now_ms),
             resume_from=resume_from,
             candidates=candidates,
             body=job.body,
--- a/foxtailpick/router/context.py
+++ b/foxtailpick/router/context.py
@@ -7,25 +7,25 @@
 
 import trio
 
-from foxtailpick.adapters import base
 from foxtailpick.core import clock as clock_lib
 from foxtailpick.core import configuration
 from foxtailpick.core import decision
 from foxtailpick.core import errors
 from foxtailpick.core import invariants
-from foxtailpick.core import load_view
 from foxtailpick.core import placement
 from foxtailpick.core import retry
 from foxtailpick.core import settings
 from foxtailpick.core import types
 from foxtailpick.core import verdict as verdict_lib
+from foxtailpick.node import config_node as config_node_lib
+from foxtailpick.node import links as links_lib
 from foxtailpick.router import explain
+from foxtailpick.router import fleet_view
 from foxtailpick.router import jobs
-from foxtailpick.router import links as links_lib
 from foxtailpick.router import metrics as metrics_lib
 
-UNREACHABLE_MS = 2_000.0
 STOP_POLL_MS = 10.0
+HINT_LIFE_MS = 10 * types.MINUTE_MS
 
 
 @dataclasses.dataclass(slots=True)
@@ -33,24 +33,24 @@
     """State of one router.
 
     :param cfg: its settings.
-    :param read_config: function that returns the configuration in force.
+    :param node: the configuration in force.
+    :param fleet: the endpoints as seen from here.
     :param links: connections to sidecars.
     :param monitor: checks the promises.
     :param rng: source of jitter.
-    :param loads: loads that sidecars told last.
     """
 
     cfg: settings.RouterSettings
-    read_config: typing.Callable[[], configuration.Configuration]
+    node: config_node_lib.ConfigNode
+    fleet: fleet_view.FleetView
     links: links_lib.LinkPool
     monitor: invariants.Monitor
     rng: random.Random
-    loads: load_view.LoadView
     clock: clock_lib.Clock = dataclasses.field(
         default_factory=clock_lib.Clock.from_trio
     )
-    table: placement.PlacementTable = dataclasses.field(
-        default_factory=placement.PlacementTable
+    wall: clock_lib.Clock = dataclasses.field(
+        default_factory=clock_lib.Clock.from_wall
     )
     retry_options: retry.RetryOptions = dataclasses.field(
         default_factory=retry.RetryOptions
@@ -62,11 +62,6 @@
     metrics: metrics_lib.Metrics = dataclasses.field(
         default_factory=metrics_lib.Metrics
     )
-    members: list[base.Member] = dataclasses.field(default_factory=list)
-    members_loaded: trio.Event = dataclasses.field(default_factory=trio.Event)
-    unreachable_until_ms: dict[types.EndpointId, float] = dataclasses.field(
-        default_factory=dict
-    )
     is_stopping: bool = False
     active: set[trio.CancelScope] = dataclasses.field(default_factory=set)
 
@@ -74,25 +69,6 @@
         """Create the budget from the options."""
         self.budget = retry.RetryBudget(self.retry_options)
 
-    def update_members(self, members: list[base.Member]) -> None:
-        """Take over a newer member list.
-
-        :param members: the list.
-        """
-        self.members = members
-        self.refresh_table()
-        self.members_loaded.set()
-
-    def refresh_table(self) -> None:
-        """Compute the placement anew from members and configuration."""
-        cfg = self.read_config()
-        models = {
-            member.endpoint: cfg.services[member.service].models
-            for member in self.members
-            if member.service in cfg.services
-        }
-        self.table.update(self.members, models, self.clock.now())
-
     @contextlib.contextmanager
     def limit_work(self, deadline_ms: float) -> typing.Iterator[None]:
         """Bound a request's work by its deadline and the router's stop.
@@ -123,6 +99,17 @@
         while self.active:
             await clock_lib.sleep_ms(STOP_POLL_MS)
 
+    def make_hint(
+        self, endpoint: types.EndpointId, incarnation: types.Incarnation
+    ) -> decision.LocationHint:
+        """Return the hint that a caller sends with the chat's next request.
+
+        :param endpoint: where the chat ran.
+        :param incarnation: the incarnation that holds its prefix.
+        """
+        expires_ms = self.wall.now() + HINT_LIFE_MS
+        return decision.LocationHint(endpoint, incarnation, expires_ms)
+
     def make_stop_error(
         self, verdict: verdict_lib.Verdict, came: str
     ) -> errors.RequestError:
@@ -145,23 +132,9 @@
             verdict,
         )
 
-    def note_unreachable(self, endpoint: types.EndpointId) -> None:
-        """Avoid an endpoint for a while, as no link to it could be kept."""
-        until_ms = self.clock.now() + UNREACHABLE_MS
-        self.unreachable_until_ms[endpoint] = until_ms
-
-    def list_avoided(
-        self,
-    ) -> dict[types.EndpointId, decision.PassReason]:
-        """Return the endpoints to try only when nothing else is left."""
-        now_ms = self.clock.now()
-        avoided = self.loads.list_full(now_ms)
-        for endpoint, until_ms in list(self.unreachable_until_ms.items()):
-            if until_ms <= now_ms:
-                del self.unreachable_until_ms[endpoint]
-            else:
-                avoided[endpoint] = decision.PassReason.UNREACHABLE
-        return avoided
+    def read_config(self) -> configuration.Configuration:
+        """Return the configuration in force."""
+        return self.node.current
 
     def list_domains_out(self) -> frozenset[types.FailureDomainId]:
         """Return the failure domains out of service."""
@@ -195,9 +168,11 @@
             allowed=caller.account.endpoints or None,
             domains_out=self.list_domains_out(),
             hint=hint,
-            avoid=self.list_avoided(),
+            wall_ms=self.wall.now(),
+            avoid=self.fleet.list_avoided(),
         )
-        chosen = placement.choose_endpoints(self.table, req)
+        self.fleet.refresh()
+        chosen = placement.choose_endpoints(self.fleet.table, req)
         self.explain('PLACE', caller, chosen.format_line())
         return chosen
 
--- a/foxtailpick/router/daemon.py
+++ b/foxtailpick/router/daemon.py
@@ -2,30 +2,29 @@
 
 import contextlib
 import dataclasses
+import functools
 import random
 import typing
 
 from loguru import logger
 import trio
 
+from foxtailpick.adapters import base
 from foxtailpick.adapters import etcd
 from foxtailpick.core import clock as clock_lib
 from foxtailpick.core import config_store
 from foxtailpick.core import config_writer
-from foxtailpick.core import errors
 from foxtailpick.core import invariants
-from foxtailpick.core import load_bound
-from foxtailpick.core import load_view
 from foxtailpick.core import messages
 from foxtailpick.core import settings
-from foxtailpick.core import types
 from foxtailpick.node import config_node as config_node_lib
 from foxtailpick.node import http_server
+from foxtailpick.node import links as links_lib
 from foxtailpick.node import member_feed
 from foxtailpick.router import app as app_lib
 from foxtailpick.router import context as context_lib
+from foxtailpick.router import fleet_view
 from foxtailpick.router import jobs
-from foxtailpick.router import links as links_lib
 from foxtailpick.router import operators
 
 # Work is finished before the servers are left; what remains are idle
@@ -64,22 +63,24 @@
         )
         keys = config_store.Keys(cfg.store.prefix)
         node = config_node_lib.ConfigNode(
-            config_store.ConfigReader(store, keys), monitor
+            cfg.node.id, store, keys, monitor, random.Random()
         )
-        loads = load_view.LoadView()
-        links = await stack.enter_async_context(_make_links(cfg, node, loads))
+        fleet = fleet_view.FleetView(node, monitor, random.Random())
+        links = await stack.enter_async_context(_make_links(cfg, node, fleet))
+        node.use_links(links)
+        node.on_change(fleet.refresh)
         ctx = context_lib.RouterContext(
-            cfg, node.read, links, monitor, random.Random(), loads
+            cfg, node, fleet, links, monitor, random.Random()
         )
-        node.on_change(ctx.refresh_table)
         nursery = await stack.enter_async_context(trio.open_nursery())
         stack.callback(nursery.cancel_scope.cancel)
         nursery.start_soon(node.run)
+        nursery.start_soon(fleet.probe, links)
         nursery.start_soon(
             member_feed.follow_members,
             cfg.membership,
             cfg.node.id,
-            ctx.update_members,
+            functools.partial(_take_members, cfg, node, fleet),
         )
         url = await stack.enter_async_context(
             http_server.serve_app(
@@ -94,9 +95,7 @@
         )
         admin_url = await stack.enter_async_context(
             http_server.serve_app(
-                operators.make_operator_app(
-                    ctx, writer, writer.reader, node.hear
-                ),
+                operators.make_operator_app(ctx, writer),
                 cfg.listen.host,
                 cfg.listen.admin_port,
                 LINGER_MS,
@@ -116,37 +115,27 @@
 def _make_links(
     cfg: settings.RouterSettings,
     node: config_node_lib.ConfigNode,
-    loads: load_view.LoadView,
+    fleet: fleet_view.FleetView,
 ) -> links_lib.LinkPool:
     hello = messages.Hello(
         messages.PROTOCOL_VERSION, cfg.node.id, jobs.make_id()
     )
 
     def hear(link: links_lib.Link, frame: messages.Frame) -> None:
-        node.hear(frame.number)
-        _note_load(loads, link, frame.message)
+        node.hear(frame.number, link.address)
+        node.on_message(frame.message, link.address, link.send_soon)
+        fleet.hear(link, frame)
 
     return links_lib.LinkPool(
         hello, cfg.limits.max_links, node.read_number, hear
     )
 
 
-def _note_load(
-    loads: load_view.LoadView,
-    link: links_lib.Link,
-    message: messages.Message,
+def _take_members(
+    cfg: settings.RouterSettings,
+    node: config_node_lib.ConfigNode,
+    fleet: fleet_view.FleetView,
+    members: list[base.Member],
 ) -> None:
-    is_refused = isinstance(message, messages.Failed)
-    if not is_refused and not isinstance(message, messages.Accepted):
-        return
-    code = errors.ErrorCode.LOAD_BOUND_EXCEEDED
-    if is_refused and message.code is not code:
-        return
-    admission = load_bound.Admission(
-        is_admitted=not is_refused,
-        load_tokens=message.load,
-        limit_tokens=message.load,
-        mean_tokens=message.mean_load,
-    )
-    endpoint = types.EndpointId(link.peer.node)
-    loads.observe(endpoint, admission, clock_lib.Clock.from_trio().now())
+    node.update_members(members, cfg.node.failure_domain)
+    fleet.on_list(members)
--- /dev/null
+++ b/foxtailpick/router/fleet_view.py
@@ -0,0 +1,160 @@
+"""The endpoints as a router sees them: list, traffic and placement."""
+
+import random
+
+from loguru import logger
+import trio
+
+from foxtailpick.adapters import base
+from foxtailpick.core import clock as clock_lib
+from foxtailpick.core import configuration
+from foxtailpick.core import decision
+from foxtailpick.core import errors
+from foxtailpick.core import invariants
+from foxtailpick.core import load_bound
+from foxtailpick.core import load_view
+from foxtailpick.core import member_types
+from foxtailpick.core import membership
+from foxtailpick.core import messages
+from foxtailpick.core import placement
+from foxtailpick.core import types
+from foxtailpick.node import config_node as config_node_lib
+from foxtailpick.node import links as links_lib
+
+PROBE_POLL_MS = 250.0
+# The membership view holds members that drop out of the list; a second
+# hold would keep drained ones.
+NO_HOLD_MS = 0.0
+
+
+class FleetView:
+    """Members, their placement and their last seen loads.
+
+    :param node: the configuration in force.
+    :param monitor: checks the promises.
+    :param rng: spreads probes.
+    """
+
+    def __init__(
+        self,
+        node: config_node_lib.ConfigNode,
+        monitor: invariants.Monitor,
+        rng: random.Random,
+    ) -> None:
+        self.table = placement.PlacementTable(NO_HOLD_MS)
+        self.loads = load_view.LoadView()
+        self.loaded = trio.Event()
+        self._view = membership.MembershipView(monitor, rng)
+        self._node = node
+        self._clock = clock_lib.Clock.from_trio()
+        self._statuses: list[member_types.MemberStatus] = []
+        self._version = -1
+        self._number = types.ConfigNumber(-1)
+
+    def on_list(self, members: list[base.Member]) -> None:
+        """Take over the platform's member list."""
+        self._view.on_list(members, self._clock.now())
+        self.refresh()
+        self.loaded.set()
+
+    def hear(self, link: links_lib.Link, frame: messages.Frame) -> None:
+        """Learn from a frame of a sidecar.
+
+        :param link: the link that it came on.
+        :param frame: the frame.
+        """
+        endpoint = types.EndpointId(link.peer.node)
+        incarnation = link.peer.incarnation
+        message = frame.message
+        now_ms = self._clock.now()
+        if isinstance(message, messages.Hello):
+            self._view.on_success(endpoint, incarnation, now_ms)
+        elif isinstance(message, messages.StateNotice):
+            self._view.on_notice(endpoint, incarnation, message.state, now_ms)
+        else:
+            self._note_load(endpoint, message, now_ms)
+
+    def note_unreachable(self, endpoint: types.EndpointId) -> None:
+        """Note that no link to an endpoint could be kept."""
+        member = self.table.get_member(endpoint)
+        if member is not None:
+            now_ms = self._clock.now()
+            self._view.on_failure(endpoint, member.incarnation, now_ms)
+
+    def list_avoided(self) -> dict[types.EndpointId, decision.PassReason]:
+        """Return the endpoints to try only when nothing else is left."""
+        avoided = self.loads.list_full(self._clock.now())
+        for status in self._statuses:
+            if status.is_avoided:
+                endpoint = status.member.endpoint
+                avoided[endpoint] = decision.PassReason.UNREACHABLE
+        return avoided
+
+    def list_statuses(self) -> list[member_types.MemberStatus]:
+        """Return the members that may receive work."""
+        return self._statuses
+
+    def refresh(self) -> None:
+        """Compute the placement anew if members or configuration changed."""
+        cfg = self._node.current
+        if (self._view.version, cfg.number) == (self._version, self._number):
+            return
+        now_ms = self._clock.now()
+        self._version = self._view.version
+        self._number = cfg.number
+        self._statuses = self._view.list_usable(now_ms)
+        members = [status.member for status in self._statuses]
+        self.table.update(members, _map_models(cfg, members), now_ms)
+
+    async def probe(self, links: links_lib.LinkPool) -> None:
+        """Probe members that are due, for ever.
+
+        :param links: connections to sidecars.
+        """
+        async with trio.open_nursery() as nursery:
+            while True:
+                for member in self._view.take_due_probes(self._clock.now()):
+                    nursery.start_soon(self._probe_member, links, member)
+                await clock_lib.sleep_ms(PROBE_POLL_MS)
+                self.refresh()
+
+    async def _probe_member(
+        self, links: links_lib.LinkPool, member: base.Member
+    ) -> None:
+        try:
+            await links.acquire(member.address)
+        except errors.LinkError as exc:
+            logger.debug('MEMBER {} not reached. {}', member.endpoint, exc)
+            self._view.on_failure(
+                member.endpoint, member.incarnation, self._clock.now()
+            )
+
+    def _note_load(
+        self,
+        endpoint: types.EndpointId,
+        message: messages.Message,
+        now_ms: float,
+    ) -> None:
+        is_refused = isinstance(message, messages.Failed)
+        if not is_refused and not isinstance(message, messages.Accepted):
+            return
+        code = errors.ErrorCode.LOAD_BOUND_EXCEEDED
+        if is_refused and message.code is not code:
+            return
+        admission = load_bound.Admission(
+            is_admitted=not is_refused,
+            load_tokens=message.load,
+            limit_tokens=message.load,
+            mean_tokens=message.mean_load,
+        )
+        self.loads.observe(endpoint, admission, now_ms)
+
+
+def _map_models(
+    cfg: configuration.Configuration, members: list[base.Member]
+) -> dict[types.EndpointId, frozenset[types.ModelId]]:
+    return {
+        member.endpoint: cfg.services[member.service].models
+        for member in members
+        if member.service in cfg.services
+    }
--- a/foxtailpick/router/follow.py
+++ b/foxtailpick/router/follow.py
@@ -16,7 +16,7 @@
 from foxtailpick.core import replay
 from foxtailpick.core import types
 from foxtailpick.core import verdict as verdict_lib
-from foxtailpick.router import links as links_lib
+from foxtailpick.node import links as links_lib
 
 MAX_RECONNECTS = 4
 RECONNECT_DELAY_MS = 50.0
--- a/foxtailpick/router/jobs.py
+++ b/foxtailpick/router/jobs.py
@@ -156,6 +156,18 @@
     )
 
 
+def parse_account_name(
+    headers: typing.Mapping[str, str],
+) -> types.AccountId:
+    """Return the account that a credential names, proved or not.
+
+    :param headers: HTTP headers.
+    """
+    text = headers.get('authorization', '').removeprefix(_BEARER)
+    name = text.partition(configuration.CREDENTIAL_DELIMITER)[0]
+    return types.AccountId(name)
+
+
 def parse_name(headers: typing.Mapping[str, str], name: str) -> str:
     """Return an id from a header, a new one if the header is absent.
 
--- a/foxtailpick/router/operators.py
+++ b/foxtailpick/router/operators.py
@@ -9,7 +9,6 @@
 from starlette import routing
 
 from foxtailpick.core import config_answers
-from foxtailpick.core import config_store
 from foxtailpick.core import config_writer
 from foxtailpick.core import errors
 from foxtailpick.core import types
@@ -31,19 +30,15 @@
 def make_operator_app(
     ctx: context_lib.RouterContext,
     writer: config_writer.ConfigWriter,
-    reader: config_store.ConfigReader,
-    hear: typing.Callable[[types.ConfigNumber], None],
 ) -> typing.Any:
     """Create the application that operators use.
 
     :param ctx: state of the router.
     :param writer: submits patches.
-    :param reader: reads the history.
-    :param hear: told the number that a patch made.
     """
 
     async def show(req: requests.Request) -> responses.Response:
-        cfg = ctx.read_config()
+        cfg = await writer.reader.load_chunks(ctx.read_config())
         return responses.Response(
             f'# number {cfg.number}\n{cfg.to_ini()}', media_type=INI_TYPE
         )
@@ -51,18 +46,17 @@
     async def submit(req: requests.Request) -> responses.Response:
         text = (await app_lib.read_body(req)).decode('utf-8', 'replace')
         answer = await writer.submit(text)
-        if answer.number is not None:
-            hear(answer.number)
+        ctx.node.on_accepted(answer)
         return responses.JSONResponse(
             _format_answer(answer), _STATUS_BY_OUTCOME[answer.outcome]
         )
 
     async def history(req: requests.Request) -> responses.Response:
         count = _parse_count(req.query_params.get('count'))
-        found = await reader.read_head()
+        found = await writer.reader.read_head()
         if found is None:
             return responses.JSONResponse({'history': []})
-        deltas = await reader.read_history(found[0].number, count)
+        deltas = await writer.reader.read_history(found[0].number, count)
         return responses.JSONResponse(
             {'history': [delta.describe() for delta in deltas]}
         )
@@ -110,7 +104,7 @@
     :param ctx: state of the router.
     """
     cfg = ctx.read_config()
-    avoided = ctx.list_avoided()
+    avoided = ctx.fleet.list_avoided()
     return {
         'router': ctx.cfg.node.id,
         'number': cfg.number,
@@ -122,12 +116,12 @@
         },
         'members': [
             {
-                **dataclasses.asdict(member),
-                'avoided': avoided[member.endpoint].value
-                if member.endpoint in avoided
-                else '',
+                **dataclasses.asdict(status.member),
+                'state': status.state.value,
+                'reason': status.reason.value,
+                'is_avoided': status.member.endpoint in avoided,
             }
-            for member in ctx.members
+            for status in ctx.fleet.list_statuses()
         ],
     }
 
--- a/foxtailpick/router/responses.py
+++ b/foxtailpick/router/responses.py
@@ -110,11 +110,9 @@
     async def _start(self, endpoint: types.EndpointId) -> None:
         self._is_started = True
         hint = ''
-        member = self._ctx.table.get_member(endpoint)
+        member = self._ctx.fleet.table.get_member(endpoint)
         if member is not None:
-            hint = decision.LocationHint(
-                endpoint, member.incarnation
-            ).to_text()
+            hint = self._ctx.make_hint(endpoint, member.incarnation).to_text()
         response = responses.Response(
             media_type=EVENT_STREAM,
             headers={
@@ -260,13 +258,16 @@
         ctx.metrics.count('chats_abandoned')
         return responses.Response(status_code=HTTP_CLIENT_CLOSED)
     ctx.metrics.count('chats_answered')
-    return _make_whole(job, end, ''.join(texts))
+    hint = ctx.make_hint(end.endpoint, end.incarnation)
+    return _make_whole(job, end, ''.join(texts), hint)
 
 
 def _make_whole(
-    job: jobs.ChatJob, end: chats.ChatEnd, text: str
+    job: jobs.ChatJob,
+    end: chats.ChatEnd,
+    text: str,
+    hint: decision.LocationHint,
 ) -> responses.Response:
-    hint = decision.LocationHint(end.endpoint, end.incarnation)
     body = {
         'id': job.caller.request,
         'object': 'chat.completion',
--- a/foxtailpick/sidecar/connections.py
+++ b/foxtailpick/sidecar/connections.py
@@ -13,6 +13,7 @@
 from foxtailpick.core import replay
 from foxtailpick.core import types
 from foxtailpick.core import verdict as verdict_lib
+from foxtailpick.node import config_node as config_node_lib
 from foxtailpick.sidecar import runs
 from foxtailpick.sidecar import worker as worker_lib
 
@@ -24,6 +25,11 @@
 WINDOW_CHUNKS = 512
 MAX_FRAME_CHUNKS = 64
 
+# Longest time that a frame may have waited for its account.
+ACCOUNT_AGE_MS = 30_000.0
+
+_serials = itertools.count()
+
 Hear = typing.Callable[['Connection', messages.Frame], None]
 
 
@@ -33,7 +39,7 @@
     :param conn: the websocket connection.
     :param worker: runs the attempts.
     :param hello: what this sidecar says of itself.
-    :param read_number: function that returns the configuration number.
+    :param node: the configuration in force.
     :param hear: called with this connection and each frame that arrives.
     :param meter: counts the bytes.
     """
@@ -43,7 +49,7 @@
         conn: typing.Any,
         worker: worker_lib.Worker,
         hello: messages.Hello,
-        read_number: typing.Callable[[], types.ConfigNumber],
+        node: config_node_lib.ConfigNode,
         hear: Hear,
         meter: wire.TrafficMeter,
     ) -> None:
@@ -51,7 +57,8 @@
         self._stream = wire.FrameStream(conn, meter)
         self._worker = worker
         self._hello = hello
-        self._read_number = read_number
+        self._node = node
+        self._name = f'connection/{next(_serials)}'
         self._hear = hear
         self._clock = clock_lib.Clock.from_trio()
         self._sent_after_ms = self._clock.now()
@@ -75,16 +82,20 @@
             async with trio.open_nursery() as nursery:
                 self._nursery = nursery
                 nursery.start_soon(self._probe)
+                nursery.start_soon(self._send_states)
+                self._node.add_listener(self._name, self.send_soon)
                 await self._read_frames()
         except* errors.LinkError as group:
             logger.info('LINK closed. {}', group.exceptions[0])
+        finally:
+            self._node.drop_listener(self._name)
 
     async def send(self, message: messages.Message) -> None:
         """Send a message.
 
         :raises errors.LinkError: if the connection is gone.
         """
-        frame = messages.Frame(self._read_number(), message)
+        frame = messages.Frame(self._node.read_number(), message)
         await self._stream.send(frame)
 
     def send_soon(self, message: messages.Message) -> None:
@@ -101,11 +112,6 @@
             raise
         self._hear(self, frame)
         await self.send(self._hello)
-        await self.send(
-            messages.StateNotice(
-                self._worker.gate.slow.state, self._worker.gate.pool.load
-            )
-        )
 
     async def _read_frames(self) -> None:
         while True:
@@ -127,8 +133,57 @@
         if message.nonce == self._probe_nonce:
             self._sent_after_ms = self._probe_sent_ms
 
+    async def _send_states(self) -> None:
+        """Tell the router the state, now and after each change."""
+        worker = self._worker
+        while True:
+            state = worker.gate.slow.state
+            await self.send(messages.StateNotice(state, worker.gate.pool.load))
+            while worker.gate.slow.state is state:
+                await worker.state_changed.wait()
+
     async def _on_open(
         self, message: messages.OpenChat | messages.OpenCall
+    ) -> None:
+        if not self._node.tracker.want_account(message.account):
+            # Other frames of the connection go on meanwhile.
+            self._nursery.start_soon(self._load_and_open, message)
+            return
+        await self._open(message)
+
+    async def _load_and_open(
+        self, message: messages.OpenChat | messages.OpenCall
+    ) -> None:
+        # The router has the account, also while the store is down.
+        self._node.ask_for_account(message.account, self.send_soon)
+        try:
+            await self._node.require_account(message.account)
+        except errors.ConfigError as exc:
+            logger.info('GATE account {} not loaded.', message.account)
+            await self._refuse_unopened(message, exc)
+            return
+        await self._open(message)
+
+    async def _refuse_unopened(
+        self,
+        message: messages.OpenChat | messages.OpenCall,
+        exc: errors.ConfigError,
+    ) -> None:
+        # Asking the table closes the attempt, so that the refusal is true.
+        attempts = self._worker.gate.attempts
+        report = attempts.query(
+            message.attempt,
+            attempts.incarnation,
+            ACCOUNT_AGE_MS,
+            self._clock.now(),
+        )
+        refusal = errors.RefusedError(
+            exc.code, exc.message, report.verdict, exc.retry_after_ms
+        )
+        await self._send_failed(message.attempt, refusal)
+
+    async def _open(
+        self, message: messages.OpenChat | messages.OpenCall
     ) -> None:
         try:
             run = self._worker.submit(message, self._sent_after_ms)
--- a/foxtailpick/sidecar/daemon.py
+++ b/foxtailpick/sidecar/daemon.py
@@ -22,6 +22,7 @@
 from foxtailpick.core import types
 from foxtailpick.node import config_node as config_node_lib
 from foxtailpick.node import http_server
+from foxtailpick.node import links as links_lib
 from foxtailpick.node import member_feed
 from foxtailpick.router import jobs
 from foxtailpick.sidecar import connections
@@ -32,6 +33,7 @@
 from foxtailpick.sidecar import worker as worker_lib
 
 ADMIN_GRACE_MS = 1_000.0
+MAX_PEER_LINKS = 16
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -68,26 +70,31 @@
         )
         keys = config_store.Keys(cfg.store.prefix)
         node = config_node_lib.ConfigNode(
-            config_store.ConfigReader(store, keys), monitor
+            cfg.node.id, store, keys, monitor, random.Random()
         )
-        gate = gate_lib.Gate.from_settings(
-            cfg, incarnation, monitor, node.read
+        links = await stack.enter_async_context(
+            _make_links(cfg, node, incarnation)
         )
+        node.use_links(links)
+        gate = gate_lib.Gate.from_settings(cfg, incarnation, monitor, node)
         node.on_change(gate.apply_config)
         worker = await _open_worker(stack, cfg, gate, store, monitor)
         nursery = await stack.enter_async_context(trio.open_nursery())
         stack.callback(nursery.cancel_scope.cancel)
+        node.on_report(worker.wake)
         nursery.start_soon(node.run)
         nursery.start_soon(worker.run)
         nursery.start_soon(
             member_feed.follow_members,
             cfg.membership,
             cfg.node.id,
-            gate.pool.update_members,
+            functools.partial(_take_members, cfg, gate, node),
         )
         address = await _serve_routers(nursery, cfg, worker, node, incarnation)
         port = int(address.rsplit(':', 1)[1])
-        talk = gossip.Gossip(gate.pool, cfg.listen.host, port, random.Random())
+        talk = gossip.Gossip(
+            gate.pool, cfg.listen.host, port, random.Random(), gate.takes_work
+        )
         nursery.start_soon(talk.run)
         admin_url = await stack.enter_async_context(
             http_server.serve_app(
@@ -138,11 +145,13 @@
     meter = wire.TrafficMeter()
 
     def hear(conn: connections.Connection, frame: messages.Frame) -> None:
-        node.hear(frame.number)
+        peer = node.find_address(conn.peer.node) if conn.peer else None
+        node.hear(frame.number, peer)
+        node.on_message(frame.message, peer, conn.send_soon)
 
     async def handle(conn: typing.Any) -> None:
         connection = connections.Connection(
-            conn, worker, hello, node.read_number, hear, meter
+            conn, worker, hello, node, hear, meter
         )
         await connection.serve()
 
@@ -156,3 +165,34 @@
     server = await nursery.start(serve)
     port = server.listeners[0].socket.getsockname()[1]
     return f'{cfg.listen.host}:{port}'
+
+
+def _make_links(
+    cfg: settings.SidecarSettings,
+    node: config_node_lib.ConfigNode,
+    incarnation: types.Incarnation,
+) -> links_lib.LinkPool:
+    hello = messages.Hello(messages.PROTOCOL_VERSION, cfg.node.id, incarnation)
+
+    def hear(link: links_lib.Link, frame: messages.Frame) -> None:
+        node.hear(frame.number, link.address)
+        node.on_message(frame.message, link.address, link.send_soon)
+
+    return links_lib.LinkPool(hello, MAX_PEER_LINKS, node.read_number, hear)
+
+
+def _take_members(
+    cfg: settings.SidecarSettings,
+    gate: gate_lib.Gate,
+    node: config_node_lib.ConfigNode,
+    members: list[base.Member],
+) -> None:
+    node.update_members(members, cfg.node.failure_domain)
+    current = node.current
+    gate.pool.update_members(
+        [
+            member
+            for member in members
+            if current.is_domain_in_service(member.domain)
+        ]
+    )
--- a/foxtailpick/sidecar/gate.py
+++ b/foxtailpick/sidecar/gate.py
@@ -6,7 +6,6 @@
 
 import dataclasses
 import random
-import typing
 
 from loguru import logger
 
@@ -17,16 +16,19 @@
 from foxtailpick.core import fair_share
 from foxtailpick.core import invariants
 from foxtailpick.core import messages
+from foxtailpick.core import propagation
 from foxtailpick.core import settings
 from foxtailpick.core import share_tree
 from foxtailpick.core import slow_start
 from foxtailpick.core import types
 from foxtailpick.core import verdict as verdict_lib
+from foxtailpick.node import config_node as config_node_lib
 from foxtailpick.sidecar import pool_load
 from foxtailpick.sidecar import work as work_lib
 
 STATE_RETRY_AFTER_MS = 1_000.0
-UNKNOWN_PARTNER = types.PartnerId('')
+UNKNOWN_SHARE = share_tree.Share(types.PartnerId(''))
+MAX_SHARES = 10_000
 
 
 Work = work_lib.Work
@@ -52,7 +54,7 @@
     :param slow: slow start and life cycle of the endpoint.
     :param pool: its load among its pool.
     :param monitor: checks the promises kept here.
-    :param read_config: function that returns the configuration in force.
+    :param node: the configuration in force.
     """
 
     def __init__(
@@ -62,7 +64,7 @@
         slow: slow_start.SlowStart,
         pool: pool_load.PoolLoad,
         monitor: invariants.Monitor,
-        read_config: typing.Callable[[], configuration.Configuration],
+        node: config_node_lib.ConfigNode,
     ) -> None:
         self.attempts = attempts
         self.slow = slow
@@ -71,7 +73,8 @@
         self._domain = cfg.node.failure_domain
         self._first_token_ms = cfg.limits.first_token
         self._monitor = monitor
-        self._read_config = read_config
+        self._node = node
+        self._shares: dict[types.AccountId, share_tree.Share] = {}
         self._queue = fair_share.FairQueue(
             fair_share.FairQueueOptions(), self.find_share
         )
@@ -84,14 +87,14 @@
         cfg: settings.SidecarSettings,
         incarnation: types.Incarnation,
         monitor: invariants.Monitor,
-        read_config: typing.Callable[[], configuration.Configuration],
+        node: config_node_lib.ConfigNode,
     ) -> 'Gate':
         """Create the gate of a sidecar.
 
         :param cfg: settings of the sidecar.
         :param incarnation: incarnation of this process.
         :param monitor: checks the promises kept here.
-        :param read_config: function that returns the configuration.
+        :param node: the configuration in force.
         """
         limit = float(cfg.endpoint.max_running)
         options = slow_start.SlowStartOptions(
@@ -107,7 +110,7 @@
             slow_start.SlowStart.from_options(options, monitor),
             pool_load.PoolLoad(cfg, monitor, random.Random()),
             monitor,
-            read_config,
+            node,
         )
 
     @property
@@ -115,18 +118,23 @@
         """How many attempts wait."""
         return len(self._queue)
 
+    def takes_work(self) -> bool:
+        """Tell whether the endpoint is open for new work."""
+        is_out = not self._node.current.is_domain_in_service(self._domain)
+        return not is_out and self.slow.state not in _CLOSED_STATES
+
     def find_share(self, account: types.AccountId) -> share_tree.Share:
         """Return the share of an account in the configuration in force."""
-        cfg = self._read_config()
-        found = cfg.accounts.get(account)
-        if found is None:
-            return share_tree.Share(UNKNOWN_PARTNER)
-        partner = cfg.partners[found.partner]
-        return share_tree.Share(found.partner, partner.share, found.share)
+        cfg = self._node.current
+        if cfg.accounts.is_loaded(account):
+            self._shares[account] = _make_share(cfg, account)
+        # While a changed chunk of accounts is loaded the last share holds.
+        return self._shares.get(account, UNKNOWN_SHARE)
 
     def apply_config(self) -> None:
         """Put a new configuration in force for what waits and runs."""
         self._queue.apply_shares(self.find_share)
+        self._forget_idle_shares()
 
     def admit(
         self, work: Work, sent_after_ms: float, now_ms: float
@@ -165,6 +173,8 @@
         :param now_ms: the current time.
         :returns: the attempt, None if none may start now.
         """
+        if not len(self._queue) or not self._is_config_fresh():
+            return None
         while self.slow.in_flight < self.slow.limit(now_ms):
             entry = self._queue.pop_next(now_ms)
             if entry is None:
@@ -260,12 +270,20 @@
         else:
             self.slow.on_completed(started.ticket)
 
+    def _forget_idle_shares(self) -> None:
+        if len(self._shares) > MAX_SHARES:
+            self._shares.clear()
+
     def _refuse(self, attempt: types.AttemptId, now_ms: float) -> None:
         self.pool.release(attempt)
         self.attempts.refuse(attempt, now_ms)
 
+    def _is_config_fresh(self) -> bool:
+        admission = self._node.check_admission()
+        return admission is propagation.Admission.ADMIT
+
     def _check_may_run(self, work: Work) -> None:
-        cfg = self._read_config()
+        cfg = self._node.current
         if not cfg.is_domain_in_service(self._domain):
             raise errors.RefusedError(
                 errors.ErrorCode.DOMAIN_OUT_OF_SERVICE,
@@ -279,6 +297,8 @@
                 f'{self.slow.state.value}; try another endpoint',
                 retry_after_ms=STATE_RETRY_AFTER_MS,
             )
+        if not cfg.accounts.is_loaded(work.account):
+            return
         account = cfg.accounts.get(work.account)
         if account is None or not account.may_use_endpoint(self._endpoint):
             raise errors.RefusedError(
@@ -298,7 +318,7 @@
             self._given_up.append((refused, exc))
 
     def _start(self, work: Work, now_ms: float) -> Started:
-        cfg = self._read_config()
+        cfg = self._node.current
         self._monitor.check(
             invariants.Promise.DOMAIN_OUT,
             cfg.is_domain_in_service(self._domain),
@@ -320,6 +340,16 @@
 )
 
 
+def _make_share(
+    cfg: configuration.Configuration, account: types.AccountId
+) -> share_tree.Share:
+    found = cfg.accounts.get(account)
+    if found is None:
+        return UNKNOWN_SHARE
+    partner = cfg.partners[found.partner]
+    return share_tree.Share(found.partner, partner.share, found.share)
+
+
 def _make_entry(
     work: Work, first_token_ms: float, now_ms: float
 ) -> account_queue.QueueEntry:
--- a/foxtailpick/sidecar/gossip.py
+++ b/foxtailpick/sidecar/gossip.py
@@ -5,6 +5,7 @@
 """
 
 import random
+import typing
 
 from loguru import logger
 import trio
@@ -25,6 +26,7 @@
     :param host: IP number to bind.
     :param port: UDP port, the same as the TCP port of the sidecar.
     :param rng: source of jitter.
+    :param is_open: function that tells whether the endpoint takes work.
     """
 
     def __init__(
@@ -33,10 +35,12 @@
         host: str,
         port: int,
         rng: random.Random,
+        is_open: typing.Callable[[], bool],
     ) -> None:
         self._load = load
         self._address = (host, port)
         self._rng = rng
+        self._is_open = is_open
         self._clock = clock_lib.Clock.from_trio()
         self.sent_bytes = 0
 
@@ -52,7 +56,9 @@
         while True:
             spread = self._rng.uniform(1 - JITTER, 1 + JITTER)
             await clock_lib.sleep_ms(load_gossip.PERIOD_MS * spread)
-            data, addresses = self._load.compose(self._clock.now())
+            data, addresses = self._load.compose(
+                self._is_open(), self._clock.now()
+            )
             for address in addresses:
                 await self._send_one(sock, data, address)
 
--- a/foxtailpick/sidecar/operators.py
+++ b/foxtailpick/sidecar/operators.py
@@ -32,7 +32,7 @@
             types.EndpointState.DRAINING,
             types.EndpointState.GONE,
         )
-        return node.current.number > 0 and is_open
+        return node.is_ready() and is_open
 
     async def drain(req: requests.Request) -> responses.Response:
         slow.drain()
--- a/foxtailpick/sidecar/pool_load.py
+++ b/foxtailpick/sidecar/pool_load.py
@@ -132,11 +132,15 @@
         """Count an attempt out; an unknown one is no error."""
         self._bound.release(attempt)
 
-    def compose(self, now_ms: float) -> tuple[bytes, list[str]]:
+    def compose(self, is_open: bool, now_ms: float) -> tuple[bytes, list[str]]:
         """Return a datagram with load samples, and whom to send it.
 
+        :param is_open: whether the endpoint takes work.
         :param now_ms: the current time.
         """
+        if not is_open:
+            # An endpoint that takes no work must not lower the mean.
+            return b'', []
         samples = self._gossip.compose(self._bound.get_sample(now_ms), now_ms)
         drawn = load_gossip.draw_peers(list(self._peers), self._rng)
         addresses = [self._peers[peer].address for peer in drawn]
--- a/foxtailpick/sidecar/worker.py
+++ b/foxtailpick/sidecar/worker.py
@@ -53,6 +53,8 @@
         self._grace_ms = cfg.resume_grace
         self._clock = clock_lib.Clock.from_trio()
         self._wake = trio.Event()
+        self.state_changed = trio.Event()
+        self._state = gate.slow.state
 
     async def run(self) -> None:
         """Start attempts as the endpoint can bear them, for ever."""
@@ -63,10 +65,15 @@
                 self._give_up_overdue()
                 self._start_ready(nursery)
                 self.table.drop_expired(self._clock.now())
+                self._note_state()
                 with trio.move_on_after(SWEEP_INTERVAL_MS / types.SECOND_MS):
                     await self._wake.wait()
                 self._wake = trio.Event()
 
+    def wake(self) -> None:
+        """Look at once for attempts that may start."""
+        self._wake.set()
+
     def submit(
         self, work: work_lib.Work, sent_after_ms: float
     ) -> runs.Run | None:
@@ -116,6 +123,14 @@
             while not self.table.is_read():
                 await clock_lib.sleep_ms(SWEEP_INTERVAL_MS)
 
+    def _note_state(self) -> None:
+        if self.gate.slow.state is self._state:
+            return
+        self._state = self.gate.slow.state
+        logger.info('WORK endpoint is {}.', self._state.value)
+        self.state_changed.set()
+        self.state_changed = trio.Event()
+
     def _give_up_overdue(self) -> None:
         now_ms = self._clock.now()
         for work, exc in self.gate.sweep(now_ms):
--- a/foxtailpick/standins/fleet.py
+++ b/foxtailpick/standins/fleet.py
@@ -175,7 +175,7 @@
             name, router_daemon.open_router(cfg, self.monitor)
         )
         await router.config.loaded.wait()
-        await router.ctx.members_loaded.wait()
+        await router.ctx.fleet.loaded.wait()
         return router
 
     def list_names(self) -> list[str]:
