--- a/foxtailpick/core/decision.py
+++ b/foxtailpick/core/decision.py
@@ -5,6 +5,7 @@
 
 import dataclasses
 import enum
+import math
 import typing
 
 from foxtailpick.core import types
@@ -52,12 +53,13 @@
     :param endpoint: the endpoint that ran it.
     :param incarnation: the incarnation that holds its cached prefix.
     :param expires_ms: when the prefix has probably been evicted, by the
-        wall clock. The sidecar knows how long its engine keeps prefixes.
+        wall clock. The sidecar knows how long its engine keeps prefixes;
+        infinite where it does not.
     """
 
     endpoint: types.EndpointId
     incarnation: types.Incarnation
-    expires_ms: float
+    expires_ms: float = math.inf
 
     @classmethod
     def from_text(cls, text: str) -> typing.Optional['LocationHint']:
@@ -65,15 +67,16 @@
 
         A hint is advice from outside: a bad one is ignored, not refused.
 
-        :param text: `endpoint;incarnation;expires_ms`.
+        :param text: `endpoint;incarnation`, or with `;expires_ms` after it.
         """
+        endpoint, _, rest = text.partition(HINT_SEPARATOR)
+        incarnation, separator, expires_text = rest.partition(HINT_SEPARATOR)
+        if not (endpoint and incarnation):
+            return None
         try:
-            endpoint, incarnation, expires_text = text.split(HINT_SEPARATOR)
-            expires_ms = float(int(expires_text))
+            expires_ms = float(int(expires_text)) if separator else math.inf
         except ValueError:
             return None
-        if not (endpoint and incarnation):
-            return None
         return cls(
             types.EndpointId(endpoint),
             types.Incarnation(incarnation),
@@ -82,8 +85,9 @@
 
     def to_text(self) -> str:
         """Return the text form."""
-        expires_text = str(round(self.expires_ms))
-        fields = (self.endpoint, self.incarnation, expires_text)
+        fields = [self.endpoint, self.incarnation]
+        if self.expires_ms < math.inf:
+            fields.append(str(round(self.expires_ms)))
         return HINT_SEPARATOR.join(fields)
 
 
