--- a/foxtailpick/bench/load.py
+++ b/foxtailpick/bench/load.py
@@ -31,6 +31,7 @@
 HINT_SHARE = 0.8
 ZIPF_EXPONENT = 0.9
 SURGE_CHATS = 30
+SURGE_PREFIX = 'surge-'
 SURGE_SHARE = 0.15
 SURGE_PERIOD_MS = 20_000.0
 SURGE_MS = 8_000.0
@@ -52,11 +53,15 @@
     :param engines: engines of the pool.
     :param routers: routers in front.
     :param measured_ms: time measured, after the warm-up.
+    :param surge_share: share of requests that a surging account sends.
+    :param set_share: share of the engines that this account may use.
     """
 
     engines: int
     routers: int
     measured_ms: float
+    surge_share: float = SURGE_SHARE
+    set_share: float = 1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -81,6 +86,7 @@
     router: int
     order: tuple[str, ...]
     now_ms: float
+    eligible: list[str]
 
 
 @dataclasses.dataclass(slots=True)
@@ -113,6 +119,8 @@
         self.gossip_rng = random.Random(SEED + 1)
         self.engines = _build_engines(fleet.engines)
         self.names = list(self.engines)
+        set_size = round(fleet.set_share * fleet.engines)
+        self.set_names = self.names[:set_size]
         self.table = _build_table(self.names)
         self.views = [load_view.LoadView() for _ in range(fleet.routers)]
         self.seen = [{} for _ in range(fleet.routers)]
@@ -172,24 +180,22 @@
 
     def _start_request(self, number: int, now_ms: float) -> None:
         chat = self._draw_chat(now_ms)
+        eligible = self.names
+        if chat.startswith(SURGE_PREFIX):
+            eligible = self.set_names
         tokens = self.rng.lognormvariate(0.0, ANSWER_SIGMA)
         tokens *= MEAN_ANSWER_TOKENS / 1.377
+        router = self.rng.randrange(self.fleet.routers)
         arrival = Arrival(
             number,
             chat,
             PROMPT_TOKENS + tokens,
             tokens * TOKEN_MS,
-            self.rng.randrange(self.fleet.routers),
-            (),
+            router,
+            self._list_order(chat, eligible, self._missing[router]),
             now_ms,
+            eligible,
         )
-        missing = self._missing[arrival.router]
-        order = self._get_order(chat)
-        listed = tuple(e for e in order if e not in missing)
-        if self.rng.random() < HINT_SHARE and chat in self._last_places:
-            listed = (self._last_places[chat], *listed)
-            listed = tuple(dict.fromkeys(listed))
-        arrival = dataclasses.replace(arrival, order=listed)
         engine = self.policy(self, arrival)
         if self._is_measured:
             self.result.requests += 1
@@ -199,18 +205,33 @@
 
     def _draw_chat(self, now_ms: float) -> str:
         is_surge = now_ms % SURGE_PERIOD_MS < SURGE_MS
-        if is_surge and self.rng.random() < SURGE_SHARE:
-            return f'surge-{self.rng.randrange(SURGE_CHATS)}'
+        if is_surge and self.rng.random() < self.fleet.surge_share:
+            return f'{SURGE_PREFIX}{self.rng.randrange(SURGE_CHATS)}'
         return self._chats.draw(self.rng)
 
-    def _get_order(self, chat: str) -> tuple[str, ...]:
+    def _list_order(
+        self, chat: str, eligible: list[str], missing: frozenset[str]
+    ) -> tuple[str, ...]:
         if chat not in self._orders:
-            req = decision.PlacementRequest(
-                chat, 'svc', 'region', max_candidates=MAX_TRIES + 2
-            )
-            made = placement.choose_endpoints(self.table, req)
-            self._orders[chat] = tuple(c.endpoint for c in made.candidates)
-        return self._orders[chat]
+            self._orders[chat] = self._compute_order(chat, eligible)
+        order = [e for e in self._orders[chat] if e not in missing]
+        last = self._last_places.get(chat)
+        if last is not None and self.rng.random() < HINT_SHARE:
+            order = [last, *order]
+        return tuple(dict.fromkeys(order))
+
+    def _compute_order(
+        self, chat: str, eligible: list[str]
+    ) -> tuple[str, ...]:
+        req = decision.PlacementRequest(
+            chat,
+            'svc',
+            'region',
+            allowed=None if eligible is self.names else frozenset(eligible),
+            max_candidates=MAX_TRIES + 2,
+        )
+        made = placement.choose_endpoints(self.table, req)
+        return tuple(candidate.endpoint for candidate in made.candidates)
 
     def _redraw_lists(self) -> None:
         count = round(MISSING_SHARE * len(self.names))
@@ -287,13 +308,13 @@
 def run_random(sim: Simulation, arrival: Arrival) -> Engine:
     """Any engine."""
     sim.count_try()
-    return sim.engines[sim.rng.choice(sim.names)]
+    return sim.engines[sim.rng.choice(arrival.eligible)]
 
 
 def run_two_choices(sim: Simulation, arrival: Arrival) -> Engine:
     """The one of two that the router saw last with the lower load."""
     seen = sim.seen[arrival.router]
-    drawn = sim.rng.sample(sim.names, 2)
+    drawn = sim.rng.sample(arrival.eligible, 2)
     name = min(drawn, key=lambda endpoint: seen.get(endpoint, 0.0))
     engine = sim.engines[name]
     seen[name] = engine.load + arrival.cost
@@ -354,9 +375,9 @@
             sim.seen[arrival.router][name] = made.load_tokens
             if made.is_admitted:
                 return engine
-            if uses_hints and made.hints:
-                waiting = [made.hints[0], *waiting]
-                waiting = list(dict.fromkeys(waiting))
+            if uses_hints:
+                hints = [e for e in made.hints if e in arrival.eligible]
+                waiting = list(dict.fromkeys([*hints[:1], *waiting]))
             if not waiting:
                 return None
         return None
@@ -396,6 +417,7 @@
     Fleet(10, 3, 60_000.0),
     Fleet(100, 36, 20_000.0),
     Fleet(1_000, 360, 4_000.0),
+    Fleet(100, 36, 20_000.0, surge_share=0.3, set_share=0.25),
 )
 
 
@@ -407,7 +429,8 @@
 def _measure_fleet(fleet: Fleet) -> tables.Table:
     table = tables.Table(
         f'Load skew: {fleet.engines} engines, {fleet.routers} routers, '
-        f'Zipf {ZIPF_EXPONENT} chats, surges of {SURGE_SHARE:.0%}, '
+        f'Zipf {ZIPF_EXPONENT} chats, surges of {fleet.surge_share:.0%} from '
+        f'accounts on {fleet.set_share:.0%} of the engines, '
         f'lists lacking {MISSING_SHARE:.0%}, seed {SEED}',
         COLUMNS,
     )
--- a/foxtailpick/core/candidates.py
+++ b/foxtailpick/core/candidates.py
@@ -167,3 +167,23 @@
     if req.allowed is not None and endpoint not in req.allowed:
         return decision_lib.PassReason.NOT_ALLOWED
     return req.avoid.get(endpoint)
+
+
+def order_after_refusal(
+    table: 'placement.PlacementTable',
+    req: decision_lib.PlacementRequest,
+    waiting: typing.Sequence[types.EndpointId],
+    hints: typing.Sequence[types.EndpointId],
+) -> list[types.EndpointId]:
+    """Return what to try next after a refusal by the load bound.
+
+    The sidecar that gave the hints knows neither the endpoint set of the
+    client account nor the router's links, so hints are checked here.
+
+    :param table: the members.
+    :param req: the request.
+    :param waiting: candidates not tried yet, in order.
+    :param hints: the hints of the refusal, in order.
+    """
+    usable = [e for e in hints if find_obstacle(table, req, e) is None]
+    return list(dict.fromkeys([*usable, *waiting]))
--- a/foxtailpick/tests/test_placement.py
+++ b/foxtailpick/tests/test_placement.py
@@ -8,6 +8,7 @@
 import pytest
 
 from foxtailpick.adapters import base
+from foxtailpick.core import candidates
 from foxtailpick.core import decision
 from foxtailpick.core import placement
 
@@ -156,6 +157,24 @@
     assert decision.LocationHint.from_text(text) is None
 
 
+def test_hints_of_a_refusal_are_checked_before_they_go_first():
+    members = make_members(9)
+    members[3] = dataclasses.replace(members[3], is_leaving=True)
+    req = decision.PlacementRequest(
+        'chat',
+        'svc',
+        'region-0',
+        'm',
+        allowed=frozenset({'ep-0', 'ep-1', 'ep-3'}),
+        avoid={'ep-1': decision.PassReason.FULL},
+    )
+    hints = ['ep-8', 'ep-3', 'ep-1', 'ep-0', 'ep-77']
+    ordered = candidates.order_after_refusal(
+        make_table(members), req, ['ep-1', 'ep-0'], hints
+    )
+    assert ordered == ['ep-0', 'ep-1']
+
+
 def test_avoided_endpoints_are_the_last_resort():
     members = make_members(2)
     avoid = {m.endpoint: decision.PassReason.FULL for m in members}
