Tell peers the mean of what was heard first-hand, not the samples

Change: a report carries the own load and the mean of the sender's first-hand samples; three peers every 250 ms, decay time 500 ms.

--- a/foxtailpick/bench/load.py
+++ b/foxtailpick/bench/load.py
@@ -19,6 +19,7 @@
 from foxtailpick.core import load_bound
 from foxtailpick.core import load_gossip
 from foxtailpick.core import load_view
+from foxtailpick.core import mean_estimate
 from foxtailpick.core import placement
 
 SEED = 4
@@ -70,7 +71,7 @@
 
     endpoint: str
     bound: load_bound.LoadBound
-    gossip: load_gossip.GossipState
+    mean: mean_estimate.MeanEstimate
     peers: list[str]
     load: float = 0.0
 
@@ -151,7 +152,7 @@
                 self._redraw_lists()
                 list_ms += LIST_PERIOD_MS
             if self.gossips and now_ms >= gossip_ms:
-                self._exchange_samples(now_ms)
+                self._exchange_reports(now_ms)
                 gossip_ms += load_gossip.PERIOD_MS
             self._end_requests(now_ms)
             self._start_request(number, now_ms)
@@ -240,21 +241,16 @@
             for _ in self._missing
         ]
 
-    def _exchange_samples(self, now_ms: float) -> None:
+    def _exchange_reports(self, now_ms: float) -> None:
         for engine in self.engines.values():
-            own = engine.bound.get_sample(now_ms)
-            samples = engine.gossip.compose(own, now_ms)
-            size = len(load_gossip.encode_samples(samples, now_ms))
+            report = engine.bound.make_report(None, now_ms)
+            size = len(load_gossip.encode_report(report)) + UDP_HEADER_BYTES
             peers = load_gossip.draw_peers(engine.peers, self.gossip_rng)
             for peer in peers:
                 if self._is_measured:
-                    self.result.gossip_bytes += size + UDP_HEADER_BYTES
+                    self.result.gossip_bytes += size
                 if self.gossip_rng.random() >= LOST_GOSSIP_SHARE:
-                    self._deliver(self.engines[peer], samples, now_ms)
-
-    def _deliver(self, engine: Engine, samples, now_ms: float) -> None:
-        mean = engine.bound.set_pool(None, len(self.engines))
-        engine.gossip.accept(samples, mean, now_ms)
+                    self.engines[peer].mean.observe(report, now_ms)
 
     def _end_requests(self, now_ms: float) -> None:
         while self._ends and self._ends[0][0] <= now_ms:
@@ -289,10 +285,9 @@
         bound = load_bound.LoadBound(
             name, 1.0, monitor, rng=random.Random(name)
         )
-        bound.set_pool(None, float(count))
+        mean = bound.set_pool(None, float(count))
         peers = [peer for peer in names if peer != name]
-        state = load_gossip.GossipState()
-        engines[name] = Engine(name, bound, state, peers)
+        engines[name] = Engine(name, bound, mean, peers)
     return engines
 
 
@@ -362,11 +357,10 @@
             name = waiting.pop(0)
             engine = sim.engines[name]
             if uses_view or uses_truth:
-                mean = engine.bound.set_pool(None, len(sim.engines))
                 seen = sim.seen[arrival.router]
                 loads = seen.values() or (0.0,)
                 tokens = sim.mean if uses_truth else sum(loads) / len(loads)
-                mean.observe_router_view(tokens, arrival.now_ms)
+                engine.mean.observe_router_view(tokens, arrival.now_ms)
             made = engine.bound.admit(
                 arrival.number, None, arrival.cost, waiting
             )
--- a/foxtailpick/core/load_bound.py
+++ b/foxtailpick/core/load_bound.py
@@ -179,14 +179,15 @@
             # Rounding errors must not add up over weeks.
             self._load_tokens = 0.0
 
-    def get_sample(self, now_ms: float) -> mean_estimate.LoadSample:
-        """Return the own load as a sample for peers.
+    def make_report(
+        self, model: types.ModelId | None, now_ms: float
+    ) -> mean_estimate.LoadReport:
+        """Return what to tell the peers of a pool.
 
+        :param model: the model of the pool.
         :param now_ms: the current time.
         """
-        return mean_estimate.LoadSample(
-            self._endpoint, self.load_tokens, self._capacity, now_ms
-        )
+        return self._means[model].make_report(self.load_tokens, now_ms)
 
     def _get_base_tokens(
         self, mean: mean_estimate.MeanEstimate, cost: float
--- a/foxtailpick/core/load_gossip.py
+++ b/foxtailpick/core/load_gossip.py
@@ -1,10 +1,10 @@
-"""Load samples that the sidecars of a pool send each other.
+"""Load reports that the sidecars of a pool send each other.
 
-Every half second a sidecar sends its own load and the samples it heard
-first-hand a moment ago to a few peers, drawn uniformly from the member
-list. A sample is relayed once: second-hand samples are not sent on.
+Four times a second a sidecar sends a report to a few peers, drawn uniformly
+from the member list. A lost report is not sent again.
 """
 
+import math
 import random
 import typing
 
@@ -15,92 +15,46 @@
 from foxtailpick.core import mean_estimate
 from foxtailpick.core import types
 
-PERIOD_MS = 500.0
+PERIOD_MS = 250.0
 FANOUT = 3
-MAX_RELAYED = 8
-RELAY_LIFE_MS = 1_000.0
 
-_FIELDS = 3
+# Weights are sent in hundredths, to fit integers.
+_WEIGHT_UNITS = 100.0
+_MALFORMED = (cbor2.CBORDecodeError, OverflowError, TypeError, ValueError)
 
 
 def draw_peers(
-    peers: typing.Sequence[types.EndpointId],
-    rng: random.Random,
-    fanout: int = FANOUT,
+    peers: typing.Sequence[types.EndpointId], rng: random.Random
 ) -> list[types.EndpointId]:
     """Draw the peers of one round.
 
     :param peers: the other endpoints of the pool.
     :param rng: source of random numbers.
-    :param fanout: how many to draw.
     """
-    return rng.sample(peers, min(fanout, len(peers)))
-
-
-class GossipState:
-    """What a sidecar heard first-hand and may relay."""
-
-    def __init__(self) -> None:
-        self._heard: dict[types.EndpointId, mean_estimate.LoadSample] = {}
-
-    def compose(
-        self, own: mean_estimate.LoadSample, now_ms: float
-    ) -> list[mean_estimate.LoadSample]:
-        """Return the samples to send, the own one first.
-
-        :param own: the own load.
-        :param now_ms: the current time.
-        """
-        relayed = []
-        for sample in reversed(self._heard.values()):
-            is_fresh = now_ms - sample.at_ms <= RELAY_LIFE_MS
-            if not is_fresh or len(relayed) == MAX_RELAYED:
-                break
-            relayed.append(sample)
-        return [own, *relayed]
-
-    def accept(
-        self,
-        samples: typing.Sequence[mean_estimate.LoadSample],
-        mean: mean_estimate.MeanEstimate,
-        now_ms: float,
-    ) -> None:
-        """Take over a message of a peer.
-
-        :param samples: its samples, that of the sender first.
-        :param mean: the estimate to feed.
-        :param now_ms: the current time.
-        """
-        sender = samples[0]
-        self._heard.pop(sender.endpoint, None)
-        self._heard[sender.endpoint] = sender
-        while len(self._heard) > MAX_RELAYED:
-            del self._heard[next(iter(self._heard))]
-        mean.observe(samples, now_ms)
-
-
-def encode_samples(
-    samples: typing.Sequence[mean_estimate.LoadSample], now_ms: float
-) -> bytes:
-    """Encode a message: a name of four bytes, a load and an age a sample.
-
-    :param samples: the samples.
-    :param now_ms: the current time; ages are sent, clocks may differ.
+    return rng.sample(peers, min(FANOUT, len(peers)))
+
+
+def encode_report(report: mean_estimate.LoadReport) -> bytes:
+    """Encode a report: a name of four bytes and three numbers.
+
+    :param report: the report, made just now.
     """
-    flat: list[int] = []
-    for sample in samples:
-        age_ms = max(0.0, now_ms - sample.at_ms)
-        name = hash_endpoint(sample.endpoint)
-        flat.extend((name, round(sample.load_tokens), round(age_ms)))
-    return cbor2.dumps(flat)
+    return cbor2.dumps(
+        [
+            hash_endpoint(report.sample.endpoint),
+            round(report.sample.load_tokens),
+            round(report.heard_tokens),
+            round(report.heard_weight * _WEIGHT_UNITS),
+        ]
+    )
 
 
-def decode_samples(
+def decode_report(
     frame: bytes,
     members: typing.Mapping[int, tuple[types.EndpointId, float]],
     now_ms: float,
-) -> list[mean_estimate.LoadSample]:
-    """Decode a message; samples of unknown endpoints are left out.
+) -> mean_estimate.LoadReport | None:
+    """Decode a report, None if its sender is not in the own member list.
 
     :param frame: the bytes that came.
     :param members: endpoint and capacity by `hash_endpoint`.
@@ -108,26 +62,25 @@
     :raises errors.LinkError: if the frame is malformed.
     """
     try:
-        flat = cbor2.loads(frame)
-        rows = list(zip(*[iter(flat)] * _FIELDS, strict=True))
-        known = [row for row in rows if row[0] in members]
-        return [
-            mean_estimate.LoadSample(
-                *(members[name][0], float(load), members[name][1]),
-                now_ms - age_ms,
-            )
-            for name, load, age_ms in known
-        ]
-    except (cbor2.CBORDecodeError, TypeError, ValueError) as exc:
+        name, load, heard, weight = cbor2.loads(frame)
+        numbers = (float(load), float(heard), weight / _WEIGHT_UNITS)
+        if not all(0.0 <= number < math.inf for number in numbers):
+            raise ValueError('a number is out of range')
+        sender = members.get(name)
+    except _MALFORMED as exc:
         raise errors.LinkError(
             errors.ErrorCode.FRAME_MALFORMED,
-            f'expected triples of name, load and age, got {frame[:32]!r}; '
-            f'the frame is dropped',
+            f'expected a name and three numbers of at least 0, '
+            f'got {frame[:32]!r}; the frame is dropped',
         ) from exc
+    if sender is None:
+        return None
+    sample = mean_estimate.LoadSample(sender[0], numbers[0], sender[1], now_ms)
+    return mean_estimate.LoadReport(sample, numbers[1], numbers[2])
 
 
 def hash_endpoint(endpoint: types.EndpointId) -> int:
-    """Return the four-byte name of an endpoint in messages.
+    """Return the four-byte name of an endpoint in reports.
 
     :param endpoint: the endpoint.
     """
--- a/foxtailpick/core/mean_estimate.py
+++ b/foxtailpick/core/mean_estimate.py
@@ -8,12 +8,12 @@
 
 import dataclasses
 import math
-import typing
 
 from foxtailpick.core import types
 
 SAMPLE_LIFE_MS = 3_000.0
-SAMPLE_DECAY_MS = 700.0
+SAMPLE_DECAY_MS = 500.0
+COVERED_SHARE = 0.9
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -32,6 +32,23 @@
     at_ms: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReport:
+    """What a sidecar tells a peer.
+
+    The mean covers first-hand samples only. A mean of means would go round
+    between the sidecars and grow old without showing it.
+
+    :param sample: the load of the sender.
+    :param heard_tokens: mean of the samples that the sender has first-hand.
+    :param heard_weight: capacity in these samples, old ones counting less.
+    """
+
+    sample: LoadSample
+    heard_tokens: float = 0.0
+    heard_weight: float = 0.0
+
+
 class MeanEstimate:
     """The mean load of a pool, from samples of its endpoints.
 
@@ -49,7 +66,7 @@
         self._endpoint = endpoint
         self._capacity = capacity
         self._pool_capacity = max(pool_capacity, capacity)
-        self._samples: dict[types.EndpointId, LoadSample] = {}
+        self._reports: dict[types.EndpointId, LoadReport] = {}
         self._peers_mean_tokens: float | None = None
         self._heard_ms = -math.inf
 
@@ -60,26 +77,38 @@
         """
         self._pool_capacity = max(pool_capacity, self._capacity)
 
-    def observe(
-        self, samples: typing.Iterable[LoadSample], now_ms: float
-    ) -> None:
-        """Take over samples of peers; older than known ones are ignored.
+    def observe(self, report: LoadReport, now_ms: float) -> None:
+        """Take over what a peer tells; older than what is known is ignored.
 
-        :param samples: samples, with times of the own clock.
+        :param report: the report, its time by the own clock.
         :param now_ms: the current time.
         """
-        for sample in samples:
-            known = self._samples.get(sample.endpoint)
-            if sample.endpoint == self._endpoint:
-                continue
-            if known is None or known.at_ms < sample.at_ms:
-                # Removed first, so that the map stays ordered by arrival.
-                self._samples.pop(sample.endpoint, None)
-                self._samples[sample.endpoint] = sample
-        self._forget_old_samples(now_ms)
-        if self._samples:
+        sender = report.sample.endpoint
+        known = self._reports.get(sender)
+        if sender == self._endpoint:
+            return
+        if known is not None and known.sample.at_ms >= report.sample.at_ms:
+            return
+        self._reports[sender] = report
+        self._forget_old_reports(now_ms)
+        if self._reports:
             self._heard_ms = now_ms
-            self._peers_mean_tokens = self._average_samples(now_ms)
+            self._peers_mean_tokens = self._average_reports(now_ms)
+
+    def make_report(self, own_load_tokens: float, now_ms: float) -> LoadReport:
+        """Return what to tell peers.
+
+        :param own_load_tokens: the own load per unit of capacity.
+        :param now_ms: the current time.
+        """
+        total, weight = self._sum_samples(now_ms)
+        return LoadReport(
+            LoadSample(
+                self._endpoint, own_load_tokens, self._capacity, now_ms
+            ),
+            total / weight if weight else 0.0,
+            weight,
+        )
 
     def observe_router_view(self, mean_tokens: float, now_ms: float) -> None:
         """Take over a router's view of the mean while no peer is heard.
@@ -111,21 +140,13 @@
         """
         return now_ms - self._heard_ms
 
-    def list_recent(self, count: int) -> list[LoadSample]:
-        """Return the samples that came last, newest first.
-
-        :param count: how many at most.
-        """
-        newest_first = reversed(self._samples.values())
-        return [sample for sample, _ in zip(newest_first, range(count))]
-
     def get_load_tokens(self, endpoint: types.EndpointId) -> float | None:
         """Return the last known load of a peer, None if none is known.
 
         :param endpoint: the peer.
         """
-        sample = self._samples.get(endpoint)
-        return None if sample is None else sample.load_tokens
+        report = self._reports.get(endpoint)
+        return None if report is None else report.sample.load_tokens
 
     def list_below(self, load_tokens: float) -> list[types.EndpointId]:
         """Return the peers whose last known load is below a value.
@@ -133,24 +154,52 @@
         :param load_tokens: the value, tokens per unit of capacity.
         """
         return [
-            sample.endpoint
-            for sample in self._samples.values()
-            if sample.load_tokens < load_tokens
+            endpoint
+            for endpoint, report in self._reports.items()
+            if report.sample.load_tokens < load_tokens
         ]
 
-    def _forget_old_samples(self, now_ms: float) -> None:
+    def _forget_old_reports(self, now_ms: float) -> None:
         oldest_ms = now_ms - SAMPLE_LIFE_MS
-        old = [s for s in self._samples.values() if s.at_ms < oldest_ms]
-        for sample in old:
-            del self._samples[sample.endpoint]
+        reports = self._reports
+        for endpoint in [
+            e for e, r in reports.items() if r.sample.at_ms < oldest_ms
+        ]:
+            del reports[endpoint]
+
+    def _average_reports(self, now_ms: float) -> float:
+        if self._is_pool_covered():
+            return self._average_all_samples()
+        total, total_weight = self._sum_samples(now_ms)
+        for report in self._reports.values():
+            decay = _get_decay(now_ms - report.sample.at_ms)
+            weight = report.heard_weight * decay
+            total += weight * report.heard_tokens
+            total_weight += weight
+        return total / total_weight
 
-    def _average_samples(self, now_ms: float) -> float:
+    def _is_pool_covered(self) -> bool:
+        reports = self._reports.values()
+        heard = sum(report.sample.capacity for report in reports)
+        peers = self._pool_capacity - self._capacity
+        return heard >= COVERED_SHARE * peers
+
+    def _average_all_samples(self) -> float:
+        # In a small pool the peers' means would count the own load twice.
+        samples = [report.sample for report in self._reports.values()]
+        total = sum(sample.capacity * sample.load_tokens for sample in samples)
+        return total / sum(sample.capacity for sample in samples)
+
+    def _sum_samples(self, now_ms: float) -> tuple[float, float]:
         total = 0.0
         total_weight = 0.0
-        for sample in self._samples.values():
-            age_ms = max(0.0, now_ms - sample.at_ms)
-            decay = math.exp(-age_ms / SAMPLE_DECAY_MS)
-            weight = sample.capacity * decay
+        for report in self._reports.values():
+            sample = report.sample
+            weight = sample.capacity * _get_decay(now_ms - sample.at_ms)
             total += weight * sample.load_tokens
             total_weight += weight
-        return total / total_weight
+        return total, total_weight
+
+
+def _get_decay(age_ms: float) -> float:
+    return math.exp(-max(0.0, age_ms) / SAMPLE_DECAY_MS)
