--- a/foxtailpick/bench/config_fleet.py
+++ b/foxtailpick/bench/config_fleet.py
@@ -78,6 +78,8 @@
     :param seed: seed of every random choice.
     :param has_traffic: whether frames flow between routers and sidecars.
     :param options: options of the trackers.
+    :param pick_watchers: node and its domain's sidecars to the nodes that
+        may hold a watch.
     """
 
     def __init__(
@@ -86,7 +88,12 @@
         seed: int,
         has_traffic: bool = True,
         options: propagation.TrackerOptions = propagation.TrackerOptions(),
+        pick_watchers: typing.Callable[
+            [str, list[str]], list[str]
+        ] = lambda name, sidecars: sidecars,
     ) -> None:
+        self.frames = 0
+        self._pick_watchers = pick_watchers
         self.rng = random.Random(seed)
         self.now_ms = 0.0
         self.monitor = invariants.Monitor(is_strict=True)
@@ -112,7 +119,7 @@
         for node in self.nodes.values():
             self.after(self.rng.uniform(0, 500), lambda n=node: self.pump(n))
         if has_traffic:
-            self._start_traffic()
+            self.start_traffic()
 
     def after(self, delay_ms: float, call: typing.Callable[[], None]) -> None:
         """Run a function later."""
@@ -202,6 +209,7 @@
     def send_work(self, router: Node, sidecar: Node) -> None:
         """Send one piece of new work, as a frame with the router's number."""
         number = router.tracker.number
+        self.frames += 1
 
         def arrive() -> bool:
             has_news = sidecar.tracker.hear(number, None, self.now_ms)
@@ -377,7 +385,8 @@
             node.wake_ms = float('inf')
             self.pump(node)
 
-    def _start_traffic(self) -> None:
+    def start_traffic(self) -> None:
+        """Let frames flow; a router sees each sidecar once in `SIGHT_MS`."""
         mean_ms = SIGHT_MS / (len(self.routers) * len(self.sidecars))
 
         def send() -> None:
@@ -418,7 +427,10 @@
                 self.routers, min(links, len(self.routers))
             )
             listeners = [router.name for router in found]
-        node.tracker.set_peers(peers, self._by_domain[node.domain], listeners)
+        domain_nodes = self._pick_watchers(
+            node.name, self._by_domain[node.domain]
+        )
+        node.tracker.set_peers(peers, domain_nodes, listeners)
 
 
 def _make_first() -> configuration.Configuration:
--- a/foxtailpick/core/catch_up.py
+++ b/foxtailpick/core/catch_up.py
@@ -41,6 +41,11 @@
             self._speakers.append(peer)
             del self._speakers[:-MAX_SPEAKERS]
 
+    @property
+    def has_speaker(self) -> bool:
+        """Whether a peer is known that holds the number."""
+        return bool(self._speakers)
+
     def retry_soon(self, now_ms: float) -> None:
         """Ask the next source soon, because one did not help."""
         soon_ms = now_ms + RETRY_MS * min(self._tries, MAX_BACKOFF)
--- a/foxtailpick/core/poll_schedule.py
+++ b/foxtailpick/core/poll_schedule.py
@@ -33,13 +33,21 @@
     ) -> None:
         self._rng = rng
         self._options = options
+        self._is_started = False
         self.due_ms = 0.0
 
     def start(self, now_ms: float) -> bool:
         """Begin a poll if one is due; tell whether it is.
 
+        The first is due at a random time, so that a fleet that starts as
+        one does not poll as one.
+
         :param now_ms: the current time.
         """
+        if not self._is_started:
+            self._is_started = True
+            spread_ms = self._rng.uniform(0, self._options.mean_ms)
+            self.due_ms = now_ms + spread_ms
         if now_ms < self.due_ms:
             return False
         jitter = self._options.jitter
--- a/foxtailpick/core/propagation.py
+++ b/foxtailpick/core/propagation.py
@@ -435,7 +435,8 @@
     def _plan_catch_up(self, now_ms: float) -> config_actions.Action | None:
         if not self.is_behind or not self._catch_up.is_due(now_ms):
             return None
-        if self._catch_up.start_try(now_ms):
+        is_store_turn = self._catch_up.start_try(now_ms)
+        if is_store_turn or not self._catch_up.has_speaker:
             action = self._ask_store_for_deltas(now_ms)
             if action is not None:
                 return action
