--- a/foxtailpick/core/claims.py
+++ b/foxtailpick/core/claims.py
@@ -20,6 +20,7 @@
 """
 
 import dataclasses
+import functools
 import typing
 
 from loguru import logger
@@ -31,6 +32,7 @@
 from foxtailpick.core import claim_table
 from foxtailpick.core import errors
 from foxtailpick.core import invariants
+from foxtailpick.core import jobs as jobs_lib
 from foxtailpick.core import types
 from foxtailpick.core import verdict as verdict_lib
 
@@ -44,6 +46,9 @@
 Promise = invariants.Promise
 Verdict = verdict_lib.Verdict
 Call = typing.Callable[[], typing.Awaitable[bytes]]
+RunAll = typing.Callable[[list[jobs_lib.Job]], typing.Awaitable[None]]
+
+SETTLE_EVERY_MS = types.SECOND_MS
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -54,13 +59,14 @@
     :param cache_ms: how long the answer of a saved call is held.
     :param max_answer_bytes: the largest answer that is stored.
     :param is_save_awaited: whether an answer is returned only after one
-        try to store it. Else the next `settle_pending` stores it.
+        try to store it. Else the next `settle_pending` stores it, which
+        spares the caller a wait and the store a write.
     """
 
     max_records: int = 8_192
     cache_ms: float = 30 * types.SECOND_MS
     max_answer_bytes: int = 64 * 1024
-    is_save_awaited: bool = True
+    is_save_awaited: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -148,21 +154,31 @@
             await self._save_or_leave_pending(record)
         return StoredAnswer(answer, False)
 
-    async def settle_pending(self) -> None:
+    async def settle_pending(
+        self, run_all: RunAll = jobs_lib.run_in_turn
+    ) -> None:
         """Bring the store up to date: results and claims to remove.
 
-        To be called about once a second while `pending` is above zero, and
-        before the process ends.
+        To be called once in `SETTLE_EVERY_MS`, and before the process ends.
 
+        :param run_all: runs the jobs; `jobs.run_together` lets a group
+            committer join their writes.
         :raises errors.StoreError: if the store is not available.
         """
-        for record in self._table.list_pending():
-            if not self._table.is_pending(record):
-                continue
-            if record.phase is ClaimPhase.IDLE:
-                await self._release(record)
-            elif record.phase in (ClaimPhase.RAN, ClaimPhase.UNKNOWN):
-                await self._save(record)
+        await run_all(
+            [
+                functools.partial(self._settle, record)
+                for record in self._table.list_pending()
+            ]
+        )
+
+    async def _settle(self, record: ClaimRecord) -> None:
+        if not self._table.is_pending(record):
+            return
+        if record.phase is ClaimPhase.IDLE:
+            await self._release(record)
+        elif record.phase in (ClaimPhase.RAN, ClaimPhase.UNKNOWN):
+            await self._save(record)
 
     def _enter(self, key: claim_records.ClaimKey, body: bytes) -> ClaimRecord:
         digest = claim_records.compute_body_digest(body)
@@ -274,12 +290,14 @@
             lambda: f'{record.path} ran although its claim is given up',
         )
         if record.may_be_stored:
-            record.unused_nonces.add(record.nonce)
+            record.unused_nonces |= {record.nonce}
             self._table.mark_pending(record)
 
     async def _release(self, record: ClaimRecord) -> None:
-        await self._store.release(record.path, record.unused_nonces)
-        self._table.mark_released(record)
+        released = record.unused_nonces
+        await self._store.release(record.path, released)
+        if record.unused_nonces == released:
+            self._table.mark_released(record)
 
     async def _release_or_leave_pending(self, record: ClaimRecord) -> None:
         try:
@@ -291,7 +309,12 @@
         is_ran = record.phase is ClaimPhase.RAN
         state = ClaimState.RAN if is_ran else ClaimState.UNKNOWN
         claim = record.make_claim(state, self.owner)
-        found = await self._store.save(record.path, claim, record.revision)
+        try:
+            found = await self._store.save(record.path, claim, record.revision)
+        except errors.RequestError as exc:
+            raise errors.StoreError(
+                errors.ErrorCode.STORE_REFUSED, exc.message, exc.verdict
+            ) from exc
         self._monitor.check(
             Promise.AT_MOST_ONCE,
             found.claim.nonce == record.nonce,
--- a/foxtailpick/tests/test_claims.py
+++ b/foxtailpick/tests/test_claims.py
@@ -2,6 +2,7 @@
 
 import itertools
 
+import cbor2
 import pytest
 
 from foxtailpick.bench import claims_world
@@ -10,6 +11,7 @@
 from foxtailpick.core import claim_records
 from foxtailpick.core import claims
 from foxtailpick.core import errors
+from foxtailpick.core import jobs
 from foxtailpick.core import verdict
 from foxtailpick import history
 from foxtailpick.standins import keyvalue
@@ -20,7 +22,7 @@
 Verdict = verdict.Verdict
 KEY = claim_records.ClaimKey('acc', 'svc', 'k')
 TIMES = claim_leases.LeaseTimes(10_000.0, 1_000.0, 500.0)
-LIMITS = claims.ClaimLimits(max_records=2, cache_ms=100.0, max_answer_bytes=4)
+LIMITS = claims.ClaimLimits(2, 100.0, 4, is_save_awaited=True)
 
 
 class Bench:
@@ -33,16 +35,28 @@
         self.runs = []
         self.failure = None
 
-    def make_engine(self, name='e1', incarnation='i1'):
+    def make_engine(self, name='e1', incarnation='i1', limits=LIMITS):
         return claims.ClaimEngine(
             keyvalue.MemoryKeyValue(self.state),
             claim_records.ClaimOwner(name, incarnation),
             self.manual,
             self.monitor,
             TIMES,
-            LIMITS,
+            limits,
         )
 
+    def lose(self, fault):
+        """Lose what is written, or its replies, and refuse to read."""
+        setattr(self.state.faults, fault, 99)
+        self.state.read = self.refuse_to_read
+
+    def refuse_to_read(self, key):
+        raise errors.StoreError(ErrorCode.STORE_UNAVAILABLE, key)
+
+    def recover(self):
+        self.state.faults = keyvalue.Faults()
+        del self.state.read
+
     async def call(self):
         if self.failure is not None:
             raise self.failure
@@ -131,13 +145,13 @@
 @pytest.mark.parametrize('fault', ['lost_replies', 'lost_requests'])
 async def test_a_claim_given_up_is_removed(bench, fault):
     engine = bench.make_engine()
-    setattr(bench.state.faults, fault, 99)
+    bench.lose(fault)
     await expect(
         ErrorCode.STORE_UNAVAILABLE,
         Verdict.NOT_RUN,
         engine.run_once(KEY, b'x', bench.call),
     )
-    setattr(bench.state.faults, fault, 0)
+    bench.recover()
     assert engine.pending == 1
     await engine.settle_pending()
     assert engine.pending == 0
@@ -145,6 +159,29 @@
     assert len(bench.runs) == 1
 
 
+async def test_a_lost_reply_costs_a_read_not_a_write(bench):
+    bench.state.faults.lost_replies = 1
+    await bench.make_engine().run_once(KEY, b'x', bench.call)
+    assert bench.state.calls[keyvalue.Call.WRITE] == 2
+    assert bench.state.calls[keyvalue.Call.READ] == 1
+
+
+@pytest.mark.parametrize('value', [b'', b'\xff', cbor2.dumps([2, 'x'])])
+async def test_a_claim_that_cannot_be_read_is_left_alone(bench, value):
+    store = keyvalue.MemoryKeyValue(bench.state)
+    await store.put_if_absent(KEY.path, value)
+    engine = bench.make_engine()
+    await expect(
+        ErrorCode.OUTCOME_UNKNOWN,
+        Verdict.MAY_HAVE_RUN,
+        engine.run_once(KEY, b'x', bench.call),
+    )
+    await engine.settle_pending()
+    assert engine.pending == 0
+    assert bench.runs == []
+    assert (await store.get(KEY.path)).value == value
+
+
 async def test_a_call_that_did_not_run_frees_its_key(bench):
     bench.failure = errors.RequestError(ErrorCode.ENDPOINT_FAILED, 'refused')
     await expect(
@@ -225,7 +262,7 @@
 
 async def test_a_full_table_refuses(bench):
     engine = bench.make_engine()
-    bench.state.faults.lost_replies = 99
+    bench.lose('lost_replies')
     keys = [claim_records.ClaimKey('a', 's', name) for name in 'klm']
     for key in keys[:2]:
         with pytest.raises(errors.RequestError):
@@ -235,7 +272,7 @@
         Verdict.NOT_RUN,
         engine.run_once(keys[2], b'x', bench.call),
     )
-    bench.state.faults.lost_replies = 0
+    bench.recover()
     await engine.settle_pending()
     for key in keys:
         await engine.run_once(key, b'x', bench.call)
@@ -278,13 +315,32 @@
     assert world.count_pending() == 0
 
 
+async def test_a_result_may_be_stored_after_the_reply(bench):
+    limits = claims.ClaimLimits(is_save_awaited=False)
+    engine = bench.make_engine(limits=limits)
+    other = bench.make_engine('e2', 'i2')
+    for is_repeat in (False, True):
+        assert await engine.run_once(KEY, b'x', bench.call) == (
+            claims.StoredAnswer(b'1', is_repeat)
+        )
+    with pytest.raises(claim_errors.ClaimHeldError):
+        await other.run_once(KEY, b'x', bench.call)
+    bench.state.take_down()
+    with pytest.raises(errors.StoreError):
+        await engine.settle_pending(jobs.run_together)
+    bench.state.bring_up()
+    await engine.settle_pending(jobs.run_together)
+    assert engine.pending == 0
+    assert (await other.run_once(KEY, b'x', bench.call)).answer == b'1'
+
+
 @pytest.mark.parametrize('is_crash', [True, False])
 @pytest.mark.parametrize('stop_fate', Fate)
-@pytest.mark.parametrize('steps', range(5))
+@pytest.mark.parametrize('steps', range(7))
 def test_a_stop_at_any_step_is_safe(is_crash, stop_fate, steps):
     for fates in itertools.product(Fate, repeat=min(steps, 2)):
         for retries in ([0], [1], [1, 0], [0, 1, 1]):
-            world = claims_world.ClaimsWorld()
+            world = claims_world.ClaimsWorld(is_save_awaited=steps > 2)
             world.send('k', b'x', 0)
             world.deliver(0, True)
             for place in range(steps):
@@ -324,3 +380,22 @@
             if isinstance(event, history.CallRan)
         ]
         assert len(runs) == 1
+
+
+def test_a_removal_does_not_forget_a_later_claim():
+    """A call fails while an older claim of its key is being removed."""
+    world = claims_world.ClaimsWorld()
+    world.send('k', b'x', 0)
+    world.deliver(0, False)
+    world.step(0, Fate.DONE)
+    world.cancel(0, Fate.REPLY_LOST)
+    world.settle(0)
+    world.send('k', b'x', 0)
+    world.deliver(0, False)
+    for _ in range(2):
+        world.step(1, Fate.DONE)
+    world.step(1, Fate.REFUSED)
+    world.step(0, Fate.DONE)
+    world.step(0, Fate.REFUSED)
+    assert world.count_pending() == 1
+    finish(world, [1])
