--- a/foxtailpick/bench/config_fleet.py
+++ b/foxtailpick/bench/config_fleet.py
@@ -32,6 +32,8 @@
 STORE_MS = 5.0
 HOLD_MS = 1_000.0
 ENVELOPE_BYTES = 70
+CONNECT_BYTES = 1_000
+MAX_OPENED = 48
 HEAD_BYTES = 160
 
 
@@ -59,6 +61,8 @@
     :param domain: its failure domain.
     :param region: its region.
     :param tracker: its tracker.
+    :param links: routers that hold a connection to it.
+    :param opened: connections opened for the configuration alone.
     """
 
     name: str
@@ -69,6 +73,8 @@
     paused: list[typing.Callable[[], None]] | None = None
     bytes_moved: int = 0
     held: list[float] = dataclasses.field(default_factory=list)
+    links: frozenset[str] = frozenset()
+    opened: dict[str, None] = dataclasses.field(default_factory=dict)
 
 
 class Fleet:
@@ -78,6 +84,8 @@
     :param seed: seed of every random choice.
     :param has_traffic: whether frames flow between routers and sidecars.
     :param options: options of the trackers.
+    :param pick_watchers: node and its domain's sidecars to the nodes that
+        may hold a watch.
     """
 
     def __init__(
@@ -86,7 +94,12 @@
         seed: int,
         has_traffic: bool = True,
         options: propagation.TrackerOptions = propagation.TrackerOptions(),
+        pick_watchers: typing.Callable[
+            [str, list[str]], list[str]
+        ] = lambda name, sidecars: sidecars,
     ) -> None:
+        self.frames = 0
+        self._pick_watchers = pick_watchers
         self.rng = random.Random(seed)
         self.now_ms = 0.0
         self.monitor = invariants.Monitor(is_strict=True)
@@ -112,7 +125,7 @@
         for node in self.nodes.values():
             self.after(self.rng.uniform(0, 500), lambda n=node: self.pump(n))
         if has_traffic:
-            self._start_traffic()
+            self.start_traffic()
 
     def after(self, delay_ms: float, call: typing.Callable[[], None]) -> None:
         """Run a function later."""
@@ -202,6 +215,7 @@
     def send_work(self, router: Node, sidecar: Node) -> None:
         """Send one piece of new work, as a frame with the router's number."""
         number = router.tracker.number
+        self.frames += 1
 
         def arrive() -> bool:
             has_news = sidecar.tracker.hear(number, None, self.now_ms)
@@ -317,6 +331,7 @@
         if not self._is_joined(sender, receiver):
             return
         if size:
+            self._connect(sender, receiver)
             sender.bytes_moved += size + ENVELOPE_BYTES
             receiver.bytes_moved += size + ENVELOPE_BYTES
         delay_ms = NEAR_MS if sender.region == receiver.region else FAR_MS
@@ -325,6 +340,18 @@
             lambda: self._deliver(receiver, arrive),
         )
 
+    def _connect(self, node: Node, peer: Node) -> None:
+        """Count the bytes of opening a connection where there is none."""
+        if peer.name in node.links or peer.name in node.opened:
+            return
+        for one, other in ((node, peer), (peer, node)):
+            one.opened[other.name] = None
+            one.bytes_moved += CONNECT_BYTES
+            if len(one.opened) > MAX_OPENED:
+                oldest = next(iter(one.opened))
+                del one.opened[oldest]
+                self.nodes[oldest].opened.pop(one.name, None)
+
     def _deliver(self, node: Node, call: typing.Callable[[], None]) -> None:
         if node.paused is not None:
             node.paused.append(call)
@@ -377,7 +404,8 @@
             node.wake_ms = float('inf')
             self.pump(node)
 
-    def _start_traffic(self) -> None:
+    def start_traffic(self) -> None:
+        """Let frames flow; a router sees each sidecar once in `SIGHT_MS`."""
         mean_ms = SIGHT_MS / (len(self.routers) * len(self.sidecars))
 
         def send() -> None:
@@ -418,7 +446,11 @@
                 self.routers, min(links, len(self.routers))
             )
             listeners = [router.name for router in found]
-        node.tracker.set_peers(peers, self._by_domain[node.domain], listeners)
+            node.links = frozenset(listeners)
+        domain_nodes = self._pick_watchers(
+            node.name, self._by_domain[node.domain]
+        )
+        node.tracker.set_peers(peers, domain_nodes, listeners)
 
 
 def _make_first() -> configuration.Configuration:
--- a/foxtailpick/core/propagation.py
+++ b/foxtailpick/core/propagation.py
@@ -118,6 +118,11 @@
         """Number in force here; it rides on every frame."""
         return self._held.number
 
+    @property
+    def contacts(self) -> tuple[str, ...]:
+        """Peers whose connections the driver should keep open."""
+        return self._sources.contacts
+
     @property
     def is_behind(self) -> bool:
         """Whether somebody has shown a higher number."""
@@ -435,7 +440,8 @@
     def _plan_catch_up(self, now_ms: float) -> config_actions.Action | None:
         if not self.is_behind or not self._catch_up.is_due(now_ms):
             return None
-        if self._catch_up.start_try(now_ms):
+        is_store_turn = self._catch_up.start_try(now_ms)
+        if is_store_turn or not self._catch_up.has_speaker:
             action = self._ask_store_for_deltas(now_ms)
             if action is not None:
                 return action
--- a/foxtailpick/tests/test_propagation.py
+++ b/foxtailpick/tests/test_propagation.py
@@ -145,6 +145,8 @@
     # The answer that lay in the buffer while paused proves nothing.
     for peer in PEERS:
         tracker.hear(source.number, peer, 60_000.0)
+        unasked = config_exchange.Offer(source.number)
+        tracker.on_offer(peer, unasked, None, 60_000.0)
     tracker.on_head(head, 30.0, 60_000.0)
     assert tracker.check_admission(60_000.0) is VERIFY
     peers = list_peers_asked(take_actions(tracker, 60_000.0))
@@ -163,7 +165,8 @@
     take_actions(tracker, 5.0)
     assert tracker.check_admission(5_000.0) is VERIFY
     actions = take_actions(tracker, 5_000.0)
-    assert actions == [config_actions.ReadHead()]
+    assert actions[0] == config_actions.ReadHead()
+    assert len(list_peers_asked(actions)) < freshness.WITNESSES
     tracker.on_failure(actions[0], 5_010.0)
     asked = list_peers_asked(take_actions(tracker, 5_010.0))
     assert len(set(asked)) >= freshness.WITNESSES
@@ -306,8 +309,15 @@
         fleet.run(2_000)
     cut = [n for n in fleet.nodes.values() if n.region == 'region-1']
     assert {n.tracker.number for n in cut} == {1}
-    late_ms = fleet.now_ms - 10_000
-    assert any(at > late_ms and w == 'domain-1' for at, w in fleet.admitted)
+    router = next(n for n in cut if n in fleet.routers)
+    sidecars = [n for n in cut if n in fleet.sidecars]
+    fleet.run(20_000)
+    fleet.admitted.clear()
+    for sidecar in sidecars:
+        fleet.send_work(router, sidecar)
+    fleet.run(2_000)
+    served = {domain for _, domain in fleet.admitted}
+    assert {sidecar.domain for sidecar in sidecars} <= served
     fleet.cut_region = None
     healed_ms = fleet.now_ms
     fleet.run(60_000, number)
