Give callers of claimed calls their whole answer

Cause: an answer above 16 KB is not kept in the table of attempts, and the sidecar then answered that the outcome was unknown, although it had the answer in hand. A key of wrong length left its attempt open for ever, and 16,384 of these would have filled the table. Ruled out: a larger bound in the table, which only moves the fault. Change: the report of an attempt carries the answer whatever its size; a wrong key refuses its attempt; ANSWER_NOT_KEPT reaches the caller as such.

--- a/foxtailpick/core/claimed_attempts.py
+++ b/foxtailpick/core/claimed_attempts.py
@@ -1,5 +1,6 @@
 """An attempt of a non-idempotent call, from its opening to its report."""
 
+import dataclasses
 import typing
 
 from foxtailpick.core import attempts
@@ -36,7 +37,8 @@
     :param body: the request.
     :param call: runs the call, see `ClaimEngine.run_once`.
     :param clock: monotonic clock.
-    :returns: the report of an attempt that got the call's answer.
+    :returns: the report of an attempt that got the call's answer, with the
+        answer whatever its size.
     :raises errors.FoxtailError: as `ClaimEngine.run_once` does; the
         table then holds its verdict.
     """
@@ -59,4 +61,6 @@
         verdict = Verdict.MAY_HAVE_RUN if is_started else Verdict.NOT_RUN
         table.finish(attempt, verdict, None, clock.now())
         raise
-    return table.finish(attempt, Verdict.RAN, stored.answer, clock.now())
+    report = table.finish(attempt, Verdict.RAN, stored.answer, clock.now())
+    # The table keeps small answers only; the caller gets any.
+    return dataclasses.replace(report, answer=stored.answer)
--- a/foxtailpick/router/calls.py
+++ b/foxtailpick/router/calls.py
@@ -118,6 +118,7 @@
 
 _OWN_WORDS = frozenset(
     {
+        errors.ErrorCode.ANSWER_NOT_KEPT,
         errors.ErrorCode.OUTCOME_UNKNOWN,
         errors.ErrorCode.KEY_REUSED,
         errors.ErrorCode.CALL_IN_PROGRESS,
--- a/foxtailpick/sidecar/once.py
+++ b/foxtailpick/sidecar/once.py
@@ -54,7 +54,7 @@
         :returns: the answer, or that of the earlier call of the key.
         :raises errors.FoxtailError: with the verdict of this call.
         """
-        key = claim_records.ClaimKey(work.account, work.service, work.key)
+        key = self._make_key(work)
 
         async def call() -> bytes:
             return _pack_answer(await call_service(work))
@@ -68,15 +68,15 @@
             call,
             self._clock,
         )
-        if report.answer is None:
-            raise errors.RequestError(
-                errors.ErrorCode.OUTCOME_UNKNOWN,
-                f'expected the answer of {work.attempt} to be kept, it is '
-                f'too large; the call ran',
-                report.verdict,
-            )
         return _unpack_answer(work.attempt, report.answer)
 
+    def _make_key(self, work: messages.OpenCall) -> claim_records.ClaimKey:
+        try:
+            return claim_records.ClaimKey(work.account, work.service, work.key)
+        except errors.RequestError:
+            self._gate.attempts.refuse(work.attempt, self._clock.now())
+            raise
+
     async def settle(self) -> None:
         """Bring the store up to date, for ever."""
         while True:
--- /dev/null
+++ b/foxtailpick/tests/test_once.py
@@ -0,0 +1,65 @@
+"""Tests of claimed calls as the sidecar runs them."""
+
+import pytest
+
+from foxtailpick.core import attempts
+from foxtailpick.core import errors
+from foxtailpick.core import messages
+from foxtailpick.core import verdict
+from foxtailpick.sidecar import once
+from foxtailpick.standins import keyvalue
+
+LARGE = attempts.AttemptLimits().max_answer_bytes + 1
+
+
+class StubGate:
+    """The part of the gate that claimed calls use."""
+
+    def __init__(self, monitor):
+        self.attempts = attempts.AttemptTable('i1', monitor)
+
+
+@pytest.fixture
+def gate(monitor):
+    return StubGate(monitor)
+
+
+@pytest.fixture
+def runner(gate, manual, monitor):
+    store = keyvalue.MemoryKeyValue(keyvalue.KeyValueState(manual.now))
+    return once.OnceRunner(gate, store, 'e1', monitor)
+
+
+def make_work(gate, attempt='a', key='k'):
+    gate.attempts.open(attempt, 'i1', 0.0, 0.0)
+    return messages.OpenCall(
+        attempt=attempt,
+        request='r',
+        account='acc',
+        service='svc',
+        method='POST',
+        path='/bookings',
+        key=key,
+        is_idempotent=False,
+        content_type='text/plain',
+        deadline_ms=1_000.0,
+        body=b'hut',
+    )
+
+
+async def test_a_large_answer_reaches_its_caller(gate, runner):
+    async def call(work):
+        return messages.Answer(work.attempt, 200, 'text/plain', b'x' * LARGE)
+
+    for attempt in 'ab':
+        answer = await runner.run(make_work(gate, attempt), call)
+        assert (answer.attempt, len(answer.body)) == (attempt, LARGE)
+
+
+@pytest.mark.parametrize('key', ['', 'k' * 999])
+async def test_a_wrong_key_closes_its_attempt(gate, runner, key):
+    with pytest.raises(errors.RequestError):
+        await runner.run(make_work(gate, key=key), None)
+    report = gate.attempts.query('a', 'i1', 0.0, 0.0)
+    assert report.state is attempts.AttemptState.REFUSED
+    assert report.verdict is verdict.Verdict.NOT_RUN
