Say after a minute that a held claim's outcome is unknown

Cause: a sidecar that died for good between claim and result left callers with CALL_IN_PROGRESS for the whole retention of an hour. Ruled out: asking the owner through the router; freeing the claim. Change: a sidecar remembers when it first saw another's claim, by its own clock, within a bound. Conclusion: an unknown outcome now says so within a minute.

--- a/foxtailpick/core/claims.py
+++ b/foxtailpick/core/claims.py
@@ -26,6 +26,7 @@
 from loguru import logger
 
 from foxtailpick.core import claim_errors
+from foxtailpick.core import claim_holds
 from foxtailpick.core import claim_leases
 from foxtailpick.core import claim_records
 from foxtailpick.core import claim_store
@@ -61,12 +62,14 @@
     :param is_save_awaited: whether an answer is returned only after one
         try to store it. Else the next `settle_pending` stores it, which
         spares the caller a wait and the store a write.
+    :param holds: bounds of what is remembered of other sidecars' claims.
     """
 
     max_records: int = 8_192
     cache_ms: float = 30 * types.SECOND_MS
     max_answer_bytes: int = 64 * 1024
     is_save_awaited: bool = False
+    holds: claim_holds.HoldLimits = claim_holds.HoldLimits()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -110,6 +113,7 @@
         self._table = claim_table.ClaimTable(
             self._limits.max_records, self._limits.cache_ms
         )
+        self._holds = claim_holds.ClaimHolds(self._limits.holds)
         self._next_nonce = 0
 
     @property
@@ -222,7 +226,7 @@
         _check_same_body(record.body_digest, claim.body_digest)
         is_held = claim.state is ClaimState.CLAIMED
         if is_held and claim.owner.endpoint != self.owner.endpoint:
-            raise claim_errors.ClaimHeldError(claim.owner)
+            raise self._make_held_error(record, claim)
         # A claim of this slot that is not known here was made by an earlier
         # process, and nobody can tell any more what became of it.
         is_ran = claim.state is ClaimState.RAN
@@ -231,6 +235,15 @@
         record.answer_check = claim.answer_check
         self._table.mark_saved(record, self._clock.now())
 
+    def _make_held_error(
+        self, record: ClaimRecord, claim: claim_records.Claim
+    ) -> errors.RequestError:
+        now_ms = self._clock.now()
+        if self._holds.is_overdue(record.path, claim.nonce, now_ms):
+            # Its owner has gone, or cannot reach the store.
+            return claim_errors.make_unknown_error()
+        return claim_errors.ClaimHeldError(claim.owner)
+
     def _check_claim_is_young(self, record: ClaimRecord) -> None:
         age_ms = self._clock.now() - record.began_ms
         if age_ms > self._times.max_claim_age_ms:
--- a/foxtailpick/tests/test_claims.py
+++ b/foxtailpick/tests/test_claims.py
@@ -7,6 +7,7 @@
 
 from foxtailpick.bench import claims_world
 from foxtailpick.core import claim_errors
+from foxtailpick.core import claim_holds
 from foxtailpick.core import claim_leases
 from foxtailpick.core import claim_records
 from foxtailpick.core import claims
@@ -230,6 +231,34 @@
     assert bench.runs == []
 
 
+async def test_a_claim_whose_owner_has_gone_becomes_unknown(bench):
+    bench.failure = OSError('reset')
+    with pytest.raises(errors.RequestError):
+        await bench.make_engine().run_once(KEY, b'x', bench.call)
+    limits = claims.ClaimLimits(holds=claim_holds.HoldLimits(1_000.0, 1))
+    other = bench.make_engine('e2', 'i2', limits)
+    for age_ms, code in (
+        (0.0, ErrorCode.CALL_IN_PROGRESS),
+        (999.0, ErrorCode.CALL_IN_PROGRESS),
+        (1.0, ErrorCode.OUTCOME_UNKNOWN),
+    ):
+        bench.manual.advance(age_ms)
+        await expect(
+            code, Verdict.MAY_HAVE_RUN, other.run_once(KEY, b'x', bench.call)
+        )
+    assert bench.runs == []
+
+
+def test_holds_are_bounded_and_told_apart():
+    holds = claim_holds.ClaimHolds(claim_holds.HoldLimits(100.0, 2))
+    assert not holds.is_overdue('k', 'n1', 0.0)
+    assert holds.is_overdue('k', 'n1', 100.0)
+    assert not holds.is_overdue('k', 'n2', 100.0)
+    for path in 'lm':
+        assert not holds.is_overdue(path, 'n1', 100.0)
+    assert not holds.is_overdue('k', 'n2', 300.0)
+
+
 async def test_a_claim_is_not_run_after_a_long_pause(bench):
     engine = bench.make_engine()
     original = bench.state.transact
