Count only calls of the service as signs of the service

Cause: a repeat of a key whose outcome is unknown was taken for a failure of the endpoint, and a stored answer for a quick one; both steer slow start. Change: the sign is taken where the service is called. Figures: 2 new tests, seen to fail before.

--- a/foxtailpick/sidecar/worker.py
+++ b/foxtailpick/sidecar/worker.py
@@ -254,12 +254,20 @@
         self, run: runs.Run, started: gate_lib.Started
     ) -> None:
         is_fault = False
-        try:
-            end = await self._once.run(run.work, self._call_service)
+
+        async def call_service(work: messages.OpenCall) -> messages.Answer:
+            # A repeat of a call that failed long ago is no fault of now.
+            nonlocal is_fault
+            is_fault = True
+            answer = await self._call_service(work)
+            is_fault = False
             self.gate.record_first_token(started, None, self._clock.now())
+            return answer
+
+        try:
+            end = await self._once.run(run.work, call_service)
         except errors.FoxtailError as exc:
             end = self._make_failed(run, exc)
-            is_fault = exc.code is errors.ErrorCode.OUTCOME_UNKNOWN
         now_ms = self._clock.now()
         self.gate.release(started, is_fault, now_ms)
         self._close(run, end, now_ms)
--- a/foxtailpick/tests/test_once.py
+++ b/foxtailpick/tests/test_once.py
@@ -1,12 +1,18 @@
 """Tests of claimed calls as the sidecar runs them."""
 
+import types
+
 import pytest
 
+from foxtailpick.adapters import base
 from foxtailpick.core import attempts
 from foxtailpick.core import errors
 from foxtailpick.core import messages
+from foxtailpick.core import settings
 from foxtailpick.core import verdict
+from foxtailpick.sidecar import gate as gate_lib
 from foxtailpick.sidecar import once
+from foxtailpick.sidecar import worker as worker_lib
 from foxtailpick.standins import keyvalue
 
 LARGE = attempts.AttemptLimits().max_answer_bytes + 1
@@ -17,6 +23,15 @@
 
     def __init__(self, monitor):
         self.attempts = attempts.AttemptTable('i1', monitor)
+        self.pool = types.SimpleNamespace(load=0.0, mean=0.0)
+        self.faults = []
+        self.first_tokens = 0
+
+    def record_first_token(self, started, hit_ratio, now_ms):
+        self.first_tokens += 1
+
+    def release(self, started, is_engine_fault, now_ms):
+        self.faults.append(is_engine_fault)
 
 
 @pytest.fixture
@@ -69,3 +84,38 @@
     report = gate.attempts.query('a', 'i1', 0.0, 0.0)
     assert report.state is attempts.AttemptState.REFUSED
     assert report.verdict is verdict.Verdict.NOT_RUN
+
+
+class StubService:
+    """A service that loses its first answers."""
+
+    def __init__(self, failures):
+        self.failures = failures
+
+    async def call(self, method, path, body, headers):
+        if self.failures:
+            self.failures -= 1
+            raise errors.RequestError(
+                errors.ErrorCode.ENDPOINT_FAILED,
+                'lost',
+                verdict.Verdict.MAY_HAVE_RUN,
+            )
+        return base.ServiceAnswer(200, (), b'booked')
+
+
+@pytest.mark.parametrize(
+    ('failures', 'faults', 'first_tokens'),
+    [(0, [False, False], 1), (1, [True, False], 0)],
+)
+async def test_a_repeat_is_no_fault_and_no_sign_of_the_service(
+    autojump_clock, gate, runner, failures, faults, first_tokens
+):
+    limits = settings.LimitSettings()
+    service = StubService(failures)
+    worker = worker_lib.Worker(gate, limits, None, service, runner)
+    for attempt in 'ab':
+        work = make_work(gate, attempt)
+        started = gate_lib.Started(work, None)
+        await worker._run_once(worker.table.add(work, 0.0), started)
+    assert gate.faults == faults
+    assert gate.first_tokens == first_tokens
