--- /dev/null
+++ b/foxtailpick/core/config_sources.py
@@ -0,0 +1,207 @@
+"""Whom a node may ask for the configuration, and what is under way."""
+
+import random
+import typing
+
+from foxtailpick.core import config_actions
+
+PEER_TIMEOUT_MS = 1_000.0
+STORE_TIMEOUT_MS = 3_000.0
+PEER_PAUSE_MS = 5_000.0
+STORE_PAUSE_MS = 5_000.0
+PAUSE_JITTER = 0.25
+CONTACTS = 8
+ROTATE_MS = 60_000.0
+
+
+class Sources:
+    """Peers and the store, with those that lately failed left alone.
+
+    A few random peers are contacts and asked first, so that their
+    connections stay open; one of them is replaced now and then.
+
+    :param rng: source of jitter and of random peers.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._peers: tuple[str, ...] = ()
+        self._contacts: tuple[str, ...] = ()
+        self._rotated_ms = float('-inf')
+        self._bad_peers: dict[str, float] = {}
+        self._store_paused_ms = float('-inf')
+
+    @property
+    def size(self) -> int:
+        """Nodes of the fleet as far as known, this one included."""
+        return len(self._peers) + 1
+
+    def set_peers(self, peers: typing.Iterable[str]) -> None:
+        """Replace the peers."""
+        self._peers = tuple(peers)
+        known = set(self._peers)
+        self._bad_peers = {
+            peer: until
+            for peer, until in self._bad_peers.items()
+            if peer in known
+        }
+        kept = tuple(peer for peer in self._contacts if peer in known)
+        self._contacts = self._fill_contacts(kept)
+
+    @property
+    def contacts(self) -> tuple[str, ...]:
+        """Peers whose connections are worth keeping open."""
+        return self._contacts
+
+    def is_store_usable(self, now_ms: float) -> bool:
+        """Tell whether the store may be asked."""
+        return now_ms >= self._store_paused_ms
+
+    def on_store_good(self) -> None:
+        """Record an answer of the store in time."""
+        self._store_paused_ms = float('-inf')
+
+    def on_store_bad(self, now_ms: float) -> None:
+        """Leave the store alone for a while.
+
+        The pause is jittered, so that the fleet does not come back at once.
+        """
+        pause_ms = STORE_PAUSE_MS * self._draw_jitter()
+        self._store_paused_ms = now_ms + pause_ms
+
+    def on_peer_good(self, peer: str) -> None:
+        """Record an answer of a peer."""
+        self._bad_peers.pop(peer, None)
+
+    def on_peer_bad(self, peer: str, now_ms: float) -> None:
+        """Leave a peer alone for a while."""
+        if peer not in self._peers:
+            return
+        if peer in self._contacts:
+            kept = tuple(held for held in self._contacts if held != peer)
+            self._contacts = self._fill_contacts(kept, peer)
+        self._bad_peers[peer] = now_ms + PEER_PAUSE_MS * self._draw_jitter()
+
+    def count_good_peers(self, now_ms: float) -> int:
+        """Return how many peers may be asked."""
+        self._drop_ended_pauses(now_ms)
+        return len(self._peers) - len(self._bad_peers)
+
+    def pick_peers(
+        self, count: int, now_ms: float, skipped: typing.Collection[str] = ()
+    ) -> list[str]:
+        """Return random peers that may be asked, contacts first.
+
+        :param count: how many at most.
+        :param now_ms: the current time.
+        :param skipped: peers to leave out.
+        """
+        self._drop_ended_pauses(now_ms)
+        self._rotate_contacts(now_ms)
+        wanted = count + len(skipped) + len(self._bad_peers)
+        contacts = self.sample(self._contacts, len(self._contacts))
+        drawn = dict.fromkeys(contacts + self.sample(self._peers, wanted))
+        good = [
+            peer
+            for peer in drawn
+            if peer not in self._bad_peers and peer not in skipped
+        ]
+        return good[:count]
+
+    def sample(self, names: tuple[str, ...], count: int) -> list[str]:
+        """Return random names, as many as wanted if there are."""
+        return self._rng.sample(names, min(count, len(names)))
+
+    def _rotate_contacts(self, now_ms: float) -> None:
+        """Replace the oldest contact, so that no peer is relied on long."""
+        if now_ms - self._rotated_ms < ROTATE_MS:
+            return
+        self._rotated_ms = now_ms
+        self._contacts = self._fill_contacts(self._contacts[1:])
+
+    def _fill_contacts(
+        self, kept: tuple[str, ...], left_out: str | None = None
+    ) -> tuple[str, ...]:
+        held = {*kept, left_out}
+        drawn = self.sample(self._peers, CONTACTS + len(held))
+        new = [peer for peer in drawn if peer not in held]
+        return (*kept, *new)[:CONTACTS]
+
+    def _drop_ended_pauses(self, now_ms: float) -> None:
+        ended = [p for p, until in self._bad_peers.items() if until <= now_ms]
+        for peer in ended:
+            del self._bad_peers[peer]
+
+    def _draw_jitter(self) -> float:
+        return 1 + self._rng.uniform(-PAUSE_JITTER, PAUSE_JITTER)
+
+
+class Flights:
+    """Actions handed out and not yet answered."""
+
+    def __init__(self) -> None:
+        self._started: dict[config_actions.Action, float] = {}
+
+    def add(self, action: config_actions.Action, now_ms: float) -> None:
+        """Record an action handed out."""
+        self._started[action] = now_ms
+
+    def end(self, action: config_actions.Action) -> None:
+        """Record its answer or failure."""
+        self._started.pop(action, None)
+
+    def find(
+        self, kind: type | tuple[type, ...]
+    ) -> list[config_actions.Action]:
+        """Return the actions of a kind that are under way."""
+        return [item for item in self._started if isinstance(item, kind)]
+
+    def end_peer(self, peer: str) -> None:
+        """Record an answer of a peer, whatever number it was asked with."""
+        for action in self.find(config_actions.FetchFromPeer):
+            if action.peer == peer:
+                del self._started[action]
+
+    def end_kind(self, kind: type | tuple[type, ...]) -> None:
+        """Record an answer to all actions of a kind."""
+        for action in self.find(kind):
+            del self._started[action]
+
+    def take_overdue(self, now_ms: float) -> list[config_actions.Action]:
+        """Remove and return the actions without an answer in time."""
+        overdue = [
+            action
+            for action, started_ms in self._started.items()
+            if now_ms - started_ms >= _find_timeout_ms(action)
+        ]
+        for action in overdue:
+            del self._started[action]
+        return overdue
+
+    def next_timeout_ms(self) -> float:
+        """Return when the next action becomes overdue."""
+        return min(
+            (
+                started_ms + _find_timeout_ms(action)
+                for action, started_ms in self._started.items()
+            ),
+            default=float('inf'),
+        )
+
+
+def is_store_action(action: config_actions.Action) -> bool:
+    """Tell whether an action needs the store."""
+    if isinstance(action, config_actions.FetchChunk):
+        return action.peer is None
+    return isinstance(action, _STORE_ACTIONS)
+
+
+def _find_timeout_ms(action: config_actions.Action) -> float:
+    return STORE_TIMEOUT_MS if is_store_action(action) else PEER_TIMEOUT_MS
+
+
+_STORE_ACTIONS = (
+    config_actions.FetchFromStore,
+    config_actions.OpenWatch,
+    config_actions.ReadHead,
+)
--- /dev/null
+++ b/foxtailpick/core/load_gossip.py
@@ -0,0 +1,87 @@
+"""Load reports that the sidecars of a pool send each other.
+
+Four times a second a sidecar sends a report to a few peers, drawn uniformly
+from the member list. A lost report is not sent again.
+"""
+
+import math
+import random
+import typing
+
+import cbor2
+import xxhash
+
+from foxtailpick.core import errors
+from foxtailpick.core import mean_estimate
+from foxtailpick.core import types
+
+PERIOD_MS = 250.0
+FANOUT = 3
+
+# Weights are sent in hundredths, to fit integers.
+_WEIGHT_UNITS = 100.0
+_MALFORMED = (cbor2.CBORDecodeError, OverflowError, TypeError, ValueError)
+
+
+def draw_peers(
+    peers: typing.Sequence[types.EndpointId], rng: random.Random
+) -> list[types.EndpointId]:
+    """Draw the peers of one round.
+
+    :param peers: the other endpoints of the pool.
+    :param rng: source of random numbers.
+    """
+    return rng.sample(peers, min(FANOUT, len(peers)))
+
+
+def encode_report(report: mean_estimate.LoadReport) -> bytes:
+    """Encode a report: a name of four bytes and three numbers.
+
+    :param report: the report, made just now.
+    """
+    return cbor2.dumps(
+        [
+            hash_endpoint(report.sample.endpoint),
+            round(report.sample.load_tokens),
+            round(report.heard_tokens),
+            round(report.heard_weight * _WEIGHT_UNITS),
+        ]
+    )
+
+
+def decode_report(
+    frame: bytes,
+    members: typing.Mapping[int, tuple[types.EndpointId, float]],
+    now_ms: float,
+) -> mean_estimate.LoadReport | None:
+    """Decode a report, None if its sender is not in the own member list.
+
+    :param frame: the bytes that came.
+    :param members: endpoint and capacity by `hash_endpoint`.
+    :param now_ms: the current time.
+    :raises errors.LinkError: if the frame is malformed.
+    """
+    try:
+        name, load, heard, weight = cbor2.loads(frame)
+        numbers = (float(load), float(heard), weight / _WEIGHT_UNITS)
+        if not all(0.0 <= number < math.inf for number in numbers):
+            raise ValueError('a number is out of range')
+        sender = members.get(name)
+    except _MALFORMED as exc:
+        raise errors.LinkError(
+            errors.ErrorCode.FRAME_MALFORMED,
+            f'expected a name and three numbers of at least 0, '
+            f'got {frame[:32]!r}; the frame is dropped',
+        ) from exc
+    if sender is None:
+        return None
+    sample = mean_estimate.LoadSample(sender[0], numbers[0], sender[1], now_ms)
+    return mean_estimate.LoadReport(sample, numbers[1], numbers[2])
+
+
+def hash_endpoint(endpoint: types.EndpointId) -> int:
+    """Return the four-byte name of an endpoint in reports.
+
+    :param endpoint: the endpoint.
+    """
+    return xxhash.xxh32_intdigest(endpoint.encode())
--- /dev/null
+++ b/foxtailpick/core/mean_estimate.py
@@ -0,0 +1,205 @@
+"""The mean load of a pool, as one sidecar knows it.
+
+A pool is the endpoints of one service in one region that serve one model.
+Loads are outstanding tokens per unit of capacity. Peers are sampled
+uniformly from the member list: samples taken where requests happen to go
+leave out idle endpoints and give a mean that is too high.
+"""
+
+import dataclasses
+import math
+
+from foxtailpick.core import types
+
+SAMPLE_LIFE_MS = 3_000.0
+SAMPLE_DECAY_MS = 500.0
+COVERED_SHARE = 0.9
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadSample:
+    """The load of an endpoint at some moment.
+
+    :param endpoint: the endpoint.
+    :param load_tokens: outstanding tokens per unit of capacity.
+    :param capacity: its relative capacity.
+    :param at_ms: when it held, by the clock of the process that keeps it.
+    """
+
+    endpoint: types.EndpointId
+    load_tokens: float
+    capacity: float
+    at_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReport:
+    """What a sidecar tells a peer.
+
+    The mean covers first-hand samples only. A mean of means would go round
+    between the sidecars and grow old without showing it.
+
+    :param sample: the load of the sender.
+    :param heard_tokens: mean of the samples that the sender has first-hand.
+    :param heard_weight: capacity in these samples, old ones counting less.
+    """
+
+    sample: LoadSample
+    heard_tokens: float = 0.0
+    heard_weight: float = 0.0
+
+
+class MeanEstimate:
+    """The mean load of a pool, from samples of its endpoints.
+
+    :param endpoint: the own endpoint, whose load is always known.
+    :param capacity: its relative capacity.
+    :param pool_capacity: relative capacity of the whole pool.
+    """
+
+    def __init__(
+        self,
+        endpoint: types.EndpointId,
+        capacity: float,
+        pool_capacity: float,
+    ) -> None:
+        self._endpoint = endpoint
+        self._capacity = capacity
+        self._pool_capacity = max(pool_capacity, capacity)
+        self._reports: dict[types.EndpointId, LoadReport] = {}
+        self._peers_mean_tokens: float | None = None
+        self._heard_ms = -math.inf
+
+    def set_pool_capacity(self, pool_capacity: float) -> None:
+        """Take over the capacity of the pool from a newer member list.
+
+        :param pool_capacity: relative capacity of all its endpoints.
+        """
+        self._pool_capacity = max(pool_capacity, self._capacity)
+
+    def observe(self, report: LoadReport, now_ms: float) -> None:
+        """Take over what a peer tells; older than what is known is ignored.
+
+        :param report: the report, its time by the own clock.
+        :param now_ms: the current time.
+        """
+        sender = report.sample.endpoint
+        known = self._reports.get(sender)
+        if sender == self._endpoint:
+            return
+        if known is not None and known.sample.at_ms >= report.sample.at_ms:
+            return
+        self._reports[sender] = report
+        self._forget_old_reports(now_ms)
+        if self._reports:
+            self._heard_ms = now_ms
+            self._peers_mean_tokens = self._average_reports(now_ms)
+
+    def make_report(self, own_load_tokens: float, now_ms: float) -> LoadReport:
+        """Return what to tell peers.
+
+        :param own_load_tokens: the own load per unit of capacity.
+        :param now_ms: the current time.
+        """
+        total, weight = self._sum_samples(now_ms)
+        return LoadReport(
+            LoadSample(
+                self._endpoint, own_load_tokens, self._capacity, now_ms
+            ),
+            total / weight if weight else 0.0,
+            weight,
+        )
+
+    def observe_router_view(self, mean_tokens: float, now_ms: float) -> None:
+        """Take over a router's view of the mean while no peer is heard.
+
+        :param mean_tokens: its mean, tokens per unit of capacity.
+        :param now_ms: the current time.
+        """
+        if now_ms - self._heard_ms > SAMPLE_LIFE_MS:
+            self._peers_mean_tokens = mean_tokens
+
+    def get_mean_tokens(self, own_load_tokens: float) -> float:
+        """Return the mean, tokens per unit of capacity.
+
+        While nobody is heard the last known mean of the peers stays: a
+        sidecar cut off from its peers goes on to serve.
+
+        :param own_load_tokens: the own load per unit of capacity.
+        """
+        if self._peers_mean_tokens is None:
+            return own_load_tokens
+        own_part = self._capacity / self._pool_capacity
+        peers_tokens = (1.0 - own_part) * self._peers_mean_tokens
+        return own_part * own_load_tokens + peers_tokens
+
+    def get_age_ms(self, now_ms: float) -> float:
+        """Return how long no peer has been heard, infinite if never.
+
+        :param now_ms: the current time.
+        """
+        return now_ms - self._heard_ms
+
+    def get_load_tokens(self, endpoint: types.EndpointId) -> float | None:
+        """Return the last known load of a peer, None if none is known.
+
+        :param endpoint: the peer.
+        """
+        report = self._reports.get(endpoint)
+        return None if report is None else report.sample.load_tokens
+
+    def list_below(self, load_tokens: float) -> list[types.EndpointId]:
+        """Return the peers whose last known load is below a value.
+
+        :param load_tokens: the value, tokens per unit of capacity.
+        """
+        return [
+            endpoint
+            for endpoint, report in self._reports.items()
+            if report.sample.load_tokens < load_tokens
+        ]
+
+    def _forget_old_reports(self, now_ms: float) -> None:
+        oldest_ms = now_ms - SAMPLE_LIFE_MS
+        reports = self._reports
+        for endpoint in [
+            e for e, r in reports.items() if r.sample.at_ms < oldest_ms
+        ]:
+            del reports[endpoint]
+
+    def _average_reports(self, now_ms: float) -> float:
+        if self._is_pool_covered():
+            return self._average_all_samples()
+        total, total_weight = self._sum_samples(now_ms)
+        for report in self._reports.values():
+            decay = _get_decay(now_ms - report.sample.at_ms)
+            weight = report.heard_weight * decay
+            total += weight * report.heard_tokens
+            total_weight += weight
+        return total / total_weight
+
+    def _is_pool_covered(self) -> bool:
+        reports = self._reports.values()
+        heard = sum(report.sample.capacity for report in reports)
+        peers = self._pool_capacity - self._capacity
+        return heard >= COVERED_SHARE * peers
+
+    def _average_all_samples(self) -> float:
+        # In a small pool the peers' means would count the own load twice.
+        samples = [report.sample for report in self._reports.values()]
+        total = sum(sample.capacity * sample.load_tokens for sample in samples)
+        return total / sum(sample.capacity for sample in samples)
+
+    def _sum_samples(self, now_ms: float) -> tuple[float, float]:
+        total = 0.0
+        total_weight = 0.0
+        for report in self._reports.values():
+            sample = report.sample
+            weight = sample.capacity * _get_decay(now_ms - sample.at_ms)
+            total += weight * sample.load_tokens
+            total_weight += weight
+        return total, total_weight
+
+
+def _get_decay(age_ms: float) -> float:
+    return math.exp(-max(0.0, age_ms) / SAMPLE_DECAY_MS)
--- /dev/null
+++ b/foxtailpick/core/poll_schedule.py
@@ -0,0 +1,82 @@
+"""When a node polls for the newest number, and whom."""
+
+import dataclasses
+import random
+
+from foxtailpick.core import types
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PollOptions:
+    """Bounds of polling.
+
+    :param mean_ms: mean time between polls of one node.
+    :param jitter: part of it by which a poll may come early or late.
+    :param store_polls_per_s: polls of the whole fleet that go to the store;
+        the rest goes to peers.
+    """
+
+    mean_ms: float = 8_000.0
+    jitter: float = 0.25
+    store_polls_per_s: float = 100.0
+
+
+class PollSchedule:
+    """The next poll of one node.
+
+    :param rng: source of jitter.
+    :param options: the bounds.
+    """
+
+    def __init__(
+        self, rng: random.Random, options: PollOptions = PollOptions()
+    ) -> None:
+        self._rng = rng
+        self._options = options
+        self._is_started = False
+        self.due_ms = 0.0
+
+    def start(self, now_ms: float) -> bool:
+        """Begin a poll if one is due; tell whether it is.
+
+        The first is due at a random time, so that a fleet that starts as
+        one does not poll as one.
+
+        :param now_ms: the current time.
+        """
+        if not self._is_started:
+            self._is_started = True
+            spread_ms = self._rng.uniform(0, self._options.mean_ms)
+            self.due_ms = now_ms + spread_ms
+        if now_ms < self.due_ms:
+            return False
+        jitter = self._options.jitter
+        factor = 1 + self._rng.uniform(-jitter, jitter)
+        self.due_ms = now_ms + self._options.mean_ms * factor
+        return True
+
+    def is_store_turn(self, fleet_size: int) -> bool:
+        """Tell whether the poll goes to the store.
+
+        The part of all polls that do shrinks as the fleet grows, so that
+        the fleet's reads stay below a fixed rate.
+
+        :param fleet_size: nodes of the fleet as far as known.
+        """
+        part = find_store_part(
+            self._options.store_polls_per_s, fleet_size, self._options.mean_ms
+        )
+        return self._rng.random() < part
+
+
+def find_store_part(
+    budget_per_s: float, fleet_size: int, every_ms: float
+) -> float:
+    """Return the part of the fleet's questions that may go to the store.
+
+    :param budget_per_s: reads a second allowed for these questions.
+    :param fleet_size: nodes that ask.
+    :param every_ms: time between questions of one node.
+    """
+    asked_per_s = fleet_size / (every_ms / types.SECOND_MS)
+    return min(budget_per_s / asked_per_s, 1.0)
--- /dev/null
+++ b/foxtailpick/router/chats.py
@@ -0,0 +1,241 @@
+"""Routes chat completions: places, tries, resumes, gives up truthfully."""
+
+import dataclasses
+import typing
+
+from foxtailpick.core import errors
+from foxtailpick.core import messages
+from foxtailpick.core import replay
+from foxtailpick.core import types
+from foxtailpick.core import verdict as verdict_lib
+from foxtailpick.router import attempts
+from foxtailpick.router import context as context_lib
+from foxtailpick.router import follow
+from foxtailpick.router import jobs
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Token:
+    """One token on its way to the caller.
+
+    :param index: its place in the whole answer.
+    :param text: its text.
+    :param position: what the caller sends back to resume behind it.
+    """
+
+    index: int
+    text: str
+    position: jobs.StreamPosition
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChatEnd:
+    """The end of a chat completion.
+
+    :param endpoint: the endpoint that finished it.
+    :param incarnation: its incarnation, which holds the cached prefix.
+    :param tokens: how many tokens the whole answer has.
+    :param finished: the sidecar's last message.
+    """
+
+    endpoint: types.EndpointId
+    incarnation: types.Incarnation
+    tokens: int
+    finished: messages.Finished
+
+
+Deliver = typing.Callable[[list[Token]], typing.Awaitable[None]]
+
+
+class ChatRouter:
+    """Routes chat completions for one router.
+
+    :param ctx: the state of the router.
+    """
+
+    def __init__(self, ctx: context_lib.RouterContext) -> None:
+        self._ctx = ctx
+        self._follower = follow.Follower(ctx.links, ctx.cfg.limits.silence)
+
+    async def run(self, job: jobs.ChatJob, deliver: Deliver) -> ChatEnd:
+        """Answer a chat completion.
+
+        :param job: what to do.
+        :param deliver: takes the tokens in order, each once.
+        :returns: the end of the answer.
+        :raises errors.FoxtailError: if it cannot be completed.
+        """
+        service = self._find_service(job.request.model)
+        progress = _Progress(job, service, deliver)
+        with self._ctx.limit_work(job.caller.deadline_ms):
+            return await self._run_until_deadline(job, progress)
+        raise self._ctx.make_stop_error(
+            progress.route.verdict, f'{progress.tokens} tokens'
+        )
+
+    async def _run_until_deadline(
+        self, job: jobs.ChatJob, progress: '_Progress'
+    ) -> ChatEnd:
+        if job.position is not None:
+            end = await self._resume(job, progress)
+            if end is not None:
+                return end
+
+        async def try_endpoint(attempt_at: attempts.Try) -> ChatEnd:
+            return await self._try_endpoint(job, progress, attempt_at)
+
+        return await attempts.run_attempts(
+            self._ctx, progress.route, try_endpoint
+        )
+
+    async def _resume(
+        self, job: jobs.ChatJob, progress: '_Progress'
+    ) -> ChatEnd | None:
+        position = job.position
+        member = self._ctx.fleet.table.get_member(position.endpoint)
+        if member is None:
+            return None
+        followed = follow.Followed(
+            position.attempt,
+            job.caller.account.account,
+            member.address,
+            replay.StreamAssembler(
+                replay.ResumePoint(position.attempt, position.number),
+                self._ctx.monitor,
+            ),
+        )
+        # The caller holds tokens of the attempt, so it was sent.
+        followed.sent_ms = 0.0
+        line = f'resume at {position.endpoint} from {position.number}.'
+        self._ctx.explain('RESUME', job.caller, line)
+        progress.begin_attempt(
+            position.endpoint, position.attempt, position.base
+        )
+        try:
+            end = await self._follower.run(followed, None, progress.deliver)
+        except errors.FoxtailError as exc:
+            self._ctx.explain('RESUME', job.caller, f'not possible: {exc}')
+            return None
+        return progress.make_end(member.incarnation, end)
+
+    async def _try_endpoint(
+        self,
+        job: jobs.ChatJob,
+        progress: '_Progress',
+        attempt_at: attempts.Try,
+    ) -> ChatEnd:
+        member = self._ctx.fleet.table.get_member(attempt_at.endpoint)
+        attempt = types.AttemptId(jobs.make_id())
+        progress.begin_attempt(member.endpoint, attempt, progress.tokens)
+        followed = follow.Followed(
+            attempt,
+            job.caller.account.account,
+            member.address,
+            replay.StreamAssembler(
+                replay.ResumePoint(attempt), self._ctx.monitor
+            ),
+        )
+        opening = self._make_opening(
+            job, attempt, progress.tokens, attempt_at.candidates
+        )
+        end = await self._follower.run(followed, opening, progress.deliver)
+        return progress.make_end(followed.incarnation, end)
+
+    def _make_opening(
+        self,
+        job: jobs.ChatJob,
+        attempt: types.AttemptId,
+        resume_from: int,
+        candidates: tuple[types.EndpointId, ...],
+    ) -> messages.OpenChat:
+        now_ms = self._ctx.clock.now()
+        return messages.OpenChat(
+            attempt=attempt,
+            request=job.caller.request,
+            account=job.caller.account.account,
+            chat=job.chat,
+            model=job.request.model,
+            priority=job.caller.priority,
+            deadline_ms=job.caller.deadline_ms - now_ms,
+            prompt_tokens=job.request.prompt_tokens,
+            max_tokens=job.request.max_tokens,
+            mean_load=self._ctx.fleet.loads.get_mean_tokens(now_ms),
+            resume_from=resume_from,
+            candidates=candidates,
+            body=job.body,
+        )
+
+    def _find_service(self, model: types.ModelId) -> types.ServiceId:
+        cfg = self._ctx.read_config()
+        for service, item in sorted(cfg.services.items()):
+            if model in item.models:
+                return service
+        known = ', '.join(sorted(cfg.models)) or 'none'
+        raise errors.RequestError(
+            errors.ErrorCode.MODEL_UNKNOWN,
+            f'model: expected one of {known}, got {model!r}; correct it',
+        )
+
+
+class _Progress:
+    """What the caller has received so far, over all attempts.
+
+    :param job: the chat completion.
+    :param service: the service that offers its model.
+    :param deliver: takes the tokens.
+    """
+
+    def __init__(
+        self,
+        job: jobs.ChatJob,
+        service: types.ServiceId,
+        deliver: Deliver,
+    ) -> None:
+        # Repeating a completion yields an answer and books nothing.
+        self.route = attempts.Route(
+            job.caller,
+            job.chat,
+            service,
+            job.request.model,
+            job.hint,
+            is_idempotent=True,
+        )
+        position = job.position
+        self.tokens = position.base + position.number if position else 0
+        self._deliver = deliver
+        self._endpoint = types.EndpointId('')
+        self._attempt = types.AttemptId('')
+        self._base = 0
+
+    def begin_attempt(
+        self,
+        endpoint: types.EndpointId,
+        attempt: types.AttemptId,
+        base: int,
+    ) -> None:
+        """Note the attempt that the next tokens come from."""
+        self._endpoint = endpoint
+        self._attempt = attempt
+        self._base = base
+
+    async def deliver(self, texts: list[str], first: int) -> None:
+        """Hand on new chunks of the current attempt."""
+        self.route.note(verdict_lib.Verdict.MAY_HAVE_RUN)
+        tokens = [
+            Token(
+                self._base + number,
+                text,
+                jobs.StreamPosition(
+                    self._endpoint, self._attempt, self._base, number + 1
+                ),
+            )
+            for number, text in enumerate(texts, first)
+        ]
+        self.tokens = tokens[-1].index + 1
+        await self._deliver(tokens)
+
+    def make_end(
+        self, incarnation: types.Incarnation, finished: messages.Finished
+    ) -> ChatEnd:
+        """Return the end of the answer."""
+        return ChatEnd(self._endpoint, incarnation, self.tokens, finished)
--- /dev/null
+++ b/foxtailpick/router/context.py
@@ -0,0 +1,183 @@
+"""What the parts of a router share."""
+
+import contextlib
+import dataclasses
+import random
+import typing
+
+import trio
+
+from foxtailpick.core import clock as clock_lib
+from foxtailpick.core import configuration
+from foxtailpick.core import decision
+from foxtailpick.core import errors
+from foxtailpick.core import invariants
+from foxtailpick.core import placement
+from foxtailpick.core import retry
+from foxtailpick.core import settings
+from foxtailpick.core import types
+from foxtailpick.core import verdict as verdict_lib
+from foxtailpick.node import config_node as config_node_lib
+from foxtailpick.node import links as links_lib
+from foxtailpick.router import explain
+from foxtailpick.router import fleet_view
+from foxtailpick.router import jobs
+from foxtailpick.router import metrics as metrics_lib
+
+STOP_POLL_MS = 10.0
+HINT_LIFE_MS = 10 * types.MINUTE_MS
+
+
+@dataclasses.dataclass(slots=True)
+class RouterContext:
+    """State of one router.
+
+    :param cfg: its settings.
+    :param node: the configuration in force.
+    :param fleet: the endpoints as seen from here.
+    :param links: connections to sidecars.
+    :param monitor: checks the promises.
+    :param rng: source of jitter.
+    """
+
+    cfg: settings.RouterSettings
+    node: config_node_lib.ConfigNode
+    fleet: fleet_view.FleetView
+    links: links_lib.LinkPool
+    monitor: invariants.Monitor
+    rng: random.Random
+    clock: clock_lib.Clock = dataclasses.field(
+        default_factory=clock_lib.Clock.from_trio
+    )
+    wall: clock_lib.Clock = dataclasses.field(
+        default_factory=clock_lib.Clock.from_wall
+    )
+    retry_options: retry.RetryOptions = dataclasses.field(
+        default_factory=retry.RetryOptions
+    )
+    budget: retry.RetryBudget = dataclasses.field(init=False)
+    decisions: explain.DecisionLog = dataclasses.field(
+        default_factory=explain.DecisionLog
+    )
+    metrics: metrics_lib.Metrics = dataclasses.field(
+        default_factory=metrics_lib.Metrics
+    )
+    is_stopping: bool = False
+    active: set[trio.CancelScope] = dataclasses.field(default_factory=set)
+
+    def __post_init__(self) -> None:
+        """Create the budget from the options."""
+        self.budget = retry.RetryBudget(self.retry_options)
+
+    @contextlib.contextmanager
+    def limit_work(self, deadline_ms: float) -> typing.Iterator[None]:
+        """Bound a request's work by its deadline and the router's stop.
+
+        :param deadline_ms: the deadline on the local clock.
+        """
+        seconds = deadline_ms / types.SECOND_MS
+        with trio.CancelScope(deadline=seconds) as scope:
+            self.active.add(scope)
+            try:
+                yield
+            finally:
+                self.active.discard(scope)
+
+    async def finish_work(self, limit_ms: float) -> None:
+        """Take no new work, and wait for what is in flight.
+
+        What is left after the limit is given up with a truthful verdict.
+
+        :param limit_ms: the longest wait.
+        """
+        self.is_stopping = True
+        with trio.move_on_after(limit_ms / types.SECOND_MS):
+            while self.active:
+                await clock_lib.sleep_ms(STOP_POLL_MS)
+        for scope in list(self.active):
+            scope.cancel()
+        while self.active:
+            await clock_lib.sleep_ms(STOP_POLL_MS)
+
+    def make_hint(
+        self, endpoint: types.EndpointId, incarnation: types.Incarnation
+    ) -> decision.LocationHint:
+        """Return the hint that a caller sends with the chat's next request.
+
+        :param endpoint: where the chat ran.
+        :param incarnation: the incarnation that holds its prefix.
+        """
+        expires_ms = self.wall.now() + HINT_LIFE_MS
+        return decision.LocationHint(endpoint, incarnation, expires_ms)
+
+    def make_stop_error(
+        self, verdict: verdict_lib.Verdict, came: str
+    ) -> errors.RequestError:
+        """Return the error for work that was cut short.
+
+        :param verdict: whether it may have run.
+        :param came: how far it got.
+        """
+        if self.is_stopping:
+            return errors.RequestError(
+                errors.ErrorCode.SHUTTING_DOWN,
+                f'expected to finish before the router stops, got {came}; '
+                f'go on through another router',
+                verdict,
+            )
+        return errors.RequestError(
+            errors.ErrorCode.DEADLINE_EXCEEDED,
+            f'expected the whole answer before the deadline, got {came}; '
+            f'allow more time',
+            verdict,
+        )
+
+    def read_config(self) -> configuration.Configuration:
+        """Return the configuration in force."""
+        return self.node.current
+
+    def list_domains_out(self) -> frozenset[types.FailureDomainId]:
+        """Return the failure domains out of service."""
+        return frozenset(
+            domain
+            for domain, item in self.read_config().domains.items()
+            if item.state is types.DomainState.OUT_OF_SERVICE
+        )
+
+    def place(
+        self,
+        caller: jobs.Caller,
+        key: str,
+        service: types.ServiceId,
+        model: types.ModelId | None,
+        hint: decision.LocationHint | None = None,
+    ) -> decision.Decision:
+        """Decide where a request goes, and log the decision.
+
+        :param caller: who asks.
+        :param key: the chat, or the request of a call without one.
+        :param service: the service asked for.
+        :param model: the model asked for, None for a plain service.
+        :param hint: where the chat ran last.
+        """
+        req = decision.PlacementRequest(
+            key=key,
+            service=service,
+            region=self.cfg.node.region,
+            model=model,
+            allowed=caller.account.endpoints or None,
+            domains_out=self.list_domains_out(),
+            hint=hint,
+            wall_ms=self.wall.now(),
+            avoid=self.fleet.list_avoided(),
+        )
+        self.fleet.refresh()
+        chosen = placement.choose_endpoints(self.fleet.table, req)
+        self.explain('PLACE', caller, chosen.format_line())
+        return chosen
+
+    def explain(self, prefix: str, caller: jobs.Caller, line: str) -> None:
+        """Log a decision about a request and keep it for `explain`."""
+        self.decisions.add(
+            prefix, caller.request, caller.account.account, line
+        )
--- /dev/null
+++ b/foxtailpick/sidecar/daemon.py
@@ -0,0 +1,200 @@
+"""The sidecar as a process: wires its parts together."""
+
+import contextlib
+import dataclasses
+import functools
+import random
+import typing
+
+from loguru import logger
+import trio
+from websockets.trio import server as ws_server
+
+from foxtailpick.adapters import base
+from foxtailpick.adapters import engine as engine_adapter
+from foxtailpick.adapters import etcd
+from foxtailpick.adapters import service as service_adapter
+from foxtailpick.adapters import wire
+from foxtailpick.core import config_store
+from foxtailpick.core import invariants
+from foxtailpick.core import messages
+from foxtailpick.core import settings
+from foxtailpick.core import types
+from foxtailpick.node import config_node as config_node_lib
+from foxtailpick.node import http_server
+from foxtailpick.node import links as links_lib
+from foxtailpick.node import member_feed
+from foxtailpick.router import jobs
+from foxtailpick.sidecar import connections
+from foxtailpick.sidecar import gate as gate_lib
+from foxtailpick.sidecar import gossip
+from foxtailpick.sidecar import once
+from foxtailpick.sidecar import operators
+from foxtailpick.sidecar import worker as worker_lib
+
+ADMIN_GRACE_MS = 1_000.0
+MAX_PEER_LINKS = 16
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sidecar:
+    """A running sidecar.
+
+    :param address: `host:port` that routers connect to.
+    :param admin_url: base URL for operators.
+    :param incarnation: incarnation of this process.
+    :param worker: runs the attempts.
+    :param config: its configuration.
+    """
+
+    address: str
+    admin_url: str
+    incarnation: types.Incarnation
+    worker: worker_lib.Worker
+    config: config_node_lib.ConfigNode
+
+
+@contextlib.asynccontextmanager
+async def open_sidecar(
+    cfg: settings.SidecarSettings, monitor: invariants.Monitor
+) -> typing.AsyncIterator[Sidecar]:
+    """Run a sidecar until the context is left.
+
+    :param cfg: its settings.
+    :param monitor: checks the promises.
+    """
+    incarnation = types.Incarnation(jobs.make_id())
+    async with contextlib.AsyncExitStack() as stack:
+        store = await stack.enter_async_context(
+            etcd.EtcdKeyValue.from_settings(cfg.store)
+        )
+        keys = config_store.Keys(cfg.store.prefix)
+        node = config_node_lib.ConfigNode(
+            cfg.node.id, store, keys, monitor, random.Random()
+        )
+        links = await stack.enter_async_context(
+            _make_links(cfg, node, incarnation)
+        )
+        node.use_links(links)
+        gate = gate_lib.Gate.from_settings(cfg, incarnation, monitor, node)
+        node.on_change(gate.apply_config)
+        worker = await _open_worker(stack, cfg, gate, store, monitor)
+        nursery = await stack.enter_async_context(trio.open_nursery())
+        stack.callback(nursery.cancel_scope.cancel)
+        node.on_report(worker.wake)
+        nursery.start_soon(node.run)
+        nursery.start_soon(worker.run)
+        nursery.start_soon(
+            member_feed.follow_members,
+            cfg.membership,
+            cfg.node.id,
+            functools.partial(_take_members, cfg, gate, node),
+        )
+        address = await _serve_routers(nursery, cfg, worker, node, incarnation)
+        port = int(address.rsplit(':', 1)[1])
+        talk = gossip.Gossip(
+            gate.pool, cfg.listen.host, port, random.Random(), gate.takes_work
+        )
+        nursery.start_soon(talk.run)
+        admin_url = await stack.enter_async_context(
+            http_server.serve_app(
+                operators.make_operator_app(worker, node, monitor),
+                cfg.listen.host,
+                cfg.listen.admin_port,
+                ADMIN_GRACE_MS,
+            )
+        )
+        logger.info(
+            'SIDECAR {} listens on {}, for operators on {}.',
+            cfg.node.id,
+            address,
+            admin_url,
+        )
+        yield Sidecar(address, admin_url, incarnation, worker, node)
+        logger.info('SIDECAR {} stops.', cfg.node.id)
+        await worker.finish_work(cfg.limits.shutdown)
+
+
+async def _open_worker(
+    stack: contextlib.AsyncExitStack,
+    cfg: settings.SidecarSettings,
+    gate: gate_lib.Gate,
+    store: base.KeyValue,
+    monitor: invariants.Monitor,
+) -> worker_lib.Worker:
+    if cfg.endpoint.kind is types.EndpointKind.MODEL:
+        engine = engine_adapter.HttpEngine.from_url(cfg.endpoint.url)
+        await stack.enter_async_context(engine)
+        return worker_lib.Worker(gate, cfg.limits, engine, None)
+    service = service_adapter.HttpService.from_url(cfg.endpoint.url)
+    await stack.enter_async_context(service)
+    endpoint = types.EndpointId(cfg.node.id)
+    runner = once.OnceRunner(
+        gate, store, endpoint, monitor, cfg.limits.claim_interval
+    )
+    return worker_lib.Worker(gate, cfg.limits, None, service, runner)
+
+
+async def _serve_routers(
+    nursery: trio.Nursery,
+    cfg: settings.SidecarSettings,
+    worker: worker_lib.Worker,
+    node: config_node_lib.ConfigNode,
+    incarnation: types.Incarnation,
+) -> str:
+    hello = messages.Hello(messages.PROTOCOL_VERSION, cfg.node.id, incarnation)
+
+    meter = wire.TrafficMeter()
+
+    def hear(conn: connections.Connection, frame: messages.Frame) -> None:
+        peer = node.find_address(conn.peer.node) if conn.peer else None
+        node.hear(frame.number, peer)
+        node.on_message(frame.message, peer, conn.send_soon)
+
+    async def handle(conn: typing.Any) -> None:
+        connection = connections.Connection(
+            conn, worker, hello, node, hear, meter
+        )
+        await connection.serve()
+
+    serve = functools.partial(
+        ws_server.serve,
+        handle,
+        cfg.listen.port,
+        host=cfg.listen.host,
+        **wire.CONNECTION_OPTIONS,
+    )
+    server = await nursery.start(serve)
+    port = server.listeners[0].socket.getsockname()[1]
+    return f'{cfg.listen.host}:{port}'
+
+
+def _make_links(
+    cfg: settings.SidecarSettings,
+    node: config_node_lib.ConfigNode,
+    incarnation: types.Incarnation,
+) -> links_lib.LinkPool:
+    hello = messages.Hello(messages.PROTOCOL_VERSION, cfg.node.id, incarnation)
+
+    def hear(link: links_lib.Link, frame: messages.Frame) -> None:
+        node.hear(frame.number, link.address)
+        node.on_message(frame.message, link.address, link.send_soon)
+
+    return links_lib.LinkPool(hello, MAX_PEER_LINKS, node.read_number, hear)
+
+
+def _take_members(
+    cfg: settings.SidecarSettings,
+    gate: gate_lib.Gate,
+    node: config_node_lib.ConfigNode,
+    members: list[base.Member],
+) -> None:
+    node.update_members(members, cfg.node.failure_domain)
+    current = node.current
+    gate.pool.update_members(
+        [
+            member
+            for member in members
+            if current.is_domain_in_service(member.domain)
+        ]
+    )
