Find agreed parts from running sums instead of all accounts

Change: the tree keeps the weights of accounts with queued and with any work; what runs and what it is charged moved into a module of its own. A change of shares takes the time from the queue's last call again.

--- a/foxtailpick/bench/shares.py
+++ b/foxtailpick/bench/shares.py
@@ -84,7 +84,7 @@
     def finish(self, attempt):
         """Ignore the end of a request."""
 
-    def apply_shares(self, share_of, now_ms):
+    def apply_shares(self, share_of):
         """Ignore shares."""
 
 
@@ -115,9 +115,9 @@
         """Note the end of a request."""
         self._queue.finish(attempt)
 
-    def apply_shares(self, share_of, now_ms):
+    def apply_shares(self, share_of):
         """Put new shares in force."""
-        self._queue.apply_shares(share_of, now_ms)
+        self._queue.apply_shares(share_of)
 
 
 def make_ours(commit_tokens: float, **fields: float) -> MakeScheduler:
@@ -235,7 +235,7 @@
     is_changed = False
     while engine.now_ms < END_MS:
         if not is_changed and engine.now_ms >= CHANGE_MS:
-            engine.scheduler.apply_shares(AFTER.__getitem__, engine.now_ms)
+            engine.scheduler.apply_shares(AFTER.__getitem__)
             is_changed = True
         _refill(engine, waiting, rng)
         for job in engine.admit():
--- a/foxtailpick/core/fair_share.py
+++ b/foxtailpick/core/fair_share.py
@@ -6,13 +6,13 @@
 generate, so neither long nor short answers gain from the order of starts.
 """
 
-import collections
 import dataclasses
 import typing
 
 from foxtailpick.core import account_queue
 from foxtailpick.core import errors
 from foxtailpick.core import invariants
+from foxtailpick.core import running_work
 from foxtailpick.core import service_rate
 from foxtailpick.core import share_audit
 from foxtailpick.core import share_tree
@@ -72,18 +72,6 @@
     retry_after_ms: float
 
 
-@dataclasses.dataclass(slots=True)
-class _Running:
-    entry: account_queue.QueueEntry
-    generated: float = 0.0
-    charged: float = 0.0
-    is_unread: bool = True
-
-    @property
-    def done(self) -> float:
-        return self.entry.prompt_tokens + self.generated
-
-
 class FairQueue:
     """Requests that wait for one endpoint, and the cost of those running.
 
@@ -108,10 +96,11 @@
         self._rate = service_rate.ServiceRate(options.initial_tokens_per_ms)
         self._queues: dict[types.AccountId, account_queue.AccountQueue] = {}
         self._accounts: dict[types.AttemptId, types.AccountId] = {}
-        self._running: dict[types.AttemptId, _Running] = {}
-        self._paused: dict[types.AttemptId, _Running] = {}
+        self._work = running_work.RunningWork(
+            self._tree, self._audit, options.commit_tokens
+        )
         self._refused: list[Refusal] = []
-        self._unread_tokens = 0.0
+        self._now_ms = 0.0
 
     def __len__(self) -> int:
         """Return how many requests wait or are paused."""
@@ -119,14 +108,11 @@
 
     def is_running(self, attempt: types.AttemptId) -> bool:
         """Tell whether an attempt was started and has not finished."""
-        return attempt in self._running
+        return self._work.is_running(attempt)
 
     def count_running(self, account: types.AccountId) -> int:
         """Return how many requests of an account run."""
-        return sum(
-            running.entry.account == account
-            for running in self._running.values()
-        )
+        return self._tree.count_running(account)
 
     def enqueue(
         self, entry: account_queue.QueueEntry, now_ms: float
@@ -142,11 +128,12 @@
         """
         queue = self._queues.get(entry.account)
         ahead = 0.0 if queue is None else queue.count_tokens(entry.priority)
-        refusal = self._find_deadline_refusal(entry, ahead, now_ms)
+        wait_ms = self.predict_wait_ms(entry.account, ahead)
+        refusal = _find_deadline_refusal(entry, wait_ms, now_ms)
         if refusal is not None:
             return (refusal,)
         self._find_or_add_queue(entry).append(entry)
-        if len(self) - len(self._paused) <= self._options.max_entries:
+        if len(self) - len(self._work.paused) <= self._options.max_entries:
             return ()
         return (self._drop_entry_of_longest_queue(),)
 
@@ -160,18 +147,19 @@
         :returns: the request, None if nothing waits, or if the engine has
             enough prompts to read; call again after a first token.
         """
+        self._now_ms = now_ms
         self._rate.observe(now_ms, 0.0, bool(self._accounts))
         while (account := self._tree.select()) is not None:
             if self._is_held_for_prompts(account):
                 return None
             entry = self._queues[account].pop_first()
             self._note_removal(entry)
-            if entry.attempt in self._paused:
-                self._resume(entry)
+            if entry.attempt in self._work.paused:
+                self._work.resume(entry.attempt)
                 return entry
-            refusal = self._find_deadline_refusal(entry, 0.0, now_ms)
+            refusal = _find_deadline_refusal(entry, 0.0, now_ms)
             if refusal is None:
-                self._start(entry)
+                self._work.start(entry)
                 return entry
             self._refused.append(refusal)
         return None
@@ -185,18 +173,11 @@
         :param now_ms: the current time.
         :returns: what is refused since the last call.
         """
-        for queue in list(self._queues.values()):
-            ahead = 0.0
-            for entry in queue.list_waiting():
-                refusal = self._find_deadline_refusal(entry, ahead, now_ms)
-                if refusal is None:
-                    ahead += entry.tokens
-                    continue
-                queue.remove(entry)
-                self._note_removal(entry)
-                self._refused.append(refusal)
+        self._now_ms = now_ms
+        for account, queue in list(self._queues.items()):
+            self._sweep_queue(account, queue, now_ms)
         for account in list(self._tree.accounts):
-            self._forget_if_idle(account)
+            self._tree.forget_if_idle(account)
         self._audit.close_if_due(self._share_of, self._queues, now_ms)
         refused, self._refused = self._refused, []
         return tuple(refused)
@@ -214,7 +195,7 @@
         entry = queue.find(attempt)
         queue.remove(entry)
         self._note_removal(entry)
-        return self._paused.pop(attempt, None) is None
+        return not self._work.drop_paused(attempt)
 
     def record_generated(
         self, attempt: types.AttemptId, tokens: float, now_ms: float
@@ -225,26 +206,17 @@
         :param tokens: tokens generated since the last call.
         :param now_ms: the current time.
         """
-        running = self._running.get(attempt)
-        if running is None:
-            return
-        self._note_prompt_read(running)
-        running.generated += tokens
-        self._audit.record(running.entry.account, tokens)
-        self._rate.observe(now_ms, tokens, bool(self._accounts))
-        self._charge_running(running, running.entry.expected_tokens)
+        if self._work.record_generated(attempt, tokens):
+            self._rate.observe(now_ms, tokens, bool(self._accounts))
 
     def finish(self, attempt: types.AttemptId) -> None:
         """End a running request and give back what it did not use.
 
         :param attempt: the attempt; an unknown one is no error.
         """
-        running = self._running.pop(attempt, None)
-        if running is None:
-            return
-        self._note_prompt_read(running)
-        self._charge_running(running, running.generated)
-        self._forget_if_idle(running.entry.account)
+        entry = self._work.finish(attempt)
+        if entry is not None:
+            self._forget_if_idle(entry.account)
 
     def plan_pause(self, limit: int) -> types.AttemptId | None:
         """Find a running request to pause for the one that goes next.
@@ -259,37 +231,27 @@
         waiting = self._tree.select()
         if waiting is None:
             return None
-        counts = self._count_running_by_account()
-        active = counts.keys() | self._queues.keys()
+        pausable = self._work.list_pausable()
         excess = {
-            account: counts[account]
-            - limit * self._tree.compute_fraction(account, active)
-            for account in active
+            account: self._compute_excess(account, limit)
+            for account in {entry.account for entry in pausable} - {waiting}
         }
         max_lead = (
             self._options.commit_tokens
-            if excess[waiting] <= -1
+            if self._compute_excess(waiting, limit) <= -1
             else self._options.pause_lead_tokens
         )
         candidates = [
-            running
-            for running in self._running.values()
-            if running.entry.is_pausable
-            and excess[running.entry.account] > 0
-            and running.entry.account != waiting
-            and self._tree.compute_lead(running.entry.account, waiting)
-            > max_lead
+            account
+            for account in excess
+            if excess[account] > 0
+            and self._tree.compute_lead(account, waiting) > max_lead
         ]
         if not candidates:
             return None
-        account = max(
-            {running.entry.account for running in candidates},
-            key=excess.__getitem__,
-        )
+        chosen = max(candidates, key=excess.__getitem__)
         return [
-            running.entry.attempt
-            for running in candidates
-            if running.entry.account == account
+            entry.attempt for entry in pausable if entry.account == chosen
         ][-1]
 
     def pause(self, attempt: types.AttemptId) -> None:
@@ -300,14 +262,8 @@
 
         :param attempt: the running attempt.
         """
-        running = self._running.pop(attempt)
-        self._note_prompt_read(running)
-        self._paused[attempt] = running
-        self._tree.charge(
-            running.entry.account, running.done - running.charged
-        )
-        running.charged = running.done
-        self._find_or_add_queue(running.entry).append_paused(running.entry)
+        entry = self._work.pause(attempt)
+        self._find_or_add_queue(entry).append_paused(entry)
 
     def charge(self, account: types.AccountId, tokens: float) -> None:
         """Add cost that belongs to no attempt of this queue.
@@ -327,24 +283,17 @@
         self._tree.set_multipliers(multipliers)
         self._audit.excuse()
 
-    def apply_shares(
-        self, share_of: share_tree.ShareLookup, now_ms: float
-    ) -> bool:
+    def apply_shares(self, share_of: share_tree.ShareLookup) -> bool:
         """Put the shares of a new configuration in force at once.
 
         :param share_of: gives the share of an account in force.
-        :param now_ms: the current time.
         :returns: whether a share of an account with work has changed.
         """
-        outstanding: dict[types.AccountId, float] = {}
-        for running in self._running.values():
-            account = running.entry.account
-            left = max(running.charged - running.done, 0.0)
-            outstanding[account] = outstanding.get(account, 0.0) + left
         self._share_of = share_of
+        outstanding = self._work.sum_outstanding()
         is_changed = self._tree.apply_shares(share_of, outstanding)
         if is_changed:
-            self._audit.restart(self._queues, now_ms)
+            self._audit.restart(self._queues, self._now_ms)
         return is_changed
 
     def predict_wait_ms(
@@ -358,42 +307,36 @@
         """
         if ahead_tokens <= 0:
             return 0.0
-        active = [other for other, queue in self._queues.items() if len(queue)]
-        fraction = self._tree.compute_fraction(account, active)
-        return ahead_tokens / (fraction * self._rate.tokens_per_ms)
+        part = self._tree.compute_backlogged_part(account)
+        return ahead_tokens / (part * self._rate.tokens_per_ms)
+
+    def _sweep_queue(
+        self,
+        account: types.AccountId,
+        queue: account_queue.AccountQueue,
+        now_ms: float,
+    ) -> None:
+        ahead = 0.0
+        wait_per_token_ms = self.predict_wait_ms(account, 1.0)
+        for entry in queue.list_waiting():
+            wait_ms = ahead * wait_per_token_ms
+            refusal = _find_deadline_refusal(entry, wait_ms, now_ms)
+            if refusal is None:
+                ahead += entry.tokens
+                continue
+            queue.remove(entry)
+            self._note_removal(entry)
+            self._refused.append(refusal)
 
     def _is_held_for_prompts(self, account: types.AccountId) -> bool:
-        if self._unread_tokens < self._options.max_unread_tokens:
+        if self._work.unread_tokens < self._options.max_unread_tokens:
             return False
-        counts = self._count_running_by_account()
-        active = counts.keys() | self._queues.keys()
-        part = self._tree.compute_fraction(account, active) * len(
-            self._running
-        )
-        return counts[account] >= part
-
-    def _count_running_by_account(
-        self,
-    ) -> collections.Counter[types.AccountId]:
-        return collections.Counter(
-            running.entry.account for running in self._running.values()
-        )
+        return self._compute_excess(account, len(self._work)) >= 0
 
-    def _find_deadline_refusal(
-        self,
-        entry: account_queue.QueueEntry,
-        ahead_tokens: float,
-        now_ms: float,
-    ) -> Refusal | None:
-        wait_ms = self.predict_wait_ms(entry.account, ahead_tokens)
-        late_ms = now_ms + wait_ms + entry.service_ms - entry.deadline_ms
-        if late_ms <= 0:
-            return None
-        return Refusal(
-            entry,
-            errors.ErrorCode.DEADLINE_EXCEEDED,
-            max(min(late_ms, wait_ms), MIN_RETRY_AFTER_MS),
-        )
+    def _compute_excess(self, account: types.AccountId, slots: int) -> float:
+        """Return how many requests run above the account's part of slots."""
+        part = self._tree.compute_active_part(account) * slots
+        return self._tree.count_running(account) - part
 
     def _find_or_add_queue(
         self, entry: account_queue.QueueEntry
@@ -405,12 +348,15 @@
         )
 
     def _drop_entry_of_longest_queue(self) -> Refusal:
-        active = list(self._queues)
         account = max(
-            (other for other in active if self._queues[other].count_waiting()),
+            (
+                other
+                for other, queue in self._queues.items()
+                if queue.count_waiting()
+            ),
             key=lambda other: (
                 self._queues[other].count_tokens()
-                / self._tree.compute_fraction(other, active)
+                / self._tree.compute_backlogged_part(other)
             ),
         )
         entry = self._queues[account].pop_last()
@@ -433,37 +379,21 @@
         self._tree.set_backlogged(entry.account, False)
         self._forget_if_idle(entry.account)
 
-    def _start(self, entry: account_queue.QueueEntry) -> None:
-        running = _Running(entry)
-        self._running[entry.attempt] = running
-        self._unread_tokens += entry.prompt_tokens
-        self._audit.record(entry.account, entry.prompt_tokens)
-        if not entry.is_pausable:
-            self._audit.excuse()
-        self._charge_running(running, entry.expected_tokens)
-
-    def _note_prompt_read(self, running: _Running) -> None:
-        if running.is_unread:
-            running.is_unread = False
-            self._unread_tokens -= running.entry.prompt_tokens
-
-    def _resume(self, entry: account_queue.QueueEntry) -> None:
-        running = self._paused.pop(entry.attempt)
-        self._running[entry.attempt] = running
-        self._charge_running(running, entry.expected_tokens)
-
-    def _charge_running(self, running: _Running, expected: float) -> None:
-        ahead = running.generated + self._options.commit_tokens
-        total = running.entry.prompt_tokens + max(
-            min(expected, ahead), running.generated
-        )
-        self._tree.charge(running.entry.account, total - running.charged)
-        running.charged = total
-
     def _forget_if_idle(self, account: types.AccountId) -> None:
-        if account in self._queues or self.count_running(account):
-            return
-        if self._queues or self._running:
-            self._tree.forget(account)
+        if self._queues or len(self._work):
+            self._tree.forget_if_idle(account)
         else:
             self._tree.forget_all()
+
+
+def _find_deadline_refusal(
+    entry: account_queue.QueueEntry, wait_ms: float, now_ms: float
+) -> Refusal | None:
+    late_ms = now_ms + wait_ms + entry.service_ms - entry.deadline_ms
+    if late_ms <= 0:
+        return None
+    return Refusal(
+        entry,
+        errors.ErrorCode.DEADLINE_EXCEEDED,
+        max(min(late_ms, wait_ms), MIN_RETRY_AFTER_MS),
+    )
--- /dev/null
+++ b/foxtailpick/core/running_work.py
@@ -0,0 +1,165 @@
+"""Requests that were started at an endpoint, and what they are charged."""
+
+import dataclasses
+import typing
+
+from foxtailpick.core import account_queue
+from foxtailpick.core import share_audit
+from foxtailpick.core import share_tree
+from foxtailpick.core import types
+
+
+@dataclasses.dataclass(slots=True)
+class StartedRequest:
+    """A running or paused request.
+
+    :param entry: the request as it was queued.
+    :param generated: tokens generated so far.
+    :param charged: tokens charged so far.
+    :param is_unread: whether its first token is still to come.
+    """
+
+    entry: account_queue.QueueEntry
+    generated: float = 0.0
+    charged: float = 0.0
+    is_unread: bool = True
+
+    @property
+    def done(self) -> float:
+        """Return the cost of what was done so far, in tokens."""
+        return self.entry.prompt_tokens + self.generated
+
+
+class RunningWork:
+    """Running and paused requests of one endpoint.
+
+    :param tree: where their cost is charged.
+    :param audit: where tokens served are counted.
+    :param commit_tokens: expected tokens charged ahead of generation.
+    """
+
+    def __init__(
+        self,
+        tree: share_tree.ShareTree,
+        audit: share_audit.ShareAudit,
+        commit_tokens: float,
+    ) -> None:
+        self._tree = tree
+        self._audit = audit
+        self._commit_tokens = commit_tokens
+        self._running: dict[types.AttemptId, StartedRequest] = {}
+        self._paused: dict[types.AttemptId, StartedRequest] = {}
+        self.unread_tokens = 0.0
+
+    def __len__(self) -> int:
+        """Return how many requests run."""
+        return len(self._running)
+
+    @property
+    def paused(self) -> typing.Collection[types.AttemptId]:
+        """Return the paused attempts."""
+        return self._paused.keys()
+
+    def is_running(self, attempt: types.AttemptId) -> bool:
+        """Tell whether an attempt runs."""
+        return attempt in self._running
+
+    def list_pausable(self) -> list[account_queue.QueueEntry]:
+        """Return the running requests that may be paused, oldest first."""
+        return [
+            running.entry
+            for running in self._running.values()
+            if running.entry.is_pausable
+        ]
+
+    def start(self, entry: account_queue.QueueEntry) -> None:
+        """Start a request and charge it."""
+        running = StartedRequest(entry)
+        self.unread_tokens += entry.prompt_tokens
+        self._audit.record(entry.account, entry.prompt_tokens)
+        if not entry.is_pausable:
+            self._audit.excuse()
+        self._add(running)
+
+    def resume(self, attempt: types.AttemptId) -> None:
+        """Start a paused request again."""
+        self._add(self._paused.pop(attempt))
+
+    def pause(self, attempt: types.AttemptId) -> account_queue.QueueEntry:
+        """Pause a running request; what it did not use is given back.
+
+        :raises KeyError: if it does not run.
+        """
+        running = self._remove(attempt)
+        self._paused[attempt] = running
+        return running.entry
+
+    def drop_paused(self, attempt: types.AttemptId) -> bool:
+        """Drop a paused request.
+
+        :returns: whether it was paused.
+        """
+        return self._paused.pop(attempt, None) is not None
+
+    def record_generated(
+        self, attempt: types.AttemptId, tokens: float
+    ) -> bool:
+        """Correct the cost of a running request.
+
+        :returns: whether it runs.
+        """
+        running = self._running.get(attempt)
+        if running is None:
+            return False
+        self._note_prompt_read(running)
+        running.generated += tokens
+        self._audit.record(running.entry.account, tokens)
+        self._charge(running)
+        return True
+
+    def finish(
+        self, attempt: types.AttemptId
+    ) -> account_queue.QueueEntry | None:
+        """End a running request and give back what it did not use.
+
+        :returns: the request, None if it did not run.
+        """
+        if attempt not in self._running:
+            return None
+        return self._remove(attempt).entry
+
+    def sum_outstanding(self) -> dict[types.AccountId, float]:
+        """Return the tokens charged but not yet done, by account."""
+        outstanding: dict[types.AccountId, float] = {}
+        for running in self._running.values():
+            account = running.entry.account
+            left = max(running.charged - running.done, 0.0)
+            outstanding[account] = outstanding.get(account, 0.0) + left
+        return outstanding
+
+    def _add(self, running: StartedRequest) -> None:
+        self._running[running.entry.attempt] = running
+        self._tree.add_running(running.entry.account, 1)
+        self._charge(running)
+
+    def _remove(self, attempt: types.AttemptId) -> StartedRequest:
+        running = self._running.pop(attempt)
+        account = running.entry.account
+        self._note_prompt_read(running)
+        self._tree.charge(account, running.done - running.charged)
+        self._tree.add_running(account, -1)
+        running.charged = running.done
+        return running
+
+    def _note_prompt_read(self, running: StartedRequest) -> None:
+        if running.is_unread:
+            running.is_unread = False
+            self.unread_tokens -= running.entry.prompt_tokens
+
+    def _charge(self, running: StartedRequest) -> None:
+        ahead = running.generated + self._commit_tokens
+        total = running.entry.prompt_tokens + max(
+            min(running.entry.expected_tokens, ahead), running.generated
+        )
+        self._tree.charge(running.entry.account, total - running.charged)
+        running.charged = total
--- a/foxtailpick/core/share_tree.py
+++ b/foxtailpick/core/share_tree.py
@@ -37,11 +37,32 @@
 ShareLookup = typing.Callable[[types.AccountId], Share]
 
 
+@dataclasses.dataclass(slots=True)
+class _WeightSum:
+    """Weight of the accounts of a partner that are in some state."""
+
+    count: int = 0
+    weight: float = 0.0
+
+    def add(self, weight: float) -> None:
+        self.count += 1
+        self.weight += weight
+
+    def remove(self, weight: float) -> None:
+        self.count -= 1
+        self.weight = self.weight - weight if self.count else 0.0
+
+
 @dataclasses.dataclass(slots=True)
 class _Account:
     weight: float
     vtime: float
     is_backlogged: bool = False
+    running: int = 0
+
+    @property
+    def is_active(self) -> bool:
+        return self.is_backlogged or self.running > 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -52,9 +73,25 @@
     accounts: dict[types.AccountId, _Account] = dataclasses.field(
         default_factory=dict
     )
+    backlogged: _WeightSum = dataclasses.field(default_factory=_WeightSum)
+    active: _WeightSum = dataclasses.field(default_factory=_WeightSum)
+
+    def set_state(
+        self, node: _Account, is_backlogged: bool, running: int
+    ) -> None:
+        self._remove_from_sums(node)
+        node.is_backlogged = is_backlogged
+        node.running = running
+        if node.is_backlogged:
+            self.backlogged.add(node.weight)
+        if node.is_active:
+            self.active.add(node.weight)
 
-    def is_backlogged(self) -> bool:
-        return any(node.is_backlogged for node in self.accounts.values())
+    def _remove_from_sums(self, node: _Account) -> None:
+        if node.is_backlogged:
+            self.backlogged.remove(node.weight)
+        if node.is_active:
+            self.active.remove(node.weight)
 
 
 class ShareTree:
@@ -80,10 +117,6 @@
         """Return the accounts that the tree keeps track of."""
         return self._shares.keys()
 
-    def get_share(self, account: types.AccountId) -> Share:
-        """Return the share in force of an account that is kept track of."""
-        return self._shares[account]
-
     def set_multipliers(
         self, multipliers: typing.Mapping[types.AccountId, float]
     ) -> None:
@@ -102,15 +135,32 @@
         :param is_backlogged: whether it has queued work.
         """
         partner, node = self._find_or_add(account)
-        if is_backlogged and not partner.is_backlogged():
-            partner.vtime = max(
-                partner.vtime, self._find_start(self._clock, partner.weight)
-            )
-        if is_backlogged and not node.is_backlogged:
-            node.vtime = max(
-                node.vtime, self._find_start(partner.clock, node.weight)
-            )
-        node.is_backlogged = is_backlogged
+        if node.is_backlogged == is_backlogged:
+            return
+        if is_backlogged and not partner.backlogged.count:
+            start = self._find_start(self._clock, partner.weight)
+            partner.vtime = max(partner.vtime, start)
+        if is_backlogged:
+            start = self._find_start(partner.clock, node.weight)
+            node.vtime = max(node.vtime, start)
+        partner.set_state(node, is_backlogged, node.running)
+
+    def add_running(self, account: types.AccountId, change: int) -> None:
+        """Record that requests of an account were started or have ended.
+
+        :param account: the account concerned.
+        :param change: how many, below zero if they ended.
+        """
+        partner, node = self._find_or_add(account)
+        running = node.running + change
+        partner.set_state(node, node.is_backlogged, running)
+
+    def count_running(self, account: types.AccountId) -> int:
+        """Return how many requests of an account run."""
+        share = self._shares.get(account)
+        if share is None:
+            return 0
+        return self._partners[share.partner].accounts[account].running
 
     def charge(self, account: types.AccountId, tokens: float) -> None:
         """Add cost to an account and its partner.
@@ -128,7 +178,7 @@
         backlogged = [
             partner
             for partner in self._partners.values()
-            if partner.is_backlogged()
+            if partner.backlogged.count
         ]
         if not backlogged:
             return None
@@ -159,47 +209,54 @@
             return (node.vtime - other_node.vtime) * node.weight
         return (partner.vtime - other_partner.vtime) * partner.weight
 
-    def compute_fraction(
-        self,
-        account: types.AccountId,
-        accounts: typing.Collection[types.AccountId],
-    ) -> float:
-        """Return the agreed part of an account when these compete.
+    def compute_backlogged_part(self, account: types.AccountId) -> float:
+        """Return the agreed part among accounts with queued work.
 
-        :param account: the account concerned.
-        :param accounts: the competing accounts, it included or not.
         :returns: from above zero to one.
         """
-        share = self._share_of(account)
-        shares = {
-            other: self._shares.get(other) or self._share_of(other)
-            for other in {*accounts, account}
-        }
-        partner_weights = {
-            other.partner: other.partner_weight for other in shares.values()
-        }
-        own_weights = [
-            other.account_weight
-            for other in shares.values()
-            if other.partner == share.partner
-        ]
-        return (
-            share.partner_weight
-            / sum(partner_weights.values())
-            * share.account_weight
-            / sum(own_weights)
+        share = self._shares.get(account) or self._share_of(account)
+        partner = self._partners.get(share.partner)
+        node = partner and partner.accounts.get(account)
+        own = share.account_weight
+        if partner and partner.backlogged.count:
+            is_counted = node and node.is_backlogged
+            own = partner.backlogged.weight + (0 if is_counted else own)
+        partners = sum(
+            other.weight
+            for other in self._partners.values()
+            if other.backlogged.count
+        )
+        if not partner or not partner.backlogged.count:
+            partners += share.partner_weight
+        return _multiply_parts(share, partners, own)
+
+    def compute_active_part(self, account: types.AccountId) -> float:
+        """Return the agreed part among accounts with any work.
+
+        :param account: an account with work.
+        :returns: from above zero to one.
+        """
+        share = self._shares[account]
+        partners = sum(
+            other.weight
+            for other in self._partners.values()
+            if other.active.count
         )
+        own = self._partners[share.partner].active.weight
+        return _multiply_parts(share, partners, own)
 
-    def forget(self, account: types.AccountId) -> None:
+    def forget_if_idle(self, account: types.AccountId) -> None:
         """Drop an account without work, unless it has used above its part.
 
-        :param account: an account with nothing queued or running.
+        :param account: any account.
         """
         share = self._shares.get(account)
         if share is None:
             return
         partner = self._partners[share.partner]
         node = partner.accounts[account]
+        if node.is_active:
+            return
         is_ahead = node.vtime > self._find_start(partner.clock, node.weight)
         if is_ahead and len(partner.accounts) > 1:
             return
@@ -231,27 +288,20 @@
         :returns: whether any share of an account with work has changed.
         """
         self._share_of = share_of
-        old = self._shares
-        if all(share_of(account) == old[account] for account in old):
+        if all(share_of(name) == old for name, old in self._shares.items()):
             return False
-        backlogged = self._list_backlogged()
-        self._shares = {}
+        nodes = {
+            account: self._find_or_add(account)[1] for account in self._shares
+        }
         self.forget_all()
-        for account in old:
-            self._find_or_add(account)
+        for account, old in nodes.items():
+            if not old.is_active:
+                continue
+            partner, node = self._find_or_add(account)
+            partner.set_state(node, old.is_backlogged, old.running)
             self.charge(account, outstanding.get(account, 0.0))
-        for account in backlogged:
-            self._find_or_add(account)[1].is_backlogged = True
         return True
 
-    def _list_backlogged(self) -> list[types.AccountId]:
-        return [
-            account
-            for partner in self._partners.values()
-            for account, node in partner.accounts.items()
-            if node.is_backlogged
-        ]
-
     def _find_start(self, clock: float, weight: float) -> float:
         return max(clock - self._burst_tokens / weight, 0.0)
 
@@ -260,21 +310,36 @@
     ) -> tuple[_Partner, _Account]:
         share = self._shares.get(account)
         if share is None:
-            share = self._share_of(account)
-            self._shares[account] = share
+            return self._add(account, self._share_of(account))
+        partner = self._partners[share.partner]
+        return partner, partner.accounts[account]
+
+    def _add(
+        self, account: types.AccountId, share: Share
+    ) -> tuple[_Partner, _Account]:
+        self._shares[account] = share
         partner = self._partners.get(share.partner)
         if partner is None:
             start = self._find_start(self._clock, share.partner_weight)
             partner = _Partner(share.partner_weight, start)
             self._partners[share.partner] = partner
         partner.weight = share.partner_weight
-        node = partner.accounts.get(account)
-        if node is None:
-            start = self._find_start(partner.clock, share.account_weight)
-            node = _Account(share.account_weight, start)
-            partner.accounts[account] = node
+        start = self._find_start(partner.clock, share.account_weight)
+        node = _Account(share.account_weight, start)
+        partner.accounts[account] = node
         return partner, node
 
 
 def _get_vtime(node: _Partner | _Account) -> float:
     return node.vtime
+
+
+def _multiply_parts(
+    share: Share, partner_weights: float, account_weights: float
+) -> float:
+    return (
+        share.partner_weight
+        / partner_weights
+        * share.account_weight
+        / account_weights
+    )
--- a/foxtailpick/tests/test_fair_share.py
+++ b/foxtailpick/tests/test_fair_share.py
@@ -80,8 +80,8 @@
         account: share_tree.Share(share.partner, 1.0, 1.0)
         for account, share in SHARES.items()
     }
-    assert queue.apply_shares(swapped.__getitem__, 0.0)
-    assert not queue.apply_shares(swapped.__getitem__, 0.0)
+    assert queue.apply_shares(swapped.__getitem__)
+    assert not queue.apply_shares(swapped.__getitem__)
     for _ in range(8):
         queue.pop_next(0.0)
     assert queue.count_running('a1') == pytest.approx(12, abs=1)
