Answer at once when an endpoint asks for a long wait; count read prompts

Cause: 28 of 739 chats of a demo run were given up by the queue with 28 s of their deadline left, and the router held them for the 20 s it was told to wait. The queue predicts waits in prompt and generated tokens, but its rate counted generated tokens only, 2,000 prompt tokens to 40 generated. Change: a prompt counts as served with its first token; a refusal for the deadline at one endpoint is a hop to the next; a wait asked for of more than 500 ms is told to the caller at once, with the time to come back. The demo samples outstanding tokens of the engines that take work; it counted drained ones as empty before.

--- a/foxtailpick/core/fair_share.py
+++ b/foxtailpick/core/fair_share.py
@@ -228,10 +228,14 @@
         running = self._running.get(attempt)
         if running is None:
             return
+        served = tokens
+        if running.is_unread:
+            # What waits is counted with its prompts, so what is served is.
+            served += running.entry.prompt_tokens
         self._note_prompt_read(running)
         running.generated += tokens
         self._audit.record(running.entry.account, tokens)
-        self._rate.observe(now_ms, tokens, bool(self._accounts))
+        self._rate.observe(now_ms, served, bool(self._accounts))
         self._charge_running(running, running.entry.expected_tokens)
 
     def finish(self, attempt: types.AttemptId) -> None:
--- a/foxtailpick/core/retry.py
+++ b/foxtailpick/core/retry.py
@@ -22,6 +22,8 @@
     :param max_attempts: attempts of one request, the first one included.
     :param base_delay_ms: upper limit of the first delay.
     :param max_delay_ms: upper limit of any delay that we choose.
+    :param max_asked_ms: longest delay asked for by an endpoint that is
+        waited here; the caller is told of a longer one at once.
     """
 
     budget_ratio: float = 0.15
@@ -29,6 +31,7 @@
     max_attempts: int = 3
     base_delay_ms: float = 25.0
     max_delay_ms: float = 2_000.0
+    max_asked_ms: float = 500.0
 
     def __post_init__(self) -> None:
         """Check the ranges."""
@@ -78,6 +81,7 @@
     ALLOWED = 'allowed'
     MAY_HAVE_RUN = 'may have run'
     ATTEMPTS_USED = 'attempts used'
+    ASKED_LATER = 'asked to come back later'
     DEADLINE = 'deadline too near'
     BUDGET = 'budget exhausted'
 
@@ -143,6 +147,8 @@
     delay_ms = _choose_delay_ms(failed, options, rng)
     if now_ms + delay_ms + failed.service_ms > failed.deadline_ms:
         return RetryPlan(RetryReason.DEADLINE)
+    if (failed.retry_after_ms or 0.0) > options.max_asked_ms:
+        return RetryPlan(RetryReason.ASKED_LATER)
     if not budget.withdraw(failed.service):
         return RetryPlan(RetryReason.BUDGET)
     return RetryPlan(RetryReason.ALLOWED, delay_ms)
--- a/foxtailpick/demo/report.py
+++ b/foxtailpick/demo/report.py
@@ -6,6 +6,7 @@
 
 from foxtailpick.bench import tables
 from foxtailpick.core import invariants
+from foxtailpick.core import load_bound
 from foxtailpick.demo import events as events_lib
 from foxtailpick.demo import traffic as traffic_lib
 from foxtailpick.standins import fleet as fleet_lib
@@ -39,10 +40,14 @@
 
     ratios: list[float] = dataclasses.field(default_factory=list)
 
-    def sample(self, loads: typing.Sequence[int]) -> None:
-        """Take a sample of the completions in each engine."""
+    def sample(self, loads: typing.Sequence[float]) -> None:
+        """Take a sample of the tokens outstanding at each engine.
+
+        A mean below the floor of the bound says nothing of skew: a single
+        request is then far above it.
+        """
         mean = statistics.fmean(loads)
-        if mean >= 1:
+        if mean >= load_bound.FLOOR_TOKENS:
             self.ratios.append(max(loads) / mean)
 
 
--- a/foxtailpick/demo/run.py
+++ b/foxtailpick/demo/run.py
@@ -80,14 +80,9 @@
 async def _sample_loads(fleet: fleet_lib.Fleet, skew: report.Skew) -> None:
     while True:
         await trio.sleep(SAMPLE_INTERVAL_S)
-        names = set(fleet.list_names())
-        skew.sample(
-            [
-                engine.running
-                for name, engine in fleet.engines.items()
-                if name in names
-            ]
-        )
+        names = set(fleet.list_names()) & set(fleet.engines)
+        gates = [fleet.get(name).worker.gate for name in names]
+        skew.sample([gate.pool.load for gate in gates if gate.takes_work()])
 
 
 async def _show_progress(
--- a/foxtailpick/router/attempts.py
+++ b/foxtailpick/router/attempts.py
@@ -151,9 +151,8 @@
 
 def _is_final(exc: errors.FoxtailError) -> bool:
     # An attempt that was lost midway costs a retry, not a mere hop.
-    if isinstance(exc, errors.LinkError):
-        return exc.verdict is not verdict_lib.Verdict.NOT_RUN
-    return exc.code is errors.ErrorCode.DEADLINE_EXCEEDED
+    is_lost = isinstance(exc, errors.LinkError)
+    return is_lost and exc.verdict is not verdict_lib.Verdict.NOT_RUN
 
 
 async def _wait_for_retry(
--- a/foxtailpick/sidecar/gate.py
+++ b/foxtailpick/sidecar/gate.py
@@ -11,6 +11,7 @@
 
 from foxtailpick.core import account_queue
 from foxtailpick.core import attempts as attempts_lib
+from foxtailpick.core import clock as clock_lib
 from foxtailpick.core import configuration
 from foxtailpick.core import errors
 from foxtailpick.core import fair_share
@@ -76,7 +77,7 @@
         self._node = node
         self._shares: dict[types.AccountId, share_tree.Share] = {}
         self._queue = fair_share.FairQueue(
-            fair_share.FairQueueOptions(), self.find_share
+            fair_share.FairQueueOptions(), self.find_share, monitor
         )
         self._waiting: dict[types.AttemptId, Work] = {}
         self._given_up: list[tuple[Work, errors.RefusedError]] = []
@@ -133,7 +134,8 @@
 
     def apply_config(self) -> None:
         """Put a new configuration in force for what waits and runs."""
-        self._queue.apply_shares(self.find_share)
+        now_ms = clock_lib.Clock.from_trio().now()
+        self._queue.apply_shares(self.find_share, now_ms)
         self._forget_idle_shares()
 
     def admit(
--- a/foxtailpick/sidecar/pool_load.py
+++ b/foxtailpick/sidecar/pool_load.py
@@ -60,13 +60,9 @@
             _make_bound_settings(cfg),
             rng,
         )
-        models = cfg.endpoint.models or (None,)
-        self._means = [
-            self._bound.set_pool(model, cfg.endpoint.capacity)
-            for model in models
-        ]
-        self._models = models
-        self._gossip = load_gossip.GossipState()
+        self._models = frozenset(cfg.endpoint.models)
+        # All endpoints of a service serve the same models: one pool.
+        self._mean = self._bound.set_pool(None, cfg.endpoint.capacity)
         self._peers: dict[types.EndpointId, base.Member] = {}
         self._peers_by_name: dict[int, tuple[types.EndpointId, float]] = {}
 
@@ -78,7 +74,7 @@
     @property
     def mean(self) -> float:
         """Mean load of the pool, as known here."""
-        return self._means[0].get_mean_tokens(self.load)
+        return self._mean.get_mean_tokens(self.load)
 
     def update_members(self, members: list[base.Member]) -> None:
         """Take over a newer member list.
@@ -93,8 +89,7 @@
             and not member.is_leaving
         ]
         capacity = sum(member.capacity for member in pool)
-        for model in self._models:
-            self._bound.set_pool(model, capacity)
+        self._bound.set_pool(None, capacity)
         self._peers = {
             member.endpoint: member
             for member in pool
@@ -112,18 +107,17 @@
         :param now_ms: the current time.
         :raises LoadRefusedError: if it does not.
         """
-        model = getattr(work, 'model', None)
         if work.mean_load is not None:
-            for mean in self._means:
-                mean.observe_router_view(work.mean_load, now_ms)
-        if model not in self._models:
+            self._mean.observe_router_view(work.mean_load, now_ms)
+        model = getattr(work, 'model', None)
+        if model is not None and model not in self._models:
             raise errors.RefusedError(
                 errors.ErrorCode.MODEL_UNKNOWN,
                 f'expected a model of {self._endpoint}, got {model}; try '
                 f'another endpoint',
             )
         admission = self._bound.admit(
-            work.attempt, model, work_lib.get_cost(work), work.candidates
+            work.attempt, None, work_lib.get_cost(work), work.candidates
         )
         if not admission.is_admitted:
             raise LoadRefusedError(self._endpoint, admission)
@@ -141,10 +135,10 @@
         if not is_open:
             # An endpoint that takes no work must not lower the mean.
             return b'', []
-        samples = self._gossip.compose(self._bound.get_sample(now_ms), now_ms)
+        report = self._bound.make_report(None, now_ms)
         drawn = load_gossip.draw_peers(list(self._peers), self._rng)
         addresses = [self._peers[peer].address for peer in drawn]
-        return load_gossip.encode_samples(samples, now_ms), addresses
+        return load_gossip.encode_report(report), addresses
 
     def accept(self, data: bytes, now_ms: float) -> None:
         """Take over a datagram of a peer; a bad one is dropped.
@@ -153,16 +147,14 @@
         :param now_ms: the current time.
         """
         try:
-            samples = load_gossip.decode_samples(
+            report = load_gossip.decode_report(
                 data, self._peers_by_name, now_ms
             )
         except errors.LinkError as exc:
             logger.warning('LOAD datagram dropped. {}', exc)
             return
-        if not samples:
-            return
-        for mean in self._means:
-            self._gossip.accept(samples, mean, now_ms)
+        if report is not None:
+            self._mean.observe(report, now_ms)
 
 
 def _make_bound_settings(
--- a/foxtailpick/sidecar/worker.py
+++ b/foxtailpick/sidecar/worker.py
@@ -54,7 +54,7 @@
         self._clock = clock_lib.Clock.from_trio()
         self._wake = trio.Event()
         self.state_changed = trio.Event()
-        self._state = gate.slow.state
+        self._state: types.EndpointState | None = None
 
     async def run(self) -> None:
         """Start attempts as the endpoint can bear them, for ever."""
--- a/foxtailpick/tests/test_fair_share.py
+++ b/foxtailpick/tests/test_fair_share.py
@@ -117,6 +117,16 @@
     assert not queue.cancel('x')
 
 
+def test_prompts_that_were_read_count_as_served(queue):
+    fill(queue, 'a1', 12, tokens=1_000.0)
+    for number in range(8):
+        entry = queue.pop_next(number * 200.0)
+        queue.record_generated(entry.attempt, 1.0, number * 200.0 + 100.0)
+        queue.finish(entry.attempt)
+    # Eight prompts of a thousand tokens took 1.5 s.
+    assert queue.predict_wait_ms('a1', 4_000.0) < 1_000.0
+
+
 def test_deadline_lost_while_waiting_is_refused_by_the_sweep(queue):
     fill(queue, 'a1', 1, tokens=100.0)
     entry = account_queue.QueueEntry('x', 'a1', deadline_ms=500.0)
--- a/foxtailpick/tests/test_retry.py
+++ b/foxtailpick/tests/test_retry.py
@@ -45,6 +45,7 @@
             {'deadline_ms': 500.0, 'retry_after_ms': 600.0},
             retry.RetryReason.DEADLINE,
         ),
+        ({'retry_after_ms': 600.0}, retry.RetryReason.ASKED_LATER),
     ],
 )
 def test_reason(fields, reason):
