--- a/foxtailpick/core/running_work.py
+++ b/foxtailpick/core/running_work.py
@@ -103,19 +103,22 @@
 
     def record_generated(
         self, attempt: types.AttemptId, tokens: float
-    ) -> bool:
+    ) -> float:
         """Correct the cost of a running request.
 
-        :returns: whether it runs.
+        :returns: tokens served; the prompt counts with the first token,
+            as what waits is counted with its prompts too.
         """
         running = self._running.get(attempt)
         if running is None:
-            return False
+            return 0.0
+        prompt_tokens = running.entry.prompt_tokens
+        served = tokens + (prompt_tokens if running.is_unread else 0.0)
         self._note_prompt_read(running)
         running.generated += tokens
         self._audit.record(running.entry.account, tokens)
         self._charge(running)
-        return True
+        return served
 
     def finish(
         self, attempt: types.AttemptId
