--- a/foxtailpick/core/mean_estimate.py
+++ b/foxtailpick/core/mean_estimate.py
@@ -170,12 +170,16 @@
     def _average_reports(self, now_ms: float) -> float:
         if self._is_pool_covered():
             return self._average_all_samples()
-        total, total_weight = self._sum_samples(now_ms)
+        total = 0.0
+        total_weight = 0.0
         for report in self._reports.values():
-            decay = _get_decay(now_ms - report.sample.at_ms)
-            weight = report.heard_weight * decay
-            total += weight * report.heard_tokens
-            total_weight += weight
+            sample = report.sample
+            decay = _get_decay(now_ms - sample.at_ms)
+            weight = decay * sample.capacity
+            heard_weight = decay * report.heard_weight
+            total += weight * sample.load_tokens
+            total += heard_weight * report.heard_tokens
+            total_weight += weight + heard_weight
         return total / total_weight
 
     def _is_pool_covered(self) -> bool:
