Remember at the router where a refused chat was admitted

Cause: many callers of one hot chat share its first choice and each of their requests was refused there first. Change: a router keeps the place of a chat that was refused for 5 s and goes there first.

--- a/foxtailpick/bench/load.py
+++ b/foxtailpick/bench/load.py
@@ -76,6 +76,7 @@
     mean: mean_estimate.MeanEstimate
     peers: list[str]
     load: float = 0.0
+    chats: set[str] = dataclasses.field(default_factory=set)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -99,7 +100,7 @@
     requests: int = 0
     tries: int = 0
     refused: int = 0
-    moved: int = 0
+    cold: int = 0
     max_ratio: float = 0.0
     ratios: list[float] = dataclasses.field(default_factory=list)
     gossip_bytes: int = 0
@@ -173,8 +174,10 @@
         if self._is_measured:
             ratio = engine.load / self.mean
             self.result.max_ratio = max(self.result.max_ratio, ratio)
-            last = self._last_places.get(arrival.chat, engine.endpoint)
-            self.result.moved += engine.endpoint != last
+            is_returning = arrival.chat in self._last_places
+            is_cold = arrival.chat not in engine.chats
+            self.result.cold += is_returning and is_cold
+        engine.chats.add(arrival.chat)
         self._last_places[arrival.chat] = engine.endpoint
 
     def count_try(self, rider_bytes: int = 0) -> None:
@@ -364,6 +367,7 @@
     uses_truth: bool = False,
     uses_hints: bool = True,
     avoids_full: bool = True,
+    keeps_places: bool = True,
 ) -> typing.Callable[[Simulation, Arrival], Engine | None]:
     """Build a policy with the bound at the sidecar.
 
@@ -371,13 +375,18 @@
     :param uses_truth: whether the mean is the true one, by an oracle.
     :param uses_hints: whether a hint goes before the computed order.
     :param avoids_full: whether routers skip what refused a moment ago.
+    :param keeps_places: whether routers remember where a refused chat went.
     """
 
     def run(sim: Simulation, arrival: Arrival) -> Engine | None:
         view = sim.views[arrival.router]
         recent = sim.recent[arrival.router]
         full = view.list_full(arrival.now_ms) if avoids_full else {}
-        waiting = sorted(arrival.order, key=lambda name: name in full)
+        order = list(arrival.order)
+        place = view.get_place(arrival.chat, arrival.now_ms)
+        if place is not None and keeps_places:
+            order = list(dict.fromkeys([place.endpoint, *order]))
+        waiting = sorted(order, key=lambda name: name in full)
         for _ in range(MAX_TRIES):
             name = waiting.pop(0)
             engine = sim.engines[name]
@@ -393,6 +402,9 @@
             view.observe(name, made, arrival.now_ms)
             recent.add(name, made.load_tokens, arrival.now_ms)
             if made.is_admitted:
+                if place is not None or name != order[0]:
+                    hint = decision.LocationHint(name, 'inc')
+                    view.remember_place(arrival.chat, hint, arrival.now_ms)
                 return engine
             if uses_hints:
                 hints = [e for e in made.hints if e in arrival.eligible]
@@ -433,7 +445,7 @@
     'p99/mean, highest',
     'tries a request',
     'refused %',
-    'moved from its last place %',
+    'returns to a cold engine %',
     'gossip B/s a sidecar, out',
     'riders B/s a router',
 )
@@ -476,7 +488,7 @@
         max(result.ratios),
         result.tries / result.requests,
         100.0 * result.refused / result.requests,
-        100.0 * result.moved / result.requests,
+        100.0 * result.cold / result.requests,
         result.gossip_bytes / seconds / fleet.engines,
         result.rider_bytes / seconds / fleet.routers,
     )
--- a/foxtailpick/core/load_view.py
+++ b/foxtailpick/core/load_view.py
@@ -12,6 +12,8 @@
 from foxtailpick.core import types
 
 FULL_LIFE_MS = 500.0
+MAX_PLACES = 1_000
+PLACE_LIFE_MS = 5_000.0
 SEEN_LIFE_MS = 10_000.0
 
 
@@ -24,6 +26,7 @@
     def __init__(self, full_life_ms: float = FULL_LIFE_MS) -> None:
         self._full_life_ms = full_life_ms
         self._full_until_ms: dict[types.EndpointId, float] = {}
+        self._places: dict[str, tuple[decision_lib.LocationHint, float]] = {}
         self._seen: dict[types.EndpointId, tuple[float, float]] = {}
 
     def observe(
@@ -47,6 +50,37 @@
             self._full_until_ms[endpoint] = now_ms + self._full_life_ms
         self._forget_old(now_ms)
 
+    def remember_place(
+        self, key: str, hint: decision_lib.LocationHint, now_ms: float
+    ) -> None:
+        """Keep where a request was admitted after a refusal.
+
+        Many callers of one hot chat come by with the same first choice,
+        and each of their requests would be refused there first.
+
+        :param key: the chat.
+        :param hint: where it was admitted.
+        :param now_ms: the current time.
+        """
+        self._places.pop(key, None)
+        self._places[key] = (hint, now_ms + PLACE_LIFE_MS)
+        if len(self._places) > MAX_PLACES:
+            del self._places[next(iter(self._places))]
+
+    def get_place(
+        self, key: str, now_ms: float
+    ) -> decision_lib.LocationHint | None:
+        """Return the remembered place of a chat; it goes before a hint.
+
+        :param key: the chat.
+        :param now_ms: the current time.
+        """
+        hint, until_ms = self._places.get(key, (None, 0.0))
+        if until_ms > now_ms:
+            return hint
+        self._places.pop(key, None)
+        return None
+
     def list_full(
         self, now_ms: float
     ) -> dict[types.EndpointId, decision_lib.PassReason]:
--- a/foxtailpick/tests/test_load_bound.py
+++ b/foxtailpick/tests/test_load_bound.py
@@ -164,3 +164,15 @@
     assert view.list_full(100.0) == {}
     assert view.get_mean_tokens(100.0) == pytest.approx(50_000.0, rel=0.05)
     assert view.get_mean_tokens(load_view.SEEN_LIFE_MS) is None
+
+
+def test_view_remembers_the_place_of_a_refused_chat_for_a_while():
+    view = load_view.LoadView()
+    hint = decision.LocationHint('ep-1', 'inc-1')
+    view.remember_place('chat', hint, 0.0)
+    assert view.get_place('chat', load_view.PLACE_LIFE_MS - 1.0) == hint
+    assert view.get_place('other', 0.0) is None
+    assert view.get_place('chat', load_view.PLACE_LIFE_MS) is None
+    for number in range(load_view.MAX_PLACES + 1):
+        view.remember_place(f'chat-{number}', hint, 0.0)
+    assert view.get_place('chat-0', 0.0) is None
