--- a/foxtailpick/bench/config_fleet.py
+++ b/foxtailpick/bench/config_fleet.py
@@ -26,11 +26,14 @@
 REGIONS = 5
 DOMAINS = 14
 SIGHT_MS = 50_000.0
+LINKS = 64
 NEAR_MS = 1.0
 FAR_MS = 15.0
 STORE_MS = 5.0
 HOLD_MS = 1_000.0
 ENVELOPE_BYTES = 70
+CONNECT_BYTES = 1_000
+MAX_OPENED = 48
 HEAD_BYTES = 160
 
 
@@ -58,6 +61,8 @@
     :param domain: its failure domain.
     :param region: its region.
     :param tracker: its tracker.
+    :param links: routers that hold a connection to it.
+    :param opened: connections opened for the configuration alone.
     """
 
     name: str
@@ -68,6 +73,8 @@
     paused: list[typing.Callable[[], None]] | None = None
     bytes_moved: int = 0
     held: list[float] = dataclasses.field(default_factory=list)
+    links: frozenset[str] = frozenset()
+    opened: dict[str, None] = dataclasses.field(default_factory=dict)
 
 
 class Fleet:
@@ -77,6 +84,8 @@
     :param seed: seed of every random choice.
     :param has_traffic: whether frames flow between routers and sidecars.
     :param options: options of the trackers.
+    :param pick_watchers: node and its domain's sidecars to the nodes that
+        may hold a watch.
     """
 
     def __init__(
@@ -85,7 +94,12 @@
         seed: int,
         has_traffic: bool = True,
         options: propagation.TrackerOptions = propagation.TrackerOptions(),
+        pick_watchers: typing.Callable[
+            [str, list[str]], list[str]
+        ] = lambda name, sidecars: sidecars,
     ) -> None:
+        self.frames = 0
+        self._pick_watchers = pick_watchers
         self.rng = random.Random(seed)
         self.now_ms = 0.0
         self.monitor = invariants.Monitor(is_strict=True)
@@ -94,7 +108,6 @@
         self.reached_ms: dict[str, float] = {}
         self.admitted: list[tuple[float, str]] = []
         self.cut_region: str | None = None
-        self.wants_witness = True
         self._options = options
         self._events: list[tuple[float, int, typing.Callable]] = []
         self._order = itertools.count()
@@ -112,7 +125,7 @@
         for node in self.nodes.values():
             self.after(self.rng.uniform(0, 500), lambda n=node: self.pump(n))
         if has_traffic:
-            self._start_traffic()
+            self.start_traffic()
 
     def after(self, delay_ms: float, call: typing.Callable[[], None]) -> None:
         """Run a function later."""
@@ -202,13 +215,16 @@
     def send_work(self, router: Node, sidecar: Node) -> None:
         """Send one piece of new work, as a frame with the router's number."""
         number = router.tracker.number
-        sent_ms = self.now_ms
+        self.frames += 1
 
-        def arrive() -> None:
-            sidecar.tracker.hear(number, router.name, self.now_ms)
+        def arrive() -> bool:
+            has_news = sidecar.tracker.hear(number, None, self.now_ms)
             sidecar.held.append(self.now_ms)
-            self.after(HOLD_MS + 1, lambda: self.pump(sidecar))
-            self._answer_frame(router, sidecar, sent_ms)
+            self._decide_on_held(sidecar)
+            if sidecar.held:
+                self.after(HOLD_MS + 1, lambda: self.pump(sidecar))
+            self._answer_frame(router, sidecar)
+            return has_news or bool(sidecar.held)
 
         self._send(router, sidecar, 0, arrive)
 
@@ -292,6 +308,9 @@
     def _announce(
         self, node: Node, peer: Node, offer: config_exchange.Offer
     ) -> None:
+        if peer.paused is not None:
+            # A connection to a paused process does not open.
+            return
         size = len(offer.encode())
         self._send(
             node,
@@ -312,6 +331,7 @@
         if not self._is_joined(sender, receiver):
             return
         if size:
+            self._connect(sender, receiver)
             sender.bytes_moved += size + ENVELOPE_BYTES
             receiver.bytes_moved += size + ENVELOPE_BYTES
         delay_ms = NEAR_MS if sender.region == receiver.region else FAR_MS
@@ -320,12 +340,24 @@
             lambda: self._deliver(receiver, arrive),
         )
 
+    def _connect(self, node: Node, peer: Node) -> None:
+        """Count the bytes of opening a connection where there is none."""
+        if peer.name in node.links or peer.name in node.opened:
+            return
+        for one, other in ((node, peer), (peer, node)):
+            one.opened[other.name] = None
+            one.bytes_moved += CONNECT_BYTES
+            if len(one.opened) > MAX_OPENED:
+                oldest = next(iter(one.opened))
+                del one.opened[oldest]
+                self.nodes[oldest].opened.pop(one.name, None)
+
     def _deliver(self, node: Node, call: typing.Callable[[], None]) -> None:
         if node.paused is not None:
             node.paused.append(call)
             return
-        call()
-        self.pump(node)
+        if call() is not False:
+            self.pump(node)
 
     def _to_store(
         self,
@@ -346,29 +378,14 @@
         cut = self.cut_region
         return cut is None or (node.region == cut) == (peer.region == cut)
 
-    def _answer_frame(
-        self, router: Node, sidecar: Node, sent_ms: float
-    ) -> None:
-        """Return the sidecar's number, and probe the router in turn."""
+    def _answer_frame(self, router: Node, sidecar: Node) -> None:
         number = sidecar.tracker.number
-        asked_ms = self.now_ms
-
-        def arrive() -> None:
-            router.tracker.on_round_trip(
-                sidecar.name, number, sent_ms, self.now_ms
-            )
-            found = router.tracker.number
-            self._send(
-                router,
-                sidecar,
-                0,
-                lambda: sidecar.tracker.on_round_trip(
-                    router.name, found, asked_ms, self.now_ms
-                ),
-            )
-
-        if self.wants_witness:
-            self._send(sidecar, router, 0, arrive)
+        self._send(
+            sidecar,
+            router,
+            0,
+            lambda: router.tracker.hear(number, sidecar.name, self.now_ms),
+        )
 
     def _decide_on_held(self, node: Node) -> None:
         """Decide on work that arrived, or waits for a verification."""
@@ -387,7 +404,8 @@
             node.wake_ms = float('inf')
             self.pump(node)
 
-    def _start_traffic(self) -> None:
+    def start_traffic(self) -> None:
+        """Let frames flow; a router sees each sidecar once in `SIGHT_MS`."""
         mean_ms = SIGHT_MS / (len(self.routers) * len(self.sidecars))
 
         def send() -> None:
@@ -420,8 +438,19 @@
             self._set_peers_of(node)
 
     def _set_peers_of(self, node: Node) -> None:
-        others = [name for name in self.nodes if name != node.name]
-        node.tracker.set_peers(others, self._by_domain[node.domain])
+        peers = [n.name for n in self.sidecars if n is not node]
+        listeners = []
+        if node in self.sidecars:
+            links = len(self.routers) * LINKS // len(self.sidecars) + 1
+            found = self.rng.sample(
+                self.routers, min(links, len(self.routers))
+            )
+            listeners = [router.name for router in found]
+            node.links = frozenset(listeners)
+        domain_nodes = self._pick_watchers(
+            node.name, self._by_domain[node.domain]
+        )
+        node.tracker.set_peers(peers, domain_nodes, listeners)
 
 
 def _make_first() -> configuration.Configuration:
--- a/foxtailpick/sidecar/operators.py
+++ b/foxtailpick/sidecar/operators.py
@@ -32,7 +32,7 @@
             types.EndpointState.DRAINING,
             types.EndpointState.GONE,
         )
-        return node.current.number > 0 and is_open
+        return node.is_ready() and is_open
 
     async def drain(req: requests.Request) -> responses.Response:
         slow.drain()
@@ -49,7 +49,7 @@
                 'number': node.current.number,
                 'in_flight': slow.in_flight,
                 'waiting': worker.gate.queue_length,
-                'load': worker.gate.load,
+                'load': worker.gate.pool.load,
             }
         )
 
@@ -57,7 +57,7 @@
         lines = [
             f'foxtailpick_in_flight {slow.in_flight}',
             f'foxtailpick_waiting {worker.gate.queue_length}',
-            f'foxtailpick_load {worker.gate.load:g}',
+            f'foxtailpick_load {worker.gate.pool.load:g}',
             *health.format_promises(monitor),
         ]
         return responses.PlainTextResponse('\n'.join(lines) + '\n')
--- a/foxtailpick/sidecar/worker.py
+++ b/foxtailpick/sidecar/worker.py
@@ -16,7 +16,9 @@
 from foxtailpick.core import verdict as verdict_lib
 from foxtailpick.sidecar import gate as gate_lib
 from foxtailpick.sidecar import once as once_lib
+from foxtailpick.sidecar import pool_load
 from foxtailpick.sidecar import runs
+from foxtailpick.sidecar import work as work_lib
 
 SWEEP_INTERVAL_MS = 50.0
 ROOM_POLL_MS = 20.0
@@ -51,6 +53,8 @@
         self._grace_ms = cfg.resume_grace
         self._clock = clock_lib.Clock.from_trio()
         self._wake = trio.Event()
+        self.state_changed = trio.Event()
+        self._state = gate.slow.state
 
     async def run(self) -> None:
         """Start attempts as the endpoint can bear them, for ever."""
@@ -61,12 +65,17 @@
                 self._give_up_overdue()
                 self._start_ready(nursery)
                 self.table.drop_expired(self._clock.now())
+                self._note_state()
                 with trio.move_on_after(SWEEP_INTERVAL_MS / types.SECOND_MS):
                     await self._wake.wait()
                 self._wake = trio.Event()
 
+    def wake(self) -> None:
+        """Look at once for attempts that may start."""
+        self._wake.set()
+
     def submit(
-        self, work: gate_lib.Work, sent_after_ms: float
+        self, work: work_lib.Work, sent_after_ms: float
     ) -> runs.Run | None:
         """Take in an attempt.
 
@@ -114,6 +123,14 @@
             while not self.table.is_read():
                 await clock_lib.sleep_ms(SWEEP_INTERVAL_MS)
 
+    def _note_state(self) -> None:
+        if self.gate.slow.state is self._state:
+            return
+        self._state = self.gate.slow.state
+        logger.info('WORK endpoint is {}.', self._state.value)
+        self.state_changed.set()
+        self.state_changed = trio.Event()
+
     def _give_up_overdue(self) -> None:
         now_ms = self._clock.now()
         for work, exc in self.gate.sweep(now_ms):
@@ -130,7 +147,7 @@
             run = self.table.find(started.work.attempt)
             if isinstance(started.work, messages.OpenChat):
                 run_work = self._run_chat
-            elif gate_lib.needs_claim(started.work):
+            elif work_lib.needs_claim(started.work):
                 run_work = self._run_once
             else:
                 run_work = self._run_call
@@ -152,7 +169,7 @@
         except Exception:
             logger.exception('WORK attempt {} failed.', run.work.attempt)
             end = self._make_failed(run, _make_defect())
-            if gate_lib.needs_claim(run.work):
+            if work_lib.needs_claim(run.work):
                 self.gate.release(started, True, self._clock.now())
                 self._close(run, end, self._clock.now())
                 return
@@ -233,7 +250,7 @@
             finish_reason=chunk.finish_reason,
             prompt_tokens=usage.prompt_tokens,
             cached_tokens=usage.cached_tokens,
-            load=self.gate.load,
+            load=self.gate.pool.load,
         )
 
     async def _run_call(
@@ -252,12 +269,20 @@
         self, run: runs.Run, started: gate_lib.Started
     ) -> None:
         is_fault = False
-        try:
-            end = await self._once.run(run.work, self._call_service)
+
+        async def call_service(work: messages.OpenCall) -> messages.Answer:
+            # A repeat of a call that failed long ago is no fault of now.
+            nonlocal is_fault
+            is_fault = True
+            answer = await self._call_service(work)
+            is_fault = False
             self.gate.record_first_token(started, None, self._clock.now())
+            return answer
+
+        try:
+            end = await self._once.run(run.work, call_service)
         except errors.FoxtailError as exc:
             end = self._make_failed(run, exc)
-            is_fault = exc.code is errors.ErrorCode.OUTCOME_UNKNOWN
         now_ms = self._clock.now()
         self.gate.release(started, is_fault, now_ms)
         self._close(run, end, now_ms)
@@ -302,25 +327,32 @@
     def _make_failed(
         self, run: runs.Run, exc: errors.FoxtailError
     ) -> messages.Failed:
-        return make_failed(run.work.attempt, exc, self.gate.load)
+        return make_failed(run.work.attempt, exc, self.gate.pool)
 
 
 def make_failed(
-    attempt: types.AttemptId, exc: errors.FoxtailError, load: float
+    attempt: types.AttemptId,
+    exc: errors.FoxtailError,
+    pool: pool_load.PoolLoad,
 ) -> messages.Failed:
     """Return the message for an attempt that failed.
 
     :param attempt: the attempt.
     :param exc: why.
-    :param load: load of the endpoint.
+    :param pool: load of the endpoint among its pool.
     """
+    hints: tuple[types.EndpointId, ...] = ()
+    if isinstance(exc, pool_load.LoadRefusedError):
+        hints = exc.admission.hints
     return messages.Failed(
         attempt=attempt,
         code=exc.code,
         verdict=exc.verdict,
         detail=exc.message,
         retry_after_ms=exc.retry_after_ms,
-        load=load,
+        load=pool.load,
+        mean_load=pool.mean,
+        hints=hints,
     )
 
 
