--- a/foxtailpick/sidecar/gossip.py
+++ b/foxtailpick/sidecar/gossip.py
@@ -1,7 +1,7 @@
-"""Sends load samples to peers of the pool, one datagram at a time.
+"""Sends load reports to peers of the pool, one datagram at a time.
 
-Datagrams fit what a lost sample costs: nothing. A connection to each of
-three random peers twice a second would cost more than the samples.
+Datagrams fit what a lost report costs: nothing. A connection to each of
+the random peers of a round would cost more than the reports.
 """
 
 import random
@@ -22,7 +22,7 @@
 class Gossip:
     """Owns the datagram socket of a sidecar.
 
-    :param load: the load to tell and the samples heard.
+    :param load: the load to tell and the reports heard.
     :param host: IP number to bind.
     :param port: UDP port, the same as the TCP port of the sidecar.
     :param rng: source of jitter.
@@ -45,7 +45,7 @@
         self.sent_bytes = 0
 
     async def run(self) -> None:
-        """Send and receive samples for ever."""
+        """Send and receive reports for ever."""
         with trio.socket.socket(type=trio.socket.SOCK_DGRAM) as sock:
             await sock.bind(self._address)
             async with trio.open_nursery() as nursery:
@@ -70,7 +70,7 @@
             await sock.sendto(data, (host, int(port)))
             self.sent_bytes += len(data)
         except OSError as exc:
-            logger.debug('LOAD sample not sent to {}. {}', address, exc)
+            logger.debug('LOAD report not sent to {}. {}', address, exc)
 
     async def _receive(self, sock: trio.socket.SocketType) -> None:
         while True:
--- a/foxtailpick/sidecar/pool_load.py
+++ b/foxtailpick/sidecar/pool_load.py
@@ -66,7 +66,6 @@
             for model in models
         ]
         self._models = models
-        self._gossip = load_gossip.GossipState()
         self._peers: dict[types.EndpointId, base.Member] = {}
         self._peers_by_name: dict[int, tuple[types.EndpointId, float]] = {}
 
@@ -133,7 +132,7 @@
         self._bound.release(attempt)
 
     def compose(self, is_open: bool, now_ms: float) -> tuple[bytes, list[str]]:
-        """Return a datagram with load samples, and whom to send it.
+        """Return a datagram with a load report, and whom to send it.
 
         :param is_open: whether the endpoint takes work.
         :param now_ms: the current time.
@@ -141,10 +140,10 @@
         if not is_open:
             # An endpoint that takes no work must not lower the mean.
             return b'', []
-        samples = self._gossip.compose(self._bound.get_sample(now_ms), now_ms)
+        report = self._bound.make_report(self._models[0], now_ms)
         drawn = load_gossip.draw_peers(list(self._peers), self._rng)
         addresses = [self._peers[peer].address for peer in drawn]
-        return load_gossip.encode_samples(samples, now_ms), addresses
+        return load_gossip.encode_report(report), addresses
 
     def accept(self, data: bytes, now_ms: float) -> None:
         """Take over a datagram of a peer; a bad one is dropped.
@@ -153,16 +152,16 @@
         :param now_ms: the current time.
         """
         try:
-            samples = load_gossip.decode_samples(
+            report = load_gossip.decode_report(
                 data, self._peers_by_name, now_ms
             )
         except errors.LinkError as exc:
             logger.warning('LOAD datagram dropped. {}', exc)
             return
-        if not samples:
+        if report is None:
             return
         for mean in self._means:
-            self._gossip.accept(samples, mean, now_ms)
+            mean.observe(report, now_ms)
 
 
 def _make_bound_settings(
