Count the time behind from its beginning

Cause: numbers that keep rising while none can be fetched began the 30 s anew with each, and could hold work back without end. Change: the time runs from when the node fell behind or last moved up.

--- a/foxtailpick/core/catch_up.py
+++ b/foxtailpick/core/catch_up.py
@@ -20,7 +20,7 @@
         self._tries = 0
         self._due_ms = 0.0
         self.heard = types.ConfigNumber(0)
-        self.heard_ms = float('inf')
+        self.since_ms = float('inf')
 
     def hear(
         self, number: types.ConfigNumber, peer: str | None, now_ms: float
@@ -33,7 +33,6 @@
         """
         if number > self.heard:
             self.heard = number
-            self.heard_ms = now_ms
             self._speakers.clear()
             self._tries = 0
             self._due_ms = now_ms
@@ -41,6 +40,10 @@
             self._speakers.append(peer)
             del self._speakers[:-MAX_SPEAKERS]
 
+    def restart(self, now_ms: float) -> None:
+        """Count the time behind from now, because it began or got shorter."""
+        self.since_ms = now_ms
+
     @property
     def has_speaker(self) -> bool:
         """Whether a peer is known that holds the number."""
--- a/foxtailpick/core/propagation.py
+++ b/foxtailpick/core/propagation.py
@@ -197,7 +197,7 @@
         """
         if not self.is_behind:
             return False
-        waited_ms = now_ms - self._catch_up.heard_ms
+        waited_ms = now_ms - self._catch_up.since_ms
         if waited_ms < self._options.behind_limit_ms:
             return True
         if self._given_up < self._catch_up.heard:
@@ -246,6 +246,8 @@
         """
         if number <= self.number:
             return False
+        if not self.is_behind:
+            self._catch_up.restart(now_ms)
         self._catch_up.hear(number, peer, now_ms)
         return True
 
@@ -298,7 +300,8 @@
         :param asked_ms: when it was asked for, None if unasked.
         :param now_ms: the current time.
         """
-        self._held.take(offer, now_ms)
+        if self._held.take(offer, now_ms):
+            self._catch_up.restart(now_ms)
         self._confirm_by_head()
         self.hear(offer.number, peer, now_ms)
         if self.is_behind:
--- a/foxtailpick/tests/test_propagation.py
+++ b/foxtailpick/tests/test_propagation.py
@@ -180,6 +180,8 @@
     tracker.hear(99, 'a', 10.0)
     assert tracker.check_admission(11.0) is VERIFY
     limit_ms = propagation.TrackerOptions().behind_limit_ms
+    # Numbers that keep rising do not begin the time anew.
+    tracker.hear(100, 'a', limit_ms / 2)
     tracker.on_head(head, 9.0 + limit_ms, 9.0 + limit_ms)
     assert tracker.check_admission(9.0 + limit_ms) is VERIFY
     assert tracker.check_admission(11.0 + limit_ms) is ADMIT
