Split the tracker into its state, its plans and its reports

Change: tracker_state holds what a node knows, config_plans what it does next as plain functions, propagation the interface of drivers.

--- a/foxtailpick/bench/config.py
+++ b/foxtailpick/bench/config.py
@@ -12,7 +12,7 @@
 from foxtailpick.core import config_delta
 from foxtailpick.core import freshness
 from foxtailpick.core import poll_schedule
-from foxtailpick.core import propagation
+from foxtailpick.core import tracker_state
 from foxtailpick.core import types
 
 SEED = 20
@@ -35,7 +35,7 @@
 NO_TALK = config_announcer.AnnouncerOptions(
     fanout=0, listener_fanout=0, accept_fanout=0
 )
-POLL_ONLY = propagation.TrackerOptions(
+POLL_ONLY = tracker_state.TrackerOptions(
     announce=NO_TALK,
     poll=poll_schedule.PollOptions(store_polls_per_s=float('inf')),
 )
@@ -245,7 +245,7 @@
     )
     for fanout in (2, 4, 6, 8):
         announce = config_announcer.AnnouncerOptions(fanout=fanout)
-        options = propagation.TrackerOptions(announce=announce)
+        options = tracker_state.TrackerOptions(announce=announce)
         fleet = config_fleet.Fleet(SIZES[-1], SEED, False, options)
         fleet.run(WARM_UP_MS / 2)
         fleet.store.is_down = True
@@ -270,14 +270,14 @@
         f'sending, one sidecar paused for 10 s, seeds {OUT_SEEDS}',
         ('way', 'store', 'admitted after 3 s', 'last admitted after ms'),
     )
-    trusting = propagation.TrackerOptions(
+    trusting = tracker_state.TrackerOptions(
         fresh=freshness.FreshnessOptions(
             fresh_ms=float('inf'), renew_ms=float('inf')
         )
     )
     ways = {
         'sidecar trusts what it holds': trusting,
-        'ours': propagation.TrackerOptions(),
+        'ours': tracker_state.TrackerOptions(),
     }
     for way, options in ways.items():
         for mode in MODES:
@@ -292,7 +292,7 @@
 
 
 def _run_domain_out(
-    options: propagation.TrackerOptions, mode: str, seed: int
+    options: tracker_state.TrackerOptions, mode: str, seed: int
 ) -> list[float]:
     """Return when work was admitted there, counted from acceptance."""
     fleet = config_fleet.Fleet(60, seed, options=options)
--- a/foxtailpick/bench/config_fleet.py
+++ b/foxtailpick/bench/config_fleet.py
@@ -20,6 +20,7 @@
 from foxtailpick.core import invariants
 from foxtailpick.core import patches
 from foxtailpick.core import propagation
+from foxtailpick.core import tracker_state
 from foxtailpick.core import types
 
 ROUTER_SHARE = 360 / 1_360
@@ -93,7 +94,7 @@
         size: int,
         seed: int,
         has_traffic: bool = True,
-        options: propagation.TrackerOptions = propagation.TrackerOptions(),
+        options: tracker_state.TrackerOptions = tracker_state.TrackerOptions(),
         pick_watchers: typing.Callable[
             [str, list[str]], list[str]
         ] = lambda name, sidecars: sidecars,
--- /dev/null
+++ b/foxtailpick/core/config_plans.py
@@ -0,0 +1,187 @@
+"""What a node does next about its configuration.
+
+Each plan returns one action, or None if it has nothing to do now.
+"""
+
+from foxtailpick.core import config_actions
+from foxtailpick.core import config_exchange
+from foxtailpick.core import tracker_state
+from foxtailpick.core import types
+
+
+def plan_next(
+    state: tracker_state.TrackerState, now_ms: float
+) -> config_actions.Action:
+    """Return the next thing to do; `Wait` if there is none now.
+
+    :param state: what the node knows.
+    :param now_ms: the current time.
+    """
+    for plan in _PLANS:
+        action = plan(state, now_ms)
+        if action is not None:
+            return action
+    return config_actions.Wait(find_wake_ms(state, now_ms))
+
+
+def _start(
+    state: tracker_state.TrackerState,
+    action: config_actions.Action,
+    now_ms: float,
+) -> config_actions.Action:
+    state.flights.add(action, now_ms)
+    return action
+
+
+def plan_announcement(
+    state: tracker_state.TrackerState, now_ms: float
+) -> config_actions.Action | None:
+    """Tell peers of a new number, or one of what it misses."""
+    if state.lagging:
+        peer, number = state.lagging.popitem()
+        return config_actions.Announce((peer,), state.held.make_offer(number))
+    peers = state.announcer.pick_peers(state.number, state.sources, now_ms)
+    if not peers:
+        return None
+    offer = state.held.make_offer(types.ConfigNumber(state.number - 1))
+    if offer.index is not None:
+        # Peers that miss more than one delta ask for what they miss.
+        offer = config_exchange.Offer(state.number)
+    return config_actions.Announce(peers, offer)
+
+
+def plan_catch_up(
+    state: tracker_state.TrackerState, now_ms: float
+) -> config_actions.Action | None:
+    """Ask for a number that was heard of."""
+    if not state.is_behind or not state.catch_up.is_due(now_ms):
+        return None
+    is_store_turn = state.catch_up.start_try(now_ms)
+    if is_store_turn or not state.catch_up.has_speaker:
+        action = _ask_store_for_deltas(state, now_ms)
+        if action is not None:
+            return action
+    peer = state.catch_up.pick_peer(state.sources, now_ms)
+    if peer is not None:
+        return _ask_peer(state, peer, now_ms)
+    return _ask_store_for_deltas(state, now_ms)
+
+
+def _ask_peer(
+    state: tracker_state.TrackerState, peer: str, now_ms: float
+) -> config_actions.Action:
+    after = state.held.wanted_after
+    return _start(state, config_actions.FetchFromPeer(peer, after), now_ms)
+
+
+def _ask_store_for_deltas(
+    state: tracker_state.TrackerState, now_ms: float
+) -> config_actions.Action | None:
+    if not state.sources.is_store_usable(now_ms):
+        return None
+    if state.head is None or state.head.number <= state.number:
+        return _ask_head(state, now_ms)
+    if state.flights.find(config_actions.FetchFromStore):
+        return None
+    action = config_actions.FetchFromStore(state.head, state.held.wanted_after)
+    return _start(state, action, now_ms)
+
+
+def _ask_head(
+    state: tracker_state.TrackerState, now_ms: float
+) -> config_actions.Action | None:
+    if state.flights.find(config_actions.ReadHead):
+        return None
+    return _start(state, config_actions.ReadHead(), now_ms)
+
+
+def plan_verification(
+    state: tracker_state.TrackerState, now_ms: float
+) -> config_actions.Action | None:
+    """Make sure of the number where work waits for it."""
+    if not state.may_serve(now_ms):
+        state.verification.start(True, now_ms)
+    state.verification.end_if_done(state.confirmed_ms(now_ms))
+    is_needed = state.verification.is_under_way
+    if not is_needed or state.is_held_back(now_ms):
+        return None
+    if state.verification.pick_store(state.sources, now_ms):
+        action = _ask_head(state, now_ms)
+        if action is not None:
+            return action
+    peer = state.verification.pick_witness(
+        state.fresh, state.sources, state.flights, now_ms
+    )
+    return _ask_peer(state, peer, now_ms) if peer is not None else None
+
+
+def plan_watch(
+    state: tracker_state.TrackerState, now_ms: float
+) -> config_actions.Action | None:
+    """Open or close the watch."""
+    if state.wants_watch == state.is_watching:
+        return None
+    if not state.wants_watch:
+        state.is_watching = False
+        return config_actions.CloseWatch()
+    if not state.sources.is_store_usable(now_ms):
+        return None
+    state.is_watching = True
+    return config_actions.OpenWatch()
+
+
+def plan_chunk(
+    state: tracker_state.TrackerState, now_ms: float
+) -> config_actions.Action | None:
+    """Load a chunk of accounts that was asked for."""
+    if state.flights.find(config_actions.FetchChunk):
+        return None
+    action = state.chunks.plan(state.held.cfg.accounts, state.sources, now_ms)
+    return _start(state, action, now_ms) if action is not None else None
+
+
+def plan_poll(
+    state: tracker_state.TrackerState, now_ms: float
+) -> config_actions.Action | None:
+    """Ask for the newest number when a poll is due."""
+    if not state.poll.start(now_ms):
+        return None
+    if _is_store_polled(state, now_ms):
+        action = _ask_head(state, now_ms)
+        if action is not None:
+            return action
+    asked = {
+        action.peer
+        for action in state.flights.find(config_actions.FetchFromPeer)
+    }
+    drawn = state.sources.pick_peers(1, now_ms, asked)
+    return _ask_peer(state, drawn[0], now_ms) if drawn else None
+
+
+def _is_store_polled(state: tracker_state.TrackerState, now_ms: float) -> bool:
+    if not state.sources.is_store_usable(now_ms):
+        return False
+    return state.poll.is_store_turn(state.sources.size)
+
+
+def find_wake_ms(state: tracker_state.TrackerState, now_ms: float) -> float:
+    """Return when something may be due without any report."""
+    times = [
+        state.poll.due_ms,
+        state.flights.next_timeout_ms(),
+        state.announcer.next_ms(state.number, now_ms),
+        state.verification.next_ms(now_ms),
+    ]
+    if state.is_behind:
+        times.append(state.catch_up.next_ms())
+    return min(times)
+
+
+_PLANS = (
+    plan_announcement,
+    plan_catch_up,
+    plan_verification,
+    plan_watch,
+    plan_chunk,
+    plan_poll,
+)
--- a/foxtailpick/core/propagation.py
+++ b/foxtailpick/core/propagation.py
@@ -5,7 +5,6 @@
 report, and when a `Wait` ends, it asks again.
 """
 
-import dataclasses
 import enum
 import random
 import typing
@@ -13,21 +12,16 @@
 from loguru import logger
 
 from foxtailpick.core import account_table
-from foxtailpick.core import catch_up
-from foxtailpick.core import chunk_loader
 from foxtailpick.core import config_actions
-from foxtailpick.core import config_announcer
 from foxtailpick.core import config_delta
 from foxtailpick.core import config_exchange
+from foxtailpick.core import config_plans
 from foxtailpick.core import config_sources
 from foxtailpick.core import config_store
 from foxtailpick.core import configuration
-from foxtailpick.core import freshness
 from foxtailpick.core import invariants
-from foxtailpick.core import node_config
-from foxtailpick.core import poll_schedule
+from foxtailpick.core import tracker_state
 from foxtailpick.core import types
-from foxtailpick.core import verification
 from foxtailpick.core import watchers
 
 _FETCHES = (config_actions.FetchFromPeer, config_actions.FetchFromStore)
@@ -41,36 +35,6 @@
     NOT_READY = 'not-ready'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class TrackerOptions:
-    """Bounds of a tracker.
-
-    :param poll: bounds of polling.
-    :param announce: bounds of announcements.
-    :param fresh: bounds of freshness.
-    :param store_checks_per_s: renewals of freshness by the whole fleet that
-        go to the store; the rest goes to peers.
-    :param hedge_ms: wait for a source before the next one is asked too.
-    :param store_slow_ms: an answer of the store slower than this sends
-        verifications to peers.
-    :param behind_limit_ms: how long a number that nobody can supply keeps
-        work out.
-    :param pause_ms: time without a question from the driver after which
-        the node was paused, and what it had asked says nothing.
-    """
-
-    poll: poll_schedule.PollOptions = poll_schedule.PollOptions()
-    announce: config_announcer.AnnouncerOptions = (
-        config_announcer.AnnouncerOptions()
-    )
-    fresh: freshness.FreshnessOptions = freshness.FreshnessOptions()
-    store_checks_per_s: float = 200.0
-    hedge_ms: float = 250.0
-    store_slow_ms: float = 1_000.0
-    behind_limit_ms: float = 30_000.0
-    pause_ms: float = 12_000.0
-
-
 class ConfigTracker:
     """Decides what one node asks, tells and admits.
 
@@ -85,48 +49,30 @@
         node: str,
         rng: random.Random,
         monitor: invariants.Monitor,
-        options: TrackerOptions = TrackerOptions(),
+        options: tracker_state.TrackerOptions = tracker_state.TrackerOptions(),
     ) -> None:
-        self._node = node
-        self._rng = rng
-        self._options = options
-        self._held = node_config.NodeConfig(node, monitor)
-        self._sources = config_sources.Sources(rng)
-        self._flights = config_sources.Flights()
-        self._fresh = freshness.Freshness(options.fresh)
-        self._announcer = config_announcer.Announcer(options.announce)
-        self._catch_up = catch_up.CatchUp(options.hedge_ms)
-        self._verification = verification.Verification(options.hedge_ms)
-        self._poll = poll_schedule.PollSchedule(rng, options.poll)
-        self._chunks = chunk_loader.ChunkLoader()
-        self._head: config_store.Head | None = None
-        self._head_asked_ms = float('-inf')
-        self._has_been_confirmed = False
-        self._given_up = types.ConfigNumber(0)
-        self._lagging: dict[str, types.ConfigNumber] = {}
-        self._wants_watch = False
-        self._is_watching = False
+        self._state = tracker_state.TrackerState(node, rng, monitor, options)
         self._called_ms = float('-inf')
 
     @property
     def cfg(self) -> configuration.Configuration:
         """The configuration in force here."""
-        return self._held.cfg
+        return self._state.held.cfg
 
     @property
     def number(self) -> types.ConfigNumber:
         """Number in force here; it rides on every frame."""
-        return self._held.number
+        return self._state.held.number
 
     @property
     def contacts(self) -> tuple[str, ...]:
         """Peers whose connections the driver should keep open."""
-        return self._sources.contacts
+        return self._state.sources.contacts
 
     @property
     def is_behind(self) -> bool:
         """Whether somebody has shown a higher number."""
-        return self._catch_up.heard > self.number
+        return self._state.is_behind
 
     # What the node may do.
 
@@ -135,22 +81,14 @@
 
         :param now_ms: the current time.
         """
-        age_ms = now_ms - self._confirmed_ms(now_ms)
-        is_confirmed = age_ms <= self._options.fresh.fresh_ms
-        return is_confirmed and not self._is_held_back(now_ms)
+        return self._state.is_fresh(now_ms)
 
     def may_serve(self, now_ms: float) -> bool:
         """Tell whether the node may report itself ready.
 
-        It may from the moment it holds a configuration that the store, or
-        as many peers as count as witnesses, have confirmed once.
-
         :param now_ms: the current time.
         """
-        if not self._has_been_confirmed and self.number > 0:
-            confirmed_ms = self._confirmed_ms(now_ms)
-            self._has_been_confirmed = confirmed_ms > float('-inf')
-        return self._has_been_confirmed
+        return self._state.may_serve(now_ms)
 
     def check_admission(self, now_ms: float) -> Admission:
         """Tell a sidecar whether it may admit work now.
@@ -162,55 +100,16 @@
         """
         if not self.may_serve(now_ms):
             return Admission.NOT_READY
-        age_ms = now_ms - self._confirmed_ms(now_ms)
-        if age_ms > self._options.fresh.renew_ms:
-            is_routine = age_ms <= self._options.fresh.routine_ms
-            self._verification.start(self._may_ask_store(is_routine), now_ms)
+        age_ms = now_ms - self._state.confirmed_ms(now_ms)
+        if age_ms > self._state.options.fresh.renew_ms:
+            is_routine = age_ms <= self._state.options.fresh.routine_ms
+            self._state.verification.start(
+                self._state.may_ask_store(is_routine), now_ms
+            )
         if self.is_fresh(now_ms):
             return Admission.ADMIT
         return Admission.VERIFY
 
-    def _may_ask_store(self, is_routine: bool) -> bool:
-        """Tell whether a verification may use the store.
-
-        A node that was paused always may. A busy one renews every few
-        seconds, of which the store bears a fixed rate in all.
-        """
-        if not is_routine:
-            return True
-        renew_ms = self._options.fresh.renew_ms
-        budget = self._options.store_checks_per_s
-        part = poll_schedule.find_store_part(
-            budget, self._sources.size, renew_ms
-        )
-        return self._rng.random() < part
-
-    def _confirmed_ms(self, now_ms: float) -> float:
-        known = self._sources.count_good_peers(now_ms)
-        return self._fresh.confirmed_ms(known)
-
-    def _is_held_back(self, now_ms: float) -> bool:
-        """Tell whether a higher number may still be learned.
-
-        A number that nobody could supply for long does not hold the node
-        back for ever: its sender may have failed while the store was down.
-        """
-        if not self.is_behind:
-            return False
-        waited_ms = now_ms - self._catch_up.since_ms
-        if waited_ms < self._options.behind_limit_ms:
-            return True
-        if self._given_up < self._catch_up.heard:
-            self._given_up = self._catch_up.heard
-            logger.error(
-                'CONFIG {} not supplied by anyone in {:.0f} ms. Serving on '
-                'with {}.',
-                self._given_up,
-                waited_ms,
-                self.number,
-            )
-        return False
-
     # What the driver reports.
 
     def set_peers(
@@ -228,10 +127,11 @@
         :param domain_nodes: nodes of this failure domain that may hold a
             watch; without this node in it, it never does.
         """
-        self._sources.set_peers(peers)
-        self._announcer.set_listeners(listeners)
-        self._wants_watch = self._node in domain_nodes and watchers.is_watcher(
-            self._node, domain_nodes
+        self._state.sources.set_peers(peers)
+        self._state.announcer.set_listeners(listeners)
+        self._state.wants_watch = (
+            self._state.node in domain_nodes
+            and watchers.is_watcher(self._state.node, domain_nodes)
         )
 
     def hear(
@@ -247,8 +147,8 @@
         if number <= self.number:
             return False
         if not self.is_behind:
-            self._catch_up.restart(now_ms)
-        self._catch_up.hear(number, peer, now_ms)
+            self._state.catch_up.restart(now_ms)
+        self._state.catch_up.hear(number, peer, now_ms)
         return True
 
     def on_head(
@@ -263,16 +163,16 @@
         :param asked_ms: when the read was sent.
         :param now_ms: the current time.
         """
-        self._flights.end(config_actions.ReadHead())
-        self._verification.on_store_answer()
-        if now_ms - asked_ms > self._options.store_slow_ms:
-            self._sources.on_store_bad(now_ms)
+        self._state.flights.end(config_actions.ReadHead())
+        self._state.verification.on_store_answer()
+        if now_ms - asked_ms > self._state.options.store_slow_ms:
+            self._state.sources.on_store_bad(now_ms)
         else:
-            self._sources.on_store_good()
+            self._state.sources.on_store_good()
         if head is None:
             return
         self._log_lower_head(head, asked_ms)
-        self._head_asked_ms = max(asked_ms, self._head_asked_ms)
+        self._state.head_asked_ms = max(asked_ms, self._state.head_asked_ms)
         self.on_watch(head, now_ms)
 
     def on_watch(self, head: config_store.Head, now_ms: float) -> None:
@@ -281,10 +181,10 @@
         :param head: the head.
         :param now_ms: the current time.
         """
-        if self._head is None or head.number > self._head.number:
-            self._head = head
+        if self._state.head is None or head.number > self._state.head.number:
+            self._state.head = head
         self.hear(head.number, None, now_ms)
-        self._confirm_by_head()
+        self._state.confirm_by_head()
 
     def on_offer(
         self,
@@ -300,21 +200,21 @@
         :param asked_ms: when it was asked for, None if unasked.
         :param now_ms: the current time.
         """
-        if self._held.take(offer, now_ms):
-            self._catch_up.restart(now_ms)
-        self._confirm_by_head()
+        if self._state.held.take(offer, now_ms):
+            self._state.catch_up.restart(now_ms)
+        self._state.confirm_by_head()
         self.hear(offer.number, peer, now_ms)
-        if self.is_behind:
-            self._catch_up.retry_soon(now_ms)
+        if self._state.is_behind:
+            self._state.catch_up.retry_soon(now_ms)
         if peer is None:
-            self._flights.end_kind(config_actions.FetchFromStore)
+            self._state.flights.end_kind(config_actions.FetchFromStore)
         elif asked_ms is not None:
-            self._flights.end_peer(peer)
-            self._sources.on_peer_good(peer)
+            self._state.flights.end_peer(peer)
+            self._state.sources.on_peer_good(peer)
             if offer.number <= self.number:
-                self._fresh.on_peer_answer(peer, asked_ms)
+                self._state.fresh.on_peer_answer(peer, asked_ms)
             if offer.number < self.number:
-                self._lagging[peer] = offer.number
+                self._state.lagging[peer] = offer.number
 
     def on_accepted(
         self,
@@ -331,8 +231,8 @@
         :param urgent: peers to tell in any case, such as the sidecars of a
             failure domain that was taken out.
         """
-        if self._held.put_accepted(cfg, delta, now_ms):
-            self._announcer.on_accepted(tuple(urgent))
+        if self._state.held.put_accepted(cfg, delta, now_ms):
+            self._state.announcer.on_accepted(tuple(urgent))
 
     def on_chunk(self, index: int, raw: bytes) -> None:
         """Record the answer to `FetchChunk`.
@@ -341,11 +241,11 @@
         :param raw: its bytes; a chunk that has changed meanwhile is
             fetched again.
         """
-        for action in self._flights.find(config_actions.FetchChunk):
+        for action in self._state.flights.find(config_actions.FetchChunk):
             if action.index == index:
-                self._flights.end(action)
-        if not self._held.put_chunk(index, raw):
-            self._chunks.on_failure(index)
+                self._state.flights.end(action)
+        if not self._state.held.put_chunk(index, raw):
+            self._state.chunks.on_failure(index)
 
     def on_failure(self, action: config_actions.Action, now_ms: float) -> None:
         """Record that an action failed, or that a watch ended.
@@ -353,23 +253,23 @@
         :param action: the action as it was handed out.
         :param now_ms: the current time.
         """
-        self._flights.end(action)
+        self._state.flights.end(action)
         if isinstance(action, config_actions.OpenWatch):
-            self._is_watching = False
+            self._state.is_watching = False
         if isinstance(action, config_actions.FetchFromStore):
             # The index may have been collected after newer patches.
-            self._head = None
+            self._state.head = None
         if isinstance(action, config_actions.FetchChunk):
-            self._chunks.on_failure(action.index)
+            self._state.chunks.on_failure(action.index)
         if isinstance(action, config_actions.FetchFromPeer):
-            self._sources.on_peer_bad(action.peer, now_ms)
+            self._state.sources.on_peer_bad(action.peer, now_ms)
         if config_sources.is_store_action(action):
-            self._sources.on_store_bad(now_ms)
+            self._state.sources.on_store_bad(now_ms)
         if isinstance(action, config_actions.ReadHead):
             # The poll that failed goes to a peer instead.
-            self._poll.due_ms = now_ms
+            self._state.poll.due_ms = now_ms
         if isinstance(action, _FETCHES):
-            self._catch_up.retry_soon(now_ms)
+            self._state.catch_up.retry_soon(now_ms)
 
     def want_account(self, account: types.AccountId) -> bool:
         """Tell whether an account can be looked up; have it loaded if not.
@@ -379,7 +279,7 @@
         """
         if self.cfg.accounts.is_loaded(account):
             return True
-        self._chunks.want(account_table.find_chunk(account))
+        self._state.chunks.want(account_table.find_chunk(account))
         return False
 
     def make_offer(self, after: types.ConfigNumber) -> config_exchange.Offer:
@@ -387,7 +287,7 @@
 
         :param after: the peer's number.
         """
-        return self._held.make_offer(after)
+        return self._state.held.make_offer(after)
 
     # What the driver is to do.
 
@@ -397,159 +297,21 @@
         :param now_ms: the current time.
         """
         self._end_overdue(now_ms)
-        for plan in (
-            self._plan_announcement,
-            self._plan_catch_up,
-            self._plan_verification,
-            self._plan_watch,
-            self._plan_chunk,
-            self._plan_poll,
-        ):
-            action = plan(now_ms)
-            if action is not None:
-                return action
-        return config_actions.Wait(self._find_wake_ms(now_ms))
+        return config_plans.plan_next(self._state, now_ms)
 
     def _end_overdue(self, now_ms: float) -> None:
-        was_paused = now_ms - self._called_ms > self._options.pause_ms
+        was_paused = now_ms - self._called_ms > self._state.options.pause_ms
         self._called_ms = now_ms
-        for action in self._flights.take_overdue(now_ms):
+        for action in self._state.flights.take_overdue(now_ms):
             if was_paused:
-                self._flights.end(action)
+                self._state.flights.end(action)
             else:
                 self.on_failure(action, now_ms)
 
-    def _start(
-        self, action: config_actions.Action, now_ms: float
-    ) -> config_actions.Action:
-        self._flights.add(action, now_ms)
-        return action
-
-    def _plan_announcement(
-        self, now_ms: float
-    ) -> config_actions.Action | None:
-        if self._lagging:
-            peer, number = self._lagging.popitem()
-            return config_actions.Announce((peer,), self.make_offer(number))
-        peers = self._announcer.pick_peers(self.number, self._sources, now_ms)
-        if not peers:
-            return None
-        offer = self.make_offer(types.ConfigNumber(self.number - 1))
-        if offer.index is not None:
-            # Peers that miss more than one delta ask for what they miss.
-            offer = config_exchange.Offer(self.number)
-        return config_actions.Announce(peers, offer)
-
-    def _plan_catch_up(self, now_ms: float) -> config_actions.Action | None:
-        if not self.is_behind or not self._catch_up.is_due(now_ms):
-            return None
-        is_store_turn = self._catch_up.start_try(now_ms)
-        if is_store_turn or not self._catch_up.has_speaker:
-            action = self._ask_store_for_deltas(now_ms)
-            if action is not None:
-                return action
-        peer = self._catch_up.pick_peer(self._sources, now_ms)
-        if peer is not None:
-            return self._ask_peer(peer, now_ms)
-        return self._ask_store_for_deltas(now_ms)
-
-    def _ask_peer(self, peer: str, now_ms: float) -> config_actions.Action:
-        after = self._held.wanted_after
-        return self._start(config_actions.FetchFromPeer(peer, after), now_ms)
-
-    def _ask_store_for_deltas(
-        self, now_ms: float
-    ) -> config_actions.Action | None:
-        if not self._sources.is_store_usable(now_ms):
-            return None
-        if self._head is None or self._head.number <= self.number:
-            return self._ask_head(now_ms)
-        if self._flights.find(config_actions.FetchFromStore):
-            return None
-        action = config_actions.FetchFromStore(
-            self._head, self._held.wanted_after
-        )
-        return self._start(action, now_ms)
-
-    def _ask_head(self, now_ms: float) -> config_actions.Action | None:
-        if self._flights.find(config_actions.ReadHead):
-            return None
-        return self._start(config_actions.ReadHead(), now_ms)
-
-    def _plan_verification(
-        self, now_ms: float
-    ) -> config_actions.Action | None:
-        if not self.may_serve(now_ms):
-            self._verification.start(True, now_ms)
-        self._verification.end_if_done(self._confirmed_ms(now_ms))
-        is_needed = self._verification.is_under_way
-        if not is_needed or self._is_held_back(now_ms):
-            return None
-        if self._verification.pick_store(self._sources, now_ms):
-            action = self._ask_head(now_ms)
-            if action is not None:
-                return action
-        peer = self._verification.pick_witness(
-            self._fresh, self._sources, self._flights, now_ms
-        )
-        return self._ask_peer(peer, now_ms) if peer is not None else None
-
-    def _plan_watch(self, now_ms: float) -> config_actions.Action | None:
-        if self._wants_watch == self._is_watching:
-            return None
-        if not self._wants_watch:
-            self._is_watching = False
-            return config_actions.CloseWatch()
-        if not self._sources.is_store_usable(now_ms):
-            return None
-        self._is_watching = True
-        return config_actions.OpenWatch()
-
-    def _plan_chunk(self, now_ms: float) -> config_actions.Action | None:
-        if self._flights.find(config_actions.FetchChunk):
-            return None
-        action = self._chunks.plan(self.cfg.accounts, self._sources, now_ms)
-        return self._start(action, now_ms) if action is not None else None
-
-    def _plan_poll(self, now_ms: float) -> config_actions.Action | None:
-        if not self._poll.start(now_ms):
-            return None
-        if self._is_store_polled(now_ms):
-            action = self._ask_head(now_ms)
-            if action is not None:
-                return action
-        asked = {
-            action.peer
-            for action in self._flights.find(config_actions.FetchFromPeer)
-        }
-        drawn = self._sources.pick_peers(1, now_ms, asked)
-        return self._ask_peer(drawn[0], now_ms) if drawn else None
-
-    def _is_store_polled(self, now_ms: float) -> bool:
-        if not self._sources.is_store_usable(now_ms):
-            return False
-        return self._poll.is_store_turn(self._sources.size)
-
-    def _find_wake_ms(self, now_ms: float) -> float:
-        times = [
-            self._poll.due_ms,
-            self._flights.next_timeout_ms(),
-            self._announcer.next_ms(self.number, now_ms),
-            self._verification.next_ms(now_ms),
-        ]
-        if self.is_behind:
-            times.append(self._catch_up.next_ms())
-        return min(times)
-
-    def _confirm_by_head(self) -> None:
-        """Take the last read of the head as proof, once it is reached."""
-        if self._head is not None and self._head.number <= self.number:
-            self._fresh.on_store_answer(self._head_asked_ms)
-
     def _log_lower_head(
         self, head: config_store.Head, asked_ms: float
     ) -> None:
-        is_late = asked_ms <= self._held.installed_ms
+        is_late = asked_ms <= self._state.held.installed_ms
         if head.number >= self.number or is_late:
             return
         logger.error(
--- a/foxtailpick/tests/test_propagation.py
+++ b/foxtailpick/tests/test_propagation.py
@@ -18,6 +18,7 @@
 from foxtailpick.core import node_config
 from foxtailpick.core import poll_schedule
 from foxtailpick.core import propagation
+from foxtailpick.core import tracker_state
 from foxtailpick.core import types
 from foxtailpick.core import watchers
 
@@ -179,7 +180,7 @@
     tracker.on_head(head, 0.0, 5.0)
     tracker.hear(99, 'a', 10.0)
     assert tracker.check_admission(11.0) is VERIFY
-    limit_ms = propagation.TrackerOptions().behind_limit_ms
+    limit_ms = tracker_state.TrackerOptions().behind_limit_ms
     # Numbers that keep rising do not begin the time anew.
     tracker.hear(100, 'a', limit_ms / 2)
     tracker.on_head(head, 9.0 + limit_ms, 9.0 + limit_ms)
@@ -251,7 +252,7 @@
 
 
 def test_silent_node_finds_the_number_by_polling():
-    options = propagation.TrackerOptions(
+    options = tracker_state.TrackerOptions(
         announce=config_announcer.AnnouncerOptions(fanout=0, accept_fanout=0)
     )
     for is_down in (False, True):
