Run racing patches at random and check their history

Cause: that patches form one numbered order which respects real time shows only in concurrent runs under faults. A run without faults now fails if no patch is accepted. Change: a soak scenario with the real writer, store layout and node configuration over a store that is slow, refuses, loses and delays writes; four broken decisions of patches among the mutations.

--- /dev/null
+++ b/foxtailpick/bench/faulty_store.py
@@ -0,0 +1,101 @@
+"""A store that fails at random, for runs in virtual time."""
+
+import random
+import typing
+
+import trio
+
+from foxtailpick.adapters import base
+from foxtailpick.core import clock as clock_lib
+from foxtailpick.core import errors
+from foxtailpick.core import types
+from foxtailpick.core import verdict
+from foxtailpick.standins import keyvalue
+
+MAX_DELAY_MS = 20.0
+MAX_LATE_MS = 2_000.0
+
+
+class FaultyKeyValue(base.KeyValue):
+    """A store whose calls are slow, refused, lost, or late.
+
+    A write whose reply is lost takes effect at once, later or never.
+
+    :param state: the shared state.
+    :param rng: source of all picks.
+    :param fault_share: share of calls that meet a fault.
+    :param nursery: runs the writes that take effect later.
+    """
+
+    def __init__(
+        self,
+        state: keyvalue.KeyValueState,
+        rng: random.Random,
+        fault_share: float,
+        nursery: trio.Nursery,
+    ) -> None:
+        self._state = state
+        self._rng = rng
+        self._fault_share = fault_share
+        self._nursery = nursery
+
+    async def get(self, key: str) -> base.Entry | None:
+        await self._meet_read_fault()
+        return self._state.read(key)
+
+    async def get_prefix(self, prefix: str) -> list[base.Entry]:
+        await self._meet_read_fault()
+        return self._state.read_prefix(prefix)
+
+    async def transact(
+        self,
+        compares: typing.Sequence[base.Compare],
+        writes: typing.Sequence[base.Put | base.Delete],
+    ) -> base.TxnResult:
+        await self._meet_read_fault()
+        if self._rng.random() >= self._fault_share:
+            result = self._state.transact(compares, writes)
+            await self._wait(MAX_DELAY_MS)
+            return result
+        if self._rng.random() < 0.7:
+            self._nursery.start_soon(self._land_late, compares, writes)
+        await self._wait(MAX_DELAY_MS)
+        raise errors.StoreError(
+            errors.ErrorCode.STORE_OUTCOME_UNKNOWN,
+            'no reply',
+            verdict.Verdict.MAY_HAVE_RUN,
+        )
+
+    async def grant_lease(self, ttl_ms: float) -> types.LeaseId:
+        await self._meet_read_fault()
+        return self._state.grant_lease(ttl_ms)
+
+    async def keep_lease(self, lease: types.LeaseId) -> None:
+        await self._meet_read_fault()
+        self._state.keep_lease(lease)
+
+    async def revoke_lease(self, lease: types.LeaseId) -> None:
+        await self._meet_read_fault()
+        self._state.revoke_lease(lease)
+
+    def watch(self, prefix: str, after: types.Revision) -> typing.NoReturn:
+        raise NotImplementedError('random runs poll')
+
+    async def _land_late(
+        self,
+        compares: typing.Sequence[base.Compare],
+        writes: typing.Sequence[base.Put | base.Delete],
+    ) -> None:
+        is_soon = self._rng.random() < 0.5
+        await self._wait(MAX_DELAY_MS if is_soon else MAX_LATE_MS)
+        self._state.transact(compares, writes)
+
+    async def _meet_read_fault(self) -> None:
+        await self._wait(MAX_DELAY_MS)
+        if self._rng.random() < self._fault_share:
+            raise errors.StoreError(
+                errors.ErrorCode.STORE_UNAVAILABLE, 'the store is down'
+            )
+
+    async def _wait(self, max_ms: float) -> None:
+        await clock_lib.sleep_ms(self._rng.uniform(0.0, max_ms))
--- /dev/null
+++ b/foxtailpick/bench/patches_scenario.py
@@ -0,0 +1,193 @@
+"""Random runs of racing patches and of nodes that follow them."""
+
+import random
+
+import trio
+
+from foxtailpick.bench import faulty_store
+from foxtailpick.bench import virtual_time
+from foxtailpick.core import clock as clock_lib
+from foxtailpick.core import config_answers
+from foxtailpick.core import config_exchange
+from foxtailpick.core import config_store
+from foxtailpick.core import config_writer
+from foxtailpick.core import configuration
+from foxtailpick.core import errors
+from foxtailpick.core import invariants
+from foxtailpick.core import node_config
+from foxtailpick.core import types
+from foxtailpick import patch_history
+from foxtailpick.standins import keyvalue
+from foxtailpick import testing
+
+OPERATORS = 4
+NODES = 4
+PATCHES_EACH = 8
+SUBMISSIONS = 3
+THINK_MS = 400.0
+POLL_MS = 150.0
+FAULT_SHARES = (0.0, 0.1, 0.5)
+RUN_MS = 30_000.0
+LAST_POLLS = 3
+FIRST = """
+[domain kandy-a]
+region = central-hills
+[domain peradeniya-b]
+region = central-hills
+[partner a]
+share = 1
+"""
+PATCH = """
+[patch]
+base = {base}
+id = {patch}
+author = {operator}
+reason = soak
+[domain {operator}]
+region = region-{place}
+"""
+
+
+class _Run:
+    """One run: operators, nodes and the record of what they saw."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.fault_share = self.rng.choice(FAULT_SHARES)
+        self.clock = clock_lib.Clock.from_trio()
+        self.monitor = invariants.Monitor(is_strict=True)
+        self.state = keyvalue.KeyValueState(self.clock.now)
+        self.events: list[patch_history.PatchEvent] = []
+        self.nodes = {
+            f'n{place}': node_config.NodeConfig(f'n{place}', self.monitor)
+            for place in range(NODES)
+        }
+
+    async def perform(self) -> None:
+        await self._make_writer(keyvalue.MemoryKeyValue(self.state)).create(
+            configuration.Configuration.from_ini(FIRST)
+        )
+        with trio.move_on_after(RUN_MS / types.SECOND_MS):
+            async with trio.open_nursery() as nursery:
+                kv = faulty_store.FaultyKeyValue(
+                    self.state, self.rng, self.fault_share, nursery
+                )
+                for name in self.nodes:
+                    nursery.start_soon(self._follow, name, kv)
+                for place in range(OPERATORS):
+                    nursery.start_soon(self._operate, f'op{place}', kv)
+        await self._check_all_arrive()
+
+    def _make_writer(
+        self, kv: faulty_store.FaultyKeyValue | keyvalue.MemoryKeyValue
+    ) -> config_writer.ConfigWriter:
+        wall = clock_lib.Clock.from_wall()
+        return config_writer.ConfigWriter(kv, wall, self.rng)
+
+    async def _operate(
+        self, operator: str, kv: faulty_store.FaultyKeyValue
+    ) -> None:
+        for place in range(PATCHES_EACH):
+            await clock_lib.sleep_ms(self.rng.uniform(0.0, THINK_MS))
+            writer = self._make_writer(kv)
+            try:
+                found = await writer.reader.read_head()
+            except errors.StoreError:
+                continue
+            patch = types.PatchId(f'{operator}-{place}')
+            await self._submit(writer, operator, patch, found[0].number)
+
+    async def _submit(
+        self,
+        writer: config_writer.ConfigWriter,
+        operator: str,
+        patch: types.PatchId,
+        number: types.ConfigNumber,
+    ) -> None:
+        text = PATCH.format(
+            base=number,
+            patch=patch,
+            operator=operator,
+            place=self.rng.randint(1, 9),
+        )
+        self._record(patch_history.PatchInvoked, patch, number)
+        for _ in range(SUBMISSIONS):
+            answer = await writer.submit(text)
+            if answer.outcome is not config_answers.Outcome.UNKNOWN:
+                break
+        is_accepted = answer.outcome is config_answers.Outcome.ACCEPTED
+        self._record(
+            patch_history.PatchReturned,
+            patch,
+            answer.number if is_accepted else None,
+            answer.outcome is not config_answers.Outcome.UNKNOWN,
+            answer.code is errors.ErrorCode.PATCH_OUTDATED,
+        )
+
+    async def _follow(
+        self, name: str, kv: faulty_store.FaultyKeyValue
+    ) -> None:
+        node = self.nodes[name]
+        while True:
+            await clock_lib.sleep_ms(self.rng.uniform(0.0, POLL_MS))
+            if self.rng.random() < 0.5:
+                peer = self.rng.choice(list(self.nodes.values()))
+                offer = peer.make_offer(node.wanted_after)
+                # The answer is under way while both move on.
+                await clock_lib.sleep_ms(self.rng.uniform(0.0, POLL_MS))
+            else:
+                offer = await self._fetch(node, kv)
+            if offer is not None:
+                node.take(offer, self.clock.now())
+            self._see(name)
+
+    async def _fetch(
+        self,
+        node: node_config.NodeConfig,
+        kv: faulty_store.FaultyKeyValue | keyvalue.MemoryKeyValue,
+    ) -> config_exchange.Offer | None:
+        reader = config_store.ConfigReader(kv)
+        try:
+            head, _ = await reader.read_head()
+            return await reader.fetch_offer(head, node.wanted_after)
+        except errors.FoxtailError:
+            return None
+
+    async def _check_all_arrive(self) -> None:
+        kv = keyvalue.MemoryKeyValue(self.state)
+        for name, node in self.nodes.items():
+            for _ in range(LAST_POLLS):
+                offer = await self._fetch(node, kv)
+                if offer is not None:
+                    node.take(offer, self.clock.now())
+            self._see(name)
+        numbers = {node.number for node in self.nodes.values()}
+        if len(numbers) != 1:
+            raise AssertionError(f'nodes stay apart at {sorted(numbers)}')
+        if not self.fault_share and numbers == {1}:
+            raise AssertionError('no patch was accepted, and no fault met')
+
+    def _see(self, name: str) -> None:
+        number = self.nodes[name].number
+        if number:
+            self._record(patch_history.NumberSeen, name, number)
+
+    def _record(self, event_type: type, *fields: object) -> None:
+        self.events.append(event_type(float(len(self.events)), *fields))
+
+
+def run(seed: int) -> None:
+    """Run racing patches under faults.
+
+    :param seed: seed of all picks.
+    :raises AssertionError: if the record breaks a rule, or a node does not
+        arrive at the newest number.
+    """
+
+    async def main() -> list[patch_history.PatchEvent]:
+        one = _Run(seed)
+        await one.perform()
+        return one.events
+
+    events = virtual_time.run(main, seed)
+    testing.assert_patches(events, types.ConfigNumber(1))
--- a/foxtailpick/bench/soak.py
+++ b/foxtailpick/bench/soak.py
@@ -11,12 +11,14 @@
 from loguru import logger
 
 from foxtailpick.bench import claims_scenario
+from foxtailpick.bench import patches_scenario
 
 Run = typing.Callable[[int], None]
 
 # Add a line for each scenario: its name and its function of the seed.
 SCENARIOS: dict[str, Run] = {
     'claims': claims_scenario.run,
+    'patches': patches_scenario.run,
 }
 
 
--- a/foxtailpick/tests/test_mutations.py
+++ b/foxtailpick/tests/test_mutations.py
@@ -1,24 +1,34 @@
 """Deliberately broken decisions, each of which the checks must find."""
 
+import dataclasses
+
 import pytest
 
 from foxtailpick.adapters import base
 from foxtailpick.bench import claims_scenario
 from foxtailpick.bench import claims_world
+from foxtailpick.bench import patches_scenario
 from foxtailpick.core import attempts
 from foxtailpick.core import claim_errors
 from foxtailpick.core import claim_records
 from foxtailpick.core import claim_store
 from foxtailpick.core import claimed_attempts
 from foxtailpick.core import claims
+from foxtailpick.core import config_answers
+from foxtailpick.core import config_writer
 from foxtailpick.core import errors
 from foxtailpick.core import invariants
+from foxtailpick.core import node_config
+from foxtailpick.core import patches
 from foxtailpick.core import replay
 from foxtailpick.core import verdict
 from foxtailpick import history
+from foxtailpick.standins import keyvalue
 
 MAX_SEEDS = 400
+MAX_PATCH_SEEDS = 20
 SOUND_SEEDS = 100
+SOUND_PATCH_SEEDS = 8
 
 
 def drop_claim(patch):
@@ -147,6 +157,64 @@
     patch.setattr(attempts.AttemptTable, '_reopen', reopen)
 
 
+def skip_head_compare(patch):
+    def skip(self, compare):
+        return True
+
+    patch.setattr(keyvalue.KeyValueState, '_holds', skip)
+
+
+def merge_outdated_patch(patch):
+    async def merge(self, submitted, head):
+        found = await self.reader.read_head()
+        return await self._write(config_writer._Submission(submitted), *found)
+
+    patch.setattr(patches, 'check_base', lambda cfg, submitted: None)
+    patch.setattr(config_writer.ConfigWriter, '_answer_outdated', merge)
+
+
+def call_unknown_patch_rejected(patch):
+    def make(is_unsure, number, failure):
+        return config_answers.PatchAnswer(
+            config_answers.Outcome.REJECTED, number
+        )
+
+    patch.setattr(config_writer, 'MAX_TRIES', 1)
+    patch.setattr(config_answers, 'make_unknown', make)
+
+
+def let_number_go_back(patch):
+    original = node_config.NodeConfig.take
+
+    def take(self, offer, now_ms):
+        taken = original(self, offer, now_ms)
+        self.cfg = dataclasses.replace(self.cfg, number=offer.number)
+        return taken
+
+    patch.setattr(node_config.NodeConfig, 'take', take)
+
+
+@pytest.mark.parametrize(
+    'break_decision',
+    [
+        call_unknown_patch_rejected,
+        let_number_go_back,
+        merge_outdated_patch,
+        skip_head_compare,
+    ],
+)
+def test_broken_patches_are_found(monkeypatch, break_decision):
+    break_decision(monkeypatch)
+    with pytest.raises((AssertionError, ExceptionGroup)):
+        for seed in range(MAX_PATCH_SEEDS):
+            patches_scenario.run(seed)
+
+
+def test_sound_patches_pass():
+    for seed in range(SOUND_PATCH_SEEDS):
+        patches_scenario.run(seed)
+
+
 def test_sound_claims_pass():
     for seed in range(SOUND_SEEDS):
         claims_scenario.run(seed)
--- a/foxtailpick/tests/test_once.py
+++ b/foxtailpick/tests/test_once.py
@@ -24,6 +24,7 @@
     def __init__(self, monitor):
         self.attempts = attempts.AttemptTable('i1', monitor)
         self.pool = types.SimpleNamespace(load=0.0, mean=0.0)
+        self.slow = types.SimpleNamespace(state=None)
         self.faults = []
         self.first_tokens = 0
 
