Add leases, orders to endpoints and the schedule of loads

Cause: endpoints take orders to load models or change role; a holder paused past its lease must do no harm, also at endpoints that ignore fencing numbers, and the weight store bears few loads at once.

Ruled out: a leader that gives orders, since any node can change the wanted state of an endpoint by compare-and-swap; a standing lease of each sidecar on its slot, which at 1,000 sidecars and a lease of 10 s would cost the store 300 calls a second.

Change: the wanted state of an endpoint stands in the store under a number. Its sidecar holds the slot's lease only while it sends. It sends the lease's fencing number, only while the lease outlasts the longest flight of an order, and, where numbers are ignored, only after the longest flight of any order before. Loads reserve a span in one schedule.

Found on the way: a sleep that ended a rounding error early made a load miss its span; the wait now goes by the schedule's clock.

--- a/foxtailpick/standins/engine.py
+++ b/foxtailpick/standins/engine.py
@@ -13,6 +13,7 @@
 from foxtailpick.adapters import http
 from foxtailpick.core import types
 from foxtailpick.standins import engine_state
+from foxtailpick.standins import weights
 
 HTTP_BAD_REQUEST = 400
 HTTP_NOT_FOUND = 404
@@ -75,6 +76,8 @@
             await engine.apply_order(order)
         except engine_state.OrderFencedError as exc:
             return _make_problem(http.HTTP_CONFLICT, str(exc))
+        except weights.WeightsBusyError as exc:
+            return _make_problem(http.HTTP_UNAVAILABLE, str(exc))
         return responses.JSONResponse({'applied': True})
 
     return applications.Starlette(
--- a/foxtailpick/standins/engine_state.py
+++ b/foxtailpick/standins/engine_state.py
@@ -10,12 +10,12 @@
 import dataclasses
 import typing
 
-import trio
 import xxhash
 
 from foxtailpick.adapters import base
 from foxtailpick.core import clock as clock_lib
 from foxtailpick.core import types
+from foxtailpick.standins import weights as weights_lib
 
 
 @dataclasses.dataclass(slots=True)
@@ -142,13 +142,16 @@
 
     :param settings: how it behaves; may be changed while it runs.
     :param clock: the clock, by default that of the running trio loop.
+    :param weights: where models and adapters come from, None for at hand.
     """
 
     def __init__(
         self,
         settings: EngineSettings | None = None,
         clock: clock_lib.Clock | None = None,
+        weights: weights_lib.WeightStoreState | None = None,
     ) -> None:
+        self._weights = weights
         self.settings = settings or EngineSettings()
         self._clock = clock or clock_lib.Clock.from_trio()
         self._batch: list[Run] = []
@@ -266,7 +269,9 @@
     async def apply_order(self, order: base.Order) -> None:
         """Carry out an order.
 
+        :param order: the order.
         :raises OrderFencedError: if fencing is checked and it is outdated.
+        :raises weights.WeightsBusyError: if the weight store refuses.
         """
         is_outdated = order.fencing < self.highest_fencing
         if is_outdated and self.settings.is_checking_fencing:
@@ -277,7 +282,9 @@
         self.highest_fencing = max(self.highest_fencing, order.fencing)
         now_ms = self._clock.now()
         self.orders.append(AppliedOrder(order, now_ms, is_outdated))
-        await trio.sleep(self.settings.order_ms / types.SECOND_MS)
+        await clock_lib.sleep_ms(self.settings.order_ms)
+        if self._weights and order.kind is not base.OrderKind.SET_ROLE:
+            await self._weights.fetch()
         if order.kind is base.OrderKind.SET_ROLE:
             self.role = order.target
         else:
--- /dev/null
+++ b/foxtailpick/tests/test_orders.py
@@ -0,0 +1,263 @@
+"""Tests of wanted states and of the sender of orders, in virtual time."""
+
+import random
+
+import pytest
+import trio
+
+from foxtailpick.adapters import base
+from foxtailpick.core import errors
+from foxtailpick.core import order_applier
+from foxtailpick.core import orders
+from foxtailpick.core import verdict
+from foxtailpick.standins import engine_memory
+from foxtailpick.standins import engine_state
+from foxtailpick.standins import keyvalue
+
+Kind = base.OrderKind
+ENDPOINT = 'e1'
+PREFIX = '/t/'
+FLIGHT_MS = 2_000.0
+PAUSE_S = 60.0
+STEPS = 14
+
+
+class Process:
+    """A process that is paused before or after one of its calls."""
+
+    def __init__(self, paused_step=None):
+        self.steps = 0
+        self.paused_step = paused_step
+        self.wakes = 0.0
+        self.paused = trio.Event()
+
+    async def step(self):
+        self.steps += 1
+        if self.steps == self.paused_step:
+            self.wakes = trio.current_time() + PAUSE_S
+            self.paused.set()
+        await trio.sleep_until(max(self.wakes, trio.current_time()))
+
+    def wrap(self, target, names):
+        for name in names:
+            setattr(target, name, self._wrap_call(getattr(target, name)))
+        return target
+
+    def _wrap_call(self, call):
+        async def paused_call(*args):
+            await self.step()
+            result = await call(*args)
+            await self.step()
+            return result
+
+        return paused_call
+
+
+class LateEngine(engine_memory.MemoryEngine):
+    """Delivers an order after its flight, also for a sender that died."""
+
+    def __init__(self, state, nursery):
+        super().__init__(state)
+        self._nursery = nursery
+        self.is_sent = trio.Event()
+
+    async def send_order(self, order):
+        self.is_sent.set()
+        self._nursery.start_soon(self._deliver, order)
+        await trio.sleep(FLIGHT_MS / 1_000.0)
+
+    async def _deliver(self, order):
+        await trio.sleep(FLIGHT_MS / 1_000.0 - 0.1)
+        await super().send_order(order)
+
+
+@pytest.fixture
+def store():
+    return keyvalue.KeyValueState(lambda: trio.current_time() * 1_000.0)
+
+
+@pytest.fixture
+def book(store):
+    return orders.OrderBook(keyvalue.MemoryKeyValue(store), PREFIX)
+
+
+@pytest.fixture
+def make_applier(store, monitor):
+    def make(holder, engine, process=None, is_checking=True):
+        kv = keyvalue.MemoryKeyValue(store)
+        if process:
+            names = ['get', 'transact', 'grant_lease', 'keep_lease']
+            kv = process.wrap(kv, [*names, 'revoke_lease'])
+            engine = process.wrap(engine, ['send_order'])
+        return order_applier.OrderApplier(
+            ENDPOINT,
+            holder,
+            orders.OrderBook(kv, PREFIX),
+            kv,
+            engine,
+            None,
+            monitor,
+            random.Random(1),
+            order_applier.ApplyOptions(is_checking, FLIGHT_MS),
+        )
+
+    return make
+
+
+def make_state(is_checking):
+    settings = engine_state.EngineSettings(is_checking_fencing=is_checking)
+    return engine_state.EngineState(settings)
+
+
+async def set_role(book, role):
+    await book.issue(ENDPOINT, Kind.SET_ROLE, role, 'op', f'set-{role}')
+
+
+async def apply_until_done(applier):
+    while True:
+        try:
+            if await applier.apply_once():
+                return
+        except errors.StoreError:
+            await trio.sleep(5.0)
+
+
+def assert_no_old_order(state):
+    assert not any(item.is_outdated for item in state.orders)
+    targets = [item.order.target for item in state.orders]
+    assert targets == sorted(targets, key=['prefill', 'decode'].index)
+    assert state.role == 'decode'
+
+
+async def test_changes_add_up_and_are_not_repeated(autojump_clock, book):
+    await book.issue(ENDPOINT, Kind.LOAD_MODEL, 'm', 'op', 'c1')
+    await book.issue(ENDPOINT, Kind.LOAD_ADAPTER, 'a', 'op', 'c2')
+    again = await book.issue(ENDPOINT, Kind.LOAD_ADAPTER, 'a', 'op', 'c2')
+    assert again.number == 2
+    assert orders.plan_steps(again, orders.WantedState()) == [
+        orders.Step(Kind.LOAD_MODEL, 'm'),
+        orders.Step(Kind.LOAD_ADAPTER, 'a'),
+    ]
+
+
+@pytest.mark.parametrize('fault', ['lost_replies', 'lost_requests'])
+async def test_lost_store_reply_changes_once(
+    autojump_clock, store, book, fault
+):
+    setattr(store.faults, fault, 1)
+    await set_role(book, 'decode')
+    assert (await book.read(ENDPOINT)).number == 1
+
+
+async def test_store_down_was_not_issued(autojump_clock, store, book):
+    store.take_down()
+    with pytest.raises(errors.StoreError) as caught:
+        await set_role(book, 'decode')
+    assert caught.value.verdict is verdict.Verdict.NOT_RUN
+
+
+async def test_racing_issuers_both_land(autojump_clock, book):
+    async with trio.open_nursery() as nursery:
+        for model in ('m1', 'm2', 'm3'):
+            nursery.start_soon(
+                book.issue, ENDPOINT, Kind.LOAD_MODEL, model, 'op', model
+            )
+    wanted = await book.read(ENDPOINT)
+    assert wanted.models == {'m1', 'm2', 'm3'}
+    assert wanted.number == 3
+
+
+def test_corrupt_state_is_told():
+    with pytest.raises(errors.StoreError) as caught:
+        orders.WantedState.decode(b'\x01')
+    assert caught.value.code is errors.ErrorCode.CONFIG_CORRUPT
+
+
+async def test_steps_cover_every_call(autojump_clock, book, make_applier):
+    state = make_state(True)
+    process = Process()
+    await set_role(book, 'decode')
+    engine = engine_memory.MemoryEngine(state)
+    await apply_until_done(make_applier('a', engine, process))
+    assert STEPS <= process.steps < STEPS + 2
+    assert state.role == 'decode'
+
+
+@pytest.mark.parametrize('paused_step', range(1, STEPS + 1))
+async def test_paused_holder_is_fenced(
+    autojump_clock, book, make_applier, paused_step
+):
+    state = make_state(True)
+    process = Process(paused_step)
+    await set_role(book, 'prefill')
+    older, newer = (engine_memory.MemoryEngine(state) for _ in range(2))
+    async with trio.open_nursery() as nursery:
+        paused = make_applier('a', older, process)
+        nursery.start_soon(apply_until_done, paused)
+        await process.paused.wait()
+        await trio.sleep(15.0)
+        await set_role(book, 'decode')
+        await apply_until_done(make_applier('b', newer))
+        assert state.role == 'decode'
+    assert_no_old_order(state)
+
+
+@pytest.mark.parametrize('dead_step', range(1, STEPS + 1))
+async def test_late_order_of_a_dead_sidecar_comes_first(
+    autojump_clock, book, make_applier, dead_step
+):
+    """An endpoint that ignores fencing, with one sidecar a slot."""
+    state = make_state(False)
+    process = Process(dead_step)
+    await set_role(book, 'prefill')
+    async with trio.open_nursery() as network:
+        engine = LateEngine(state, network)
+        async with trio.open_nursery() as nursery:
+            dying = make_applier('a', engine, process, False)
+            nursery.start_soon(apply_until_done, dying)
+            with trio.move_on_after(PAUSE_S):
+                await process.paused.wait()
+            nursery.cancel_scope.cancel()
+        await set_role(book, 'decode')
+        quick = engine_memory.MemoryEngine(state)
+        await apply_until_done(make_applier('b', quick, is_checking=False))
+    assert_no_old_order(state)
+
+
+async def test_order_in_flight_at_a_stop_comes_first(
+    autojump_clock, book, make_applier
+):
+    """The lease is given up at the stop, before the order has arrived."""
+    state = make_state(False)
+    await set_role(book, 'prefill')
+    async with trio.open_nursery() as network:
+        late = LateEngine(state, network)
+        async with trio.open_nursery() as nursery:
+            stopped = make_applier('a', late, None, False)
+            nursery.start_soon(apply_until_done, stopped)
+            await late.is_sent.wait()
+            nursery.cancel_scope.cancel()
+        await set_role(book, 'decode')
+        quick = engine_memory.MemoryEngine(state)
+        await apply_until_done(make_applier('b', quick, is_checking=False))
+    assert_no_old_order(state)
+    assert len(state.orders) == 2
+
+
+async def test_unknown_outcome_keeps_the_lease_for_a_flight(
+    autojump_clock, book, make_applier
+):
+    class LostEngine(engine_memory.MemoryEngine):
+        async def send_order(self, order):
+            raise errors.RequestError(
+                errors.ErrorCode.ENDPOINT_FAILED,
+                'lost',
+                verdict.Verdict.MAY_HAVE_RUN,
+            )
+
+    await set_role(book, 'decode')
+    applier = make_applier('a', LostEngine(make_state(True)))
+    began = trio.current_time()
+    assert not await applier.apply_once()
+    assert trio.current_time() - began >= FLIGHT_MS / 1_000.0
+    assert applier.done.role == ''
