--- a/foxtailpick/standins/weights.py
+++ b/foxtailpick/standins/weights.py
@@ -26,9 +26,10 @@
         self.served = 0
         self.refused = 0
 
-    async def fetch(self) -> None:
+    async def fetch(self, load_ms: float | None = None) -> None:
         """Serve one load.
 
+        :param load_ms: how long it takes, by default as set.
         :raises WeightsBusyError: if the limit is reached.
         """
         if self.loading >= self.limit:
@@ -39,7 +40,7 @@
         self.loading += 1
         self.peak_loading = max(self.peak_loading, self.loading)
         try:
-            await clock.sleep_ms(self.load_ms)
+            await clock.sleep_ms(self.load_ms if load_ms is None else load_ms)
         finally:
             self.loading -= 1
         self.served += 1
