--- a/foxtailpick/bench/shares.py
+++ b/foxtailpick/bench/shares.py
@@ -17,7 +17,7 @@
 WINDOW_MS = 10.0 * types.SECOND_MS
 CHANGE_MS = 4 * WINDOW_MS
 END_MS = 7 * WINDOW_MS
-WAITING = 12
+WAITING = 60
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -84,7 +84,7 @@
     def finish(self, attempt):
         """Ignore the end of a request."""
 
-    def apply_shares(self, share_of):
+    def apply_shares(self, share_of, now_ms):
         """Ignore shares."""
 
 
@@ -115,18 +115,27 @@
         """Note the end of a request."""
         self._queue.finish(attempt)
 
-    def apply_shares(self, share_of):
+    def apply_shares(self, share_of, now_ms):
         """Put new shares in force."""
-        self._queue.apply_shares(share_of)
+        self._queue.apply_shares(share_of, now_ms)
 
 
-def make_ours(commit_tokens: float) -> MakeScheduler:
+def make_ours(commit_tokens: float, **fields: float) -> MakeScheduler:
     """Build a maker of our queue.
 
     :param commit_tokens: expected tokens charged ahead of generation.
+    :param fields: other options, see `fair_share.FairQueueOptions`; without
+        them nothing is paused or held back.
     """
+    unbounded = {
+        'pause_lead_tokens': float('inf'),
+        'max_unread_tokens': float('inf'),
+        'burst_tokens': 0.0,
+    }
     options = fair_share.FairQueueOptions(
-        max_entries=100_000, commit_tokens=commit_tokens
+        max_entries=100_000,
+        commit_tokens=commit_tokens,
+        **(unbounded | fields),
     )
 
     def make(share_of: share_tree.ShareLookup) -> fair_share.FairQueue:
@@ -135,19 +144,52 @@
     return make
 
 
-POLICIES: dict[str, MakeScheduler] = {
-    'FIFO': lambda share_of: Fifo(),
-    'request count': RequestCount,
-    'tokens, all charged at the start': make_ours(float('inf')),
-    'tokens, charged as generated': make_ours(0.0),
-    'tokens, 32 charged ahead': make_ours(32.0),
-    'tokens, 128 charged ahead': make_ours(128.0),
+DEFAULTS = {
+    field.name: field.default
+    for field in dataclasses.fields(fair_share.FairQueueOptions)
+    if field.name != 'max_entries'
+}
+PAUSING = make_ours(
+    **DEFAULTS | {'max_unread_tokens': float('inf'), 'burst_tokens': 0.0}
+)
+HOLDING = make_ours(**DEFAULTS | {'burst_tokens': 0.0})
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Policy:
+    """A way to share an endpoint.
+
+    :param make: makes its queue.
+    :param is_pausing: whether running requests are paused.
+    """
+
+    make: MakeScheduler
+    is_pausing: bool = False
+
+
+POLICIES = {
+    'FIFO': Policy(lambda share_of: Fifo()),
+    'request count': Policy(RequestCount),
+    'tokens, all charged at the start': Policy(make_ours(float('inf'))),
+    'tokens, charged as generated': Policy(make_ours(0.0)),
+    'tokens, 32 ahead': Policy(make_ours(32.0)),
+    'with pauses at a lead of 512': Policy(PAUSING, True),
+    'and 128 unread tokens': Policy(HOLDING, True),
+    'and a burst of 1024 (default)': Policy(make_ours(**DEFAULTS), True),
+    'and a burst of 2048': Policy(
+        make_ours(**DEFAULTS | {'burst_tokens': 2_048.0}), True
+    ),
 }
 
 
 def measure() -> list[tables.Table]:
     """Measure share errors and the effect of a surge."""
-    return [_measure_share_errors(), _measure_surge()]
+    return [
+        _measure_share_errors(),
+        _measure_surge(0.25, 0.25),
+        _measure_surge(0.25, 5.0),
+        _measure_surge(0.6, 0.6),
+    ]
 
 
 def _measure_share_errors() -> tables.Table:
@@ -161,10 +203,11 @@
             '10 s after change (pp)',
             '10-20 s after change (pp)',
             '20-30 s after change (pp)',
+            'pauses a second',
         ),
     )
-    for name, make in POLICIES.items():
-        windows = _run_backlogged(make)
+    for name, policy in POLICIES.items():
+        windows, pauses = _run_backlogged(policy)
         table.add_row(
             name,
             *(
@@ -177,29 +220,30 @@
                     (6, AFTER),
                 )
             ),
+            pauses / END_MS * types.SECOND_MS,
         )
     return table
 
 
-def _run_backlogged(make: MakeScheduler) -> list[collections.Counter]:
+def _run_backlogged(policy: Policy) -> tuple[list[collections.Counter], int]:
     rng = random.Random(SEED)
-    engine = batching.BatchingEngine(make(BEFORE.__getitem__), LIMIT)
+    engine = batching.BatchingEngine(
+        policy.make(BEFORE.__getitem__), LIMIT, policy.is_pausing
+    )
     waiting = collections.Counter()
     windows = [collections.Counter() for _ in range(int(END_MS / WINDOW_MS))]
     is_changed = False
     while engine.now_ms < END_MS:
         if not is_changed and engine.now_ms >= CHANGE_MS:
-            engine.scheduler.apply_shares(AFTER.__getitem__)
+            engine.scheduler.apply_shares(AFTER.__getitem__, engine.now_ms)
             is_changed = True
         _refill(engine, waiting, rng)
-        running = set(engine.running)
-        engine.admit()
-        for attempt in set(engine.running) - running:
-            waiting[engine.running[attempt].entry.account] -= 1
+        for job in engine.admit():
+            waiting[job.entry.account] -= not job.generated
         for served in engine.step():
             index = min(int(served.at_ms / WINDOW_MS), len(windows) - 1)
             windows[index][served.job.entry.account] += served.tokens
-    return windows
+    return windows, engine.pauses
 
 
 def _refill(
@@ -223,6 +267,7 @@
         account,
         prompt_tokens=prompt,
         expected_tokens=workload.generate_tokens,
+        is_pausable=True,
     )
     return batching.Job(entry, generate, now_ms, prompt)
 
@@ -251,35 +296,42 @@
     return 100 * max(errors)
 
 
-def _measure_surge() -> tables.Table:
+def _measure_surge(rate_per_s: float, before_per_s: float) -> tables.Table:
     table = tables.Table(
-        f'First token of an account at 6% of capacity while another account '
-        f'goes from 6% to 200%, {LIMIT} slots, seed {SEED}',
+        f'First token of nine accounts at {rate_per_s:g} requests a second '
+        f'each while the tenth goes from {before_per_s:g} to 16, '
+        f'{LIMIT} slots, seed {SEED}',
         (
             'policy',
             'p95 before (ms)',
             'p95 in surge (ms)',
             'p50 before (ms)',
             'p50 in surge (ms)',
+            'pauses a second',
         ),
     )
-    for name, make in POLICIES.items():
-        quiet = _run_open(make, 0.5)
-        surge = _run_open(make, 16.0)
+    for name, policy in POLICIES.items():
+        quiet, _ = _run_open(policy, rate_per_s, before_per_s)
+        surge, pauses = _run_open(policy, rate_per_s, 16.0)
         table.add_row(
             name,
             _find_quantile(quiet, 0.95),
             _find_quantile(surge, 0.95),
             _find_quantile(quiet, 0.5),
             _find_quantile(surge, 0.5),
+            pauses / (6 * WINDOW_MS) * types.SECOND_MS,
         )
     return table
 
 
-def _run_open(make: MakeScheduler, surge_rate_per_s: float) -> list[float]:
+def _run_open(
+    policy: Policy, rate_per_s: float, surge_rate_per_s: float
+) -> tuple[list[float], int]:
     rng = random.Random(SEED)
-    engine = batching.BatchingEngine(make(SURGE_SHARES.__getitem__), LIMIT)
-    rates = dict.fromkeys(SURGE_SHARES, 0.5)
+    engine = batching.BatchingEngine(
+        policy.make(SURGE_SHARES.__getitem__), LIMIT, policy.is_pausing
+    )
+    rates = dict.fromkeys(SURGE_SHARES, rate_per_s)
     rates['b1'] = surge_rate_per_s
     arrivals = _make_arrivals(rates, rng)
     first_tokens = []
@@ -292,9 +344,9 @@
             continue
         for served in engine.step():
             job = served.job
-            if job.generated == 1 and job.entry.account == 'a1':
+            if served.is_first_token and job.entry.account != 'b1':
                 first_tokens.append(served.at_ms - job.arrived_ms)
-    return first_tokens
+    return first_tokens, engine.pauses
 
 
 def _make_arrivals(
