--- a/foxtailpick/core/fair_share.py
+++ b/foxtailpick/core/fair_share.py
@@ -204,7 +204,8 @@
         :param now_ms: the current time.
         """
         served = self._work.record_generated(attempt, tokens)
-        self._rate.observe(now_ms, served, bool(self._accounts))
+        if served:
+            self._rate.observe(now_ms, served, bool(self._accounts))
 
     def finish(self, attempt: types.AttemptId) -> None:
         """End a running request and give back what it did not use.
