Measure refusals by deadline under overload

Cause: a request that cannot be answered in time must be refused at once, and must not take slots from those that can.

--- a/foxtailpick/bench/batching.py
+++ b/foxtailpick/bench/batching.py
@@ -93,10 +93,13 @@
         self.is_pausing = is_pausing
         self.pauses = 0
 
-    def submit(self, job: Job) -> None:
-        """Hand a request to the queue."""
+    def submit(self, job: Job) -> typing.Sequence[typing.Any]:
+        """Hand a request to the queue.
+
+        :returns: what the queue refuses.
+        """
         self.jobs[job.entry.attempt] = job
-        self.scheduler.enqueue(job.entry, self.now_ms)
+        return self.scheduler.enqueue(job.entry, self.now_ms)
 
     def admit(self) -> list[Job]:
         """Start waiting requests up to the limit, after pausing others.
