--- a/foxtailpick/demo/traffic.py
+++ b/foxtailpick/demo/traffic.py
@@ -120,8 +120,9 @@
             answer = await caller.ask(
                 deployment.MODEL, prompt, tokens, headers
             )
-        except (httpcore.NetworkError, httpcore.ProtocolError):
+        except (httpcore.NetworkError, httpcore.ProtocolError) as exc:
             self.tally.broken_chats += 1
+            self.tally.codes[f'connection lost, {exc!r}'] += 1
             return None
         if answer.problem:
             self._note_problem(answer.problem)
@@ -133,7 +134,10 @@
         expected = engine_state.expected_tokens(request, tokens)
         is_own = answer.is_whole and answer.texts == expected
         self.tally.chats += 1
-        self.tally.broken_chats += not is_own
+        if not is_own:
+            self.tally.broken_chats += 1
+            came = f'{len(answer.texts)} of {tokens} tokens'
+            self.tally.codes[f'{request}: {came}, end {answer.is_whole}'] += 1
         return answer
 
     async def _book(self, index: int) -> None:
@@ -152,8 +156,9 @@
             answer = await caller.call(
                 deployment.PLAIN_SERVICE, 'bookings', f'{{"k":"{key}"}}', key
             )
-        except (httpcore.NetworkError, httpcore.ProtocolError):
+        except (httpcore.NetworkError, httpcore.ProtocolError) as exc:
             self.tally.broken_chats += 1
+            self.tally.codes[f'connection lost, {exc!r}'] += 1
             return
         if 'verdict' not in answer.body:
             self.tally.bookings += 1
--- a/foxtailpick/node/config_driver.py
+++ b/foxtailpick/node/config_driver.py
@@ -66,6 +66,7 @@
         self._peers = peers
         self._clock = clock
         self._listeners: list[typing.Callable[[], None]] = []
+        self._report_listeners: list[typing.Callable[[], None]] = []
         self._shown = types.ConfigNumber(0)
         self._reported = trio.Event()
         self._nudged = trio.Event()
@@ -84,6 +85,14 @@
         """Call a function after each new number."""
         self._listeners.append(listener)
 
+    def on_report(self, listener: typing.Callable[[], None]) -> None:
+        """Call a function after each report, new number or not."""
+        self._report_listeners.append(listener)
+
+    def nudge(self) -> None:
+        """Ask the tracker again at once for what to do."""
+        self._nudged.set()
+
     def may_serve(self) -> bool:
         """Tell whether the node may report itself ready."""
         return self._tracker.may_serve(self._clock.now())
@@ -97,12 +106,12 @@
         :param peer: its sender, None if it cannot be asked.
         """
         if self._tracker.hear(number, peer, self._clock.now()):
-            self._report()
+            self.report()
 
-    def take(self, peer: str, offer: config_exchange.Offer) -> None:
+    def take(self, peer: str | None, offer: config_exchange.Offer) -> None:
         """Take an offer that a peer sent unasked."""
         self._tracker.on_offer(peer, offer, None, self._clock.now())
-        self._report()
+        self.report()
 
     def answer(self, after: types.ConfigNumber) -> config_exchange.Offer:
         """Return the answer to a peer that asks what follows a number."""
@@ -123,7 +132,7 @@
             self._tracker.on_accepted(answer.cfg, answer.delta, now_ms, urgent)
         elif answer.number is not None:
             self._tracker.hear(answer.number, None, now_ms)
-        self._report()
+        self.report()
 
     def set_peers(
         self,
@@ -133,7 +142,7 @@
     ) -> None:
         """Replace the peers, as `ConfigTracker.set_peers` does."""
         self._tracker.set_peers(peers, domain_nodes, listeners)
-        self._report()
+        self.report()
 
     async def wait_admitted(self, patience_ms: float) -> bool:
         """Hold new work until the number is confirmed.
@@ -180,9 +189,11 @@
         with trio.move_on_after(RECHECK_MS / types.SECOND_MS):
             await self._reported.wait()
 
-    def _report(self) -> None:
+    def report(self) -> None:
         """Wake whoever waits for a change of the tracker."""
         self._nudged.set()
+        for listener in self._report_listeners:
+            listener()
         self._reported.set()
         self._reported = trio.Event()
         if self._tracker.number == self._shown:
@@ -198,7 +209,7 @@
             name = type(action).__name__
             logger.info('CONFIG {} failed. {}', name, exc)
             self._tracker.on_failure(action, self._clock.now())
-        self._report()
+        self.report()
 
     async def _handle(self, action: config_actions.Action) -> None:
         if isinstance(action, config_actions.ReadHead):
@@ -256,7 +267,7 @@
                     if change.entry is not None:
                         head = config_store.Head.decode(change.entry.value)
                         self._tracker.on_watch(head, self._clock.now())
-                        self._report()
+                        self.report()
 
     async def _tell(self, peer: str, offer: config_exchange.Offer) -> None:
         try:
--- a/foxtailpick/node/config_node.py
+++ b/foxtailpick/node/config_node.py
@@ -1,8 +1,4 @@
-"""Keeps the configuration of a process at the newest number it can reach.
-
-The tracker decides what to ask and to tell; this module carries it out
-over the store and the links to peers.
-"""
+"""The configuration of a process: its driver, its peers, its listeners."""
 
 import random
 import typing
@@ -13,7 +9,6 @@
 from foxtailpick.adapters import base
 from foxtailpick.core import account_table
 from foxtailpick.core import clock as clock_lib
-from foxtailpick.core import config_actions
 from foxtailpick.core import config_answers
 from foxtailpick.core import config_exchange
 from foxtailpick.core import config_store
@@ -23,13 +18,11 @@
 from foxtailpick.core import messages
 from foxtailpick.core import propagation
 from foxtailpick.core import types
+from foxtailpick.node import config_driver
+from foxtailpick.node import link_peers
 from foxtailpick.node import links as links_lib
 
 ACCOUNT_WAIT_MS = 2_000.0
-# More deltas than this cost more reads than the whole index.
-MAX_STORE_DELTAS = 16
-
-Reply = typing.Callable[[messages.Message], None]
 
 
 class ConfigNode:
@@ -50,43 +43,30 @@
         monitor: invariants.Monitor,
         rng: random.Random,
     ) -> None:
-        self._node = node
         self.tracker = propagation.ConfigTracker(node, rng, monitor)
-        self.reader = config_store.ConfigReader(kv, keys)
         self.loaded = trio.Event()
+        self._node = node
         self._kv = kv
-        self._links: links_lib.LinkPool | None = None
+        self._reader = config_store.ConfigReader(kv, keys)
         self._clock = clock_lib.Clock.from_trio()
-        self._listeners: list[typing.Callable[[], None]] = []
-        self._reports: list[typing.Callable[[], None]] = []
         self._members: list[base.Member] = []
         self._domain = types.FailureDomainId('')
-        self._told: dict[str, Reply] = {}
-        self._asked_ms: dict[str, float] = {}
-        self._chunk_asked: dict[str, config_actions.FetchChunk] = {}
-        self._watch_scope = trio.CancelScope()
-        self._wake = trio.Event()
-        self._changed = trio.Event()
-        self._seen_number = types.ConfigNumber(0)
-        self._handlers = {
-            config_actions.ReadHead: self._read_head,
-            config_actions.FetchFromStore: self._fetch_from_store,
-            config_actions.FetchFromPeer: self._fetch_from_peer,
-            config_actions.FetchChunk: self._fetch_chunk,
-            config_actions.OpenWatch: self._watch,
-            config_actions.CloseWatch: self._close_watch,
-            config_actions.Announce: self._announce,
-        }
+        self._peers: link_peers.LinkPeers | None = None
+        self._driver: config_driver.ConfigDriver | None = None
+
+    def use_links(self, links: links_lib.LinkPool) -> None:
+        """Set the links over which peers are asked, before `run`."""
+        self._peers = link_peers.LinkPeers(links)
+        self._driver = config_driver.ConfigDriver(
+            self.tracker, self._reader, self._kv, self._peers, self._clock
+        )
+        self._driver.on_change(self.loaded.set)
 
     @property
     def current(self) -> configuration.Configuration:
         """The configuration in force."""
         return self.tracker.cfg
 
-    def read(self) -> configuration.Configuration:
-        """Return the configuration in force."""
-        return self.tracker.cfg
-
     def read_number(self) -> types.ConfigNumber:
         """Return its number, which rides on every frame."""
         return self.tracker.number
@@ -97,23 +77,18 @@
 
     def check_admission(self) -> propagation.Admission:
         """Tell whether new work may be admitted now."""
-        before = self._seen_number
         admission = self.tracker.check_admission(self._clock.now())
-        if admission is not propagation.Admission.ADMIT or before == 0:
-            self._wake.set()
+        if self._driver is not None:
+            self._driver.nudge()
         return admission
 
-    def use_links(self, links: links_lib.LinkPool) -> None:
-        """Set the links over which peers are asked."""
-        self._links = links
-
     def on_change(self, listener: typing.Callable[[], None]) -> None:
-        """Call a function after each change."""
-        self._listeners.append(listener)
+        """Call a function after each new number."""
+        self._driver.on_change(listener)
 
     def on_report(self, listener: typing.Callable[[], None]) -> None:
-        """Call a function after each answer, changed or not."""
-        self._reports.append(listener)
+        """Call a function after each answer, new number or not."""
+        self._driver.on_report(listener)
 
     def update_members(
         self, members: list[base.Member], domain: types.FailureDomainId
@@ -137,14 +112,14 @@
                 return member.address
         return None
 
-    def add_listener(self, name: str, reply: Reply) -> None:
+    def add_listener(self, name: str, send: link_peers.Send) -> None:
         """Register a router with an open connection, to be told."""
-        self._told[name] = reply
+        self._peers.add_listener(name, send)
         self._refresh_peers()
 
     def drop_listener(self, name: str) -> None:
         """Remove a router whose connection is gone."""
-        self._told.pop(name, None)
+        self._peers.drop_listener(name)
         self._refresh_peers()
 
     def hear(
@@ -155,21 +130,33 @@
         :param number: number in force at the sender.
         :param peer: address at which the sender can be asked.
         """
-        if self.tracker.hear(number, peer, self._clock.now()):
-            self._wake.set()
+        self._driver.hear(number, peer)
 
     def on_accepted(self, answer: config_answers.PatchAnswer) -> None:
-        """Put in force what this process itself got accepted."""
-        if answer.cfg is not None and answer.delta is not None:
-            self.tracker.on_accepted(
-                answer.cfg, answer.delta, self._clock.now()
-            )
-        elif answer.number is not None:
-            self.hear(answer.number)
-        self._note_change()
+        """Put in force what this process itself got accepted.
+
+        Sidecars of a failure domain that the patch concerns are told in
+        any case.
+        """
+        changed = set()
+        if answer.delta is not None:
+            changed = {
+                change.name
+                for change in answer.delta.changes
+                if change.kind == 'domain'
+            }
+        urgent = [
+            member.address
+            for member in self._members
+            if member.domain in changed
+        ]
+        self._driver.take_answer(answer, urgent)
 
     def on_message(
-        self, message: messages.Message, peer: str | None, reply: Reply
+        self,
+        message: messages.Message,
+        peer: str | None,
+        reply: link_peers.Send,
     ) -> None:
         """Take a message about the configuration.
 
@@ -178,7 +165,7 @@
         :param reply: sends an answer to the sender.
         """
         if isinstance(message, messages.ConfigWanted):
-            offer = self.tracker.make_offer(message.after)
+            offer = self._driver.answer(message.after)
             reply(messages.ConfigOffer(offer.number, offer.encode()))
         elif isinstance(message, messages.ConfigOffer):
             self._on_offer(message, peer)
@@ -187,7 +174,9 @@
         elif isinstance(message, messages.ChunkOffer):
             self._on_chunk_offer(message, peer)
 
-    def ask_for_account(self, account: types.AccountId, send: Reply) -> None:
+    def ask_for_account(
+        self, account: types.AccountId, send: link_peers.Send
+    ) -> None:
         """Ask a router that knows an account for its chunk.
 
         :param account: the account, which is not loaded here.
@@ -204,9 +193,7 @@
         :raises errors.ConfigError: if it cannot be loaded in time.
         """
         with trio.move_on_after(ACCOUNT_WAIT_MS / types.SECOND_MS):
-            while not self.tracker.want_account(account):
-                self._wake.set()
-                await self._changed.wait()
+            await self._driver.load_account(account)
             return
         raise errors.ConfigError(
             errors.ErrorCode.CONFIG_UNAVAILABLE,
@@ -216,44 +203,8 @@
         )
 
     async def run(self) -> None:
-        """Do what the tracker decides, for ever."""
-        async with trio.open_nursery() as nursery:
-            while True:
-                action = self.tracker.next_action(self._clock.now())
-                if isinstance(action, config_actions.Wait):
-                    await self._wait_until(action.until_ms)
-                else:
-                    nursery.start_soon(self._carry_out, action)
-
-    async def _wait_until(self, until_ms: float) -> None:
-        with trio.move_on_at(until_ms / types.SECOND_MS):
-            await self._wake.wait()
-        self._wake = trio.Event()
-
-    async def _carry_out(self, action: config_actions.Action) -> None:
-        try:
-            await self._handlers[type(action)](action)
-        except (
-            errors.StoreError,
-            errors.ConfigError,
-            errors.LinkError,
-        ) as exc:
-            logger.debug('CONFIG {} failed. {}', type(action).__name__, exc)
-            self.tracker.on_failure(action, self._clock.now())
-        self._note_change()
-
-    def _note_change(self) -> None:
-        self._wake.set()
-        self._changed.set()
-        self._changed = trio.Event()
-        for listener in self._reports:
-            listener()
-        if self.tracker.number == self._seen_number:
-            return
-        self._seen_number = self.tracker.number
-        self.loaded.set()
-        for listener in self._listeners:
-            listener()
+        """Follow the newest number, for ever."""
+        await self._driver.run()
 
     def _refresh_peers(self) -> None:
         nearby = [
@@ -261,47 +212,12 @@
             for member in self._members
             if member.domain == self._domain
         ]
-        self.tracker.set_peers(
-            [
-                member.address
-                for member in self._members
-                if member.endpoint != self._node
-            ],
-            nearby,
-            list(self._told),
-        )
-
-    async def _read_head(self, action: config_actions.ReadHead) -> None:
-        asked_ms = self._clock.now()
-        found = await self.reader.read_head()
-        head = found[0] if found else None
-        self.tracker.on_head(head, asked_ms, self._clock.now())
-
-    async def _fetch_from_store(
-        self, action: config_actions.FetchFromStore
-    ) -> None:
-        asked_ms = self._clock.now()
-        offer = await self._read_offer(action.head, action.after)
-        self.tracker.on_offer(None, offer, asked_ms, self._clock.now())
-
-    async def _read_offer(
-        self, head: config_store.Head, after: types.ConfigNumber
-    ) -> config_exchange.Offer:
-        missing = head.number - after
-        if 0 < after and missing <= MAX_STORE_DELTAS:
-            deltas = await self.reader.read_history(head.number, missing)
-            if len(deltas) == missing:
-                raws = tuple(delta.encode() for delta in deltas)
-                return config_exchange.Offer(head.number, raws)
-        index = await self.reader.read_chunk(head.index_hash)
-        return config_exchange.Offer(head.number, index=index)
-
-    async def _fetch_from_peer(
-        self, action: config_actions.FetchFromPeer
-    ) -> None:
-        link = await self._links.acquire(action.peer)
-        self._asked_ms[action.peer] = self._clock.now()
-        link.send_soon(messages.ConfigWanted(action.after))
+        addresses = [
+            member.address
+            for member in self._members
+            if member.endpoint != self._node
+        ]
+        self._driver.set_peers(addresses, nearby, self._peers.listeners)
 
     def _on_offer(
         self, message: messages.ConfigOffer, peer: str | None
@@ -311,25 +227,15 @@
         except errors.ConfigError as exc:
             logger.warning('CONFIG offer dropped. {}', exc)
             return
-        asked_ms = self._asked_ms.pop(peer, None) if peer else None
-        self.tracker.on_offer(peer, offer, asked_ms, self._clock.now())
-        self._note_change()
-
-    async def _fetch_chunk(self, action: config_actions.FetchChunk) -> None:
-        if action.peer is None:
-            raw = await self.reader.read_chunk(action.digest)
-            self.tracker.on_chunk(action.index, raw)
-            return
-        link = await self._links.acquire(action.peer)
-        self._chunk_asked[action.peer] = action
-        link.send_soon(messages.ChunkWanted(action.index, action.digest))
+        if not self._peers.take_answer(peer, None, offer):
+            self._driver.take(peer, offer)
 
     def _make_chunk_offer(
         self, message: messages.ChunkWanted
     ) -> messages.ChunkOffer:
         table = self.current.accounts
         is_known = 0 <= message.index < len(table.hashes)
-        is_held = is_known and message.index not in table.find_unloaded()
+        is_held = is_known and table.is_chunk_loaded(message.index)
         if is_held and table.hashes[message.index] == message.digest:
             raw = table.read_chunk(message.index)
             return messages.ChunkOffer(message.index, raw)
@@ -338,43 +244,9 @@
     def _on_chunk_offer(
         self, message: messages.ChunkOffer, peer: str | None
     ) -> None:
-        action = self._chunk_asked.pop(peer, None) if peer else None
-        if message.payload:
-            # The content hash tells whether it is the chunk in force.
-            self.tracker.on_chunk(message.index, message.payload)
-        elif action is not None:
-            self.tracker.on_failure(action, self._clock.now())
-        self._note_change()
-
-    async def _watch(self, action: config_actions.OpenWatch) -> None:
-        self._watch_scope = trio.CancelScope()
-        with self._watch_scope:
-            key = self.reader.keys.head
-            async with self._kv.watch(key, base.ABSENT) as changes:
-                async for change in changes:
-                    if change.entry is None:
-                        continue
-                    head = config_store.Head.decode(change.entry.value)
-                    self.tracker.on_watch(head, self._clock.now())
-                    self._note_change()
-
-    async def _close_watch(self, action: config_actions.CloseWatch) -> None:
-        self._watch_scope.cancel()
-
-    async def _announce(self, action: config_actions.Announce) -> None:
-        offer = action.offer
-        message = messages.ConfigOffer(offer.number, offer.encode())
-        async with trio.open_nursery() as nursery:
-            for peer in action.peers:
-                nursery.start_soon(self._tell, peer, message)
-
-    async def _tell(self, peer: str, message: messages.ConfigOffer) -> None:
-        if peer in self._told:
-            self._told[peer](message)
-            return
-        try:
-            link = await self._links.acquire(peer)
-        except errors.LinkError as exc:
-            logger.debug('CONFIG not told to {}. {}', peer, exc)
+        raw = message.payload
+        if self._peers.take_answer(peer, message.index, raw) or not raw:
             return
-        link.send_soon(message)
+        # The content hash tells whether it is the chunk in force.
+        self.tracker.on_chunk(message.index, raw)
+        self._driver.report()
--- a/foxtailpick/router/app.py
+++ b/foxtailpick/router/app.py
@@ -73,7 +73,33 @@
         routing.Route(CHAT_PATH, guard(complete_chat), methods=['POST']),
         *health.make_routes(lambda: is_ready(ctx)),
     ]
-    return applications.Starlette(routes=routes)
+    return _count_requests(ctx, applications.Starlette(routes=routes))
+
+
+def _count_requests(
+    ctx: context_lib.RouterContext, app: typing.Any
+) -> typing.Any:
+    """Count requests from their first byte, before anything is awaited.
+
+    A router that stops waits for all of them: also for one whose body or
+    account is still being read.
+    """
+
+    async def serve(
+        scope: typing.Any,
+        receive: typing.Callable,
+        send: typing.Callable,
+    ) -> None:
+        if scope['type'] != 'http':
+            await app(scope, receive, send)
+            return
+        ctx.open_requests += 1
+        try:
+            await app(scope, receive, send)
+        finally:
+            ctx.open_requests -= 1
+
+    return serve
 
 
 def is_ready(ctx: context_lib.RouterContext) -> bool:
--- a/foxtailpick/router/context.py
+++ b/foxtailpick/router/context.py
@@ -25,6 +25,7 @@
 from foxtailpick.router import metrics as metrics_lib
 
 STOP_POLL_MS = 10.0
+LAST_WORD_MS = 1_000.0
 HINT_LIFE_MS = 10 * types.MINUTE_MS
 
 
@@ -64,6 +65,7 @@
     )
     is_stopping: bool = False
     active: set[trio.CancelScope] = dataclasses.field(default_factory=set)
+    open_requests: int = 0
 
     def __post_init__(self) -> None:
         """Create the budget from the options."""
@@ -92,12 +94,13 @@
         """
         self.is_stopping = True
         with trio.move_on_after(limit_ms / types.SECOND_MS):
-            while self.active:
+            while self.open_requests:
                 await clock_lib.sleep_ms(STOP_POLL_MS)
         for scope in list(self.active):
             scope.cancel()
-        while self.active:
-            await clock_lib.sleep_ms(STOP_POLL_MS)
+        with trio.move_on_after(LAST_WORD_MS / types.SECOND_MS):
+            while self.open_requests:
+                await clock_lib.sleep_ms(STOP_POLL_MS)
 
     def make_hint(
         self, endpoint: types.EndpointId, incarnation: types.Incarnation
--- a/foxtailpick/sidecar/connections.py
+++ b/foxtailpick/sidecar/connections.py
@@ -297,7 +297,8 @@
         if scope.cancelled_caught:
             await self._send_accepted(run)
         elif run.buffer.next_number > 1:
-            await clock_lib.sleep_ms(JOIN_MS)
+            with trio.move_on_after(JOIN_MS / types.SECOND_MS):
+                await run.ended.wait()
 
     def _make_chunks(
         self, run: runs.Run, chunks: list[replay.Chunk]
--- a/foxtailpick/sidecar/gate.py
+++ b/foxtailpick/sidecar/gate.py
@@ -11,7 +11,6 @@
 
 from foxtailpick.core import account_queue
 from foxtailpick.core import attempts as attempts_lib
-from foxtailpick.core import clock as clock_lib
 from foxtailpick.core import configuration
 from foxtailpick.core import errors
 from foxtailpick.core import fair_share
@@ -134,8 +133,7 @@
 
     def apply_config(self) -> None:
         """Put a new configuration in force for what waits and runs."""
-        now_ms = clock_lib.Clock.from_trio().now()
-        self._queue.apply_shares(self.find_share, now_ms)
+        self._queue.apply_shares(self.find_share)
         self._forget_idle_shares()
 
     def admit(
--- a/foxtailpick/sidecar/runs.py
+++ b/foxtailpick/sidecar/runs.py
@@ -37,6 +37,7 @@
     )
     follower: trio.CancelScope | None = None
     changed: trio.Event = dataclasses.field(default_factory=trio.Event)
+    ended: trio.Event = dataclasses.field(default_factory=trio.Event)
 
     @property
     def held_bytes(self) -> int:
@@ -60,6 +61,7 @@
         self.work = dataclasses.replace(self.work, body=b'')
         self.end = end
         self.ended_ms = now_ms
+        self.ended.set()
         self.notify()
 
     def acknowledge(self, sequence: int) -> None:
--- a/foxtailpick/sidecar/worker.py
+++ b/foxtailpick/sidecar/worker.py
@@ -204,12 +204,16 @@
         self, run: runs.Run, started: gate_lib.Started
     ) -> messages.Finished:
         call = _make_chat_call(run.work)
+        last: base.TokenChunk | None = None
         async with self._engine.stream_chat(call) as chunks:
+            # Read to the closing mark, so that the connection is kept.
             async for chunk in chunks:
                 if chunk.text:
                     await self._keep_chunk(run, started, chunk)
                 if chunk.finish_reason is not None:
-                    return self._finish_stream(run, started, chunk)
+                    last = chunk
+        if last is not None:
+            return self._finish_stream(run, started, last)
         raise errors.RequestError(
             errors.ErrorCode.ENDPOINT_FAILED,
             'expected a closing chunk from the engine, got none; resume',
--- a/foxtailpick/standins/caller.py
+++ b/foxtailpick/standins/caller.py
@@ -87,6 +87,8 @@
             'messages': [{'role': 'user', 'content': prompt}],
             'max_tokens': max_tokens,
             'stream': True,
+            # Read by an engine that is asked without a router.
+            'request_id': (headers or {}).get('foxtailpick-request', ''),
         }
         async with self._open(
             'POST', '/v1/chat/completions', json.dumps(body), headers
