Check hints against the request and keep the mean by service

Cause: a hint names a peer drawn at random, which may lie outside the endpoint set of the client account or in a failure domain out of service; the router checked only that it is a member. The router's mean also mixed all services, and averaged what sidecars think instead of their loads, so that sidecars without gossip would have confirmed each other. Change: hints go through the same checks as candidates; the mean is per service, from loads of the last 3 s. The router remembers where a refused chat went.

--- a/foxtailpick/bench/load.py
+++ b/foxtailpick/bench/load.py
@@ -128,7 +128,6 @@
         self.table = _build_table(self.names)
         self.views = [load_view.LoadView() for _ in range(fleet.routers)]
         self.seen = [{} for _ in range(fleet.routers)]
-        self.recent = [_RecentLoads() for _ in range(fleet.routers)]
         self.total = 0.0
         self.result = Result()
         self._orders: dict[str, tuple[str, ...]] = {}
@@ -273,27 +272,6 @@
         self.result.ratios.append(loads[int(0.99 * len(loads))] / mean)
 
 
-class _RecentLoads:
-    """The loads that a router saw lately, the newest of each engine."""
-
-    def __init__(self) -> None:
-        self._loads: dict[str, tuple[float, float]] = {}
-
-    def add(self, name: str, load: float, now_ms: float) -> None:
-        self._loads.pop(name, None)
-        self._loads[name] = (load, now_ms)
-
-    def average(self, now_ms: float) -> float:
-        oldest_ms = now_ms - mean_estimate.SAMPLE_LIFE_MS
-        while self._loads:
-            name = next(iter(self._loads))
-            if self._loads[name][1] >= oldest_ms:
-                break
-            del self._loads[name]
-        loads = [load for load, _at_ms in self._loads.values()]
-        return sum(loads) / len(loads) if loads else 0.0
-
-
 class _ZipfChats:
     def __init__(self, count: int) -> None:
         weights = (rank**-ZIPF_EXPONENT for rank in range(1, count + 1))
@@ -380,7 +358,6 @@
 
     def run(sim: Simulation, arrival: Arrival) -> Engine | None:
         view = sim.views[arrival.router]
-        recent = sim.recent[arrival.router]
         full = view.list_full(arrival.now_ms) if avoids_full else {}
         order = list(arrival.order)
         place = view.get_place(arrival.chat, arrival.now_ms)
@@ -393,14 +370,13 @@
             if uses_truth:
                 engine.mean.observe_router_view(sim.mean, arrival.now_ms)
             elif uses_view:
-                mean = recent.average(arrival.now_ms)
+                mean = view.get_mean_tokens('svc', arrival.now_ms) or 0.0
                 engine.mean.observe_router_view(mean, arrival.now_ms)
             made = engine.bound.admit(
                 arrival.number, None, arrival.cost, waiting
             )
             sim.count_try(MEAN_BYTES + ADMISSION_BYTES)
-            view.observe(name, made, arrival.now_ms)
-            recent.add(name, made.load_tokens, arrival.now_ms)
+            view.observe('svc', name, made, arrival.now_ms)
             if made.is_admitted:
                 if place is not None or name != order[0]:
                     hint = decision.LocationHint(name, 'inc')
--- a/foxtailpick/core/load_view.py
+++ b/foxtailpick/core/load_view.py
@@ -14,11 +14,11 @@
 FULL_LIFE_MS = 500.0
 MAX_PLACES = 1_000
 PLACE_LIFE_MS = 5_000.0
-SEEN_LIFE_MS = 10_000.0
+SEEN_LIFE_MS = 3_000.0
 
 
 class LoadView:
-    """Last seen loads by endpoint, with their ages.
+    """Last seen loads by service and endpoint, with their ages.
 
     :param full_life_ms: how long an endpoint that refused is avoided.
     """
@@ -27,22 +27,27 @@
         self._full_life_ms = full_life_ms
         self._full_until_ms: dict[types.EndpointId, float] = {}
         self._places: dict[str, tuple[decision_lib.LocationHint, float]] = {}
-        self._seen: dict[types.EndpointId, tuple[float, float]] = {}
+        self._seen: dict[
+            types.ServiceId, dict[types.EndpointId, tuple[float, float]]
+        ] = {}
 
     def observe(
         self,
+        service: types.ServiceId,
         endpoint: types.EndpointId,
         admission: load_bound.Admission,
         now_ms: float,
     ) -> None:
         """Take over what a reply or refusal says.
 
+        :param service: the service of the endpoint.
         :param endpoint: who gave it.
         :param admission: what it carries.
         :param now_ms: the current time.
         """
-        self._seen.pop(endpoint, None)
-        self._seen[endpoint] = (admission.mean_tokens, now_ms)
+        seen = self._seen.setdefault(service, {})
+        seen.pop(endpoint, None)
+        seen[endpoint] = (admission.load_tokens, now_ms)
         if admission.is_admitted:
             self._full_until_ms.pop(endpoint, None)
         else:
@@ -92,26 +97,31 @@
         full = decision_lib.PassReason.FULL
         return dict.fromkeys(self._full_until_ms, full)
 
-    def get_mean_tokens(self, now_ms: float) -> float | None:
-        """Return the mean that endpoints told last, None if none is fresh.
+    def get_mean_tokens(
+        self, service: types.ServiceId, now_ms: float
+    ) -> float | None:
+        """Return the mean of the loads seen lately, None if there are none.
 
-        Rides on requests, for a sidecar that hears no peer.
+        Rides on requests, for a sidecar that hears no peer. Refusals count
+        as well: without them the mean would cover only endpoints that
+        admit, be too low, and make more of them refuse.
 
+        :param service: the service asked for.
         :param now_ms: the current time.
         """
         self._forget_old(now_ms)
-        if not self._seen:
+        seen = self._seen.get(service)
+        if not seen:
             return None
-        means = [mean for mean, _at_ms in self._seen.values()]
-        return sum(means) / len(means)
+        return sum(load for load, _at_ms in seen.values()) / len(seen)
 
     def _forget_old(self, now_ms: float) -> None:
         _drop_first_while(
             self._full_until_ms, lambda until_ms: until_ms <= now_ms
         )
-        _drop_first_while(
-            self._seen, lambda seen: seen[1] <= now_ms - SEEN_LIFE_MS
-        )
+        oldest_ms = now_ms - SEEN_LIFE_MS
+        for seen in self._seen.values():
+            _drop_first_while(seen, lambda entry: entry[1] <= oldest_ms)
 
 
 def _drop_first_while(
--- a/foxtailpick/router/attempts.py
+++ b/foxtailpick/router/attempts.py
@@ -8,6 +8,7 @@
 import dataclasses
 import typing
 
+from foxtailpick.core import candidates
 from foxtailpick.core import clock as clock_lib
 from foxtailpick.core import decision as decision_lib
 from foxtailpick.core import errors
@@ -108,6 +109,8 @@
         tried.add(endpoint)
         ctx.metrics.count('tries')
         try:
+            if refusals:
+                ctx.fleet.remember_place(route.key, endpoint)
             return await try_endpoint(Try(endpoint, tuple(left)))
         except (errors.RefusedError, errors.LinkError) as exc:
             route.note(exc.verdict)
@@ -115,7 +118,7 @@
             if _is_final(exc) or not route.may_try_again:
                 raise
             refusals.append(exc)
-            left = _put_hints_first(ctx, left, tried, exc)
+            left = _put_hints_first(ctx, route, left, tried, exc)
         except errors.FoxtailError as exc:
             route.note(exc.verdict)
             raise
@@ -124,17 +127,19 @@
 
 def _put_hints_first(
     ctx: context_lib.RouterContext,
+    route: Route,
     left: list[types.EndpointId],
     tried: set[types.EndpointId],
     exc: errors.FoxtailError,
 ) -> list[types.EndpointId]:
-    hints = getattr(exc, 'hints', ())
-    usable = [
-        hint
-        for hint in hints
-        if hint not in tried and ctx.fleet.table.get_member(hint) is not None
-    ]
-    return usable + [item for item in left if item not in usable]
+    hints = [e for e in getattr(exc, 'hints', ()) if e not in tried]
+    if not hints:
+        return left
+    req = ctx.make_placement_request(
+        route.caller, route.key, route.service, route.model
+    )
+    table = ctx.fleet.table
+    return candidates.order_after_refusal(table, req, left, hints)
 
 
 def _note_hop(
--- a/foxtailpick/router/calls.py
+++ b/foxtailpick/router/calls.py
@@ -81,7 +81,9 @@
             is_idempotent=job.is_idempotent,
             content_type=job.content_type,
             deadline_ms=job.caller.deadline_ms - now_ms,
-            mean_load=self._ctx.fleet.loads.get_mean_tokens(now_ms),
+            mean_load=self._ctx.fleet.loads.get_mean_tokens(
+                job.service, now_ms
+            ),
             candidates=attempt_at.candidates,
             body=job.body,
         )
--- a/foxtailpick/router/chats.py
+++ b/foxtailpick/router/chats.py
@@ -135,9 +135,7 @@
                 replay.ResumePoint(attempt), self._ctx.monitor
             ),
         )
-        opening = self._make_opening(
-            job, attempt, progress.tokens, attempt_at.candidates
-        )
+        opening = self._make_opening(job, attempt, progress, attempt_at)
         end = await self._follower.run(followed, opening, progress.deliver)
         return progress.make_end(followed.incarnation, end)
 
@@ -145,8 +143,8 @@
         self,
         job: jobs.ChatJob,
         attempt: types.AttemptId,
-        resume_from: int,
-        candidates: tuple[types.EndpointId, ...],
+        progress: '_Progress',
+        attempt_at: attempts.Try,
     ) -> messages.OpenChat:
         now_ms = self._ctx.clock.now()
         return messages.OpenChat(
@@ -159,9 +157,11 @@
             deadline_ms=job.caller.deadline_ms - now_ms,
             prompt_tokens=job.request.prompt_tokens,
             max_tokens=job.request.max_tokens,
-            mean_load=self._ctx.fleet.loads.get_mean_tokens(now_ms),
-            resume_from=resume_from,
-            candidates=candidates,
+            mean_load=self._ctx.fleet.loads.get_mean_tokens(
+                progress.route.service, now_ms
+            ),
+            resume_from=progress.tokens,
+            candidates=attempt_at.candidates,
             body=job.body,
         )
 
--- a/foxtailpick/router/context.py
+++ b/foxtailpick/router/context.py
@@ -160,21 +160,39 @@
         :param model: the model asked for, None for a plain service.
         :param hint: where the chat ran last.
         """
-        req = decision.PlacementRequest(
+        req = self.make_placement_request(caller, key, service, model, hint)
+        self.fleet.refresh()
+        chosen = placement.choose_endpoints(self.fleet.table, req)
+        self.explain('PLACE', caller, chosen.format_line())
+        return chosen
+
+    def make_placement_request(
+        self,
+        caller: jobs.Caller,
+        key: str,
+        service: types.ServiceId,
+        model: types.ModelId | None,
+        hint: decision.LocationHint | None = None,
+    ) -> decision.PlacementRequest:
+        """Return what the placement of a request depends on.
+
+        :param caller: who asks.
+        :param key: the chat, or the request of a call without one.
+        :param service: the service asked for.
+        :param model: the model asked for, None for a plain service.
+        :param hint: where the chat ran last.
+        """
+        return decision.PlacementRequest(
             key=key,
             service=service,
             region=self.cfg.node.region,
             model=model,
             allowed=caller.account.endpoints or None,
             domains_out=self.list_domains_out(),
-            hint=hint,
+            hint=self.fleet.get_place(key) or hint,
             wall_ms=self.wall.now(),
             avoid=self.fleet.list_avoided(),
         )
-        self.fleet.refresh()
-        chosen = placement.choose_endpoints(self.fleet.table, req)
-        self.explain('PLACE', caller, chosen.format_line())
-        return chosen
 
     def explain(self, prefix: str, caller: jobs.Caller, line: str) -> None:
         """Log a decision about a request and keep it for `explain`."""
--- a/foxtailpick/router/fleet_view.py
+++ b/foxtailpick/router/fleet_view.py
@@ -147,7 +147,24 @@
             limit_tokens=message.load,
             mean_tokens=message.mean_load,
         )
-        self.loads.observe(endpoint, admission, now_ms)
+        member = self.table.get_member(endpoint)
+        if member is not None:
+            self.loads.observe(member.service, endpoint, admission, now_ms)
+
+    def remember_place(self, key: str, endpoint: types.EndpointId) -> None:
+        """Keep where a chat was admitted after it was refused elsewhere.
+
+        :param key: the chat.
+        :param endpoint: who admitted it.
+        """
+        member = self.table.get_member(endpoint)
+        if member is not None:
+            hint = decision.LocationHint(endpoint, member.incarnation)
+            self.loads.remember_place(key, hint, self._clock.now())
+
+    def get_place(self, key: str) -> decision.LocationHint | None:
+        """Return the remembered place of a chat, None if there is none."""
+        return self.loads.get_place(key, self._clock.now())
 
 
 def _map_models(
--- a/foxtailpick/tests/test_load_bound.py
+++ b/foxtailpick/tests/test_load_bound.py
@@ -1,5 +1,7 @@
 """Tests of the bounded load."""
 
+import dataclasses
+
 import cbor2
 import hypothesis
 from hypothesis import strategies as st
@@ -159,11 +161,16 @@
     bound, mean = make_bound(monitor)
     mean.observe(make_report('ep-1', 50_000.0), 0.0)
     view = load_view.LoadView(full_life_ms=100.0)
-    view.observe('ep-0', fill(bound, 1_000.0), 0.0)
-    assert view.list_full(99.0) == {'ep-0': decision.PassReason.FULL}
+    refusal = fill(bound, 1_000.0)
+    view.observe('svc', 'ep-0', refusal, 0.0)
+    view.observe('other', 'ep-9', refusal, 0.0)
+    assert view.list_full(99.0)['ep-0'] is decision.PassReason.FULL
     assert view.list_full(100.0) == {}
-    assert view.get_mean_tokens(100.0) == pytest.approx(50_000.0, rel=0.05)
-    assert view.get_mean_tokens(load_view.SEEN_LIFE_MS) is None
+    other = dataclasses.replace(refusal, load_tokens=0.0)
+    view.observe('svc', 'ep-1', other, 0.0)
+    mean_tokens = view.get_mean_tokens('svc', 100.0)
+    assert mean_tokens == pytest.approx(refusal.load_tokens / 2.0)
+    assert view.get_mean_tokens('svc', load_view.SEEN_LIFE_MS) is None
 
 
 def test_view_remembers_the_place_of_a_refused_chat_for_a_while():
