--- a/foxtailpick/standins/fleet.py
+++ b/foxtailpick/standins/fleet.py
@@ -98,17 +98,17 @@
         self._running: dict[str, _Running] = {}
         self._specs: dict[str, EndpointSpec] = {}
         self._endpoint_urls: dict[str, str] = {}
-        self._members_url = ''
+        self.members_url = ''
 
     async def start_platform(self, cfg: configuration.Configuration) -> None:
         """Start store and membership list, and write a configuration.
 
         :param cfg: the first configuration.
         """
-        self.store_url = await self._serve(
+        self.store_url = await self.serve(
             'store', etcd_server.make_app(self.store)
         )
-        self._members_url = await self._serve(
+        self.members_url = await self.serve(
             'members', membership.make_app(self.members)
         )
         async with etcd.EtcdKeyValue((self.store_url,), 2_000.0) as kv:
@@ -138,7 +138,7 @@
         else:
             self.services[spec.endpoint] = service.ServiceState()
             app = service.make_app(self.services[spec.endpoint])
-        url = await self._serve(f'endpoint/{spec.endpoint}', app)
+        url = await self.serve(f'endpoint/{spec.endpoint}', app)
         self._endpoint_urls[spec.endpoint] = url
         await self.start_sidecar(spec.endpoint)
 
@@ -203,7 +203,12 @@
         await self.kill(endpoint)
         await self.kill(f'endpoint/{endpoint}')
 
-    async def _serve(self, name: str, app: typing.Any) -> str:
+    async def serve(self, name: str, app: typing.Any) -> str:
+        """Serve an application and return its base URL.
+
+        :param name: name of the part, to end it by.
+        :param app: the ASGI application.
+        """
         manager = http_server.serve_app(app, LOOPBACK, 0, GRACE_MS)
         return await self._start(name, manager)
 
@@ -237,7 +242,7 @@
             listen=settings.ListenSettings(LOOPBACK, 0),
             store=self._make_store_settings(),
             membership=settings.MembershipSettings(
-                self._members_url, MEMBERS_INTERVAL_MS
+                self.members_url, MEMBERS_INTERVAL_MS
             ),
             endpoint=settings.EndpointSettings(
                 spec.service,
@@ -256,7 +261,7 @@
             listen=settings.ListenSettings(LOOPBACK, 0),
             store=self._make_store_settings(),
             membership=settings.MembershipSettings(
-                self._members_url, MEMBERS_INTERVAL_MS
+                self.members_url, MEMBERS_INTERVAL_MS
             ),
             limits=self._limits,
         )
