Bound a submission at 30 s, with a true unknown

Cause: with a store slow at every call, a submission went through six tries and could take minutes. Change: after 30 s the answer is unknown, that it may have landed; the same text submitted again learns more. A test that the first configuration is written once, also when its creation is repeated. 16 tests of the request path fail on the base with a TypeError, the same without this change.

--- a/foxtailpick/core/config_writer.py
+++ b/foxtailpick/core/config_writer.py
@@ -5,6 +5,7 @@
 import typing
 
 import cbor2
+import trio
 
 from foxtailpick.adapters import base
 from foxtailpick.core import account_table
@@ -19,6 +20,7 @@
 from foxtailpick.core import verdict
 
 MAX_TRIES = 6
+SUBMIT_LIMIT_MS = 30_000.0
 BACKOFF_MS = 50.0
 MAX_CHANGES_SHOWN = 20
 CHUNKS_PER_WRITE = 64
@@ -96,7 +98,15 @@
             return config_answers.log_answer(
                 '?', config_answers.make_rejection(exc, None)
             )
-        answer = await self._resolve(_Submission(patch))
+        submission = _Submission(patch)
+        answer = None
+        with trio.move_on_after(SUBMIT_LIMIT_MS / types.SECOND_MS):
+            answer = await self._resolve(submission)
+        if answer is None:
+            # A write may be on its way, so nothing better can be said.
+            answer = config_answers.make_unknown(
+                True, submission.number, _make_late_error()
+            )
         return config_answers.log_answer(patch.patch_id, answer)
 
     async def _resolve(
@@ -249,3 +259,11 @@
 def _skip_empty(digests: typing.Iterable[bytes]) -> list[bytes]:
     """Leave out the empty chunk, which many places of a table share."""
     return [item for item in digests if item != account_table.EMPTY_HASH]
+
+
+def _make_late_error() -> errors.StoreError:
+    return errors.StoreError(
+        errors.ErrorCode.STORE_UNAVAILABLE,
+        f'expected an outcome within {SUBMIT_LIMIT_MS:.0f} ms, got none; '
+        f'the store is slow',
+    )
--- a/foxtailpick/tests/test_config_store.py
+++ b/foxtailpick/tests/test_config_store.py
@@ -93,6 +93,27 @@
     assert config_delta.Delta.decode(delta.encode()) == delta
 
 
+async def test_slow_store_ends_in_a_true_unknown(
+    autojump_clock, state, writer
+):
+    state.faults.delay_ms = 12_000.0
+    text = write_patch('p1', 1)
+    assert (await writer.submit(text)).outcome is UNKNOWN
+    assert trio.current_time() * 1_000 <= config_writer.SUBMIT_LIMIT_MS + 1
+    state.faults.delay_ms = 0.0
+    assert (await writer.submit(text)).outcome is ACCEPTED
+
+
+async def test_first_configuration_is_written_once(state):
+    before = await make_writer(state).submit(write_patch('p1', 1))
+    assert before.outcome is REJECTED
+    assert await make_writer(state).create(FIRST)
+    assert await make_writer(state).create(FIRST)
+    other = dataclasses.replace(FIRST, domains={})
+    assert not await make_writer(state).create(other)
+    assert await load_whole(state) == FIRST
+
+
 async def test_outdated_patch_learns_what_changed(writer):
     await writer.submit(write_patch('p1', 1))
     answer = await writer.submit(write_patch('p2', 1))
