Match answers to questions; watch from the head's own revision

Cause, found by reading the driver against the tracker's rules: - an announcement that lay in a buffer since before a question was taken as its answer, so three of them could confirm a paused sidecar's old number; - the watch began at the store's first revision, so each opening replayed every change, and fails where early revisions are gone; - a renewal that began on an admission waited for the next poll, so work was held every 2.5 s. Change: ConfigWanted and ConfigOffer carry a nonce; the watch begins at the head's revision; an admission wakes the driver while a renewal is under way. Reading deltas or the index from the store stood twice and now stands once.

--- a/foxtailpick/core/config_store.py
+++ b/foxtailpick/core/config_store.py
@@ -22,6 +22,7 @@
 HISTORY_PATCHES = 2_000
 RETAINED_NUMBERS = 64
 MAX_COLLECTED_PER_PATCH = 24
+# Each delta is a read of its own, the index is one of about 5 KB.
 MAX_DELTAS_READ = 4
 
 _DECODE_ERRORS = (cbor2.CBORDecodeError, TypeError, ValueError)
--- a/foxtailpick/core/messages.py
+++ b/foxtailpick/core/messages.py
@@ -13,6 +13,7 @@
 from foxtailpick.core import verdict as verdict_lib
 
 PROTOCOL_VERSION = 1
+UNASKED = 0
 MAX_FRAME_BYTES = 1_048_576
 
 
@@ -285,9 +286,11 @@
     """A node asks its peer for the configuration after a number.
 
     :param after: number of the asker's configuration.
+    :param nonce: serial number of the question, above zero.
     """
 
     after: types.ConfigNumber
+    nonce: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -296,10 +299,12 @@
 
     :param number: number of the configuration reached.
     :param payload: encoded by the configuration modules.
+    :param nonce: of the question that it answers, `UNASKED` for none.
     """
 
     number: types.ConfigNumber
     payload: bytes
+    nonce: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/foxtailpick/core/propagation.py
+++ b/foxtailpick/core/propagation.py
@@ -74,6 +74,11 @@
         """Whether somebody has shown a higher number."""
         return self._state.is_behind
 
+    @property
+    def is_verifying(self) -> bool:
+        """Whether the driver should ask for actions on a confirmation."""
+        return self._state.verification.is_under_way
+
     # What the node may do.
 
     def is_fresh(self, now_ms: float) -> bool:
--- a/foxtailpick/node/config_node.py
+++ b/foxtailpick/node/config_node.py
@@ -26,8 +26,7 @@
 from foxtailpick.node import links as links_lib
 
 ACCOUNT_WAIT_MS = 2_000.0
-# More deltas than this cost more reads than the whole index.
-MAX_STORE_DELTAS = 16
+MAX_QUESTIONS = 64
 
 Reply = typing.Callable[[messages.Message], None]
 
@@ -62,7 +61,8 @@
         self._members: list[base.Member] = []
         self._domain = types.FailureDomainId('')
         self._told: dict[str, Reply] = {}
-        self._asked_ms: dict[str, float] = {}
+        self._nonce = messages.UNASKED
+        self._asked: dict[int, tuple[str, float]] = {}
         self._chunk_asked: dict[str, config_actions.FetchChunk] = {}
         self._watch_scope = trio.CancelScope()
         self._wake = trio.Event()
@@ -97,9 +97,8 @@
 
     def check_admission(self) -> propagation.Admission:
         """Tell whether new work may be admitted now."""
-        before = self._seen_number
         admission = self.tracker.check_admission(self._clock.now())
-        if admission is not propagation.Admission.ADMIT or before == 0:
+        if self.tracker.is_verifying or self._seen_number == 0:
             self._wake.set()
         return admission
 
@@ -179,7 +178,11 @@
         """
         if isinstance(message, messages.ConfigWanted):
             offer = self.tracker.make_offer(message.after)
-            reply(messages.ConfigOffer(offer.number, offer.encode()))
+            reply(
+                messages.ConfigOffer(
+                    offer.number, offer.encode(), message.nonce
+                )
+            )
         elif isinstance(message, messages.ConfigOffer):
             self._on_offer(message, peer)
         elif isinstance(message, messages.ChunkWanted):
@@ -281,27 +284,18 @@
         self, action: config_actions.FetchFromStore
     ) -> None:
         asked_ms = self._clock.now()
-        offer = await self._read_offer(action.head, action.after)
+        offer = await self.reader.fetch_offer(action.head, action.after)
         self.tracker.on_offer(None, offer, asked_ms, self._clock.now())
 
-    async def _read_offer(
-        self, head: config_store.Head, after: types.ConfigNumber
-    ) -> config_exchange.Offer:
-        missing = head.number - after
-        if 0 < after and missing <= MAX_STORE_DELTAS:
-            deltas = await self.reader.read_history(head.number, missing)
-            if len(deltas) == missing:
-                raws = tuple(delta.encode() for delta in deltas)
-                return config_exchange.Offer(head.number, raws)
-        index = await self.reader.read_chunk(head.index_hash)
-        return config_exchange.Offer(head.number, index=index)
-
     async def _fetch_from_peer(
         self, action: config_actions.FetchFromPeer
     ) -> None:
         link = await self._links.acquire(action.peer)
-        self._asked_ms[action.peer] = self._clock.now()
-        link.send_soon(messages.ConfigWanted(action.after))
+        self._nonce += 1
+        self._asked[self._nonce] = (action.peer, self._clock.now())
+        if len(self._asked) > MAX_QUESTIONS:
+            del self._asked[min(self._asked)]
+        link.send_soon(messages.ConfigWanted(action.after, self._nonce))
 
     def _on_offer(
         self, message: messages.ConfigOffer, peer: str | None
@@ -311,7 +305,11 @@
         except errors.ConfigError as exc:
             logger.warning('CONFIG offer dropped. {}', exc)
             return
-        asked_ms = self._asked_ms.pop(peer, None) if peer else None
+        # An announcement may lie in a buffer since before the question, so
+        # only the answer to the question itself counts as one.
+        asked_peer, asked_ms = self._asked.pop(message.nonce, (None, None))
+        if asked_peer != peer:
+            asked_ms = None
         self.tracker.on_offer(peer, offer, asked_ms, self._clock.now())
         self._note_change()
 
@@ -350,7 +348,11 @@
         self._watch_scope = trio.CancelScope()
         with self._watch_scope:
             key = self.reader.keys.head
-            async with self._kv.watch(key, base.ABSENT) as changes:
+            # From the head's own revision: the store's early revisions may
+            # be gone, and all changes since the first would come again.
+            found = await self.reader.read_head()
+            revision = found[1] if found else base.ABSENT
+            async with self._kv.watch(key, revision) as changes:
                 async for change in changes:
                     if change.entry is None:
                         continue
@@ -363,7 +365,9 @@
 
     async def _announce(self, action: config_actions.Announce) -> None:
         offer = action.offer
-        message = messages.ConfigOffer(offer.number, offer.encode())
+        message = messages.ConfigOffer(
+            offer.number, offer.encode(), messages.UNASKED
+        )
         async with trio.open_nursery() as nursery:
             for peer in action.peers:
                 nursery.start_soon(self._tell, peer, message)
