--- a/foxtailpick/sidecar/gate.py
+++ b/foxtailpick/sidecar/gate.py
@@ -11,6 +11,7 @@
 
 from foxtailpick.core import account_queue
 from foxtailpick.core import attempts as attempts_lib
+from foxtailpick.core import clock as clock_lib
 from foxtailpick.core import configuration
 from foxtailpick.core import errors
 from foxtailpick.core import fair_share
@@ -74,6 +75,7 @@
         self._first_token_ms = cfg.limits.first_token
         self._monitor = monitor
         self._node = node
+        self._clock = clock_lib.Clock.from_trio()
         self._shares: dict[types.AccountId, share_tree.Share] = {}
         self._queue = fair_share.FairQueue(
             fair_share.FairQueueOptions(), self.find_share, monitor
@@ -133,7 +135,7 @@
 
     def apply_config(self) -> None:
         """Put a new configuration in force for what waits and runs."""
-        self._queue.apply_shares(self.find_share)
+        self._queue.apply_shares(self.find_share, self._clock.now())
         self._forget_idle_shares()
 
     def admit(
