Count an endpoint in the mean only when it can bear the mean

Cause: the engines of a returned failure domain report low loads while slow start holds them back. The mean falls, all others are above the bound and refuse, and their requests go to the cold engines. Change: a warming endpoint tells its load only when its limit lets it bear the mean, or while the mean is below the floor.

--- /dev/null
+++ b/foxtailpick/bench/domain_return.py
@@ -0,0 +1,75 @@
+"""Load while a failure domain returns with engines that are not warm yet.
+
+A returned engine that counts in the mean at once lowers it; the others are
+then above the bound, refuse, and send their requests to the returned ones.
+"""
+
+import collections
+
+from foxtailpick.bench import load
+from foxtailpick.bench import tables
+
+FLEET = load.Fleet(24, 9, 8_000.0)
+RETURNED = 8
+SECOND_MS = 1_000.0
+
+
+class ReturnSimulation(load.Simulation):
+    """A run in which a third of the engines returns after the warm-up.
+
+    :param counts_after_ms: when returned engines begin to tell their load.
+    """
+
+    def __init__(self, counts_after_ms: float) -> None:
+        super().__init__(FLEET, load.make_bounded(), True)
+        self._returned = frozenset(self.names[-RETURNED:])
+        self._counts_at_ms = load.WARM_MS + counts_after_ms
+        self._now_ms = 0.0
+        self._starts: collections.Counter = collections.Counter()
+
+    @property
+    def busiest_starts(self) -> int:
+        """Most requests that a returned engine got in one second."""
+        return max(self._starts.values())
+
+    def list_reporting(self, now_ms: float) -> list[load.Engine]:
+        self._now_ms = now_ms
+        if now_ms >= self._counts_at_ms:
+            return super().list_reporting(now_ms)
+        engines = super().list_reporting(now_ms)
+        return [e for e in engines if e.endpoint not in self._returned]
+
+    def list_order(self, chat, eligible, missing):
+        if self._now_ms < load.WARM_MS:
+            missing = missing | self._returned
+        return super().list_order(chat, eligible, missing)
+
+    def place(self, engine: load.Engine, arrival: load.Arrival) -> None:
+        super().place(engine, arrival)
+        if engine.endpoint in self._returned:
+            second = int(arrival.now_ms / SECOND_MS)
+            self._starts[engine.endpoint, second] += 1
+
+
+def measure() -> list[tables.Table]:
+    """Compare when a returned engine begins to count in the mean."""
+    table = tables.Table(
+        f'A domain of {RETURNED} of {FLEET.engines} engines returns, first '
+        f'{FLEET.measured_ms / SECOND_MS:.0f} s, seed {load.SEED}',
+        (
+            'returned engines count',
+            'tries a request',
+            'refused everywhere %',
+            'most requests in a second at a returned engine',
+        ),
+    )
+    for name, after_ms in (('at once', 0.0), ('when warm', 10_000.0)):
+        sim = ReturnSimulation(after_ms)
+        result = sim.run()
+        table.add_row(
+            name,
+            result.tries / result.requests,
+            100.0 * result.refused / result.requests,
+            sim.busiest_starts,
+        )
+    return [table]
--- a/foxtailpick/bench/load.py
+++ b/foxtailpick/bench/load.py
@@ -184,6 +184,10 @@
             self.result.tries += 1
             self.result.rider_bytes += rider_bytes
 
+    def list_reporting(self, now_ms: float) -> list[Engine]:
+        """Return the engines whose sidecars tell their load."""
+        return list(self.engines.values())
+
     def _start_request(self, number: int, now_ms: float) -> None:
         chat = self._draw_chat(now_ms)
         eligible = self.names
@@ -198,7 +202,7 @@
             PROMPT_TOKENS + tokens,
             tokens * TOKEN_MS,
             router,
-            self._list_order(chat, eligible, self._missing[router]),
+            self.list_order(chat, eligible, self._missing[router]),
             now_ms,
             eligible,
         )
@@ -215,7 +219,7 @@
             return f'{SURGE_PREFIX}{self.rng.randrange(SURGE_CHATS)}'
         return self._chats.draw(self.rng)
 
-    def _list_order(
+    def list_order(
         self, chat: str, eligible: list[str], missing: frozenset[str]
     ) -> tuple[str, ...]:
         if chat not in self._orders:
@@ -247,7 +251,7 @@
         ]
 
     def _exchange_reports(self, now_ms: float) -> None:
-        for engine in self.engines.values():
+        for engine in self.list_reporting(now_ms):
             report = engine.bound.make_report(None, now_ms)
             size = len(load_gossip.encode_report(report)) + UDP_HEADER_BYTES
             peers = load_gossip.draw_peers(engine.peers, self.gossip_rng)
@@ -365,6 +369,8 @@
             order = list(dict.fromkeys([place.endpoint, *order]))
         waiting = sorted(order, key=lambda name: name in full)
         for _ in range(MAX_TRIES):
+            if not waiting:
+                return None
             name = waiting.pop(0)
             engine = sim.engines[name]
             if uses_truth:
@@ -385,8 +391,6 @@
             if uses_hints:
                 hints = [e for e in made.hints if e in arrival.eligible]
                 waiting = list(dict.fromkeys([*hints[:1], *waiting]))
-            if not waiting:
-                return None
         return None
 
     return run
--- a/foxtailpick/sidecar/daemon.py
+++ b/foxtailpick/sidecar/daemon.py
@@ -93,7 +93,11 @@
         address = await _serve_routers(nursery, cfg, worker, node, incarnation)
         port = int(address.rsplit(':', 1)[1])
         talk = gossip.Gossip(
-            gate.pool, cfg.listen.host, port, random.Random(), gate.takes_work
+            gate.pool,
+            cfg.listen.host,
+            port,
+            random.Random(),
+            gate.counts_in_mean,
         )
         nursery.start_soon(talk.run)
         admin_url = await stack.enter_async_context(
--- a/foxtailpick/sidecar/gate.py
+++ b/foxtailpick/sidecar/gate.py
@@ -124,6 +124,17 @@
         is_out = not self._node.current.is_domain_in_service(self._domain)
         return not is_out and self.slow.state not in _CLOSED_STATES
 
+    def counts_in_mean(self, now_ms: float) -> bool:
+        """Tell whether peers should count the load of the endpoint.
+
+        :param now_ms: the current time.
+        """
+        if not self.takes_work():
+            return False
+        if self.slow.state is types.EndpointState.READY:
+            return True
+        return self.pool.bears_mean(self.slow.limit(now_ms))
+
     def find_share(self, account: types.AccountId) -> share_tree.Share:
         """Return the share of an account in the configuration in force."""
         cfg = self._node.current
--- a/foxtailpick/sidecar/gossip.py
+++ b/foxtailpick/sidecar/gossip.py
@@ -26,7 +26,8 @@
     :param host: IP number to bind.
     :param port: UDP port, the same as the TCP port of the sidecar.
     :param rng: source of jitter.
-    :param is_open: function that tells whether the endpoint takes work.
+    :param counts: function that tells, by the current time, whether the
+        endpoint counts in the mean.
     """
 
     def __init__(
@@ -35,12 +36,12 @@
         host: str,
         port: int,
         rng: random.Random,
-        is_open: typing.Callable[[], bool],
+        counts: typing.Callable[[float], bool],
     ) -> None:
         self._load = load
         self._address = (host, port)
         self._rng = rng
-        self._is_open = is_open
+        self._counts = counts
         self._clock = clock_lib.Clock.from_trio()
         self.sent_bytes = 0
 
@@ -56,9 +57,8 @@
         while True:
             spread = self._rng.uniform(1 - JITTER, 1 + JITTER)
             await clock_lib.sleep_ms(load_gossip.PERIOD_MS * spread)
-            data, addresses = self._load.compose(
-                self._is_open(), self._clock.now()
-            )
+            now_ms = self._clock.now()
+            data, addresses = self._load.compose(self._counts(now_ms), now_ms)
             for address in addresses:
                 await self._send_one(sock, data, address)
 
--- a/foxtailpick/sidecar/pool_load.py
+++ b/foxtailpick/sidecar/pool_load.py
@@ -15,6 +15,8 @@
 
 # A plain call counts as one, so a few calls are no sign of a skewed load.
 CALLS_FLOOR = 8.0
+COST_WEIGHT = 0.05
+TYPICAL_COST_TOKENS = 512.0
 REFUSAL_RETRY_AFTER_MS = 250.0
 
 
@@ -53,16 +55,22 @@
         self._region = cfg.node.region
         self._service = cfg.endpoint.service
         self._rng = rng
+        bound_cfg = _make_bound_settings(cfg)
         self._bound = load_bound.LoadBound(
             self._endpoint,
             cfg.endpoint.capacity,
             monitor,
-            _make_bound_settings(cfg),
+            bound_cfg,
             rng,
         )
         self._models = frozenset(cfg.endpoint.models)
         # All endpoints of a service serve the same models: one pool.
         self._mean = self._bound.set_pool(None, cfg.endpoint.capacity)
+        self._capacity = cfg.endpoint.capacity
+        self._floor_tokens = bound_cfg.floor_tokens
+        self._typical_cost = TYPICAL_COST_TOKENS
+        if cfg.endpoint.kind is types.EndpointKind.PLAIN:
+            self._typical_cost = 1.0
         self._peers: dict[types.EndpointId, base.Member] = {}
         self._peers_by_name: dict[int, tuple[types.EndpointId, float]] = {}
 
@@ -125,19 +133,37 @@
         )
         if not admission.is_admitted:
             raise LoadRefusedError(self._endpoint, admission)
+        self._note_cost(work_lib.get_cost(work))
 
     def release(self, attempt: types.AttemptId) -> None:
         """Count an attempt out; an unknown one is no error."""
         self._bound.release(attempt)
 
+    def bears_mean(self, limit: float) -> bool:
+        """Tell whether a limit on requests lets the endpoint bear the mean.
+
+        An endpoint held back by its slow start carries little. Counted in
+        the mean it would make the others refuse and send it their work.
+
+        :param limit: requests that may run at once.
+        """
+        mean_tokens = self.mean
+        if mean_tokens <= self._floor_tokens:
+            return True
+        return limit * self._typical_cost / self._capacity >= mean_tokens
+
+    def _note_cost(self, cost_tokens: float) -> None:
+        change = cost_tokens - self._typical_cost
+        self._typical_cost += COST_WEIGHT * change
+
     def compose(self, is_open: bool, now_ms: float) -> tuple[bytes, list[str]]:
         """Return a datagram with a load report, and whom to send it.
 
-        :param is_open: whether the endpoint takes work.
+        :param is_open: whether the endpoint counts in the mean.
         :param now_ms: the current time.
         """
         if not is_open:
-            # An endpoint that takes no work must not lower the mean.
+            # An endpoint that can't take its part must not lower the mean.
             return b'', []
         report = self._bound.make_report(None, now_ms)
         drawn = load_gossip.draw_peers(list(self._peers), self._rng)
--- /dev/null
+++ b/foxtailpick/tests/test_pool_load.py
@@ -0,0 +1,110 @@
+"""Tests of the load of an endpoint among its peers."""
+
+import dataclasses
+import random
+
+import pytest
+
+from foxtailpick.adapters import base
+from foxtailpick.core import load_gossip
+from foxtailpick.core import mean_estimate
+from foxtailpick.core import messages
+from foxtailpick.core import settings
+from foxtailpick.core import types
+from foxtailpick.sidecar import pool_load
+
+SIDECAR = """
+[node]
+id = ep-0
+region = r
+failure_domain = d
+[listen]
+host = 127.0.0.1
+port = 0
+[store]
+urls = http://127.0.0.1:1
+[membership]
+url = http://127.0.0.1:1
+[limits]
+[endpoint]
+service = svc
+kind = model
+url = http://127.0.0.1:1
+models = m
+"""
+OPENING = messages.OpenChat(
+    attempt='a',
+    request='r',
+    account='acc',
+    chat='chat',
+    model='m',
+    priority=types.Priority.NORMAL,
+    deadline_ms=1_000.0,
+    prompt_tokens=200,
+    max_tokens=300,
+    mean_load=None,
+    resume_from=0,
+    candidates=(),
+    body=b'',
+)
+
+
+@pytest.fixture
+def pool(tmp_path, monitor):
+    path = tmp_path / 'sidecar.ini'
+    path.write_text(SIDECAR)
+    cfg = settings.SidecarSettings.from_file(path)
+    pool = pool_load.PoolLoad(cfg, monitor, random.Random(1))
+    members = [
+        base.Member(f'ep-{i}', 'inc', '127.0.0.1:1', 'r', 'd', 'svc')
+        for i in range(10)
+    ]
+    pool.update_members(members)
+    return pool
+
+
+def tell(pool, load):
+    sample = mean_estimate.LoadSample('ep-1', load, 1.0, 0.0)
+    report = mean_estimate.LoadReport(sample)
+    pool.accept(load_gossip.encode_report(report), 0.0)
+
+
+@pytest.mark.parametrize(
+    ('load', 'limit', 'is_counted'),
+    [
+        (0.0, 1, True),
+        (4_000.0, 1, True),
+        (40_000.0, 2, False),
+        (40_000.0, 96, True),
+    ],
+)
+def test_endpoint_held_back_by_slow_start_is_not_counted(
+    pool, load, limit, is_counted
+):
+    tell(pool, load)
+    assert pool.bears_mean(limit) == is_counted
+
+
+def test_only_a_counted_endpoint_tells_its_load(pool):
+    assert pool.compose(False, 0.0) == (b'', [])
+    data, addresses = pool.compose(True, 0.0)
+    assert data
+    assert len(addresses) == load_gossip.FANOUT
+
+
+def test_refusal_carries_the_loads_that_decided(pool):
+    tell(pool, 0.0)
+    with pytest.raises(pool_load.LoadRefusedError) as caught:
+        for number in range(100):
+            opening = dataclasses.replace(OPENING, attempt=f'a-{number}')
+            pool.admit(opening, 0.0)
+    admission = caught.value.admission
+    assert admission.load_tokens <= admission.limit_tokens
+    assert admission.load_tokens == pool.load
+
+
+def test_malformed_datagram_is_dropped(pool):
+    tell(pool, 5_000.0)
+    known = pool.mean
+    pool.accept(b'\xff', 1.0)
+    assert pool.mean == known
