--- a/foxtailpick/core/fair_share.py
+++ b/foxtailpick/core/fair_share.py
@@ -100,7 +100,6 @@
             self._tree, self._audit, options.commit_tokens
         )
         self._refused: list[Refusal] = []
-        self._now_ms = 0.0
 
     def __len__(self) -> int:
         """Return how many requests wait or are paused."""
@@ -147,7 +146,6 @@
         :returns: the request, None if nothing waits, or if the engine has
             enough prompts to read; call again after a first token.
         """
-        self._now_ms = now_ms
         self._rate.observe(now_ms, 0.0, bool(self._accounts))
         while (account := self._tree.select()) is not None:
             if self._is_held_for_prompts(account):
@@ -173,7 +171,6 @@
         :param now_ms: the current time.
         :returns: what is refused since the last call.
         """
-        self._now_ms = now_ms
         for account, queue in list(self._queues.items()):
             self._sweep_queue(account, queue, now_ms)
         for account in list(self._tree.accounts):
@@ -284,17 +281,20 @@
         self._tree.set_multipliers(multipliers)
         self._audit.excuse()
 
-    def apply_shares(self, share_of: share_tree.ShareLookup) -> bool:
+    def apply_shares(
+        self, share_of: share_tree.ShareLookup, now_ms: float
+    ) -> bool:
         """Put the shares of a new configuration in force at once.
 
         :param share_of: gives the share of an account in force.
+        :param now_ms: the current time.
         :returns: whether a share of an account with work has changed.
         """
         self._share_of = share_of
         outstanding = self._work.sum_outstanding()
         is_changed = self._tree.apply_shares(share_of, outstanding)
         if is_changed:
-            self._audit.restart(self._queues, self._now_ms)
+            self._audit.restart(self._queues, now_ms)
         return is_changed
 
     def predict_wait_ms(
--- a/foxtailpick/core/running_work.py
+++ b/foxtailpick/core/running_work.py
@@ -106,16 +106,14 @@
     ) -> float:
         """Correct the cost of a running request.
 
-        :returns: tokens served, the prompt included with the first ones;
-            zero if it does not run.
+        :returns: tokens served; the prompt counts with the first token,
+            as what waits is counted with its prompts too.
         """
         running = self._running.get(attempt)
         if running is None:
             return 0.0
-        served = tokens
-        if running.is_unread:
-            # What waits is counted with its prompts, so what is served is.
-            served += running.entry.prompt_tokens
+        prompt_tokens = running.entry.prompt_tokens
+        served = tokens + (prompt_tokens if running.is_unread else 0.0)
         self._note_prompt_read(running)
         running.generated += tokens
         self._audit.record(running.entry.account, tokens)
