Split the records of attempts from the decisions about them

Change: bounds, retention and stored answers have a module of their own; the table's interface is unchanged.

--- a/foxtailpick/core/attempts.py
+++ b/foxtailpick/core/attempts.py
@@ -19,28 +19,18 @@
 import dataclasses
 import enum
 
-import xxhash
-
+from foxtailpick.core import attempt_records
 from foxtailpick.core import chart_moves
 from foxtailpick.core import errors
 from foxtailpick.core import invariants
 from foxtailpick.core import types
 from foxtailpick.core import verdict as verdict_lib
 
+AttemptLimits = attempt_records.AttemptLimits
+AttemptState = attempt_records.AttemptState
 Verdict = verdict_lib.Verdict
 
 
-class AttemptState(enum.Enum):
-    """Life cycle of an attempt; the chart is `charts/attempt.json`."""
-
-    UNKNOWN = 'unknown'
-    OPEN = 'open'
-    RUNNING = 'running'
-    FINISHED = 'finished'
-    REFUSED = 'refused'
-    CLOSED = 'closed'
-
-
 class Opening(enum.Enum):
     """What the arrival of an attempt's own frame means."""
 
@@ -48,35 +38,6 @@
     DOUBLE = 'double'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class AttemptLimits:
-    """Bounds of the table.
-
-    :param max_attempts: records of attempts that were opened; more work is
-        refused.
-    :param max_unopened: records of attempts that were closed or refused
-        without being opened.
-    :param retention_ms: how long a record is kept after its end. Longer
-        than a request's deadline and than a link may stay silent.
-    :param max_answer_bytes: the largest answer that is stored.
-    :param max_stored_bytes: all stored answers together.
-    """
-
-    max_attempts: int = 16_384
-    max_unopened: int = 4_096
-    retention_ms: float = 120 * types.SECOND_MS
-    max_answer_bytes: int = 16 * 1024
-    max_stored_bytes: int = 4 * 1024 * 1024
-
-    def __post_init__(self) -> None:
-        for field in dataclasses.fields(self):
-            value = getattr(self, field.name)
-            if value <= 0:
-                raise ValueError(
-                    f'expected {field.name} above 0, got {value}; raise it'
-                )
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttemptReport:
     """What the sidecar says of an attempt.
@@ -93,18 +54,6 @@
     answer: bytes | None = None
 
 
-@dataclasses.dataclass(slots=True)
-class _Record:
-    attempt: types.AttemptId
-    was_opened: bool
-    state: AttemptState = AttemptState.UNKNOWN
-    verdict: Verdict = Verdict.MAY_HAVE_RUN
-    starts: int = 0
-    was_said_not_run: bool = False
-    answer: bytes | None = None
-    answer_check: int = 0
-
-
 class AttemptTable:
     """The attempts of one incarnation of one sidecar.
 
@@ -122,11 +71,7 @@
         self.incarnation = incarnation
         self._limits = limits or AttemptLimits()
         self._monitor = monitor
-        self._records: dict[types.AttemptId, _Record] = {}
-        self._ended_ms: dict[types.AttemptId, float] = {}
-        self._answered: dict[types.AttemptId, None] = {}
-        self._unopened = 0
-        self._stored_bytes = 0
+        self._records = attempt_records.AttemptRecords(self._limits)
         self._moves = chart_moves.load_moves('attempt', AttemptState)
 
     def __len__(self) -> int:
@@ -152,18 +97,18 @@
         :raises errors.RefusedError: if it must not be run: code
             `WRONG_INCARNATION`, `ATTEMPT_CLOSED` or `OVERLOADED`.
         """
-        self._drop_expired(now_ms)
+        self._records.drop_expired(now_ms)
         self._check_incarnation(attempt, incarnation)
         record = self._records.get(attempt)
         if record is not None:
             return self._reopen(record)
         if now_ms - sent_after_ms >= self._limits.retention_ms:
             raise self._make_late_error(attempt)
-        if self._count_opened() >= self._limits.max_attempts:
+        if not self._records.has_room_for_opened():
             raise self._refuse_unopened(attempt, now_ms)
-        record = _Record(attempt, was_opened=True)
+        record = attempt_records.AttemptRecord(attempt, was_opened=True)
         self._move(record, 'open')
-        self._records[attempt] = record
+        self._records.add(record)
         return Opening.NEW
 
     def start(self, attempt: types.AttemptId) -> None:
@@ -211,8 +156,8 @@
             return self._report(record)
         self._move(record, 'refuse' if is_refusal else 'finish')
         record.verdict = verdict
-        self._store_answer(record, answer)
-        self._mark_ended(attempt, now_ms)
+        self._records.store_answer(record, answer)
+        self._records.mark_ended(attempt, now_ms)
         return self._report(record)
 
     def refuse(self, attempt: types.AttemptId, now_ms: float) -> AttemptReport:
@@ -228,7 +173,7 @@
             raise self._make_closed_error(record)
         self._move(record, 'refuse')
         record.verdict = Verdict.NOT_RUN
-        self._mark_ended(attempt, now_ms)
+        self._records.mark_ended(attempt, now_ms)
         return self._report(record)
 
     def query(
@@ -247,7 +192,7 @@
             may have been under way.
         :param now_ms: current time in milliseconds.
         """
-        self._drop_expired(now_ms)
+        self._records.drop_expired(now_ms)
         if incarnation != self.incarnation:
             return AttemptReport(attempt, Verdict.MAY_HAVE_RUN)
         record = self._records.get(attempt)
@@ -257,16 +202,16 @@
             return AttemptReport(attempt, Verdict.MAY_HAVE_RUN)
         return self._report(record)
 
-    def _reopen(self, record: _Record) -> Opening:
+    def _reopen(self, record: attempt_records.AttemptRecord) -> Opening:
         if record.state in (AttemptState.REFUSED, AttemptState.CLOSED):
             raise self._make_closed_error(record)
         return Opening.DOUBLE
 
     def _close_unknown(
         self, attempt: types.AttemptId, age_ms: float, now_ms: float
-    ) -> _Record | None:
+    ) -> attempt_records.AttemptRecord | None:
         is_possibly_forgotten = age_ms >= self._limits.retention_ms
-        if is_possibly_forgotten or not self._has_room_for_unopened():
+        if is_possibly_forgotten or not self._records.has_room_for_unopened():
             return None
         return self._add_unopened(attempt, 'close', now_ms)
 
@@ -276,7 +221,7 @@
         # Only a refusal that is remembered may say "not run": the frame may
         # come again once there is room.
         verdict = Verdict.MAY_HAVE_RUN
-        if self._has_room_for_unopened():
+        if self._records.has_room_for_unopened():
             record = self._add_unopened(attempt, 'refuse', now_ms)
             verdict = self._report(record).verdict
         return errors.RefusedError(
@@ -286,30 +231,25 @@
             verdict,
         )
 
-    def _has_room_for_unopened(self) -> bool:
-        return self._unopened < self._limits.max_unopened
-
     def _add_unopened(
         self, attempt: types.AttemptId, event: str, now_ms: float
-    ) -> _Record:
-        record = _Record(attempt, was_opened=False)
+    ) -> attempt_records.AttemptRecord:
+        record = attempt_records.AttemptRecord(attempt, was_opened=False)
         self._move(record, event)
         record.verdict = Verdict.NOT_RUN
-        self._records[attempt] = record
-        self._unopened += 1
-        self._mark_ended(attempt, now_ms)
+        self._records.add(record)
+        self._records.mark_ended(attempt, now_ms)
         return record
 
-    def _count_opened(self) -> int:
-        return len(self._records) - self._unopened
-
-    def _move(self, record: _Record, event: str) -> None:
+    def _move(self, record: attempt_records.AttemptRecord, event: str) -> None:
         target = self._moves.get((record.state, event))
         if target is None:
             raise self._make_closed_error(record)
         record.state = target
 
-    def _require(self, attempt: types.AttemptId) -> _Record:
+    def _require(
+        self, attempt: types.AttemptId
+    ) -> attempt_records.AttemptRecord:
         record = self._records.get(attempt)
         if record is None:
             raise ValueError(
@@ -317,7 +257,7 @@
             )
         return record
 
-    def _report(self, record: _Record) -> AttemptReport:
+    def _report(self, record: attempt_records.AttemptRecord) -> AttemptReport:
         is_refusal = record.verdict is Verdict.NOT_RUN
         record.was_said_not_run = record.was_said_not_run or is_refusal
         self._monitor.check(
@@ -330,61 +270,24 @@
             record.attempt, record.verdict, record.state, record.answer
         )
 
-    def _is_closed_for_good(self, record: _Record) -> bool:
+    def _is_closed_for_good(
+        self, record: attempt_records.AttemptRecord
+    ) -> bool:
         kept = self._records.get(record.attempt)
         is_final = record.state in (AttemptState.REFUSED, AttemptState.CLOSED)
         return kept is record and is_final
 
-    def _check_stored_answer(self, record: _Record) -> None:
+    def _check_stored_answer(
+        self, record: attempt_records.AttemptRecord
+    ) -> None:
         if record.answer is None:
             return
-        check = _compute_answer_check(record.attempt, record.answer)
         self._monitor.check(
             invariants.Promise.WHOLE_ANSWER,
-            record.verdict is Verdict.RAN and check == record.answer_check,
+            record.verdict is Verdict.RAN and record.is_answer_own,
             lambda: f'stored answer of {record.attempt} is not its own',
         )
 
-    def _store_answer(self, record: _Record, answer: bytes | None) -> None:
-        is_stored = record.verdict is Verdict.RAN and answer is not None
-        if not is_stored or len(answer) > self._limits.max_answer_bytes:
-            return
-        record.answer = answer
-        record.answer_check = _compute_answer_check(record.attempt, answer)
-        self._stored_bytes += len(answer)
-        self._answered[record.attempt] = None
-        self._drop_oldest_answers()
-
-    def _drop_oldest_answers(self) -> None:
-        while self._stored_bytes > self._limits.max_stored_bytes:
-            oldest = next(iter(self._answered))
-            self._drop_answer(self._records[oldest])
-
-    def _drop_answer(self, record: _Record) -> None:
-        if record.answer is not None:
-            self._stored_bytes -= len(record.answer)
-            record.answer = None
-            del self._answered[record.attempt]
-
-    def _mark_ended(self, attempt: types.AttemptId, now_ms: float) -> None:
-        self._ended_ms[attempt] = now_ms
-
-    def _drop_expired(self, now_ms: float) -> None:
-        # Attempts end in time order, so the first one that is kept ends the
-        # search.
-        while self._ended_ms:
-            attempt = next(iter(self._ended_ms))
-            if now_ms - self._ended_ms[attempt] < self._limits.retention_ms:
-                return
-            self._forget(attempt)
-
-    def _forget(self, attempt: types.AttemptId) -> None:
-        record = self._records.pop(attempt)
-        del self._ended_ms[attempt]
-        self._drop_answer(record)
-        if not record.was_opened:
-            self._unopened -= 1
-
     def _check_incarnation(
         self, attempt: types.AttemptId, incarnation: types.Incarnation
     ) -> None:
@@ -397,7 +300,9 @@
                 Verdict.MAY_HAVE_RUN,
             )
 
-    def _make_closed_error(self, record: _Record) -> errors.RefusedError:
+    def _make_closed_error(
+        self, record: attempt_records.AttemptRecord
+    ) -> errors.RefusedError:
         report = self._report(record)
         return errors.RefusedError(
             errors.ErrorCode.ATTEMPT_CLOSED,
@@ -416,8 +321,3 @@
             f'{attempt} may be older; ask on a new connection',
             Verdict.MAY_HAVE_RUN,
         )
-
-
-def _compute_answer_check(attempt: types.AttemptId, answer: bytes) -> int:
-    seed = xxhash.xxh64_intdigest(attempt.encode())
-    return xxhash.xxh64_intdigest(answer, seed=seed)
--- a/foxtailpick/tests/test_mutations.py
+++ b/foxtailpick/tests/test_mutations.py
@@ -116,7 +116,7 @@
 
     def add(self, attempt, event, now_ms):
         record = original(self, attempt, event, now_ms)
-        self._forget(attempt)
+        self._records.forget(attempt)
         return record
 
     patch.setattr(attempts.AttemptTable, '_add_unopened', add)
@@ -302,7 +302,7 @@
     table.open('a', 'i1', 0.0, 0.0)
     table.start('a')
     table.finish('a', verdict.Verdict.RAN, b'x', 0.0)
-    table._records['a'].answer = b'y'
+    table._records.get('a').answer = b'y'
     with pytest.raises(errors.InvariantError):
         table.query('a', 'i1', 0.0, 0.0)
     assert monitor.broken[invariants.Promise.WHOLE_ANSWER] == 1
