--- /dev/null
+++ b/foxtailpick/bench/stepped_store.py
@@ -0,0 +1,96 @@
+"""A store whose every operation waits for a driver to pick its fate."""
+
+import collections.abc
+import enum
+import types as python_types
+import typing
+
+from foxtailpick.adapters import base
+from foxtailpick.core import errors
+from foxtailpick.core import types
+from foxtailpick.core import verdict as verdict_lib
+from foxtailpick.standins import keyvalue
+
+Verdict = verdict_lib.Verdict
+
+
+class Fate(enum.Enum):
+    """What becomes of one operation on the store or the service."""
+
+    DONE = 'done'
+    REFUSED = 'refused'
+    REPLY_LOST = 'reply lost'
+    REQUEST_LOST = 'request lost'
+    LATE = 'takes effect later, reply lost'
+
+
+Operation = typing.Callable[[], object]
+
+
+@python_types.coroutine
+def wait_for_fate(
+    operation: Operation,
+) -> collections.abc.Generator[Operation, Fate, Fate]:
+    """Wait until the driver says what becomes of an operation."""
+    return (yield operation)
+
+
+class SteppedKeyValue(base.KeyValue):
+    """A store whose every operation waits for its fate.
+
+    :param state: the shared state.
+    :param late: where writes wait that take effect later.
+    """
+
+    def __init__(
+        self,
+        state: keyvalue.KeyValueState,
+        late: list[Operation],
+    ) -> None:
+        self._state = state
+        self._late = late
+
+    async def get(self, key: str) -> base.Entry | None:
+        return await self._perform(lambda: self._state.read(key))
+
+    async def get_prefix(self, prefix: str) -> list[base.Entry]:
+        return await self._perform(lambda: self._state.read_prefix(prefix))
+
+    async def transact(
+        self,
+        compares: typing.Sequence[base.Compare],
+        writes: typing.Sequence[base.Put | base.Delete],
+    ) -> base.TxnResult:
+        return await self._perform(
+            lambda: self._state.transact(compares, writes)
+        )
+
+    async def grant_lease(self, ttl_ms: float) -> types.LeaseId:
+        return await self._perform(lambda: self._state.grant_lease(ttl_ms))
+
+    async def keep_lease(self, lease: types.LeaseId) -> None:
+        await self._perform(lambda: self._state.keep_lease(lease))
+
+    async def revoke_lease(self, lease: types.LeaseId) -> None:
+        await self._perform(lambda: self._state.revoke_lease(lease))
+
+    def watch(self, prefix: str, after: types.Revision) -> typing.NoReturn:
+        raise NotImplementedError('claims need no watch')
+
+    async def _perform(self, operation: Operation) -> object:
+        fate = await wait_for_fate(operation)
+        if fate is Fate.REFUSED or self._state.faults.is_down:
+            raise errors.StoreError(
+                errors.ErrorCode.STORE_UNAVAILABLE, 'the store is down'
+            )
+        if fate is Fate.LATE:
+            self._late.append(operation)
+        elif fate is not Fate.REQUEST_LOST:
+            result = operation()
+        if fate is Fate.DONE:
+            return result
+        raise errors.StoreError(
+            errors.ErrorCode.STORE_OUTCOME_UNKNOWN,
+            'no reply',
+            Verdict.MAY_HAVE_RUN,
+        )
