Do not run a claimed call after its deadline

Cause: a claim may wait for a slow store until its caller has gone, and the call then ran for nobody. Ruled out: a check before the claim only, as the wait is the claim's. Change: the deadline is looked at when the claim is won; the claim is then removed, and a repeat with the same key runs. Conclusion: a refusal for the deadline is true for claimed calls too.

--- a/foxtailpick/sidecar/runs.py
+++ b/foxtailpick/sidecar/runs.py
@@ -21,6 +21,7 @@
     :param work: the attempt's own message.
     :param buffer: what it has streamed; empty for a plain call.
     :param followed_ms: when a connection last followed it.
+    :param deadline_ms: when its caller stops waiting.
     :param end: how it ended, None while it waits or runs.
     :param ended_ms: when it ended.
     :param acknowledged: chunks that the reader has handed on.
@@ -29,6 +30,7 @@
     work: work_lib.Work
     buffer: replay.ReplayBuffer
     followed_ms: float
+    deadline_ms: float
     end: End | None = None
     ended_ms: float = 0.0
     acknowledged: int = 0
@@ -92,7 +94,7 @@
     def add(self, work: work_lib.Work, now_ms: float) -> Run:
         """Create the run of a new attempt."""
         buffer = replay.ReplayBuffer(work.attempt, self._stream_bytes)
-        run = Run(work, buffer, now_ms)
+        run = Run(work, buffer, now_ms, now_ms + work.deadline_ms)
         self._runs[work.attempt] = run
         return run
 
--- a/foxtailpick/sidecar/worker.py
+++ b/foxtailpick/sidecar/worker.py
@@ -273,6 +273,8 @@
         async def call_service(work: messages.OpenCall) -> messages.Answer:
             # A repeat of a call that failed long ago is no fault of now.
             nonlocal is_fault
+            if self._clock.now() > run.deadline_ms:
+                raise _make_late_error()
             is_fault = True
             answer = await self._call_service(work)
             is_fault = False
@@ -383,6 +385,14 @@
     )
 
 
+def _make_late_error() -> errors.RequestError:
+    return errors.RequestError(
+        errors.ErrorCode.DEADLINE_EXCEEDED,
+        'expected to claim the key before the deadline; the call was not '
+        'run, repeat it with the same key',
+    )
+
+
 def _make_stop_error() -> errors.RequestError:
     return errors.RequestError(
         errors.ErrorCode.SHUTTING_DOWN,
--- a/foxtailpick/tests/test_once.py
+++ b/foxtailpick/tests/test_once.py
@@ -6,6 +6,7 @@
 
 from foxtailpick.adapters import base
 from foxtailpick.core import attempts
+from foxtailpick.core import clock
 from foxtailpick.core import errors
 from foxtailpick.core import messages
 from foxtailpick.core import settings
@@ -41,8 +42,13 @@
 
 
 @pytest.fixture
-async def runner(gate, manual, monitor, nursery):
-    store = keyvalue.MemoryKeyValue(keyvalue.KeyValueState(manual.now))
+def state(manual):
+    return keyvalue.KeyValueState(manual.now)
+
+
+@pytest.fixture
+async def runner(gate, state, monitor, nursery):
+    store = keyvalue.MemoryKeyValue(state)
     runner = once.OnceRunner(gate, store, 'e1', monitor, 20.0)
     nursery.start_soon(runner.settle)
     return runner
@@ -92,8 +98,10 @@
 
     def __init__(self, failures):
         self.failures = failures
+        self.calls = 0
 
     async def call(self, method, path, body, headers):
+        self.calls += 1
         if self.failures:
             self.failures -= 1
             raise errors.RequestError(
@@ -117,6 +125,28 @@
     for attempt in 'ab':
         work = make_work(gate, attempt)
         started = gate_lib.Started(work, None)
-        await worker._run_once(worker.table.add(work, 0.0), started)
+        run = worker.table.add(work, clock.Clock.from_trio().now())
+        await worker._run_once(run, started)
     assert gate.faults == faults
     assert gate.first_tokens == first_tokens
+
+
+async def test_a_call_is_not_run_after_its_deadline(
+    autojump_clock, gate, state, runner
+):
+    service = StubService(0)
+    limits = settings.LimitSettings()
+    worker = worker_lib.Worker(gate, limits, None, service, runner)
+    state.faults.delay_ms = 600.0
+    now_ms = clock.Clock.from_trio().now()
+    work = make_work(gate)
+    run = worker.table.add(work, now_ms)
+    await worker._run_once(run, gate_lib.Started(work, None))
+    assert run.end.code is errors.ErrorCode.DEADLINE_EXCEEDED
+    assert run.end.verdict is verdict.Verdict.NOT_RUN
+    assert gate.faults == [False]
+    assert service.calls == 0
+    work = make_work(gate, 'b')
+    run = worker.table.add(work, clock.Clock.from_trio().now() + 5_000.0)
+    await worker._run_once(run, gate_lib.Started(work, None))
+    assert run.end.body == b'booked'
