--- a/foxtailpick/sidecar/worker.py
+++ b/foxtailpick/sidecar/worker.py
@@ -204,12 +204,16 @@
         self, run: runs.Run, started: gate_lib.Started
     ) -> messages.Finished:
         call = _make_chat_call(run.work)
+        last: base.TokenChunk | None = None
         async with self._engine.stream_chat(call) as chunks:
+            # Read to the closing mark, so that the connection is kept.
             async for chunk in chunks:
                 if chunk.text:
                     await self._keep_chunk(run, started, chunk)
                 if chunk.finish_reason is not None:
-                    return self._finish_stream(run, started, chunk)
+                    last = chunk
+        if last is not None:
+            return self._finish_stream(run, started, last)
         raise errors.RequestError(
             errors.ErrorCode.ENDPOINT_FAILED,
             'expected a closing chunk from the engine, got none; resume',
@@ -273,6 +277,8 @@
         async def call_service(work: messages.OpenCall) -> messages.Answer:
             # A repeat of a call that failed long ago is no fault of now.
             nonlocal is_fault
+            if self._clock.now() > run.deadline_ms:
+                raise _make_late_error()
             is_fault = True
             answer = await self._call_service(work)
             is_fault = False
@@ -383,6 +389,14 @@
     )
 
 
+def _make_late_error() -> errors.RequestError:
+    return errors.RequestError(
+        errors.ErrorCode.DEADLINE_EXCEEDED,
+        'expected to claim the key before the deadline; the call was not '
+        'run, repeat it with the same key',
+    )
+
+
 def _make_stop_error() -> errors.RequestError:
     return errors.RequestError(
         errors.ErrorCode.SHUTTING_DOWN,
