Move the signs of an engine's warmth out of the slow start

Change: strain, its base, late first tokens and cache misses are a gauge of their own, made anew whenever the engine is found cold.

--- a/foxtailpick/core/slow_start.py
+++ b/foxtailpick/core/slow_start.py
@@ -6,19 +6,15 @@
 """
 
 import dataclasses
-import math
 
 from loguru import logger
 
 from foxtailpick.core import charts
 from foxtailpick.core import invariants
 from foxtailpick.core import limit_policy
+from foxtailpick.core import strain as strain_lib
 from foxtailpick.core import types
 
-BASE_TIME_CONSTANT_MS = 20.0 * types.SECOND_MS
-HIT_RATIO_WEIGHT = 0.05
-STRAIN_WEIGHT = 0.2
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SlowStartOptions:
@@ -100,17 +96,11 @@
         self._in_flight: dict[int, StartTicket] = {}
         self._pending: dict[int, StartTicket] = {}
         self._carried: set[int] = set()
-        self._late_since_ms = float('inf')
         self._started = 0
         self._epoch = 0
         self._limit = options.initial_limit
-        self._strain = 1.0
-        self._base_strain: float | None = None
-        self._base_ms = 0.0
-        self._late_samples = 0
+        self._gauge = self._make_gauge()
         self._failures = 0
-        self._usual_hits: float | None = None
-        self._recent_hits: float | None = None
         self._cold_ms = 0.0
         self._cut_ms = 0.0
 
@@ -206,14 +196,13 @@
         is_first_answer = self._life.fire('answered')
         if ticket.epoch < self._epoch:
             return
-        first_token_ms = max(now_ms - ticket.started_ms, 0.0)
-        strain = self._compare_with_base(
-            first_token_ms / ticket.expected_ms, now_ms
+        strain = self._gauge.record(
+            ticket.started_ms, ticket.expected_ms, now_ms
         )
-        self._strain += STRAIN_WEIGHT * (strain - self._strain)
-        self._note_late_sample(ticket, strain, now_ms)
-        if hit_ratio is not None:
-            self._note_hit_ratio(hit_ratio, now_ms)
+        if self._gauge.is_late():
+            self._go_cold_if_above_initial(now_ms, 'first tokens late')
+        if hit_ratio is not None and self._gauge.is_missing_cache(hit_ratio):
+            self._go_cold_if_above_initial(now_ms, 'cache misses')
         if ticket.epoch == self._epoch and not is_first_answer:
             self._move_limit(ticket, strain, now_ms)
 
@@ -269,29 +258,17 @@
     def _is_limit_reached(self) -> bool:
         return self._limit >= self._options.max_limit
 
-    def _compare_with_base(self, strain: float, now_ms: float) -> float:
-        """Return the strain in relation to that of the idle engine.
-
-        A cold engine is slow even without load. What it can bear shows in
-        how first tokens slow down from there on. The base decays, because
-        an engine that warms up under growing load would hide the load.
-        """
-        base = self._find_base_strain(now_ms)
-        if self._base_strain is None or strain < base:
-            base = min(max(strain, 1.0), self._options.cold_strain)
-            self._base_strain = base
-            self._base_ms = now_ms
-        return strain / base
-
-    def _find_base_strain(self, now_ms: float) -> float:
-        if self._base_strain is None:
-            return self._options.cold_strain
-        age_ms = now_ms - self._base_ms
-        decay = math.exp(-age_ms / BASE_TIME_CONSTANT_MS)
-        return 1.0 + (self._base_strain - 1.0) * decay
+    def _make_gauge(self) -> strain_lib.StrainGauge:
+        return strain_lib.StrainGauge(
+            strain_lib.ColdSigns(
+                self._options.cold_strain,
+                self._options.cold_samples,
+                self._options.cold_hit_ratio,
+            )
+        )
 
     def _count_overdue(self, strain: float, now_ms: float) -> int:
-        strain *= self._find_base_strain(now_ms)
+        strain *= self._gauge.find_base(now_ms)
         return sum(
             now_ms - ticket.started_ms > strain * ticket.expected_ms
             for ticket in self._pending.values()
@@ -300,40 +277,18 @@
 
     def _look_for_overdue_first_tokens(self, now_ms: float) -> None:
         overdue = self._count_overdue(self._options.cold_strain, now_ms)
-        if overdue + self._late_samples >= self._options.cold_samples:
+        if self._gauge.is_late(overdue):
             oldest = min(
                 (ticket.started_ms for ticket in self._pending.values()),
                 default=now_ms,
             )
-            self._late_since_ms = min(self._late_since_ms, oldest)
+            self._gauge.note_overdue_since(oldest)
             self._go_cold_if_above_initial(now_ms, 'first tokens overdue')
 
     def _go_cold_if_above_initial(self, now_ms: float, reason: str) -> None:
         if self._limit > self._options.initial_limit:
             self.on_cold(now_ms, reason)
 
-    def _note_late_sample(
-        self, ticket: StartTicket, strain: float, now_ms: float
-    ) -> None:
-        if strain <= self._options.cold_strain:
-            self._late_samples = 0
-            self._late_since_ms = float('inf')
-            return
-        self._late_samples += 1
-        self._late_since_ms = min(self._late_since_ms, ticket.started_ms)
-        if self._late_samples >= self._options.cold_samples:
-            self._go_cold_if_above_initial(now_ms, 'first tokens late')
-
-    def _note_hit_ratio(self, hit_ratio: float, now_ms: float) -> None:
-        if self._usual_hits is None or self._recent_hits is None:
-            self._usual_hits = self._recent_hits = hit_ratio
-            return
-        self._recent_hits += STRAIN_WEIGHT * (hit_ratio - self._recent_hits)
-        self._usual_hits += HIT_RATIO_WEIGHT * (hit_ratio - self._usual_hits)
-        floor = self._options.cold_hit_ratio * self._usual_hits
-        if self._recent_hits < floor:
-            self._go_cold_if_above_initial(now_ms, 'cache misses')
-
     def _move_limit(
         self, ticket: StartTicket, strain: float, now_ms: float
     ) -> None:
@@ -341,7 +296,7 @@
             limit_policy.Observation(
                 self._limit,
                 len(self._in_flight.keys() - self._carried),
-                self._strain,
+                self._gauge.average,
                 strain,
                 now_ms - self._cold_ms,
                 ticket.expected_ms,
@@ -368,15 +323,11 @@
             number
             for number, ticket in self._in_flight.items()
             if number not in self._pending
-            and ticket.started_ms < self._late_since_ms
+            and ticket.started_ms < self._gauge.late_since_ms
         }
-        self._late_since_ms = float('inf')
         self._limit = self._options.initial_limit
-        self._strain = 1.0
-        self._base_strain = None
-        self._late_samples = 0
+        self._gauge = self._make_gauge()
         self._failures = 0
-        self._usual_hits = self._recent_hits = None
         self._cold_ms = self._cut_ms = now_ms
 
 
