--- a/foxtailpick/bench/domain_return.py
+++ b/foxtailpick/bench/domain_return.py
@@ -7,14 +7,15 @@
 import collections
 
 from foxtailpick.bench import load
+from foxtailpick.bench import load_runs
 from foxtailpick.bench import tables
 
-FLEET = load.Fleet(24, 9, 8_000.0)
+FLEET = load_runs.Fleet(24, 9, 8_000.0)
 RETURNED = 8
 SECOND_MS = 1_000.0
 
 
-class ReturnSimulation(load.Simulation):
+class ReturnSimulation(load_runs.Simulation):
     """A run in which a third of the engines returns after the warm-up.
 
     :param counts_after_ms: when returned engines begin to tell their load.
@@ -23,7 +24,7 @@
     def __init__(self, counts_after_ms: float) -> None:
         super().__init__(FLEET, load.make_bounded(), True)
         self._returned = frozenset(self.names[-RETURNED:])
-        self._counts_at_ms = load.WARM_MS + counts_after_ms
+        self._counts_at_ms = load_runs.WARM_MS + counts_after_ms
         self._now_ms = 0.0
         self._starts: collections.Counter = collections.Counter()
 
@@ -32,7 +33,7 @@
         """Most requests that a returned engine got in one second."""
         return max(self._starts.values())
 
-    def list_reporting(self, now_ms: float) -> list[load.Engine]:
+    def list_reporting(self, now_ms: float) -> list[load_runs.Engine]:
         self._now_ms = now_ms
         if now_ms >= self._counts_at_ms:
             return super().list_reporting(now_ms)
@@ -40,11 +41,13 @@
         return [e for e in engines if e.endpoint not in self._returned]
 
     def list_order(self, chat, eligible, missing):
-        if self._now_ms < load.WARM_MS:
+        if self._now_ms < load_runs.WARM_MS:
             missing = missing | self._returned
         return super().list_order(chat, eligible, missing)
 
-    def place(self, engine: load.Engine, arrival: load.Arrival) -> None:
+    def place(
+        self, engine: load_runs.Engine, arrival: load_runs.Arrival
+    ) -> None:
         super().place(engine, arrival)
         if engine.endpoint in self._returned:
             second = int(arrival.now_ms / SECOND_MS)
@@ -55,7 +58,7 @@
     """Compare when a returned engine begins to count in the mean."""
     table = tables.Table(
         f'A domain of {RETURNED} of {FLEET.engines} engines returns, first '
-        f'{FLEET.measured_ms / SECOND_MS:.0f} s, seed {load.SEED}',
+        f'{FLEET.measured_ms / SECOND_MS:.0f} s, seed {load_runs.SEED}',
         (
             'returned engines count',
             'tries a request',
--- /dev/null
+++ b/foxtailpick/bench/load_runs.py
@@ -0,0 +1,310 @@
+"""A run of a load policy on a fleet of fake engines, in virtual time.
+
+Requests hold their tokens for as long as they run. Loads are the true
+outstanding tokens of the engines.
+"""
+
+import bisect
+import dataclasses
+import heapq
+import itertools
+import random
+import typing
+
+from foxtailpick.adapters import base
+from foxtailpick.core import decision
+from foxtailpick.core import invariants
+from foxtailpick.core import load_bound
+from foxtailpick.core import load_gossip
+from foxtailpick.core import load_view
+from foxtailpick.core import mean_estimate
+from foxtailpick.core import placement
+
+SEED = 4
+TOKEN_MS = 38.0
+MEAN_ANSWER_TOKENS = 307.0
+ANSWER_SIGMA = 0.8
+PROMPT_TOKENS = 200.0
+REQUESTS_PER_ENGINE_PER_S = 7.5
+CHATS_PER_ENGINE = 200
+HINT_SHARE = 0.8
+ZIPF_EXPONENT = 0.9
+SURGE_CHATS = 30
+SURGE_PREFIX = 'surge-'
+SURGE_SHARE = 0.15
+SURGE_PERIOD_MS = 20_000.0
+SURGE_MS = 8_000.0
+WARM_MS = 16_000.0
+MISSING_SHARE = 0.02
+LIST_PERIOD_MS = 5_000.0
+LOST_GOSSIP_SHARE = 0.05
+MAX_TRIES = 4
+MIN_SCAN_EVENTS = 20
+UDP_HEADER_BYTES = 28
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fleet:
+    """Sizes of a run.
+
+    :param engines: engines of the pool.
+    :param routers: routers in front.
+    :param measured_ms: time measured, after the warm-up.
+    :param surge_share: share of requests that a surging account sends.
+    :param set_share: share of the engines that this account may use.
+    :param is_brief: whether to run only the main policies.
+    """
+
+    engines: int
+    routers: int
+    measured_ms: float
+    surge_share: float = SURGE_SHARE
+    set_share: float = 1.0
+    is_brief: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Engine:
+    """A fake engine with its sidecar's bound."""
+
+    endpoint: str
+    bound: load_bound.LoadBound
+    mean: mean_estimate.MeanEstimate
+    peers: list[str]
+    load: float = 0.0
+    chats: set[str] = dataclasses.field(default_factory=set)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request as it reaches a router."""
+
+    number: int
+    chat: str
+    cost: float
+    hold_ms: float
+    router: int
+    order: tuple[str, ...]
+    now_ms: float
+    eligible: list[str]
+
+
+@dataclasses.dataclass(slots=True)
+class Result:
+    """What a run counted."""
+
+    requests: int = 0
+    tries: int = 0
+    refused: int = 0
+    cold: int = 0
+    max_ratio: float = 0.0
+    ratios: list[float] = dataclasses.field(default_factory=list)
+    gossip_bytes: int = 0
+    rider_bytes: int = 0
+
+
+class Simulation:
+    """One run of a policy on a fleet, with fixed seeds.
+
+    :param fleet: the sizes.
+    :param policy: function that runs one request, returns its engine.
+    :param gossips: whether sidecars exchange samples.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        policy: typing.Callable[['Simulation', Arrival], Engine | None],
+        gossips: bool,
+    ) -> None:
+        self.fleet = fleet
+        self.policy = policy
+        self.gossips = gossips
+        self.rng = random.Random(SEED)
+        self.gossip_rng = random.Random(SEED + 1)
+        self.engines = _build_engines(fleet.engines)
+        self.names = list(self.engines)
+        set_size = round(fleet.set_share * fleet.engines)
+        self.set_names = self.names[:set_size]
+        self.table = _build_table(self.names)
+        self.views = [load_view.LoadView() for _ in range(fleet.routers)]
+        self.seen = [{} for _ in range(fleet.routers)]
+        self.total = 0.0
+        self.result = Result()
+        self._orders: dict[str, tuple[str, ...]] = {}
+        self._last_places: dict[str, str] = {}
+        self._ends: list[tuple[float, int, Engine, float]] = []
+        self._chats = _ZipfChats(fleet.engines * CHATS_PER_ENGINE)
+        self._missing = [frozenset()] * fleet.routers
+        self._is_measured = False
+
+    @property
+    def mean(self) -> float:
+        return self.total / len(self.engines)
+
+    def run(self) -> Result:
+        end_ms = WARM_MS + self.fleet.measured_ms
+        rate = REQUESTS_PER_ENGINE_PER_S * self.fleet.engines / 1_000.0
+        now_ms = gossip_ms = list_ms = 0.0
+        scan_events = max(MIN_SCAN_EVENTS, self.fleet.engines // 5)
+        for number in itertools.count():
+            now_ms += self.rng.expovariate(rate)
+            if now_ms > end_ms:
+                return self.result
+            self._is_measured = now_ms > WARM_MS
+            if now_ms >= list_ms:
+                self._redraw_lists()
+                list_ms += LIST_PERIOD_MS
+            if self.gossips and now_ms >= gossip_ms:
+                self._exchange_reports(now_ms)
+                gossip_ms += load_gossip.PERIOD_MS
+            self._end_requests(now_ms)
+            self._start_request(number, now_ms)
+            if self._is_measured and number % scan_events == 0:
+                self._scan_loads()
+
+    def place(self, engine: Engine, arrival: Arrival) -> None:
+        """Let an engine run a request."""
+        engine.load += arrival.cost
+        self.total += arrival.cost
+        end_ms = arrival.now_ms + arrival.hold_ms
+        heapq.heappush(
+            self._ends, (end_ms, arrival.number, engine, arrival.cost)
+        )
+        if self._is_measured:
+            ratio = engine.load / self.mean
+            self.result.max_ratio = max(self.result.max_ratio, ratio)
+            is_returning = arrival.chat in self._last_places
+            is_cold = arrival.chat not in engine.chats
+            self.result.cold += is_returning and is_cold
+        engine.chats.add(arrival.chat)
+        self._last_places[arrival.chat] = engine.endpoint
+
+    def count_try(self, rider_bytes: int = 0) -> None:
+        if self._is_measured:
+            self.result.tries += 1
+            self.result.rider_bytes += rider_bytes
+
+    def list_reporting(self, now_ms: float) -> list[Engine]:
+        """Return the engines whose sidecars tell their load."""
+        return list(self.engines.values())
+
+    def _start_request(self, number: int, now_ms: float) -> None:
+        chat = self._draw_chat(now_ms)
+        eligible = self.names
+        if chat.startswith(SURGE_PREFIX):
+            eligible = self.set_names
+        tokens = self.rng.lognormvariate(0.0, ANSWER_SIGMA)
+        tokens *= MEAN_ANSWER_TOKENS / 1.377
+        router = self.rng.randrange(self.fleet.routers)
+        arrival = Arrival(
+            number,
+            chat,
+            PROMPT_TOKENS + tokens,
+            tokens * TOKEN_MS,
+            router,
+            self.list_order(chat, eligible, self._missing[router]),
+            now_ms,
+            eligible,
+        )
+        engine = self.policy(self, arrival)
+        if self._is_measured:
+            self.result.requests += 1
+            self.result.refused += engine is None
+        if engine is not None:
+            self.place(engine, arrival)
+
+    def _draw_chat(self, now_ms: float) -> str:
+        is_surge = now_ms % SURGE_PERIOD_MS < SURGE_MS
+        if is_surge and self.rng.random() < self.fleet.surge_share:
+            return f'{SURGE_PREFIX}{self.rng.randrange(SURGE_CHATS)}'
+        return self._chats.draw(self.rng)
+
+    def list_order(
+        self, chat: str, eligible: list[str], missing: frozenset[str]
+    ) -> tuple[str, ...]:
+        if chat not in self._orders:
+            self._orders[chat] = self._compute_order(chat, eligible)
+        order = [e for e in self._orders[chat] if e not in missing]
+        last = self._last_places.get(chat)
+        if last is not None and self.rng.random() < HINT_SHARE:
+            order = [last, *order]
+        return tuple(dict.fromkeys(order))
+
+    def _compute_order(
+        self, chat: str, eligible: list[str]
+    ) -> tuple[str, ...]:
+        req = decision.PlacementRequest(
+            chat,
+            'svc',
+            'region',
+            allowed=None if eligible is self.names else frozenset(eligible),
+            max_candidates=MAX_TRIES + 2,
+        )
+        made = placement.choose_endpoints(self.table, req)
+        return tuple(candidate.endpoint for candidate in made.candidates)
+
+    def _redraw_lists(self) -> None:
+        count = round(MISSING_SHARE * len(self.names))
+        self._missing = [
+            frozenset(self.rng.sample(self.names, count))
+            for _ in self._missing
+        ]
+
+    def _exchange_reports(self, now_ms: float) -> None:
+        for engine in self.list_reporting(now_ms):
+            report = engine.bound.make_report(None, now_ms)
+            size = len(load_gossip.encode_report(report)) + UDP_HEADER_BYTES
+            peers = load_gossip.draw_peers(engine.peers, self.gossip_rng)
+            for peer in peers:
+                if self._is_measured:
+                    self.result.gossip_bytes += size
+                if self.gossip_rng.random() >= LOST_GOSSIP_SHARE:
+                    self.engines[peer].mean.observe(report, now_ms)
+
+    def _end_requests(self, now_ms: float) -> None:
+        while self._ends and self._ends[0][0] <= now_ms:
+            _end_ms, number, engine, cost = heapq.heappop(self._ends)
+            engine.load -= cost
+            self.total -= cost
+            engine.bound.release(number)
+
+    def _scan_loads(self) -> None:
+        mean = self.mean
+        loads = sorted(engine.load for engine in self.engines.values())
+        highest = loads[-1] / mean
+        self.result.max_ratio = max(self.result.max_ratio, highest)
+        self.result.ratios.append(loads[int(0.99 * len(loads))] / mean)
+
+
+class _ZipfChats:
+    def __init__(self, count: int) -> None:
+        weights = (rank**-ZIPF_EXPONENT for rank in range(1, count + 1))
+        self._sums = list(itertools.accumulate(weights))
+
+    def draw(self, rng: random.Random) -> str:
+        point = rng.random() * self._sums[-1]
+        return f'chat-{bisect.bisect(self._sums, point)}'
+
+
+def _build_engines(count: int) -> dict[str, Engine]:
+    monitor = invariants.Monitor(is_strict=True)
+    names = [f'ep-{number}' for number in range(count)]
+    engines = {}
+    for name in names:
+        bound = load_bound.LoadBound(
+            name, 1.0, monitor, rng=random.Random(name)
+        )
+        mean = bound.set_pool(None, float(count))
+        peers = [peer for peer in names if peer != name]
+        engines[name] = Engine(name, bound, mean, peers)
+    return engines
+
+
+def _build_table(names: list[str]) -> placement.PlacementTable:
+    return placement.PlacementTable.from_members(
+        base.Member(
+            name, 'inc', '127.0.0.1:1', 'region', f'domain-{i % 3}', 'svc'
+        )
+        for i, name in enumerate(names)
+    )
--- /dev/null
+++ b/foxtailpick/bench/reuse_runs.py
@@ -0,0 +1,258 @@
+"""A run of chats that return to fake engines with prefix caches.
+
+Engines keep the prefixes of chats in a least-recently-used cache of limited
+size. Endpoints are replaced and flap while routers' lists lag differently.
+"""
+
+import collections
+import dataclasses
+import heapq
+import itertools
+import random
+import typing
+
+from foxtailpick.adapters import base
+from foxtailpick.core import decision
+from foxtailpick.core import invariants
+from foxtailpick.core import load_bound
+from foxtailpick.core import placement
+
+SEED = 11
+ENGINES = 24
+CACHE_TOKENS = 600_000
+CHATS = 12_000
+SHORT_PAUSE_MS = 180_000.0
+LONG_PAUSE_MS = 1_800_000.0
+LONG_PAUSE_SHARE = 0.15
+TURNS = 10
+PROMPT_TOKENS = 200
+MEAN_ANSWER_TOKENS = 307.0
+ANSWER_SIGMA = 0.8
+# Answers run several times as long as real ones, so that a run of few
+# requests has the concurrency of a large fleet.
+TOKEN_MS = 285.0
+WARM_MS = 480_000.0
+END_MS = 1_980_000.0
+REPLACED_AT_MS = (720_000.0,)
+FLAP_PERIOD_MS = 60_000.0
+FLAP_MS = 3_000.0
+LIST_LAGS_MS = (0.0, 2_500.0, 5_000.0)
+MEAN_PERIOD_MS = 500.0
+MEAN_BIAS = 0.994
+MEAN_SIGMA = 0.014
+
+
+@dataclasses.dataclass(slots=True)
+class Engine:
+    """A fake engine: its bound, its load and its prefix cache."""
+
+    bound: load_bound.LoadBound
+    load: float = 0.0
+    cached: collections.OrderedDict = dataclasses.field(
+        default_factory=collections.OrderedDict
+    )
+    cached_tokens: int = 0
+    kept_ms: float = LONG_PAUSE_MS
+
+    def run(self, chat: str, context: int, grown: int, now_ms: float) -> int:
+        """Run a turn; return how many tokens of its context were cached."""
+        known, _used_ms = self.cached.pop(chat, (0, 0.0))
+        self.cached[chat] = (grown, now_ms)
+        self.cached_tokens += grown - known
+        while self.cached_tokens > CACHE_TOKENS:
+            _chat, (tokens, used_ms) = self.cached.popitem(last=False)
+            self.cached_tokens -= tokens
+            self.kept_ms = now_ms - used_ms
+        return min(known, context)
+
+
+@dataclasses.dataclass(slots=True)
+class Chat:
+    """A chat between two turns."""
+
+    name: str
+    context: int = 0
+    hint: decision.LocationHint | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Result:
+    """What a run counted."""
+
+    context: int = 0
+    reused: int = 0
+    requests: int = 0
+    tries: int = 0
+    refused: int = 0
+    max_ratio: float = 0.0
+
+
+class Simulation:
+    """One run of a policy, with fixed seeds.
+
+    :param policy: function that picks the engine of one turn.
+    :param hint_share: share of turns that return the location hint.
+    :param hold_ms: how long the tables keep an absent endpoint.
+    """
+
+    def __init__(
+        self,
+        policy: typing.Callable,
+        hint_share: float = 0.0,
+        hold_ms: float = placement.FLAP_HOLD_MS,
+    ) -> None:
+        self.policy = policy
+        self.hint_share = hint_share
+        self.rng = random.Random(SEED)
+        self.policy_rng = random.Random(SEED + 1)
+        self.monitor = invariants.Monitor(is_strict=True)
+        self.engines: dict[str, Engine] = {}
+        self.members: dict[str, base.Member] = {}
+        self.total = 0.0
+        self.now_ms = 0.0
+        self.attempt = 0
+        self.result = Result()
+        self.seen: dict[str, float] = {}
+        self._names = itertools.count()
+        self._events = itertools.count()
+        self._queue: list[tuple[float, int, typing.Callable]] = []
+        for _ in range(ENGINES):
+            self._add_engine()
+        self.tables = [
+            placement.PlacementTable.from_members(
+                self.members.values(), flap_hold_ms=hold_ms
+            )
+            for _ in LIST_LAGS_MS
+        ]
+
+    @property
+    def mean(self) -> float:
+        return self.total / len(self.engines)
+
+    def run(self) -> Result:
+        for number in range(CHATS):
+            chat = Chat(f'chat-{number}')
+            self._schedule(
+                self.rng.random() * LONG_PAUSE_MS / 5.0, self._turn, chat
+            )
+        for at_ms in REPLACED_AT_MS:
+            self._schedule(at_ms, self._replace_engine)
+        self._schedule(FLAP_PERIOD_MS, self._flap)
+        self._schedule(0.0, self._tell_mean)
+        while self.now_ms < END_MS:
+            self.now_ms, _number, action = heapq.heappop(self._queue)
+            action()
+        return self.result
+
+    def _schedule(self, delay_ms: float, action, *args) -> None:
+        event = (
+            self.now_ms + delay_ms,
+            next(self._events),
+            (lambda: action(*args)) if args else action,
+        )
+        heapq.heappush(self._queue, event)
+
+    def _add_engine(self) -> None:
+        name = f'ep-{next(self._names)}'
+        bound = load_bound.LoadBound(name, 1.0, self.monitor)
+        bound.set_pool(None, float(ENGINES))
+        self.engines[name] = Engine(bound)
+        domain = f'domain-{len(self.members) % 3}'
+        self.members[name] = base.Member(
+            name, f'inc-{name}', '127.0.0.1:1', 'region', domain, 'svc'
+        )
+
+    def _replace_engine(self) -> None:
+        name = next(iter(self.engines))
+        self.total -= self.engines.pop(name).load
+        del self.members[name]
+        self._add_engine()
+        self._publish(list(self.members.values()))
+
+    def _flap(self) -> None:
+        gone = self.rng.choice(list(self.members))
+        listed = [m for m in self.members.values() if m.endpoint != gone]
+        self._publish(listed)
+        self._schedule(FLAP_MS, self._end_flap)
+        self._schedule(FLAP_PERIOD_MS, self._flap)
+
+    def _end_flap(self) -> None:
+        self._publish(list(self.members.values()))
+
+    def _publish(self, members: list[base.Member]) -> None:
+        for table, lag_ms in zip(self.tables, LIST_LAGS_MS, strict=True):
+            self._schedule(lag_ms, self._update, table, members)
+
+    def _update(self, table, members) -> None:
+        table.update(members, None, self.now_ms)
+
+    def _tell_mean(self) -> None:
+        for table in self.tables:
+            table.expire_absent(self.now_ms)
+        for engine in self.engines.values():
+            error = self.policy_rng.gauss(MEAN_BIAS, MEAN_SIGMA)
+            mean = engine.bound.set_pool(None, float(ENGINES))
+            mean.observe_router_view(self.mean * error, self.now_ms)
+        self._schedule(MEAN_PERIOD_MS, self._tell_mean)
+
+    def _turn(self, chat: Chat) -> None:
+        tokens = self.rng.lognormvariate(0.0, ANSWER_SIGMA)
+        tokens *= MEAN_ANSWER_TOKENS / 1.377
+        cost = PROMPT_TOKENS + tokens
+        grown = chat.context + round(cost)
+        hinted = dataclasses.replace(chat)
+        if self.rng.random() >= self.hint_share:
+            hinted.hint = None
+        self.attempt += 1
+        router = self.rng.randrange(len(self.tables))
+        name = self.policy(self, hinted, cost, self.tables[router])
+        self._count(chat, name, grown)
+        if name is not None:
+            self._start(name, cost, tokens * TOKEN_MS)
+            chat.context = grown
+            chat.hint = decision.LocationHint(
+                name,
+                self.members[name].incarnation,
+                self.now_ms + self.engines[name].kept_ms,
+            )
+        if self.rng.random() < 1.0 / TURNS:
+            chat = Chat(f'chat-{next(self._names)}')
+        self._schedule(self._draw_pause_ms(), self._turn, chat)
+
+    def _count(self, chat: Chat, name: str | None, grown: int) -> None:
+        reused = 0
+        if name is not None:
+            reused = self.engines[name].run(
+                chat.name, chat.context, grown, self.now_ms
+            )
+        if self.now_ms > WARM_MS:
+            self.result.requests += 1
+            self.result.refused += name is None
+            self.result.context += chat.context
+            self.result.reused += reused
+
+    def _start(self, name: str, cost: float, hold_ms: float) -> None:
+        engine = self.engines[name]
+        engine.load += cost
+        self.total += cost
+        if self.now_ms > WARM_MS:
+            ratio = engine.load / self.mean
+            self.result.max_ratio = max(self.result.max_ratio, ratio)
+        self._schedule(hold_ms, self._finish, name, engine, cost, self.attempt)
+
+    def _finish(
+        self, name: str, engine: Engine, cost: float, attempt: int
+    ) -> None:
+        engine.bound.release(attempt)
+        if self.engines.get(name) is engine:
+            engine.load -= cost
+            self.total -= cost
+
+    def _draw_pause_ms(self) -> float:
+        is_long = self.rng.random() < LONG_PAUSE_SHARE
+        mean_ms = LONG_PAUSE_MS if is_long else SHORT_PAUSE_MS
+        return self.rng.expovariate(1.0 / mean_ms)
+
+    def count_try(self) -> None:
+        if self.now_ms > WARM_MS:
+            self.result.tries += 1
