--- a/foxtailpick/core/placement.py
+++ b/foxtailpick/core/placement.py
@@ -128,7 +128,10 @@
         """
         ring = self._rings.get(pool)
         if ring is None:
-            ring = self._rings[pool] = self._build_ring(pool)
+            ring = self._build_ring(pool)
+            # Callers name models freely; unknown ones must not fill memory.
+            if len(ring):
+                self._rings[pool] = ring
         return ring.walk(key)
 
     def _put(
