Ask routers where no sidecar can be asked

Cause: a lone sidecar, or one whose peers all failed, would admit nothing while the store is down; and a number that only a router held could not be fetched from it, since routers have no address of their own. Ruled out: routers as ordinary witnesses; those that send work may all be stale. Change: connections of routers are the last resort of verification, and are asked for a number that they showed.

--- a/foxtailpick/core/config_sources.py
+++ b/foxtailpick/core/config_sources.py
@@ -26,6 +26,7 @@
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
         self._peers: tuple[str, ...] = ()
+        self._last_resort: tuple[str, ...] = ()
         self._contacts: tuple[str, ...] = ()
         self._rotated_ms = float('-inf')
         self._bad_peers: dict[str, float] = {}
@@ -36,10 +37,19 @@
         """Nodes of the fleet as far as known, this one included."""
         return len(self._peers) + 1
 
-    def set_peers(self, peers: typing.Iterable[str]) -> None:
-        """Replace the peers."""
+    def set_peers(
+        self,
+        peers: typing.Iterable[str],
+        last_resort: typing.Iterable[str] = (),
+    ) -> None:
+        """Replace the peers.
+
+        :param peers: the peers.
+        :param last_resort: asked only where no peer can be.
+        """
         self._peers = tuple(peers)
-        known = set(self._peers)
+        self._last_resort = tuple(last_resort)
+        known = {*self._peers, *self._last_resort}
         self._bad_peers = {
             peer: until
             for peer, until in self._bad_peers.items()
@@ -75,7 +85,7 @@
 
     def on_peer_bad(self, peer: str, now_ms: float) -> None:
         """Leave a peer alone for a while."""
-        if peer not in self._peers:
+        if peer not in self._peers and peer not in self._last_resort:
             return
         if peer in self._contacts:
             kept = tuple(held for held in self._contacts if held != peer)
@@ -83,9 +93,16 @@
         self._bad_peers[peer] = now_ms + PEER_PAUSE_MS * self._draw_jitter()
 
     def count_good_peers(self, now_ms: float) -> int:
-        """Return how many peers may be asked."""
+        """Return how many peers may be asked.
+
+        Where none may, those of the last resort count.
+        """
         self._drop_ended_pauses(now_ms)
-        return len(self._peers) - len(self._bad_peers)
+        if len(self._bad_peers) < len(self._peers):
+            bad = self._bad_peers.keys() - set(self._last_resort)
+            return len(self._peers) - len(bad)
+        good = self._filter_good(self._peers)
+        return len(good or self._filter_good(self._last_resort))
 
     def pick_peers(
         self, count: int, now_ms: float, skipped: typing.Collection[str] = ()
@@ -101,12 +118,14 @@
         wanted = count + len(skipped) + len(self._bad_peers)
         contacts = self.sample(self._contacts, len(self._contacts))
         drawn = dict.fromkeys(contacts + self.sample(self._peers, wanted))
-        good = [
-            peer
-            for peer in drawn
-            if peer not in self._bad_peers and peer not in skipped
-        ]
-        return good[:count]
+        good = self._filter_good(drawn)
+        if not good and not self._filter_good(self._peers):
+            shuffled = self.sample(self._last_resort, len(self._last_resort))
+            good = self._filter_good(shuffled)
+        return [peer for peer in good if peer not in skipped][:count]
+
+    def _filter_good(self, names: typing.Iterable[str]) -> list[str]:
+        return [name for name in names if name not in self._bad_peers]
 
     def sample(self, names: tuple[str, ...], count: int) -> list[str]:
         """Return random names, as many as wanted if there are."""
--- a/foxtailpick/core/propagation.py
+++ b/foxtailpick/core/propagation.py
@@ -128,12 +128,13 @@
         :param peers: nodes that can be asked: the other sidecars. Routers
             are left out, for those that send work may all be stale.
         :param listeners: routers with an open connection, told of a new
-            number though never asked.
+            number, and asked only where no peer can be.
         :param domain_nodes: nodes of this failure domain that may hold a
             watch; without this node in it, it never does.
         """
-        self._state.sources.set_peers(peers)
-        self._state.announcer.set_listeners(listeners)
+        told = tuple(listeners)
+        self._state.sources.set_peers(peers, told)
+        self._state.announcer.set_listeners(told)
         self._state.wants_watch = (
             self._state.node in domain_nodes
             and watchers.is_watcher(self._state.node, domain_nodes)
--- a/foxtailpick/node/config_node.py
+++ b/foxtailpick/node/config_node.py
@@ -290,12 +290,25 @@
     async def _fetch_from_peer(
         self, action: config_actions.FetchFromPeer
     ) -> None:
-        link = await self._links.acquire(action.peer)
+        send = await self._open_way(action.peer)
         self._nonce += 1
         self._asked[self._nonce] = (action.peer, self._clock.now())
         if len(self._asked) > MAX_QUESTIONS:
             del self._asked[min(self._asked)]
-        link.send_soon(messages.ConfigWanted(action.after, self._nonce))
+        send(messages.ConfigWanted(action.after, self._nonce))
+
+    async def _open_way(self, peer: str) -> Reply:
+        """Return what sends to a peer: its own connection, else a link."""
+        if peer in self._told:
+            return self._told[peer]
+        if all(member.address != peer for member in self._members):
+            raise errors.LinkError(
+                errors.ErrorCode.LINK_LOST,
+                f'expected a member or an open connection, got {peer}, '
+                f'which is gone; ask another peer',
+            )
+        link = await self._links.acquire(peer)
+        return link.send_soon
 
     def _on_offer(
         self, message: messages.ConfigOffer, peer: str | None
@@ -318,9 +331,9 @@
             raw = await self.reader.read_chunk(action.digest)
             self.tracker.on_chunk(action.index, raw)
             return
-        link = await self._links.acquire(action.peer)
+        send = await self._open_way(action.peer)
         self._chunk_asked[action.peer] = action
-        link.send_soon(messages.ChunkWanted(action.index, action.digest))
+        send(messages.ChunkWanted(action.index, action.digest))
 
     def _make_chunk_offer(
         self, message: messages.ChunkWanted
@@ -373,12 +386,9 @@
                 nursery.start_soon(self._tell, peer, message)
 
     async def _tell(self, peer: str, message: messages.ConfigOffer) -> None:
-        if peer in self._told:
-            self._told[peer](message)
-            return
         try:
-            link = await self._links.acquire(peer)
+            send = await self._open_way(peer)
         except errors.LinkError as exc:
             logger.debug('CONFIG not told to {}. {}', peer, exc)
             return
-        link.send_soon(message)
+        send(message)
--- a/foxtailpick/sidecar/connections.py
+++ b/foxtailpick/sidecar/connections.py
@@ -54,11 +54,11 @@
         meter: wire.TrafficMeter,
     ) -> None:
         self.peer: messages.Hello | None = None
+        self.name = f'connection/{next(_serials)}'
         self._stream = wire.FrameStream(conn, meter)
         self._worker = worker
         self._hello = hello
         self._node = node
-        self._name = f'connection/{next(_serials)}'
         self._hear = hear
         self._clock = clock_lib.Clock.from_trio()
         self._sent_after_ms = self._clock.now()
@@ -83,12 +83,12 @@
                 self._nursery = nursery
                 nursery.start_soon(self._probe)
                 nursery.start_soon(self._send_states)
-                self._node.add_listener(self._name, self.send_soon)
+                self._node.add_listener(self.name, self.send_soon)
                 await self._read_frames()
         except* errors.LinkError as group:
             logger.info('LINK closed. {}', group.exceptions[0])
         finally:
-            self._node.drop_listener(self._name)
+            self._node.drop_listener(self.name)
 
     async def send(self, message: messages.Message) -> None:
         """Send a message.
--- a/foxtailpick/sidecar/daemon.py
+++ b/foxtailpick/sidecar/daemon.py
@@ -147,7 +147,8 @@
     meter = wire.TrafficMeter()
 
     def hear(conn: connections.Connection, frame: messages.Frame) -> None:
-        peer = node.find_address(conn.peer.node) if conn.peer else None
+        # A router has no address of its own; its connection can be asked.
+        peer = node.find_address(conn.peer.node) or conn.name
         node.hear(frame.number, peer)
         node.on_message(frame.message, peer, conn.send_soon)
 
--- a/foxtailpick/tests/test_config_node.py
+++ b/foxtailpick/tests/test_config_node.py
@@ -226,3 +226,28 @@
     for _ in range(2_000):
         await trio.sleep(0.01)
         assert node.check_admission() is propagation.Admission.ADMIT
+
+
+async def test_number_that_only_a_router_holds_is_asked_of_it(
+    autojump_clock, world
+):
+    answer = await world.writer.submit(PATCH)
+    world.state.take_down()
+    router = world.start('r', ['r'])
+    node = world.nodes['a']
+    router.on_accepted(answer)
+
+    def send(message):
+        router.on_message(message, None, reply)
+
+    def reply(message):
+        node.on_message(message, 'connection/1', send)
+
+    node.add_listener('connection/1', send)
+    node.hear(router.read_number(), 'connection/1')
+    await trio.sleep(0.5)
+    assert node.read_number() == 2
+    node.drop_listener('connection/1')
+    node.hear(3, 'connection/1')
+    await trio.sleep(0.5)
+    assert node.read_number() == 2
--- a/foxtailpick/tests/test_propagation.py
+++ b/foxtailpick/tests/test_propagation.py
@@ -208,6 +208,22 @@
     assert not tracker.may_serve(1.0)
 
 
+@pytest.mark.parametrize('peers', [[], ['a', 'b']])
+def test_routers_are_asked_only_where_no_peer_can_be(monitor, peers):
+    tracker = propagation.ConfigTracker('me', random.Random(1), monitor)
+    tracker.set_peers(peers, [], ['r1', 'r2'])
+    tracker.on_failure(config_actions.ReadHead(), 0.0)
+    asked = list_peers_asked(take_actions(tracker, 1.0))
+    assert set(asked) == set(peers or ['r1', 'r2'])
+    for peer in peers:
+        tracker.on_failure(config_actions.FetchFromPeer(peer, 0), 2.0)
+    offer = make_source().make_offer(0)
+    list_peers_asked(take_actions(tracker, 3.0))
+    for router in ('r1', 'r2'):
+        tracker.on_offer(router, offer, 3.0, 4.0)
+    assert tracker.check_admission(5.0) is ADMIT
+
+
 def test_watchers_are_few():
     nodes = [f'n{i}' for i in range(70)]
     chosen = [node for node in nodes if watchers.is_watcher(node, nodes)]
