Recognise a pause by a late return of the driver

Cause: a pause of 4 to 12 s looked like peers and store that do not answer. In a fleet of few sidecars all of them could be left alone for seconds, and only routers, which may be stale, would be asked. Change: the tracker knows when it asked to be called; 500 ms later than that counts as a pause, and questions under way are dropped without blame.

--- a/foxtailpick/core/propagation.py
+++ b/foxtailpick/core/propagation.py
@@ -52,7 +52,7 @@
         options: tracker_state.TrackerOptions = tracker_state.TrackerOptions(),
     ) -> None:
         self._state = tracker_state.TrackerState(node, rng, monitor, options)
-        self._called_ms = float('-inf')
+        self._expected_ms = float('inf')
 
     @property
     def cfg(self) -> configuration.Configuration:
@@ -303,11 +303,15 @@
         :param now_ms: the current time.
         """
         self._end_overdue(now_ms)
-        return config_plans.plan_next(self._state, now_ms)
+        action = config_plans.plan_next(self._state, now_ms)
+        self._expected_ms = now_ms
+        if isinstance(action, config_actions.Wait):
+            self._expected_ms = action.until_ms
+        return action
 
     def _end_overdue(self, now_ms: float) -> None:
-        was_paused = now_ms - self._called_ms > self._state.options.pause_ms
-        self._called_ms = now_ms
+        late_ms = now_ms - self._expected_ms
+        was_paused = late_ms > self._state.options.late_ms
         for action in self._state.flights.take_overdue(now_ms):
             if was_paused:
                 self._state.flights.end(action)
--- a/foxtailpick/core/tracker_state.py
+++ b/foxtailpick/core/tracker_state.py
@@ -32,8 +32,9 @@
         verifications to peers.
     :param behind_limit_ms: how long a number that nobody can supply keeps
         work out.
-    :param pause_ms: time without a question from the driver after which
-        the node was paused, and what it had asked says nothing.
+    :param late_ms: how much later than asked the driver may come back;
+        beyond it the node was paused, and a question without an answer
+        says nothing of whom it was put to.
     """
 
     poll: poll_schedule.PollOptions = poll_schedule.PollOptions()
@@ -45,7 +46,7 @@
     hedge_ms: float = 250.0
     store_slow_ms: float = 1_000.0
     behind_limit_ms: float = 30_000.0
-    pause_ms: float = 12_000.0
+    late_ms: float = 500.0
 
 
 class TrackerState:
--- a/foxtailpick/tests/test_propagation.py
+++ b/foxtailpick/tests/test_propagation.py
@@ -158,6 +158,20 @@
     assert tracker.check_admission(60_010.0) is ADMIT
 
 
+@pytest.mark.parametrize('is_paused', [True, False])
+def test_pause_is_not_blamed_on_those_who_were_asked(monitor, is_paused):
+    tracker = make_tracker(monitor, make_source())
+    tracker.set_peers(['a'], [], ['r1'])
+    tracker.on_failure(config_actions.ReadHead(), 0.0)
+    assert list_peers_asked(take_actions(tracker, 1.0)) == ['a']
+    now_ms = 1.0
+    while not is_paused and now_ms < 1_500.0:
+        now_ms += 250.0
+        take_actions(tracker, now_ms)
+    asked = list_peers_asked(take_actions(tracker, 4_000.0))
+    assert asked == (['a'] if is_paused else ['r1'])
+
+
 def test_verification_asks_the_store_then_witnesses(monitor):
     source = make_source()
     tracker = make_tracker(monitor, source)
