--- a/foxtailpick/node/config_node.py
+++ b/foxtailpick/node/config_node.py
@@ -15,6 +15,7 @@
 from foxtailpick.core import clock as clock_lib
 from foxtailpick.core import config_actions
 from foxtailpick.core import config_answers
+from foxtailpick.core import config_delta
 from foxtailpick.core import config_exchange
 from foxtailpick.core import config_store
 from foxtailpick.core import configuration
@@ -158,10 +159,17 @@
             self._wake.set()
 
     def on_accepted(self, answer: config_answers.PatchAnswer) -> None:
-        """Put in force what this process itself got accepted."""
+        """Put in force what this process itself got accepted.
+
+        Sidecars of a failure domain that the patch concerns are told in
+        any case.
+        """
         if answer.cfg is not None and answer.delta is not None:
             self.tracker.on_accepted(
-                answer.cfg, answer.delta, self._clock.now()
+                answer.cfg,
+                answer.delta,
+                self._clock.now(),
+                self._list_concerned(answer.delta),
             )
         elif answer.number is not None:
             self.hear(answer.number)
@@ -258,6 +266,16 @@
         for listener in self._listeners:
             listener()
 
+    def _list_concerned(self, delta: config_delta.Delta) -> list[str]:
+        domains = {
+            change.name for change in delta.changes if change.kind == 'domain'
+        }
+        return [
+            member.address
+            for member in self._members
+            if member.domain in domains
+        ]
+
     def _refresh_peers(self) -> None:
         nearby = [
             member.endpoint
--- a/foxtailpick/router/context.py
+++ b/foxtailpick/router/context.py
@@ -25,6 +25,7 @@
 from foxtailpick.router import metrics as metrics_lib
 
 STOP_POLL_MS = 10.0
+LAST_WORD_MS = 1_000.0
 HINT_LIFE_MS = 10 * types.MINUTE_MS
 
 
@@ -64,6 +65,7 @@
     )
     is_stopping: bool = False
     active: set[trio.CancelScope] = dataclasses.field(default_factory=set)
+    open_requests: int = 0
 
     def __post_init__(self) -> None:
         """Create the budget from the options."""
@@ -92,12 +94,13 @@
         """
         self.is_stopping = True
         with trio.move_on_after(limit_ms / types.SECOND_MS):
-            while self.active:
+            while self.open_requests:
                 await clock_lib.sleep_ms(STOP_POLL_MS)
         for scope in list(self.active):
             scope.cancel()
-        while self.active:
-            await clock_lib.sleep_ms(STOP_POLL_MS)
+        with trio.move_on_after(LAST_WORD_MS / types.SECOND_MS):
+            while self.open_requests:
+                await clock_lib.sleep_ms(STOP_POLL_MS)
 
     def make_hint(
         self, endpoint: types.EndpointId, incarnation: types.Incarnation
@@ -160,21 +163,39 @@
         :param model: the model asked for, None for a plain service.
         :param hint: where the chat ran last.
         """
-        req = decision.PlacementRequest(
+        req = self.make_placement_request(caller, key, service, model, hint)
+        self.fleet.refresh()
+        chosen = placement.choose_endpoints(self.fleet.table, req)
+        self.explain('PLACE', caller, chosen.format_line())
+        return chosen
+
+    def make_placement_request(
+        self,
+        caller: jobs.Caller,
+        key: str,
+        service: types.ServiceId,
+        model: types.ModelId | None,
+        hint: decision.LocationHint | None = None,
+    ) -> decision.PlacementRequest:
+        """Return what the placement of a request depends on.
+
+        :param caller: who asks.
+        :param key: the chat, or the request of a call without one.
+        :param service: the service asked for.
+        :param model: the model asked for, None for a plain service.
+        :param hint: where the chat ran last.
+        """
+        return decision.PlacementRequest(
             key=key,
             service=service,
             region=self.cfg.node.region,
             model=model,
             allowed=caller.account.endpoints or None,
             domains_out=self.list_domains_out(),
-            hint=hint,
+            hint=self.fleet.get_place(key) or hint,
             wall_ms=self.wall.now(),
             avoid=self.fleet.list_avoided(),
         )
-        self.fleet.refresh()
-        chosen = placement.choose_endpoints(self.fleet.table, req)
-        self.explain('PLACE', caller, chosen.format_line())
-        return chosen
 
     def explain(self, prefix: str, caller: jobs.Caller, line: str) -> None:
         """Log a decision about a request and keep it for `explain`."""
--- a/foxtailpick/sidecar/gate.py
+++ b/foxtailpick/sidecar/gate.py
@@ -75,6 +75,7 @@
         self._first_token_ms = cfg.limits.first_token
         self._monitor = monitor
         self._node = node
+        self._clock = clock_lib.Clock.from_trio()
         self._shares: dict[types.AccountId, share_tree.Share] = {}
         self._queue = fair_share.FairQueue(
             fair_share.FairQueueOptions(), self.find_share, monitor
@@ -124,6 +125,17 @@
         is_out = not self._node.current.is_domain_in_service(self._domain)
         return not is_out and self.slow.state not in _CLOSED_STATES
 
+    def counts_in_mean(self, now_ms: float) -> bool:
+        """Tell whether peers should count the load of the endpoint.
+
+        :param now_ms: the current time.
+        """
+        if not self.takes_work():
+            return False
+        if self.slow.state is types.EndpointState.READY:
+            return True
+        return self.pool.bears_mean(self.slow.limit(now_ms))
+
     def find_share(self, account: types.AccountId) -> share_tree.Share:
         """Return the share of an account in the configuration in force."""
         cfg = self._node.current
@@ -134,8 +146,7 @@
 
     def apply_config(self) -> None:
         """Put a new configuration in force for what waits and runs."""
-        now_ms = clock_lib.Clock.from_trio().now()
-        self._queue.apply_shares(self.find_share, now_ms)
+        self._queue.apply_shares(self.find_share, self._clock.now())
         self._forget_idle_shares()
 
     def admit(
