--- a/foxtailpick/core/propagation.py
+++ b/foxtailpick/core/propagation.py
@@ -52,7 +52,7 @@
         options: tracker_state.TrackerOptions = tracker_state.TrackerOptions(),
     ) -> None:
         self._state = tracker_state.TrackerState(node, rng, monitor, options)
-        self._called_ms = float('-inf')
+        self._expected_ms = float('inf')
 
     @property
     def cfg(self) -> configuration.Configuration:
@@ -128,12 +128,13 @@
         :param peers: nodes that can be asked: the other sidecars. Routers
             are left out, for those that send work may all be stale.
         :param listeners: routers with an open connection, told of a new
-            number though never asked.
+            number, and asked only where no peer can be.
         :param domain_nodes: nodes of this failure domain that may hold a
             watch; without this node in it, it never does.
         """
-        self._state.sources.set_peers(peers)
-        self._state.announcer.set_listeners(listeners)
+        told = tuple(listeners)
+        self._state.sources.set_peers(peers, told)
+        self._state.announcer.set_listeners(told)
         self._state.wants_watch = (
             self._state.node in domain_nodes
             and watchers.is_watcher(self._state.node, domain_nodes)
@@ -302,11 +303,15 @@
         :param now_ms: the current time.
         """
         self._end_overdue(now_ms)
-        return config_plans.plan_next(self._state, now_ms)
+        action = config_plans.plan_next(self._state, now_ms)
+        self._expected_ms = now_ms
+        if isinstance(action, config_actions.Wait):
+            self._expected_ms = action.until_ms
+        return action
 
     def _end_overdue(self, now_ms: float) -> None:
-        was_paused = now_ms - self._called_ms > self._state.options.pause_ms
-        self._called_ms = now_ms
+        late_ms = now_ms - self._expected_ms
+        was_paused = late_ms > self._state.options.late_ms
         for action in self._state.flights.take_overdue(now_ms):
             if was_paused:
                 self._state.flights.end(action)
--- a/foxtailpick/tests/test_propagation.py
+++ b/foxtailpick/tests/test_propagation.py
@@ -158,6 +158,20 @@
     assert tracker.check_admission(60_010.0) is ADMIT
 
 
+@pytest.mark.parametrize('is_paused', [True, False])
+def test_pause_is_not_blamed_on_those_who_were_asked(monitor, is_paused):
+    tracker = make_tracker(monitor, make_source())
+    tracker.set_peers(['a'], [], ['r1'])
+    tracker.on_failure(config_actions.ReadHead(), 0.0)
+    assert list_peers_asked(take_actions(tracker, 1.0)) == ['a']
+    now_ms = 1.0
+    while not is_paused and now_ms < 1_500.0:
+        now_ms += 250.0
+        take_actions(tracker, now_ms)
+    asked = list_peers_asked(take_actions(tracker, 4_000.0))
+    assert asked == (['a'] if is_paused else ['r1'])
+
+
 def test_verification_asks_the_store_then_witnesses(monitor):
     source = make_source()
     tracker = make_tracker(monitor, source)
@@ -208,6 +222,22 @@
     assert not tracker.may_serve(1.0)
 
 
+@pytest.mark.parametrize('peers', [[], ['a', 'b']])
+def test_routers_are_asked_only_where_no_peer_can_be(monitor, peers):
+    tracker = propagation.ConfigTracker('me', random.Random(1), monitor)
+    tracker.set_peers(peers, [], ['r1', 'r2'])
+    tracker.on_failure(config_actions.ReadHead(), 0.0)
+    asked = list_peers_asked(take_actions(tracker, 1.0))
+    assert set(asked) == set(peers or ['r1', 'r2'])
+    for peer in peers:
+        tracker.on_failure(config_actions.FetchFromPeer(peer, 0), 2.0)
+    offer = make_source().make_offer(0)
+    list_peers_asked(take_actions(tracker, 3.0))
+    for router in ('r1', 'r2'):
+        tracker.on_offer(router, offer, 3.0, 4.0)
+    assert tracker.check_admission(5.0) is ADMIT
+
+
 def test_watchers_are_few():
     nodes = [f'n{i}' for i in range(70)]
     chosen = [node for node in nodes if watchers.is_watcher(node, nodes)]
