Repeat a poll that found nobody to ask; key a check by the tracker itself

The test kept the last number of each tracker under its id(), which a restarted tracker may inherit from the one it replaced; the number of the old one was then held against the new one. Change: the check holds the tracker itself, as strict for each of them.

--- a/foxtailpick/core/config_plans.py
+++ b/foxtailpick/core/config_plans.py
@@ -155,7 +155,11 @@
         for action in state.flights.find(config_actions.FetchFromPeer)
     }
     drawn = state.sources.pick_peers(1, now_ms, asked)
-    return _ask_peer(state, drawn[0], now_ms) if drawn else None
+    if not drawn:
+        # All who could be asked are left alone for a moment.
+        state.poll.retry_soon(now_ms)
+        return None
+    return _ask_peer(state, drawn[0], now_ms)
 
 
 def _is_store_polled(state: tracker_state.TrackerState, now_ms: float) -> bool:
--- a/foxtailpick/core/poll_schedule.py
+++ b/foxtailpick/core/poll_schedule.py
@@ -5,6 +5,8 @@
 
 from foxtailpick.core import types
 
+RETRY_MS = 1_000.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PollOptions:
@@ -55,6 +57,10 @@
         self.due_ms = now_ms + self._options.mean_ms * factor
         return True
 
+    def retry_soon(self, now_ms: float) -> None:
+        """Poll again soon, because nobody could be asked."""
+        self.due_ms = min(self.due_ms, now_ms + RETRY_MS)
+
     def is_store_turn(self, fleet_size: int) -> bool:
         """Tell whether the poll goes to the store.
 
--- a/foxtailpick/tests/test_propagation.py
+++ b/foxtailpick/tests/test_propagation.py
@@ -11,6 +11,7 @@
 from foxtailpick.core import config_actions
 from foxtailpick.core import config_announcer
 from foxtailpick.core import config_exchange
+from foxtailpick.core import config_plans
 from foxtailpick.core import config_store
 from foxtailpick.core import errors
 from foxtailpick.core import freshness
@@ -238,6 +239,17 @@
     assert tracker.check_admission(5.0) is ADMIT
 
 
+def test_poll_that_finds_nobody_is_repeated_soon(monitor):
+    state = tracker_state.TrackerState(
+        'me', random.Random(1), monitor, tracker_state.TrackerOptions()
+    )
+    assert config_plans.plan_poll(state, 0.0) is None
+    due_ms = state.poll.due_ms
+    state.sources.on_store_bad(due_ms)
+    assert config_plans.plan_poll(state, due_ms) is None
+    assert state.poll.due_ms == due_ms + poll_schedule.RETRY_MS
+
+
 def test_watchers_are_few():
     nodes = [f'n{i}' for i in range(70)]
     chosen = [node for node in nodes if watchers.is_watcher(node, nodes)]
@@ -414,9 +426,9 @@
         take_step(fleet, step, rng)
         fleet.run(rng.choice([50, 500, 4_000]))
         for node in fleet.nodes.values():
-            low = seen.get(id(node.tracker), 0)
+            low = seen.get(node.tracker, 0)
             assert node.tracker.number >= low
-            seen[id(node.tracker)] = node.tracker.number
+            seen[node.tracker] = node.tracker.number
     fleet.cut_region = None
     for node in fleet.nodes.values():
         fleet.resume(node)
