--- a/foxtailpick/node/config_node.py
+++ b/foxtailpick/node/config_node.py
@@ -249,7 +249,7 @@
             errors.ConfigError,
             errors.LinkError,
         ) as exc:
-            logger.debug('CONFIG {} failed. {}', type(action).__name__, exc)
+            logger.info('CONFIG {} failed. {}', type(action).__name__, exc)
             self.tracker.on_failure(action, self._clock.now())
         self._note_change()
 
