--- a/foxtailpick/core/member_chart.py
+++ b/foxtailpick/core/member_chart.py
@@ -6,12 +6,12 @@
 
 import dataclasses
 import enum
-import importlib.resources
-import json
 
 import transitions
 
-CHART_FILE = 'member.json'
+from foxtailpick.core import charts
+
+CHART_NAME = 'member'
 
 
 class MemberState(enum.Enum):
@@ -59,14 +59,21 @@
     """Interpreter of the chart, shared by all members."""
 
     def __init__(self) -> None:
-        path = importlib.resources.files(__package__) / 'charts' / CHART_FILE
-        chart = json.loads(path.read_text())
+        chart = charts.Chart.from_file(CHART_NAME)
         self._cursor = _Cursor()
         self._machine = transitions.Machine(
             model=self._cursor,
-            states=chart['states'],
-            transitions=chart['transitions'],
-            initial=chart['initial'],
+            states=list(chart.states),
+            transitions=[
+                {
+                    'trigger': move.trigger,
+                    'source': list(move.sources),
+                    'dest': move.dest,
+                    'conditions': list(move.conditions),
+                }
+                for move in chart.transitions
+            ],
+            initial=chart.initial,
             auto_transitions=False,
         )
         # The library logs each event without an arrow, which costs more
--- a/foxtailpick/node/member_feed.py
+++ b/foxtailpick/node/member_feed.py
@@ -15,18 +15,26 @@
     cfg: settings.MembershipSettings,
     reader: str,
     update: typing.Callable[[list[base.Member]], None],
+    fail: typing.Callable[[str], None] | None = None,
 ) -> None:
     """Read the list for ever; while it cannot be read the last one stays.
 
     :param cfg: where the list is and how often to read it.
     :param reader: name of this process.
     :param update: takes each list that was read.
+    :param fail: takes the cause each time that the list was not read.
     """
+    is_read = True
     adapter = membership.HttpMembershipList.from_url(cfg.url, reader)
     async with adapter as members:
         while True:
             try:
                 update(await members.list_members())
+                is_read = True
             except errors.StoreError as exc:
-                logger.warning('MEMBER list not read. {}', exc)
+                if is_read:
+                    logger.warning('MEMBER list not read. {}', exc)
+                is_read = False
+                if fail is not None:
+                    fail(str(exc))
             await clock_lib.sleep_ms(cfg.poll_interval)
--- a/foxtailpick/router/daemon.py
+++ b/foxtailpick/router/daemon.py
@@ -81,6 +81,7 @@
             cfg.membership,
             cfg.node.id,
             functools.partial(_take_members, cfg, node, fleet),
+            fleet.on_list_failed,
         )
         url = await stack.enter_async_context(
             http_server.serve_app(
--- a/foxtailpick/router/fleet_view.py
+++ b/foxtailpick/router/fleet_view.py
@@ -57,6 +57,11 @@
         self.refresh()
         self.loaded.set()
 
+    def on_list_failed(self, cause: str) -> None:
+        """Keep the members known: the list was not read."""
+        self._view.on_list_failed(cause, self._clock.now())
+        self.refresh()
+
     def hear(self, link: links_lib.Link, frame: messages.Frame) -> None:
         """Learn from a frame of a sidecar.
 
--- a/foxtailpick/tests/test_membership.py
+++ b/foxtailpick/tests/test_membership.py
@@ -164,6 +164,7 @@
     view.on_list(changed(FIRST, is_leaving=True), 100.0)
     assert FIRST not in statuses(view, 100.0)
     view.on_list(MEMBERS, 200.0)
+    view.on_notice(FIRST, 'i1', types.EndpointState.READY, 200.0)
     assert FIRST not in statuses(view, 200.0)
     view.on_list(without(FIRST), 300.0)
     view.on_list(MEMBERS, 400.0)
