Split the prefix cache and the compared ways into modules of their own

Change: the prefix cache with its late events, and the ways to know the members, each in a module of its own. No behaviour changes.

--- a/foxtailpick/bench/membership.py
+++ b/foxtailpick/bench/membership.py
@@ -17,9 +17,8 @@
 from loguru import logger
 
 from foxtailpick.adapters import base
+from foxtailpick.bench import membership_ways
 from foxtailpick.bench import tables
-from foxtailpick.core import invariants
-from foxtailpick.core import membership
 from foxtailpick.core import types
 
 SERVERS = 1_000
@@ -32,8 +31,6 @@
 FAULT_AT_MS = 60_000.0
 FAULT_MS = 60_000.0
 END_MS = 180_000.0
-COUNTED_FAILURES = 3
-COUNTED_OUT_MS = 30_000.0
 PROBE_BYTES = 400
 COST_SERVERS = (250, 500, 1_000, 2_000)
 COST_ROUNDS = 50
@@ -60,117 +57,6 @@
 MEMBERS = _make_members(SERVERS)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Offer:
-    """What a way offers at a moment.
-
-    :param preferred: endpoints to use.
-    :param present: endpoints to use or to fall back on.
-    """
-
-    preferred: list[base.Member]
-    present: set[types.EndpointId]
-
-
-class ListAsIs:
-    """Baseline: uses the list as it is read."""
-
-    def __init__(self) -> None:
-        self._members: list[base.Member] = []
-        self._offer = Offer([], set())
-
-    def on_list(self, members: list[base.Member], now_ms: float) -> None:
-        """Take over a list."""
-        self._members = members
-        self._make_offer(now_ms)
-
-    def on_outcome(
-        self, member: base.Member, ok: bool, began_ms: float, now_ms: float
-    ) -> None:
-        """Ignore traffic."""
-
-    def offer(self, now_ms: float) -> Offer:
-        """Return the current offer."""
-        return self._offer
-
-    def take_due_probes(self, now_ms: float) -> list[base.Member]:
-        """Probe nothing."""
-        return []
-
-    def _make_offer(self, now_ms: float) -> None:
-        endpoints = {item.endpoint for item in self._members}
-        self._offer = Offer(self._members, endpoints)
-
-
-class CountedFailures(ListAsIs):
-    """Baseline: a member is out for a while after failures in a row."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self._failures: dict[types.EndpointId, int] = {}
-        self._out_until_ms: dict[types.EndpointId, float] = {}
-
-    def on_outcome(
-        self, member: base.Member, ok: bool, began_ms: float, now_ms: float
-    ) -> None:
-        """Count failures in a row."""
-        count = 0 if ok else self._failures.get(member.endpoint, 0) + 1
-        self._failures[member.endpoint] = count
-        if count >= COUNTED_FAILURES:
-            self._out_until_ms[member.endpoint] = now_ms + COUNTED_OUT_MS
-            self._make_offer(now_ms)
-
-    def _make_offer(self, now_ms: float) -> None:
-        members = [
-            item
-            for item in self._members
-            if self._out_until_ms.get(item.endpoint, 0.0) <= now_ms
-        ]
-        self._offer = Offer(members, {item.endpoint for item in members})
-
-
-class JoinedView:
-    """Ours: the membership view."""
-
-    def __init__(self) -> None:
-        self.view = membership.MembershipView(
-            invariants.Monitor(is_strict=True), random.Random(SEED)
-        )
-        self._offer = Offer([], set())
-        self._offer_version = -1
-
-    def on_list(self, members: list[base.Member], now_ms: float) -> None:
-        """Take over a list."""
-        self.view.on_list(members, now_ms)
-        self._offer_version = -1
-
-    def on_outcome(
-        self, member: base.Member, ok: bool, began_ms: float, now_ms: float
-    ) -> None:
-        """Note an answer or a failure."""
-        endpoint, incarnation = member.endpoint, member.incarnation
-        if ok:
-            self.view.on_success(endpoint, incarnation, now_ms)
-        else:
-            self.view.on_failure(endpoint, incarnation, now_ms, began_ms)
-
-    def offer(self, now_ms: float) -> Offer:
-        """Offer what is not avoided, all if nothing else is left."""
-        if self._offer_version != self.view.version:
-            found = self.view.list_usable(now_ms)
-            self._offer_version = self.view.version
-            preferred = [item.member for item in found if not item.is_avoided]
-            self._offer = Offer(
-                preferred or [item.member for item in found],
-                {item.member.endpoint for item in found},
-            )
-        return self._offer
-
-    def take_due_probes(self, now_ms: float) -> list[base.Member]:
-        """Return what the view wants probed."""
-        return self.view.take_due_probes(now_ms)
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Scenario:
     """A fault.
@@ -332,9 +218,9 @@
     ),
 )
 WAYS = {
-    'list as it is': ListAsIs,
-    'three failures in a row': CountedFailures,
-    'joined view': JoinedView,
+    'list as it is': membership_ways.ListAsIs,
+    'three failures in a row': membership_ways.CountedFailures,
+    'joined view': lambda: membership_ways.JoinedView(SEED),
 }
 
 
@@ -403,7 +289,7 @@
 
 def _measure_cost(members: list[base.Member]) -> tuple[float, ...]:
     tracemalloc.start()
-    way = JoinedView()
+    way = membership_ways.JoinedView(SEED)
     way.on_list(members, 0.0)
     size_bytes = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
--- /dev/null
+++ b/foxtailpick/bench/membership_ways.py
@@ -0,0 +1,126 @@
+"""Ways to know the members, side by side for the membership benchmark."""
+
+import dataclasses
+import random
+
+from foxtailpick.adapters import base
+from foxtailpick.core import invariants
+from foxtailpick.core import membership
+from foxtailpick.core import types
+
+COUNTED_FAILURES = 3
+COUNTED_OUT_MS = 30_000.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Offer:
+    """What a way offers at a moment.
+
+    :param preferred: endpoints to use.
+    :param present: endpoints to use or to fall back on.
+    """
+
+    preferred: list[base.Member]
+    present: set[types.EndpointId]
+
+
+class ListAsIs:
+    """Baseline: uses the list as it is read."""
+
+    def __init__(self) -> None:
+        self._members: list[base.Member] = []
+        self._offer = Offer([], set())
+
+    def on_list(self, members: list[base.Member], now_ms: float) -> None:
+        """Take over a list."""
+        self._members = members
+        self._make_offer(now_ms)
+
+    def on_outcome(
+        self, member: base.Member, ok: bool, began_ms: float, now_ms: float
+    ) -> None:
+        """Ignore traffic."""
+
+    def offer(self, now_ms: float) -> Offer:
+        """Return the current offer."""
+        return self._offer
+
+    def take_due_probes(self, now_ms: float) -> list[base.Member]:
+        """Probe nothing."""
+        return []
+
+    def _make_offer(self, now_ms: float) -> None:
+        endpoints = {item.endpoint for item in self._members}
+        self._offer = Offer(self._members, endpoints)
+
+
+class CountedFailures(ListAsIs):
+    """Baseline: a member is out for a while after failures in a row."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._failures: dict[types.EndpointId, int] = {}
+        self._out_until_ms: dict[types.EndpointId, float] = {}
+
+    def on_outcome(
+        self, member: base.Member, ok: bool, began_ms: float, now_ms: float
+    ) -> None:
+        """Count failures in a row."""
+        count = 0 if ok else self._failures.get(member.endpoint, 0) + 1
+        self._failures[member.endpoint] = count
+        if count >= COUNTED_FAILURES:
+            self._out_until_ms[member.endpoint] = now_ms + COUNTED_OUT_MS
+            self._make_offer(now_ms)
+
+    def _make_offer(self, now_ms: float) -> None:
+        members = [
+            item
+            for item in self._members
+            if self._out_until_ms.get(item.endpoint, 0.0) <= now_ms
+        ]
+        self._offer = Offer(members, {item.endpoint for item in members})
+
+
+class JoinedView:
+    """Ours: the membership view.
+
+    :param seed: of its random numbers.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self.view = membership.MembershipView(
+            invariants.Monitor(is_strict=True), random.Random(seed)
+        )
+        self._offer = Offer([], set())
+        self._offer_version = -1
+
+    def on_list(self, members: list[base.Member], now_ms: float) -> None:
+        """Take over a list."""
+        self.view.on_list(members, now_ms)
+        self._offer_version = -1
+
+    def on_outcome(
+        self, member: base.Member, ok: bool, began_ms: float, now_ms: float
+    ) -> None:
+        """Note an answer or a failure."""
+        endpoint, incarnation = member.endpoint, member.incarnation
+        if ok:
+            self.view.on_success(endpoint, incarnation, now_ms)
+        else:
+            self.view.on_failure(endpoint, incarnation, now_ms, began_ms)
+
+    def offer(self, now_ms: float) -> Offer:
+        """Offer what is not avoided, all if nothing else is left."""
+        if self._offer_version != self.view.version:
+            found = self.view.list_usable(now_ms)
+            self._offer_version = self.view.version
+            preferred = [item.member for item in found if not item.is_avoided]
+            self._offer = Offer(
+                preferred or [item.member for item in found],
+                {item.member.endpoint for item in found},
+            )
+        return self._offer
+
+    def take_due_probes(self, now_ms: float) -> list[base.Member]:
+        """Return what the view wants probed."""
+        return self.view.take_due_probes(now_ms)
--- a/foxtailpick/standins/engine_state.py
+++ b/foxtailpick/standins/engine_state.py
@@ -15,6 +15,7 @@
 from foxtailpick.adapters import base
 from foxtailpick.core import clock as clock_lib
 from foxtailpick.core import types
+from foxtailpick.standins import prefix_cache
 from foxtailpick.standins import weights as weights_lib
 
 
@@ -157,16 +158,10 @@
         self._batch: list[Run] = []
         self._stalled_until_ms = 0.0
         self._warm_tokens = 0
-        self._cache: collections.OrderedDict[types.ChatId, int] = (
-            collections.OrderedDict()
-        )
+        self._cache = prefix_cache.PrefixCache()
         self._loads: collections.deque[tuple[float, int, int]] = (
             collections.deque(maxlen=10_000)
         )
-        self._events: collections.deque[tuple[float, base.CacheEvent]] = (
-            collections.deque(maxlen=10_000)
-        )
-        self._event_count = 0
         self.models = set(self.settings.models)
         self.role = ''
         self.highest_fencing = 0
@@ -204,7 +199,9 @@
         :raises FellOverError: if the engine has fallen over, or does now.
         """
         self._require_standing()
-        run = Run(self, call, self._count_cached_tokens(call))
+        run = Run(
+            self, call, self._cache.use(call.chat, count_prompt_tokens(call))
+        )
         self.runs[call.request] += 1
         self._batch.append(run)
         self.peak_running = max(self.peak_running, len(self._batch))
@@ -232,12 +229,9 @@
         if run.is_stored or run.is_before_cold:
             return
         run.is_stored = True
-        self._cache[chat] = run.prompt_tokens + run.made_tokens
-        self._cache.move_to_end(chat)
-        self._publish(base.CacheEventKind.STORED, chat, self._cache[chat])
-        while sum(self._cache.values()) > self.settings.cache_tokens:
-            old, tokens = self._cache.popitem(last=False)
-            self._publish(base.CacheEventKind.EVICTED, old, tokens)
+        tokens = run.prompt_tokens + run.made_tokens
+        max_tokens = self.settings.cache_tokens
+        self._cache.store(chat, tokens, max_tokens, self._clock.now())
 
     def cancel(self, request: types.RequestId) -> bool:
         """Stop the runs of a request; tell whether there were any."""
@@ -257,14 +251,8 @@
     def read_cache_events(self, after: int) -> list[base.CacheEvent]:
         """Return the events published so far, without the lost ones."""
         until_ms = self._clock.now() - self.settings.event_lag_ms
-        loss = self.settings.event_loss_every
-        return [
-            event
-            for at_ms, event in self._events
-            if event.sequence > after
-            and at_ms <= until_ms
-            and not (loss and event.sequence % loss == 0)
-        ]
+        loss_every = self.settings.event_loss_every
+        return self._cache.list_events(after, until_ms, loss_every)
 
     async def apply_order(self, order: base.Order) -> None:
         """Carry out an order.
@@ -328,21 +316,8 @@
             cfg.cold_factor + (1 - cfg.cold_factor) * self.warmth
         )
 
-    def _count_cached_tokens(self, call: base.ChatCall) -> int:
-        if call.chat not in self._cache:
-            return 0
-        self._cache.move_to_end(call.chat)
-        return min(self._cache[call.chat], count_prompt_tokens(call))
-
-    def _publish(
-        self, kind: base.CacheEventKind, chat: types.ChatId, tokens: int
-    ) -> None:
-        self._event_count += 1
-        event = base.CacheEvent(self._event_count, kind, chat, tokens)
-        self._events.append((self._clock.now(), event))
-
     def _note_load(self) -> None:
-        tokens = sum(self._cache.values())
+        tokens = self._cache.size_tokens
         self._loads.append((self._clock.now(), len(self._batch), tokens))
 
 
