Use an idle connection to an endpoint for 2 s only

The adapters kept idle connections for ever, so a booking sent to a plain service on such a connection would get an unknown outcome for no other reason.

Ruled out: sending again, which may run the booking twice.

Change: the adapters' connections are used again within 2 s of their last use, below the usual idle timeout of servers (5 s in the one used here).

Conclusion: a test counts the connections. The callers' side is not changed here.

--- a/foxtailpick/adapters/http.py
+++ b/foxtailpick/adapters/http.py
@@ -13,6 +13,9 @@
 CONNECT_TIMEOUT_MS = 2_000.0
 READ_TIMEOUT_MS = 60_000.0
 MAX_CONNECTIONS = 256
+# Below the idle timeout of usual servers: a request on a connection that
+# its server is closing has an unknown outcome.
+IDLE_LIMIT_MS = 2_000.0
 
 HTTP_OK = 200
 HTTP_CONFLICT = 409
@@ -42,6 +45,8 @@
     :param base_url: scheme, host and port, without a path.
     :param connect_timeout_ms: bound on opening a connection.
     :param read_timeout_ms: bound on each wait for bytes.
+    :param idle_limit_ms: an idle connection is used again within this time
+        only.
     """
 
     def __init__(
@@ -49,6 +54,7 @@
         base_url: str,
         connect_timeout_ms: float = CONNECT_TIMEOUT_MS,
         read_timeout_ms: float = READ_TIMEOUT_MS,
+        idle_limit_ms: float = IDLE_LIMIT_MS,
     ) -> None:
         self.base_url = base_url.rstrip('/')
         self._timeouts = {
@@ -58,7 +64,8 @@
             'write': read_timeout_ms / types.SECOND_MS,
         }
         self._pool = httpcore.AsyncConnectionPool(
-            max_connections=MAX_CONNECTIONS
+            max_connections=MAX_CONNECTIONS,
+            keepalive_expiry=idle_limit_ms / types.SECOND_MS,
         )
 
     async def __aenter__(self) -> 'JsonClient':
--- a/foxtailpick/tests/test_service_adapter.py
+++ b/foxtailpick/tests/test_service_adapter.py
@@ -4,7 +4,9 @@
 import json
 
 import pytest
+import trio
 
+from foxtailpick.adapters import http
 from foxtailpick.adapters import service as service_adapter
 from foxtailpick.core import errors
 from foxtailpick.core import verdict
@@ -80,6 +82,29 @@
     assert caught.value.verdict is verdict.Verdict.NOT_RUN
 
 
+@pytest.mark.parametrize(
+    ('idle_limit_ms', 'connections'), [(1e6, 1), (0.0, 2)]
+)
+async def test_idle_connection_is_used_within_its_limit(
+    idle_limit_ms, connections
+):
+    app = service_standin.make_app(service_standin.ServiceState())
+    ports = set()
+
+    async def note_port(scope, receive, send):
+        if scope['type'] == 'http':
+            ports.add(scope['client'][1])
+        await app(scope, receive, send)
+
+    async with serving.serve_app(note_port) as url:
+        client = http.JsonClient(url, idle_limit_ms=idle_limit_ms)
+        async with service_adapter.HttpService(client) as adapter:
+            for _ in range(2):
+                await book(adapter)
+                await trio.sleep(0.001)
+    assert len(ports) == connections
+
+
 async def test_answer_is_bounded(monkeypatch):
     monkeypatch.setattr(service_adapter, 'MAX_ANSWER_BYTES', 5)
     async with open_service() as (state, adapter):
