--- a/foxtailpick/tests/test_propagation.py
+++ b/foxtailpick/tests/test_propagation.py
@@ -11,6 +11,7 @@
 from foxtailpick.core import config_actions
 from foxtailpick.core import config_announcer
 from foxtailpick.core import config_exchange
+from foxtailpick.core import config_plans
 from foxtailpick.core import config_store
 from foxtailpick.core import errors
 from foxtailpick.core import freshness
@@ -158,6 +159,20 @@
     assert tracker.check_admission(60_010.0) is ADMIT
 
 
+@pytest.mark.parametrize('is_paused', [True, False])
+def test_pause_is_not_blamed_on_those_who_were_asked(monitor, is_paused):
+    tracker = make_tracker(monitor, make_source())
+    tracker.set_peers(['a'], [], ['r1'])
+    tracker.on_failure(config_actions.ReadHead(), 0.0)
+    assert list_peers_asked(take_actions(tracker, 1.0)) == ['a']
+    now_ms = 1.0
+    while not is_paused and now_ms < 1_500.0:
+        now_ms += 250.0
+        take_actions(tracker, now_ms)
+    asked = list_peers_asked(take_actions(tracker, 4_000.0))
+    assert asked == (['a'] if is_paused else ['r1'])
+
+
 def test_verification_asks_the_store_then_witnesses(monitor):
     source = make_source()
     tracker = make_tracker(monitor, source)
@@ -208,6 +223,33 @@
     assert not tracker.may_serve(1.0)
 
 
+@pytest.mark.parametrize('peers', [[], ['a', 'b']])
+def test_routers_are_asked_only_where_no_peer_can_be(monitor, peers):
+    tracker = propagation.ConfigTracker('me', random.Random(1), monitor)
+    tracker.set_peers(peers, [], ['r1', 'r2'])
+    tracker.on_failure(config_actions.ReadHead(), 0.0)
+    asked = list_peers_asked(take_actions(tracker, 1.0))
+    assert set(asked) == set(peers or ['r1', 'r2'])
+    for peer in peers:
+        tracker.on_failure(config_actions.FetchFromPeer(peer, 0), 2.0)
+    offer = make_source().make_offer(0)
+    list_peers_asked(take_actions(tracker, 3.0))
+    for router in ('r1', 'r2'):
+        tracker.on_offer(router, offer, 3.0, 4.0)
+    assert tracker.check_admission(5.0) is ADMIT
+
+
+def test_poll_that_finds_nobody_is_repeated_soon(monitor):
+    state = tracker_state.TrackerState(
+        'me', random.Random(1), monitor, tracker_state.TrackerOptions()
+    )
+    assert config_plans.plan_poll(state, 0.0) is None
+    due_ms = state.poll.due_ms
+    state.sources.on_store_bad(due_ms)
+    assert config_plans.plan_poll(state, due_ms) is None
+    assert state.poll.due_ms == due_ms + poll_schedule.RETRY_MS
+
+
 def test_watchers_are_few():
     nodes = [f'n{i}' for i in range(70)]
     chosen = [node for node in nodes if watchers.is_watcher(node, nodes)]
@@ -384,9 +426,9 @@
         take_step(fleet, step, rng)
         fleet.run(rng.choice([50, 500, 4_000]))
         for node in fleet.nodes.values():
-            low = seen.get(id(node.tracker), 0)
+            low = seen.get(node.tracker, 0)
             assert node.tracker.number >= low
-            seen[id(node.tracker)] = node.tracker.number
+            seen[node.tracker] = node.tracker.number
     fleet.cut_region = None
     for node in fleet.nodes.values():
         fleet.resume(node)
