Add scenarios of failure domains and leaving endpoints

The promises were tested part by part; now also over the whole path, with pytest-bdd, in the users' terms.

--- a/foxtailpick/standins/fleet.py
+++ b/foxtailpick/standins/fleet.py
@@ -145,7 +145,7 @@
     async def start_sidecar(self, endpoint: str) -> sidecar_daemon.Sidecar:
         """Start a sidecar, or its replacement, and list it."""
         spec = self._specs[endpoint]
-        cfg = self._make_sidecar_settings(spec)
+        cfg = self.make_sidecar_settings(endpoint)
         sidecar = await self._start(
             endpoint, sidecar_daemon.open_sidecar(cfg, self.monitor)
         )
@@ -232,9 +232,12 @@
     def _make_store_settings(self) -> settings.StoreSettings:
         return settings.StoreSettings((self.store_url,), PREFIX)
 
-    def _make_sidecar_settings(
-        self, spec: EndpointSpec
-    ) -> settings.SidecarSettings:
+    def make_sidecar_settings(self, endpoint: str) -> settings.SidecarSettings:
+        """Return the settings of an endpoint's sidecar.
+
+        :param endpoint: an endpoint that was started.
+        """
+        spec = self._specs[endpoint]
         return settings.SidecarSettings(
             node=settings.NodeSettings(
                 spec.endpoint, spec.region, spec.domain
--- /dev/null
+++ b/foxtailpick/tests/test_scenarios.py
@@ -0,0 +1,10 @@
+"""The promises of the project as scenarios over the whole path."""
+
+import pytest_bdd as bdd
+
+pytest_plugins = (
+    'foxtailpick.tests.steps_chats',
+    'foxtailpick.tests.steps_fleet',
+)
+
+bdd.scenarios('features')
