Treat a peer that says no hello as a lost link

Cause: trio.TooSlowError is no TimeoutError, so a handshake that timed out left the task that opened the link and ended the whole process: any router or sidecar that connected to a paused or silent peer could crash. Ruled out: the pause itself; the server side logs and goes on. Change: the error counts as a failure to open, as all others do.

--- a/foxtailpick/node/links.py
+++ b/foxtailpick/node/links.py
@@ -23,6 +23,8 @@
     exceptions.InvalidHandshake,
     exceptions.ConnectionClosed,
     trio.BrokenResourceError,
+    # Not a TimeoutError.
+    trio.TooSlowError,
 )
 
 
