Drop a lost connection's listener before its nursery closes

Cause: between the closing of a connection's nursery and the removal of its listener, a new configuration could be told to it; starting a task in the closed nursery raised RuntimeError and ended the whole sidecar. Ruled out: catching RuntimeError, which would hide others. Change: the listener goes while the nursery is still open. Before: the new test fails with the RuntimeError; after: it passes.

--- a/foxtailpick/sidecar/connections.py
+++ b/foxtailpick/sidecar/connections.py
@@ -83,12 +83,17 @@
                 self._nursery = nursery
                 nursery.start_soon(self._probe)
                 nursery.start_soon(self._send_states)
-                self._node.add_listener(self.name, self.send_soon)
-                await self._read_frames()
+                await self._listen()
         except* errors.LinkError as group:
             logger.info('LINK closed. {}', group.exceptions[0])
+
+    async def _listen(self) -> None:
+        self._node.add_listener(self._name, self.send_soon)
+        try:
+            await self._read_frames()
         finally:
-            self._node.drop_listener(self.name)
+            # Before the nursery closes: nothing can be sent soon after.
+            self._node.drop_listener(self._name)
 
     async def send(self, message: messages.Message) -> None:
         """Send a message.
