--- a/foxtailpick/sidecar/connections.py
+++ b/foxtailpick/sidecar/connections.py
@@ -88,12 +88,12 @@
             logger.info('LINK closed. {}', group.exceptions[0])
 
     async def _listen(self) -> None:
-        self._node.add_listener(self._name, self.send_soon)
+        self._node.add_listener(self.name, self.send_soon)
         try:
             await self._read_frames()
         finally:
             # Before the nursery closes: nothing can be sent soon after.
-            self._node.drop_listener(self._name)
+            self._node.drop_listener(self.name)
 
     async def send(self, message: messages.Message) -> None:
         """Send a message.
