Tell the truth about a chat whose attempt was cut short

Cause: the verdict of a chat was taken from what the router had received. A chat whose deadline came while its engine read the prompt was refused as not run, though the engine ran it; one whose first attempt had begun and whose last could not begin was refused as not run as well. Plain calls are not touched: they already answered may-have-run. Change: an attempt that was sent and cancelled counts as may-have-run, the error that ends a request carries the verdict of all its attempts, and a caller that resumes holds tokens, so its request has run.

Scenarios added: at most once, whole answers, true refusals, graceful shutdown; the stand-ins count calls in hand and keep part of an answer whose connection is lost.

--- a/foxtailpick/router/attempts.py
+++ b/foxtailpick/router/attempts.py
@@ -180,6 +180,8 @@
     line = f'{exc}; retry {plan.reason.value}.'
     ctx.explain('RETRY', route.caller, line)
     if not plan.is_allowed:
+        # An earlier attempt may have run even if the last one did not.
+        exc.verdict = route.verdict
         raise exc
     ctx.metrics.count('retries')
     await clock_lib.sleep_ms(plan.delay_ms)
--- a/foxtailpick/router/chats.py
+++ b/foxtailpick/router/chats.py
@@ -3,6 +3,8 @@
 import dataclasses
 import typing
 
+import trio
+
 from foxtailpick.core import errors
 from foxtailpick.core import messages
 from foxtailpick.core import replay
@@ -136,7 +138,13 @@
             ),
         )
         opening = self._make_opening(job, attempt, progress, attempt_at)
-        end = await self._follower.run(followed, opening, progress.deliver)
+        try:
+            end = await self._follower.run(followed, opening, progress.deliver)
+        except trio.Cancelled:
+            # Nothing was heard of the attempt, which may run all the same.
+            if followed.is_sent:
+                progress.route.note(verdict_lib.Verdict.MAY_HAVE_RUN)
+            raise
         return progress.make_end(followed.incarnation, end)
 
     def _make_opening(
@@ -202,6 +210,9 @@
         )
         position = job.position
         self.tokens = position.base + position.number if position else 0
+        if position is not None:
+            # The caller holds tokens of an earlier attempt.
+            self.route.note(verdict_lib.Verdict.MAY_HAVE_RUN)
         self._deliver = deliver
         self._endpoint = types.EndpointId('')
         self._attempt = types.AttemptId('')
--- a/foxtailpick/standins/caller.py
+++ b/foxtailpick/standins/caller.py
@@ -73,6 +73,7 @@
         max_tokens: int,
         headers: typing.Mapping[str, str] | None = None,
         stop_after: int | None = None,
+        answer: ChatAnswer | None = None,
     ) -> ChatAnswer:
         """Send a chat completion and read the stream to its end.
 
@@ -81,6 +82,8 @@
         :param max_tokens: tokens of the answer.
         :param headers: further headers.
         :param stop_after: leave after this many tokens.
+        :param answer: filled while the answer arrives, so that what came
+            is kept if the connection is lost; None for a new one.
         """
         body = {
             'model': model,
@@ -93,7 +96,8 @@
         async with self._open(
             'POST', '/v1/chat/completions', json.dumps(body), headers
         ) as response:
-            answer = ChatAnswer(response.status)
+            answer = answer or ChatAnswer(0)
+            answer.status = response.status
             if response.status != 200:
                 answer.problem = json.loads(await response.aread())
                 return answer
--- a/foxtailpick/standins/service.py
+++ b/foxtailpick/standins/service.py
@@ -36,6 +36,7 @@
         and body where a call has none.
     :param faults: faults of the next calls, in order.
     :param delay_ms: time that each call takes, in milliseconds.
+    :param in_hand: how many calls are being carried out.
     :param is_crashed: whether every connection is cut before a call runs.
     """
 
@@ -46,6 +47,7 @@
         default_factory=collections.deque
     )
     delay_ms: float = 0.0
+    in_hand: int = 0
     is_crashed: bool = False
 
     def take_fault(self) -> Fault:
@@ -86,7 +88,11 @@
             return responses.JSONResponse(
                 {'detail': 'not now'}, status_code=http.HTTP_UNAVAILABLE
             )
-        await clock.sleep_ms(state.delay_ms)
+        state.in_hand += 1
+        try:
+            await clock.sleep_ms(state.delay_ms)
+        finally:
+            state.in_hand -= 1
         count = state.run(key)
         if fault is Fault.LOST_REPLY:
             return _CutOff()
--- a/foxtailpick/tests/stage.py
+++ b/foxtailpick/tests/stage.py
@@ -4,6 +4,7 @@
 a time and waits for the result.
 """
 
+import contextlib
 import dataclasses
 import json
 import threading
@@ -162,14 +163,38 @@
         url = self.fleet.get(router).url
         return caller_lib.Caller(url, f'{account}:secret')
 
-    async def ask(self, router: str, request: str, tokens: int) -> None:
+    async def ask(
+        self,
+        router: str,
+        request: str,
+        tokens: int,
+        stop_after: int | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> None:
         """Ask one chat and keep its answer."""
-        headers = caller_lib.make_request_headers(request, f'chat-{request}')
+        sent = caller_lib.make_request_headers(request, f'chat-{request}')
+        sent.update(headers or {})
         async with self.open_caller(router, 'hiker') as caller:
             self.answers[request] = await caller.ask(
-                MODEL, 'zone rules', tokens, headers
+                MODEL, 'zone rules', tokens, sent, stop_after
             )
 
+    async def ask_until_lost(
+        self,
+        router: str,
+        request: str,
+        tokens: int,
+        received: caller_lib.ChatAnswer,
+    ) -> None:
+        """Ask one chat whose connection is going to be lost."""
+        headers = caller_lib.make_request_headers(request, f'chat-{request}')
+        lost = (httpcore.NetworkError, httpcore.ProtocolError)
+        async with self.open_caller(router, 'hiker') as caller:
+            with contextlib.suppress(*lost):
+                await caller.ask(
+                    MODEL, 'zone rules', tokens, headers, answer=received
+                )
+
     async def book(self, router: str, key: str, tag: str = '') -> None:
         """Send a booking and keep its answer under the key and tag."""
         async with self.open_caller(router, 'hiker') as caller:
--- /dev/null
+++ b/foxtailpick/tests/steps_bookings.py
@@ -0,0 +1,185 @@
+"""Steps about bookings, which run at most once."""
+
+import pytest_bdd as bdd
+import trio
+
+from foxtailpick.standins import service
+from foxtailpick.tests import stage as stage_lib
+
+AGAIN = '/again'
+IN_PROGRESS = 'FTP-210'
+TIMES = 4
+
+
+def split(names):
+    """Return the names in a list written with commas."""
+    return [name.strip() for name in names.split(',')]
+
+
+@bdd.given('the services lose the next reply')
+def lose_reply(stage):
+    for state in stage.fleet.services.values():
+        state.faults.append(service.Fault.LOST_REPLY)
+
+
+@bdd.given(bdd.parsers.parse('the services take {delay:d} ms'))
+def slow_down(stage, delay):
+    for state in stage.fleet.services.values():
+        state.delay_ms = delay
+
+
+@bdd.when('the store loses the reply to its next write')
+def lose_store_reply(stage):
+    stage.fleet.store.faults.lost_replies = 1
+
+
+@bdd.when(bdd.parsers.parse('booking {key} is sent through {router}'))
+def send(stage, key, router):
+    stage.run(stage.book, router, key)
+
+
+@bdd.when(bdd.parsers.parse('booking {key} is sent again through {router}'))
+def send_again(stage, key, router):
+    stage.run(stage.book, router, key, AGAIN)
+
+
+@bdd.when(bdd.parsers.parse('bookings {keys} are sent through {router}'))
+def send_all(stage, keys, router):
+    async def book():
+        async with trio.open_nursery() as nursery:
+            for key in split(keys):
+                nursery.start_soon(stage.book, router, key)
+
+    stage.run(book)
+
+
+@bdd.when(
+    bdd.parsers.parse('booking {key} is sent 4 times through each router')
+)
+@bdd.when(
+    bdd.parsers.parse(
+        'booking {key} is sent 4 times through each router at once'
+    )
+)
+def send_crossing(stage, key):
+    async def book():
+        async with trio.open_nursery() as nursery:
+            for index in range(TIMES):
+                for router in ('r1', 'r2'):
+                    tag = f'/{router}/{index}'
+                    nursery.start_soon(stage.book, router, key, tag)
+
+    stage.run(book)
+
+
+@bdd.when(bdd.parsers.parse('booking {key} begins through {router}'))
+def begin(stage, key, router):
+    stage.spawn(stage.book, router, key)
+    stage.run(stage_lib.wait_until, lambda: find_busy(stage))
+    stage.notes['runner'] = find_busy(stage)
+
+
+def find_busy(stage):
+    """Return the booking endpoint whose service has a call in hand."""
+    for name, state in stage.fleet.services.items():
+        if state.in_hand:
+            return name
+    return None
+
+
+@bdd.when('the sidecar of the booking is killed')
+def kill_sidecar(stage):
+    stage.run(stage.fleet.kill, stage.notes['runner'])
+
+
+@bdd.when('the connections of the booking go silent')
+def silence(stage):
+    network = stage.fleet.networks[stage.notes['runner']]
+    assert network.silence_open() > 0
+
+
+def wait_for_answer(stage, key):
+    """Return the answer to a booking once it is there."""
+    stage.run(stage_lib.wait_until, lambda: key in stage.answers)
+    return stage.answers[key]
+
+
+@bdd.then(bdd.parsers.parse('booking {key} succeeds with one run'))
+def check_success(stage, key):
+    answer = wait_for_answer(stage, key)
+    assert answer.status == 201, answer
+    assert answer.body['key'] == key
+    assert stage.count_runs_of(key) == 1
+
+
+@bdd.then(bdd.parsers.parse('both answers to {key} are the same'))
+def check_same(stage, key):
+    assert stage.answers[key] == stage.answers[key + AGAIN]
+
+
+@bdd.then(
+    bdd.parsers.parse('booking {key} is answered with verdict {verdict}')
+)
+def check_verdict(stage, key, verdict):
+    assert wait_for_answer(stage, key).body.get('verdict') == verdict
+
+
+@bdd.then(
+    bdd.parsers.parse('the repeat of {key} is answered with verdict {verdict}')
+)
+def check_repeat(stage, key, verdict):
+    assert stage.answers[key + AGAIN].body.get('verdict') == verdict
+
+
+@bdd.then(
+    bdd.parsers.parse(
+        'every answer to {key} is the booking or says that it goes on'
+    )
+)
+def check_crossing(stage, key):
+    answers = list(stage.answers.values())
+    assert len(answers) == 2 * TIMES
+    booked = [item for item in answers if item.status == 201]
+    others = [item for item in answers if item.status != 201]
+    assert booked
+    assert all(item.body == booked[0].body for item in booked)
+    assert all(item.body['code'] == IN_PROGRESS for item in others)
+
+
+@bdd.then(bdd.parsers.parse('booking {key} ran once'))
+def check_ran_once(stage, key):
+    assert stage.count_runs_of(key) == 1
+
+
+@bdd.then(bdd.parsers.parse('booking {key} ran at most once'))
+def check_at_most_once(stage, key):
+    assert stage.count_runs_of(key) <= 1
+
+
+@bdd.then(bdd.parsers.parse('bookings {keys} never ran'))
+@bdd.then(bdd.parsers.parse('booking {keys} never ran'))
+def check_never_ran(stage, keys):
+    assert [key for key in split(keys) if stage.count_runs_of(key)] == []
+
+
+@bdd.then(bdd.parsers.parse('bookings {keys} are refused as not run'))
+def check_refused(stage, keys):
+    bodies = [stage.answers[key].body for key in split(keys)]
+    assert {body.get('verdict') for body in bodies} == {'not-run'}
+
+
+@bdd.then(
+    bdd.parsers.parse(
+        'booking {key} can be made through {router} with one run'
+    )
+)
+def check_can_be_made(stage, key, router):
+    async def book_until_made():
+        while True:
+            await stage.book(router, key, AGAIN)
+            if stage.answers[key + AGAIN].status == 201:
+                return
+            await trio.sleep(stage_lib.REFUSAL_PAUSE_S)
+
+    stage.run(book_until_made)
+    assert stage.count_runs_of(key) == 1
--- a/foxtailpick/tests/steps_chats.py
+++ b/foxtailpick/tests/steps_chats.py
@@ -3,6 +3,8 @@
 import pytest_bdd as bdd
 import trio
 
+from foxtailpick.standins import caller as caller_lib
+from foxtailpick.standins import engine_state
 from foxtailpick.tests import stage as stage_lib
 
 
@@ -76,3 +78,135 @@
 def check_whole(stage, request, tokens):
     stage.run(stage_lib.wait_until, lambda: request in stage.answers)
     stage_lib.assert_whole(stage.answers[request], request, tokens)
+
+
+@bdd.when(bdd.parsers.re(r'the connections of (?P<request>\w+) go silent'))
+def silence(stage, request):
+    network = stage.fleet.networks[find_runner(stage, request)]
+    assert network.silence_open() > 0
+
+
+@bdd.when(bdd.parsers.parse('the endpoint of {request} is killed'))
+def kill_endpoint(stage, request):
+    stage.run(stage.fleet.kill_endpoint, find_runner(stage, request))
+
+
+@bdd.when(
+    bdd.parsers.parse(
+        'a chat {request} of {tokens:d} tokens is cut after {count:d} by the '
+        'death of {router}'
+    )
+)
+def cut_by_death(stage, request, tokens, count, router):
+    received = caller_lib.ChatAnswer(0)
+    stage.notes['tokens'] = tokens
+    stage.answers[request] = received
+    stage.spawn(stage.ask_until_lost, router, request, tokens, received)
+    stage.run(stage_lib.wait_until, lambda: len(received.texts) >= count)
+    stage.run(stage.fleet.kill, router)
+
+
+@bdd.when(
+    bdd.parsers.parse(
+        'a chat {request} of {tokens:d} tokens is left by its caller after '
+        '{count:d}'
+    )
+)
+def leave(stage, request, tokens, count):
+    _ask_in_part(stage, 'r1', request, tokens, count)
+    assert len(stage.answers[request].texts) < tokens
+
+
+def _ask_in_part(stage, router, request, tokens, count):
+    stage.notes['tokens'] = tokens
+    stage.run(stage.ask, router, request, tokens, count)
+
+
+@bdd.when(
+    bdd.parsers.parse('the rest of {request} is asked for through {router}')
+)
+def ask_for_rest(stage, request, router):
+    first = stage.answers[request]
+    stage.notes['first'] = first
+    stage.run(
+        stage.ask,
+        router,
+        request,
+        stage.notes['tokens'],
+        None,
+        {'last-event-id': first.position},
+    )
+
+
+@bdd.then(
+    bdd.parsers.parse(
+        'the two parts of {request} make {tokens:d} tokens from one run'
+    )
+)
+def check_parts(stage, request, tokens):
+    first, rest = stage.notes['first'], stage.answers[request]
+    texts = first.texts + rest.texts
+    assert texts == engine_state.expected_tokens(request, tokens)
+    assert len(first.texts) < tokens
+    assert rest.is_whole
+    assert stage.count_runs_of(request) == 1
+
+
+@bdd.then('no engine works any more')
+def check_idle(stage):
+    stage.run(stage_lib.wait_until, lambda: stage.find_busy() is None)
+
+
+@bdd.when(
+    bdd.parsers.parse(
+        '{count:d} chats of {tokens:d} tokens and {limit:d} ms are sent '
+        'through {router}'
+    )
+)
+def send_many(stage, count, tokens, limit, router):
+    async def send():
+        async with trio.open_nursery() as nursery:
+            for index in range(count):
+                nursery.start_soon(
+                    stage.ask,
+                    router,
+                    f'many-{index}',
+                    tokens,
+                    None,
+                    {'foxtailpick-deadline-ms': str(limit)},
+                )
+
+    stage.run(send)
+
+
+@bdd.then('some of them are refused as not run')
+def check_some_refused(stage):
+    assert list_refused(stage)
+
+
+@bdd.then('those refused as not run never ran')
+def check_refusals(stage):
+    stage.run(trio.sleep, 1)
+    false = [name for name in list_refused(stage) if stage.count_runs_of(name)]
+    assert false == []
+
+
+def list_refused(stage):
+    """Return the chats that were refused as not run."""
+    return [
+        name
+        for name, answer in stage.answers.items()
+        if answer.problem.get('verdict') == 'not-run'
+    ]
+
+
+@bdd.when('all engines die')
+def kill_engines(stage):
+    for name in stage.fleet.engines:
+        stage.run(stage.fleet.kill, f'endpoint/{name}')
+
+
+@bdd.then(bdd.parsers.parse('chat {request} fails with verdict {verdict}'))
+def check_failed(stage, request, verdict):
+    stage.run(stage_lib.wait_until, lambda: request in stage.answers)
+    assert stage.answers[request].problem.get('verdict') == verdict
