Pause streams above their share at the engine

Change: when all slots are taken and another account is due by its share, the gate takes a stream off the engine; its turn comes again by its share and it goes on behind what it has produced, from the replay buffer's count. While the endpoint drains, paused streams are finished and nothing else is let in.

--- a/foxtailpick/core/slow_start.py
+++ b/foxtailpick/core/slow_start.py
@@ -206,6 +206,18 @@
         if ticket.epoch == self._epoch and not is_first_answer:
             self._move_limit(ticket, strain, now_ms)
 
+    def on_paused(self, ticket: StartTicket) -> None:
+        """Record that a started request was taken off the engine."""
+        self.on_completed(ticket)
+
+    def on_resumed(self, ticket: StartTicket) -> None:
+        """Record that a paused request goes on.
+
+        It was let through before, so it may also go on while the endpoint
+        drains.
+        """
+        self._in_flight[ticket.number] = ticket
+
     def on_completed(self, ticket: StartTicket) -> None:
         """Record the end of a request, cancelled ones included."""
         self._in_flight.pop(ticket.number, None)
--- a/foxtailpick/sidecar/gate.py
+++ b/foxtailpick/sidecar/gate.py
@@ -81,6 +81,7 @@
             fair_share.FairQueueOptions(), self.find_share, monitor
         )
         self._waiting: dict[types.AttemptId, Work] = {}
+        self._paused: dict[types.AttemptId, Started] = {}
         self._given_up: list[tuple[Work, errors.RefusedError]] = []
 
     @classmethod
@@ -188,10 +189,12 @@
         """
         if not len(self._queue) or not self._is_config_fresh():
             return None
-        while self.slow.in_flight < self.slow.limit(now_ms):
+        while self._has_slot(now_ms):
             entry = self._queue.pop_next(now_ms)
             if entry is None:
                 return None
+            if entry.attempt in self._paused:
+                return self._resume(entry.attempt)
             work = self._waiting.pop(entry.attempt)
             try:
                 self._check_may_run(work)
@@ -202,6 +205,48 @@
             return self._start(work, now_ms)
         return None
 
+    def plan_pause(self, now_ms: float) -> types.AttemptId | None:
+        """Find a running stream to pause for one that is due by its share.
+
+        :param now_ms: the current time.
+        :returns: the attempt, None to go on as it is.
+        """
+        limit = self.slow.limit(now_ms)
+        if not len(self._queue) or not 0 < limit <= self.slow.in_flight:
+            return None
+        return self._queue.plan_pause(limit, now_ms)
+
+    def pause(self, started: Started) -> None:
+        """Record that a running stream was taken off the engine.
+
+        :param started: the attempt; `pop_ready` returns it again.
+        """
+        attempt = started.work.attempt
+        self._queue.pause(attempt)
+        self.slow.on_paused(started.ticket)
+        self._paused[attempt] = started
+        logger.info(
+            'GATE paused attempt {} account {}, above its share.',
+            attempt,
+            started.work.account,
+        )
+
+    def cancel_paused(self, attempt: types.AttemptId, now_ms: float) -> bool:
+        """Drop an attempt that is paused.
+
+        :param attempt: the attempt.
+        :param now_ms: the current time.
+        :returns: whether it was paused; it has run in part.
+        """
+        started = self._paused.pop(attempt, None)
+        if started is None:
+            return False
+        self._queue.cancel(attempt)
+        self.pool.release(attempt)
+        verdict = verdict_lib.Verdict.MAY_HAVE_RUN
+        self.attempts.finish(attempt, verdict, None, now_ms)
+        return True
+
     def sweep(self, now_ms: float) -> list[tuple[Work, errors.RefusedError]]:
         """Give up waiting attempts that can no longer be answered.
 
@@ -283,6 +328,17 @@
         else:
             self.slow.on_completed(started.ticket)
 
+    def _has_slot(self, now_ms: float) -> bool:
+        if self._paused and self.slow.state is types.EndpointState.DRAINING:
+            # What has begun is finished, and nothing else is let in.
+            return not self._waiting
+        return self.slow.in_flight < self.slow.limit(now_ms)
+
+    def _resume(self, attempt: types.AttemptId) -> Started:
+        started = self._paused.pop(attempt)
+        self.slow.on_resumed(started.ticket)
+        return started
+
     def _forget_idle_shares(self) -> None:
         if len(self._shares) > MAX_SHARES:
             self._shares.clear()
@@ -382,6 +438,7 @@
         expected_tokens=work.max_tokens - work.resume_from,
         deadline_ms=deadline_ms,
         service_ms=first_token_ms,
+        is_pausable=True,
     )
 
 
--- a/foxtailpick/sidecar/runs.py
+++ b/foxtailpick/sidecar/runs.py
@@ -25,6 +25,7 @@
     :param end: how it ended, None while it waits or runs.
     :param ended_ms: when it ended.
     :param acknowledged: chunks that the reader has handed on.
+    :param is_pausing: whether its scope was cancelled to pause it.
     """
 
     work: work_lib.Work
@@ -34,6 +35,7 @@
     end: End | None = None
     ended_ms: float = 0.0
     acknowledged: int = 0
+    is_pausing: bool = False
     scope: trio.CancelScope = dataclasses.field(
         default_factory=trio.CancelScope
     )
--- a/foxtailpick/sidecar/worker.py
+++ b/foxtailpick/sidecar/worker.py
@@ -64,6 +64,7 @@
             while True:
                 self._give_up_overdue()
                 self._start_ready(nursery)
+                self._pause_for_share()
                 self.table.drop_expired(self._clock.now())
                 self._note_state()
                 with trio.move_on_after(SWEEP_INTERVAL_MS / types.SECOND_MS):
@@ -100,7 +101,12 @@
         if self.gate.cancel_waiting(attempt, now_ms):
             run.close(self._make_failed(run, _make_cancelled_error()), now_ms)
             return
+        if self.gate.cancel_paused(attempt, now_ms):
+            exc = _make_cancelled_error(verdict_lib.Verdict.MAY_HAVE_RUN)
+            run.close(self._make_failed(run, exc), now_ms)
+            return
         if isinstance(run.work, messages.OpenChat):
+            run.is_pausing = False
             run.scope.cancel()
 
     async def finish_work(self, limit_ms: float) -> None:
@@ -153,6 +159,21 @@
                 run_work = self._run_call
             nursery.start_soon(self._contain_defects, run_work, run, started)
 
+    def _pause_for_share(self) -> None:
+        if any(run.is_pausing for run in self.table.list_open()):
+            return
+        attempt = self.gate.plan_pause(self._clock.now())
+        if attempt is not None:
+            run = self.table.find(attempt)
+            run.is_pausing = True
+            run.scope.cancel()
+
+    def _note_paused(self, run: runs.Run, started: gate_lib.Started) -> None:
+        run.is_pausing = False
+        run.scope = trio.CancelScope()
+        self.gate.pause(started)
+        self._wake.set()
+
     async def _contain_defects(
         self,
         run_work: typing.Callable[
@@ -186,6 +207,10 @@
                 end = await self._stream_chat(run, started)
         except errors.FoxtailError as exc:
             failure = exc
+        if end is None and failure is None and run.is_pausing:
+            self._note_paused(run, started)
+            return
+        run.is_pausing = False
         if end is not None:
             self._finish(run, started, verdict_lib.Verdict.RAN, end)
             return
@@ -203,7 +228,7 @@
     async def _stream_chat(
         self, run: runs.Run, started: gate_lib.Started
     ) -> messages.Finished:
-        call = _make_chat_call(run.work)
+        call = _make_chat_call(run)
         last: base.TokenChunk | None = None
         async with self.engine.stream_chat(call) as chunks:
             # Read to the closing mark, so that the connection is kept.
@@ -376,7 +401,8 @@
     return type(end).__name__
 
 
-def _make_chat_call(work: messages.OpenChat) -> base.ChatCall:
+def _make_chat_call(run: runs.Run) -> base.ChatCall:
+    work = run.work
     req = chat_request.ChatRequest.from_json(work.body)
     return base.ChatCall(
         request=work.request,
@@ -385,7 +411,8 @@
         max_tokens=work.max_tokens,
         chat=work.chat,
         priority=work.priority,
-        resume_from=work.resume_from,
+        # A stream that was paused goes on behind what it has produced.
+        resume_from=work.resume_from + run.buffer.next_number,
     )
 
 
--- a/foxtailpick/standins/fleet.py
+++ b/foxtailpick/standins/fleet.py
@@ -45,6 +45,7 @@
     :param domain: its failure domain.
     :param region: its region.
     :param models: its models, none for a plain service.
+    :param max_running: requests that it bears when warm.
     """
 
     endpoint: types.EndpointId
@@ -52,6 +53,7 @@
     domain: types.FailureDomainId
     region: types.RegionId
     models: tuple[types.ModelId, ...] = ()
+    max_running: int = 16
 
     @property
     def kind(self) -> types.EndpointKind:
@@ -252,6 +254,7 @@
                 spec.kind,
                 self._endpoint_urls[spec.endpoint],
                 spec.models,
+                max_running=spec.max_running,
             ),
             limits=self._limits,
         )
