--- a/foxtailpick/core/config_delta.py
+++ b/foxtailpick/core/config_delta.py
@@ -1,6 +1,7 @@
 """Wire forms of a configuration: its index and the deltas between numbers."""
 
 import dataclasses
+import datetime
 import typing
 
 import cbor2
@@ -85,7 +86,13 @@
         items = ', '.join(
             f'[{change.kind} {change.name}]' for change in self.changes
         )
-        return f'{self.number} by {self.author} ({self.reason}): {items}'
+        seconds = self.accepted_ms / types.SECOND_MS
+        accepted = datetime.datetime.fromtimestamp(seconds, datetime.UTC)
+        when = accepted.isoformat(timespec='seconds')
+        return (
+            f'{self.number} at {when} by {self.author} ({self.reason}): '
+            f'{items}'
+        )
 
 
 _DECODE_ERRORS = (cbor2.CBORDecodeError, KeyError, TypeError, ValueError)
--- a/foxtailpick/core/messages.py
+++ b/foxtailpick/core/messages.py
@@ -141,24 +141,6 @@
     check: int | None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Query:
-    """Router asks what became of an attempt.
-
-    An attempt that the sidecar never saw is closed by the answer.
-
-    :param attempt: the attempt.
-    :param account: client account that opened it.
-    :param incarnation: the sidecar's incarnation that it was sent to.
-    :param age_ms: longest time since the attempt was sent.
-    """
-
-    attempt: types.AttemptId
-    account: types.AccountId
-    incarnation: types.Incarnation
-    age_ms: float
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Accepted:
     """Sidecar admitted an attempt, which runs or waits its turn.
@@ -255,20 +237,6 @@
     hints: tuple[types.EndpointId, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Outcome:
-    """Sidecar's answer to a query.
-
-    :param attempt: the attempt.
-    :param verdict: what is known of it.
-    :param is_running: whether it still runs and can be resumed.
-    """
-
-    attempt: types.AttemptId
-    verdict: verdict_lib.Verdict
-    is_running: bool
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class StateNotice:
     """Sidecar's state, sent on a new connection and on each change.
@@ -358,13 +326,11 @@
     | Cancel
     | Acknowledge
     | Resume
-    | Query
     | Accepted
     | Chunks
     | Finished
     | Answer
     | Failed
-    | Outcome
     | StateNotice
     | ConfigWanted
     | ConfigOffer
--- a/foxtailpick/node/http_server.py
+++ b/foxtailpick/node/http_server.py
@@ -7,6 +7,7 @@
 from hypercorn import config as hypercorn_config
 from hypercorn import trio as hypercorn_trio
 from loguru import logger
+from starlette import requests
 import trio
 
 from foxtailpick.core import types
@@ -51,6 +52,8 @@
     ) -> None:
         try:
             await app(scope, receive, send)
+        except requests.ClientDisconnect:
+            raise
         except Exception:
             if scope['type'] != 'http':
                 raise
--- a/foxtailpick/router/app.py
+++ b/foxtailpick/router/app.py
@@ -141,7 +141,8 @@
     :param ctx: state of the router.
     """
     is_loaded = ctx.node.is_ready() and ctx.fleet.loaded.is_set()
-    return is_loaded and not ctx.is_stopping
+    is_cut_off = ctx.fleet.suspects_self()
+    return is_loaded and not is_cut_off and not ctx.is_stopping
 
 
 def guard(handler: Handler) -> Handler:
--- a/foxtailpick/router/attempts.py
+++ b/foxtailpick/router/attempts.py
@@ -189,6 +189,14 @@
     )
     line = f'{exc}; retry {plan.reason.value}.'
     ctx.explain('RETRY', route.caller, line)
+    if plan.reason is retry.RetryReason.BUDGET:
+        raise errors.RequestError(
+            errors.ErrorCode.RETRY_BUDGET_EXHAUSTED,
+            f'expected a retry to be left, too many endpoints fail; the '
+            f'last failure was {exc}',
+            route.verdict,
+            exc.retry_after_ms or OVERLOAD_RETRY_AFTER_MS,
+        )
     if not plan.is_allowed:
         # An earlier attempt may have run even if the last one did not.
         exc.verdict = route.verdict
--- a/foxtailpick/router/calls.py
+++ b/foxtailpick/router/calls.py
@@ -24,7 +24,7 @@
     def __init__(self, ctx: context_lib.RouterContext) -> None:
         self._ctx = ctx
         self._follower = follow.Follower(
-            ctx.links, ctx.cfg.limits.silence, MAX_RECONNECTS
+            ctx.links, ctx.cfg.limits, MAX_RECONNECTS
         )
 
     async def run(self, job: jobs.CallJob) -> messages.Answer:
--- a/foxtailpick/router/chats.py
+++ b/foxtailpick/router/chats.py
@@ -62,7 +62,7 @@
     def __init__(self, ctx: context_lib.RouterContext) -> None:
         self._ctx = ctx
         self._follower = follow.Follower(
-            ctx.links, ctx.cfg.limits.silence, MAX_RECONNECTS
+            ctx.links, ctx.cfg.limits, MAX_RECONNECTS
         )
 
     async def run(self, job: jobs.ChatJob, deliver: Deliver) -> ChatEnd:
--- a/foxtailpick/router/fleet_view.py
+++ b/foxtailpick/router/fleet_view.py
@@ -98,6 +98,10 @@
                 avoided[endpoint] = decision.PassReason.UNREACHABLE
         return avoided
 
+    def suspects_self(self) -> bool:
+        """Tell whether this router seems cut off from all endpoints."""
+        return self._view.suspects_self(self._clock.now())
+
     def list_statuses(self) -> list[member_types.MemberStatus]:
         """Return the members that may receive work."""
         return self._statuses
--- a/foxtailpick/router/follow.py
+++ b/foxtailpick/router/follow.py
@@ -13,7 +13,9 @@
 from foxtailpick.core import clock as clock_lib
 from foxtailpick.core import errors
 from foxtailpick.core import messages
+from foxtailpick.core import progress as progress_lib
 from foxtailpick.core import replay
+from foxtailpick.core import settings
 from foxtailpick.core import types
 from foxtailpick.core import verdict as verdict_lib
 from foxtailpick.node import links as links_lib
@@ -46,6 +48,7 @@
     assembler: replay.StreamAssembler
     sent_ms: float = math.inf
     incarnation: types.Incarnation = types.Incarnation('')
+    progress: progress_lib.AttemptProgress | None = None
     acknowledged: int = 0
     is_first: bool = True
 
@@ -59,18 +62,22 @@
     """Follows attempts over the links of a router.
 
     :param pool: connections to sidecars.
-    :param silence_ms: longest wait for a sign of an attempt.
+    :param cfg: when an attempt counts as silent.
     :param max_reconnects: new connections tried for one attempt.
     """
 
     def __init__(
         self,
         pool: links_lib.LinkPool,
-        silence_ms: float,
+        cfg: settings.LimitSettings,
         max_reconnects: int,
     ) -> None:
         self._pool = pool
-        self._silence_ms = silence_ms
+        self._token_ms = cfg.token_interval
+        defaults = progress_lib.ProgressOptions()
+        self._options = progress_lib.ProgressOptions(
+            report_ms=cfg.silence / defaults.silent_reports
+        )
         self._max_reconnects = max_reconnects
         self._clock = clock_lib.Clock.from_trio()
 
@@ -129,11 +136,17 @@
         opening: messages.OpenChat | messages.OpenCall | None,
     ) -> None:
         now_ms = self._clock.now()
+        if followed.progress is None:
+            followed.progress = progress_lib.AttemptProgress(
+                now_ms, self._token_ms
+            )
         if opening is not None and not followed.is_sent:
             followed.sent_ms = now_ms
             followed.incarnation = link.peer.incarnation
             link.send_soon(opening)
             return
+        # The new connection gets the whole time to show progress.
+        followed.progress.on_report(now_ms)
         age_ms = now_ms - followed.sent_ms
         if math.isinf(age_ms):
             age_ms = 0.0
@@ -157,12 +170,9 @@
         deliver: Deliver,
     ) -> End:
         while True:
-            message = await self._read_message(link, inbox)
+            message = await self._read_message(link, inbox, followed)
             if isinstance(message, messages.Chunks):
-                texts = self._accept_chunks(followed, message)
-                if texts:
-                    first = followed.assembler.point.number - len(texts)
-                    await deliver(texts, first)
+                await self._take_chunks(followed, message, deliver)
                 self._acknowledge(link, followed)
             elif isinstance(message, messages.Finished):
                 self._accept_end(followed, message)
@@ -173,24 +183,54 @@
                 raise _make_failure(message)
 
     async def _read_message(
-        self, link: links_lib.Link, inbox: trio.MemoryReceiveChannel
+        self,
+        link: links_lib.Link,
+        inbox: trio.MemoryReceiveChannel,
+        followed: Followed,
     ) -> messages.Message:
-        message = None
-        with trio.move_on_after(self._silence_ms / types.SECOND_MS):
-            try:
-                message = await inbox.receive()
-            except trio.EndOfChannel as exc:
-                raise _LostLinkError('the link was lost') from exc
-        if message is None:
-            # Other attempts on this link look for themselves on a new one.
-            self._pool.discard(link)
-            raise _LostLinkError(f'silence for {self._silence_ms:.0f} ms')
-        return message
+        decision = self._decide(followed)
+        while decision.action is progress_lib.Action.WAIT:
+            with trio.move_on_at(decision.check_ms / types.SECOND_MS):
+                try:
+                    message = await inbox.receive()
+                except trio.EndOfChannel as exc:
+                    raise _LostLinkError('the link was lost') from exc
+                _note_progress(followed, message, self._clock.now())
+                return message
+            decision = self._decide(followed)
+        # Other attempts on this link look for themselves on a new one.
+        self._pool.discard(link)
+        if decision.action is not progress_lib.Action.PROBE:
+            raise self._make_lost_error(followed, decision.reason)
+        raise _LostLinkError(decision.reason)
+
+    def _decide(self, followed: Followed) -> progress_lib.Decision:
+        return progress_lib.decide_on_silence(
+            followed.progress, self._options, self._clock.now()
+        )
+
+    async def _take_chunks(
+        self, followed: Followed, message: messages.Chunks, deliver: Deliver
+    ) -> None:
+        texts: list[str] = []
+        failure: errors.LinkError | None = None
+        try:
+            self._accept_chunks(followed, message, texts)
+        except errors.LinkError as exc:
+            failure = exc
+        if texts:
+            first = followed.assembler.point.number - len(texts)
+            await deliver(texts, first)
+        if failure is not None:
+            # The stream goes on from the position that was reached.
+            raise _LostLinkError(str(failure)) from failure
 
     def _accept_chunks(
-        self, followed: Followed, message: messages.Chunks
-    ) -> list[str]:
-        texts = []
+        self,
+        followed: Followed,
+        message: messages.Chunks,
+        texts: list[str],
+    ) -> None:
         for offset, text in enumerate(message.texts):
             chunk = replay.Chunk(
                 message.attempt,
@@ -200,7 +240,6 @@
             )
             if followed.assembler.accept(chunk) is not None:
                 texts.append(text)
-        return texts
 
     def _accept_end(
         self, followed: Followed, message: messages.Finished
@@ -218,18 +257,27 @@
             link.send_soon(messages.Acknowledge(followed.attempt, number))
 
     def _make_lost_error(
-        self, followed: Followed, exc: Exception
+        self, followed: Followed, came: object
     ) -> errors.LinkError:
         verdict = verdict_lib.Verdict.NOT_RUN
         if followed.is_sent:
             verdict = verdict_lib.Verdict.MAY_HAVE_RUN
         return errors.LinkError(
             errors.ErrorCode.LINK_LOST,
-            f'expected an answer from {followed.address}, got {exc}',
+            f'expected an answer from {followed.address}, got {came}',
             verdict,
         )
 
 
+def _note_progress(
+    followed: Followed, message: messages.Message, now_ms: float
+) -> None:
+    if isinstance(message, messages.Chunks):
+        followed.progress.on_token(now_ms)
+    else:
+        followed.progress.on_report(now_ms)
+
+
 class _LostLinkError(Exception):
     """The link is of no more use; the attempt may still run."""
 
--- a/foxtailpick/router/responses.py
+++ b/foxtailpick/router/responses.py
@@ -69,6 +69,7 @@
         self._router = router
         self._job = job
         self._is_started = False
+        self._is_ended = False
         self._send: typing.Callable | None = None
         self._started_ms = ctx.clock.now()
         self._last_ms = self._started_ms
@@ -90,7 +91,8 @@
                 return
             await self._finish(end)
 
-        if not await run_unless_disconnected(receive, run):
+        await run_unless_disconnected(receive, run)
+        if not self._is_ended:
             self._ctx.metrics.count('chats_abandoned')
 
     async def _deliver(self, tokens: list[chats.Token]) -> None:
@@ -143,6 +145,8 @@
         chunk['usage'] = make_usage(end)
         body = f'data: {json.dumps(chunk)}\n\ndata: [DONE]\n\n'.encode()
         self._ctx.metrics.count('chats_answered')
+        # The server tells of the end of the connection with the last part.
+        self._is_ended = True
         await self._send_body(body, is_more=False)
 
     async def _fail(
@@ -154,6 +158,7 @@
     ) -> None:
         self._ctx.metrics.count('chats_failed')
         self._ctx.metrics.count(f'failed_{exc.code.name.lower()}')
+        self._is_ended = True
         if not self._is_started:
             response = problems.make_response(exc, self._job.caller.request)
             await response(scope, receive, send)
--- a/foxtailpick/sidecar/connections.py
+++ b/foxtailpick/sidecar/connections.py
@@ -71,7 +71,6 @@
             messages.Cancel: self._on_cancel,
             messages.Acknowledge: self._on_acknowledge,
             messages.Resume: self._on_resume,
-            messages.Query: self._on_query,
             messages.ProbeReply: self._on_probe_reply,
         }
 
@@ -227,15 +226,7 @@
         await self._send_accepted(run)
         self._follow(run, point)
 
-    async def _on_query(self, message: messages.Query) -> None:
-        run = self._worker.table.find(message.attempt)
-        if run is None or run.work.account != message.account:
-            await self._report(message)
-            return
-        await self._send_accepted(run)
-        self._follow(run, replay.ResumePoint(message.attempt))
-
-    async def _report(self, message: messages.Query | messages.Resume) -> None:
+    async def _report(self, message: messages.Resume) -> None:
         report = self._worker.gate.attempts.query(
             message.attempt,
             message.incarnation,
--- a/foxtailpick/sidecar/daemon.py
+++ b/foxtailpick/sidecar/daemon.py
@@ -13,6 +13,7 @@
 from foxtailpick.adapters import base
 from foxtailpick.adapters import engine as engine_adapter
 from foxtailpick.adapters import etcd
+from foxtailpick.adapters import prefixed
 from foxtailpick.adapters import service as service_adapter
 from foxtailpick.adapters import wire
 from foxtailpick.core import config_store
@@ -141,7 +142,11 @@
     await stack.enter_async_context(service)
     endpoint = types.EndpointId(cfg.node.id)
     runner = once.OnceRunner(
-        gate, store, endpoint, monitor, cfg.limits.claim_interval
+        gate,
+        prefixed.PrefixedKeyValue(store, cfg.store.prefix),
+        endpoint,
+        monitor,
+        cfg.limits.claim_interval,
     )
     return worker_lib.Worker(gate, cfg.limits, None, service, runner)
 
--- a/foxtailpick/tests/test_config_store.py
+++ b/foxtailpick/tests/test_config_store.py
@@ -88,7 +88,10 @@
     assert state.calls[keyvalue.Call.WRITE] == before + 1
     assert (await load_whole(state)).domains['kandy-a'].region == 'r'
     (delta,) = await writer.reader.read_history(2, 5)
-    assert delta.describe() == '2 by op (test): [domain kandy-a]'
+    assert (
+        delta.describe()
+        == '2 at 1970-01-01T00:00:00+00:00 by op (test): [domain kandy-a]'
+    )
     assert delta.accepted_ms == 5.0
     assert config_delta.Delta.decode(delta.encode()) == delta
 
