Let a cold engine's limit wait for tokens it has generated

Cause: three cold engines and 24 chats at once; each engine fell over once. The limit grew by one with each first token, and first tokens come fast from an engine that falls over at the next request: it shows no strain before. Ruled out: a smaller growth gain, which only moves the moment. Change: above the first two slots an engine must have generated 100 tokens for each further one since it was cold; a call of a plain service counts as 50. Conclusion: the price is a slower warm-up, 47 s to 96 slots at 200 tokens a second, worked out and not measured.

--- a/foxtailpick/core/slow_start.py
+++ b/foxtailpick/core/slow_start.py
@@ -31,6 +31,10 @@
         nothing is started until they come.
     :param max_failures: failures in a row after which an engine counts as
         starting.
+    :param tokens_per_slot: tokens that an engine must have generated since
+        it was cold for each request above the first ones, zero for no such
+        bound. First tokens alone may come fast from an engine that falls
+        over at the next request.
     """
 
     initial_limit: float = 2.0
@@ -41,6 +45,7 @@
     cold_hit_ratio: float = 0.25
     hold_strain: float = 2.0
     max_failures: int = 3
+    tokens_per_slot: float = 0.0
 
     def __post_init__(self) -> None:
         """Check the ranges."""
@@ -102,6 +107,7 @@
         self._gauge = self._make_gauge()
         self._failures = 0
         self._cold_ms = 0.0
+        self._warm_tokens = 0.0
         self._cut_ms = 0.0
 
     @classmethod
@@ -206,6 +212,14 @@
         if ticket.epoch == self._epoch and not is_first_answer:
             self._move_limit(ticket, strain, now_ms)
 
+    def on_generated(self, tokens: float) -> None:
+        """Record tokens that the engine generated.
+
+        :param tokens: tokens since the last call; a call of a plain
+            service counts as some.
+        """
+        self._warm_tokens += tokens
+
     def on_paused(self, ticket: StartTicket) -> None:
         """Record that a started request was taken off the engine."""
         self.on_completed(ticket)
@@ -270,6 +284,13 @@
     def _is_limit_reached(self) -> bool:
         return self._limit >= self._options.max_limit
 
+    def _find_ceiling(self) -> float:
+        options = self._options
+        if not options.tokens_per_slot:
+            return options.max_limit
+        slots = self._warm_tokens / options.tokens_per_slot
+        return min(options.initial_limit + slots, options.max_limit)
+
     def _make_gauge(self) -> strain_lib.StrainGauge:
         return strain_lib.StrainGauge(
             strain_lib.ColdSigns(
@@ -318,7 +339,7 @@
         if wanted < self._limit:
             self._cut_ms = now_ms
         self._limit = min(
-            max(wanted, self._options.initial_limit), self._options.max_limit
+            max(wanted, self._options.initial_limit), self._find_ceiling()
         )
         if self._life.fire('grown'):
             logger.info('WARM ready. limit={:.0f}', self._limit)
@@ -340,6 +361,7 @@
         self._limit = self._options.initial_limit
         self._gauge = self._make_gauge()
         self._failures = 0
+        self._warm_tokens = 0.0
         self._cold_ms = self._cut_ms = now_ms
 
 
--- a/foxtailpick/sidecar/gate.py
+++ b/foxtailpick/sidecar/gate.py
@@ -30,6 +30,8 @@
 STATE_RETRY_AFTER_MS = 1_000.0
 UNKNOWN_SHARE = share_tree.Share(types.PartnerId(''))
 MAX_SHARES = 10_000
+TOKENS_PER_SLOT = 100.0
+TOKENS_OF_CALL = 50.0
 
 
 Work = work_lib.Work
@@ -106,6 +108,7 @@
             ),
             max_limit=limit,
             first_token_ms=cfg.limits.first_token,
+            tokens_per_slot=TOKENS_PER_SLOT,
         )
         return cls(
             cfg,
@@ -285,6 +288,8 @@
         self, started: Started, hit_ratio: float | None, now_ms: float
     ) -> None:
         """Record the first sign of an answer."""
+        if isinstance(started.work, messages.OpenCall):
+            self.slow.on_generated(TOKENS_OF_CALL)
         self.slow.on_first_token(started.ticket, now_ms, hit_ratio)
 
     def record_generated(
@@ -292,6 +297,7 @@
     ) -> None:
         """Record tokens generated for a running attempt."""
         self._queue.record_generated(started.work.attempt, tokens, now_ms)
+        self.slow.on_generated(tokens)
 
     def finish(
         self,
--- a/foxtailpick/tests/test_slow_start.py
+++ b/foxtailpick/tests/test_slow_start.py
@@ -131,3 +131,17 @@
     limiter.on_started(0.0)
     with pytest.raises(errors.InvariantError):
         limiter.on_started(0.0)
+
+
+@pytest.mark.parametrize(('tokens', 'limit'), [(0.0, 2), (450.0, 6)])
+def test_limit_waits_for_generated_tokens(monitor, tokens, limit):
+    options = slow_start.SlowStartOptions(
+        max_limit=16.0, first_token_ms=100.0, tokens_per_slot=100.0
+    )
+    limiter = slow_start.SlowStart.from_options(options, monitor)
+    limiter.on_generated(tokens)
+    now_ms = run_rounds(limiter, 40)
+    assert limiter.limit(now_ms) == limit
+    limiter.on_cold(now_ms, 'test')
+    now_ms = run_rounds(limiter, 40, start_ms=now_ms)
+    assert limiter.limit(now_ms) == options.initial_limit
