--- a/foxtailpick/core/fair_share.py
+++ b/foxtailpick/core/fair_share.py
@@ -99,6 +99,7 @@
             options.pause_lead_tokens + options.burst_tokens,
         )
         self._tree = share_tree.ShareTree(share_of, options.burst_tokens)
+        self._headroom = 1.0
         self._rate = service_rate.ServiceRate(options.initial_tokens_per_ms)
         self._queues: dict[types.AccountId, account_queue.AccountQueue] = {}
         self._accounts: dict[types.AttemptId, types.AccountId] = {}
@@ -311,6 +312,16 @@
             self._audit.restart(self._queues, now_ms)
         return is_changed
 
+    def set_headroom(self, factor: float) -> None:
+        """Set by how much the endpoint may still speed up.
+
+        Without it a warming endpoint gives up requests that it would
+        answer in time once it is warm.
+
+        :param factor: the rate to come over the rate now, at least one.
+        """
+        self._headroom = factor
+
     def predict_wait_ms(
         self, account: types.AccountId, ahead_tokens: float
     ) -> float:
@@ -323,7 +334,9 @@
         if ahead_tokens <= 0:
             return 0.0
         part = self._tree.compute_backlogged_part(account)
-        return ahead_tokens / (part * self._rate.tokens_per_ms)
+        return ahead_tokens / (
+            part * self._rate.tokens_per_ms * self._headroom
+        )
 
     def _sweep_queue(
         self,
--- a/foxtailpick/core/slow_start.py
+++ b/foxtailpick/core/slow_start.py
@@ -156,6 +156,15 @@
             min(self._limit + len(self._carried), self._options.max_limit)
         )
 
+    def find_headroom(self, now_ms: float) -> float:
+        """Return by how much the engine may still speed up, at least one.
+
+        :param now_ms: the current time.
+        """
+        if self.state not in _GROWING_STATES:
+            return 1.0
+        return self._options.max_limit / max(self.limit(now_ms), 1)
+
     def on_started(
         self, now_ms: float, expected_ms: float | None = None
     ) -> StartTicket:
@@ -365,6 +374,9 @@
         self._cold_ms = self._cut_ms = now_ms
 
 
+_GROWING_STATES = frozenset(
+    {types.EndpointState.STARTING, types.EndpointState.WARMING}
+)
 _OPEN_STATES = frozenset(
     {types.EndpointState.WARMING, types.EndpointState.READY}
 )
--- a/foxtailpick/sidecar/gate.py
+++ b/foxtailpick/sidecar/gate.py
@@ -256,6 +256,7 @@
         :param now_ms: the current time.
         :returns: what was given up, with the reason.
         """
+        self._queue.set_headroom(self.slow.find_headroom(now_ms))
         refused, self._given_up = self._given_up, []
         for refusal in self._queue.sweep(now_ms):
             work = self._waiting.pop(refusal.entry.attempt)
--- a/foxtailpick/tests/test_fair_share.py
+++ b/foxtailpick/tests/test_fair_share.py
@@ -130,6 +130,13 @@
     assert queue.predict_wait_ms('a1', 4_000.0) < 1_000.0
 
 
+def test_warming_endpoint_is_trusted_to_speed_up(queue):
+    fill(queue, 'a1', 10, tokens=100.0)
+    before_ms = queue.predict_wait_ms('a1', 1_000.0)
+    queue.set_headroom(8.0)
+    assert queue.predict_wait_ms('a1', 1_000.0) == before_ms / 8.0
+
+
 def test_deadline_lost_while_waiting_is_refused_by_the_sweep(queue):
     fill(queue, 'a1', 1, tokens=100.0)
     entry = account_queue.QueueEntry('x', 'a1', deadline_ms=500.0)
