--- a/foxtailpick/router/attempts.py
+++ b/foxtailpick/router/attempts.py
@@ -102,9 +102,10 @@
     route: Route,
     try_endpoint: TryEndpoint[End],
 ) -> End:
-    chosen = ctx.place(
+    req = ctx.make_placement_request(
         route.caller, route.key, route.service, route.model, route.hint
     )
+    chosen = ctx.place(route.caller, req)
     left = [candidate.endpoint for candidate in chosen.candidates]
     tried: set[types.EndpointId] = set()
     refusals: list[errors.FoxtailError] = []
--- a/foxtailpick/router/context.py
+++ b/foxtailpick/router/context.py
@@ -157,22 +157,13 @@
         )
 
     def place(
-        self,
-        caller: jobs.Caller,
-        key: str,
-        service: types.ServiceId,
-        model: types.ModelId | None,
-        hint: decision.LocationHint | None = None,
+        self, caller: jobs.Caller, req: decision.PlacementRequest
     ) -> decision.Decision:
         """Decide where a request goes, and log the decision.
 
         :param caller: who asks.
-        :param key: the chat, or the request of a call without one.
-        :param service: the service asked for.
-        :param model: the model asked for, None for a plain service.
-        :param hint: where the chat ran last.
+        :param req: what the placement depends on.
         """
-        req = self.make_placement_request(caller, key, service, model, hint)
         self.fleet.refresh()
         chosen = placement.choose_endpoints(self.fleet.table, req)
         self.explain('PLACE', caller, chosen.format_line())
--- a/foxtailpick/tests/test_router_attempts.py
+++ b/foxtailpick/tests/test_router_attempts.py
@@ -34,6 +34,9 @@
         self.clock = types.SimpleNamespace(now=lambda: 0.0)
         self.lines = []
 
+    def make_placement_request(self, *args):
+        return args
+
     def place(self, *args):
         reason = decision.ChoiceReason.HOME
         found = tuple(decision.Candidate(name, reason) for name in 'ab')
