Remove two constants and a method that nothing uses

Two fakes that refuse a watch stay as they are: the runs that use them open none, and a call must fail loudly. Change: the names are gone; behaviour, tests and bounds are as before. Conclusion: the other pairs of like lines are argument lists of one interface or wiring of two daemons, not logic that stands twice.

--- a/foxtailpick/core/mean_estimate.py
+++ b/foxtailpick/core/mean_estimate.py
@@ -147,13 +147,6 @@
         own_part = self._capacity / self._pool_capacity
         return own_part * own_load_tokens + (1.0 - own_part) * peers_tokens
 
-    def get_age_ms(self, now_ms: float) -> float:
-        """Return how long no peer has been heard, infinite if never.
-
-        :param now_ms: the current time.
-        """
-        return now_ms - self._heard_ms
-
     def get_load_tokens(self, endpoint: types.EndpointId) -> float | None:
         """Return the last known load of a peer, None if none is known.
 
--- a/foxtailpick/demo/report.py
+++ b/foxtailpick/demo/report.py
@@ -12,7 +12,6 @@
 from foxtailpick.standins import fleet as fleet_lib
 
 IN_FORCE_BOUND_MS = 13_000.0
-CONTROL_BOUND_BYTES_S = 3_000.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/foxtailpick/demo/traffic.py
+++ b/foxtailpick/demo/traffic.py
@@ -20,7 +20,6 @@
 MAX_PAUSE_S = 0.4
 BOOKING_PAUSE_S = 0.15
 REFUSAL_PAUSE_S = 0.3
-CHARS_PER_TURN = 400
 
 
 @dataclasses.dataclass(slots=True)
