--- a/foxtailpick/adapters/base.py
+++ b/foxtailpick/adapters/base.py
@@ -89,6 +89,18 @@
     entry: Entry | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Snapshot:
+    """All entries of a prefix.
+
+    :param entries: the entries, by key.
+    :param revision: a revision from which a watch misses no change.
+    """
+
+    entries: list[Entry]
+    revision: types.Revision
+
+
 class KeyValue(abc.ABC):
     """The platform's key-value service.
 
--- /dev/null
+++ b/foxtailpick/core/dispatch/placing.py
@@ -0,0 +1,168 @@
+"""Chooses the endpoint of a request.
+
+Load pattern: chats return to the endpoint that holds their prompt, while a
+few hot prompts get much of the traffic. Rendezvous hashing sends the same
+prompt to the same endpoint at every router without an exchange; the load
+bound passes the overflow of a hot prompt to the next endpoint in its order
+before the first one drowns. Requests without a prompt go to the less
+loaded of two endpoints drawn at random, which keeps many routers from
+following the same stale report to one endpoint.
+"""
+
+import dataclasses
+import enum
+import random
+import typing
+
+from foxtailpick.core.dispatch import endpoint_table
+from foxtailpick.core.dispatch import model
+from foxtailpick.core.dispatch import pace as pace_lib
+from foxtailpick.core import ring
+from foxtailpick.core import types
+
+# Load above this multiple of the mean passes a request to the next
+# endpoint; the promise allows twice the mean.
+LOAD_MULTIPLE = 1.3
+# Requests above the multiple that are let through at low load.
+LOAD_SLACK = 2.0
+
+
+class Reason(enum.Enum):
+    """Why an endpoint was chosen, as the log line says it."""
+
+    PREFIX = 'prefix'
+    OVERFLOW = 'overflow'
+    LEAST_LOADED = 'least-loaded'
+    LAST_RESORT = 'last-resort'
+
+
+class Obstacle(enum.Enum):
+    """Why no endpoint can be chosen."""
+
+    NONE_LISTED = 'none-listed'
+    ALL_COLD = 'all-cold'
+    ALL_TRIED = 'all-tried'
+    ALL_FULL = 'all-full'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Choice:
+    """The endpoint of a request, with what decided it.
+
+    :param endpoint: the endpoint.
+    :param reason: why it was chosen.
+    :param mean_load: mean load of the candidates.
+    :param candidates: how many there were.
+    """
+
+    endpoint: endpoint_table.Endpoint
+    reason: Reason
+    mean_load: float
+    candidates: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Query:
+    """What a placement depends on besides the endpoints.
+
+    :param service: the service.
+    :param prefix: id of the prompt part to return to, if any.
+    :param tried: endpoints that this request was sent to.
+    :param routers: routers that share the service, this one included.
+    :param now_ms: current time.
+    """
+
+    service: model.Service
+    prefix: str | None
+    tried: frozenset[types.EndpointId]
+    routers: int
+    now_ms: float
+
+
+def choose_endpoint(
+    endpoints: typing.Sequence[endpoint_table.Endpoint],
+    query: Query,
+    rng: random.Random,
+) -> Choice | Obstacle:
+    """Choose an endpoint of those that may take new work.
+
+    :param endpoints: endpoints of the service that are not leaving.
+    :param query: what the placement depends on.
+    :param rng: source of random numbers.
+    """
+    if not endpoints:
+        return Obstacle.NONE_LISTED
+    fresh = [item for item in endpoints if item.id not in query.tried]
+    if not fresh:
+        return Obstacle.ALL_TRIED
+    open_ = [item for item in fresh if _bears_one_more(item, query)]
+    if not open_:
+        return Obstacle.ALL_COLD
+    usable = [item for item in open_ if not _is_suspect(item, query.now_ms)]
+    if not usable:
+        return _choose_last_resort(open_)
+    mean = sum(item.load for item in usable) / len(usable)
+    if query.prefix is None:
+        return _choose_of_two(usable, mean, rng)
+    return _choose_by_prefix(usable, mean, query.prefix)
+
+
+def find_reuse_part(parts: typing.Sequence[model.PromptPart]) -> str | None:
+    """Return the prompt part that a request should return to.
+
+    The last part belongs to the request alone, so the one before it is
+    the longest that others share.
+
+    :param parts: the parts of the prompt, in order.
+    """
+    if not parts:
+        return None
+    return parts[-2].id if len(parts) > 1 else parts[-1].id
+
+
+def _bears_one_more(item: endpoint_table.Endpoint, query: Query) -> bool:
+    rate = query.service.warmup_per_s
+    if rate <= 0 or not item.is_cold(query.now_ms):
+        return True
+    return pace_lib.is_open(item.pace, rate / query.routers, query.now_ms)
+
+
+def _is_suspect(item: endpoint_table.Endpoint, now_ms: float) -> bool:
+    return item.health.is_paused(now_ms) or item.health.is_silent(now_ms)
+
+
+def _choose_last_resort(
+    items: typing.Sequence[endpoint_table.Endpoint],
+) -> Choice:
+    best = min(items, key=lambda item: item.health.paused_until_ms)
+    mean = sum(item.load for item in items) / len(items)
+    return Choice(best, Reason.LAST_RESORT, mean, len(items))
+
+
+def _choose_of_two(
+    items: typing.Sequence[endpoint_table.Endpoint],
+    mean: float,
+    rng: random.Random,
+) -> Choice:
+    pair = rng.sample(items, min(2, len(items)))
+    best = min(pair, key=lambda item: item.load / item.entry.slots)
+    return Choice(best, Reason.LEAST_LOADED, mean, len(items))
+
+
+def _choose_by_prefix(
+    items: typing.Sequence[endpoint_table.Endpoint],
+    mean: float,
+    prefix: str,
+) -> Choice:
+    bound = mean * LOAD_MULTIPLE + LOAD_SLACK
+    by_id = {item.id: item for item in items}
+    capacities = {item.id: float(item.entry.slots) for item in items}
+    ranked = [
+        by_id[key] for key in ring.rank_by_rendezvous(prefix, capacities)
+    ]
+    for rank, item in enumerate(ranked):
+        if item.load + 1 <= bound:
+            reason = Reason.OVERFLOW if rank else Reason.PREFIX
+            return Choice(item, reason, mean, len(items))
+    best = min(ranked, key=lambda item: item.load)
+    return Choice(best, Reason.LEAST_LOADED, mean, len(items))
--- a/foxtailpick/core/errors.py
+++ b/foxtailpick/core/errors.py
@@ -36,6 +36,7 @@
     ENDPOINT_FAILED = 'FTP-213'
     CANCELLED = 'FTP-214'
     ANSWER_NOT_KEPT = 'FTP-215'
+    ROUTE_UNKNOWN = 'FTP-216'
 
     # Configuration and patches.
     PATCH_MALFORMED = 'FTP-301'
@@ -50,6 +51,7 @@
     STORE_OUTCOME_UNKNOWN = 'FTP-402'
     STORE_REFUSED = 'FTP-403'
     LEASE_LOST = 'FTP-404'
+    STORE_HISTORY_LOST = 'FTP-405'
 
     # Between the system's own processes.
     FRAME_MALFORMED = 'FTP-501'
--- a/foxtailpick/core/retry.py
+++ b/foxtailpick/core/retry.py
@@ -52,6 +52,12 @@
         self._options = options
         self._tokens: dict[types.ServiceId, float] = {}
 
+    def set_options(self, options: RetryOptions) -> None:
+        """Change the settings; tokens above a smaller burst are lost."""
+        self._options = options
+        for service, tokens in self._tokens.items():
+            self._tokens[service] = min(tokens, options.budget_burst)
+
     def deposit(self, service: types.ServiceId) -> None:
         """Record a first attempt, which earns a part of a retry."""
         self._tokens[service] = min(
--- /dev/null
+++ b/foxtailpick/gateway/attempt.py
@@ -0,0 +1,378 @@
+"""One attempt of a request at one endpoint."""
+
+import dataclasses
+import typing
+
+import trio
+
+from foxtailpick.core.dispatch import endpoint_table
+from foxtailpick.core.dispatch import health
+from foxtailpick.core.dispatch import model
+from foxtailpick.core.dispatch import pace
+from foxtailpick.core.dispatch import placing
+from foxtailpick.core.dispatch import repeat
+from foxtailpick.core import types
+from foxtailpick.gateway import context
+from foxtailpick.gateway import exchange
+from foxtailpick.gateway import http1
+from foxtailpick.gateway import reply as reply_lib
+
+if typing.TYPE_CHECKING:
+    from foxtailpick.gateway import relay
+
+_SERVER_ERROR = 500
+_MISDIRECTED = 421
+# Statuses that promise that a request has not run.
+_PROMISES = frozenset((408, 421, 429, 503))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """A whole answer of an endpoint."""
+
+    status: int
+    meta: model.ResponseMeta
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptResult:
+    """How an attempt ended.
+
+    :param end: how.
+    :param detail: what was seen, for logs and errors.
+    :param response: the endpoint's answer, where it is a failure.
+    """
+
+    end: repeat.AttemptEnd
+    detail: str = ''
+    response: Answer | None = None
+
+
+class _BadAnswerError(OSError):
+    """An answer that is not the endpoint's whole and own one."""
+
+
+async def run_attempt(
+    gw: context.Gateway,
+    job: 'relay.Job',
+    choice: placing.Choice,
+    reply: reply_lib.Reply,
+) -> AttemptResult:
+    """Send a request to an endpoint and pass on the answer.
+
+    :param gw: the gateway.
+    :param job: the request.
+    :param choice: the endpoint.
+    :param reply: where the answer goes.
+    :raises http1.BrokenConnectionError: if the caller left.
+    """
+    endpoint = choice.endpoint
+    now_ms = gw.now_ms()
+    if endpoint.is_cold(now_ms):
+        pace.spend(endpoint.pace)
+    endpoint.running += 1
+    if endpoint.health.owed_since_ms is None:
+        endpoint.health.owed_since_ms = now_ms
+    try:
+        return await _run_counted(gw, job, endpoint, reply)
+    finally:
+        endpoint.running -= 1
+        if endpoint.running == 0:
+            endpoint.health.owed_since_ms = None
+
+
+async def deliver_error(
+    job: 'relay.Job', result: AttemptResult, reply: reply_lib.Reply
+) -> model.Outcome:
+    """Pass on an endpoint's failure answer as it is.
+
+    A status that promises that nothing was run is not passed on if that
+    is not known to be true.
+    """
+    answer = result.response
+    assert answer is not None
+    headers = list(answer.meta.forwarded)
+    status = answer.status
+    if status in _PROMISES and not job.route.is_idempotent:
+        headers, body = reply_lib.format_error(
+            'FTP-213', f'endpoint answered {status} after running', None
+        )
+        await reply.send_whole(502, headers, body)
+        return model.Outcome.OUTCOME_UNKNOWN
+    if answer.meta.signature is not None:
+        headers.append(answer.meta.signature)
+    await reply.send_whole(status, headers, answer.body)
+    return model.Outcome.FAILED_BY_ENDPOINT
+
+
+async def _run_counted(
+    gw: context.Gateway,
+    job: 'relay.Job',
+    endpoint: endpoint_table.Endpoint,
+    reply: reply_lib.Reply,
+) -> AttemptResult:
+    try:
+        conn = await gw.pool.take(endpoint)
+    except OSError as exc:
+        _note_failure(gw, endpoint, f'no connection: {exc}', True)
+        return AttemptResult(repeat.AttemptEnd.UNREACHABLE, str(exc))
+    is_reusable = False
+    attempt = context.Attempt(
+        endpoint,
+        trio.CancelScope(),
+        gw.now_ms(),
+        job.route.is_idempotent,
+    )
+    gw.attempts.add(attempt)
+    result = AttemptResult(repeat.AttemptEnd.BROKEN, 'silence')
+    try:
+        with attempt.scope:
+            job.sent += 1
+            result = await _exchange(gw, job, attempt, conn, reply)
+            is_reusable = result.end is not repeat.AttemptEnd.BROKEN
+    except _BadAnswerError as exc:
+        result = AttemptResult(repeat.AttemptEnd.BROKEN, str(exc))
+    except _EndpointBrokeError as exc:
+        result = AttemptResult(repeat.AttemptEnd.BROKEN, str(exc))
+    finally:
+        gw.attempts.discard(attempt)
+        gw.pool.give_back(endpoint, conn, is_reusable)
+    if result.end is repeat.AttemptEnd.DELIVERED:
+        health.note_success(endpoint.health, gw.now_ms())
+    elif result.end is not repeat.AttemptEnd.ERROR_ANSWER:
+        _note_failure(gw, endpoint, result.detail, attempt.is_abandoned)
+    return result
+
+
+class _EndpointBrokeError(OSError):
+    """The endpoint's connection broke during the exchange."""
+
+
+async def _exchange(
+    gw: context.Gateway,
+    job: 'relay.Job',
+    attempt: context.Attempt,
+    conn: http1.ClientConnection,
+    reply: reply_lib.Reply,
+) -> AttemptResult:
+    data = _format_request(gw, job, attempt.endpoint)
+    if len(data) <= http1.INLINE_BODY_BYTES:
+        await _send(conn, data)
+        return await _receive(gw, job, attempt, conn, reply)
+    # A long request is sent while its answer is awaited: an endpoint may
+    # answer before it has read everything.
+    async with trio.open_nursery() as nursery:
+        sent = trio.Event()
+
+        async def send_body() -> None:
+            try:
+                await conn.send(data)
+                sent.set()
+            except http1.BrokenConnectionError:
+                # The reading side sees the same and says what came.
+                conn.is_clean = False
+
+        nursery.start_soon(send_body)
+        try:
+            result = await _receive(gw, job, attempt, conn, reply)
+        finally:
+            nursery.cancel_scope.cancel()
+    if not sent.is_set():
+        conn.is_clean = False
+    return result
+
+
+def _format_request(
+    gw: context.Gateway, job: 'relay.Job', endpoint: endpoint_table.Endpoint
+) -> bytes:
+    last_id = job.meta.last_event_id
+    if job.splitter is not None:
+        last_id = job.splitter.last_id
+    headers = gw.dialect.encode_request(
+        job.meta,
+        endpoint.id,
+        job.account,
+        job.priority,
+        job.deadline_ms - gw.now_ms(),
+        last_id,
+    )
+    head = http1.format_request(
+        job.req.method,
+        job.req.target,
+        job.req.get_host().encode('latin-1'),
+        headers,
+        len(job.req.body),
+    )
+    return head + job.req.body
+
+
+async def _receive(
+    gw: context.Gateway,
+    job: 'relay.Job',
+    attempt: context.Attempt,
+    conn: http1.ClientConnection,
+    reply: reply_lib.Reply,
+) -> AttemptResult:
+    head, meta = await _read_head(gw, job, attempt, conn)
+    if meta.load is not None:
+        attempt.endpoint.note_report(meta.load, gw.now_ms())
+    conn.keep_alive_ms = meta.keep_alive_ms
+    if not head.is_reusable or meta.is_closing:
+        conn.is_clean = False
+    is_success = 200 <= head.status < 300
+    if meta.is_not_run or head.status == _MISDIRECTED:
+        await _read_body(conn)
+        return AttemptResult(
+            repeat.AttemptEnd.REFUSED, f'refused with {head.status}'
+        )
+    if is_success and (not meta.is_signed or meta.is_encoded):
+        raise _BadAnswerError('an answer without signature, or encoded')
+    if is_success and job.route.kind is model.RequestKind.STREAMING:
+        return await _pass_stream(gw, job, attempt, conn, reply, head, meta)
+    body = await _read_body(conn)
+    if not is_success:
+        if head.status >= _SERVER_ERROR:
+            health.note_failure(attempt.endpoint.health, gw.now_ms(), False)
+        return AttemptResult(
+            repeat.AttemptEnd.ERROR_ANSWER,
+            f'status {head.status}',
+            Answer(head.status, meta, body),
+        )
+    await reply.send_whole(head.status, [*meta.forwarded, *_sign(meta)], body)
+    return AttemptResult(repeat.AttemptEnd.DELIVERED)
+
+
+async def _read_head(
+    gw: context.Gateway,
+    job: 'relay.Job',
+    attempt: context.Attempt,
+    conn: http1.ClientConnection,
+) -> tuple[http1.ResponseHead, model.ResponseMeta]:
+    while True:
+        head = await _next_event(gw, attempt, conn)
+        if not isinstance(head, http1.ResponseHead):
+            raise _BadAnswerError('a body without a head')
+        meta = gw.dialect.decode_response(head.headers)
+        if meta.request is None or meta.request == job.meta.id:
+            return head, meta
+        # A late answer to an earlier request on this connection.
+        gw.log.emit_request(
+            'foreign-answer', request=job.meta.id, answer_to=meta.request
+        )
+        while await _next_event(gw, attempt, conn) is not http1.END:
+            pass
+
+
+async def _pass_stream(
+    gw: context.Gateway,
+    job: 'relay.Job',
+    attempt: context.Attempt,
+    conn: http1.ClientConnection,
+    reply: reply_lib.Reply,
+    head: http1.ResponseHead,
+    meta: model.ResponseMeta,
+) -> AttemptResult:
+    if not reply.is_begun:
+        reply.begin(head.status, [*meta.forwarded, *_sign(meta)])
+    splitter = job.splitter
+    if splitter is not None:
+        splitter.drop_tail()
+    while True:
+        event = await _next_event(gw, attempt, conn)
+        if event is http1.END:
+            break
+        if not isinstance(event, bytes):
+            raise _BadAnswerError('a second head within a stream')
+        data = [event]
+        is_ended = False
+        # What has arrived meanwhile goes out in the same write.
+        while conn.has_events():
+            more = await conn.next_event()
+            if more is http1.END:
+                is_ended = True
+                break
+            if not isinstance(more, bytes):
+                raise _BadAnswerError('a second head within a stream')
+            data.append(more)
+        chunk = b''.join(data)
+        if splitter is not None:
+            chunk = splitter.feed(chunk)
+        if chunk:
+            await reply.send_chunk(chunk)
+        if is_ended:
+            break
+    if splitter is not None and not splitter.is_at_border:
+        raise _BadAnswerError('a stream that ends within an event')
+    await reply.finish()
+    return AttemptResult(repeat.AttemptEnd.DELIVERED)
+
+
+def _sign(meta: model.ResponseMeta) -> list[model.RawHeader]:
+    return [meta.signature] if meta.signature is not None else []
+
+
+async def _send(conn: http1.ClientConnection, data: bytes) -> None:
+    try:
+        await conn.send(data)
+    except http1.BrokenConnectionError as exc:
+        raise _EndpointBrokeError(f'broke while sending: {exc}') from exc
+
+
+async def _next_event(
+    gw: context.Gateway,
+    attempt: context.Attempt,
+    conn: http1.ClientConnection,
+) -> http1.Event:
+    try:
+        event = await conn.next_event()
+    except http1.BrokenConnectionError as exc:
+        raise _EndpointBrokeError(f'broke off: {exc}') from exc
+    now_ms = gw.now_ms()
+    attempt.heard_ms = now_ms
+    attempt.endpoint.health.heard_ms = now_ms
+    return event
+
+
+async def _read_body(conn: http1.ClientConnection) -> bytes:
+    try:
+        return await exchange.read_body(conn)
+    except http1.BrokenConnectionError as exc:
+        raise _EndpointBrokeError(f'broke off: {exc}') from exc
+
+
+def _note_failure(
+    gw: context.Gateway,
+    endpoint: endpoint_table.Endpoint,
+    why: str,
+    is_fatal: bool,
+) -> None:
+    now_ms = gw.now_ms()
+    if health.note_failure(endpoint.health, now_ms, is_fatal):
+        gw.metrics.count('endpoint_pauses')
+        gw.log.emit(
+            'endpoint-paused',
+            endpoint=endpoint.id,
+            why=why,
+            for_ms=round(endpoint.health.paused_until_ms - now_ms),
+            failures=round(endpoint.health.failures, 2),
+            successes=round(endpoint.health.successes, 2),
+        )
+
+
+async def watch_attempts(gw: context.Gateway) -> None:
+    """End attempts that wait for an endpoint that has fallen silent."""
+    while True:
+        await trio.sleep(WATCH_STEP_MS / types.SECOND_MS)
+        now_ms = gw.now_ms()
+        for attempt in list(gw.attempts):
+            age_ms = now_ms - attempt.heard_ms
+            if not attempt.may_move or age_ms < health.SILENCE_MS:
+                continue
+            if attempt.endpoint.health.is_silent(now_ms):
+                attempt.is_abandoned = True
+                attempt.scope.cancel()
+
+
+# Well below the silence that is looked for.
+WATCH_STEP_MS = 100.0
--- /dev/null
+++ b/foxtailpick/gateway/context.py
@@ -0,0 +1,61 @@
+"""What the tasks of a gateway share."""
+
+import dataclasses
+import random
+import typing
+
+import trio
+
+from foxtailpick.core.dispatch import endpoint_table
+from foxtailpick.core.dispatch import model
+from foxtailpick.core import retry
+from foxtailpick.gateway import decision_log
+from foxtailpick.gateway import pool as pool_lib
+from foxtailpick.gateway import settings as settings_lib
+from foxtailpick.gateway import state as state_lib
+from foxtailpick.router import metrics as metrics_lib
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Dialect:
+    """How headers are read and written; the adapter gives it."""
+
+    decode_request: typing.Callable[..., model.RequestMeta]
+    encode_request: typing.Callable[..., list[model.RawHeader]]
+    decode_response: typing.Callable[..., model.ResponseMeta]
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Attempt:
+    """A request under way at an endpoint.
+
+    :param endpoint: the endpoint.
+    :param scope: ends the attempt when cancelled.
+    :param heard_ms: when the endpoint last sent something for it.
+    :param may_move: whether another endpoint may take it over.
+    :param is_abandoned: whether it was ended because of silence.
+    """
+
+    endpoint: endpoint_table.Endpoint
+    scope: trio.CancelScope
+    heard_ms: float
+    may_move: bool
+    is_abandoned: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Gateway:
+    """State and parts of one gateway process."""
+
+    cfg: settings_lib.GatewaySettings
+    now_ms: typing.Callable[[], float]
+    state: state_lib.GatewayState
+    pool: pool_lib.Pool
+    budget: retry.RetryBudget
+    dialect: Dialect
+    log: decision_log.DecisionLog
+    metrics: metrics_lib.Metrics
+    rng: random.Random
+    attempts: set[Attempt] = dataclasses.field(default_factory=set)
+    requests: int = 0
+    is_stopping: bool = False
--- /dev/null
+++ b/foxtailpick/gateway/daemon.py
@@ -0,0 +1,208 @@
+"""The gateway as a process."""
+
+import random
+import signal
+import typing
+
+import trio
+
+from foxtailpick.core import clock as clock_lib
+from foxtailpick.core.dispatch import model
+from foxtailpick.core import retry
+from foxtailpick.core import types
+from foxtailpick.gateway import attempt
+from foxtailpick.gateway import context
+from foxtailpick.gateway import decision_log
+from foxtailpick.gateway import http1
+from foxtailpick.gateway import mirror as mirror_lib
+from foxtailpick.gateway import pool as pool_lib
+from foxtailpick.gateway import reply as reply_lib
+from foxtailpick.gateway import server
+from foxtailpick.gateway import settings as settings_lib
+from foxtailpick.gateway import state as state_lib
+from foxtailpick.router import metrics as metrics_lib
+
+# How often idle connections and lapsed entries are looked at.
+SWEEP_MS = 250.0
+# The balancer stops sending new callers after two questions a second
+# apart; connections that are idle after that are closed.
+BALANCER_MS = 2_300.0
+# Time kept for the end of the process within the grace period.
+EXIT_MARGIN_MS = 400.0
+# Part of the shared repeat budget that is used: routers are counted with
+# a lag.
+BUDGET_SHARE = 0.85
+
+
+def make_gateway(
+    cfg: settings_lib.GatewaySettings,
+    dialect: context.Dialect,
+    log: decision_log.DecisionLog,
+    now_ms: typing.Callable[[], float],
+    rng: random.Random,
+) -> context.Gateway:
+    """Create the parts of a gateway.
+
+    :param cfg: its settings.
+    :param dialect: how headers are read and written.
+    :param log: its log.
+    :param now_ms: function that returns the current time.
+    :param rng: source of random numbers.
+    """
+    return context.Gateway(
+        cfg=cfg,
+        now_ms=now_ms,
+        state=state_lib.GatewayState(cfg.name, now_ms, log),
+        pool=pool_lib.Pool(now_ms),
+        budget=retry.RetryBudget(make_retry_options(cfg, 1)),
+        dialect=dialect,
+        log=log,
+        metrics=metrics_lib.Metrics(),
+        rng=rng,
+    )
+
+
+def make_retry_options(
+    cfg: settings_lib.GatewaySettings, routers: int
+) -> retry.RetryOptions:
+    """Return this router's part of the fleet's repeat budget.
+
+    :param cfg: the settings, which hold the fleet's budget.
+    :param routers: routers that share it.
+    """
+    extra = cfg.retry_extra * BUDGET_SHARE / routers
+    return retry.RetryOptions(
+        budget_ratio=cfg.retry_ratio * BUDGET_SHARE,
+        budget_burst=max(1.0, extra),
+    )
+
+
+async def run_gateway(
+    cfg: settings_lib.GatewaySettings,
+    open_store: typing.Callable[
+        [model.Address], typing.ContextManager[mirror_lib.Store]
+    ],
+    decode: mirror_lib.Decode,
+    dialect: context.Dialect,
+    router_key: str,
+    check_settings: typing.Callable[[], settings_lib.GatewaySettings],
+) -> None:
+    """Serve until SIGTERM, then let requests under way finish.
+
+    :param cfg: the settings.
+    :param open_store: opens the client of the platform's store.
+    :param decode: decodes an item of the store.
+    :param dialect: how headers are read and written.
+    :param router_key: key under which this router registers.
+    :param check_settings: reads the settings again.
+    """
+    now_ms = clock_lib.Clock.from_trio().now
+    log = decision_log.open_stdout_log(clock_lib.Clock.from_wall().now)
+    rng = random.Random()
+    gw = make_gateway(cfg, dialect, log, now_ms, rng)
+    log.emit('started', router=cfg.name, domain=cfg.domain)
+    with (
+        trio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+        ) as signals,
+        open_store(cfg.store) as store,
+        gw.pool,
+    ):
+        mirror = mirror_lib.Mirror(store, gw.state, decode, now_ms, log, rng)
+        callers = server.CallerServer(gw)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(log.run)
+            nursery.start_soon(mirror.follow)
+            nursery.start_soon(mirror.register, router_key)
+            nursery.start_soon(_sweep, gw, callers)
+            nursery.start_soon(attempt.watch_attempts, gw)
+            _start_servers(gw, callers, nursery)
+            await _wait_for_stop(gw, signals, check_settings)
+            await _drain(gw, callers)
+            nursery.cancel_scope.cancel()
+    log.emit('stopped', router=cfg.name)
+    log.flush()
+
+
+def _start_servers(
+    gw: context.Gateway, callers: server.CallerServer, nursery: trio.Nursery
+) -> None:
+    cfg = gw.cfg
+    operators = server.CallerServer(gw)
+    for address, owner, handle in (
+        (cfg.listen, callers, server.make_handler(gw)),
+        (cfg.readiness, operators, _make_readiness(gw)),
+        (cfg.metrics, operators, _make_metrics(gw, callers)),
+    ):
+        sock = http1.listen(address, server.BACKLOG)
+        nursery.start_soon(owner.serve, sock, handle, nursery)
+
+
+def _make_readiness(gw: context.Gateway) -> server.Handler:
+    async def handle(req: http1.Request, reply: reply_lib.Reply) -> None:
+        is_ready = gw.state.cfg is not None and not gw.is_stopping
+        text = b'ready' if is_ready else b'not ready'
+        await reply.send_whole(200 if is_ready else 503, (), text)
+
+    return handle
+
+
+def _make_metrics(
+    gw: context.Gateway, callers: server.CallerServer
+) -> server.Handler:
+    async def handle(req: http1.Request, reply: reply_lib.Reply) -> None:
+        lines = [
+            *gw.metrics.format_lines(),
+            f'foxtailpick_attempts_running {len(gw.attempts)}',
+            f'foxtailpick_caller_connections {callers.connections}',
+            f'foxtailpick_endpoint_connections_total {gw.pool.opened}',
+            f'foxtailpick_log_lines_dropped_total {gw.log.dropped}',
+            f'foxtailpick_routers {gw.state.routers}',
+        ]
+        body = '\n'.join(lines).encode() + b'\n'
+        await reply.send_whole(200, [(b'Content-Type', b'text/plain')], body)
+
+    return handle
+
+
+async def _wait_for_stop(
+    gw: context.Gateway,
+    signals: typing.AsyncIterator[int],
+    check_settings: typing.Callable[[], settings_lib.GatewaySettings],
+) -> None:
+    async for number in signals:
+        if number != signal.SIGHUP:
+            gw.log.emit('stopping', signal=number)
+            return
+        try:
+            cfg = check_settings()
+        except Exception as exc:
+            gw.log.emit('reload-failed', error=str(exc))
+            continue
+        gw.cfg = cfg
+        gw.log.emit('reloaded', router=cfg.name)
+
+
+async def _drain(gw: context.Gateway, callers: server.CallerServer) -> None:
+    gw.is_stopping = True
+    began_ms = gw.now_ms()
+    end_ms = began_ms + gw.cfg.grace_ms - EXIT_MARGIN_MS
+    while gw.now_ms() < end_ms:
+        await trio.sleep(SWEEP_MS / types.SECOND_MS)
+        if gw.now_ms() - began_ms < BALANCER_MS:
+            continue
+        callers.close_idle(0.0)
+        if callers.is_idle():
+            break
+    gw.log.emit('drained', under_way=len(gw.attempts))
+
+
+async def _sweep(gw: context.Gateway, callers: server.CallerServer) -> None:
+    routers = 0
+    while True:
+        await trio.sleep(SWEEP_MS / types.SECOND_MS)
+        gw.state.expire()
+        gw.pool.sweep(gw.state.table)
+        if gw.state.routers != routers:
+            routers = gw.state.routers
+            gw.budget.set_options(make_retry_options(gw.cfg, routers))
--- /dev/null
+++ b/foxtailpick/gateway/decision_log.py
@@ -0,0 +1,128 @@
+"""Structured log lines that never hold up the work they tell of.
+
+Each line is one JSON object. Lines are put into a bounded buffer and
+written to standard output, without blocking, several times a second.
+Under load the lines of single requests are sampled; what is left out is
+counted and the count is logged.
+"""
+
+import collections
+import json
+import os
+import sys
+import typing
+
+from loguru import logger
+import trio
+
+from foxtailpick.core import types
+
+# Pending bytes beyond which new lines are dropped.
+MAX_PENDING_BYTES = 1_048_576
+# Lines of single requests a second. At twice the usual load of a gateway
+# this is two lines a request.
+MAX_REQUEST_LINES_PER_S = 150
+FLUSH_MS = 250.0
+_STDOUT = 1
+
+
+class DecisionLog:
+    """Log of one process.
+
+    :param now_ms: function that returns the current time.
+    :param write: function that writes bytes and returns how many it took,
+        as `os.write` does on a descriptor that does not block.
+    """
+
+    def __init__(
+        self,
+        now_ms: typing.Callable[[], float],
+        write: typing.Callable[[bytes], int],
+    ) -> None:
+        self._now_ms = now_ms
+        self._write = write
+        self._pending: collections.deque[bytes] = collections.deque()
+        self._pending_bytes = 0
+        self._second = 0
+        self._lines_in_second = 0
+        self.dropped = 0
+        self._reported = 0
+
+    def emit(self, event: str, **fields: typing.Any) -> None:
+        """Log a change of what the process believes.
+
+        :param event: what happened.
+        :param fields: inputs, their age or version, the outcome.
+        """
+        line = {'ms': round(self._now_ms(), 1), 'event': event, **fields}
+        logger.info(json.dumps(line, separators=(',', ':'), default=str))
+
+    def emit_request(self, event: str, **fields: typing.Any) -> None:
+        """Log a decision about one request, unless there are too many."""
+        second = int(self._now_ms() / types.SECOND_MS)
+        if second != self._second:
+            self._second = second
+            self._lines_in_second = 0
+        self._lines_in_second += 1
+        if self._lines_in_second > MAX_REQUEST_LINES_PER_S:
+            self.dropped += 1
+            return
+        self.emit(event, **fields)
+
+    def take_line(self, text: str) -> None:
+        """Put a formatted line into the buffer; the sink of loguru."""
+        data = text.encode()
+        if self._pending_bytes + len(data) > MAX_PENDING_BYTES:
+            self.dropped += 1
+            return
+        self._pending.append(data)
+        self._pending_bytes += len(data)
+
+    def flush(self) -> None:
+        """Write what can be written without waiting."""
+        if self.dropped > self._reported:
+            self._reported = self.dropped
+            self.emit('log-lines-dropped', total=self.dropped)
+        if not self._pending:
+            return
+        data = b''.join(self._pending)
+        self._pending.clear()
+        try:
+            taken = self._write(data)
+        except BlockingIOError:
+            taken = 0
+        rest = data[taken:]
+        if rest:
+            self._pending.append(rest)
+        self._pending_bytes = len(rest)
+
+    async def run(self) -> None:
+        """Write pending lines until cancelled."""
+        try:
+            while True:
+                await trio.sleep(FLUSH_MS / types.SECOND_MS)
+                self.flush()
+        finally:
+            self.flush()
+
+
+def open_stdout_log(now_ms: typing.Callable[[], float]) -> DecisionLog:
+    """Send all log lines of the process to standard output.
+
+    :param now_ms: function that returns the current time.
+    """
+    os.set_blocking(_STDOUT, False)
+    log = DecisionLog(now_ms, lambda data: os.write(_STDOUT, data))
+    logger.remove()
+    logger.add(log.take_line, format='{message}', level='INFO')
+    sys.excepthook = _make_excepthook(log)
+    return log
+
+
+def _make_excepthook(log: DecisionLog) -> typing.Callable[..., None]:
+    def hook(kind: type, exc: BaseException, trace: typing.Any) -> None:
+        log.emit('crash', error=repr(exc))
+        log.flush()
+        sys.__excepthook__(kind, exc, trace)
+
+    return hook
--- /dev/null
+++ b/foxtailpick/gateway/pool.py
@@ -0,0 +1,122 @@
+"""Connections to endpoints, kept open between requests."""
+
+import typing
+
+import trio
+
+from foxtailpick.core.dispatch import endpoint_table
+from foxtailpick.core.dispatch import model
+from foxtailpick.core import types
+from foxtailpick.gateway import http1
+
+# Above two round trips and the time in which an endpoint accepts, so that
+# one lost packet is not waited for: another endpoint is asked instead.
+CONNECT_TIMEOUT_MS = 250.0
+# Reuse ends this long before an endpoint closes an idle connection.
+KEEP_ALIVE_MARGIN_MS = 1_000.0
+# Reuse where the endpoint states no idle timeout, which is then under a
+# second.
+DEFAULT_IDLE_MS = 400.0
+# Longest reuse after an idle time. Longer idle connections are more often
+# dead without a sign.
+MAX_IDLE_MS = 8_000.0
+
+
+class Pool:
+    """Idle connections by endpoint; the owner enters it as a context.
+
+    :param now_ms: function that returns the current time.
+    """
+
+    def __init__(self, now_ms: typing.Callable[[], float]) -> None:
+        self._now_ms = now_ms
+        self._idle: dict[
+            tuple[types.EndpointId, types.Incarnation],
+            list[http1.ClientConnection],
+        ] = {}
+        self.opened = 0
+
+    def __enter__(self) -> 'Pool':
+        return self
+
+    def __exit__(self, *exc_info: typing.Any) -> None:
+        for conns in self._idle.values():
+            for conn in conns:
+                conn.close()
+        self._idle.clear()
+
+    async def take(
+        self, endpoint: endpoint_table.Endpoint
+    ) -> http1.ClientConnection:
+        """Return a connection to an endpoint, idle or new.
+
+        :raises OSError: if none can be opened; nothing was sent then.
+        """
+        conns = self._idle.get(_get_key(endpoint.entry), [])
+        while conns:
+            conn = conns.pop()
+            if self._is_fresh(conn) and conn.is_alive():
+                return conn
+            conn.close()
+            endpoint.connections -= 1
+        endpoint.connections += 1
+        try:
+            with trio.fail_after(CONNECT_TIMEOUT_MS / types.SECOND_MS):
+                conn = await http1.ClientConnection.connect(
+                    endpoint.entry.address
+                )
+        except trio.TooSlowError as exc:
+            endpoint.connections -= 1
+            raise TimeoutError('no connection in time') from exc
+        except BaseException:
+            endpoint.connections -= 1
+            raise
+        self.opened += 1
+        return conn
+
+    def give_back(
+        self,
+        endpoint: endpoint_table.Endpoint,
+        conn: http1.ClientConnection,
+        is_reusable: bool,
+    ) -> None:
+        """Keep a connection for the next request, or close it."""
+        if not is_reusable or not conn.is_clean:
+            conn.close()
+            endpoint.connections -= 1
+            return
+        conn.idle_since_ms = self._now_ms()
+        key = _get_key(endpoint.entry)
+        self._idle.setdefault(key, []).append(conn)
+
+    def sweep(self, table: endpoint_table.EndpointTable) -> None:
+        """Close connections that were idle too long or lost their use."""
+        known = {_get_key(item.entry): item for item in table.list_all()}
+        for key, conns in list(self._idle.items()):
+            endpoint = known.get(key)
+            kept = []
+            for conn in conns:
+                if endpoint is not None and self._is_fresh(conn):
+                    kept.append(conn)
+                    continue
+                conn.close()
+                if endpoint is not None:
+                    endpoint.connections -= 1
+            if kept:
+                self._idle[key] = kept
+            else:
+                del self._idle[key]
+
+    def _is_fresh(self, conn: http1.ClientConnection) -> bool:
+        longest_ms = DEFAULT_IDLE_MS
+        if conn.keep_alive_ms is not None:
+            longest_ms = min(
+                conn.keep_alive_ms - KEEP_ALIVE_MARGIN_MS, MAX_IDLE_MS
+            )
+        return self._now_ms() - conn.idle_since_ms < longest_ms
+
+
+def _get_key(
+    entry: model.EndpointEntry,
+) -> tuple[types.EndpointId, types.Incarnation]:
+    return entry.id, entry.started
--- /dev/null
+++ b/foxtailpick/gateway/relay.py
@@ -0,0 +1,341 @@
+"""Carries one request of a caller to endpoints, and the answer back."""
+
+import dataclasses
+import math
+
+import trio
+
+from foxtailpick.core.dispatch import event_stream
+from foxtailpick.core.dispatch import model
+from foxtailpick.core.dispatch import placing
+from foxtailpick.core.dispatch import refusal
+from foxtailpick.core.dispatch import repeat
+from foxtailpick.core.dispatch import route_table
+from foxtailpick.core import errors
+from foxtailpick.core import types
+from foxtailpick.core import verdict as verdict_lib
+from foxtailpick.gateway import attempt as attempt_lib
+from foxtailpick.gateway import context
+from foxtailpick.gateway import http1
+from foxtailpick.gateway import reply as reply_lib
+
+# How often a waiting request looks for a place.
+WAIT_STEP_MS = 15.0
+# Time for the last bytes of an answer to a request whose time is over.
+FAREWELL_MS = 250.0
+STARTING_RETRY_MS = 500.0
+
+_STATUS_BY_CODE = {
+    errors.ErrorCode.REQUEST_MALFORMED: 400,
+    errors.ErrorCode.ACCOUNT_UNKNOWN: 401,
+    errors.ErrorCode.ROUTE_UNKNOWN: 404,
+    errors.ErrorCode.CONFIG_UNAVAILABLE: 503,
+    errors.ErrorCode.NO_ENDPOINT: 503,
+    errors.ErrorCode.OVERLOADED: 503,
+    errors.ErrorCode.ENDPOINT_FAILED: 502,
+    errors.ErrorCode.OUTCOME_UNKNOWN: 502,
+    errors.ErrorCode.DEADLINE_EXCEEDED: 504,
+}
+
+
+@dataclasses.dataclass(slots=True)
+class Job:
+    """A request on its way.
+
+    :param req: the request as received.
+    :param meta: what its headers say.
+    :param route: its route.
+    :param account: its account, if any.
+    :param service: the service chosen for it.
+    :param priority: its rank.
+    :param deadline_ms: when its answer is no longer wanted.
+    :param splitter: position in the stream, for one that may move.
+    """
+
+    req: http1.Request
+    meta: model.RequestMeta
+    route: model.Route
+    account: model.Account | None
+    service: model.Service
+    priority: int
+    deadline_ms: float
+    splitter: event_stream.EventSplitter | None
+    prefix: str | None
+    tried: set[types.EndpointId] = dataclasses.field(default_factory=set)
+    sent: int = 0
+    unreachable: int = 0
+    verdict: verdict_lib.Verdict = verdict_lib.Verdict.NOT_RUN
+
+
+async def handle_request(
+    gw: context.Gateway, req: http1.Request, reply: reply_lib.Reply
+) -> None:
+    """Answer a request, or break off what cannot be completed.
+
+    :param gw: the gateway.
+    :param req: the request.
+    :param reply: where the answer goes; unfinished if it is broken off.
+    """
+    job: Job | None = None
+    outcome = model.Outcome.CALLER_LEFT
+    error: errors.FoxtailError | None = None
+    gw.requests += 1
+    try:
+        job = _admit(gw, req)
+        deadline = job.deadline_ms / types.SECOND_MS
+        with trio.CancelScope(deadline=deadline) as scope:
+            outcome = await _run(gw, job, reply)
+        if scope.cancelled_caught:
+            error = _make_timeout_error(job)
+    except errors.RequestError as exc:
+        error = exc
+    except http1.BrokenConnectionError:
+        outcome = model.Outcome.CALLER_LEFT
+    finally:
+        if error is None:
+            _log_end(gw, req, job, reply, outcome, None)
+    if error is not None:
+        outcome = await _answer_error(gw, job, reply, error)
+        _log_end(gw, req, job, reply, outcome, error)
+
+
+def _admit(gw: context.Gateway, req: http1.Request) -> Job:
+    cfg = gw.state.cfg
+    if cfg is None:
+        raise errors.RequestError(
+            errors.ErrorCode.CONFIG_UNAVAILABLE,
+            'expected a configuration, have none yet; try later',
+            retry_after_ms=STARTING_RETRY_MS * gw.rng.uniform(0.6, 1.4),
+        )
+    try:
+        meta = gw.dialect.decode_request(req.headers)
+        host, target = req.get_host(), req.target.decode('ascii')
+    except ValueError as exc:
+        raise errors.RequestError(
+            errors.ErrorCode.REQUEST_MALFORMED,
+            f'expected well-formed headers, got {exc}; correct the request',
+        ) from exc
+    route = gw.state.routes.find(host, target)
+    if route is None or not route.targets:
+        raise errors.RequestError(
+            errors.ErrorCode.ROUTE_UNKNOWN,
+            f'expected a configured route, got {host}{target}; ask for '
+            f'another path',
+        )
+    account = route_table.find_account(cfg, route, meta.key)
+    name = route_table.choose_service(route, gw.rng)
+    service = cfg.services.get(name) or model.Service(name, 0, 0.0, 0.0)
+    gw.budget.deposit(name)
+    priority = route.priority
+    if account is not None and account.priority is not None:
+        priority = account.priority
+    left_ms = route.timeout_ms
+    if meta.deadline_ms is not None and math.isfinite(meta.deadline_ms):
+        left_ms = min(left_ms, meta.deadline_ms)
+    is_movable = (
+        route.kind is model.RequestKind.STREAMING and route.is_resumable
+    )
+    splitter = None
+    if is_movable:
+        splitter = event_stream.EventSplitter(meta.last_event_id)
+    return Job(
+        req=req,
+        meta=meta,
+        route=route,
+        account=account,
+        service=service,
+        priority=priority,
+        deadline_ms=req.received_ms + left_ms,
+        splitter=splitter,
+        prefix=placing.find_reuse_part(meta.parts),
+    )
+
+
+async def _run(
+    gw: context.Gateway, job: Job, reply: reply_lib.Reply
+) -> model.Outcome:
+    while True:
+        choice = await _find_place(gw, job)
+        result = await attempt_lib.run_attempt(gw, job, choice, reply)
+        job.verdict = verdict_lib.merge_verdicts(
+            job.verdict, repeat.get_verdict(result.end)
+        )
+        if result.end is repeat.AttemptEnd.DELIVERED:
+            return model.Outcome.ANSWERED
+        job.tried.add(choice.endpoint.id)
+        if result.end is repeat.AttemptEnd.UNREACHABLE:
+            job.unreachable += 1
+        plan = repeat.plan_repeat(
+            result.end,
+            job.route,
+            job.sent,
+            job.unreachable,
+            gw.budget.get_tokens(job.service.name) >= 1,
+        )
+        if plan is repeat.Repeat.ALLOWED and not _has_other(gw, job):
+            plan = repeat.Repeat.NO_ATTEMPT_LEFT
+        gw.log.emit_request(
+            'attempt-failed',
+            request=job.meta.id,
+            endpoint=choice.endpoint.id,
+            end=result.end.value,
+            why=result.detail,
+            repeat=plan.value,
+            sent=job.sent,
+        )
+        gw.metrics.count('attempts_failed')
+        if plan is repeat.Repeat.ALLOWED:
+            if job.sent:
+                gw.budget.withdraw(job.service.name)
+                gw.metrics.count('repeats')
+            continue
+        if result.response is not None and not reply.is_begun:
+            return await attempt_lib.deliver_error(job, result, reply)
+        raise _make_attempt_error(gw, job, result)
+
+
+async def _find_place(gw: context.Gateway, job: Job) -> placing.Choice:
+    began_ms = gw.now_ms()
+    while True:
+        now_ms = gw.now_ms()
+        query = placing.Query(
+            service=job.service,
+            prefix=job.prefix,
+            tried=frozenset(job.tried),
+            routers=gw.state.routers,
+            now_ms=now_ms,
+        )
+        endpoints = gw.state.table.list_service(job.service.name)
+        found = placing.choose_endpoint(endpoints, query, gw.rng)
+        if isinstance(found, placing.Choice):
+            _log_place(gw, job, found, now_ms)
+            return found
+        longest_ms = refusal.find_wait_ms(found, job.route.target_ms)
+        if now_ms - began_ms >= longest_ms:
+            raise _make_refusal(gw, job, found, len(endpoints))
+        await trio.sleep(WAIT_STEP_MS / types.SECOND_MS)
+
+
+def _has_other(gw: context.Gateway, job: Job) -> bool:
+    return any(
+        item.id not in job.tried
+        for item in gw.state.table.list_service(job.service.name)
+    )
+
+
+def _make_refusal(
+    gw: context.Gateway, job: Job, obstacle: placing.Obstacle, listed: int
+) -> errors.RequestError:
+    retry_ms = refusal.find_retry_after_ms(
+        obstacle, job.priority, job.deadline_ms - gw.now_ms(), gw.rng
+    )
+    code = errors.ErrorCode.OVERLOADED
+    if obstacle is placing.Obstacle.NONE_LISTED:
+        code = errors.ErrorCode.NO_ENDPOINT
+    return errors.RequestError(
+        code,
+        f'expected an endpoint of {job.service.name} with room, got '
+        f'{obstacle.value} among {listed}; come back later',
+        job.verdict,
+        retry_ms,
+    )
+
+
+def _make_attempt_error(
+    gw: context.Gateway, job: Job, result: attempt_lib.AttemptResult
+) -> errors.RequestError:
+    if job.verdict is verdict_lib.Verdict.NOT_RUN:
+        return _make_refusal(
+            gw, job, placing.Obstacle.ALL_TRIED, len(job.tried)
+        )
+    return errors.RequestError(
+        errors.ErrorCode.ENDPOINT_FAILED,
+        f'expected an answer of an endpoint, got {result.detail}; the '
+        f'request may have run',
+        job.verdict,
+    )
+
+
+def _make_timeout_error(job: Job) -> errors.RequestError:
+    verdict = job.verdict
+    if job.sent:
+        verdict = verdict_lib.Verdict.MAY_HAVE_RUN
+    return errors.RequestError(
+        errors.ErrorCode.DEADLINE_EXCEEDED,
+        'expected an answer within the time of the route or caller, got '
+        'none; the request may have run',
+        verdict,
+    )
+
+
+async def _answer_error(
+    gw: context.Gateway,
+    job: Job | None,
+    reply: reply_lib.Reply,
+    exc: errors.RequestError,
+) -> model.Outcome:
+    if reply.is_begun:
+        # What was sent cannot be taken back; the connection is closed so
+        # that the answer does not look complete.
+        return model.Outcome.BROKEN_OFF
+    status = _STATUS_BY_CODE[exc.code]
+    may_have_run = exc.verdict is not verdict_lib.Verdict.NOT_RUN
+    if status == 503 and may_have_run:
+        status = 502
+    headers, body = reply_lib.format_error(
+        exc.code.value, exc.message, exc.retry_after_ms
+    )
+    with trio.move_on_after(FAREWELL_MS / types.SECOND_MS):
+        try:
+            await reply.send_whole(status, headers, body)
+        except http1.BrokenConnectionError:
+            return model.Outcome.CALLER_LEFT
+    if status == 504:
+        return model.Outcome.TIMED_OUT
+    if status == 502:
+        return model.Outcome.OUTCOME_UNKNOWN
+    return model.Outcome.REFUSED
+
+
+def _log_place(
+    gw: context.Gateway, job: Job, choice: placing.Choice, now_ms: float
+) -> None:
+    endpoint = choice.endpoint
+    gw.log.emit_request(
+        'placed',
+        request=job.meta.id,
+        route=job.route.name,
+        endpoint=endpoint.id,
+        why=choice.reason.value,
+        load=round(endpoint.load, 1),
+        mean=round(choice.mean_load, 1),
+        of=choice.candidates,
+        report_age_ms=round(now_ms - endpoint.reported_ms)
+        if endpoint.reported_ms >= 0
+        else None,
+        config=gw.state.cfg.number if gw.state.cfg else None,
+    )
+
+
+def _log_end(
+    gw: context.Gateway,
+    req: http1.Request,
+    job: Job | None,
+    reply: reply_lib.Reply,
+    outcome: model.Outcome,
+    exc: errors.FoxtailError | None,
+) -> None:
+    took_ms = gw.now_ms() - req.received_ms
+    gw.metrics.count(f'requests_{outcome.value.replace("-", "_")}')
+    gw.metrics.record_ms('request', took_ms)
+    gw.log.emit_request(
+        'ended',
+        request=job.meta.id if job else None,
+        route=job.route.name if job else None,
+        outcome=outcome.value,
+        status=reply.status,
+        ms_taken=round(took_ms, 1),
+        sent=job.sent if job else 0,
+        code=exc.code.value if exc else None,
+        why=exc.message if exc else None,
+    )
--- /dev/null
+++ b/foxtailpick/gateway/reply.py
@@ -0,0 +1,82 @@
+"""Writes the answer to one request of a caller."""
+
+import json
+import typing
+
+import trio
+
+from foxtailpick.core.dispatch import model
+from foxtailpick.core import types
+from foxtailpick.gateway import http1
+
+
+class Reply:
+    """The answer to a request, whole or in chunks.
+
+    :param sock: the caller's connection.
+    :param keeps_alive: whether the connection stays open afterwards.
+    """
+
+    def __init__(
+        self, sock: trio.socket.SocketType, keeps_alive: bool
+    ) -> None:
+        self._sock = sock
+        self._pending_head = b''
+        self.keeps_alive = keeps_alive
+        self.is_begun = False
+        self.is_finished = False
+        self.status = 0
+
+    async def send_whole(
+        self,
+        status: int,
+        headers: typing.Iterable[model.RawHeader],
+        body: bytes,
+    ) -> None:
+        """Send an answer with its body."""
+        self.is_begun = True
+        self.status = status
+        head = http1.format_response(
+            status, headers, len(body), self.keeps_alive
+        )
+        await http1.send_all(self._sock, head + body)
+        self.is_finished = True
+
+    def begin(
+        self, status: int, headers: typing.Iterable[model.RawHeader]
+    ) -> None:
+        """Start an answer in chunks; its head goes with the first one."""
+        self.status = status
+        self._pending_head = http1.format_response(
+            status, headers, None, self.keeps_alive
+        )
+
+    async def send_chunk(self, data: bytes) -> None:
+        """Send a part of the body."""
+        head, self._pending_head = self._pending_head, b''
+        self.is_begun = True
+        await http1.send_all(self._sock, head + http1.format_chunk(data))
+
+    async def finish(self) -> None:
+        """End an answer in chunks as complete."""
+        head, self._pending_head = self._pending_head, b''
+        self.is_begun = True
+        await http1.send_all(self._sock, head + http1.LAST_CHUNK)
+        self.is_finished = True
+
+
+def format_error(
+    code: str, message: str, retry_after_ms: float | None
+) -> tuple[list[model.RawHeader], bytes]:
+    """Return headers and body of an answer that is an error of ours.
+
+    :param code: its stable code.
+    :param message: what was expected, what came and what to do.
+    :param retry_after_ms: when another try may succeed.
+    """
+    headers = [(b'Content-Type', b'application/json')]
+    if retry_after_ms is not None:
+        seconds = retry_after_ms / types.SECOND_MS
+        headers.append((b'Retry-After', b'%.3f' % seconds))
+    body = json.dumps({'error': {'code': code, 'message': message}})
+    return headers, body.encode()
--- /dev/null
+++ b/foxtailpick/gateway/server.py
@@ -0,0 +1,189 @@
+"""Accepts callers' connections and answers their requests in turn."""
+
+import errno
+import functools
+import socket
+import traceback
+import typing
+
+import trio
+
+from foxtailpick.core import errors
+from foxtailpick.core import types
+from foxtailpick.gateway import context
+from foxtailpick.gateway import http1
+from foxtailpick.gateway import relay
+from foxtailpick.gateway import reply as reply_lib
+
+# Connections that may wait to be accepted; a full queue costs a caller
+# seconds, so it holds more than a burst of new callers.
+BACKLOG = 1_024
+# Requests of one connection that are read ahead.
+MAX_READ_AHEAD = 8
+# Pause when no descriptor is left for a new connection.
+ACCEPT_PAUSE_MS = 50.0
+_NO_DESCRIPTOR = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS))
+
+Handler = typing.Callable[
+    [http1.Request, reply_lib.Reply], typing.Awaitable[None]
+]
+
+
+class Caller:
+    """One caller's connection."""
+
+    def __init__(self, sock: trio.socket.SocketType) -> None:
+        self.sock = sock
+        self.is_busy = False
+        self.idle_since_ms = 0.0
+        self.scope = trio.CancelScope()
+
+
+class CallerServer:
+    """Serves callers on one listening socket.
+
+    :param gw: the gateway.
+    """
+
+    def __init__(self, gw: context.Gateway) -> None:
+        self._gw = gw
+        self._callers: set[Caller] = set()
+
+    @property
+    def connections(self) -> int:
+        """Open connections of callers."""
+        return len(self._callers)
+
+    def is_idle(self) -> bool:
+        """Tell whether no request is under way."""
+        return not any(caller.is_busy for caller in self._callers)
+
+    def close_idle(self, idle_ms: float) -> None:
+        """Close connections without a request for some time."""
+        now_ms = self._gw.now_ms()
+        for caller in list(self._callers):
+            if not caller.is_busy and now_ms - caller.idle_since_ms >= idle_ms:
+                caller.scope.cancel()
+
+    async def serve(
+        self,
+        sock: trio.socket.SocketType,
+        handle: Handler,
+        nursery: trio.Nursery,
+    ) -> None:
+        """Accept connections until cancelled."""
+        with sock:
+            while True:
+                try:
+                    peer, _ = await sock.accept()
+                except OSError as exc:
+                    if exc.errno not in _NO_DESCRIPTOR:
+                        self._gw.log.emit('accept-failed', error=str(exc))
+                    await trio.sleep(ACCEPT_PAUSE_MS / types.SECOND_MS)
+                    continue
+                nursery.start_soon(self._serve_caller, peer, handle)
+
+    async def _serve_caller(
+        self, sock: trio.socket.SocketType, handle: Handler
+    ) -> None:
+        caller = Caller(sock)
+        caller.idle_since_ms = self._gw.now_ms()
+        self._callers.add(caller)
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            send, receive = trio.open_memory_channel(MAX_READ_AHEAD)
+            with caller.scope:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._read, caller, send, nursery)
+                    await self._answer(caller, receive, handle)
+                    nursery.cancel_scope.cancel()
+        except OSError as exc:
+            # The caller's end is no failure of ours; its requests, if any,
+            # were ended and logged.
+            self._gw.log.emit_request('caller-lost', error=str(exc))
+        except Exception as exc:
+            # One request must not end the process, and so all others.
+            self._gw.metrics.count('defects')
+            trace = traceback.format_exception(exc)
+            self._gw.log.emit('defect', error=''.join(trace)[-4_000:])
+        finally:
+            self._callers.discard(caller)
+            sock.close()
+
+    async def _read(
+        self,
+        caller: Caller,
+        send: trio.MemorySendChannel,
+        nursery: trio.Nursery,
+    ) -> None:
+        gw = self._gw
+        reader = http1.RequestReader(lambda: gw.state.limits)
+        deadline = trio.CancelScope()
+        try:
+            while True:
+                limits = gw.state.limits
+                limit_ms = limits.idle_timeout_ms
+                if reader.is_in_headers:
+                    limit_ms = limits.header_timeout_ms
+                elif caller.is_busy:
+                    limit_ms = float('inf')
+                with trio.move_on_after(
+                    limit_ms / types.SECOND_MS
+                ) as deadline:
+                    data = await http1.receive(caller.sock)
+                if deadline.cancelled_caught:
+                    if reader.is_in_request:
+                        raise http1.RequestRejected(408, 'too slow')
+                    if caller.is_busy:
+                        continue
+                    break
+                if not data:
+                    break
+                for req in reader.feed(data, gw.now_ms()):
+                    await send.send(req)
+                if reader.wants_continue:
+                    reader.wants_continue = False
+                    await http1.send_all(
+                        caller.sock, b'HTTP/1.1 100 Continue\r\n\r\n'
+                    )
+        except http1.RequestRejected as exc:
+            await send.send(exc)
+            return
+        except http1.BrokenConnectionError:
+            # A reset ends the connection as a close does.
+            pass
+        nursery.cancel_scope.cancel()
+
+    async def _answer(
+        self,
+        caller: Caller,
+        receive: trio.MemoryReceiveChannel,
+        handle: Handler,
+    ) -> None:
+        async for item in receive:
+            if isinstance(item, http1.RequestRejected):
+                await self._reject(caller, item)
+                return
+            caller.is_busy = True
+            keeps_alive = item.keeps_alive and not self._gw.is_stopping
+            reply = reply_lib.Reply(caller.sock, keeps_alive)
+            await handle(item, reply)
+            caller.is_busy = False
+            caller.idle_since_ms = self._gw.now_ms()
+            if not reply.is_finished or not reply.keeps_alive:
+                return
+
+    async def _reject(
+        self, caller: Caller, exc: http1.RequestRejected
+    ) -> None:
+        headers, body = reply_lib.format_error(
+            errors.ErrorCode.REQUEST_MALFORMED.value, str(exc), None
+        )
+        reply = reply_lib.Reply(caller.sock, False)
+        await reply.send_whole(exc.status, headers, body)
+        self._gw.log.emit_request('rejected', status=exc.status, why=str(exc))
+
+
+def make_handler(gw: context.Gateway) -> Handler:
+    """Return the handler of callers' requests."""
+    return functools.partial(relay.handle_request, gw)
--- /dev/null
+++ b/foxtailpick/gateway/settings.py
@@ -0,0 +1,54 @@
+"""Settings of a gateway process."""
+
+import dataclasses
+
+from foxtailpick.core.dispatch import model
+from foxtailpick.core import errors
+from foxtailpick.core import types
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GatewaySettings:
+    """What a gateway is told at its start.
+
+    :param name: its name, unique in the fleet.
+    :param domain: its failure domain.
+    :param listen: address for callers.
+    :param readiness: address that the balancer asks.
+    :param metrics: address of its metrics.
+    :param store: address of the platform's store.
+    :param min_lease_ms: shortest lease that the store grants.
+    :param grace_ms: time from SIGTERM to the end of the process.
+    :param retry_ratio: repeats allowed per request, for all gateways.
+    :param retry_extra: repeats allowed beyond that, for all gateways.
+    :param processor_share: part of a core that the process has.
+    :param max_sockets: descriptors that the process may open.
+    """
+
+    name: types.RouterId
+    domain: types.FailureDomainId
+    listen: model.Address
+    readiness: model.Address
+    metrics: model.Address
+    store: model.Address
+    min_lease_ms: float = 1_000.0
+    grace_ms: float = 8_000.0
+    retry_ratio: float = 0.2
+    retry_extra: float = 50.0
+    processor_share: float = 1.0
+    max_sockets: int = 4_096
+
+    def __post_init__(self) -> None:
+        """Check the ranges."""
+        if not 0 <= self.retry_ratio <= 1 or self.retry_extra < 0:
+            raise self._make_error('a retry ratio of 0 to 1, extra >= 0')
+        if self.grace_ms <= 0 or self.min_lease_ms <= 0:
+            raise self._make_error('durations above 0')
+        if self.processor_share <= 0 or self.max_sockets <= 0:
+            raise self._make_error('limits above 0')
+
+    def _make_error(self, expected: str) -> errors.SettingsError:
+        return errors.SettingsError(
+            errors.ErrorCode.SETTINGS_VALUE_INVALID,
+            f'expected {expected}, got {self}; correct the settings',
+        )
--- /dev/null
+++ b/foxtailpick/gateway/state.py
@@ -0,0 +1,161 @@
+"""What a gateway believes, and from where."""
+
+import typing
+
+from foxtailpick.core.dispatch import endpoint_table
+from foxtailpick.core.dispatch import model
+from foxtailpick.core.dispatch import route_table
+from foxtailpick.core import types
+from foxtailpick.gateway import decision_log
+
+
+class GatewayState:
+    """Configuration, endpoints and routers, as the store told them.
+
+    :param own_id: this router.
+    :param now_ms: function that returns the current time.
+    :param log: where changes of belief are logged.
+    """
+
+    def __init__(
+        self,
+        own_id: types.RouterId,
+        now_ms: typing.Callable[[], float],
+        log: decision_log.DecisionLog,
+    ) -> None:
+        self._own_id = own_id
+        self._now_ms = now_ms
+        self._log = log
+        self._routers: set[types.RouterId] = {own_id}
+        self._evacuated: set[types.FailureDomainId] = set()
+        self.table = endpoint_table.EndpointTable()
+        self.cfg: model.GatewayConfig | None = None
+        self.routes = route_table.RouteTable(())
+        self.limits = model.Limits()
+
+    @property
+    def routers(self) -> int:
+        """Routers that share budgets, this one included."""
+        return len(self._routers)
+
+    def apply(self, item: model.Item, is_after_outage: bool = False) -> None:
+        """Take in one change.
+
+        :param item: the change.
+        :param is_after_outage: whether a removal may only mean that an
+            entry lapsed while the store was away.
+        """
+        if isinstance(item, model.ConfigItem):
+            self._set_config(item.cfg)
+        elif isinstance(item, model.EndpointItem):
+            self._set_endpoint(item, is_after_outage)
+        elif isinstance(item, model.EvacuationItem):
+            evacuated = set(self._evacuated)
+            if item.is_out:
+                evacuated.add(item.domain)
+            else:
+                evacuated.discard(item.domain)
+            self._set_evacuated(evacuated)
+        else:
+            self._set_router(item)
+
+    def replace(
+        self, items: typing.Sequence[model.Item], is_after_outage: bool
+    ) -> None:
+        """Take in everything that the store holds.
+
+        :param items: all items.
+        :param is_after_outage: whether entries may have lapsed while the
+            store was away.
+        """
+        entries = []
+        evacuated = set()
+        routers = {self._own_id}
+        for item in items:
+            if isinstance(item, model.ConfigItem):
+                self._set_config(item.cfg)
+            elif isinstance(item, model.EndpointItem) and item.entry:
+                entries.append(item.entry)
+            elif isinstance(item, model.EvacuationItem):
+                evacuated.add(item.domain)
+            elif isinstance(item, model.RouterItem):
+                routers.add(item.id)
+        absent = self.table.replace_all(
+            entries, self._now_ms(), is_after_outage
+        )
+        self._set_evacuated(evacuated)
+        if not is_after_outage:
+            self._routers = routers
+        else:
+            # Registrations lapse as well; a router that is only thought
+            # to live makes our part of each budget smaller, never larger.
+            self._routers |= routers
+        self._log.emit(
+            'store-read',
+            config=self.cfg.number if self.cfg else None,
+            endpoints=len(entries),
+            absent=absent,
+            routers=self.routers,
+            after_outage=is_after_outage,
+        )
+
+    def expire(self) -> None:
+        """Forget endpoints that did not come back after an outage."""
+        for endpoint in self.table.expire_absent(self._now_ms()):
+            self._log.emit('endpoint-gone', endpoint=endpoint, why='lapsed')
+
+    def _set_config(self, cfg: model.GatewayConfig | None) -> None:
+        if cfg is None:
+            return
+        if self.cfg is not None and cfg.number <= self.cfg.number:
+            return
+        self.cfg = cfg
+        self.routes = route_table.RouteTable(cfg.routes)
+        self.limits = cfg.limits
+        self._log.emit(
+            'config-applied',
+            version=cfg.number,
+            routes=len(cfg.routes),
+            keys=len(cfg.accounts),
+        )
+
+    def _set_endpoint(
+        self, item: model.EndpointItem, is_after_outage: bool
+    ) -> None:
+        now_ms = self._now_ms()
+        if item.entry is not None:
+            endpoint = self.table.put(item.entry, now_ms)
+            self._log.emit(
+                'endpoint-listed',
+                endpoint=item.id,
+                service=item.entry.service,
+                domain=item.entry.domain,
+                draining=item.entry.is_draining,
+                cold_ms=max(0.0, round(endpoint.warm_at_ms - now_ms)),
+            )
+            return
+        known = self.table.get(item.id)
+        if known is None:
+            return
+        if is_after_outage and not known.entry.is_draining:
+            if known.absent_since_ms is None:
+                known.absent_since_ms = now_ms
+            self._log.emit('endpoint-absent', endpoint=item.id)
+            return
+        self.table.remove(item.id)
+        self._log.emit('endpoint-gone', endpoint=item.id, why='removed')
+
+    def _set_evacuated(self, evacuated: set[types.FailureDomainId]) -> None:
+        if evacuated == self._evacuated:
+            return
+        self._evacuated = evacuated
+        services = self.cfg.services if self.cfg else {}
+        self.table.set_evacuated(evacuated, services, self._now_ms())
+        self._log.emit('domains-out', domains=sorted(evacuated))
+
+    def _set_router(self, item: model.RouterItem) -> None:
+        if item.is_present:
+            self._routers.add(item.id)
+        elif item.id != self._own_id:
+            self._routers.discard(item.id)
+        self._log.emit('routers', count=self.routers, changed=item.id)
--- /dev/null
+++ b/foxtailpick/platform/__main__.py
@@ -0,0 +1,8 @@
+"""Entry point of the gateway's process."""
+
+import sys
+
+from foxtailpick.platform import run
+
+if __name__ == '__main__':
+    sys.exit(run.main())
--- /dev/null
+++ b/foxtailpick/platform/boot.py
@@ -0,0 +1,121 @@
+"""Reads the settings file that the platform lays for each process."""
+
+import os
+import pathlib
+import typing
+
+from foxtailpick.core import errors
+from foxtailpick.core import types
+from foxtailpick.gateway import settings
+
+BOOT_VARIABLE = 'FOXTAILPICK_BOOT'
+
+
+def find_boot_file() -> pathlib.Path:
+    """Return the path of the settings file.
+
+    :raises errors.SettingsError: if the environment does not name it.
+    """
+    path = os.environ.get(BOOT_VARIABLE)
+    if not path:
+        raise errors.SettingsError(
+            errors.ErrorCode.SETTINGS_UNREADABLE,
+            f'expected the path of the settings in {BOOT_VARIABLE}, found '
+            f'none; set it',
+        )
+    return pathlib.Path(path)
+
+
+def read_settings(path: pathlib.Path) -> settings.GatewaySettings:
+    """Read and check the settings of a gateway.
+
+    :param path: the settings file.
+    :raises errors.SettingsError: if it cannot be used.
+    """
+    try:
+        text = path.read_text('utf-8')
+    except (OSError, UnicodeDecodeError) as exc:
+        raise errors.SettingsError(
+            errors.ErrorCode.SETTINGS_UNREADABLE,
+            f'expected a readable settings file at {path}, got {exc}',
+        ) from exc
+    return parse_settings(text)
+
+
+def parse_settings(text: str) -> settings.GatewaySettings:
+    """Decode the text of a settings file; unknown fields are passed over.
+
+    :param text: lines of the form `a.b=value`.
+    :raises errors.SettingsError: if a field is missing or invalid.
+    """
+    fields = dict(
+        (name.strip(), value.strip())
+        for name, found, value in (
+            line.partition('=') for line in text.splitlines()
+        )
+        if found and not name.lstrip().startswith('#')
+    )
+    return settings.GatewaySettings(
+        name=types.RouterId(_get(fields, 'node_name')),
+        domain=types.FailureDomainId(_get(fields, 'zone')),
+        listen=_get_address(fields, 'listen.frontend'),
+        readiness=_get_address(fields, 'listen.readiness'),
+        metrics=(_get(fields, 'ip'), _get_first_port(fields)),
+        store=_get_address(fields, 'platform.address'),
+        # Our lease may not be shorter than what the store grants.
+        min_lease_ms=_get_number(fields, 'platform.ttl_min_ms', 1_000.0),
+        # The name says seconds; all our durations are milliseconds.
+        grace_ms=_get_number(fields, 'bounds.grace_s', 8.0) * types.SECOND_MS,
+        retry_ratio=_get_number(fields, 'bounds.retry_budget_ratio', 0.2),
+        # Repeats that the whole fleet may make beyond the ratio.
+        retry_extra=_get_number(fields, 'bounds.retry_budget_extra', 50.0),
+        processor_share=_get_number(fields, 'limits.cpu_share', 1.0),
+        max_sockets=int(_get_number(fields, 'limits.max_fds', 4_096.0)),
+    )
+
+
+def _get(fields: typing.Mapping[str, str], name: str) -> str:
+    value = fields.get(name)
+    if not value:
+        raise errors.SettingsError(
+            errors.ErrorCode.SETTINGS_KEY_MISSING,
+            f'expected a value for {name}, found none; correct the settings',
+        )
+    return value
+
+
+def _get_number(
+    fields: typing.Mapping[str, str], name: str, default: float
+) -> float:
+    text = fields.get(name)
+    if not text:
+        return default
+    try:
+        return float(text)
+    except ValueError as exc:
+        raise _make_invalid(name, 'a number', text) from exc
+
+
+def _get_address(
+    fields: typing.Mapping[str, str], name: str
+) -> tuple[str, int]:
+    text = _get(fields, name)
+    host, _, port = text.rpartition(':')
+    if not host or not port.isdigit():
+        raise _make_invalid(name, 'IP:PORT', text)
+    return host, int(port)
+
+
+def _get_first_port(fields: typing.Mapping[str, str]) -> int:
+    text = _get(fields, 'internal_ports')
+    first = text.partition(',')[0]
+    if not first.isdigit():
+        raise _make_invalid('internal_ports', 'two ports', text)
+    return int(first)
+
+
+def _make_invalid(name: str, expected: str, got: str) -> errors.SettingsError:
+    return errors.SettingsError(
+        errors.ErrorCode.SETTINGS_VALUE_INVALID,
+        f'expected {expected} for {name}, got {got!r}; correct the settings',
+    )
--- /dev/null
+++ b/foxtailpick/platform/dialect.py
@@ -0,0 +1,184 @@
+"""Headers of requests and responses, decoded and encoded."""
+
+import typing
+
+from foxtailpick.core.dispatch import model
+from foxtailpick.core import types
+
+_HOP_BY_HOP = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+        b'content-length',
+        b'expect',
+        b'host',
+    )
+)
+# Headers that only the system may set; a caller's are dropped.
+_OURS = frozenset(
+    (
+        b'x-key',
+        b'x-tenant',
+        b'x-expect-instance',
+        b'x-request-priority',
+        b'x-kv-hold',
+        b'x-pin-ms',
+        b'x-kv-backup',
+        b'kv-from',
+        b'kv-fetch',
+        b'x-deadline-ms',
+        b'last-event-id',
+    )
+)
+_NOT_FORWARDED = _HOP_BY_HOP | _OURS
+_LOWEST_PRIORITY = 9
+
+
+def decode_request(
+    headers: typing.Sequence[model.RawHeader],
+) -> model.RequestMeta:
+    """Decode the headers of a caller's request.
+
+    :param headers: names in lower case, with their values.
+    :raises ValueError: if a header that we rely on is malformed.
+    """
+    values = dict(headers)
+    dropped = _NOT_FORWARDED | _list_connection_headers(values)
+    deadline = values.get(b'x-deadline-ms')
+    prompt_tokens, output_tokens = _parse_counts(values.get(b'x-token-count'))
+    last_event = values.get(b'last-event-id')
+    return model.RequestMeta(
+        id=types.RequestId(values.get(b'x-attempt-id', b'').decode('ascii')),
+        deadline_ms=None if deadline is None else float(deadline),
+        key=_decode_optional(values.get(b'x-key')),
+        parts=_parse_parts(values.get(b'x-prefix-hash')),
+        prompt_tokens=prompt_tokens,
+        output_tokens=output_tokens,
+        last_event_id=_decode_optional(last_event),
+        forwarded=[item for item in headers if item[0] not in dropped],
+    )
+
+
+def encode_request(
+    meta: model.RequestMeta,
+    endpoint: types.EndpointId,
+    account: model.Account | None,
+    priority: int,
+    left_ms: float,
+    last_event_id: str | None,
+) -> list[model.RawHeader]:
+    """Encode the headers of a request to an endpoint.
+
+    :param meta: the caller's headers.
+    :param endpoint: the only endpoint that may run it.
+    :param account: the account that it is for, if any.
+    :param priority: rank, 0 is the most urgent.
+    :param left_ms: time left to answer it.
+    :param last_event_id: event after which the stream goes on, if any.
+    """
+    headers = list(meta.forwarded)
+    headers.append((b'X-Expect-Instance', endpoint.encode()))
+    headers.append((b'X-Deadline-Ms', b'%d' % max(1, int(left_ms))))
+    if account is not None:
+        headers.append((b'X-Tenant', account.name.encode()))
+    if meta.parts:
+        rank = min(max(priority, 0), _LOWEST_PRIORITY)
+        headers.append((b'X-Request-Priority', b'%d' % rank))
+    if last_event_id is not None:
+        headers.append((b'Last-Event-Id', last_event_id.encode()))
+    return headers
+
+
+def decode_response(
+    headers: typing.Sequence[model.RawHeader],
+) -> model.ResponseMeta:
+    """Decode the headers of an endpoint's response.
+
+    :param headers: names in lower case, with their values.
+    """
+    meta = model.ResponseMeta()
+    for name, value in headers:
+        if name == b'x-attempt-id':
+            meta.request = types.RequestId(value.decode('latin-1'))
+        elif name == b'x-server-stamp':
+            meta.is_signed = True
+            meta.signature = (name, value)
+            continue
+        elif name == b'x-not-executed':
+            meta.is_not_run = True
+            continue
+        elif name == b'x-server-load':
+            meta.load = _parse_load(value)
+            continue
+        elif name == b'content-encoding':
+            meta.is_encoded = True
+        elif name == b'connection':
+            meta.is_closing = b'close' in value.lower()
+        elif name == b'keep-alive':
+            meta.keep_alive_ms = _parse_keep_alive(value)
+        elif name == b'retry-after':
+            meta.retry_after_ms = _parse_seconds(value)
+        if name not in _HOP_BY_HOP:
+            meta.forwarded.append((name, value))
+    return meta
+
+
+def _list_connection_headers(
+    values: typing.Mapping[bytes, bytes],
+) -> frozenset[bytes]:
+    named = values.get(b'connection')
+    if not named:
+        return frozenset()
+    return frozenset(part.strip().lower() for part in named.split(b','))
+
+
+def _decode_optional(value: bytes | None) -> str | None:
+    return None if value is None else value.decode('latin-1')
+
+
+def _parse_counts(value: bytes | None) -> tuple[int, int]:
+    if not value:
+        return 0, 0
+    prompt, _, output = value.partition(b',')
+    return int(prompt), int(output or 0)
+
+
+def _parse_parts(value: bytes | None) -> tuple[model.PromptPart, ...]:
+    if not value:
+        return ()
+    pairs = (part.partition(':') for part in value.decode('ascii').split(','))
+    return tuple(
+        model.PromptPart(part.strip(), int(tokens))
+        for part, _, tokens in pairs
+    )
+
+
+def _parse_load(value: bytes) -> model.LoadReport | None:
+    try:
+        running, waiting, slots = map(int, value.split(b','))
+    except ValueError:
+        # A report only refines an estimate, so a bad one is passed over.
+        return None
+    return model.LoadReport(running, waiting, slots)
+
+
+def _parse_keep_alive(value: bytes) -> float | None:
+    for part in value.split(b','):
+        name, _, number = part.strip().partition(b'=')
+        if name.lower() == b'timeout' and number.isdigit():
+            return int(number) * types.SECOND_MS
+    return None
+
+
+def _parse_seconds(value: bytes) -> float | None:
+    try:
+        return float(value) * types.SECOND_MS
+    except ValueError:
+        return None
--- /dev/null
+++ b/foxtailpick/platform/items.py
@@ -0,0 +1,180 @@
+"""Decodes the items of the platform's store.
+
+Items that cannot be read raise `ItemError`; the caller logs and skips
+them, and keeps what it knew.
+"""
+
+import json
+import typing
+
+from foxtailpick.core.dispatch import model
+from foxtailpick.core import types
+
+CONFIG_KEY = 'op/config'
+ENDPOINT_PREFIX = 'servers/'
+EVACUATION_PREFIX = 'op/evacuate/'
+ROUTER_PREFIX = 'foxtailpick/routers/'
+
+_STATES = {'ready': False, 'draining': True}
+_Fields = typing.Mapping[str, typing.Any]
+
+
+class ItemError(ValueError):
+    """An item of the store that does not hold what its key promises."""
+
+
+def decode_item(key: str, value: bytes | None) -> model.Item | None:
+    """Decode an item of the store.
+
+    :param key: its key.
+    :param value: the stored bytes, None if the item was removed.
+    :returns: None for an item that is not meant for routers.
+    :raises ItemError: if it cannot be used.
+    """
+    if key == CONFIG_KEY:
+        return model.ConfigItem(
+            None if value is None else decode_config(value)
+        )
+    if key.startswith(ENDPOINT_PREFIX):
+        endpoint = types.EndpointId(key.removeprefix(ENDPOINT_PREFIX))
+        entry = None if value is None else decode_endpoint(key, value)
+        return model.EndpointItem(endpoint, entry)
+    if key.startswith(EVACUATION_PREFIX):
+        domain = types.FailureDomainId(key.removeprefix(EVACUATION_PREFIX))
+        return model.EvacuationItem(domain, value is not None)
+    if key.startswith(ROUTER_PREFIX):
+        router = types.RouterId(key.removeprefix(ROUTER_PREFIX))
+        return model.RouterItem(router, value is not None)
+    return None
+
+
+def make_router_key(router: types.RouterId) -> str:
+    """Return the key under which a router registers."""
+    return ROUTER_PREFIX + router
+
+
+def decode_config(value: bytes) -> model.GatewayConfig:
+    """Decode the operators' configuration.
+
+    :param value: the stored bytes.
+    :raises ItemError: if it cannot be used.
+    """
+    data = _parse(value)
+    try:
+        limits = data.get('limits') or {}
+        tenants = data.get('tenants')
+        return model.GatewayConfig(
+            number=types.ConfigNumber(int(data['version'])),
+            routes=tuple(_decode_route(item) for item in data['routes']),
+            services={
+                types.ServiceId(item['name']): _decode_service(item)
+                for item in data.get('services', ())
+            },
+            accounts=_decode_accounts(tenants or ()),
+            has_accounts=bool(tenants),
+            limits=model.Limits(
+                **{
+                    name: limits[name]
+                    for name in limits
+                    if name in model.Limits.__slots__
+                }
+            ),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+        raise ItemError(f'unusable configuration: {exc!r}') from exc
+
+
+def decode_endpoint(key: str, value: bytes) -> model.EndpointEntry:
+    """Decode what an endpoint says of itself.
+
+    :param key: the key of the item, which holds the endpoint's id.
+    :param value: the stored bytes.
+    :raises ItemError: if it names no endpoint that could be used.
+    """
+    data = _parse(value)
+    state = data.get('state')
+    if state not in _STATES:
+        raise ItemError(f'expected a known state, got {state!r}')
+    started = data.get('born')
+    return model.EndpointEntry(
+        id=types.EndpointId(key.removeprefix(ENDPOINT_PREFIX)),
+        started=types.Incarnation(str(started) if started else ''),
+        service=types.ServiceId(_expect(data, 'service', str)),
+        address=_parse_address(_expect(data, 'address', str)),
+        domain=types.FailureDomainId(_expect(data, 'zone', str)),
+        slots=max(1, _expect(data, 'slots', int)),
+        is_draining=_STATES[state],
+        # Counts from the time of writing, not from that of reading.
+        warmup_left_ms=float(data.get('warmup_left_ms') or 0),
+    )
+
+
+def _parse(value: bytes) -> dict[str, typing.Any]:
+    try:
+        data = json.loads(value)
+    except ValueError as exc:
+        raise ItemError(f'expected JSON, got {value[:40]!r}') from exc
+    if not isinstance(data, dict):
+        raise ItemError(f'expected an object, got {type(data).__name__}')
+    return data
+
+
+def _expect(data: _Fields, name: str, kind: type) -> typing.Any:
+    value = data.get(name)
+    if not isinstance(value, kind) or isinstance(value, bool):
+        raise ItemError(f'expected {kind.__name__} in {name}, got {value!r}')
+    return value
+
+
+def _parse_address(text: str) -> model.Address:
+    host, _, port = text.rpartition(':')
+    if not host or not port.isdigit():
+        raise ItemError(f'expected IP:PORT, got {text!r}')
+    return host, int(port)
+
+
+def _decode_route(item: _Fields) -> model.Route:
+    split = item.get('traffic_split') or [
+        {'service': item['service'], 'weight': 1}
+    ]
+    return model.Route(
+        name=str(item['name']),
+        host=str(item['host']).lower(),
+        prefix=str(item['prefix']),
+        targets=tuple(
+            model.Target(types.ServiceId(part['service']), part['weight'])
+            for part in split
+            if part['weight'] > 0
+        ),
+        kind=model.RequestKind(item['kind']),
+        timeout_ms=float(item['timeout_ms']),
+        target_ms=float(item.get('target_latency_ms') or item['timeout_ms']),
+        priority=int(item.get('priority') or 0),
+        max_attempts=max(1, int(item.get('max_attempts') or 1)),
+        is_anonymous=bool(item.get('anonymous')),
+        is_resumable=bool(item.get('stream_resumption')),
+    )
+
+
+def _decode_service(item: _Fields) -> model.Service:
+    return model.Service(
+        name=types.ServiceId(item['name']),
+        max_connections=int(item.get('max_connections') or 0),
+        # The name says seconds; all our durations are milliseconds.
+        warmup_ms=float(item.get('warmup_s') or 0) * types.SECOND_MS,
+        warmup_per_s=float(item.get('warmup_per_s') or 0),
+    )
+
+
+def _decode_accounts(
+    tenants: typing.Iterable[_Fields],
+) -> dict[str, model.Account]:
+    accounts = {}
+    for item in tenants:
+        priority = item.get('priority')
+        account = model.Account(
+            types.AccountId(item['name']),
+            None if priority is None else int(priority),
+        )
+        accounts.update({key: account for key in item.get('api_keys', ())})
+    return accounts
--- /dev/null
+++ b/foxtailpick/platform/run.py
@@ -0,0 +1,36 @@
+"""Runs a gateway on the operators' platform."""
+
+import functools
+
+import trio
+
+from foxtailpick.gateway import context
+from foxtailpick.gateway import daemon
+from foxtailpick.platform import boot
+from foxtailpick.platform import dialect
+from foxtailpick.platform import items
+from foxtailpick.platform import store
+
+DIALECT = context.Dialect(
+    decode_request=dialect.decode_request,
+    encode_request=dialect.encode_request,
+    decode_response=dialect.decode_response,
+)
+
+
+def main() -> int:
+    """Serve until told to stop; return the exit status."""
+    path = boot.find_boot_file()
+    cfg = boot.read_settings(path)
+    trio.run(
+        functools.partial(
+            daemon.run_gateway,
+            cfg,
+            store.PlatformStore,
+            items.decode_item,
+            DIALECT,
+            items.make_router_key(cfg.name),
+            functools.partial(boot.read_settings, path),
+        )
+    )
+    return 0
--- /dev/null
+++ b/foxtailpick/platform/store.py
@@ -0,0 +1,263 @@
+"""Client of the platform's key-value store."""
+
+import base64
+import contextlib
+import json
+import typing
+import urllib.parse
+
+import trio
+
+from foxtailpick.adapters import base
+from foxtailpick.core import errors
+from foxtailpick.core import types
+from foxtailpick.core import verdict as verdict_lib
+from foxtailpick.gateway import exchange
+from foxtailpick.gateway import http1
+
+# Ten times the store's usual answer under load; a slow one is asked again.
+CALL_TIMEOUT_MS = 1_500.0
+# A watch that says nothing for this long is asked again. A configuration
+# has to be in force within two seconds, also when a connection went
+# silent, which nothing but a missing reply shows.
+WATCH_WAIT_MS = 1_500.0
+# Time for the reply beyond the wait.
+WATCH_SLACK_MS = 1_000.0
+_BASE_PATH = '/foxtailpick/'
+
+
+class PlatformStore(base.KeyValue):
+    """The store at one address; the owner enters it as a context.
+
+    :param address: IP number and port.
+    """
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self._address = address
+        self._host = f'{address[0]}:{address[1]}'.encode()
+        self._idle: list[http1.ClientConnection] = []
+        self.calls = 0
+
+    def __enter__(self) -> 'PlatformStore':
+        return self
+
+    def __exit__(self, *exc_info: typing.Any) -> None:
+        for conn in self._idle:
+            conn.close()
+        self._idle.clear()
+
+    async def get(self, key: str) -> base.Entry | None:
+        query = urllib.parse.urlencode({'key': key})
+        status, reply = await self._call('GET', f'kv-key?{query}')
+        if status == 404:
+            return None
+        _check(status, reply)
+        return _decode_entry(reply)
+
+    async def get_prefix(self, prefix: str) -> list[base.Entry]:
+        return (await self.read_snapshot(prefix)).entries
+
+    async def read_snapshot(self, prefix: str) -> base.Snapshot:
+        """Return all entries of a prefix and a revision to watch from.
+
+        Pages are no snapshot, so the revision is that of the first page:
+        a watch from there repeats what changed between pages.
+
+        :param prefix: beginning of the keys, may be empty.
+        :raises errors.StoreError: if the store cannot be read.
+        """
+        entries: list[base.Entry] = []
+        revision: int | None = None
+        after = ''
+        while True:
+            fields = {'prefix': prefix, **({'after': after} if after else {})}
+            query = urllib.parse.urlencode(fields)
+            status, reply = await self._call('GET', f'kv-range?{query}')
+            _check(status, reply)
+            page = [_decode_entry(item) for item in reply['items']]
+            entries.extend(page)
+            if revision is None:
+                revision = int(reply['current_rev'])
+            if not reply.get('truncated') or not page:
+                return base.Snapshot(entries, types.Revision(revision))
+            after = page[-1].key
+
+    async def poll_changes(
+        self, prefix: str, after: types.Revision
+    ) -> tuple[list[base.Change], types.Revision]:
+        """Wait for changes after a revision, for a while.
+
+        :returns: the changes, and the revision to go on from.
+        :raises errors.StoreError: with code `STORE_HISTORY_LOST` if the
+            changes are no longer at hand.
+        """
+        query = urllib.parse.urlencode(
+            {'prefix': prefix, 'after': after, 'wait_ms': int(WATCH_WAIT_MS)}
+        )
+        status, reply = await self._call(
+            'GET', f'kv-watch?{query}', WATCH_WAIT_MS + WATCH_SLACK_MS
+        )
+        if status == 410:
+            raise errors.StoreError(
+                errors.ErrorCode.STORE_HISTORY_LOST,
+                f'expected changes after {after}, but that history is '
+                f'dropped; read everything again',
+            )
+        _check(status, reply)
+        changes = [_decode_change(item) for item in reply['events']]
+        return changes, types.Revision(int(reply['current_rev']))
+
+    async def transact(
+        self,
+        compares: typing.Sequence[base.Compare],
+        writes: typing.Sequence[base.Put | base.Delete],
+    ) -> base.TxnResult:
+        body = {
+            'expect': [
+                {'key': item.key, 'revision': item.revision}
+                for item in compares
+            ],
+            'writes': [
+                {
+                    'key': item.key,
+                    'value': base64.b64encode(item.value).decode(),
+                    'lease': item.lease or 0,
+                }
+                for item in writes
+                if isinstance(item, base.Put)
+            ],
+            'deletes': [
+                item.key for item in writes if isinstance(item, base.Delete)
+            ],
+        }
+        status, reply = await self._call('POST', 'kv-txn', body=body)
+        if status == 412:
+            current = tuple(_decode_entry(item) for item in reply['items'])
+            revision = types.Revision(int(reply.get('current_rev') or 0))
+            return base.TxnResult(False, revision, current)
+        if status == 404:
+            raise _make_lease_error('in the transaction')
+        _check(status, reply)
+        return base.TxnResult(True, types.Revision(int(reply['revision'])))
+
+    async def grant_lease(self, ttl_ms: float) -> types.LeaseId:
+        status, reply = await self._call(
+            'POST', 'kv-lease', body={'ttl_ms': int(ttl_ms)}
+        )
+        _check(status, reply)
+        return types.LeaseId(int(reply['lease']))
+
+    async def keep_lease(self, lease: types.LeaseId) -> None:
+        status, reply = await self._call('POST', f'kv-keep/{lease}')
+        if status == 404:
+            raise _make_lease_error(lease)
+        _check(status, reply)
+
+    async def revoke_lease(self, lease: types.LeaseId) -> None:
+        status, reply = await self._call('DELETE', f'kv-lease-end/{lease}')
+        if status != 404:
+            _check(status, reply)
+
+    @contextlib.asynccontextmanager
+    async def watch(
+        self, prefix: str, after: types.Revision
+    ) -> typing.AsyncIterator[typing.AsyncIterator[base.Change]]:
+        async def iterate() -> typing.AsyncIterator[base.Change]:
+            revision = after
+            while True:
+                changes, revision = await self.poll_changes(prefix, revision)
+                for change in changes:
+                    yield change
+
+        async with contextlib.aclosing(iterate()) as changes:
+            yield changes
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        timeout_ms: float = CALL_TIMEOUT_MS,
+        body: typing.Mapping[str, typing.Any] | None = None,
+    ) -> tuple[int, typing.Any]:
+        self.calls += 1
+        data = b'' if body is None else json.dumps(body).encode()
+        head = http1.format_request(
+            method.encode(),
+            (_BASE_PATH + path).encode(),
+            self._host,
+            [(b'Content-Type', b'application/json')] if data else [],
+            len(data),
+        )
+        is_sent = False
+        conn: http1.ClientConnection | None = None
+        try:
+            with trio.fail_after(timeout_ms / types.SECOND_MS):
+                conn = await self._take_connection()
+                is_sent = True
+                await conn.send(head + data)
+                status, _, raw = await exchange.read_whole(conn)
+            if conn.is_clean:
+                self._idle.append(conn)
+                conn = None
+            return status, json.loads(raw) if raw.strip() else {}
+        except (OSError, ValueError, trio.TooSlowError) as exc:
+            may_have_run = is_sent and method != 'GET'
+            raise _make_store_error(method, path, exc, may_have_run) from exc
+        finally:
+            if conn is not None:
+                conn.close()
+
+    async def _take_connection(self) -> http1.ClientConnection:
+        while self._idle:
+            conn = self._idle.pop()
+            if conn.is_alive():
+                return conn
+            conn.close()
+        return await http1.ClientConnection.connect(self._address)
+
+
+def _decode_entry(item: typing.Mapping[str, typing.Any]) -> base.Entry:
+    return base.Entry(
+        key=item['key'],
+        value=base64.b64decode(item['value']),
+        revision=types.Revision(int(item['revision'])),
+        lease=types.LeaseId(item['lease']) if item.get('lease') else None,
+    )
+
+
+def _decode_change(item: typing.Mapping[str, typing.Any]) -> base.Change:
+    if item.get('removed'):
+        return base.Change(item['key'], None)
+    return base.Change(item['key'], _decode_entry(item))
+
+
+def _check(status: int, reply: typing.Any) -> None:
+    if status != 200:
+        raise errors.StoreError(
+            errors.ErrorCode.STORE_UNAVAILABLE,
+            f'expected status 200 of the store, got {status}; try later',
+        )
+
+
+def _make_lease_error(lease: object) -> errors.StoreError:
+    return errors.StoreError(
+        errors.ErrorCode.LEASE_LOST,
+        f'expected lease {lease} to live, but it has ended; grant a new one',
+    )
+
+
+def _make_store_error(
+    method: str, path: str, exc: Exception, may_have_run: bool
+) -> errors.StoreError:
+    code = errors.ErrorCode.STORE_UNAVAILABLE
+    verdict = verdict_lib.Verdict.NOT_RUN
+    if may_have_run:
+        code = errors.ErrorCode.STORE_OUTCOME_UNKNOWN
+        verdict = verdict_lib.Verdict.MAY_HAVE_RUN
+    name = path.partition('?')[0]
+    return errors.StoreError(
+        code,
+        f'expected a reply of the store to {method} {name}, got {exc!r}; '
+        f'try later',
+        verdict,
+    )
