--- a/foxtailpick/gateway/attempt.py
+++ b/foxtailpick/gateway/attempt.py
@@ -1,6 +1,7 @@
 """One attempt of a request at one endpoint."""
 
 import dataclasses
+import functools
 import typing
 
 import trio
@@ -9,6 +10,7 @@
 from foxtailpick.core.dispatch import health
 from foxtailpick.core.dispatch import model
 from foxtailpick.core.dispatch import pace
+from foxtailpick.core.dispatch import patience
 from foxtailpick.core.dispatch import placing
 from foxtailpick.core.dispatch import repeat
 from foxtailpick.core import types
@@ -20,6 +22,8 @@
 if typing.TYPE_CHECKING:
     from foxtailpick.gateway import relay
 
+# Well below the limits that are looked for.
+WATCH_STEP_MS = 50.0
 _SERVER_ERROR = 500
 _MISDIRECTED = 421
 # Statuses that promise that a request has not run.
@@ -118,11 +122,13 @@
         _note_failure(gw, endpoint, f'no connection: {exc}', True)
         return AttemptResult(repeat.AttemptEnd.UNREACHABLE, str(exc))
     is_reusable = False
+    first = gw.first_answers.setdefault(job.route.name, patience.FirstAnswer())
     attempt = context.Attempt(
         endpoint,
         trio.CancelScope(),
         gw.now_ms(),
-        job.route.is_idempotent,
+        first.find_limit_ms(job.route.target_ms),
+        functools.partial(_can_move, gw, job),
     )
     gw.attempts.add(attempt)
     result = AttemptResult(repeat.AttemptEnd.BROKEN, 'silence')
@@ -141,7 +147,8 @@
     if result.end is repeat.AttemptEnd.DELIVERED:
         health.note_success(endpoint.health, gw.now_ms())
     elif result.end is not repeat.AttemptEnd.ERROR_ANSWER:
-        _note_failure(gw, endpoint, result.detail, attempt.is_abandoned)
+        is_dark = endpoint.health.is_silent(gw.now_ms())
+        _note_failure(gw, endpoint, result.detail, is_dark)
     return result
 
 
@@ -214,7 +221,10 @@
     conn: http1.ClientConnection,
     reply: reply_lib.Reply,
 ) -> AttemptResult:
+    sent_ms = gw.now_ms()
     head, meta = await _read_head(gw, job, attempt, conn)
+    gw.first_answers[job.route.name].observe(gw.now_ms() - sent_ms)
+    attempt.limit_ms = patience.GAP_MS
     if meta.load is not None:
         attempt.endpoint.note_report(meta.load, gw.now_ms())
     conn.keep_alive_ms = meta.keep_alive_ms
@@ -360,19 +370,26 @@
         )
 
 
+def _can_move(gw: context.Gateway, job: 'relay.Job') -> bool:
+    if not job.route.is_idempotent or job.sent >= job.route.max_attempts:
+        return False
+    if gw.budget.get_tokens(job.service.name) < 1:
+        return False
+    # More than the endpoint of this attempt has to be there.
+    return len(gw.state.table.list_service(job.service.name)) > job.sent
+
+
 async def watch_attempts(gw: context.Gateway) -> None:
-    """End attempts that wait for an endpoint that has fallen silent."""
+    """End attempts that hear nothing and may go on elsewhere."""
     while True:
         await trio.sleep(WATCH_STEP_MS / types.SECOND_MS)
         now_ms = gw.now_ms()
         for attempt in list(gw.attempts):
-            age_ms = now_ms - attempt.heard_ms
-            if not attempt.may_move or age_ms < health.SILENCE_MS:
-                continue
-            if attempt.endpoint.health.is_silent(now_ms):
+            quiet_ms = now_ms - attempt.heard_ms
+            is_silent = attempt.endpoint.health.is_silent(now_ms)
+            limit_ms = attempt.limit_ms
+            if is_silent:
+                limit_ms = min(limit_ms, health.SILENCE_MS)
+            if quiet_ms >= limit_ms and attempt.can_move():
                 attempt.is_abandoned = True
                 attempt.scope.cancel()
-
-
-# Well below the silence that is looked for.
-WATCH_STEP_MS = 100.0
--- a/foxtailpick/gateway/context.py
+++ b/foxtailpick/gateway/context.py
@@ -8,6 +8,7 @@
 
 from foxtailpick.core.dispatch import endpoint_table
 from foxtailpick.core.dispatch import model
+from foxtailpick.core.dispatch import patience
 from foxtailpick.core.dispatch import stopping
 from foxtailpick.core import retry
 from foxtailpick.gateway import decision_log
@@ -33,14 +34,16 @@
     :param endpoint: the endpoint.
     :param scope: ends the attempt when cancelled.
     :param heard_ms: when the endpoint last sent something for it.
-    :param may_move: whether another endpoint may take it over.
+    :param limit_ms: how long it may hear nothing before it moves on.
+    :param can_move: tells whether another endpoint may take it over.
     :param is_abandoned: whether it was ended because of silence.
     """
 
     endpoint: endpoint_table.Endpoint
     scope: trio.CancelScope
     heard_ms: float
-    may_move: bool
+    limit_ms: float
+    can_move: typing.Callable[[], bool]
     is_abandoned: bool = False
 
 
@@ -58,6 +61,9 @@
     metrics: metrics_lib.Metrics
     rng: random.Random
     attempts: set[Attempt] = dataclasses.field(default_factory=set)
+    first_answers: dict[str, patience.FirstAnswer] = dataclasses.field(
+        default_factory=dict
+    )
     requests: int = 0
     stream_pace: stopping.StreamPace = dataclasses.field(
         default_factory=stopping.StreamPace
--- a/foxtailpick/tests/test_dispatch.py
+++ b/foxtailpick/tests/test_dispatch.py
@@ -10,6 +10,7 @@
 from foxtailpick.core.dispatch import health
 from foxtailpick.core.dispatch import model
 from foxtailpick.core.dispatch import pace
+from foxtailpick.core.dispatch import patience
 from foxtailpick.core.dispatch import placing
 from foxtailpick.core.dispatch import refusal
 from foxtailpick.core.dispatch import repeat
@@ -315,3 +316,13 @@
     assert short < 400 < 4_000 < long
     plain = dataclasses.replace(route, kind=model.RequestKind.SAFE)
     assert stopping.find_duration_ms(plain, 0, learned) == 10_000.0
+
+
+def test_patience_grows_when_all_answers_become_slow():
+    first = patience.FirstAnswer()
+    for _ in range(50):
+        first.observe(60.0)
+    assert first.find_limit_ms(200.0) == 300.0
+    for _ in range(50):
+        first.observe(500.0)
+    assert first.find_limit_ms(200.0) > 490.0
--- a/foxtailpick/tests/test_gateway.py
+++ b/foxtailpick/tests/test_gateway.py
@@ -353,3 +353,44 @@
         answer = await gateway_stage.read_answer(conn)
         conn.close()
     assert answer.body == get_events(1, 2)
+
+
+async def test_request_whose_answer_is_lost_moves_on():
+    """One request hears nothing while its endpoint serves others."""
+    lost = []
+
+    async def lose_one(exchange):
+        if not lost:
+            lost.append(exchange.seen.id)
+            await trio.sleep_forever()
+        await exchange.answer()
+
+    async with gateway_stage.open_stage() as stage:
+        stage.add_endpoint('p1', 'plain', lose_one)
+        stage.add_endpoint('p2', 'plain', lose_one)
+        await stage.until_known('p1', 'p2')
+        began_ms = stage.gw.now_ms()
+        answer = await stage.ask('/safe/x')
+        assert answer.status == 200
+        # The caller of this route is told to expect 200 ms.
+        assert stage.gw.now_ms() - began_ms < 600
+
+
+async def test_stream_that_stops_in_the_middle_goes_on_elsewhere():
+    async def serve(exchange):
+        last = exchange.seen.headers.get(b'last-event-id')
+        await exchange.begin_stream()
+        if last is None:
+            await exchange.send_events(1, 2)
+            await trio.sleep_forever()
+        await exchange.send_events(int(last) + 1, 3)
+        await exchange.end_stream()
+
+    async with gateway_stage.open_stage() as stage:
+        stage.add_endpoint('e1', 'engine', serve)
+        stage.add_endpoint('e2', 'engine', serve)
+        await stage.until_known('e1', 'e2')
+        answer = await stage.ask(
+            '/movable/x', b'POST', b'data', X_Prefix_Hash=PROMPT
+        )
+    assert answer.body == get_events(1, 3)
