End a silent attempt through its connection

The head was lost, and the next attempt went on without one. The same could cut a write in two while a caller read slowly.

Change: the watcher shuts the connection to the endpoint down, so that only the reading side ends, and never while the caller is written to.

The test of a slow caller failed before with an answer that cannot be parsed.

--- a/foxtailpick/gateway/attempt.py
+++ b/foxtailpick/gateway/attempt.py
@@ -125,18 +125,16 @@
     first = gw.first_answers.setdefault(job.route.name, patience.FirstAnswer())
     attempt = context.Attempt(
         endpoint,
-        trio.CancelScope(),
+        conn,
         gw.now_ms(),
         first.find_limit_ms(job.route.target_ms),
         functools.partial(_can_move, gw, job),
     )
     gw.attempts.add(attempt)
-    result = AttemptResult(repeat.AttemptEnd.BROKEN, 'silence')
     try:
-        with attempt.scope:
-            job.sent += 1
-            result = await _exchange(gw, job, attempt, conn, reply)
-            is_reusable = result.end is not repeat.AttemptEnd.BROKEN
+        job.sent += 1
+        result = await _exchange(gw, job, attempt, conn, reply)
+        is_reusable = result.end is not repeat.AttemptEnd.BROKEN
     except _BadAnswerError as exc:
         result = AttemptResult(repeat.AttemptEnd.BROKEN, str(exc))
     except _EndpointBrokeError as exc:
@@ -334,10 +332,13 @@
     attempt: context.Attempt,
     conn: http1.ClientConnection,
 ) -> http1.Event:
+    attempt.is_waiting = True
     try:
         event = await conn.next_event()
     except http1.BrokenConnectionError as exc:
         raise _EndpointBrokeError(f'broke off: {exc}') from exc
+    finally:
+        attempt.is_waiting = False
     now_ms = gw.now_ms()
     attempt.heard_ms = now_ms
     attempt.endpoint.health.heard_ms = now_ms
@@ -390,6 +391,9 @@
             limit_ms = attempt.limit_ms
             if is_silent:
                 limit_ms = min(limit_ms, health.SILENCE_MS)
-            if quiet_ms >= limit_ms and attempt.can_move():
-                attempt.is_abandoned = True
-                attempt.scope.cancel()
+            if (
+                attempt.is_waiting
+                and quiet_ms >= limit_ms
+                and attempt.can_move()
+            ):
+                attempt.conn.abort()
--- a/foxtailpick/gateway/context.py
+++ b/foxtailpick/gateway/context.py
@@ -4,14 +4,13 @@
 import random
 import typing
 
-import trio
-
 from foxtailpick.core.dispatch import endpoint_table
 from foxtailpick.core.dispatch import model
 from foxtailpick.core.dispatch import patience
 from foxtailpick.core.dispatch import stopping
 from foxtailpick.core import retry
 from foxtailpick.gateway import decision_log
+from foxtailpick.gateway import http1
 from foxtailpick.gateway import pool as pool_lib
 from foxtailpick.gateway import settings as settings_lib
 from foxtailpick.gateway import state as state_lib
@@ -32,19 +31,20 @@
     """A request under way at an endpoint.
 
     :param endpoint: the endpoint.
-    :param scope: ends the attempt when cancelled.
+    :param conn: the connection to it.
     :param heard_ms: when the endpoint last sent something for it.
     :param limit_ms: how long it may hear nothing before it moves on.
     :param can_move: tells whether another endpoint may take it over.
-    :param is_abandoned: whether it was ended because of silence.
+    :param is_waiting: whether it waits for the endpoint now, and not for
+        the caller to read.
     """
 
     endpoint: endpoint_table.Endpoint
-    scope: trio.CancelScope
+    conn: http1.ClientConnection
     heard_ms: float
     limit_ms: float
     can_move: typing.Callable[[], bool]
-    is_abandoned: bool = False
+    is_waiting: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/foxtailpick/gateway/http1.py
+++ b/foxtailpick/gateway/http1.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import contextlib
 import dataclasses
 import errno
 import socket
@@ -82,6 +83,7 @@
         self._headers: list[model.RawHeader] = []
         self._until_close = False
         self._is_in_message = False
+        self._is_aborted = False
         self.is_clean = True
         self.idle_since_ms = 0.0
         self.keep_alive_ms: float | None = None
@@ -109,6 +111,18 @@
         """Close the connection."""
         self._sock.close()
 
+    def abort(self) -> None:
+        """Let whoever reads see the connection broken.
+
+        Unlike a cancellation, this ends the wait for the peer and nothing
+        else that the reading task does.
+        """
+        self._is_aborted = True
+        self.is_clean = False
+        with contextlib.suppress(OSError):
+            # A connection that the peer has reset needs no shutdown.
+            self._sock.shutdown(socket.SHUT_RDWR)
+
     def is_alive(self) -> bool:
         """Tell whether an idle connection is open and has nothing unread."""
         if not self.is_clean or self._events:
@@ -194,6 +208,8 @@
 
     def _on_eof(self) -> None:
         self.is_clean = False
+        if self._is_aborted:
+            raise BrokenConnectionError(errno.ETIMEDOUT, 'silence')
         if self._is_in_message and self._until_close:
             self._is_in_message = False
             self._events.append(END)
--- a/foxtailpick/tests/test_gateway.py
+++ b/foxtailpick/tests/test_gateway.py
@@ -3,6 +3,7 @@
 import pytest
 import trio
 
+from foxtailpick.core.dispatch import patience
 from foxtailpick.gateway import http1
 from foxtailpick.standins import http_endpoint
 from foxtailpick.tests import gateway_stage
@@ -394,3 +395,41 @@
             '/movable/x', b'POST', b'data', X_Prefix_Hash=PROMPT
         )
     assert answer.body == get_events(1, 3)
+
+
+async def test_caller_that_reads_slowly_gets_an_answer_that_can_be_read():
+    """A pause of the caller is no silence of the endpoint.
+
+    Found on luparetki-grown: an attempt was ended while its first bytes
+    were on their way to the caller, and the answer had no head.
+    """
+    # More than the sockets on the way hold.
+    events = 38
+    padding = b'x' * 200_000
+
+    def make_event(number):
+        return b'id: %d\ndata: %s\n\n' % (number, padding)
+
+    async def serve(exchange):
+        last = int(exchange.seen.headers.get(b'last-event-id', 0))
+        await exchange.begin_stream()
+        for number in range(last + 1, events + 1):
+            chunk = http1.format_chunk(make_event(number))
+            await http1.send_all(exchange.sock, chunk)
+        await exchange.end_stream()
+
+    async with gateway_stage.open_stage() as stage:
+        endpoints = [
+            stage.add_endpoint('e1', 'engine', serve),
+            stage.add_endpoint('e2', 'engine', serve),
+        ]
+        await stage.until_known('e1', 'e2')
+        conn = await stage.send(
+            '/movable/x', b'POST', b'data', X_Prefix_Hash=PROMPT
+        )
+        await trio.sleep(patience.GAP_MS / 1_000 + 0.3)
+        answer = await gateway_stage.read_answer(conn)
+        conn.close()
+    expected = b''.join(make_event(n) for n in range(1, events + 1))
+    assert answer.body == expected
+    assert sum(len(item.seen) for item in endpoints) == 1
