Answer long requests whose endpoint breaks off

Change: the error is carried out of the nursery as it is. A defect in the handling of a request is logged with its trace and answered with 500.

--- a/foxtailpick/gateway/attempt.py
+++ b/foxtailpick/gateway/attempt.py
@@ -167,27 +167,36 @@
         return await _receive(gw, job, attempt, conn, reply)
     # A long request is sent while its answer is awaited: an endpoint may
     # answer before it has read everything.
+    sent = trio.Event()
+    result: AttemptResult | None = None
+    error: OSError | None = None
     async with trio.open_nursery() as nursery:
-        sent = trio.Event()
-
-        async def send_body() -> None:
-            try:
-                await conn.send(data)
-                sent.set()
-            except http1.BrokenConnectionError:
-                # The reading side sees the same and says what came.
-                conn.is_clean = False
-
-        nursery.start_soon(send_body)
+        nursery.start_soon(_send_long, conn, data, sent)
         try:
             result = await _receive(gw, job, attempt, conn, reply)
-        finally:
-            nursery.cancel_scope.cancel()
+        except OSError as exc:
+            # Raised below: a nursery would wrap it into a group.
+            error = exc
+        nursery.cancel_scope.cancel()
     if not sent.is_set():
         conn.is_clean = False
+    if error is not None:
+        raise error
+    assert result is not None
     return result
 
 
+async def _send_long(
+    conn: http1.ClientConnection, data: bytes, sent: trio.Event
+) -> None:
+    try:
+        await conn.send(data)
+        sent.set()
+    except http1.BrokenConnectionError:
+        # The reading side sees the same and says what came.
+        conn.is_clean = False
+
+
 def _format_request(
     gw: context.Gateway, job: 'relay.Job', endpoint: endpoint_table.Endpoint
 ) -> bytes:
--- a/foxtailpick/gateway/relay.py
+++ b/foxtailpick/gateway/relay.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import math
+import traceback
 
 import trio
 
@@ -25,6 +26,8 @@
 # Time for the last bytes of an answer to a request whose time is over.
 FAREWELL_MS = 250.0
 STARTING_RETRY_MS = 500.0
+# The end of a trace says where it happened.
+MAX_TRACE_CHARS = 3_000
 # Another gateway may serve a refused caller at once.
 STOPPING_RETRY_MS = 100.0
 
@@ -39,6 +42,7 @@
     errors.ErrorCode.ENDPOINT_FAILED: 502,
     errors.ErrorCode.OUTCOME_UNKNOWN: 502,
     errors.ErrorCode.DEADLINE_EXCEEDED: 504,
+    errors.ErrorCode.INVARIANT_BROKEN: 500,
 }
 
 
@@ -95,6 +99,8 @@
         error = exc
     except http1.BrokenConnectionError:
         outcome = model.Outcome.CALLER_LEFT
+    except Exception as exc:
+        error = _make_defect_error(gw, job, exc)
     finally:
         if error is None:
             _log_end(gw, req, job, reply, outcome, None)
@@ -296,6 +302,23 @@
     )
 
 
+def _make_defect_error(
+    gw: context.Gateway, job: Job | None, exc: Exception
+) -> errors.RequestError:
+    gw.metrics.count('defects')
+    trace = ''.join(traceback.format_exception(exc))
+    gw.log.emit(
+        'defect',
+        request=job.meta.id if job else None,
+        error=trace[-MAX_TRACE_CHARS:],
+    )
+    return errors.RequestError(
+        errors.ErrorCode.INVARIANT_BROKEN,
+        f'expected no defect, got {exc!r}; report it with the log',
+        verdict_lib.Verdict.MAY_HAVE_RUN,
+    )
+
+
 async def _answer_error(
     gw: context.Gateway,
     job: Job | None,
--- a/foxtailpick/gateway/server.py
+++ b/foxtailpick/gateway/server.py
@@ -3,7 +3,6 @@
 import errno
 import functools
 import socket
-import traceback
 import typing
 
 import trio
@@ -100,17 +99,12 @@
             with caller.scope:
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(self._read, caller, send, nursery)
-                    await self._answer(caller, receive, handle)
+                    try:
+                        await self._answer(caller, receive, handle)
+                    except http1.BrokenConnectionError as exc:
+                        # The caller left while it was written to.
+                        self._gw.log.emit_request('caller-lost', why=str(exc))
                     nursery.cancel_scope.cancel()
-        except OSError as exc:
-            # The caller's end is no failure of ours; its requests, if any,
-            # were ended and logged.
-            self._gw.log.emit_request('caller-lost', error=str(exc))
-        except Exception as exc:
-            # One request must not end the process, and so all others.
-            self._gw.metrics.count('defects')
-            trace = traceback.format_exception(exc)
-            self._gw.log.emit('defect', error=''.join(trace)[-4_000:])
         finally:
             self._callers.discard(caller)
             sock.close()
--- a/foxtailpick/tests/test_gateway.py
+++ b/foxtailpick/tests/test_gateway.py
@@ -4,6 +4,7 @@
 import trio
 
 from foxtailpick.core.dispatch import patience
+from foxtailpick.core.dispatch import placing
 from foxtailpick.gateway import http1
 from foxtailpick.standins import http_endpoint
 from foxtailpick.tests import gateway_stage
@@ -433,3 +434,28 @@
     expected = b''.join(make_event(n) for n in range(1, events + 1))
     assert answer.body == expected
     assert sum(len(item.seen) for item in endpoints) == 1
+
+
+@pytest.mark.parametrize('path', ['/safe/x', '/unsafe/x'])
+async def test_long_request_whose_endpoint_breaks_off_is_answered(path):
+    """Found on kandurata-grown: such requests got no answer at all."""
+    body = b'x' * (2 * http1.INLINE_BODY_BYTES)
+    async with gateway_stage.open_stage() as stage:
+        stage.add_endpoint('p1', 'plain', cut)
+        await stage.until_known('p1')
+        answer = await stage.ask(path, b'POST', body)
+    assert answer.status == 502
+
+
+async def test_defect_is_answered_and_ends_nothing_else(monkeypatch):
+    def fail(*args):
+        raise RuntimeError('a defect')
+
+    async with gateway_stage.open_stage() as stage:
+        stage.add_endpoint('p1', 'plain', answer_plainly)
+        await stage.until_known('p1')
+        with monkeypatch.context() as patch:
+            patch.setattr(placing, 'choose_endpoint', fail)
+            assert (await stage.ask('/safe/x')).status == 500
+        assert (await stage.ask('/safe/x')).status == 200
+        assert stage.gw.metrics.counters['defects'] == 1
