Tell a hub what runs where; overflow by and by

Ways weighed: every router to every other grows with the square of the fleet; asking engines for reports is priced as probes; a hub that adds up and answers grows with the fleet.

Change: the largest router in one order is the hub; the others send it their counts by datagram every 150 ms and get the sums. Between 1.3 times the mean and 2, and 1.7 times and 3, a chat overflows with a rising chance.

--- a/foxtailpick/core/dispatch/endpoint_table.py
+++ b/foxtailpick/core/dispatch/endpoint_table.py
@@ -62,11 +62,21 @@
         :param report: the stated load.
         :param now_ms: current time.
         """
+        self.reported_ms = now_ms
         total = report.running + report.waiting
         # The report may be older than requests just sent, so it never
         # says less than what others are known to run: none.
         self.others = max(0.0, total - self.running)
-        self.reported_ms = now_ms
+
+    def note_others(self, count: float) -> None:
+        """Take in what other routers run here, as they say.
+
+        The latest word counts, theirs or the endpoint's: an endpoint that
+        gets many requests reports often, the others are known from here.
+
+        :param count: their requests.
+        """
+        self.others = count
 
 
 class EndpointTable:
--- a/foxtailpick/core/dispatch/model.py
+++ b/foxtailpick/core/dispatch/model.py
@@ -154,6 +154,18 @@
     warmup_left_ms: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouterEntry:
+    """What a router says of itself in the platform's store.
+
+    :param address: where it takes the messages of other routers.
+    :param processor_share: processor time that it has, in cores.
+    """
+
+    address: Address
+    processor_share: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PromptPart:
     """A part of a prompt that requests may share."""
@@ -248,10 +260,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RouterItem:
-    """A router is registered, or is no more."""
+    """A router is registered, or is no more (no entry)."""
 
     id: types.RouterId
-    is_present: bool
+    entry: RouterEntry | None
 
 
 Item = ConfigItem | EndpointItem | EvacuationItem | RouterItem
--- a/foxtailpick/core/dispatch/placing.py
+++ b/foxtailpick/core/dispatch/placing.py
@@ -20,11 +20,14 @@
 from foxtailpick.core import ring
 from foxtailpick.core import types
 
-# Load above this multiple of the mean passes a request to the next
-# endpoint; the promise allows twice the mean.
-LOAD_MULTIPLE = 1.6
-# Requests above the multiple that are let through at low load.
-LOAD_SLACK = 3.0
+# Between these two loads, as multiples of the mean and requests above it, a
+# request overflows with a rising chance. Many routers that act on the same
+# old counts would else all turn away from an endpoint, or to it, at once.
+# The promise allows twice the mean and three.
+KEEP_MULTIPLE = 1.3
+KEEP_SLACK = 2.0
+PASS_MULTIPLE = 1.7
+PASS_SLACK = 3.0
 
 
 class Reason(enum.Enum):
@@ -104,7 +107,7 @@
     mean = sum(item.load for item in usable) / len(usable)
     if query.prefix is None:
         return _choose_of_two(usable, mean, rng)
-    return _choose_by_prefix(usable, mean, query.prefix)
+    return _choose_by_prefix(usable, mean, query.prefix, rng)
 
 
 def find_reuse_part(parts: typing.Sequence[model.PromptPart]) -> str | None:
@@ -153,8 +156,13 @@
     items: typing.Sequence[endpoint_table.Endpoint],
     mean: float,
     prefix: str,
+    rng: random.Random,
 ) -> Choice:
-    bound = mean * LOAD_MULTIPLE + LOAD_SLACK
+    # One draw for the whole order: a request that passes one loaded
+    # endpoint passes others that are as loaded.
+    place = rng.random()
+    keep = mean * KEEP_MULTIPLE + KEEP_SLACK
+    bound = keep + place * (mean * PASS_MULTIPLE + PASS_SLACK - keep)
     by_id = {item.id: item for item in items}
     capacities = {item.id: float(item.entry.slots) for item in items}
     ranked = [
--- a/foxtailpick/gateway/daemon.py
+++ b/foxtailpick/gateway/daemon.py
@@ -17,6 +17,7 @@
 from foxtailpick.gateway import decision_log
 from foxtailpick.gateway import http1
 from foxtailpick.gateway import mirror as mirror_lib
+from foxtailpick.gateway import peers
 from foxtailpick.gateway import pool as pool_lib
 from foxtailpick.gateway import reply as reply_lib
 from foxtailpick.gateway import server
@@ -43,6 +44,7 @@
     callers: trio.socket.SocketType
     readiness: trio.socket.SocketType
     metrics: trio.socket.SocketType
+    peers: trio.socket.SocketType
 
     @classmethod
     def from_settings(cls, cfg: settings_lib.GatewaySettings) -> 'Listeners':
@@ -51,10 +53,23 @@
             *(
                 http1.listen(address, server.BACKLOG)
                 for address in (cfg.listen, cfg.readiness, cfg.metrics)
-            )
+            ),
+            peers.open_socket(cfg.peers),
         )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Registration:
+    """What a router writes into the store for the others.
+
+    :param key: the key.
+    :param value: the bytes under it.
+    """
+
+    key: str
+    value: bytes
+
+
 def make_gateway(
     cfg: settings_lib.GatewaySettings,
     dialect: context.Dialect,
@@ -105,7 +120,7 @@
     ],
     decode: mirror_lib.Decode,
     dialect: context.Dialect,
-    router_key: str,
+    registration: Registration,
     check_settings: typing.Callable[[], settings_lib.GatewaySettings],
 ) -> None:
     """Serve until SIGTERM, then let requests under way finish.
@@ -114,7 +129,7 @@
     :param open_store: opens the client of the platform's store.
     :param decode: decodes an item of the store.
     :param dialect: how headers are read and written.
-    :param router_key: key under which this router registers.
+    :param registration: what this router registers.
     :param check_settings: reads the settings again.
     """
     now_ms = clock_lib.Clock.from_trio().now
@@ -131,7 +146,7 @@
             Listeners.from_settings(cfg),
             store,
             decode,
-            router_key,
+            registration,
             functools.partial(_wait_for_stop, gw, signals, check_settings),
         )
     log.flush()
@@ -142,7 +157,7 @@
     listeners: Listeners,
     store: mirror_lib.Store,
     decode: mirror_lib.Decode,
-    router_key: str,
+    registration: Registration,
     wait_for_stop: typing.Callable[[], typing.Awaitable[None]],
 ) -> None:
     """Serve until told to stop, then let requests under way finish.
@@ -151,7 +166,7 @@
     :param listeners: its open sockets.
     :param store: client of the platform's store.
     :param decode: decodes an item of the store.
-    :param router_key: key under which this router registers.
+    :param registration: what this router registers.
     :param wait_for_stop: returns when the gateway has to stop.
     """
     gw.log.emit('started', router=gw.cfg.name, domain=gw.cfg.domain)
@@ -159,11 +174,14 @@
         store, gw.state, decode, gw.now_ms, gw.log, gw.rng
     )
     callers = server.CallerServer(gw)
-    with gw.pool:
+    with gw.pool, peers.PeerExchange(gw, listeners.peers) as exchange:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(gw.log.run)
             nursery.start_soon(mirror.follow)
-            nursery.start_soon(mirror.register, router_key)
+            nursery.start_soon(
+                mirror.register, registration.key, registration.value
+            )
+            nursery.start_soon(exchange.run)
             nursery.start_soon(_sweep, gw)
             nursery.start_soon(attempt.watch_attempts, gw)
             _start_servers(gw, callers, listeners, nursery)
--- a/foxtailpick/gateway/mirror.py
+++ b/foxtailpick/gateway/mirror.py
@@ -105,15 +105,19 @@
                 await trio.sleep(pause_ms * jitter / types.SECOND_MS)
                 pause_ms = min(pause_ms * 2, MAX_RETRY_MS)
 
-    async def register(self, key: str) -> None:
-        """Keep this router registered under a key, by a lease."""
+    async def register(self, key: str, value: bytes) -> None:
+        """Keep this router registered under a key, by a lease.
+
+        :param key: the key.
+        :param value: what other routers have to know.
+        """
         lease: types.LeaseId | None = None
         while True:
             try:
                 if lease is None:
                     lease = await self._store.grant_lease(LEASE_MS)
                     await self._store.transact(
-                        [], [base.Put(key, b'{}', lease)]
+                        [], [base.Put(key, value, lease)]
                     )
                     self._log.emit('registered', key=key, lease=lease)
                 else:
--- /dev/null
+++ b/foxtailpick/gateway/peers.py
@@ -0,0 +1,130 @@
+"""Exchanges running requests with the other routers, by datagrams.
+
+A datagram that is lost is replaced by the next one; a connection would
+hold newer counts up behind it.
+"""
+
+import socket
+import typing
+
+import cbor2
+import trio
+
+from foxtailpick.core.dispatch import load_board
+from foxtailpick.core.dispatch import model
+from foxtailpick.core import types
+from foxtailpick.gateway import context
+
+# An engine begins about one request in this time under the usual load, so
+# fresher counts would hardly differ.
+PERIOD_MS = 150.0
+MAX_DATAGRAM_BYTES = 65_507
+_COUNTS = 0
+_SUMS = 1
+
+
+class PeerExchange:
+    """The exchange of one router; the owner enters it as a context.
+
+    :param gw: the gateway.
+    :param sock: a bound datagram socket.
+    """
+
+    def __init__(
+        self, gw: context.Gateway, sock: trio.socket.SocketType
+    ) -> None:
+        self._gw = gw
+        self._sock = sock
+        self._board = load_board.LoadBoard()
+        self._choice = load_board.HubChoice()
+        self._own = load_board.OwnCounts()
+
+    def __enter__(self) -> 'PeerExchange':
+        return self
+
+    def __exit__(self, *exc_info: typing.Any) -> None:
+        self._sock.close()
+
+    async def run(self) -> None:
+        """Send and receive until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._receive)
+            while True:
+                pause_ms = PERIOD_MS * self._gw.rng.uniform(0.9, 1.1)
+                await trio.sleep(pause_ms / types.SECOND_MS)
+                await self._send()
+
+    async def _send(self) -> None:
+        gw = self._gw
+        routers = gw.state.list_routers()
+        if len(routers) < 2:
+            return
+        now_ms = gw.now_ms()
+        shares = {key: peer.processor_share for key, peer in routers.items()}
+        before = self._choice.hub
+        hub = self._choice.choose(shares, gw.cfg.name, now_ms)
+        if hub != before:
+            gw.log.emit('hub-changed', hub=hub, before=before)
+        if hub is None:
+            return
+        number, counts = self._own.make(gw.state.table)
+        if hub != gw.cfg.name:
+            data = cbor2.dumps([_COUNTS, gw.cfg.name, number, counts])
+            await self._send_to(data, routers[hub].address)
+            return
+        self._choice.note_heard(now_ms)
+        self._board.take(hub, number, counts, now_ms)
+        await self._send_sums(routers, now_ms)
+
+    async def _send_sums(
+        self,
+        routers: typing.Mapping[types.RouterId, model.RouterEntry],
+        now_ms: float,
+    ) -> None:
+        gw = self._gw
+        sums = self._board.sum_up(now_ms)
+        packed = cbor2.dumps(sums)
+        for router, number in self._board.list_routers():
+            if router == gw.cfg.name:
+                self._own.apply(gw.state.table, sums, number)
+            elif router in routers:
+                data = cbor2.dumps([_SUMS, gw.cfg.name, number, packed])
+                await self._send_to(data, routers[router].address)
+
+    async def _send_to(self, data: bytes, address: model.Address) -> None:
+        try:
+            await self._sock.sendto(data, address)
+        except OSError as exc:
+            # The next message carries all of it again.
+            self._gw.metrics.count('peer_sends_failed')
+            self._gw.log.emit_request('peer-send-failed', why=str(exc))
+
+    async def _receive(self) -> None:
+        while True:
+            try:
+                data, _ = await self._sock.recvfrom(MAX_DATAGRAM_BYTES)
+                self._take(cbor2.loads(data))
+            except (OSError, ValueError, TypeError) as exc:
+                self._gw.metrics.count('peer_messages_bad')
+                self._gw.log.emit_request('peer-message-bad', why=repr(exc))
+
+    def _take(self, message: typing.Any) -> None:
+        kind, router, number, content = message
+        now_ms = self._gw.now_ms()
+        if kind == _COUNTS:
+            self._board.take(router, number, dict(content), now_ms)
+        elif kind == _SUMS and router == self._choice.hub:
+            self._choice.note_heard(now_ms)
+            sums = cbor2.loads(content)
+            self._own.apply(self._gw.state.table, sums, number)
+
+
+def open_socket(address: model.Address) -> trio.socket.SocketType:
+    """Open a datagram socket.
+
+    :param address: IP number and port.
+    """
+    sock = trio.socket.socket(type=socket.SOCK_DGRAM)
+    # Binding a numeric address needs no look-up, so it may be synchronous.
+    sock._sock.bind(address)
+    return sock
--- a/foxtailpick/gateway/settings.py
+++ b/foxtailpick/gateway/settings.py
@@ -16,12 +16,13 @@
     :param listen: address for callers.
     :param readiness: address that the balancer asks.
     :param metrics: address of its metrics.
+    :param peers: address for the messages of other routers.
     :param store: address of the platform's store.
     :param min_lease_ms: shortest lease that the store grants.
     :param grace_ms: time from SIGTERM to the end of the process.
     :param retry_ratio: repeats allowed per request, for all gateways.
     :param retry_extra: repeats allowed beyond that, for all gateways.
-    :param processor_share: part of a core that the process has.
+    :param processor_share: processor time that the process has, in cores.
     :param max_sockets: descriptors that the process may open.
     """
 
@@ -30,6 +31,7 @@
     listen: model.Address
     readiness: model.Address
     metrics: model.Address
+    peers: model.Address
     store: model.Address
     min_lease_ms: float = 1_000.0
     grace_ms: float = 8_000.0
--- a/foxtailpick/gateway/state.py
+++ b/foxtailpick/gateway/state.py
@@ -26,7 +26,7 @@
         self._own_id = own_id
         self._now_ms = now_ms
         self._log = log
-        self._routers: set[types.RouterId] = {own_id}
+        self._routers: dict[types.RouterId, model.RouterEntry] = {}
         self._evacuated: set[types.FailureDomainId] = set()
         self.table = endpoint_table.EndpointTable()
         self.cfg: model.GatewayConfig | None = None
@@ -36,7 +36,13 @@
     @property
     def routers(self) -> int:
         """Routers that share budgets, this one included."""
-        return len(self._routers)
+        return max(1, len(self._routers))
+
+    def list_routers(
+        self,
+    ) -> typing.Mapping[types.RouterId, model.RouterEntry]:
+        """Return the registered routers."""
+        return self._routers
 
     def apply(self, item: model.Item) -> None:
         """Take in one change.
@@ -73,7 +79,7 @@
         """
         entries = []
         evacuated = set()
-        routers = {self._own_id}
+        routers: dict[types.RouterId, model.RouterEntry] = {}
         for item in items:
             if isinstance(item, model.ConfigItem):
                 self._set_config(item.cfg)
@@ -81,8 +87,8 @@
                 entries.append(item.entry)
             elif isinstance(item, model.EvacuationItem):
                 evacuated.add(item.domain)
-            elif isinstance(item, model.RouterItem):
-                routers.add(item.id)
+            elif isinstance(item, model.RouterItem) and item.entry:
+                routers[item.id] = item.entry
         absent = self.table.replace_all(
             entries, self._now_ms(), grace_until_ms
         )
@@ -92,7 +98,7 @@
         else:
             # Registrations lapse as well; a router that is only thought
             # to live makes our part of each budget smaller, never larger.
-            self._routers |= routers
+            self._routers = {**self._routers, **routers}
         self._log.emit(
             'store-read',
             config=self.cfg.number if self.cfg else None,
@@ -147,8 +153,8 @@
         self._log.emit('domains-out', domains=sorted(evacuated))
 
     def _set_router(self, item: model.RouterItem) -> None:
-        if item.is_present:
-            self._routers.add(item.id)
+        if item.entry is not None:
+            self._routers[item.id] = item.entry
         elif item.id != self._own_id:
-            self._routers.discard(item.id)
+            self._routers.pop(item.id, None)
         self._log.emit('routers', count=self.routers, changed=item.id)
--- a/foxtailpick/platform/boot.py
+++ b/foxtailpick/platform/boot.py
@@ -61,6 +61,7 @@
         listen=_get_address(fields, 'listen.frontend'),
         readiness=_get_address(fields, 'listen.readiness'),
         metrics=(_get(fields, 'ip'), _get_first_port(fields)),
+        peers=(_get(fields, 'ip'), _get_first_port(fields) + 1),
         store=_get_address(fields, 'platform.address'),
         # Our lease may not be shorter than what the store grants.
         min_lease_ms=_get_number(fields, 'platform.ttl_min_ms', 1_000.0),
@@ -69,7 +70,9 @@
         retry_ratio=_get_number(fields, 'bounds.retry_budget_ratio', 0.2),
         # Repeats that the whole fleet may make beyond the ratio.
         retry_extra=_get_number(fields, 'bounds.retry_budget_extra', 50.0),
-        processor_share=_get_number(fields, 'limits.cpu_share', 1.0),
+        # The share of a core, times the speed of that core.
+        processor_share=_get_number(fields, 'limits.cpu_share', 1.0)
+        * _get_number(fields, 'limits.cores', 1.0),
         max_sockets=int(_get_number(fields, 'limits.max_fds', 4_096.0)),
     )
 
--- a/foxtailpick/platform/items.py
+++ b/foxtailpick/platform/items.py
@@ -44,7 +44,8 @@
         return model.EvacuationItem(domain, value is not None)
     if key.startswith(ROUTER_PREFIX):
         router = types.RouterId(key.removeprefix(ROUTER_PREFIX))
-        return model.RouterItem(router, value is not None)
+        entry = None if value is None else _decode_router(value)
+        return model.RouterItem(router, entry)
     return None
 
 
@@ -53,6 +54,13 @@
     return ROUTER_PREFIX + router
 
 
+def encode_router(entry: model.RouterEntry) -> bytes:
+    """Return what a router writes under its key."""
+    host, port = entry.address
+    fields = {'address': f'{host}:{port}', 'share': entry.processor_share}
+    return json.dumps(fields).encode()
+
+
 def decode_config(value: bytes) -> model.GatewayConfig:
     """Decode the operators' configuration.
 
@@ -109,6 +117,14 @@
     )
 
 
+def _decode_router(value: bytes) -> model.RouterEntry:
+    data = _parse(value)
+    return model.RouterEntry(
+        _parse_address(_expect(data, 'address', str)),
+        float(data.get('share') or 1.0),
+    )
+
+
 def _parse(value: bytes) -> dict[str, typing.Any]:
     try:
         data = json.loads(value)
--- a/foxtailpick/platform/run.py
+++ b/foxtailpick/platform/run.py
@@ -4,8 +4,10 @@
 
 import trio
 
+from foxtailpick.core.dispatch import model
 from foxtailpick.gateway import context
 from foxtailpick.gateway import daemon
+from foxtailpick.gateway import settings
 from foxtailpick.platform import boot
 from foxtailpick.platform import dialect
 from foxtailpick.platform import items
@@ -18,6 +20,19 @@
 )
 
 
+def make_registration(
+    cfg: settings.GatewaySettings,
+) -> daemon.Registration:
+    """Return what a router registers.
+
+    :param cfg: its settings.
+    """
+    entry = model.RouterEntry(cfg.peers, cfg.processor_share)
+    return daemon.Registration(
+        items.make_router_key(cfg.name), items.encode_router(entry)
+    )
+
+
 def main() -> int:
     """Serve until told to stop; return the exit status."""
     path = boot.find_boot_file()
@@ -29,7 +44,7 @@
             store.PlatformStore,
             items.decode_item,
             DIALECT,
-            items.make_router_key(cfg.name),
+            make_registration(cfg),
             functools.partial(boot.read_settings, path),
         )
     )
--- a/foxtailpick/tests/gateway_stage.py
+++ b/foxtailpick/tests/gateway_stage.py
@@ -167,20 +167,25 @@
 
 
 @contextlib.asynccontextmanager
-async def open_stage(cfg=None, grace_ms=8_000.0):
-    """Run a gateway; an empty `cfg` leaves it without configuration."""
-    store = platform_store.PlatformStoreStandIn()
-    if cfg != {}:
+async def open_stage(cfg=None, grace_ms=8_000.0, name='router-1', store=None):
+    """Run a gateway; an empty `cfg` leaves it without configuration.
+
+    Stages that share a store are routers of one fleet.
+    """
+    is_first = store is None
+    store = store or platform_store.PlatformStoreStandIn()
+    if is_first and cfg != {}:
         store.put('op/config', cfg or make_config())
     store_sock = http1.listen(ANY_PORT, 64)
     now_ms = clock.Clock.from_trio().now
     log = decision_log.DecisionLog(now_ms, len)
     gw_cfg = settings.GatewaySettings(
-        'router-1',
+        name,
         'north',
         ANY_PORT,
         ANY_PORT,
         ANY_PORT,
+        ANY_PORT,
         store_sock.getsockname(),
         grace_ms=grace_ms,
     )
@@ -198,7 +203,11 @@
                 listeners,
                 client,
                 items.decode_item,
-                'foxtailpick/routers/router-1',
+                run.make_registration(
+                    dataclasses.replace(
+                        gw_cfg, peers=listeners.peers.getsockname()
+                    )
+                ),
                 stop.wait,
             )
             yield Stage(
--- /dev/null
+++ b/foxtailpick/tests/test_load_board.py
@@ -0,0 +1,140 @@
+"""Tests of what routers tell each other."""
+
+import random
+
+import trio
+
+from foxtailpick.core.dispatch import load_board
+from foxtailpick.core.dispatch import model
+from foxtailpick.core.dispatch import placing
+from foxtailpick.gateway import peers
+from foxtailpick.tests import gateway_stage
+from foxtailpick.tests import test_dispatch
+
+SHARES = {'small': 0.4, 'big-1': 2.0, 'big-2': 2.0}
+
+
+def test_sums_leave_out_routers_that_went_silent():
+    board = load_board.LoadBoard()
+    board.take('r1', 1, {'e1': 2}, 0.0)
+    board.take('r2', 1, {'e1': 3, 'e2': 1}, 1_000.0)
+    assert board.sum_up(1_100.0) == {'e1': 5, 'e2': 1}
+    assert board.sum_up(load_board.COUNTS_LIFE_MS + 1) == {'e1': 3, 'e2': 1}
+
+
+def test_all_routers_choose_the_same_large_hub():
+    hubs = {load_board.HubChoice().choose(SHARES, own, 0.0) for own in SHARES}
+    assert len(hubs) == 1
+    assert hubs < {'big-1', 'big-2'}
+
+
+def test_silent_hub_is_replaced_and_tried_again_later():
+    choice = load_board.HubChoice()
+    first = choice.choose(SHARES, 'small', 0.0)
+    choice.note_heard(500.0)
+    late_ms = 500.0 + load_board.HUB_SILENCE_MS
+    assert choice.choose(SHARES, 'small', late_ms) == first
+    second = choice.choose(SHARES, 'small', late_ms + 1)
+    assert second not in (first, 'small')
+    now_ms = late_ms
+    while choice.hub == second and now_ms < late_ms + 10_000:
+        now_ms += 100
+        choice.note_heard(now_ms)
+        choice.choose(SHARES, 'small', now_ms)
+    assert choice.hub == first
+
+
+def test_own_requests_are_taken_out_of_the_sums():
+    table = test_dispatch.make_table(1)
+    endpoint = table.get('e0')
+    endpoint.running = 3
+    own = load_board.OwnCounts()
+    number, counts = own.make(table)
+    assert counts == {'e0': 3}
+    endpoint.running = 5
+    assert own.apply(table, {'e0': 10}, number)
+    assert (endpoint.others, endpoint.load) == (7, 12)
+    assert not own.apply(table, {'e0': 10}, number + 7)
+
+
+def replay_many_routers(has_exchange):
+    """Return the share of requests sent above twice the mean and three.
+
+    Thirty-two routers, 29 engines, 190 prompts, 12 requests running at
+    each engine; a router hears of an engine with its answers, 300 ms late.
+    """
+    rng = random.Random(3)
+    tables = [test_dispatch.make_table(29) for _ in range(32)]
+    running = dict.fromkeys((f'e{number}' for number in range(29)), 0)
+    ends = []
+    reports = []
+    above = 0
+    now_ms = 0.0
+    shared_ms = 0.0
+    requests = 6_000
+    for _ in range(requests):
+        now_ms += rng.expovariate(1 / 2.6)
+        while ends and ends[0][0] <= now_ms:
+            _, endpoint = ends.pop(0)
+            endpoint.running -= 1
+            running[endpoint.id] -= 1
+        while reports and reports[0][0] <= now_ms:
+            at_ms, endpoint, report = reports.pop(0)
+            endpoint.note_report(report, at_ms)
+        if has_exchange and now_ms - shared_ms > peers.PERIOD_MS:
+            shared_ms = now_ms
+            for table in tables:
+                for item in table.list_all():
+                    others = running[item.id] - item.running
+                    item.note_others(others)
+        # A few prompts get a large part of the requests.
+        prompt = str(int(190 * rng.random() ** 3))
+        choice = test_dispatch.choose(
+            rng.choice(tables), prefix=prompt, now_ms=now_ms
+        )
+        endpoint = choice.endpoint
+        mean = sum(running.values()) / len(running)
+        above += running[endpoint.id] > 2 * mean + 3
+        endpoint.running += 1
+        running[endpoint.id] += 1
+        report = model.LoadReport(running[endpoint.id], 0, 64)
+        reports.append((now_ms + 300, endpoint, report))
+        ends.append((now_ms + rng.uniform(300, 1_500), endpoint))
+        ends.sort(key=lambda item: item[0])
+    return above / requests
+
+
+def test_hot_prompts_do_not_pile_up_at_one_engine(monkeypatch):
+    """Many routers turn away from a loaded engine by and by."""
+    # The promise allows three in a hundred.
+    with_exchange = replay_many_routers(has_exchange=True)
+    assert with_exchange <= 0.03
+    assert with_exchange < replay_many_routers(has_exchange=False)
+    # The baseline: all routers act on one bound, at once.
+    monkeypatch.setattr(placing, 'KEEP_MULTIPLE', placing.PASS_MULTIPLE)
+    monkeypatch.setattr(placing, 'KEEP_SLACK', placing.PASS_SLACK)
+    assert replay_many_routers(has_exchange=True) > 0.03
+
+
+async def test_routers_tell_each_other_over_datagrams():
+    hold = trio.Event()
+
+    async def wait(exchange):
+        await hold.wait()
+        await exchange.answer()
+
+    async with gateway_stage.open_stage() as stage:
+        stage.add_endpoint('p1', 'plain', wait)
+        await stage.until_known('p1')
+        async with gateway_stage.open_stage(
+            name='router-2', store=stage.store
+        ) as other:
+            await other.until_known('p1')
+            conn = await stage.send('/unsafe/x', b'POST')
+            await stage.until(lambda: stage.gw.attempts)
+            known = other.gw.state.table.get('p1')
+            await stage.until(lambda: known.others == 1)
+            hold.set()
+            await gateway_stage.read_answer(conn)
+            await stage.until(lambda: known.others == 0)
+            conn.close()
--- a/foxtailpick/tests/test_platform.py
+++ b/foxtailpick/tests/test_platform.py
@@ -286,5 +286,6 @@
         stage.store.leases.clear()
         stage.store.leases[1] = 0.0
         await stage.until(lambda: stage.store.items[key]['lease'] != lease)
-        stage.store.put('foxtailpick/routers/router-2', {})
+        value = {'address': '127.0.0.1:1', 'share': 0.5}
+        stage.store.put('foxtailpick/routers/router-2', value)
         await stage.until(lambda: stage.gw.state.routers == 2)
