--- a/foxtailpick/bench/soak.py
+++ b/foxtailpick/bench/soak.py
@@ -12,6 +12,7 @@
 
 from foxtailpick.bench import claims_scenario
 from foxtailpick.bench import patches_scenario
+from foxtailpick.soak import run as gateway_soak
 
 Run = typing.Callable[[int], None]
 
@@ -19,6 +20,7 @@
 SCENARIOS: dict[str, Run] = {
     'claims': claims_scenario.run,
     'patches': patches_scenario.run,
+    'gateway': gateway_soak.run_seed,
 }
 
 
--- a/foxtailpick/cli.py
+++ b/foxtailpick/cli.py
@@ -11,6 +11,7 @@
 
 from foxtailpick.core import errors
 from foxtailpick.core import settings
+from foxtailpick.gateway import log_story
 
 DEFAULT_URL = 'http://127.0.0.1:8081'
 HTTP_OK = 200
@@ -137,12 +138,17 @@
     return _print_reply('GET', f'{url}/v1/status')
 
 
-def explain(request: str, *, url: str = DEFAULT_URL) -> int:
+def explain(
+    request: str, *, url: str = DEFAULT_URL, log: pathlib.Path | None = None
+) -> int:
     """Print the decisions about a request.
 
     :param request: id of the request.
     :param url: operators' URL of the router that answered it.
+    :param log: log of a gateway, to be read instead.
     """
+    if log is not None:
+        return _print_story(log, request)
     return _print_reply('GET', f'{url}/v1/explain/{request}')
 
 
@@ -199,6 +205,17 @@
         return EXIT_FAILED
 
 
+def _print_story(log: pathlib.Path, request: str) -> int:
+    with log.open(encoding='utf-8', errors='replace') as lines:
+        story = log_story.find_story(lines, request)
+    if not story:
+        print(f'{log}: nothing about {request}; try the other gateways')
+        return EXIT_FAILED
+    for text in log_story.format_story(story):
+        print(text)
+    return 0
+
+
 def _start_log(level: str) -> None:
     logger.remove()
     logger.add(sys.stderr, level=level, format=_LOG_FORMAT)
--- /dev/null
+++ b/foxtailpick/soak/callers.py
@@ -0,0 +1,127 @@
+"""Callers of the soak: they keep connections, leave, and come back."""
+
+import random
+
+import trio
+
+from foxtailpick.core.dispatch import model
+from foxtailpick.core import types
+from foxtailpick.gateway import exchange
+from foxtailpick.gateway import http1
+from foxtailpick.soak import record as record_lib
+from foxtailpick.soak import world as world_lib
+from foxtailpick.standins import http_endpoint
+
+DEADLINE_MS = 2_500
+PATIENCE_S = 3.5
+LEAVING_SHARE = 0.08
+# Some bodies are longer than a router sends in one go.
+BODY_BYTES = (0, 50, 40_000)
+
+
+async def run_caller(world: world_lib.World, name: str, seed: int) -> None:
+    """Send requests one after the other until cancelled."""
+    rng = random.Random(seed)
+    conns: dict[str, http1.ClientConnection] = {}
+    number = 0
+    while True:
+        number += 1
+        gateway = rng.choice(world.gateways)
+        call = _make_call(world, f'{name}-{number}', gateway.name, rng)
+        world.record.calls.append(call)
+        conn = conns.pop(gateway.name, None)
+        if conn is not None and not conn.is_alive():
+            conn.close()
+            conn = None
+        try:
+            if conn is None:
+                with trio.fail_after(1.0):
+                    conn = await http1.ClientConnection.connect(
+                        gateway.address
+                    )
+            await _ask(call, conn, rng)
+        except (OSError, trio.TooSlowError):
+            # What is missing is seen in the record of the call.
+            pass
+        finally:
+            call.ended_ms = world_lib.now_ms()
+            if conn is not None:
+                if call.is_whole and conn.is_clean:
+                    conns[gateway.name] = conn
+                else:
+                    conn.close()
+        await trio.sleep(rng.uniform(0.0, 0.12))
+
+
+def _make_call(
+    world: world_lib.World, request: str, gateway: str, rng: random.Random
+) -> record_lib.Call:
+    route = rng.choice(list(world.routes))
+    fields = world.routes[route]
+    kind = model.RequestKind(fields['kind'])
+    call = record_lib.Call(
+        request,
+        gateway,
+        kind,
+        bool(fields.get('stream_resumption')),
+        route,
+        world_lib.now_ms(),
+    )
+    call.expected = world_lib.make_body(request)
+    if kind is model.RequestKind.STREAMING:
+        call.expected = b''.join(
+            http_endpoint.format_event(number)
+            for number in range(1, world_lib.count_events(request) + 1)
+        )
+    return call
+
+
+async def _ask(
+    call: record_lib.Call, conn: http1.ClientConnection, rng: random.Random
+) -> None:
+    body = b'b' * rng.choice(BODY_BYTES)
+    headers = [
+        (b'X-Attempt-Id', call.id.encode()),
+        (b'X-Key', world_lib.KEY.encode()),
+        (b'X-Deadline-Ms', b'%d' % DEADLINE_MS),
+        (world_lib.GATEWAY_HEADER, call.gateway.encode()),
+    ]
+    if call.kind is model.RequestKind.STREAMING:
+        headers.append((b'X-Prefix-Hash', b'p%d:100,x:10' % rng.randrange(9)))
+        headers.append((b'X-Token-Count', b'110,50'))
+    head = http1.format_request(
+        b'POST',
+        f'/{call.route}/x'.encode(),
+        world_lib.HOST.encode(),
+        headers,
+        len(body),
+    )
+    leave_s = PATIENCE_S
+    if rng.random() < LEAVING_SHARE:
+        leave_s = rng.uniform(0.0, 0.3)
+    with trio.move_on_after(leave_s) as scope:
+        await conn.send(head + body)
+        await _read(call, conn)
+    call.has_left = scope.cancelled_caught
+
+
+async def _read(call: record_lib.Call, conn: http1.ClientConnection) -> None:
+    head = await conn.next_event()
+    assert isinstance(head, http1.ResponseHead)
+    call.status = head.status
+    signature = dict(head.headers).get(b'x-server-stamp', b'')
+    call.signature = signature.decode('latin-1')
+    if not head.is_reusable:
+        conn.is_clean = False
+    if head.status != 200:
+        await exchange.read_body(conn)
+        call.is_whole = True
+        return
+    while (event := await conn.next_event()) is not http1.END:
+        call.body += event
+    call.is_whole = True
+
+
+async def pause(delay_ms: float) -> None:
+    """Sleep for some milliseconds."""
+    await trio.sleep(delay_ms / types.SECOND_MS)
--- /dev/null
+++ b/foxtailpick/soak/proxy.py
@@ -0,0 +1,125 @@
+"""A loopback proxy that harms the connections through it."""
+
+import enum
+import socket
+import struct
+import typing
+
+import trio
+
+from foxtailpick.core.dispatch import model
+from foxtailpick.core import types
+from foxtailpick.gateway import http1
+
+# Closing a socket with this option resets its connection.
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+
+
+class Fault(enum.Enum):
+    """What a proxy does to its connections."""
+
+    NONE = 'none'
+    DELAY = 'delay'
+    RESET = 'reset'
+    SILENT = 'silent'
+    ONE_WAY = 'one-way'
+    BLACK_HOLE = 'black-hole'
+
+
+class Proxy:
+    """Passes connections on to one address.
+
+    `SILENT` holds up the connections open at that moment for good, while
+    new ones work; `BLACK_HOLE` holds up all; `ONE_WAY` drops answers.
+
+    :param target: where connections are passed on to.
+    """
+
+    def __init__(self, target: model.Address) -> None:
+        self._target = target
+        self._sock = http1.listen(('127.0.0.1', 0), 256)
+        self._epoch = 0
+        self._open: set[trio.socket.SocketType] = set()
+        self.address: model.Address = self._sock.getsockname()
+        self.fault = Fault.NONE
+        self.delay_ms = 0.0
+
+    def set_fault(self, fault: Fault, delay_ms: float = 0.0) -> None:
+        """Start a fault, or end it with `NONE`."""
+        if fault is Fault.SILENT:
+            self._epoch += 1
+            fault = Fault.NONE
+        if fault is Fault.RESET:
+            for sock in list(self._open):
+                _reset(sock)
+        self.fault = fault
+        self.delay_ms = delay_ms
+
+    async def serve(self) -> None:
+        """Pass connections on until cancelled."""
+        with self._sock:
+            async with trio.open_nursery() as nursery:
+                while True:
+                    caller, _ = await self._sock.accept()
+                    nursery.start_soon(self._serve_one, caller)
+
+    async def _serve_one(self, caller: trio.socket.SocketType) -> None:
+        if self.fault is Fault.RESET:
+            _reset(caller)
+            return
+        server = trio.socket.socket()
+        ends = {caller, server}
+        self._open |= ends
+        try:
+            with caller, server:
+                await server.connect(self._target)
+                async with trio.open_nursery() as nursery:
+                    epoch = self._epoch
+                    nursery.start_soon(
+                        self._pump, caller, server, epoch, False, nursery
+                    )
+                    nursery.start_soon(
+                        self._pump, server, caller, epoch, True, nursery
+                    )
+        except (OSError, trio.ClosedResourceError):
+            # The target is down; the caller sees its connection closed.
+            return
+        finally:
+            self._open -= ends
+
+    async def _pump(
+        self,
+        source: trio.socket.SocketType,
+        sink: trio.socket.SocketType,
+        epoch: int,
+        is_answer: bool,
+        nursery: trio.Nursery,
+    ) -> None:
+        try:
+            while True:
+                data = await source.recv(65_536)
+                while self._is_held_up(epoch, is_answer):
+                    await trio.sleep(0.02)
+                if not data:
+                    break
+                if self.delay_ms:
+                    await trio.sleep(self.delay_ms / types.SECOND_MS)
+                await http1.send_all(sink, data)
+        except (OSError, trio.ClosedResourceError):
+            # Either end broke off; the other is closed as well.
+            _reset(sink)
+        nursery.cancel_scope.cancel()
+
+    def _is_held_up(self, epoch: int, is_answer: bool) -> bool:
+        if epoch != self._epoch or self.fault is Fault.BLACK_HOLE:
+            return True
+        return self.fault is Fault.ONE_WAY and is_answer
+
+
+def _reset(sock: typing.Any) -> None:
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    except OSError:
+        # It is closed already.
+        return
+    sock.close()
--- /dev/null
+++ b/foxtailpick/soak/run.py
@@ -0,0 +1,122 @@
+"""One seeded run of the soak."""
+
+import pathlib
+import random
+import shutil
+import tempfile
+
+import trio
+
+from foxtailpick.core import types
+from foxtailpick.soak import callers
+from foxtailpick.soak import faults
+from foxtailpick.soak import record as record_lib
+from foxtailpick.soak import world as world_lib
+
+GATEWAYS = 3
+ENDPOINTS = {'engine': 3, 'plain': 3}
+CALLERS = 12
+# Time for the processes to start and to read the store.
+START_S = 30.0
+FAULTS_S = 8.0
+FAULT_COUNT = 9
+# All bounds have passed after this time without a fault.
+CALM_S = 6.0
+JUDGED_CALM_S = 2.0
+
+
+class SoakError(AssertionError):
+    """A run that broke a promise."""
+
+
+def run_seed(seed: int) -> None:
+    """Run once; keep settings and logs of a run that fails.
+
+    :param seed: decides faults, callers and their times.
+    :raises SoakError: with all breaches found.
+    """
+    path = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
+    log: list[str] = []
+    breaches = trio.run(_run, seed, path, log)
+    if breaches:
+        lines = [f'{item.rule.value}: {item.detail}' for item in breaches]
+        (path / 'breaches').write_text('\n'.join([*log, *lines]), 'utf-8')
+        raise SoakError(
+            f'seed {seed}, logs in {path}: ' + '; '.join(lines[:5])
+        )
+    shutil.rmtree(path)
+
+
+async def _run(
+    seed: int, path: pathlib.Path, log: list[str]
+) -> list[record_lib.Breach]:
+    rng = random.Random(seed)
+    async with trio.open_nursery() as nursery:
+        with world_lib.World(nursery, rng, path) as world:
+            await _start(world)
+            began_ms = world_lib.now_ms()
+            nursery.start_soon(world.restart_gateways)
+            for number in range(CALLERS):
+                nursery.start_soon(
+                    callers.run_caller, world, f'c{number}', rng.random()
+                )
+            async with trio.open_nursery() as troubles:
+                for at_s in sorted(
+                    rng.uniform(0.5, FAULTS_S) for _ in range(FAULT_COUNT)
+                ):
+                    fault = rng.choice(faults.FAULTS)
+                    log.append(f'{at_s:.2f} s {fault.__name__}')
+                    troubles.start_soon(
+                        _cause,
+                        world,
+                        fault,
+                        random.Random(rng.random()),
+                        began_ms / types.SECOND_MS + at_s,
+                    )
+            world.record.calm_from_ms = (
+                world_lib.now_ms() + (CALM_S - JUDGED_CALM_S) * 1_000.0
+            )
+            await trio.sleep(CALM_S)
+            world.record.calls = [
+                call for call in world.record.calls if call.ended_ms
+            ]
+            nursery.cancel_scope.cancel()
+    return world.record.check()
+
+
+async def _start(world: world_lib.World) -> None:
+    world.add_route('safe', 'safe')
+    world.add_route('unsafe', 'unsafe')
+    world.add_route('fixed', 'streaming', max_attempts=1)
+    world.add_route('movable', 'streaming', stream_resumption=True)
+    world.write_config()
+    for service, count in ENDPOINTS.items():
+        for _ in range(count):
+            world.add_endpoint(service)
+    for number in range(GATEWAYS):
+        world.add_gateway(f'g{number}')
+    with trio.fail_after(START_S):
+        for gateway in world.gateways:
+            while not await _is_listening(gateway):
+                await trio.sleep(0.05)
+    await trio.sleep(0.5)
+
+
+async def _is_listening(gateway: world_lib.Gateway) -> bool:
+    sock = trio.socket.socket()
+    with sock:
+        try:
+            await sock.connect(gateway.address)
+        except OSError:
+            return False
+    return True
+
+
+async def _cause(
+    world: world_lib.World,
+    fault: faults.Fault,
+    rng: random.Random,
+    at_s: float,
+) -> None:
+    await trio.sleep_until(at_s)
+    await fault(world, rng)
--- a/foxtailpick/standins/http_endpoint.py
+++ b/foxtailpick/standins/http_endpoint.py
@@ -55,11 +55,13 @@
         await http1.send_all(self.sock, head + body)
 
     async def begin_stream(
-        self, headers: typing.Sequence[model.RawHeader] = ()
+        self,
+        headers: typing.Sequence[model.RawHeader] = (),
+        is_signed: bool = True,
     ) -> None:
         """Start a stream of events."""
         head = http1.format_response(
-            200, self._make_headers(headers, True, None), None, True
+            200, self._make_headers(headers, is_signed, None), None, True
         )
         await http1.send_all(self.sock, head)
 
--- /dev/null
+++ b/foxtailpick/tests/test_log_story.py
@@ -0,0 +1,37 @@
+"""Tests of the story of a request, as its log tells it."""
+
+import json
+
+from foxtailpick import cli
+from foxtailpick.gateway import log_story
+
+LINES = [
+    {'ms': 0, 'event': 'store-lost', 'error': 'long ago'},
+    {'ms': 20_000, 'event': 'endpoint-paused', 'endpoint': 'e1', 'why': 'x'},
+    {'ms': 20_100, 'event': 'endpoint-paused', 'endpoint': 'e2', 'why': 'y'},
+    {'ms': 20_200, 'event': 'placed', 'request': 'a1', 'endpoint': 'e1'},
+    {'ms': 20_300, 'event': 'placed', 'request': 'a2', 'endpoint': 'e1'},
+    {'ms': 20_400, 'event': 'config-applied', 'version': 7},
+    {'ms': 20_500, 'event': 'ended', 'request': 'a1', 'status': 502},
+    {'ms': 20_600, 'event': 'store-lost', 'error': 'afterwards'},
+]
+TEXT = [
+    'no json here',
+    '{"broken',
+    *(f'12.3 router-1 {json.dumps(line)}' for line in LINES),
+]
+
+
+def test_story_holds_decisions_and_the_beliefs_behind_them():
+    story = log_story.find_story(TEXT, 'a1')
+    assert [line['ms'] for line in story] == [20_000, 20_200, 20_400, 20_500]
+
+
+def test_story_is_printed_with_times_before_its_end(tmp_path, capsys):
+    path = tmp_path / 'log'
+    path.write_text('\n'.join(TEXT), 'utf-8')
+    assert cli.explain('a1', log=path) == 0
+    printed = capsys.readouterr().out.splitlines()
+    assert printed[0].split()[:3] == ['-500.0', 'ms', 'endpoint-paused']
+    assert printed[-1].split()[2:] == ['ended', 'request=a1', 'status=502']
+    assert cli.explain('a9', log=path) == 1
--- /dev/null
+++ b/foxtailpick/tests/test_soak.py
@@ -0,0 +1,150 @@
+"""Tests of the soak's checks, and a short seeded run of real processes."""
+
+import pytest
+import trio
+
+from foxtailpick.core.dispatch import model
+from foxtailpick.soak import proxy
+from foxtailpick.soak import record
+from foxtailpick.soak import run
+from foxtailpick.tests import gateway_stage
+
+UNSAFE = model.RequestKind.UNSAFE
+SAFE = model.RequestKind.SAFE
+
+
+def make_call(kind=UNSAFE, **fields):
+    values = {
+        'id': 'a1',
+        'gateway': 'g1',
+        'kind': kind,
+        'may_move': False,
+        'route': 'r',
+        'sent_ms': 20_000.0,
+        'ended_ms': 20_100.0,
+        'status': 200,
+        'is_whole': True,
+        'signature': 'e1/a1',
+        'body': b'x',
+        'expected': b'x',
+        **fields,
+    }
+    return record.Call(**values)
+
+
+def make_run(**fields):
+    values = {
+        'id': 'a1',
+        'gateway': 'g1',
+        'endpoint': 'e1',
+        'domain': 'north',
+        'route': 'r',
+        'at_ms': 20_050.0,
+        'ended_ms': 20_090.0,
+        **fields,
+    }
+    return record.Run(**values)
+
+
+def find_rules(call=None, runs=None, **fields):
+    seen = record.Record()
+    seen.calm_from_ms = 0.0
+    seen.calls = [call or make_call()]
+    seen.runs = [make_run()] if runs is None else runs
+    for name, value in fields.items():
+        getattr(seen, name).update(value)
+    return {breach.rule for breach in seen.check()}
+
+
+def test_sound_call_breaks_nothing():
+    assert find_rules() == set()
+
+
+@pytest.mark.parametrize(
+    ('call', 'runs', 'rule'),
+    [
+        ({}, [make_run(), make_run(endpoint='e2')], record.Rule.TWICE),
+        ({'status': 503}, None, record.Rule.REFUSED),
+        ({'signature': 'e1/a2'}, None, record.Rule.MIXED),
+        ({'body': b'y'}, None, record.Rule.MIXED),
+        ({'body': b'y', 'is_whole': False}, None, record.Rule.ORDER),
+        ({'status': 404}, [], record.Rule.CONFIG),
+    ],
+)
+def test_broken_promise_of_a_call_is_found(call, runs, rule):
+    assert rule in find_rules(make_call(**call), runs)
+
+
+@pytest.mark.parametrize(
+    ('fields', 'rule'),
+    [
+        ({'removed_ms': {'e1': 18_000.0}}, record.Rule.DRAIN),
+        ({'dropped_routes': {'r': 18_000.0}}, record.Rule.CONFIG),
+        ({'stops': {'g1': [20_050.0]}}, record.Rule.LOST),
+    ],
+)
+def test_broken_promise_about_planned_work_is_found(fields, rule):
+    call = make_call(status=0, is_whole=False, body=b'')
+    assert rule in find_rules(call, **fields)
+    # A gateway that was harmed lately is bound by none of these.
+    harmed = {'troubles': {'g1': [(17_000.0, 20_200.0)]}}
+    assert rule not in find_rules(call, **fields, **harmed)
+
+
+def test_work_in_a_domain_taken_out_is_found():
+    seen = record.Record()
+    seen.runs = [make_run()]
+    seen.evacuated = [('north', 15_000.0, 21_000.0)]
+    assert record.Rule.EVACUATION in {item.rule for item in seen.check()}
+
+
+def test_safe_call_may_run_twice():
+    runs = [make_run(), make_run(endpoint='e2')]
+    assert find_rules(make_call(SAFE), runs) == set()
+
+
+def test_work_for_a_caller_that_left_is_found():
+    call = make_call(SAFE, status=0, is_whole=False, body=b'', has_left=True)
+    other = make_call(id='a2', signature='e1/a2')
+    seen = record.Record()
+    seen.calm_from_ms = 0.0
+    seen.calls = [call, other]
+    seen.runs = [make_run(ended_ms=None), make_run(id='a2')]
+    assert {item.rule for item in seen.check()} == {record.Rule.GONE}
+
+
+async def is_answered(conn):
+    with trio.move_on_after(0.3):
+        try:
+            await conn.send(gateway_stage.format_ask('/safe/x'))
+            return (await gateway_stage.read_answer(conn)).status == 200
+        except OSError:
+            return False
+    return False
+
+
+@pytest.mark.parametrize(
+    'fault', [proxy.Fault.BLACK_HOLE, proxy.Fault.SILENT, proxy.Fault.RESET]
+)
+async def test_proxy_harms_open_connections(fault):
+    async def answer(exchange):
+        await exchange.answer()
+
+    async with gateway_stage.open_stage() as stage:
+        stage.add_endpoint('p1', 'plain', answer)
+        await stage.until_known('p1')
+        way = proxy.Proxy(stage.address)
+        stage.nursery.start_soon(way.serve)
+        stage.address = way.address
+        conn = await stage.send('/safe/x')
+        assert (await gateway_stage.read_answer(conn)).status == 200
+        way.set_fault(fault)
+        assert not await is_answered(conn)
+        way.set_fault(proxy.Fault.NONE)
+        assert (await stage.ask('/safe/x')).status == 200
+        conn.close()
+
+
+@pytest.mark.parametrize('seed', [1, 2])
+def test_seeded_run_of_real_processes(seed):
+    run.run_seed(seed)
