--- a/Makefile
+++ b/Makefile
@@ -2,10 +2,11 @@
 VENV ?= .venv
 PY := $(VENV)/bin/python
 SEEDS ?= 200
+FAULT_SEEDS ?= 50
 export PYTHONPATH := .
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: setup demo test lint format bench soak
+.PHONY: setup demo test lint format bench soak fault-soak
 
 setup: $(VENV)/.ready
 
@@ -31,4 +32,7 @@
 	$(PY) -m foxtailpick.bench
 
 soak: setup
-	$(PY) -m foxtailpick.bench.soak --seeds $(SEEDS)
+	$(PY) -m foxtailpick.bench.soak --scenario claims patches --seeds $(SEEDS)
+
+fault-soak: setup
+	$(PY) -m foxtailpick.bench.soak --scenario gateway --seeds $(FAULT_SEEDS)
--- a/foxtailpick/soak/faults.py
+++ b/foxtailpick/soak/faults.py
@@ -126,13 +126,15 @@
 
 async def replace_endpoint(world: world_lib.World, rng: random.Random) -> None:
     """List a new endpoint and take an old one out."""
-    endpoint = rng.choice(
-        [
-            item
-            for item in world.endpoints.values()
-            if f'servers/{item.id}' in world.store.items
-        ]
-    )
+    listed = [
+        item
+        for item in world.endpoints.values()
+        if f'servers/{item.id}' in world.store.items
+    ]
+    if not listed:
+        # All entries have lapsed with the store away.
+        return
+    endpoint = rng.choice(listed)
     world.add_endpoint(endpoint.service)
     await callers.pause(STORE_CHANGE_PAUSE_MS)
     if f'servers/{endpoint.id}' in world.store.items:
--- a/foxtailpick/standins/http_endpoint.py
+++ b/foxtailpick/standins/http_endpoint.py
@@ -142,7 +142,7 @@
             nursery.start_soon(watch)
             try:
                 await self.script(exchange)
-            except CutError:
+            except (CutError, http1.BrokenConnectionError):
                 is_cut = True
             nursery.cancel_scope.cancel()
         if is_cut:
