Take in settings that change without a signal; fix the port of metrics

Change: the file is read every two seconds and applied if it differs; the deploy file gives the port of metrics by the environment.

--- a/foxtailpick/gateway/daemon.py
+++ b/foxtailpick/gateway/daemon.py
@@ -10,6 +10,7 @@
 
 from foxtailpick.core import clock as clock_lib
 from foxtailpick.core.dispatch import model
+from foxtailpick.core import errors
 from foxtailpick.core import retry
 from foxtailpick.core import types
 from foxtailpick.gateway import attempt
@@ -30,6 +31,8 @@
 # The balancer stops sending new callers after two questions a second
 # apart; connections that are idle after that are closed.
 BALANCER_MS = 2_300.0
+# The settings file may change without a signal; it is small.
+SETTINGS_POLL_MS = 2_000.0
 # Time kept for the end of the process within the grace period.
 EXIT_MARGIN_MS = 400.0
 # Part of the shared repeat budget that is used: routers are counted with
@@ -169,7 +172,16 @@
     :param registration: what this router registers.
     :param wait_for_stop: returns when the gateway has to stop.
     """
-    gw.log.emit('started', router=gw.cfg.name, domain=gw.cfg.domain)
+    gw.log.emit(
+        'started',
+        router=gw.cfg.name,
+        domain=gw.cfg.domain,
+        listen=gw.cfg.listen,
+        readiness=gw.cfg.readiness,
+        metrics=gw.cfg.metrics,
+        peers=gw.cfg.peers,
+        store=gw.cfg.store,
+    )
     mirror = mirror_lib.Mirror(
         store, gw.state, decode, gw.now_ms, gw.log, gw.rng
     )
@@ -245,17 +257,40 @@
     signals: typing.AsyncIterator[int],
     check_settings: typing.Callable[[], settings_lib.GatewaySettings],
 ) -> None:
-    async for number in signals:
-        if number != signal.SIGHUP:
-            gw.log.emit('stopping', signal=number)
-            return
-        try:
-            cfg = check_settings()
-        except Exception as exc:
-            gw.log.emit('reload-failed', error=str(exc))
-            continue
-        gw.cfg = cfg
-        gw.log.emit('reloaded', router=cfg.name)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_poll_settings, gw, check_settings)
+        async for number in signals:
+            if number != signal.SIGHUP:
+                gw.log.emit('stopping', signal=number)
+                break
+            _reload_settings(gw, check_settings)
+        nursery.cancel_scope.cancel()
+
+
+async def _poll_settings(
+    gw: context.Gateway,
+    check_settings: typing.Callable[[], settings_lib.GatewaySettings],
+) -> None:
+    while True:
+        await trio.sleep(SETTINGS_POLL_MS / types.SECOND_MS)
+        _reload_settings(gw, check_settings)
+
+
+def _reload_settings(
+    gw: context.Gateway,
+    check_settings: typing.Callable[[], settings_lib.GatewaySettings],
+) -> None:
+    """Take in settings that have changed; keep the old ones if bad."""
+    try:
+        cfg = check_settings()
+    except errors.SettingsError as exc:
+        gw.log.emit('reload-failed', error=exc.message)
+        return
+    if cfg == gw.cfg:
+        return
+    gw.cfg = cfg
+    gw.budget.set_options(make_retry_options(cfg, gw.state.routers))
+    gw.log.emit('reloaded', settings=dataclasses.asdict(cfg))
 
 
 async def _drain(gw: context.Gateway, callers: server.CallerServer) -> None:
--- a/foxtailpick/platform/boot.py
+++ b/foxtailpick/platform/boot.py
@@ -9,6 +9,8 @@
 from foxtailpick.gateway import settings
 
 BOOT_VARIABLE = 'FOXTAILPICK_BOOT'
+# The deploy file names the port of metrics, which is the same each day.
+METRICS_VARIABLE = 'FOXTAILPICK_METRICS_PORT'
 
 
 def find_boot_file() -> pathlib.Path:
@@ -39,13 +41,16 @@
             errors.ErrorCode.SETTINGS_UNREADABLE,
             f'expected a readable settings file at {path}, got {exc}',
         ) from exc
-    return parse_settings(text)
+    return parse_settings(text, os.environ.get(METRICS_VARIABLE))
 
 
-def parse_settings(text: str) -> settings.GatewaySettings:
+def parse_settings(
+    text: str, metrics_port: str | None = None
+) -> settings.GatewaySettings:
     """Decode the text of a settings file; unknown fields are passed over.
 
     :param text: lines of the form `a.b=value`.
+    :param metrics_port: port of metrics, the first internal one if None.
     :raises errors.SettingsError: if a field is missing or invalid.
     """
     fields = dict(
@@ -60,7 +65,12 @@
         domain=types.FailureDomainId(_get(fields, 'zone')),
         listen=_get_address(fields, 'listen.frontend'),
         readiness=_get_address(fields, 'listen.readiness'),
-        metrics=(_get(fields, 'ip'), _get_first_port(fields)),
+        metrics=(
+            _get(fields, 'ip'),
+            _parse_port(metrics_port)
+            if metrics_port
+            else _get_first_port(fields),
+        ),
         peers=(_get(fields, 'ip'), _get_first_port(fields) + 1),
         store=_get_address(fields, 'platform.address'),
         # Our lease may not be shorter than what the store grants.
@@ -117,6 +127,12 @@
     return int(first)
 
 
+def _parse_port(text: str) -> int:
+    if not text.isdigit():
+        raise _make_invalid(METRICS_VARIABLE, 'a port', text)
+    return int(text)
+
+
 def _make_invalid(name: str, expected: str, got: str) -> errors.SettingsError:
     return errors.SettingsError(
         errors.ErrorCode.SETTINGS_VALUE_INVALID,
--- a/foxtailpick/tests/test_gateway.py
+++ b/foxtailpick/tests/test_gateway.py
@@ -1,11 +1,18 @@
 """Tests of the gateway's path, between stand-ins on loopback."""
 
+import dataclasses
+import random
+
 import pytest
 import trio
 
 from foxtailpick.core.dispatch import patience
 from foxtailpick.core.dispatch import placing
+from foxtailpick.core import errors
+from foxtailpick.gateway import daemon
+from foxtailpick.gateway import decision_log
 from foxtailpick.gateway import http1
+from foxtailpick.gateway import settings
 from foxtailpick.standins import http_endpoint
 from foxtailpick.tests import gateway_stage
 
@@ -479,3 +486,25 @@
     assert b'kv-fetch' not in first.headers
     host, port = table.get(home).entry.address
     assert second.headers[b'kv-fetch'] == f'{host}:{port}'.encode()
+
+
+def test_settings_that_changed_are_taken_in_and_bad_ones_are_not():
+    cfg = settings.GatewaySettings(
+        'r', 'north', *[gateway_stage.ANY_PORT] * 5, retry_extra=40.0
+    )
+    log = decision_log.DecisionLog(lambda: 0.0, len)
+    gw = daemon.make_gateway(cfg, None, log, lambda: 0.0, random.Random(1))
+    changed = dataclasses.replace(cfg, retry_extra=400.0)
+    daemon._reload_settings(gw, lambda: changed)
+    for _ in range(1_000):
+        gw.budget.deposit('plain')
+    assert gw.cfg is changed
+    assert gw.budget.get_tokens('plain') > 100
+
+    def fail():
+        raise errors.SettingsError(
+            errors.ErrorCode.SETTINGS_UNREADABLE, 'expected a file, got none'
+        )
+
+    daemon._reload_settings(gw, fail)
+    assert gw.cfg is changed
--- a/foxtailpick/tests/test_platform.py
+++ b/foxtailpick/tests/test_platform.py
@@ -79,6 +79,12 @@
     assert caught.value.code is code
 
 
+def test_port_of_metrics_may_be_given_by_the_deploy_file():
+    assert boot.parse_settings(BOOT, '9464').metrics == ('10.1.0.40', 9464)
+    with pytest.raises(errors.SettingsError):
+        boot.parse_settings(BOOT, 'any')
+
+
 def test_missing_settings_file_is_refused(tmp_path, monkeypatch):
     with pytest.raises(errors.SettingsError):
         boot.read_settings(tmp_path / 'none')
