Keep the names of the platform in its folder, stand-ins included

Cause: stand-ins and the soak spelled out keys and headers of the platform; metrics were taken from the router package by the gateway; a lost store was logged again with each renewal that failed.

Change: the stand-ins moved to platform/standins, keys and headers come from the adapter, metrics moved to node/; one line when registration fails and one when it works again. No decision changed.

Tests: those of the gateway, the platform, the soak and the metrics pass.

--- a/foxtailpick/bench/path.py
+++ b/foxtailpick/bench/path.py
@@ -8,7 +8,7 @@
 from foxtailpick.bench import path_processes
 from foxtailpick.bench import tables
 from foxtailpick.core import types
-from foxtailpick.router import metrics as metrics_lib
+from foxtailpick.node import metrics as metrics_lib
 from foxtailpick.standins import caller as caller_lib
 from foxtailpick.standins import engine_state
 
--- a/foxtailpick/gateway/context.py
+++ b/foxtailpick/gateway/context.py
@@ -14,7 +14,7 @@
 from foxtailpick.gateway import pool as pool_lib
 from foxtailpick.gateway import settings as settings_lib
 from foxtailpick.gateway import state as state_lib
-from foxtailpick.router import metrics as metrics_lib
+from foxtailpick.node import metrics as metrics_lib
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/foxtailpick/gateway/daemon.py
+++ b/foxtailpick/gateway/daemon.py
@@ -24,7 +24,7 @@
 from foxtailpick.gateway import server
 from foxtailpick.gateway import settings as settings_lib
 from foxtailpick.gateway import state as state_lib
-from foxtailpick.router import metrics as metrics_lib
+from foxtailpick.node import metrics as metrics_lib
 
 # How often idle connections and lapsed entries are looked at.
 SWEEP_MS = 250.0
--- a/foxtailpick/gateway/mirror.py
+++ b/foxtailpick/gateway/mirror.py
@@ -112,6 +112,7 @@
         :param value: what other routers have to know.
         """
         lease: types.LeaseId | None = None
+        is_failing = False
         while True:
             try:
                 if lease is None:
@@ -122,9 +123,14 @@
                     self._log.emit('registered', key=key, lease=lease)
                 else:
                     await self._store.keep_lease(lease)
+                if is_failing:
+                    self._log.emit('registration-works', lease=lease)
+                is_failing = False
                 await trio.sleep(KEEP_MS / types.SECOND_MS)
             except errors.StoreError as exc:
-                self._log.emit('registration-failed', error=str(exc))
+                if not is_failing:
+                    self._log.emit('registration-failed', error=str(exc))
+                is_failing = True
                 if exc.code is errors.ErrorCode.LEASE_LOST:
                     lease = None
                 pause_ms = MAX_RETRY_MS * self._rng.uniform(0.5, 1.0)
--- a/foxtailpick/gateway/relay.py
+++ b/foxtailpick/gateway/relay.py
@@ -58,6 +58,11 @@
     :param priority: its rank.
     :param deadline_ms: when its answer is no longer wanted.
     :param splitter: position in the stream, for one that may move.
+    :param prefix: id of the prompt part to return to, if any.
+    :param tried: endpoints that it was tried at.
+    :param sent: endpoints that it was sent to.
+    :param unreachable: endpoints that could not be connected to.
+    :param verdict: what is known of its execution.
     """
 
     req: http1.Request
--- a/foxtailpick/platform/dialect.py
+++ b/foxtailpick/platform/dialect.py
@@ -100,6 +100,38 @@
     return headers
 
 
+def encode_caller(
+    request: str, key: str, deadline_ms: float
+) -> list[model.RawHeader]:
+    """Encode the headers that every caller sends.
+
+    :param request: id of the client attempt.
+    :param key: the caller's key.
+    :param deadline_ms: how long the caller waits.
+    """
+    return [
+        (b'X-Attempt-Id', request.encode()),
+        (b'X-Key', key.encode()),
+        (b'X-Deadline-Ms', b'%d' % deadline_ms),
+    ]
+
+
+def encode_prompt(
+    parts: typing.Sequence[model.PromptPart], output_tokens: int
+) -> list[model.RawHeader]:
+    """Encode the headers that describe a prompt.
+
+    :param parts: the parts of the prompt, in order.
+    :param output_tokens: most tokens of the answer.
+    """
+    listed = ','.join(f'{part.id}:{part.tokens}' for part in parts)
+    tokens = sum(part.tokens for part in parts)
+    return [
+        (b'X-Prefix-Hash', listed.encode()),
+        (b'X-Token-Count', b'%d,%d' % (tokens, output_tokens)),
+    ]
+
+
 def decode_response(
     headers: typing.Sequence[model.RawHeader],
 ) -> model.ResponseMeta:
--- a/foxtailpick/platform/items.py
+++ b/foxtailpick/platform/items.py
@@ -49,6 +49,11 @@
     return None
 
 
+def make_endpoint_key(endpoint: types.EndpointId) -> str:
+    """Return the key under which an endpoint registers."""
+    return ENDPOINT_PREFIX + endpoint
+
+
 def make_router_key(router: types.RouterId) -> str:
     """Return the key under which a router registers."""
     return ROUTER_PREFIX + router
--- /dev/null
+++ b/foxtailpick/platform/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the platform's store and servers, for tests and the soak."""
--- a/foxtailpick/standins/http_endpoint.py
+++ b/foxtailpick/platform/standins/endpoint_server.py
@@ -54,6 +54,16 @@
         )
         await http1.send_all(self.sock, head + body)
 
+    def is_for(self, endpoint: str) -> bool:
+        """Tell whether the request names an endpoint as the only one."""
+        expected = self.seen.headers.get(b'x-expect-instance')
+        return expected == endpoint.encode()
+
+    async def refuse(self) -> None:
+        """Reject the request, stating that it was not run."""
+        refusal = [(b'X-Not-Executed', b'1')]
+        await self.answer(503, b'', refusal, is_signed=False)
+
     async def begin_stream(
         self,
         headers: typing.Sequence[model.RawHeader] = (),
--- a/foxtailpick/router/context.py
+++ b/foxtailpick/router/context.py
@@ -19,10 +19,10 @@
 from foxtailpick.core import verdict as verdict_lib
 from foxtailpick.node import config_node as config_node_lib
 from foxtailpick.node import links as links_lib
+from foxtailpick.node import metrics as metrics_lib
 from foxtailpick.router import explain
 from foxtailpick.router import fleet_view
 from foxtailpick.router import jobs
-from foxtailpick.router import metrics as metrics_lib
 
 STOP_POLL_MS = 10.0
 # Answers that have begun when their endpoint is lost come all at once, and
--- a/foxtailpick/soak/callers.py
+++ b/foxtailpick/soak/callers.py
@@ -8,9 +8,10 @@
 from foxtailpick.core import types
 from foxtailpick.gateway import exchange
 from foxtailpick.gateway import http1
+from foxtailpick.platform import dialect
+from foxtailpick.platform.standins import endpoint_server
 from foxtailpick.soak import record as record_lib
 from foxtailpick.soak import world as world_lib
-from foxtailpick.standins import http_endpoint
 
 DEADLINE_MS = 2_500
 PATIENCE_S = 3.5
@@ -70,7 +71,7 @@
     call.expected = world_lib.make_body(request)
     if kind is model.RequestKind.STREAMING:
         call.expected = b''.join(
-            http_endpoint.format_event(number)
+            endpoint_server.format_event(number)
             for number in range(1, world_lib.count_events(request) + 1)
         )
     return call
@@ -81,14 +82,15 @@
 ) -> None:
     body = b'b' * rng.choice(BODY_BYTES)
     headers = [
-        (b'X-Attempt-Id', call.id.encode()),
-        (b'X-Key', world_lib.KEY.encode()),
-        (b'X-Deadline-Ms', b'%d' % DEADLINE_MS),
+        *dialect.encode_caller(call.id, world_lib.KEY, DEADLINE_MS),
         (world_lib.GATEWAY_HEADER, call.gateway.encode()),
     ]
     if call.kind is model.RequestKind.STREAMING:
-        headers.append((b'X-Prefix-Hash', b'p%d:100,x:10' % rng.randrange(9)))
-        headers.append((b'X-Token-Count', b'110,50'))
+        parts = (
+            model.PromptPart(f'p{rng.randrange(9)}', 100),
+            model.PromptPart('x', 10),
+        )
+        headers.extend(dialect.encode_prompt(parts, 50))
     head = http1.format_request(
         b'POST',
         f'/{call.route}/x'.encode(),
@@ -109,8 +111,9 @@
     head = await conn.next_event()
     assert isinstance(head, http1.ResponseHead)
     call.status = head.status
-    signature = dict(head.headers).get(b'x-server-stamp', b'')
-    call.signature = signature.decode('latin-1')
+    meta = dialect.decode_response(head.headers)
+    if meta.signature is not None:
+        call.signature = meta.signature[1].decode('latin-1')
     if not head.is_reusable:
         conn.is_clean = False
     if head.status != 200:
--- a/foxtailpick/soak/faults.py
+++ b/foxtailpick/soak/faults.py
@@ -4,6 +4,7 @@
 import signal
 import typing
 
+from foxtailpick.platform import items
 from foxtailpick.soak import callers
 from foxtailpick.soak import proxy as proxy_lib
 from foxtailpick.soak import world as world_lib
@@ -87,10 +88,10 @@
     lapsed = [
         item
         for item in world.endpoints.values()
-        if f'servers/{item.id}' in world.store.items and rng.random() < 0.5
+        if world.is_listed(item) and rng.random() < 0.5
     ]
     for endpoint in lapsed:
-        world.store.lapse(f'servers/{endpoint.id}')
+        world.store.lapse(items.make_endpoint_key(endpoint.id))
     await callers.pause(for_ms)
     world.store.refuse_with = None
     await callers.pause(rng.uniform(100.0, 1_500.0))
@@ -127,9 +128,7 @@
 async def replace_endpoint(world: world_lib.World, rng: random.Random) -> None:
     """List a new endpoint and take an old one out."""
     listed = [
-        item
-        for item in world.endpoints.values()
-        if f'servers/{item.id}' in world.store.items
+        item for item in world.endpoints.values() if world.is_listed(item)
     ]
     if not listed:
         # All entries have lapsed with the store away.
@@ -137,14 +136,14 @@
     endpoint = rng.choice(listed)
     world.add_endpoint(endpoint.service)
     await callers.pause(STORE_CHANGE_PAUSE_MS)
-    if f'servers/{endpoint.id}' in world.store.items:
+    if world.is_listed(endpoint):
         world.remove_endpoint(endpoint)
 
 
 async def evacuate(world: world_lib.World, rng: random.Random) -> None:
     """Take a failure domain out and back."""
     domain = rng.choice(world_lib.DOMAINS)
-    key = f'op/evacuate/{domain}'
+    key = items.EVACUATION_PREFIX + domain
     if key in world.store.items:
         return
     start_ms = world_lib.now_ms()
--- a/foxtailpick/soak/world.py
+++ b/foxtailpick/soak/world.py
@@ -15,10 +15,11 @@
 from foxtailpick.core import types
 from foxtailpick.gateway import http1
 from foxtailpick.platform import boot
+from foxtailpick.platform import items
+from foxtailpick.platform.standins import endpoint_server
+from foxtailpick.platform.standins import store_server
 from foxtailpick.soak import proxy as proxy_lib
 from foxtailpick.soak import record as record_lib
-from foxtailpick.standins import http_endpoint
-from foxtailpick.standins import platform_store
 
 HOST = 'soak.example'
 KEY = 'soak-key'
@@ -111,7 +112,7 @@
         self.rng = rng
         self.path = path
         self.record = record_lib.Record()
-        self.store = platform_store.PlatformStoreStandIn()
+        self.store = store_server.PlatformStoreStandIn()
         self.gateways: list[Gateway] = []
         self.endpoints: dict[str, Endpoint] = {}
         self.routes: dict[str, dict[str, typing.Any]] = {}
@@ -134,7 +135,7 @@
         """Write the routes as a new version."""
         self.version += self.rng.randint(1, 4)
         self.store.put(
-            'op/config',
+            items.CONFIG_KEY,
             {
                 'version': self.version,
                 'routes': list(self.routes.values()),
@@ -194,7 +195,7 @@
             proxy_lib.Proxy(sock.getsockname()),
         )
         self.endpoints[endpoint.id] = endpoint
-        standin = http_endpoint.EndpointStandIn(
+        standin = endpoint_server.EndpointStandIn(
             lambda exchange: self._serve(endpoint, exchange)
         )
         self.nursery.start_soon(standin.serve, sock)
@@ -206,7 +207,7 @@
         """Write the endpoint's entry into the store."""
         host, port = endpoint.proxy.address
         self.store.put(
-            f'servers/{endpoint.id}',
+            items.make_endpoint_key(endpoint.id),
             {
                 'service': endpoint.service,
                 'address': f'{host}:{port}',
@@ -219,21 +220,24 @@
             },
         )
 
+    def is_listed(self, endpoint: Endpoint) -> bool:
+        """Tell whether the store lists an endpoint."""
+        return items.make_endpoint_key(endpoint.id) in self.store.items
+
     def remove_endpoint(self, endpoint: Endpoint) -> None:
         """Take the endpoint out of the store; it goes on serving."""
-        self.store.remove(f'servers/{endpoint.id}')
+        self.store.remove(items.make_endpoint_key(endpoint.id))
         self.record.removed_ms[endpoint.id] = now_ms()
 
     async def _serve(
-        self, endpoint: Endpoint, exchange: http_endpoint.Exchange
+        self, endpoint: Endpoint, exchange: endpoint_server.Exchange
     ) -> None:
         seen = exchange.seen
-        if seen.headers.get(b'x-expect-instance') != endpoint.id.encode():
+        if not exchange.is_for(endpoint.id):
             await exchange.answer(421, b'', is_signed=False)
             return
         if endpoint.mood == 'full':
-            refusal = [(b'X-Not-Executed', b'1')]
-            await exchange.answer(503, b'', refusal, is_signed=False)
+            await exchange.refuse()
             return
         run = record_lib.Run(
             seen.id,
@@ -250,15 +254,15 @@
             run.ended_ms = now_ms()
 
     async def _run(
-        self, endpoint: Endpoint, exchange: http_endpoint.Exchange
+        self, endpoint: Endpoint, exchange: endpoint_server.Exchange
     ) -> None:
         signature = f'{endpoint.id}/{exchange.seen.id}'.encode()
         mood = endpoint.mood if self.rng.random() < 0.5 else 'sound'
-        headers = [(b'X-Server-Stamp', signature)]
+        headers = [(endpoint_server.SIGNATURE[0], signature)]
         if mood == 'mute':
             await trio.sleep_forever()
         if mood == 'cut':
-            raise http_endpoint.CutError
+            raise endpoint_server.CutError
         if endpoint.service == 'plain':
             await trio.sleep(self.rng.uniform(0.01, 0.06))
             if mood == 'late':
@@ -274,9 +278,9 @@
         for number in range(last + 1, events + 1):
             await trio.sleep(EVENT_PAUSE_S)
             if mood == 'breaking' and number == events // 2:
-                event = http_endpoint.format_event(number)[:5]
+                event = endpoint_server.format_event(number)[:5]
                 await http1.send_all(exchange.sock, http1.format_chunk(event))
-                raise http_endpoint.CutError
+                raise endpoint_server.CutError
             await exchange.send_events(number, number)
         await exchange.end_stream()
 
--- a/foxtailpick/tests/gateway_stage.py
+++ b/foxtailpick/tests/gateway_stage.py
@@ -15,9 +15,9 @@
 from foxtailpick.gateway import settings
 from foxtailpick.platform import items
 from foxtailpick.platform import run
+from foxtailpick.platform.standins import endpoint_server
+from foxtailpick.platform.standins import store_server
 from foxtailpick.platform import store as store_lib
-from foxtailpick.standins import http_endpoint
-from foxtailpick.standins import platform_store
 
 ANY_PORT = ('127.0.0.1', 0)
 HOST = 'chat.example'
@@ -103,7 +103,7 @@
 
     def add_endpoint(self, endpoint, service, script, **fields):
         """Start a server and list it in the store."""
-        standin = http_endpoint.EndpointStandIn(script)
+        standin = endpoint_server.EndpointStandIn(script)
         sock = http1.listen(ANY_PORT, 64)
         self.nursery.start_soon(standin.serve, sock)
         entry = make_entry(service, sock.getsockname(), **fields)
@@ -173,7 +173,7 @@
     Stages that share a store are routers of one fleet.
     """
     is_first = store is None
-    store = store or platform_store.PlatformStoreStandIn()
+    store = store or store_server.PlatformStoreStandIn()
     if is_first and cfg != {}:
         store.put('op/config', cfg or make_config())
     store_sock = http1.listen(ANY_PORT, 64)
--- a/foxtailpick/tests/test_gateway.py
+++ b/foxtailpick/tests/test_gateway.py
@@ -13,7 +13,7 @@
 from foxtailpick.gateway import decision_log
 from foxtailpick.gateway import http1
 from foxtailpick.gateway import settings
-from foxtailpick.standins import http_endpoint
+from foxtailpick.platform.standins import endpoint_server
 from foxtailpick.tests import gateway_stage
 
 PROMPT = 'ab:500,cd:10'
@@ -34,12 +34,13 @@
 
 
 async def cut(exchange):
-    raise http_endpoint.CutError
+    raise endpoint_server.CutError
 
 
 def get_events(first, last):
     return b''.join(
-        http_endpoint.format_event(number) for number in range(first, last + 1)
+        endpoint_server.format_event(number)
+        for number in range(first, last + 1)
     )
 
 
@@ -164,9 +165,9 @@
         await exchange.begin_stream()
         if last is None:
             await exchange.send_events(1, 2)
-            part = http_endpoint.format_event(3)[:7]
+            part = endpoint_server.format_event(3)[:7]
             await http1.send_all(exchange.sock, http1.format_chunk(part))
-            raise http_endpoint.CutError
+            raise endpoint_server.CutError
         await exchange.send_events(int(last) + 1, 4)
         await exchange.end_stream()
 
@@ -184,7 +185,7 @@
     async def break_off(exchange):
         await exchange.begin_stream()
         await exchange.send_events(1, 2)
-        raise http_endpoint.CutError
+        raise endpoint_server.CutError
 
     async with gateway_stage.open_stage() as stage:
         stage.add_endpoint('e1', 'engine', break_off)
@@ -237,7 +238,7 @@
             + echo
             + b'\r\nX-Server-Stamp: s\r\n\r\nall of it',
         )
-        raise http_endpoint.CutError
+        raise endpoint_server.CutError
 
     async with gateway_stage.open_stage() as stage:
         stage.add_endpoint('p1', 'plain', unframed)
--- a/foxtailpick/tests/test_platform.py
+++ b/foxtailpick/tests/test_platform.py
@@ -14,8 +14,8 @@
 from foxtailpick.platform import boot
 from foxtailpick.platform import dialect
 from foxtailpick.platform import items
+from foxtailpick.platform.standins import store_server
 from foxtailpick.platform import store as store_lib
-from foxtailpick.standins import platform_store
 from foxtailpick.tests import gateway_stage
 
 BOOT = """
@@ -35,7 +35,7 @@
 
 @contextlib.asynccontextmanager
 async def open_store():
-    standin = platform_store.PlatformStoreStandIn()
+    standin = store_server.PlatformStoreStandIn()
     sock = http1.listen(gateway_stage.ANY_PORT, 16)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(standin.serve, sock)
--- a/foxtailpick/tests/test_router_attempts.py
+++ b/foxtailpick/tests/test_router_attempts.py
@@ -9,8 +9,8 @@
 from foxtailpick.core import errors
 from foxtailpick.core import retry
 from foxtailpick.core import verdict
+from foxtailpick.node import metrics
 from foxtailpick.router import attempts
-from foxtailpick.router import metrics
 
 NOT_RUN = verdict.Verdict.NOT_RUN
 MAY_HAVE_RUN = verdict.Verdict.MAY_HAVE_RUN
