Send an answer that is ready as the time of its request ends

Change: a whole answer is sent shielded, for 250 ms at most. The line of a placement states the age of what is known of the load, whether it came by the hub or with an answer.

--- a/foxtailpick/core/dispatch/endpoint_table.py
+++ b/foxtailpick/core/dispatch/endpoint_table.py
@@ -22,8 +22,8 @@
     :param entry: the latest entry in the store.
     :param running: requests of this router that it runs.
     :param connections: connections of this router to it.
-    :param others: requests of others, by its latest load report.
-    :param reported_ms: when that report came.
+    :param others: requests of others, by the latest word on them.
+    :param counted_ms: when that word came, None before the first.
     :param warm_at_ms: when it stops being cold.
     :param fresh_until_ms: until when it lacks prompts whose home it is.
     :param absent_until_ms: until when it is kept though the store does not
@@ -34,7 +34,7 @@
     running: int = 0
     connections: int = 0
     others: float = 0.0
-    reported_ms: float = -1.0
+    counted_ms: float | None = None
     warm_at_ms: float = 0.0
     fresh_until_ms: float = 0.0
     absent_until_ms: float | None = None
@@ -70,21 +70,29 @@
         :param report: the stated load.
         :param now_ms: current time.
         """
-        self.reported_ms = now_ms
+        self.counted_ms = now_ms
         total = report.running + report.waiting
         # The report may be older than requests just sent, so it never
         # says less than what others are known to run: none.
         self.others = max(0.0, total - self.running)
 
-    def note_others(self, count: float) -> None:
+    def find_load_age_ms(self, now_ms: float) -> int | None:
+        """Return the age of what is known of others, None if nothing is."""
+        if self.counted_ms is None:
+            return None
+        return round(now_ms - self.counted_ms)
+
+    def note_others(self, count: float, now_ms: float) -> None:
         """Take in what other routers run here, as they say.
 
         The latest word counts, theirs or the endpoint's: an endpoint that
         gets many requests reports often, the others are known from here.
 
         :param count: their requests.
+        :param now_ms: current time.
         """
         self.others = count
+        self.counted_ms = now_ms
 
 
 class EndpointTable:
--- a/foxtailpick/core/dispatch/load_board.py
+++ b/foxtailpick/core/dispatch/load_board.py
@@ -150,12 +150,14 @@
         table: endpoint_table.EndpointTable,
         sums: Counts,
         number: int,
+        now_ms: float,
     ) -> bool:
         """Set what others run from the sums of the hub.
 
         :param table: the endpoints.
         :param sums: requests of all routers, by endpoint.
         :param number: number of our message that the sums contain.
+        :param now_ms: current time.
         :returns: whether the sums were of use.
         """
         own = self._sent.get(number)
@@ -163,5 +165,5 @@
             return False
         for item in table.list_all():
             others = sums.get(item.id, 0) - own.get(item.id, 0)
-            item.note_others(max(0, others))
+            item.note_others(max(0, others), now_ms)
         return True
--- a/foxtailpick/gateway/peers.py
+++ b/foxtailpick/gateway/peers.py
@@ -86,7 +86,7 @@
         packed = cbor2.dumps(sums)
         for router, number in self._board.list_routers():
             if router == gw.cfg.name:
-                self._own.apply(gw.state.table, sums, number)
+                self._own.apply(gw.state.table, sums, number, now_ms)
             elif router in routers:
                 data = cbor2.dumps([_SUMS, gw.cfg.name, number, packed])
                 await self._send_to(data, routers[router].address)
@@ -116,7 +116,7 @@
         elif kind == _SUMS and router == self._choice.hub:
             self._choice.note_heard(now_ms)
             sums = cbor2.loads(content)
-            self._own.apply(self._gw.state.table, sums, number)
+            self._own.apply(self._gw.state.table, sums, number, now_ms)
 
 
 def open_socket(address: model.Address) -> trio.socket.SocketType:
--- a/foxtailpick/gateway/relay.py
+++ b/foxtailpick/gateway/relay.py
@@ -23,8 +23,6 @@
 
 # How often a waiting request looks for a place.
 WAIT_STEP_MS = 15.0
-# Time for the last bytes of an answer to a request whose time is over.
-FAREWELL_MS = 250.0
 STARTING_RETRY_MS = 500.0
 # The end of a trace says where it happened.
 MAX_TRACE_CHARS = 3_000
@@ -342,11 +340,10 @@
     headers, body = reply_lib.format_error(
         exc.code.value, exc.message, exc.retry_after_ms
     )
-    with trio.move_on_after(FAREWELL_MS / types.SECOND_MS):
-        try:
-            await reply.send_whole(status, headers, body)
-        except http1.BrokenConnectionError:
-            return model.Outcome.CALLER_LEFT
+    try:
+        await reply.send_whole(status, headers, body)
+    except http1.BrokenConnectionError:
+        return model.Outcome.CALLER_LEFT
     if status == 504:
         return model.Outcome.TIMED_OUT
     if status == 502:
@@ -368,9 +365,7 @@
         mean=round(choice.mean_load, 1),
         of=choice.candidates,
         fetch=choice.holder.id if choice.holder else None,
-        report_age_ms=round(now_ms - endpoint.reported_ms)
-        if endpoint.reported_ms >= 0
-        else None,
+        load_age_ms=endpoint.find_load_age_ms(now_ms),
         config=gw.state.cfg.number if gw.state.cfg else None,
     )
 
--- a/foxtailpick/gateway/reply.py
+++ b/foxtailpick/gateway/reply.py
@@ -10,6 +10,10 @@
 from foxtailpick.gateway import http1
 
 
+# Time for an answer that is ready to be sent, whatever has ended.
+FAREWELL_MS = 250.0
+
+
 class Reply:
     """The answer to a request, whole or in chunks.
 
@@ -33,14 +37,19 @@
         headers: typing.Iterable[model.RawHeader],
         body: bytes,
     ) -> None:
-        """Send an answer with its body."""
+        """Send an answer with its body.
+
+        An answer that is ready is sent though the time of the request has
+        just ended: endpoints answer at the very end of the time they get.
+        """
         self.is_begun = True
         self.status = status
         head = http1.format_response(
             status, headers, len(body), self.keeps_alive
         )
-        await http1.send_all(self._sock, head + body)
-        self.is_finished = True
+        with trio.move_on_after(FAREWELL_MS / types.SECOND_MS, shield=True):
+            await http1.send_all(self._sock, head + body)
+            self.is_finished = True
 
     def begin(
         self, status: int, headers: typing.Iterable[model.RawHeader]
--- a/foxtailpick/tests/test_gateway.py
+++ b/foxtailpick/tests/test_gateway.py
@@ -12,6 +12,7 @@
 from foxtailpick.gateway import daemon
 from foxtailpick.gateway import decision_log
 from foxtailpick.gateway import http1
+from foxtailpick.gateway import reply
 from foxtailpick.gateway import settings
 from foxtailpick.platform.standins import endpoint_server
 from foxtailpick.tests import gateway_stage
@@ -509,3 +510,27 @@
 
     daemon._reload_settings(gw, fail)
     assert gw.cfg is changed
+
+
+async def test_answer_that_comes_as_the_time_ends_is_sent(monkeypatch):
+    """Found on luparetki trouble-1: such an answer closed the connection.
+
+    The endpoint's answer is at hand when the time of the route ends.
+    """
+    route = gateway_stage.make_route('safe', '/safe/', 'safe', timeout_ms=200)
+    cfg = gateway_stage.make_config(routes=[route])
+    send_whole = reply.Reply.send_whole
+
+    async def send_late(self, *args):
+        # The time ends between the answer's arrival and its sending.
+        with trio.CancelScope(shield=True):
+            await trio.sleep(0.25)
+        await send_whole(self, *args)
+
+    async with gateway_stage.open_stage(cfg) as stage:
+        stage.add_endpoint('p1', 'plain', answer_plainly)
+        await stage.until_known('p1')
+        with monkeypatch.context() as patch:
+            patch.setattr(reply.Reply, 'send_whole', send_late)
+            answer = await stage.ask('/safe/x')
+    assert (answer.status, answer.body) == (200, b'hello')
--- a/foxtailpick/tests/test_load_board.py
+++ b/foxtailpick/tests/test_load_board.py
@@ -52,9 +52,9 @@
     number, counts = own.make(table)
     assert counts == {'e0': 3}
     endpoint.running = 5
-    assert own.apply(table, {'e0': 10}, number)
+    assert own.apply(table, {'e0': 10}, number, 0.0)
     assert (endpoint.others, endpoint.load) == (7, 12)
-    assert not own.apply(table, {'e0': 10}, number + 7)
+    assert not own.apply(table, {'e0': 10}, number + 7, 0.0)
 
 
 def replay_many_routers(has_exchange):
@@ -86,7 +86,7 @@
             for table in tables:
                 for item in table.list_all():
                     others = running[item.id] - item.running
-                    item.note_others(others)
+                    item.note_others(others, now_ms)
         # A few prompts get a large part of the requests.
         prompt = str(int(190 * rng.random() ** 3))
         choice = test_dispatch.choose(
