Split the client connection and the job from their modules

Cause: http1 held a client, a reader of requests and the forms of heads; the attempt and the relay knew each other through the job.

Change: moves only. gateway/client.py holds the connection to a server, gateway/job.py the request on its way, so no two modules import each other.

Tests: those of the gateway, the platform, the exchange and the soak pass.

--- a/foxtailpick/gateway/attempt.py
+++ b/foxtailpick/gateway/attempt.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import functools
-import typing
 
 import trio
 
@@ -14,14 +13,13 @@
 from foxtailpick.core.dispatch import placing
 from foxtailpick.core.dispatch import repeat
 from foxtailpick.core import types
+from foxtailpick.gateway import client as client_lib
 from foxtailpick.gateway import context
 from foxtailpick.gateway import exchange
 from foxtailpick.gateway import http1
+from foxtailpick.gateway import job as job_lib
 from foxtailpick.gateway import reply as reply_lib
 
-if typing.TYPE_CHECKING:
-    from foxtailpick.gateway import relay
-
 # Well below the limits that are looked for.
 WATCH_STEP_MS = 50.0
 _SERVER_ERROR = 500
@@ -59,7 +57,7 @@
 
 async def run_attempt(
     gw: context.Gateway,
-    job: 'relay.Job',
+    job: job_lib.Job,
     choice: placing.Choice,
     reply: reply_lib.Reply,
 ) -> AttemptResult:
@@ -87,7 +85,7 @@
 
 
 async def deliver_error(
-    job: 'relay.Job', result: AttemptResult, reply: reply_lib.Reply
+    job: job_lib.Job, result: AttemptResult, reply: reply_lib.Reply
 ) -> model.Outcome:
     """Pass on an endpoint's failure answer as it is.
 
@@ -112,7 +110,7 @@
 
 async def _run_counted(
     gw: context.Gateway,
-    job: 'relay.Job',
+    job: job_lib.Job,
     choice: placing.Choice,
     reply: reply_lib.Reply,
 ) -> AttemptResult:
@@ -157,10 +155,10 @@
 
 async def _exchange(
     gw: context.Gateway,
-    job: 'relay.Job',
+    job: job_lib.Job,
     choice: placing.Choice,
     attempt: context.Attempt,
-    conn: http1.ClientConnection,
+    conn: client_lib.ClientConnection,
     reply: reply_lib.Reply,
 ) -> AttemptResult:
     data = _format_request(gw, job, choice)
@@ -189,7 +187,7 @@
 
 
 async def _send_long(
-    conn: http1.ClientConnection, data: bytes, sent: trio.Event
+    conn: client_lib.ClientConnection, data: bytes, sent: trio.Event
 ) -> None:
     try:
         await conn.send(data)
@@ -200,7 +198,7 @@
 
 
 def _format_request(
-    gw: context.Gateway, job: 'relay.Job', choice: placing.Choice
+    gw: context.Gateway, job: job_lib.Job, choice: placing.Choice
 ) -> bytes:
     last_id = job.meta.last_event_id
     if job.splitter is not None:
@@ -226,9 +224,9 @@
 
 async def _receive(
     gw: context.Gateway,
-    job: 'relay.Job',
+    job: job_lib.Job,
     attempt: context.Attempt,
-    conn: http1.ClientConnection,
+    conn: client_lib.ClientConnection,
     reply: reply_lib.Reply,
 ) -> AttemptResult:
     sent_ms = gw.now_ms()
@@ -265,13 +263,13 @@
 
 async def _read_head(
     gw: context.Gateway,
-    job: 'relay.Job',
+    job: job_lib.Job,
     attempt: context.Attempt,
-    conn: http1.ClientConnection,
-) -> tuple[http1.ResponseHead, model.ResponseMeta]:
+    conn: client_lib.ClientConnection,
+) -> tuple[client_lib.ResponseHead, model.ResponseMeta]:
     while True:
         head = await _next_event(gw, attempt, conn)
-        if not isinstance(head, http1.ResponseHead):
+        if not isinstance(head, client_lib.ResponseHead):
             raise _BadAnswerError('a body without a head')
         meta = gw.dialect.decode_response(head.headers)
         if meta.request is None or meta.request == job.meta.id:
@@ -280,17 +278,17 @@
         gw.log.emit_request(
             'foreign-answer', request=job.meta.id, answer_to=meta.request
         )
-        while await _next_event(gw, attempt, conn) is not http1.END:
+        while await _next_event(gw, attempt, conn) is not client_lib.END:
             pass
 
 
 async def _pass_stream(
     gw: context.Gateway,
-    job: 'relay.Job',
+    job: job_lib.Job,
     attempt: context.Attempt,
-    conn: http1.ClientConnection,
+    conn: client_lib.ClientConnection,
     reply: reply_lib.Reply,
-    head: http1.ResponseHead,
+    head: client_lib.ResponseHead,
     meta: model.ResponseMeta,
 ) -> AttemptResult:
     if not reply.is_begun:
@@ -300,7 +298,7 @@
         splitter.drop_tail()
     while True:
         event = await _next_event(gw, attempt, conn)
-        if event is http1.END:
+        if event is client_lib.END:
             break
         if not isinstance(event, bytes):
             raise _BadAnswerError('a second head within a stream')
@@ -309,7 +307,7 @@
         # What has arrived meanwhile goes out in the same write.
         while conn.has_events():
             more = await conn.next_event()
-            if more is http1.END:
+            if more is client_lib.END:
                 is_ended = True
                 break
             if not isinstance(more, bytes):
@@ -332,7 +330,7 @@
     return [meta.signature] if meta.signature is not None else []
 
 
-async def _send(conn: http1.ClientConnection, data: bytes) -> None:
+async def _send(conn: client_lib.ClientConnection, data: bytes) -> None:
     try:
         await conn.send(data)
     except http1.BrokenConnectionError as exc:
@@ -342,8 +340,8 @@
 async def _next_event(
     gw: context.Gateway,
     attempt: context.Attempt,
-    conn: http1.ClientConnection,
-) -> http1.Event:
+    conn: client_lib.ClientConnection,
+) -> client_lib.Event:
     attempt.is_waiting = True
     try:
         event = await conn.next_event()
@@ -357,7 +355,7 @@
     return event
 
 
-async def _read_body(conn: http1.ClientConnection) -> bytes:
+async def _read_body(conn: client_lib.ClientConnection) -> bytes:
     try:
         return await exchange.read_body(conn)
     except http1.BrokenConnectionError as exc:
@@ -383,7 +381,7 @@
         )
 
 
-def _can_move(gw: context.Gateway, job: 'relay.Job') -> bool:
+def _can_move(gw: context.Gateway, job: job_lib.Job) -> bool:
     if not job.route.is_idempotent or job.sent >= job.route.max_attempts:
         return False
     if gw.budget.get_tokens(job.service.name) < 1:
--- a/foxtailpick/gateway/context.py
+++ b/foxtailpick/gateway/context.py
@@ -9,8 +9,8 @@
 from foxtailpick.core.dispatch import patience
 from foxtailpick.core.dispatch import stopping
 from foxtailpick.core import retry
+from foxtailpick.gateway import client as client_lib
 from foxtailpick.gateway import decision_log
-from foxtailpick.gateway import http1
 from foxtailpick.gateway import pool as pool_lib
 from foxtailpick.gateway import settings as settings_lib
 from foxtailpick.gateway import state as state_lib
@@ -40,7 +40,7 @@
     """
 
     endpoint: endpoint_table.Endpoint
-    conn: http1.ClientConnection
+    conn: client_lib.ClientConnection
     heard_ms: float
     limit_ms: float
     can_move: typing.Callable[[], bool]
--- a/foxtailpick/gateway/pool.py
+++ b/foxtailpick/gateway/pool.py
@@ -7,7 +7,7 @@
 from foxtailpick.core.dispatch import endpoint_table
 from foxtailpick.core.dispatch import model
 from foxtailpick.core import types
-from foxtailpick.gateway import http1
+from foxtailpick.gateway import client as client_lib
 
 # Above two round trips and the time in which an endpoint accepts, so that
 # one lost packet is not waited for: another endpoint is asked instead.
@@ -32,7 +32,7 @@
         self._now_ms = now_ms
         self._idle: dict[
             tuple[types.EndpointId, types.Incarnation],
-            list[http1.ClientConnection],
+            list[client_lib.ClientConnection],
         ] = {}
         self.opened = 0
 
@@ -47,7 +47,7 @@
 
     async def take(
         self, endpoint: endpoint_table.Endpoint
-    ) -> http1.ClientConnection:
+    ) -> client_lib.ClientConnection:
         """Return a connection to an endpoint, idle or new.
 
         :raises OSError: if none can be opened; nothing was sent then.
@@ -62,7 +62,7 @@
         endpoint.connections += 1
         try:
             with trio.fail_after(CONNECT_TIMEOUT_MS / types.SECOND_MS):
-                conn = await http1.ClientConnection.connect(
+                conn = await client_lib.ClientConnection.connect(
                     endpoint.entry.address
                 )
         except trio.TooSlowError as exc:
@@ -77,7 +77,7 @@
     def give_back(
         self,
         endpoint: endpoint_table.Endpoint,
-        conn: http1.ClientConnection,
+        conn: client_lib.ClientConnection,
         is_reusable: bool,
     ) -> None:
         """Keep a connection for the next request, or close it."""
@@ -107,7 +107,7 @@
             else:
                 del self._idle[key]
 
-    def _is_fresh(self, conn: http1.ClientConnection) -> bool:
+    def _is_fresh(self, conn: client_lib.ClientConnection) -> bool:
         longest_ms = DEFAULT_IDLE_MS
         if conn.keep_alive_ms is not None:
             longest_ms = min(
--- a/foxtailpick/gateway/relay.py
+++ b/foxtailpick/gateway/relay.py
@@ -1,6 +1,5 @@
 """Carries one request of a caller to endpoints, and the answer back."""
 
-import dataclasses
 import math
 import traceback
 
@@ -19,6 +18,7 @@
 from foxtailpick.gateway import attempt as attempt_lib
 from foxtailpick.gateway import context
 from foxtailpick.gateway import http1
+from foxtailpick.gateway import job as job_lib
 from foxtailpick.gateway import reply as reply_lib
 
 # How often a waiting request looks for a place.
@@ -44,40 +44,6 @@
 }
 
 
-@dataclasses.dataclass(slots=True)
-class Job:
-    """A request on its way.
-
-    :param req: the request as received.
-    :param meta: what its headers say.
-    :param route: its route.
-    :param account: its account, if any.
-    :param service: the service chosen for it.
-    :param priority: its rank.
-    :param deadline_ms: when its answer is no longer wanted.
-    :param splitter: position in the stream, for one that may move.
-    :param prefix: id of the prompt part to return to, if any.
-    :param tried: endpoints that it was tried at.
-    :param sent: endpoints that it was sent to.
-    :param unreachable: endpoints that could not be connected to.
-    :param verdict: what is known of its execution.
-    """
-
-    req: http1.Request
-    meta: model.RequestMeta
-    route: model.Route
-    account: model.Account | None
-    service: model.Service
-    priority: int
-    deadline_ms: float
-    splitter: event_stream.EventSplitter | None
-    prefix: str | None
-    tried: set[types.EndpointId] = dataclasses.field(default_factory=set)
-    sent: int = 0
-    unreachable: int = 0
-    verdict: verdict_lib.Verdict = verdict_lib.Verdict.NOT_RUN
-
-
 async def handle_request(
     gw: context.Gateway, req: http1.Request, reply: reply_lib.Reply
 ) -> None:
@@ -87,7 +53,7 @@
     :param req: the request.
     :param reply: where the answer goes; unfinished if it is broken off.
     """
-    job: Job | None = None
+    job: job_lib.Job | None = None
     outcome = model.Outcome.CALLER_LEFT
     error: errors.FoxtailError | None = None
     gw.requests += 1
@@ -105,6 +71,7 @@
     except Exception as exc:
         error = _make_defect_error(gw, job, exc)
     finally:
+        # Also when the caller has left and the request is cancelled.
         if error is None:
             _log_end(gw, req, job, reply, outcome, None)
     if error is not None:
@@ -112,7 +79,7 @@
         _log_end(gw, req, job, reply, outcome, error)
 
 
-def _admit(gw: context.Gateway, req: http1.Request) -> Job:
+def _admit(gw: context.Gateway, req: http1.Request) -> job_lib.Job:
     cfg = gw.state.cfg
     if cfg is None:
         raise errors.RequestError(
@@ -152,7 +119,7 @@
     splitter = None
     if is_movable:
         splitter = event_stream.EventSplitter(meta.last_event_id)
-    return Job(
+    return job_lib.Job(
         req=req,
         meta=meta,
         route=route,
@@ -184,7 +151,7 @@
 
 
 async def _run(
-    gw: context.Gateway, job: Job, reply: reply_lib.Reply
+    gw: context.Gateway, job: job_lib.Job, reply: reply_lib.Reply
 ) -> model.Outcome:
     while True:
         choice = await _find_place(gw, job)
@@ -231,7 +198,7 @@
         raise _make_attempt_error(gw, job, result)
 
 
-async def _find_place(gw: context.Gateway, job: Job) -> placing.Choice:
+async def _find_place(gw: context.Gateway, job: job_lib.Job) -> placing.Choice:
     began_ms = gw.now_ms()
     while True:
         now_ms = gw.now_ms()
@@ -254,7 +221,7 @@
         await trio.sleep(WAIT_STEP_MS / types.SECOND_MS)
 
 
-def _has_other(gw: context.Gateway, job: Job) -> bool:
+def _has_other(gw: context.Gateway, job: job_lib.Job) -> bool:
     return any(
         item.id not in job.tried
         for item in gw.state.table.list_service(job.service.name)
@@ -262,7 +229,10 @@
 
 
 def _make_refusal(
-    gw: context.Gateway, job: Job, obstacle: placing.Obstacle, listed: int
+    gw: context.Gateway,
+    job: job_lib.Job,
+    obstacle: placing.Obstacle,
+    listed: int,
 ) -> errors.RequestError:
     retry_ms = refusal.find_retry_after_ms(
         obstacle, job.priority, job.deadline_ms - gw.now_ms(), gw.rng
@@ -280,7 +250,7 @@
 
 
 def _make_attempt_error(
-    gw: context.Gateway, job: Job, result: attempt_lib.AttemptResult
+    gw: context.Gateway, job: job_lib.Job, result: attempt_lib.AttemptResult
 ) -> errors.RequestError:
     if job.verdict is verdict_lib.Verdict.NOT_RUN:
         return _make_refusal(
@@ -294,7 +264,7 @@
     )
 
 
-def _make_timeout_error(job: Job) -> errors.RequestError:
+def _make_timeout_error(job: job_lib.Job) -> errors.RequestError:
     verdict = job.verdict
     if job.sent:
         verdict = verdict_lib.Verdict.MAY_HAVE_RUN
@@ -307,7 +277,7 @@
 
 
 def _make_defect_error(
-    gw: context.Gateway, job: Job | None, exc: Exception
+    gw: context.Gateway, job: job_lib.Job | None, exc: Exception
 ) -> errors.RequestError:
     gw.metrics.count('defects')
     trace = ''.join(traceback.format_exception(exc))
@@ -325,7 +295,7 @@
 
 async def _answer_error(
     gw: context.Gateway,
-    job: Job | None,
+    job: job_lib.Job | None,
     reply: reply_lib.Reply,
     exc: errors.RequestError,
 ) -> model.Outcome:
@@ -352,7 +322,10 @@
 
 
 def _log_place(
-    gw: context.Gateway, job: Job, choice: placing.Choice, now_ms: float
+    gw: context.Gateway,
+    job: job_lib.Job,
+    choice: placing.Choice,
+    now_ms: float,
 ) -> None:
     endpoint = choice.endpoint
     gw.log.emit_request(
@@ -373,7 +346,7 @@
 def _log_end(
     gw: context.Gateway,
     req: http1.Request,
-    job: Job | None,
+    job: job_lib.Job | None,
     reply: reply_lib.Reply,
     outcome: model.Outcome,
     exc: errors.FoxtailError | None,
--- a/foxtailpick/platform/store.py
+++ b/foxtailpick/platform/store.py
@@ -12,6 +12,7 @@
 from foxtailpick.core import errors
 from foxtailpick.core import types
 from foxtailpick.core import verdict as verdict_lib
+from foxtailpick.gateway import client as client_lib
 from foxtailpick.gateway import exchange
 from foxtailpick.gateway import http1
 
@@ -35,7 +36,7 @@
     def __init__(self, address: tuple[str, int]) -> None:
         self._address = address
         self._host = f'{address[0]}:{address[1]}'.encode()
-        self._idle: list[http1.ClientConnection] = []
+        self._idle: list[client_lib.ClientConnection] = []
         self.calls = 0
 
     def __enter__(self) -> 'PlatformStore':
@@ -189,7 +190,7 @@
             len(data),
         )
         is_sent = False
-        conn: http1.ClientConnection | None = None
+        conn: client_lib.ClientConnection | None = None
         try:
             with trio.fail_after(timeout_ms / types.SECOND_MS):
                 conn = await self._take_connection()
@@ -207,13 +208,13 @@
             if conn is not None:
                 conn.close()
 
-    async def _take_connection(self) -> http1.ClientConnection:
+    async def _take_connection(self) -> client_lib.ClientConnection:
         while self._idle:
             conn = self._idle.pop()
             if conn.is_alive():
                 return conn
             conn.close()
-        return await http1.ClientConnection.connect(self._address)
+        return await client_lib.ClientConnection.connect(self._address)
 
 
 def _decode_entry(item: typing.Mapping[str, typing.Any]) -> base.Entry:
--- a/foxtailpick/soak/callers.py
+++ b/foxtailpick/soak/callers.py
@@ -6,6 +6,7 @@
 
 from foxtailpick.core.dispatch import model
 from foxtailpick.core import types
+from foxtailpick.gateway import client as client_lib
 from foxtailpick.gateway import exchange
 from foxtailpick.gateway import http1
 from foxtailpick.platform import dialect
@@ -23,7 +24,7 @@
 async def run_caller(world: world_lib.World, name: str, seed: int) -> None:
     """Send requests one after the other until cancelled."""
     rng = random.Random(seed)
-    conns: dict[str, http1.ClientConnection] = {}
+    conns: dict[str, client_lib.ClientConnection] = {}
     number = 0
     while True:
         number += 1
@@ -37,7 +38,7 @@
         try:
             if conn is None:
                 with trio.fail_after(1.0):
-                    conn = await http1.ClientConnection.connect(
+                    conn = await client_lib.ClientConnection.connect(
                         gateway.address
                     )
             await _ask(call, conn, rng)
@@ -78,7 +79,9 @@
 
 
 async def _ask(
-    call: record_lib.Call, conn: http1.ClientConnection, rng: random.Random
+    call: record_lib.Call,
+    conn: client_lib.ClientConnection,
+    rng: random.Random,
 ) -> None:
     body = b'b' * rng.choice(BODY_BYTES)
     headers = [
@@ -107,9 +110,11 @@
     call.has_left = scope.cancelled_caught
 
 
-async def _read(call: record_lib.Call, conn: http1.ClientConnection) -> None:
+async def _read(
+    call: record_lib.Call, conn: client_lib.ClientConnection
+) -> None:
     head = await conn.next_event()
-    assert isinstance(head, http1.ResponseHead)
+    assert isinstance(head, client_lib.ResponseHead)
     call.status = head.status
     meta = dialect.decode_response(head.headers)
     if meta.signature is not None:
@@ -120,7 +125,7 @@
         await exchange.read_body(conn)
         call.is_whole = True
         return
-    while (event := await conn.next_event()) is not http1.END:
+    while (event := await conn.next_event()) is not client_lib.END:
         call.body += event
     call.is_whole = True
 
--- a/foxtailpick/tests/gateway_stage.py
+++ b/foxtailpick/tests/gateway_stage.py
@@ -8,6 +8,7 @@
 
 from foxtailpick.core import clock
 from foxtailpick.core.dispatch import model
+from foxtailpick.gateway import client as client_lib
 from foxtailpick.gateway import daemon
 from foxtailpick.gateway import decision_log
 from foxtailpick.gateway import exchange
@@ -135,7 +136,7 @@
 
     async def send(self, path, method=b'GET', body=b'', **headers):
         """Send one request on a new connection."""
-        conn = await http1.ClientConnection.connect(self.address)
+        conn = await client_lib.ClientConnection.connect(self.address)
         await conn.send(format_ask(path, method, body, **headers))
         return conn
 
--- a/foxtailpick/tests/test_gateway.py
+++ b/foxtailpick/tests/test_gateway.py
@@ -9,6 +9,7 @@
 from foxtailpick.core.dispatch import patience
 from foxtailpick.core.dispatch import placing
 from foxtailpick.core import errors
+from foxtailpick.gateway import client as client_lib
 from foxtailpick.gateway import daemon
 from foxtailpick.gateway import decision_log
 from foxtailpick.gateway import http1
@@ -287,7 +288,7 @@
     async with gateway_stage.open_stage() as stage:
         endpoint = stage.add_endpoint('p1', 'plain', answer_plainly)
         await stage.until_known('p1')
-        conn = await http1.ClientConnection.connect(stage.address)
+        conn = await client_lib.ClientConnection.connect(stage.address)
         await conn.send(
             b'POST /unsafe/x HTTP/1.1\r\nHost: chat.example\r\n'
             b'Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n'
@@ -351,7 +352,7 @@
         await stage.until(lambda: stage.gw.attempts)
         stage.stop.set()
         await stage.until(lambda: stage.gw.is_stopping)
-        ready = await http1.ClientConnection.connect(stage.ready_address)
+        ready = await client_lib.ClientConnection.connect(stage.ready_address)
         await ready.send(gateway_stage.format_ask('/readyz'))
         assert (await gateway_stage.read_answer(ready)).status == 503
         ready.close()
