--- a/foxtailpick/gateway/decision_log.py
+++ b/foxtailpick/gateway/decision_log.py
@@ -24,6 +24,10 @@
 MAX_REQUEST_LINES_PER_S = 150
 FLUSH_MS = 250.0
 _STDOUT = 1
+# Lines are whole already, so nothing is formatted around them.
+_logger = logger.opt(raw=True)
+# One encoder for all lines: `json.dumps` with options makes one a call.
+_encode = json.JSONEncoder(separators=(',', ':'), default=str).encode
 
 
 class DecisionLog:
@@ -55,7 +59,7 @@
         :param fields: inputs, their age or version, the outcome.
         """
         line = {'ms': round(self._now_ms(), 1), 'event': event, **fields}
-        logger.info(json.dumps(line, separators=(',', ':'), default=str))
+        _logger.info(_encode(line) + '\n')
 
     def emit_request(self, event: str, **fields: typing.Any) -> None:
         """Log a decision about one request, unless there are too many."""
