Expect the slowest streams once callers could leave a stopping router

A stream that was taken 3.6 s after SIGTERM lasted 4.1 s and more and was cut: most streams end before the tokens that they may have, so the mean time a token was too small for one that used them all.

Change: from 3 s after the signal on, the slowest of about fifty streams counts instead of the mean.

--- a/foxtailpick/gateway/context.py
+++ b/foxtailpick/gateway/context.py
@@ -69,6 +69,7 @@
         default_factory=stopping.StreamPace
     )
     stops_at_ms: float | None = None
+    stopping_since_ms: float = 0.0
 
     @property
     def is_stopping(self) -> bool:
--- a/foxtailpick/gateway/daemon.py
+++ b/foxtailpick/gateway/daemon.py
@@ -295,6 +295,7 @@
 
 async def _drain(gw: context.Gateway, callers: server.CallerServer) -> None:
     began_ms = gw.now_ms()
+    gw.stopping_since_ms = began_ms
     gw.stops_at_ms = began_ms + gw.cfg.grace_ms - EXIT_MARGIN_MS
     while gw.now_ms() < gw.stops_at_ms:
         await trio.sleep(SWEEP_MS / types.SECOND_MS)
--- a/foxtailpick/gateway/relay.py
+++ b/foxtailpick/gateway/relay.py
@@ -139,7 +139,10 @@
         return
     left_ms = gw.stops_at_ms - gw.now_ms()
     need_ms = stopping.find_duration_ms(
-        route, meta.output_tokens, gw.stream_pace
+        route,
+        meta.output_tokens,
+        gw.stream_pace,
+        gw.now_ms() - gw.stopping_since_ms,
     )
     if need_ms > left_ms:
         raise errors.RequestError(
--- a/foxtailpick/tests/test_dispatch.py
+++ b/foxtailpick/tests/test_dispatch.py
@@ -316,11 +316,11 @@
     for _ in range(200):
         learned.observe(2_000.0, 400)
     assert 4.9 < learned.ms_per_token < 5.1
-    short = stopping.find_duration_ms(route, 20, learned)
-    long = stopping.find_duration_ms(route, 700, learned)
+    short = stopping.find_duration_ms(route, 20, learned, 0.0)
+    long = stopping.find_duration_ms(route, 700, learned, 0.0)
     assert short < 400 < 4_000 < long
     plain = dataclasses.replace(route, kind=model.RequestKind.SAFE)
-    assert stopping.find_duration_ms(plain, 0, learned) == 10_000.0
+    assert stopping.find_duration_ms(plain, 0, learned, 0.0) == 10_000.0
 
 
 def test_patience_grows_when_all_answers_become_slow():
@@ -391,3 +391,19 @@
     assert choice.holder is not None
     late = choose(table, prefix='p', now_ms=endpoint_table.FRESH_MS + 1)
     assert late.holder is None
+
+
+def test_stopping_router_expects_the_slowest_streams_once_callers_left():
+    """Found on kandurata fresh-785d: a stream outlived its router.
+
+    Streams use half of their tokens on the mean, at 10 ms a token; the
+    next one uses all of them.
+    """
+    rng = random.Random(5)
+    learned = stopping.StreamPace()
+    for _ in range(300):
+        learned.observe(400 * rng.uniform(0.0, 1.0) * 10.0, 400)
+    route = make_route(kind=model.RequestKind.STREAMING, timeout_ms=10_000.0)
+    early = stopping.find_duration_ms(route, 400, learned, 2_900.0)
+    late = stopping.find_duration_ms(route, 400, learned, 3_100.0)
+    assert early < 4_000.0 < late
