Remove state that nothing reads from the gateway

Cause: a reading of the whole change found a request counter, an event counter, a time of contact and an obstacle that no code read or returned.

Change: they are gone; no decision differs.

--- a/foxtailpick/core/dispatch/event_stream.py
+++ b/foxtailpick/core/dispatch/event_stream.py
@@ -14,7 +14,6 @@
 
     def __init__(self, last_id: str | None = None) -> None:
         self.last_id = last_id
-        self.events = 0
         self._tail = b''
 
     def feed(self, data: bytes) -> bytes:
@@ -46,7 +45,6 @@
         self._tail = b''
 
     def _note_last_id(self, whole: bytes) -> None:
-        self.events += whole.count(_EVENT_END)
         start = whole.rfind(b'\n' + _ID_FIELD) + 1
         if start == 0 and not whole.startswith(_ID_FIELD):
             return
--- a/foxtailpick/core/dispatch/refusal.py
+++ b/foxtailpick/core/dispatch/refusal.py
@@ -15,7 +15,7 @@
 # after a part of a second.
 NONE_LISTED_MS = 600.0
 COLD_MS = 250.0
-FULL_MS = 300.0
+TRIED_MS = 300.0
 # Part of the target time that a request may wait here for a place. A
 # caller is told early enough to be served elsewhere in time.
 WAIT_SHARE = 0.125
@@ -28,8 +28,7 @@
 _BASE_MS = {
     placing.Obstacle.NONE_LISTED: NONE_LISTED_MS,
     placing.Obstacle.ALL_COLD: COLD_MS,
-    placing.Obstacle.ALL_FULL: FULL_MS,
-    placing.Obstacle.ALL_TRIED: FULL_MS,
+    placing.Obstacle.ALL_TRIED: TRIED_MS,
 }
 
 
@@ -39,7 +38,7 @@
     :param obstacle: why no endpoint can be chosen.
     :param target_ms: time within which the answer is wanted.
     """
-    if obstacle in (placing.Obstacle.ALL_COLD, placing.Obstacle.ALL_FULL):
+    if obstacle is placing.Obstacle.ALL_COLD:
         return target_ms * WAIT_SHARE
     return 0.0
 
--- a/foxtailpick/gateway/context.py
+++ b/foxtailpick/gateway/context.py
@@ -64,7 +64,6 @@
     first_answers: dict[str, patience.FirstAnswer] = dataclasses.field(
         default_factory=dict
     )
-    requests: int = 0
     stream_pace: stopping.StreamPace = dataclasses.field(
         default_factory=stopping.StreamPace
     )
--- a/foxtailpick/gateway/mirror.py
+++ b/foxtailpick/gateway/mirror.py
@@ -80,7 +80,6 @@
         self._lost_ms: float | None = None
         self._returned_ms = -RETURN_GRACE_MS
         self._has_read = False
-        self.confirmed_ms = 0.0
 
     async def follow(self) -> None:
         """Read everything, then watch; start over when history is lost."""
@@ -180,7 +179,6 @@
 
     def _note_contact(self) -> None:
         now_ms = self._now_ms()
-        self.confirmed_ms = now_ms
         if self._lost_ms is not None:
             self._log.emit('store-regained', after_ms=now_ms - self._lost_ms)
             self._lost_ms = None
--- a/foxtailpick/gateway/relay.py
+++ b/foxtailpick/gateway/relay.py
@@ -56,7 +56,6 @@
     job: job_lib.Job | None = None
     outcome = model.Outcome.CALLER_LEFT
     error: errors.FoxtailError | None = None
-    gw.requests += 1
     try:
         job = _admit(gw, req)
         deadline = job.deadline_ms / types.SECOND_MS
