Let requests wait only at a service that stays full

With one endpoint of six places left and runs of 45 ms all places are taken now and then at 62 % of what it bears; the hold of 50 ms and more cost more than the queue.

Change: where runs are shorter than the exchange of counts, the mean of the taken places over half a second decides. Two hundredths of the places stay free for requests within their accounts' parts, and many gateways draw who takes a single place.

--- a/foxtailpick/core/dispatch/account_use.py
+++ b/foxtailpick/core/dispatch/account_use.py
@@ -12,17 +12,15 @@
 
 import dataclasses
 import random
-import typing
 
-from foxtailpick.core.dispatch import endpoint_table
 from foxtailpick.core import types
 
 # Work counts half after this time, about the length of a long answer.
 HALF_LIFE_MS = 2_000.0
 # Accounts with less than this part of the mean have stopped sending.
 ACTIVE_PART = 0.02
-# From this part of a service's places taken on, some requests wait: the
-# endpoints are not evenly loaded and counts are old by an exchange.
+# From this part of a service's places taken on, in the mean, some requests
+# wait: endpoints are not evenly loaded.
 FULL_PART = 0.9
 # Work of an output token in that of a prompt token, as the operators
 # weigh the two.
@@ -80,27 +78,16 @@
     return use.work.get(account, 0.0) * len(use.work) / total
 
 
-def is_excess(
-    ratio: float,
-    endpoints: typing.Sequence[endpoint_table.Endpoint],
-    now_ms: float,
-    rng: random.Random,
-) -> bool:
+def is_excess(ratio: float, fullness: float, rng: random.Random) -> bool:
     """Tell whether a request leaves its place to other accounts.
 
     Of an account's requests, those within the equal part are drawn by
     chance, so that each of its callers gets the same part.
 
     :param ratio: the account's use as a multiple of the equal part.
-    :param endpoints: endpoints of the service that may take new work.
-    :param now_ms: current time.
+    :param fullness: mean part of the service's places that is taken.
     :param rng: source of random numbers.
     """
-    if ratio <= 1:
-        return False
-    usable = [item for item in endpoints if not item.health.is_paused(now_ms)]
-    load = sum(item.load for item in usable)
-    places = sum(item.entry.slots for item in usable)
-    if load < FULL_PART * places:
+    if ratio <= 1 or fullness < FULL_PART:
         return False
     return rng.random() > 1 / ratio
--- a/foxtailpick/gateway/context.py
+++ b/foxtailpick/gateway/context.py
@@ -79,6 +79,10 @@
     stops_at_ms: float | None = None
     stopping_since_ms: float = 0.0
 
+    def get_waiting(self, service: types.ServiceId) -> waiting_lib.Waiting:
+        """Return the requests of a service that wait here."""
+        return self.waiting.setdefault(service, waiting_lib.Waiting())
+
     @property
     def is_stopping(self) -> bool:
         """Whether the process was told to stop."""
--- a/foxtailpick/gateway/holding.py
+++ b/foxtailpick/gateway/holding.py
@@ -19,12 +19,9 @@
     :param job: the request, which was not sent yet.
     :raises errors.RequestError: if it cannot get a place in time.
     """
-    endpoints = gw.state.table.list_service(job.service.name)
-    if not account_use.is_excess(
-        job.use_ratio, endpoints, gw.now_ms(), gw.rng
-    ):
+    waiting = gw.get_waiting(job.service.name)
+    if not account_use.is_excess(job.use_ratio, waiting.fullness, gw.rng):
         return
-    waiting = gw.waiting.setdefault(job.service.name, waiting_lib.Waiting())
     expected_ms = waiting_lib.find_wait_ms(waiting)
     longest_ms = waiting_lib.find_longest_ms(
         job.route.patience_ms, job.deadline_ms - gw.now_ms()
@@ -35,6 +32,7 @@
         request=job.meta.id,
         account=job.account.name if job.account else None,
         use=round(job.use_ratio, 2),
+        fullness=round(waiting.fullness, 2),
         waiting=len(waiting.items),
         expected_ms=round(expected_ms),
         longest_ms=round(longest_ms),
@@ -49,7 +47,8 @@
             finally:
                 waiting_lib.remove(waiting, placed)
     if not placed.is_set():
-        raise make_refusal(gw, job, placing.Obstacle.ALL_FULL, len(endpoints))
+        listed = gw.state.table.list_service(job.service.name)
+        raise make_refusal(gw, job, placing.Obstacle.ALL_FULL, len(listed))
 
 
 async def release_places(gw: context.Gateway) -> None:
@@ -58,10 +57,12 @@
         await trio.sleep(waiting_lib.PERIOD_MS / types.SECOND_MS)
         now_ms = gw.now_ms()
         for service, waiting in gw.waiting.items():
+            endpoints = gw.state.table.list_service(service)
+            waiting_lib.note_fullness(waiting, endpoints, now_ms)
             if not waiting.items:
                 continue
             free = waiting_lib.count_free_places(
-                gw.state.table.list_service(service), gw.state.routers, now_ms
+                endpoints, gw.state.routers, now_ms, gw.rng
             )
             for placed in waiting_lib.take_next(waiting, free, now_ms):
                 placed.set()
--- a/foxtailpick/gateway/relay.py
+++ b/foxtailpick/gateway/relay.py
@@ -13,6 +13,7 @@
 from foxtailpick.core.dispatch import repeat
 from foxtailpick.core.dispatch import route_table
 from foxtailpick.core.dispatch import stopping
+from foxtailpick.core.dispatch import waiting as waiting_lib
 from foxtailpick.core import errors
 from foxtailpick.core import types
 from foxtailpick.core import verdict as verdict_lib
@@ -176,11 +177,15 @@
     await holding.wait_for_part(gw, job)
     while True:
         choice = await _find_place(gw, job)
+        sent_ms = gw.now_ms()
         result = await attempt_lib.run_attempt(gw, job, choice, reply)
         job.verdict = verdict_lib.merge_verdicts(
             job.verdict, repeat.get_verdict(result.end)
         )
         if result.end is repeat.AttemptEnd.DELIVERED:
+            waiting_lib.note_run(
+                gw.get_waiting(job.service.name), gw.now_ms() - sent_ms
+            )
             if job.route.kind is model.RequestKind.STREAMING:
                 gw.stream_pace.observe(
                     gw.now_ms() - job.req.received_ms,
