Let a stale entry use up no attempt

Change: an answer of 421 is a try that did not find its endpoint, as a failed connection is; at most three of these for a request. It still counts as an arrival for the budget of repeats, and the endpoint is passed over.

test_stale_entry_uses_up_no_attempt failed first.

--- a/foxtailpick/gateway/attempt.py
+++ b/foxtailpick/gateway/attempt.py
@@ -132,6 +132,7 @@
     gw.attempts.add(attempt)
     try:
         job.sent += 1
+        job.arrivals += 1
         result = await _exchange(gw, job, choice, attempt, conn, reply)
         is_reusable = result.end is not repeat.AttemptEnd.BROKEN
     except _BadAnswerError as exc:
@@ -144,8 +145,11 @@
     if result.end is repeat.AttemptEnd.DELIVERED:
         health.note_success(endpoint.health, gw.now_ms())
     elif result.end is not repeat.AttemptEnd.ERROR_ANSWER:
-        is_dark = endpoint.health.is_silent(gw.now_ms())
-        _note_failure(gw, endpoint, result.detail, is_dark)
+        is_gone = (
+            result.end is repeat.AttemptEnd.MISDIRECTED
+            or endpoint.health.is_silent(gw.now_ms())
+        )
+        _note_failure(gw, endpoint, result.detail, is_gone)
     return result
 
 
@@ -241,9 +245,12 @@
     is_success = 200 <= head.status < 300
     if meta.is_not_run or head.status == _MISDIRECTED:
         await _read_body(conn)
-        return AttemptResult(
-            repeat.AttemptEnd.REFUSED, f'refused with {head.status}'
-        )
+        end = repeat.AttemptEnd.REFUSED
+        if head.status == _MISDIRECTED:
+            end = repeat.AttemptEnd.MISDIRECTED
+            # Another endpoint has the address, so this one got nothing.
+            job.sent -= 1
+        return AttemptResult(end, f'refused with {head.status}')
     if is_success and (not meta.is_signed or meta.is_encoded):
         raise _BadAnswerError('an answer without signature, or encoded')
     if is_success and job.route.kind is model.RequestKind.STREAMING:
--- a/foxtailpick/gateway/job.py
+++ b/foxtailpick/gateway/job.py
@@ -23,8 +23,9 @@
     :param splitter: position in the stream, for one that may move.
     :param prefix: id of the prompt part to return to, if any.
     :param tried: endpoints that it was tried at.
-    :param sent: endpoints that it was sent to.
-    :param unreachable: endpoints that could not be connected to.
+    :param sent: endpoints that it was sent to and that were there.
+    :param not_there: endpoints that were not at their address.
+    :param arrivals: times that it was sent, to whomever.
     :param use_ratio: its account's use of the service, as a multiple of the
         equal part.
     :param verdict: what is known of its execution.
@@ -42,5 +43,6 @@
     use_ratio: float = 0.0
     tried: set[types.EndpointId] = dataclasses.field(default_factory=set)
     sent: int = 0
-    unreachable: int = 0
+    not_there: int = 0
+    arrivals: int = 0
     verdict: verdict_lib.Verdict = verdict_lib.Verdict.NOT_RUN
--- a/foxtailpick/gateway/relay.py
+++ b/foxtailpick/gateway/relay.py
@@ -32,6 +32,7 @@
 # Another gateway may serve a refused caller at once.
 STOPPING_RETRY_MS = 100.0
 
+_NOT_THERE = (repeat.AttemptEnd.UNREACHABLE, repeat.AttemptEnd.MISDIRECTED)
 _STATUS_BY_CODE = {
     errors.ErrorCode.REQUEST_MALFORMED: 400,
     errors.ErrorCode.ACCOUNT_UNKNOWN: 401,
@@ -193,13 +194,13 @@
                 )
             return model.Outcome.ANSWERED
         job.tried.add(choice.endpoint.id)
-        if result.end is repeat.AttemptEnd.UNREACHABLE:
-            job.unreachable += 1
+        if result.end in _NOT_THERE:
+            job.not_there += 1
         plan = repeat.plan_repeat(
             result.end,
             job.route,
             job.sent,
-            job.unreachable,
+            job.not_there,
             gw.budget.get_tokens(job.service.name) >= 1,
         )
         if plan is repeat.Repeat.ALLOWED and not _has_other(gw, job):
@@ -215,7 +216,7 @@
         )
         gw.metrics.count('attempts_failed')
         if plan is repeat.Repeat.ALLOWED:
-            if job.sent:
+            if job.arrivals:
                 gw.budget.withdraw(job.service.name)
                 gw.metrics.count('repeats')
             continue
--- a/foxtailpick/tests/test_dispatch.py
+++ b/foxtailpick/tests/test_dispatch.py
@@ -265,6 +265,8 @@
         ),
         ('UNREACHABLE', {'max_attempts': 1}, 0, False, 'ALLOWED'),
         ('REFUSED', {'max_attempts': 1}, 1, True, 'NO_ATTEMPT_LEFT'),
+        ('MISDIRECTED', {'max_attempts': 1}, 0, True, 'ALLOWED'),
+        ('MISDIRECTED', {'max_attempts': 1}, 0, False, 'NO_BUDGET'),
     ],
 )
 def test_repeats(end, fields, sent, has_budget, plan):
--- a/foxtailpick/tests/test_gateway.py
+++ b/foxtailpick/tests/test_gateway.py
@@ -139,6 +139,27 @@
     assert refusing.seen
 
 
+async def test_stale_entry_uses_up_no_attempt():
+    async def misdirect(exchange):
+        await exchange.answer(421, b'', is_signed=False)
+
+    route = gateway_stage.make_route(
+        'unsafe', '/unsafe/', 'unsafe', max_attempts=1
+    )
+    cfg = gateway_stage.make_config(routes=[route])
+    async with gateway_stage.open_stage(cfg) as stage:
+        stale = stage.add_endpoint('p1', 'plain', misdirect)
+        stage.add_endpoint('p2', 'plain', answer_plainly)
+        await stage.until_known('p1', 'p2')
+        answers = [
+            await stage.ask('/unsafe/x', b'POST', b'd', X_Attempt_Id=f'a{i}')
+            for i in range(8)
+        ]
+    assert {answer.status for answer in answers} == {200}
+    # It is passed over once it is known to be stale.
+    assert len(stale.seen) == 1
+
+
 async def test_unsafe_503_after_a_run_is_no_promise_to_the_caller():
     async def run_and_fail(exchange):
         await exchange.answer(503, b'')
