Gather changes of the store that come in crowds

Change: a change after a quiet second is known at once as before; after another one within a second the next are gathered for 300 ms. Bounds on changes are 2 s and more.

test_mirror.py replays 40 registrations within 2 s and failed first (it counts calls and lateness). Two tests of an outage waited 200 ms for the gateway to see it; they now wait until it has, which is as strict.

--- a/foxtailpick/gateway/mirror.py
+++ b/foxtailpick/gateway/mirror.py
@@ -24,6 +24,13 @@
 LEASE_MS = 8_000.0
 KEEP_MS = 2_500.0
 
+# After a change, the next ones are gathered for this long, so that a crowd of
+# changes, as when all routers start, does not cost each router a call for
+# each. A change after a quiet time is still known at once; an endpoint may
+# be used for 2 s after it was told to leave.
+GATHER_MS = 300.0
+GATHER_WITHIN_MS = 1_000.0
+
 Decode = typing.Callable[[str, bytes | None], model.Item | None]
 
 
@@ -80,6 +87,7 @@
         self._lost_ms: float | None = None
         self._returned_ms = -RETURN_GRACE_MS
         self._has_read = False
+        self._changed_ms = -GATHER_WITHIN_MS
 
     async def follow(self) -> None:
         """Read everything, then watch; start over when history is lost."""
@@ -153,11 +161,17 @@
     async def _watch_once(self, revision: types.Revision) -> types.Revision:
         changes, reached = await self._store.poll_changes('', revision)
         self._note_contact()
+        now_ms = self._now_ms()
+        is_crowd = now_ms - self._changed_ms < GATHER_WITHIN_MS
+        if changes:
+            self._changed_ms = now_ms
         for change in changes:
             value = change.entry.value if change.entry else None
             item = self._decode_logged(change.key, value)
             if item is not None:
                 self._state.apply(item)
+        if changes and is_crowd:
+            await trio.sleep(GATHER_MS / types.SECOND_MS)
         return reached
 
     def _decode_logged(
--- /dev/null
+++ b/foxtailpick/tests/test_mirror.py
@@ -0,0 +1,91 @@
+"""Tests of following the platform's store, in virtual time."""
+
+import json
+import random
+
+import trio
+
+from foxtailpick.adapters import base
+from foxtailpick.core import types
+from foxtailpick.gateway import decision_log
+from foxtailpick.gateway import mirror
+from foxtailpick.gateway import state
+from foxtailpick.platform import items
+from foxtailpick.tests import gateway_stage
+
+WAIT_S = 1.5
+ENTRY = json.dumps(
+    gateway_stage.make_entry('engine', ('127.0.0.1', 1))
+).encode()
+
+
+class ChangingStore:
+    """A store whose only calls are reads and watches."""
+
+    def __init__(self):
+        self.changes = []
+        self.polls = 0
+        self._changed = trio.Event()
+
+    def put(self, key, value):
+        """Write an item."""
+        revision = types.Revision(len(self.changes) + 1)
+        entry = base.Entry(key, value, revision)
+        self.changes.append(base.Change(key, entry))
+        self._changed.set()
+        self._changed = trio.Event()
+
+    async def read_snapshot(self, prefix):
+        """Return nothing, as of now."""
+        return base.Snapshot([], types.Revision(len(self.changes)))
+
+    async def poll_changes(self, prefix, after):
+        """Wait for changes."""
+        self.polls += 1
+        if after == len(self.changes):
+            with trio.move_on_after(WAIT_S):
+                await self._changed.wait()
+        return self.changes[after:], types.Revision(len(self.changes))
+
+
+async def follow_changes(gaps_s):
+    """Return the calls made, and how late each change was known, in s."""
+    store = ChangingStore()
+    seen = {}
+
+    def decode(key, value):
+        seen[key] = trio.current_time()
+        return items.decode_item(key, value)
+
+    def now_ms():
+        return trio.current_time() * 1_000
+
+    log = decision_log.DecisionLog(now_ms, len)
+    own = state.GatewayState(types.RouterId('r'), now_ms, log)
+    follower = mirror.Mirror(store, own, decode, now_ms, log, random.Random(1))
+    written = {}
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(follower.follow)
+        await trio.sleep(5)
+        for number, gap_s in enumerate(gaps_s):
+            await trio.sleep(gap_s)
+            key = f'servers/e{number}'
+            written[key] = trio.current_time()
+            store.put(key, ENTRY)
+        polls = store.polls
+        await trio.sleep(2)
+        nursery.cancel_scope.cancel()
+    return polls, [seen[key] - written[key] for key in written]
+
+
+async def test_crowd_of_changes_costs_few_calls(autojump_clock):
+    """Replays the start of a fleet: 40 routers register within 2 s."""
+    polls, late = await follow_changes([0.05] * 40)
+    idle = 5 / WAIT_S
+    assert polls - idle < 12
+    assert max(late) <= mirror.GATHER_MS / 1_000 + 0.01
+
+
+async def test_change_after_a_quiet_time_is_known_at_once(autojump_clock):
+    _, late = await follow_changes([3.0, 3.0])
+    assert max(late) < 0.01
--- a/foxtailpick/tests/test_platform.py
+++ b/foxtailpick/tests/test_platform.py
@@ -238,6 +238,13 @@
         assert stage.gw.state.table.list_service('engine') == []
 
 
+async def refuse_one_call(stage):
+    """Let the store fail until the gateway has seen it."""
+    calls = len(stage.store.calls)
+    stage.store.refuse_with = 503
+    await stage.until(lambda: len(stage.store.calls) > calls)
+
+
 async def test_entries_that_lapsed_with_the_store_away_are_kept_a_while():
     """Endpoints whose entries lapse during an outage stay in use."""
     async with gateway_stage.open_stage() as stage:
@@ -246,9 +253,7 @@
         stage.store.put('servers/e2', entry)
         await stage.until_known('e1', 'e2')
         table = stage.gw.state.table
-        stage.store.refuse_with = 503
-        stage.store.put('servers/e1', {**entry, 'sequence': 2})
-        await trio.sleep(mirror.RETRY_MS / 1_000)
+        await refuse_one_call(stage)
         stage.store.lapse('servers/e1')
         stage.store.lapse('servers/e2')
         stage.store.refuse_with = None
@@ -265,11 +270,9 @@
         entry = gateway_stage.make_entry('engine', ('127.0.0.1', 1))
         stage.store.put('servers/e1', entry)
         await stage.until_known('e1')
-        stage.store.refuse_with = 503
-        stage.store.put('servers/e2', entry)
-        await trio.sleep(mirror.RETRY_MS / 1_000)
-        stage.store.refuse_with = None
+        await refuse_one_call(stage)
         reads = stage.store.calls.count('kv-range')
+        stage.store.refuse_with = None
         await stage.until(
             lambda: (
                 stage.store.calls.count('kv-range') > reads
