Keep to the connections of endpoints and to our own descriptors

Cause: `max_connections` of a service was read and not kept to, so slow answers let requests pile up until an endpoint reset connections of all gateways; `max_sockets` and the shortest lease of the store were checked and not used.

Change: a gateway opens nine tenths of its equal part of the connections that an endpoint takes; with all parts used a request waits for an eighth of its target time and is refused. From six tenths of the descriptors on, the longest idle caller's connection is closed for each new one. A lease is never asked for below the shortest that the store grants.

test_routers_share_the_connections_that_an_endpoint_takes and test_idle_callers_make_room_for_new_ones failed first.

--- a/foxtailpick/core/dispatch/placing.py
+++ b/foxtailpick/core/dispatch/placing.py
@@ -14,6 +14,7 @@
 
 import dataclasses
 import enum
+import math
 import random
 import typing
 
@@ -31,6 +32,9 @@
 KEEP_SLACK = 2.0
 PASS_MULTIPLE = 1.7
 PASS_SLACK = 3.0
+# Part of the connections that an endpoint takes from all routers which is
+# used: it takes fewer while its queue is long, and resets those beyond.
+CONNECTIONS_SHARE = 0.9
 # Where all endpoints are full, waiting behind this part of its places takes
 # about as long as reading a long prompt elsewhere (64 to 128 ms on the
 # platform, with runs of one to two seconds).
@@ -112,7 +116,8 @@
         return Obstacle.ALL_TRIED
     open_ = [item for item in fresh if _bears_one_more(item, query)]
     if not open_:
-        return Obstacle.ALL_COLD
+        is_cold = any(item.is_cold(query.now_ms) for item in fresh)
+        return Obstacle.ALL_COLD if is_cold else Obstacle.ALL_FULL
     usable = [item for item in open_ if not _is_suspect(item, query.now_ms)]
     if not usable:
         return _choose_last_resort(open_)
@@ -138,12 +143,22 @@
 
 
 def _bears_one_more(item: endpoint_table.Endpoint, query: Query) -> bool:
+    if item.running >= _find_most_connections(query):
+        return False
     rate = query.service.warmup_per_s
     if rate <= 0 or not item.is_cold(query.now_ms):
         return True
     return pace_lib.is_open(item.pace, rate / query.routers, query.now_ms)
 
 
+def _find_most_connections(query: Query) -> float:
+    """Return this router's part of the connections that one takes."""
+    most = query.service.max_connections
+    if most <= 0:
+        return math.inf
+    return max(1, math.floor(CONNECTIONS_SHARE * most / query.routers))
+
+
 def _is_suspect(item: endpoint_table.Endpoint, now_ms: float) -> bool:
     return item.health.is_paused(now_ms) or item.health.is_silent(now_ms)
 
--- a/foxtailpick/core/dispatch/refusal.py
+++ b/foxtailpick/core/dispatch/refusal.py
@@ -41,7 +41,7 @@
     :param obstacle: why no endpoint can be chosen.
     :param target_ms: time within which the answer is wanted.
     """
-    if obstacle is placing.Obstacle.ALL_COLD:
+    if obstacle in (placing.Obstacle.ALL_COLD, placing.Obstacle.ALL_FULL):
         return target_ms * WAIT_SHARE
     return 0.0
 
--- a/foxtailpick/gateway/daemon.py
+++ b/foxtailpick/gateway/daemon.py
@@ -184,7 +184,13 @@
         store=gw.cfg.store,
     )
     mirror = mirror_lib.Mirror(
-        store, gw.state, decode, gw.now_ms, gw.log, gw.rng
+        store,
+        gw.state,
+        decode,
+        gw.now_ms,
+        gw.log,
+        gw.rng,
+        gw.cfg.min_lease_ms,
     )
     callers = server.CallerServer(gw)
     with gw.pool, peers.PeerExchange(gw, listeners.peers) as exchange:
--- a/foxtailpick/gateway/mirror.py
+++ b/foxtailpick/gateway/mirror.py
@@ -67,6 +67,8 @@
     :param decode: decodes an item of the store.
     :param now_ms: function that returns the current time.
     :param log: where lost and regained contact is logged.
+    :param rng: source of random numbers.
+    :param min_lease_ms: shortest lease that the store grants.
     """
 
     def __init__(
@@ -77,7 +79,9 @@
         now_ms: typing.Callable[[], float],
         log: decision_log.DecisionLog,
         rng: random.Random,
+        min_lease_ms: float = 0.0,
     ) -> None:
+        self._lease_ms = max(LEASE_MS, min_lease_ms)
         self._store = store
         self._state = state
         self._decode = decode
@@ -123,7 +127,7 @@
         while True:
             try:
                 if lease is None:
-                    lease = await self._store.grant_lease(LEASE_MS)
+                    lease = await self._store.grant_lease(self._lease_ms)
                     await self._store.transact(
                         [], [base.Put(key, value, lease)]
                     )
--- a/foxtailpick/gateway/server.py
+++ b/foxtailpick/gateway/server.py
@@ -17,6 +17,10 @@
 # Connections that may wait to be accepted; a full queue costs a caller
 # seconds, so it holds more than a burst of new callers.
 BACKLOG = 1_024
+# Descriptors that files and listening sockets take, as the operators say.
+FILES_RESERVED = 200
+# Part of the descriptors for callers; a request needs one more to be sent.
+CALLERS_SHARE = 0.6
 # Requests of one connection that are read ahead.
 MAX_READ_AHEAD = 8
 # Pause when no descriptor is left for a new connection.
@@ -65,6 +69,23 @@
             if not caller.is_busy and now_ms - caller.idle_since_ms >= idle_ms:
                 caller.scope.cancel()
 
+    def _make_room(self) -> None:
+        """Close the longest idle connection if there are too many."""
+        usable = self._gw.cfg.max_sockets - FILES_RESERVED
+        if len(self._callers) < CALLERS_SHARE * usable:
+            return
+        idle = [caller for caller in self._callers if not caller.is_busy]
+        if idle:
+            oldest = min(idle, key=lambda caller: caller.idle_since_ms)
+            oldest.scope.cancel()
+            self._gw.metrics.count('callers_closed_for_room')
+            self._gw.log.emit_request(
+                'caller-closed',
+                why='too many connections',
+                connections=len(self._callers),
+                idle_ms=round(self._gw.now_ms() - oldest.idle_since_ms),
+            )
+
     def stop_accepting(self) -> None:
         """Close the listening socket; open connections stay."""
         self._accepting.cancel()
@@ -85,6 +106,7 @@
                         self._gw.log.emit('accept-failed', error=str(exc))
                     await trio.sleep(ACCEPT_PAUSE_MS / types.SECOND_MS)
                     continue
+                self._make_room()
                 nursery.start_soon(self._serve_caller, peer, handle)
 
     async def _serve_caller(
--- a/foxtailpick/tests/test_dispatch.py
+++ b/foxtailpick/tests/test_dispatch.py
@@ -159,6 +159,23 @@
     assert len(sent) > 40
 
 
+def test_routers_share_the_connections_that_an_endpoint_takes():
+    """Replays slow answers: requests pile up, nothing ends."""
+    service = model.Service('engine', 96, 0.0, 0.0)
+    routers = [make_table(1) for _ in range(4)]
+    for table in routers:
+        for _ in range(60):
+            query = placing.Query(service, None, frozenset(), 4, 0.0)
+            choice = placing.choose_endpoint(
+                table.list_service('engine'), query, random.Random(1)
+            )
+            if choice is placing.Obstacle.ALL_FULL:
+                break
+            choice.endpoint.running += 1
+    open_ = [table.get('e0').running for table in routers]
+    assert 80 <= sum(open_) <= 96
+
+
 def test_endpoint_that_started_again_begins_anew():
     table = make_table(1)
     table.get('e0').running = 3
--- a/foxtailpick/tests/test_gateway.py
+++ b/foxtailpick/tests/test_gateway.py
@@ -14,6 +14,7 @@
 from foxtailpick.gateway import decision_log
 from foxtailpick.gateway import http1
 from foxtailpick.gateway import reply
+from foxtailpick.gateway import server
 from foxtailpick.gateway import settings
 from foxtailpick.platform.standins import endpoint_server
 from foxtailpick.tests import gateway_stage
@@ -333,6 +334,36 @@
     assert (first.status, second.status) == (200, 200)
 
 
+async def test_idle_callers_make_room_for_new_ones():
+    """Replays a crowd of callers: descriptors run out."""
+    async with gateway_stage.open_stage() as stage:
+        stage.add_endpoint('p1', 'plain', answer_plainly)
+        await stage.until_known('p1')
+        most = 5
+        stage.gw.cfg = dataclasses.replace(
+            stage.gw.cfg,
+            max_sockets=server.FILES_RESERVED
+            + round(most / server.CALLERS_SHARE),
+        )
+        conns = []
+        for number in range(4 * most):
+            conn = await stage.send('/safe/x', X_Attempt_Id=f'a{number}')
+            answer = await gateway_stage.read_answer(conn)
+            assert answer.status == 200
+            conns.append(conn)
+        # The last ones may go on with their connections.
+        await conns[-1].send(
+            gateway_stage.format_ask('/safe/y', X_Attempt_Id='b')
+        )
+        again = await gateway_stage.read_answer(conns[-1])
+        await stage.until(
+            lambda: sum(conn.is_alive() for conn in conns) <= most
+        )
+        for conn in conns:
+            conn.close()
+    assert again.status == 200
+
+
 async def test_endpoint_that_cannot_be_reached_costs_no_attempt():
     async with gateway_stage.open_stage() as stage:
         sock = http1.listen(gateway_stage.ANY_PORT, 1)
