--- a/foxtailpick/tests/test_load_board.py
+++ b/foxtailpick/tests/test_load_board.py
@@ -64,7 +64,7 @@
     each engine; a router hears of an engine with its answers, 300 ms late.
     """
     rng = random.Random(3)
-    tables = [test_dispatch.make_table(29) for _ in range(32)]
+    tables = [test_dispatch.make_table(29, slots=64) for _ in range(32)]
     running = dict.fromkeys((f'e{number}' for number in range(29)), 0)
     ends = []
     reports = []
