Leave endpoints out only for failures that are unusual at their service

Engines that read all prompts for the first time answered after the limit, and each silence counted as a failure though the answer came: three of them were left out in the first two seconds, and their prompts read again elsewhere. A service of which a tenth of the answers are failures by nature lost sound endpoints by chance.

Change: an answer that begins takes the silence back that was counted for it, and counts as an answer at once. The limit is four standard deviations above the median of the service.

--- a/foxtailpick/core/dispatch/endpoint_table.py
+++ b/foxtailpick/core/dispatch/endpoint_table.py
@@ -100,10 +100,11 @@
         self.counted_ms = now_ms
 
 
-def judge_evidence(item: Endpoint, now_ms: float) -> bool:
+def judge_evidence(item: Endpoint, usual_share: float, now_ms: float) -> bool:
     """Take in what all routers saw of an endpoint.
 
     :param item: the endpoint.
+    :param usual_share: part that usually fails at endpoints of its service.
     :param now_ms: current time.
     :returns: whether this changes its use.
     """
@@ -113,7 +114,8 @@
         item.evidence,
         before,
         item.health.broken,
-        item.health.successes,
+        item.health.begun,
+        usual_share,
         now_ms,
     )
     return item.is_left_out is not before
--- a/foxtailpick/core/dispatch/health.py
+++ b/foxtailpick/core/dispatch/health.py
@@ -30,7 +30,9 @@
     """What requests have seen of one endpoint.
 
     :param failures: failed requests, weighted by age.
-    :param broken: those of them that it had begun to run.
+    :param broken: requests that it was sent and failed or hung with,
+        weighted by age.
+    :param begun: answers that it began, weighted by age.
     :param successes: successful requests, weighted by age.
     :param decayed_ms: when these were last weighted.
     :param pause_ms: length of the next pause.
@@ -41,6 +43,7 @@
 
     failures: float = 0.0
     broken: float = 0.0
+    begun: float = 0.0
     successes: float = 0.0
     decayed_ms: float = 0.0
     pause_ms: float = FIRST_PAUSE_MS
@@ -111,6 +114,20 @@
     health.broken += 1
 
 
+def note_begun(health: Health, now_ms: float, was_noted: bool) -> None:
+    """Record that an answer has begun to come.
+
+    :param health: state of the endpoint.
+    :param now_ms: current time.
+    :param was_noted: whether its silence was counted as a failure, which
+        it was not then.
+    """
+    decay(health, now_ms)
+    health.begun += 1
+    if was_noted:
+        health.broken = max(0.0, health.broken - 1)
+
+
 def decay(health: Health, now_ms: float) -> None:
     """Weight what was seen by its age.
 
@@ -121,5 +138,6 @@
     factor = 0.5 ** (age_ms / FAILURE_HALF_LIFE_MS)
     health.failures *= factor
     health.broken *= factor
+    health.begun *= factor
     health.successes *= factor
     health.decayed_ms = now_ms
--- a/foxtailpick/core/dispatch/load_board.py
+++ b/foxtailpick/core/dispatch/load_board.py
@@ -176,7 +176,7 @@
             health_lib.decay(item.health, now_ms)
             failed = item.health.broken
             if failed >= shared_health.TOLD_FAILURES or item.evidence:
-                answered = round(item.health.successes, 1)
+                answered = round(item.health.begun, 1)
                 seen[item.id] = (round(failed, 1), answered)
         return seen
 
@@ -193,15 +193,24 @@
         :param now_ms: current time.
         :returns: endpoints whose use changes.
         """
-        changed = []
+        services: dict[types.ServiceId, list[endpoint_table.Endpoint]] = {}
         for item in table.list_all():
+            services.setdefault(item.entry.service, []).append(item)
             told = seen.get(item.id)
             times = 1 + (item.evidence.times if item.evidence else 0)
             item.evidence = None
             if told is not None:
                 item.evidence = shared_health.Evidence(*told, now_ms, times)
-            if endpoint_table.judge_evidence(item, now_ms):
-                changed.append(item)
+        changed = []
+        for items in services.values():
+            usual = shared_health.find_usual_share(
+                item.evidence for item in items
+            )
+            changed.extend(
+                item
+                for item in items
+                if endpoint_table.judge_evidence(item, usual, now_ms)
+            )
         return changed
 
     def apply(
--- a/foxtailpick/core/dispatch/shared_health.py
+++ b/foxtailpick/core/dispatch/shared_health.py
@@ -13,6 +13,8 @@
 """
 
 import dataclasses
+import math
+import statistics
 import typing
 
 from foxtailpick.core import types
@@ -22,10 +24,12 @@
 # Routers that must have seen failures, and how many in all; a single lost
 # answer or a router that is cut off does not make an endpoint bad.
 MIN_REPORTERS = 2
-MIN_FAILURES = 2.0
-# Part of the requests that failed, twice of what the least reliable kind of
-# request fails at sound endpoints.
-FAILED_SHARE = 0.25
+MIN_FAILURES = 3.0
+# Part of the requests that failed.
+FAILED_SHARE = 0.2
+# Some kinds of request fail everywhere now and then. More than the usual at
+# the service by this many standard deviations is no chance.
+DEVIATIONS = 4.0
 # It is used again once failures, halved each two seconds, are below this.
 ENOUGH_FAILURES = 0.7
 # Good answers of our own that count more than the failures of others.
@@ -77,11 +81,28 @@
     return sums
 
 
+def find_usual_share(evidence: typing.Iterable[Evidence | None]) -> float:
+    """Return the part that usually fails at endpoints of a service.
+
+    The median, so that a few bad endpoints do not count as usual.
+
+    :param evidence: what was seen of each endpoint, None if no failure.
+    """
+    shares = [
+        seen.failed / (seen.failed + seen.answered)
+        if seen and seen.failed
+        else 0.0
+        for seen in evidence
+    ]
+    return statistics.median(shares) if shares else 0.0
+
+
 def is_left_out(
     evidence: Evidence | None,
     was_left_out: bool,
     own_failures: float,
     own_answers: float,
+    usual_share: float,
     now_ms: float,
 ) -> bool:
     """Tell whether an endpoint gets no requests.
@@ -90,6 +111,7 @@
     :param was_left_out: whether it was left out up to now.
     :param own_failures: failures that this router saw.
     :param own_answers: good answers that this router saw.
+    :param usual_share: part that usually fails at endpoints of its service.
     :param now_ms: current time.
     """
     if evidence is None or now_ms - evidence.heard_ms > MAX_AGE_MS:
@@ -99,9 +121,11 @@
     if was_left_out:
         return evidence.failed >= ENOUGH_FAILURES
     total = evidence.failed + evidence.answered
+    usual = usual_share * total
+    chance = DEVIATIONS * math.sqrt(usual * (1 - usual_share))
     return (
         evidence.times >= COMPLETE_TIMES
         and evidence.reporters >= MIN_REPORTERS
         and evidence.failed >= MIN_FAILURES
-        and evidence.failed >= FAILED_SHARE * total
+        and evidence.failed >= max(FAILED_SHARE * total, usual + chance)
     )
--- a/foxtailpick/gateway/attempt.py
+++ b/foxtailpick/gateway/attempt.py
@@ -240,7 +240,11 @@
 ) -> AttemptResult:
     sent_ms = gw.now_ms()
     head, meta = await _read_head(gw, job, attempt, conn)
-    gw.first_answers[job.route.name].observe(gw.now_ms() - sent_ms)
+    now_ms = gw.now_ms()
+    gw.first_answers[job.route.name].observe(now_ms - sent_ms)
+    if head.status < _SERVER_ERROR:
+        health.note_begun(attempt.endpoint.health, now_ms, attempt.is_noted)
+        attempt.is_noted = False
     attempt.limit_ms = patience.GAP_MS
     if meta.load is not None:
         attempt.endpoint.note_report(meta.load, gw.now_ms())
--- a/foxtailpick/gateway/peers.py
+++ b/foxtailpick/gateway/peers.py
@@ -139,7 +139,7 @@
                 answered=evidence.answered if evidence else None,
                 reporters=evidence.reporters if evidence else None,
                 own_failed=round(item.health.broken, 1),
-                own_answered=round(item.health.successes, 1),
+                own_answered=round(item.health.begun, 1),
             )
 
 
