Use endpoints again when the hub falls silent

Cause: found by reading. What other gateways saw was judged when the hub's sums came; without them an endpoint that was left out stayed so for as long as the hub was silent.

Messages that carry failures have kinds of their own, so that gateways of different versions pass each other's over; an older sum could have ended the exchange.

test_nothing_is_left_out_without_news_of_the_hub failed first.

--- a/foxtailpick/core/dispatch/placing.py
+++ b/foxtailpick/core/dispatch/placing.py
@@ -119,7 +119,7 @@
     if not open_:
         is_cold = any(item.is_cold(query.now_ms) for item in fresh)
         return Obstacle.ALL_COLD if is_cold else Obstacle.ALL_FULL
-    left_out = _list_left_out(endpoints)
+    left_out = _list_left_out(endpoints, query.now_ms)
     usable = [
         item
         for item in open_
@@ -166,16 +166,21 @@
 
 
 def _list_left_out(
-    endpoints: typing.Sequence[endpoint_table.Endpoint],
+    endpoints: typing.Sequence[endpoint_table.Endpoint], now_ms: float
 ) -> set[types.EndpointId]:
-    """Return the worst endpoints that failed others, not too many."""
-    worst = sorted(
-        (item for item in endpoints if item.is_left_out and item.evidence),
-        key=lambda item: item.evidence.failed if item.evidence else 0.0,
-        reverse=True,
-    )
+    """Return the worst endpoints that failed others, not too many.
+
+    Without news of the hub nobody is left out.
+    """
+    failed = {
+        item.id: item.evidence.failed
+        for item in endpoints
+        if item.is_left_out
+        and item.evidence is not None
+        and shared_health.is_fresh(item.evidence, now_ms)
+    }
     most = int(len(endpoints) * shared_health.MAX_LEFT_OUT)
-    return {item.id for item in worst[:most]}
+    return set(sorted(failed, key=failed.__getitem__, reverse=True)[:most])
 
 
 def _is_suspect(item: endpoint_table.Endpoint, now_ms: float) -> bool:
--- a/foxtailpick/core/dispatch/shared_health.py
+++ b/foxtailpick/core/dispatch/shared_health.py
@@ -61,6 +61,15 @@
     times: int = 1
 
 
+def is_fresh(evidence: Evidence, now_ms: float) -> bool:
+    """Tell whether what was seen still says something.
+
+    :param evidence: what was seen of an endpoint.
+    :param now_ms: current time.
+    """
+    return now_ms - evidence.heard_ms <= MAX_AGE_MS
+
+
 def add_up(
     reports: typing.Iterable[typing.Mapping[types.EndpointId, typing.Any]],
 ) -> dict[types.EndpointId, tuple[float, float, int]]:
@@ -114,7 +123,7 @@
     :param usual_share: part that usually fails at endpoints of its service.
     :param now_ms: current time.
     """
-    if evidence is None or now_ms - evidence.heard_ms > MAX_AGE_MS:
+    if evidence is None or not is_fresh(evidence, now_ms):
         return False
     if own_answers >= OWN_ANSWERS and own_failures < TOLD_FAILURES:
         return False
--- a/foxtailpick/gateway/peers.py
+++ b/foxtailpick/gateway/peers.py
@@ -19,8 +19,10 @@
 # fresher counts would hardly differ.
 PERIOD_MS = 150.0
 MAX_DATAGRAM_BYTES = 65_507
-_COUNTS = 0
-_SUMS = 1
+# Kinds of messages. Others are passed over, so that routers of different
+# versions run beside each other; 0 and 1 told no failures.
+_COUNTS = 2
+_SUMS = 3
 
 
 class PeerExchange:
@@ -111,14 +113,14 @@
                 self._gw.log.emit_request('peer-message-bad', why=repr(exc))
 
     def _take(self, message: typing.Any) -> None:
-        kind, router, number, content, *rest = message
+        kind, router, number, *contents = message
         now_ms = self._gw.now_ms()
         if kind == _COUNTS:
-            seen = dict(rest[0]) if rest else {}
-            self._board.take(router, number, dict(content), now_ms, seen)
+            counts, seen = contents
+            self._board.take(router, number, dict(counts), now_ms, dict(seen))
         elif kind == _SUMS and router == self._choice.hub:
             self._choice.note_heard(now_ms)
-            sums, seen = cbor2.loads(content)
+            sums, seen = cbor2.loads(contents[0])
             self._apply(sums, seen, number, now_ms)
 
     def _apply(
--- a/foxtailpick/tests/test_shared_health.py
+++ b/foxtailpick/tests/test_shared_health.py
@@ -137,6 +137,17 @@
     assert len(chosen) >= ENDPOINTS * (1 - shared_health.MAX_LEFT_OUT)
 
 
+def test_nothing_is_left_out_without_news_of_the_hub():
+    """The hub falls silent while an endpoint is left out."""
+    table = test_dispatch.make_table(3)
+    home = test_dispatch.choose(table).endpoint
+    home.evidence = shared_health.Evidence(9.0, 4.0, 5, 0.0, 9)
+    home.is_left_out = True
+    assert test_dispatch.choose(table, now_ms=100.0).endpoint is not home
+    late_ms = shared_health.MAX_AGE_MS + 1
+    assert test_dispatch.choose(table, now_ms=late_ms).endpoint is home
+
+
 def test_good_answers_of_our_own_count_more():
     evidence = shared_health.Evidence(9.0, 4.0, 5, 0.0, 9)
     assert shared_health.is_left_out(evidence, False, 0.0, 1.0, 0.0, 100.0)
