Keep LIMIT while an endpoint is left out, and leave fewer out

At 1.2 s a domain was taken out, so four engines read the prompts of six; silences counted until the answers came, one engine after the other was left out (3.8 failed of 12.1, 0.1 to 1 s later taken back), and the bound of the others went by the mean of those in use.

Change: the mean that the load bound goes by counts what is left out; four sums of the hub in a row must show unusual failures.

--- a/foxtailpick/core/dispatch/endpoint_table.py
+++ b/foxtailpick/core/dispatch/endpoint_table.py
@@ -109,13 +109,15 @@
     :returns: whether this changes its use.
     """
     health_lib.decay(item.health, now_ms)
+    seen = item.evidence
+    if seen is not None and not shared_health.is_unusual(seen, usual_share):
+        seen.times = 0
     before = item.is_left_out
     item.is_left_out = shared_health.is_left_out(
         item.evidence,
         before,
         item.health.broken,
         item.health.begun,
-        usual_share,
         now_ms,
     )
     return item.is_left_out is not before
--- a/foxtailpick/core/dispatch/placing.py
+++ b/foxtailpick/core/dispatch/placing.py
@@ -120,14 +120,13 @@
         is_cold = any(item.is_cold(query.now_ms) for item in fresh)
         return Obstacle.ALL_COLD if is_cold else Obstacle.ALL_FULL
     left_out = _list_left_out(endpoints, query.now_ms)
-    usable = [
-        item
-        for item in open_
-        if not _is_suspect(item, query.now_ms) and item.id not in left_out
-    ]
+    sound = [item for item in open_ if not _is_suspect(item, query.now_ms)]
+    usable = [item for item in sound if item.id not in left_out]
     if not usable:
         return _choose_last_resort(open_)
-    mean = sum(item.load for item in usable) / len(usable)
+    # What is left out still counts: a third of a service that is left out
+    # must not let the others carry more than the promised multiple.
+    mean = sum(item.load for item in sound) / len(sound)
     if query.prefix is None:
         return _choose_of_two(usable, mean, rng)
     choice = _choose_by_prefix(usable, mean, query.prefix, rng)
--- a/foxtailpick/core/dispatch/shared_health.py
+++ b/foxtailpick/core/dispatch/shared_health.py
@@ -34,9 +34,10 @@
 ENOUGH_FAILURES = 0.7
 # Good answers of our own that count more than the failures of others.
 OWN_ANSWERS = 3.0
-# Messages of the hub after which all routers have told what they saw. The
-# first sums lack the good answers of those that saw no failure.
-COMPLETE_TIMES = 2
+# Messages of the hub in a row that must show unusual failures. The first
+# sums lack the good answers of routers that saw no failure, and the silence
+# of an engine that reads many prompts is taken back when it answers.
+PERSISTENT_TIMES = 4
 # Evidence older than this says nothing; several messages are missing then.
 MAX_AGE_MS = 1_500.0
 # Part of a service that may be left out by the word of others.
@@ -51,14 +52,14 @@
     :param answered: requests that it answered.
     :param reporters: routers that saw failures.
     :param heard_ms: when the hub told it.
-    :param times: times in a row that the hub told something of it.
+    :param times: messages of the hub in a row with unusual failures.
     """
 
     failed: float
     answered: float
     reporters: int
     heard_ms: float = 0.0
-    times: int = 1
+    times: int = 0
 
 
 def is_fresh(evidence: Evidence, now_ms: float) -> bool:
@@ -106,12 +107,27 @@
     return statistics.median(shares) if shares else 0.0
 
 
+def is_unusual(evidence: Evidence, usual_share: float) -> bool:
+    """Tell whether an endpoint fails more than others of its service.
+
+    :param evidence: what all routers saw of it.
+    :param usual_share: part that usually fails at endpoints of its service.
+    """
+    total = evidence.failed + evidence.answered
+    usual = usual_share * total
+    chance = DEVIATIONS * math.sqrt(usual * (1 - usual_share))
+    return (
+        evidence.reporters >= MIN_REPORTERS
+        and evidence.failed >= MIN_FAILURES
+        and evidence.failed >= max(FAILED_SHARE * total, usual + chance)
+    )
+
+
 def is_left_out(
     evidence: Evidence | None,
     was_left_out: bool,
     own_failures: float,
     own_answers: float,
-    usual_share: float,
     now_ms: float,
 ) -> bool:
     """Tell whether an endpoint gets no requests.
@@ -120,7 +136,6 @@
     :param was_left_out: whether it was left out up to now.
     :param own_failures: failures that this router saw.
     :param own_answers: good answers that this router saw.
-    :param usual_share: part that usually fails at endpoints of its service.
     :param now_ms: current time.
     """
     if evidence is None or not is_fresh(evidence, now_ms):
@@ -129,12 +144,4 @@
         return False
     if was_left_out:
         return evidence.failed >= ENOUGH_FAILURES
-    total = evidence.failed + evidence.answered
-    usual = usual_share * total
-    chance = DEVIATIONS * math.sqrt(usual * (1 - usual_share))
-    return (
-        evidence.times >= COMPLETE_TIMES
-        and evidence.reporters >= MIN_REPORTERS
-        and evidence.failed >= MIN_FAILURES
-        and evidence.failed >= max(FAILED_SHARE * total, usual + chance)
-    )
+    return evidence.times >= PERSISTENT_TIMES
