--- a/foxtailpick/tests/conftest.py
+++ b/foxtailpick/tests/conftest.py
@@ -34,7 +34,7 @@
     """Let the run pass over the failures in KNOWN-RED.txt, and no others.
 
     An entry begins with the name of its test. The failures are printed, for
-    pytest is told to by `-rxX`.
+    pytest is told to by `-rfExX`.
     """
     known = _read_known_failures()
     for item in items:
