Measure costs of calls in one place

Change: bench/costs.py holds them; the three call it. Behaviour is the same.

The benches themselves were not run.

Conclusion: the twins in bench/placement.py and in the store clients (lease errors) measure or say other things and stay.

--- a/foxtailpick/bench/capacity.py
+++ b/foxtailpick/bench/capacity.py
@@ -12,6 +12,7 @@
 
 from foxtailpick.adapters import base
 from foxtailpick.adapters import membership as membership_list
+from foxtailpick.bench import costs
 from foxtailpick.bench import tables
 from foxtailpick.core import decision
 from foxtailpick.core import invariants
@@ -25,8 +26,6 @@
 MODELS = 5
 LIST_ROUNDS = 50
 CALLS = 2_000
-BYTES_A_KB = 1_000
-MICROS_A_SECOND = 1e6
 
 
 def measure() -> list[tables.Table]:
@@ -81,12 +80,12 @@
     tracemalloc.start()
     view = membership.MembershipView(invariants.Monitor(), random.Random(SEED))
     view.on_list(members, 0.0)
-    members_kb = _read_traced_kb()
+    members_kb = costs.read_traced_kb()
     built = placement.PlacementTable(0.0)
     usable = [status.member for status in view.list_usable(0.0)]
     built.update(usable, models, 0.0)
     _build_rings(built)
-    placement_kb = _read_traced_kb() - members_kb
+    placement_kb = costs.read_traced_kb() - members_kb
     tracemalloc.stop()
     payload = json.dumps(
         {'members': [dataclasses.asdict(member) for member in members]}
@@ -96,8 +95,9 @@
         placement_kb,
         len(payload),
         await _time_list_ms(payload),
-        _time_us(lambda _: view.on_list(members, 1.0), LIST_ROUNDS) / 1_000,
-        _time_us(lambda number: _choose(built, number), CALLS),
+        costs.time_us(lambda _: view.on_list(members, 1.0), LIST_ROUNDS)
+        / 1_000,
+        costs.time_us(lambda number: _choose(built, number), CALLS),
     )
 
 
@@ -132,14 +132,3 @@
     for _ in range(LIST_ROUNDS):
         await adapter.list_members()
     return (time.process_time() - began_s) / LIST_ROUNDS * 1_000
-
-
-def _time_us(call: typing.Callable[[int], object], rounds: int) -> float:
-    began_s = time.process_time()
-    for number in range(rounds):
-        call(number)
-    return (time.process_time() - began_s) / rounds * MICROS_A_SECOND
-
-
-def _read_traced_kb() -> float:
-    return tracemalloc.get_traced_memory()[0] / BYTES_A_KB
--- a/foxtailpick/bench/capacity_links.py
+++ b/foxtailpick/bench/capacity_links.py
@@ -10,6 +10,7 @@
 from websockets.trio import server
 
 from foxtailpick.adapters import wire
+from foxtailpick.bench import costs
 from foxtailpick.bench import tables
 from foxtailpick.core import codec
 from foxtailpick.core import errors
@@ -21,8 +22,6 @@
 TOKENS_A_FRAME = (1, 4, 16, 64)
 CALLS = 2_000
 TOKEN_TEXT = ' spruce'
-BYTES_A_KB = 1_000
-MICROS_A_SECOND = 1e6
 
 HELLO = messages.Hello(messages.PROTOCOL_VERSION, 'node-1234', 'i' * 16)
 
@@ -67,8 +66,8 @@
     data = codec.encode_frame(frame)
     return (
         data,
-        _time_us(lambda _: codec.encode_frame(frame), CALLS),
-        _time_us(lambda _: codec.decode_frame(data), CALLS),
+        costs.time_us(lambda _: codec.encode_frame(frame), CALLS),
+        costs.time_us(lambda _: codec.decode_frame(data), CALLS),
     )
 
 
@@ -108,7 +107,7 @@
         async with _make_pool(count) as pool:
             for address in addresses:
                 await pool.acquire(address)
-            each_kb = _read_traced_kb() / count
+            each_kb = costs.read_traced_kb() / count
         tracemalloc.stop()
         began_s = time.process_time()
         async with _make_pool(count) as pool:
@@ -152,14 +151,3 @@
         await stream.receive()
         await stream.send(messages.Frame(1, HELLO))
         await stream.receive()
-
-
-def _time_us(call: typing.Callable[[int], object], rounds: int) -> float:
-    began_s = time.process_time()
-    for number in range(rounds):
-        call(number)
-    return (time.process_time() - began_s) / rounds * MICROS_A_SECOND
-
-
-def _read_traced_kb() -> float:
-    return tracemalloc.get_traced_memory()[0] / BYTES_A_KB
--- a/foxtailpick/bench/config_size.py
+++ b/foxtailpick/bench/config_size.py
@@ -12,6 +12,7 @@
 
 from foxtailpick.adapters import base
 from foxtailpick.bench import config_fleet
+from foxtailpick.bench import costs
 from foxtailpick.bench import tables
 from foxtailpick.core import account_table
 from foxtailpick.core import clock
@@ -47,9 +48,9 @@
     fleet = config_fleet.Fleet(2, SEED, has_traffic=False)
     fleet.run(types.SECOND_MS)
     tracker = fleet.sidecars[0].tracker
-    before_kb = _read_traced_kb()
+    before_kb = costs.read_traced_kb()
     tracker.set_peers(list(names))
-    table.add_row('memory of the peers KB', _read_traced_kb() - before_kb)
+    table.add_row('memory of the peers KB', costs.read_traced_kb() - before_kb)
     tracemalloc.stop()
     now_ms = fleet.now_ms
     calls = {
@@ -122,11 +123,11 @@
     head, _ = await reader.read_head()
     tracemalloc.start()
     index_only = await reader.load_index(head)
-    index_kb = _read_traced_kb()
+    index_kb = costs.read_traced_kb()
     whole = await reader.load_chunks(index_only)
-    all_kb = _read_traced_kb()
+    all_kb = costs.read_traced_kb()
     decoded = dict(whole.accounts)
-    decoded_kb = _read_traced_kb() - all_kb
+    decoded_kb = costs.read_traced_kb() - all_kb
     tracemalloc.stop()
     start = time.perf_counter()
     index_only = await reader.load_index(head)
@@ -200,7 +201,3 @@
     start = time.perf_counter()
     result = call()
     return result, (time.perf_counter() - start) * types.SECOND_MS
-
-
-def _read_traced_kb() -> float:
-    return tracemalloc.get_traced_memory()[0] / 1_000
