Pace the calls to the store by the time that a change may take

Each asked its watch anew every 1.5 s, was woken by each change of each endpoint, and by each restart of each other router.

The hub answers to where a report came from, so that a router that just started is served before it is listed. A watch that waits while another call fails is asked anew.

Also mended: a lease whose key was not written counted as a registration.

Ruled out: a revision that travels with the exchange, since the keep-alive finds silent connections earlier and without trust in a peer.

--- a/foxtailpick/core/dispatch/event_stream.py
+++ b/foxtailpick/core/dispatch/event_stream.py
@@ -28,8 +28,8 @@
         if end < 0:
             if len(data) > MAX_EVENT_BYTES:
                 raise ValueError(
-                    f'expected an event of at most {MAX_EVENT_BYTES} bytes, '
-                    f'got {len(data)} without its end'
+                    f'expected the end of an event within {MAX_EVENT_BYTES} '
+                    f'bytes, got none in {len(data)}'
                 )
             self._incomplete = data
             return b''
--- /dev/null
+++ b/foxtailpick/core/dispatch/store_pacing.py
@@ -0,0 +1,63 @@
+"""Paces the calls to the platform's store.
+
+Load pattern: several hundred routers read the same store, and each of them
+is woken by each change while endpoints are replaced one after the other.
+Changes are therefore collected for a part of the time in which they have to
+be in force, so that the calls of a router depend on that time and not on
+the number of changes. Without changes a watch waits as long as the store
+allows; a keep-alive of its connection finds out if it went silent.
+
+Routers do not watch each other: the restart of the whole fleet would wake
+each of them once for each of the others. They read the list of routers at
+intervals that grow with the fleet, as does the list.
+"""
+
+import random
+
+# Below the longest wait that the store allows, 30 s.
+WATCH_MS = 20_000.0
+# Jitter of watches and list reads, as a factor, so that routers that were
+# started together do not call the store at the same moments.
+JITTER = 0.2
+# Share of the shortest time in which a change has to be in force. The rest
+# is left for a lost call and its repetition.
+CHANGE_GAP_SHARE = 0.3
+# The first reads of the list of routers, while the fleet starts, and the
+# interval of later ones for each router.
+FIRST_LIST_DELAYS_MS = (0.0, 500.0, 1_000.0, 2_000.0)
+LIST_INTERVAL_PER_ROUTER_MS = 150.0
+MIN_LIST_INTERVAL_MS = 5_000.0
+
+
+def compute_watch_ms(rng: random.Random) -> float:
+    """Return how long a watch waits for changes.
+
+    :param rng: source of random numbers.
+    """
+    return WATCH_MS * rng.uniform(1 - JITTER, 1 + JITTER)
+
+
+def compute_change_gap_ms(bound_ms: float) -> float:
+    """Return the shortest time between two reads of changes.
+
+    :param bound_ms: time in which a change has to be in force.
+    """
+    return CHANGE_GAP_SHARE * bound_ms
+
+
+def compute_list_delay_ms(
+    reads: int, routers: int, rng: random.Random
+) -> float:
+    """Return the time until the list of routers is read again.
+
+    :param reads: number of reads so far.
+    :param routers: number of routers in the list.
+    :param rng: source of random numbers.
+    """
+    if reads < len(FIRST_LIST_DELAYS_MS):
+        delay_ms = FIRST_LIST_DELAYS_MS[reads]
+    else:
+        delay_ms = max(
+            MIN_LIST_INTERVAL_MS, LIST_INTERVAL_PER_ROUTER_MS * routers
+        )
+    return delay_ms * rng.uniform(1 - JITTER, 1 + JITTER)
--- a/foxtailpick/gateway/client.py
+++ b/foxtailpick/gateway/client.py
@@ -11,6 +11,7 @@
 import trio
 
 from foxtailpick.core.dispatch import model
+from foxtailpick.core import types
 from foxtailpick.gateway import http1
 
 # The kernel closes a connection whose peer does not acknowledge data for
@@ -64,10 +65,15 @@
         self.keep_alive_ms: float | None = None
 
     @classmethod
-    async def connect(cls, address: model.Address) -> 'ClientConnection':
+    async def connect(
+        cls, address: model.Address, keep_alive_ms: float | None = None
+    ) -> 'ClientConnection':
         """Open a connection.
 
         :param address: IP address and port.
+        :param keep_alive_ms: interval of probes by the kernel, which closes
+            the connection after the second one without a reply; None for
+            no probes.
         :raises OSError: if it cannot be opened.
         """
         sock = trio.socket.socket()
@@ -76,6 +82,8 @@
             sock.setsockopt(
                 socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
             )
+            if keep_alive_ms is not None:
+                _enable_keep_alive(sock, keep_alive_ms)
             await sock.connect(address)
         except BaseException:
             sock.close()
@@ -194,3 +202,20 @@
         raise http1.BrokenConnectionError(
             errno.ECONNRESET, 'closed by the peer'
         )
+
+
+def _enable_keep_alive(
+    sock: trio.socket.SocketType, interval_ms: float
+) -> None:
+    # The kernel takes whole seconds.
+    interval_s = max(1, round(interval_ms / types.SECOND_MS))
+    timeout_ms = int(2 * interval_s * types.SECOND_MS)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, interval_s),
+        (socket.TCP_KEEPINTVL, interval_s),
+        (socket.TCP_KEEPCNT, 2),
+        # Otherwise the longer timeout of unacknowledged data prevails.
+        (socket.TCP_USER_TIMEOUT, timeout_ms),
+    ):
+        sock.setsockopt(socket.IPPROTO_TCP, option, value)
--- a/foxtailpick/gateway/daemon.py
+++ b/foxtailpick/gateway/daemon.py
@@ -10,6 +10,7 @@
 
 from foxtailpick.core import clock as clock_lib
 from foxtailpick.core.dispatch import model
+from foxtailpick.core.dispatch import store_pacing
 from foxtailpick.core import errors
 from foxtailpick.core import retry
 from foxtailpick.core import types
@@ -122,7 +123,7 @@
     open_store: typing.Callable[
         [model.Address], typing.ContextManager[mirror_lib.Store]
     ],
-    decode: mirror_lib.Decode,
+    layout: mirror_lib.StoreLayout,
     dialect: context.Dialect,
     registration: Registration,
     check_settings: typing.Callable[[], settings_lib.GatewaySettings],
@@ -131,7 +132,7 @@
 
     :param cfg: the settings.
     :param open_store: opens the client of the platform's store.
-    :param decode: decodes an item of the store.
+    :param layout: where the store keeps what a router reads.
     :param dialect: codec of the platform's headers.
     :param registration: this router's entry in the store.
     :param check_settings: reads and checks the settings again.
@@ -149,7 +150,7 @@
             gw,
             Listeners.from_settings(cfg),
             store,
-            decode,
+            layout,
             registration,
             functools.partial(_wait_for_stop, gw, signals, check_settings),
         )
@@ -160,7 +161,7 @@
     gw: context.Gateway,
     listeners: Listeners,
     store: mirror_lib.Store,
-    decode: mirror_lib.Decode,
+    layout: mirror_lib.StoreLayout,
     registration: Registration,
     wait_for_stop: typing.Callable[[], typing.Awaitable[None]],
 ) -> None:
@@ -169,7 +170,7 @@
     :param gw: the gateway.
     :param listeners: its open sockets.
     :param store: client of the platform's store.
-    :param decode: decodes an item of the store.
+    :param layout: where the store keeps what a router reads.
     :param registration: this router's entry in the store.
     :param wait_for_stop: returns when the gateway has to stop.
     """
@@ -186,19 +187,19 @@
     mirror = mirror_lib.Mirror(
         store,
         gw.state,
-        decode,
+        layout,
         gw.now_ms,
         gw.log,
         gw.rng,
         gw.cfg.min_lease_ms,
+        store_pacing.compute_change_gap_ms(gw.cfg.change_bound_ms),
     )
     callers = server.CallerServer(gw)
     with gw.pool, peers.PeerExchange(gw, listeners.peers) as exchange:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(gw.log.run)
-            nursery.start_soon(mirror.follow)
             nursery.start_soon(
-                mirror.register, registration.key, registration.value
+                mirror.run, registration.key, registration.value
             )
             nursery.start_soon(exchange.run)
             nursery.start_soon(_sweep, gw)
--- a/foxtailpick/gateway/mirror.py
+++ b/foxtailpick/gateway/mirror.py
@@ -1,5 +1,6 @@
 """Synchronizes the gateway state with the platform's store."""
 
+import dataclasses
 import random
 import typing
 
@@ -8,6 +9,7 @@
 from foxtailpick.adapters import base
 from foxtailpick.core.dispatch import endpoint_table
 from foxtailpick.core.dispatch import model
+from foxtailpick.core.dispatch import store_pacing
 from foxtailpick.core import errors
 from foxtailpick.core import types
 from foxtailpick.gateway import decision_log
@@ -23,28 +25,38 @@
 # The TTL allows for a few lost renewals. A shorter one would cost more calls;
 # with a longer one, a router that is gone reduces the others' shares of the
 # budgets for longer.
-LEASE_TTL_MS = 8_000.0
-LEASE_RENEWAL_INTERVAL_MS = 2_500.0
-
-# In a burst, changes are collected for this long before the next poll, so
-# that the start of all routers does not cost each router one call for each
-# change. An isolated change is read without delay. The delay is well below
-# the 2 s for which a draining endpoint may still be used.
-BURST_DELAY_MS = 300.0
-# Changes with a smaller gap between them are a burst.
-BURST_GAP_MS = 1_000.0
+LEASE_TTL_MS = 12_000.0
+LEASE_RENEWAL_INTERVAL_MS = 3_500.0
 
 Decode = typing.Callable[[str, bytes | None], model.Item | None]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreLayout:
+    """Where the store keeps what a router reads.
+
+    :param decode: decodes an item of the store.
+    :param operator_prefix: key prefix of what the operators write.
+    :param endpoint_prefix: key prefix of the endpoints' entries.
+    :param router_prefix: key prefix of the routers' entries.
+    """
+
+    decode: Decode
+    operator_prefix: str
+    endpoint_prefix: str
+    router_prefix: str
+
+
 class Store(typing.Protocol):
     """The calls of the store's client that the mirror uses."""
 
-    async def read_snapshot(self, prefix: str) -> base.Snapshot:
+    async def read_snapshot(
+        self, prefix: str, is_stale_ok: bool = False
+    ) -> base.Snapshot:
         """Return everything under a prefix."""
 
     async def poll_changes(
-        self, prefix: str, after: types.Revision
+        self, prefix: str, after: types.Revision, wait_ms: float
     ) -> tuple[list[base.Change], types.Revision]:
         """Wait for changes after a revision."""
 
@@ -62,65 +74,125 @@
         """Write if all conditions hold."""
 
 
+@dataclasses.dataclass(slots=True)
+class _Outage:
+    """An outage of the store.
+
+    :param began_ms: time of the first failed call.
+    :param pause_ms: longest pause before the next call.
+    :param is_probed: whether a task is going to call the store again.
+    :param ended: set by the first call that succeeds.
+    """
+
+    began_ms: float
+    pause_ms: float = INITIAL_BACKOFF_MS
+    is_probed: bool = False
+    ended: trio.Event = dataclasses.field(default_factory=trio.Event)
+
+
 class Mirror:
     """Watches the store and applies its content to the gateway state.
 
     :param store: client of the store.
     :param state: the state to update.
-    :param decode: decodes an item of the store.
+    :param layout: where the store keeps what a router reads.
     :param now_ms: function that returns the current time.
     :param log: log of outages and recoveries of the store.
     :param rng: source of random numbers.
     :param min_lease_ms: shortest lease that the store grants.
+    :param change_gap_ms: shortest time between two reads of changes.
     """
 
     def __init__(
         self,
         store: Store,
         state: state_lib.GatewayState,
-        decode: Decode,
+        layout: StoreLayout,
         now_ms: typing.Callable[[], float],
         log: decision_log.DecisionLog,
         rng: random.Random,
         min_lease_ms: float = 0.0,
+        change_gap_ms: float = 0.0,
     ) -> None:
         self._lease_ttl_ms = max(LEASE_TTL_MS, min_lease_ms)
+        self._change_gap_ms = change_gap_ms
         self._store = store
         self._state = state
-        self._decode = decode
+        self._layout = layout
         self._now_ms = now_ms
         self._log = log
         self._rng = rng
-        self._outage_began_ms: float | None = None
+        self._outage: _Outage | None = None
         self._outage_ended_ms = -REREGISTRATION_GRACE_MS
-        self._has_snapshot = False
-        self._last_change_ms = -BURST_GAP_MS
+        self._waiting: set[trio.CancelScope] = set()
+        self._has_endpoints = False
 
-    async def follow(self) -> None:
-        """Read a snapshot, then poll for changes, until cancelled.
+    async def run(self, key: str, value: bytes) -> None:
+        """Follow the store and stay registered in it, until cancelled.
+
+        :param key: the key of this router.
+        :param value: the data for the other routers.
+        """
+        layout = self._layout
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                self.follow,
+                layout.operator_prefix,
+                self._state.replace_operator_items,
+            )
+            nursery.start_soon(
+                self.follow, layout.endpoint_prefix, self._replace_endpoints
+            )
+            nursery.start_soon(self.list_routers)
+            nursery.start_soon(self.register, key, value)
+
+    async def follow(
+        self,
+        prefix: str,
+        replace: typing.Callable[[typing.Sequence[model.Item]], None],
+    ) -> None:
+        """Read a snapshot, then watch for changes, until cancelled.
 
         Starts over with a snapshot after an error or lost history.
+
+        :param prefix: key prefix of the items.
+        :param replace: replaces the state by the items of a snapshot.
         """
-        pause_ms = INITIAL_BACKOFF_MS
         revision: types.Revision | None = None
         while True:
             try:
                 if revision is None:
-                    revision = await self._read_snapshot()
+                    snapshot = await self._store.read_snapshot(prefix)
+                    self._record_contact()
+                    replace(self._decode_entries(snapshot))
+                    revision = snapshot.revision
                 else:
-                    revision = await self._poll_once(revision)
-                pause_ms = INITIAL_BACKOFF_MS
+                    revision = await self._poll_once(prefix, revision)
             except errors.StoreError as exc:
-                if exc.code is errors.ErrorCode.STORE_HISTORY_LOST:
-                    self._log.emit('store-history-lost', after=revision)
-                    revision = None
-                    continue
-                self._record_outage(exc)
                 # The store may have discarded changes in the meantime.
                 revision = None
-                jitter = self._rng.uniform(0.5, 1.0)
-                await trio.sleep(pause_ms * jitter / types.SECOND_MS)
-                pause_ms = min(pause_ms * 2, MAX_BACKOFF_MS)
+                if exc.code is errors.ErrorCode.STORE_HISTORY_LOST:
+                    self._log.emit('store-history-lost', prefix=prefix)
+                    continue
+                await self._back_off(exc)
+
+    async def list_routers(self) -> None:
+        """Read the list of routers at intervals, until cancelled."""
+        reads = 0
+        while True:
+            delay_ms = store_pacing.compute_list_delay_ms(
+                reads, self._state.router_count, self._rng
+            )
+            await trio.sleep(delay_ms / types.SECOND_MS)
+            reads += 1
+            try:
+                snapshot = await self._store.read_snapshot(
+                    self._layout.router_prefix, is_stale_ok=True
+                )
+            except errors.StoreError as exc:
+                self._log.emit('routers-not-read', error=str(exc))
+                continue
+            self._state.replace_routers(self._decode_entries(snapshot))
 
     async def register(self, key: str, value: bytes) -> None:
         """Register this router under a leased key and renew the lease.
@@ -133,13 +205,16 @@
         while True:
             try:
                 if lease is None:
-                    lease = await self._store.grant_lease(self._lease_ttl_ms)
+                    granted = await self._store.grant_lease(self._lease_ttl_ms)
                     await self._store.transact(
-                        [], [base.Put(key, value, lease)]
+                        [], [base.Put(key, value, granted)]
                     )
+                    # Set only now: a lease without the key is of no use.
+                    lease = granted
                     self._log.emit('registered', key=key, lease=lease)
                 else:
                     await self._store.renew_lease(lease)
+                self._record_contact()
                 if is_failing:
                     self._log.emit('registration-works', lease=lease)
                 is_failing = False
@@ -150,66 +225,93 @@
                 is_failing = True
                 if exc.code is errors.ErrorCode.LEASE_LOST:
                     lease = None
+                    await trio.sleep(INITIAL_BACKOFF_MS / types.SECOND_MS)
                 else:
                     # A watch that waits throughout an outage does not fail,
                     # but endpoints' entries may expire in it.
-                    self._record_outage(exc)
-                pause_ms = MAX_BACKOFF_MS * self._rng.uniform(0.5, 1.0)
-                await trio.sleep(pause_ms / types.SECOND_MS)
+                    await self._back_off(exc)
 
-    async def _read_snapshot(self) -> types.Revision:
-        snapshot = await self._store.read_snapshot('')
-        self._record_contact()
-        items = [
-            item
-            for entry in snapshot.entries
-            if (item := self._decode_or_log(entry.key, entry.value))
-        ]
-        grace_until_ms = None
-        if self._has_snapshot and self._is_recovering():
-            grace_until_ms = self._outage_ended_ms + REREGISTRATION_GRACE_MS
-        self._state.replace(items, grace_until_ms)
-        self._has_snapshot = True
-        return snapshot.revision
-
-    async def _poll_once(self, revision: types.Revision) -> types.Revision:
-        changes, reached = await self._store.poll_changes('', revision)
+    def _replace_endpoints(self, items: typing.Sequence[model.Item]) -> None:
+        grace_until_ms = self._outage_ended_ms + REREGISTRATION_GRACE_MS
+        is_recovering = self._now_ms() < grace_until_ms
+        self._state.replace_endpoints(
+            items,
+            grace_until_ms if self._has_endpoints and is_recovering else None,
+        )
+        self._has_endpoints = True
+
+    async def _poll_once(
+        self, prefix: str, revision: types.Revision
+    ) -> types.Revision:
+        wait_ms = store_pacing.compute_watch_ms(self._rng)
+        with trio.CancelScope() as scope:
+            self._waiting.add(scope)
+            try:
+                changes, reached = await self._store.poll_changes(
+                    prefix, revision, wait_ms
+                )
+            finally:
+                self._waiting.discard(scope)
+        if scope.cancelled_caught:
+            if self._outage is not None:
+                await self._outage.ended.wait()
+            return revision
         self._record_contact()
-        now_ms = self._now_ms()
-        is_burst = now_ms - self._last_change_ms < BURST_GAP_MS
-        if changes:
-            self._last_change_ms = now_ms
         for change in changes:
             value = change.entry.value if change.entry else None
             item = self._decode_or_log(change.key, value)
             if item is not None:
                 self._state.apply(item)
-        if changes and is_burst:
-            await trio.sleep(BURST_DELAY_MS / types.SECOND_MS)
+        if changes:
+            await trio.sleep(self._change_gap_ms / types.SECOND_MS)
         return reached
 
+    def _decode_entries(self, snapshot: base.Snapshot) -> list[model.Item]:
+        return [
+            item
+            for entry in snapshot.entries
+            if (item := self._decode_or_log(entry.key, entry.value))
+        ]
+
     def _decode_or_log(
         self, key: str, value: bytes | None
     ) -> model.Item | None:
         try:
-            return self._decode(key, value)
+            return self._layout.decode(key, value)
         except ValueError as exc:
             self._log.emit('item-skipped', key=key, error=str(exc))
             return None
 
-    def _is_recovering(self) -> bool:
-        return self._now_ms() - self._outage_ended_ms < REREGISTRATION_GRACE_MS
+    async def _back_off(self, exc: errors.StoreError) -> None:
+        """Wait until the store may be called again after a failed call.
 
-    def _record_outage(self, exc: errors.StoreError) -> None:
-        if self._outage_began_ms is None:
-            self._outage_began_ms = self._now_ms()
+        During an outage one task calls it, the others wait for its success.
+        """
+        outage = self._record_outage(exc)
+        if outage.is_probed:
+            await outage.ended.wait()
+            return
+        outage.is_probed = True
+        pause_ms = outage.pause_ms * self._rng.uniform(0.5, 1.0)
+        outage.pause_ms = min(outage.pause_ms * 2, MAX_BACKOFF_MS)
+        await trio.sleep(pause_ms / types.SECOND_MS)
+        outage.is_probed = False
+
+    def _record_outage(self, exc: errors.StoreError) -> _Outage:
+        if self._outage is None:
+            self._outage = _Outage(self._now_ms())
             self._log.emit('store-lost', error=str(exc))
+            # The store may have forgotten watches that wait.
+            for scope in self._waiting:
+                scope.cancel()
+        return self._outage
 
     def _record_contact(self) -> None:
+        outage = self._outage
+        if outage is None:
+            return
         now_ms = self._now_ms()
-        if self._outage_began_ms is not None:
-            self._log.emit(
-                'store-regained', after_ms=now_ms - self._outage_began_ms
-            )
-            self._outage_began_ms = None
-            self._outage_ended_ms = now_ms
+        self._log.emit('store-regained', after_ms=now_ms - outage.began_ms)
+        self._outage = None
+        self._outage_ended_ms = now_ms
+        outage.ended.set()
--- a/foxtailpick/gateway/peers.py
+++ b/foxtailpick/gateway/peers.py
@@ -43,6 +43,9 @@
         self._hub_reports = load_exchange.HubReports()
         self._hub_selector = load_exchange.HubSelector()
         self._sent_counts = load_exchange.SentCounts()
+        # Addresses that reports came from. A router that has just started
+        # may not be listed yet.
+        self._reporters: dict[types.RouterId, model.Address] = {}
 
     def __enter__(self) -> 'PeerExchange':
         return self
@@ -84,13 +87,9 @@
             return
         self._hub_selector.record_message(now_ms)
         self._hub_reports.record(hub, number, counts, now_ms, outcomes)
-        await self._send_totals(routers, now_ms)
+        await self._send_totals(now_ms)
 
-    async def _send_totals(
-        self,
-        routers: typing.Mapping[types.RouterId, model.RouterEntry],
-        now_ms: float,
-    ) -> None:
+    async def _send_totals(self, now_ms: float) -> None:
         gw = self._gw
         sums = self._hub_reports.sum_counts(now_ms)
         outcomes = self._hub_reports.sum_outcomes()
@@ -98,9 +97,9 @@
         for router, number in self._hub_reports.list_routers():
             if router == gw.cfg.name:
                 self._apply_totals(sums, outcomes, number, now_ms)
-            elif router in routers:
+            elif router in self._reporters:
                 data = cbor2.dumps([_KIND_TOTALS, gw.cfg.name, number, packed])
-                await self._send_to(data, routers[router].address)
+                await self._send_to(data, self._reporters[router])
 
     async def _send_to(self, data: bytes, address: model.Address) -> None:
         try:
@@ -113,17 +112,20 @@
     async def _receive(self) -> None:
         while True:
             try:
-                data, _ = await self._sock.recvfrom(MAX_DATAGRAM_BYTES)
-                self._handle_message(cbor2.loads(data))
+                data, address = await self._sock.recvfrom(MAX_DATAGRAM_BYTES)
+                self._handle_message(cbor2.loads(data), address)
             except (OSError, ValueError, TypeError) as exc:
                 self._gw.metrics.count('peer_messages_bad')
                 self._gw.log.emit_request('peer-message-bad', why=repr(exc))
 
-    def _handle_message(self, message: typing.Any) -> None:
+    def _handle_message(
+        self, message: typing.Any, address: model.Address
+    ) -> None:
         kind, router, number, *contents = message
         now_ms = self._gw.now_ms()
         if kind == _KIND_COUNTS:
             counts, outcomes = contents
+            self._reporters[router] = address
             self._hub_reports.record(
                 router, number, dict(counts), now_ms, dict(outcomes)
             )
--- a/foxtailpick/gateway/settings.py
+++ b/foxtailpick/gateway/settings.py
@@ -19,6 +19,8 @@
     :param peers: UDP address for messages of other routers.
     :param store: address of the platform's store.
     :param min_lease_ms: shortest lease TTL that the store grants.
+    :param change_bound_ms: shortest time in which a change in the store has
+        to be in force.
     :param grace_ms: time from SIGTERM to the end of the process.
     :param retry_ratio: retries allowed per request, for the whole fleet.
     :param retry_extra: burst of retries allowed beyond that, for the whole
@@ -35,6 +37,7 @@
     peers: model.Address
     store: model.Address
     min_lease_ms: float = 1_000.0
+    change_bound_ms: float = 2_000.0
     grace_ms: float = 8_000.0
     retry_ratio: float = 0.2
     retry_extra: float = 50.0
@@ -47,6 +50,8 @@
             raise self._make_error('a retry ratio of 0 to 1, extra >= 0')
         if self.grace_ms <= 0 or self.min_lease_ms <= 0:
             raise self._make_error('grace and lease durations above 0')
+        if self.change_bound_ms <= 0:
+            raise self._make_error('a bound on changes above 0 ms')
         if self.processor_share <= 0 or self.max_sockets <= 0:
             raise self._make_error('processor and descriptor limits above 0')
 
--- a/foxtailpick/gateway/state.py
+++ b/foxtailpick/gateway/state.py
@@ -8,6 +8,10 @@
 from foxtailpick.core import types
 from foxtailpick.gateway import decision_log
 
+# A router missing from the list is kept for this long: a lapsed lease is
+# replaced at the next renewal, and the list may be some seconds old.
+ROUTER_GRACE_MS = 10_000.0
+
 
 class GatewayState:
     """Configuration, endpoints and routers as last read from the store.
@@ -27,6 +31,7 @@
         self._now_ms = now_ms
         self._log = log
         self._routers: dict[types.RouterId, model.RouterEntry] = {}
+        self._router_listed_ms: dict[types.RouterId, float] = {}
         self._evacuated: set[types.FailureDomainId] = set()
         self.table = endpoint_table.EndpointTable()
         self.cfg: model.GatewayConfig | None = None
@@ -64,52 +69,76 @@
             else:
                 evacuated.discard(item.domain)
             self._set_evacuated(evacuated)
-        else:
-            self._set_router(item)
 
-    def replace(
-        self,
-        items: typing.Sequence[model.Item],
-        grace_until_ms: float | None,
+    def replace_operator_items(
+        self, items: typing.Sequence[model.Item]
     ) -> None:
-        """Replace the state by a snapshot of the store.
+        """Replace what the operators wrote.
 
-        :param items: all items of the store.
-        :param grace_until_ms: time until which missing endpoints are kept,
-            since their entries may have expired during an outage of the
-            store; None removes them immediately.
+        :param items: all of it.
         """
-        entries = []
         evacuated = set()
-        routers: dict[types.RouterId, model.RouterEntry] = {}
         for item in items:
             if isinstance(item, model.ConfigItem):
                 self._set_config(item.cfg)
-            elif isinstance(item, model.EndpointItem) and item.entry:
-                entries.append(item.entry)
             elif isinstance(item, model.EvacuationItem):
                 evacuated.add(item.domain)
-            elif isinstance(item, model.RouterItem) and item.entry:
-                routers[item.id] = item.entry
+        self._set_evacuated(evacuated)
+
+    def replace_endpoints(
+        self,
+        items: typing.Sequence[model.Item],
+        grace_until_ms: float | None,
+    ) -> None:
+        """Replace the endpoints by those of a snapshot.
+
+        :param items: their items.
+        :param grace_until_ms: time until which missing endpoints are kept,
+            since their entries may have expired during an outage of the
+            store; None removes them immediately.
+        """
+        entries = [
+            item.entry
+            for item in items
+            if isinstance(item, model.EndpointItem) and item.entry
+        ]
         absent = self.table.replace_all(
             entries, self._now_ms(), grace_until_ms
         )
-        self._set_evacuated(evacuated)
-        if grace_until_ms is None:
-            self._routers = routers
-        else:
-            # Registrations expire in an outage as well. Counting a router
-            # that is gone only reduces this router's share of each budget.
-            self._routers = {**self._routers, **routers}
         self._log.emit(
-            'store-read',
+            'endpoints-read',
             config=self.cfg.number if self.cfg else None,
             endpoints=len(entries),
             absent=absent,
-            routers=self.router_count,
             after_outage=grace_until_ms is not None,
         )
 
+    def replace_routers(self, items: typing.Sequence[model.Item]) -> None:
+        """Update the routers from a list that may be some seconds old.
+
+        A router that is missing is kept for a while, since registrations
+        expire in an outage as well. Counting a router that is gone only
+        reduces this router's share of each budget.
+
+        :param items: their items.
+        """
+        now_ms = self._now_ms()
+        before = set(self._routers)
+        for item in items:
+            if isinstance(item, model.RouterItem) and item.entry:
+                self._routers[item.id] = item.entry
+                self._router_listed_ms[item.id] = now_ms
+        for router, listed_ms in list(self._router_listed_ms.items()):
+            is_kept = now_ms - listed_ms < ROUTER_GRACE_MS
+            if not is_kept and router != self._own_id:
+                del self._routers[router]
+                del self._router_listed_ms[router]
+        changed = before.symmetric_difference(self._routers)
+        if changed:
+            self._log.emit(
+                'routers', count=self.router_count, changed=sorted(changed)
+            )
+
     def expire(self) -> None:
         """Remove endpoints that were not relisted after an outage."""
         for endpoint in self.table.expire_absent(self._now_ms()):
@@ -153,10 +182,3 @@
         services = self.cfg.services if self.cfg else {}
         self.table.set_evacuated(evacuated, services, self._now_ms())
         self._log.emit('domains-out', domains=sorted(evacuated))
-
-    def _set_router(self, item: model.RouterItem) -> None:
-        if item.entry is not None:
-            self._routers[item.id] = item.entry
-        elif item.id != self._own_id:
-            self._routers.pop(item.id, None)
-        self._log.emit('routers', count=self.router_count, changed=item.id)
--- a/foxtailpick/platform/boot.py
+++ b/foxtailpick/platform/boot.py
@@ -12,6 +12,15 @@
 # Set by the deploy file, so that the metrics port is fixed.
 METRICS_VARIABLE = 'FOXTAILPICK_METRICS_PORT'
 
+# Bounds on the time until a change in the store is in force.
+_CHANGE_BOUNDS = (
+    'drain_ms',
+    'config_apply_ms',
+    'evacuation_ms',
+    'revoke_ms',
+)
+DEFAULT_CHANGE_BOUND_MS = 2_000.0
+
 
 def find_boot_file() -> pathlib.Path:
     """Return the path of the settings file.
@@ -75,6 +84,10 @@
         store=_get_address(fields, 'platform.address'),
         # Shortest lease that the store grants.
         min_lease_ms=_get_number(fields, 'platform.ttl_min_ms', 1_000.0),
+        change_bound_ms=min(
+            _get_number(fields, f'bounds.{name}', DEFAULT_CHANGE_BOUND_MS)
+            for name in _CHANGE_BOUNDS
+        ),
         # The field is in seconds, all internal durations in milliseconds.
         grace_ms=_get_number(fields, 'bounds.grace_s', 8.0) * types.SECOND_MS,
         retry_ratio=_get_number(fields, 'bounds.retry_budget_ratio', 0.2),
--- a/foxtailpick/platform/items.py
+++ b/foxtailpick/platform/items.py
@@ -9,7 +9,9 @@
 
 from foxtailpick.core.dispatch import model
 from foxtailpick.core import types
+from foxtailpick.gateway import mirror
 
+OPERATOR_PREFIX = 'op/'
 CONFIG_KEY = 'op/config'
 ENDPOINT_PREFIX = 'servers/'
 EVACUATION_PREFIX = 'op/evacuate/'
@@ -229,3 +231,8 @@
         )
         accounts.update({key: account for key in item.get('api_keys', ())})
     return accounts
+
+
+LAYOUT = mirror.StoreLayout(
+    decode_item, OPERATOR_PREFIX, ENDPOINT_PREFIX, ROUTER_PREFIX
+)
--- a/foxtailpick/platform/run.py
+++ b/foxtailpick/platform/run.py
@@ -42,7 +42,7 @@
             daemon.run_gateway,
             cfg,
             store.PlatformStore,
-            items.decode_item,
+            items.LAYOUT,
             DIALECT,
             make_registration(cfg),
             functools.partial(boot.read_settings, path),
--- a/foxtailpick/platform/store.py
+++ b/foxtailpick/platform/store.py
@@ -18,12 +18,13 @@
 
 # Ten times the store's usual latency under load; a slow call is retried.
 CALL_TIMEOUT_MS = 1_500.0
-# Long-poll duration of a watch. A configuration must be active within two
-# seconds, also after a connection went dead, which only a missing reply
-# reveals.
-WATCH_WAIT_MS = 1_500.0
-# Time allowed for the reply after the long poll.
+# Longest wait of a watch.
+MAX_WATCH_WAIT_MS = 30_000.0
+# Time allowed for the reply after the wait.
 WATCH_SLACK_MS = 1_000.0
+# A connection on which a watch waits may go silent for good. The kernel
+# then closes it within twice this time.
+KEEP_ALIVE_MS = 1_000.0
 _BASE_PATH = '/foxtailpick/'
 
 
@@ -58,7 +59,9 @@
     async def get_prefix(self, prefix: str) -> list[base.Entry]:
         return (await self.read_snapshot(prefix)).entries
 
-    async def read_snapshot(self, prefix: str) -> base.Snapshot:
+    async def read_snapshot(
+        self, prefix: str, is_stale_ok: bool = False
+    ) -> base.Snapshot:
         """Return all entries of a prefix and a revision to watch from.
 
         Pages are read at different revisions. The revision of the first
@@ -66,6 +69,8 @@
         changes made between pages.
 
         :param prefix: key prefix, may be empty.
+        :param is_stale_ok: whether entries may be some seconds old; such a
+            call costs a tenth.
         :raises errors.StoreError: if the store cannot be read.
         """
         entries: list[base.Entry] = []
@@ -73,6 +78,8 @@
         after = ''
         while True:
             fields = {'prefix': prefix, **({'after': after} if after else {})}
+            if is_stale_ok:
+                fields['stale_ok'] = '1'
             query = urllib.parse.urlencode(fields)
             status, reply = await self._call('GET', f'kv-range?{query}')
             _check_status(status, reply)
@@ -85,22 +92,30 @@
             after = page[-1].key
 
     async def poll_changes(
-        self, prefix: str, after: types.Revision
+        self,
+        prefix: str,
+        after: types.Revision,
+        wait_ms: float = MAX_WATCH_WAIT_MS,
     ) -> tuple[list[base.Change], types.Revision]:
         """Long-poll for changes after a revision.
 
         :param prefix: key prefix, may be empty.
         :param after: revision that is already known.
+        :param wait_ms: longest time to wait.
         :returns: the changes, none after a timeout, and the revision to
             continue from.
         :raises errors.StoreError: with code `STORE_HISTORY_LOST` if the
             store no longer has the changes.
         """
         query = urllib.parse.urlencode(
-            {'prefix': prefix, 'after': after, 'wait_ms': int(WATCH_WAIT_MS)}
+            {
+                'prefix': prefix,
+                'after': after,
+                'wait_ms': int(min(wait_ms, MAX_WATCH_WAIT_MS)),
+            }
         )
         status, reply = await self._call(
-            'GET', f'kv-watch?{query}', WATCH_WAIT_MS + WATCH_SLACK_MS
+            'GET', f'kv-watch?{query}', wait_ms + WATCH_SLACK_MS
         )
         if status == 410:
             raise errors.StoreError(
@@ -218,7 +233,9 @@
             if conn.is_alive():
                 return conn
             conn.close()
-        return await client_lib.ClientConnection.connect(self._address)
+        return await client_lib.ClientConnection.connect(
+            self._address, KEEP_ALIVE_MS
+        )
 
 
 def _decode_entry(item: typing.Mapping[str, typing.Any]) -> base.Entry:
