Pause at most a third of a service for partial failures

Change: of the endpoints that serve some of their callers only the third with the most failures is paused; those that fail everything (four failures or more) or can't be reached are paused as before. A paused home that answers some requests still holds its prompts, and a new home fetches from the first endpoint in the order that is not new itself.

--- a/foxtailpick/core/dispatch/health.py
+++ b/foxtailpick/core/dispatch/health.py
@@ -17,6 +17,10 @@
 # A lower failure rate is tolerated: some kinds of request fail at healthy
 # endpoints too.
 FAILURE_RATE_LIMIT = 0.35
+# An endpoint with this failure rate, of at least this many decayed failures,
+# serves nobody. One below it serves part of its callers.
+TOTAL_FAILURE_RATE = 0.8
+MIN_TOTAL_FAILURES = 3.5
 # Short, since most causes are transient.
 FIRST_PAUSE_MS = 500.0
 # About the time after which the store drops a dead endpoint.
@@ -40,6 +44,7 @@
     :param decayed_ms: when the counters were last decayed.
     :param pause_ms: length of the next pause.
     :param paused_until_ms: end of the current pause.
+    :param is_reachable: whether the last contact succeeded.
     :param last_received_ms: when bytes were last received from it.
     :param awaiting_since_ms: since when an answer is outstanding, None if
         there is none.
@@ -52,6 +57,7 @@
     decayed_ms: float = 0.0
     pause_ms: float = FIRST_PAUSE_MS
     paused_until_ms: float = 0.0
+    is_reachable: bool = True
     last_received_ms: float = 0.0
     awaiting_since_ms: float | None = None
 
@@ -62,6 +68,21 @@
         """
         return now_ms < self.paused_until_ms
 
+    def is_partly_failing(self, now_ms: float) -> bool:
+        """Tell whether the endpoint is paused though it serves some callers.
+
+        :param now_ms: current time.
+        """
+        if not self.is_paused(now_ms) or not self.is_reachable:
+            return False
+        if self.is_silent(now_ms):
+            return False
+        total = self.failures + self.successes
+        return (
+            self.failures < MIN_TOTAL_FAILURES
+            or self.failures < TOTAL_FAILURE_RATE * total
+        )
+
     def is_silent(self, now_ms: float) -> bool:
         """Tell whether the endpoint is not responding to open requests.
 
@@ -96,6 +117,8 @@
     """
     decay(health, now_ms)
     health.failures += FAILURE_LIMIT if is_fatal else 1
+    if is_fatal:
+        health.is_reachable = False
     if health.is_paused(now_ms) or health.failures < FAILURE_LIMIT:
         return False
     total = health.failures + health.successes
@@ -130,6 +153,7 @@
         failure; that count is then reverted.
     """
     decay(health, now_ms)
+    health.is_reachable = True
     health.started_answers += 1
     if was_counted:
         health.failed_requests = max(0.0, health.failed_requests - 1)
--- a/foxtailpick/core/dispatch/placing.py
+++ b/foxtailpick/core/dispatch/placing.py
@@ -8,9 +8,11 @@
 overflowing request fetches the cached prompt from its home endpoint, the
 first in that order, instead of having it processed again. If nearly all
 slots are in use, prompt affinity does not queue requests at a full
-endpoint. Requests without a prompt go to the less loaded of two random
-endpoints, so that routers with the same stale load report do not all choose
-the same endpoint.
+endpoint. If all endpoints fail part of their requests, pausing each of them
+in turn would scatter the prompts without serving more callers, so only a
+third of a service is paused for partial failures. Requests without a prompt
+go to the less loaded of two random endpoints, so that routers with the same
+stale load report do not all choose the same endpoint.
 """
 
 import dataclasses
@@ -37,6 +39,8 @@
 # Usable share of an endpoint's connection limit: the endpoint accepts fewer
 # connections while its queue is long, and resets those above its limit.
 USABLE_CONNECTION_SHARE = 0.9
+# Largest share of a service that is paused for failing part of its requests.
+MAX_PAUSED_SHARE = 1 / 3
 # If all endpoints are full, a queue of this share of the slots delays a
 # request about as long as processing a long prompt at another endpoint does
 # (64 to 128 ms on the platform, with run times of one to two seconds).
@@ -123,9 +127,8 @@
         is_cold = any(item.is_cold(query.now_ms) for item in untried)
         return Obstacle.ALL_COLD if is_cold else Obstacle.ALL_FULL
     ejected = _list_ejected(endpoints, query.now_ms)
-    healthy = [
-        item for item in accepting if not _is_suspect(item, query.now_ms)
-    ]
+    suspects = _list_suspects(endpoints, query.now_ms)
+    healthy = [item for item in accepting if item.id not in suspects]
     usable = [item for item in healthy if item.id not in ejected]
     if not usable:
         return _choose_last_resort(accepting)
@@ -135,7 +138,7 @@
     if query.prefix is None:
         return _choose_of_two(usable, mean, rng)
     choice = _choose_by_prefix(usable, mean, query.prefix, rng)
-    holder = _find_holder(choice.endpoint, usable, query)
+    holder = _find_holder(choice.endpoint, endpoints, query)
     return dataclasses.replace(choice, holder=holder)
 
 
@@ -189,6 +192,29 @@
     return set(sorted(failed, key=failed.__getitem__, reverse=True)[:limit])
 
 
+def _list_suspects(
+    endpoints: typing.Sequence[endpoint_table.Endpoint], now_ms: float
+) -> set[types.EndpointId]:
+    """Return the paused and the unresponsive endpoints.
+
+    Of those that serve part of their callers, only the ones with the most
+    failures are paused, up to a limit.
+    """
+    partly = {
+        item.id: item.health.failures
+        for item in endpoints
+        if item.health.is_partly_failing(now_ms)
+    }
+    limit = max(1, int(len(endpoints) * MAX_PAUSED_SHARE))
+    worst = sorted(partly, key=partly.__getitem__, reverse=True)[:limit]
+    return {
+        item.id
+        for item in endpoints
+        if item.id in worst
+        or (item.id not in partly and _is_suspect(item, now_ms))
+    }
+
+
 def _is_suspect(item: endpoint_table.Endpoint, now_ms: float) -> bool:
     return item.health.is_paused(now_ms) or item.health.is_silent(now_ms)
 
@@ -244,28 +270,38 @@
 
 def _find_holder(
     chosen: endpoint_table.Endpoint,
-    usable: typing.Sequence[endpoint_table.Endpoint],
+    endpoints: typing.Sequence[endpoint_table.Endpoint],
     query: Query,
 ) -> endpoint_table.Endpoint | None:
     """Return another endpoint that probably has the prompt cached.
 
     This is the home endpoint of the prompt or, if the chosen endpoint is
-    the home but has just started, the previous home. Failing endpoints are
-    skipped because the request would wait for their reply.
+    the home but has just started, the next one in the order that has not.
+    An endpoint that fails part of its requests still has its cache. One that
+    does not respond is skipped, because the request would wait for its
+    reply.
     """
     assert query.prefix is not None
+    now_ms = query.now_ms
+    reachable = [
+        item
+        for item in endpoints
+        if item is chosen
+        or item.health.is_partly_failing(now_ms)
+        or not _is_suspect(item, now_ms)
+    ]
     draining = [
         item
         for item in query.draining
-        if not _is_suspect(item, query.now_ms)
-        and not item.is_cold(query.now_ms)
+        if not _is_suspect(item, now_ms) and not item.is_cold(now_ms)
     ]
-    ranked = _rank([*usable, *draining], query.prefix)
+    ranked = _rank([*reachable, *draining], query.prefix)
     if ranked[0] is not chosen:
         return ranked[0]
-    if chosen.is_cache_filling(query.now_ms) and len(ranked) > 1:
-        return ranked[1]
-    return None
+    if not chosen.is_cache_filling(now_ms) or len(ranked) == 1:
+        return None
+    filled = [item for item in ranked if not item.is_cache_filling(now_ms)]
+    return filled[0] if filled else ranked[1]
 
 
 def _rank(
--- a/foxtailpick/gateway/relay.py
+++ b/foxtailpick/gateway/relay.py
@@ -368,6 +368,7 @@
         route=job.route.name,
         endpoint=endpoint.id,
         why=choice.reason.value,
+        prompt=job.prefix,
         load=round(endpoint.load, 1),
         mean=round(choice.mean_load, 1),
         of=choice.candidates,
--- a/foxtailpick/tests/test_dispatch.py
+++ b/foxtailpick/tests/test_dispatch.py
@@ -451,3 +451,76 @@
     early = stopping.estimate_duration_ms(route, 400, learned, 2_900.0)
     late = stopping.estimate_duration_ms(route, 400, learned, 3_100.0)
     assert early < 4_000.0 < late
+
+
+def fail_partly(item, now_ms, failures, successes):
+    """Record failed and good answers of an endpoint."""
+    for _ in range(successes):
+        health.record_answer_start(item.health, now_ms, False)
+        health.record_success(item.health, now_ms)
+    for _ in range(failures):
+        health.record_failure(item.health, now_ms, False)
+
+
+def test_service_that_fails_in_part_everywhere_keeps_its_prompts_in_place():
+    """Simulates levant-moodboard trouble-1 from second 11 to 15.
+
+    All six engines fail 40 % of their requests. Pausing each of them in turn
+    sent every prompt to up to six engines, where it was processed again, and
+    served nobody more.
+    """
+    rng = random.Random(3)
+    table = make_table(6, slots=128)
+    prompts = [f'p{number}' for number in range(30)]
+    homes = {key: choose(table, key).endpoint.id for key in prompts}
+    moved = 0
+    for now_ms in range(0, 4_000, 5):
+        prompt = rng.choice(prompts)
+        choice = choose(table, prompt, now_ms)
+        moved += choice.endpoint.id != homes[prompt]
+        is_failed = rng.random() < 0.4
+        fail_partly(choice.endpoint, now_ms, is_failed, not is_failed)
+    # At most a third of the engines is paused at any time.
+    assert moved <= 800 / 3
+
+
+def test_endpoint_that_fails_every_request_is_paused_beyond_the_limit():
+    table = make_table(6)
+    for item in table.list_all()[:4]:
+        fail_partly(item, 0.0, 5, 0)
+    chosen = {choose(table, str(key)).endpoint.id for key in range(50)}
+    assert chosen <= {'e4', 'e5'}
+
+
+def test_one_of_two_endpoints_is_paused_for_partial_failures():
+    table = make_table(2)
+    fail_partly(table.get('e0'), 0.0, 6, 4)
+    chosen = {choose(table, str(key)).endpoint.id for key in range(50)}
+    assert chosen == {'e1'}
+
+
+def test_prompt_is_fetched_from_a_home_that_fails_in_part():
+    """A paused home that answers some requests still has its cache."""
+    table = make_table(6)
+    home = choose(table).endpoint
+    fail_partly(home, 0.0, 6, 4)
+    choice = choose(table)
+    assert choice.endpoint is not home
+    assert choice.holder is home
+    # It may not reply at all once it is unreachable.
+    health.record_failure(home.health, 0.0, True)
+    assert choose(table).holder is None
+
+
+def test_new_home_fetches_from_an_endpoint_that_is_not_new_itself():
+    """Half of the engines return at the same time with empty caches."""
+    table = make_table(6)
+    order = [item.id for item in placing._rank(table.list_all(), 'p')]
+    for endpoint in order[:3]:
+        entry = gateway_harness.make_endpoint_entry(
+            endpoint, started='2', warmup_left_ms=1.0
+        )
+        table.put(entry, 0.0)
+    choice = choose(table, now_ms=2.0)
+    assert choice.endpoint.id == order[0]
+    assert choice.holder.id == order[3]
