Let a new home fetch prompts from the home before it

Engines that are replaced one after the other are all new for 15 s, so that the next endpoint in the order was often new itself, or the first old one was not the home of the last seconds. The home before a new endpoint is the first in the order that was listed at least a second earlier.

--- a/foxtailpick/core/dispatch/endpoint_table.py
+++ b/foxtailpick/core/dispatch/endpoint_table.py
@@ -26,6 +26,7 @@
     :param connections: connections of this router to it.
     :param remote_load: estimated requests of other routers there.
     :param load_updated_ms: time of that estimate, None before the first.
+    :param listed_ms: when this router first saw its entry.
     :param warm_at_ms: end of its warm-up.
     :param cache_filling_until_ms: until when its cache probably lacks
         prompts of which it is the home.
@@ -41,6 +42,7 @@
     connections: int = 0
     remote_load: float = 0.0
     load_updated_ms: float | None = None
+    listed_ms: float = 0.0
     warm_at_ms: float = 0.0
     cache_filling_until_ms: float = 0.0
     absent_until_ms: float | None = None
@@ -183,7 +185,7 @@
         """
         known = self._endpoints.get(entry.id)
         if known is None or known.entry.started != entry.started:
-            known = Endpoint(entry)
+            known = Endpoint(entry, listed_ms=now_ms)
             self._endpoints[entry.id] = known
             if entry.warmup_left_ms > 0:
                 known.cache_filling_until_ms = now_ms + CACHE_FILL_MS
--- a/foxtailpick/core/dispatch/placing.py
+++ b/foxtailpick/core/dispatch/placing.py
@@ -39,6 +39,9 @@
 # Usable share of an endpoint's connection limit: the endpoint accepts fewer
 # connections while its queue is long, and resets those above its limit.
 USABLE_CONNECTION_SHARE = 0.9
+# Endpoints listed within this time of each other started together, so that
+# none of them was the home of a prompt before the other.
+SAME_START_MS = 1_000.0
 # Largest share of a service that is paused for failing part of its requests.
 MAX_PAUSED_SHARE = 1 / 3
 # If all endpoints are full, a queue of this share of the slots delays a
@@ -276,7 +279,7 @@
     """Return another endpoint that probably has the prompt cached.
 
     This is the home endpoint of the prompt or, if the chosen endpoint is
-    the home but has just started, the next one in the order that has not.
+    the home but has just started, the home before it did.
     An endpoint that fails part of its requests still has its cache. One that
     does not respond is skipped, because the request would wait for its
     reply.
@@ -300,8 +303,9 @@
         return ranked[0]
     if not chosen.is_cache_filling(now_ms) or len(ranked) == 1:
         return None
-    filled = [item for item in ranked if not item.is_cache_filling(now_ms)]
-    return filled[0] if filled else ranked[1]
+    started_ms = chosen.listed_ms - SAME_START_MS
+    earlier = [item for item in ranked if item.listed_ms < started_ms]
+    return earlier[0] if earlier else ranked[1]
 
 
 def _rank(
--- a/foxtailpick/tests/test_dispatch.py
+++ b/foxtailpick/tests/test_dispatch.py
@@ -512,15 +512,24 @@
     assert choose(table).holder is None
 
 
-def test_new_home_fetches_from_an_endpoint_that_is_not_new_itself():
-    """Half of the engines return at the same time with empty caches."""
+@pytest.mark.parametrize(
+    ('starts_ms', 'holder'),
+    [
+        # Half of the engines return together with empty caches.
+        ((9_000.0, 9_200.0, 9_400.0), 3),
+        # They are replaced one after the other: the one before was the home.
+        ((9_000.0, 6_000.0, 3_000.0), 1),
+        ((9_000.0, 8_500.0, 3_000.0), 2),
+    ],
+)
+def test_new_home_fetches_from_the_home_before(starts_ms, holder):
     table = make_table(6)
     order = [item.id for item in placing._rank(table.list_all(), 'p')]
-    for endpoint in order[:3]:
+    for endpoint, start_ms in zip(order, starts_ms, strict=False):
         entry = gateway_harness.make_endpoint_entry(
             endpoint, started='2', warmup_left_ms=1.0
         )
-        table.put(entry, 0.0)
-    choice = choose(table, now_ms=2.0)
+        table.put(entry, start_ms)
+    choice = choose(table, now_ms=10_000.0)
     assert choice.endpoint.id == order[0]
-    assert choice.holder.id == order[3]
+    assert choice.holder.id == order[holder]
