Redirect routers to the hub that restarted routers report to

The others avoid it for four seconds and try one restarted gateway after the other, 0.7 s each, none of which is the hub to itself. Counts were up to 2.3 s old while callers returned.

Change: a router that gets counts and is not the hub names the one it reports to, which the sender then uses again. The simulation of the restart failed before.

Log lines of ended requests have the time to the start of the answer, which tells a late stream from a long one.

--- a/foxtailpick/core/dispatch/load_exchange.py
+++ b/foxtailpick/core/dispatch/load_exchange.py
@@ -4,8 +4,9 @@
 response from an engine only every few seconds, while requests for hot
 prompts accumulate at one engine. One router, the hub, sums the requests in
 flight of all routers and sends the totals to each. The number of messages
-grows linearly with the number of routers, not with its square. Without a
-reachable hub, a router falls back to the load reports in responses.
+grows linearly with the number of routers, not with its square. A router that
+is taken for the hub and is not names the hub it knows. Without a reachable
+hub, a router falls back to the load reports in responses.
 """
 
 import dataclasses
@@ -151,6 +152,21 @@
         """
         self._last_message_ms = now_ms
 
+    def record_redirect(
+        self, sender: types.RouterId, hub: types.RouterId
+    ) -> None:
+        """Use a hub again that the chosen router reports to itself.
+
+        After a restart of many routers, those that stayed up avoid the old
+        hub, while the restarted ones report to it. Without the redirect they
+        would try one restarted router after the other.
+
+        :param sender: router that refuses to be the hub.
+        :param hub: the hub that it reports to.
+        """
+        if sender == self.hub:
+            self._avoided_until_ms.pop(hub, None)
+
 
 class SentCounts:
     """Counts sent to the hub, subtracted again from its totals."""
--- a/foxtailpick/gateway/attempt.py
+++ b/foxtailpick/gateway/attempt.py
@@ -276,6 +276,8 @@
         raise _InvalidResponseError(
             'response without signature or with content encoding'
         )
+    if is_success and job.answered_ms is None:
+        job.answered_ms = now_ms
     if is_success and job.route.kind is model.RequestKind.STREAMING:
         return await _relay_stream(gw, job, attempt, conn, reply, head, meta)
     body = await _read_body(conn)
--- a/foxtailpick/gateway/job.py
+++ b/foxtailpick/gateway/job.py
@@ -30,6 +30,8 @@
     :param unreached: attempts that did not reach the endpoint, because it
         was unreachable or its address belongs to another one.
     :param sends: times that it was sent, to any address.
+    :param answered_ms: when an endpoint started the response that is
+        relayed, None before that.
     :param verdict: whether it may have been executed.
     """
 
@@ -47,4 +49,5 @@
     counted_attempts: int = 0
     unreached: int = 0
     sends: int = 0
+    answered_ms: float | None = None
     verdict: verdict_lib.Verdict = verdict_lib.Verdict.NOT_RUN
--- a/foxtailpick/gateway/peers.py
+++ b/foxtailpick/gateway/peers.py
@@ -23,6 +23,7 @@
 # versions interoperate; kinds 0 and 1 carried no failure counts.
 _KIND_COUNTS = 2
 _KIND_TOTALS = 3
+_KIND_REDIRECT = 4
 
 
 class PeerExchange:
@@ -113,12 +114,12 @@
         while True:
             try:
                 data, address = await self._sock.recvfrom(MAX_DATAGRAM_BYTES)
-                self._handle_message(cbor2.loads(data), address)
+                await self._handle_message(cbor2.loads(data), address)
             except (OSError, ValueError, TypeError) as exc:
                 self._gw.metrics.count('peer_messages_bad')
                 self._gw.log.emit_request('peer-message-bad', why=repr(exc))
 
-    def _handle_message(
+    async def _handle_message(
         self, message: typing.Any, address: model.Address
     ) -> None:
         kind, router, number, *contents = message
@@ -129,10 +130,17 @@
             self._hub_reports.record(
                 router, number, dict(counts), now_ms, dict(outcomes)
             )
+            hub = self._hub_selector.hub
+            if hub is not None and hub != self._gw.cfg.name:
+                name = self._gw.cfg.name
+                data = cbor2.dumps([_KIND_REDIRECT, name, number, hub])
+                await self._send_to(data, address)
         elif kind == _KIND_TOTALS and router == self._hub_selector.hub:
             self._hub_selector.record_message(now_ms)
             sums, outcomes = cbor2.loads(contents[0])
             self._apply_totals(sums, outcomes, number, now_ms)
+        elif kind == _KIND_REDIRECT:
+            self._hub_selector.record_redirect(router, contents[0])
 
     def _apply_totals(
         self,
--- a/foxtailpick/gateway/relay.py
+++ b/foxtailpick/gateway/relay.py
@@ -395,8 +395,15 @@
         route=job.route.name if job else None,
         outcome=outcome.value,
         status=reply.status,
+        ms_first=_compute_first_ms(job),
         ms_taken=round(took_ms, 1),
         sent=job.counted_attempts if job else 0,
         code=exc.code.value if exc else None,
         why=exc.message if exc else None,
     )
+
+
+def _compute_first_ms(job: job_lib.Job | None) -> float | None:
+    if job is None or job.answered_ms is None:
+        return None
+    return round(job.answered_ms - job.req.received_ms, 1)
--- a/foxtailpick/tests/test_load_exchange.py
+++ b/foxtailpick/tests/test_load_exchange.py
@@ -7,6 +7,7 @@
 from foxtailpick.core.dispatch import load_exchange
 from foxtailpick.core.dispatch import model
 from foxtailpick.core.dispatch import placing
+from foxtailpick.core import ring
 from foxtailpick.gateway import peers
 from foxtailpick.tests import gateway_harness
 from foxtailpick.tests import test_dispatch
@@ -49,6 +50,53 @@
     assert selector.hub == first
 
 
+def simulate_restart(has_redirect):
+    """Return the time in ms without totals after a restart of many routers.
+
+    Simulates luparetki-large scale-1: 11 of 18 routers, the hub and those
+    next in the order, are killed at second 1 and run again after 0.8 s.
+    Returns the longest time of all routers that stayed up.
+    """
+    names = [f'r{number}' for number in range(18)]
+    shares = dict.fromkeys(names, 1.0)
+    selectors = {name: load_exchange.HubSelector() for name in names}
+    killed = set(ring.rank_by_rendezvous('hub', shares)[:11])
+    heard_ms = dict.fromkeys(names, 0.0)
+    gap_ms = 0.0
+    for now_ms in range(0, 10_000, 150):
+        is_down = 1_000 <= now_ms < 1_800
+        if now_ms == 1_800:
+            for name in killed:
+                selectors[name] = load_exchange.HubSelector()
+        alive = [name for name in names if not is_down or name not in killed]
+        chosen = {
+            name: selectors[name].choose(shares, name, float(now_ms))
+            for name in alive
+        }
+        for name, asked in chosen.items():
+            if chosen.get(asked) == asked:
+                selectors[name].record_message(float(now_ms))
+                heard_ms[name] = now_ms
+            elif asked in chosen and has_redirect:
+                selectors[name].record_redirect(asked, chosen[asked])
+        gap_ms = max(
+            gap_ms,
+            *(now_ms - heard_ms[n] for n in names if n not in killed),
+        )
+    return gap_ms
+
+
+def test_routers_that_stayed_up_find_the_restarted_hub():
+    """Before, they tried one restarted router after the other.
+
+    Counts of up to 2.3 s sent requests to engines that were already loaded.
+    """
+    assert simulate_restart(has_redirect=False) > 2_000
+    # The time-out of the old hub, and a few messages.
+    limit_ms = load_exchange.HUB_TIMEOUT_MS + 4 * peers.EXCHANGE_INTERVAL_MS
+    assert simulate_restart(has_redirect=True) <= limit_ms
+
+
 def test_own_requests_are_subtracted_from_the_totals():
     table = test_dispatch.make_table(1)
     endpoint = table.get('e0')
