Refuse queued requests that will not get a slot in time

Load pattern: a service stays full, as when most engines are gone. A queued request above its account's share waited for three quarters of the time that its caller waits, 1.5 s for a stream, and was then refused; an estimate of the wait existed only after slots had become free.

Change: the time since the last admission counts as the interval between two. A queued request whose expected wait is twice what it may still wait is refused, and so are those that come later, until a slot becomes free. Retry-After covers the expected wait. In the simulation of ten seconds without a free slot, refused requests are queued for an eighth of that time at most on average instead of more than 0.7 of it.

--- a/foxtailpick/core/dispatch/admission_queue.py
+++ b/foxtailpick/core/dispatch/admission_queue.py
@@ -6,7 +6,8 @@
 every new request. They are therefore queued at the router, ordered by
 priority and arrival, and use only slots that other accounts leave free. A
 request that cannot get a slot before its caller gives up is refused at
-once.
+once: on arrival, or as soon as the time since the last admission shows that
+the slots it needs will not become free in time.
 """
 
 import dataclasses
@@ -36,6 +37,10 @@
 PREFILL_SHARE = 0.25
 # Weight of the newest sample in the mean interval between admissions.
 INTERVAL_WEIGHT = 0.2
+# A queued request is hopeless if its expected wait is this multiple of the
+# time that it may still wait. With a single slot to wait for, it would be
+# admitted in time with a probability of about 0.4.
+HOPELESS_FACTOR = 2.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -44,19 +49,23 @@
 
     :param utilization: mean share of the service's slots in use.
     :param mean_run_ms: mean run time of a request, 0 before the first sample.
-    :param items: heap ordered by priority and arrival.
+    :param items: heap ordered by priority and arrival, each with the time
+        until which it may be queued.
     :param mean_interval_ms: mean time between two admissions, None if unknown.
     :param admitted_ms: time of the last admission.
+    :param is_starved: whether its last requests were refused as hopeless and
+        no slot became free since.
     """
 
     utilization: float = 0.0
     mean_run_ms: float = 0.0
-    items: list[tuple[int, int, typing.Any]] = dataclasses.field(
+    items: list[tuple[int, int, typing.Any, float]] = dataclasses.field(
         default_factory=list
     )
     arrivals: int = 0
     mean_interval_ms: float | None = None
     admitted_ms: float = 0.0
+    is_starved: bool = False
 
 
 def record_run(queue: AdmissionQueue, took_ms: float) -> None:
@@ -93,14 +102,23 @@
     queue.utilization += weight * (current - queue.utilization)
 
 
-def estimate_wait_ms(queue: AdmissionQueue) -> float:
+def estimate_wait_ms(queue: AdmissionQueue, now_ms: float) -> float:
     """Estimate how long a new request would be queued.
 
     :param queue: queue of the service.
+    :param now_ms: current time.
+    """
+    return _estimate_interval_ms(queue, now_ms) * len(queue.items)
+
+
+def _estimate_interval_ms(queue: AdmissionQueue, now_ms: float) -> float:
+    """Return the time between two admissions.
+
+    While no slot becomes free, it is at least the time since the last one.
     """
-    if queue.mean_interval_ms is None:
+    if not queue.items:
         return 0.0
-    return queue.mean_interval_ms * len(queue.items)
+    return max(queue.mean_interval_ms or 0.0, now_ms - queue.admitted_ms)
 
 
 def compute_max_wait_ms(abandon_after_ms: float, left_ms: float) -> float:
@@ -113,20 +131,26 @@
 
 
 def add(
-    queue: AdmissionQueue, priority: int, item: typing.Any, now_ms: float
+    queue: AdmissionQueue,
+    priority: int,
+    item: typing.Any,
+    until_ms: float,
+    now_ms: float,
 ) -> None:
     """Queue a request.
 
     :param queue: queue of the service.
     :param priority: priority of the request, 0 is the most urgent.
     :param item: object that represents the request.
+    :param until_ms: time until which it may be queued.
     :param now_ms: current time.
     """
-    if not queue.items:
+    if not queue.items and not queue.is_starved:
         # Time with an empty queue does not count towards the interval.
         queue.admitted_ms = now_ms
     queue.arrivals += 1
-    heapq.heappush(queue.items, (priority, queue.arrivals, item))
+    entry = (priority, queue.arrivals, item, until_ms)
+    heapq.heappush(queue.items, entry)
 
 
 def remove(queue: AdmissionQueue, item: typing.Any) -> None:
@@ -144,10 +168,15 @@
 ) -> list[typing.Any]:
     """Remove and return the requests that are admitted now.
 
+    Also called without queued requests while the queue is starved.
+
     :param queue: queue of the service.
     :param count: number of free slots.
     :param now_ms: current time.
     """
+    if count and not queue.items:
+        queue.admitted_ms = now_ms
+        queue.is_starved = False
     admitted = [
         heapq.heappop(queue.items)[2]
         for _ in range(min(count, len(queue.items)))
@@ -162,9 +191,33 @@
                 sample_ms - mean_ms
             )
         queue.admitted_ms = now_ms
+        queue.is_starved = False
     return admitted
 
 
+def pop_hopeless(queue: AdmissionQueue, now_ms: float) -> list[typing.Any]:
+    """Remove and return the requests that will not get a slot in time.
+
+    :param queue: queue of the service.
+    :param now_ms: current time.
+    """
+    interval_ms = _estimate_interval_ms(queue, now_ms)
+    kept: list[tuple[int, int, typing.Any, float]] = []
+    hopeless = []
+    for entry in sorted(queue.items, key=lambda entry: entry[:2]):
+        until_ms = entry[3]
+        expected_ms = interval_ms * (len(kept) + 1)
+        if expected_ms > HOPELESS_FACTOR * (until_ms - now_ms):
+            hopeless.append(entry[2])
+        else:
+            kept.append(entry)
+    # A sorted list is a heap.
+    queue.items = kept
+    if hopeless and not kept:
+        queue.is_starved = True
+    return hopeless
+
+
 def count_free_slots(
     endpoints: typing.Iterable[endpoint_table.Endpoint],
     routers: int,
--- a/foxtailpick/core/dispatch/refusal.py
+++ b/foxtailpick/core/dispatch/refusal.py
@@ -53,6 +53,7 @@
     priority: int,
     left_ms: float,
     rng: random.Random,
+    expected_ms: float = 0.0,
 ) -> float:
     """Return the time after which a caller may retry.
 
@@ -60,7 +61,10 @@
     :param priority: priority of the request, 0 is the most urgent.
     :param left_ms: time left until the deadline of the request.
     :param rng: source of random numbers.
+    :param expected_ms: expected time until the obstacle has passed, if it
+        is longer than usual.
     """
-    base = _BASE_MS[obstacle] * (1 + PRIORITY_FACTOR * priority)
+    usual = _BASE_MS[obstacle] * (1 + PRIORITY_FACTOR * priority)
+    base = max(usual, expected_ms)
     jitter = rng.uniform(1 - JITTER, 1 + JITTER)
     return min(base * jitter, left_ms * MAX_RETRY_SHARE)
--- a/foxtailpick/gateway/admission.py
+++ b/foxtailpick/gateway/admission.py
@@ -1,5 +1,7 @@
 """Queues requests above their account's equal share of a full service."""
 
+import dataclasses
+
 import trio
 
 from foxtailpick.core.dispatch import account_usage
@@ -12,6 +14,18 @@
 from foxtailpick.gateway import job as job_lib
 
 
+@dataclasses.dataclass(eq=False, slots=True)
+class _Waiter:
+    """A queued request.
+
+    :param is_admitted: whether it got a slot.
+    :param decided: set once it is admitted or refused.
+    """
+
+    is_admitted: bool = False
+    decided: trio.Event = dataclasses.field(default_factory=trio.Event)
+
+
 async def wait_for_slot(gw: context.Gateway, job: job_lib.Job) -> None:
     """Wait until a request may be sent to an endpoint.
 
@@ -28,9 +42,10 @@
         job.share_ratio, queue.utilization, gw.rng
     ):
         return
-    expected_ms = admission_queue.estimate_wait_ms(queue)
+    now_ms = gw.now_ms()
+    expected_ms = admission_queue.estimate_wait_ms(queue, now_ms)
     longest_ms = admission_queue.compute_max_wait_ms(
-        job.route.abandon_after_ms, job.deadline_ms - gw.now_ms()
+        job.route.abandon_after_ms, job.deadline_ms - now_ms
     )
     is_in_time = expected_ms <= longest_ms
     gw.log.emit_request(
@@ -44,36 +59,49 @@
         longest_ms=round(longest_ms),
     )
     gw.metrics.count('requests_held' if is_in_time else 'requests_not_held')
-    assigned = trio.Event()
+    waiter = _Waiter()
     if is_in_time:
-        admission_queue.add(queue, job.priority, assigned, gw.now_ms())
+        until_ms = now_ms + longest_ms
+        admission_queue.add(queue, job.priority, waiter, until_ms, now_ms)
         with trio.move_on_after(longest_ms / types.SECOND_MS):
             try:
-                await assigned.wait()
+                await waiter.decided.wait()
             finally:
-                admission_queue.remove(queue, assigned)
-    if not assigned.is_set():
-        listed = gw.state.table.list_service(job.service.name)
-        raise make_unavailable_error(
-            gw, job, placing.Obstacle.ALL_FULL, len(listed)
-        )
+                admission_queue.remove(queue, waiter)
+    if waiter.is_admitted:
+        return
+    # Those that came later would wait for longer.
+    expected_ms = max(
+        expected_ms, admission_queue.estimate_wait_ms(queue, gw.now_ms())
+    )
+    listed = gw.state.table.list_service(job.service.name)
+    raise make_unavailable_error(
+        gw, job, placing.Obstacle.ALL_FULL, len(listed), expected_ms
+    )
 
 
 async def assign_free_slots(gw: context.Gateway) -> None:
-    """Assign free slots to queued requests periodically, until cancelled."""
+    """Assign free slots to queued requests periodically, until cancelled.
+
+    Requests that will not get one in time are refused.
+    """
     while True:
         await trio.sleep(admission_queue.CHECK_INTERVAL_MS / types.SECOND_MS)
         now_ms = gw.now_ms()
         for service, queue in gw.queues.items():
             endpoints = gw.state.table.list_service(service)
             admission_queue.update_utilization(queue, endpoints, now_ms)
-            if not queue.items:
+            if not queue.items and not queue.is_starved:
                 continue
             free = admission_queue.count_free_slots(
                 endpoints, gw.state.router_count, now_ms, gw.rng
             )
-            for assigned in admission_queue.pop_admitted(queue, free, now_ms):
-                assigned.set()
+            for waiter in admission_queue.pop_admitted(queue, free, now_ms):
+                waiter.is_admitted = True
+                waiter.decided.set()
+            for waiter in admission_queue.pop_hopeless(queue, now_ms):
+                gw.metrics.count('requests_hopeless')
+                waiter.decided.set()
 
 
 def make_unavailable_error(
@@ -81,6 +109,7 @@
     job: job_lib.Job,
     obstacle: placing.Obstacle,
     listed: int,
+    expected_ms: float = 0.0,
 ) -> errors.RequestError:
     """Return the error for a request that no endpoint can take.
 
@@ -88,9 +117,14 @@
     :param job: the request.
     :param obstacle: why no endpoint can take it.
     :param listed: number of listed endpoints of its service.
+    :param expected_ms: expected time until one can, 0 if unknown.
     """
     retry_ms = refusal.compute_retry_after_ms(
-        obstacle, job.priority, job.deadline_ms - gw.now_ms(), gw.rng
+        obstacle,
+        job.priority,
+        job.deadline_ms - gw.now_ms(),
+        gw.rng,
+        expected_ms,
     )
     code = errors.ErrorCode.OVERLOADED
     if obstacle is placing.Obstacle.NONE_LISTED:
--- a/foxtailpick/tests/engine_model.py
+++ b/foxtailpick/tests/engine_model.py
@@ -54,6 +54,7 @@
     first_ms: float | None = None
     was_queued: bool = False
     is_rejected: bool = False
+    rejected_ms: float = 0.0
     preempted_ms: float = 0.0
     is_done: bool = False
     free_slots_elsewhere: int = 0
@@ -209,27 +210,28 @@
         max_wait_ms = admission_queue.compute_max_wait_ms(
             ABANDON_AFTER_MS, 10_000.0
         )
-        if admission_queue.estimate_wait_ms(self.queue) > max_wait_ms:
+        if admission_queue.estimate_wait_ms(self.queue, now_ms) > max_wait_ms:
             run.is_rejected = True
+            run.rejected_ms = now_ms
         else:
-            admission_queue.add(self.queue, run.priority, run, now_ms)
+            until_ms = now_ms + max_wait_ms
+            admission_queue.add(
+                self.queue, run.priority, run, until_ms, now_ms
+            )
         return False
 
     def release(self, routers, now_ms):
         """Return the queued requests that are admitted now."""
-        max_wait_ms = admission_queue.compute_max_wait_ms(
-            ABANDON_AFTER_MS, 10_000.0
-        )
-        for _, _, run in list(self.queue.items):
-            if now_ms - run.arrived_ms > max_wait_ms:
-                admission_queue.remove(self.queue, run)
-                run.is_rejected = True
         endpoints = self.table.list_all()
         admission_queue.update_utilization(self.queue, endpoints, now_ms)
         free = admission_queue.count_free_slots(
             endpoints, routers, now_ms, self.rng
         )
-        return admission_queue.pop_admitted(self.queue, free, now_ms)
+        admitted = admission_queue.pop_admitted(self.queue, free, now_ms)
+        for run in admission_queue.pop_hopeless(self.queue, now_ms):
+            run.is_rejected = True
+            run.rejected_ms = now_ms
+        return admitted
 
 
 class Simulation:
--- a/foxtailpick/tests/test_dispatch.py
+++ b/foxtailpick/tests/test_dispatch.py
@@ -317,6 +317,25 @@
     assert short <= 100
 
 
+def test_retry_time_covers_the_expected_wait():
+    """A caller that is told to return earlier would be refused again."""
+    obstacle = placing.Obstacle.ALL_FULL
+    times_ms = [
+        refusal.compute_retry_after_ms(
+            obstacle, 0, 60_000.0, random.Random(seed), 5_000.0
+        )
+        for seed in range(200)
+    ]
+    least_ms = 5_000.0 * (1 - refusal.JITTER)
+    assert least_ms <= min(times_ms) < max(times_ms) <= 7_000.0
+    left_ms = 3_000.0
+    at_most_ms = left_ms * refusal.MAX_RETRY_SHARE
+    short_ms = refusal.compute_retry_after_ms(
+        obstacle, 0, left_ms, random.Random(1), 5_000.0
+    )
+    assert short_ms <= at_most_ms
+
+
 def test_splitter_buffers_an_incomplete_event():
     splitter = event_stream.EventSplitter()
     assert splitter.feed(b'id: 1\ndata: a\n\nid: 2\nda') == (
--- a/foxtailpick/tests/test_overload.py
+++ b/foxtailpick/tests/test_overload.py
@@ -82,6 +82,72 @@
     assert sum(run.is_done for run in runs) > 0.9 * 10 * CAPACITY
 
 
+def simulate_full_service(has_early_refusals):
+    """Return how long refused requests were queued, in ms.
+
+    No slot becomes free for ten seconds, as when most engines are gone and
+    the others run long answers.
+    """
+    rng = random.Random(5)
+    queue = admission_queue.AdmissionQueue()
+    longest_ms = admission_queue.compute_max_wait_ms(2_000.0, 10_000.0)
+    queued_ms = {}
+    for now_ms in range(0, 10_000, 50):
+        expected_ms = admission_queue.estimate_wait_ms(queue, now_ms)
+        if rng.random() < 0.5:
+            queued_ms[now_ms] = 0
+            if expected_ms <= longest_ms or not has_early_refusals:
+                until_ms = now_ms + longest_ms
+                admission_queue.add(queue, 1, now_ms, until_ms, now_ms)
+        if has_early_refusals:
+            refused = admission_queue.pop_hopeless(queue, now_ms)
+        else:
+            refused = [e[2] for e in queue.items if e[3] <= now_ms]
+            for item in refused:
+                admission_queue.remove(queue, item)
+        for item in refused:
+            queued_ms[item] = now_ms - item
+    return queued_ms, longest_ms
+
+
+def test_request_that_gets_no_slot_is_refused_early():
+    """Before, each of them was queued for as long as it may be."""
+    before, longest_ms = simulate_full_service(has_early_refusals=False)
+    assert sum(before.values()) > 0.7 * longest_ms * len(before)
+    after, _ = simulate_full_service(has_early_refusals=True)
+    assert len(after) == len(before)
+    assert max(after.values()) < longest_ms
+    # Most of a caller's time is left to be served elsewhere or later.
+    assert sum(after.values()) < longest_ms / 8 * len(after)
+
+
+def test_steady_admissions_refuse_nobody_who_is_in_time():
+    """A slot becomes free every 100 ms, and ten requests are queued."""
+    queue = admission_queue.AdmissionQueue()
+    longest_ms = admission_queue.compute_max_wait_ms(2_000.0, 10_000.0)
+    for number in range(10):
+        admission_queue.add(queue, 1, number, longest_ms, 0.0)
+    admitted = []
+    for now_ms in range(50, 1_050, 50):
+        free = 1 if now_ms % 100 == 0 else 0
+        admitted += admission_queue.pop_admitted(queue, free, now_ms)
+        assert admission_queue.pop_hopeless(queue, now_ms) == []
+    assert admitted == list(range(10))
+
+
+def test_starved_queue_serves_again_once_a_slot_is_free():
+    queue = admission_queue.AdmissionQueue()
+    admission_queue.add(queue, 1, 'a', 1_500.0, 0.0)
+    assert admission_queue.pop_hopeless(queue, 1_400.0) == ['a']
+    admission_queue.add(queue, 1, 'b', 5_500.0, 4_000.0)
+    assert admission_queue.pop_hopeless(queue, 4_050.0) == ['b']
+    # The slot becomes free while nobody is queued.
+    assert admission_queue.pop_admitted(queue, 1, 4_100.0) == []
+    admission_queue.add(queue, 1, 'c', 5_700.0, 4_200.0)
+    assert admission_queue.pop_hopeless(queue, 4_250.0) == []
+    assert admission_queue.pop_admitted(queue, 1, 4_300.0) == ['c']
+
+
 def test_uneven_split_costs_nothing_while_slots_are_free():
     runs = engine_model.Simulation(SERVICE).run(make_surge(0.3))
     assert all(run.is_done for run in runs)
