Fetch prompts from a domain that was just evacuated

Change: for 3 s after an evacuation its endpoints still hand out prompts (work may reach them for 5 s); an endpoint that returns to service fetches from the home before it, as one that has just started does.

The tests could not run on the code before, which has no list of leaving endpoints; their holder was None there.

--- a/foxtailpick/core/dispatch/endpoint_table.py
+++ b/foxtailpick/core/dispatch/endpoint_table.py
@@ -15,6 +15,9 @@
 # Most chats send another request within this time, so that a new endpoint
 # has the prompts it is the home of in its cache afterwards.
 CACHE_FILL_MS = 15_000.0
+# After the evacuation of a failure domain, cached prompts are still fetched
+# from its endpoints for this long. Work may reach them for 5 s.
+EVACUATION_FETCH_MS = 3_000.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -26,7 +29,8 @@
     :param connections: connections of this router to it.
     :param remote_load: estimated requests of other routers there.
     :param load_updated_ms: time of that estimate, None before the first.
-    :param listed_ms: when this router first saw its entry.
+    :param in_service_ms: since when it is in service, without a restart or
+        an evacuation of its domain.
     :param warm_at_ms: end of its warm-up.
     :param cache_filling_until_ms: until when its cache probably lacks
         prompts of which it is the home.
@@ -42,7 +46,7 @@
     connections: int = 0
     remote_load: float = 0.0
     load_updated_ms: float | None = None
-    listed_ms: float = 0.0
+    in_service_ms: float = 0.0
     warm_at_ms: float = 0.0
     cache_filling_until_ms: float = 0.0
     absent_until_ms: float | None = None
@@ -149,7 +153,7 @@
     def __init__(self) -> None:
         self._endpoints: dict[types.EndpointId, Endpoint] = {}
         self._by_service: dict[types.ServiceId, list[Endpoint]] = {}
-        self._evacuated: set[types.FailureDomainId] = set()
+        self._evacuated_ms: dict[types.FailureDomainId, float] = {}
 
     def get(self, endpoint: types.EndpointId) -> Endpoint | None:
         """Return an endpoint, None if it is unknown."""
@@ -161,16 +165,30 @@
             endpoint
             for endpoint in self._by_service.get(service, ())
             if not endpoint.entry.is_draining
-            and endpoint.entry.domain not in self._evacuated
+            and endpoint.entry.domain not in self._evacuated_ms
         ]
 
-    def list_draining(self, service: types.ServiceId) -> list[Endpoint]:
-        """Return the endpoints of a service that are draining."""
+    def list_leaving(
+        self, service: types.ServiceId, now_ms: float
+    ) -> list[Endpoint]:
+        """Return the endpoints whose cached prompts may still be fetched.
+
+        They accept no new work, since they are draining or the operators
+        have just evacuated their failure domain.
+
+        :param service: the service.
+        :param now_ms: current time.
+        """
+        oldest_ms = now_ms - EVACUATION_FETCH_MS
         return [
             endpoint
             for endpoint in self._by_service.get(service, ())
-            if endpoint.entry.is_draining
-            and endpoint.entry.domain not in self._evacuated
+            if (
+                endpoint.entry.is_draining
+                or endpoint.entry.domain in self._evacuated_ms
+            )
+            and self._evacuated_ms.get(endpoint.entry.domain, now_ms)
+            >= oldest_ms
         ]
 
     def list_all(self) -> list[Endpoint]:
@@ -185,7 +203,7 @@
         """
         known = self._endpoints.get(entry.id)
         if known is None or known.entry.started != entry.started:
-            known = Endpoint(entry, listed_ms=now_ms)
+            known = Endpoint(entry, in_service_ms=now_ms)
             self._endpoints[entry.id] = known
             if entry.warmup_left_ms > 0:
                 known.cache_filling_until_ms = now_ms + CACHE_FILL_MS
@@ -260,14 +278,19 @@
         :param now_ms: current time.
         """
         evacuated = set(domains)
-        back = self._evacuated - evacuated
-        self._evacuated = evacuated
+        back = self._evacuated_ms.keys() - evacuated
+        self._evacuated_ms = {
+            domain: self._evacuated_ms.get(domain, now_ms)
+            for domain in evacuated
+        }
         for endpoint in self._endpoints.values():
             service = services.get(endpoint.entry.service)
             if endpoint.entry.domain in back and service is not None:
                 endpoint.warm_at_ms = max(
                     endpoint.warm_at_ms, now_ms + service.warmup_ms
                 )
+                endpoint.in_service_ms = now_ms
+                endpoint.cache_filling_until_ms = now_ms + CACHE_FILL_MS
 
     def _index(self) -> None:
         self._by_service = {}
--- a/foxtailpick/core/dispatch/placing.py
+++ b/foxtailpick/core/dispatch/placing.py
@@ -39,8 +39,8 @@
 # Usable share of an endpoint's connection limit: the endpoint accepts fewer
 # connections while its queue is long, and resets those above its limit.
 USABLE_CONNECTION_SHARE = 0.9
-# Endpoints listed within this time of each other started together, so that
-# none of them was the home of a prompt before the other.
+# Endpoints that came into service within this time of each other started
+# together, so that none of them was the home of a prompt before the other.
 SAME_START_MS = 1_000.0
 # Largest share of a service that is paused for failing part of its requests.
 MAX_PAUSED_SHARE = 1 / 3
@@ -96,8 +96,8 @@
     :param routers: number of routers sharing the service, including this
         one.
     :param now_ms: current time.
-    :param draining: draining endpoints; they accept no new work, but their
-        cached prompts may be fetched.
+    :param leaving: endpoints that accept no new work, but whose cached
+        prompts may be fetched.
     """
 
     service: model.Service
@@ -105,7 +105,7 @@
     tried: frozenset[types.EndpointId]
     routers: int
     now_ms: float
-    draining: typing.Sequence[endpoint_table.Endpoint] = ()
+    leaving: typing.Sequence[endpoint_table.Endpoint] = ()
 
 
 def choose_endpoint(
@@ -293,18 +293,18 @@
         or item.health.is_partly_failing(now_ms)
         or not _is_suspect(item, now_ms)
     ]
-    draining = [
+    leaving = [
         item
-        for item in query.draining
+        for item in query.leaving
         if not _is_suspect(item, now_ms) and not item.is_cold(now_ms)
     ]
-    ranked = _rank([*reachable, *draining], query.prefix)
+    ranked = _rank([*reachable, *leaving], query.prefix)
     if ranked[0] is not chosen:
         return ranked[0]
     if not chosen.is_cache_filling(now_ms) or len(ranked) == 1:
         return None
-    started_ms = chosen.listed_ms - SAME_START_MS
-    earlier = [item for item in ranked if item.listed_ms < started_ms]
+    started_ms = chosen.in_service_ms - SAME_START_MS
+    earlier = [item for item in ranked if item.in_service_ms < started_ms]
     return earlier[0] if earlier else ranked[1]
 
 
--- a/foxtailpick/gateway/relay.py
+++ b/foxtailpick/gateway/relay.py
@@ -261,7 +261,7 @@
             tried=frozenset(job.tried),
             routers=gw.state.router_count,
             now_ms=now_ms,
-            draining=gw.state.table.list_draining(job.service.name),
+            leaving=gw.state.table.list_leaving(job.service.name, now_ms),
         )
         endpoints = gw.state.table.list_service(job.service.name)
         found = placing.choose_endpoint(endpoints, query, gw.rng)
--- a/foxtailpick/gateway/request_timeline.py
+++ b/foxtailpick/gateway/request_timeline.py
@@ -11,6 +11,7 @@
     (
         'config-applied',
         'domains-out',
+        'endpoints-read',
         'hub-changed',
         'log-lines-dropped',
         'registration-failed',
--- a/foxtailpick/tests/test_dispatch.py
+++ b/foxtailpick/tests/test_dispatch.py
@@ -56,7 +56,7 @@
         frozenset(fields.get('tried', ())),
         routers,
         now_ms,
-        table.list_draining('engine'),
+        table.list_leaving('engine', now_ms),
     )
     endpoints = table.list_service('engine')
     return placing.choose_endpoint(endpoints, query, random.Random(seed))
@@ -552,3 +552,36 @@
     choice = choose(table, now_ms=10_000.0)
     assert choice.endpoint.id == order[0]
     assert choice.holder.id == order[holder]
+
+
+def test_prompt_is_fetched_from_a_domain_that_was_just_evacuated():
+    """Simulates luparetki-large scale-1: a fifth of the engines is out.
+
+    The prompts of its engines were processed again elsewhere.
+    """
+    table = make_table(6)
+    home = choose(table, now_ms=1_000.0).endpoint
+    entry = dataclasses.replace(home.entry, domain='south')
+    table.put(entry, 0.0)
+    table.set_evacuated({'south'}, {'engine': SERVICE}, 1_000.0)
+    choice = choose(table, now_ms=1_500.0)
+    assert choice.endpoint is not home
+    assert choice.holder is home
+    # Work may reach the domain for 5 s.
+    late_ms = 1_000.0 + endpoint_table.EVACUATION_FETCH_MS + 1
+    assert late_ms < 5_000
+    assert choose(table, now_ms=late_ms).holder is None
+
+
+def test_home_that_returns_to_service_fetches_what_it_missed():
+    table = make_table(6)
+    home = choose(table).endpoint
+    entry = dataclasses.replace(home.entry, domain='south')
+    table.put(entry, 0.0)
+    services = {'engine': SERVICE}
+    table.set_evacuated({'south'}, services, 1_000.0)
+    substitute = choose(table, now_ms=5_000.0).endpoint
+    table.set_evacuated((), services, 10_000.0)
+    choice = choose(table, now_ms=10_000.0 + SERVICE.warmup_ms)
+    assert choice.endpoint is home
+    assert choice.holder is substitute
