Tell an endpoint that answers errors from one that can't be reached

A failure that the endpoint answered ends what an earlier failed connect said of it, so that its prompts may be fetched again. A queued request that is refused has a log line with its inputs.

--- a/foxtailpick/core/dispatch/health.py
+++ b/foxtailpick/core/dispatch/health.py
@@ -44,7 +44,8 @@
     :param decayed_ms: when the counters were last decayed.
     :param pause_ms: length of the next pause.
     :param paused_until_ms: end of the current pause.
-    :param is_reachable: whether the last contact succeeded.
+    :param is_reachable: whether the last failure came from the endpoint, as
+        opposed to one to reach it.
     :param last_received_ms: when bytes were last received from it.
     :param awaiting_since_ms: since when an answer is outstanding, None if
         there is none.
@@ -117,8 +118,7 @@
     """
     decay(health, now_ms)
     health.failures += FAILURE_LIMIT if is_fatal else 1
-    if is_fatal:
-        health.is_reachable = False
+    health.is_reachable = not is_fatal
     if health.is_paused(now_ms) or health.failures < FAILURE_LIMIT:
         return False
     total = health.failures + health.successes
@@ -153,7 +153,6 @@
         failure; that count is then reverted.
     """
     decay(health, now_ms)
-    health.is_reachable = True
     health.started_answers += 1
     if was_counted:
         health.failed_requests = max(0.0, health.failed_requests - 1)
--- a/foxtailpick/gateway/admission.py
+++ b/foxtailpick/gateway/admission.py
@@ -74,6 +74,14 @@
     expected_ms = max(
         expected_ms, admission_queue.estimate_wait_ms(queue, gw.now_ms())
     )
+    if is_in_time:
+        gw.log.emit_request(
+            'queue-refused',
+            request=job.meta.id,
+            waiting=len(queue.items),
+            expected_ms=round(expected_ms),
+            left_ms=round(max(0.0, now_ms + longest_ms - gw.now_ms())),
+        )
     listed = gw.state.table.list_service(job.service.name)
     raise make_unavailable_error(
         gw, job, placing.Obstacle.ALL_FULL, len(listed), expected_ms
--- a/foxtailpick/tests/test_dispatch.py
+++ b/foxtailpick/tests/test_dispatch.py
@@ -529,6 +529,9 @@
     # It may not reply at all once it is unreachable.
     health.record_failure(home.health, 0.0, True)
     assert choose(table).holder is None
+    # An error that it answers shows that it is back.
+    health.record_failure(home.health, 0.0, False)
+    assert choose(table).holder is home
 
 
 @pytest.mark.parametrize(
