Let requests wait for the first configuration after a start

Change: in the first 2 s of a process, a request waits for the configuration, for 1.2 s or 0.4 of its caller's time at most. Later than that nothing is expected, and it is refused at once as before.

--- a/foxtailpick/gateway/context.py
+++ b/foxtailpick/gateway/context.py
@@ -66,6 +66,7 @@
     :param log: its log.
     :param metrics: its metrics.
     :param rng: source of random numbers.
+    :param started_ms: when the process started.
     :param attempts: attempts in flight.
     :param account_usage: usage of each service by its accounts.
     :param queues: admission queue of each service.
@@ -85,6 +86,7 @@
     log: decision_log.DecisionLog
     metrics: metrics_lib.Metrics
     rng: random.Random
+    started_ms: float = 0.0
     attempts: set[Attempt] = dataclasses.field(default_factory=set)
     account_usage: dict[types.ServiceId, account_usage_lib.AccountUsage] = (
         dataclasses.field(default_factory=dict)
--- a/foxtailpick/gateway/daemon.py
+++ b/foxtailpick/gateway/daemon.py
@@ -174,6 +174,7 @@
     :param registration: this router's entry in the store.
     :param wait_for_stop: returns when the gateway has to stop.
     """
+    gw.started_ms = gw.now_ms()
     gw.log.emit(
         'started',
         router=gw.cfg.name,
--- a/foxtailpick/gateway/relay.py
+++ b/foxtailpick/gateway/relay.py
@@ -1,5 +1,6 @@
 """Relays one caller request to an endpoint and the response back."""
 
+import contextlib
 import math
 import traceback
 
@@ -27,6 +28,13 @@
 # Interval between attempts to choose an endpoint while none is available.
 PLACEMENT_RETRY_INTERVAL_MS = 15.0
 NO_CONFIG_RETRY_MS = 500.0
+# A process that has just started reads its configuration within this time; a
+# large one takes a second over a slow link. Most callers repeat a refused
+# request only once, possibly at another gateway that has just started.
+CONFIG_LOAD_MS = 2_000.0
+# Longest wait of a request for it, also as a share of the caller's time.
+MAX_CONFIG_WAIT_MS = 1_200.0
+MAX_CONFIG_WAIT_SHARE = 0.4
 # Tracebacks are cut at the front: the last frames locate the error.
 MAX_TRACEBACK_CHARS = 3_000
 # Short, since another gateway can serve the request immediately.
@@ -65,6 +73,7 @@
     outcome = model.Outcome.CALLER_LEFT
     error: errors.FoxtailError | None = None
     try:
+        await _wait_for_config(gw, req)
         job = _prepare_job(gw, req)
         deadline = job.deadline_ms / types.SECOND_MS
         with trio.CancelScope(deadline=deadline) as scope:
@@ -86,6 +95,23 @@
         _log_end(gw, req, job, reply, outcome, error)
 
 
+async def _wait_for_config(gw: context.Gateway, req: http1.Request) -> None:
+    """Wait for the first configuration if it is expected to arrive soon."""
+    if gw.state.cfg is not None:
+        return
+    until_ms = min(
+        gw.started_ms + CONFIG_LOAD_MS, req.received_ms + MAX_CONFIG_WAIT_MS
+    )
+    with contextlib.suppress(ValueError):
+        # Malformed headers are reported once there is a configuration.
+        left_ms = gw.dialect.decode_request(req.headers).deadline_ms
+        if left_ms is not None:
+            share_ms = MAX_CONFIG_WAIT_SHARE * left_ms
+            until_ms = min(until_ms, req.received_ms + share_ms)
+    while gw.state.cfg is None and gw.now_ms() < until_ms:
+        await trio.sleep(PLACEMENT_RETRY_INTERVAL_MS / types.SECOND_MS)
+
+
 def _prepare_job(gw: context.Gateway, req: http1.Request) -> job_lib.Job:
     cfg = gw.state.cfg
     if cfg is None:
--- a/foxtailpick/tests/test_gateway.py
+++ b/foxtailpick/tests/test_gateway.py
@@ -197,3 +197,38 @@
     assert answer.status == 504
     assert (b'may have run' in answer.body) is is_sent
     assert (b'was not run' in answer.body) is not is_sent
+
+
+async def test_request_waits_for_the_first_configuration(monkeypatch):
+    """All gateways lose power, and reading the configuration takes a second.
+
+    In incident inc-af1f of levant-moodboard-grown 459 requests were refused
+    meanwhile, and callers who repeat once were not served at all.
+    """
+    async with gateway_harness.open_harness({}) as harness:
+        harness.add_endpoint('p1', 'plain', gateway_scripts.answer_plainly)
+        conn = await harness.send('/safe/x')
+        await trio.sleep(0.1)
+        harness.store.put('op/config', gateway_harness.make_config())
+        answer = await gateway_harness.read_answer(conn)
+        conn.close()
+    assert (answer.status, answer.body) == (200, b'hello')
+
+
+@pytest.mark.parametrize(
+    ('age_ms', 'deadline_ms', 'longest_ms'),
+    [(60_000.0, 5_000, 100), (0.0, 250, 200)],
+)
+async def test_request_is_refused_if_no_configuration_is_expected(
+    age_ms, deadline_ms, longest_ms
+):
+    """The store is away, or the caller's time is short."""
+    async with gateway_harness.open_harness({}) as harness:
+        await harness.until(lambda: harness.gw.started_ms)
+        harness.gw.started_ms -= age_ms
+        began_ms = harness.gw.now_ms()
+        answer = await harness.ask('/safe/x', X_Deadline_Ms=str(deadline_ms))
+        took_ms = harness.gw.now_ms() - began_ms
+    assert answer.status == 503
+    assert float(answer.headers[b'retry-after']) > 0
+    assert took_ms < longest_ms
