Fetch nothing from a cold endpoint

Since partly failing homes hand out prompts, a home that had just started and took no request for now was named as the holder as well: its cache is empty, and its rate is limited. The test failed before.

--- a/foxtailpick/core/dispatch/placing.py
+++ b/foxtailpick/core/dispatch/placing.py
@@ -289,16 +289,17 @@
     reachable = [
         item
         for item in endpoints
-        if item is chosen
-        or item.health.is_partly_failing(now_ms)
+        if item.health.is_partly_failing(now_ms)
         or not _is_suspect(item, now_ms)
     ]
-    leaving = [
+    leaving = [item for item in query.leaving if not _is_suspect(item, now_ms)]
+    # A cold endpoint has few prompts, and must not get more work.
+    holders = [
         item
-        for item in query.leaving
-        if not _is_suspect(item, now_ms) and not item.is_cold(now_ms)
+        for item in [*reachable, *leaving]
+        if item is not chosen and not item.is_cold(now_ms)
     ]
-    ranked = _rank([*reachable, *leaving], query.prefix)
+    ranked = _rank([chosen, *holders], query.prefix)
     if ranked[0] is not chosen:
         return ranked[0]
     if not chosen.is_cache_filling(now_ms) or len(ranked) == 1:
--- a/foxtailpick/tests/test_dispatch.py
+++ b/foxtailpick/tests/test_dispatch.py
@@ -588,3 +588,18 @@
     choice = choose(table, now_ms=10_000.0 + SERVICE.warmup_ms)
     assert choice.endpoint is home
     assert choice.holder is substitute
+
+
+def test_nothing_is_fetched_from_a_home_that_is_cold():
+    """A new home that has used up its rate for now has an empty cache."""
+    table = make_table(6)
+    order = [item.id for item in placing._rank(table.list_all(), 'p')]
+    entry = gateway_harness.make_endpoint_entry(
+        order[0], started='2', warmup_left_ms=3_000.0
+    )
+    home = table.put(entry, 0.0)
+    token_bucket.has_token(home.warmup_bucket, 1.0, 100.0)
+    token_bucket.take_token(home.warmup_bucket)
+    choice = choose(table, now_ms=100.0, routers=9)
+    assert choice.endpoint.id == order[1]
+    assert choice.holder is None
