Fetch nothing from a domain that was evacuated long ago

A gateway that restarts reads that a domain is out of service without knowing since when, and fetched prompts from it for 3 s. Only an evacuation that a watch reports counts as just now. The table had no such argument before.

--- a/foxtailpick/core/dispatch/endpoint_table.py
+++ b/foxtailpick/core/dispatch/endpoint_table.py
@@ -1,6 +1,7 @@
 """A router's state of each endpoint: entry, load, health and warm-up."""
 
 import dataclasses
+import math
 import typing
 
 from foxtailpick.core.dispatch import health as health_lib
@@ -267,6 +268,7 @@
         domains: typing.Iterable[types.FailureDomainId],
         services: typing.Mapping[types.ServiceId, model.Service],
         now_ms: float,
+        is_just_now: bool = True,
     ) -> None:
         """Set the failure domains that receive no new work.
 
@@ -276,11 +278,14 @@
         :param domains: the domains out of service.
         :param services: the configured services, for their warm-up times.
         :param now_ms: current time.
+        :param is_just_now: whether the store has just reported the change;
+            otherwise it may be long ago.
         """
         evacuated = set(domains)
+        since_ms = now_ms if is_just_now else -math.inf
         back = self._evacuated_ms.keys() - evacuated
         self._evacuated_ms = {
-            domain: self._evacuated_ms.get(domain, now_ms)
+            domain: self._evacuated_ms.get(domain, since_ms)
             for domain in evacuated
         }
         for endpoint in self._endpoints.values():
--- a/foxtailpick/gateway/state.py
+++ b/foxtailpick/gateway/state.py
@@ -68,7 +68,7 @@
                 evacuated.add(item.domain)
             else:
                 evacuated.discard(item.domain)
-            self._set_evacuated(evacuated)
+            self._set_evacuated(evacuated, is_just_now=True)
 
     def replace_operator_items(
         self, items: typing.Sequence[model.Item]
@@ -83,7 +83,7 @@
                 self._set_config(item.cfg)
             elif isinstance(item, model.EvacuationItem):
                 evacuated.add(item.domain)
-        self._set_evacuated(evacuated)
+        self._set_evacuated(evacuated, is_just_now=False)
 
     def replace_endpoints(
         self,
@@ -175,10 +175,14 @@
         self.table.remove(item.id)
         self._log.emit('endpoint-gone', endpoint=item.id, why='removed')
 
-    def _set_evacuated(self, evacuated: set[types.FailureDomainId]) -> None:
+    def _set_evacuated(
+        self, evacuated: set[types.FailureDomainId], is_just_now: bool
+    ) -> None:
         if evacuated == self._evacuated:
             return
         self._evacuated = evacuated
         services = self.cfg.services if self.cfg else {}
-        self.table.set_evacuated(evacuated, services, self._now_ms())
+        self.table.set_evacuated(
+            evacuated, services, self._now_ms(), is_just_now
+        )
         self._log.emit('domains-out', domains=sorted(evacuated))
--- a/foxtailpick/tests/test_dispatch.py
+++ b/foxtailpick/tests/test_dispatch.py
@@ -576,6 +576,16 @@
     assert choose(table, now_ms=late_ms).holder is None
 
 
+def test_nothing_is_fetched_from_a_domain_evacuated_at_an_unknown_time():
+    """A router that restarts reads that the domain is out of service."""
+    table = make_table(6)
+    home = choose(table).endpoint
+    entry = dataclasses.replace(home.entry, domain='south')
+    table.put(entry, 0.0)
+    table.set_evacuated({'south'}, {'engine': SERVICE}, 0.0, False)
+    assert choose(table, now_ms=100.0).holder is None
+
+
 def test_home_that_returns_to_service_fetches_what_it_missed():
     table = make_table(6)
     home = choose(table).endpoint
