Keep a router until lists have lacked it for ten seconds

Cause, found on reading the change: the grace ran from the last list that had the router. From 67 routers on, two lists are more than ten seconds apart, so one list that lacked it, stale or read after leases had lapsed in an outage, dropped it at once. With few routers counted, each takes a larger share of the retry budget and of the rate of cold endpoints than the fleet has.

Change: the time counts from the first list that lacks it. The test now lets 50 s pass before that list and failed before.

A comment in health is reworded.

--- a/foxtailpick/core/dispatch/health.py
+++ b/foxtailpick/core/dispatch/health.py
@@ -17,8 +17,8 @@
 # A lower failure rate is tolerated: some kinds of request fail at healthy
 # endpoints too.
 FAILURE_RATE_LIMIT = 0.35
-# An endpoint with this failure rate, of at least this many decayed failures,
-# serves nobody. One below it serves part of its callers.
+# Failure rate, and number of decayed failures, from which on an endpoint
+# counts as failing all requests instead of a part of them.
 TOTAL_FAILURE_RATE = 0.8
 MIN_TOTAL_FAILURES = 3.5
 # Short, since most causes are transient.
--- a/foxtailpick/gateway/state.py
+++ b/foxtailpick/gateway/state.py
@@ -8,8 +8,9 @@
 from foxtailpick.core import types
 from foxtailpick.gateway import decision_log
 
-# A router missing from the list is kept for this long: a lapsed lease is
-# replaced at the next renewal, and the list may be some seconds old.
+# A router is kept until it has been missing from the list for this long: a
+# lapsed lease is replaced at the next renewal, and a list may be some seconds
+# old.
 ROUTER_GRACE_MS = 10_000.0
 
 
@@ -31,7 +32,7 @@
         self._now_ms = now_ms
         self._log = log
         self._routers: dict[types.RouterId, model.RouterEntry] = {}
-        self._router_listed_ms: dict[types.RouterId, float] = {}
+        self._router_missing_ms: dict[types.RouterId, float] = {}
         self._evacuated: set[types.FailureDomainId] = set()
         self.table = endpoint_table.EndpointTable()
         self.cfg: model.GatewayConfig | None = None
@@ -124,15 +125,21 @@
         """
         now_ms = self._now_ms()
         before = set(self._routers)
-        for item in items:
-            if isinstance(item, model.RouterItem) and item.entry:
-                self._routers[item.id] = item.entry
-                self._router_listed_ms[item.id] = now_ms
-        for router, listed_ms in list(self._router_listed_ms.items()):
-            is_kept = now_ms - listed_ms < ROUTER_GRACE_MS
-            if not is_kept and router != self._own_id:
+        listed = {
+            item.id: item.entry
+            for item in items
+            if isinstance(item, model.RouterItem) and item.entry
+        }
+        self._routers.update(listed)
+        missing = before - listed.keys() - {self._own_id}
+        self._router_missing_ms = {
+            router: self._router_missing_ms.get(router, now_ms)
+            for router in missing
+        }
+        for router, since_ms in list(self._router_missing_ms.items()):
+            if now_ms - since_ms >= ROUTER_GRACE_MS:
                 del self._routers[router]
-                del self._router_listed_ms[router]
+                del self._router_missing_ms[router]
         changed = before.symmetric_difference(self._routers)
         if changed:
             self._log.emit(
--- a/foxtailpick/tests/test_mirror.py
+++ b/foxtailpick/tests/test_mirror.py
@@ -285,8 +285,9 @@
     _, own = make_mirror(ChangingStore())
     entry = model.RouterEntry(('127.0.0.1', 1), 1.0)
     one, two = (model.RouterItem(types.RouterId(name), entry) for name in 'ab')
-    await trio.sleep(100)
     own.replace_routers([one, two])
+    # The interval between two lists of a large fleet exceeds the grace.
+    await trio.sleep(5 * state.ROUTER_GRACE_MS / 1_000)
     own.replace_routers([one])
     assert own.router_count == 2
     await trio.sleep(state.ROUTER_GRACE_MS / 1_000)
