Decide apart from input and output how long a configuration is awaited

On reading the change: the wait of a request for the first configuration was worked out beside the sockets, without the load pattern that it answers, and left no log line. It is a function of core/dispatch/refusal now, with the same figures, and config-awaited says what was waited and whether it helped.

--- a/foxtailpick/core/dispatch/refusal.py
+++ b/foxtailpick/core/dispatch/refusal.py
@@ -26,6 +26,12 @@
 PRIORITY_FACTOR = 0.5
 # Jitter of retry times, as a factor.
 JITTER = 0.4
+# A router that has just started reads its configuration within this time; a
+# large one takes a second over a slow link.
+CONFIG_LOAD_MS = 2_000.0
+# Longest wait of a request for it, also as a share of the caller's time.
+MAX_CONFIG_WAIT_MS = 1_200.0
+MAX_CONFIG_WAIT_SHARE = 0.4
 # Callers accept a retry time of up to a third of the time they have left.
 MAX_RETRY_SHARE = 0.3
 
@@ -48,6 +54,23 @@
     return 0.0
 
 
+def compute_config_wait_ms(age_ms: float, left_ms: float | None) -> float:
+    """Return how long a request may wait for the first configuration.
+
+    Load pattern: all routers restart at once, and callers reach them before
+    any knows its configuration. Most callers repeat a refused request only
+    once, possibly at another router that has just started. A router that
+    has none for longer expects none, and refuses at once.
+
+    :param age_ms: time since the start of the router.
+    :param left_ms: time that the caller waits for an answer, if stated.
+    """
+    wait_ms = min(CONFIG_LOAD_MS - age_ms, MAX_CONFIG_WAIT_MS)
+    if left_ms is not None:
+        wait_ms = min(wait_ms, MAX_CONFIG_WAIT_SHARE * left_ms)
+    return max(0.0, wait_ms)
+
+
 def compute_retry_after_ms(
     obstacle: placing.Obstacle,
     priority: int,
--- a/foxtailpick/gateway/relay.py
+++ b/foxtailpick/gateway/relay.py
@@ -28,13 +28,6 @@
 # Interval between attempts to choose an endpoint while none is available.
 PLACEMENT_RETRY_INTERVAL_MS = 15.0
 NO_CONFIG_RETRY_MS = 500.0
-# A process that has just started reads its configuration within this time; a
-# large one takes a second over a slow link. Most callers repeat a refused
-# request only once, possibly at another gateway that has just started.
-CONFIG_LOAD_MS = 2_000.0
-# Longest wait of a request for it, also as a share of the caller's time.
-MAX_CONFIG_WAIT_MS = 1_200.0
-MAX_CONFIG_WAIT_SHARE = 0.4
 # Tracebacks are cut at the front: the last frames locate the error.
 MAX_TRACEBACK_CHARS = 3_000
 # Short, since another gateway can serve the request immediately.
@@ -99,17 +92,22 @@
     """Wait for the first configuration if it is expected to arrive soon."""
     if gw.state.cfg is not None:
         return
-    until_ms = min(
-        gw.started_ms + CONFIG_LOAD_MS, req.received_ms + MAX_CONFIG_WAIT_MS
-    )
+    left_ms = None
     with contextlib.suppress(ValueError):
         # Malformed headers are reported once there is a configuration.
         left_ms = gw.dialect.decode_request(req.headers).deadline_ms
-        if left_ms is not None:
-            share_ms = MAX_CONFIG_WAIT_SHARE * left_ms
-            until_ms = min(until_ms, req.received_ms + share_ms)
+    began_ms = gw.now_ms()
+    until_ms = began_ms + refusal.compute_config_wait_ms(
+        began_ms - gw.started_ms, left_ms
+    )
     while gw.state.cfg is None and gw.now_ms() < until_ms:
         await trio.sleep(PLACEMENT_RETRY_INTERVAL_MS / types.SECOND_MS)
+    gw.log.emit_request(
+        'config-awaited',
+        is_loaded=gw.state.cfg is not None,
+        ms_waited=round(gw.now_ms() - began_ms, 1),
+        ms_since_start=round(gw.now_ms() - gw.started_ms),
+    )
 
 
 def _prepare_job(gw: context.Gateway, req: http1.Request) -> job_lib.Job:
