Log the mean load of a service, failed store calls and the version in force

- `placed` names the mean load of all listed endpoints of the service beside the mean of those that could be chosen.
Until now the difference had to be worked out from the list of endpoints.
- `store-call-failed` names each failed call with the time it took and the bytes that had arrived, so that a response that was cut short is told from a store that doesn't respond.
- The metric `config_version` shows a gateway that stays behind.

No decision changes. Lint and the tests of the modules changed pass.

--- a/foxtailpick/core/dispatch/endpoint_table.py
+++ b/foxtailpick/core/dispatch/endpoint_table.py
@@ -169,6 +169,14 @@
             and endpoint.entry.domain not in self._evacuated_ms
         ]
 
+    def compute_mean_load(self, service: types.ServiceId) -> float:
+        """Return the mean load of all listed endpoints of a service.
+
+        Includes those that accept no new work. 0 if none is listed.
+        """
+        loads = [item.load for item in self._by_service.get(service, ())]
+        return sum(loads) / len(loads) if loads else 0.0
+
     def list_leaving(
         self, service: types.ServiceId, now_ms: float
     ) -> list[Endpoint]:
--- a/foxtailpick/core/dispatch/placing.py
+++ b/foxtailpick/core/dispatch/placing.py
@@ -76,6 +76,7 @@
     :param reason: why it was chosen.
     :param mean_load: mean load of the candidates.
     :param candidates: number of candidates.
+    :param service_mean_load: mean load of all listed endpoints of the service.
     :param holder: another endpoint that probably has the prompt cached.
     """
 
@@ -83,6 +84,7 @@
     reason: Reason
     mean_load: float
     candidates: int
+    service_mean_load: float
     holder: endpoint_table.Endpoint | None = None
 
 
@@ -96,6 +98,8 @@
     :param routers: number of routers sharing the service, including this
         one.
     :param now_ms: current time.
+    :param service_mean_load: mean load of all listed endpoints of the
+        service, including those that accept no new work.
     :param leaving: endpoints that accept no new work, but whose cached
         prompts may be fetched.
     """
@@ -105,6 +109,7 @@
     tried: frozenset[types.EndpointId]
     routers: int
     now_ms: float
+    service_mean_load: float
     leaving: typing.Sequence[endpoint_table.Endpoint] = ()
 
 
@@ -134,13 +139,13 @@
     healthy = [item for item in accepting if item.id not in suspects]
     usable = [item for item in healthy if item.id not in ejected]
     if not usable:
-        return _choose_last_resort(accepting)
+        return _choose_last_resort(accepting, query)
     # Ejected endpoints count towards the mean. Otherwise, with a third of a
     # service ejected, the others could exceed the guaranteed load bound.
     mean = sum(item.load for item in healthy) / len(healthy)
     if query.prefix is None:
-        return _choose_of_two(usable, mean, rng)
-    choice = _choose_by_prefix(usable, mean, query.prefix, rng)
+        return _choose_of_two(usable, mean, query, rng)
+    choice = _choose_by_prefix(usable, mean, query, rng)
     holder = _find_holder(choice.endpoint, endpoints, query)
     return dataclasses.replace(choice, holder=holder)
 
@@ -223,27 +228,28 @@
 
 
 def _choose_last_resort(
-    items: typing.Sequence[endpoint_table.Endpoint],
+    items: typing.Sequence[endpoint_table.Endpoint], query: Query
 ) -> Choice:
     best = min(items, key=lambda item: item.health.paused_until_ms)
     mean = sum(item.load for item in items) / len(items)
-    return Choice(best, Reason.LAST_RESORT, mean, len(items))
+    return _make_choice(best, Reason.LAST_RESORT, mean, items, query)
 
 
 def _choose_of_two(
     items: typing.Sequence[endpoint_table.Endpoint],
     mean: float,
+    query: Query,
     rng: random.Random,
 ) -> Choice:
     pair = rng.sample(items, min(2, len(items)))
     best = min(pair, key=lambda item: item.load / item.entry.slots)
-    return Choice(best, Reason.LEAST_LOADED, mean, len(items))
+    return _make_choice(best, Reason.LEAST_LOADED, mean, items, query)
 
 
 def _choose_by_prefix(
     items: typing.Sequence[endpoint_table.Endpoint],
     mean: float,
-    prefix: str,
+    query: Query,
     rng: random.Random,
 ) -> Choice:
     # One random draw for all endpoints: a request that skips a loaded
@@ -253,13 +259,24 @@
     bound = soft_bound + draw * (
         mean * HARD_BOUND_MULTIPLE + HARD_BOUND_SLACK - soft_bound
     )
-    ranked = _rank(items, prefix)
+    assert query.prefix is not None
+    ranked = _rank(items, query.prefix)
     for rank, item in enumerate(ranked):
         if item.load + 1 <= min(bound, _compute_max_load(item, mean)):
             reason = Reason.OVERFLOW if rank else Reason.PREFIX
-            return Choice(item, reason, mean, len(items))
+            return _make_choice(item, reason, mean, items, query)
     best = min(ranked, key=lambda item: item.load)
-    return Choice(best, Reason.LEAST_LOADED, mean, len(items))
+    return _make_choice(best, Reason.LEAST_LOADED, mean, items, query)
+
+
+def _make_choice(
+    endpoint: endpoint_table.Endpoint,
+    reason: Reason,
+    mean: float,
+    items: typing.Sequence[endpoint_table.Endpoint],
+    query: Query,
+) -> Choice:
+    return Choice(endpoint, reason, mean, len(items), query.service_mean_load)
 
 
 def _compute_max_load(item: endpoint_table.Endpoint, mean: float) -> float:
--- a/foxtailpick/gateway/client.py
+++ b/foxtailpick/gateway/client.py
@@ -61,6 +61,7 @@
         self._is_in_message = False
         self._is_aborted = False
         self.is_clean = True
+        self.received_bytes = 0
         self.idle_since_ms = 0.0
         self.keep_alive_ms: float | None = None
 
@@ -133,6 +134,7 @@
         """
         while not self._events:
             data = await http1.receive(self._sock)
+            self.received_bytes += len(data)
             if not data:
                 self._on_eof()
                 continue
--- a/foxtailpick/gateway/daemon.py
+++ b/foxtailpick/gateway/daemon.py
@@ -255,6 +255,8 @@
             f'foxtailpick_endpoint_connections_total {gw.pool.opened}',
             f'foxtailpick_log_lines_dropped_total {gw.log.dropped}',
             f'foxtailpick_routers {gw.state.router_count}',
+            'foxtailpick_config_version '
+            f'{gw.state.cfg.number if gw.state.cfg else 0}',
         ]
         body = '\n'.join(lines).encode() + b'\n'
         await reply.send_response(
--- a/foxtailpick/gateway/mirror.py
+++ b/foxtailpick/gateway/mirror.py
@@ -287,6 +287,7 @@
 
         During an outage one task calls it, the others wait for its success.
         """
+        self._log.emit('store-call-failed', error=str(exc))
         outage = self._record_outage(exc)
         if outage.is_probed:
             await outage.ended.wait()
--- a/foxtailpick/gateway/relay.py
+++ b/foxtailpick/gateway/relay.py
@@ -285,6 +285,9 @@
             tried=frozenset(job.tried),
             routers=gw.state.router_count,
             now_ms=now_ms,
+            service_mean_load=gw.state.table.compute_mean_load(
+                job.service.name
+            ),
             leaving=gw.state.table.list_leaving(job.service.name, now_ms),
         )
         endpoints = gw.state.table.list_service(job.service.name)
@@ -396,6 +399,7 @@
         load=round(endpoint.load, 1),
         mean=round(choice.mean_load, 1),
         of=choice.candidates,
+        service_mean=round(choice.service_mean_load, 1),
         fetch=choice.holder.id if choice.holder else None,
         load_age_ms=endpoint.compute_load_age_ms(now_ms),
         config=gw.state.cfg.number if gw.state.cfg else None,
--- a/foxtailpick/platform/store.py
+++ b/foxtailpick/platform/store.py
@@ -209,10 +209,13 @@
             len(data),
         )
         is_sent = False
+        began_s = trio.current_time()
+        received_before = 0
         conn: client_lib.ClientConnection | None = None
         try:
             with trio.fail_after(timeout_ms / types.SECOND_MS):
                 conn = await self._take_connection()
+                received_before = conn.received_bytes
                 is_sent = True
                 await conn.send(head + data)
                 status, _, raw = await exchange.read_response(conn)
@@ -222,7 +225,10 @@
             return status, json.loads(raw) if raw.strip() else {}
         except (OSError, ValueError, trio.TooSlowError) as exc:
             may_have_run = is_sent and method != 'GET'
-            raise _make_store_error(method, path, exc, may_have_run) from exc
+            received = conn.received_bytes - received_before if conn else 0
+            took_ms = (trio.current_time() - began_s) * types.SECOND_MS
+            got = f'{exc!r} after {took_ms:.0f} ms and {received} bytes'
+            raise _make_store_error(method, path, got, may_have_run) from exc
         finally:
             if conn is not None:
                 conn.close()
@@ -270,7 +276,7 @@
 
 
 def _make_store_error(
-    method: str, path: str, exc: Exception, may_have_run: bool
+    method: str, path: str, got: str, may_have_run: bool
 ) -> errors.StoreError:
     code = errors.ErrorCode.STORE_UNAVAILABLE
     verdict = verdict_lib.Verdict.NOT_RUN
@@ -280,7 +286,7 @@
     name = path.partition('?')[0]
     return errors.StoreError(
         code,
-        f'expected a reply from the store to {method} {name}, got {exc!r}; '
+        f'expected a reply from the store to {method} {name}, got {got}; '
         f'retry later',
         verdict,
     )
--- a/foxtailpick/tests/engine_model.py
+++ b/foxtailpick/tests/engine_model.py
@@ -284,6 +284,7 @@
             frozenset(),
             len(self.routers),
             self.now_ms,
+            router.table.compute_mean_load(self.service.name),
         )
         choice = placing.choose_endpoint(
             router.table.list_service(self.service.name), query, router.rng
--- a/foxtailpick/tests/test_dispatch.py
+++ b/foxtailpick/tests/test_dispatch.py
@@ -56,6 +56,7 @@
         frozenset(fields.get('tried', ())),
         routers,
         now_ms,
+        table.compute_mean_load('engine'),
         table.list_leaving('engine', now_ms),
     )
     endpoints = table.list_service('engine')
@@ -165,7 +166,7 @@
     routers = [make_table(1) for _ in range(4)]
     for table in routers:
         for _ in range(60):
-            query = placing.Query(service, None, frozenset(), 4, 0.0)
+            query = placing.Query(service, None, frozenset(), 4, 0.0, 0.0)
             choice = placing.choose_endpoint(
                 table.list_service('engine'), query, random.Random(1)
             )
