--- a/foxtailpick/platform/standins/store_server.py
+++ b/foxtailpick/platform/standins/store_server.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import math
 import typing
 import urllib.parse
 
@@ -13,13 +14,16 @@
 
 _PATH = '/foxtailpick/'
 FIRST_REVISION = 7
+# Size of the pieces in which a response is sent at a limited rate.
+_PIECE_BYTES = 8_192
 
 
 class PlatformStoreStandIn:
     """In-memory store that answers the platform's store calls.
 
     Tests set `refuse_with`, `is_silent` and `history_from` to inject the
-    failures of the platform.
+    failures of the platform, `bytes_per_s` to limit the rate of responses,
+    and `stop_after_bytes` to make each of them fall silent midway.
     """
 
     def __init__(self) -> None:
@@ -31,6 +35,8 @@
         self.refuse_with: int | None = None
         self.is_silent = False
         self.page_items = 500
+        self.bytes_per_s = math.inf
+        self.stop_after_bytes = math.inf
         self.calls: list[str] = []
         self._changed = trio.Event()
 
@@ -65,14 +71,15 @@
         async with trio.open_nursery() as nursery:
             while True:
                 peer, _ = await sock.accept()
-                nursery.start_soon(self._serve_one, peer)
+                nursery.start_soon(self.serve_one, peer)
 
     def _record(self, event: dict[str, typing.Any]) -> None:
         self.history.append(event)
         self._changed.set()
         self._changed = trio.Event()
 
-    async def _serve_one(self, sock: trio.socket.SocketType) -> None:
+    async def serve_one(self, sock: trio.socket.SocketType) -> None:
+        """Answer the calls on one connection."""
         reader = http1.RequestReader(model.Limits)
         with sock:
             while True:
@@ -101,9 +108,20 @@
             status, reply = await self._run(call, query, req.body)
         body = json.dumps(reply).encode()
         head = http1.format_response(status, (), len(body), True)
-        await http1.send_all(sock, head + body)
+        await self._send(sock, head + body)
         return True
 
+    async def _send(self, sock: trio.socket.SocketType, data: bytes) -> None:
+        if self.bytes_per_s == math.inf:
+            await http1.send_all(sock, data)
+            return
+        for start in range(0, len(data), _PIECE_BYTES):
+            if start >= self.stop_after_bytes:
+                await trio.sleep_forever()
+            piece = data[start : start + _PIECE_BYTES]
+            await trio.sleep(len(piece) / self.bytes_per_s)
+            await http1.send_all(sock, piece)
+
     async def _run(
         self, call: str, query: dict[str, str], body: bytes
     ) -> tuple[int, dict[str, typing.Any]]:
--- a/foxtailpick/tests/engine_model.py
+++ b/foxtailpick/tests/engine_model.py
@@ -25,6 +25,12 @@
 PREFILL_TOKENS_PER_MS = 157.0
 CACHED_PROMPTS = 80
 TICK_MS = 5.0
+# Engines are spread over this many failure domains.
+DOMAINS = 3
+# Guaranteed limit of an engine's load: a multiple of the mean load of all
+# engines plus a number of requests.
+LIMIT_MULTIPLE = 2
+LIMIT_SLACK = 3
 # Interval between load exchanges of the routers.
 EXCHANGE_MS = 150.0
 # Callers disconnect if the first event takes longer than this.
@@ -58,6 +64,7 @@
     preempted_ms: float = 0.0
     is_done: bool = False
     free_slots_elsewhere: int = 0
+    is_above_limit: bool = False
 
     @property
     def delay_ms(self):
@@ -190,11 +197,14 @@
 class Router:
     """State and queue of one simulated router."""
 
-    def __init__(self, engines, seed):
+    def __init__(self, engines, seed, evacuated=()):
         self.table = endpoint_table.EndpointTable()
-        for name in engines:
-            entry = gateway_harness.make_endpoint_entry(name, slots=SLOTS)
+        for number, name in enumerate(engines):
+            entry = gateway_harness.make_endpoint_entry(
+                name, slots=SLOTS, domain=f'd{number % DOMAINS}'
+            )
             self.table.put(entry, 0.0)
+        self.table.set_evacuated(evacuated, {}, 0.0)
         self.rng = random.Random(seed)
         self.usage = account_usage.AccountUsage()
         self.queue = admission_queue.AdmissionQueue()
@@ -238,13 +248,18 @@
     """Routers that dispatch requests with stale counts of each other.
 
     :param has_shares: whether accounts have equal shares of a full service.
+    :param evacuated: failure domains whose engines get no requests.
     """
 
-    def __init__(self, service, has_shares=True, engines=6, routers=4):
+    def __init__(
+        self, service, has_shares=True, engines=6, routers=4, evacuated=()
+    ):
         self.service = service
         self.has_shares = has_shares
         self.engines = {f'e{n}': Engine(f'e{n}') for n in range(engines)}
-        self.routers = [Router(self.engines, seed) for seed in range(routers)]
+        self.routers = [
+            Router(self.engines, seed, evacuated) for seed in range(routers)
+        ]
         self.now_ms = 0.0
 
     def run(self, runs):
@@ -292,7 +307,12 @@
         choice.endpoint.running += 1
         if choice.holder is not None:
             run.holder = self.engines[choice.holder.id]
-        self.engines[choice.endpoint.id].enqueue(run)
+        engine = self.engines[choice.endpoint.id]
+        loads = [item.load for item in self.engines.values()]
+        run.is_above_limit = engine.load > (
+            LIMIT_MULTIPLE * sum(loads) / len(loads) + LIMIT_SLACK
+        )
+        engine.enqueue(run)
         run.free_slots_elsewhere = sum(
             max(0, engine.slots - engine.load)
             for engine in self.engines.values()
--- /dev/null
+++ b/foxtailpick/tests/test_store_transfer.py
@@ -0,0 +1,152 @@
+"""Tests of reading a large configuration over a slow link, in virtual time.
+
+Figures of inc2 of kandurata-route-grown: 4,249 routes over 5 Mbit/s.
+"""
+
+import contextlib
+import random
+import socket
+
+import pytest
+import trio
+
+from foxtailpick.core import errors
+from foxtailpick.core import types
+from foxtailpick.gateway import client
+from foxtailpick.gateway import decision_log
+from foxtailpick.gateway import mirror
+from foxtailpick.gateway import state
+from foxtailpick.platform import items
+from foxtailpick.platform.standins import store_server
+from foxtailpick.platform import store as store_lib
+from foxtailpick.tests import gateway_harness
+
+ROUTES = 4_249
+BYTES_PER_S = 5_000_000 / 8
+# `config_apply_ms` of the deployment.
+CONFIG_APPLY_MS = 3_000.0
+# Until when a response that fell silent has to be given up, so that there
+# is time for another call within the bound.
+MAX_SILENCE_MS = 1_500.0
+PREFIX = items.OPERATOR_PREFIX
+
+
+def now_ms():
+    """Return the virtual time."""
+    return trio.current_time() * 1_000
+
+
+def make_large_config(version):
+    routes = [
+        gateway_harness.make_route(f'r-{number}', f'/a{number}/', 'safe')
+        for number in range(ROUTES)
+    ]
+    return gateway_harness.make_config(version, routes)
+
+
+@contextlib.asynccontextmanager
+async def open_slow_store(monkeypatch):
+    """Yield a store behind a slow link, and its client.
+
+    Socket pairs deliver at once, so that virtual time only passes in the
+    store and in timeouts.
+    """
+    standin = store_server.PlatformStoreStandIn()
+    standin.bytes_per_s = BYTES_PER_S
+
+    async with trio.open_nursery() as nursery:
+
+        async def connect(address, keep_alive_ms=None):
+            ours, theirs = socket.socketpair()
+            ours.setblocking(False)
+            theirs.setblocking(False)
+            nursery.start_soon(
+                standin.serve_one, trio.socket.from_stdlib_socket(theirs)
+            )
+            return client.ClientConnection(
+                trio.socket.from_stdlib_socket(ours)
+            )
+
+        monkeypatch.setattr(client.ClientConnection, 'connect', connect)
+        with store_lib.PlatformStore(('store', 1)) as store:
+            yield standin, store
+        nursery.cancel_scope.cancel()
+
+
+@contextlib.asynccontextmanager
+async def follow_operators(store, seed):
+    """Yield a gateway state that follows what the operators write."""
+    log = decision_log.DecisionLog(now_ms, len)
+    own = state.GatewayState(types.RouterId('r'), now_ms, log)
+    follower = mirror.Mirror(
+        store, own, items.LAYOUT, now_ms, log, random.Random(seed)
+    )
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(follower.follow, PREFIX, own.replace_operator_items)
+        yield own
+        nursery.cancel_scope.cancel()
+
+
+async def test_large_configuration_is_read_over_a_slow_link(
+    autojump_clock, monkeypatch
+):
+    async with open_slow_store(monkeypatch) as (standin, store):
+        standin.put('op/config', make_large_config(2))
+        began_ms = now_ms()
+        snapshot = await store.read_snapshot(PREFIX)
+        # The link alone takes over 1.5 s.
+        assert 1_500 < now_ms() - began_ms < CONFIG_APPLY_MS
+    assert [entry.key for entry in snapshot.entries] == ['op/config']
+
+
+async def test_large_change_at_the_end_of_a_watch_is_read(
+    autojump_clock, monkeypatch
+):
+    async with open_slow_store(monkeypatch) as (standin, store):
+        snapshot = await store.read_snapshot(PREFIX)
+        found = []
+
+        async def watch():
+            found.extend(
+                await store.poll_changes(PREFIX, snapshot.revision, 5_000.0)
+            )
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch)
+            await trio.sleep(4.99)
+            standin.put('op/config', make_large_config(2))
+    changes, _ = found
+    assert [change.key for change in changes] == ['op/config']
+
+
+@pytest.mark.parametrize('is_history_lost', [False, True])
+async def test_large_configuration_is_in_force_in_time(
+    autojump_clock, monkeypatch, is_history_lost
+):
+    """A change may come at any time of a watch."""
+    late = []
+    for at_s in range(1, 28, 2):
+        async with open_slow_store(monkeypatch) as (standin, store):
+            standin.put('op/config', gateway_harness.make_config(1))
+            async with follow_operators(store, at_s) as gateway_state:
+                await trio.sleep(at_s)
+                standin.put('op/config', make_large_config(2))
+                if is_history_lost:
+                    standin.history_from = standin.revision
+                await trio.sleep(CONFIG_APPLY_MS / 1_000)
+                if gateway_state.cfg.number != 2:
+                    late.append(at_s)
+    assert late == []
+
+
+async def test_response_that_falls_silent_is_given_up(
+    autojump_clock, monkeypatch
+):
+    async with open_slow_store(monkeypatch) as (standin, store):
+        standin.put('op/config', make_large_config(2))
+        standin.stop_after_bytes = 500_000
+        with pytest.raises(errors.StoreError) as caught:
+            await store.read_snapshot(PREFIX)
+        given_up_ms = now_ms() - 500_000 / BYTES_PER_S * 1_000
+    assert caught.value.code is errors.ErrorCode.STORE_UNAVAILABLE
+    assert given_up_ms <= MAX_SILENCE_MS + 100
