Bound an endpoint's load by the mean of its whole service

Cause: the bound followed the mean of the endpoints that may get work. With a domain evacuated, or endpoints cold, draining or paused, that mean lies above the mean of the service, to which the limit applies: six engines of nine at 23 are a mean of 15, and 1.7 times 23 and three is above twice 15 and three. Class: a limit stated for a whole is checked against a part. Ejected endpoints had been the same case and counted already.

Ruled out: old counts (no logged placement was above twice the mean that the gateway knew) and the return of the domain (19 of 23 came before it).

Now the bound follows the lower of both means. Overflow begins halfway between the mean of the candidates and its end, so that a prompt stays at a home with the mean load. With most of a service away the limit can't be kept; then the load is spread evenly.

--- a/foxtailpick/core/dispatch/placing.py
+++ b/foxtailpick/core/dispatch/placing.py
@@ -4,7 +4,9 @@
 while a few hot prompts receive much of the traffic. Rendezvous hashing
 sends the same prompt to the same endpoint from every router without
 coordination. A load bound sends the overflow of a hot prompt to the next
-endpoint in its rendezvous order before the first one is overloaded. An
+endpoint in its rendezvous order before the first one is overloaded. While
+part of a service is unavailable, the rest has more than its mean load; the
+bound follows the mean of the service, to which the limit applies. An
 overflowing request fetches the cached prompt from its home endpoint, the
 first in that order, instead of having it processed again. If nearly all
 slots are in use, prompt affinity does not queue requests at a full
@@ -31,7 +33,8 @@
 # Load bounds: a multiple of the mean load plus a number of requests. Between
 # the two bounds the probability of overflow rises from 0 to 1; with a single
 # bound, routers acting on the same stale counts would all leave or enter an
-# endpoint at once. The guaranteed limit is twice the mean plus three.
+# endpoint at once. The guaranteed limit is twice the mean of the
+# service plus three.
 SOFT_BOUND_MULTIPLE = 1.3
 SOFT_BOUND_SLACK = 2.0
 HARD_BOUND_MULTIPLE = 1.7
@@ -140,8 +143,6 @@
     usable = [item for item in healthy if item.id not in ejected]
     if not usable:
         return _choose_last_resort(accepting, query)
-    # Ejected endpoints count towards the mean. Otherwise, with a third of a
-    # service ejected, the others could exceed the guaranteed load bound.
     mean = sum(item.load for item in healthy) / len(healthy)
     if query.prefix is None:
         return _choose_of_two(usable, mean, query, rng)
@@ -255,10 +256,8 @@
     # One random draw for all endpoints: a request that skips a loaded
     # endpoint also skips others with the same load.
     draw = rng.random()
-    soft_bound = mean * SOFT_BOUND_MULTIPLE + SOFT_BOUND_SLACK
-    bound = soft_bound + draw * (
-        mean * HARD_BOUND_MULTIPLE + HARD_BOUND_SLACK - soft_bound
-    )
+    soft_bound, hard_bound = _compute_bounds(mean, query.service_mean_load)
+    bound = soft_bound + draw * (hard_bound - soft_bound)
     assert query.prefix is not None
     ranked = _rank(items, query.prefix)
     for rank, item in enumerate(ranked):
@@ -279,6 +278,24 @@
     return Choice(endpoint, reason, mean, len(items), query.service_mean_load)
 
 
+def _compute_bounds(mean: float, service_mean: float) -> tuple[float, float]:
+    """Return the loads at which overflow begins and is complete.
+
+    An endpoint with the mean load of the candidates stays usable: if most of
+    the service is unavailable, the candidates cannot keep the limit, and an
+    even distribution is all that is left.
+
+    :param mean: mean load of the candidates.
+    :param service_mean: mean load of all listed endpoints of the service.
+    """
+    lower_mean = min(mean, service_mean)
+    hard_bound = max(
+        lower_mean * HARD_BOUND_MULTIPLE + HARD_BOUND_SLACK, mean + 1
+    )
+    soft_bound = mean * SOFT_BOUND_MULTIPLE + SOFT_BOUND_SLACK
+    return min(soft_bound, (mean + hard_bound) / 2), hard_bound
+
+
 def _compute_max_load(item: endpoint_table.Endpoint, mean: float) -> float:
     """Return the load up to which prompt affinity outweighs queueing.
 
