Limit the silence of the store, not the length of a transfer

Cause: the response to a call had to be complete within a fixed time, 1.5 s, or 1.0 s after the wait of a watch. 4,249 routes over 5 Mbit/s take 1.7 s. Class: a time limit that covers a transfer whose length depends on size and link.

Now the limit applies until a response begins, then to pauses in it (1 s), with 30 s for all of it.

Looked for elsewhere: other time limits of the gateway end a request at its caller's deadline, or count silence already.

--- a/foxtailpick/gateway/exchange.py
+++ b/foxtailpick/gateway/exchange.py
@@ -1,7 +1,11 @@
 """Reads complete responses from a client connection."""
 
+import math
 import typing
 
+import trio
+
+from foxtailpick.core import types
 from foxtailpick.gateway import client as client_lib
 from foxtailpick.gateway import http1
 
@@ -19,21 +23,37 @@
     :returns: its status, its head and its body.
     :raises OSError: if it is truncated, malformed or too long.
     """
-    head = typing.cast(client_lib.ResponseHead, await conn.next_event())
+    head = await read_head(conn)
     body = await read_body(conn)
     conn.is_clean = conn.is_clean and head.is_reusable
     return head.status, head, body
 
 
-async def read_body(conn: client_lib.ClientConnection) -> bytes:
+async def read_head(
+    conn: client_lib.ClientConnection,
+) -> client_lib.ResponseHead:
+    """Read the status line and the headers of a response.
+
+    :raises OSError: if the connection is closed or the data is malformed.
+    """
+    return typing.cast(client_lib.ResponseHead, await conn.next_event())
+
+
+async def read_body(
+    conn: client_lib.ClientConnection, max_silence_ms: float = math.inf
+) -> bytes:
     """Read the body of a response whose head was already read.
 
+    :param conn: the connection.
+    :param max_silence_ms: longest time without any data.
     :raises OSError: if it is truncated, malformed or too long.
+    :raises trio.TooSlowError: if no data arrives for too long.
     """
     parts: list[bytes] = []
     size = 0
     while True:
-        event = await conn.next_event()
+        with trio.fail_after(max_silence_ms / types.SECOND_MS):
+            event = await conn.next_event()
         if event is client_lib.END:
             return b''.join(parts)
         if not isinstance(event, bytes):
--- a/foxtailpick/platform/store.py
+++ b/foxtailpick/platform/store.py
@@ -16,11 +16,17 @@
 from foxtailpick.gateway import exchange
 from foxtailpick.gateway import http1
 
-# Ten times the store's usual latency under load; a slow call is retried.
+# Time until a response begins. Ten times the store's usual latency under
+# load; a slow call is retried.
 CALL_TIMEOUT_MS = 1_500.0
+# Longest pause within a response. How long all of it takes depends on its
+# size and the link: repeating a call would only start the transfer again.
+MAX_SILENCE_MS = 1_000.0
+# Longest transfer of a response.
+MAX_TRANSFER_MS = 30_000.0
 # Longest wait of a watch.
 MAX_WATCH_WAIT_MS = 30_000.0
-# Time allowed for the reply after the wait.
+# Time allowed for the beginning of the reply after the wait.
 WATCH_SLACK_MS = 1_000.0
 # A connection on which a watch waits may go silent for good. The kernel
 # then closes it within twice this time.
@@ -218,11 +224,13 @@
                 received_before = conn.received_bytes
                 is_sent = True
                 await conn.send(head + data)
-                status, _, raw = await exchange.read_response(conn)
-            if conn.is_clean:
+                reply = await exchange.read_head(conn)
+            with trio.fail_after(MAX_TRANSFER_MS / types.SECOND_MS):
+                raw = await exchange.read_body(conn, MAX_SILENCE_MS)
+            if conn.is_clean and reply.is_reusable:
                 self._idle.append(conn)
                 conn = None
-            return status, json.loads(raw) if raw.strip() else {}
+            return reply.status, json.loads(raw) if raw.strip() else {}
         except (OSError, ValueError, trio.TooSlowError) as exc:
             may_have_run = is_sent and method != 'GET'
             received = conn.received_bytes - received_before if conn else 0
