End a watch before the store's history does

A watch waited 16 to 24 s, the store keeps 20 s of history: after a longer wait it couldn't tell whether there was a change, and the router read everything again, 0.7 MB and more with many routes, in each quiet time.

--- a/foxtailpick/core/dispatch/store_pacing.py
+++ b/foxtailpick/core/dispatch/store_pacing.py
@@ -5,7 +5,9 @@
 Changes are therefore collected for a part of the time in which they have to
 be in force, so that the calls of a router depend on that time and not on
 the number of changes. Without changes a watch waits as long as the store
-allows; a keep-alive of its connection finds out if it went silent.
+keeps its history: after a longer wait the store could not tell whether there
+was a change, and each router would read everything again. A keep-alive of
+its connection finds out if it went silent.
 
 Routers do not watch each other: the restart of the whole fleet would wake
 each of them once for each of the others. They read the list of routers at
@@ -16,6 +18,8 @@
 
 # Below the longest wait that the store allows, 30 s.
 WATCH_MS = 20_000.0
+# Share of the time for which the store keeps its history, with the jitter.
+HISTORY_SHARE = 0.6
 # Jitter of watches and list reads, as a factor, so that routers that were
 # started together do not call the store at the same moments.
 JITTER = 0.2
@@ -29,12 +33,14 @@
 MIN_LIST_INTERVAL_MS = 5_000.0
 
 
-def compute_watch_ms(rng: random.Random) -> float:
+def compute_watch_ms(history_ms: float, rng: random.Random) -> float:
     """Return how long a watch waits for changes.
 
+    :param history_ms: how long the store keeps the history of changes.
     :param rng: source of random numbers.
     """
-    return WATCH_MS * rng.uniform(1 - JITTER, 1 + JITTER)
+    longest_ms = min(WATCH_MS, HISTORY_SHARE * history_ms)
+    return longest_ms * rng.uniform(1 - JITTER, 1 + JITTER)
 
 
 def compute_change_gap_ms(bound_ms: float) -> float:
--- a/foxtailpick/gateway/mirror.py
+++ b/foxtailpick/gateway/mirror.py
@@ -1,6 +1,7 @@
 """Synchronizes the gateway state with the platform's store."""
 
 import dataclasses
+import math
 import random
 import typing
 
@@ -101,6 +102,7 @@
     :param rng: source of random numbers.
     :param min_lease_ms: shortest lease that the store grants.
     :param change_gap_ms: shortest time between two reads of changes.
+    :param history_ms: how long the store keeps the history of changes.
     """
 
     def __init__(
@@ -113,9 +115,11 @@
         rng: random.Random,
         min_lease_ms: float = 0.0,
         change_gap_ms: float = 0.0,
+        history_ms: float = math.inf,
     ) -> None:
         self._lease_ttl_ms = max(LEASE_TTL_MS, min_lease_ms)
         self._change_gap_ms = change_gap_ms
+        self._history_ms = history_ms
         self._store = store
         self._state = state
         self._layout = layout
@@ -243,7 +247,7 @@
     async def _poll_once(
         self, prefix: str, revision: types.Revision
     ) -> types.Revision:
-        wait_ms = store_pacing.compute_watch_ms(self._rng)
+        wait_ms = store_pacing.compute_watch_ms(self._history_ms, self._rng)
         with trio.CancelScope() as scope:
             self._waiting.add(scope)
             try:
--- a/foxtailpick/gateway/settings.py
+++ b/foxtailpick/gateway/settings.py
@@ -21,6 +21,7 @@
     :param min_lease_ms: shortest lease TTL that the store grants.
     :param change_bound_ms: shortest time in which a change in the store has
         to be in force.
+    :param history_ms: how long the store keeps the history of changes.
     :param grace_ms: time from SIGTERM to the end of the process.
     :param retry_ratio: retries allowed per request, for the whole fleet.
     :param retry_extra: burst of retries allowed beyond that, for the whole
@@ -38,6 +39,7 @@
     store: model.Address
     min_lease_ms: float = 1_000.0
     change_bound_ms: float = 2_000.0
+    history_ms: float = 20_000.0
     grace_ms: float = 8_000.0
     retry_ratio: float = 0.2
     retry_extra: float = 50.0
@@ -52,6 +54,8 @@
             raise self._make_error('grace and lease durations above 0')
         if self.change_bound_ms <= 0:
             raise self._make_error('a bound on changes above 0 ms')
+        if self.history_ms <= 0:
+            raise self._make_error('a history of the store above 0 ms')
         if self.processor_share <= 0 or self.max_sockets <= 0:
             raise self._make_error('processor and descriptor limits above 0')
 
--- a/foxtailpick/platform/boot.py
+++ b/foxtailpick/platform/boot.py
@@ -88,7 +88,9 @@
             _get_number(fields, f'bounds.{name}', DEFAULT_CHANGE_BOUND_MS)
             for name in _CHANGE_BOUNDS
         ),
-        # The field is in seconds, all internal durations in milliseconds.
+        # The fields are in seconds, all internal durations in milliseconds.
+        history_ms=_get_number(fields, 'platform.history_s', 20.0)
+        * types.SECOND_MS,
         grace_ms=_get_number(fields, 'bounds.grace_s', 8.0) * types.SECOND_MS,
         retry_ratio=_get_number(fields, 'bounds.retry_budget_ratio', 0.2),
         # Retries that the whole fleet may make beyond the ratio.
--- a/foxtailpick/tests/test_mirror.py
+++ b/foxtailpick/tests/test_mirror.py
@@ -57,7 +57,7 @@
     return trio.current_time() * 1_000
 
 
-def make_mirror(store, decode=items.decode_item):
+def make_mirror(store, decode=items.decode_item, **options):
     """Return a mirror of a store, and the state that it updates."""
     log = decision_log.DecisionLog(now_ms, len)
     own = state.GatewayState(types.RouterId('r'), now_ms, log)
@@ -70,6 +70,7 @@
         log,
         random.Random(1),
         change_gap_ms=CHANGE_GAP_MS,
+        **options,
     )
     return follower, own
 
@@ -243,6 +244,40 @@
         nursery.cancel_scope.cancel()
 
 
+class ForgetfulStore(ChangingStore):
+    """A store whose history ends before the longest wait of a watch."""
+
+    HISTORY_MS = 20_000.0
+
+    def __init__(self):
+        super().__init__()
+        self.snapshots = 0
+
+    async def read_snapshot(self, prefix, is_stale_ok=False):
+        """Count the snapshots."""
+        self.snapshots += 1
+        return await super().read_snapshot(prefix)
+
+    async def poll_changes(self, prefix, after, wait_ms):
+        """Wait for changes; report lost history after a long wait."""
+        began_ms = now_ms()
+        found = await super().poll_changes(prefix, after, wait_ms)
+        if now_ms() - began_ms >= self.HISTORY_MS:
+            raise errors.StoreError(
+                errors.ErrorCode.STORE_HISTORY_LOST, 'history lost'
+            )
+        return found
+
+
+async def test_watch_ends_before_the_history_is_lost(autojump_clock):
+    """In the first play of inc2 each quiet time led to new snapshots."""
+    store = ForgetfulStore()
+    follower, _ = make_mirror(store, history_ms=store.HISTORY_MS)
+    with trio.move_on_after(300):
+        await follow_endpoints(follower)
+    assert store.snapshots == 1
+
+
 async def test_one_task_calls_a_store_that_is_down(autojump_clock):
     """An outage of 20 s costs a router about one call a second.
 
