Follow a store that returns from an older copy

Cause: the gateway followed the store by revision alone. A watch from a revision that exists again missed the change (no 410), a lease number could belong to another router, and a copy without an evacuation returned the domain to service at once; endpoints that had left were used again.

Now era and revision are one position.

Not covered: the drill in the fault soak with real processes.

--- a/foxtailpick/adapters/base.py
+++ b/foxtailpick/adapters/base.py
@@ -88,16 +88,30 @@
     entry: Entry | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Position:
+    """A position in the history of a store.
+
+    :param revision: revision of the store.
+    :param era: number of times that the store was restored from a copy,
+        None if the store doesn't state it. A restored store gives the
+        revisions after its copy out again.
+    """
+
+    revision: types.Revision
+    era: types.Era | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Snapshot:
     """All entries with a key prefix.
 
     :param entries: entries, sorted by key.
-    :param revision: revision from which a watch misses no change.
+    :param position: position from which a watch misses no change.
     """
 
     entries: list[Entry]
-    revision: types.Revision
+    position: Position
 
 
 class KeyValue(abc.ABC):
--- a/foxtailpick/core/dispatch/endpoint_table.py
+++ b/foxtailpick/core/dispatch/endpoint_table.py
@@ -6,6 +6,7 @@
 
 from foxtailpick.core.dispatch import health as health_lib
 from foxtailpick.core.dispatch import model
+from foxtailpick.core.dispatch import restored_store
 from foxtailpick.core.dispatch import shared_health
 from foxtailpick.core.dispatch import token_bucket
 from foxtailpick.core import types
@@ -155,6 +156,7 @@
         self._endpoints: dict[types.EndpointId, Endpoint] = {}
         self._by_service: dict[types.ServiceId, list[Endpoint]] = {}
         self._evacuated_ms: dict[types.FailureDomainId, float] = {}
+        self._removed = restored_store.RemovedEndpoints()
 
     def get(self, endpoint: types.EndpointId) -> Endpoint | None:
         """Return an endpoint, None if it is unknown."""
@@ -210,6 +212,7 @@
         :param entry: the entry.
         :param now_ms: current time.
         """
+        self._removed.discard((entry.id, entry.started))
         known = self._endpoints.get(entry.id)
         if known is None or known.entry.started != entry.started:
             known = Endpoint(entry, in_service_ms=now_ms)
@@ -224,9 +227,15 @@
         self._index()
         return known
 
-    def remove(self, endpoint: types.EndpointId) -> None:
-        """Remove an endpoint; ignored if it is unknown."""
-        if self._endpoints.pop(endpoint, None) is not None:
+    def remove(self, endpoint: types.EndpointId, now_ms: float) -> None:
+        """Remove an endpoint; ignored if it is unknown.
+
+        :param endpoint: its id.
+        :param now_ms: current time.
+        """
+        known = self._endpoints.pop(endpoint, None)
+        if known is not None:
+            self._removed.record((known.id, known.entry.started), now_ms)
             self._index()
 
     def replace_all(
@@ -234,6 +243,7 @@
         entries: typing.Iterable[model.EndpointEntry],
         now_ms: float,
         grace_until_ms: float | None = None,
+        is_copied: bool = False,
     ) -> list[types.EndpointId]:
         """Update the table from a complete listing of the store.
 
@@ -242,13 +252,20 @@
         :param grace_until_ms: until when absent endpoints are kept because
             their entries may have expired during a store outage; None
             removes them at once.
+        :param is_copied: whether the listing may be an older copy.
         :returns: ids of the absent endpoints.
         """
         present = {entry.id: entry for entry in entries}
+        if is_copied:
+            present = {
+                key: entry
+                for key, entry in present.items()
+                if not self._is_outdated(entry)
+            }
         absent = [key for key in self._endpoints if key not in present]
         for key in absent:
             if grace_until_ms is None:
-                self.remove(key)
+                self.remove(key, now_ms)
             else:
                 self._endpoints[key].absent_until_ms = grace_until_ms
         for entry in present.values():
@@ -268,9 +285,16 @@
             and now_ms >= endpoint.absent_until_ms
         ]
         for key in gone:
-            self.remove(key)
+            self.remove(key, now_ms)
         return gone
 
+    def _is_outdated(self, entry: model.EndpointEntry) -> bool:
+        """Tell whether an entry of a copy is older than what is known."""
+        known = self._endpoints.get(entry.id)
+        if known is None or known.entry.started != entry.started:
+            return (entry.id, entry.started) in self._removed
+        return known.entry.is_draining and not entry.is_draining
+
     def set_evacuated(
         self,
         domains: typing.Iterable[types.FailureDomainId],
--- /dev/null
+++ b/foxtailpick/core/dispatch/restored_store.py
@@ -0,0 +1,78 @@
+"""Decides what to believe of a store that was restored from an older copy.
+
+Load pattern: the store is away for a moment and returns with a copy some
+seconds old, at all routers at once. What was written since is missing until
+the operators and the endpoints have written it again; what was removed since
+is listed again until it is removed anew. During that time
+
+- a configuration takes effect by its number only, which never falls;
+- a failure domain stays out of service although the copy doesn't list it.
+  If the operators really returned it, it comes back late, which costs less
+  than work in a domain that is being emptied;
+- an endpoint that was removed since the copy stays away until it writes its
+  entry again, and one that drained is still draining.
+
+A removal or a write that a watch reports was made after the return, and
+always counts. A router that starts meanwhile knows the copy only.
+"""
+
+import typing
+
+from foxtailpick.core import types
+
+# Time after the return in which the operators and the endpoints have written
+# again what the copy lacks.
+REWRITE_MS = 10_000.0
+# A copy is some seconds old at most.
+MAX_COPY_AGE_MS = 60_000.0
+
+Incarnation = tuple[types.EndpointId, types.Incarnation]
+
+
+def is_copy(restored_ms: float | None, now_ms: float) -> bool:
+    """Return whether a snapshot may still lack what was written before.
+
+    :param restored_ms: time of the last return from a copy, if any.
+    :param now_ms: current time.
+    """
+    return restored_ms is not None and now_ms - restored_ms < REWRITE_MS
+
+
+def select_evacuated(
+    listed: typing.Collection[types.FailureDomainId],
+    known: typing.Collection[types.FailureDomainId],
+    is_copied: bool,
+) -> tuple[set[types.FailureDomainId], set[types.FailureDomainId]]:
+    """Return the domains out of service, and those that the store lacks.
+
+    :param listed: domains out of service in a snapshot.
+    :param known: domains out of service before it.
+    :param is_copied: whether the snapshot may be an older copy.
+    """
+    unlisted = set(known) - set(listed) if is_copied else set()
+    return set(listed) | unlisted, unlisted
+
+
+class RemovedEndpoints:
+    """Endpoints removed a short while ago, by incarnation."""
+
+    def __init__(self) -> None:
+        self._removed_ms: dict[Incarnation, float] = {}
+
+    def record(self, endpoint: Incarnation, now_ms: float) -> None:
+        """Remember a removal, and forget those that no copy contains.
+
+        :param endpoint: the removed incarnation.
+        :param now_ms: current time.
+        """
+        self._removed_ms[endpoint] = now_ms
+        for key, removed_ms in list(self._removed_ms.items()):
+            if now_ms - removed_ms >= MAX_COPY_AGE_MS:
+                del self._removed_ms[key]
+
+    def discard(self, endpoint: Incarnation) -> None:
+        """Forget a removal, since the endpoint has written again."""
+        self._removed_ms.pop(endpoint, None)
+
+    def __contains__(self, endpoint: Incarnation) -> bool:
+        return endpoint in self._removed_ms
--- a/foxtailpick/core/errors.py
+++ b/foxtailpick/core/errors.py
@@ -52,6 +52,7 @@
     STORE_REFUSED = 'FTP-403'
     LEASE_LOST = 'FTP-404'
     STORE_HISTORY_LOST = 'FTP-405'
+    STORE_RESTORED = 'FTP-406'
 
     # Links between the system's processes.
     FRAME_MALFORMED = 'FTP-501'
--- a/foxtailpick/gateway/mirror.py
+++ b/foxtailpick/gateway/mirror.py
@@ -28,6 +28,9 @@
 # budgets for longer.
 LEASE_TTL_MS = 12_000.0
 LEASE_RENEWAL_INTERVAL_MS = 3_500.0
+# After the store was restored from a copy, all routers register again within
+# this time.
+REGISTRATION_SPREAD_MS = 500.0
 
 Decode = typing.Callable[[str, bytes | None], model.Item | None]
 
@@ -49,7 +52,12 @@
 
 
 class Store(typing.Protocol):
-    """The calls of the store's client that the mirror uses."""
+    """The calls of the store's client that the mirror uses.
+
+    :param era: latest era that the store stated, if any.
+    """
+
+    era: types.Era | None
 
     async def read_snapshot(
         self, prefix: str, is_stale_ok: bool = False
@@ -57,9 +65,9 @@
         """Return everything under a prefix."""
 
     async def poll_changes(
-        self, prefix: str, after: types.Revision, wait_ms: float
-    ) -> tuple[list[base.Change], types.Revision]:
-        """Wait for changes after a revision."""
+        self, prefix: str, after: base.Position, wait_ms: float
+    ) -> tuple[list[base.Change], base.Position]:
+        """Wait for changes after a position."""
 
     async def grant_lease(self, ttl_ms: float) -> types.LeaseId:
         """Create a lease."""
@@ -130,6 +138,8 @@
         self._outage_ended_ms = -REREGISTRATION_GRACE_MS
         self._waiting: set[trio.CancelScope] = set()
         self._has_endpoints = False
+        self._restored_era: types.Era | None = None
+        self._restored = trio.Event()
 
     async def run(self, key: str, value: bytes) -> None:
         """Follow the store and stay registered in it, until cancelled.
@@ -157,28 +167,38 @@
     ) -> None:
         """Read a snapshot, then watch for changes, until cancelled.
 
-        Starts over with a snapshot after an error or lost history.
+        Starts over with a snapshot after an error, lost history, or the
+        return of the store from an older copy.
 
         :param prefix: key prefix of the items.
         :param replace: replaces the state by the items of a snapshot.
         """
-        revision: types.Revision | None = None
+        position: base.Position | None = None
+        restarts = 0
         while True:
             try:
-                if revision is None:
+                if position is None:
                     snapshot = await self._store.read_snapshot(prefix)
                     self._record_contact()
                     replace(self._decode_entries(snapshot))
-                    revision = snapshot.revision
+                    position = snapshot.position
                 else:
-                    revision = await self._poll_once(prefix, revision)
+                    position = await self._poll_once(prefix, position)
+                    restarts = 0
             except errors.StoreError as exc:
                 # The store may have discarded changes in the meantime.
-                revision = None
-                if exc.code is errors.ErrorCode.STORE_HISTORY_LOST:
+                position = None
+                if exc.code is errors.ErrorCode.STORE_RESTORED:
+                    self._record_restored()
+                elif exc.code is errors.ErrorCode.STORE_HISTORY_LOST:
                     self._log.emit('store-history-lost', prefix=prefix)
+                else:
+                    await self._back_off(exc)
                     continue
-                await self._back_off(exc)
+                if restarts:
+                    # The position of a new snapshot was refused as well.
+                    await trio.sleep(INITIAL_BACKOFF_MS / types.SECOND_MS)
+                restarts += 1
 
     async def list_routers(self) -> None:
         """Read the list of routers at intervals, until cancelled."""
@@ -194,6 +214,8 @@
                     self._layout.router_prefix, is_stale_ok=True
                 )
             except errors.StoreError as exc:
+                if exc.code is errors.ErrorCode.STORE_RESTORED:
+                    self._record_restored()
                 self._log.emit('routers-not-read', error=str(exc))
                 continue
             self._state.replace_routers(self._decode_entries(snapshot))
@@ -222,8 +244,17 @@
                 if is_failing:
                     self._log.emit('registration-works', lease=lease)
                 is_failing = False
-                await trio.sleep(LEASE_RENEWAL_INTERVAL_MS / types.SECOND_MS)
+                with trio.move_on_after(
+                    LEASE_RENEWAL_INTERVAL_MS / types.SECOND_MS
+                ):
+                    await self._restored.wait()
+                    await self._delay_registration()
             except errors.StoreError as exc:
+                if exc.code is errors.ErrorCode.STORE_RESTORED:
+                    self._record_restored()
+                    lease = None
+                    await self._delay_registration()
+                    continue
                 if not is_failing:
                     self._log.emit('registration-failed', error=str(exc))
                 is_failing = True
@@ -235,6 +266,10 @@
                     # but endpoints' entries may expire in it.
                     await self._back_off(exc)
 
+    async def _delay_registration(self) -> None:
+        spread_ms = self._rng.uniform(0.0, REGISTRATION_SPREAD_MS)
+        await trio.sleep(spread_ms / types.SECOND_MS)
+
     def _replace_endpoints(self, items: typing.Sequence[model.Item]) -> None:
         grace_until_ms = self._outage_ended_ms + REREGISTRATION_GRACE_MS
         is_recovering = self._now_ms() < grace_until_ms
@@ -245,21 +280,21 @@
         self._has_endpoints = True
 
     async def _poll_once(
-        self, prefix: str, revision: types.Revision
-    ) -> types.Revision:
+        self, prefix: str, position: base.Position
+    ) -> base.Position:
         wait_ms = store_pacing.compute_watch_ms(self._history_ms, self._rng)
         with trio.CancelScope() as scope:
             self._waiting.add(scope)
             try:
                 changes, reached = await self._store.poll_changes(
-                    prefix, revision, wait_ms
+                    prefix, position, wait_ms
                 )
             finally:
                 self._waiting.discard(scope)
         if scope.cancelled_caught:
             if self._outage is not None:
                 await self._outage.ended.wait()
-            return revision
+            return position
         self._record_contact()
         for change in changes:
             value = change.entry.value if change.entry else None
@@ -311,6 +346,22 @@
                 scope.cancel()
         return self._outage
 
+    def _record_restored(self) -> None:
+        """React once to the return of the store from an older copy."""
+        self._record_contact()
+        era = self._store.era
+        if era == self._restored_era:
+            return
+        self._restored_era = era
+        self._log.emit('store-restored', era=era)
+        self._outage_ended_ms = self._now_ms()
+        self._state.record_restored_store()
+        # Their positions belong to the era before.
+        for scope in self._waiting:
+            scope.cancel()
+        self._restored.set()
+        self._restored = trio.Event()
+
     def _record_contact(self) -> None:
         outage = self._outage
         if outage is None:
--- a/foxtailpick/gateway/request_timeline.py
+++ b/foxtailpick/gateway/request_timeline.py
@@ -20,6 +20,7 @@
         'stopping',
         'store-history-lost',
         'store-lost',
+        'store-restored',
         'store-read',
         'store-regained',
     )
--- a/foxtailpick/gateway/state.py
+++ b/foxtailpick/gateway/state.py
@@ -4,6 +4,7 @@
 
 from foxtailpick.core.dispatch import endpoint_table
 from foxtailpick.core.dispatch import model
+from foxtailpick.core.dispatch import restored_store
 from foxtailpick.core.dispatch import route_table
 from foxtailpick.core import types
 from foxtailpick.gateway import decision_log
@@ -34,6 +35,9 @@
         self._routers: dict[types.RouterId, model.RouterEntry] = {}
         self._router_missing_ms: dict[types.RouterId, float] = {}
         self._evacuated: set[types.FailureDomainId] = set()
+        # Out of service, but missing in a store restored from a copy.
+        self._unlisted: set[types.FailureDomainId] = set()
+        self._restored_ms: float | None = None
         self.table = endpoint_table.EndpointTable()
         self.cfg: model.GatewayConfig | None = None
         self.routes = route_table.RouteTable(())
@@ -65,6 +69,7 @@
             self._set_endpoint(item)
         elif isinstance(item, model.EvacuationItem):
             evacuated = set(self._evacuated)
+            self._unlisted.discard(item.domain)
             if item.is_out:
                 evacuated.add(item.domain)
             else:
@@ -78,12 +83,23 @@
 
         :param items: all of it.
         """
-        evacuated = set()
+        listed = set()
         for item in items:
             if isinstance(item, model.ConfigItem):
                 self._set_config(item.cfg)
             elif isinstance(item, model.EvacuationItem):
-                evacuated.add(item.domain)
+                listed.add(item.domain)
+        evacuated, self._unlisted = restored_store.select_evacuated(
+            listed,
+            self._evacuated,
+            restored_store.is_copy(self._restored_ms, self._now_ms()),
+        )
+        if self._unlisted:
+            self._log.emit(
+                'domains-kept-out',
+                domains=sorted(self._unlisted),
+                after_ms=self._get_copy_age_ms(),
+            )
         self._set_evacuated(evacuated, is_just_now=False)
 
     def replace_endpoints(
@@ -103,8 +119,12 @@
             for item in items
             if isinstance(item, model.EndpointItem) and item.entry
         ]
+        now_ms = self._now_ms()
         absent = self.table.replace_all(
-            entries, self._now_ms(), grace_until_ms
+            entries,
+            now_ms,
+            grace_until_ms,
+            restored_store.is_copy(self._restored_ms, now_ms),
         )
         self._log.emit(
             'endpoints-read',
@@ -112,6 +132,7 @@
             endpoints=len(entries),
             absent=absent,
             after_outage=grace_until_ms is not None,
+            restored_ms=self._get_copy_age_ms(),
         )
 
     def replace_routers(self, items: typing.Sequence[model.Item]) -> None:
@@ -146,11 +167,30 @@
                 'routers', count=self.router_count, changed=sorted(changed)
             )
 
+    def record_restored_store(self) -> None:
+        """Note that the store has just returned from an older copy."""
+        self._restored_ms = self._now_ms()
+
     def expire(self) -> None:
-        """Remove endpoints that were not relisted after an outage."""
+        """End what was kept for a while after an outage.
+
+        Endpoints that were not listed again are removed; failure domains
+        that the operators did not write again return to service.
+        """
+        if self._unlisted and not restored_store.is_copy(
+            self._restored_ms, self._now_ms()
+        ):
+            evacuated = self._evacuated - self._unlisted
+            self._unlisted = set()
+            self._set_evacuated(evacuated, is_just_now=True)
         for endpoint in self.table.expire_absent(self._now_ms()):
             self._log.emit('endpoint-gone', endpoint=endpoint, why='lapsed')
 
+    def _get_copy_age_ms(self) -> int | None:
+        if self._restored_ms is None:
+            return None
+        return round(self._now_ms() - self._restored_ms)
+
     def _set_config(self, cfg: model.GatewayConfig | None) -> None:
         if cfg is None:
             return
@@ -179,7 +219,7 @@
                 cold_ms=max(0.0, round(endpoint.warm_at_ms - now_ms)),
             )
             return
-        self.table.remove(item.id)
+        self.table.remove(item.id, now_ms)
         self._log.emit('endpoint-gone', endpoint=item.id, why='removed')
 
     def _set_evacuated(
--- a/foxtailpick/platform/standins/store_server.py
+++ b/foxtailpick/platform/standins/store_server.py
@@ -1,6 +1,7 @@
 """A small stand-in for the platform's key-value store, over HTTP."""
 
 import base64
+import dataclasses
 import json
 import math
 import typing
@@ -18,12 +19,23 @@
 _PIECE_BYTES = 8_192
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Copy:
+    """The state of a store at a moment."""
+
+    items: dict[str, dict[str, typing.Any]]
+    revision: int
+    history: list[dict[str, typing.Any]]
+    leases: dict[int, float]
+
+
 class PlatformStoreStandIn:
     """In-memory store that answers the platform's store calls.
 
     Tests set `refuse_with`, `is_silent` and `history_from` to inject the
     failures of the platform, `bytes_per_s` to limit the rate of responses,
-    and `stop_after_bytes` to make each of them fall silent midway.
+    and `stop_after_bytes` to make each of them fall silent midway. `era` is
+    stated in each response, None for a platform that doesn't state it.
     """
 
     def __init__(self) -> None:
@@ -37,6 +49,7 @@
         self.page_items = 500
         self.bytes_per_s = math.inf
         self.stop_after_bytes = math.inf
+        self.era: int | None = None
         self.calls: list[str] = []
         self._changed = trio.Event()
 
@@ -66,6 +79,27 @@
         self.history_from = self.revision + 1
         self.revision += 1
 
+    def take_copy(self) -> 'Copy':
+        """Return a copy of the items and leases."""
+        return Copy(
+            dict(self.items),
+            self.revision,
+            list(self.history),
+            dict(self.leases),
+        )
+
+    def restore(self, copy: 'Copy') -> None:
+        """Lose what was written since a copy, and begin a new era.
+
+        The same revisions and lease numbers are given out again.
+        """
+        self.items = dict(copy.items)
+        self.revision = copy.revision
+        self.history = list(copy.history)
+        self.leases = dict(copy.leases)
+        self.history_from = min(self.history_from, copy.revision)
+        self.era = (self.era or 0) + 1
+
     async def serve(self, sock: trio.socket.SocketType) -> None:
         """Accept connections and answer calls until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -107,7 +141,8 @@
         else:
             status, reply = await self._run(call, query, req.body)
         body = json.dumps(reply).encode()
-        head = http1.format_response(status, (), len(body), True)
+        era = () if self.era is None else [(b'Store-Era', b'%d' % self.era)]
+        head = http1.format_response(status, era, len(body), True)
         await self._send(sock, head + body)
         return True
 
--- a/foxtailpick/platform/store.py
+++ b/foxtailpick/platform/store.py
@@ -9,6 +9,7 @@
 import trio
 
 from foxtailpick.adapters import base
+from foxtailpick.core.dispatch import model
 from foxtailpick.core import errors
 from foxtailpick.core import types
 from foxtailpick.core import verdict as verdict_lib
@@ -32,11 +33,16 @@
 # then closes it within twice this time.
 KEEP_ALIVE_MS = 1_000.0
 _BASE_PATH = '/foxtailpick/'
+_ERA_HEADER = b'store-era'
 
 
 class PlatformStore(base.KeyValue):
     """Client of the store at one address, used as a context manager.
 
+    The store may be restored from an older copy, which begins a new era.
+    Positions and leases of earlier eras are not used any more: the same
+    numbers are given out again.
+
     :param address: IP address and port.
     """
 
@@ -44,6 +50,8 @@
         self._address = address
         self._host = f'{address[0]}:{address[1]}'.encode()
         self._idle: list[client_lib.ClientConnection] = []
+        self._leases: set[types.LeaseId] = set()
+        self.era: types.Era | None = None
         self.calls = 0
 
     def __enter__(self) -> 'PlatformStore':
@@ -80,7 +88,7 @@
         :raises errors.StoreError: if the store cannot be read.
         """
         entries: list[base.Entry] = []
-        revision: int | None = None
+        position: base.Position | None = None
         after = ''
         while True:
             fields = {'prefix': prefix, **({'after': after} if after else {})}
@@ -91,53 +99,63 @@
             _check_status(status, reply)
             page = [_decode_entry(item) for item in reply['items']]
             entries.extend(page)
-            if revision is None:
-                revision = int(reply['current_rev'])
+            if position is None:
+                position = self._make_position(reply)
+            self._check_era(position)
             if not reply.get('truncated') or not page:
-                return base.Snapshot(entries, types.Revision(revision))
+                return base.Snapshot(entries, position)
             after = page[-1].key
 
     async def poll_changes(
         self,
         prefix: str,
-        after: types.Revision,
+        after: base.Position,
         wait_ms: float = MAX_WATCH_WAIT_MS,
-    ) -> tuple[list[base.Change], types.Revision]:
-        """Long-poll for changes after a revision.
+    ) -> tuple[list[base.Change], base.Position]:
+        """Long-poll for changes after a position.
 
         :param prefix: key prefix, may be empty.
-        :param after: revision that is already known.
+        :param after: position up to which changes are already known.
         :param wait_ms: longest time to wait.
-        :returns: the changes, none after a timeout, and the revision to
+        :returns: the changes, none after a timeout, and the position to
             continue from.
         :raises errors.StoreError: with code `STORE_HISTORY_LOST` if the
-            store no longer has the changes.
+            store no longer has the changes, `STORE_RESTORED` if the position
+            belongs to an earlier era.
         """
+        self._check_era(after)
         query = urllib.parse.urlencode(
             {
                 'prefix': prefix,
-                'after': after,
+                'after': after.revision,
                 'wait_ms': int(min(wait_ms, MAX_WATCH_WAIT_MS)),
             }
         )
         status, reply = await self._call(
             'GET', f'kv-watch?{query}', wait_ms + WATCH_SLACK_MS
         )
+        self._check_era(after)
         if status == 410:
             raise errors.StoreError(
                 errors.ErrorCode.STORE_HISTORY_LOST,
-                f'expected changes after revision {after}, but the store no '
-                f'longer has them; read all entries again',
+                f'expected changes after revision {after.revision}, but the '
+                f'store no longer has them; read all entries again',
             )
         _check_status(status, reply)
         changes = [_decode_change(item) for item in reply['events']]
-        return changes, types.Revision(int(reply['current_rev']))
+        return changes, self._make_position(reply)
 
     async def transact(
         self,
         compares: typing.Sequence[base.Compare],
         writes: typing.Sequence[base.Put | base.Delete],
     ) -> base.TxnResult:
+        leases = [
+            item.lease
+            for item in writes
+            if isinstance(item, base.Put) and item.lease
+        ]
+        self._check_leases(leases)
         body = {
             'expect': [
                 {'key': item.key, 'revision': item.revision}
@@ -164,6 +182,7 @@
         if status == 404:
             raise _make_lease_error('in the transaction')
         _check_status(status, reply)
+        self._check_leases(leases)
         return base.TxnResult(True, types.Revision(int(reply['revision'])))
 
     async def grant_lease(self, ttl_ms: float) -> types.LeaseId:
@@ -171,15 +190,23 @@
             'POST', 'kv-lease', body={'ttl_ms': int(ttl_ms)}
         )
         _check_status(status, reply)
-        return types.LeaseId(int(reply['lease']))
+        lease = types.LeaseId(int(reply['lease']))
+        self._leases.add(lease)
+        return lease
 
     async def renew_lease(self, lease: types.LeaseId) -> None:
+        self._check_leases([lease])
         status, reply = await self._call('POST', f'kv-keep/{lease}')
         if status == 404:
+            self._leases.discard(lease)
             raise _make_lease_error(lease)
         _check_status(status, reply)
+        self._check_leases([lease])
 
     async def revoke_lease(self, lease: types.LeaseId) -> None:
+        if lease not in self._leases:
+            return
+        self._leases.discard(lease)
         status, reply = await self._call('DELETE', f'kv-lease-end/{lease}')
         if status != 404:
             _check_status(status, reply)
@@ -189,9 +216,9 @@
         self, prefix: str, after: types.Revision
     ) -> typing.AsyncIterator[typing.AsyncIterator[base.Change]]:
         async def iterate() -> typing.AsyncIterator[base.Change]:
-            revision = after
+            position = base.Position(after, self.era)
             while True:
-                changes, revision = await self.poll_changes(prefix, revision)
+                changes, position = await self.poll_changes(prefix, position)
                 for change in changes:
                     yield change
 
@@ -227,6 +254,7 @@
                 reply = await exchange.read_head(conn)
             with trio.fail_after(MAX_TRANSFER_MS / types.SECOND_MS):
                 raw = await exchange.read_body(conn, MAX_SILENCE_MS)
+            self._update_era(reply.headers, method, path)
             if conn.is_clean and reply.is_reusable:
                 self._idle.append(conn)
                 conn = None
@@ -241,6 +269,42 @@
             if conn is not None:
                 conn.close()
 
+    def _update_era(
+        self, headers: typing.Sequence[model.RawHeader], method: str, path: str
+    ) -> None:
+        """Compare the era of a reply with the latest one.
+
+        :raises errors.StoreError: with code `STORE_RESTORED` if the era has
+            just risen, since the reply may rest on state of the one before;
+            `STORE_UNAVAILABLE` if the reply is of an earlier era.
+        """
+        era = _get_era(headers)
+        known = self.era
+        if era is None or era == known:
+            return
+        if known is not None and era < known:
+            got = f'one of era {era} after era {known}'
+            raise _make_store_error(method, path, got, method != 'GET')
+        self.era = era
+        if known is not None:
+            self._leases.clear()
+            raise _make_restored_error(known, era)
+
+    def _check_era(self, position: base.Position) -> None:
+        if position.era is not None and position.era != self.era:
+            raise _make_restored_error(position.era, self.era)
+
+    def _check_leases(self, leases: typing.Iterable[types.LeaseId]) -> None:
+        for lease in leases:
+            if lease not in self._leases:
+                raise _make_lease_error(lease)
+
+    def _make_position(
+        self, reply: typing.Mapping[str, typing.Any]
+    ) -> base.Position:
+        revision = types.Revision(int(reply['current_rev']))
+        return base.Position(revision, self.era)
+
     async def _take_connection(self) -> client_lib.ClientConnection:
         while self._idle:
             conn = self._idle.pop()
@@ -275,6 +339,21 @@
         )
 
 
+def _get_era(headers: typing.Sequence[model.RawHeader]) -> types.Era | None:
+    value = dict(headers).get(_ERA_HEADER, b'')
+    return types.Era(int(value)) if value.isdigit() else None
+
+
+def _make_restored_error(
+    known: types.Era, era: types.Era | None
+) -> errors.StoreError:
+    return errors.StoreError(
+        errors.ErrorCode.STORE_RESTORED,
+        f'expected the store in era {known}, got era {era}; read all '
+        f'entries again',
+    )
+
+
 def _make_lease_error(lease: object) -> errors.StoreError:
     return errors.StoreError(
         errors.ErrorCode.LEASE_LOST,
--- a/foxtailpick/tests/test_dispatch.py
+++ b/foxtailpick/tests/test_dispatch.py
@@ -116,7 +116,7 @@
         str(key): choose(table, prefix=str(key)).endpoint.id
         for key in range(400)
     }
-    table.remove('e3')
+    table.remove('e3', 0.0)
     moved = [
         key
         for key, endpoint in before.items()
--- a/foxtailpick/tests/test_mirror.py
+++ b/foxtailpick/tests/test_mirror.py
@@ -29,8 +29,12 @@
     def __init__(self):
         self.changes = []
         self.polls = 0
+        self.era = None
         self._changed = trio.Event()
 
+    def _get_position(self):
+        return base.Position(types.Revision(len(self.changes)))
+
     def put(self, key, value):
         """Write an item."""
         revision = types.Revision(len(self.changes) + 1)
@@ -41,15 +45,15 @@
 
     async def read_snapshot(self, prefix, is_stale_ok=False):
         """Return an empty snapshot at the current revision."""
-        return base.Snapshot([], types.Revision(len(self.changes)))
+        return base.Snapshot([], self._get_position())
 
     async def poll_changes(self, prefix, after, wait_ms):
         """Wait for changes."""
         self.polls += 1
-        if after == len(self.changes):
+        if after == self._get_position():
             with trio.move_on_after(wait_ms / 1_000):
                 await self._changed.wait()
-        return self.changes[after:], types.Revision(len(self.changes))
+        return self.changes[after.revision :], self._get_position()
 
 
 def now_ms():
@@ -134,7 +138,7 @@
         self.reads += 1
         entry = base.Entry('servers/e1', ENTRY, types.Revision(0))
         entries = [entry] if self.reads == 1 else []
-        return base.Snapshot(entries, types.Revision(0))
+        return base.Snapshot(entries, base.Position(types.Revision(0)))
 
     async def poll_changes(self, prefix, after, wait_ms):
         """Report lost history to the first watch after the outage."""
--- a/foxtailpick/tests/test_platform.py
+++ b/foxtailpick/tests/test_platform.py
@@ -177,7 +177,7 @@
     assert [entry.key for entry in snapshot.entries] == [
         f'servers/s{number}' for number in range(8)
     ]
-    assert snapshot.revision == standin.revision
+    assert snapshot.position.revision == standin.revision
 
 
 async def test_changes_and_lost_history_are_told_apart():
@@ -185,9 +185,9 @@
         snapshot = await client.read_snapshot('')
         standin.put('a', 1)
         standin.remove('a')
-        changes, reached = await client.poll_changes('', snapshot.revision)
+        changes, reached = await client.poll_changes('', snapshot.position)
         assert [change.entry is None for change in changes] == [False, True]
-        assert reached == standin.revision
+        assert reached.revision == standin.revision
         standin.put('b', 1)
         standin.expire_without_history('b')
         with pytest.raises(errors.StoreError) as caught:
--- a/foxtailpick/tests/test_store_transfer.py
+++ b/foxtailpick/tests/test_store_transfer.py
@@ -3,23 +3,14 @@
 Figures of inc2 of kandurata-route-grown: 4,249 routes over 5 Mbit/s.
 """
 
-import contextlib
-import random
-import socket
-
 import pytest
 import trio
 
 from foxtailpick.core import errors
-from foxtailpick.core import types
-from foxtailpick.gateway import client
-from foxtailpick.gateway import decision_log
-from foxtailpick.gateway import mirror
-from foxtailpick.gateway import state
 from foxtailpick.platform import items
 from foxtailpick.platform.standins import store_server
-from foxtailpick.platform import store as store_lib
 from foxtailpick.tests import gateway_harness
+from foxtailpick.tests import store_harness
 
 ROUTES = 4_249
 BYTES_PER_S = 5_000_000 / 8
@@ -31,11 +22,6 @@
 PREFIX = items.OPERATOR_PREFIX
 
 
-def now_ms():
-    """Return the virtual time."""
-    return trio.current_time() * 1_000
-
-
 def make_large_config(version):
     routes = [
         gateway_harness.make_route(f'r-{number}', f'/a{number}/', 'safe')
@@ -44,47 +30,11 @@
     return gateway_harness.make_config(version, routes)
 
 
-@contextlib.asynccontextmanager
-async def open_slow_store(monkeypatch):
-    """Yield a store behind a slow link, and its client.
-
-    Socket pairs deliver at once, so that virtual time only passes in the
-    store and in timeouts.
-    """
+def open_slow_store(monkeypatch):
+    """Return a context with a store behind a slow link, and its client."""
     standin = store_server.PlatformStoreStandIn()
     standin.bytes_per_s = BYTES_PER_S
-
-    async with trio.open_nursery() as nursery:
-
-        async def connect(address, keep_alive_ms=None):
-            ours, theirs = socket.socketpair()
-            ours.setblocking(False)
-            theirs.setblocking(False)
-            nursery.start_soon(
-                standin.serve_one, trio.socket.from_stdlib_socket(theirs)
-            )
-            return client.ClientConnection(
-                trio.socket.from_stdlib_socket(ours)
-            )
-
-        monkeypatch.setattr(client.ClientConnection, 'connect', connect)
-        with store_lib.PlatformStore(('store', 1)) as store:
-            yield standin, store
-        nursery.cancel_scope.cancel()
-
-
-@contextlib.asynccontextmanager
-async def follow_operators(store, seed):
-    """Yield a gateway state that follows what the operators write."""
-    log = decision_log.DecisionLog(now_ms, len)
-    own = state.GatewayState(types.RouterId('r'), now_ms, log)
-    follower = mirror.Mirror(
-        store, own, items.LAYOUT, now_ms, log, random.Random(seed)
-    )
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(follower.follow, PREFIX, own.replace_operator_items)
-        yield own
-        nursery.cancel_scope.cancel()
+    return store_harness.open_store(standin, monkeypatch)
 
 
 async def test_large_configuration_is_read_over_a_slow_link(
@@ -92,10 +42,10 @@
 ):
     async with open_slow_store(monkeypatch) as (standin, store):
         standin.put('op/config', make_large_config(2))
-        began_ms = now_ms()
+        began_ms = store_harness.now_ms()
         snapshot = await store.read_snapshot(PREFIX)
         # The link alone takes over 1.5 s.
-        assert 1_500 < now_ms() - began_ms < CONFIG_APPLY_MS
+        assert 1_500 < store_harness.now_ms() - began_ms < CONFIG_APPLY_MS
     assert [entry.key for entry in snapshot.entries] == ['op/config']
 
 
@@ -108,7 +58,7 @@
 
         async def watch():
             found.extend(
-                await store.poll_changes(PREFIX, snapshot.revision, 5_000.0)
+                await store.poll_changes(PREFIX, snapshot.position, 5_000.0)
             )
 
         async with trio.open_nursery() as nursery:
@@ -128,7 +78,7 @@
     for at_s in range(1, 28, 2):
         async with open_slow_store(monkeypatch) as (standin, store):
             standin.put('op/config', gateway_harness.make_config(1))
-            async with follow_operators(store, at_s) as gateway_state:
+            async with store_harness.follow(store, at_s) as gateway_state:
                 await trio.sleep(at_s)
                 standin.put('op/config', make_large_config(2))
                 if is_history_lost:
@@ -147,6 +97,6 @@
         standin.stop_after_bytes = 500_000
         with pytest.raises(errors.StoreError) as caught:
             await store.read_snapshot(PREFIX)
-        given_up_ms = now_ms() - 500_000 / BYTES_PER_S * 1_000
+        given_up_ms = store_harness.now_ms() - 500_000 / BYTES_PER_S * 1_000
     assert caught.value.code is errors.ErrorCode.STORE_UNAVAILABLE
     assert given_up_ms <= MAX_SILENCE_MS + 100
