Heed endpoints that announce that they leave or want a rest

Cause: neither header was used. A leaving endpoint got work until the store said so, and one that asked for a rest was paused for failures, 0.5 to 4 s.

core/dispatch/announcements keeps both by incarnation, so that a new entry of the same process ends neither. Placement, waiting for a slot and fetches leave such endpoints out; what was placed before is checked again once it has a connection. A refusal that was announced is no failure. With all endpoints resting, requests are refused at once with the time until the first returns, spread over half a second and more.

Evidence: test_announcements. Deliberate mistakes were caught: announcements not kept (3 and 7 tests), no second check (1), refusals counted as failures (1), header not read (2). Not done: sharing announcements with the other gateways, whose gain is not measured.

--- a/foxtailpick/core/dispatch/admission_queue.py
+++ b/foxtailpick/core/dispatch/admission_queue.py
@@ -243,4 +243,9 @@
 def _list_usable(
     endpoints: typing.Iterable[endpoint_table.Endpoint], now_ms: float
 ) -> list[endpoint_table.Endpoint]:
-    return [item for item in endpoints if not item.health.is_paused(now_ms)]
+    return [
+        item
+        for item in endpoints
+        if not item.health.is_paused(now_ms)
+        and not item.announced.is_resting(now_ms)
+    ]
--- a/foxtailpick/core/dispatch/endpoint_table.py
+++ b/foxtailpick/core/dispatch/endpoint_table.py
@@ -4,6 +4,7 @@
 import math
 import typing
 
+from foxtailpick.core.dispatch import announcements
 from foxtailpick.core.dispatch import health as health_lib
 from foxtailpick.core.dispatch import model
 from foxtailpick.core.dispatch import restored_store
@@ -41,6 +42,7 @@
     :param shared_outcomes: request outcomes summed over all routers, None
         if no router reported failures.
     :param is_ejected: whether it is ejected because of them.
+    :param announced: what it announced in its responses.
     """
 
     entry: model.EndpointEntry
@@ -54,6 +56,9 @@
     absent_until_ms: float | None = None
     shared_outcomes: shared_health.SharedOutcomes | None = None
     is_ejected: bool = False
+    announced: announcements.Announcement = dataclasses.field(
+        default_factory=announcements.Announcement
+    )
     health: health_lib.Health = dataclasses.field(
         default_factory=health_lib.Health
     )
@@ -157,6 +162,7 @@
         self._by_service: dict[types.ServiceId, list[Endpoint]] = {}
         self._evacuated_ms: dict[types.FailureDomainId, float] = {}
         self._removed = restored_store.RemovedEndpoints()
+        self._announcements = announcements.Announcements()
 
     def get(self, endpoint: types.EndpointId) -> Endpoint | None:
         """Return an endpoint, None if it is unknown."""
@@ -167,10 +173,50 @@
         return [
             endpoint
             for endpoint in self._by_service.get(service, ())
-            if not endpoint.entry.is_draining
-            and endpoint.entry.domain not in self._evacuated_ms
+            if not endpoint.announced.is_leaving and self._is_listed(endpoint)
+        ]
+
+    def list_last_resort(
+        self, service: types.ServiceId, now_ms: float
+    ) -> list[Endpoint]:
+        """Return endpoints that announced a short while ago that they leave.
+
+        They still accept requests, for when no other endpoint is left.
+
+        :param service: the service.
+        :param now_ms: current time.
+        """
+        return [
+            endpoint
+            for endpoint in self._by_service.get(service, ())
+            if endpoint.announced.has_left_since(
+                announcements.LAST_USE_MS, now_ms
+            )
+            and self._is_listed(endpoint)
         ]
 
+    def is_sendable(self, endpoint: Endpoint, now_ms: float) -> bool:
+        """Tell whether a request that was placed may still be sent.
+
+        The endpoint may have changed while its connection was opened.
+
+        :param endpoint: the endpoint.
+        :param now_ms: current time.
+        """
+        announced = endpoint.announced
+        if announced.is_resting(now_ms) or not self._is_listed(endpoint):
+            return False
+        return not announced.is_leaving or announced.has_left_since(
+            announcements.LAST_USE_MS, now_ms
+        )
+
+    def _is_listed(self, endpoint: Endpoint) -> bool:
+        return (
+            self._endpoints.get(endpoint.id) is endpoint
+            and not endpoint.entry.is_draining
+            and endpoint.entry.domain not in self._evacuated_ms
+        )
+
     def compute_mean_load(self, service: types.ServiceId) -> float:
         """Return the mean load of all listed endpoints of a service.
 
@@ -197,6 +243,13 @@
             if (
                 endpoint.entry.is_draining
                 or endpoint.entry.domain in self._evacuated_ms
+                or endpoint.announced.is_leaving
+            )
+            and (
+                not endpoint.announced.is_leaving
+                or endpoint.announced.has_left_since(
+                    announcements.FETCH_MS, now_ms
+                )
             )
             and self._evacuated_ms.get(endpoint.entry.domain, now_ms)
             >= oldest_ms
@@ -212,10 +265,14 @@
         :param entry: the entry.
         :param now_ms: current time.
         """
-        self._removed.discard((entry.id, entry.started))
+        self._removed.discard(entry.incarnation)
         known = self._endpoints.get(entry.id)
         if known is None or known.entry.started != entry.started:
-            known = Endpoint(entry, in_service_ms=now_ms)
+            known = Endpoint(
+                entry,
+                in_service_ms=now_ms,
+                announced=self._announcements.find(entry.incarnation, now_ms),
+            )
             self._endpoints[entry.id] = known
             if entry.warmup_left_ms > 0:
                 known.cache_filling_until_ms = now_ms + CACHE_FILL_MS
@@ -235,7 +292,7 @@
         """
         known = self._endpoints.pop(endpoint, None)
         if known is not None:
-            self._removed.record((known.id, known.entry.started), now_ms)
+            self._removed.record(known.entry.incarnation, now_ms)
             self._index()
 
     def replace_all(
@@ -292,7 +349,7 @@
         """Tell whether an entry of a copy is older than what is known."""
         known = self._endpoints.get(entry.id)
         if known is None or known.entry.started != entry.started:
-            return (entry.id, entry.started) in self._removed
+            return entry.incarnation in self._removed
         return known.entry.is_draining and not entry.is_draining
 
     def set_evacuated(
--- a/foxtailpick/core/dispatch/model.py
+++ b/foxtailpick/core/dispatch/model.py
@@ -8,6 +8,7 @@
 
 Address = tuple[str, int]
 RawHeader = tuple[bytes, bytes]
+EndpointIncarnation = tuple[types.EndpointId, types.Incarnation]
 
 
 class RequestKind(enum.Enum):
@@ -160,6 +161,11 @@
     is_draining: bool
     warmup_left_ms: float
 
+    @property
+    def incarnation(self) -> EndpointIncarnation:
+        """Id and start of the process."""
+        return self.id, self.started
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RouterEntry:
@@ -226,7 +232,9 @@
     :param is_closing: whether the endpoint closes the connection.
     :param keep_alive_ms: idle timeout of the connection, if stated.
     :param load: the reported load, if any.
+    :param is_leaving: whether the endpoint announces that it leaves.
     :param retry_after_ms: time until a retry is welcome, if stated.
+    :param bad_retry_after: a statement of that time that is invalid, if any.
     :param forwarded: headers that are forwarded unchanged.
     :param signature: the header with the signature, if any.
     """
@@ -238,7 +246,9 @@
     is_closing: bool = False
     keep_alive_ms: float | None = None
     load: LoadReport | None = None
+    is_leaving: bool = False
     retry_after_ms: float | None = None
+    bad_retry_after: str | None = None
     forwarded: list[RawHeader] = dataclasses.field(default_factory=list)
     signature: RawHeader | None = None
 
--- a/foxtailpick/core/dispatch/placing.py
+++ b/foxtailpick/core/dispatch/placing.py
@@ -69,6 +69,7 @@
     ALL_COLD = 'all-cold'
     ALL_TRIED = 'all-tried'
     ALL_FULL = 'all-full'
+    ALL_RESTING = 'all-resting'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -133,9 +134,14 @@
     untried = [item for item in endpoints if item.id not in query.tried]
     if not untried:
         return Obstacle.ALL_TRIED
-    accepting = [item for item in untried if _can_accept(item, query)]
+    awake = [
+        item for item in untried if not item.announced.is_resting(query.now_ms)
+    ]
+    if not awake:
+        return Obstacle.ALL_RESTING
+    accepting = [item for item in awake if _can_accept(item, query)]
     if not accepting:
-        is_cold = any(item.is_cold(query.now_ms) for item in untried)
+        is_cold = any(item.is_cold(query.now_ms) for item in awake)
         return Obstacle.ALL_COLD if is_cold else Obstacle.ALL_FULL
     ejected = _list_ejected(endpoints, query.now_ms)
     suspects = _list_suspects(endpoints, query.now_ms)
@@ -151,6 +157,25 @@
     return dataclasses.replace(choice, holder=holder)
 
 
+def compute_rest_ms(
+    endpoints: typing.Iterable[endpoint_table.Endpoint],
+    tried: typing.Container[types.EndpointId],
+    now_ms: float,
+) -> float:
+    """Return the time until the first endpoint's rest is over, 0 if none.
+
+    :param endpoints: endpoints of a service.
+    :param tried: endpoints that the request was already sent to.
+    :param now_ms: current time.
+    """
+    ends_ms = (
+        item.announced.rest_until_ms
+        for item in endpoints
+        if item.id not in tried
+    )
+    return max(0.0, min(ends_ms, default=now_ms) - now_ms)
+
+
 def find_affinity_part(parts: typing.Sequence[model.PromptPart]) -> str | None:
     """Return the id of the prompt part that determines affinity.
 
--- a/foxtailpick/core/dispatch/refusal.py
+++ b/foxtailpick/core/dispatch/refusal.py
@@ -19,6 +19,9 @@
 # A full service completes most running requests within the duration of an
 # answer.
 FULL_MS = 1_000.0
+# After a rest of all endpoints of a service its callers return within this
+# time, the most urgent ones first.
+RESTED_SPREAD_MS = 500.0
 # Share of the target latency that a request may wait for a slot, so that a
 # refused caller can still be served elsewhere in time.
 WAIT_SHARE = 0.125
@@ -40,17 +43,28 @@
     placing.Obstacle.ALL_COLD: COLD_MS,
     placing.Obstacle.ALL_TRIED: TRIED_MS,
     placing.Obstacle.ALL_FULL: FULL_MS,
+    placing.Obstacle.ALL_RESTING: RESTED_SPREAD_MS,
 }
 
 
-def compute_max_wait_ms(obstacle: placing.Obstacle, target_ms: float) -> float:
+def compute_max_wait_ms(
+    obstacle: placing.Obstacle, target_ms: float, rest_ms: float = 0.0
+) -> float:
     """Return how long a request may wait for an obstacle to pass.
 
     :param obstacle: why no endpoint can be chosen.
     :param target_ms: target latency of the route.
+    :param rest_ms: time until the first endpoint's rest is over.
     """
-    if obstacle in (placing.Obstacle.ALL_COLD, placing.Obstacle.ALL_FULL):
-        return target_ms * WAIT_SHARE
+    longest_ms = target_ms * WAIT_SHARE
+    if obstacle is placing.Obstacle.ALL_RESTING and rest_ms > longest_ms:
+        return 0.0
+    if obstacle in (
+        placing.Obstacle.ALL_COLD,
+        placing.Obstacle.ALL_FULL,
+        placing.Obstacle.ALL_RESTING,
+    ):
+        return longest_ms
     return 0.0
 
 
@@ -89,5 +103,8 @@
     """
     usual = _BASE_MS[obstacle] * (1 + PRIORITY_FACTOR * priority)
     base = max(usual, expected_ms)
-    jitter = rng.uniform(1 - JITTER, 1 + JITTER)
-    return min(base * jitter, left_ms * MAX_RETRY_SHARE)
+    retry_ms = base * rng.uniform(1 - JITTER, 1 + JITTER)
+    if obstacle is placing.Obstacle.ALL_RESTING:
+        # Callers that return earlier would only be refused again.
+        retry_ms = expected_ms + usual * rng.random()
+    return min(retry_ms, left_ms * MAX_RETRY_SHARE)
--- a/foxtailpick/core/dispatch/restored_store.py
+++ b/foxtailpick/core/dispatch/restored_store.py
@@ -18,6 +18,7 @@
 
 import typing
 
+from foxtailpick.core.dispatch import model
 from foxtailpick.core import types
 
 # Time after the return in which the operators and the endpoints have written
@@ -26,8 +27,6 @@
 # A copy is some seconds old at most.
 MAX_COPY_AGE_MS = 60_000.0
 
-Incarnation = tuple[types.EndpointId, types.Incarnation]
-
 
 def is_copy(restored_ms: float | None, now_ms: float) -> bool:
     """Return whether a snapshot may still lack what was written before.
@@ -57,9 +56,11 @@
     """Endpoints removed a short while ago, by incarnation."""
 
     def __init__(self) -> None:
-        self._removed_ms: dict[Incarnation, float] = {}
+        self._removed_ms: dict[model.EndpointIncarnation, float] = {}
 
-    def record(self, endpoint: Incarnation, now_ms: float) -> None:
+    def record(
+        self, endpoint: model.EndpointIncarnation, now_ms: float
+    ) -> None:
         """Remember a removal, and forget those that no copy contains.
 
         :param endpoint: the removed incarnation.
@@ -70,9 +71,9 @@
             if now_ms - removed_ms >= MAX_COPY_AGE_MS:
                 del self._removed_ms[key]
 
-    def discard(self, endpoint: Incarnation) -> None:
+    def discard(self, endpoint: model.EndpointIncarnation) -> None:
         """Forget a removal, since the endpoint has written again."""
         self._removed_ms.pop(endpoint, None)
 
-    def __contains__(self, endpoint: Incarnation) -> bool:
+    def __contains__(self, endpoint: model.EndpointIncarnation) -> bool:
         return endpoint in self._removed_ms
--- a/foxtailpick/core/errors.py
+++ b/foxtailpick/core/errors.py
@@ -37,6 +37,7 @@
     CANCELLED = 'FTP-214'
     ANSWER_NOT_KEPT = 'FTP-215'
     ROUTE_UNKNOWN = 'FTP-216'
+    ENDPOINT_HEADER_INVALID = 'FTP-217'
 
     # Configuration and patches.
     PATCH_MALFORMED = 'FTP-301'
--- a/foxtailpick/gateway/pool.py
+++ b/foxtailpick/gateway/pool.py
@@ -32,7 +32,7 @@
     def __init__(self, now_ms: typing.Callable[[], float]) -> None:
         self._now_ms = now_ms
         self._idle: dict[
-            tuple[types.EndpointId, types.Incarnation],
+            model.EndpointIncarnation,
             list[client_lib.ClientConnection],
         ] = {}
         self.opened = 0
@@ -53,7 +53,7 @@
 
         :raises OSError: if none can be opened; nothing has been sent.
         """
-        conns = self._idle.get(_get_key(endpoint.entry), [])
+        conns = self._idle.get(endpoint.entry.incarnation, [])
         while conns:
             conn = conns.pop()
             if self._is_fresh(conn) and conn.is_alive():
@@ -87,12 +87,12 @@
             endpoint.connections -= 1
             return
         conn.idle_since_ms = self._now_ms()
-        key = _get_key(endpoint.entry)
+        key = endpoint.entry.incarnation
         self._idle.setdefault(key, []).append(conn)
 
     def sweep(self, table: endpoint_table.EndpointTable) -> None:
         """Close connections that expired or whose endpoint is not listed."""
-        known = {_get_key(item.entry): item for item in table.list_all()}
+        known = {item.entry.incarnation: item for item in table.list_all()}
         for key, conns in list(self._idle.items()):
             endpoint = known.get(key)
             kept = []
@@ -115,9 +115,3 @@
                 conn.keep_alive_ms - KEEP_ALIVE_MARGIN_MS, MAX_IDLE_MS
             )
         return self._now_ms() - conn.idle_since_ms < longest_ms
-
-
-def _get_key(
-    entry: model.EndpointEntry,
-) -> tuple[types.EndpointId, types.Incarnation]:
-    return entry.id, entry.started
--- a/foxtailpick/gateway/relay.py
+++ b/foxtailpick/gateway/relay.py
@@ -290,15 +290,23 @@
             ),
             leaving=gw.state.table.list_leaving(job.service.name, now_ms),
         )
-        endpoints = gw.state.table.list_service(job.service.name)
+        table = gw.state.table
+        endpoints = table.list_service(
+            job.service.name
+        ) or table.list_last_resort(job.service.name, now_ms)
         found = placing.choose_endpoint(endpoints, query, gw.rng)
         if isinstance(found, placing.Choice):
             _log_placement(gw, job, found, now_ms)
             return found
-        longest_ms = refusal.compute_max_wait_ms(found, job.route.target_ms)
+        rest_ms = 0.0
+        if found is placing.Obstacle.ALL_RESTING:
+            rest_ms = placing.compute_rest_ms(endpoints, job.tried, now_ms)
+        longest_ms = refusal.compute_max_wait_ms(
+            found, job.route.target_ms, rest_ms
+        )
         if now_ms - began_ms >= longest_ms:
             raise admission.make_unavailable_error(
-                gw, job, found, len(endpoints)
+                gw, job, found, len(endpoints), rest_ms
             )
         await trio.sleep(PLACEMENT_RETRY_INTERVAL_MS / types.SECOND_MS)
 
--- a/foxtailpick/platform/dialect.py
+++ b/foxtailpick/platform/dialect.py
@@ -1,5 +1,8 @@
 """Codec of the platform's request and response headers."""
 
+import email.utils
+import math
+import time
 import typing
 
 from foxtailpick.core.dispatch import model
@@ -161,7 +164,12 @@
         elif name == b'keep-alive':
             meta.keep_alive_ms = _parse_keep_alive(value)
         elif name == b'retry-after':
-            meta.retry_after_ms = _parse_seconds(value)
+            meta.retry_after_ms = _parse_retry_after(value)
+            if meta.retry_after_ms is None:
+                meta.bad_retry_after = value.decode('latin-1')
+        elif name == b'server-leaving':
+            meta.is_leaving = value.strip() == b'1'
+            continue
         if name not in _HOP_BY_HOP:
             meta.forwarded.append((name, value))
     return meta
@@ -219,8 +227,17 @@
     return None
 
 
-def _parse_seconds(value: bytes) -> float | None:
+def _parse_retry_after(value: bytes) -> float | None:
+    """Return the time in ms of seconds or an HTTP date, None if invalid."""
+    text = value.decode('latin-1').strip()
     try:
-        return float(value) * types.SECOND_MS
+        seconds = float(text)
     except ValueError:
+        try:
+            date = email.utils.parsedate_to_datetime(text)
+            seconds = max(0.0, date.timestamp() - time.time())
+        except (ValueError, OverflowError):
+            return None
+    if not math.isfinite(seconds) or seconds < 0:
         return None
+    return seconds * types.SECOND_MS
