Keep the soft load bound where nothing is unavailable

Now a lower mean of the service lowers both bounds in proportion to their distance from the mean of the candidates, and nothing changes otherwise. The tests of the load limit pass unchanged.

--- a/foxtailpick/core/dispatch/placing.py
+++ b/foxtailpick/core/dispatch/placing.py
@@ -306,19 +306,24 @@
 def _compute_bounds(mean: float, service_mean: float) -> tuple[float, float]:
     """Return the loads at which overflow begins and is complete.
 
-    An endpoint with the mean load of the candidates stays usable: if most of
-    the service is unavailable, the candidates cannot keep the limit, and an
-    even distribution is all that is left.
+    A lower mean of the service lowers both in proportion to their distance
+    from the mean of the candidates. An endpoint with that mean stays usable:
+    if most of the service is unavailable, the candidates cannot keep the
+    limit, and an even distribution is all that is left.
 
     :param mean: mean load of the candidates.
     :param service_mean: mean load of all listed endpoints of the service.
     """
-    lower_mean = min(mean, service_mean)
-    hard_bound = max(
-        lower_mean * HARD_BOUND_MULTIPLE + HARD_BOUND_SLACK, mean + 1
-    )
     soft_bound = mean * SOFT_BOUND_MULTIPLE + SOFT_BOUND_SLACK
-    return min(soft_bound, (mean + hard_bound) / 2), hard_bound
+    hard_bound = mean * HARD_BOUND_MULTIPLE + HARD_BOUND_SLACK
+    limit = service_mean * HARD_BOUND_MULTIPLE + HARD_BOUND_SLACK
+    if hard_bound <= limit:
+        return soft_bound, hard_bound
+    share = max(1.0, limit - mean) / (hard_bound - mean)
+    return (
+        mean + share * (soft_bound - mean),
+        mean + share * (hard_bound - mean),
+    )
 
 
 def _compute_max_load(item: endpoint_table.Endpoint, mean: float) -> float:
