Restore the store from a copy in the fault soak; let EVACUATION fire

The soak of real processes now takes the store down and brings it back from a copy up to 3 s old, in a new era; the operators and the endpoints write again what it lacks within 1.5 s. The existing checks apply.

Some now last 5.3 to 7.5 s. Evacuations end under a lock, so that a restored store doesn't get one back that the operators have ended.

--- a/foxtailpick/soak/faults.py
+++ b/foxtailpick/soak/faults.py
@@ -1,10 +1,12 @@
 """Faults that the soak injects, each from outside the gateway processes."""
 
+import base64
 import random
 import signal
 import typing
 
 from foxtailpick.platform import items
+from foxtailpick.platform.standins import store_server
 from foxtailpick.soak import callers
 from foxtailpick.soak import proxy as proxy_lib
 from foxtailpick.soak import world as world_lib
@@ -12,6 +14,13 @@
 # Gateways may still show the effects of a fault for this long after it ends.
 RESIDUAL_EFFECT_MS = 600.0
 STORE_CHANGE_PAUSE_MS = 150.0
+# Age of the copy from which the store is restored, and time until the
+# operators and the endpoints have written again what it lacks.
+MAX_COPY_AGE_MS = 3_000.0
+MAX_REWRITE_MS = 1_500.0
+# Evacuations outlast the bound on them, so that it is checked.
+MIN_EVACUATION_MS = 5_300.0
+MAX_EVACUATION_MS = 7_500.0
 
 FAULTY_BEHAVIORS = ('mute', 'cut', 'late', 'failing', 'breaking', 'full')
 
@@ -108,6 +117,60 @@
             world.list_endpoint(endpoint)
 
 
+async def restore_store(world: world_lib.World, rng: random.Random) -> None:
+    """Take the store down, and bring it back from an older copy."""
+    store = world.store
+    copy = store.take_copy()
+    await callers.pause(rng.uniform(0.0, MAX_COPY_AGE_MS))
+    away_ms = rng.uniform(100.0, 1_500.0)
+    rewrite_ms = rng.uniform(0.0, MAX_REWRITE_MS)
+    _record_disruption(world, _list_gateway_names(world), away_ms + rewrite_ms)
+    store.refuse_with = 503
+    await callers.pause(away_ms)
+    async with world.operator_lock:
+        wanted = _list_written_by_others(store.items)
+        store.restore(copy)
+        store.refuse_with = None
+        await callers.pause(rewrite_ms)
+        _write_again(store, copy, wanted)
+
+
+def _write_again(
+    store: store_server.PlatformStoreStandIn,
+    copy: store_server.Copy,
+    wanted: typing.Mapping[str, str],
+) -> None:
+    """Make the writes again that a copy lacks.
+
+    :param store: the store, which was restored from the copy.
+    :param copy: the copy.
+    :param wanted: encoded values before the return, by key.
+    """
+    listed = _list_written_by_others(copy.items)
+    for key in wanted.keys() | listed.keys():
+        if wanted.get(key) == listed.get(key):
+            continue
+        if store.items.get(key) is not copy.items.get(key):
+            # Changed since the return.
+            continue
+        if key in wanted:
+            store.put(key, base64.b64decode(wanted[key]))
+        else:
+            store.remove(key)
+
+
+def _list_written_by_others(
+    entries: typing.Mapping[str, typing.Mapping[str, typing.Any]],
+) -> dict[str, str]:
+    """Return the encoded values of the operators' and endpoints' items."""
+    prefixes = (items.OPERATOR_PREFIX, items.ENDPOINT_PREFIX)
+    return {
+        key: item['value']
+        for key, item in entries.items()
+        if key.startswith(prefixes)
+    }
+
+
 async def disrupt_endpoint_path(
     world: world_lib.World, rng: random.Random
 ) -> None:
@@ -152,15 +215,32 @@
 
 
 async def evacuate(world: world_lib.World, rng: random.Random) -> None:
-    """Take a failure domain out of service and put it back."""
+    """Take a failure domain out of service for a short time."""
+    await _evacuate(world, rng, _draw_duration_ms(rng))
+
+
+async def evacuate_for_long(
+    world: world_lib.World, rng: random.Random
+) -> None:
+    """Take a failure domain out of service for longer than the bound."""
+    for_ms = rng.uniform(MIN_EVACUATION_MS, MAX_EVACUATION_MS)
+    await _evacuate(world, rng, for_ms)
+
+
+async def _evacuate(
+    world: world_lib.World, rng: random.Random, for_ms: float
+) -> None:
     domain = rng.choice(world_lib.DOMAINS)
     key = items.EVACUATION_PREFIX + domain
     if key in world.store.items:
         return
     start_ms = world_lib.now_ms()
-    world.store.put(key, {})
-    await callers.pause(_draw_duration_ms(rng))
-    world.store.remove(key)
+    async with world.operator_lock:
+        world.store.put(key, {})
+    await callers.pause(for_ms)
+    async with world.operator_lock:
+        if key in world.store.items:
+            world.store.remove(key)
     world.record.evacuated.append((domain, start_ms, world_lib.now_ms()))
 
 
@@ -209,6 +289,8 @@
     degrade_endpoints,
     replace_endpoint,
     evacuate,
+    evacuate_for_long,
+    restore_store,
     change_config,
     discard_history,
 )
--- a/foxtailpick/soak/world.py
+++ b/foxtailpick/soak/world.py
@@ -137,10 +137,13 @@
         self.path = path
         self.record = record_lib.Record()
         self.store = store_server.PlatformStoreStandIn()
+        self.store.era = 1
         self.gateways: list[Gateway] = []
         self.endpoints: dict[str, Endpoint] = {}
         self.routes: dict[str, dict[str, typing.Any]] = {}
         self.version = 0
+        # Held while the operators write again after a return of the store.
+        self.operator_lock = trio.Lock()
         self._store_sock = http1.listen(ANY_PORT, 64)
         self._created_ms = 1_700_000_000_000
         # Not seeded, so that concurrent runs choose different ports.
