Log whether a listing follows a restored store, not since when

The age since the last return was logged with each later listing of endpoints, hours after it had lost its meaning. The line store-restored has the time.

--- a/foxtailpick/gateway/state.py
+++ b/foxtailpick/gateway/state.py
@@ -92,14 +92,10 @@
         evacuated, self._unlisted = restored_store.select_evacuated(
             listed,
             self._evacuated,
-            restored_store.is_copy(self._restored_ms, self._now_ms()),
+            self._is_copied(),
         )
         if self._unlisted:
-            self._log.emit(
-                'domains-kept-out',
-                domains=sorted(self._unlisted),
-                after_ms=self._get_copy_age_ms(),
-            )
+            self._log.emit('domains-kept-out', domains=sorted(self._unlisted))
         self._set_evacuated(evacuated, is_just_now=False)
 
     def replace_endpoints(
@@ -121,10 +117,7 @@
         ]
         now_ms = self._now_ms()
         absent = self.table.replace_all(
-            entries,
-            now_ms,
-            grace_until_ms,
-            restored_store.is_copy(self._restored_ms, now_ms),
+            entries, now_ms, grace_until_ms, self._is_copied()
         )
         self._log.emit(
             'endpoints-read',
@@ -132,7 +125,7 @@
             endpoints=len(entries),
             absent=absent,
             after_outage=grace_until_ms is not None,
-            restored_ms=self._get_copy_age_ms(),
+            after_restore=self._is_copied(),
         )
 
     def replace_routers(self, items: typing.Sequence[model.Item]) -> None:
@@ -177,19 +170,15 @@
         Endpoints that were not listed again are removed; failure domains
         that the operators did not write again return to service.
         """
-        if self._unlisted and not restored_store.is_copy(
-            self._restored_ms, self._now_ms()
-        ):
+        if self._unlisted and not self._is_copied():
             evacuated = self._evacuated - self._unlisted
             self._unlisted = set()
             self._set_evacuated(evacuated, is_just_now=True)
         for endpoint in self.table.expire_absent(self._now_ms()):
             self._log.emit('endpoint-gone', endpoint=endpoint, why='lapsed')
 
-    def _get_copy_age_ms(self) -> int | None:
-        if self._restored_ms is None:
-            return None
-        return round(self._now_ms() - self._restored_ms)
+    def _is_copied(self) -> bool:
+        return restored_store.is_copy(self._restored_ms, self._now_ms())
 
     def _set_config(self, cfg: model.GatewayConfig | None) -> None:
         if cfg is None:
