Use endpoints again that a restored store lists without a change seen

Cause: absence from a copy was recorded like a removal, and an entry that was passed over was never looked at again.

Now only removals that the store reported count, together with incarnations that a later start replaced: the copy's entry of those was used at once.

test_endpoint_written_again_unseen_is_used and test_removed_endpoint_that_stays_listed_is_used_later failed before.

--- a/foxtailpick/core/dispatch/endpoint_table.py
+++ b/foxtailpick/core/dispatch/endpoint_table.py
@@ -162,6 +162,8 @@
         self._by_service: dict[types.ServiceId, list[Endpoint]] = {}
         self._evacuated_ms: dict[types.FailureDomainId, float] = {}
         self._removed = restored_store.RemovedEndpoints()
+        # Entries of a copy that are older than what is known.
+        self._doubtful: dict[types.EndpointId, model.EndpointEntry] = {}
         self._announcements = announcements.Announcements()
 
     def get(self, endpoint: types.EndpointId) -> Endpoint | None:
@@ -266,8 +268,11 @@
         :param now_ms: current time.
         """
         self._removed.discard(entry.incarnation)
+        self._doubtful.pop(entry.id, None)
         known = self._endpoints.get(entry.id)
         if known is None or known.entry.started != entry.started:
+            if known is not None:
+                self._removed.record(known.entry.incarnation, now_ms)
             known = Endpoint(
                 entry,
                 in_service_ms=now_ms,
@@ -290,10 +295,11 @@
         :param endpoint: its id.
         :param now_ms: current time.
         """
-        known = self._endpoints.pop(endpoint, None)
+        self._doubtful.pop(endpoint, None)
+        known = self._endpoints.get(endpoint)
         if known is not None:
             self._removed.record(known.entry.incarnation, now_ms)
-            self._index()
+            self._forget(endpoint)
 
     def replace_all(
         self,
@@ -313,15 +319,24 @@
         :returns: ids of the absent endpoints.
         """
         present = {entry.id: entry for entry in entries}
+        self._doubtful = {}
         if is_copied:
+            self._doubtful = {
+                key: entry
+                for key, entry in present.items()
+                if self._is_outdated(entry)
+            }
             present = {
                 key: entry
                 for key, entry in present.items()
-                if not self._is_outdated(entry)
+                if key not in self._doubtful
             }
         absent = [key for key in self._endpoints if key not in present]
         for key in absent:
-            if grace_until_ms is None:
+            if grace_until_ms is None and is_copied:
+                # Absence from a copy does not show that it was removed.
+                self._forget(key)
+            elif grace_until_ms is None:
                 self.remove(key, now_ms)
             else:
                 self._endpoints[key].absent_until_ms = grace_until_ms
@@ -341,10 +356,26 @@
             if endpoint.absent_until_ms is not None
             and now_ms >= endpoint.absent_until_ms
         ]
+        # Not recorded as removed: the store may only have lacked them.
         for key in gone:
-            self.remove(key, now_ms)
+            self._forget(key)
         return gone
 
+    def accept_doubtful(self, now_ms: float) -> list[types.EndpointId]:
+        """Use the entries of a copy that have not been removed since.
+
+        :param now_ms: current time.
+        :returns: ids of these endpoints.
+        """
+        doubtful = list(self._doubtful.values())
+        for entry in doubtful:
+            self.put(entry, now_ms)
+        return [entry.id for entry in doubtful]
+
+    def _forget(self, endpoint: types.EndpointId) -> None:
+        del self._endpoints[endpoint]
+        self._index()
+
     def _is_outdated(self, entry: model.EndpointEntry) -> bool:
         """Tell whether an entry of a copy is older than what is known."""
         known = self._endpoints.get(entry.id)
--- a/foxtailpick/core/dispatch/restored_store.py
+++ b/foxtailpick/core/dispatch/restored_store.py
@@ -9,8 +9,9 @@
 - a failure domain stays out of service although the copy doesn't list it.
   If the operators really returned it, it comes back late, which costs less
   than work in a domain that is being emptied;
-- an endpoint that was removed since the copy stays away until it writes its
-  entry again, and one that drained is still draining.
+- an endpoint that was removed or drained since the copy stays away until it
+  writes its entry again, or until all has been written and it is still
+  listed. One that only the copy lacked was not removed.
 
 A removal or a write that a watch reports was made after the return, and
 always counts. A router that starts meanwhile knows the copy only.
--- a/foxtailpick/gateway/state.py
+++ b/foxtailpick/gateway/state.py
@@ -167,15 +167,21 @@
     def expire(self) -> None:
         """End what was kept for a while after an outage.
 
-        Endpoints that were not listed again are removed; failure domains
-        that the operators did not write again return to service.
+        Endpoints that were not listed again are removed. Once all has been
+        written again to a restored store, what it lists applies: failure
+        domains that it does not list return to service, and endpoints that
+        seemed outdated are used.
         """
-        if self._unlisted and not self._is_copied():
+        for endpoint in self.table.expire_absent(self._now_ms()):
+            self._log.emit('endpoint-gone', endpoint=endpoint, why='lapsed')
+        if self._is_copied():
+            return
+        for endpoint in self.table.accept_doubtful(self._now_ms()):
+            self._log.emit('endpoint-accepted', endpoint=endpoint)
+        if self._unlisted:
             evacuated = self._evacuated - self._unlisted
             self._unlisted = set()
             self._set_evacuated(evacuated, is_just_now=True)
-        for endpoint in self.table.expire_absent(self._now_ms()):
-            self._log.emit('endpoint-gone', endpoint=endpoint, why='lapsed')
 
     def _is_copied(self) -> bool:
         return restored_store.is_copy(self._restored_ms, self._now_ms())
--- a/foxtailpick/tests/test_store_drill.py
+++ b/foxtailpick/tests/test_store_drill.py
@@ -128,12 +128,50 @@
             for _ in range(80):
                 await trio.sleep(0.1)
                 assert 'e0' not in list_usable(own)
+            if is_removed:
+                standin.remove('servers/e0')
             # The endpoint starts again under its id.
             standin.put('servers/e0', make_entry('e0', born=1_700_000_009_000))
             await trio.sleep(SETTLE_S)
             assert 'e0' in list_usable(own)
 
 
+async def test_endpoint_written_again_unseen_is_used(
+    autojump_clock, monkeypatch
+):
+    """Its write falls into history that is lost before it is read."""
+    async with open_drill(monkeypatch) as (standin, store):
+        async with store_harness.follow(store) as own:
+            await trio.sleep(SETTLE_S)
+            copy = standin.take_copy()
+            standin.put('servers/e0', make_entry('e0', born=1_700_000_000_001))
+            await trio.sleep(SETTLE_S)
+            standin.restore(copy)
+            # The new era is found, and the grace period ends.
+            await trio.sleep(mirror.LEASE_RENEWAL_INTERVAL_MS / 1_000 + 2.5)
+            assert 'e0' not in list_usable(own)
+            standin.put('servers/e0', make_entry('e0', born=1_700_000_000_001))
+            standin.history_from = standin.revision
+            await trio.sleep(SETTLE_S)
+            assert 'e0' in list_usable(own)
+
+
+async def test_removed_endpoint_that_stays_listed_is_used_later(
+    autojump_clock, monkeypatch
+):
+    async with open_drill(monkeypatch) as (standin, store):
+        async with store_harness.follow(store) as own:
+            await trio.sleep(SETTLE_S)
+            copy = standin.take_copy()
+            standin.remove('servers/e0')
+            await trio.sleep(SETTLE_S)
+            standin.restore(copy)
+            await trio.sleep(SETTLE_S)
+            assert 'e0' not in list_usable(own)
+            await trio.sleep(AGREE_S)
+            assert 'e0' in list_usable(own)
+
+
 async def test_endpoint_that_the_copy_lacks_stays_for_a_while(
     autojump_clock, monkeypatch
 ):
