Let soak endpoints leave and rest, and check what they get then

An endpoint of the fault soak may announce in its answers that it leaves while it stays registered, or turn requests away and ask for a rest of 2 s; both also come while nothing else is disturbed. New checks: a run later than drain_ms after the announcement reached a gateway (DRAIN), and a third request later than half a second into a rest (REST).

--- a/foxtailpick/platform/standins/endpoint_server.py
+++ b/foxtailpick/platform/standins/endpoint_server.py
@@ -61,9 +61,11 @@
         expected = self.received.headers.get(b'x-expect-instance')
         return expected == endpoint.encode()
 
-    async def refuse(self) -> None:
+    async def refuse(
+        self, headers: typing.Sequence[model.RawHeader] = ()
+    ) -> None:
         """Reject the request, stating that it was not executed."""
-        refusal = [(b'X-Not-Executed', b'1')]
+        refusal = [(b'X-Not-Executed', b'1'), *headers]
         await self.answer(503, b'', refusal, is_signed=False)
 
     async def begin_stream(
--- a/foxtailpick/soak/faults.py
+++ b/foxtailpick/soak/faults.py
@@ -214,6 +214,31 @@
         world.remove_endpoint(endpoint)
 
 
+async def announce_leaving(world: world_lib.World, rng: random.Random) -> None:
+    """Replace an endpoint that announces that it leaves.
+
+    It stays registered, and serves what it gets.
+    """
+    staying = [
+        item
+        for item in world.endpoints.values()
+        if world.is_listed(item) and not item.is_leaving
+    ]
+    if not staying:
+        return
+    endpoint = rng.choice(staying)
+    world.add_endpoint(endpoint.service)
+    endpoint.is_leaving = True
+
+
+async def announce_rest(world: world_lib.World, rng: random.Random) -> None:
+    """Make an endpoint turn requests away and ask for a rest."""
+    endpoint = rng.choice(list(world.endpoints.values()))
+    endpoint.behavior = 'resting'
+    await callers.pause(_draw_duration_ms(rng))
+    endpoint.behavior = 'sound'
+
+
 async def evacuate(world: world_lib.World, rng: random.Random) -> None:
     """Take a failure domain out of service for a short time."""
     await _evacuate(world, rng, _draw_duration_ms(rng))
@@ -271,6 +296,8 @@
 PLANNED: tuple[Fault, ...] = (
     replace_endpoint,
     replace_endpoint,
+    announce_leaving,
+    announce_rest,
     evacuate,
     change_config,
 )
@@ -291,6 +318,8 @@
     evacuate,
     evacuate_for_long,
     restore_store,
+    announce_leaving,
+    announce_rest,
     change_config,
     discard_history,
 )
--- a/foxtailpick/soak/record.py
+++ b/foxtailpick/soak/record.py
@@ -13,6 +13,10 @@
 CONFIG_MS = 2_000.0
 EVACUATION_MS = 5_000.0
 CANCEL_MS = 500.0
+# An endpoint that asked for a rest may get this many requests of a gateway,
+# counted from this time after it asked.
+REST_REQUESTS = 2
+REST_SLACK_MS = 500.0
 # Minimum share of requests to be served after all faults have ended.
 RECOVERED_SHARE = 0.25
 # Statuses that tell the caller that its request has not run.
@@ -26,7 +30,9 @@
     `ORDER`: a truncated response is a prefix of the expected one.
     `TWICE`: a request that is not idempotent runs at most once.
     `REFUSED`: a request rejected as not run has not run.
-    `DRAIN`: a removed endpoint receives no new requests.
+    `DRAIN`: an endpoint that was removed, or announced to the gateway that
+        it leaves, receives no new requests.
+    `REST`: an endpoint that asked for a rest receives hardly any.
     `EVACUATION`: a failure domain out of service receives no requests.
     `CONFIG`: an added or removed route takes effect in time.
     `LOST`: a graceful shutdown does not cut off requests in flight.
@@ -39,6 +45,7 @@
     TWICE = 'twice'
     REFUSED = 'refused'
     DRAIN = 'drain'
+    REST = 'rest'
     EVACUATION = 'evacuation'
     CONFIG = 'config'
     LOST = 'lost'
@@ -119,6 +126,22 @@
     ended_ms: float | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rest:
+    """A rest that an endpoint asked a gateway for.
+
+    :param gateway: name of the gateway.
+    :param endpoint: the endpoint.
+    :param from_ms: when it asked.
+    :param to_ms: end of the rest.
+    """
+
+    gateway: str
+    endpoint: str
+    from_ms: float
+    to_ms: float
+
+
 class Record:
     """All observations of one soak run.
 
@@ -130,6 +153,12 @@
         self.calls: list[Call] = []
         self.runs: list[Run] = []
         self.removed_ms: dict[str, float] = {}
+        # By gateway and endpoint: when the endpoint first announced to the
+        # gateway that it leaves.
+        self.leaving_ms: dict[tuple[str, str], float] = {}
+        self.rests: list[Rest] = []
+        # Requests that reached an endpoint, also those that it refused.
+        self.arrivals: list[tuple[str, str, float]] = []
         self.evacuated: list[tuple[str, float, float]] = []
         self.dropped_routes: dict[str, float] = {}
         self.added_routes: dict[str, float] = {}
@@ -152,6 +181,15 @@
             for start, end in self.disruptions[gateway]
         )
 
+    def has_disruption(
+        self, gateway: str, from_ms: float, to_ms: float
+    ) -> bool:
+        """Tell whether a gateway was disrupted within a period."""
+        return any(
+            start <= to_ms and from_ms <= end
+            for start, end in self.disruptions[gateway]
+        )
+
     def check(self) -> list[Breach]:
         """Check all invariants and return the violations."""
         runs = collections.defaultdict(list)
@@ -162,6 +200,8 @@
             breaches.extend(self._check_call(call, runs[call.id]))
         for run in self.runs:
             breaches.extend(self._check_run(run))
+        for rest in self.rests:
+            breaches.extend(self._check_rest(rest))
         breaches.extend(self._check_recovery())
         return breaches
 
@@ -232,11 +272,35 @@
                 )
         return False
 
+    def _check_rest(self, rest: Rest) -> list[Breach]:
+        if self.has_disruption(rest.gateway, rest.from_ms, rest.to_ms):
+            return []
+        from_ms = rest.from_ms + REST_SLACK_MS
+        count = sum(
+            from_ms < at_ms < rest.to_ms
+            for gateway, endpoint, at_ms in self.arrivals
+            if (gateway, endpoint) == (rest.gateway, rest.endpoint)
+        )
+        if count <= REST_REQUESTS:
+            return []
+        what = f'{rest.endpoint} got {count} requests from {rest.gateway}'
+        return [Breach(Rule.REST, f'{what} while it rested')]
+
+    def _check_leaving(self, run: Run) -> list[Breach]:
+        left_ms = self.leaving_ms.get((run.gateway, run.endpoint))
+        if left_ms is None or run.at_ms - left_ms <= DRAIN_MS:
+            return []
+        if self.has_disruption(run.gateway, left_ms, run.at_ms):
+            return []
+        what = f'{run.id} at {run.endpoint} from {run.gateway}'
+        late_ms = run.at_ms - left_ms
+        return [Breach(Rule.DRAIN, f'{what}, left {late_ms:.0f} ms before')]
+
     def _check_run(self, run: Run) -> list[Breach]:
+        found = self._check_leaving(run)
         if not self.is_settled(run.gateway, run.at_ms):
-            return []
+            return found
         what = f'{run.id} at {run.endpoint} from {run.gateway}'
-        found = []
         removed_ms = self.removed_ms.get(run.endpoint)
         if removed_ms is not None and run.at_ms - removed_ms > DRAIN_MS:
             late_ms = run.at_ms - removed_ms
--- a/foxtailpick/soak/world.py
+++ b/foxtailpick/soak/world.py
@@ -31,6 +31,8 @@
 DOMAINS = ('north', 'south')
 ANY_PORT = ('127.0.0.1', 0)
 EVENT_INTERVAL_S = 0.02
+# Rest that an endpoint asks for.
+REST_S = 2
 # Below the ephemeral ports of common systems.
 PORT_RANGE = (20_000, 30_000)
 _ROOT = pathlib.Path(__file__).parents[2]
@@ -107,11 +109,12 @@
     :param domain: its failure domain.
     :param proxy: proxy between gateways and the stand-in.
     :param behavior: how it responds. `sound` is normal, `full` rejects every
-        request; the others affect about half of the requests: `mute`
-        never responds, `cut` closes the connection, `late` first sends a
-        response to another request (plain only), `failing` responds with
-        status 500 (plain only) and `breaking` closes the connection in the
-        middle of a stream.
+        request, `resting` also asks for a rest; the others affect about
+        half of the requests: `mute` never responds, `cut` closes the
+        connection, `late` first sends a response to another request (plain
+        only), `failing` responds with status 500 (plain only) and
+        `breaking` closes the connection in the middle of a stream.
+    :param is_leaving: whether it announces in its responses that it leaves.
     """
 
     id: str
@@ -119,6 +122,7 @@
     domain: str
     proxy: proxy_lib.Proxy
     behavior: str = 'sound'
+    is_leaving: bool = False
 
 
 class World:
@@ -270,12 +274,26 @@
         if not exchange.is_for(endpoint.id):
             await exchange.answer(421, b'', is_signed=False)
             return
+        gateway = seen.headers[GATEWAY_HEADER.lower()].decode()
+        self.record.arrivals.append((gateway, endpoint.id, now_ms()))
         if endpoint.behavior == 'full':
             await exchange.refuse()
             return
+        if endpoint.behavior == 'resting':
+            await exchange.refuse([(b'Retry-After', b'%d' % REST_S)])
+            at_ms = now_ms()
+            self.record.rests.append(
+                record_lib.Rest(
+                    gateway,
+                    endpoint.id,
+                    at_ms,
+                    at_ms + REST_S * types.SECOND_MS,
+                )
+            )
+            return
         run = record_lib.Run(
             seen.id,
-            seen.headers[GATEWAY_HEADER.lower()].decode(),
+            gateway,
             endpoint.id,
             endpoint.domain,
             seen.target.decode().split('/')[1],
@@ -286,6 +304,10 @@
             await self._run(endpoint, exchange)
         finally:
             run.ended_ms = now_ms()
+            if endpoint.is_leaving:
+                self.record.leaving_ms.setdefault(
+                    (gateway, endpoint.id), run.ended_ms
+                )
 
     async def _run(
         self, endpoint: Endpoint, exchange: endpoint_server.Exchange
@@ -293,6 +315,8 @@
         signature = f'{endpoint.id}/{exchange.received.id}'.encode()
         behavior = endpoint.behavior if self.rng.random() < 0.5 else 'sound'
         headers = [(endpoint_server.SIGNATURE[0], signature)]
+        if endpoint.is_leaving:
+            headers.append((b'Server-Leaving', b'1'))
         if behavior == 'mute':
             await trio.sleep_forever()
         if behavior == 'cut':
--- a/foxtailpick/tests/test_soak.py
+++ b/foxtailpick/tests/test_soak.py
@@ -98,6 +98,26 @@
     assert record.Rule.EVACUATION in {item.rule for item in seen.check()}
 
 
+def test_request_after_an_announced_departure_is_found():
+    seen = record.Record()
+    seen.runs = [make_run()]
+    seen.leaving_ms = {('g1', 'e1'): 18_000.0}
+    assert record.Rule.DRAIN in {item.rule for item in seen.check()}
+    seen.record_disruption('g1', 19_000.0, 19_100.0)
+    assert record.Rule.DRAIN not in {item.rule for item in seen.check()}
+
+
+def test_third_request_in_a_rest_is_found():
+    seen = record.Record()
+    seen.rests = [record.Rest('g1', 'e1', 10_000.0, 12_000.0)]
+    early = ('g1', 'e1', 10_400.0)
+    late = ('g1', 'e1', 11_000.0)
+    seen.arrivals = [early, early, early, late, late, ('g2', 'e1', 11_000.0)]
+    assert record.Rule.REST not in {item.rule for item in seen.check()}
+    seen.arrivals.append(late)
+    assert record.Rule.REST in {item.rule for item in seen.check()}
+
+
 def test_safe_call_may_run_twice():
     runs = [make_run(), make_run(endpoint='e2')]
     assert find_rules(make_call(SAFE), runs) == set()
