--- a/foxtailpick/core/dispatch/endpoint_table.py
+++ b/foxtailpick/core/dispatch/endpoint_table.py
@@ -296,10 +296,8 @@
         :param now_ms: current time.
         """
         self._doubtful.pop(endpoint, None)
-        known = self._endpoints.get(endpoint)
-        if known is not None:
-            self._removed.record(known.entry.incarnation, now_ms)
-            self._forget(endpoint)
+        if endpoint in self._endpoints:
+            self._drop(endpoint, now_ms)
 
     def replace_all(
         self,
@@ -333,11 +331,8 @@
             }
         absent = [key for key in self._endpoints if key not in present]
         for key in absent:
-            if grace_until_ms is None and is_copied:
-                # Absence from a copy does not show that it was removed.
-                self._forget(key)
-            elif grace_until_ms is None:
-                self.remove(key, now_ms)
+            if grace_until_ms is None:
+                self._drop(key, now_ms)
             else:
                 self._endpoints[key].absent_until_ms = grace_until_ms
         for entry in present.values():
@@ -356,9 +351,8 @@
             if endpoint.absent_until_ms is not None
             and now_ms >= endpoint.absent_until_ms
         ]
-        # Not recorded as removed: the store may only have lacked them.
         for key in gone:
-            self._forget(key)
+            self._drop(key, now_ms)
         return gone
 
     def accept_doubtful(self, now_ms: float) -> list[types.EndpointId]:
@@ -372,8 +366,9 @@
             self.put(entry, now_ms)
         return [entry.id for entry in doubtful]
 
-    def _forget(self, endpoint: types.EndpointId) -> None:
-        del self._endpoints[endpoint]
+    def _drop(self, endpoint: types.EndpointId, now_ms: float) -> None:
+        known = self._endpoints.pop(endpoint)
+        self._removed.record(known.entry.incarnation, now_ms)
         self._index()
 
     def _is_outdated(self, entry: model.EndpointEntry) -> bool:
--- a/foxtailpick/core/dispatch/restored_store.py
+++ b/foxtailpick/core/dispatch/restored_store.py
@@ -11,7 +11,7 @@
   than work in a domain that is being emptied;
 - an endpoint that was removed or drained since the copy stays away until it
   writes its entry again, or until all has been written and it is still
-  listed. One that only the copy lacked was not removed.
+  listed. This holds for one that only a copy lacked, too.
 
 A removal or a write that a watch reports was made after the return, and
 always counts. A router that starts meanwhile knows the copy only.
