Record a departure in the soak when its announcement was sent

Traced in the logs of the gateways: endpoint-leaving was logged with the answer to the very request that was reported. The check took the end of any run at an endpoint that leaves for the announcement, also of runs whose answers had begun before. Now it is the answer that carries the header.

--- a/foxtailpick/soak/world.py
+++ b/foxtailpick/soak/world.py
@@ -301,21 +301,21 @@
         )
         self.record.runs.append(run)
         try:
-            await self._run(endpoint, exchange)
+            await self._run(endpoint, exchange, gateway)
         finally:
             run.ended_ms = now_ms()
-            if endpoint.is_leaving:
-                self.record.leaving_ms.setdefault(
-                    (gateway, endpoint.id), run.ended_ms
-                )
 
     async def _run(
-        self, endpoint: Endpoint, exchange: endpoint_server.Exchange
+        self,
+        endpoint: Endpoint,
+        exchange: endpoint_server.Exchange,
+        gateway: str,
     ) -> None:
         signature = f'{endpoint.id}/{exchange.received.id}'.encode()
         behavior = endpoint.behavior if self.rng.random() < 0.5 else 'sound'
         headers = [(endpoint_server.SIGNATURE[0], signature)]
-        if endpoint.is_leaving:
+        is_leaving = endpoint.is_leaving
+        if is_leaving:
             headers.append((b'Server-Leaving', b'1'))
         if behavior == 'mute':
             await trio.sleep_forever()
@@ -329,10 +329,14 @@
             await exchange.answer(
                 status, make_body(exchange.received.id), headers, False
             )
+            if is_leaving:
+                self._record_leaving(endpoint, gateway)
             return
         last = int(exchange.received.headers.get(b'last-event-id', 0))
         events = count_events(exchange.received.id)
         await exchange.begin_stream(headers, False)
+        if is_leaving:
+            self._record_leaving(endpoint, gateway)
         for number in range(last + 1, events + 1):
             await trio.sleep(EVENT_INTERVAL_S)
             if behavior == 'breaking' and number == events // 2:
@@ -342,6 +346,10 @@
             await exchange.send_events(number, number)
         await exchange.end_stream()
 
+    def _record_leaving(self, endpoint: Endpoint, gateway: str) -> None:
+        key = gateway, endpoint.id
+        self.record.leaving_ms.setdefault(key, now_ms())
+
     async def restart_gateways(self) -> None:
         """Restart gateways that have exited, as the platform does."""
         while True:
