--- /dev/null
+++ b/foxtailpick/gateway/announced.py
@@ -0,0 +1,68 @@
+"""Reads what endpoints announce in their responses."""
+
+from foxtailpick.core.dispatch import endpoint_table
+from foxtailpick.core.dispatch import model
+from foxtailpick.core.dispatch import retry_decision
+from foxtailpick.core import errors
+from foxtailpick.gateway import context
+
+_UNAVAILABLE = 503
+
+
+def is_refusal_announced(
+    endpoint: endpoint_table.Endpoint,
+    end: retry_decision.AttemptEnd,
+    now_ms: float,
+) -> bool:
+    """Tell whether an endpoint refused a request as it had announced.
+
+    :param endpoint: the endpoint.
+    :param end: how the attempt ended.
+    :param now_ms: current time.
+    """
+    announced = endpoint.announced
+    return end is retry_decision.AttemptEnd.REFUSED and (
+        announced.is_leaving or announced.is_resting(now_ms)
+    )
+
+
+def record_announcements(
+    gw: context.Gateway,
+    endpoint: endpoint_table.Endpoint,
+    status: int,
+    meta: model.ResponseMeta,
+) -> None:
+    """Note what a response announces, so that requests heed it at once.
+
+    :param gw: the gateway.
+    :param endpoint: the endpoint that responded.
+    :param status: status of the response.
+    :param meta: its decoded headers.
+    """
+    now_ms = gw.now_ms()
+    if meta.is_leaving and endpoint.announced.record_leaving(now_ms):
+        gw.metrics.count('endpoints_leaving')
+        gw.log.emit(
+            'endpoint-leaving',
+            endpoint=endpoint.id,
+            started=endpoint.entry.started,
+        )
+    if status != _UNAVAILABLE:
+        return
+    if meta.bad_retry_after is not None:
+        gw.log.emit_request(
+            'retry-after-invalid',
+            endpoint=endpoint.id,
+            code=errors.ErrorCode.ENDPOINT_HEADER_INVALID.value,
+            why=f'expected seconds or an HTTP date, got '
+            f'{meta.bad_retry_after[:40]!r}',
+        )
+    elif meta.retry_after_ms:
+        kept_ms = endpoint.announced.record_rest(meta.retry_after_ms, now_ms)
+        gw.metrics.count('endpoint_rests')
+        gw.log.emit_request(
+            'endpoint-rests',
+            endpoint=endpoint.id,
+            asked_ms=round(meta.retry_after_ms),
+            for_ms=round(kept_ms),
+        )
--- a/foxtailpick/gateway/attempt.py
+++ b/foxtailpick/gateway/attempt.py
@@ -15,6 +15,7 @@
 from foxtailpick.core.dispatch import token_bucket
 from foxtailpick.core import errors
 from foxtailpick.core import types
+from foxtailpick.gateway import announced
 from foxtailpick.gateway import client as client_lib
 from foxtailpick.gateway import context
 from foxtailpick.gateway import exchange
@@ -26,7 +27,6 @@
 WATCHDOG_INTERVAL_MS = 50.0
 _SERVER_ERROR = 500
 _MISDIRECTED = 421
-_UNAVAILABLE = 503
 # Statuses that tell the caller that the request was not executed.
 _NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
 
@@ -167,7 +167,7 @@
         health.record_success(endpoint.health, gw.now_ms())
     elif not (
         result.end is retry_decision.AttemptEnd.ERROR_ANSWER
-        or _is_announced_refusal(gw, endpoint, result)
+        or announced.is_refusal_announced(endpoint, result.end, gw.now_ms())
     ):
         is_gone = (
             result.end is retry_decision.AttemptEnd.MISDIRECTED
@@ -177,18 +177,6 @@
     return result
 
 
-def _is_announced_refusal(
-    gw: context.Gateway,
-    endpoint: endpoint_table.Endpoint,
-    result: AttemptResult,
-) -> bool:
-    """Tell whether an endpoint refused a request as it had announced."""
-    announced = endpoint.announced
-    return result.end is retry_decision.AttemptEnd.REFUSED and (
-        announced.is_leaving or announced.is_resting(gw.now_ms())
-    )
-
-
 class _EndpointConnectionError(OSError):
     """The connection to the endpoint failed during the exchange."""
 
@@ -330,7 +318,7 @@
         if not isinstance(head, client_lib.ResponseHead):
             raise _InvalidResponseError('expected a response head, got a body')
         meta = gw.dialect.decode_response(head.headers)
-        _record_announcements(gw, attempt.endpoint, head.status, meta)
+        announced.record_announcements(gw, attempt.endpoint, head.status, meta)
         if meta.request is None or meta.request == job.meta.id:
             return head, meta
         # A late response to an earlier request on a reused connection.
@@ -341,41 +329,6 @@
             pass
 
 
-def _record_announcements(
-    gw: context.Gateway,
-    endpoint: endpoint_table.Endpoint,
-    status: int,
-    meta: model.ResponseMeta,
-) -> None:
-    now_ms = gw.now_ms()
-    if meta.is_leaving and endpoint.announced.record_leaving(now_ms):
-        gw.metrics.count('endpoints_leaving')
-        gw.log.emit(
-            'endpoint-leaving',
-            endpoint=endpoint.id,
-            started=endpoint.entry.started,
-        )
-    if status != _UNAVAILABLE:
-        return
-    if meta.bad_retry_after is not None:
-        gw.log.emit_request(
-            'retry-after-invalid',
-            endpoint=endpoint.id,
-            code=errors.ErrorCode.ENDPOINT_HEADER_INVALID.value,
-            why=f'expected seconds or an HTTP date, got '
-            f'{meta.bad_retry_after[:40]!r}',
-        )
-    elif meta.retry_after_ms:
-        kept_ms = endpoint.announced.record_rest(meta.retry_after_ms, now_ms)
-        gw.metrics.count('endpoint_rests')
-        gw.log.emit_request(
-            'endpoint-rests',
-            endpoint=endpoint.id,
-            asked_ms=round(meta.retry_after_ms),
-            for_ms=round(kept_ms),
-        )
-
-
 async def _relay_stream(
     gw: context.Gateway,
     job: job_lib.Job,
