--- a/foxtailpick/tests/store_harness.py
+++ b/foxtailpick/tests/store_harness.py
@@ -50,12 +50,18 @@
 
 
 @contextlib.asynccontextmanager
-async def follow(store, seed=1, router='r'):
+async def follow(store, seed=1, change_gap_ms=0.0, router='r'):
     """Yield a gateway state that follows a store and is registered in it."""
     log = decision_log.DecisionLog(now_ms, len)
     own = state.GatewayState(types.RouterId(router), now_ms, log)
     follower = mirror.Mirror(
-        store, own, items.LAYOUT, now_ms, log, random.Random(seed)
+        store,
+        own,
+        items.LAYOUT,
+        now_ms,
+        log,
+        random.Random(seed),
+        change_gap_ms=change_gap_ms,
     )
 
     async def expire():
--- a/foxtailpick/tests/test_store_drill_model.py
+++ b/foxtailpick/tests/test_store_drill_model.py
@@ -225,7 +225,9 @@
                     store_harness.open_store(standin, patch)
                 )
                 own = await stack.enter_async_context(
-                    store_harness.follow(store, seed + number, f'r{number}')
+                    store_harness.follow(
+                        store, seed + number, router=f'r{number}'
+                    )
                 )
                 observers.append(Observer(own, world))
             nursery = await stack.enter_async_context(trio.open_nursery())
--- a/foxtailpick/tests/test_store_transfer.py
+++ b/foxtailpick/tests/test_store_transfer.py
@@ -6,6 +6,7 @@
 import pytest
 import trio
 
+from foxtailpick.core.dispatch import store_pacing
 from foxtailpick.core import errors
 from foxtailpick.platform import items
 from foxtailpick.platform.standins import store_server
@@ -16,16 +17,17 @@
 BYTES_PER_S = 5_000_000 / 8
 # `config_apply_ms` of the deployment.
 CONFIG_APPLY_MS = 3_000.0
+CHANGE_GAP_MS = store_pacing.compute_change_gap_ms(CONFIG_APPLY_MS)
 # Until when a response that fell silent has to be given up, so that there
 # is time for another call within the bound.
 MAX_SILENCE_MS = 1_500.0
 PREFIX = items.OPERATOR_PREFIX
 
 
-def make_large_config(version):
+def make_large_config(version, count=ROUTES):
     routes = [
         gateway_harness.make_route(f'r-{number}', f'/a{number}/', 'safe')
-        for number in range(ROUTES)
+        for number in range(count)
     ]
     return gateway_harness.make_config(version, routes)
 
@@ -89,6 +91,34 @@
     assert late == []
 
 
+async def test_configurations_in_quick_succession_are_in_force_in_time(
+    autojump_clock, monkeypatch
+):
+    """Simulates trouble-1 of levant-moodboard-grown, seed 923856934751.
+
+    Callers take half of the link.
+    """
+    late = []
+    async with open_slow_store(monkeypatch) as (standin, store):
+        standin.bytes_per_s = BYTES_PER_S / 2
+        standin.put('op/config', make_large_config(1, 250))
+        async with store_harness.follow(store, 1, CHANGE_GAP_MS) as own:
+            await trio.sleep(5)
+            written_ms = {}
+            for version in range(2, 90):
+                standin.put('op/config', make_large_config(version, 250))
+                written_ms[version] = store_harness.now_ms()
+                await trio.sleep(0.235)
+                due = [
+                    number
+                    for number, at_ms in written_ms.items()
+                    if store_harness.now_ms() - at_ms > CONFIG_APPLY_MS
+                ]
+                if due and own.cfg.number < due[-1]:
+                    late.append(version)
+    assert late == []
+
+
 async def test_response_that_falls_silent_is_given_up(
     autojump_clock, monkeypatch
 ):
