Wait for both watches before an endpoint is removed in a test

Traced in its log: the test removed the endpoint when the first watch after the outage was asked, which was that of the operators; the listing of endpoints was read later, without the endpoint, which then had its grace period, as it should. Now the test waits for the watches of both prefixes. Its bound of one second is as before.

--- a/foxtailpick/tests/test_platform.py
+++ b/foxtailpick/tests/test_platform.py
@@ -289,7 +289,8 @@
         watches = harness.store.calls.count('kv-watch')
         harness.store.refuse_with = None
         await harness.until(
-            lambda: harness.store.calls.count('kv-watch') > watches
+            # The watches of both prefixes wait again.
+            lambda: harness.store.calls.count('kv-watch') >= watches + 2
         )
         began_ms = harness.gw.now_ms()
         harness.store.remove('servers/e1')
