--- a/foxtailpick/core/dispatch/event_stream.py
+++ b/foxtailpick/core/dispatch/event_stream.py
@@ -1,4 +1,8 @@
-"""Splits server-sent event streams that may continue at another endpoint."""
+"""Finds the ends of events in server-sent event streams.
+
+An event ends with a blank line. A stream that ends elsewhere was truncated,
+and one that continues at another endpoint continues after a complete event.
+"""
 
 _EVENT_END = b'\n\n'
 _ID_FIELD = b'id:'
@@ -6,6 +10,35 @@
 MAX_EVENT_BYTES = 262_144
 
 
+# Blank lines after another line; a line ends with LF, CR LF or CR.
+_BLANK_LINES = (b'\n\n', b'\n\r\n', b'\r\r', b'\n\r')
+_TAIL_BYTES = 3
+
+
+class EventBoundary:
+    """Tells whether the data of a stream so far ends with a complete event."""
+
+    def __init__(self) -> None:
+        self._tail = b''
+
+    def feed(self, data: bytes) -> None:
+        """Add received bytes.
+
+        :param data: bytes of the stream.
+        """
+        self._tail = (self._tail + data[-_TAIL_BYTES:])[-_TAIL_BYTES:]
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no data was received."""
+        return not self._tail
+
+    @property
+    def is_within_event(self) -> bool:
+        """Whether the data ends within an event."""
+        return bool(self._tail) and not self._tail.endswith(_BLANK_LINES)
+
+
 class EventSplitter:
     """Forwards complete events and buffers an incomplete one.
 
--- a/foxtailpick/gateway/attempt.py
+++ b/foxtailpick/gateway/attempt.py
@@ -286,6 +286,7 @@
         raise _InvalidResponseError(
             'response without signature or with content encoding'
         )
+    job.framing = head.framing
     if is_success and job.answered_ms is None:
         job.answered_ms = now_ms
     if is_success and job.route.kind is model.RequestKind.STREAMING:
@@ -345,6 +346,7 @@
     splitter = job.splitter
     if splitter is not None:
         splitter.drop_incomplete_event()
+    boundary = event_stream.EventBoundary()
     while True:
         event = await _next_event(gw, attempt, conn)
         if event is client_lib.END:
@@ -365,6 +367,8 @@
                 )
             data.append(more)
         chunk = b''.join(data)
+        boundary.feed(chunk)
+        job.is_within_event = boundary.is_within_event
         if splitter is not None:
             chunk = _split_events(splitter, chunk)
         if chunk:
--- a/foxtailpick/gateway/client.py
+++ b/foxtailpick/gateway/client.py
@@ -3,6 +3,7 @@
 import collections
 import contextlib
 import dataclasses
+import enum
 import errno
 import socket
 import typing
@@ -21,6 +22,14 @@
 _NO_BODY = frozenset((204, 304))
 
 
+class Framing(enum.Enum):
+    """What marks the end of the body of a response."""
+
+    LENGTH = 'length'
+    CHUNKS = 'chunks'
+    CLOSE = 'close'
+
+
 @dataclasses.dataclass(slots=True)
 class ResponseHead:
     """Status line and headers of a response.
@@ -28,14 +37,13 @@
     :param status: its status code.
     :param headers: names in lower case, with their values.
     :param is_reusable: whether the connection can be kept alive.
-    :param is_close_delimited: whether the body is delimited by the close
-        of the connection.
+    :param framing: what marks the end of the body.
     """
 
     status: int
     headers: list[model.RawHeader]
     is_reusable: bool
-    is_close_delimited: bool
+    framing: Framing
 
 
 class _End(typing.NamedTuple):
@@ -57,7 +65,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._events: collections.deque[Event] = collections.deque()
         self._headers: list[model.RawHeader] = []
-        self._is_close_delimited = False
+        self._framing = Framing.LENGTH
         self._is_in_message = False
         self._is_aborted = False
         self.is_clean = True
@@ -168,18 +176,18 @@
         if status < 200:
             return
         names = {name for name, _ in self._headers}
-        self._is_close_delimited = (
-            b'content-length' not in names
-            and b'transfer-encoding' not in names
-            and status not in _NO_BODY
-        )
+        self._framing = Framing.LENGTH
+        if b'transfer-encoding' in names:
+            self._framing = Framing.CHUNKS
+        elif b'content-length' not in names and status not in _NO_BODY:
+            self._framing = Framing.CLOSE
         self._events.append(
             ResponseHead(
                 status,
                 self._headers,
                 self._parser.should_keep_alive()
-                and not self._is_close_delimited,
-                self._is_close_delimited,
+                and self._framing is not Framing.CLOSE,
+                self._framing,
             )
         )
 
@@ -197,7 +205,7 @@
         self.is_clean = False
         if self._is_aborted:
             raise http1.BrokenConnectionError(errno.ETIMEDOUT, 'silence')
-        if self._is_in_message and self._is_close_delimited:
+        if self._is_in_message and self._framing is Framing.CLOSE:
             self._is_in_message = False
             self._events.append(END)
             return
--- a/foxtailpick/gateway/job.py
+++ b/foxtailpick/gateway/job.py
@@ -6,6 +6,7 @@
 from foxtailpick.core.dispatch import model
 from foxtailpick.core import types
 from foxtailpick.core import verdict as verdict_lib
+from foxtailpick.gateway import client as client_lib
 from foxtailpick.gateway import http1
 
 
@@ -32,6 +33,9 @@
     :param sends: times that it was sent, to any address.
     :param answered_ms: when an endpoint started the response that is
         relayed, None before that.
+    :param framing: what marks the end of the last response to it, if any.
+    :param is_within_event: whether the last stream received for it ended
+        within an event, or has not ended yet and is within one.
     :param verdict: whether it may have been executed.
     """
 
@@ -50,4 +54,6 @@
     unreached: int = 0
     sends: int = 0
     answered_ms: float | None = None
+    framing: client_lib.Framing | None = None
+    is_within_event: bool = False
     verdict: verdict_lib.Verdict = verdict_lib.Verdict.NOT_RUN
--- a/foxtailpick/gateway/relay.py
+++ b/foxtailpick/gateway/relay.py
@@ -434,6 +434,8 @@
         ms_first=_compute_first_ms(job),
         ms_taken=round(took_ms, 1),
         sent=job.counted_attempts if job else 0,
+        framing=job.framing.value if job and job.framing else None,
+        within_event=job.is_within_event if job else False,
         code=exc.code.value if exc else None,
         why=exc.message if exc else None,
     )
--- a/foxtailpick/tests/test_gateway_streams.py
+++ b/foxtailpick/tests/test_gateway_streams.py
@@ -179,3 +179,23 @@
     assert {answer.body for answer in answers} == {
         gateway_scripts.get_events(1, 2)
     }
+
+
+@pytest.mark.parametrize(
+    ('data', 'is_within'),
+    [
+        (b'', False),
+        (b'id: 1\ndata: x\n\n', False),
+        (b'id: 1\r\ndata: x\r\n\r\n', False),
+        (b'data: x\r\r', False),
+        (b'id: 1\ndata: x\n', True),
+        (b'id: 1\ndata: x\n\nid: 2', True),
+        (b'id: 1\r\ndata: x\r\n', True),
+    ],
+)
+def test_boundary_of_events_is_found_byte_by_byte(data, is_within):
+    boundary = event_stream.EventBoundary()
+    for byte in data:
+        boundary.feed(bytes((byte,)))
+    assert boundary.is_within_event is is_within
+    assert boundary.is_empty is (not data)
