Add failing tests for streams that end with their connection

An endpoint may send a stream with neither a length nor chunks and end it by closing the connection. If it crashes meanwhile, the kernel may close the connection in order, and the gateway completes the caller's chunked body.

--- a/foxtailpick/platform/standins/endpoint_server.py
+++ b/foxtailpick/platform/standins/endpoint_server.py
@@ -38,6 +38,7 @@
     ) -> None:
         self.sock = sock
         self.received = received
+        self._is_chunked = True
 
     async def answer(
         self,
@@ -72,21 +73,38 @@
         self,
         headers: typing.Sequence[model.RawHeader] = (),
         is_signed: bool = True,
+        is_chunked: bool = True,
     ) -> None:
-        """Send the response head of an event stream."""
+        """Send the response head of an event stream.
+
+        :param headers: further headers.
+        :param is_signed: whether it has the signature of an endpoint.
+        :param is_chunked: whether it is sent in chunks; otherwise it ends
+            with its connection.
+        """
+        self._is_chunked = is_chunked
         head = http1.format_response(
             200, self._make_headers(headers, is_signed, None), None, True
         )
+        if not is_chunked:
+            head = head.replace(b'Transfer-Encoding: chunked\r\n', b'')
         await http1.send_all(self.sock, head)
 
     async def send_events(self, first: int, last: int) -> None:
         """Send the events numbered from first to last."""
         for number in range(first, last + 1):
-            event = format_event(number)
-            await http1.send_all(self.sock, http1.format_chunk(event))
+            await self.send_data(format_event(number))
+
+    async def send_data(self, data: bytes) -> None:
+        """Send data of the stream."""
+        if self._is_chunked:
+            data = http1.format_chunk(data)
+        await http1.send_all(self.sock, data)
 
     async def end_stream(self) -> None:
         """Complete the stream."""
+        if not self._is_chunked:
+            raise AbortConnectionError
         await http1.send_all(self.sock, http1.LAST_CHUNK)
 
     def _make_headers(
--- a/foxtailpick/tests/test_gateway_streams.py
+++ b/foxtailpick/tests/test_gateway_streams.py
@@ -181,6 +181,70 @@
     }
 
 
+def make_close_delimited(*sent):
+    """Return a script that closes its connection after some stream data."""
+
+    async def serve(exchange):
+        await exchange.begin_stream(is_chunked=False)
+        for data in sent:
+            await exchange.send_data(data)
+        await exchange.end_stream()
+
+    return serve
+
+
+async def ask_fixed(script):
+    """Request a stream that may not be resumed from one endpoint."""
+    async with gateway_harness.open_harness() as harness:
+        harness.add_endpoint('e1', 'engine', script)
+        await harness.until_known('e1')
+        return await harness.ask(
+            '/fixed/x', b'POST', b'', X_Prefix_Hash=gateway_scripts.PROMPT
+        )
+
+
+async def test_stream_that_ends_with_its_connection_is_complete():
+    events = gateway_scripts.get_events(1, 3)
+    answer = await ask_fixed(make_close_delimited(events[:50], events[50:]))
+    assert (answer.status, answer.body) == (200, events)
+
+
+async def test_stream_cut_within_an_event_by_a_close_is_not_complete():
+    """An endpoint that crashes may close its connections in order."""
+    events = gateway_scripts.get_events(1, 2)
+    with pytest.raises(http1.BrokenConnectionError):
+        await ask_fixed(make_close_delimited(events, b'id: 3\ndata: to'))
+
+
+async def test_chunked_stream_that_ends_within_an_event_is_not_complete():
+    async def serve(exchange):
+        await exchange.begin_stream()
+        await exchange.send_events(1, 2)
+        await exchange.send_data(b'id: 3\n')
+        await exchange.end_stream()
+
+    with pytest.raises(http1.BrokenConnectionError):
+        await ask_fixed(serve)
+
+
+async def test_close_before_the_first_event_is_not_a_complete_stream():
+    answer = await ask_fixed(make_close_delimited())
+    assert answer.status == 502
+
+
+async def test_close_before_the_first_event_resumes_elsewhere():
+    async def serve(exchange):
+        await exchange.begin_stream(is_chunked=False)
+        if is_cut:
+            await exchange.send_events(1, 4)
+        is_cut.append(True)
+        await exchange.end_stream()
+
+    is_cut = []
+    answer = await ask_two_engines(serve)
+    assert answer.body == gateway_scripts.get_events(1, 4)
+
+
 @pytest.mark.parametrize(
     ('data', 'is_within'),
     [
