Take a stream that ends within an event for broken off on all routes

The end of the data was compared with the end of an event only on routes that may be resumed, where an incomplete event is held back anyway. On others the gateway went by the framing: a response without length and chunks ends with its connection, which the kernel of a crashed endpoint may close in order, so the caller's chunked body was completed.

Now the end of each stream is checked, whatever its framing, and a stream that ends with its connection before the first event is broken off too, as only the close says that it is complete. The caller's connection is closed without the last chunk, or, on a route that may be resumed, the stream continues at another endpoint.

The same cause elsewhere: the adapter of engines requires the last marker of a stream; plain answers without a length have no inner end to check.

--- a/foxtailpick/gateway/attempt.py
+++ b/foxtailpick/gateway/attempt.py
@@ -375,8 +375,13 @@
             await reply.send_chunk(chunk)
         if is_ended:
             break
-    if splitter is not None and not splitter.is_at_boundary:
+    if boundary.is_within_event or (
+        splitter is not None and not splitter.is_at_boundary
+    ):
         raise _InvalidResponseError('stream ended within an event')
+    if boundary.is_empty and head.framing is client_lib.Framing.CLOSE:
+        # Only the close of the connection says that this is all.
+        raise _InvalidResponseError('stream closed before its first event')
     await reply.finish()
     return AttemptResult(retry_decision.AttemptEnd.DELIVERED)
 
--- a/foxtailpick/tests/test_gateway_streams.py
+++ b/foxtailpick/tests/test_gateway_streams.py
@@ -203,6 +203,17 @@
         )
 
 
+async def check_is_broken_off(script):
+    """Check that a stream that may not be resumed is seen as truncated."""
+    async with gateway_harness.open_harness() as harness:
+        harness.add_endpoint('e1', 'engine', script)
+        await harness.until_known('e1')
+        with pytest.raises(http1.BrokenConnectionError):
+            await harness.ask(
+                '/fixed/x', b'POST', b'', X_Prefix_Hash=gateway_scripts.PROMPT
+            )
+
+
 async def test_stream_that_ends_with_its_connection_is_complete():
     events = gateway_scripts.get_events(1, 3)
     answer = await ask_fixed(make_close_delimited(events[:50], events[50:]))
@@ -212,8 +223,7 @@
 async def test_stream_cut_within_an_event_by_a_close_is_not_complete():
     """An endpoint that crashes may close its connections in order."""
     events = gateway_scripts.get_events(1, 2)
-    with pytest.raises(http1.BrokenConnectionError):
-        await ask_fixed(make_close_delimited(events, b'id: 3\ndata: to'))
+    await check_is_broken_off(make_close_delimited(events, b'id: 3\ndata: to'))
 
 
 async def test_chunked_stream_that_ends_within_an_event_is_not_complete():
@@ -223,8 +233,7 @@
         await exchange.send_data(b'id: 3\n')
         await exchange.end_stream()
 
-    with pytest.raises(http1.BrokenConnectionError):
-        await ask_fixed(serve)
+    await check_is_broken_off(serve)
 
 
 async def test_close_before_the_first_event_is_not_a_complete_stream():
