--- a/foxtailpick/gateway/attempt.py
+++ b/foxtailpick/gateway/attempt.py
@@ -47,11 +47,14 @@
     :param end: how it ended.
     :param detail: cause of a failure, for logs and error messages.
     :param response: the endpoint's response, if it is an error response.
+    :param answered_ms: when the endpoint began to respond, None if it did
+        not.
     """
 
     end: retry_decision.AttemptEnd
     detail: str = ''
     response: BufferedResponse | None = None
+    answered_ms: float | None = None
 
 
 class _InvalidResponseError(OSError):
@@ -151,10 +154,12 @@
         job.sends += 1
         result = await _exchange(gw, job, choice, attempt, conn, reply)
         is_reusable = result.end is not retry_decision.AttemptEnd.BROKEN
-    except _InvalidResponseError as exc:
-        result = AttemptResult(retry_decision.AttemptEnd.BROKEN, str(exc))
-    except _EndpointConnectionError as exc:
-        result = AttemptResult(retry_decision.AttemptEnd.BROKEN, str(exc))
+    except (_InvalidResponseError, _EndpointConnectionError) as exc:
+        result = AttemptResult(
+            retry_decision.AttemptEnd.BROKEN,
+            str(exc),
+            answered_ms=attempt.answered_ms,
+        )
     finally:
         gw.attempts.discard(attempt)
         gw.pool.release(endpoint, conn, is_reusable)
@@ -287,6 +292,7 @@
             'response without signature or with content encoding'
         )
     job.framing = head.framing
+    attempt.answered_ms = now_ms
     if is_success and job.answered_ms is None:
         job.answered_ms = now_ms
     if is_success and job.route.kind is model.RequestKind.STREAMING:
--- a/foxtailpick/gateway/context.py
+++ b/foxtailpick/gateway/context.py
@@ -42,6 +42,7 @@
     :param is_reading: whether it is reading from the endpoint, as opposed
         to writing to the caller.
     :param is_failure_recorded: whether its timeout was recorded as a failure.
+    :param answered_ms: when the endpoint began to respond, None before that.
     """
 
     endpoint: endpoint_table.Endpoint
@@ -51,6 +52,7 @@
     can_retry_elsewhere: typing.Callable[[], bool]
     is_reading: bool = False
     is_failure_recorded: bool = False
+    answered_ms: float | None = None
 
 
 @dataclasses.dataclass(slots=True)
--- a/foxtailpick/gateway/relay.py
+++ b/foxtailpick/gateway/relay.py
@@ -30,6 +30,8 @@
 NO_CONFIG_RETRY_MS = 500.0
 # Tracebacks are cut at the front: the last frames locate the error.
 MAX_TRACEBACK_CHARS = 3_000
+# Prompt parts named in a log line, besides the request's own last one.
+MAX_LOGGED_PARTS = 8
 # Short, since another gateway can serve the request immediately.
 SHUTDOWN_RETRY_MS = 100.0
 
@@ -242,6 +244,7 @@
             endpoint=choice.endpoint.id,
             end=result.end.value,
             why=result.detail,
+            ms_answering=_compute_answering_ms(gw, result),
             repeat=plan.value,
             sent=job.counted_attempts,
         )
@@ -404,6 +407,7 @@
         endpoint=endpoint.id,
         why=choice.reason.value,
         prompt=job.prefix,
+        parts=[part.id for part in job.meta.parts[:-1][:MAX_LOGGED_PARTS]],
         load=round(endpoint.load, 1),
         mean=round(choice.mean_load, 1),
         of=choice.candidates,
@@ -441,6 +445,14 @@
     )
 
 
+def _compute_answering_ms(
+    gw: context.Gateway, result: attempt_lib.AttemptResult
+) -> float | None:
+    if result.answered_ms is None:
+        return None
+    return round(gw.now_ms() - result.answered_ms, 1)
+
+
 def _compute_first_ms(job: job_lib.Job | None) -> float | None:
     if job is None or job.answered_ms is None:
         return None
