--- a/foxtailpick/platform/standins/endpoint_server.py
+++ b/foxtailpick/platform/standins/endpoint_server.py
@@ -127,19 +127,53 @@
     """A stand-in for a server, at one address.
 
     :param script: answers a request; an exception closes the connection.
+    :param on_crash: called when a script crashes the process.
     """
 
-    def __init__(self, script: Script) -> None:
+    def __init__(
+        self,
+        script: Script,
+        on_crash: typing.Callable[[], None] = lambda: None,
+    ) -> None:
         self.script = script
         self.received: list[ReceivedRequest] = []
         self.disconnects = 0
+        self.crashes = 0
+        self._on_crash = on_crash
+        self._is_down = False
+        self._connections: set[trio.CancelScope] = set()
+
+    async def crash(self, down_ms: float) -> None:
+        """Close all connections, and serve none for some time.
+
+        :param down_ms: time until the process has started again.
+        """
+        self.crashes += 1
+        self._is_down = True
+        self._on_crash()
+        for scope in self._connections:
+            scope.cancel()
+        with trio.CancelScope(shield=True):
+            await trio.sleep(down_ms / types.SECOND_MS)
+        self._is_down = False
 
     async def serve(self, sock: trio.socket.SocketType) -> None:
         """Accept connections and answer requests until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
                 peer, _ = await sock.accept()
-                nursery.start_soon(self._serve_one, peer)
+                if self._is_down:
+                    peer.close()
+                    continue
+                nursery.start_soon(self._serve_connection, peer)
+
+    async def _serve_connection(self, sock: trio.socket.SocketType) -> None:
+        with trio.CancelScope() as scope:
+            self._connections.add(scope)
+            try:
+                await self._serve_one(sock)
+            finally:
+                self._connections.discard(scope)
 
     async def _serve_one(self, sock: trio.socket.SocketType) -> None:
         reader = http1.RequestReader(model.Limits)
