Quarantine prompt parts that crash endpoints

The gateways knew failures by endpoint only, so each request with the part was placed anew, and a request of a route that may be resumed was repeated at a second endpoint.

Now requests whose endpoint ended before or within 0.5 s of the start of their answer make the shared parts of their prompts suspect, until any gateway gets a sound answer to a request with the same part. After three ends, apart in time, requests with the part are refused; from 15 s on one at a time may test it. The hub sums the reports. An endpoint that accepts a new connection has not ended. A request isn't repeated if an endpoint ended under an unproven part of it.

--- a/foxtailpick/core/dispatch/model.py
+++ b/foxtailpick/core/dispatch/model.py
@@ -183,7 +183,7 @@
 class PromptPart:
     """A part of a prompt that several requests may share."""
 
-    id: str
+    id: types.PartId
     tokens: int
 
 
--- a/foxtailpick/core/dispatch/retry_decision.py
+++ b/foxtailpick/core/dispatch/retry_decision.py
@@ -40,6 +40,7 @@
     MAY_HAVE_RUN = 'may-have-run'
     NO_ATTEMPT_LEFT = 'no-attempt-left'
     NO_BUDGET = 'no-budget'
+    MAY_CRASH = 'may-crash-endpoint'
 
 
 def get_verdict(end: AttemptEnd) -> verdict_lib.Verdict:
@@ -60,6 +61,7 @@
     counted_attempts: int,
     unreached: int,
     has_budget: bool,
+    may_crash: bool = False,
 ) -> RetryDecision:
     """Decide whether a request is retried at another endpoint.
 
@@ -69,6 +71,7 @@
         limit of the route.
     :param unreached: number of attempts that did not reach their endpoint.
     :param has_budget: whether the retry budget allows another retry.
+    :param may_crash: whether the request may have ended its endpoint.
     """
     verdict = get_verdict(end)
     if not verdict_lib.is_retry_safe(verdict, route.is_idempotent):
@@ -80,4 +83,6 @@
         return RetryDecision.ALLOWED
     if counted_attempts >= route.max_attempts or unreached >= MAX_UNREACHED:
         return RetryDecision.NO_ATTEMPT_LEFT
+    if end is AttemptEnd.BROKEN and may_crash:
+        return RetryDecision.MAY_CRASH
     return RetryDecision.ALLOWED if has_budget else RetryDecision.NO_BUDGET
--- a/foxtailpick/core/errors.py
+++ b/foxtailpick/core/errors.py
@@ -38,6 +38,7 @@
     ANSWER_NOT_KEPT = 'FTP-215'
     ROUTE_UNKNOWN = 'FTP-216'
     ENDPOINT_HEADER_INVALID = 'FTP-217'
+    PROMPT_QUARANTINED = 'FTP-218'
 
     # Configuration and patches.
     PATCH_MALFORMED = 'FTP-301'
--- a/foxtailpick/gateway/attempt.py
+++ b/foxtailpick/gateway/attempt.py
@@ -1,6 +1,7 @@
 """Executes one attempt of a request at one endpoint."""
 
 import dataclasses
+import errno
 import functools
 
 import trio
@@ -10,17 +11,20 @@
 from foxtailpick.core.dispatch import health
 from foxtailpick.core.dispatch import model
 from foxtailpick.core.dispatch import placing
+from foxtailpick.core.dispatch import prompt_quarantine
 from foxtailpick.core.dispatch import response_timeout
 from foxtailpick.core.dispatch import retry_decision
 from foxtailpick.core.dispatch import token_bucket
 from foxtailpick.core import errors
 from foxtailpick.core import types
+from foxtailpick.core import verdict as verdict_lib
 from foxtailpick.gateway import announced
 from foxtailpick.gateway import client as client_lib
 from foxtailpick.gateway import context
 from foxtailpick.gateway import exchange
 from foxtailpick.gateway import http1
 from foxtailpick.gateway import job as job_lib
+from foxtailpick.gateway import quarantine
 from foxtailpick.gateway import reply as reply_lib
 
 # Check interval of the watchdog, well below the read timeouts it enforces.
@@ -58,7 +62,15 @@
 
 
 class _InvalidResponseError(OSError):
-    """The response is incomplete, malformed or not the endpoint's own."""
+    """The response is incomplete, malformed or not the endpoint's own.
+
+    :param detail: what is wrong with it.
+    :param is_closed: whether the close of the connection made it incomplete.
+    """
+
+    def __init__(self, detail: str, is_closed: bool = False) -> None:
+        super().__init__(detail)
+        self.is_closed = is_closed
 
 
 async def run_attempt(
@@ -134,7 +146,14 @@
             retry_decision.AttemptEnd.UNREACHABLE,
             'endpoint left or rests; nothing was sent',
         )
+    try:
+        quarantine.check_prompt(gw, job)
+    except errors.RequestError:
+        gw.pool.release(endpoint, conn, True)
+        raise
+    tested = quarantine.begin_tests(gw, job)
     is_reusable = False
+    closed_ms = None
     estimate = gw.first_byte_estimates.setdefault(
         job.route.name, response_timeout.FirstByteEstimate()
     )
@@ -147,6 +166,7 @@
             job.route.kind is model.RequestKind.STREAMING,
         ),
         functools.partial(_can_retry_elsewhere, gw, job),
+        parts=job.shared_parts,
     )
     gw.attempts.add(attempt)
     try:
@@ -160,9 +180,22 @@
             str(exc),
             answered_ms=attempt.answered_ms,
         )
+        if exc.is_closed and not attempt.is_withdrawn:
+            closed_ms = gw.now_ms()
     finally:
         gw.attempts.discard(attempt)
         gw.pool.release(endpoint, conn, is_reusable)
+    if attempt.is_withdrawn and result.end is retry_decision.AttemptEnd.BROKEN:
+        job.verdict = verdict_lib.merge_verdicts(
+            job.verdict, retry_decision.get_verdict(result.end)
+        )
+        quarantine.check_prompt(gw, job)
+    if closed_ms is not None and job.shared_parts:
+        is_suspect = prompt_quarantine.is_suspect(
+            attempt.answered_ms, closed_ms
+        )
+        if is_suspect and await quarantine.has_ended(gw, endpoint):
+            quarantine.record_end(gw, job, endpoint, closed_ms, tested)
     if (
         result.end is retry_decision.AttemptEnd.BROKEN
         and not attempt.is_failure_recorded
@@ -170,6 +203,7 @@
         health.record_failed_request(endpoint.health, gw.now_ms())
     if result.end is retry_decision.AttemptEnd.DELIVERED:
         health.record_success(endpoint.health, gw.now_ms())
+        quarantine.record_sound(gw, job)
     elif not (
         result.end is retry_decision.AttemptEnd.ERROR_ANSWER
         or announced.is_refusal_announced(endpoint, result.end, gw.now_ms())
@@ -183,7 +217,15 @@
 
 
 class _EndpointConnectionError(OSError):
-    """The connection to the endpoint failed during the exchange."""
+    """The connection to the endpoint failed during the exchange.
+
+    :param detail: how it failed.
+    :param is_closed: whether the endpoint closed it.
+    """
+
+    def __init__(self, detail: str, is_closed: bool) -> None:
+        super().__init__(detail)
+        self.is_closed = is_closed
 
 
 async def _exchange(
@@ -353,6 +395,8 @@
     if splitter is not None:
         splitter.drop_incomplete_event()
     boundary = event_stream.EventBoundary()
+    is_closed = head.framing is client_lib.Framing.CLOSE
+    is_sound = False
     while True:
         event = await _next_event(gw, attempt, conn)
         if event is client_lib.END:
@@ -377,6 +421,9 @@
         job.is_within_event = boundary.is_within_event
         if splitter is not None:
             chunk = _split_events(splitter, chunk)
+        if not is_sound and _is_past_start(gw, attempt):
+            is_sound = True
+            quarantine.record_sound(gw, job)
         if chunk:
             await reply.send_chunk(chunk)
         if is_ended:
@@ -384,14 +431,23 @@
     if boundary.is_within_event or (
         splitter is not None and not splitter.is_at_boundary
     ):
-        raise _InvalidResponseError('stream ended within an event')
-    if boundary.is_empty and head.framing is client_lib.Framing.CLOSE:
+        raise _InvalidResponseError('stream ended within an event', is_closed)
+    if boundary.is_empty and is_closed:
         # Only the close of the connection says that this is all.
-        raise _InvalidResponseError('stream closed before its first event')
+        raise _InvalidResponseError(
+            'stream closed before its first event', is_closed
+        )
     await reply.finish()
     return AttemptResult(retry_decision.AttemptEnd.DELIVERED)
 
 
+def _is_past_start(gw: context.Gateway, attempt: context.Attempt) -> bool:
+    return (
+        attempt.answered_ms is not None
+        and gw.now_ms() - attempt.answered_ms >= prompt_quarantine.SOUND_MS
+    )
+
+
 def _split_events(splitter: event_stream.EventSplitter, data: bytes) -> bytes:
     try:
         return splitter.feed(data)
@@ -407,7 +463,7 @@
     try:
         await conn.send(data)
     except http1.BrokenConnectionError as exc:
-        raise _EndpointConnectionError(f'send failed: {exc}') from exc
+        raise _make_connection_error('send failed', exc) from exc
 
 
 async def _next_event(
@@ -419,7 +475,7 @@
     try:
         event = await conn.next_event()
     except http1.BrokenConnectionError as exc:
-        raise _EndpointConnectionError(f'broke off: {exc}') from exc
+        raise _make_connection_error('broke off', exc) from exc
     finally:
         attempt.is_reading = False
     now_ms = gw.now_ms()
@@ -432,7 +488,14 @@
     try:
         return await exchange.read_body(conn)
     except http1.BrokenConnectionError as exc:
-        raise _EndpointConnectionError(f'broke off: {exc}') from exc
+        raise _make_connection_error('broke off', exc) from exc
+
+
+def _make_connection_error(
+    what: str, exc: http1.BrokenConnectionError
+) -> _EndpointConnectionError:
+    is_closed = exc.errno in (errno.ECONNRESET, errno.EPIPE)
+    return _EndpointConnectionError(f'{what}: {exc}', is_closed)
 
 
 def _record_failure(
@@ -462,6 +525,8 @@
         return False
     if gw.budget.get_tokens(job.service.name) < 1:
         return False
+    if gw.prompts.may_crash(job.shared_parts, gw.now_ms()):
+        return False
     # More endpoints have to be listed than attempts were made.
     return (
         len(gw.state.table.list_service(job.service.name))
--- a/foxtailpick/gateway/context.py
+++ b/foxtailpick/gateway/context.py
@@ -4,10 +4,13 @@
 import random
 import typing
 
+import trio
+
 from foxtailpick.core.dispatch import account_usage as account_usage_lib
 from foxtailpick.core.dispatch import admission_queue
 from foxtailpick.core.dispatch import endpoint_table
 from foxtailpick.core.dispatch import model
+from foxtailpick.core.dispatch import prompt_quarantine
 from foxtailpick.core.dispatch import response_timeout
 from foxtailpick.core.dispatch import stopping
 from foxtailpick.core import retry
@@ -43,6 +46,9 @@
         to writing to the caller.
     :param is_failure_recorded: whether its timeout was recorded as a failure.
     :param answered_ms: when the endpoint began to respond, None before that.
+    :param parts: shared parts of the request's prompt.
+    :param is_withdrawn: whether it was aborted since one of these parts was
+        quarantined.
     """
 
     endpoint: endpoint_table.Endpoint
@@ -53,6 +59,22 @@
     is_reading: bool = False
     is_failure_recorded: bool = False
     answered_ms: float | None = None
+    parts: tuple[types.PartId, ...] = ()
+    is_withdrawn: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class EndCheck:
+    """A check whether an endpoint that closed a connection has ended.
+
+    :param began_ms: when the check began.
+    :param has_ended: whether the endpoint accepts no connection.
+    :param done: set once that is known.
+    """
+
+    began_ms: float
+    has_ended: bool = False
+    done: trio.Event = dataclasses.field(default_factory=trio.Event)
 
 
 @dataclasses.dataclass(slots=True)
@@ -69,6 +91,8 @@
     :param metrics: its metrics.
     :param rng: source of random numbers.
     :param started_ms: when the process started.
+    :param prompts: prompt parts that may crash endpoints.
+    :param end_checks: recent checks of endpoints, by process.
     :param attempts: attempts in flight.
     :param account_usage: usage of each service by its accounts.
     :param queues: admission queue of each service.
@@ -89,6 +113,10 @@
     metrics: metrics_lib.Metrics
     rng: random.Random
     started_ms: float = 0.0
+    prompts: prompt_quarantine.PromptRecords = dataclasses.field(
+        default_factory=prompt_quarantine.PromptRecords
+    )
+    end_checks: dict[str, EndCheck] = dataclasses.field(default_factory=dict)
     attempts: set[Attempt] = dataclasses.field(default_factory=set)
     account_usage: dict[types.ServiceId, account_usage_lib.AccountUsage] = (
         dataclasses.field(default_factory=dict)
--- a/foxtailpick/gateway/daemon.py
+++ b/foxtailpick/gateway/daemon.py
@@ -22,6 +22,7 @@
 from foxtailpick.gateway import mirror as mirror_lib
 from foxtailpick.gateway import peers
 from foxtailpick.gateway import pool as pool_lib
+from foxtailpick.gateway import quarantine
 from foxtailpick.gateway import reply as reply_lib
 from foxtailpick.gateway import server
 from foxtailpick.gateway import settings as settings_lib
@@ -329,6 +330,7 @@
         await trio.sleep(SWEEP_INTERVAL_MS / types.SECOND_MS)
         gw.state.expire()
         gw.pool.sweep(gw.state.table)
+        quarantine.expire(gw)
         if gw.state.router_count != routers:
             routers = gw.state.router_count
             gw.budget.set_options(make_retry_options(gw.cfg, routers))
--- a/foxtailpick/gateway/job.py
+++ b/foxtailpick/gateway/job.py
@@ -57,3 +57,8 @@
     framing: client_lib.Framing | None = None
     is_within_event: bool = False
     verdict: verdict_lib.Verdict = verdict_lib.Verdict.NOT_RUN
+
+    @property
+    def shared_parts(self) -> tuple[types.PartId, ...]:
+        """The parts of its prompt but the last, which is its own."""
+        return tuple(part.id for part in self.meta.parts[:-1])
--- a/foxtailpick/gateway/peers.py
+++ b/foxtailpick/gateway/peers.py
@@ -12,8 +12,10 @@
 
 from foxtailpick.core.dispatch import load_exchange
 from foxtailpick.core.dispatch import model
+from foxtailpick.core.dispatch import prompt_quarantine
 from foxtailpick.core import types
 from foxtailpick.gateway import context
+from foxtailpick.gateway import quarantine
 
 # Under the usual load an engine starts about one request in this time, so
 # a shorter interval would hardly improve the counts.
@@ -24,6 +26,8 @@
 _KIND_COUNTS = 2
 _KIND_TOTALS = 3
 _KIND_REDIRECT = 4
+_KIND_PROMPTS = 5
+_KIND_PROMPT_TOTALS = 6
 
 
 class PeerExchange:
@@ -44,6 +48,7 @@
         self._hub_reports = load_exchange.HubReports()
         self._hub_selector = load_exchange.HubSelector()
         self._sent_counts = load_exchange.SentCounts()
+        self._prompt_reports = prompt_quarantine.HubPromptReports()
         # Addresses that reports came from. A router that has just started
         # may not be listed yet.
         self._reporters: dict[types.RouterId, model.Address] = {}
@@ -80,15 +85,24 @@
             return
         number, counts = self._sent_counts.next_counts(gw.state.table)
         outcomes = self._sent_counts.collect_outcomes(gw.state.table, now_ms)
+        prompts = gw.prompts.make_report(now_ms)
         if hub != gw.cfg.name:
             data = cbor2.dumps(
                 [_KIND_COUNTS, gw.cfg.name, number, counts, outcomes]
             )
             await self._send_to(data, routers[hub].address)
+            if prompts is not None:
+                data = cbor2.dumps(
+                    [_KIND_PROMPTS, gw.cfg.name, number, prompts]
+                )
+                await self._send_to(data, routers[hub].address)
             return
         self._hub_selector.record_message(now_ms)
         self._hub_reports.record(hub, number, counts, now_ms, outcomes)
+        if prompts is not None:
+            self._prompt_reports.record(hub, prompts, now_ms)
         await self._send_totals(now_ms)
+        await self._send_prompt_totals(now_ms)
 
     async def _send_totals(self, now_ms: float) -> None:
         gw = self._gw
@@ -102,6 +116,20 @@
                 data = cbor2.dumps([_KIND_TOTALS, gw.cfg.name, number, packed])
                 await self._send_to(data, self._reporters[router])
 
+    async def _send_prompt_totals(self, now_ms: float) -> None:
+        totals = self._prompt_reports.merge(now_ms)
+        if totals is None:
+            return
+        gw = self._gw
+        data = cbor2.dumps([_KIND_PROMPT_TOTALS, gw.cfg.name, 0, totals])
+        for router, _ in self._hub_reports.list_routers():
+            if router == gw.cfg.name:
+                quarantine.apply_changes(
+                    gw, gw.prompts.apply_totals(totals, now_ms)
+                )
+            elif router in self._reporters:
+                await self._send_to(data, self._reporters[router])
+
     async def _send_to(self, data: bytes, address: model.Address) -> None:
         try:
             await self._sock.sendto(data, address)
@@ -139,6 +167,12 @@
             self._hub_selector.record_message(now_ms)
             sums, outcomes = cbor2.loads(contents[0])
             self._apply_totals(sums, outcomes, number, now_ms)
+        elif kind == _KIND_PROMPTS:
+            self._prompt_reports.record(router, contents[0], now_ms)
+        elif kind == _KIND_PROMPT_TOTALS and router == self._hub_selector.hub:
+            quarantine.apply_changes(
+                self._gw, self._gw.prompts.apply_totals(contents[0], now_ms)
+            )
         elif kind == _KIND_REDIRECT:
             self._hub_selector.record_redirect(router, contents[0])
 
--- a/foxtailpick/gateway/pool.py
+++ b/foxtailpick/gateway/pool.py
@@ -60,6 +60,15 @@
                 return conn
             conn.close()
             endpoint.connections -= 1
+        return await self.open(endpoint)
+
+    async def open(
+        self, endpoint: endpoint_table.Endpoint
+    ) -> client_lib.ClientConnection:
+        """Return a new connection to an endpoint.
+
+        :raises OSError: if none can be opened.
+        """
         endpoint.connections += 1
         try:
             with trio.fail_after(CONNECT_TIMEOUT_MS / types.SECOND_MS):
--- a/foxtailpick/gateway/relay.py
+++ b/foxtailpick/gateway/relay.py
@@ -23,6 +23,7 @@
 from foxtailpick.gateway import context
 from foxtailpick.gateway import http1
 from foxtailpick.gateway import job as job_lib
+from foxtailpick.gateway import quarantine
 from foxtailpick.gateway import reply as reply_lib
 
 # Interval between attempts to choose an endpoint while none is available.
@@ -47,6 +48,7 @@
     errors.ErrorCode.NO_ENDPOINT: 503,
     errors.ErrorCode.OVERLOADED: 503,
     errors.ErrorCode.SHUTTING_DOWN: 503,
+    errors.ErrorCode.PROMPT_QUARANTINED: 503,
     errors.ErrorCode.ENDPOINT_FAILED: 502,
     errors.ErrorCode.OUTCOME_UNKNOWN: 502,
     errors.ErrorCode.DEADLINE_EXCEEDED: 504,
@@ -205,6 +207,7 @@
 async def _run_attempts(
     gw: context.Gateway, job: job_lib.Job, reply: reply_lib.Reply
 ) -> model.Outcome:
+    quarantine.check_prompt(gw, job)
     await admission.wait_for_slot(gw, job)
     while True:
         choice = await _wait_for_endpoint(gw, job)
@@ -232,6 +235,7 @@
             job.counted_attempts,
             job.unreached,
             gw.budget.get_tokens(job.service.name) >= 1,
+            gw.prompts.may_crash(job.shared_parts, gw.now_ms()),
         )
         if (
             plan is retry_decision.RetryDecision.ALLOWED
--- a/foxtailpick/platform/dialect.py
+++ b/foxtailpick/platform/dialect.py
@@ -205,7 +205,7 @@
         return ()
     pairs = (part.partition(':') for part in value.decode('ascii').split(','))
     return tuple(
-        model.PromptPart(part.strip(), int(tokens))
+        model.PromptPart(types.PartId(part.strip()), int(tokens))
         for part, _, tokens in pairs
     )
 
--- a/foxtailpick/platform/standins/endpoint_server.py
+++ b/foxtailpick/platform/standins/endpoint_server.py
@@ -9,6 +9,7 @@
 from foxtailpick.core import types
 from foxtailpick.gateway import http1
 
+BACKLOG = 64
 SIGNATURE = (b'X-Server-Stamp', b'stamp')
 
 
@@ -127,45 +128,39 @@
     """A stand-in for a server, at one address.
 
     :param script: answers a request; an exception closes the connection.
-    :param on_crash: called when a script crashes the process.
     """
 
-    def __init__(
-        self,
-        script: Script,
-        on_crash: typing.Callable[[], None] = lambda: None,
-    ) -> None:
+    def __init__(self, script: Script) -> None:
         self.script = script
         self.received: list[ReceivedRequest] = []
         self.disconnects = 0
         self.crashes = 0
-        self._on_crash = on_crash
-        self._is_down = False
+        self._down_ms = 0.0
+        self._accepting = trio.CancelScope()
         self._connections: set[trio.CancelScope] = set()
 
-    async def crash(self, down_ms: float) -> None:
-        """Close all connections, and serve none for some time.
+    def crash(self, down_ms: float) -> None:
+        """Close all connections, and refuse new ones for some time.
 
         :param down_ms: time until the process has started again.
         """
         self.crashes += 1
-        self._is_down = True
-        self._on_crash()
+        self._down_ms = down_ms
+        self._accepting.cancel()
         for scope in self._connections:
             scope.cancel()
-        with trio.CancelScope(shield=True):
-            await trio.sleep(down_ms / types.SECOND_MS)
-        self._is_down = False
 
     async def serve(self, sock: trio.socket.SocketType) -> None:
         """Accept connections and answer requests until cancelled."""
+        address = sock.getsockname()
         async with trio.open_nursery() as nursery:
             while True:
-                peer, _ = await sock.accept()
-                if self._is_down:
-                    peer.close()
-                    continue
-                nursery.start_soon(self._serve_connection, peer)
+                with sock, trio.CancelScope() as self._accepting:
+                    while True:
+                        peer, _ = await sock.accept()
+                        nursery.start_soon(self._serve_connection, peer)
+                await trio.sleep(self._down_ms / types.SECOND_MS)
+                sock = http1.listen(address, BACKLOG)
 
     async def _serve_connection(self, sock: trio.socket.SocketType) -> None:
         with trio.CancelScope() as scope:
--- a/foxtailpick/tests/crashing_prompts.py
+++ b/foxtailpick/tests/crashing_prompts.py
@@ -66,7 +66,8 @@
 
     async def _restart(self, standin):
         """Crash an engine; it comes back as a new process."""
-        await standin.crash(DOWN_MS)
+        standin.crash(DOWN_MS)
+        await trio.sleep(DOWN_MS / 1_000)
         harness = self.harnesses[0]
         for name, item in self.engines.items():
             if item is standin:
