Send prompts that crash engines in the soak

A fault of the soak sends requests with a crashing part for 7 to 8.5 s at all gateways; engines end as they begin to answer and start again as new processes. New check CRASH: at most three such requests reach engines later than 3 s after the fifth crash, from gateways without other disruptions.

LOST excludes a call under which an endpoint crashed, as the endpoint broke it off.

--- a/foxtailpick/soak/callers.py
+++ b/foxtailpick/soak/callers.py
@@ -95,8 +95,8 @@
     ]
     if call.kind is model.RequestKind.STREAMING:
         parts = (
-            model.PromptPart(f'p{rng.randrange(9)}', 100),
-            model.PromptPart('x', 10),
+            model.PromptPart(types.PartId(f'p{rng.randrange(9)}'), 100),
+            model.PromptPart(types.PartId('x'), 10),
         )
         headers.extend(dialect.encode_prompt(parts, 50))
     head = http1.format_request(
@@ -135,6 +135,50 @@
     call.is_complete = True
 
 
+async def send_crashing_prompt(
+    world: world_lib.World, part: str, request: str, rng: random.Random
+) -> None:
+    """Send a request that crashes the engine that answers it.
+
+    :param world: the gateways.
+    :param part: the part of its prompt that does so.
+    :param request: id of the request.
+    :param rng: source of the choice of route and gateway.
+    """
+    gateway = rng.choice(world.gateways)
+    parts = (
+        model.PromptPart(types.PartId(f'p{rng.randrange(9)}'), 100),
+        model.PromptPart(types.PartId(part), 50),
+        model.PromptPart(types.PartId(request), 10),
+    )
+    headers = [
+        *dialect.encode_caller(request, world_lib.API_KEY, DEADLINE_MS),
+        (world_lib.GATEWAY_HEADER, gateway.name.encode()),
+        *dialect.encode_prompt(parts, 50),
+    ]
+    head = http1.format_request(
+        b'POST',
+        f'/{rng.choice(("fixed", "movable"))}/x'.encode(),
+        world_lib.HOST.encode(),
+        headers,
+        0,
+    )
+    with trio.move_on_after(CALL_TIMEOUT_S):
+        try:
+            conn = await client_lib.ClientConnection.connect(gateway.address)
+        except OSError:
+            # The gateway is restarting.
+            return
+        try:
+            await conn.send(head)
+            await exchange.read_response(conn)
+        except OSError:
+            # Broken off, as is to be expected.
+            return
+        finally:
+            conn.close()
+
+
 async def pause(delay_ms: float) -> None:
     """Sleep for a number of milliseconds."""
     await trio.sleep(delay_ms / types.SECOND_MS)
--- a/foxtailpick/soak/faults.py
+++ b/foxtailpick/soak/faults.py
@@ -5,6 +5,8 @@
 import signal
 import typing
 
+import trio
+
 from foxtailpick.platform import items
 from foxtailpick.platform.standins import store_server
 from foxtailpick.soak import callers
@@ -18,6 +20,11 @@
 # operators and the endpoints have written again what it lacks.
 MAX_COPY_AGE_MS = 3_000.0
 MAX_REWRITE_MS = 1_500.0
+# Requests that crash engines are sent for longer than it takes until they
+# have to be contained.
+MIN_CRASHING_MS = 7_000.0
+MAX_CRASHING_MS = 8_500.0
+CRASHING_INTERVAL_MS = 120.0
 # Evacuations outlast the bound on them, so that it is checked.
 MIN_EVACUATION_MS = 5_300.0
 MAX_EVACUATION_MS = 7_500.0
@@ -239,6 +246,28 @@
     endpoint.behavior = 'sound'
 
 
+async def send_crashing_prompts(
+    world: world_lib.World, rng: random.Random
+) -> None:
+    """Send requests with a part that crashes each engine that answers it."""
+    part = f'{world_lib.CRASHING_PREFIX}{rng.randrange(10**6)}'
+    until_ms = world_lib.now_ms() + rng.uniform(
+        MIN_CRASHING_MS, MAX_CRASHING_MS
+    )
+    number = 0
+    async with trio.open_nursery() as nursery:
+        while world_lib.now_ms() < until_ms:
+            number += 1
+            nursery.start_soon(
+                callers.send_crashing_prompt,
+                world,
+                part,
+                f'{part}-{number}',
+                rng,
+            )
+            await callers.pause(CRASHING_INTERVAL_MS * rng.uniform(0.5, 1.5))
+
+
 async def evacuate(world: world_lib.World, rng: random.Random) -> None:
     """Take a failure domain out of service for a short time."""
     await _evacuate(world, rng, _draw_duration_ms(rng))
@@ -320,6 +349,7 @@
     restore_store,
     announce_leaving,
     announce_rest,
+    send_crashing_prompts,
     change_config,
     discard_history,
 )
--- a/foxtailpick/soak/proxy.py
+++ b/foxtailpick/soak/proxy.py
@@ -46,6 +46,8 @@
         self.address: model.Address = self._sock.getsockname()
         self.fault = Fault.NONE
         self.delay_ms = 0.0
+        self._accepting = trio.CancelScope()
+        self._down_ms = 0.0
 
     def set_fault(self, fault: Fault, delay_ms: float = 0.0) -> None:
         """Start a fault, or end it with `NONE`.
@@ -62,13 +64,26 @@
         self.fault = fault
         self.delay_ms = delay_ms
 
+    def crash(self, down_ms: float) -> None:
+        """Close all connections, and refuse new ones for some time.
+
+        :param down_ms: how long.
+        """
+        self._down_ms = down_ms
+        self._accepting.cancel()
+        for sock in list(self._open):
+            _reset(sock)
+
     async def serve(self) -> None:
         """Forward connections until cancelled."""
-        with self._sock:
-            async with trio.open_nursery() as nursery:
-                while True:
-                    client, _ = await self._sock.accept()
-                    nursery.start_soon(self._serve_one, client)
+        async with trio.open_nursery() as nursery:
+            while True:
+                with self._sock, trio.CancelScope() as self._accepting:
+                    while True:
+                        client, _ = await self._sock.accept()
+                        nursery.start_soon(self._serve_one, client)
+                await trio.sleep(self._down_ms / types.SECOND_MS)
+                self._sock = http1.listen(self.address, 256)
 
     async def _serve_one(self, client: trio.socket.SocketType) -> None:
         if self.fault is Fault.RESET:
--- a/foxtailpick/soak/record.py
+++ b/foxtailpick/soak/record.py
@@ -17,6 +17,10 @@
 # counted from this time after it asked.
 REST_REQUESTS = 2
 REST_SLACK_MS = 500.0
+# Requests with a part that crashes endpoints may reach endpoints this many
+# times later than SETTLING_MS after the part has crashed so many endpoints.
+CRASHES_TO_LEARN = 5
+MAX_CRASHING_REQUESTS = 3
 # Minimum share of requests to be served after all faults have ended.
 RECOVERED_SHARE = 0.25
 # Statuses that tell the caller that its request has not run.
@@ -33,6 +37,7 @@
     `DRAIN`: an endpoint that was removed, or announced to the gateway that
         it leaves, receives no new requests.
     `REST`: an endpoint that asked for a rest receives hardly any.
+    `CRASH`: requests that crash endpoints are contained.
     `EVACUATION`: a failure domain out of service receives no requests.
     `CONFIG`: an added or removed route takes effect in time.
     `LOST`: a graceful shutdown does not cut off requests in flight.
@@ -46,6 +51,7 @@
     REFUSED = 'refused'
     DRAIN = 'drain'
     REST = 'rest'
+    CRASH = 'crash'
     EVACUATION = 'evacuation'
     CONFIG = 'config'
     LOST = 'lost'
@@ -142,6 +148,19 @@
     to_ms: float
 
 
+@dataclasses.dataclass(slots=True)
+class CrashingPart:
+    """A prompt part that crashes endpoints.
+
+    :param crashes_ms: when an endpoint crashed.
+    :param arrivals: requests with the part that reached an endpoint: their
+        gateway, and when.
+    """
+
+    crashes_ms: list[float] = dataclasses.field(default_factory=list)
+    arrivals: list[tuple[str, float]] = dataclasses.field(default_factory=list)
+
+
 class Record:
     """All observations of one soak run.
 
@@ -157,6 +176,9 @@
         # gateway that it leaves.
         self.leaving_ms: dict[tuple[str, str], float] = {}
         self.rests: list[Rest] = []
+        self.crashing_parts: dict[str, CrashingPart] = collections.defaultdict(
+            CrashingPart
+        )
         # Requests that reached an endpoint, also those that it refused.
         self.arrivals: list[tuple[str, str, float]] = []
         self.evacuated: list[tuple[str, float, float]] = []
@@ -202,6 +224,8 @@
             breaches.extend(self._check_run(run))
         for rest in self.rests:
             breaches.extend(self._check_rest(rest))
+        for name, part in self.crashing_parts.items():
+            breaches.extend(self._check_crashes(name, part))
         breaches.extend(self._check_recovery())
         return breaches
 
@@ -264,6 +288,12 @@
             or call.status not in (0, 200)
         ):
             return False
+        if any(
+            call.sent_ms <= crash_ms <= call.ended_ms
+            for part in self.crashing_parts.values()
+            for crash_ms in part.crashes_ms
+        ):
+            return False
         for stop_ms in self.stops[call.gateway]:
             if call.sent_ms < stop_ms <= call.ended_ms:
                 return self.is_settled(call.gateway, stop_ms) and not any(
@@ -286,6 +316,19 @@
         what = f'{rest.endpoint} got {count} requests from {rest.gateway}'
         return [Breach(Rule.REST, f'{what} while it rested')]
 
+    def _check_crashes(self, name: str, part: CrashingPart) -> list[Breach]:
+        if len(part.crashes_ms) < CRASHES_TO_LEARN:
+            return []
+        fifth_ms = sorted(part.crashes_ms)[CRASHES_TO_LEARN - 1]
+        count = sum(
+            at_ms > fifth_ms + SETTLING_MS and self.is_settled(gateway, at_ms)
+            for gateway, at_ms in part.arrivals
+        )
+        if count <= MAX_CRASHING_REQUESTS:
+            return []
+        what = f'{count} requests with part {name} reached endpoints'
+        return [Breach(Rule.CRASH, f'{what} after it should be contained')]
+
     def _check_leaving(self, run: Run) -> list[Breach]:
         left_ms = self.leaving_ms.get((run.gateway, run.endpoint))
         if left_ms is None or run.at_ms - left_ms <= DRAIN_MS:
--- a/foxtailpick/soak/world.py
+++ b/foxtailpick/soak/world.py
@@ -33,6 +33,11 @@
 EVENT_INTERVAL_S = 0.02
 # Rest that an endpoint asks for.
 REST_S = 2
+# Prefix of prompt parts that crash engines, time from the start of an answer
+# until the engine ends, and time until it has started again.
+CRASHING_PREFIX = 'crash'
+CRASH_AFTER_MS = 20.0
+CRASH_DOWN_MS = 300.0
 # Below the ephemeral ports of common systems.
 PORT_RANGE = (20_000, 30_000)
 _ROOT = pathlib.Path(__file__).parents[2]
@@ -115,6 +120,7 @@
         only), `failing` responds with status 500 (plain only) and
         `breaking` closes the connection in the middle of a stream.
     :param is_leaving: whether it announces in its responses that it leaves.
+    :param starts: number of its starts after the first.
     """
 
     id: str
@@ -123,6 +129,7 @@
     proxy: proxy_lib.Proxy
     behavior: str = 'sound'
     is_leaving: bool = False
+    starts: int = 0
 
 
 class World:
@@ -254,7 +261,7 @@
                 'state': 'ready',
                 'warmup_left_ms': 0,
                 'sequence': 1,
-                'born': self._created_ms,
+                'born': self._created_ms + endpoint.starts,
             },
         )
 
@@ -301,10 +308,36 @@
         )
         self.record.runs.append(run)
         try:
+            part = _find_crashing_part(exchange)
+            if part is not None:
+                await self._crash(endpoint, exchange, gateway, part)
+                return
             await self._run(endpoint, exchange, gateway)
         finally:
             run.ended_ms = now_ms()
 
+    async def _crash(
+        self,
+        endpoint: Endpoint,
+        exchange: endpoint_server.Exchange,
+        gateway: str,
+        part: str,
+    ) -> None:
+        """Begin to answer a request, and crash the endpoint."""
+        seen = self.record.crashing_parts[part]
+        seen.arrivals.append((gateway, now_ms()))
+        await exchange.begin_stream()
+        await trio.sleep(CRASH_AFTER_MS / types.SECOND_MS)
+        seen.crashes_ms.append(now_ms())
+        endpoint.starts += 1
+        endpoint.proxy.crash(CRASH_DOWN_MS)
+        self.nursery.start_soon(self._list_again, endpoint)
+
+    async def _list_again(self, endpoint: Endpoint) -> None:
+        await trio.sleep(CRASH_DOWN_MS / types.SECOND_MS)
+        if self.is_listed(endpoint):
+            self.list_endpoint(endpoint)
+
     async def _run(
         self,
         endpoint: Endpoint,
@@ -372,6 +405,14 @@
         gateway.send(signal.SIGTERM)
 
 
+def _find_crashing_part(exchange: endpoint_server.Exchange) -> str | None:
+    prompt = exchange.received.headers.get(b'x-prefix-hash', b'').decode()
+    for part in prompt.split(','):
+        if part.startswith(CRASHING_PREFIX):
+            return part.partition(':')[0]
+    return None
+
+
 def make_body(request: str) -> bytes:
     """Return the expected response body of a plain request."""
     return f'answer to {request}'.encode() * 20
--- a/foxtailpick/tests/test_soak.py
+++ b/foxtailpick/tests/test_soak.py
@@ -118,6 +118,18 @@
     assert record.Rule.REST in {item.rule for item in seen.check()}
 
 
+def test_crashing_prompts_that_are_not_contained_are_found():
+    seen = record.Record()
+    part = seen.crashing_parts['crash1']
+    part.crashes_ms = [1_000.0, 1_500.0, 2_000.0, 2_500.0, 3_000.0]
+    part.arrivals = [('g1', 6_000.0)] * 9 + [('g1', 6_100.0)] * 3
+    assert record.Rule.CRASH not in {item.rule for item in seen.check()}
+    part.arrivals.append(('g2', 6_200.0))
+    assert record.Rule.CRASH in {item.rule for item in seen.check()}
+    seen.record_disruption('g2', 4_000.0, 4_100.0)
+    assert record.Rule.CRASH not in {item.rule for item in seen.check()}
+
+
 def test_safe_call_may_run_twice():
     runs = [make_run(), make_run(endpoint='e2')]
     assert find_rules(make_call(SAFE), runs) == set()
