--- a/foxtailpick/soak/record.py
+++ b/foxtailpick/soak/record.py
@@ -23,6 +23,11 @@
 MAX_CRASHING_REQUESTS = 3
 # Minimum share of requests to be served after all faults have ended.
 RECOVERED_SHARE = 0.25
+# Time between SIGTERM and the end of a gateway. A call sent in the first part
+# of it may be cut off if its endpoint is still at work in the last part.
+GRACE_MS = 4_000.0
+EXCUSED_AFTER_STOP_MS = 3_000.0
+LAST_GRACE_SHARE = 5 / 6
 # Statuses that tell the caller that its request has not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
@@ -263,7 +268,7 @@
                 and call.sent_ms - known_ms > CONFIG_MS
             ):
                 add(Rule.CONFIG, f'known route got status {call.status}')
-        if self._is_lost(call):
+        if self._is_lost(call, runs):
             add(
                 Rule.LOST,
                 'cut off by a graceful shutdown without other faults',
@@ -281,7 +286,7 @@
                 add(Rule.GONE, 'still running after its caller disconnected')
         return found
 
-    def _is_lost(self, call: Call) -> bool:
+    def _is_lost(self, call: Call, runs: list[Run]) -> bool:
         if (
             call.is_complete
             or call.has_disconnected
@@ -295,11 +300,24 @@
         ):
             return False
         for stop_ms in self.stops[call.gateway]:
-            if call.sent_ms < stop_ms <= call.ended_ms:
-                return self.is_settled(call.gateway, stop_ms) and not any(
-                    start <= call.ended_ms and stop_ms <= end
-                    for start, end in self.disruptions[call.gateway]
+            if not call.sent_ms - GRACE_MS < stop_ms <= call.ended_ms:
+                continue
+            if call.sent_ms > stop_ms and not runs:
+                # It crossed the close of its connection.
+                continue
+            is_excused = call.sent_ms <= stop_ms + EXCUSED_AFTER_STOP_MS and (
+                any(
+                    (run.ended_ms or float('inf'))
+                    >= stop_ms + GRACE_MS * LAST_GRACE_SHARE
+                    for run in runs
                 )
+            )
+            if is_excused:
+                continue
+            return self.is_settled(call.gateway, stop_ms) and not any(
+                start <= call.ended_ms and stop_ms <= end
+                for start, end in self.disruptions[call.gateway]
+            )
         return False
 
     def _check_rest(self, rest: Rest) -> list[Breach]:
