Accept late in a shutdown only what will end whatever happens

From 3 s on the router went by the slowest recent stream, but an endpoint may turn slow or fail the stream, which then continues elsewhere. By that time callers have other routers, and a refusal costs them a retry, so now the time-out of the route or the time that the caller waits must fit. The record of the slowest stream has no use any more.

--- a/foxtailpick/core/dispatch/stopping.py
+++ b/foxtailpick/core/dispatch/stopping.py
@@ -15,22 +15,18 @@
 SAMPLE_WEIGHT = 0.05
 # Safety factor: new streams may be slower than the mean.
 SAFETY_FACTOR = 1.3
-# Most streams end before their maximum number of tokens, so the mean
-# underestimates those that use it up. From this time after the shutdown
-# signal on, when callers have had time to use another router, the slowest
-# recent stream is used instead.
-USE_PEAK_AFTER_MS = 3_000.0
-# Weight of the newest sample in the decay of the peak, which thus covers
-# about fifty streams.
-PEAK_DECAY_WEIGHT = 0.02
+# From this time after the shutdown signal on, callers have had time to use
+# another router, so only a request that will end in time whatever happens is
+# accepted: endpoints may turn slow, or fail a stream that another one then
+# continues.
+EXPECT_LONGEST_AFTER_MS = 3_000.0
 
 
 class StreamTiming:
-    """Mean and peak duration of streams per allowed output token."""
+    """Mean duration of streams per allowed output token."""
 
     def __init__(self) -> None:
         self.ms_per_token = INITIAL_MS_PER_TOKEN
-        self.peak_ms_per_token = INITIAL_MS_PER_TOKEN
 
     def observe(self, took_ms: float, tokens: int) -> None:
         """Add a completed stream.
@@ -42,9 +38,6 @@
             return
         sample = took_ms / tokens
         self.ms_per_token += SAMPLE_WEIGHT * (sample - self.ms_per_token)
-        peak = self.peak_ms_per_token
-        decayed = peak + PEAK_DECAY_WEIGHT * (sample - peak)
-        self.peak_ms_per_token = max(sample, decayed)
 
 
 def estimate_duration_ms(
@@ -52,6 +45,7 @@
     output_tokens: int,
     timing: StreamTiming,
     since_signal_ms: float,
+    caller_ms: float | None = None,
 ) -> float:
     """Estimate the maximum duration of a request.
 
@@ -59,11 +53,16 @@
     :param output_tokens: maximum length of its answer, 0 if unknown.
     :param timing: durations of recent streams.
     :param since_signal_ms: time since the shutdown signal.
+    :param caller_ms: how long the caller waits, if stated.
     """
-    if route.kind is not model.RequestKind.STREAMING or not output_tokens:
-        return route.timeout_ms
-    ms_per_token = timing.ms_per_token
-    if since_signal_ms > USE_PEAK_AFTER_MS:
-        ms_per_token = max(ms_per_token, timing.peak_ms_per_token)
-    expected_ms = output_tokens * ms_per_token * SAFETY_FACTOR
-    return min(route.timeout_ms, route.target_ms + expected_ms)
+    longest_ms = route.timeout_ms
+    if caller_ms is not None:
+        longest_ms = min(longest_ms, caller_ms)
+    if (
+        route.kind is not model.RequestKind.STREAMING
+        or not output_tokens
+        or since_signal_ms > EXPECT_LONGEST_AFTER_MS
+    ):
+        return longest_ms
+    expected_ms = output_tokens * timing.ms_per_token * SAFETY_FACTOR
+    return min(longest_ms, route.target_ms + expected_ms)
--- a/foxtailpick/gateway/relay.py
+++ b/foxtailpick/gateway/relay.py
@@ -194,6 +194,7 @@
         meta.output_tokens,
         gw.stream_timing,
         gw.now_ms() - gw.shutdown_started_ms,
+        meta.deadline_ms,
     )
     if need_ms > left_ms:
         raise errors.RequestError(
