Count a request as open from its first byte on

A connection counted as busy only while a handler ran. Now it does from the first byte of a request until the end of the answer, for the close of idle connections, for the end of a shutdown and for making room.

--- a/foxtailpick/gateway/server.py
+++ b/foxtailpick/gateway/server.py
@@ -38,10 +38,18 @@
 
     def __init__(self, sock: trio.socket.SocketType) -> None:
         self.sock = sock
-        self.is_busy = False
+        # Requests that were read and not yet answered.
+        self.open_requests = 0
+        # Whether a part of a request was read.
+        self.is_reading = False
         self.idle_since_ms = 0.0
         self.scope = trio.CancelScope()
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request was read, also in part, and not yet answered."""
+        return self.is_reading or self.open_requests > 0
+
 
 class CallerServer:
     """Serves callers on one listening socket.
@@ -147,7 +155,7 @@
                 limit_ms = limits.idle_timeout_ms
                 if reader.is_in_headers:
                     limit_ms = limits.header_timeout_ms
-                elif caller.is_busy:
+                elif caller.open_requests:
                     limit_ms = float('inf')
                 with trio.move_on_after(
                     limit_ms / types.SECOND_MS
@@ -156,12 +164,15 @@
                 if deadline.cancelled_caught:
                     if reader.is_in_request:
                         raise http1.RequestRejected(408, 'request timed out')
-                    if caller.is_busy:
+                    if caller.open_requests:
                         continue
                     break
                 if not data:
                     break
-                for req in reader.feed(data, gw.now_ms()):
+                requests = reader.feed(data, gw.now_ms())
+                caller.is_reading = reader.is_in_request
+                caller.open_requests += len(requests)
+                for req in requests:
                     await send.send(req)
                 if reader.expects_continue:
                     reader.expects_continue = False
@@ -186,11 +197,10 @@
             if isinstance(item, http1.RequestRejected):
                 await self._reject(caller, item)
                 return
-            caller.is_busy = True
             keeps_alive = item.keeps_alive and not self._gw.is_stopping
             reply = reply_lib.Reply(caller.sock, keeps_alive)
             await handle(item, reply)
-            caller.is_busy = False
+            caller.open_requests -= 1
             caller.idle_since_ms = self._gw.now_ms()
             if not reply.is_finished or not reply.keeps_alive:
                 return
