Answer requests without a response when a shutdown ends

A request for which no answer had begun when the grace period ended lost its connection without a word (LOST; suspected in the users' record of real processes).

--- a/foxtailpick/gateway/context.py
+++ b/foxtailpick/gateway/context.py
@@ -98,9 +98,11 @@
     :param queues: admission queue of each service.
     :param first_byte_estimates: times to the first byte on each route.
     :param stream_timing: durations of recent streams, per allowed token.
+    :param request_scopes: cancel scopes of the requests in flight.
     :param shutdown_deadline_ms: when requests in flight are cut off, None
         unless the process is stopping.
     :param shutdown_started_ms: when the signal to stop arrived.
+    :param is_ending: whether requests in flight are being cut off.
     """
 
     cfg: settings_lib.GatewaySettings
@@ -130,8 +132,12 @@
     stream_timing: stopping.StreamTiming = dataclasses.field(
         default_factory=stopping.StreamTiming
     )
+    request_scopes: set[trio.CancelScope] = dataclasses.field(
+        default_factory=set
+    )
     shutdown_deadline_ms: float | None = None
     shutdown_started_ms: float = 0.0
+    is_ending: bool = False
 
     def get_queue(
         self, service: types.ServiceId
--- a/foxtailpick/gateway/daemon.py
+++ b/foxtailpick/gateway/daemon.py
@@ -38,6 +38,9 @@
 SETTINGS_POLL_INTERVAL_MS = 2_000.0
 # Part of the grace period that is reserved for process exit.
 EXIT_MARGIN_MS = 400.0
+# Part of this margin in which requests without a response are answered.
+FINAL_ANSWERS_MS = 200.0
+FINAL_CHECK_INTERVAL_MS = 10.0
 # Fraction of the fleet's retry budget that is used, since the number of
 # routers is known with a delay.
 BUDGET_SHARE = 0.85
@@ -322,6 +325,12 @@
             break
     callers.stop_accepting()
     gw.log.emit('drained', under_way=len(gw.attempts))
+    gw.is_ending = True
+    for scope in list(gw.request_scopes):
+        scope.cancel()
+    with trio.move_on_after(FINAL_ANSWERS_MS / types.SECOND_MS):
+        while gw.request_scopes or not callers.is_idle():
+            await trio.sleep(FINAL_CHECK_INTERVAL_MS / types.SECOND_MS)
 
 
 async def _sweep(gw: context.Gateway) -> None:
--- a/foxtailpick/gateway/relay.py
+++ b/foxtailpick/gateway/relay.py
@@ -74,9 +74,13 @@
         job = _prepare_job(gw, req)
         deadline = job.deadline_ms / types.SECOND_MS
         with trio.CancelScope(deadline=deadline) as scope:
-            outcome = await _run_attempts(gw, job, reply)
+            gw.request_scopes.add(scope)
+            try:
+                outcome = await _run_attempts(gw, job, reply)
+            finally:
+                gw.request_scopes.discard(scope)
         if scope.cancelled_caught:
-            error = _make_timeout_error(job)
+            error = _make_timeout_error(gw, job)
     except errors.RequestError as exc:
         error = exc
     except http1.BrokenConnectionError:
@@ -341,10 +345,20 @@
     )
 
 
-def _make_timeout_error(job: job_lib.Job) -> errors.RequestError:
+def _make_timeout_error(
+    gw: context.Gateway, job: job_lib.Job
+) -> errors.RequestError:
     has_run = 'may have run'
     if job.verdict is verdict_lib.Verdict.NOT_RUN:
         has_run = 'was not run'
+    if gw.is_ending:
+        return errors.RequestError(
+            errors.ErrorCode.SHUTTING_DOWN,
+            f'expected a response before the end of this process, got none; '
+            f'the request {has_run}',
+            job.verdict,
+            SHUTDOWN_RETRY_MS * gw.rng.uniform(0.5, 1.5),
+        )
     return errors.RequestError(
         errors.ErrorCode.DEADLINE_EXCEEDED,
         f'expected a response before the deadline of the route or caller, '
