Break off responses of endpoints that do not end

An endless header, headers, interim responses, chunk extension, trailer or row of answers to other requests held an attempt until its deadline and, for the first two, used up memory; an endless body of a stream that may not be resumed was relayed to the caller; plain bodies were limited one by one, to 8 MB, but not together.

Now a response may have 64 KB beside its body before the next part of it, an event 256 KB on all routes, four answers to other requests may be skipped, and all plain bodies that are being read share 64 MB. Each ends the attempt as broken, so that another endpoint is tried where the route allows it.

--- a/foxtailpick/core/dispatch/event_stream.py
+++ b/foxtailpick/core/dispatch/event_stream.py
@@ -20,13 +20,30 @@
 
     def __init__(self) -> None:
         self._tail = b''
+        self._event_bytes = 0
 
     def feed(self, data: bytes) -> None:
         """Add received bytes.
 
         :param data: bytes of the stream.
+        :raises ValueError: if an event exceeds the maximum length.
         """
-        self._tail = (self._tail + data[-_TAIL_BYTES:])[-_TAIL_BYTES:]
+        # A blank line may begin in the data before.
+        recent = self._tail + data
+        end = max(
+            recent.rfind(line) + len(line) if line in recent else 0
+            for line in _BLANK_LINES
+        )
+        if end:
+            self._event_bytes = len(recent) - end
+        else:
+            self._event_bytes += len(data)
+        self._tail = recent[-_TAIL_BYTES:]
+        if self._event_bytes > MAX_EVENT_BYTES:
+            raise ValueError(
+                f'expected the end of an event within {MAX_EVENT_BYTES} '
+                f'bytes, got none in {self._event_bytes}'
+            )
 
     @property
     def is_empty(self) -> bool:
--- a/foxtailpick/gateway/attempt.py
+++ b/foxtailpick/gateway/attempt.py
@@ -29,6 +29,8 @@
 
 # Check interval of the watchdog, well below the read timeouts it enforces.
 WATCHDOG_INTERVAL_MS = 50.0
+# Late answers to earlier requests that are skipped on a reused connection.
+MAX_FOREIGN_ANSWERS = 4
 _SERVER_ERROR = 500
 _MISDIRECTED = 421
 # Statuses that tell the caller that the request was not executed.
@@ -321,7 +323,7 @@
         conn.is_clean = False
     is_success = 200 <= head.status < 300
     if meta.is_not_run or head.status == _MISDIRECTED:
-        await _read_body(conn)
+        await _read_body(gw, conn)
         end = retry_decision.AttemptEnd.REFUSED
         if head.status == _MISDIRECTED:
             end = retry_decision.AttemptEnd.MISDIRECTED
@@ -339,7 +341,7 @@
         job.answered_ms = now_ms
     if is_success and job.route.kind is model.RequestKind.STREAMING:
         return await _relay_stream(gw, job, attempt, conn, reply, head, meta)
-    body = await _read_body(conn)
+    body = await _read_body(gw, conn)
     if not is_success:
         if head.status >= _SERVER_ERROR:
             now_ms = gw.now_ms()
@@ -362,7 +364,7 @@
     attempt: context.Attempt,
     conn: client_lib.ClientConnection,
 ) -> tuple[client_lib.ResponseHead, model.ResponseMeta]:
-    while True:
+    for _ in range(MAX_FOREIGN_ANSWERS + 1):
         head = await _next_event(gw, attempt, conn)
         if not isinstance(head, client_lib.ResponseHead):
             raise _InvalidResponseError('expected a response head, got a body')
@@ -374,8 +376,11 @@
         gw.log.emit_request(
             'foreign-answer', request=job.meta.id, answer_to=meta.request
         )
-        while await _next_event(gw, attempt, conn) is not client_lib.END:
-            pass
+        await _read_body(gw, conn)
+    raise _InvalidResponseError(
+        f'expected the answer to this request, got {MAX_FOREIGN_ANSWERS + 1} '
+        f'to others'
+    )
 
 
 async def _relay_stream(
@@ -417,10 +422,8 @@
                 )
             data.append(more)
         chunk = b''.join(data)
-        boundary.feed(chunk)
+        chunk = _split_events(boundary, splitter, chunk)
         job.is_within_event = boundary.is_within_event
-        if splitter is not None:
-            chunk = _split_events(splitter, chunk)
         if not is_sound and _is_past_start(gw, attempt):
             is_sound = True
             quarantine.record_sound(gw, job)
@@ -448,9 +451,14 @@
     )
 
 
-def _split_events(splitter: event_stream.EventSplitter, data: bytes) -> bytes:
+def _split_events(
+    boundary: event_stream.EventBoundary,
+    splitter: event_stream.EventSplitter | None,
+    data: bytes,
+) -> bytes:
     try:
-        return splitter.feed(data)
+        boundary.feed(data)
+        return data if splitter is None else splitter.feed(data)
     except ValueError as exc:
         raise _InvalidResponseError(str(exc)) from exc
 
@@ -484,9 +492,11 @@
     return event
 
 
-async def _read_body(conn: client_lib.ClientConnection) -> bytes:
+async def _read_body(
+    gw: context.Gateway, conn: client_lib.ClientConnection
+) -> bytes:
     try:
-        return await exchange.read_body(conn)
+        return await exchange.read_body(conn, total=gw.buffered)
     except http1.BrokenConnectionError as exc:
         raise _make_connection_error('broke off', exc) from exc
 
--- a/foxtailpick/gateway/client.py
+++ b/foxtailpick/gateway/client.py
@@ -19,6 +19,9 @@
 # this time. The gateway's own timeouts are shorter, so this only affects
 # connections on which no request waits.
 USER_TIMEOUT_MS = 5_000
+# Limit of data that is neither a body nor the end of a response: a head with
+# the interim responses before it, the framing of chunks, trailers.
+MAX_OVERHEAD_BYTES = 65_536
 _NO_BODY = frozenset((204, 304))
 
 
@@ -68,6 +71,8 @@
         self._framing = Framing.LENGTH
         self._is_in_message = False
         self._is_aborted = False
+        # Received since the last event.
+        self._overhead_bytes = 0
         self.is_clean = True
         self.received_bytes = 0
         self.idle_since_ms = 0.0
@@ -146,6 +151,7 @@
             if not data:
                 self._on_eof()
                 continue
+            self._overhead_bytes += len(data)
             try:
                 self._parser.feed_data(data)
             except httptools.HttpParserError as exc:
@@ -154,6 +160,14 @@
                     raise http1.BrokenConnectionError(
                         errno.EPROTO, f'invalid HTTP response: {exc}'
                     ) from exc
+            if not self._events and self._overhead_bytes > MAX_OVERHEAD_BYTES:
+                self.is_clean = False
+                raise http1.BrokenConnectionError(
+                    errno.EPROTO,
+                    f'expected a head or a body within {MAX_OVERHEAD_BYTES} '
+                    f'bytes, got {self._overhead_bytes} of other data',
+                )
+        self._overhead_bytes = 0
         return self._events.popleft()
 
     def has_events(self) -> bool:
--- a/foxtailpick/gateway/context.py
+++ b/foxtailpick/gateway/context.py
@@ -17,6 +17,7 @@
 from foxtailpick.core import types
 from foxtailpick.gateway import client as client_lib
 from foxtailpick.gateway import decision_log
+from foxtailpick.gateway import exchange as exchange_lib
 from foxtailpick.gateway import pool as pool_lib
 from foxtailpick.gateway import settings as settings_lib
 from foxtailpick.gateway import state as state_lib
@@ -98,6 +99,7 @@
     :param queues: admission queue of each service.
     :param first_byte_estimates: times to the first byte on each route.
     :param stream_timing: durations of recent streams, per allowed token.
+    :param buffered: memory used by responses that are being read.
     :param request_scopes: cancel scopes of the requests in flight.
     :param shutdown_deadline_ms: when requests in flight are cut off, None
         unless the process is stopping.
@@ -132,6 +134,9 @@
     stream_timing: stopping.StreamTiming = dataclasses.field(
         default_factory=stopping.StreamTiming
     )
+    buffered: exchange_lib.BufferedTotal = dataclasses.field(
+        default_factory=exchange_lib.BufferedTotal
+    )
     request_scopes: set[trio.CancelScope] = dataclasses.field(
         default_factory=set
     )
--- a/foxtailpick/gateway/exchange.py
+++ b/foxtailpick/gateway/exchange.py
@@ -12,6 +12,16 @@
 # Limit of responses that are buffered in memory: those of plain services
 # and of the store, whose pages hold 1 MB in base64.
 MAX_RESPONSE_BYTES = 8_388_608
+# Limit of all responses that are buffered at the same time, well below the
+# memory of the smallest machines.
+MAX_BUFFERED_BYTES = 67_108_864
+
+
+class BufferedTotal:
+    """Memory used by responses that are being read."""
+
+    def __init__(self) -> None:
+        self.used_bytes = 0
 
 
 async def read_response(
@@ -40,29 +50,43 @@
 
 
 async def read_body(
-    conn: client_lib.ClientConnection, max_silence_ms: float = math.inf
+    conn: client_lib.ClientConnection,
+    max_silence_ms: float = math.inf,
+    total: BufferedTotal | None = None,
 ) -> bytes:
     """Read the body of a response whose head was already read.
 
     :param conn: the connection.
     :param max_silence_ms: longest time without any data.
+    :param total: memory that is shared with other responses, if limited.
     :raises OSError: if it is truncated, malformed or too long.
     :raises trio.TooSlowError: if no data arrives for too long.
     """
+    total = total or BufferedTotal()
     parts: list[bytes] = []
     size = 0
-    while True:
-        with trio.fail_after(max_silence_ms / types.SECOND_MS):
-            event = await conn.next_event()
-        if event is client_lib.END:
-            return b''.join(parts)
-        if not isinstance(event, bytes):
-            raise http1.BrokenConnectionError(
-                0, 'expected a body, got a second head'
-            )
-        size += len(event)
-        if size > MAX_RESPONSE_BYTES:
-            raise http1.BrokenConnectionError(
-                0, 'body exceeds the limit of buffered responses'
-            )
-        parts.append(event)
+    try:
+        while True:
+            with trio.fail_after(max_silence_ms / types.SECOND_MS):
+                event = await conn.next_event()
+            if event is client_lib.END:
+                return b''.join(parts)
+            if not isinstance(event, bytes):
+                raise http1.BrokenConnectionError(
+                    0, 'expected a body, got a second head'
+                )
+            if size + len(event) > MAX_RESPONSE_BYTES:
+                raise http1.BrokenConnectionError(
+                    0, f'body exceeds {MAX_RESPONSE_BYTES} bytes'
+                )
+            if total.used_bytes + len(event) > MAX_BUFFERED_BYTES:
+                raise http1.BrokenConnectionError(
+                    0,
+                    f'body exceeds the {MAX_BUFFERED_BYTES} bytes of all '
+                    f'responses that are being read',
+                )
+            size += len(event)
+            total.used_bytes += len(event)
+            parts.append(event)
+    finally:
+        total.used_bytes -= size
--- a/foxtailpick/tests/test_gateway_streams.py
+++ b/foxtailpick/tests/test_gateway_streams.py
@@ -272,3 +272,14 @@
         boundary.feed(bytes((byte,)))
     assert boundary.is_within_event is is_within
     assert boundary.is_empty is (not data)
+
+
+@pytest.mark.parametrize('size', [1, 3, 7, 14, 100])
+def test_length_of_events_is_limited_however_they_are_cut(monkeypatch, size):
+    monkeypatch.setattr(event_stream, 'MAX_EVENT_BYTES', 20)
+    events = b'\ndata: 12345\n' * 50
+    boundary = event_stream.EventBoundary()
+    for start in range(0, len(events), size):
+        boundary.feed(events[start : start + size])
+    with pytest.raises(ValueError, match='end of an event'):
+        boundary.feed(b'x' * 21)
