Bound all bodies that adapters read as a whole

The same cause elsewhere as endless responses at gateways: the adapters of engines, the membership list and JSON calls read bodies of any length, and that of etcd a line of any length. They share the bounded reader of the adapter of services now, with a limit of 16 MB.

--- a/foxtailpick/adapters/engine.py
+++ b/foxtailpick/adapters/engine.py
@@ -57,7 +57,7 @@
             'POST', CHAT_PATH, body
         ) as response:
             if response.status != http.HTTP_OK:
-                content = await response.aread()
+                content = await http.read_body(response)
                 http.require_ok(
                     response.status, content, self._client.base_url
                 )
--- a/foxtailpick/adapters/etcd.py
+++ b/foxtailpick/adapters/etcd.py
@@ -13,6 +13,7 @@
 import httpcore
 
 from foxtailpick.adapters import base
+from foxtailpick.adapters import http
 from foxtailpick.core import errors
 from foxtailpick.core import types
 from foxtailpick.core import verdict as verdict_lib
@@ -255,6 +256,10 @@
     buffer = b''
     async for part in response.aiter_stream():
         *lines, buffer = (buffer + part).split(b'\n')
+        if len(buffer) > http.MAX_BODY_BYTES:
+            raise _make_unavailable_error(
+                f'a line of more than {http.MAX_BODY_BYTES} bytes'
+            )
         for line in lines:
             for change in _parse_events(line):
                 yield change
--- a/foxtailpick/adapters/http.py
+++ b/foxtailpick/adapters/http.py
@@ -17,6 +17,9 @@
 # the server is closing has an unknown outcome.
 KEEPALIVE_EXPIRY_MS = 2_000.0
 
+# Limit of bodies that are read as a whole.
+MAX_BODY_BYTES = 16_777_216
+
 HTTP_OK = 200
 HTTP_CONFLICT = 409
 HTTP_TOO_MANY_REQUESTS = 429
@@ -116,11 +119,34 @@
         """
         body = b'' if message is None else encode_json(message)
         async with self.open_response(method, path, body) as response:
-            content = await response.aread()
+            content = await read_body(response)
         require_ok(response.status, content, self.base_url)
         return decode_json(content, self.base_url)
 
 
+async def read_body(
+    response: httpcore.Response, max_bytes: int | None = None
+) -> bytes:
+    """Read the body of a response.
+
+    :param response: the open response.
+    :param max_bytes: its limit, `MAX_BODY_BYTES` if None.
+    :raises errors.RequestError: `MAY_HAVE_RUN` if it is longer.
+    """
+    limit = MAX_BODY_BYTES if max_bytes is None else max_bytes
+    body = bytearray()
+    async for part in response.aiter_stream():
+        body += part
+        if len(body) > limit:
+            raise errors.RequestError(
+                errors.ErrorCode.ENDPOINT_FAILED,
+                f'expected an answer of at most {limit} bytes, got more; '
+                f'request less from the service',
+                verdict_lib.Verdict.MAY_HAVE_RUN,
+            )
+    return bytes(body)
+
+
 def encode_json(message: object) -> bytes:
     """Encode a message as compact JSON."""
     return json.dumps(message, separators=(',', ':')).encode()
--- a/foxtailpick/adapters/membership.py
+++ b/foxtailpick/adapters/membership.py
@@ -53,7 +53,7 @@
             async with self._client.open_response(
                 'GET', self._path, headers=headers
             ) as response:
-                content = await response.aread()
+                content = await http.read_body(response)
             if response.status == HTTP_NOT_MODIFIED:
                 return list(self._members)
             http.require_ok(response.status, content, self._client.base_url)
--- a/foxtailpick/adapters/service.py
+++ b/foxtailpick/adapters/service.py
@@ -6,8 +6,6 @@
 
 from foxtailpick.adapters import base
 from foxtailpick.adapters import http
-from foxtailpick.core import errors
-from foxtailpick.core import verdict as verdict_lib
 
 MAX_ANSWER_BYTES = 1_000_000
 
@@ -74,24 +72,10 @@
             return base.ServiceAnswer(
                 status=response.status,
                 headers=_decode_headers(response),
-                body=await _read_bounded_body(response),
+                body=await http.read_body(response, MAX_ANSWER_BYTES),
             )
 
 
-async def _read_bounded_body(response: httpcore.Response) -> bytes:
-    body = bytearray()
-    async for part in response.aiter_stream():
-        body += part
-        if len(body) > MAX_ANSWER_BYTES:
-            raise errors.RequestError(
-                errors.ErrorCode.ENDPOINT_FAILED,
-                f'expected an answer of at most {MAX_ANSWER_BYTES} bytes, '
-                f'got more; request less from the service',
-                verdict_lib.Verdict.MAY_HAVE_RUN,
-            )
-    return bytes(body)
-
-
 def _decode_headers(
     response: httpcore.Response,
 ) -> tuple[tuple[str, str], ...]:
--- a/foxtailpick/tests/test_membership_adapter.py
+++ b/foxtailpick/tests/test_membership_adapter.py
@@ -3,6 +3,7 @@
 import pytest
 
 from foxtailpick.adapters import base
+from foxtailpick.adapters import http
 from foxtailpick.adapters import membership as membership_adapter
 from foxtailpick.core import clock
 from foxtailpick.core import errors
@@ -44,6 +45,17 @@
     assert found == make_member('e1', capacity=2.0, is_leaving=True)
 
 
+async def test_size_of_the_list_is_bounded(manual_clock, monkeypatch):
+    monkeypatch.setattr(http, 'MAX_BODY_BYTES', 5)
+    state = make_state(manual_clock)
+    state.put(make_member('e1'))
+    async with serving.serve_app(membership_standin.make_app(state)) as url:
+        adapter = membership_adapter.HttpMembershipList.from_url(url, 'r')
+        async with adapter:
+            with pytest.raises(errors.StoreError):
+                await adapter.list_members()
+
+
 async def test_unchanged_list_is_not_sent_again(manual_clock):
     state = make_state(manual_clock)
     state.put(make_member('e1'))
