Check in the soak that no gateway returns to an older configuration

Points left of the issue on a store that goes back in time: an older configuration that is acted on, and a revoked key that works. Callers try dropped routes and revoked keys; a fault adds and revokes keys. REGRESS: a gateway that ran and then refused a dropped route or key never runs it again in the same process; CONFIG: a revoked key works no longer than 5 s.

--- a/foxtailpick/soak/callers.py
+++ b/foxtailpick/soak/callers.py
@@ -17,6 +17,11 @@
 DEADLINE_MS = 2_500
 CALL_TIMEOUT_S = 3.5
 DISCONNECT_SHARE = 0.08
+# Shares of calls on a route that was dropped, with a further key, and with
+# one that was revoked.
+DROPPED_ROUTE_SHARE = 0.15
+KEY_SHARE = 0.1
+REVOKED_KEY_SHARE = 0.15
 # Includes a body that is too long to be forwarded in a single send.
 BODY_BYTES = (0, 50, 40_000)
 
@@ -63,8 +68,11 @@
 def _make_call(
     world: world_lib.World, request: str, gateway: str, rng: random.Random
 ) -> record_lib.Call:
-    route = rng.choice(list(world.routes))
-    fields = world.routes[route]
+    routes = world.routes
+    if world.dropped_routes and rng.random() < DROPPED_ROUTE_SHARE:
+        routes = world.dropped_routes
+    route = rng.choice(list(routes))
+    fields = routes[route]
     kind = model.RequestKind(fields['kind'])
     call = record_lib.Call(
         request,
@@ -74,6 +82,7 @@
         route,
         world_lib.now_ms(),
     )
+    call.key = _choose_key(world, rng)
     call.expected = world_lib.make_body(request)
     if kind is model.RequestKind.STREAMING:
         call.expected = b''.join(
@@ -83,6 +92,16 @@
     return call
 
 
+def _choose_key(world: world_lib.World, rng: random.Random) -> str:
+    drawn = rng.random()
+    revoked = list(world.record.revoked_keys)
+    if revoked and drawn < REVOKED_KEY_SHARE:
+        return rng.choice(revoked)
+    if world.keys and drawn < REVOKED_KEY_SHARE + KEY_SHARE:
+        return rng.choice(world.keys)
+    return world_lib.API_KEY
+
+
 async def _send_call(
     call: record_lib.Call,
     conn: client_lib.ClientConnection,
@@ -90,7 +109,7 @@
 ) -> None:
     body = b'b' * rng.choice(BODY_BYTES)
     headers = [
-        *dialect.encode_caller(call.id, world_lib.API_KEY, DEADLINE_MS),
+        *dialect.encode_caller(call.id, call.key, DEADLINE_MS),
         (world_lib.GATEWAY_HEADER, call.gateway.encode()),
     ]
     if call.kind is model.RequestKind.STREAMING:
--- a/foxtailpick/soak/faults.py
+++ b/foxtailpick/soak/faults.py
@@ -306,13 +306,29 @@
         old = [key for key in world.record.added_routes if key in world.routes]
         if len(old) > 1:
             dropped = rng.choice(old)
-            del world.routes[dropped]
+            world.dropped_routes[dropped] = world.routes.pop(dropped)
             world.record.dropped_routes[dropped] = world_lib.now_ms()
         world.record.added_routes[name] = world_lib.now_ms()
         world.write_config()
         await callers.pause(rng.uniform(0.0, STORE_CHANGE_PAUSE_MS))
 
 
+async def change_keys(world: world_lib.World, rng: random.Random) -> None:
+    """Add a key, and revoke another one later."""
+    record = world.record
+    key = f'key-{len(record.added_keys)}'
+    async with world.operator_lock:
+        record.added_keys[key] = world_lib.now_ms()
+        world.keys.append(key)
+        world.write_config()
+    await callers.pause(_draw_duration_ms(rng))
+    async with world.operator_lock:
+        revoked = rng.choice(world.keys)
+        world.keys.remove(revoked)
+        world.write_config()
+        record.revoked_keys[revoked] = world_lib.now_ms()
+
+
 async def discard_history(world: world_lib.World, rng: random.Random) -> None:
     """Change the configuration, then discard the history of the store."""
     await change_config(world, rng)
@@ -329,6 +345,7 @@
     announce_rest,
     evacuate,
     change_config,
+    change_keys,
 )
 
 # Endpoint misbehavior has a higher weight: most invariants concern it.
@@ -351,5 +368,7 @@
     announce_rest,
     send_crashing_prompts,
     change_config,
+    change_keys,
+    change_keys,
     discard_history,
 )
--- a/foxtailpick/soak/record.py
+++ b/foxtailpick/soak/record.py
@@ -12,6 +12,10 @@
 DRAIN_MS = 2_000.0
 CONFIG_MS = 2_000.0
 EVACUATION_MS = 5_000.0
+REVOKE_MS = 5_000.0
+# A request sent later than this after a gateway acted on a configuration must
+# not be handled as only an older one allows.
+REVERT_SLACK_MS = 250.0
 CANCEL_MS = 500.0
 # An endpoint that asked for a rest may get this many requests of a gateway,
 # counted from this time after it asked.
@@ -44,7 +48,9 @@
     `REST`: an endpoint that asked for a rest receives hardly any.
     `CRASH`: requests that crash endpoints are contained.
     `EVACUATION`: a failure domain out of service receives no requests.
-    `CONFIG`: an added or removed route takes effect in time.
+    `CONFIG`: an added or removed route or key takes effect in time.
+    `REGRESS`: a gateway that acted on a configuration never acts on an older
+    one, also if the store returns from an older copy.
     `LOST`: a graceful shutdown does not cut off requests in flight.
     `GONE`: a request is cancelled after its caller has disconnected.
     `RECOVER`: requests are served again after the faults.
@@ -59,6 +65,7 @@
     CRASH = 'crash'
     EVACUATION = 'evacuation'
     CONFIG = 'config'
+    REGRESS = 'regress'
     LOST = 'lost'
     GONE = 'gone'
     RECOVER = 'recover'
@@ -85,6 +92,7 @@
     :param kind: kind of its route.
     :param is_resumable: whether its stream can resume at another endpoint.
     :param route: name of its route.
+    :param key: the caller's key.
     :param sent_ms: when it was sent.
     :param ended_ms: when the caller finished with it, 0 while in flight.
     :param status: status of the response, 0 if none arrived.
@@ -108,6 +116,7 @@
     body: bytes = b''
     expected: bytes = b''
     has_disconnected: bool = False
+    key: str = ''
 
     @property
     def is_idempotent(self) -> bool:
@@ -189,6 +198,10 @@
         self.evacuated: list[tuple[str, float, float]] = []
         self.dropped_routes: dict[str, float] = {}
         self.added_routes: dict[str, float] = {}
+        self.revoked_keys: dict[str, float] = {}
+        self.added_keys: dict[str, float] = {}
+        # When the process of a gateway was started, by gateway.
+        self.starts: dict[str, list[float]] = collections.defaultdict(list)
         self.disruptions: dict[str, list[tuple[float, float]]] = (
             collections.defaultdict(list)
         )
@@ -231,6 +244,7 @@
             breaches.extend(self._check_rest(rest))
         for name, part in self.crashing_parts.items():
             breaches.extend(self._check_crashes(name, part))
+        breaches.extend(self._check_regress(runs))
         breaches.extend(self._check_recovery())
         return breaches
 
@@ -262,12 +276,25 @@
             )
         is_settled = self.is_settled(call.gateway, call.ended_ms)
         if is_settled and call.status in (401, 404):
-            known_ms = self.added_routes.get(call.route, 0.0)
+            known_ms = max(
+                self.added_routes.get(call.route, 0.0),
+                self.added_keys.get(call.key, 0.0),
+            )
             if (
                 call.route not in self.dropped_routes
+                and call.key not in self.revoked_keys
                 and call.sent_ms - known_ms > CONFIG_MS
             ):
-                add(Rule.CONFIG, f'known route got status {call.status}')
+                what = f'known route and key got status {call.status}'
+                add(Rule.CONFIG, what)
+        revoked_ms = self.revoked_keys.get(call.key)
+        if revoked_ms is not None and any(
+            run.at_ms - revoked_ms > REVOKE_MS
+            and call.sent_ms - revoked_ms > REVOKE_MS
+            and self.is_settled(call.gateway, run.at_ms)
+            for run in runs
+        ):
+            add(Rule.CONFIG, f'ran with revoked key {call.key}')
         if self._is_lost(call, runs):
             add(
                 Rule.LOST,
@@ -377,6 +404,67 @@
             found.append(Breach(Rule.CONFIG, f'{what}, on a removed route'))
         return found
 
+    def _check_regress(self, runs: dict[str, list[Run]]) -> list[Breach]:
+        found = []
+        for dropped, get_item, status in (
+            (self.dropped_routes, lambda call: call.route, 404),
+            (self.revoked_keys, lambda call: call.key, 401),
+        ):
+            calls = collections.defaultdict(list)
+            for call in self.calls:
+                if get_item(call) in dropped:
+                    calls[call.gateway, get_item(call)].append(call)
+            for (gateway, item), group in calls.items():
+                found.extend(
+                    Breach(
+                        Rule.REGRESS,
+                        f'{late.id} at {gateway} ran with {item}, for which '
+                        f'{refused.id} got {status} before',
+                    )
+                    for refused, late in self._find_regress(
+                        group, runs, dropped[item], status
+                    )
+                )
+        return found
+
+    def _find_regress(
+        self,
+        calls: list[Call],
+        runs: dict[str, list[Run]],
+        dropped_ms: float,
+        status: int,
+    ) -> list[tuple[Call, Call]]:
+        """Return calls that ran after another one at the gateway was refused.
+
+        Only a gateway whose process had known the route or key before.
+
+        :param calls: calls at one gateway for one dropped route or key.
+        :param runs: runs by call.
+        :param dropped_ms: when it was dropped.
+        :param status: status that refuses it.
+        """
+        found = []
+        ran = [call for call in calls if runs.get(call.id)]
+        for refused in calls:
+            if refused.status != status or refused.sent_ms < dropped_ms:
+                continue
+            for late in ran:
+                since_ms = late.sent_ms - refused.ended_ms
+                if since_ms <= REVERT_SLACK_MS:
+                    continue
+                if any(
+                    early.sent_ms < refused.sent_ms
+                    and not self._has_started(
+                        late.gateway, early.sent_ms, late.ended_ms
+                    )
+                    for early in ran
+                ):
+                    found.append((refused, late))
+        return found
+
+    def _has_started(self, gateway: str, from_ms: float, to_ms: float) -> bool:
+        return any(from_ms <= ms <= to_ms for ms in self.starts[gateway])
+
     def _check_recovery(self) -> list[Breach]:
         calls = [
             call
--- a/foxtailpick/soak/world.py
+++ b/foxtailpick/soak/world.py
@@ -152,6 +152,9 @@
         self.gateways: list[Gateway] = []
         self.endpoints: dict[str, Endpoint] = {}
         self.routes: dict[str, dict[str, typing.Any]] = {}
+        # Routes and keys that are no longer valid, to be tried by callers.
+        self.dropped_routes: dict[str, dict[str, typing.Any]] = {}
+        self.keys: list[str] = []
         self.version = 0
         # Held while the operators write again after a return of the store.
         self.operator_lock = trio.Lock()
@@ -183,7 +186,9 @@
                     {'name': name, 'max_connections': 200}
                     for name in ('engine', 'plain')
                 ],
-                'tenants': [{'name': 'soak', 'api_keys': [API_KEY]}],
+                'tenants': [
+                    {'name': 'soak', 'api_keys': [API_KEY, *self.keys]}
+                ],
             },
         )
 
@@ -227,6 +232,7 @@
             name, path, ('127.0.0.1', ports[0]), store_proxy, log
         )
         gateway.start()
+        self.record.starts[name].append(now_ms())
         self.gateways.append(gateway)
 
     def add_endpoint(self, service: str) -> Endpoint:
@@ -396,6 +402,7 @@
                     gateway.name, at_ms, at_ms + 1_500
                 )
                 gateway.start()
+                self.record.starts[gateway.name].append(now_ms())
 
     def stop_gateway(self, gateway: Gateway) -> None:
         """Send SIGTERM to a gateway, as planned maintenance does."""
--- a/foxtailpick/tests/test_soak.py
+++ b/foxtailpick/tests/test_soak.py
@@ -118,6 +118,58 @@
     assert record.Rule.REST in {item.rule for item in seen.check()}
 
 
+def make_regress(item, status, **starts):
+    """Return calls that ran, were refused and ran again at one gateway."""
+    seen = record.Record()
+    seen.recovery_from_ms = 0.0
+    seen.calls = [
+        make_call(id='a1', sent_ms=10_000.0, ended_ms=10_100.0, **item),
+        make_call(
+            id='a2',
+            sent_ms=13_000.0,
+            ended_ms=13_100.0,
+            status=status,
+            **item,
+        ),
+        make_call(id='a3', sent_ms=13_400.0, ended_ms=13_500.0, **item),
+    ]
+    seen.runs = [make_run(id='a1'), make_run(id='a3')]
+    seen.starts.update(starts)
+    return seen
+
+
+@pytest.mark.parametrize(
+    ('item', 'status', 'dropped'),
+    [
+        ({'route': 'r9'}, 404, {'dropped_routes': {'r9': 12_000.0}}),
+        ({'key': 'k9'}, 401, {'revoked_keys': {'k9': 12_000.0}}),
+    ],
+)
+def test_return_to_an_older_configuration_is_found(item, status, dropped):
+    def find(seen):
+        for name, value in dropped.items():
+            getattr(seen, name).update(value)
+        return {breach.rule for breach in seen.check()}
+
+    assert record.Rule.REGRESS in find(make_regress(item, status))
+    # The status refused something else.
+    assert record.Rule.REGRESS not in find(
+        make_regress(item, {404: 401, 401: 404}[status])
+    )
+    # A new process may know an older copy of the store only.
+    seen = make_regress(item, status, g1=[13_200.0])
+    assert record.Rule.REGRESS not in find(seen)
+
+
+def test_use_of_a_revoked_key_is_found():
+    call = make_call(key='k9')
+    run = make_run()
+    revoked = {'revoked_keys': {'k9': 15_010.0}}
+    assert record.Rule.CONFIG not in find_rules(call, [run], **revoked)
+    revoked = {'revoked_keys': {'k9': 14_900.0}}
+    assert record.Rule.CONFIG in find_rules(call, [run], **revoked)
+
+
 def test_crashing_prompts_that_are_not_contained_are_found():
     seen = record.Record()
     part = seen.crashing_parts['crash1']
