Add a failing test for a watch that is asked anew after an outage

At 299.202 the watches are cut; within 40 ms a renewal of the lease succeeds, which ends the outage; the watch that had been withdrawn is asked anew from its old position, the store accepts it, drops its history, and says so with the next change only. Where the outage lasted 0.15 s the answer was 410 at once.

--- a/foxtailpick/tests/test_mirror.py
+++ b/foxtailpick/tests/test_mirror.py
@@ -184,6 +184,36 @@
         nursery.cancel_scope.cancel()
 
 
+class DeafStore(LeaseOutageStore):
+    """A store whose watches from before its history was dropped hear nothing.
+
+    Seen in scale-1 --seed 183249937560 of kandurata-route-grown: a watch that
+    was asked anew within 40 ms of the cut waited until the next change.
+    """
+
+    async def poll_changes(self, prefix, after, wait_ms):
+        """Wait for a change that never comes."""
+        await trio.sleep_forever()
+
+
+async def test_watch_that_waited_in_an_outage_is_not_asked_anew(
+    autojump_clock,
+):
+    store = DeafStore()
+    follower, own = make_mirror(store)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(follow_endpoints, follower)
+        nursery.start_soon(follower.register, 'key', b'value')
+        await trio.sleep(1)
+        store.is_lease_refused = True
+        await trio.sleep(4)
+        store.is_lease_refused = False
+        await trio.sleep(1.5)
+        assert store.reads == 2
+        assert own.table.get('e1').absent_until_ms is not None
+        nursery.cancel_scope.cancel()
+
+
 class FailingStore(ChangingStore):
     """A store that fails all calls while `is_down`, and counts them."""
 
