Send prompt reports at once only while they have news

After any crash, a part of a prompt that nobody asks for again stayed suspected for two minutes, and each gateway repeated it to the hub every 150 ms, as did the hub to all. By their sizes, 68 gateways would have sent the hub about 300 KB/s, over links from 5 Mbit/s. What is older than 2 s is repeated once a second now; that there is nothing left to say is sent once.

--- a/foxtailpick/core/dispatch/prompt_quarantine.py
+++ b/foxtailpick/core/dispatch/prompt_quarantine.py
@@ -54,8 +54,12 @@
 MAX_REPORTED_PARTS = 16
 MAX_REPORTED_ENDS = 8
 MAX_TOTAL_PARTS = 32
-# Reports and totals older than this are ignored.
-MAX_AGE_MS = 1_500.0
+# Reports and totals without news are repeated at this interval, and ignored
+# after the time of a few lost ones.
+REPEAT_INTERVAL_MS = 1_000.0
+MAX_AGE_MS = 3_500.0
+# What happened less than this time ago is news.
+FRESH_MS = 2_000.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -412,6 +416,35 @@
                 del self.quarantines[part]
 
 
+class Pacer:
+    """Paces the messages of one kind: news at once, the rest at intervals.
+
+    After a crash a part stays suspected until somebody asks for it again, so
+    most messages would say the same as the one before.
+    """
+
+    def __init__(self) -> None:
+        self._sent: typing.Any = None
+        self._sent_ms = -math.inf
+
+    def is_due(self, message: typing.Any, now_ms: float) -> bool:
+        """Tell whether to send a message now, and assume that it is sent.
+
+        :param message: a report or totals, None if there is nothing to say,
+            which is news only after there was.
+        :param now_ms: current time.
+        """
+        if message is None and self._sent is None:
+            return False
+        content = _hide_old_ages(message)
+        is_repeated = content == self._sent
+        if is_repeated and now_ms - self._sent_ms < REPEAT_INTERVAL_MS:
+            return False
+        self._sent = content
+        self._sent_ms = now_ms
+        return True
+
+
 class HubPromptReports:
     """The latest report of each router, kept by the hub."""
 
@@ -423,7 +456,7 @@
     def record(
         self,
         router: types.RouterId,
-        report: list[typing.Any],
+        report: list[typing.Any] | None,
         now_ms: float,
     ) -> None:
         """Store the report of a router, replacing its previous one.
@@ -432,7 +465,10 @@
         :param report: result of `PromptRecords.make_report`.
         :param now_ms: current time.
         """
-        self._reports[router] = now_ms, report
+        if report is None:
+            self._reports.pop(router, None)
+        else:
+            self._reports[router] = now_ms, report
 
     def merge(
         self, now_ms: float
@@ -508,6 +544,17 @@
                 )
 
 
+def _hide_old_ages(message: typing.Any) -> typing.Any:
+    """Return a message that changes only as long as it has news."""
+    if isinstance(message, dict):
+        return {key: _hide_old_ages(value) for key, value in message.items()}
+    if isinstance(message, list):
+        return [_hide_old_ages(value) for value in message]
+    if isinstance(message, int) and message >= FRESH_MS:
+        return None
+    return message
+
+
 def _encode_quarantine(
     quarantine: Quarantine | None, now_ms: float
 ) -> list[typing.Any] | None:
--- a/foxtailpick/gateway/peers.py
+++ b/foxtailpick/gateway/peers.py
@@ -49,6 +49,8 @@
         self._hub_selector = load_exchange.HubSelector()
         self._sent_counts = load_exchange.SentCounts()
         self._prompt_reports = prompt_quarantine.HubPromptReports()
+        self._prompt_pacer = prompt_quarantine.Pacer()
+        self._prompt_totals_pacer = prompt_quarantine.Pacer()
         # Addresses that reports came from. A router that has just started
         # may not be listed yet.
         self._reporters: dict[types.RouterId, model.Address] = {}
@@ -91,7 +93,7 @@
                 [_KIND_COUNTS, gw.cfg.name, number, counts, outcomes]
             )
             await self._send_to(data, routers[hub].address)
-            if prompts is not None:
+            if self._prompt_pacer.is_due(prompts, now_ms):
                 data = cbor2.dumps(
                     [_KIND_PROMPTS, gw.cfg.name, number, prompts]
                 )
@@ -99,8 +101,7 @@
             return
         self._hub_selector.record_message(now_ms)
         self._hub_reports.record(hub, number, counts, now_ms, outcomes)
-        if prompts is not None:
-            self._prompt_reports.record(hub, prompts, now_ms)
+        self._prompt_reports.record(hub, prompts, now_ms)
         await self._send_totals(now_ms)
         await self._send_prompt_totals(now_ms)
 
@@ -118,7 +119,9 @@
 
     async def _send_prompt_totals(self, now_ms: float) -> None:
         totals = self._prompt_reports.merge(now_ms)
-        if totals is None:
+        if totals is None or not self._prompt_totals_pacer.is_due(
+            totals, now_ms
+        ):
             return
         gw = self._gw
         data = cbor2.dumps([_KIND_PROMPT_TOTALS, gw.cfg.name, 0, totals])
--- a/foxtailpick/tests/prompt_fleet_model.py
+++ b/foxtailpick/tests/prompt_fleet_model.py
@@ -60,6 +60,8 @@
             prompt_quarantine.PromptRecords() for _ in range(routers)
         ]
         self.hub = prompt_quarantine.HubPromptReports()
+        self.pacers = [prompt_quarantine.Pacer() for _ in range(routers)]
+        self.totals_pacer = prompt_quarantine.Pacer()
         self.engines = [[] for _ in range(engines)]
         self.up_ms = [0.0] * engines
         self.now_ms = 0.0
@@ -193,10 +195,12 @@
     def _exchange(self):
         for router, records in enumerate(self.records):
             report = records.make_report(self.now_ms)
-            if report is not None and self.rng.random() >= self.loss:
+            if not self.pacers[router].is_due(report, self.now_ms):
+                continue
+            if self.rng.random() >= self.loss:
                 self.hub.record(f'router-{router}', report, self.now_ms)
         totals = self.hub.merge(self.now_ms)
-        if totals is None:
+        if totals is None or not self.totals_pacer.is_due(totals, self.now_ms):
             return
         for records in self.records:
             if self.rng.random() >= self.loss:
--- a/foxtailpick/tests/test_prompt_quarantine.py
+++ b/foxtailpick/tests/test_prompt_quarantine.py
@@ -155,6 +155,26 @@
     assert not records.make_report(due_ms + prompt_quarantine.EXPIRY_MS + 1)
 
 
+def test_messages_without_news_are_sent_at_intervals():
+    records = prompt_quarantine.PromptRecords()
+    pacer = prompt_quarantine.Pacer()
+    records.record_end([BAD], 'e1', 0.0, 0.0)
+    sent_ms = [
+        now_ms
+        for now_ms in range(0, 12_000, 150)
+        if pacer.is_due(records.make_report(now_ms), now_ms)
+    ]
+    fresh = [ms for ms in sent_ms if ms < prompt_quarantine.FRESH_MS]
+    assert len(fresh) == prompt_quarantine.FRESH_MS // 150 + 1
+    assert len(sent_ms) - len(fresh) <= 10
+    records.record_end([BAD], 'e2', 12_000.0, 12_000.0)
+    assert pacer.is_due(records.make_report(12_010.0), 12_010.0)
+    records.record_sound([BAD], 12_020.0)
+    assert records.make_report(12_030.0) is None
+    assert pacer.is_due(None, 12_030.0)
+    assert not pacer.is_due(None, 20_000.0)
+
+
 def test_memory_and_messages_are_bounded():
     records = prompt_quarantine.PromptRecords()
     for number in range(2 * prompt_quarantine.MAX_SOUND_PARTS):
