Split long modules, and check the form of prompt reports

The hub's part is prompt_reports now, reading and sending are endpoint_io, and the abort of silent attempts is watchdog. Functions moved, names without their underscore, no decision changed.

A report of another form would have ended the hub's exchange, as it is merged later than received; it is checked on receipt and rejected like other bad messages.

--- a/foxtailpick/gateway/attempt.py
+++ b/foxtailpick/gateway/attempt.py
@@ -1,7 +1,6 @@
 """Executes one attempt of a request at one endpoint."""
 
 import dataclasses
-import errno
 import functools
 
 import trio
@@ -16,19 +15,17 @@
 from foxtailpick.core.dispatch import retry_decision
 from foxtailpick.core.dispatch import token_bucket
 from foxtailpick.core import errors
-from foxtailpick.core import types
 from foxtailpick.core import verdict as verdict_lib
 from foxtailpick.gateway import announced
 from foxtailpick.gateway import client as client_lib
 from foxtailpick.gateway import context
-from foxtailpick.gateway import exchange
+from foxtailpick.gateway import endpoint_io
 from foxtailpick.gateway import http1
 from foxtailpick.gateway import job as job_lib
 from foxtailpick.gateway import quarantine
 from foxtailpick.gateway import reply as reply_lib
+from foxtailpick.gateway import watchdog
 
-# Check interval of the watchdog, well below the read timeouts it enforces.
-WATCHDOG_INTERVAL_MS = 50.0
 # Late answers to earlier requests that are skipped on a reused connection.
 MAX_FOREIGN_ANSWERS = 4
 _SERVER_ERROR = 500
@@ -63,18 +60,6 @@
     answered_ms: float | None = None
 
 
-class _InvalidResponseError(OSError):
-    """The response is incomplete, malformed or not the endpoint's own.
-
-    :param detail: what is wrong with it.
-    :param is_closed: whether the close of the connection made it incomplete.
-    """
-
-    def __init__(self, detail: str, is_closed: bool = False) -> None:
-        super().__init__(detail)
-        self.is_closed = is_closed
-
-
 async def run_attempt(
     gw: context.Gateway,
     job: job_lib.Job,
@@ -167,7 +152,7 @@
             job.route.target_ms,
             job.route.kind is model.RequestKind.STREAMING,
         ),
-        functools.partial(_can_retry_elsewhere, gw, job),
+        functools.partial(watchdog.can_retry_elsewhere, gw, job),
         parts=job.shared_parts,
     )
     gw.attempts.add(attempt)
@@ -176,7 +161,10 @@
         job.sends += 1
         result = await _exchange(gw, job, choice, attempt, conn, reply)
         is_reusable = result.end is not retry_decision.AttemptEnd.BROKEN
-    except (_InvalidResponseError, _EndpointConnectionError) as exc:
+    except (
+        endpoint_io.InvalidResponseError,
+        endpoint_io.EndpointConnectionError,
+    ) as exc:
         result = AttemptResult(
             retry_decision.AttemptEnd.BROKEN,
             str(exc),
@@ -218,18 +206,6 @@
     return result
 
 
-class _EndpointConnectionError(OSError):
-    """The connection to the endpoint failed during the exchange.
-
-    :param detail: how it failed.
-    :param is_closed: whether the endpoint closed it.
-    """
-
-    def __init__(self, detail: str, is_closed: bool) -> None:
-        super().__init__(detail)
-        self.is_closed = is_closed
-
-
 async def _exchange(
     gw: context.Gateway,
     job: job_lib.Job,
@@ -240,7 +216,7 @@
 ) -> AttemptResult:
     data = _format_request(gw, job, choice)
     if len(data) <= http1.INLINE_BODY_BYTES:
-        await _send(conn, data)
+        await endpoint_io.send(conn, data)
         return await _receive(gw, job, attempt, conn, reply)
     # A long request is sent concurrently with reading the response: an
     # endpoint may respond before it has read the whole body.
@@ -323,7 +299,7 @@
         conn.is_clean = False
     is_success = 200 <= head.status < 300
     if meta.is_not_run or head.status == _MISDIRECTED:
-        await _read_body(gw, conn)
+        await endpoint_io.read_body(gw, conn)
         end = retry_decision.AttemptEnd.REFUSED
         if head.status == _MISDIRECTED:
             end = retry_decision.AttemptEnd.MISDIRECTED
@@ -332,7 +308,7 @@
             job.counted_attempts -= 1
         return AttemptResult(end, f'refused with {head.status}')
     if is_success and (not meta.is_signed or meta.is_encoded):
-        raise _InvalidResponseError(
+        raise endpoint_io.InvalidResponseError(
             'response without signature or with content encoding'
         )
     job.framing = head.framing
@@ -341,7 +317,7 @@
         job.answered_ms = now_ms
     if is_success and job.route.kind is model.RequestKind.STREAMING:
         return await _relay_stream(gw, job, attempt, conn, reply, head, meta)
-    body = await _read_body(gw, conn)
+    body = await endpoint_io.read_body(gw, conn)
     if not is_success:
         if head.status >= _SERVER_ERROR:
             now_ms = gw.now_ms()
@@ -365,9 +341,11 @@
     conn: client_lib.ClientConnection,
 ) -> tuple[client_lib.ResponseHead, model.ResponseMeta]:
     for _ in range(MAX_FOREIGN_ANSWERS + 1):
-        head = await _next_event(gw, attempt, conn)
+        head = await endpoint_io.next_event(gw, attempt, conn)
         if not isinstance(head, client_lib.ResponseHead):
-            raise _InvalidResponseError('expected a response head, got a body')
+            raise endpoint_io.InvalidResponseError(
+                'expected a response head, got a body'
+            )
         meta = gw.dialect.decode_response(head.headers)
         announced.record_announcements(gw, attempt.endpoint, head.status, meta)
         if meta.request is None or meta.request == job.meta.id:
@@ -376,8 +354,8 @@
         gw.log.emit_request(
             'foreign-answer', request=job.meta.id, answer_to=meta.request
         )
-        await _read_body(gw, conn)
-    raise _InvalidResponseError(
+        await endpoint_io.read_body(gw, conn)
+    raise endpoint_io.InvalidResponseError(
         f'expected the answer to this request, got {MAX_FOREIGN_ANSWERS + 1} '
         f'to others'
     )
@@ -403,11 +381,13 @@
     is_closed = head.framing is client_lib.Framing.CLOSE
     is_sound = False
     while True:
-        event = await _next_event(gw, attempt, conn)
+        event = await endpoint_io.next_event(gw, attempt, conn)
         if event is client_lib.END:
             break
         if not isinstance(event, bytes):
-            raise _InvalidResponseError('expected a body, got a second head')
+            raise endpoint_io.InvalidResponseError(
+                'expected a body, got a second head'
+            )
         data = [event]
         is_ended = False
         # Parts that have already arrived go out in the same write.
@@ -417,7 +397,7 @@
                 is_ended = True
                 break
             if not isinstance(more, bytes):
-                raise _InvalidResponseError(
+                raise endpoint_io.InvalidResponseError(
                     'expected a body, got a second head'
                 )
             data.append(more)
@@ -434,10 +414,12 @@
     if boundary.is_within_event or (
         splitter is not None and not splitter.is_at_boundary
     ):
-        raise _InvalidResponseError('stream ended within an event', is_closed)
+        raise endpoint_io.InvalidResponseError(
+            'stream ended within an event', is_closed
+        )
     if boundary.is_empty and is_closed:
         # Only the close of the connection says that this is all.
-        raise _InvalidResponseError(
+        raise endpoint_io.InvalidResponseError(
             'stream closed before its first event', is_closed
         )
     await reply.finish()
@@ -460,54 +442,13 @@
         boundary.feed(data)
         return data if splitter is None else splitter.feed(data)
     except ValueError as exc:
-        raise _InvalidResponseError(str(exc)) from exc
+        raise endpoint_io.InvalidResponseError(str(exc)) from exc
 
 
 def _get_signature_headers(meta: model.ResponseMeta) -> list[model.RawHeader]:
     return [meta.signature] if meta.signature is not None else []
 
 
-async def _send(conn: client_lib.ClientConnection, data: bytes) -> None:
-    try:
-        await conn.send(data)
-    except http1.BrokenConnectionError as exc:
-        raise _make_connection_error('send failed', exc) from exc
-
-
-async def _next_event(
-    gw: context.Gateway,
-    attempt: context.Attempt,
-    conn: client_lib.ClientConnection,
-) -> client_lib.Event:
-    attempt.is_reading = True
-    try:
-        event = await conn.next_event()
-    except http1.BrokenConnectionError as exc:
-        raise _make_connection_error('broke off', exc) from exc
-    finally:
-        attempt.is_reading = False
-    now_ms = gw.now_ms()
-    attempt.last_received_ms = now_ms
-    attempt.endpoint.health.last_received_ms = now_ms
-    return event
-
-
-async def _read_body(
-    gw: context.Gateway, conn: client_lib.ClientConnection
-) -> bytes:
-    try:
-        return await exchange.read_body(conn, total=gw.buffered)
-    except http1.BrokenConnectionError as exc:
-        raise _make_connection_error('broke off', exc) from exc
-
-
-def _make_connection_error(
-    what: str, exc: http1.BrokenConnectionError
-) -> _EndpointConnectionError:
-    is_closed = exc.errno in (errno.ECONNRESET, errno.EPIPE)
-    return _EndpointConnectionError(f'{what}: {exc}', is_closed)
-
-
 def _record_failure(
     gw: context.Gateway,
     endpoint: endpoint_table.Endpoint,
@@ -525,41 +466,3 @@
             failures=round(endpoint.health.failures, 2),
             successes=round(endpoint.health.successes, 2),
         )
-
-
-def _can_retry_elsewhere(gw: context.Gateway, job: job_lib.Job) -> bool:
-    if (
-        not job.route.is_idempotent
-        or job.counted_attempts >= job.route.max_attempts
-    ):
-        return False
-    if gw.budget.get_tokens(job.service.name) < 1:
-        return False
-    if gw.prompts.may_crash(job.shared_parts, gw.now_ms()):
-        return False
-    # More endpoints have to be listed than attempts were made.
-    return (
-        len(gw.state.table.list_service(job.service.name))
-        > job.counted_attempts
-    )
-
-
-async def watch_attempts(gw: context.Gateway) -> None:
-    """Abort timed-out attempts that may be retried at another endpoint."""
-    while True:
-        await trio.sleep(WATCHDOG_INTERVAL_MS / types.SECOND_MS)
-        now_ms = gw.now_ms()
-        for attempt in list(gw.attempts):
-            quiet_ms = now_ms - attempt.last_received_ms
-            is_silent = attempt.endpoint.health.is_silent(now_ms)
-            limit_ms = attempt.read_timeout_ms
-            if is_silent:
-                limit_ms = min(limit_ms, health.SILENCE_MS)
-            if not attempt.is_reading or quiet_ms < limit_ms:
-                continue
-            if not attempt.is_failure_recorded:
-                # Recorded at once, even if the request cannot be retried.
-                attempt.is_failure_recorded = True
-                health.record_failed_request(attempt.endpoint.health, now_ms)
-            if attempt.can_retry_elsewhere():
-                attempt.conn.abort()
--- a/foxtailpick/gateway/daemon.py
+++ b/foxtailpick/gateway/daemon.py
@@ -15,7 +15,6 @@
 from foxtailpick.core import retry
 from foxtailpick.core import types
 from foxtailpick.gateway import admission
-from foxtailpick.gateway import attempt
 from foxtailpick.gateway import context
 from foxtailpick.gateway import decision_log
 from foxtailpick.gateway import http1
@@ -27,6 +26,7 @@
 from foxtailpick.gateway import server
 from foxtailpick.gateway import settings as settings_lib
 from foxtailpick.gateway import state as state_lib
+from foxtailpick.gateway import watchdog
 from foxtailpick.node import metrics as metrics_lib
 
 # Interval of the sweep for idle connections and expired entries.
@@ -209,7 +209,7 @@
             )
             nursery.start_soon(exchange.run)
             nursery.start_soon(_sweep, gw)
-            nursery.start_soon(attempt.watch_attempts, gw)
+            nursery.start_soon(watchdog.watch_attempts, gw)
             nursery.start_soon(admission.assign_free_slots, gw)
             _start_servers(gw, callers, listeners, nursery)
             await wait_for_stop()
--- /dev/null
+++ b/foxtailpick/gateway/endpoint_io.py
@@ -0,0 +1,85 @@
+"""Sends to and receives from an endpoint on behalf of an attempt."""
+
+import errno
+
+from foxtailpick.gateway import client as client_lib
+from foxtailpick.gateway import context
+from foxtailpick.gateway import exchange
+from foxtailpick.gateway import http1
+
+
+class InvalidResponseError(OSError):
+    """The response is incomplete, malformed or not the endpoint's own.
+
+    :param detail: what is wrong with it.
+    :param is_closed: whether the close of the connection made it incomplete.
+    """
+
+    def __init__(self, detail: str, is_closed: bool = False) -> None:
+        super().__init__(detail)
+        self.is_closed = is_closed
+
+
+class EndpointConnectionError(OSError):
+    """The connection to the endpoint failed during the exchange.
+
+    :param detail: how it failed.
+    :param is_closed: whether the endpoint closed it.
+    """
+
+    def __init__(self, detail: str, is_closed: bool) -> None:
+        super().__init__(detail)
+        self.is_closed = is_closed
+
+
+async def send(conn: client_lib.ClientConnection, data: bytes) -> None:
+    """Send bytes to an endpoint.
+
+    :raises EndpointConnectionError: if the connection fails.
+    """
+    try:
+        await conn.send(data)
+    except http1.BrokenConnectionError as exc:
+        raise _make_connection_error('send failed', exc) from exc
+
+
+async def next_event(
+    gw: context.Gateway,
+    attempt: context.Attempt,
+    conn: client_lib.ClientConnection,
+) -> client_lib.Event:
+    """Return the next part of a response, and record that it arrived.
+
+    :raises EndpointConnectionError: if the connection fails.
+    """
+    attempt.is_reading = True
+    try:
+        event = await conn.next_event()
+    except http1.BrokenConnectionError as exc:
+        raise _make_connection_error('broke off', exc) from exc
+    finally:
+        attempt.is_reading = False
+    now_ms = gw.now_ms()
+    attempt.last_received_ms = now_ms
+    attempt.endpoint.health.last_received_ms = now_ms
+    return event
+
+
+async def read_body(
+    gw: context.Gateway, conn: client_lib.ClientConnection
+) -> bytes:
+    """Read the rest of a response.
+
+    :raises EndpointConnectionError: if the connection fails.
+    """
+    try:
+        return await exchange.read_body(conn, total=gw.buffered)
+    except http1.BrokenConnectionError as exc:
+        raise _make_connection_error('broke off', exc) from exc
+
+
+def _make_connection_error(
+    what: str, exc: http1.BrokenConnectionError
+) -> EndpointConnectionError:
+    is_closed = exc.errno in (errno.ECONNRESET, errno.EPIPE)
+    return EndpointConnectionError(f'{what}: {exc}', is_closed)
--- a/foxtailpick/gateway/peers.py
+++ b/foxtailpick/gateway/peers.py
@@ -12,7 +12,7 @@
 
 from foxtailpick.core.dispatch import load_exchange
 from foxtailpick.core.dispatch import model
-from foxtailpick.core.dispatch import prompt_quarantine
+from foxtailpick.core.dispatch import prompt_reports
 from foxtailpick.core import types
 from foxtailpick.gateway import context
 from foxtailpick.gateway import quarantine
@@ -48,9 +48,9 @@
         self._hub_reports = load_exchange.HubReports()
         self._hub_selector = load_exchange.HubSelector()
         self._sent_counts = load_exchange.SentCounts()
-        self._prompt_reports = prompt_quarantine.HubPromptReports()
-        self._prompt_pacer = prompt_quarantine.Pacer()
-        self._prompt_totals_pacer = prompt_quarantine.Pacer()
+        self._prompt_reports = prompt_reports.HubPromptReports()
+        self._prompt_pacer = prompt_reports.Pacer()
+        self._prompt_totals_pacer = prompt_reports.Pacer()
         # Addresses that reports came from. A router that has just started
         # may not be listed yet.
         self._reporters: dict[types.RouterId, model.Address] = {}
@@ -171,8 +171,10 @@
             sums, outcomes = cbor2.loads(contents[0])
             self._apply_totals(sums, outcomes, number, now_ms)
         elif kind == _KIND_PROMPTS:
+            prompt_reports.check_report(contents[0])
             self._prompt_reports.record(router, contents[0], now_ms)
         elif kind == _KIND_PROMPT_TOTALS and router == self._hub_selector.hub:
+            prompt_reports.check_totals(contents[0])
             quarantine.apply_changes(
                 self._gw, self._gw.prompts.apply_totals(contents[0], now_ms)
             )
--- a/foxtailpick/tests/prompt_fleet_model.py
+++ b/foxtailpick/tests/prompt_fleet_model.py
@@ -13,6 +13,7 @@
 import random
 
 from foxtailpick.core.dispatch import prompt_quarantine
+from foxtailpick.core.dispatch import prompt_reports
 
 TICK_MS = 10
 EXCHANGE_MS = 150
@@ -59,9 +60,9 @@
         self.records = [
             prompt_quarantine.PromptRecords() for _ in range(routers)
         ]
-        self.hub = prompt_quarantine.HubPromptReports()
-        self.pacers = [prompt_quarantine.Pacer() for _ in range(routers)]
-        self.totals_pacer = prompt_quarantine.Pacer()
+        self.hub = prompt_reports.HubPromptReports()
+        self.pacers = [prompt_reports.Pacer() for _ in range(routers)]
+        self.totals_pacer = prompt_reports.Pacer()
         self.engines = [[] for _ in range(engines)]
         self.up_ms = [0.0] * engines
         self.now_ms = 0.0
--- a/foxtailpick/tests/test_prompt_quarantine.py
+++ b/foxtailpick/tests/test_prompt_quarantine.py
@@ -3,6 +3,7 @@
 import pytest
 
 from foxtailpick.core.dispatch import prompt_quarantine
+from foxtailpick.core.dispatch import prompt_reports
 from foxtailpick.core.dispatch import retry_decision
 from foxtailpick.tests import prompt_fleet_model
 from foxtailpick.tests import test_dispatch
@@ -72,7 +73,7 @@
 
 def test_sound_answer_at_another_router_ends_a_quarantine():
     first, second = make_quarantined(), prompt_quarantine.PromptRecords()
-    hub = prompt_quarantine.HubPromptReports()
+    hub = prompt_reports.HubPromptReports()
     hub.record('r1', first.make_report(10_000.0), 10_000.0)
     changes = second.apply_totals(hub.merge(10_000.0), 10_000.0)
     assert changes.started == [BAD]
@@ -84,7 +85,7 @@
 
 
 def test_ends_at_several_routers_add_up():
-    hub = prompt_quarantine.HubPromptReports()
+    hub = prompt_reports.HubPromptReports()
     routers = [prompt_quarantine.PromptRecords() for _ in range(3)]
     for number, records in enumerate(routers):
         at_ms = 1_000.0 * number
@@ -98,12 +99,12 @@
 
 def test_quarantine_outlives_the_router_that_saw_the_ends():
     first, second = make_quarantined(), prompt_quarantine.PromptRecords()
-    hub = prompt_quarantine.HubPromptReports()
+    hub = prompt_reports.HubPromptReports()
     hub.record('r1', first.make_report(10_000.0), 10_000.0)
     second.apply_totals(hub.merge(10_000.0), 10_000.0)
     third, new_hub = (
         prompt_quarantine.PromptRecords(),
-        prompt_quarantine.HubPromptReports(),
+        prompt_reports.HubPromptReports(),
     )
     new_hub.record('r2', second.make_report(13_000.0), 13_000.0)
     third.apply_totals(new_hub.merge(13_000.0), 13_000.0)
@@ -142,7 +143,7 @@
     first, second = make_quarantined(), make_quarantined()
     due_ms = 10_000.0 + prompt_quarantine.FIRST_QUARANTINE_MS
     first.begin_tests([BAD], due_ms)
-    hub = prompt_quarantine.HubPromptReports()
+    hub = prompt_reports.HubPromptReports()
     hub.record('r1', first.make_report(due_ms + 50), due_ms + 50)
     second.apply_totals(hub.merge(due_ms + 60), due_ms + 60)
     assert second.find_refusal([BAD], get_first, due_ms + 60) is not None
@@ -157,15 +158,15 @@
 
 def test_messages_without_news_are_sent_at_intervals():
     records = prompt_quarantine.PromptRecords()
-    pacer = prompt_quarantine.Pacer()
+    pacer = prompt_reports.Pacer()
     records.record_end([BAD], 'e1', 0.0, 0.0)
     sent_ms = [
         now_ms
         for now_ms in range(0, 12_000, 150)
         if pacer.is_due(records.make_report(now_ms), now_ms)
     ]
-    fresh = [ms for ms in sent_ms if ms < prompt_quarantine.FRESH_MS]
-    assert len(fresh) == prompt_quarantine.FRESH_MS // 150 + 1
+    fresh = [ms for ms in sent_ms if ms < prompt_reports.FRESH_MS]
+    assert len(fresh) == prompt_reports.FRESH_MS // 150 + 1
     assert len(sent_ms) - len(fresh) <= 10
     records.record_end([BAD], 'e2', 12_000.0, 12_000.0)
     assert pacer.is_due(records.make_report(12_010.0), 12_010.0)
@@ -175,6 +176,40 @@
     assert not pacer.is_due(None, 20_000.0)
 
 
+@pytest.mark.parametrize(
+    'message',
+    [
+        1,
+        'x',
+        [],
+        [{}, {}],
+        [{}, {}, 1],
+        [{BAD: [1]}, {}, {}],
+        [{}, {BAD: -1}, {}],
+        [{}, {}, {BAD: [0, 0, 'x']}],
+    ],
+)
+def test_messages_of_another_form_are_rejected(message):
+    with pytest.raises(ValueError, match='expected'):
+        prompt_reports.check_report(message)
+
+
+@pytest.mark.parametrize('totals', [[], {BAD: 1}, {BAD: [0, None]}])
+def test_totals_of_another_form_are_rejected(totals):
+    with pytest.raises(ValueError, match='expected'):
+        prompt_reports.check_totals(totals)
+
+
+def test_own_messages_have_the_expected_form():
+    records = make_quarantined()
+    report = records.make_report(10_000.0)
+    prompt_reports.check_report(report)
+    prompt_reports.check_report(None)
+    hub = prompt_reports.HubPromptReports()
+    hub.record('r1', report, 10_000.0)
+    prompt_reports.check_totals(hub.merge(10_000.0))
+
+
 def test_memory_and_messages_are_bounded():
     records = prompt_quarantine.PromptRecords()
     for number in range(2 * prompt_quarantine.MAX_SOUND_PARTS):
