--- a/foxtailpick/core/dispatch/prompt_quarantine.py
+++ b/foxtailpick/core/dispatch/prompt_quarantine.py
@@ -42,7 +42,7 @@
 FIRST_QUARANTINE_MS = 15_000.0
 QUARANTINE_FACTOR = 3.0
 MAX_QUARANTINE_MS = 600_000.0
-# Without a test for this long after it is due, nobody asks for the part.
+# A quarantine ends if no test begins for this long after it is due.
 EXPIRY_MS = 600_000.0
 # A test without a result ends after this time.
 TEST_TIMEOUT_MS = 10_000.0
--- a/foxtailpick/tests/test_mirror.py
+++ b/foxtailpick/tests/test_mirror.py
@@ -184,8 +184,8 @@
         nursery.cancel_scope.cancel()
 
 
-class DeafStore(LeaseOutageStore):
-    """A store whose watches from before its history was dropped hear nothing.
+class SilentWatchStore(LeaseOutageStore):
+    """A store that reports nothing to watches from before it lost history.
 
     Seen in scale-1 --seed 183249937560 of kandurata-route-grown: a watch that
     was asked anew within 40 ms of the cut waited until the next change.
@@ -199,7 +199,7 @@
 async def test_watch_that_waited_in_an_outage_is_not_asked_anew(
     autojump_clock,
 ):
-    store = DeafStore()
+    store = SilentWatchStore()
     follower, own = make_mirror(store)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(follow_endpoints, follower)
