Restart gateways during long streams in the soak

The soak's streams ended within a second, so it could not lose what the users' real processes lost around SIGTERM.

--- a/foxtailpick/bench/soak.py
+++ b/foxtailpick/bench/soak.py
@@ -21,6 +21,7 @@
     'claims': claims_scenario.run,
     'patches': patches_scenario.run,
     'gateway': gateway_soak.run_seed,
+    'long-streams': gateway_soak.run_long_streams,
 }
 
 
--- a/foxtailpick/soak/callers.py
+++ b/foxtailpick/soak/callers.py
@@ -14,9 +14,8 @@
 from foxtailpick.soak import record as record_lib
 from foxtailpick.soak import world as world_lib
 
-DEADLINE_MS = 2_500
-CALL_TIMEOUT_S = 3.5
-DISCONNECT_SHARE = 0.08
+# Callers leave this long after the deadline of a call.
+CALL_TIMEOUT_EXTRA_MS = 1_000.0
 # Shares of calls on a route that was dropped, with a further key, and with
 # one that was revoked.
 DROPPED_ROUTE_SHARE = 0.15
@@ -51,7 +50,7 @@
                     conn = await client_lib.ClientConnection.connect(
                         gateway.address
                     )
-            await _send_call(call, conn, rng)
+            await _send_call(world, call, conn, rng)
         except (OSError, trio.TooSlowError):
             # The record of the call shows what is missing.
             pass
@@ -103,13 +102,14 @@
 
 
 async def _send_call(
+    world: world_lib.World,
     call: record_lib.Call,
     conn: client_lib.ClientConnection,
     rng: random.Random,
 ) -> None:
     body = b'b' * rng.choice(BODY_BYTES)
     headers = [
-        *dialect.encode_caller(call.id, call.key, DEADLINE_MS),
+        *dialect.encode_caller(call.id, call.key, world.plan.deadline_ms),
         (world_lib.GATEWAY_HEADER, call.gateway.encode()),
     ]
     if call.kind is model.RequestKind.STREAMING:
@@ -125,8 +125,8 @@
         headers,
         len(body),
     )
-    timeout_s = CALL_TIMEOUT_S
-    if rng.random() < DISCONNECT_SHARE:
+    timeout_s = _get_call_timeout_s(world)
+    if rng.random() < world.plan.disconnect_share:
         timeout_s = rng.uniform(0.0, 0.3)
     with trio.move_on_after(timeout_s) as scope:
         await conn.send(head + body)
@@ -171,7 +171,9 @@
         model.PromptPart(types.PartId(request), 10),
     )
     headers = [
-        *dialect.encode_caller(request, world_lib.API_KEY, DEADLINE_MS),
+        *dialect.encode_caller(
+            request, world_lib.API_KEY, world.plan.deadline_ms
+        ),
         (world_lib.GATEWAY_HEADER, gateway.name.encode()),
         *dialect.encode_prompt(parts, 50),
     ]
@@ -182,7 +184,7 @@
         headers,
         0,
     )
-    with trio.move_on_after(CALL_TIMEOUT_S):
+    with trio.move_on_after(_get_call_timeout_s(world)):
         try:
             conn = await client_lib.ClientConnection.connect(gateway.address)
         except OSError:
@@ -198,6 +200,11 @@
             conn.close()
 
 
+def _get_call_timeout_s(world: world_lib.World) -> float:
+    timeout_ms = world.plan.deadline_ms + CALL_TIMEOUT_EXTRA_MS
+    return timeout_ms / types.SECOND_MS
+
+
 async def pause(delay_ms: float) -> None:
     """Sleep for a number of milliseconds."""
     await trio.sleep(delay_ms / types.SECOND_MS)
--- a/foxtailpick/soak/faults.py
+++ b/foxtailpick/soak/faults.py
@@ -336,6 +336,16 @@
     world.store.revision += 1
 
 
+async def slow_engines(world: world_lib.World, rng: random.Random) -> None:
+    """Make all streams slower for a while."""
+    world.slowness = rng.uniform(1.5, 2.5)
+    await callers.pause(rng.uniform(4_000.0, 8_000.0))
+    world.slowness = 1.0
+
+
+# Restarts while streams are long, and slower than those before.
+LONG_STREAM_FAULTS: tuple[Fault, ...] = (roll_gateways, slow_engines)
+
 # Maintenance by operators. It runs once more after all faults have ended,
 # when no disruption suspends the bounds.
 PLANNED: tuple[Fault, ...] = (
--- a/foxtailpick/soak/record.py
+++ b/foxtailpick/soak/record.py
@@ -5,6 +5,7 @@
 import enum
 
 from foxtailpick.core.dispatch import model
+from foxtailpick.soak import plan as plan_lib
 
 # Bounds that the deployments must meet. They apply to a gateway after
 # SETTLING_MS without a disruption.
@@ -27,9 +28,8 @@
 MAX_CRASHING_REQUESTS = 3
 # Minimum share of requests to be served after all faults have ended.
 RECOVERED_SHARE = 0.25
-# Time between SIGTERM and the end of a gateway. A call sent in the first part
-# of it may be cut off if its endpoint is still at work in the last part.
-GRACE_MS = 4_000.0
+# A call sent up to this time after SIGTERM may be cut off if its endpoint is
+# still at work in the last part of the grace period.
 EXCUSED_AFTER_STOP_MS = 3_000.0
 LAST_GRACE_SHARE = 5 / 6
 # Statuses that tell the caller that its request has not run.
@@ -180,9 +180,12 @@
 
     Times are in milliseconds of the trio clock. A disruption is a period in
     which a gateway is affected by a fault, so that most bounds do not apply.
+
+    :param grace_ms: time between SIGTERM and the end of a gateway.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, grace_ms: float = plan_lib.Plan().grace_ms) -> None:
+        self.grace_ms = grace_ms
         self.calls: list[Call] = []
         self.runs: list[Run] = []
         self.removed_ms: dict[str, float] = {}
@@ -327,7 +330,7 @@
         ):
             return False
         for stop_ms in self.stops[call.gateway]:
-            if not call.sent_ms - GRACE_MS < stop_ms <= call.ended_ms:
+            if not call.sent_ms - self.grace_ms < stop_ms <= call.ended_ms:
                 continue
             if call.sent_ms > stop_ms and not runs:
                 # It crossed the close of its connection.
@@ -335,7 +338,7 @@
             is_excused = call.sent_ms <= stop_ms + EXCUSED_AFTER_STOP_MS and (
                 any(
                     (run.ended_ms or float('inf'))
-                    >= stop_ms + GRACE_MS * LAST_GRACE_SHARE
+                    >= stop_ms + self.grace_ms * LAST_GRACE_SHARE
                     for run in runs
                 )
             )
--- a/foxtailpick/soak/run.py
+++ b/foxtailpick/soak/run.py
@@ -10,36 +10,47 @@
 from foxtailpick.core import types
 from foxtailpick.soak import callers
 from foxtailpick.soak import faults
+from foxtailpick.soak import plan as plan_lib
 from foxtailpick.soak import record as record_lib
 from foxtailpick.soak import world as world_lib
 
 GATEWAY_COUNT = 3
 ENDPOINT_COUNTS = {'engine': 3, 'plain': 3}
-CALLER_COUNT = 12
 # Limit on the start-up of all gateways.
 START_TIMEOUT_S = 30.0
-FAULT_WINDOW_S = 8.0
-FAULT_COUNT = 9
-# Longer than record.SETTLING_MS, so that all bounds apply again.
-SETTLING_S = 3.8
 # Covers the planned changes and the bounds on removed endpoints and routes.
 PLANNED_WORK_S = 4.5
 
 
+def run_long_streams(seed: int) -> None:
+    """Run the soak with restarts during long streams.
+
+    :param seed: as of `run_seed`.
+    :raises SoakError: as `run_seed`.
+    """
+    run_seed(seed, plan_lib.LONG_STREAMS, faults.LONG_STREAM_FAULTS)
+
+
 class SoakError(AssertionError):
     """A run violated an invariant."""
 
 
-def run_seed(seed: int) -> None:
+def run_seed(
+    seed: int,
+    plan: plan_lib.Plan = plan_lib.Plan(),
+    kinds: tuple[faults.Fault, ...] = faults.FAULTS,
+) -> None:
     """Run the soak once; settings and logs are kept only if it fails.
 
     :param seed: determines the faults and callers, and their timing.
+    :param plan: parameters of the run.
+    :param kinds: the faults to choose from.
     :raises SoakError: with the first violations; all are in the file
         `breaches` beside the logs.
     """
     path = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
     log: list[str] = []
-    breaches = trio.run(_run, seed, path, log)
+    breaches = trio.run(_run, seed, path, log, plan, kinds)
     if breaches:
         lines = [f'{item.rule.value}: {item.detail}' for item in breaches]
         (path / 'breaches').write_text('\n'.join([*log, *lines]), 'utf-8')
@@ -51,24 +62,28 @@
 
 
 async def _run(
-    seed: int, path: pathlib.Path, log: list[str]
+    seed: int,
+    path: pathlib.Path,
+    log: list[str],
+    plan: plan_lib.Plan,
+    kinds: tuple[faults.Fault, ...],
 ) -> list[record_lib.Breach]:
     rng = random.Random(seed)
     async with trio.open_nursery() as nursery:
-        with world_lib.World(nursery, rng, path) as world:
+        with world_lib.World(nursery, rng, path, plan) as world:
             await _start(world)
             start_ms = world_lib.now_ms()
             nursery.start_soon(world.restart_gateways)
-            for number in range(CALLER_COUNT):
+            for number in range(plan.callers):
                 nursery.start_soon(
                     callers.run_caller, world, f'c{number}', rng.random()
                 )
             async with trio.open_nursery() as fault_nursery:
                 for at_s in sorted(
-                    rng.uniform(0.5, FAULT_WINDOW_S)
-                    for _ in range(FAULT_COUNT)
+                    rng.uniform(0.5, plan.fault_window_ms / types.SECOND_MS)
+                    for _ in range(plan.faults)
                 ):
-                    fault = rng.choice(faults.FAULTS)
+                    fault = rng.choice(kinds)
                     log.append(f'{at_s:.2f} s {fault.__name__}')
                     fault_nursery.start_soon(
                         _inject,
@@ -77,7 +92,7 @@
                         random.Random(rng.random()),
                         start_ms / types.SECOND_MS + at_s,
                     )
-            await trio.sleep(SETTLING_S)
+            await trio.sleep(plan.settling_ms / types.SECOND_MS)
             world.record.recovery_from_ms = world_lib.now_ms()
             for fault in faults.PLANNED:
                 nursery.start_soon(fault, world, random.Random(rng.random()))
--- a/foxtailpick/soak/world.py
+++ b/foxtailpick/soak/world.py
@@ -21,6 +21,7 @@
 from foxtailpick.platform import items
 from foxtailpick.platform.standins import endpoint_server
 from foxtailpick.platform.standins import store_server
+from foxtailpick.soak import plan as plan_lib
 from foxtailpick.soak import proxy as proxy_lib
 from foxtailpick.soak import record as record_lib
 
@@ -30,7 +31,6 @@
 GATEWAY_HEADER = b'X-Soak-Gateway'
 DOMAINS = ('north', 'south')
 ANY_PORT = ('127.0.0.1', 0)
-EVENT_INTERVAL_S = 0.02
 # Rest that an endpoint asks for.
 REST_S = 2
 # Prefix of prompt parts that crash engines, time from the start of an answer
@@ -49,7 +49,7 @@
 listen.readiness=127.0.0.1:{ports[1]}
 internal_ports={ports[2]},{ports[3]}
 limits.cpu_share=0.8
-bounds.grace_s=4
+bounds.grace_s={grace_s:.0f}
 bounds.retry_budget_ratio=0.2
 bounds.retry_budget_extra=50
 platform.address={store[0]}:{store[1]}
@@ -138,15 +138,23 @@
     :param nursery: runs the tasks of stand-ins and proxies.
     :param rng: seeded random number generator.
     :param path: directory for settings files and logs.
+    :param plan: parameters of the run.
     """
 
     def __init__(
-        self, nursery: trio.Nursery, rng: random.Random, path: pathlib.Path
+        self,
+        nursery: trio.Nursery,
+        rng: random.Random,
+        path: pathlib.Path,
+        plan: plan_lib.Plan,
     ) -> None:
         self.nursery = nursery
         self.rng = rng
         self.path = path
-        self.record = record_lib.Record()
+        self.plan = plan
+        # Factor on the time between two events of a stream.
+        self.slowness = 1.0
+        self.record = record_lib.Record(plan.grace_ms)
         self.store = store_server.PlatformStoreStandIn()
         self.store.era = 1
         self.gateways: list[Gateway] = []
@@ -204,8 +212,8 @@
             'host': HOST,
             'prefix': f'/{name}/',
             'kind': kind,
-            'timeout_ms': 2_500,
-            'target_latency_ms': 200,
+            'timeout_ms': self.plan.deadline_ms,
+            'target_latency_ms': self.plan.target_ms,
             'priority': 1,
             'service': 'engine' if kind == 'streaming' else 'plain',
             'max_attempts': 2,
@@ -224,6 +232,7 @@
                 domain=self.rng.choice(DOMAINS),
                 ports=ports,
                 store=store_proxy.address,
+                grace_s=self.plan.grace_ms / types.SECOND_MS,
             ),
             'utf-8',
         )
@@ -377,7 +386,8 @@
         if is_leaving:
             self._record_leaving(endpoint, gateway)
         for number in range(last + 1, events + 1):
-            await trio.sleep(EVENT_INTERVAL_S)
+            pause_ms = self.plan.event_interval_ms * self.slowness
+            await trio.sleep(pause_ms / types.SECOND_MS)
             if behavior == 'breaking' and number == events // 2:
                 event = endpoint_server.format_event(number)[:5]
                 await http1.send_all(exchange.sock, http1.format_chunk(event))
