--- a/foxtailpick/soak/world.py
+++ b/foxtailpick/soak/world.py
@@ -39,7 +39,11 @@
 CRASH_AFTER_MS = 20.0
 CRASH_DOWN_MS = 300.0
 # Below the ephemeral ports of common systems.
-PORT_RANGE = (20_000, 30_000)
+FIRST_PORT = 20_000
+PORT_BLOCKS = 100
+PORTS_PER_BLOCK = 80
+# A run holds one of these ports to reserve the block of the same number.
+FIRST_GUARD_PORT = 19_900
 _ROOT = pathlib.Path(__file__).parents[2]
 # Gateway settings of the deployments under test.
 _BOOT = """node_name={name}
@@ -168,8 +172,7 @@
         self.operator_lock = trio.Lock()
         self._store_sock = http1.listen(ANY_PORT, 64)
         self._created_ms = 1_700_000_000_000
-        # Not seeded, so that concurrent runs choose different ports.
-        self.ports_rng = random.Random()
+        self._ports_guard, self._ports = _reserve_ports()
 
     def __enter__(self) -> 'World':
         self.nursery.start_soon(self.store.serve, self._store_sock)
@@ -181,6 +184,7 @@
                 gateway.process.kill()
                 gateway.process.wait()
             gateway.log.close()
+        self._ports_guard.close()
 
     def write_config(self) -> None:
         """Store the routes as a new version of the configuration."""
@@ -224,7 +228,7 @@
         """Start a gateway process behind a store proxy of its own."""
         store_proxy = proxy_lib.Proxy(self._store_sock.getsockname())
         self.nursery.start_soon(store_proxy.serve)
-        ports = _find_ports(self.ports_rng)
+        ports = _find_ports(self._ports)
         path = self.path / f'{name}.boot'
         path.write_text(
             _BOOT.format(
@@ -440,10 +444,31 @@
     return 5 + sum(request.encode()) % 40
 
 
-def _find_ports(rng: random.Random) -> list[int]:
-    """Return four consecutive free ports."""
-    while True:
-        first = rng.randrange(*PORT_RANGE)
+def _reserve_ports() -> tuple[socket.socket, typing.Iterator[int]]:
+    """Reserve a block of ports against concurrent runs.
+
+    :returns: a socket to be held for as long as the ports are used, and the
+        first of each four ports of the block.
+    """
+    for block in random.sample(range(PORT_BLOCKS), PORT_BLOCKS):
+        guard = socket.socket()
+        try:
+            guard.bind((ANY_PORT[0], FIRST_GUARD_PORT + block))
+        except OSError:
+            # Another run has this block.
+            guard.close()
+            continue
+        first = FIRST_PORT + block * PORTS_PER_BLOCK
+        return guard, iter(range(first, first + PORTS_PER_BLOCK, 4))
+    raise OSError(
+        f'expected a free port from {FIRST_GUARD_PORT} to '
+        f'{FIRST_GUARD_PORT + PORT_BLOCKS - 1}, got none; wait for other runs'
+    )
+
+
+def _find_ports(firsts: typing.Iterator[int]) -> list[int]:
+    """Return four consecutive free ports of the reserved block."""
+    for first in firsts:
         ports = list(range(first, first + 4))
         try:
             for port in ports:
@@ -453,3 +478,4 @@
             # At least one port is in use.
             continue
         return ports
+    raise OSError('expected four free ports in the reserved block, got none')
