Tell the starts of an endpoint apart in the soak's check of departures

Traced in the gateway's log: between the two the endpoint crashed under a crashing prompt and came back with a new start, which ends the announcement, as the pages say; the new process announced it again 3 ms after that request was placed. The check is as strict for each process. Without the crash of endpoints, which is new in the soak, starts didn't change.

--- a/foxtailpick/soak/record.py
+++ b/foxtailpick/soak/record.py
@@ -135,6 +135,7 @@
     :param route: name of the route.
     :param at_ms: when the endpoint started to process it.
     :param ended_ms: when processing ended, None while in progress.
+    :param start: number of starts of the endpoint before, after its first.
     """
 
     id: str
@@ -144,6 +145,7 @@
     route: str
     at_ms: float
     ended_ms: float | None = None
+    start: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -189,9 +191,9 @@
         self.calls: list[Call] = []
         self.runs: list[Run] = []
         self.removed_ms: dict[str, float] = {}
-        # By gateway and endpoint: when the endpoint first announced to the
-        # gateway that it leaves.
-        self.leaving_ms: dict[tuple[str, str], float] = {}
+        # By gateway, endpoint and start: when that process first announced
+        # to the gateway that it leaves.
+        self.leaving_ms: dict[tuple[str, str, int], float] = {}
         self.rests: list[Rest] = []
         self.crashing_parts: dict[str, CrashingPart] = collections.defaultdict(
             CrashingPart
@@ -378,7 +380,8 @@
         return [Breach(Rule.CRASH, f'{what} after it should be contained')]
 
     def _check_leaving(self, run: Run) -> list[Breach]:
-        left_ms = self.leaving_ms.get((run.gateway, run.endpoint))
+        key = run.gateway, run.endpoint, run.start
+        left_ms = self.leaving_ms.get(key)
         if left_ms is None or run.at_ms - left_ms <= DRAIN_MS:
             return []
         if self.has_disruption(run.gateway, left_ms, run.at_ms):
--- a/foxtailpick/soak/world.py
+++ b/foxtailpick/soak/world.py
@@ -324,6 +324,7 @@
             endpoint.domain,
             seen.target.decode().split('/')[1],
             now_ms(),
+            start=endpoint.starts,
         )
         self.record.runs.append(run)
         try:
@@ -400,7 +401,7 @@
         await exchange.end_stream()
 
     def _record_leaving(self, endpoint: Endpoint, gateway: str) -> None:
-        key = gateway, endpoint.id
+        key = gateway, endpoint.id, endpoint.starts
         self.record.leaving_ms.setdefault(key, now_ms())
 
     async def restart_gateways(self) -> None:
--- a/foxtailpick/tests/test_soak.py
+++ b/foxtailpick/tests/test_soak.py
@@ -101,8 +101,12 @@
 def test_request_after_an_announced_departure_is_found():
     seen = record.Record()
     seen.runs = [make_run()]
-    seen.leaving_ms = {('g1', 'e1'): 18_000.0}
+    seen.leaving_ms = {('g1', 'e1', 0): 18_000.0}
     assert record.Rule.DRAIN in {item.rule for item in seen.check()}
+    # A new process of the endpoint is not leaving.
+    seen.runs = [make_run(start=1)]
+    assert record.Rule.DRAIN not in {item.rule for item in seen.check()}
+    seen.runs = [make_run()]
     seen.record_disruption('g1', 19_000.0, 19_100.0)
     assert record.Rule.DRAIN not in {item.rule for item in seen.check()}
 
