Take the start of an endpoint at the arrival of a request in the soak

A crash between the head of a response and its record moved an announcement of a departure to the next start.

--- a/foxtailpick/soak/world.py
+++ b/foxtailpick/soak/world.py
@@ -332,7 +332,7 @@
             if part is not None:
                 await self._crash(endpoint, exchange, gateway, part)
                 return
-            await self._run(endpoint, exchange, gateway)
+            await self._run(endpoint, exchange, gateway, run.start)
         finally:
             run.ended_ms = now_ms()
 
@@ -363,6 +363,7 @@
         endpoint: Endpoint,
         exchange: endpoint_server.Exchange,
         gateway: str,
+        start: int,
     ) -> None:
         signature = f'{endpoint.id}/{exchange.received.id}'.encode()
         behavior = endpoint.behavior if self.rng.random() < 0.5 else 'sound'
@@ -383,13 +384,13 @@
                 status, make_body(exchange.received.id), headers, False
             )
             if is_leaving:
-                self._record_leaving(endpoint, gateway)
+                self._record_leaving(endpoint, gateway, start)
             return
         last = int(exchange.received.headers.get(b'last-event-id', 0))
         events = count_events(exchange.received.id)
         await exchange.begin_stream(headers, False)
         if is_leaving:
-            self._record_leaving(endpoint, gateway)
+            self._record_leaving(endpoint, gateway, start)
         for number in range(last + 1, events + 1):
             pause_ms = self.plan.event_interval_ms * self.slowness
             await trio.sleep(pause_ms / types.SECOND_MS)
@@ -400,8 +401,10 @@
             await exchange.send_events(number, number)
         await exchange.end_stream()
 
-    def _record_leaving(self, endpoint: Endpoint, gateway: str) -> None:
-        key = gateway, endpoint.id, endpoint.starts
+    def _record_leaving(
+        self, endpoint: Endpoint, gateway: str, start: int
+    ) -> None:
+        key = gateway, endpoint.id, start
         self.record.leaving_ms.setdefault(key, now_ms())
 
     async def restart_gateways(self) -> None:
