--- a/foxtailpick/soak/record.py
+++ b/foxtailpick/soak/record.py
@@ -205,6 +205,8 @@
         self.added_routes: dict[str, float] = {}
         self.revoked_keys: dict[str, float] = {}
         self.added_keys: dict[str, float] = {}
+        # When an endpoint crashed, by endpoint.
+        self.crashes_ms: dict[str, list[float]] = collections.defaultdict(list)
         # When the process of a gateway was started, by gateway.
         self.starts: dict[str, list[float]] = collections.defaultdict(list)
         self.disruptions: dict[str, list[tuple[float, float]]] = (
@@ -326,10 +328,11 @@
         ):
             return False
         if any(
-            call.sent_ms <= crash_ms <= call.ended_ms
-            for part in self.crashing_parts.values()
-            for crash_ms in part.crashes_ms
+            run.at_ms <= crash_ms <= call.ended_ms
+            for run in runs
+            for crash_ms in self.crashes_ms[run.endpoint]
         ):
+            # Its own endpoint broke it off.
             return False
         for stop_ms in self.stops[call.gateway]:
             if not call.sent_ms - self.grace_ms < stop_ms <= call.ended_ms:
--- a/foxtailpick/soak/world.py
+++ b/foxtailpick/soak/world.py
@@ -349,6 +349,7 @@
         await exchange.begin_stream()
         await trio.sleep(CRASH_AFTER_MS / types.SECOND_MS)
         seen.crashes_ms.append(now_ms())
+        self.record.crashes_ms[endpoint.id].append(now_ms())
         endpoint.starts += 1
         endpoint.proxy.crash(CRASH_DOWN_MS)
         self.nursery.start_soon(self._list_again, endpoint)
