Log how long an endpoint was silent, and stalls of the gateway

The hypotheses on lost requests beside silent endpoints differ in whether a part of an answer had been relayed, how long nothing came from the endpoint, and whether the gateway itself stood still. The log told none of these. attempt-failed has ms_silent and relayed now, and a check of the watchdog that begins 150 ms late is logged and counted as a stall. No decision changes.

--- a/foxtailpick/gateway/attempt.py
+++ b/foxtailpick/gateway/attempt.py
@@ -52,12 +52,15 @@
     :param response: the endpoint's response, if it is an error response.
     :param answered_ms: when the endpoint began to respond, None if it did
         not.
+    :param silent_ms: time without data from it before a connection failed,
+        None otherwise.
     """
 
     end: retry_decision.AttemptEnd
     detail: str = ''
     response: BufferedResponse | None = None
     answered_ms: float | None = None
+    silent_ms: float | None = None
 
 
 async def run_attempt(
@@ -169,6 +172,7 @@
             retry_decision.AttemptEnd.BROKEN,
             str(exc),
             answered_ms=attempt.answered_ms,
+            silent_ms=gw.now_ms() - attempt.last_received_ms,
         )
         if exc.is_closed and not attempt.is_withdrawn:
             closed_ms = gw.now_ms()
--- a/foxtailpick/gateway/relay.py
+++ b/foxtailpick/gateway/relay.py
@@ -254,6 +254,8 @@
             end=result.end.value,
             why=result.detail,
             ms_answering=_compute_answering_ms(gw, result),
+            ms_silent=_round_ms(result.silent_ms),
+            relayed=reply.is_started,
             repeat=plan.value,
             sent=job.counted_attempts,
         )
@@ -472,6 +474,10 @@
     return round(gw.now_ms() - result.answered_ms, 1)
 
 
+def _round_ms(took_ms: float | None) -> float | None:
+    return None if took_ms is None else round(took_ms, 1)
+
+
 def _compute_first_ms(job: job_lib.Job | None) -> float | None:
     if job is None or job.answered_ms is None:
         return None
--- a/foxtailpick/gateway/watchdog.py
+++ b/foxtailpick/gateway/watchdog.py
@@ -9,6 +9,8 @@
 
 # Check interval of the watchdog, well below the read timeouts it enforces.
 CHECK_INTERVAL_MS = 50.0
+# A check that begins this late shows that the process itself stood still.
+STALL_MS = 150.0
 
 
 def can_retry_elsewhere(gw: context.Gateway, job: job_lib.Job) -> bool:
@@ -36,8 +38,12 @@
 async def watch_attempts(gw: context.Gateway) -> None:
     """Abort timed-out attempts that may be retried at another endpoint."""
     while True:
+        due_ms = gw.now_ms() + CHECK_INTERVAL_MS
         await trio.sleep(CHECK_INTERVAL_MS / types.SECOND_MS)
         now_ms = gw.now_ms()
+        if now_ms - due_ms >= STALL_MS:
+            gw.metrics.count('stalls')
+            gw.log.emit('stalled', ms=round(now_ms - due_ms))
         for attempt in list(gw.attempts):
             quiet_ms = now_ms - attempt.last_received_ms
             is_silent = attempt.endpoint.health.is_silent(now_ms)
