Keep a silent attempt until another endpoint answers

Callers saw streams broken off, 502 and 503 though their endpoint was sound and silent for about a second.

Cause: the watchdog closed the connection of a request that may be retried after 0.7 to 1.2 s of silence, and only then asked for another endpoint. If that one refused or failed, or none was free, nothing was left of a sound answer. The watchdog looked at the retry budget without taking from it, so all streams of a silent endpoint were given up for one token. Class of fault: giving up what works on a suspicion, before its replacement does.

Change: a silent request is sent to a second endpoint beside the first one. The first of the two that answers keeps the request and cancels the other. core/dispatch/hedging decides, gateway/attempt_group runs the attempts. Each request takes its token before its second attempt starts.

--- a/foxtailpick/core/dispatch/retry_decision.py
+++ b/foxtailpick/core/dispatch/retry_decision.py
@@ -41,6 +41,7 @@
     NO_ATTEMPT_LEFT = 'no-attempt-left'
     NO_BUDGET = 'no-budget'
     MAY_CRASH = 'may-crash-endpoint'
+    ATTEMPT_PENDING = 'attempt-pending'
 
 
 def get_verdict(end: AttemptEnd) -> verdict_lib.Verdict:
--- a/foxtailpick/gateway/attempt.py
+++ b/foxtailpick/gateway/attempt.py
@@ -1,7 +1,7 @@
 """Executes one attempt of a request at one endpoint."""
 
 import dataclasses
-import functools
+import typing
 
 import trio
 
@@ -24,7 +24,6 @@
 from foxtailpick.gateway import job as job_lib
 from foxtailpick.gateway import quarantine
 from foxtailpick.gateway import reply as reply_lib
-from foxtailpick.gateway import watchdog
 
 # Late answers to earlier requests that are skipped on a reused connection.
 MAX_FOREIGN_ANSWERS = 4
@@ -63,11 +62,26 @@
     silent_ms: float | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class GroupHooks:
+    """How an attempt acts on the others of the same request.
+
+    :param claim: cancels them, as this one answers; False if another one
+        has done so.
+    :param report_silence: reports that the endpoint is silent or, with
+        False, that it no longer is.
+    """
+
+    claim: typing.Callable[[], bool]
+    report_silence: typing.Callable[[bool], None]
+
+
 async def run_attempt(
     gw: context.Gateway,
     job: job_lib.Job,
     choice: placing.Choice,
     reply: reply_lib.Reply,
+    hooks: GroupHooks,
 ) -> AttemptResult:
     """Send a request to an endpoint and relay the response.
 
@@ -75,6 +89,7 @@
     :param job: the request.
     :param choice: the selected endpoint.
     :param reply: writer of the response to the caller.
+    :param hooks: the other attempts of the request.
     :raises http1.BrokenConnectionError: if the caller disconnected.
     """
     endpoint = choice.endpoint
@@ -85,7 +100,7 @@
     if endpoint.health.awaiting_since_ms is None:
         endpoint.health.awaiting_since_ms = now_ms
     try:
-        return await _run_with_connection(gw, job, choice, reply)
+        return await _run_with_connection(gw, job, choice, reply, hooks)
     finally:
         endpoint.running -= 1
         if endpoint.running == 0:
@@ -123,12 +138,13 @@
     job: job_lib.Job,
     choice: placing.Choice,
     reply: reply_lib.Reply,
+    hooks: GroupHooks,
 ) -> AttemptResult:
     endpoint = choice.endpoint
     try:
         conn = await gw.pool.acquire(endpoint)
     except OSError as exc:
-        _record_failure(gw, endpoint, f'cannot connect: {exc}', True)
+        record_failure(gw, endpoint, f'cannot connect: {exc}', True)
         return AttemptResult(retry_decision.AttemptEnd.UNREACHABLE, str(exc))
     if not gw.state.table.is_sendable(endpoint, gw.now_ms()):
         gw.pool.release(endpoint, conn, True)
@@ -155,14 +171,16 @@
             job.route.target_ms,
             job.route.kind is model.RequestKind.STREAMING,
         ),
-        functools.partial(watchdog.can_retry_elsewhere, gw, job),
+        hooks.report_silence,
         parts=job.shared_parts,
     )
     gw.attempts.add(attempt)
     try:
         job.counted_attempts += 1
         job.sends += 1
-        result = await _exchange(gw, job, choice, attempt, conn, reply)
+        result = await _exchange(
+            gw, job, choice, attempt, conn, reply, hooks.claim
+        )
         is_reusable = result.end is not retry_decision.AttemptEnd.BROKEN
     except (
         endpoint_io.InvalidResponseError,
@@ -206,7 +224,7 @@
             result.end is retry_decision.AttemptEnd.MISDIRECTED
             or endpoint.health.is_silent(gw.now_ms())
         )
-        _record_failure(gw, endpoint, result.detail, is_gone)
+        record_failure(gw, endpoint, result.detail, is_gone)
     return result
 
 
@@ -217,11 +235,12 @@
     attempt: context.Attempt,
     conn: client_lib.ClientConnection,
     reply: reply_lib.Reply,
+    claim: typing.Callable[[], bool],
 ) -> AttemptResult:
     data = _format_request(gw, job, choice)
     if len(data) <= http1.INLINE_BODY_BYTES:
         await endpoint_io.send(conn, data)
-        return await _receive(gw, job, attempt, conn, reply)
+        return await _receive(gw, job, attempt, conn, reply, claim)
     # A long request is sent concurrently with reading the response: an
     # endpoint may respond before it has read the whole body.
     sent = trio.Event()
@@ -230,7 +249,7 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_send_concurrently, conn, data, sent)
         try:
-            result = await _receive(gw, job, attempt, conn, reply)
+            result = await _receive(gw, job, attempt, conn, reply, claim)
         except OSError as exc:
             # Raised below: the nursery would wrap it in an exception group.
             error = exc
@@ -285,6 +304,7 @@
     attempt: context.Attempt,
     conn: client_lib.ClientConnection,
     reply: reply_lib.Reply,
+    claim: typing.Callable[[], bool],
 ) -> AttemptResult:
     sent_ms = gw.now_ms()
     head, meta = await _read_head(gw, job, attempt, conn)
@@ -320,7 +340,11 @@
     if is_success and job.answered_ms is None:
         job.answered_ms = now_ms
     if is_success and job.route.kind is model.RequestKind.STREAMING:
-        return await _relay_stream(gw, job, attempt, conn, reply, head, meta)
+        return await _relay_stream(
+            gw, job, attempt, conn, reply, claim, head, meta
+        )
+    if is_success:
+        await _claim_response(claim)
     body = await endpoint_io.read_body(gw, conn)
     if not is_success:
         if head.status >= _SERVER_ERROR:
@@ -371,21 +395,21 @@
     attempt: context.Attempt,
     conn: client_lib.ClientConnection,
     reply: reply_lib.Reply,
+    claim: typing.Callable[[], bool],
     head: client_lib.ResponseHead,
     meta: model.ResponseMeta,
 ) -> AttemptResult:
-    if not reply.is_started:
-        reply.begin(
-            head.status, [*meta.forwarded, *_get_signature_headers(meta)]
-        )
     splitter = job.splitter
-    if splitter is not None:
-        splitter.drop_incomplete_event()
     boundary = event_stream.EventBoundary()
     is_closed = head.framing is client_lib.Framing.CLOSE
     is_sound = False
+    is_first = True
     while True:
         event = await endpoint_io.next_event(gw, attempt, conn)
+        await _claim_response(claim)
+        if is_first:
+            is_first = False
+            _take_over_stream(job, reply, head, meta)
         if event is client_lib.END:
             break
         if not isinstance(event, bytes):
@@ -430,6 +454,26 @@
     return AttemptResult(retry_decision.AttemptEnd.DELIVERED)
 
 
+async def _claim_response(claim: typing.Callable[[], bool]) -> None:
+    if not claim():
+        # Another attempt answers, and this one is already cancelled.
+        await trio.sleep_forever()
+
+
+def _take_over_stream(
+    job: job_lib.Job,
+    reply: reply_lib.Reply,
+    head: client_lib.ResponseHead,
+    meta: model.ResponseMeta,
+) -> None:
+    if not reply.is_started:
+        reply.begin(
+            head.status, [*meta.forwarded, *_get_signature_headers(meta)]
+        )
+    if job.splitter is not None:
+        job.splitter.drop_incomplete_event()
+
+
 def _is_past_start(gw: context.Gateway, attempt: context.Attempt) -> bool:
     return (
         attempt.answered_ms is not None
@@ -453,12 +497,19 @@
     return [meta.signature] if meta.signature is not None else []
 
 
-def _record_failure(
+def record_failure(
     gw: context.Gateway,
     endpoint: endpoint_table.Endpoint,
     why: str,
     is_fatal: bool,
 ) -> None:
+    """Record a failure of an endpoint, which may pause it.
+
+    :param gw: the gateway.
+    :param endpoint: the endpoint.
+    :param why: how it failed.
+    :param is_fatal: whether this failure alone pauses it.
+    """
     now_ms = gw.now_ms()
     if health.record_failure(endpoint.health, now_ms, is_fatal):
         gw.metrics.count('endpoint_pauses')
--- a/foxtailpick/gateway/context.py
+++ b/foxtailpick/gateway/context.py
@@ -40,11 +40,12 @@
     :param endpoint: the endpoint.
     :param conn: the connection to it.
     :param last_received_ms: when data of the response last arrived.
-    :param read_timeout_ms: time without data after which it is retried at
-        another endpoint, if possible.
-    :param can_retry_elsewhere: tells whether that is possible.
+    :param read_timeout_ms: time without data after which it is silent.
+    :param report_silence: reports that it is silent or, with False, that
+        it no longer is.
     :param is_reading: whether it is reading from the endpoint, as opposed
         to writing to the caller.
+    :param is_silent: whether its silence was reported.
     :param is_failure_recorded: whether its timeout was recorded as a failure.
     :param answered_ms: when the endpoint began to respond, None before that.
     :param parts: shared parts of the request's prompt.
@@ -56,8 +57,9 @@
     conn: client_lib.ClientConnection
     last_received_ms: float
     read_timeout_ms: float
-    can_retry_elsewhere: typing.Callable[[], bool]
+    report_silence: typing.Callable[[bool], None]
     is_reading: bool = False
+    is_silent: bool = False
     is_failure_recorded: bool = False
     answered_ms: float | None = None
     parts: tuple[types.PartId, ...] = ()
--- a/foxtailpick/gateway/endpoint_io.py
+++ b/foxtailpick/gateway/endpoint_io.py
@@ -61,6 +61,9 @@
         attempt.is_reading = False
     now_ms = gw.now_ms()
     attempt.last_received_ms = now_ms
+    if attempt.is_silent:
+        attempt.is_silent = False
+        attempt.report_silence(False)
     attempt.endpoint.health.last_received_ms = now_ms
     return event
 
--- a/foxtailpick/gateway/relay.py
+++ b/foxtailpick/gateway/relay.py
@@ -3,12 +3,15 @@
 import contextlib
 import math
 import traceback
+import typing
 
 import trio
 
 from foxtailpick.core.dispatch import account_usage
 from foxtailpick.core.dispatch import admission_queue
+from foxtailpick.core.dispatch import endpoint_table
 from foxtailpick.core.dispatch import event_stream
+from foxtailpick.core.dispatch import hedging
 from foxtailpick.core.dispatch import model
 from foxtailpick.core.dispatch import placing
 from foxtailpick.core.dispatch import refusal
@@ -20,6 +23,7 @@
 from foxtailpick.core import verdict as verdict_lib
 from foxtailpick.gateway import admission
 from foxtailpick.gateway import attempt as attempt_lib
+from foxtailpick.gateway import attempt_group
 from foxtailpick.gateway import context
 from foxtailpick.gateway import http1
 from foxtailpick.gateway import job as job_lib
@@ -214,16 +218,34 @@
 ) -> model.Outcome:
     quarantine.check_prompt(gw, job)
     await admission.wait_for_slot(gw, job)
+    outcome = model.Outcome.CALLER_LEFT
+    error: Exception | None = None
+    async with trio.open_nursery() as nursery:
+        group = attempt_group.AttemptGroup(gw, job, reply, nursery)
+        try:
+            outcome = await _relay_attempts(gw, job, reply, group)
+        except Exception as exc:
+            # Raised below: the nursery would wrap it in an exception group.
+            error = exc
+        nursery.cancel_scope.cancel()
+    if error is not None:
+        raise error
+    return outcome
+
+
+async def _relay_attempts(
+    gw: context.Gateway,
+    job: job_lib.Job,
+    reply: reply_lib.Reply,
+    group: attempt_group.AttemptGroup,
+) -> model.Outcome:
     while True:
-        choice = await _wait_for_endpoint(gw, job)
-        sent_ms = gw.now_ms()
-        result = await _run_attempt(gw, job, choice, reply)
-        job.verdict = verdict_lib.merge_verdicts(
-            job.verdict, retry_decision.get_verdict(result.end)
-        )
+        group.start(await _wait_for_endpoint(gw, job))
+        runner, result = await _wait_for_result(gw, job, reply, group)
         if result.end is retry_decision.AttemptEnd.DELIVERED:
             admission_queue.record_run(
-                gw.get_queue(job.service.name), gw.now_ms() - sent_ms
+                gw.get_queue(job.service.name),
+                gw.now_ms() - runner.started_ms,
             )
             if job.route.kind is model.RequestKind.STREAMING:
                 gw.stream_timing.observe(
@@ -231,9 +253,6 @@
                     job.meta.output_tokens,
                 )
             return model.Outcome.ANSWERED
-        job.tried.add(choice.endpoint.id)
-        if result.end in _NOT_REACHED:
-            job.unreached += 1
         plan = retry_decision.decide_retry(
             result.end,
             job.route,
@@ -247,19 +266,7 @@
             and not _has_untried_endpoint(gw, job)
         ):
             plan = retry_decision.RetryDecision.NO_ATTEMPT_LEFT
-        gw.log.emit_request(
-            'attempt-failed',
-            request=job.meta.id,
-            endpoint=choice.endpoint.id,
-            end=result.end.value,
-            why=result.detail,
-            ms_answering=_compute_answering_ms(gw, result),
-            ms_silent=_round_ms(result.silent_ms),
-            relayed=reply.is_started,
-            repeat=plan.value,
-            sent=job.counted_attempts,
-        )
-        gw.metrics.count('attempts_failed')
+        _log_failed_attempt(gw, job, reply, runner, result, plan)
         if plan is retry_decision.RetryDecision.ALLOWED:
             if job.sends:
                 gw.budget.withdraw(job.service.name)
@@ -270,21 +277,118 @@
         raise _make_attempt_error(gw, job, result)
 
 
-async def _run_attempt(
+async def _wait_for_result(
     gw: context.Gateway,
     job: job_lib.Job,
-    choice: placing.Choice,
     reply: reply_lib.Reply,
-) -> attempt_lib.AttemptResult:
-    sends_before = job.sends
-    try:
-        return await attempt_lib.run_attempt(gw, job, choice, reply)
-    except trio.Cancelled:
-        if job.sends > sends_before:
-            job.verdict = verdict_lib.merge_verdicts(
-                job.verdict, verdict_lib.Verdict.MAY_HAVE_RUN
+    group: attempt_group.AttemptGroup,
+) -> tuple[attempt_group.Runner, attempt_lib.AttemptResult]:
+    """Wait until a response was delivered or no attempt is in flight."""
+    while True:
+        event = await group.next_event()
+        if isinstance(event, attempt_group.Runner):
+            _hedge(gw, job, group, event)
+            continue
+        result = event.result
+        if isinstance(result, errors.RequestError) and group.runners:
+            gw.log.emit_request(
+                'attempt-refused', request=job.meta.id, why=result.message
             )
-        raise
+            continue
+        if isinstance(result, Exception):
+            raise result
+        job.verdict = verdict_lib.merge_verdicts(
+            job.verdict, retry_decision.get_verdict(result.end)
+        )
+        if result.end in _NOT_REACHED:
+            job.unreached += 1
+        if (
+            result.end is retry_decision.AttemptEnd.DELIVERED
+            or not group.runners
+        ):
+            return event.runner, result
+        _log_failed_attempt(
+            gw,
+            job,
+            reply,
+            event.runner,
+            result,
+            retry_decision.RetryDecision.ATTEMPT_PENDING,
+        )
+
+
+def _hedge(
+    gw: context.Gateway,
+    job: job_lib.Job,
+    group: attempt_group.AttemptGroup,
+    runner: attempt_group.Runner,
+) -> None:
+    """Send a silent request to another endpoint as well, if possible."""
+    decision = hedging.decide_hedge(
+        job.route,
+        job.counted_attempts,
+        group.is_each_silent,
+        gw.budget.get_tokens(job.service.name) >= 1,
+        gw.prompts.may_crash(job.shared_parts, gw.now_ms()),
+    )
+    choice = None
+    if decision is hedging.HedgeDecision.ALLOWED:
+        found = _choose_endpoint(gw, job).found
+        if (
+            isinstance(found, placing.Choice)
+            and found.reason is not placing.Reason.LAST_RESORT
+        ):
+            choice = found
+        else:
+            decision = hedging.HedgeDecision.NO_ENDPOINT
+    if decision is not runner.decision:
+        runner.decision = decision
+        gw.log.emit_request(
+            'silent',
+            request=job.meta.id,
+            endpoint=runner.choice.endpoint.id,
+            ms_taken=round(gw.now_ms() - runner.started_ms, 1),
+            hedge=decision.value,
+            sent=job.counted_attempts,
+        )
+    if choice is None:
+        return
+    gw.budget.withdraw(job.service.name)
+    gw.metrics.count('repeats')
+    gw.metrics.count('hedges')
+    _log_placement(gw, job, choice, gw.now_ms())
+    group.start(choice)
+
+
+class _Placement(typing.NamedTuple):
+    """Outcome of one try to choose an endpoint.
+
+    :param found: the choice, or the reason why there is none.
+    :param endpoints: the endpoints to choose from.
+    """
+
+    found: placing.Choice | placing.Obstacle
+    endpoints: list[endpoint_table.Endpoint]
+
+
+def _choose_endpoint(gw: context.Gateway, job: job_lib.Job) -> _Placement:
+    now_ms = gw.now_ms()
+    table = gw.state.table
+    service = job.service.name
+    query = placing.Query(
+        service=job.service,
+        prefix=job.prefix,
+        tried=frozenset(job.tried),
+        routers=gw.state.router_count,
+        now_ms=now_ms,
+        service_mean_load=table.compute_mean_load(service),
+        leaving=table.list_leaving(service, now_ms),
+    )
+    endpoints = table.list_service(service) or table.list_last_resort(
+        service, now_ms
+    )
+    found = placing.choose_endpoint(endpoints, query, gw.rng)
+    return _Placement(found, endpoints)
 
 
 async def _wait_for_endpoint(
@@ -292,23 +396,8 @@
 ) -> placing.Choice:
     began_ms = gw.now_ms()
     while True:
+        found, endpoints = _choose_endpoint(gw, job)
         now_ms = gw.now_ms()
-        query = placing.Query(
-            service=job.service,
-            prefix=job.prefix,
-            tried=frozenset(job.tried),
-            routers=gw.state.router_count,
-            now_ms=now_ms,
-            service_mean_load=gw.state.table.compute_mean_load(
-                job.service.name
-            ),
-            leaving=gw.state.table.list_leaving(job.service.name, now_ms),
-        )
-        table = gw.state.table
-        endpoints = table.list_service(
-            job.service.name
-        ) or table.list_last_resort(job.service.name, now_ms)
-        found = placing.choose_endpoint(endpoints, query, gw.rng)
         if isinstance(found, placing.Choice):
             _log_placement(gw, job, found, now_ms)
             return found
@@ -414,6 +503,29 @@
     return model.Outcome.REFUSED
 
 
+def _log_failed_attempt(
+    gw: context.Gateway,
+    job: job_lib.Job,
+    reply: reply_lib.Reply,
+    runner: attempt_group.Runner,
+    result: attempt_lib.AttemptResult,
+    plan: retry_decision.RetryDecision,
+) -> None:
+    gw.log.emit_request(
+        'attempt-failed',
+        request=job.meta.id,
+        endpoint=runner.choice.endpoint.id,
+        end=result.end.value,
+        why=result.detail,
+        ms_answering=_compute_answering_ms(gw, result),
+        ms_silent=_round_ms(result.silent_ms),
+        relayed=reply.is_started,
+        repeat=plan.value,
+        sent=job.counted_attempts,
+    )
+    gw.metrics.count('attempts_failed')
+
+
 def _log_placement(
     gw: context.Gateway,
     job: job_lib.Job,
--- a/foxtailpick/gateway/watchdog.py
+++ b/foxtailpick/gateway/watchdog.py
@@ -1,11 +1,10 @@
-"""Aborts attempts whose endpoint is silent and that may move to another."""
+"""Reports attempts whose endpoint is silent."""
 
 import trio
 
 from foxtailpick.core.dispatch import health
 from foxtailpick.core import types
 from foxtailpick.gateway import context
-from foxtailpick.gateway import job as job_lib
 
 # Check interval of the watchdog, well below the read timeouts it enforces.
 CHECK_INTERVAL_MS = 50.0
@@ -13,30 +12,8 @@
 STALL_MS = 150.0
 
 
-def can_retry_elsewhere(gw: context.Gateway, job: job_lib.Job) -> bool:
-    """Tell whether a request without a response may move to another endpoint.
-
-    :param gw: the gateway.
-    :param job: the request.
-    """
-    if (
-        not job.route.is_idempotent
-        or job.counted_attempts >= job.route.max_attempts
-    ):
-        return False
-    if gw.budget.get_tokens(job.service.name) < 1:
-        return False
-    if gw.prompts.may_crash(job.shared_parts, gw.now_ms()):
-        return False
-    # More endpoints have to be listed than attempts were made.
-    return (
-        len(gw.state.table.list_service(job.service.name))
-        > job.counted_attempts
-    )
-
-
 async def watch_attempts(gw: context.Gateway) -> None:
-    """Abort timed-out attempts that may be retried at another endpoint."""
+    """Report attempts that get no data, again at each check."""
     while True:
         due_ms = gw.now_ms() + CHECK_INTERVAL_MS
         await trio.sleep(CHECK_INTERVAL_MS / types.SECOND_MS)
@@ -56,5 +33,5 @@
                 # Recorded at once, even if the request cannot be retried.
                 attempt.is_failure_recorded = True
                 health.record_failed_request(attempt.endpoint.health, now_ms)
-            if attempt.can_retry_elsewhere():
-                attempt.conn.abort()
+            attempt.is_silent = True
+            attempt.report_silence(True)
