Don't blame a stall of the gateway on its endpoints

After the process had stood still, for example while it read a large configuration, the watchdog ran before the sockets were read and took the time for a silence of all endpoints: their requests were hedged and their failures counted. A check that begins late is passed over now; the next one, 50 ms later, sees what was received. The log line had overwritten its own time stamp (ms); its field is ms_late.

--- a/foxtailpick/gateway/watchdog.py
+++ b/foxtailpick/gateway/watchdog.py
@@ -20,7 +20,9 @@
         now_ms = gw.now_ms()
         if now_ms - due_ms >= STALL_MS:
             gw.metrics.count('stalls')
-            gw.log.emit('stalled', ms=round(now_ms - due_ms))
+            gw.log.emit('stalled', ms_late=round(now_ms - due_ms))
+            # What the endpoints sent meanwhile is not yet read.
+            continue
         for attempt in list(gw.attempts):
             quiet_ms = now_ms - attempt.last_received_ms
             is_silent = attempt.endpoint.health.is_silent(now_ms)
