Take back a failure counted for a silence when the stream goes on

A silence within a stream was counted as a failed request and reported to the hub, which ejects endpoints that failed requests of two gateways; only a silence before the head was taken back. A sound endpoint that is silent for a second would have been ejected after it went on.

--- a/foxtailpick/core/dispatch/health.py
+++ b/foxtailpick/core/dispatch/health.py
@@ -155,7 +155,17 @@
     decay(health, now_ms)
     health.started_answers += 1
     if was_counted:
-        health.failed_requests = max(0.0, health.failed_requests - 1)
+        revert_failed_request(health, now_ms)
+
+
+def revert_failed_request(health: Health, now_ms: float) -> None:
+    """Take back a failed request: the endpoint was silent, but goes on.
+
+    :param health: state of the endpoint.
+    :param now_ms: current time.
+    """
+    decay(health, now_ms)
+    health.failed_requests = max(0.0, health.failed_requests - 1)
 
 
 def decay(health: Health, now_ms: float) -> None:
--- a/foxtailpick/gateway/endpoint_io.py
+++ b/foxtailpick/gateway/endpoint_io.py
@@ -2,6 +2,7 @@
 
 import errno
 
+from foxtailpick.core.dispatch import health
 from foxtailpick.gateway import client as client_lib
 from foxtailpick.gateway import context
 from foxtailpick.gateway import exchange
@@ -64,6 +65,11 @@
     if attempt.is_silent:
         attempt.is_silent = False
         attempt.report_silence(False)
+    if attempt.is_failure_recorded and attempt.answered_ms is not None:
+        # The endpoint goes on; a silence before the head is taken back
+        # with the head.
+        attempt.is_failure_recorded = False
+        health.revert_failed_request(attempt.endpoint.health, now_ms)
     attempt.endpoint.health.last_received_ms = now_ms
     return event
 
