Count and hand over attempts of a hedged request exactly

- An attempt took its share of a cold endpoint's rate and of the connections one step after its placement, so requests that arrived together all passed with the same share.
AttemptGroup.start takes it at once.
- A request that was cut off at the deadline or the end of the grace period could be answered 503, not run, though it had been sent: with a long body, or if its attempt failed in the same step.
Each attempt records its verdict itself, however it ends.
- An empty or broken response replaced the silent attempt.
A response is claimed with its first whole event or its whole body.
- A stream that had begun could run at two endpoints without a bound.
- The last of several ends alone decided on a retry, and the error response of another one was lost.
The end that may have done the most decides, and an error response is relayed if nothing better comes.
- One silence raised the time after which the route's next silent request is hedged from 100 to 2,064 ms (measured).
A sample counts for at most twice the timeout that it exceeded.

--- a/foxtailpick/core/dispatch/event_stream.py
+++ b/foxtailpick/core/dispatch/event_stream.py
@@ -21,6 +21,7 @@
     def __init__(self) -> None:
         self._tail = b''
         self._event_bytes = 0
+        self.has_event = False
 
     def feed(self, data: bytes) -> None:
         """Add received bytes.
@@ -35,6 +36,7 @@
             for line in _BLANK_LINES
         )
         if end:
+            self.has_event = True
             self._event_bytes = len(recent) - end
         else:
             self._event_bytes += len(data)
--- a/foxtailpick/core/dispatch/response_timeout.py
+++ b/foxtailpick/core/dispatch/response_timeout.py
@@ -9,11 +9,14 @@
 """
 
 import dataclasses
+import math
 
 # The timeout is this many mean deviations above the mean; compare the TCP
 # retransmission timeout (RFC 6298), whose sample weights are used too.
 DEVIATIONS = 5.0
 MEAN_WEIGHT = 0.125
+# A sample counts as at most this multiple of the timeout that it exceeded.
+MAX_SAMPLE_TIMEOUTS = 2.0
 DEVIATION_WEIGHT = 0.25
 # Minimum timeout of a stream, as a multiple of its target latency: another
 # engine would have to process the prompt again.
@@ -37,11 +40,15 @@
     mean_ms: float | None = None
     deviation_ms: float = 0.0
 
-    def observe(self, took_ms: float) -> None:
+    def observe(self, took_ms: float, timeout_ms: float = math.inf) -> None:
         """Add a sample.
 
         :param took_ms: time to the first byte of an answer.
+        :param timeout_ms: timeout that was in force; the silence of a single
+            endpoint counts for a small multiple of it, while answers that
+            stay slow still raise it.
         """
+        took_ms = min(took_ms, MAX_SAMPLE_TIMEOUTS * timeout_ms)
         if self.mean_ms is None:
             self.mean_ms = took_ms
             self.deviation_ms = took_ms / 2
--- a/foxtailpick/core/dispatch/retry_decision.py
+++ b/foxtailpick/core/dispatch/retry_decision.py
@@ -8,6 +8,7 @@
 """
 
 import enum
+import typing
 
 from foxtailpick.core.dispatch import model
 from foxtailpick.core import verdict as verdict_lib
@@ -33,6 +34,16 @@
 )
 
 
+_ENDS_BY_EFFECT = (
+    AttemptEnd.DELIVERED,
+    AttemptEnd.BROKEN,
+    AttemptEnd.ERROR_ANSWER,
+    AttemptEnd.REFUSED,
+    AttemptEnd.MISDIRECTED,
+    AttemptEnd.UNREACHABLE,
+)
+
+
 class RetryDecision(enum.Enum):
     """Whether a request is retried or, if not, the reason."""
 
@@ -56,6 +67,17 @@
     return verdict_lib.Verdict.RAN
 
 
+def choose_decisive_end(ends: typing.Iterable[AttemptEnd]) -> AttemptEnd:
+    """Return the end that decides on a retry after several attempts.
+
+    It is the end of the attempt that may have done the most.
+
+    :param ends: how attempts that were in flight together ended, at least
+        one.
+    """
+    return min(ends, key=_ENDS_BY_EFFECT.index)
+
+
 def decide_retry(
     end: AttemptEnd,
     route: model.Route,
--- a/foxtailpick/gateway/attempt.py
+++ b/foxtailpick/gateway/attempt.py
@@ -33,15 +33,6 @@
 _NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class BufferedResponse:
-    """A complete response of an endpoint."""
-
-    status: int
-    meta: model.ResponseMeta
-    body: bytes
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttemptResult:
     """Outcome of an attempt.
@@ -57,7 +48,7 @@
 
     end: retry_decision.AttemptEnd
     detail: str = ''
-    response: BufferedResponse | None = None
+    response: job_lib.BufferedResponse | None = None
     answered_ms: float | None = None
     silent_ms: float | None = None
 
@@ -66,80 +57,58 @@
 class GroupHooks:
     """How an attempt acts on the others of the same request.
 
-    :param claim: cancels them, as this one answers; False if another one
-        has done so.
+    :param report_sent: reports that the request is sent.
     :param report_silence: reports that the endpoint is silent or, with
         False, that it no longer is.
+    :param claim: tells whether this attempt may write to the caller, False
+        if another one does. With True, as for a whole event or response,
+        the others are cancelled.
     """
 
-    claim: typing.Callable[[], bool]
+    report_sent: typing.Callable[[], None]
     report_silence: typing.Callable[[bool], None]
+    claim: typing.Callable[[bool], bool]
 
 
-async def run_attempt(
-    gw: context.Gateway,
-    job: job_lib.Job,
-    choice: placing.Choice,
-    reply: reply_lib.Reply,
-    hooks: GroupHooks,
-) -> AttemptResult:
-    """Send a request to an endpoint and relay the response.
+def reserve(endpoint: endpoint_table.Endpoint, now_ms: float) -> None:
+    """Count an attempt at an endpoint, which is about to start.
 
-    :param gw: the gateway.
-    :param job: the request.
-    :param choice: the selected endpoint.
-    :param reply: writer of the response to the caller.
-    :param hooks: the other attempts of the request.
-    :raises http1.BrokenConnectionError: if the caller disconnected.
+    :param endpoint: the endpoint.
+    :param now_ms: current time.
     """
-    endpoint = choice.endpoint
-    now_ms = gw.now_ms()
     if endpoint.is_cold(now_ms):
         token_bucket.take_token(endpoint.warmup_bucket)
     endpoint.running += 1
     if endpoint.health.awaiting_since_ms is None:
         endpoint.health.awaiting_since_ms = now_ms
-    try:
-        return await _run_with_connection(gw, job, choice, reply, hooks)
-    finally:
-        endpoint.running -= 1
-        if endpoint.running == 0:
-            endpoint.health.awaiting_since_ms = None
 
 
-async def deliver_error(
-    job: job_lib.Job, result: AttemptResult, reply: reply_lib.Reply
-) -> model.Outcome:
-    """Relay an endpoint's error response unchanged.
+def release(endpoint: endpoint_table.Endpoint) -> None:
+    """End what `reserve` began.
 
-    A status that implies that the request was not executed is replaced by
-    502 for a non-idempotent request, which may have been executed.
+    :param endpoint: the endpoint.
     """
-    answer = result.response
-    assert answer is not None
-    headers = list(answer.meta.forwarded)
-    status = answer.status
-    if status in _NOT_EXECUTED_STATUSES and not job.route.is_idempotent:
-        headers, body = reply_lib.format_error(
-            errors.ErrorCode.ENDPOINT_FAILED.value,
-            f'endpoint answered {status}, but may have run the request',
-            None,
-        )
-        await reply.send_response(502, headers, body)
-        return model.Outcome.OUTCOME_UNKNOWN
-    if answer.meta.signature is not None:
-        headers.append(answer.meta.signature)
-    await reply.send_response(status, headers, answer.body)
-    return model.Outcome.FAILED_BY_ENDPOINT
+    endpoint.running -= 1
+    if endpoint.running == 0:
+        endpoint.health.awaiting_since_ms = None
 
 
-async def _run_with_connection(
+async def run_attempt(
     gw: context.Gateway,
     job: job_lib.Job,
     choice: placing.Choice,
     reply: reply_lib.Reply,
     hooks: GroupHooks,
 ) -> AttemptResult:
+    """Send a request to an endpoint and relay the response.
+
+    :param gw: the gateway.
+    :param job: the request.
+    :param choice: the selected endpoint.
+    :param reply: writer of the response to the caller.
+    :param hooks: the other attempts of the request.
+    :raises http1.BrokenConnectionError: if the caller disconnected.
+    """
     endpoint = choice.endpoint
     try:
         conn = await gw.pool.acquire(endpoint)
@@ -178,9 +147,8 @@
     try:
         job.counted_attempts += 1
         job.sends += 1
-        result = await _exchange(
-            gw, job, choice, attempt, conn, reply, hooks.claim
-        )
+        hooks.report_sent()
+        result = await _exchange(gw, job, choice, attempt, conn, reply, hooks)
         is_reusable = result.end is not retry_decision.AttemptEnd.BROKEN
     except (
         endpoint_io.InvalidResponseError,
@@ -228,6 +196,32 @@
     return result
 
 
+async def deliver_error(
+    job: job_lib.Job,
+    answer: job_lib.BufferedResponse,
+    reply: reply_lib.Reply,
+) -> model.Outcome:
+    """Relay an endpoint's error response unchanged.
+
+    A status that implies that the request was not executed is replaced by
+    502 for a non-idempotent request, which may have been executed.
+    """
+    headers = list(answer.meta.forwarded)
+    status = answer.status
+    if status in _NOT_EXECUTED_STATUSES and not job.route.is_idempotent:
+        headers, body = reply_lib.format_error(
+            errors.ErrorCode.ENDPOINT_FAILED.value,
+            f'endpoint answered {status}, but may have run the request',
+            None,
+        )
+        await reply.send_response(502, headers, body)
+        return model.Outcome.OUTCOME_UNKNOWN
+    if answer.meta.signature is not None:
+        headers.append(answer.meta.signature)
+    await reply.send_response(status, headers, answer.body)
+    return model.Outcome.FAILED_BY_ENDPOINT
+
+
 async def _exchange(
     gw: context.Gateway,
     job: job_lib.Job,
@@ -235,12 +229,12 @@
     attempt: context.Attempt,
     conn: client_lib.ClientConnection,
     reply: reply_lib.Reply,
-    claim: typing.Callable[[], bool],
+    hooks: GroupHooks,
 ) -> AttemptResult:
     data = _format_request(gw, job, choice)
     if len(data) <= http1.INLINE_BODY_BYTES:
         await endpoint_io.send(conn, data)
-        return await _receive(gw, job, attempt, conn, reply, claim)
+        return await _receive(gw, job, attempt, conn, reply, hooks)
     # A long request is sent concurrently with reading the response: an
     # endpoint may respond before it has read the whole body.
     sent = trio.Event()
@@ -249,7 +243,7 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_send_concurrently, conn, data, sent)
         try:
-            result = await _receive(gw, job, attempt, conn, reply, claim)
+            result = await _receive(gw, job, attempt, conn, reply, hooks)
         except OSError as exc:
             # Raised below: the nursery would wrap it in an exception group.
             error = exc
@@ -304,12 +298,14 @@
     attempt: context.Attempt,
     conn: client_lib.ClientConnection,
     reply: reply_lib.Reply,
-    claim: typing.Callable[[], bool],
+    hooks: GroupHooks,
 ) -> AttemptResult:
     sent_ms = gw.now_ms()
     head, meta = await _read_head(gw, job, attempt, conn)
     now_ms = gw.now_ms()
-    gw.first_byte_estimates[job.route.name].observe(now_ms - sent_ms)
+    gw.first_byte_estimates[job.route.name].observe(
+        now_ms - sent_ms, attempt.read_timeout_ms
+    )
     if head.status < _SERVER_ERROR:
         health.record_answer_start(
             attempt.endpoint.health, now_ms, attempt.is_failure_recorded
@@ -341,10 +337,8 @@
         job.answered_ms = now_ms
     if is_success and job.route.kind is model.RequestKind.STREAMING:
         return await _relay_stream(
-            gw, job, attempt, conn, reply, claim, head, meta
+            gw, job, attempt, conn, reply, hooks, head, meta
         )
-    if is_success:
-        await _claim_response(claim)
     body = await endpoint_io.read_body(gw, conn)
     if not is_success:
         if head.status >= _SERVER_ERROR:
@@ -354,8 +348,9 @@
         return AttemptResult(
             retry_decision.AttemptEnd.ERROR_ANSWER,
             f'status {head.status}',
-            BufferedResponse(head.status, meta, body),
+            job_lib.BufferedResponse(head.status, meta, body),
         )
+    await _claim_response(hooks, True)
     await reply.send_response(
         head.status, [*meta.forwarded, *_get_signature_headers(meta)], body
     )
@@ -395,7 +390,7 @@
     attempt: context.Attempt,
     conn: client_lib.ClientConnection,
     reply: reply_lib.Reply,
-    claim: typing.Callable[[], bool],
+    hooks: GroupHooks,
     head: client_lib.ResponseHead,
     meta: model.ResponseMeta,
 ) -> AttemptResult:
@@ -403,35 +398,29 @@
     boundary = event_stream.EventBoundary()
     is_closed = head.framing is client_lib.Framing.CLOSE
     is_sound = False
-    is_first = True
+    # Data before the first whole event: until then another attempt may go
+    # on, and the splitter holds the state of its stream.
+    early = b''
+    is_taken_over = False
     while True:
-        event = await endpoint_io.next_event(gw, attempt, conn)
-        await _claim_response(claim)
-        if is_first:
-            is_first = False
-            _take_over_stream(job, reply, head, meta)
-        if event is client_lib.END:
-            break
-        if not isinstance(event, bytes):
-            raise endpoint_io.InvalidResponseError(
-                'expected a body, got a second head'
-            )
-        data = [event]
-        is_ended = False
-        # Parts that have already arrived go out in the same write.
-        while conn.has_events():
-            more = await conn.next_event()
-            if more is client_lib.END:
-                is_ended = True
-                break
-            if not isinstance(more, bytes):
-                raise endpoint_io.InvalidResponseError(
-                    'expected a body, got a second head'
-                )
-            data.append(more)
-        chunk = b''.join(data)
-        chunk = _split_events(boundary, splitter, chunk)
+        chunk, is_ended = await _read_chunk(gw, attempt, conn)
+        _feed(boundary, chunk)
         job.is_within_event = boundary.is_within_event
+        if not is_taken_over:
+            early += chunk
+            is_whole = is_ended and not is_closed
+            if not (boundary.has_event or is_whole or splitter is None):
+                await _claim_response(hooks, False)
+                if is_ended:
+                    break
+                continue
+            chunk = early
+        await _claim_response(hooks, not boundary.is_within_event)
+        if not is_taken_over:
+            is_taken_over = True
+            _take_over_stream(job, reply, head, meta)
+        if splitter is not None:
+            chunk = _split_events(splitter, chunk)
         if not is_sound and _is_past_start(gw, attempt):
             is_sound = True
             quarantine.record_sound(gw, job)
@@ -454,8 +443,29 @@
     return AttemptResult(retry_decision.AttemptEnd.DELIVERED)
 
 
-async def _claim_response(claim: typing.Callable[[], bool]) -> None:
-    if not claim():
+async def _read_chunk(
+    gw: context.Gateway,
+    attempt: context.Attempt,
+    conn: client_lib.ClientConnection,
+) -> tuple[bytes, bool]:
+    """Return what has arrived of a body, and whether it ends there."""
+    data: list[bytes] = []
+    event = await endpoint_io.next_event(gw, attempt, conn)
+    while event is not client_lib.END:
+        if not isinstance(event, bytes):
+            raise endpoint_io.InvalidResponseError(
+                'expected a body, got a second head'
+            )
+        data.append(event)
+        # Parts that have already arrived go out in the same write.
+        if not conn.has_events():
+            return b''.join(data), False
+        event = await conn.next_event()
+    return b''.join(data), True
+
+
+async def _claim_response(hooks: GroupHooks, is_answer: bool) -> None:
+    if not hooks.claim(is_answer):
         # Another attempt answers, and this one is already cancelled.
         await trio.sleep_forever()
 
@@ -481,14 +491,16 @@
     )
 
 
-def _split_events(
-    boundary: event_stream.EventBoundary,
-    splitter: event_stream.EventSplitter | None,
-    data: bytes,
-) -> bytes:
+def _feed(boundary: event_stream.EventBoundary, data: bytes) -> None:
     try:
         boundary.feed(data)
-        return data if splitter is None else splitter.feed(data)
+    except ValueError as exc:
+        raise endpoint_io.InvalidResponseError(str(exc)) from exc
+
+
+def _split_events(splitter: event_stream.EventSplitter, data: bytes) -> bytes:
+    try:
+        return splitter.feed(data)
     except ValueError as exc:
         raise endpoint_io.InvalidResponseError(str(exc)) from exc
 
--- a/foxtailpick/gateway/attempt_group.py
+++ b/foxtailpick/gateway/attempt_group.py
@@ -7,6 +7,8 @@
 
 from foxtailpick.core.dispatch import hedging
 from foxtailpick.core.dispatch import placing
+from foxtailpick.core.dispatch import retry_decision
+from foxtailpick.core import types
 from foxtailpick.core import verdict as verdict_lib
 from foxtailpick.gateway import attempt as attempt_lib
 from foxtailpick.gateway import context
@@ -21,6 +23,7 @@
     :param choice: the endpoint of the attempt.
     :param started_ms: when it started.
     :param scope: cancel scope of the task.
+    :param sent_ms: when the request was sent, None before that.
     :param is_silent: whether the endpoint sends nothing for too long.
     :param is_replaced: whether another attempt answers instead.
     :param recheck_ms: time before which its silence is not reported again.
@@ -32,6 +35,7 @@
     scope: trio.CancelScope = dataclasses.field(
         default_factory=trio.CancelScope
     )
+    sent_ms: float | None = None
     is_silent: bool = False
     is_replaced: bool = False
     recheck_ms: float = -math.inf
@@ -70,9 +74,10 @@
         self._job = job
         self._reply = reply
         self._nursery = nursery
-        self._send, self._receive = trio.open_memory_channel[Ended | Runner](
-            math.inf
-        )
+        # None reports that a request was sent.
+        self._send, self._receive = trio.open_memory_channel[
+            Ended | Runner | None
+        ](math.inf)
         self.runners: set[Runner] = set()
 
     @property
@@ -81,46 +86,89 @@
         return all(runner.is_silent for runner in self.runners)
 
     def start(self, choice: placing.Choice) -> None:
-        """Start an attempt at an endpoint."""
+        """Start an attempt at an endpoint.
+
+        Its share of the endpoint is taken at once: requests that are placed
+        in the same step share its limits.
+        """
         runner = Runner(choice, self._gw.now_ms())
         self.runners.add(runner)
         self._job.tried.add(choice.endpoint.id)
+        attempt_lib.reserve(choice.endpoint, runner.started_ms)
         self._nursery.start_soon(self._run, runner)
 
     async def next_event(self) -> Ended | Runner:
-        """Return the end of an attempt, or an attempt that is silent."""
-        return await self._receive.receive()
+        """Return the end of an attempt, or an attempt that is silent.
+
+        Meanwhile, a stream that has begun is handed over to a second
+        endpoint that does not refuse it.
+        """
+        while True:
+            with trio.move_on_after(self._compute_handover_s()) as scope:
+                event = await self._receive.receive()
+                if event is not None:
+                    return event
+            if scope.cancelled_caught:
+                self._claim(self._find_newest(), True)
+
+    def _compute_handover_s(self) -> float:
+        """Return the time until a stream is handed over, in seconds."""
+        if len(self.runners) < 2 or not self._reply.is_started:
+            return math.inf
+        sent_ms = self._find_newest().sent_ms
+        if sent_ms is None:
+            return math.inf
+        left_ms = sent_ms + hedging.HANDOVER_MS - self._gw.now_ms()
+        return max(0.0, left_ms) / types.SECOND_MS
+
+    def _find_newest(self) -> Runner:
+        return max(self.runners, key=lambda runner: runner.started_ms)
 
     async def _run(self, runner: Runner) -> None:
-        sends_before = self._job.sends
-        result: attempt_lib.AttemptResult | Exception
-        with runner.scope:
-            try:
+        job = self._job
+        result: attempt_lib.AttemptResult | Exception | None = None
+        try:
+            with runner.scope:
                 result = await attempt_lib.run_attempt(
                     self._gw,
-                    self._job,
+                    job,
                     runner.choice,
                     self._reply,
-                    attempt_lib.GroupHooks(
-                        claim=lambda: self._claim(runner),
-                        report_silence=lambda is_silent: self._report_silence(
-                            runner, is_silent
-                        ),
-                    ),
+                    self._make_hooks(runner),
                 )
-            except trio.Cancelled:
-                if self._job.sends > sends_before:
-                    self._job.verdict = verdict_lib.merge_verdicts(
-                        self._job.verdict, verdict_lib.Verdict.MAY_HAVE_RUN
-                    )
-                raise
-            except Exception as exc:
-                # Raised by the task that waits for the attempt.
-                result = exc
-        self.runners.discard(runner)
-        if not runner.is_replaced:
+        except Exception as exc:
+            # Raised by the task that waits for the attempt.
+            result = exc
+        finally:
+            # Runs also if the request is cancelled.
+            attempt_lib.release(runner.choice.endpoint)
+            self.runners.discard(runner)
+            if isinstance(result, attempt_lib.AttemptResult):
+                attempt_verdict = retry_decision.get_verdict(result.end)
+            elif runner.sent_ms is not None:
+                attempt_verdict = verdict_lib.Verdict.MAY_HAVE_RUN
+            else:
+                attempt_verdict = verdict_lib.Verdict.NOT_RUN
+            job.verdict = verdict_lib.merge_verdicts(
+                job.verdict, attempt_verdict
+            )
+        if result is not None and not runner.is_replaced:
             self._send.send_nowait(Ended(runner, result))
 
+    def _make_hooks(self, runner: Runner) -> attempt_lib.GroupHooks:
+        def report_sent() -> None:
+            runner.sent_ms = self._gw.now_ms()
+            if len(self.runners) > 1:
+                self._send.send_nowait(None)
+
+        return attempt_lib.GroupHooks(
+            report_sent=report_sent,
+            report_silence=lambda is_silent: self._report_silence(
+                runner, is_silent
+            ),
+            claim=lambda is_answer: self._claim(runner, is_answer),
+        )
+
     def _report_silence(self, runner: Runner, is_silent: bool) -> None:
         runner.is_silent = is_silent
         now_ms = self._gw.now_ms()
@@ -128,15 +176,17 @@
             runner.recheck_ms = now_ms + hedging.RECHECK_INTERVAL_MS
             self._send.send_nowait(runner)
 
-    def _claim(self, runner: Runner) -> bool:
+    def _claim(self, runner: Runner, is_answer: bool) -> bool:
         """Give the response to an attempt, and cancel the other ones.
 
-        :param runner: the attempt, which has received a part of an answer.
-        :returns: False if another attempt has it.
+        :param runner: the attempt.
+        :param is_answer: whether it has received a usable part of an answer;
+            otherwise the others go on.
+        :returns: False if another attempt has the response.
         """
         if runner.is_replaced:
             return False
-        if len(self.runners) > 1:
+        if is_answer and len(self.runners) > 1:
             for other in self.runners - {runner}:
                 self._replace(other, runner)
         return True
--- a/foxtailpick/gateway/job.py
+++ b/foxtailpick/gateway/job.py
@@ -10,6 +10,15 @@
 from foxtailpick.gateway import http1
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class BufferedResponse:
+    """A complete response of an endpoint."""
+
+    status: int
+    meta: model.ResponseMeta
+    body: bytes
+
+
 @dataclasses.dataclass(slots=True)
 class Job:
     """A request in progress.
@@ -36,6 +45,8 @@
     :param framing: what marks the end of the last response to it, if any.
     :param is_within_event: whether the last stream received for it ended
         within an event, or has not ended yet and is within one.
+    :param error_response: error response of an endpoint to one of the
+        latest attempts, relayed unless another one succeeds.
     :param verdict: whether it may have been executed.
     """
 
@@ -56,6 +67,7 @@
     answered_ms: float | None = None
     framing: client_lib.Framing | None = None
     is_within_event: bool = False
+    error_response: BufferedResponse | None = None
     verdict: verdict_lib.Verdict = verdict_lib.Verdict.NOT_RUN
 
     @property
--- a/foxtailpick/gateway/relay.py
+++ b/foxtailpick/gateway/relay.py
@@ -84,7 +84,14 @@
             finally:
                 gw.request_scopes.discard(scope)
         if scope.cancelled_caught:
-            error = _make_timeout_error(gw, job)
+            if reply.is_finished:
+                outcome = model.Outcome.ANSWERED
+            elif job.error_response is not None and not reply.is_started:
+                outcome = await attempt_lib.deliver_error(
+                    job, job.error_response, reply
+                )
+            else:
+                error = _make_timeout_error(gw, job)
     except errors.RequestError as exc:
         error = exc
     except http1.BrokenConnectionError:
@@ -240,8 +247,10 @@
     group: attempt_group.AttemptGroup,
 ) -> model.Outcome:
     while True:
-        group.start(await _wait_for_endpoint(gw, job))
-        runner, result = await _wait_for_result(gw, job, reply, group)
+        choice = await _wait_for_endpoint(gw, job)
+        job.error_response = None
+        group.start(choice)
+        runner, result, end = await _wait_for_result(gw, job, reply, group)
         if result.end is retry_decision.AttemptEnd.DELIVERED:
             admission_queue.record_run(
                 gw.get_queue(job.service.name),
@@ -254,7 +263,7 @@
                 )
             return model.Outcome.ANSWERED
         plan = retry_decision.decide_retry(
-            result.end,
+            end,
             job.route,
             job.counted_attempts,
             job.unreached,
@@ -272,18 +281,35 @@
                 gw.budget.withdraw(job.service.name)
                 gw.metrics.count('repeats')
             continue
-        if result.response is not None and not reply.is_started:
-            return await attempt_lib.deliver_error(job, result, reply)
+        if job.error_response is not None and not reply.is_started:
+            return await attempt_lib.deliver_error(
+                job, job.error_response, reply
+            )
         raise _make_attempt_error(gw, job, result)
 
 
+class _Result(typing.NamedTuple):
+    """Outcome of the attempts that were in flight together.
+
+    :param runner: the attempt with the result.
+    :param result: the delivered response or, if there is none, the last
+        error response or failure.
+    :param end: the end that decides on a retry.
+    """
+
+    runner: attempt_group.Runner
+    result: attempt_lib.AttemptResult
+    end: retry_decision.AttemptEnd
+
+
 async def _wait_for_result(
     gw: context.Gateway,
     job: job_lib.Job,
     reply: reply_lib.Reply,
     group: attempt_group.AttemptGroup,
-) -> tuple[attempt_group.Runner, attempt_lib.AttemptResult]:
+) -> _Result:
     """Wait until a response was delivered or no attempt is in flight."""
+    ended: list[attempt_group.Ended] = []
     while True:
         event = await group.next_event()
         if isinstance(event, attempt_group.Runner):
@@ -297,16 +323,15 @@
             continue
         if isinstance(result, Exception):
             raise result
-        job.verdict = verdict_lib.merge_verdicts(
-            job.verdict, retry_decision.get_verdict(result.end)
-        )
         if result.end in _NOT_REACHED:
             job.unreached += 1
-        if (
-            result.end is retry_decision.AttemptEnd.DELIVERED
-            or not group.runners
-        ):
-            return event.runner, result
+        if result.end is retry_decision.AttemptEnd.DELIVERED:
+            return _Result(event.runner, result, result.end)
+        if result.response is not None:
+            job.error_response = result.response
+        ended.append(event)
+        if not group.runners:
+            break
         _log_failed_attempt(
             gw,
             job,
@@ -315,6 +340,10 @@
             result,
             retry_decision.RetryDecision.ATTEMPT_PENDING,
         )
+    ends = [item.result.end for item in ended]
+    return _Result(
+        event.runner, result, retry_decision.choose_decisive_end(ends)
+    )
 
 
 def _hedge(
