Cancel only the wait for a request when an idle connection is closed

Cause: close_idle and _evict_idle cancelled the scope of the whole connection. A request whose bytes were already received, or lay in the socket since the last poll for events, was dropped: its task was cancelled when it passed the request on, or the socket was closed with unread data.

Callers saw: the connection closed or reset without an answer, around a stop and when a burst of callers needed room.

Change: each wait for bytes has a scope of its own, and only this is cancelled. Bytes that arrived meanwhile are read before the close. A request that came that late is answered with `Connection: close`.

--- a/foxtailpick/gateway/http1.py
+++ b/foxtailpick/gateway/http1.py
@@ -195,6 +195,19 @@
         raise BrokenConnectionError(exc.errno, str(exc)) from exc
 
 
+def receive_arrived(sock: trio.socket.SocketType) -> bytes | None:
+    """Receive bytes without waiting; None if none have arrived.
+
+    :raises BrokenConnectionError: if the connection was reset.
+    """
+    try:
+        return sock._sock.recv(RECEIVE_BYTES)
+    except BlockingIOError:
+        return None
+    except OSError as exc:
+        raise BrokenConnectionError(exc.errno, str(exc)) from exc
+
+
 async def send_all(sock: trio.socket.SocketType, data: bytes) -> None:
     """Send all bytes.
 
--- a/foxtailpick/gateway/server.py
+++ b/foxtailpick/gateway/server.py
@@ -2,6 +2,7 @@
 
 import errno
 import functools
+import math
 import socket
 import typing
 
@@ -43,13 +44,24 @@
         # Whether a part of a request was read.
         self.is_reading = False
         self.idle_since_ms = 0.0
-        self.scope = trio.CancelScope()
+        # Whether to close the connection once no request is in flight.
+        self.is_closing = False
+        # The wait for the next bytes.
+        self.wait = trio.CancelScope()
 
     @property
     def is_busy(self) -> bool:
         """Whether a request was read, also in part, and not yet answered."""
         return self.is_reading or self.open_requests > 0
 
+    def close_when_idle(self) -> None:
+        """Close the connection unless a request has already arrived.
+
+        Only the wait for a request is cancelled, never its handling.
+        """
+        self.is_closing = True
+        self.wait.cancel()
+
 
 class CallerServer:
     """Serves callers on one listening socket.
@@ -76,7 +88,7 @@
         now_ms = self._gw.now_ms()
         for caller in list(self._callers):
             if not caller.is_busy and now_ms - caller.idle_since_ms >= idle_ms:
-                caller.scope.cancel()
+                caller.close_when_idle()
 
     def _evict_idle(self) -> None:
         """Close the longest idle connection if there are too many."""
@@ -86,7 +98,7 @@
         idle = [caller for caller in self._callers if not caller.is_busy]
         if idle:
             oldest = min(idle, key=lambda caller: caller.idle_since_ms)
-            oldest.scope.cancel()
+            oldest.close_when_idle()
             self._gw.metrics.count('callers_closed_for_room')
             self._gw.log.emit_request(
                 'caller-closed',
@@ -127,15 +139,14 @@
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             send, receive = trio.open_memory_channel(MAX_PIPELINED_REQUESTS)
-            with caller.scope:
-                async with trio.open_nursery() as nursery:
-                    nursery.start_soon(self._read, caller, send, nursery)
-                    try:
-                        await self._answer(caller, receive, handle)
-                    except http1.BrokenConnectionError as exc:
-                        # The caller disconnected during the response.
-                        self._gw.log.emit_request('caller-lost', why=str(exc))
-                    nursery.cancel_scope.cancel()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._read, caller, send, nursery)
+                try:
+                    await self._answer(caller, receive, handle)
+                except http1.BrokenConnectionError as exc:
+                    # The caller disconnected during the response.
+                    self._gw.log.emit_request('caller-lost', why=str(exc))
+                nursery.cancel_scope.cancel()
         finally:
             self._callers.discard(caller)
             sock.close()
@@ -148,27 +159,8 @@
     ) -> None:
         gw = self._gw
         reader = http1.RequestReader(lambda: gw.state.limits)
-        deadline = trio.CancelScope()
         try:
-            while True:
-                limits = gw.state.limits
-                limit_ms = limits.idle_timeout_ms
-                if reader.is_in_headers:
-                    limit_ms = limits.header_timeout_ms
-                elif caller.open_requests:
-                    limit_ms = float('inf')
-                with trio.move_on_after(
-                    limit_ms / types.SECOND_MS
-                ) as deadline:
-                    data = await http1.receive(caller.sock)
-                if deadline.cancelled_caught:
-                    if reader.is_in_request:
-                        raise http1.RequestRejected(408, 'request timed out')
-                    if caller.open_requests:
-                        continue
-                    break
-                if not data:
-                    break
+            while data := await self._receive(caller, reader):
                 requests = reader.feed(data, gw.now_ms())
                 caller.is_reading = reader.is_in_request
                 caller.open_requests += len(requests)
@@ -187,6 +179,36 @@
             pass
         nursery.cancel_scope.cancel()
 
+    async def _receive(
+        self, caller: Caller, reader: http1.RequestReader
+    ) -> bytes:
+        """Return the next bytes of a caller, none if it left or was idle.
+
+        :raises http1.RequestRejected: if a request takes too long to arrive.
+        """
+        while True:
+            limit_ms = self._get_wait_limit_ms(caller, reader)
+            with trio.move_on_after(limit_ms / types.SECOND_MS) as caller.wait:
+                return await http1.receive(caller.sock)
+            # Bytes may have arrived after the last poll for events.
+            data = http1.receive_arrived(caller.sock)
+            if data is not None:
+                return data
+            if reader.is_in_request:
+                raise http1.RequestRejected(408, 'request timed out')
+            if not caller.open_requests:
+                return b''
+
+    def _get_wait_limit_ms(
+        self, caller: Caller, reader: http1.RequestReader
+    ) -> float:
+        limits = self._gw.state.limits
+        if reader.is_in_headers:
+            return limits.header_timeout_ms
+        if caller.open_requests:
+            return math.inf
+        return 0.0 if caller.is_closing else limits.idle_timeout_ms
+
     async def _answer(
         self,
         caller: Caller,
@@ -197,7 +219,8 @@
             if isinstance(item, http1.RequestRejected):
                 await self._reject(caller, item)
                 return
-            keeps_alive = item.keeps_alive and not self._gw.is_stopping
+            is_closing = self._gw.is_stopping or caller.is_closing
+            keeps_alive = item.keeps_alive and not is_closing
             reply = reply_lib.Reply(caller.sock, keeps_alive)
             await handle(item, reply)
             caller.open_requests -= 1
--- /dev/null
+++ b/foxtailpick/tests/test_caller_server.py
@@ -0,0 +1,96 @@
+"""Tests of requests on callers' connections that the gateway closes."""
+
+import contextlib
+import dataclasses
+import random
+
+import pytest
+import trio
+
+from foxtailpick.gateway import client as client_lib
+from foxtailpick.gateway import daemon
+from foxtailpick.gateway import decision_log
+from foxtailpick.gateway import http1
+from foxtailpick.gateway import server
+from foxtailpick.gateway import settings
+from foxtailpick.tests import gateway_harness
+
+
+async def echo_target(req, reply):
+    await reply.send_response(200, (), req.target)
+
+
+@contextlib.asynccontextmanager
+async def open_callers(handle=echo_target):
+    """Serve callers; yield the gateway, the server and its address."""
+    gw = daemon.make_gateway(
+        settings.GatewaySettings(
+            'r', 'north', *[gateway_harness.ANY_PORT] * 5
+        ),
+        None,
+        decision_log.DecisionLog(lambda: 0.0, len),
+        lambda: 0.0,
+        random.Random(1),
+    )
+    callers = server.CallerServer(gw)
+    sock = http1.listen(gateway_harness.ANY_PORT, 8)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(callers.serve, sock, handle, nursery)
+        yield gw, callers, sock.getsockname()
+        nursery.cancel_scope.cancel()
+
+
+def close_idle(gw, callers):
+    callers.close_idle(0.0)
+
+
+def make_room(gw, callers):
+    gw.cfg = dataclasses.replace(
+        gw.cfg, max_sockets=server.RESERVED_DESCRIPTORS + 1
+    )
+    callers._evict_idle()
+
+
+async def open_idle(address, callers):
+    """Return a connection on which the gateway waits for a request."""
+    conn = await client_lib.ClientConnection.connect(address)
+    await conn.send(gateway_harness.format_ask('/first'))
+    await gateway_harness.read_answer(conn)
+    with trio.fail_after(gateway_harness.LIMIT_S):
+        while not callers.is_idle():
+            await trio.sleep(0)
+    return conn
+
+
+@pytest.mark.parametrize('close', [close_idle, make_room])
+async def test_request_that_is_received_outlives_the_close(close, monkeypatch):
+    """An idle connection is closed when its next request was just read."""
+    receive = http1.receive
+    async with open_callers() as (gw, callers, address):
+
+        async def receive_while_closing(sock):
+            data = await receive(sock)
+            if b'/second' in data:
+                close(gw, callers)
+            return data
+
+        with monkeypatch.context() as patch:
+            patch.setattr(http1, 'receive', receive_while_closing)
+            conn = await open_idle(address, callers)
+            await conn.send(gateway_harness.format_ask('/second'))
+            answer = await gateway_harness.read_answer(conn)
+        conn.close()
+    assert answer.body == b'/second'
+
+
+@pytest.mark.parametrize('close', [close_idle, make_room])
+async def test_request_that_has_arrived_outlives_the_close(close):
+    """The request arrives after the last poll and before the close."""
+    async with open_callers() as (gw, callers, address):
+        conn = await open_idle(address, callers)
+        # No other task runs between these two steps.
+        conn._sock._sock.send(gateway_harness.format_ask('/second'))
+        close(gw, callers)
+        answer = await gateway_harness.read_answer(conn)
+        conn.close()
+    assert answer.body == b'/second'
