Answer requests that arrive together with an invalid one

Cause: RequestReader.feed raised on an invalid or too long request and dropped the complete requests that it had parsed before it from the same bytes. The error was sent in their place.

Callers saw: a proper request answered 400 or 431 because of what followed it, also the bytes after a request with `Connection: close`, which httptools rejects.

Change: the rejection carries the requests before it; they are answered first. A request to upgrade is reported as complete by httptools before it is rejected, so it is removed from them and not handled. The connection counts as busy until the rejection is sent.

--- a/foxtailpick/gateway/http1.py
+++ b/foxtailpick/gateway/http1.py
@@ -4,7 +4,6 @@
 httpcore take seven times as much CPU time per relayed event.
 """
 
-import collections
 import dataclasses
 import socket
 import typing
@@ -78,6 +77,8 @@
     def __init__(self, status: int, reason: str) -> None:
         super().__init__(reason)
         self.status = status
+        # Complete requests that were received just before it.
+        self.preceding: list[Request] = []
 
 
 class RequestReader:
@@ -89,7 +90,7 @@
     def __init__(self, limits: typing.Callable[[], model.Limits]) -> None:
         self._parser = httptools.HttpRequestParser(self)
         self._limits = limits
-        self._ready: collections.deque[Request] = collections.deque()
+        self._ready: list[Request] = []
         self._headers: list[model.RawHeader] = []
         self._target = b''
         self._body: list[bytes] = []
@@ -104,8 +105,17 @@
         """Parse received bytes; return the requests that are now complete.
 
         :raises RequestRejected: if a request is invalid or exceeds a limit.
+            Complete requests before it are attached to the exception.
         """
         self._began_ms = now_ms if not self.is_in_request else self._began_ms
+        try:
+            self._parse(data)
+        except RequestRejected as exc:
+            exc.preceding = self._take_ready()
+            raise
+        return self._take_ready()
+
+    def _parse(self, data: bytes) -> None:
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserCallbackError as exc:
@@ -113,14 +123,18 @@
                 raise exc.__context__ from exc
             raise RequestRejected(400, f'bad request: {exc}') from exc
         except httptools.HttpParserUpgrade as exc:
+            # The parser has reported this request as complete.
+            self._ready.pop()
             raise RequestRejected(400, 'upgrades are not supported') from exc
         except httptools.HttpParserError as exc:
             raise RequestRejected(400, f'bad request: {exc}') from exc
         if self.is_in_headers:
             self._check_header_bytes()
-        done = list(self._ready)
-        self._ready.clear()
-        return done
+
+    def _take_ready(self) -> list[Request]:
+        ready = self._ready
+        self._ready = []
+        return ready
 
     # Callbacks of httptools, which defines their names.
     def on_message_begin(self) -> None:
--- a/foxtailpick/gateway/server.py
+++ b/foxtailpick/gateway/server.py
@@ -163,15 +163,16 @@
             while data := await self._receive(caller, reader):
                 requests = reader.feed(data, gw.now_ms())
                 caller.is_reading = reader.is_in_request
-                caller.open_requests += len(requests)
-                for req in requests:
-                    await send.send(req)
+                await self._queue_requests(caller, send, requests)
                 if reader.expects_continue:
                     reader.expects_continue = False
                     await http1.send_all(
                         caller.sock, b'HTTP/1.1 100 Continue\r\n\r\n'
                     )
         except http1.RequestRejected as exc:
+            # Until the rejection is sent.
+            caller.is_reading = True
+            await self._queue_requests(caller, send, exc.preceding)
             await send.send(exc)
             return
         except http1.BrokenConnectionError:
@@ -179,6 +180,16 @@
             pass
         nursery.cancel_scope.cancel()
 
+    async def _queue_requests(
+        self,
+        caller: Caller,
+        send: trio.MemorySendChannel,
+        requests: typing.Sequence[http1.Request],
+    ) -> None:
+        caller.open_requests += len(requests)
+        for req in requests:
+            await send.send(req)
+
     async def _receive(
         self, caller: Caller, reader: http1.RequestReader
     ) -> bytes:
--- a/foxtailpick/tests/test_caller_server.py
+++ b/foxtailpick/tests/test_caller_server.py
@@ -7,6 +7,7 @@
 import pytest
 import trio
 
+from foxtailpick.core.dispatch import model
 from foxtailpick.gateway import client as client_lib
 from foxtailpick.gateway import daemon
 from foxtailpick.gateway import decision_log
@@ -94,3 +95,42 @@
         answer = await gateway_harness.read_answer(conn)
         conn.close()
     assert answer.body == b'/second'
+
+
+@pytest.mark.parametrize(
+    ('rest', 'status'),
+    [
+        (b'no request\r\n\r\n', 400),
+        (gateway_harness.format_ask('/second', X_Long='y' * 5_000), 431),
+        (
+            gateway_harness.format_ask(
+                '/second', Connection='Upgrade', Upgrade='h2c'
+            ),
+            400,
+        ),
+        (gateway_harness.format_ask('/second', b'CONNECT'), 400),
+    ],
+)
+async def test_request_before_a_rejected_one_is_answered(rest, status):
+    """Both arrive at once; the rejected one is not handled."""
+    async with open_callers() as (gw, _, address):
+        gw.state.limits = model.Limits(max_header_bytes=4_000)
+        conn = await client_lib.ClientConnection.connect(address)
+        await conn.send(gateway_harness.format_ask('/first') + rest)
+        first = await gateway_harness.read_answer(conn)
+        second = await gateway_harness.read_answer(conn)
+        conn.close()
+    assert (first.status, first.body) == (200, b'/first')
+    assert second.status == status
+
+
+async def test_request_with_the_wish_to_close_is_answered():
+    """What follows it belongs to no request."""
+    async with open_callers() as (_, _, address):
+        conn = await client_lib.ClientConnection.connect(address)
+        first = gateway_harness.format_ask('/first', Connection='close')
+        await conn.send(first + gateway_harness.format_ask('/second'))
+        answer = await gateway_harness.read_answer(conn)
+        conn.close()
+    assert (answer.status, answer.body) == (200, b'/first')
+    assert answer.headers[b'connection'] == b'close'
