Answer all pipelined requests that were read while stopping

Cause: each response of a stopping gateway said `Connection: close`, and the connection ended with it, although further requests had been read.

Callers saw: these requests end with the connection, without an answer.

Change: whether the connection stays open is decided when the head of a response is written. A gateway that stops, or needs room, says `Connection: close` only if no further request was read, not even in part. After the caller's own wish to close nothing more is answered, as RFC 9112 demands.

Evidence: the test of three pipelined requests, the last one incomplete as the first is answered, failed before (closed by the peer after the first); it passes with the change.

--- a/foxtailpick/gateway/reply.py
+++ b/foxtailpick/gateway/reply.py
@@ -18,15 +18,19 @@
     """The response to a request, sent at once or in chunks.
 
     :param sock: the caller's connection.
-    :param keeps_alive: whether the connection stays open afterwards.
+    :param decide_keep_alive: tells whether the connection stays open
+        afterwards; called when the response begins.
     """
 
     def __init__(
-        self, sock: trio.socket.SocketType, keeps_alive: bool
+        self,
+        sock: trio.socket.SocketType,
+        decide_keep_alive: typing.Callable[[], bool],
     ) -> None:
         self._sock = sock
+        self._decide_keep_alive = decide_keep_alive
         self._pending_head = b''
-        self.keeps_alive = keeps_alive
+        self.keeps_alive = False
         self.is_started = False
         self.is_finished = False
         self.status = 0
@@ -44,6 +48,7 @@
         """
         self.is_started = True
         self.status = status
+        self.keeps_alive = self._decide_keep_alive()
         head = http1.format_response(
             status, headers, len(body), self.keeps_alive
         )
@@ -58,6 +63,7 @@
     ) -> None:
         """Start a chunked response; its head is sent with the first chunk."""
         self.status = status
+        self.keeps_alive = self._decide_keep_alive()
         self._pending_head = http1.format_response(
             status, headers, None, self.keeps_alive
         )
--- a/foxtailpick/gateway/server.py
+++ b/foxtailpick/gateway/server.py
@@ -54,6 +54,11 @@
         """Whether a request was read, also in part, and not yet answered."""
         return self.is_reading or self.open_requests > 0
 
+    @property
+    def has_next(self) -> bool:
+        """Whether a request after the current one was read, also in part."""
+        return self.is_reading or self.open_requests > 1
+
     def close_when_idle(self) -> None:
         """Close the connection unless a request has already arrived.
 
@@ -230,8 +235,7 @@
             if isinstance(item, http1.RequestRejected):
                 await self._reject(caller, item)
                 return
-            is_closing = self._gw.is_stopping or caller.is_closing
-            keeps_alive = item.keeps_alive and not is_closing
+            keeps_alive = functools.partial(self._keeps_alive, caller, item)
             reply = reply_lib.Reply(caller.sock, keeps_alive)
             await handle(item, reply)
             caller.open_requests -= 1
@@ -239,13 +243,20 @@
             if not reply.is_finished or not reply.keeps_alive:
                 return
 
+    def _keeps_alive(self, caller: Caller, req: http1.Request) -> bool:
+        """Tell whether the connection stays open after a response."""
+        if not req.keeps_alive:
+            return False
+        is_closing = self._gw.is_stopping or caller.is_closing
+        return not is_closing or caller.has_next
+
     async def _reject(
         self, caller: Caller, exc: http1.RequestRejected
     ) -> None:
         headers, body = reply_lib.format_error(
             errors.ErrorCode.REQUEST_MALFORMED.value, str(exc), None
         )
-        reply = reply_lib.Reply(caller.sock, False)
+        reply = reply_lib.Reply(caller.sock, lambda: False)
         await reply.send_response(exc.status, headers, body)
         self._gw.log.emit_request('rejected', status=exc.status, why=str(exc))
 
--- a/foxtailpick/tests/test_caller_server.py
+++ b/foxtailpick/tests/test_caller_server.py
@@ -134,3 +134,35 @@
         conn.close()
     assert (answer.status, answer.body) == (200, b'/first')
     assert answer.headers[b'connection'] == b'close'
+
+
+async def test_pipelined_requests_are_answered_while_stopping():
+    """Only the last of them is answered with `Connection: close`."""
+    arrived = trio.Event()
+
+    async def answer_once_all_arrived(req, reply):
+        await arrived.wait()
+        await reply.send_response(200, (), req.target)
+
+    async with open_callers(answer_once_all_arrived) as (
+        gw,
+        callers,
+        address,
+    ):
+        gw.shutdown_deadline_ms = 60_000.0
+        conn = await client_lib.ClientConnection.connect(address)
+        asks = b''.join(map(gateway_harness.format_ask, ('/1', '/2', '/3')))
+        await conn.send(asks[:-2])
+        await trio.sleep(0.05)
+        # The first response starts while the third request is incomplete.
+        arrived.set()
+        answers = [await gateway_harness.read_answer(conn) for _ in range(2)]
+        await conn.send(asks[-2:])
+        answers.append(await gateway_harness.read_answer(conn))
+        conn.close()
+    assert [answer.body for answer in answers] == [b'/1', b'/2', b'/3']
+    assert [b'connection' in answer.headers for answer in answers] == [
+        False,
+        False,
+        True,
+    ]
