Send interim responses in the order of the responses

Cause: `100 Continue` was written by the task that reads, at once, also while another task wrote the response to an earlier request.

Callers saw: a chunked response with the interim response in its middle, which is not HTTP. Two tasks that wait for room in the same socket would also end the process with trio.BusyResourceError.

Change: the interim response takes its turn in the queue of requests and is sent by the task that writes the responses.

Evidence: the test of a request with `Expect` during a chunked response failed before (invalid character in chunk size); it passes with the change.

--- a/foxtailpick/gateway/http1.py
+++ b/foxtailpick/gateway/http1.py
@@ -285,6 +285,7 @@
 
 
 LAST_CHUNK = b'0\r\n\r\n'
+CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
 def listen(address: model.Address, backlog: int) -> trio.socket.SocketType:
--- a/foxtailpick/gateway/server.py
+++ b/foxtailpick/gateway/server.py
@@ -171,9 +171,9 @@
                 await self._queue_requests(caller, send, requests)
                 if reader.expects_continue:
                     reader.expects_continue = False
-                    await http1.send_all(
-                        caller.sock, b'HTTP/1.1 100 Continue\r\n\r\n'
-                    )
+                    # Sent by the task that sends the responses, after
+                    # those to earlier requests.
+                    await send.send(http1.CONTINUE)
         except http1.RequestRejected as exc:
             # Until the rejection is sent.
             caller.is_reading = True
@@ -235,6 +235,9 @@
             if isinstance(item, http1.RequestRejected):
                 await self._reject(caller, item)
                 return
+            if item is http1.CONTINUE:
+                await http1.send_all(caller.sock, http1.CONTINUE)
+                continue
             keeps_alive = functools.partial(self._keeps_alive, caller, item)
             reply = reply_lib.Reply(caller.sock, keeps_alive)
             await handle(item, reply)
--- a/foxtailpick/tests/test_caller_server.py
+++ b/foxtailpick/tests/test_caller_server.py
@@ -11,6 +11,7 @@
 from foxtailpick.gateway import client as client_lib
 from foxtailpick.gateway import daemon
 from foxtailpick.gateway import decision_log
+from foxtailpick.gateway import exchange
 from foxtailpick.gateway import http1
 from foxtailpick.gateway import server
 from foxtailpick.gateway import settings
@@ -166,3 +167,34 @@
         False,
         True,
     ]
+
+
+async def test_interim_response_does_not_divide_another_response():
+    """A request that expects one arrives during an earlier response."""
+    is_read = trio.Event()
+
+    async def answer_in_parts(req, reply):
+        if req.body:
+            await reply.send_response(200, (), req.body)
+            return
+        reply.begin(200, ())
+        await reply.send_chunk(b'a')
+        await is_read.wait()
+        await reply.send_chunk(b'b')
+        await reply.finish()
+
+    async with open_callers(answer_in_parts) as (_, _, address):
+        conn = await client_lib.ClientConnection.connect(address)
+        ask = gateway_harness.format_ask('/2', b'POST', b'c', Expect='100')
+        await conn.send(gateway_harness.format_ask('/1'))
+        with trio.fail_after(gateway_harness.LIMIT_S):
+            await exchange.read_head(conn)
+            first = await conn.next_event()
+            await conn.send(ask[:-1])
+            await trio.sleep(0.05)
+            is_read.set()
+            rest = await exchange.read_body(conn)
+        await conn.send(ask[-1:])
+        second = await gateway_harness.read_answer(conn)
+        conn.close()
+    assert (first, rest, second.body) == (b'a', b'b', b'c')
