Apply changed time limits to callers' connections that wait

Cause: the idle and header limits were read when a wait began.

Callers saw: where a configuration raised a limit, connections that waited at that time were closed, or their requests rejected with 408, by the old one.

Change: when the limit of a wait has passed, the limits in force decide whether it goes on. A lowered limit holds from the next wait on; it ends no request that has arrived in part, which was so before and has a test now.

Evidence: the tests of a raised idle and a raised header limit failed before (closed by the peer, and 408), and pass with the change.

--- a/foxtailpick/gateway/server.py
+++ b/foxtailpick/gateway/server.py
@@ -202,18 +202,22 @@
 
         :raises http1.RequestRejected: if a request takes too long to arrive.
         """
+        began_s = trio.current_time()
         while True:
-            limit_ms = self._get_wait_limit_ms(caller, reader)
-            with trio.move_on_after(limit_ms / types.SECOND_MS) as caller.wait:
+            limit_s = self._get_wait_limit_ms(caller, reader) / types.SECOND_MS
+            with trio.CancelScope(deadline=began_s + limit_s) as caller.wait:
                 return await http1.receive(caller.sock)
             # Bytes may have arrived after the last poll for events.
             data = http1.receive_arrived(caller.sock)
             if data is not None:
                 return data
+            # A new configuration may have changed the limit.
+            limit_ms = self._get_wait_limit_ms(caller, reader)
+            if trio.current_time() - began_s < limit_ms / types.SECOND_MS:
+                continue
             if reader.is_in_request:
                 raise http1.RequestRejected(408, 'request timed out')
-            if not caller.open_requests:
-                return b''
+            return b''
 
     def _get_wait_limit_ms(
         self, caller: Caller, reader: http1.RequestReader
--- a/foxtailpick/tests/test_caller_server.py
+++ b/foxtailpick/tests/test_caller_server.py
@@ -198,3 +198,53 @@
         second = await gateway_harness.read_answer(conn)
         conn.close()
     assert (first, rest, second.body) == (b'a', b'b', b'c')
+
+
+async def test_raised_idle_limit_holds_for_connections_that_wait():
+    """A new configuration lets callers be idle for longer."""
+    async with open_callers() as (gw, callers, address):
+        gw.state.limits = model.Limits(idle_timeout_ms=200.0)
+        conn = await client_lib.ClientConnection.connect(address)
+        with trio.fail_after(gateway_harness.LIMIT_S):
+            while not callers.connections:
+                await trio.sleep(0)
+        await trio.sleep(0.05)
+        gw.state.limits = model.Limits(idle_timeout_ms=60_000.0)
+        await trio.sleep(0.4)
+        await conn.send(gateway_harness.format_ask('/late'))
+        answer = await gateway_harness.read_answer(conn)
+        conn.close()
+    assert answer.body == b'/late'
+
+
+async def test_raised_header_limit_holds_for_requests_that_arrive():
+    async with open_callers() as (gw, callers, address):
+        gw.state.limits = model.Limits(header_timeout_ms=200.0)
+        conn = await client_lib.ClientConnection.connect(address)
+        ask = gateway_harness.format_ask('/slow')
+        await conn.send(ask[:-2])
+        with trio.fail_after(gateway_harness.LIMIT_S):
+            while callers.is_idle():
+                await trio.sleep(0)
+        gw.state.limits = model.Limits()
+        await trio.sleep(0.4)
+        await conn.send(ask[-2:])
+        answer = await gateway_harness.read_answer(conn)
+        conn.close()
+    assert answer.body == b'/slow'
+
+
+async def test_lowered_idle_limit_does_not_end_a_request_in_parts():
+    async with open_callers() as (gw, callers, address):
+        conn = await client_lib.ClientConnection.connect(address)
+        ask = gateway_harness.format_ask('/slow')
+        await conn.send(ask[:-2])
+        with trio.fail_after(gateway_harness.LIMIT_S):
+            while callers.is_idle():
+                await trio.sleep(0)
+        gw.state.limits = model.Limits(idle_timeout_ms=1.0)
+        await trio.sleep(0.05)
+        await conn.send(ask[-2:])
+        answer = await gateway_harness.read_answer(conn)
+        conn.close()
+    assert answer.body == b'/slow'
