Judge a request by the size limits in force when it began

Cause: each part of a head or body was checked against the newest limits.

Callers saw: 413 or 431 for a request that was allowed when they began to send it, because a configuration lowered the limits before its end.

Change: the reader takes the limits at the first byte of a request and keeps them to its end.

Evidence: the test of a request in three parts, with a limit lowered after the first, failed before for both limits and passes with the change; the next request is rejected.

--- a/foxtailpick/gateway/http1.py
+++ b/foxtailpick/gateway/http1.py
@@ -89,7 +89,9 @@
 
     def __init__(self, limits: typing.Callable[[], model.Limits]) -> None:
         self._parser = httptools.HttpRequestParser(self)
-        self._limits = limits
+        self._get_limits = limits
+        # The limits in force when the request began apply to all of it.
+        self._limits = limits()
         self._ready: list[Request] = []
         self._headers: list[model.RawHeader] = []
         self._target = b''
@@ -139,6 +141,7 @@
     # Callbacks of httptools, which defines their names.
     def on_message_begin(self) -> None:
         """Start a request."""
+        self._limits = self._get_limits()
         self._headers = []
         self._target = b''
         self._body = []
@@ -190,11 +193,11 @@
         )
 
     def _check_header_bytes(self) -> None:
-        if self._header_bytes > self._limits().max_header_bytes:
+        if self._header_bytes > self._limits.max_header_bytes:
             raise RequestRejected(431, 'the headers are too long')
 
     def _check_body_bytes(self, size: int) -> None:
-        if size > self._limits().max_body_bytes:
+        if size > self._limits.max_body_bytes:
             raise RequestRejected(413, 'the body is too long')
 
 
--- a/foxtailpick/tests/test_caller_server.py
+++ b/foxtailpick/tests/test_caller_server.py
@@ -248,3 +248,34 @@
         answer = await gateway_harness.read_answer(conn)
         conn.close()
     assert answer.body == b'/slow'
+
+
+@pytest.mark.parametrize(
+    'lowered', [{'max_body_bytes': 5}, {'max_header_bytes': 20}]
+)
+async def test_limits_do_not_change_during_a_request(lowered):
+    """One that the limits allowed when it began is not rejected."""
+
+    async def echo_body(req, reply):
+        await reply.send_response(200, (), req.body)
+
+    async with open_callers(echo_body) as (gw, callers, address):
+        conn = await client_lib.ClientConnection.connect(address)
+        ask = (
+            b'POST /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: 1\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\n'
+            b'4\r\ndata\r\n4\r\nmore\r\n0\r\n\r\n'
+        )
+        for part in (ask[:30], ask[30:-22], ask[-22:]):
+            await conn.send(part)
+            with trio.fail_after(gateway_harness.LIMIT_S):
+                while callers.is_idle():
+                    await trio.sleep(0)
+            await trio.sleep(0.02)
+            gw.state.limits = model.Limits(**lowered)
+        answer = await gateway_harness.read_answer(conn)
+        await conn.send(ask)
+        next_answer = await gateway_harness.read_answer(conn)
+        conn.close()
+    assert (answer.status, answer.body) == (200, b'datamore')
+    assert next_answer.status in (413, 431)
