Let slow callers read a response until their request's deadline

Cause: a complete response had 250 ms to be sent, whatever time its request had left.

Callers saw: where they read more slowly, a response that ended midway with its connection, although the deadline was far.

Change: sending goes on until the deadline, and as before for 250 ms after it or after the end of the process begins. A caller that accepts nothing for 5 s is given up, so that its connection does not count as busy for good.

--- a/foxtailpick/gateway/http1.py
+++ b/foxtailpick/gateway/http1.py
@@ -225,6 +225,17 @@
         raise BrokenConnectionError(exc.errno, str(exc)) from exc
 
 
+async def send_some(sock: trio.socket.SocketType, data: memoryview) -> int:
+    """Send some bytes; return how many were sent.
+
+    :raises BrokenConnectionError: if the connection is closed.
+    """
+    try:
+        return await sock.send(data)
+    except OSError as exc:
+        raise BrokenConnectionError(exc.errno, str(exc)) from exc
+
+
 async def send_all(sock: trio.socket.SocketType, data: bytes) -> None:
     """Send all bytes.
 
--- a/foxtailpick/gateway/reply.py
+++ b/foxtailpick/gateway/reply.py
@@ -10,8 +10,10 @@
 from foxtailpick.gateway import http1
 
 
-# Time to send a complete response, even if the request's deadline passed.
+# Time to send the rest of a response after the request's deadline.
 FINAL_SEND_TIMEOUT_MS = 250.0
+# A caller that accepts nothing for this long does not get the response.
+SEND_STALL_TIMEOUT_MS = 5_000.0
 
 
 class Reply:
@@ -30,6 +32,7 @@
         self._sock = sock
         self._decide_keep_alive = decide_keep_alive
         self._pending_head = b''
+        self._unsent = memoryview(b'')
         self.keeps_alive = False
         self.is_started = False
         self.is_finished = False
@@ -43,8 +46,9 @@
     ) -> None:
         """Send a complete response.
 
-        It is shielded from the request's deadline: endpoints often respond
-        just before the deadline that they are given.
+        The caller has until the request's deadline to read it, and a little
+        longer: endpoints often respond just before the deadline that they
+        are given.
         """
         self.is_started = True
         self.status = status
@@ -52,11 +56,28 @@
         head = http1.format_response(
             status, headers, len(body), self.keeps_alive
         )
-        with trio.move_on_after(
-            FINAL_SEND_TIMEOUT_MS / types.SECOND_MS, shield=True
-        ):
-            await http1.send_all(self._sock, head + body)
-            self.is_finished = True
+        self._unsent = memoryview(head + body)
+        try:
+            await self._send_rest()
+        except trio.Cancelled:
+            with trio.move_on_after(
+                FINAL_SEND_TIMEOUT_MS / types.SECOND_MS, shield=True
+            ):
+                await self._send_rest()
+            # Once the response is complete, the next checkpoint raises again.
+            if not self.is_finished:
+                raise
+
+    async def _send_rest(self) -> None:
+        while self._unsent:
+            with trio.move_on_after(
+                SEND_STALL_TIMEOUT_MS / types.SECOND_MS
+            ) as stall:
+                sent = await http1.send_some(self._sock, self._unsent)
+                self._unsent = self._unsent[sent:]
+            if stall.cancelled_caught:
+                return
+        self.is_finished = True
 
     def begin(
         self, status: int, headers: typing.Iterable[model.RawHeader]
