Refuse settings with numbers that cannot be used

Cause: nan and infinity passed the checks of the ranges, int() of one of them as the limit of descriptors, or of digits of other scripts as a port, raised ValueError or OverflowError, and ports had no upper bound.

Callers saw: at a reload, the end of the process with all requests in flight; with `bounds.grace_s=nan` a stop without any time for them.

Change: ports are 1 to 65535 in ASCII digits, all numbers finite; anything else is a SettingsError, at which a reload keeps the settings in use.

Empty, binary and unreadable files were refused before already.

--- a/foxtailpick/gateway/settings.py
+++ b/foxtailpick/gateway/settings.py
@@ -1,6 +1,7 @@
 """Settings of a gateway process."""
 
 import dataclasses
+import math
 
 from foxtailpick.core.dispatch import model
 from foxtailpick.core import errors
@@ -48,6 +49,17 @@
 
     def __post_init__(self) -> None:
         """Check the ranges."""
+        numbers = (
+            self.min_lease_ms,
+            self.change_bound_ms,
+            self.history_ms,
+            self.grace_ms,
+            self.retry_ratio,
+            self.retry_extra,
+            self.processor_share,
+        )
+        if not all(map(math.isfinite, numbers)):
+            raise self._make_error('finite numbers')
         if not 0 <= self.retry_ratio <= 1 or self.retry_extra < 0:
             raise self._make_error('a retry ratio of 0 to 1, extra >= 0')
         if self.grace_ms <= 0 or self.min_lease_ms <= 0:
--- a/foxtailpick/platform/boot.py
+++ b/foxtailpick/platform/boot.py
@@ -1,5 +1,6 @@
 """Reads the settings file that the platform provides for each process."""
 
+import math
 import os
 import pathlib
 import typing
@@ -20,6 +21,8 @@
     'revoke_ms',
 )
 DEFAULT_CHANGE_BOUND_MS = 2_000.0
+MAX_PORT = 65_535
+_MAX_PORT_DIGITS = 5
 
 
 def find_boot_file() -> pathlib.Path:
@@ -76,11 +79,14 @@
         readiness=_get_address(fields, 'listen.readiness'),
         metrics=(
             _get(fields, 'ip'),
-            _parse_port(metrics_port)
+            _parse_port(METRICS_VARIABLE, metrics_port)
             if metrics_port
             else _get_first_port(fields),
         ),
-        peers=(_get(fields, 'ip'), _get_first_port(fields) + 1),
+        peers=(
+            _get(fields, 'ip'),
+            _parse_port('internal_ports', str(_get_first_port(fields) + 1)),
+        ),
         store=_get_address(fields, 'platform.address'),
         # Shortest lease that the store grants.
         min_lease_ms=_get_number(fields, 'platform.ttl_min_ms', 1_000.0),
@@ -119,9 +125,12 @@
     if not text:
         return default
     try:
-        return float(text)
+        number = float(text)
     except ValueError as exc:
         raise _make_invalid(name, 'a number', text) from exc
+    if not math.isfinite(number):
+        raise _make_invalid(name, 'a finite number', text)
+    return number
 
 
 def _get_address(
@@ -129,27 +138,28 @@
 ) -> tuple[str, int]:
     text = _get(fields, name)
     host, _, port = text.rpartition(':')
-    if not host or not port.isdigit():
+    if not host:
         raise _make_invalid(name, 'IP:PORT', text)
-    return host, int(port)
+    return host, _parse_port(name, port)
 
 
 def _get_first_port(fields: typing.Mapping[str, str]) -> int:
     text = _get(fields, 'internal_ports')
-    first = text.partition(',')[0]
-    if not first.isdigit():
-        raise _make_invalid('internal_ports', 'two ports', text)
-    return int(first)
+    return _parse_port('internal_ports', text.partition(',')[0])
 
 
-def _parse_port(text: str) -> int:
-    if not text.isdigit():
-        raise _make_invalid(METRICS_VARIABLE, 'a port', text)
-    return int(text)
+def _parse_port(name: str, text: str) -> int:
+    # Other scripts have digits too, which int() may not accept.
+    if text.isascii() and text.isdigit() and len(text) <= _MAX_PORT_DIGITS:
+        port = int(text)
+        if 0 < port <= MAX_PORT:
+            return port
+    raise _make_invalid(name, f'a port up to {MAX_PORT}', text)
 
 
 def _make_invalid(name: str, expected: str, got: str) -> errors.SettingsError:
     return errors.SettingsError(
         errors.ErrorCode.SETTINGS_VALUE_INVALID,
-        f'expected {expected} for {name}, got {got!r}; correct the settings',
+        f'expected {expected} for {name}, got {got[:80]!r}; correct the '
+        f'settings',
     )
--- a/foxtailpick/tests/test_platform.py
+++ b/foxtailpick/tests/test_platform.py
@@ -80,6 +80,57 @@
     assert caught.value.code is code
 
 
+@pytest.mark.parametrize(
+    ('line', 'new'),
+    [
+        ('bounds.grace_s=8', f'{name}={value}')
+        for name in (
+            'bounds.grace_s',
+            'bounds.drain_ms',
+            'bounds.retry_budget_ratio',
+            'bounds.retry_budget_extra',
+            'platform.ttl_min_ms',
+            'platform.history_s',
+            'limits.cpu_share',
+            'limits.cores',
+            'limits.max_fds',
+        )
+        for value in ('nan', 'inf', '-1', '1e999')
+    ]
+    + [('bounds.grace_s=8', 'bounds.grace_s=1e308')]
+    + [
+        (':8227', f':{port}')
+        for port in ('-1', '65536', '\N{SUPERSCRIPT TWO}', '1' * 5_000)
+    ]
+    + [
+        ('7340,7355', ports)
+        for ports in ('65536,1', '65535,1', '\N{SUPERSCRIPT TWO}', '1' * 5_000)
+    ],
+)
+def test_numbers_out_of_range_are_refused(line, new):
+    """Any other exception would end the process at a reload."""
+    with pytest.raises(errors.SettingsError):
+        boot.parse_settings(BOOT.replace(line, new))
+
+
+@pytest.mark.parametrize('port', ['65536', '\N{SUPERSCRIPT TWO}'])
+def test_metrics_port_out_of_range_is_refused(port):
+    with pytest.raises(errors.SettingsError):
+        boot.parse_settings(BOOT, port)
+
+
+@pytest.mark.parametrize('content', [b'', b'\xff\xfe', b'\x00=\x00', None])
+def test_unusable_settings_file_is_refused(content, tmp_path):
+    """It may be read while it is replaced."""
+    path = tmp_path / 'settings'
+    if content is None:
+        path.mkdir()
+    else:
+        path.write_bytes(content)
+    with pytest.raises(errors.SettingsError):
+        boot.read_settings(path)
+
+
 def test_port_of_metrics_may_be_given_by_the_deploy_file():
     assert boot.parse_settings(BOOT, '9464').metrics == ('10.1.0.40', 9464)
     with pytest.raises(errors.SettingsError):
