Read the settings file outside the event loop

Cause: the file was read by the event loop, every 2 s and at a SIGHUP. A disk that answers late held up everything, and so did a signal to stop.

Callers saw: nothing in this time, neither an answer nor a new connection.

Change: a thread reads and checks the file; one task applies the result, so that reloads don't overtake each other, and a signal to stop is handled while a read hangs. `_reload_settings` is a coroutine now, and its test awaits it; what it asserts is unchanged.

Evidence: the test with a read that hangs until the loop goes on failed before (the read timed out), and passes with the change.

--- a/foxtailpick/gateway/daemon.py
+++ b/foxtailpick/gateway/daemon.py
@@ -1,5 +1,6 @@
 """The gateway process: start-up, servers, reload and graceful shutdown."""
 
+import contextlib
 import dataclasses
 import functools
 import random
@@ -276,32 +277,40 @@
     signals: typing.AsyncIterator[int],
     check_settings: typing.Callable[[], settings_lib.GatewaySettings],
 ) -> None:
+    hang_up, changed = trio.open_memory_channel[None](1)
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_poll_settings, gw, check_settings)
+        nursery.start_soon(_follow_settings, gw, check_settings, changed)
         async for number in signals:
             if number != signal.SIGHUP:
                 gw.log.emit('stopping', signal=number)
                 break
-            _reload_settings(gw, check_settings)
+            with contextlib.suppress(trio.WouldBlock):
+                hang_up.send_nowait(None)
         nursery.cancel_scope.cancel()
 
 
-async def _poll_settings(
+async def _follow_settings(
     gw: context.Gateway,
     check_settings: typing.Callable[[], settings_lib.GatewaySettings],
+    changed: trio.MemoryReceiveChannel[None],
 ) -> None:
+    """Reload the settings periodically and when they are said to change."""
     while True:
-        await trio.sleep(SETTINGS_POLL_INTERVAL_MS / types.SECOND_MS)
-        _reload_settings(gw, check_settings)
+        with trio.move_on_after(SETTINGS_POLL_INTERVAL_MS / types.SECOND_MS):
+            await changed.receive()
+        await _reload_settings(gw, check_settings)
 
 
-def _reload_settings(
+async def _reload_settings(
     gw: context.Gateway,
     check_settings: typing.Callable[[], settings_lib.GatewaySettings],
 ) -> None:
     """Apply changed settings; keep the current ones if they are invalid."""
     try:
-        cfg = check_settings()
+        # The disk may take long to answer.
+        cfg = await trio.to_thread.run_sync(
+            check_settings, abandon_on_cancel=True
+        )
     except errors.SettingsError as exc:
         gw.log.emit('reload-failed', error=exc.message)
         return
--- a/foxtailpick/tests/test_gateway.py
+++ b/foxtailpick/tests/test_gateway.py
@@ -123,14 +123,14 @@
         assert harness.gw.metrics.counters['defects'] == 1
 
 
-def test_reload_applies_valid_settings_and_ignores_invalid_ones():
+async def test_reload_applies_valid_settings_and_ignores_invalid_ones():
     cfg = settings.GatewaySettings(
         'r', 'north', *[gateway_harness.ANY_PORT] * 5, retry_extra=40.0
     )
     log = decision_log.DecisionLog(lambda: 0.0, len)
     gw = daemon.make_gateway(cfg, None, log, lambda: 0.0, random.Random(1))
     changed = dataclasses.replace(cfg, retry_extra=400.0)
-    daemon._reload_settings(gw, lambda: changed)
+    await daemon._reload_settings(gw, lambda: changed)
     for _ in range(1_000):
         gw.budget.deposit('plain')
     assert gw.cfg is changed
@@ -141,7 +141,7 @@
             errors.ErrorCode.SETTINGS_UNREADABLE, 'expected a file, got none'
         )
 
-    daemon._reload_settings(gw, fail)
+    await daemon._reload_settings(gw, fail)
     assert gw.cfg is changed
 
 
--- /dev/null
+++ b/foxtailpick/tests/test_reload.py
@@ -0,0 +1,73 @@
+"""Tests of changed settings while requests are in flight."""
+
+import contextlib
+import dataclasses
+import random
+import signal
+import threading
+
+import trio
+
+from foxtailpick.gateway import daemon
+from foxtailpick.gateway import decision_log
+from foxtailpick.gateway import settings
+from foxtailpick.tests import gateway_harness
+
+CFG = settings.GatewaySettings(
+    'router-1', 'north', *[gateway_harness.ANY_PORT] * 5
+)
+
+
+def make_gateway():
+    log = decision_log.DecisionLog(lambda: 0.0, len)
+    return daemon.make_gateway(CFG, None, log, lambda: 0.0, random.Random(1))
+
+
+@contextlib.asynccontextmanager
+async def open_reload(gw, check_settings):
+    """Run the task that reloads settings; yield its signals and its end."""
+    send, receive = trio.open_memory_channel(10)
+    stopped = trio.Event()
+
+    async def wait():
+        await daemon._wait_for_stop(gw, receive, check_settings)
+        stopped.set()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(wait)
+        with trio.fail_after(gateway_harness.LIMIT_S):
+            yield send, stopped
+        nursery.cancel_scope.cancel()
+
+
+async def test_reading_the_settings_blocks_nothing():
+    """The file is on a disk that does not answer for some time."""
+    is_reading = threading.Event()
+    goes_on = threading.Event()
+    has_waited = []
+
+    def check_settings():
+        is_reading.set()
+        has_waited.append(goes_on.wait(2.0))
+        return CFG
+
+    async with open_reload(make_gateway(), check_settings) as (send, stopped):
+        await send.send(signal.SIGHUP)
+        while not is_reading.is_set():
+            await trio.sleep(0.01)
+        # The signal to stop counts meanwhile.
+        await send.send(signal.SIGTERM)
+        await stopped.wait()
+        goes_on.set()
+        while not has_waited:
+            await trio.sleep(0.01)
+    assert has_waited == [True]
+
+
+async def test_changed_settings_are_applied_after_a_signal():
+    changed = dataclasses.replace(CFG, max_sockets=500)
+    gw = make_gateway()
+    async with open_reload(gw, lambda: changed) as (send, _):
+        await send.send(signal.SIGHUP)
+        while gw.cfg != changed:
+            await trio.sleep(0.01)
