Keep name, failure domain and addresses at a reload

Cause: a reload replaced all settings, also the name under which the gateway is registered and reports to the hub, and addresses that it has bound.

Callers saw: nothing directly. A gateway whose file names another one would report under a name that the others don't list, and be counted twice in the totals of the hub.

Change: these settings keep their values until the process ends.

Evidence: the test that changes them with the limit of descriptors failed before, and passes with the change; the limit is applied.

--- a/foxtailpick/gateway/daemon.py
+++ b/foxtailpick/gateway/daemon.py
@@ -45,6 +45,17 @@
 # Fraction of the fleet's retry budget that is used, since the number of
 # routers is known with a delay.
 BUDGET_SHARE = 0.85
+# Settings that are in use from the start of the process to its end: the
+# sockets are bound, and the registration is written.
+_FIXED_SETTINGS = (
+    'name',
+    'domain',
+    'listen',
+    'readiness',
+    'metrics',
+    'peers',
+    'store',
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -314,6 +325,9 @@
     except errors.SettingsError as exc:
         gw.log.emit('reload-failed', error=exc.message)
         return
+    fixed = {name: getattr(gw.cfg, name) for name in _FIXED_SETTINGS}
+    if any(getattr(cfg, name) != value for name, value in fixed.items()):
+        cfg = dataclasses.replace(cfg, **fixed)
     if cfg == gw.cfg:
         return
     gw.cfg = cfg
--- a/foxtailpick/tests/test_reload.py
+++ b/foxtailpick/tests/test_reload.py
@@ -71,3 +71,21 @@
         await send.send(signal.SIGHUP)
         while gw.cfg != changed:
             await trio.sleep(0.01)
+
+
+async def test_identity_and_addresses_do_not_change_at_a_reload():
+    """Sockets are bound and the registration is written at the start."""
+    changed = dataclasses.replace(
+        CFG,
+        name='router-2',
+        domain='south',
+        listen=('127.0.0.1', 1),
+        peers=('127.0.0.1', 2),
+        max_sockets=500,
+    )
+    gw = make_gateway()
+    async with open_reload(gw, lambda: changed) as (send, _):
+        await send.send(signal.SIGHUP)
+        while gw.cfg is CFG:
+            await trio.sleep(0.01)
+    assert gw.cfg == dataclasses.replace(CFG, max_sockets=500)
