Skip items of the store that can't be used

Cause: the mirror skipped items whose decoding raised ValueError. An entry of another writer with `"state": []` or a list as warm-up raised TypeError, deep nesting RecursionError, a huge number OverflowError. An infinite warm-up or processor share, or a port above 65535, was decoded and raised later, in the log line of the watch, the choice of the hub, the datagram to it, or the connection of a request.

Callers saw: one such entry in the store ends every gateway that reads it, with all requests in flight, also again after each start.

Change: any error of decoding skips the item, and `item_check` checks that ids, addresses, slots, warm-up and share can be used before the entry counts.

--- a/foxtailpick/gateway/mirror.py
+++ b/foxtailpick/gateway/mirror.py
@@ -9,6 +9,7 @@
 
 from foxtailpick.adapters import base
 from foxtailpick.core.dispatch import endpoint_table
+from foxtailpick.core.dispatch import item_check
 from foxtailpick.core.dispatch import model
 from foxtailpick.core.dispatch import store_pacing
 from foxtailpick.core import errors
@@ -367,9 +368,13 @@
         self, key: str, value: bytes | None
     ) -> model.Item | None:
         try:
-            return self._layout.decode(key, value)
-        except ValueError as exc:
-            self._log.emit('item-skipped', key=key, error=str(exc))
+            item = self._layout.decode(key, value)
+            item_check.check_item(item)
+            return item
+        except Exception as exc:
+            # Other writers may leave values of any kind, and decoding them
+            # raises errors of many types.
+            self._log.emit('item-skipped', key=key, error=f'{exc!r:.200}')
             return None
 
     async def _back_off(self, exc: errors.StoreError) -> None:
