Let an internal error end only its own caller's connection

Cause: an exception in the task of a caller's connection, outside of the handling of its request, left the nursery of the whole process.

Callers saw: all requests in flight end with the process.

Change: it is logged and counted as a defect like one in the handling of a request, and only its own connection is closed.

Evidence: the test whose handler raises failed before, with the end of the server; with the change another connection is served on.

--- a/foxtailpick/gateway/server.py
+++ b/foxtailpick/gateway/server.py
@@ -4,6 +4,7 @@
 import functools
 import math
 import socket
+import traceback
 import typing
 
 import trio
@@ -152,6 +153,13 @@
                     # The caller disconnected during the response.
                     self._gw.log.emit_request('caller-lost', why=str(exc))
                 nursery.cancel_scope.cancel()
+        except Exception as exc:
+            # The other connections are not affected.
+            self._gw.metrics.count('defects')
+            trace = ''.join(traceback.format_exception(exc))
+            self._gw.log.emit(
+                'defect', error=trace[-relay.MAX_TRACEBACK_CHARS :]
+            )
         finally:
             self._callers.discard(caller)
             sock.close()
--- a/foxtailpick/tests/test_caller_server.py
+++ b/foxtailpick/tests/test_caller_server.py
@@ -279,3 +279,25 @@
         conn.close()
     assert (answer.status, answer.body) == (200, b'datamore')
     assert next_answer.status in (413, 431)
+
+
+async def test_internal_error_ends_only_its_own_connection():
+    """An exception in the task of a connection would end the process."""
+
+    async def handle(req, reply):
+        if req.target == b'/bad':
+            raise KeyError('defect')
+        await reply.send_response(200, (), req.target)
+
+    async with open_callers(handle) as (gw, _, address):
+        other = await client_lib.ClientConnection.connect(address)
+        conn = await client_lib.ClientConnection.connect(address)
+        await conn.send(gateway_harness.format_ask('/bad'))
+        with pytest.raises(http1.BrokenConnectionError):
+            await gateway_harness.read_answer(conn)
+        await other.send(gateway_harness.format_ask('/good'))
+        answer = await gateway_harness.read_answer(other)
+        conn.close()
+        other.close()
+        assert gw.metrics.counters['defects'] == 1
+    assert answer.body == b'/good'
