Notice a disconnect after a rejected request

Cause: reading ended with the first invalid bytes, also while an earlier request of the connection was in flight.

Callers saw: nothing; the endpoint went on with a request whose caller had left, until it was answered.

Change: what follows the invalid bytes is read and ignored until the caller disconnects, which cancels the requests in flight as usual.

Evidence: the test with a request in flight before invalid bytes failed before (not cancelled within 2 s), and passes with the change.

--- a/foxtailpick/gateway/server.py
+++ b/foxtailpick/gateway/server.py
@@ -1,5 +1,6 @@
 """Accepts callers' connections and handles their requests in order."""
 
+import contextlib
 import errno
 import functools
 import math
@@ -187,12 +188,18 @@
             caller.is_reading = True
             await self._queue_requests(caller, send, exc.preceding)
             await send.send(exc)
-            return
+            await self._discard(caller)
         except http1.BrokenConnectionError:
             # A reset is handled like a close.
             pass
         nursery.cancel_scope.cancel()
 
+    async def _discard(self, caller: Caller) -> None:
+        """Wait until a caller disconnects, and ignore what it sends."""
+        with contextlib.suppress(http1.BrokenConnectionError):
+            while await http1.receive(caller.sock):
+                pass
+
     async def _queue_requests(
         self,
         caller: Caller,
--- a/foxtailpick/tests/test_caller_server.py
+++ b/foxtailpick/tests/test_caller_server.py
@@ -301,3 +301,22 @@
         other.close()
         assert gw.metrics.counters['defects'] == 1
     assert answer.body == b'/good'
+
+
+async def test_disconnect_is_noticed_after_a_rejected_request():
+    """The request before it is still in flight."""
+    is_cancelled = trio.Event()
+
+    async def hang(req, reply):
+        try:
+            await trio.sleep_forever()
+        finally:
+            is_cancelled.set()
+
+    async with open_callers(hang) as (_, callers, address):
+        conn = await client_lib.ClientConnection.connect(address)
+        await conn.send(gateway_harness.format_ask('/1') + b'no request\r\n')
+        await trio.sleep(0.05)
+        conn.close()
+        with trio.fail_after(2.0):
+            await is_cancelled.wait()
