Let callers that still send read why their request was rejected

Cause: the connection was closed at once after a rejection. With unread bytes in the socket that resets the connection, and the caller's kernel discards the response.

Callers saw: where a body was too long, a reset in place of the 413.

Change: the gateway ends its side of the connection after a rejection, and reads and ignores what the caller sends, for 1 s at most.

--- a/foxtailpick/gateway/server.py
+++ b/foxtailpick/gateway/server.py
@@ -29,6 +29,8 @@
 MAX_PIPELINED_REQUESTS = 8
 # Pause after a failed accept, such as when no descriptor is left.
 ACCEPT_RETRY_MS = 50.0
+# Time for a caller to read why its request was rejected, and to close.
+LINGER_MS = 1_000.0
 _NO_DESCRIPTOR_ERRNOS = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS))
 
 Handler = typing.Callable[
@@ -281,6 +283,11 @@
         reply = reply_lib.Reply(caller.sock, lambda: False)
         await reply.send_response(exc.status, headers, body)
         self._gw.log.emit_request('rejected', status=exc.status, why=str(exc))
+        # A close with unread bytes resets the connection, and the caller
+        # may lose the response. The other task reads until it disconnects.
+        with contextlib.suppress(OSError):
+            caller.sock.shutdown(socket.SHUT_WR)
+        await trio.sleep(LINGER_MS / types.SECOND_MS)
 
 
 def make_handler(gw: context.Gateway) -> Handler:
--- a/foxtailpick/tests/test_caller_server.py
+++ b/foxtailpick/tests/test_caller_server.py
@@ -320,3 +320,16 @@
         conn.close()
         with trio.fail_after(2.0):
             await is_cancelled.wait()
+
+
+async def test_rejection_of_a_long_body_reaches_a_caller_that_still_sends():
+    """Closing a socket with unread bytes would discard the response."""
+    body = b'x' * 8_000_000
+    async with open_callers() as (gw, _, address):
+        gw.state.limits = model.Limits(max_body_bytes=100)
+        conn = await client_lib.ClientConnection.connect(address)
+        with trio.fail_after(gateway_harness.LIMIT_S):
+            await conn.send(gateway_harness.format_ask('/x', b'POST', body))
+        answer = await gateway_harness.read_answer(conn)
+        conn.close()
+    assert answer.status == 413
