--- a/foxtailpick/tests/test_decision_log.py
+++ b/foxtailpick/tests/test_decision_log.py
@@ -1,5 +1,6 @@
 """Tests of the non-blocking log and its limits."""
 
+import errno
 import json
 
 from loguru import logger
@@ -58,3 +59,20 @@
         log.append_line(line)
         log.flush()
     assert log.dropped > 1_500
+
+
+def test_output_that_fails_does_not_end_the_process(written):
+    """The reader of standard output is gone, or its disk is full."""
+    causes = [BrokenPipeError(), OSError(errno.ENOSPC, 'full')]
+
+    def write(data):
+        if causes:
+            raise causes.pop()
+        written.append(data)
+        return len(data)
+
+    log = decision_log.DecisionLog(clock.ManualClock().now, write)
+    log.append_line('x')
+    for _ in range(3):
+        log.flush()
+    assert written == [b'x']
