End a gateway only when all callers' connections are closed

Cause: once no request was in flight, the process ended at once, while the tasks of the connections that it had just told to close had not run yet. A request that had arrived on one of them was cancelled with its task.

Callers saw: a reset, or the close of a connection on which a request was read, at the end of a graceful stop.

Change: the gateway stops accepting, then closes connections as they become idle until none is left, within the grace period. A request that arrives meanwhile is answered with `Connection: close`.

--- a/foxtailpick/gateway/daemon.py
+++ b/foxtailpick/gateway/daemon.py
@@ -347,13 +347,22 @@
         if callers.is_idle():
             break
     callers.stop_accepting()
+    # Requests may have arrived on connections that were about to close.
+    await _close_callers(gw, callers, gw.shutdown_deadline_ms)
     gw.log.emit('drained', under_way=len(gw.attempts))
     gw.is_ending = True
     for scope in list(gw.request_scopes):
         scope.cancel()
-    with trio.move_on_after(FINAL_ANSWERS_MS / types.SECOND_MS):
-        while gw.request_scopes or not callers.is_idle():
-            await trio.sleep(FINAL_CHECK_INTERVAL_MS / types.SECOND_MS)
+    await _close_callers(gw, callers, gw.now_ms() + FINAL_ANSWERS_MS)
+
+
+async def _close_callers(
+    gw: context.Gateway, callers: server.CallerServer, until_ms: float
+) -> None:
+    """Close connections as they become idle, until all are closed."""
+    while callers.connections and gw.now_ms() < until_ms:
+        callers.close_idle(0.0)
+        await trio.sleep(FINAL_CHECK_INTERVAL_MS / types.SECOND_MS)
 
 
 async def _sweep(gw: context.Gateway) -> None:
--- a/foxtailpick/tests/test_gateway_shutdown.py
+++ b/foxtailpick/tests/test_gateway_shutdown.py
@@ -157,3 +157,28 @@
     conn.close()
     nursery.cancel_scope.cancel()
     assert answer.body == b'data'
+
+
+async def test_request_that_arrives_as_the_gateway_ends_is_answered(
+    monkeypatch,
+):
+    """Its connection was idle when the gateway found nothing to wait for."""
+    monkeypatch.setattr(daemon, 'BALANCER_REMOVAL_MS', 0.0)
+    async with gateway_harness.open_harness() as harness:
+        harness.add_endpoint('p1', 'plain', gateway_scripts.answer_plainly)
+        await harness.until_known('p1')
+        conn = await harness.send('/safe/x')
+        await gateway_harness.read_answer(conn)
+        stop_accepting = server.CallerServer.stop_accepting
+
+        def send_and_stop(self):
+            conn._sock._sock.send(gateway_harness.format_ask('/safe/y'))
+            stop_accepting(self)
+
+        with monkeypatch.context() as patch:
+            patch.setattr(server.CallerServer, 'stop_accepting', send_and_stop)
+            harness.stop.set()
+            answer = await gateway_harness.read_answer(conn)
+        conn.close()
+    assert answer.status in (200, 503)
+    assert answer.headers[b'connection'] == b'close'
