Treat a malformed reply of the store like a failed call

Cause: the mirror handles StoreError only. A reply with status 200 whose fields are missing or of another type raised KeyError, TypeError or ValueError while its entries were read.

Callers saw: the end of the process with all requests in flight.

Change: such a reply is a failed call, after which the mirror backs off and reads everything again.

Evidence: 7 of 7 malformed replies ended the gateway before; with the change it serves requests meanwhile and follows the store again afterwards.

--- a/foxtailpick/gateway/mirror.py
+++ b/foxtailpick/gateway/mirror.py
@@ -1,5 +1,6 @@
 """Synchronizes the gateway state with the platform's store."""
 
+import contextlib
 import dataclasses
 import math
 import random
@@ -100,6 +101,22 @@
     ended: trio.Event = dataclasses.field(default_factory=trio.Event)
 
 
+@contextlib.contextmanager
+def _expect_well_formed() -> typing.Iterator[None]:
+    """Treat a reply of an unexpected form like a failed call.
+
+    :raises errors.StoreError: if a field is missing or of another type.
+    """
+    try:
+        yield
+    except (AttributeError, LookupError, TypeError, ValueError) as exc:
+        raise errors.StoreError(
+            errors.ErrorCode.STORE_UNAVAILABLE,
+            f'expected a well-formed reply from the store, reading it failed '
+            f'with {exc!r:.200}; retry later',
+        ) from exc
+
+
 class Mirror:
     """Watches the store and applies its content to the gateway state.
 
@@ -183,7 +200,8 @@
             try:
                 if position is None:
                     is_behind = False
-                    snapshot = await self._store.read_snapshot(prefix)
+                    with _expect_well_formed():
+                        snapshot = await self._store.read_snapshot(prefix)
                     self._record_contact()
                     replace(self._decode_entries(snapshot))
                     position = snapshot.position
@@ -230,9 +248,10 @@
             await trio.sleep(delay_ms / types.SECOND_MS)
             reads += 1
             try:
-                snapshot = await self._store.read_snapshot(
-                    self._layout.router_prefix, is_stale_ok=True
-                )
+                with _expect_well_formed():
+                    snapshot = await self._store.read_snapshot(
+                        self._layout.router_prefix, is_stale_ok=True
+                    )
             except errors.StoreError as exc:
                 if exc.code is errors.ErrorCode.STORE_RESTORED:
                     self._record_restored()
@@ -251,10 +270,13 @@
         while True:
             try:
                 if lease is None:
-                    granted = await self._store.grant_lease(self._lease_ttl_ms)
-                    await self._store.transact(
-                        [], [base.Put(key, value, granted)]
-                    )
+                    with _expect_well_formed():
+                        granted = await self._store.grant_lease(
+                            self._lease_ttl_ms
+                        )
+                        await self._store.transact(
+                            [], [base.Put(key, value, granted)]
+                        )
                     # Set only now: a lease without the key is of no use.
                     lease = granted
                     self._log.emit('registered', key=key, lease=lease)
@@ -308,7 +330,8 @@
         :param keys: keys of the items at the position.
         :param position: the position.
         """
-        snapshot = await self._store.read_snapshot(prefix)
+        with _expect_well_formed():
+            snapshot = await self._store.read_snapshot(prefix)
         self._record_contact()
         listed = {entry.key for entry in snapshot.entries}
         changes = [base.Change(key, None) for key in sorted(keys - listed)]
@@ -341,9 +364,10 @@
         with trio.CancelScope() as scope:
             self._waiting.add(scope)
             try:
-                changes, reached = await self._store.poll_changes(
-                    prefix, position, wait_ms
-                )
+                with _expect_well_formed():
+                    changes, reached = await self._store.poll_changes(
+                        prefix, position, wait_ms
+                    )
             finally:
                 self._waiting.discard(scope)
         if scope.cancelled_caught:
--- a/foxtailpick/tests/test_foreign_items.py
+++ b/foxtailpick/tests/test_foreign_items.py
@@ -121,3 +121,42 @@
                 continue
             kept.append((name, value))
     assert kept == []
+
+
+@pytest.mark.parametrize(
+    'reply',
+    [
+        {},
+        [],
+        'text',
+        None,
+        {'items': None, 'events': None, 'current_rev': 1, 'lease': 1},
+        {'items': [{}], 'events': [{}], 'current_rev': 1, 'lease': None},
+        {
+            'items': [{'key': 'servers/p1', 'value': 'a', 'revision': 1}],
+            'events': [{'key': 7}],
+            'current_rev': 'first',
+            'lease': 'first',
+        },
+    ],
+)
+async def test_malformed_reply_of_the_store_is_a_failed_call(
+    reply, monkeypatch
+):
+    async with gateway_harness.open_harness() as harness:
+        harness.add_endpoint('p1', 'plain', gateway_scripts.answer_plainly)
+        await harness.until_known('p1')
+
+        async def reply_malformed(*args):
+            return 200, reply
+
+        with monkeypatch.context() as patch:
+            patch.setattr(harness.store, '_run', reply_malformed)
+            # Wakes up the watches, which then read everything again.
+            calls = len(harness.store.calls)
+            harness.store.put('op/config', gateway_harness.make_config(2))
+            harness.store.put('servers/p2', PLAIN)
+            await harness.until(lambda: len(harness.store.calls) > calls + 2)
+            assert (await harness.ask('/safe/x')).status == 200
+        await harness.until(lambda: harness.gw.state.cfg.number == 2)
+        assert (await harness.ask('/safe/x')).status == 200
