--- a/foxtailpick/gateway/http1.py
+++ b/foxtailpick/gateway/http1.py
@@ -4,7 +4,6 @@
 httpcore take seven times as much CPU time per relayed event.
 """
 
-import collections
 import dataclasses
 import socket
 import typing
@@ -78,6 +77,8 @@
     def __init__(self, status: int, reason: str) -> None:
         super().__init__(reason)
         self.status = status
+        # Complete requests that were received just before it.
+        self.preceding: list[Request] = []
 
 
 class RequestReader:
@@ -88,8 +89,10 @@
 
     def __init__(self, limits: typing.Callable[[], model.Limits]) -> None:
         self._parser = httptools.HttpRequestParser(self)
-        self._limits = limits
-        self._ready: collections.deque[Request] = collections.deque()
+        self._get_limits = limits
+        # The limits in force when the request began apply to all of it.
+        self._limits = limits()
+        self._ready: list[Request] = []
         self._headers: list[model.RawHeader] = []
         self._target = b''
         self._body: list[bytes] = []
@@ -104,8 +107,17 @@
         """Parse received bytes; return the requests that are now complete.
 
         :raises RequestRejected: if a request is invalid or exceeds a limit.
+            Complete requests before it are attached to the exception.
         """
         self._began_ms = now_ms if not self.is_in_request else self._began_ms
+        try:
+            self._parse(data)
+        except RequestRejected as exc:
+            exc.preceding = self._take_ready()
+            raise
+        return self._take_ready()
+
+    def _parse(self, data: bytes) -> None:
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserCallbackError as exc:
@@ -113,18 +125,23 @@
                 raise exc.__context__ from exc
             raise RequestRejected(400, f'bad request: {exc}') from exc
         except httptools.HttpParserUpgrade as exc:
+            # The parser has reported this request as complete.
+            self._ready.pop()
             raise RequestRejected(400, 'upgrades are not supported') from exc
         except httptools.HttpParserError as exc:
             raise RequestRejected(400, f'bad request: {exc}') from exc
         if self.is_in_headers:
             self._check_header_bytes()
-        done = list(self._ready)
-        self._ready.clear()
-        return done
+
+    def _take_ready(self) -> list[Request]:
+        ready = self._ready
+        self._ready = []
+        return ready
 
     # Callbacks of httptools, which defines their names.
     def on_message_begin(self) -> None:
         """Start a request."""
+        self._limits = self._get_limits()
         self._headers = []
         self._target = b''
         self._body = []
@@ -176,11 +193,11 @@
         )
 
     def _check_header_bytes(self) -> None:
-        if self._header_bytes > self._limits().max_header_bytes:
+        if self._header_bytes > self._limits.max_header_bytes:
             raise RequestRejected(431, 'the headers are too long')
 
     def _check_body_bytes(self, size: int) -> None:
-        if size > self._limits().max_body_bytes:
+        if size > self._limits.max_body_bytes:
             raise RequestRejected(413, 'the body is too long')
 
 
@@ -195,6 +212,30 @@
         raise BrokenConnectionError(exc.errno, str(exc)) from exc
 
 
+def receive_arrived(sock: trio.socket.SocketType) -> bytes | None:
+    """Receive bytes without waiting; None if none have arrived.
+
+    :raises BrokenConnectionError: if the connection was reset.
+    """
+    try:
+        return sock._sock.recv(RECEIVE_BYTES)
+    except BlockingIOError:
+        return None
+    except OSError as exc:
+        raise BrokenConnectionError(exc.errno, str(exc)) from exc
+
+
+async def send_some(sock: trio.socket.SocketType, data: memoryview) -> int:
+    """Send some bytes; return how many were sent.
+
+    :raises BrokenConnectionError: if the connection is closed.
+    """
+    try:
+        return await sock.send(data)
+    except OSError as exc:
+        raise BrokenConnectionError(exc.errno, str(exc)) from exc
+
+
 async def send_all(sock: trio.socket.SocketType, data: bytes) -> None:
     """Send all bytes.
 
@@ -258,6 +299,7 @@
 
 
 LAST_CHUNK = b'0\r\n\r\n'
+CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
 def listen(address: model.Address, backlog: int) -> trio.socket.SocketType:
