Keep log lines when the output fails

An error other than a full pipe (reader gone, disk full) ended the task that writes the log, and with it the process and all requests that it had read.

--- a/foxtailpick/gateway/decision_log.py
+++ b/foxtailpick/gateway/decision_log.py
@@ -93,7 +93,9 @@
         self._pending.clear()
         try:
             taken = self._write(data)
-        except BlockingIOError:
+        except OSError:
+            # The output is full, or its reader is gone: there is no other
+            # place to report it. The lines are kept, up to their limit.
             taken = 0
         rest = data[taken:]
         if rest:
