Ignore load reports out of range

One response with a load of 400 digits made all requests of its service fail and ended the process by an OverflowError.

--- a/foxtailpick/platform/dialect.py
+++ b/foxtailpick/platform/dialect.py
@@ -42,6 +42,8 @@
 )
 _NOT_FORWARDED = _HOP_BY_HOP | _SYSTEM_HEADERS
 _LOWEST_PRIORITY = 9
+# Number of requests beyond which a load report is invalid.
+_MAX_LOAD = 1_000_000
 
 
 def decode_request(
@@ -212,11 +214,13 @@
 
 def _parse_load(value: bytes) -> model.LoadReport | None:
     try:
-        running, waiting, slots = map(int, value.split(b','))
+        counts = [int(part) for part in value.split(b',')]
     except ValueError:
-        # The report only refines an estimate, so a malformed one is ignored.
+        counts = []
+    if len(counts) != 3 or not all(0 <= n <= _MAX_LOAD for n in counts):
+        # The report only refines an estimate, so an invalid one is ignored.
         return None
-    return model.LoadReport(running, waiting, slots)
+    return model.LoadReport(*counts)
 
 
 def _parse_keep_alive(value: bytes) -> float | None:
