Refuse entries of servers with fields missing or of another type

warmup_left_ms, sequence and version of another type, or missing, and a born that is no whole number came from another writer, but named a server to use.

--- a/foxtailpick/platform/items.py
+++ b/foxtailpick/platform/items.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import types as types_lib
 import typing
 
 from foxtailpick.core.dispatch import model
@@ -118,7 +119,12 @@
     state = data.get('state')
     if state not in _STATES:
         raise ItemError(f'expected a known state, got {state!r}')
+    # Entries of other writers lack fields or have them of another type.
+    _expect(data, 'version', str)
+    _expect(data, 'sequence', int)
     started = data.get('born')
+    if started is not None:
+        _expect(data, 'born', int)
     return model.EndpointEntry(
         id=types.EndpointId(key.removeprefix(ENDPOINT_PREFIX)),
         started=types.Incarnation(str(started) if started else ''),
@@ -128,7 +134,7 @@
         slots=max(1, _expect(data, 'slots', int)),
         is_draining=_STATES[state],
         # Relative to the time of writing, not of reading.
-        warmup_left_ms=float(data.get('warmup_left_ms') or 0),
+        warmup_left_ms=float(_expect(data, 'warmup_left_ms', int | float)),
     )
 
 
@@ -150,10 +156,13 @@
     return data
 
 
-def _expect(data: _Fields, name: str, kind: type) -> typing.Any:
+def _expect(
+    data: _Fields, name: str, kind: type | types_lib.UnionType
+) -> typing.Any:
     value = data.get(name)
     if not isinstance(value, kind) or isinstance(value, bool):
-        raise ItemError(f'expected {kind.__name__} in {name}, got {value!r}')
+        expected = getattr(kind, '__name__', str(kind))
+        raise ItemError(f'expected {expected} in {name}, got {value!r:.80}')
     return value
 
 
--- a/foxtailpick/soak/world.py
+++ b/foxtailpick/soak/world.py
@@ -276,6 +276,7 @@
                 'service': endpoint.service,
                 'address': f'{host}:{port}',
                 'zone': endpoint.domain,
+                'version': 'v1',
                 'slots': 16,
                 'state': 'ready',
                 'warmup_left_ms': 0,
