Add failing tests for a request that crashes servers and comes again

The users saw BUDGET: one plain request without a prompt (`span-lookup`) came again at any gateway, reached servers 9 times later than 3 s after it had crashed the third, and ended 18 of them.

--- a/foxtailpick/tests/crashing_prompts.py
+++ b/foxtailpick/tests/crashing_prompts.py
@@ -1,7 +1,8 @@
-"""Engines that crash when they begin to answer prompts with a certain part.
+"""Engines that crash when they begin to answer certain requests.
 
-Requests with that part arrive at any gateway. Sound requests share their
-account, their route and their other parts.
+Either each request whose prompt has a certain part crashes them, or one
+plain request that comes again and again. Such requests arrive at any gateway.
+Sound requests share their account, their route and their other parts.
 """
 
 import itertools
@@ -13,6 +14,7 @@
 from foxtailpick.tests import gateway_harness
 
 CRASHING_PART = 'bad'
+CRASHING_QUERY = 'item=bad'
 # Time from the start of an answer until the engine ends.
 CRASH_AFTER_MS = 30.0
 DOWN_MS = 400.0
@@ -21,10 +23,15 @@
 
 
 class Fleet:
-    """Gateways with a common store, and engines that may crash."""
+    """Gateways with a common store, and engines that may crash.
 
-    def __init__(self, harnesses, seed=1):
+    :param harnesses: the gateways.
+    :param down_ms: time until an engine that crashed is back.
+    """
+
+    def __init__(self, harnesses, down_ms=DOWN_MS, seed=1):
         self.harnesses = harnesses
+        self.down_ms = down_ms
         self.rng = random.Random(seed)
         self.engines = {}
         # Times of sends of crashing requests, and of the engines' ends.
@@ -39,13 +46,16 @@
         """Return the time of the gateways."""
         return self.harnesses[0].gw.now_ms()
 
-    def add_engine(self, name):
-        """Start an engine."""
+    def add_engine(self, name, service='engine'):
+        """Start an engine; one of another service answers plain requests."""
 
         async def serve(exchange):
-            await self._serve(standin, exchange)
+            if service == 'engine':
+                await self._serve(standin, exchange)
+            else:
+                await self._serve_plain(standin, exchange)
 
-        standin = self.harnesses[0].add_endpoint(name, 'engine', serve)
+        standin = self.harnesses[0].add_endpoint(name, service, serve)
         self.engines[name] = standin
 
     async def _serve(self, standin, exchange):
@@ -55,24 +65,35 @@
             self.bad_sent_ms.append(self.now_ms())
         await exchange.begin_stream()
         if is_bad:
-            await trio.sleep(CRASH_AFTER_MS / 1_000)
-            self.crashed_ms.append(self.now_ms())
-            self.harnesses[0].nursery.start_soon(self._restart, standin)
-            await trio.sleep_forever()
+            await self._crash(standin, 'engine')
         for number in range(1, EVENTS + 1):
             await trio.sleep(EVENT_INTERVAL_MS / 1_000)
             await exchange.send_events(number, number)
         await exchange.end_stream()
 
-    async def _restart(self, standin):
+    async def _serve_plain(self, standin, exchange):
+        if CRASHING_QUERY.encode() in exchange.received.target:
+            self.bad_sent_ms.append(self.now_ms())
+            await self._crash(standin, 'plain')
+        await trio.sleep(EVENT_INTERVAL_MS / 1_000)
+        await exchange.answer()
+
+    async def _crash(self, standin, service):
+        await trio.sleep(CRASH_AFTER_MS / 1_000)
+        self.crashed_ms.append(self.now_ms())
+        nursery = self.harnesses[0].nursery
+        nursery.start_soon(self._restart, standin, service)
+        await trio.sleep_forever()
+
+    async def _restart(self, standin, service):
         """Crash an engine; it comes back as a new process."""
-        standin.crash(DOWN_MS)
-        await trio.sleep(DOWN_MS / 1_000)
+        standin.crash(self.down_ms)
+        await trio.sleep(self.down_ms / 1_000)
         harness = self.harnesses[0]
         for name, item in self.engines.items():
             if item is standin:
                 entry = gateway_harness.make_entry(
-                    'engine',
+                    service,
                     harness.gw.state.table.get(name).entry.address,
                     born=next(self._born),
                 )
@@ -103,11 +124,25 @@
         results = self.bad_answers if is_bad else self.sound
         results.append((began_ms, status))
 
-    async def send(self, nursery, for_ms, every_ms, is_bad):
+    async def ask_plain(self, is_bad, route='safe'):
+        """Send a plain request to any gateway and record its outcome."""
+        harness = self.rng.choice(self.harnesses)
+        number = next(self._numbers)
+        query = CRASHING_QUERY if is_bad else f'item={number % 7}'
+        began_ms = self.now_ms()
+        method = b'POST' if route == 'unsafe' else b'GET'
+        answer = await harness.ask(
+            f'/{route}/x?{query}', method, X_Attempt_Id=f'r{number}'
+        )
+        results = self.bad_answers if is_bad else self.sound
+        results.append((began_ms, answer.status))
+
+    async def send(self, nursery, for_ms, every_ms, is_bad, ask=None):
         """Send requests at random intervals."""
+        ask = ask or self.ask
         until_ms = self.now_ms() + for_ms
         while self.now_ms() < until_ms:
-            nursery.start_soon(self.ask, is_bad)
+            nursery.start_soon(ask, is_bad)
             pause_ms = every_ms * self.rng.uniform(0.5, 1.5)
             await trio.sleep(pause_ms / 1_000)
 
@@ -125,7 +160,9 @@
         return statuses.count(200) / len(statuses)
 
 
-async def run_with_fleet(check, gateways, engines):
+async def run_with_fleet(
+    check, gateways, engines, service='engine', down_ms=DOWN_MS
+):
     """Run a check with gateways that know each other and all engines."""
 
     async def start(harnesses):
@@ -136,9 +173,9 @@
             ) as harness:
                 await start([*harnesses, harness])
             return
-        fleet = Fleet(harnesses)
+        fleet = Fleet(harnesses, down_ms)
         for number in range(engines):
-            fleet.add_engine(f'e{number}')
+            fleet.add_engine(f'e{number}', service)
         for harness in harnesses:
             await harness.until_known(*fleet.engines)
             await harness.until(
--- a/foxtailpick/tests/prompt_fleet_model.py
+++ b/foxtailpick/tests/prompt_fleet_model.py
@@ -1,10 +1,11 @@
-"""Simulation of routers and engines that crash on some prompts.
+"""Simulation of routers and engines that crash on some requests.
 
 Virtual time. Routers use the decisions of `prompt_quarantine` and exchange
 reports through a hub, whose messages may get lost. Engines queue a request,
 begin to answer it and stream the answer; one that begins to answer a
-crashing prompt ends shortly afterwards, with all its requests, and comes
-back as a new process.
+crashing request ends shortly afterwards, with all its requests, and comes
+back as a new process. Either each request whose prompt has a certain part
+crashes engines, or one plain request that comes again and again.
 """
 
 import dataclasses
@@ -23,6 +24,7 @@
 ACCOUNTS = 10
 MAX_SENDS = 2
 BAD_PART = 'bad'
+BAD_REQUEST = 'bad-request'
 
 
 @dataclasses.dataclass(order=True)
@@ -33,6 +35,7 @@
     number: int
     router: int
     parts: tuple
+    request: str
     is_bad: bool
     answered_ms: float
     sends: int
@@ -47,13 +50,22 @@
     :param engines: number of engines.
     :param has_quarantine: False for the baseline.
     :param loses_start: whether a crash also loses the start of the answer.
+    :param is_plain: whether requests are plain ones without a prompt, and
+        the one that crashes engines is always the same.
     :param seed: seed of the random draws.
     """
 
     def __init__(
-        self, routers, engines, has_quarantine=True, loses_start=False, seed=1
+        self,
+        routers,
+        engines,
+        has_quarantine=True,
+        loses_start=False,
+        is_plain=False,
+        seed=1,
     ):
         self.rng = random.Random(seed)
+        self.is_plain = is_plain
         self.has_quarantine = has_quarantine
         self.loses_start = loses_start
         self.loss = 0.05
@@ -105,17 +117,20 @@
 
     def _arrive(self, is_bad):
         document = int(self.rng.paretovariate(0.6)) % DOCUMENTS
-        parts = (
-            'route',
-            f'account-{self.rng.randrange(ACCOUNTS)}',
-            BAD_PART if is_bad else f'document-{document}',
-        )
+        account = f'account-{self.rng.randrange(ACCOUNTS)}'
         router = self.rng.randrange(len(self.records))
-        is_sent = self._send(router, parts, is_bad, 0)
+        if self.is_plain:
+            parts = ()
+            request = BAD_REQUEST if is_bad else f'{account}/{document}'
+        else:
+            part = BAD_PART if is_bad else f'document-{document}'
+            parts = ('route', account, part)
+            request = f'request-{next(self._numbers)}'
+        is_sent = self._send(router, parts, request, is_bad, 0)
         if not is_bad and is_sent is not None:
             self.sound.append((self.now_ms, is_sent))
 
-    def _send(self, router, parts, is_bad, sends):
+    def _send(self, router, parts, request, is_bad, sends):
         """Send a request; None if no engine is up."""
         up = [
             engine
@@ -137,12 +152,13 @@
             self.bad_sent_ms.append(self.now_ms)
             self.repeated_bad += sends > 0
         answered_ms = self.now_ms + self.rng.uniform(30, 300)
-        lasts_ms = self.rng.uniform(100, 3_000)
+        lasts_ms = 0 if self.is_plain else self.rng.uniform(100, 3_000)
         run = Run(
             answered_ms + (CRASH_AFTER_MS if is_bad else lasts_ms),
             next(self._numbers),
             router,
             parts,
+            request,
             is_bad,
             answered_ms,
             sends + 1,
@@ -176,7 +192,7 @@
         for run in runs:
             records = self.records[run.router]
             is_seen = run.answered_ms <= self.now_ms and not (
-                run.is_bad and self.loses_start
+                run.is_bad and (self.loses_start or self.is_plain)
             )
             is_suspect = prompt_quarantine.is_suspect(
                 run.answered_ms if is_seen else None, self.now_ms
@@ -191,7 +207,9 @@
                 and records.may_crash(run.parts, self.now_ms)
             )
             if is_repeated:
-                self._send(run.router, run.parts, run.is_bad, run.sends)
+                self._send(
+                    run.router, run.parts, run.request, run.is_bad, run.sends
+                )
 
     def _exchange(self):
         for router, records in enumerate(self.records):
--- a/foxtailpick/tests/test_prompt_quarantine.py
+++ b/foxtailpick/tests/test_prompt_quarantine.py
@@ -15,6 +15,10 @@
 SMALL_FLEET = (4, 6, 50, 2)
 LARGE_FLEET = (68, 47, 400, 4)
 BAD = prompt_fleet_model.BAD_PART
+# The same for one plain request that comes again, at a small service.
+CRASHES_OF_REQUEST = 3
+SMALL_SERVICE = (4, 3, 30, 2)
+LARGE_SERVICE = (68, 12, 200, 2)
 
 
 def get_first(part):
@@ -258,12 +262,12 @@
     return fleet
 
 
-def count_sent_later(fleet):
+def count_sent_later(fleet, crashes=CRASHES_TO_LEARN):
     """Return the crashing requests sent after they should be contained."""
-    if len(fleet.crashed_ms) < CRASHES_TO_LEARN:
+    if len(fleet.crashed_ms) < crashes:
         return 0
-    fifth_ms = fleet.crashed_ms[CRASHES_TO_LEARN - 1]
-    return fleet.count_sent_after(fifth_ms + CONTACT_MS)
+    learned_ms = fleet.crashed_ms[crashes - 1]
+    return fleet.count_sent_after(learned_ms + CONTACT_MS)
 
 
 @pytest.mark.parametrize('fleet_size', [SMALL_FLEET, LARGE_FLEET])
@@ -284,6 +288,28 @@
     assert count_sent_later(fleet) > MAX_SENT_LATER
 
 
+def simulate_request(fleet_size, for_ms=180_000, **options):
+    """Simulate one plain request that crashes engines and comes again."""
+    routers, engines, sound_per_s, bad_per_s = fleet_size
+    fleet = prompt_fleet_model.Fleet(
+        routers, engines, is_plain=True, **options
+    )
+    fleet.run(5_000, sound_per_s)
+    fleet.run(for_ms, sound_per_s, bad_per_s)
+    return fleet
+
+
+@pytest.mark.parametrize('fleet_size', [SMALL_SERVICE, LARGE_SERVICE])
+@pytest.mark.parametrize('seed', range(3))
+def test_crashing_request_is_contained(fleet_size, seed):
+    fleet = simulate_request(fleet_size, seed=seed)
+    assert len(fleet.crashed_ms) >= CRASHES_OF_REQUEST
+    assert count_sent_later(fleet, CRASHES_OF_REQUEST) <= MAX_SENT_LATER
+    contained_ms = fleet.crashed_ms[2] + 2 * CONTACT_MS
+    sent_share = fleet.compute_sent_share(contained_ms, fleet.now_ms)
+    assert sent_share >= 0.99
+
+
 def test_loss_of_all_engines_is_no_reason_for_a_quarantine():
     routers, engines, sound_per_s, _ = SMALL_FLEET
     fleet = prompt_fleet_model.Fleet(routers, engines)
