Name the quarantine after crashes, not after prompts

No logic changes. Whole requests that crash endpoints are to be quarantined like prompt parts, so `prompt_quarantine`, `prompt_reports`, `PromptRecords` and `Gateway.prompts` become `crash_quarantine`, `crash_reports`, `CrashRecords` and `Gateway.part_records`; their tests likewise. Log events and metrics keep their names.

--- a/foxtailpick/core/dispatch/prompt_quarantine.py
+++ b/foxtailpick/core/dispatch/crash_quarantine.py
@@ -130,7 +130,7 @@
     return count
 
 
-class PromptRecords:
+class CrashRecords:
     """What a router knows of prompt parts and the endpoints that ended."""
 
     def __init__(self) -> None:
@@ -314,7 +314,7 @@
     ) -> Changes:
         """Replace the hub's previous totals.
 
-        :param totals: result of `HubPromptReports.merge`.
+        :param totals: result of `HubCrashReports.merge`.
         :param now_ms: current time.
         """
         self._total_ends = {}
--- a/foxtailpick/core/dispatch/prompt_reports.py
+++ b/foxtailpick/core/dispatch/crash_reports.py
@@ -9,7 +9,7 @@
 import math
 import typing
 
-from foxtailpick.core.dispatch import prompt_quarantine
+from foxtailpick.core.dispatch import crash_quarantine
 from foxtailpick.core import types
 
 MAX_TOTAL_PARTS = 32
@@ -22,7 +22,7 @@
 def check_report(report: typing.Any) -> None:
     """Check the form of a report that was received.
 
-    :param report: result of `PromptRecords.make_report`, decoded.
+    :param report: result of `CrashRecords.make_report`, decoded.
     :raises ValueError: if it has another form.
     """
     if report is not None and not (
@@ -53,7 +53,7 @@
 def check_totals(totals: typing.Any) -> None:
     """Check the form of totals that were received.
 
-    :param totals: result of `HubPromptReports.merge`, decoded.
+    :param totals: result of `HubCrashReports.merge`, decoded.
     :raises ValueError: if they have another form.
     """
     if not isinstance(totals, dict) or not all(
@@ -101,7 +101,7 @@
         return True
 
 
-class HubPromptReports:
+class HubCrashReports:
     """The latest report of each router, kept by the hub."""
 
     def __init__(self) -> None:
@@ -118,7 +118,7 @@
         """Store the report of a router, replacing its previous one.
 
         :param router: the router.
-        :param report: result of `PromptRecords.make_report`.
+        :param report: result of `CrashRecords.make_report`.
         :param now_ms: current time.
         """
         if report is None:
@@ -137,11 +137,11 @@
             any. The worst parts come first.
         """
         for router, (received_ms, _) in list(self._reports.items()):
-            if now_ms - received_ms > prompt_quarantine.MAX_AGE_MS:
+            if now_ms - received_ms > crash_quarantine.MAX_AGE_MS:
                 del self._reports[router]
         ends: dict[types.PartId, dict[str, float]] = {}
         sound_ms: dict[types.PartId, float] = {}
-        quarantines: dict[types.PartId, prompt_quarantine.Quarantine] = {}
+        quarantines: dict[types.PartId, crash_quarantine.Quarantine] = {}
         for received_ms, report in self._reports.values():
             self._merge_report(report, received_ms, ends, sound_ms)
             self._merge_quarantines(report[2], received_ms, quarantines)
@@ -151,7 +151,7 @@
             quarantine = quarantines.get(part)
             if quarantine is not None and quarantine.started_ms < last_ms:
                 quarantine = None
-            count = prompt_quarantine.count_ends(
+            count = crash_quarantine.count_ends(
                 ms for ms in ends.get(part, {}).values() if ms > last_ms
             )
             totals[part] = [
@@ -187,12 +187,12 @@
         self,
         reported: typing.Mapping[types.PartId, typing.Any],
         received_ms: float,
-        quarantines: dict[types.PartId, prompt_quarantine.Quarantine],
+        quarantines: dict[types.PartId, crash_quarantine.Quarantine],
     ) -> None:
         for part, (age_ms, level, test_age_ms) in reported.items():
             merged = quarantines.get(part)
             if merged is None or merged.level < level:
-                merged = prompt_quarantine.Quarantine(
+                merged = crash_quarantine.Quarantine(
                     received_ms - age_ms, level
                 )
                 quarantines[part] = merged
@@ -214,7 +214,7 @@
 
 
 def _encode_quarantine(
-    quarantine: prompt_quarantine.Quarantine | None, now_ms: float
+    quarantine: crash_quarantine.Quarantine | None, now_ms: float
 ) -> list[typing.Any] | None:
     if quarantine is None:
         return None
--- a/foxtailpick/gateway/attempt.py
+++ b/foxtailpick/gateway/attempt.py
@@ -5,12 +5,12 @@
 
 import trio
 
+from foxtailpick.core.dispatch import crash_quarantine
 from foxtailpick.core.dispatch import endpoint_table
 from foxtailpick.core.dispatch import event_stream
 from foxtailpick.core.dispatch import health
 from foxtailpick.core.dispatch import model
 from foxtailpick.core.dispatch import placing
-from foxtailpick.core.dispatch import prompt_quarantine
 from foxtailpick.core.dispatch import response_timeout
 from foxtailpick.core.dispatch import retry_decision
 from foxtailpick.core.dispatch import token_bucket
@@ -181,7 +181,7 @@
         )
         quarantine.check_prompt(gw, job)
     if closed_ms is not None and job.shared_parts:
-        is_suspect = prompt_quarantine.is_suspect(
+        is_suspect = crash_quarantine.is_suspect(
             attempt.answered_ms, closed_ms
         )
         if is_suspect and await quarantine.has_ended(gw, endpoint):
@@ -429,7 +429,7 @@
 def _is_past_start(gw: context.Gateway, attempt: context.Attempt) -> bool:
     return (
         attempt.answered_ms is not None
-        and gw.now_ms() - attempt.answered_ms >= prompt_quarantine.SOUND_MS
+        and gw.now_ms() - attempt.answered_ms >= crash_quarantine.SOUND_MS
     )
 
 
--- a/foxtailpick/gateway/context.py
+++ b/foxtailpick/gateway/context.py
@@ -8,9 +8,9 @@
 
 from foxtailpick.core.dispatch import account_usage as account_usage_lib
 from foxtailpick.core.dispatch import admission_queue
+from foxtailpick.core.dispatch import crash_quarantine
 from foxtailpick.core.dispatch import endpoint_table
 from foxtailpick.core.dispatch import model
-from foxtailpick.core.dispatch import prompt_quarantine
 from foxtailpick.core.dispatch import response_timeout
 from foxtailpick.core.dispatch import stopping
 from foxtailpick.core import retry
@@ -92,7 +92,7 @@
     :param metrics: its metrics.
     :param rng: source of random numbers.
     :param started_ms: when the process started.
-    :param prompts: prompt parts that may crash endpoints.
+    :param part_records: prompt parts that may crash endpoints.
     :param end_checks: recent checks of endpoints, by process.
     :param attempts: attempts in flight.
     :param account_usage: usage of each service by its accounts.
@@ -117,8 +117,8 @@
     metrics: metrics_lib.Metrics
     rng: random.Random
     started_ms: float = 0.0
-    prompts: prompt_quarantine.PromptRecords = dataclasses.field(
-        default_factory=prompt_quarantine.PromptRecords
+    part_records: crash_quarantine.CrashRecords = dataclasses.field(
+        default_factory=crash_quarantine.CrashRecords
     )
     end_checks: dict[str, EndCheck] = dataclasses.field(default_factory=dict)
     attempts: set[Attempt] = dataclasses.field(default_factory=set)
--- a/foxtailpick/gateway/peers.py
+++ b/foxtailpick/gateway/peers.py
@@ -10,9 +10,9 @@
 import cbor2
 import trio
 
+from foxtailpick.core.dispatch import crash_reports
 from foxtailpick.core.dispatch import load_exchange
 from foxtailpick.core.dispatch import model
-from foxtailpick.core.dispatch import prompt_reports
 from foxtailpick.core import types
 from foxtailpick.gateway import context
 from foxtailpick.gateway import quarantine
@@ -48,9 +48,9 @@
         self._hub_reports = load_exchange.HubReports()
         self._hub_selector = load_exchange.HubSelector()
         self._sent_counts = load_exchange.SentCounts()
-        self._prompt_reports = prompt_reports.HubPromptReports()
-        self._prompt_pacer = prompt_reports.Pacer()
-        self._prompt_totals_pacer = prompt_reports.Pacer()
+        self._prompt_reports = crash_reports.HubCrashReports()
+        self._prompt_pacer = crash_reports.Pacer()
+        self._prompt_totals_pacer = crash_reports.Pacer()
         # Addresses that reports came from. A router that has just started
         # may not be listed yet.
         self._reporters: dict[types.RouterId, model.Address] = {}
@@ -87,7 +87,7 @@
             return
         number, counts = self._sent_counts.next_counts(gw.state.table)
         outcomes = self._sent_counts.collect_outcomes(gw.state.table, now_ms)
-        prompts = gw.prompts.make_report(now_ms)
+        prompts = gw.part_records.make_report(now_ms)
         if hub != gw.cfg.name:
             data = cbor2.dumps(
                 [_KIND_COUNTS, gw.cfg.name, number, counts, outcomes]
@@ -128,7 +128,7 @@
         for router, _ in self._hub_reports.list_routers():
             if router == gw.cfg.name:
                 quarantine.apply_changes(
-                    gw, gw.prompts.apply_totals(totals, now_ms)
+                    gw, gw.part_records.apply_totals(totals, now_ms)
                 )
             elif router in self._reporters:
                 await self._send_to(data, self._reporters[router])
@@ -171,12 +171,13 @@
             sums, outcomes = cbor2.loads(contents[0])
             self._apply_totals(sums, outcomes, number, now_ms)
         elif kind == _KIND_PROMPTS:
-            prompt_reports.check_report(contents[0])
+            crash_reports.check_report(contents[0])
             self._prompt_reports.record(router, contents[0], now_ms)
         elif kind == _KIND_PROMPT_TOTALS and router == self._hub_selector.hub:
-            prompt_reports.check_totals(contents[0])
+            crash_reports.check_totals(contents[0])
             quarantine.apply_changes(
-                self._gw, self._gw.prompts.apply_totals(contents[0], now_ms)
+                self._gw,
+                self._gw.part_records.apply_totals(contents[0], now_ms),
             )
         elif kind == _KIND_REDIRECT:
             self._hub_selector.record_redirect(router, contents[0])
--- a/foxtailpick/gateway/quarantine.py
+++ b/foxtailpick/gateway/quarantine.py
@@ -2,8 +2,8 @@
 
 import typing
 
+from foxtailpick.core.dispatch import crash_quarantine
 from foxtailpick.core.dispatch import endpoint_table
-from foxtailpick.core.dispatch import prompt_quarantine
 from foxtailpick.core import errors
 from foxtailpick.core import ring
 from foxtailpick.core import types
@@ -27,7 +27,7 @@
     :raises errors.RequestError: if it must not be sent.
     """
     now_ms = gw.now_ms()
-    refusal = gw.prompts.find_refusal(
+    refusal = gw.part_records.find_refusal(
         job.shared_parts, lambda part: _get_test_rank(gw, part), now_ms
     )
     if refusal is None:
@@ -39,7 +39,7 @@
         'prompt-refused',
         request=job.meta.id,
         part=refusal.part,
-        level=gw.prompts.quarantines[refusal.part].level,
+        level=gw.part_records.quarantines[refusal.part].level,
         retry_ms=round(retry_ms),
     )
     raise errors.RequestError(
@@ -53,13 +53,13 @@
 
 def begin_tests(gw: context.Gateway, job: job_lib.Job) -> list[types.PartId]:
     """Record that a request is sent; return the parts that it tests."""
-    tested = gw.prompts.begin_tests(job.shared_parts, gw.now_ms())
+    tested = gw.part_records.begin_tests(job.shared_parts, gw.now_ms())
     for part in tested:
         gw.log.emit(
             'prompt-test',
             request=job.meta.id,
             part=part,
-            level=gw.prompts.quarantines[part].level,
+            level=gw.part_records.quarantines[part].level,
         )
     return tested
 
@@ -110,23 +110,23 @@
     :param tested: result of `begin_tests`.
     """
     now_ms = gw.now_ms()
-    started = gw.prompts.record_end(
+    started = gw.part_records.record_end(
         job.shared_parts, get_process(endpoint), closed_ms, now_ms
     )
-    started.extend(gw.prompts.fail_tests(tested, now_ms))
-    apply_changes(gw, prompt_quarantine.Changes(started, []))
+    started.extend(gw.part_records.fail_tests(tested, now_ms))
+    apply_changes(gw, crash_quarantine.Changes(started, []))
 
 
 def record_sound(gw: context.Gateway, job: job_lib.Job) -> None:
     """Record a sound answer to a request."""
     if not job.shared_parts:
         return
-    cleared = gw.prompts.record_sound(job.shared_parts, gw.now_ms())
-    apply_changes(gw, prompt_quarantine.Changes([], cleared))
+    cleared = gw.part_records.record_sound(job.shared_parts, gw.now_ms())
+    apply_changes(gw, crash_quarantine.Changes([], cleared))
 
 
 def apply_changes(
-    gw: context.Gateway, changes: prompt_quarantine.Changes
+    gw: context.Gateway, changes: crash_quarantine.Changes
 ) -> None:
     """Log changes, and withdraw requests that are not answered yet.
 
@@ -135,8 +135,8 @@
     """
     now_ms = gw.now_ms()
     for part in changes.started:
-        quarantine = gw.prompts.quarantines[part]
-        own, total = gw.prompts.count_ends(part, now_ms)
+        quarantine = gw.part_records.quarantines[part]
+        own, total = gw.part_records.count_ends(part, now_ms)
         gw.metrics.count('prompt_quarantines')
         gw.log.emit(
             'prompt-quarantined',
--- a/foxtailpick/gateway/relay.py
+++ b/foxtailpick/gateway/relay.py
@@ -240,7 +240,7 @@
             job.counted_attempts,
             job.unreached,
             gw.budget.get_tokens(job.service.name) >= 1,
-            gw.prompts.may_crash(job.shared_parts, gw.now_ms()),
+            gw.part_records.may_crash(job.shared_parts, gw.now_ms()),
         )
         if (
             plan is retry_decision.RetryDecision.ALLOWED
--- a/foxtailpick/gateway/watchdog.py
+++ b/foxtailpick/gateway/watchdog.py
@@ -24,7 +24,7 @@
         return False
     if gw.budget.get_tokens(job.service.name) < 1:
         return False
-    if gw.prompts.may_crash(job.shared_parts, gw.now_ms()):
+    if gw.part_records.may_crash(job.shared_parts, gw.now_ms()):
         return False
     # More endpoints have to be listed than attempts were made.
     return (
--- a/foxtailpick/tests/prompt_fleet_model.py
+++ b/foxtailpick/tests/crash_fleet_model.py
@@ -1,6 +1,6 @@
 """Simulation of routers and engines that crash on some requests.
 
-Virtual time. Routers use the decisions of `prompt_quarantine` and exchange
+Virtual time. Routers use the decisions of `crash_quarantine` and exchange
 reports through a hub, whose messages may get lost. Engines queue a request,
 begin to answer it and stream the answer; one that begins to answer a
 crashing request ends shortly afterwards, with all its requests, and comes
@@ -13,8 +13,8 @@
 import itertools
 import random
 
-from foxtailpick.core.dispatch import prompt_quarantine
-from foxtailpick.core.dispatch import prompt_reports
+from foxtailpick.core.dispatch import crash_quarantine
+from foxtailpick.core.dispatch import crash_reports
 
 TICK_MS = 10
 EXCHANGE_MS = 150
@@ -70,11 +70,11 @@
         self.loses_start = loses_start
         self.loss = 0.05
         self.records = [
-            prompt_quarantine.PromptRecords() for _ in range(routers)
+            crash_quarantine.CrashRecords() for _ in range(routers)
         ]
-        self.hub = prompt_reports.HubPromptReports()
-        self.pacers = [prompt_reports.Pacer() for _ in range(routers)]
-        self.totals_pacer = prompt_reports.Pacer()
+        self.hub = crash_reports.HubCrashReports()
+        self.pacers = [crash_reports.Pacer() for _ in range(routers)]
+        self.totals_pacer = crash_reports.Pacer()
         self.engines = [[] for _ in range(engines)]
         self.up_ms = [0.0] * engines
         self.now_ms = 0.0
@@ -171,7 +171,7 @@
         runs = self.engines[engine]
         for run in runs:
             age_ms = self.now_ms - run.answered_ms
-            is_sound = age_ms >= prompt_quarantine.SOUND_MS
+            is_sound = age_ms >= crash_quarantine.SOUND_MS
             if is_sound and not run.is_sound_recorded:
                 run.is_sound_recorded = True
                 self._record_sound(run)
@@ -194,7 +194,7 @@
             is_seen = run.answered_ms <= self.now_ms and not (
                 run.is_bad and (self.loses_start or self.is_plain)
             )
-            is_suspect = prompt_quarantine.is_suspect(
+            is_suspect = crash_quarantine.is_suspect(
                 run.answered_ms if is_seen else None, self.now_ms
             )
             if is_suspect:
--- a/foxtailpick/tests/test_prompt_quarantine.py
+++ b/foxtailpick/tests/test_crash_quarantine.py
@@ -2,10 +2,10 @@
 
 import pytest
 
-from foxtailpick.core.dispatch import prompt_quarantine
-from foxtailpick.core.dispatch import prompt_reports
+from foxtailpick.core.dispatch import crash_quarantine
+from foxtailpick.core.dispatch import crash_reports
 from foxtailpick.core.dispatch import retry_decision
-from foxtailpick.tests import prompt_fleet_model
+from foxtailpick.tests import crash_fleet_model
 from foxtailpick.tests import test_dispatch
 
 CONTACT_MS = 3_000.0
@@ -14,7 +14,7 @@
 # Routers, engines, sound and crashing requests per second.
 SMALL_FLEET = (4, 6, 50, 2)
 LARGE_FLEET = (68, 47, 400, 4)
-BAD = prompt_fleet_model.BAD_PART
+BAD = crash_fleet_model.BAD_PART
 # The same for one plain request that comes again, at a small service.
 CRASHES_OF_REQUEST = 3
 SMALL_SERVICE = (4, 3, 30, 2)
@@ -28,7 +28,7 @@
 
 def make_quarantined(now_ms=10_000.0):
     """Return records with a quarantine that started at some time."""
-    records = prompt_quarantine.PromptRecords()
+    records = crash_quarantine.CrashRecords()
     for number in range(3):
         at_ms = now_ms - 1_000.0 * (2 - number)
         records.record_end([BAD], f'e{number}', at_ms, at_ms)
@@ -40,16 +40,16 @@
     [(None, True), (950.0, True), (400.0, False)],
 )
 def test_request_is_suspect_until_its_answer_lasts(answered_ms, is_suspect):
-    found = prompt_quarantine.is_suspect(answered_ms, 1_000.0)
+    found = crash_quarantine.is_suspect(answered_ms, 1_000.0)
     assert found is is_suspect
 
 
 def test_ends_at_one_time_count_as_one():
-    assert prompt_quarantine.count_ends([650, 0, 499, 100, 1_149]) == 2
+    assert crash_quarantine.count_ends([650, 0, 499, 100, 1_149]) == 2
 
 
 def test_part_is_quarantined_after_several_ends():
-    records = prompt_quarantine.PromptRecords()
+    records = crash_quarantine.CrashRecords()
     parts = ['route', BAD]
     for number in range(2):
         at_ms = 1_000.0 * number
@@ -57,12 +57,12 @@
         records.record_sound(['route'], at_ms + 10)
     assert records.record_end(parts, 'e2', 2_000.0, 2_000.0) == [BAD]
     refusal = records.find_refusal(parts, get_first, 2_000.0)
-    assert refusal == (BAD, prompt_quarantine.FIRST_QUARANTINE_MS)
+    assert refusal == (BAD, crash_quarantine.FIRST_QUARANTINE_MS)
     assert records.find_refusal(['route'], get_first, 2_000.0) is None
 
 
 def test_ends_of_one_process_count_once():
-    records = prompt_quarantine.PromptRecords()
+    records = crash_quarantine.CrashRecords()
     for number in range(5):
         at_ms = 1_000.0 * number
         assert not records.record_end([BAD], 'e1', at_ms, at_ms)
@@ -76,8 +76,8 @@
 
 
 def test_sound_answer_at_another_router_ends_a_quarantine():
-    first, second = make_quarantined(), prompt_quarantine.PromptRecords()
-    hub = prompt_reports.HubPromptReports()
+    first, second = make_quarantined(), crash_quarantine.CrashRecords()
+    hub = crash_reports.HubCrashReports()
     hub.record('r1', first.make_report(10_000.0), 10_000.0)
     changes = second.apply_totals(hub.merge(10_000.0), 10_000.0)
     assert changes.started == [BAD]
@@ -89,8 +89,8 @@
 
 
 def test_ends_at_several_routers_add_up():
-    hub = prompt_reports.HubPromptReports()
-    routers = [prompt_quarantine.PromptRecords() for _ in range(3)]
+    hub = crash_reports.HubCrashReports()
+    routers = [crash_quarantine.CrashRecords() for _ in range(3)]
     for number, records in enumerate(routers):
         at_ms = 1_000.0 * number
         assert not records.record_end([BAD], f'e{number}', at_ms, at_ms)
@@ -102,13 +102,13 @@
 
 
 def test_quarantine_outlives_the_router_that_saw_the_ends():
-    first, second = make_quarantined(), prompt_quarantine.PromptRecords()
-    hub = prompt_reports.HubPromptReports()
+    first, second = make_quarantined(), crash_quarantine.CrashRecords()
+    hub = crash_reports.HubCrashReports()
     hub.record('r1', first.make_report(10_000.0), 10_000.0)
     second.apply_totals(hub.merge(10_000.0), 10_000.0)
     third, new_hub = (
-        prompt_quarantine.PromptRecords(),
-        prompt_reports.HubPromptReports(),
+        crash_quarantine.CrashRecords(),
+        crash_reports.HubCrashReports(),
     )
     new_hub.record('r2', second.make_report(13_000.0), 13_000.0)
     third.apply_totals(new_hub.merge(13_000.0), 13_000.0)
@@ -117,37 +117,37 @@
 
 def test_part_is_tested_by_one_request_after_the_quarantine():
     records = make_quarantined()
-    due_ms = 10_000.0 + prompt_quarantine.FIRST_QUARANTINE_MS
+    due_ms = 10_000.0 + crash_quarantine.FIRST_QUARANTINE_MS
     assert records.find_refusal([BAD], get_first, due_ms - 1) is not None
     assert records.find_refusal([BAD], get_first, due_ms) is None
-    stagger_ms = prompt_quarantine.TEST_STAGGER_MS
+    stagger_ms = crash_quarantine.TEST_STAGGER_MS
     assert records.find_refusal([BAD], lambda part: 1, due_ms) == (
         BAD,
         stagger_ms,
     )
     assert records.begin_tests(['route', BAD], due_ms) == [BAD]
     assert records.find_refusal([BAD], get_first, due_ms + 100) is not None
-    later_ms = due_ms + prompt_quarantine.TEST_TIMEOUT_MS
+    later_ms = due_ms + crash_quarantine.TEST_TIMEOUT_MS
     assert records.find_refusal([BAD], get_first, later_ms) is None
 
 
 def test_test_that_crashes_an_endpoint_lengthens_the_quarantine():
     records = make_quarantined()
-    due_ms = 10_000.0 + prompt_quarantine.FIRST_QUARANTINE_MS
+    due_ms = 10_000.0 + crash_quarantine.FIRST_QUARANTINE_MS
     records.begin_tests([BAD], due_ms)
     assert records.fail_tests([BAD], due_ms) == [BAD]
     refusal = records.find_refusal([BAD], get_first, due_ms)
     assert refusal.due_ms == (
-        prompt_quarantine.FIRST_QUARANTINE_MS
-        * prompt_quarantine.QUARANTINE_FACTOR
+        crash_quarantine.FIRST_QUARANTINE_MS
+        * crash_quarantine.QUARANTINE_FACTOR
     )
 
 
 def test_test_under_way_is_known_at_other_routers():
     first, second = make_quarantined(), make_quarantined()
-    due_ms = 10_000.0 + prompt_quarantine.FIRST_QUARANTINE_MS
+    due_ms = 10_000.0 + crash_quarantine.FIRST_QUARANTINE_MS
     first.begin_tests([BAD], due_ms)
-    hub = prompt_reports.HubPromptReports()
+    hub = crash_reports.HubCrashReports()
     hub.record('r1', first.make_report(due_ms + 50), due_ms + 50)
     second.apply_totals(hub.merge(due_ms + 60), due_ms + 60)
     assert second.find_refusal([BAD], get_first, due_ms + 60) is not None
@@ -155,22 +155,22 @@
 
 def test_unasked_quarantine_expires():
     records = make_quarantined()
-    due_ms = 10_000.0 + prompt_quarantine.FIRST_QUARANTINE_MS
-    assert records.make_report(due_ms + prompt_quarantine.EXPIRY_MS)
-    assert not records.make_report(due_ms + prompt_quarantine.EXPIRY_MS + 1)
+    due_ms = 10_000.0 + crash_quarantine.FIRST_QUARANTINE_MS
+    assert records.make_report(due_ms + crash_quarantine.EXPIRY_MS)
+    assert not records.make_report(due_ms + crash_quarantine.EXPIRY_MS + 1)
 
 
 def test_messages_without_news_are_sent_at_intervals():
-    records = prompt_quarantine.PromptRecords()
-    pacer = prompt_reports.Pacer()
+    records = crash_quarantine.CrashRecords()
+    pacer = crash_reports.Pacer()
     records.record_end([BAD], 'e1', 0.0, 0.0)
     sent_ms = [
         now_ms
         for now_ms in range(0, 12_000, 150)
         if pacer.is_due(records.make_report(now_ms), now_ms)
     ]
-    fresh = [ms for ms in sent_ms if ms < prompt_reports.FRESH_MS]
-    assert len(fresh) == prompt_reports.FRESH_MS // 150 + 1
+    fresh = [ms for ms in sent_ms if ms < crash_reports.FRESH_MS]
+    assert len(fresh) == crash_reports.FRESH_MS // 150 + 1
     assert len(sent_ms) - len(fresh) <= 10
     records.record_end([BAD], 'e2', 12_000.0, 12_000.0)
     assert pacer.is_due(records.make_report(12_010.0), 12_010.0)
@@ -195,34 +195,34 @@
 )
 def test_messages_of_another_form_are_rejected(message):
     with pytest.raises(ValueError, match='expected'):
-        prompt_reports.check_report(message)
+        crash_reports.check_report(message)
 
 
 @pytest.mark.parametrize('totals', [[], {BAD: 1}, {BAD: [0, None]}])
 def test_totals_of_another_form_are_rejected(totals):
     with pytest.raises(ValueError, match='expected'):
-        prompt_reports.check_totals(totals)
+        crash_reports.check_totals(totals)
 
 
 def test_own_messages_have_the_expected_form():
     records = make_quarantined()
     report = records.make_report(10_000.0)
-    prompt_reports.check_report(report)
-    prompt_reports.check_report(None)
-    hub = prompt_reports.HubPromptReports()
+    crash_reports.check_report(report)
+    crash_reports.check_report(None)
+    hub = crash_reports.HubCrashReports()
     hub.record('r1', report, 10_000.0)
-    prompt_reports.check_totals(hub.merge(10_000.0))
+    crash_reports.check_totals(hub.merge(10_000.0))
 
 
 def test_memory_and_messages_are_bounded():
-    records = prompt_quarantine.PromptRecords()
-    for number in range(2 * prompt_quarantine.MAX_SOUND_PARTS):
+    records = crash_quarantine.CrashRecords()
+    for number in range(2 * crash_quarantine.MAX_SOUND_PARTS):
         records.record_sound([f's{number}'], 0.0)
         records.record_end([f'p{number}'], f'e{number}', 1.0, 1.0)
-    assert len(records._sound_ms) == prompt_quarantine.MAX_SOUND_PARTS
-    assert len(records._ends_ms) == prompt_quarantine.MAX_SUSPECTS
+    assert len(records._sound_ms) == crash_quarantine.MAX_SOUND_PARTS
+    assert len(records._ends_ms) == crash_quarantine.MAX_SUSPECTS
     ends, _, _ = records.make_report(1.0)
-    assert len(ends) == prompt_quarantine.MAX_REPORTED_PARTS
+    assert len(ends) == crash_quarantine.MAX_REPORTED_PARTS
 
 
 @pytest.mark.parametrize(
@@ -231,13 +231,13 @@
         (None, None, False),
         (None, 1_000.0, True),
         (900.0, 1_000.0, False),
-        (1_000.0 - prompt_quarantine.PROVEN_MS, 1_000.0, True),
+        (1_000.0 - crash_quarantine.PROVEN_MS, 1_000.0, True),
     ],
 )
 def test_request_is_not_repeated_if_it_may_crash_an_endpoint(
     sound_ms, end_ms, may_crash
 ):
-    records = prompt_quarantine.PromptRecords()
+    records = crash_quarantine.CrashRecords()
     if sound_ms is not None:
         records.record_sound([BAD], sound_ms)
     if end_ms is not None:
@@ -256,7 +256,7 @@
 def simulate(fleet_size, **options):
     """Simulate calm, then crashing prompts among sound ones."""
     routers, engines, sound_per_s, bad_per_s = fleet_size
-    fleet = prompt_fleet_model.Fleet(routers, engines, **options)
+    fleet = crash_fleet_model.Fleet(routers, engines, **options)
     fleet.run(5_000, sound_per_s)
     fleet.run(40_000, sound_per_s, bad_per_s)
     return fleet
@@ -291,9 +291,7 @@
 def simulate_request(fleet_size, for_ms=180_000, **options):
     """Simulate one plain request that crashes engines and comes again."""
     routers, engines, sound_per_s, bad_per_s = fleet_size
-    fleet = prompt_fleet_model.Fleet(
-        routers, engines, is_plain=True, **options
-    )
+    fleet = crash_fleet_model.Fleet(routers, engines, is_plain=True, **options)
     fleet.run(5_000, sound_per_s)
     fleet.run(for_ms, sound_per_s, bad_per_s)
     return fleet
@@ -312,18 +310,18 @@
 
 def test_loss_of_all_engines_is_no_reason_for_a_quarantine():
     routers, engines, sound_per_s, _ = SMALL_FLEET
-    fleet = prompt_fleet_model.Fleet(routers, engines)
+    fleet = crash_fleet_model.Fleet(routers, engines)
     for _ in range(5):
         fleet.run(3_000, sound_per_s)
         fleet.crash_all(range(engines))
-        fleet.run(prompt_fleet_model.DOWN_MS, sound_per_s)
+        fleet.run(crash_fleet_model.DOWN_MS, sound_per_s)
     fleet.run(5_000, sound_per_s)
     assert fleet.compute_sent_share(0, fleet.now_ms) == 1.0
 
 
 def test_ordinary_crashes_leave_sound_requests_alone():
     routers, engines, sound_per_s, _ = SMALL_FLEET
-    fleet = prompt_fleet_model.Fleet(routers, engines)
+    fleet = crash_fleet_model.Fleet(routers, engines)
     fleet.run(5_000, sound_per_s)
     for number in range(20):
         fleet.run(1_500, sound_per_s)
--- a/foxtailpick/tests/test_crashing_prompts.py
+++ b/foxtailpick/tests/test_crashing_prompts.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from foxtailpick.tests import crashing_prompts
+from foxtailpick.tests import crashing_fleet
 
 GATEWAYS = 4
 ENGINES = 6
@@ -33,7 +33,7 @@
         refused = {status for _, status in fleet.bad_answers[-5:]}
         assert refused == {503}
 
-    await crashing_prompts.run_with_fleet(check, GATEWAYS, ENGINES)
+    await crashing_fleet.run_with_fleet(check, GATEWAYS, ENGINES)
 
 
 async def test_request_that_crashes_an_engine_is_not_repeated():
@@ -42,4 +42,4 @@
         assert len(fleet.bad_sent_ms) == 1
         assert fleet.bad_answers[0][1] in (0, 502)
 
-    await crashing_prompts.run_with_fleet(check, 1, 2)
+    await crashing_fleet.run_with_fleet(check, 1, 2)
--- a/foxtailpick/tests/test_crashing_requests.py
+++ b/foxtailpick/tests/test_crashing_requests.py
@@ -5,7 +5,7 @@
 import pytest
 import trio
 
-from foxtailpick.tests import crashing_prompts
+from foxtailpick.tests import crashing_fleet
 
 GATEWAYS = 4
 SERVERS = 3
@@ -35,6 +35,6 @@
         refused = {status for _, status in fleet.bad_answers[-5:]}
         assert refused == {503}
 
-    await crashing_prompts.run_with_fleet(
+    await crashing_fleet.run_with_fleet(
         check, GATEWAYS, SERVERS, 'plain', DOWN_MS
     )
