--- a/foxtailpick/core/dispatch/crash_quarantine.py
+++ b/foxtailpick/core/dispatch/crash_quarantine.py
@@ -1,28 +1,32 @@
-"""Quarantines prompt parts that crash endpoints.
+"""Quarantines what requests that crash endpoints have in common.
 
 Load pattern: each request whose prompt has a certain part crashes the
-endpoint that begins to answer it (a query of death). Such requests arrive at
-any router, and sound requests share their account and their other parts.
-Each crash takes all requests of an endpoint with it, and a retry crashes the
-next endpoint.
+endpoint that begins to answer it, or one request does so that comes again
+and again (a query of death). Such requests arrive at any router, and sound
+requests share their account, path and other parts. Each crash takes all
+requests of an endpoint with it, and a retry crashes the next endpoint.
 
-The parts of a request are suspected when the connection to its endpoint
+A request has several signatures: the shared parts of its prompt, and a hash
+of the whole request. They are suspected when the connection to its endpoint
 closes before or shortly after the answer began, until any router gets a
-sound answer to a request with the same part. A part that is suspected for
+sound answer to a request with the same signature. One that is suspected for
 several endpoints is quarantined: requests with it are refused. Later, one
-request at a time may test it.
+request at a time may test it. A policy for each kind of signature says what
+counts and how often it is tested.
 
 Evidence of one router is rare, as the requests arrive at all of them.
 Routers report suspects to the hub, which returns sums, and routers with
-sound answers to these parts contradict it.
+sound answers to these signatures contradict it.
 """
 
 import collections
 import dataclasses
+import hashlib
 import math
 import typing
 
-from foxtailpick.core import types
+# Id of a prompt part, or hash of a whole request.
+Signature = typing.NewType('Signature', str)
 
 # An endpoint that a request crashes ends this long after the start of the
 # answer at most. The start may also be lost with the connection.
@@ -32,50 +36,140 @@
 # Ends at nearly the same time have a common cause other than a prompt, such
 # as the loss of a failure domain, so they count as one.
 MIN_END_GAP_MS = 500.0
-# Number of ends from which on a part is quarantined.
-MAX_ENDS = 3
 END_TTL_MS = 120_000.0
-# A part counts as sound for this long after a sound answer, as far as
-# retries are concerned.
-PROVEN_MS = 120_000.0
-# Each failed test makes the next quarantine longer by this factor.
-FIRST_QUARANTINE_MS = 15_000.0
-QUARANTINE_FACTOR = 3.0
 MAX_QUARANTINE_MS = 600_000.0
-# A quarantine ends if no test begins for this long after it is due.
+# A quarantine ends if nobody asks for it for this long after a test is due.
 EXPIRY_MS = 600_000.0
+# The age of the latest request is sent in these steps, rounded up, so that
+# it is no news each time.
+ASKED_STEP_MS = 10_000.0
 # A test without a result ends after this time.
 TEST_TIMEOUT_MS = 10_000.0
 # Routers may begin a test one after the other, so that two seldom do.
 TEST_STAGGER_MS = 3_000.0
+# A limited number of tests must be known to all routers. One that has not
+# heard of them for this long, which is less than the stagger, tests nothing.
+MAX_TEST_TOTALS_AGE_MS = 2_000.0
 # Limits of memory and of messages.
 MAX_SUSPECTS = 512
-MAX_SOUND_PARTS = 4_096
-MAX_REPORTED_PARTS = 16
+MAX_QUARANTINES = 512
 MAX_REPORTED_ENDS = 8
 # Reports and totals older than this are ignored.
 MAX_AGE_MS = 3_500.0
+_SIGNATURE_BYTES = 6
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Policy:
+    """How signatures of one kind are treated.
+
+    :param name: the kind, in log events and metrics.
+    :param label: name of a signature in log lines.
+    :param min_end_gap_ms: ends closer in time than this count as one.
+    :param max_ends: number of ends from which on it is quarantined.
+    :param max_repeatable_ends: number of ends up to which a request without
+        a sound answer may be repeated.
+    :param proven_ms: a signature counts as sound for this long after a sound
+        answer, as far as retries are concerned.
+    :param first_quarantine_ms: time until the first test.
+    :param quarantine_factor: each test makes the time until the next one
+        longer by this factor.
+    :param max_tests: number of tests in all of the fleet, None for as many
+        as fail one after the other.
+    :param keeps_sound: whether sound answers are recorded before there is a
+        suspicion.
+    :param max_sound: number of signatures whose sound answers are recorded.
+    :param max_reported: number of suspects in a report.
+    :param min_listed_ends: number of ends from which on totals list it.
+    :param max_listed: number of signatures in the totals.
+    """
+
+    name: str
+    label: str
+    min_end_gap_ms: float
+    max_ends: int
+    max_repeatable_ends: int
+    proven_ms: float
+    first_quarantine_ms: float
+    quarantine_factor: float
+    max_tests: int | None
+    keeps_sound: bool
+    max_sound: int
+    max_reported: int
+    min_listed_ends: int
+    max_listed: int
+
+
+# No two requests with a crashing part are alike, and each endpoint that ends
+# makes suspects of all parts of its requests.
+PARTS = Policy(
+    name='prompt',
+    label='part',
+    min_end_gap_ms=MIN_END_GAP_MS,
+    max_ends=3,
+    max_repeatable_ends=0,
+    proven_ms=120_000.0,
+    first_quarantine_ms=15_000.0,
+    quarantine_factor=3.0,
+    max_tests=None,
+    keeps_sound=True,
+    max_sound=4_096,
+    max_reported=16,
+    min_listed_ends=1,
+    max_listed=32,
+)
+# One request may be at several endpoints at once, all of which it crashes.
+# That distinct endpoints end under the same request is seldom by chance.
+REQUESTS = Policy(
+    name='signature',
+    label='signature',
+    min_end_gap_ms=0.0,
+    max_ends=3,
+    max_repeatable_ends=1,
+    proven_ms=0.0,
+    first_quarantine_ms=6_000.0,
+    quarantine_factor=5.0,
+    max_tests=2,
+    keeps_sound=False,
+    max_sound=512,
+    max_reported=MAX_SUSPECTS,
+    min_listed_ends=2,
+    max_listed=64,
+)
 
 
 @dataclasses.dataclass(slots=True)
 class Quarantine:
-    """The quarantine of a prompt part.
+    """The quarantine of a signature.
 
-    :param started_ms: when it started.
-    :param level: number of failed tests before it.
+    :param policy: the policy for its kind.
+    :param started_ms: when it started, or started again after a test.
+    :param tests: number of tests by router where the policy limits it;
+        otherwise the number of those that failed, under an empty name.
     :param test_ms: when the latest test began, if any.
+    :param asked_ms: when a request with the signature came last.
     """
 
+    policy: Policy
     started_ms: float
-    level: int = 0
+    tests: dict[str, int] = dataclasses.field(default_factory=dict)
     test_ms: float | None = None
+    asked_ms: float = -math.inf
+
+    @property
+    def level(self) -> int:
+        """Number of tests before it."""
+        return sum(self.tests.values())
 
     @property
     def due_ms(self) -> float:
-        """Time from which on the part may be tested."""
-        factor = QUARANTINE_FACTOR**self.level
+        """Time from which on the signature may be tested; may be infinite."""
+        policy = self.policy
+        if policy.max_tests is not None and self.level >= policy.max_tests:
+            return math.inf
+        factor = policy.quarantine_factor**self.level
         return self.started_ms + min(
-            FIRST_QUARANTINE_MS * factor, MAX_QUARANTINE_MS
+            policy.first_quarantine_ms * factor, MAX_QUARANTINE_MS
         )
 
     def is_under_test(self, now_ms: float) -> bool:
@@ -88,23 +182,74 @@
             and now_ms - self.test_ms < TEST_TIMEOUT_MS
         )
 
+    def is_expired(self, now_ms: float) -> bool:
+        """Tell whether nobody has asked for it for a long time.
+
+        :param now_ms: current time.
+        """
+        last_ms = max(self.started_ms, self.asked_ms)
+        if math.isfinite(self.due_ms):
+            last_ms = max(last_ms, self.due_ms)
+        return now_ms - last_ms > EXPIRY_MS
+
+    def merge(self, other: 'Quarantine') -> bool:
+        """Add what another router knows of the same quarantine.
+
+        Times of other routers come by way of ages, which leave out the
+        transfer, so own ones are kept where the tests are the same.
+
+        :param other: the quarantine as known there.
+        :returns: whether tests were added.
+        """
+        self.asked_ms = max(self.asked_ms, other.asked_ms)
+        tests = dict(self.tests)
+        for tester, count in other.tests.items():
+            tests[tester] = max(tests.get(tester, 0), count)
+        if tests == self.tests:
+            return False
+        self.tests = tests
+        self.started_ms = max(self.started_ms, other.started_ms)
+        self.test_ms = None
+        return True
+
 
 class Refusal(typing.NamedTuple):
     """Why a request is refused.
 
-    :param part: the quarantined part of its prompt.
-    :param due_ms: time until the part may be tested.
+    :param signature: its quarantined signature.
+    :param due_ms: time until the signature may be tested or is forgotten.
     """
 
-    part: types.PartId
+    signature: Signature
     due_ms: float
 
 
 class Changes(typing.NamedTuple):
-    """Parts whose quarantine started, and parts whose quarantine ended."""
+    """Signatures whose quarantine started, and those whose ended."""
+
+    started: list[Signature]
+    cleared: list[Signature]
 
-    started: list[types.PartId]
-    cleared: list[types.PartId]
+
+def compute_signature(
+    method: bytes, host: str, target: bytes, caller: str, body: bytes
+) -> Signature:
+    """Return a hash of a whole request, the same in all routers.
+
+    What differs when the request comes again is left out, such as the id of
+    the attempt and the deadline.
+
+    :param method: the method.
+    :param host: the host, in lower case.
+    :param target: path and query.
+    :param caller: the client account, or what else tells callers apart.
+    :param body: the body.
+    """
+    digest = hashlib.blake2b(digest_size=_SIGNATURE_BYTES)
+    for item in (method, host.encode(), target, caller.encode(), body):
+        digest.update(len(item).to_bytes(8, 'big'))
+        digest.update(item)
+    return Signature(digest.hexdigest())
 
 
 def is_suspect(answered_ms: float | None, closed_ms: float) -> bool:
@@ -116,164 +261,218 @@
     return answered_ms is None or closed_ms - answered_ms < BEGUN_MS
 
 
-def count_ends(ends_ms: typing.Iterable[float]) -> int:
+def count_ends(
+    ends_ms: typing.Iterable[float], min_gap_ms: float = MIN_END_GAP_MS
+) -> int:
     """Count the ends of endpoints; those at nearly one time count as one.
 
     :param ends_ms: when distinct endpoints ended.
+    :param min_gap_ms: ends closer in time than this count as one.
     """
     count = 0
     first_ms = -math.inf
     for end_ms in sorted(ends_ms):
-        if end_ms - first_ms >= MIN_END_GAP_MS:
+        if end_ms - first_ms >= min_gap_ms:
             count += 1
             first_ms = end_ms
     return count
 
 
 class CrashRecords:
-    """What a router knows of prompt parts and the endpoints that ended."""
-
-    def __init__(self) -> None:
-        # When endpoints ended under a part, by process.
-        self._ends_ms: collections.OrderedDict[
-            types.PartId, dict[str, float]
-        ] = collections.OrderedDict()
-        self._sound_ms: collections.OrderedDict[types.PartId, float] = (
+    """What a router knows of signatures and the endpoints that ended.
+
+    :param policy: the policy for the kind of the signatures.
+    """
+
+    def __init__(self, policy: Policy = PARTS) -> None:
+        self.policy = policy
+        # When endpoints ended under a signature, by process.
+        self._ends_ms: collections.OrderedDict[Signature, dict[str, float]] = (
+            collections.OrderedDict()
+        )
+        self._sound_ms: collections.OrderedDict[Signature, float] = (
             collections.OrderedDict()
         )
         # The hub's latest word, and when it arrived.
-        self._total_ends: dict[types.PartId, int] = {}
-        self._total_sound_ms: dict[types.PartId, float] = {}
+        self._total_ends: dict[Signature, int] = {}
+        self._total_sound_ms: dict[Signature, float] = {}
+        self._total_quarantines: set[Signature] = set()
         self._totals_ms = -math.inf
-        self.quarantines: dict[types.PartId, Quarantine] = {}
+        self.quarantines: dict[Signature, Quarantine] = {}
+
+    @property
+    def is_watching(self) -> bool:
+        """Whether any signature is suspected or quarantined."""
+        return bool(self._ends_ms or self._total_ends or self.quarantines)
 
     def record_end(
         self,
-        parts: typing.Iterable[types.PartId],
+        signatures: typing.Iterable[Signature],
         endpoint: str,
         closed_ms: float,
         now_ms: float,
-    ) -> list[types.PartId]:
+    ) -> list[Signature]:
         """Record that an endpoint ended under a request that is suspect.
 
-        :param parts: shared parts of the request's prompt.
+        :param signatures: signatures of the request.
         :param endpoint: the process of the endpoint.
         :param closed_ms: when it closed the connection.
         :param now_ms: current time.
-        :returns: parts whose quarantine starts.
+        :returns: signatures whose quarantine starts.
         """
-        for part in parts:
-            if closed_ms <= self._get_sound_ms(part):
+        for signature in signatures:
+            if closed_ms <= self._get_sound_ms(signature):
                 continue
-            self._ends_ms.setdefault(part, {}).setdefault(endpoint, closed_ms)
-            self._ends_ms.move_to_end(part)
+            ends_ms = self._ends_ms.setdefault(signature, {})
+            ends_ms.setdefault(endpoint, closed_ms)
+            self._ends_ms.move_to_end(signature)
         while len(self._ends_ms) > MAX_SUSPECTS:
-            self._ends_ms.popitem(last=False)
+            # The oldest of those with the fewest ends.
+            del self._ends_ms[
+                min(self._ends_ms, key=lambda key: len(self._ends_ms[key]))
+            ]
         return self._start_quarantines(now_ms)
 
     def record_sound(
-        self, parts: typing.Iterable[types.PartId], now_ms: float
-    ) -> list[types.PartId]:
-        """Record a sound answer, which ends each suspicion of its parts.
+        self, signatures: typing.Iterable[Signature], now_ms: float
+    ) -> list[Signature]:
+        """Record a sound answer, which ends each suspicion.
 
-        :param parts: shared parts of the request's prompt.
+        :param signatures: signatures of the request.
         :param now_ms: current time.
-        :returns: parts whose quarantine ends.
+        :returns: signatures whose quarantine ends.
         """
         cleared = []
-        for part in parts:
-            self._sound_ms[part] = now_ms
-            self._sound_ms.move_to_end(part)
-            self._ends_ms.pop(part, None)
-            if self.quarantines.pop(part, None):
-                cleared.append(part)
-        while len(self._sound_ms) > MAX_SOUND_PARTS:
+        for signature in signatures:
+            if not self.policy.keeps_sound and not self._is_watched(signature):
+                continue
+            self._sound_ms[signature] = now_ms
+            self._sound_ms.move_to_end(signature)
+            self._ends_ms.pop(signature, None)
+            if self.quarantines.pop(signature, None):
+                cleared.append(signature)
+        while len(self._sound_ms) > self.policy.max_sound:
             self._sound_ms.popitem(last=False)
         return cleared
 
     def find_refusal(
         self,
-        parts: typing.Iterable[types.PartId],
-        get_rank: typing.Callable[[types.PartId], int],
+        signatures: typing.Iterable[Signature],
+        get_rank: typing.Callable[[Signature], int],
         now_ms: float,
+        is_alone: bool = False,
     ) -> Refusal | None:
         """Return why a request must not be sent, None if it may be.
 
-        :param parts: shared parts of its prompt.
+        :param signatures: its signatures.
         :param get_rank: returns the rank of this router among those that
-            may test a part, 0 for the first.
+            may test a signature, 0 for the first.
         :param now_ms: current time.
+        :param is_alone: whether there is no other router.
         """
         if not self.quarantines:
             return None
-        for part in parts:
-            quarantine = self.quarantines.get(part)
+        for signature in signatures:
+            quarantine = self.quarantines.get(signature)
             if quarantine is None:
                 continue
-            due_ms = quarantine.due_ms + get_rank(part) * TEST_STAGGER_MS
-            if now_ms < due_ms or quarantine.is_under_test(now_ms):
-                return Refusal(part, max(0.0, due_ms - now_ms))
+            quarantine.asked_ms = now_ms
+            due_ms = quarantine.due_ms + get_rank(signature) * TEST_STAGGER_MS
+            if (
+                now_ms >= due_ms
+                and not quarantine.is_under_test(now_ms)
+                and (is_alone or self._knows_tests(signature, now_ms))
+            ):
+                continue
+            # Before a test is due, others may begin it first.
+            if now_ms < quarantine.due_ms:
+                due_ms = quarantine.due_ms
+            wait_ms = min(max(0.0, due_ms - now_ms), EXPIRY_MS)
+            return Refusal(signature, wait_ms)
         return None
 
     def begin_tests(
-        self, parts: typing.Iterable[types.PartId], now_ms: float
-    ) -> list[types.PartId]:
-        """Record that a request is sent, and tests its quarantined parts.
+        self,
+        signatures: typing.Iterable[Signature],
+        now_ms: float,
+        tester: str = '',
+    ) -> list[Signature]:
+        """Record that a request is sent, and tests what is quarantined.
 
-        :param parts: shared parts of its prompt.
+        :param signatures: its signatures.
         :param now_ms: current time.
-        :returns: the parts that it tests.
+        :param tester: this router.
+        :returns: the signatures that it tests.
         """
-        tested = [part for part in parts if part in self.quarantines]
-        for part in tested:
-            self.quarantines[part].test_ms = now_ms
+        tested = [item for item in signatures if item in self.quarantines]
+        for signature in tested:
+            quarantine = self.quarantines[signature]
+            quarantine.test_ms = quarantine.asked_ms = now_ms
+            if self.policy.max_tests is not None:
+                # Counts whatever becomes of it, since it has been sent.
+                count = quarantine.tests.get(tester, 0) + 1
+                quarantine.tests[tester] = count
+                quarantine.started_ms = now_ms
         return tested
 
     def fail_tests(
-        self, parts: typing.Iterable[types.PartId], now_ms: float
-    ) -> list[types.PartId]:
-        """Quarantine parts for longer, as their test crashed an endpoint.
+        self, signatures: typing.Iterable[Signature], now_ms: float
+    ) -> list[Signature]:
+        """Quarantine signatures for longer, as a test crashed an endpoint.
 
-        :param parts: the parts that were tested.
+        :param signatures: those that were tested.
         :param now_ms: current time.
-        :returns: parts whose quarantine starts again.
+        :returns: signatures whose quarantine starts again.
         """
-        failed = [part for part in parts if part in self.quarantines]
-        for part in failed:
-            level = self.quarantines[part].level + 1
-            self.quarantines[part] = Quarantine(now_ms, level)
+        failed = [item for item in signatures if item in self.quarantines]
+        if self.policy.max_tests is None:
+            for signature in failed:
+                before = self.quarantines[signature]
+                self.quarantines[signature] = Quarantine(
+                    self.policy,
+                    now_ms,
+                    {'': before.level + 1},
+                    asked_ms=before.asked_ms,
+                )
         return failed
 
     def may_crash(
         self,
-        parts: typing.Iterable[types.PartId],
+        signatures: typing.Iterable[Signature],
         now_ms: float,
     ) -> bool:
         """Tell whether a repeated request may crash another endpoint.
 
-        A part without a recent sound answer may, if an endpoint has ended
-        under it, be it this request or another one.
+        A signature without a recent sound answer may, if endpoints have
+        ended under it, be it this request or another one.
 
-        :param parts: shared parts of its prompt.
+        :param signatures: signatures of the request.
         :param now_ms: current time.
         """
-        for part in parts:
-            if part in self.quarantines:
+        for signature in signatures:
+            if signature in self.quarantines:
                 return True
-            if now_ms - self._get_sound_ms(part) < PROVEN_MS:
+            sound_ms = self._get_sound_ms(signature)
+            if now_ms - sound_ms < self.policy.proven_ms:
                 continue
-            if any(self.count_ends(part, now_ms)):
+            ends = max(self.count_ends(signature, now_ms))
+            if ends > self.policy.max_repeatable_ends:
                 return True
         return False
 
-    def count_ends(self, part: types.PartId, now_ms: float) -> tuple[int, int]:
+    def count_ends(
+        self, signature: Signature, now_ms: float
+    ) -> tuple[int, int]:
         """Return the number of ends at this router and at all routers.
 
-        :param part: the prompt part.
+        :param signature: the signature.
         :param now_ms: current time.
         """
-        own = count_ends(self._ends_ms.get(part, {}).values())
-        return own, self._get_total_ends(part, now_ms)
+        own = count_ends(
+            self._ends_ms.get(signature, {}).values(),
+            self.policy.min_end_gap_ms,
+        )
+        return own, self._get_total_ends(signature, now_ms)
 
     def make_report(self, now_ms: float) -> list[typing.Any] | None:
         """Return what this router reports to the hub, None for nothing.
@@ -282,26 +481,22 @@
 
         :param now_ms: current time.
         """
-        self._expire(now_ms)
+        self.expire(now_ms)
         ends = {
-            part: [
+            signature: [
                 [endpoint, round(now_ms - ms)]
                 for endpoint, ms in list(found.items())[-MAX_REPORTED_ENDS:]
             ]
-            for part, found in self._list_worst_suspects()
+            for signature, found in self._list_worst_suspects()
         }
         sound = {
-            part: round(now_ms - self._sound_ms[part])
-            for part in self._total_ends
-            if part in self._sound_ms
+            signature: round(now_ms - self._sound_ms[signature])
+            for signature in self._total_ends
+            if signature in self._sound_ms
         }
         quarantines = {
-            part: [
-                round(now_ms - item.started_ms),
-                item.level,
-                None if item.test_ms is None else round(now_ms - item.test_ms),
-            ]
-            for part, item in self.quarantines.items()
+            signature: encode_quarantine(item, now_ms)
+            for signature, item in self.quarantines.items()
         }
         if not ends and not sound and not quarantines:
             return None
@@ -309,103 +504,180 @@
 
     def apply_totals(
         self,
-        totals: typing.Mapping[types.PartId, typing.Any],
+        totals: typing.Mapping[Signature, typing.Any],
         now_ms: float,
+        is_continued: bool = False,
     ) -> Changes:
         """Replace the hub's previous totals.
 
         :param totals: result of `HubCrashReports.merge`.
         :param now_ms: current time.
+        :param is_continued: whether they are a further piece of the previous
+            ones, which stay.
         """
-        self._total_ends = {}
-        self._total_sound_ms = {}
+        if not is_continued:
+            self._total_ends = {}
+            self._total_sound_ms = {}
+            self._total_quarantines = set()
         self._totals_ms = now_ms
         cleared = []
-        for part, (ends, sound_age_ms, _) in totals.items():
-            self._total_ends[part] = ends
+        for signature, (ends, sound_age_ms, quarantine) in totals.items():
+            self._total_ends[signature] = ends
+            if quarantine is not None:
+                self._total_quarantines.add(signature)
             if sound_age_ms is not None:
                 sound_ms = now_ms - sound_age_ms
-                self._total_sound_ms[part] = sound_ms
-                self._drop_ends(part, sound_ms)
-                own = self.quarantines.get(part)
+                self._total_sound_ms[signature] = sound_ms
+                self._drop_ends(signature, sound_ms)
+                own = self.quarantines.get(signature)
                 if own is not None and own.started_ms < sound_ms:
-                    del self.quarantines[part]
-                    cleared.append(part)
+                    del self.quarantines[signature]
+                    cleared.append(signature)
         started = self._adopt_quarantines(totals, now_ms)
         return Changes([*started, *self._start_quarantines(now_ms)], cleared)
 
+    def expire(self, now_ms: float) -> None:
+        """Drop what is too old to be used again.
+
+        :param now_ms: current time.
+        """
+        for signature in list(self._ends_ms):
+            self._drop_ends(signature, now_ms - END_TTL_MS)
+        for signature, item in list(self.quarantines.items()):
+            if item.is_expired(now_ms):
+                del self.quarantines[signature]
+        while len(self.quarantines) > MAX_QUARANTINES:
+            unasked = min(
+                self.quarantines,
+                key=lambda key: self.quarantines[key].asked_ms,
+            )
+            del self.quarantines[unasked]
+
     def _adopt_quarantines(
         self,
-        totals: typing.Mapping[types.PartId, typing.Any],
+        totals: typing.Mapping[Signature, typing.Any],
         now_ms: float,
-    ) -> list[types.PartId]:
+    ) -> list[Signature]:
         started = []
-        for part, (_, _, quarantine) in totals.items():
-            if quarantine is None:
+        for signature, (_, _, message) in totals.items():
+            if message is None:
+                continue
+            found = decode_quarantine(message, self.policy, now_ms)
+            if found.started_ms < self._get_sound_ms(signature):
                 continue
-            age_ms, level, test_age_ms = quarantine
-            if now_ms - age_ms < self._get_sound_ms(part):
+            # The router that knows of the latest request drops it last.
+            if found.is_expired(now_ms + 2 * ASKED_STEP_MS):
                 continue
-            own = self.quarantines.get(part)
-            if own is None or own.level < level:
-                own = Quarantine(now_ms - age_ms, level)
-                self.quarantines[part] = own
-                started.append(part)
+            own = self.quarantines.get(signature)
+            if own is None:
+                own = self.quarantines[signature] = found
+                started.append(signature)
+            elif own.merge(found):
+                started.append(signature)
             if (
-                test_age_ms is not None
-                and own.level == level
+                found.test_ms is not None
+                and own.level == found.level
                 and not own.is_under_test(now_ms)
             ):
                 # The age includes earlier transfers, so a known test keeps
                 # the time at which this router first learned of it.
-                own.test_ms = now_ms - test_age_ms
+                own.test_ms = found.test_ms
         return started
 
-    def _start_quarantines(self, now_ms: float) -> list[types.PartId]:
+    def _start_quarantines(self, now_ms: float) -> list[Signature]:
         started = []
-        for part in {*self._ends_ms, *self._total_ends}:
-            if part in self.quarantines:
+        for signature in {*self._ends_ms, *self._total_ends}:
+            if signature in self.quarantines:
                 continue
-            if max(self.count_ends(part, now_ms)) >= MAX_ENDS:
-                self.quarantines[part] = Quarantine(now_ms)
-                started.append(part)
+            ends = max(self.count_ends(signature, now_ms))
+            if ends >= self.policy.max_ends:
+                self.quarantines[signature] = Quarantine(
+                    self.policy, now_ms, asked_ms=now_ms
+                )
+                started.append(signature)
         return started
 
     def _list_worst_suspects(
         self,
-    ) -> list[tuple[types.PartId, dict[str, float]]]:
-        def rank(item: tuple[types.PartId, dict[str, float]]) -> typing.Any:
+    ) -> list[tuple[Signature, dict[str, float]]]:
+        def rank(item: tuple[Signature, dict[str, float]]) -> typing.Any:
             ends_ms = item[1].values()
-            return count_ends(ends_ms), max(ends_ms)
+            count = count_ends(ends_ms, self.policy.min_end_gap_ms)
+            return count, max(ends_ms)
+
+        worst = sorted(self._ends_ms.items(), key=rank, reverse=True)
+        return worst[: self.policy.max_reported]
+
+    def _is_watched(self, signature: Signature) -> bool:
+        return (
+            signature in self._ends_ms
+            or signature in self._total_ends
+            or signature in self.quarantines
+        )
 
-        return sorted(self._ends_ms.items(), key=rank, reverse=True)[
-            :MAX_REPORTED_PARTS
-        ]
+    def _knows_tests(self, signature: Signature, now_ms: float) -> bool:
+        """Tell whether this router knows what others have tested."""
+        return self.policy.max_tests is None or (
+            signature in self._total_quarantines
+            and now_ms - self._totals_ms <= MAX_TEST_TOTALS_AGE_MS
+        )
 
-    def _get_sound_ms(self, part: types.PartId) -> float:
+    def _get_sound_ms(self, signature: Signature) -> float:
         return max(
-            self._sound_ms.get(part, -math.inf),
-            self._total_sound_ms.get(part, -math.inf),
+            self._sound_ms.get(signature, -math.inf),
+            self._total_sound_ms.get(signature, -math.inf),
         )
 
-    def _get_total_ends(self, part: types.PartId, now_ms: float) -> int:
+    def _get_total_ends(self, signature: Signature, now_ms: float) -> int:
         if now_ms - self._totals_ms > MAX_AGE_MS:
             return 0
-        return self._total_ends.get(part, 0)
+        return self._total_ends.get(signature, 0)
 
-    def _drop_ends(self, part: types.PartId, until_ms: float) -> None:
-        ends_ms = self._ends_ms.get(part)
+    def _drop_ends(self, signature: Signature, until_ms: float) -> None:
+        ends_ms = self._ends_ms.get(signature)
         if ends_ms is None:
             return
         for endpoint, end_ms in list(ends_ms.items()):
             if end_ms <= until_ms:
                 del ends_ms[endpoint]
         if not ends_ms:
-            del self._ends_ms[part]
-
-    def _expire(self, now_ms: float) -> None:
-        for part in list(self._ends_ms):
-            self._drop_ends(part, now_ms - END_TTL_MS)
-        for part, item in list(self.quarantines.items()):
-            if now_ms - item.due_ms > EXPIRY_MS:
-                del self.quarantines[part]
+            del self._ends_ms[signature]
+
+
+def encode_quarantine(item: Quarantine, now_ms: float) -> list[typing.Any]:
+    """Return a quarantine as it is sent, with ages instead of times.
+
+    :param item: the quarantine.
+    :param now_ms: current time.
+    """
+    age_ms = round(now_ms - item.started_ms)
+    test_age_ms = None
+    if item.test_ms is not None:
+        test_age_ms = round(now_ms - item.test_ms)
+    if item.policy.max_tests is None:
+        return [age_ms, item.level, test_age_ms]
+    asked_ms = max(item.asked_ms, item.started_ms)
+    steps = (now_ms - asked_ms) // ASKED_STEP_MS + 1
+    asked_age_ms = round(steps * ASKED_STEP_MS)
+    return [age_ms, dict(item.tests), test_age_ms, asked_age_ms]
+
+
+def decode_quarantine(
+    message: typing.Sequence[typing.Any], policy: Policy, now_ms: float
+) -> Quarantine:
+    """Return a quarantine as it was received.
+
+    :param message: result of `encode_quarantine`, of a checked form.
+    :param policy: the policy for the kind of its signature.
+    :param now_ms: time at which it was received.
+    """
+    age_ms, tests, test_age_ms, *asked_age_ms = message
+    if policy.max_tests is None:
+        tests = {'': tests} if tests else {}
+    return Quarantine(
+        policy,
+        now_ms - age_ms,
+        dict(tests),
+        None if test_age_ms is None else now_ms - test_age_ms,
+        now_ms - asked_age_ms[0] if asked_age_ms else -math.inf,
+    )
--- a/foxtailpick/core/dispatch/crash_reports.py
+++ b/foxtailpick/core/dispatch/crash_reports.py
@@ -1,28 +1,35 @@
-"""Exchange of evidence about prompt parts through the hub.
+"""Exchange of evidence about requests that crash endpoints, through the hub.
 
 Load pattern: requests that crash endpoints arrive at all routers, so that
-each sees few of them. Routers report suspected parts and quarantines to the
-hub, which returns the totals. Datagrams may get lost, and most of them would
-say the same as the ones before.
+each sees few of them. Routers report suspected signatures and quarantines to
+the hub, which returns the totals. Datagrams may get lost, and most of them
+would say the same as the ones before.
 """
 
 import math
 import typing
 
+import cbor2
+
 from foxtailpick.core.dispatch import crash_quarantine
 from foxtailpick.core import types
 
-MAX_TOTAL_PARTS = 32
+# Longer messages are split, so that each fits into one packet.
+MAX_PIECE_BYTES = 1_300
 # Reports and totals without news are repeated at this interval.
 REPEAT_INTERVAL_MS = 1_000.0
 # What happened less than this time ago is news.
 FRESH_MS = 2_000.0
 
 
-def check_report(report: typing.Any) -> None:
+def check_report(
+    report: typing.Any,
+    policy: crash_quarantine.Policy = crash_quarantine.PARTS,
+) -> None:
     """Check the form of a report that was received.
 
     :param report: result of `CrashRecords.make_report`, decoded.
+    :param policy: the policy for the kind of its signatures.
     :raises ValueError: if it has another form.
     """
     if report is not None and not (
@@ -36,34 +43,74 @@
             for end in ends
         )
         and all(_is_age(age_ms) for age_ms in report[1].values())
-        and all(
-            _is_list(item, 3)
-            and _is_age(item[0])
-            and _is_age(item[1])
-            and (item[2] is None or _is_age(item[2]))
-            for item in report[2].values()
-        )
+        and all(_is_quarantine(item, policy) for item in report[2].values())
     ):
         raise ValueError(
-            f'expected ends, sound answers and quarantines by prompt part, '
-            f'got {report!r:.80}'
+            f'expected ends, sound answers and quarantines by '
+            f'{policy.label}, got {report!r:.80}'
         )
 
 
-def check_totals(totals: typing.Any) -> None:
+def check_totals(
+    totals: typing.Any,
+    policy: crash_quarantine.Policy = crash_quarantine.PARTS,
+) -> None:
     """Check the form of totals that were received.
 
     :param totals: result of `HubCrashReports.merge`, decoded.
+    :param policy: the policy for the kind of their signatures.
     :raises ValueError: if they have another form.
     """
     if not isinstance(totals, dict) or not all(
-        isinstance(item, list) and len(item) == 3 for item in totals.values()
+        _is_list(item, 3)
+        and _is_age(item[0])
+        and (item[1] is None or _is_age(item[1]))
+        and (item[2] is None or _is_quarantine(item[2], policy))
+        for item in totals.values()
     ):
         raise ValueError(
-            f'expected the totals of prompt parts, got {totals!r:.80}'
+            f'expected the totals by {policy.label}, got {totals!r:.80}'
         )
 
 
+def split_message(
+    sections: typing.Sequence[typing.Mapping[str, typing.Any]],
+) -> list[list[dict[str, typing.Any]]]:
+    """Split a message into pieces of `MAX_PIECE_BYTES` at most.
+
+    :param sections: parts of the message, by signature.
+    :returns: pieces with the same sections; one at least.
+    """
+    pieces: list[list[dict[str, typing.Any]]] = [[{} for _ in sections]]
+    piece_bytes = 0
+    for index, section in enumerate(sections):
+        for key, value in section.items():
+            item_bytes = len(cbor2.dumps(key)) + len(cbor2.dumps(value))
+            if piece_bytes and piece_bytes + item_bytes > MAX_PIECE_BYTES:
+                pieces.append([{} for _ in sections])
+                piece_bytes = 0
+            pieces[-1][index][key] = value
+            piece_bytes += item_bytes
+    return pieces
+
+
+def _is_quarantine(value: typing.Any, policy: crash_quarantine.Policy) -> bool:
+    if policy.max_tests is None:
+        has_form = _is_list(value, 3) and _is_age(value[1])
+    else:
+        has_form = (
+            _is_list(value, 4)
+            and isinstance(value[1], dict)
+            and all(_is_age(count) for count in value[1].values())
+            and _is_age(value[3])
+        )
+    return (
+        has_form
+        and _is_age(value[0])
+        and (value[2] is None or _is_age(value[2]))
+    )
+
+
 def _is_list(value: typing.Any, length: int | None = None) -> bool:
     return isinstance(value, list) and length in (None, len(value))
 
@@ -75,14 +122,18 @@
 class Pacer:
     """Paces the messages of one kind: news at once, the rest at intervals.
 
-    After a crash a part stays suspected until somebody asks for it again, so
-    most messages would say the same as the one before.
+    After a crash a signature stays suspected until somebody asks for it
+    again, so most messages would say the same as the one before.
     """
 
     def __init__(self) -> None:
         self._sent: typing.Any = None
         self._sent_ms = -math.inf
 
+    def reset(self) -> None:
+        """Send the next message at once, as there is a new receiver."""
+        self._sent_ms = -math.inf
+
     def is_due(self, message: typing.Any, now_ms: float) -> bool:
         """Tell whether to send a message now, and assume that it is sent.
 
@@ -102,11 +153,18 @@
 
 
 class HubCrashReports:
-    """The latest report of each router, kept by the hub."""
+    """The latest report of each router, kept by the hub.
 
-    def __init__(self) -> None:
+    :param policy: the policy for the kind of the signatures.
+    """
+
+    def __init__(
+        self, policy: crash_quarantine.Policy = crash_quarantine.PARTS
+    ) -> None:
+        self.policy = policy
+        # By router: when the report arrived, its number and its pieces.
         self._reports: dict[
-            types.RouterId, tuple[float, list[typing.Any]]
+            types.RouterId, tuple[float, int | None, list[typing.Any]]
         ] = {}
 
     def record(
@@ -114,91 +172,114 @@
         router: types.RouterId,
         report: list[typing.Any] | None,
         now_ms: float,
+        number: int | None = None,
     ) -> None:
         """Store the report of a router, replacing its previous one.
 
         :param router: the router.
-        :param report: result of `CrashRecords.make_report`.
+        :param report: result of `CrashRecords.make_report`, or a piece of it.
         :param now_ms: current time.
+        :param number: number of the report, which its pieces share; None for
+            one that is not split.
         """
         if report is None:
             self._reports.pop(router, None)
-        else:
-            self._reports[router] = now_ms, report
+            return
+        pieces = [report]
+        if number is not None and router in self._reports:
+            _, last_number, before = self._reports[router]
+            if last_number == number:
+                pieces = [*before, report]
+        self._reports[router] = now_ms, number, pieces
 
     def merge(
         self, now_ms: float
-    ) -> dict[types.PartId, list[typing.Any]] | None:
+    ) -> dict[crash_quarantine.Signature, list[typing.Any]] | None:
         """Return the totals of all routers, None if there are none.
 
         :param now_ms: current time.
-        :returns: for each part the number of ends since its last sound
+        :returns: for each signature the number of ends since its last sound
             answer, the age of that answer if any, and its quarantine if
-            any. The worst parts come first.
+            any. The worst ones come first.
         """
-        for router, (received_ms, _) in list(self._reports.items()):
+        for router, (received_ms, _, _) in list(self._reports.items()):
             if now_ms - received_ms > crash_quarantine.MAX_AGE_MS:
                 del self._reports[router]
-        ends: dict[types.PartId, dict[str, float]] = {}
-        sound_ms: dict[types.PartId, float] = {}
-        quarantines: dict[types.PartId, crash_quarantine.Quarantine] = {}
-        for received_ms, report in self._reports.values():
-            self._merge_report(report, received_ms, ends, sound_ms)
-            self._merge_quarantines(report[2], received_ms, quarantines)
+        ends: dict[crash_quarantine.Signature, dict[str, float]] = {}
+        sound_ms: dict[crash_quarantine.Signature, float] = {}
+        quarantines: dict[
+            crash_quarantine.Signature, crash_quarantine.Quarantine
+        ] = {}
+        for received_ms, _, pieces in self._reports.values():
+            for piece in pieces:
+                self._merge_report(piece, received_ms, ends, sound_ms)
+                self._merge_quarantines(piece[2], received_ms, quarantines)
         totals = {}
-        for part in {*ends, *quarantines}:
-            last_ms = sound_ms.get(part, -math.inf)
-            quarantine = quarantines.get(part)
+        for signature in {*ends, *quarantines}:
+            found_ms = ends.get(signature, {})
+            last_ms = sound_ms.get(signature, -math.inf)
+            quarantine = quarantines.get(signature)
+            if (
+                quarantine is None
+                and len(found_ms) < self.policy.min_listed_ends
+            ):
+                continue
             if quarantine is not None and quarantine.started_ms < last_ms:
                 quarantine = None
             count = crash_quarantine.count_ends(
-                ms for ms in ends.get(part, {}).values() if ms > last_ms
+                (ms for ms in found_ms.values() if ms > last_ms),
+                self.policy.min_end_gap_ms,
             )
-            totals[part] = [
-                count,
-                round(now_ms - last_ms) if part in sound_ms else None,
-                _encode_quarantine(quarantine, now_ms),
-            ]
+            encoded = None
+            if quarantine is not None:
+                encoded = crash_quarantine.encode_quarantine(
+                    quarantine, now_ms
+                )
+            sound_age_ms = None
+            if signature in sound_ms:
+                sound_age_ms = round(now_ms - last_ms)
+            totals[signature] = [count, sound_age_ms, encoded]
         worst = sorted(
             totals.items(),
             key=lambda item: (item[1][2] is not None, item[1][0]),
             reverse=True,
         )
-        return dict(worst[:MAX_TOTAL_PARTS]) or None
+        return dict(worst[: self.policy.max_listed]) or None
 
     def _merge_report(
         self,
         report: list[typing.Any],
         received_ms: float,
-        ends: dict[types.PartId, dict[str, float]],
-        sound_ms: dict[types.PartId, float],
+        ends: dict[crash_quarantine.Signature, dict[str, float]],
+        sound_ms: dict[crash_quarantine.Signature, float],
     ) -> None:
-        for part, found in report[0].items():
-            merged = ends.setdefault(part, {})
+        for signature, found in report[0].items():
+            merged = ends.setdefault(signature, {})
             for endpoint, age_ms in found:
                 end_ms = received_ms - age_ms
                 merged[endpoint] = min(merged.get(endpoint, end_ms), end_ms)
-        for part, age_ms in report[1].items():
-            sound_ms[part] = max(
-                sound_ms.get(part, -math.inf), received_ms - age_ms
+        for signature, age_ms in report[1].items():
+            sound_ms[signature] = max(
+                sound_ms.get(signature, -math.inf), received_ms - age_ms
             )
 
     def _merge_quarantines(
         self,
-        reported: typing.Mapping[types.PartId, typing.Any],
+        reported: typing.Mapping[crash_quarantine.Signature, typing.Any],
         received_ms: float,
-        quarantines: dict[types.PartId, crash_quarantine.Quarantine],
+        quarantines: dict[
+            crash_quarantine.Signature, crash_quarantine.Quarantine
+        ],
     ) -> None:
-        for part, (age_ms, level, test_age_ms) in reported.items():
-            merged = quarantines.get(part)
-            if merged is None or merged.level < level:
-                merged = crash_quarantine.Quarantine(
-                    received_ms - age_ms, level
-                )
-                quarantines[part] = merged
-            if test_age_ms is not None and merged.level == level:
+        for signature, message in reported.items():
+            found = crash_quarantine.decode_quarantine(
+                message, self.policy, received_ms
+            )
+            merged = quarantines.setdefault(signature, found)
+            merged.merge(found)
+            if found.test_ms is not None and merged.level == found.level:
                 merged.test_ms = max(
-                    merged.test_ms or -math.inf, received_ms - test_age_ms
+                    merged.test_ms or -math.inf, found.test_ms
                 )
 
 
@@ -211,16 +292,3 @@
     if isinstance(message, int) and message >= FRESH_MS:
         return None
     return message
-
-
-def _encode_quarantine(
-    quarantine: crash_quarantine.Quarantine | None, now_ms: float
-) -> list[typing.Any] | None:
-    if quarantine is None:
-        return None
-    test_ms = quarantine.test_ms
-    return [
-        round(now_ms - quarantine.started_ms),
-        quarantine.level,
-        None if test_ms is None else round(now_ms - test_ms),
-    ]
--- a/foxtailpick/gateway/attempt.py
+++ b/foxtailpick/gateway/attempt.py
@@ -134,7 +134,7 @@
             'endpoint left or rests; nothing was sent',
         )
     try:
-        quarantine.check_prompt(gw, job)
+        quarantine.check_request(gw, job)
     except errors.RequestError:
         gw.pool.release(endpoint, conn, True)
         raise
@@ -153,7 +153,7 @@
             job.route.kind is model.RequestKind.STREAMING,
         ),
         functools.partial(watchdog.can_retry_elsewhere, gw, job),
-        parts=job.shared_parts,
+        job,
     )
     gw.attempts.add(attempt)
     try:
@@ -179,8 +179,8 @@
         job.verdict = verdict_lib.merge_verdicts(
             job.verdict, retry_decision.get_verdict(result.end)
         )
-        quarantine.check_prompt(gw, job)
-    if closed_ms is not None and job.shared_parts:
+        quarantine.check_request(gw, job)
+    if closed_ms is not None:
         is_suspect = crash_quarantine.is_suspect(
             attempt.answered_ms, closed_ms
         )
--- a/foxtailpick/gateway/context.py
+++ b/foxtailpick/gateway/context.py
@@ -1,6 +1,7 @@
 """State and components that the tasks of a gateway share."""
 
 import dataclasses
+import functools
 import random
 import typing
 
@@ -18,6 +19,7 @@
 from foxtailpick.gateway import client as client_lib
 from foxtailpick.gateway import decision_log
 from foxtailpick.gateway import exchange as exchange_lib
+from foxtailpick.gateway import job as job_lib
 from foxtailpick.gateway import pool as pool_lib
 from foxtailpick.gateway import settings as settings_lib
 from foxtailpick.gateway import state as state_lib
@@ -43,13 +45,13 @@
     :param read_timeout_ms: time without data after which it is retried at
         another endpoint, if possible.
     :param can_retry_elsewhere: tells whether that is possible.
+    :param job: the request.
     :param is_reading: whether it is reading from the endpoint, as opposed
         to writing to the caller.
     :param is_failure_recorded: whether its timeout was recorded as a failure.
     :param answered_ms: when the endpoint began to respond, None before that.
-    :param parts: shared parts of the request's prompt.
-    :param is_withdrawn: whether it was aborted since one of these parts was
-        quarantined.
+    :param is_withdrawn: whether it was aborted since one of the request's
+        signatures was quarantined.
     """
 
     endpoint: endpoint_table.Endpoint
@@ -57,10 +59,10 @@
     last_received_ms: float
     read_timeout_ms: float
     can_retry_elsewhere: typing.Callable[[], bool]
+    job: job_lib.Job
     is_reading: bool = False
     is_failure_recorded: bool = False
     answered_ms: float | None = None
-    parts: tuple[types.PartId, ...] = ()
     is_withdrawn: bool = False
 
 
@@ -93,6 +95,7 @@
     :param rng: source of random numbers.
     :param started_ms: when the process started.
     :param part_records: prompt parts that may crash endpoints.
+    :param request_records: requests that may crash endpoints.
     :param end_checks: recent checks of endpoints, by process.
     :param attempts: attempts in flight.
     :param account_usage: usage of each service by its accounts.
@@ -120,6 +123,11 @@
     part_records: crash_quarantine.CrashRecords = dataclasses.field(
         default_factory=crash_quarantine.CrashRecords
     )
+    request_records: crash_quarantine.CrashRecords = dataclasses.field(
+        default_factory=functools.partial(
+            crash_quarantine.CrashRecords, crash_quarantine.REQUESTS
+        )
+    )
     end_checks: dict[str, EndCheck] = dataclasses.field(default_factory=dict)
     attempts: set[Attempt] = dataclasses.field(default_factory=set)
     account_usage: dict[types.ServiceId, account_usage_lib.AccountUsage] = (
--- a/foxtailpick/gateway/job.py
+++ b/foxtailpick/gateway/job.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from foxtailpick.core.dispatch import crash_quarantine
 from foxtailpick.core.dispatch import event_stream
 from foxtailpick.core.dispatch import model
 from foxtailpick.core import types
@@ -57,6 +58,23 @@
     framing: client_lib.Framing | None = None
     is_within_event: bool = False
     verdict: verdict_lib.Verdict = verdict_lib.Verdict.NOT_RUN
+    _signature: crash_quarantine.Signature | None = None
+
+    @property
+    def signature(self) -> crash_quarantine.Signature:
+        """Hash of the whole request, computed when it is first used."""
+        if self._signature is None:
+            caller = self.meta.key or ''
+            if self.account is not None:
+                caller = self.account.name
+            self._signature = crash_quarantine.compute_signature(
+                self.req.method,
+                self.req.get_host(),
+                self.req.target,
+                caller,
+                self.req.body,
+            )
+        return self._signature
 
     @property
     def shared_parts(self) -> tuple[types.PartId, ...]:
--- a/foxtailpick/gateway/peers.py
+++ b/foxtailpick/gateway/peers.py
@@ -4,12 +4,14 @@
 counts would queue behind its retransmission.
 """
 
+import dataclasses
 import socket
 import typing
 
 import cbor2
 import trio
 
+from foxtailpick.core.dispatch import crash_quarantine
 from foxtailpick.core.dispatch import crash_reports
 from foxtailpick.core.dispatch import load_exchange
 from foxtailpick.core.dispatch import model
@@ -26,8 +28,54 @@
 _KIND_COUNTS = 2
 _KIND_TOTALS = 3
 _KIND_REDIRECT = 4
-_KIND_PROMPTS = 5
-_KIND_PROMPT_TOTALS = 6
+_KIND_PARTS = 5
+_KIND_PART_TOTALS = 6
+_KIND_REQUESTS = 7
+_KIND_REQUEST_TOTALS = 8
+
+
+@dataclasses.dataclass(slots=True)
+class _CrashExchange:
+    """Exchange of the evidence about signatures of one kind.
+
+    :param records: what this router knows.
+    :param report_kind: message kind of the reports.
+    :param totals_kind: message kind of the totals.
+    :param hub_reports: reports of all routers, if this one is the hub.
+    :param pacer: paces the reports.
+    :param totals_pacer: paces the totals.
+    :param sent: number of totals sent as the hub.
+    :param received: number of the totals received last.
+    """
+
+    records: crash_quarantine.CrashRecords
+    report_kind: int
+    totals_kind: int
+    hub_reports: crash_reports.HubCrashReports
+    pacer: crash_reports.Pacer = dataclasses.field(
+        default_factory=crash_reports.Pacer
+    )
+    totals_pacer: crash_reports.Pacer = dataclasses.field(
+        default_factory=crash_reports.Pacer
+    )
+    sent: int = 0
+    received: int | None = None
+
+    @classmethod
+    def from_records(
+        cls,
+        records: crash_quarantine.CrashRecords,
+        report_kind: int,
+        totals_kind: int,
+    ) -> '_CrashExchange':
+        """Return the exchange of some records."""
+        hub_reports = crash_reports.HubCrashReports(records.policy)
+        return cls(records, report_kind, totals_kind, hub_reports)
+
+    @property
+    def is_split(self) -> bool:
+        """Whether messages are split; earlier versions expect whole ones."""
+        return self.report_kind != _KIND_PARTS
 
 
 class PeerExchange:
@@ -48,12 +96,18 @@
         self._hub_reports = load_exchange.HubReports()
         self._hub_selector = load_exchange.HubSelector()
         self._sent_counts = load_exchange.SentCounts()
-        self._prompt_reports = crash_reports.HubCrashReports()
-        self._prompt_pacer = crash_reports.Pacer()
-        self._prompt_totals_pacer = crash_reports.Pacer()
+        self._crash_exchanges = (
+            _CrashExchange.from_records(
+                gw.part_records, _KIND_PARTS, _KIND_PART_TOTALS
+            ),
+            _CrashExchange.from_records(
+                gw.request_records, _KIND_REQUESTS, _KIND_REQUEST_TOTALS
+            ),
+        )
         # Addresses that reports came from. A router that has just started
         # may not be listed yet.
         self._reporters: dict[types.RouterId, model.Address] = {}
+        self._report_numbers: dict[types.RouterId, int] = {}
 
     def __enter__(self) -> 'PeerExchange':
         return self
@@ -83,27 +137,29 @@
         hub = self._hub_selector.choose(shares, gw.cfg.name, now_ms)
         if hub != before:
             gw.log.emit('hub-changed', hub=hub, before=before)
+            for crashes in self._crash_exchanges:
+                crashes.pacer.reset()
         if hub is None:
             return
         number, counts = self._sent_counts.next_counts(gw.state.table)
         outcomes = self._sent_counts.collect_outcomes(gw.state.table, now_ms)
-        prompts = gw.part_records.make_report(now_ms)
         if hub != gw.cfg.name:
             data = cbor2.dumps(
                 [_KIND_COUNTS, gw.cfg.name, number, counts, outcomes]
             )
             await self._send_to(data, routers[hub].address)
-            if self._prompt_pacer.is_due(prompts, now_ms):
-                data = cbor2.dumps(
-                    [_KIND_PROMPTS, gw.cfg.name, number, prompts]
+            for crashes in self._crash_exchanges:
+                await self._send_crash_report(
+                    crashes, number, routers[hub].address, now_ms
                 )
-                await self._send_to(data, routers[hub].address)
             return
         self._hub_selector.record_message(now_ms)
         self._hub_reports.record(hub, number, counts, now_ms, outcomes)
-        self._prompt_reports.record(hub, prompts, now_ms)
         await self._send_totals(now_ms)
-        await self._send_prompt_totals(now_ms)
+        for crashes in self._crash_exchanges:
+            report = crashes.records.make_report(now_ms)
+            crashes.hub_reports.record(hub, report, now_ms)
+            await self._send_crash_totals(crashes, now_ms)
 
     async def _send_totals(self, now_ms: float) -> None:
         gw = self._gw
@@ -117,21 +173,72 @@
                 data = cbor2.dumps([_KIND_TOTALS, gw.cfg.name, number, packed])
                 await self._send_to(data, self._reporters[router])
 
-    async def _send_prompt_totals(self, now_ms: float) -> None:
-        totals = self._prompt_reports.merge(now_ms)
-        if totals is None or not self._prompt_totals_pacer.is_due(
-            totals, now_ms
-        ):
+    async def _send_crash_report(
+        self,
+        crashes: _CrashExchange,
+        number: int,
+        address: model.Address,
+        now_ms: float,
+    ) -> None:
+        report = crashes.records.make_report(now_ms)
+        if not crashes.pacer.is_due(report, now_ms):
+            return
+        pieces = [report]
+        if report is not None and crashes.is_split:
+            pieces = crash_reports.split_message(report)
+        for piece in pieces:
+            data = cbor2.dumps(
+                [crashes.report_kind, self._gw.cfg.name, number, piece]
+            )
+            await self._send_to(data, address)
+
+    async def _send_crash_totals(
+        self, crashes: _CrashExchange, now_ms: float
+    ) -> None:
+        totals = crashes.hub_reports.merge(now_ms)
+        if totals is None or not crashes.totals_pacer.is_due(totals, now_ms):
             return
         gw = self._gw
-        data = cbor2.dumps([_KIND_PROMPT_TOTALS, gw.cfg.name, 0, totals])
+        crashes.sent += 1
+        pieces = [totals]
+        if crashes.is_split:
+            pieces = [
+                piece for (piece,) in crash_reports.split_message([totals])
+            ]
         for router, _ in self._hub_reports.list_routers():
             if router == gw.cfg.name:
-                quarantine.apply_changes(
-                    gw, gw.part_records.apply_totals(totals, now_ms)
-                )
+                self._apply_crash_totals(crashes, totals, crashes.sent, now_ms)
             elif router in self._reporters:
-                await self._send_to(data, self._reporters[router])
+                for piece in pieces:
+                    data = cbor2.dumps(
+                        [crashes.totals_kind, gw.cfg.name, crashes.sent, piece]
+                    )
+                    await self._send_to(data, self._reporters[router])
+
+    def _apply_crash_totals(
+        self,
+        crashes: _CrashExchange,
+        totals: dict[typing.Any, typing.Any],
+        number: int,
+        now_ms: float,
+    ) -> None:
+        is_continued = crashes.is_split and number == crashes.received
+        crashes.received = number
+        changes = crashes.records.apply_totals(totals, now_ms, is_continued)
+        quarantine.apply_changes(self._gw, crashes.records, changes)
+
+    def _welcome(
+        self, router: types.RouterId, number: int, address: model.Address
+    ) -> None:
+        """Note where a router is; tell one that has started what is known."""
+        before = self._reporters.get(router)
+        self._reporters[router] = address
+        last_number = self._report_numbers.get(router, 0)
+        self._report_numbers[router] = number
+        if before == address and number >= last_number:
+            return
+        for crashes in self._crash_exchanges:
+            crashes.totals_pacer.reset()
 
     async def _send_to(self, data: bytes, address: model.Address) -> None:
         try:
@@ -157,7 +264,7 @@
         now_ms = self._gw.now_ms()
         if kind == _KIND_COUNTS:
             counts, outcomes = contents
-            self._reporters[router] = address
+            self._welcome(router, number, address)
             self._hub_reports.record(
                 router, number, dict(counts), now_ms, dict(outcomes)
             )
@@ -170,17 +277,24 @@
             self._hub_selector.record_message(now_ms)
             sums, outcomes = cbor2.loads(contents[0])
             self._apply_totals(sums, outcomes, number, now_ms)
-        elif kind == _KIND_PROMPTS:
-            crash_reports.check_report(contents[0])
-            self._prompt_reports.record(router, contents[0], now_ms)
-        elif kind == _KIND_PROMPT_TOTALS and router == self._hub_selector.hub:
-            crash_reports.check_totals(contents[0])
-            quarantine.apply_changes(
-                self._gw,
-                self._gw.part_records.apply_totals(contents[0], now_ms),
-            )
         elif kind == _KIND_REDIRECT:
             self._hub_selector.record_redirect(router, contents[0])
+        for crashes in self._crash_exchanges:
+            policy = crashes.records.policy
+            if kind == crashes.report_kind:
+                crash_reports.check_report(contents[0], policy)
+                crashes.hub_reports.record(
+                    router,
+                    contents[0],
+                    now_ms,
+                    number if crashes.is_split else None,
+                )
+            elif (
+                kind == crashes.totals_kind
+                and router == self._hub_selector.hub
+            ):
+                crash_reports.check_totals(contents[0], policy)
+                self._apply_crash_totals(crashes, contents[0], number, now_ms)
 
     def _apply_totals(
         self,
--- a/foxtailpick/gateway/relay.py
+++ b/foxtailpick/gateway/relay.py
@@ -212,7 +212,7 @@
 async def _run_attempts(
     gw: context.Gateway, job: job_lib.Job, reply: reply_lib.Reply
 ) -> model.Outcome:
-    quarantine.check_prompt(gw, job)
+    quarantine.check_request(gw, job)
     await admission.wait_for_slot(gw, job)
     while True:
         choice = await _wait_for_endpoint(gw, job)
@@ -240,7 +240,7 @@
             job.counted_attempts,
             job.unreached,
             gw.budget.get_tokens(job.service.name) >= 1,
-            gw.part_records.may_crash(job.shared_parts, gw.now_ms()),
+            quarantine.may_crash(gw, job),
         )
         if (
             plan is retry_decision.RetryDecision.ALLOWED
--- a/foxtailpick/gateway/watchdog.py
+++ b/foxtailpick/gateway/watchdog.py
@@ -6,6 +6,7 @@
 from foxtailpick.core import types
 from foxtailpick.gateway import context
 from foxtailpick.gateway import job as job_lib
+from foxtailpick.gateway import quarantine
 
 # Check interval of the watchdog, well below the read timeouts it enforces.
 CHECK_INTERVAL_MS = 50.0
@@ -24,7 +25,7 @@
         return False
     if gw.budget.get_tokens(job.service.name) < 1:
         return False
-    if gw.part_records.may_crash(job.shared_parts, gw.now_ms()):
+    if quarantine.may_crash(gw, job):
         return False
     # More endpoints have to be listed than attempts were made.
     return (
--- a/foxtailpick/tests/crash_fleet_model.py
+++ b/foxtailpick/tests/crash_fleet_model.py
@@ -39,10 +39,49 @@
     is_bad: bool
     answered_ms: float
     sends: int
-    tested: tuple = ()
+    tested: list = ()
     is_sound_recorded: bool = False
 
 
+class Exchange:
+    """Records of all routers about signatures of one kind, and their hub.
+
+    :param policy: the policy for the kind.
+    :param routers: number of routers.
+    """
+
+    def __init__(self, policy, routers):
+        self.records = [
+            crash_quarantine.CrashRecords(policy) for _ in range(routers)
+        ]
+        self.hub = crash_reports.HubCrashReports(policy)
+        self.pacers = [crash_reports.Pacer() for _ in range(routers)]
+        self.totals_pacer = crash_reports.Pacer()
+
+    def run(self, now_ms, is_lost):
+        """Exchange reports and totals; each piece may get lost."""
+        for router, records in enumerate(self.records):
+            report = records.make_report(now_ms)
+            if not self.pacers[router].is_due(report, now_ms):
+                continue
+            pieces = [None]
+            if report is not None:
+                pieces = crash_reports.split_message(report)
+            for piece in pieces:
+                if not is_lost():
+                    name = f'router-{router}'
+                    self.hub.record(name, piece, now_ms, now_ms)
+        totals = self.hub.merge(now_ms)
+        if totals is None or not self.totals_pacer.is_due(totals, now_ms):
+            return
+        for records in self.records:
+            is_continued = False
+            for (piece,) in crash_reports.split_message([totals]):
+                if not is_lost():
+                    records.apply_totals(piece, now_ms, is_continued)
+                    is_continued = True
+
+
 class Fleet:
     """Routers, their hub and engines.
 
@@ -65,16 +104,16 @@
         seed=1,
     ):
         self.rng = random.Random(seed)
+        # Of its own, so that each kind of evidence sees the same draws
+        # whatever is sent about the other one.
+        self._request_rng = random.Random(seed + 1_000)
         self.is_plain = is_plain
         self.has_quarantine = has_quarantine
         self.loses_start = loses_start
         self.loss = 0.05
-        self.records = [
-            crash_quarantine.CrashRecords() for _ in range(routers)
-        ]
-        self.hub = crash_reports.HubCrashReports()
-        self.pacers = [crash_reports.Pacer() for _ in range(routers)]
-        self.totals_pacer = crash_reports.Pacer()
+        self.routers = routers
+        self.parts = Exchange(crash_quarantine.PARTS, routers)
+        self.requests = Exchange(crash_quarantine.REQUESTS, routers)
         self.engines = [[] for _ in range(engines)]
         self.up_ms = [0.0] * engines
         self.now_ms = 0.0
@@ -118,7 +157,7 @@
     def _arrive(self, is_bad):
         document = int(self.rng.paretovariate(0.6)) % DOCUMENTS
         account = f'account-{self.rng.randrange(ACCOUNTS)}'
-        router = self.rng.randrange(len(self.records))
+        router = self.rng.randrange(self.routers)
         if self.is_plain:
             parts = ()
             request = BAD_REQUEST if is_bad else f'{account}/{document}'
@@ -139,15 +178,18 @@
         ]
         if not up:
             return None
-        records = self.records[router]
-        tested = ()
+        tested = []
         if self.has_quarantine:
-            refusal = records.find_refusal(
-                parts, lambda part: router, self.now_ms
-            )
-            if refusal is not None:
+            kinds = self._list_kinds(router, parts, request)
+            refusals = [
+                records.find_refusal(found, lambda item: router, self.now_ms)
+                for records, found in kinds
+            ]
+            if any(refusals):
                 return False
-            tested = tuple(records.begin_tests(parts, self.now_ms))
+            for records, found in kinds:
+                tests = records.begin_tests(found, self.now_ms, f'r{router}')
+                tested.append((records, tests))
         if is_bad:
             self.bad_sent_ms.append(self.now_ms)
             self.repeated_bad += sends > 0
@@ -167,6 +209,12 @@
         heapq.heappush(self.engines[self.rng.choice(up)], run)
         return True
 
+    def _list_kinds(self, router, parts, request):
+        return [
+            (self.parts.records[router], parts),
+            (self.requests.records[router], (request,)),
+        ]
+
     def _advance(self, engine):
         runs = self.engines[engine]
         for run in runs:
@@ -182,7 +230,10 @@
             self._record_sound(heapq.heappop(runs))
 
     def _record_sound(self, run):
-        self.records[run.router].record_sound(run.parts, self.now_ms)
+        for records, found in self._list_kinds(
+            run.router, run.parts, run.request
+        ):
+            records.record_sound(found, self.now_ms)
 
     def _crash(self, engine):
         runs, self.engines[engine] = self.engines[engine], []
@@ -190,7 +241,7 @@
         self.up_ms[engine] = self.now_ms + DOWN_MS
         self.crashed_ms.append(self.now_ms)
         for run in runs:
-            records = self.records[run.router]
+            kinds = self._list_kinds(run.router, run.parts, run.request)
             is_seen = run.answered_ms <= self.now_ms and not (
                 run.is_bad and (self.loses_start or self.is_plain)
             )
@@ -198,13 +249,18 @@
                 run.answered_ms if is_seen else None, self.now_ms
             )
             if is_suspect:
-                records.record_end(
-                    run.parts, process, self.now_ms, self.now_ms
-                )
-                records.fail_tests(run.tested, self.now_ms)
+                for records, found in kinds:
+                    records.record_end(
+                        found, process, self.now_ms, self.now_ms
+                    )
+                for records, tests in run.tested:
+                    records.fail_tests(tests, self.now_ms)
             is_repeated = run.sends < MAX_SENDS and not (
                 self.has_quarantine
-                and records.may_crash(run.parts, self.now_ms)
+                and any(
+                    records.may_crash(found, self.now_ms)
+                    for records, found in kinds
+                )
             )
             if is_repeated:
                 self._send(
@@ -212,15 +268,8 @@
                 )
 
     def _exchange(self):
-        for router, records in enumerate(self.records):
-            report = records.make_report(self.now_ms)
-            if not self.pacers[router].is_due(report, self.now_ms):
-                continue
-            if self.rng.random() >= self.loss:
-                self.hub.record(f'router-{router}', report, self.now_ms)
-        totals = self.hub.merge(self.now_ms)
-        if totals is None or not self.totals_pacer.is_due(totals, self.now_ms):
-            return
-        for records in self.records:
-            if self.rng.random() >= self.loss:
-                records.apply_totals(totals, self.now_ms)
+        for exchange, rng in (
+            (self.parts, self.rng),
+            (self.requests, self._request_rng),
+        ):
+            exchange.run(self.now_ms, lambda rng=rng: rng.random() < self.loss)
--- a/foxtailpick/tests/crashing_fleet.py
+++ b/foxtailpick/tests/crashing_fleet.py
@@ -15,6 +15,7 @@
 
 CRASHING_PART = 'bad'
 CRASHING_QUERY = 'item=bad'
+CRASHING_BODY = b'bad'
 # Time from the start of an answer until the engine ends.
 CRASH_AFTER_MS = 30.0
 DOWN_MS = 400.0
@@ -60,7 +61,9 @@
 
     async def _serve(self, standin, exchange):
         parts = exchange.received.headers[b'x-prefix-hash'].decode()
-        is_bad = CRASHING_PART in parts
+        is_bad = (
+            CRASHING_PART in parts or exchange.received.body == CRASHING_BODY
+        )
         if is_bad:
             self.bad_sent_ms.append(self.now_ms())
         await exchange.begin_stream()
@@ -124,6 +127,25 @@
         results = self.bad_answers if is_bad else self.sound
         results.append((began_ms, status))
 
+    async def ask_alike(self, is_bad):
+        """Send a stream; all have parts in common, and differ in the body."""
+        harness = self.rng.choice(self.harnesses)
+        number = next(self._numbers)
+        began_ms = self.now_ms()
+        try:
+            answer = await harness.ask(
+                '/movable/x',
+                b'POST',
+                CRASHING_BODY if is_bad else b'data%d' % number,
+                X_Attempt_Id=f'r{number}',
+                X_Prefix_Hash=f'route:700,d{number % 2}:300,own{number}:20',
+            )
+            status = answer.status
+        except http1.BrokenConnectionError:
+            status = 0
+        results = self.bad_answers if is_bad else self.sound
+        results.append((began_ms, status))
+
     async def ask_plain(self, is_bad, route='safe'):
         """Send a plain request to any gateway and record its outcome."""
         harness = self.rng.choice(self.harnesses)
--- a/foxtailpick/tests/test_crash_quarantine.py
+++ b/foxtailpick/tests/test_crash_quarantine.py
@@ -57,7 +57,7 @@
         records.record_sound(['route'], at_ms + 10)
     assert records.record_end(parts, 'e2', 2_000.0, 2_000.0) == [BAD]
     refusal = records.find_refusal(parts, get_first, 2_000.0)
-    assert refusal == (BAD, crash_quarantine.FIRST_QUARANTINE_MS)
+    assert refusal == (BAD, crash_quarantine.PARTS.first_quarantine_ms)
     assert records.find_refusal(['route'], get_first, 2_000.0) is None
 
 
@@ -117,7 +117,7 @@
 
 def test_part_is_tested_by_one_request_after_the_quarantine():
     records = make_quarantined()
-    due_ms = 10_000.0 + crash_quarantine.FIRST_QUARANTINE_MS
+    due_ms = 10_000.0 + crash_quarantine.PARTS.first_quarantine_ms
     assert records.find_refusal([BAD], get_first, due_ms - 1) is not None
     assert records.find_refusal([BAD], get_first, due_ms) is None
     stagger_ms = crash_quarantine.TEST_STAGGER_MS
@@ -133,19 +133,19 @@
 
 def test_test_that_crashes_an_endpoint_lengthens_the_quarantine():
     records = make_quarantined()
-    due_ms = 10_000.0 + crash_quarantine.FIRST_QUARANTINE_MS
+    due_ms = 10_000.0 + crash_quarantine.PARTS.first_quarantine_ms
     records.begin_tests([BAD], due_ms)
     assert records.fail_tests([BAD], due_ms) == [BAD]
     refusal = records.find_refusal([BAD], get_first, due_ms)
     assert refusal.due_ms == (
-        crash_quarantine.FIRST_QUARANTINE_MS
-        * crash_quarantine.QUARANTINE_FACTOR
+        crash_quarantine.PARTS.first_quarantine_ms
+        * crash_quarantine.PARTS.quarantine_factor
     )
 
 
 def test_test_under_way_is_known_at_other_routers():
     first, second = make_quarantined(), make_quarantined()
-    due_ms = 10_000.0 + crash_quarantine.FIRST_QUARANTINE_MS
+    due_ms = 10_000.0 + crash_quarantine.PARTS.first_quarantine_ms
     first.begin_tests([BAD], due_ms)
     hub = crash_reports.HubCrashReports()
     hub.record('r1', first.make_report(due_ms + 50), due_ms + 50)
@@ -155,7 +155,7 @@
 
 def test_unasked_quarantine_expires():
     records = make_quarantined()
-    due_ms = 10_000.0 + crash_quarantine.FIRST_QUARANTINE_MS
+    due_ms = 10_000.0 + crash_quarantine.PARTS.first_quarantine_ms
     assert records.make_report(due_ms + crash_quarantine.EXPIRY_MS)
     assert not records.make_report(due_ms + crash_quarantine.EXPIRY_MS + 1)
 
@@ -216,13 +216,13 @@
 
 def test_memory_and_messages_are_bounded():
     records = crash_quarantine.CrashRecords()
-    for number in range(2 * crash_quarantine.MAX_SOUND_PARTS):
+    for number in range(2 * crash_quarantine.PARTS.max_sound):
         records.record_sound([f's{number}'], 0.0)
         records.record_end([f'p{number}'], f'e{number}', 1.0, 1.0)
-    assert len(records._sound_ms) == crash_quarantine.MAX_SOUND_PARTS
+    assert len(records._sound_ms) == crash_quarantine.PARTS.max_sound
     assert len(records._ends_ms) == crash_quarantine.MAX_SUSPECTS
     ends, _, _ = records.make_report(1.0)
-    assert len(ends) == crash_quarantine.MAX_REPORTED_PARTS
+    assert len(ends) == crash_quarantine.PARTS.max_reported
 
 
 @pytest.mark.parametrize(
@@ -231,7 +231,7 @@
         (None, None, False),
         (None, 1_000.0, True),
         (900.0, 1_000.0, False),
-        (1_000.0 - crash_quarantine.PROVEN_MS, 1_000.0, True),
+        (1_000.0 - crash_quarantine.PARTS.proven_ms, 1_000.0, True),
     ],
 )
 def test_request_is_not_repeated_if_it_may_crash_an_endpoint(
