--- a/foxtailpick/gateway/attempt.py
+++ b/foxtailpick/gateway/attempt.py
@@ -5,12 +5,12 @@
 
 import trio
 
+from foxtailpick.core.dispatch import crash_quarantine
 from foxtailpick.core.dispatch import endpoint_table
 from foxtailpick.core.dispatch import event_stream
 from foxtailpick.core.dispatch import health
 from foxtailpick.core.dispatch import model
 from foxtailpick.core.dispatch import placing
-from foxtailpick.core.dispatch import prompt_quarantine
 from foxtailpick.core.dispatch import response_timeout
 from foxtailpick.core.dispatch import retry_decision
 from foxtailpick.core.dispatch import token_bucket
@@ -122,7 +122,7 @@
             'endpoint left or rests; nothing was sent',
         )
     try:
-        quarantine.check_prompt(gw, job)
+        quarantine.check_request(gw, job)
     except errors.RequestError:
         gw.pool.release(endpoint, conn, True)
         raise
@@ -141,7 +141,7 @@
             job.route.kind is model.RequestKind.STREAMING,
         ),
         hooks.report_silence,
-        parts=job.shared_parts,
+        job,
     )
     gw.attempts.add(attempt)
     try:
@@ -169,9 +169,9 @@
         job.verdict = verdict_lib.merge_verdicts(
             job.verdict, retry_decision.get_verdict(result.end)
         )
-        quarantine.check_prompt(gw, job)
-    if closed_ms is not None and job.shared_parts:
-        is_suspect = prompt_quarantine.is_suspect(
+        quarantine.check_request(gw, job)
+    if closed_ms is not None:
+        is_suspect = crash_quarantine.is_suspect(
             attempt.answered_ms, closed_ms
         )
         if is_suspect and await quarantine.has_ended(gw, endpoint):
@@ -487,7 +487,7 @@
 def _is_past_start(gw: context.Gateway, attempt: context.Attempt) -> bool:
     return (
         attempt.answered_ms is not None
-        and gw.now_ms() - attempt.answered_ms >= prompt_quarantine.SOUND_MS
+        and gw.now_ms() - attempt.answered_ms >= crash_quarantine.SOUND_MS
     )
 
 
--- a/foxtailpick/gateway/context.py
+++ b/foxtailpick/gateway/context.py
@@ -1,6 +1,7 @@
 """State and components that the tasks of a gateway share."""
 
 import dataclasses
+import functools
 import random
 import typing
 
@@ -8,9 +9,9 @@
 
 from foxtailpick.core.dispatch import account_usage as account_usage_lib
 from foxtailpick.core.dispatch import admission_queue
+from foxtailpick.core.dispatch import crash_quarantine
 from foxtailpick.core.dispatch import endpoint_table
 from foxtailpick.core.dispatch import model
-from foxtailpick.core.dispatch import prompt_quarantine
 from foxtailpick.core.dispatch import response_timeout
 from foxtailpick.core.dispatch import stopping
 from foxtailpick.core import retry
@@ -18,6 +19,7 @@
 from foxtailpick.gateway import client as client_lib
 from foxtailpick.gateway import decision_log
 from foxtailpick.gateway import exchange as exchange_lib
+from foxtailpick.gateway import job as job_lib
 from foxtailpick.gateway import pool as pool_lib
 from foxtailpick.gateway import settings as settings_lib
 from foxtailpick.gateway import state as state_lib
@@ -43,14 +45,14 @@
     :param read_timeout_ms: time without data after which it is silent.
     :param report_silence: reports that it is silent or, with False, that
         it no longer is.
+    :param job: the request.
     :param is_reading: whether it is reading from the endpoint, as opposed
         to writing to the caller.
     :param is_silent: whether its silence was reported.
     :param is_failure_recorded: whether its timeout was recorded as a failure.
     :param answered_ms: when the endpoint began to respond, None before that.
-    :param parts: shared parts of the request's prompt.
-    :param is_withdrawn: whether it was aborted since one of these parts was
-        quarantined.
+    :param is_withdrawn: whether it was aborted since one of the request's
+        signatures was quarantined.
     """
 
     endpoint: endpoint_table.Endpoint
@@ -58,11 +60,11 @@
     last_received_ms: float
     read_timeout_ms: float
     report_silence: typing.Callable[[bool], None]
+    job: job_lib.Job
     is_reading: bool = False
     is_silent: bool = False
     is_failure_recorded: bool = False
     answered_ms: float | None = None
-    parts: tuple[types.PartId, ...] = ()
     is_withdrawn: bool = False
 
 
@@ -94,7 +96,8 @@
     :param metrics: its metrics.
     :param rng: source of random numbers.
     :param started_ms: when the process started.
-    :param prompts: prompt parts that may crash endpoints.
+    :param part_records: prompt parts that may crash endpoints.
+    :param request_records: requests that may crash endpoints.
     :param end_checks: recent checks of endpoints, by process.
     :param attempts: attempts in flight.
     :param account_usage: usage of each service by its accounts.
@@ -119,8 +122,13 @@
     metrics: metrics_lib.Metrics
     rng: random.Random
     started_ms: float = 0.0
-    prompts: prompt_quarantine.PromptRecords = dataclasses.field(
-        default_factory=prompt_quarantine.PromptRecords
+    part_records: crash_quarantine.CrashRecords = dataclasses.field(
+        default_factory=crash_quarantine.CrashRecords
+    )
+    request_records: crash_quarantine.CrashRecords = dataclasses.field(
+        default_factory=functools.partial(
+            crash_quarantine.CrashRecords, crash_quarantine.REQUESTS
+        )
     )
     end_checks: dict[str, EndCheck] = dataclasses.field(default_factory=dict)
     attempts: set[Attempt] = dataclasses.field(default_factory=set)
--- a/foxtailpick/gateway/peers.py
+++ b/foxtailpick/gateway/peers.py
@@ -4,6 +4,7 @@
 counts would queue behind its retransmission.
 """
 
+import dataclasses
 import math
 import socket
 import typing
@@ -11,9 +12,10 @@
 import cbor2
 import trio
 
+from foxtailpick.core.dispatch import crash_quarantine
+from foxtailpick.core.dispatch import crash_reports
 from foxtailpick.core.dispatch import load_exchange
 from foxtailpick.core.dispatch import model
-from foxtailpick.core.dispatch import prompt_reports
 from foxtailpick.core import types
 from foxtailpick.gateway import context
 from foxtailpick.gateway import quarantine
@@ -27,12 +29,56 @@
 _KIND_COUNTS = 2
 _KIND_TOTALS = 3
 _KIND_REDIRECT = 4
-_KIND_PROMPTS = 5
-_KIND_PROMPT_TOTALS = 6
-# Numbers above these are no counts of requests, durations or levels.
+_KIND_PARTS = 5
+_KIND_PART_TOTALS = 6
+_KIND_REQUESTS = 7
+_KIND_REQUEST_TOTALS = 8
+# A larger number is no count of requests.
 _MAX_COUNT = 1_000_000
-_MAX_AGE_MS = 1e12
-_MAX_LEVEL = 100
+
+
+@dataclasses.dataclass(slots=True)
+class _CrashExchange:
+    """Exchange of the evidence about signatures of one kind.
+
+    :param records: what this router knows.
+    :param report_kind: message kind of the reports.
+    :param totals_kind: message kind of the totals.
+    :param hub_reports: reports of all routers, if this one is the hub.
+    :param pacer: paces the reports.
+    :param totals_pacer: paces the totals.
+    :param sent: number of totals sent as the hub.
+    :param received: number of the totals received last.
+    """
+
+    records: crash_quarantine.CrashRecords
+    report_kind: int
+    totals_kind: int
+    hub_reports: crash_reports.HubCrashReports
+    pacer: crash_reports.Pacer = dataclasses.field(
+        default_factory=crash_reports.Pacer
+    )
+    totals_pacer: crash_reports.Pacer = dataclasses.field(
+        default_factory=crash_reports.Pacer
+    )
+    sent: int = 0
+    received: int | None = None
+
+    @classmethod
+    def from_records(
+        cls,
+        records: crash_quarantine.CrashRecords,
+        report_kind: int,
+        totals_kind: int,
+    ) -> '_CrashExchange':
+        """Return the exchange of some records."""
+        hub_reports = crash_reports.HubCrashReports(records.policy)
+        return cls(records, report_kind, totals_kind, hub_reports)
+
+    @property
+    def is_split(self) -> bool:
+        """Whether messages are split; earlier versions expect whole ones."""
+        return self.report_kind != _KIND_PARTS
 
 
 class PeerExchange:
@@ -53,12 +99,18 @@
         self._hub_reports = load_exchange.HubReports()
         self._hub_selector = load_exchange.HubSelector()
         self._sent_counts = load_exchange.SentCounts()
-        self._prompt_reports = prompt_reports.HubPromptReports()
-        self._prompt_pacer = prompt_reports.Pacer()
-        self._prompt_totals_pacer = prompt_reports.Pacer()
+        self._crash_exchanges = (
+            _CrashExchange.from_records(
+                gw.part_records, _KIND_PARTS, _KIND_PART_TOTALS
+            ),
+            _CrashExchange.from_records(
+                gw.request_records, _KIND_REQUESTS, _KIND_REQUEST_TOTALS
+            ),
+        )
         # Addresses that reports came from. A router that has just started
         # may not be listed yet.
         self._reporters: dict[types.RouterId, model.Address] = {}
+        self._report_numbers: dict[types.RouterId, int] = {}
 
     def __enter__(self) -> 'PeerExchange':
         return self
@@ -88,27 +140,29 @@
         hub = self._hub_selector.choose(shares, gw.cfg.name, now_ms)
         if hub != before:
             gw.log.emit('hub-changed', hub=hub, before=before)
+            for crashes in self._crash_exchanges:
+                crashes.pacer.reset()
         if hub is None:
             return
         number, counts = self._sent_counts.next_counts(gw.state.table)
         outcomes = self._sent_counts.collect_outcomes(gw.state.table, now_ms)
-        prompts = gw.prompts.make_report(now_ms)
         if hub != gw.cfg.name:
             data = cbor2.dumps(
                 [_KIND_COUNTS, gw.cfg.name, number, counts, outcomes]
             )
             await self._send_to(data, routers[hub].address)
-            if self._prompt_pacer.is_due(prompts, now_ms):
-                data = cbor2.dumps(
-                    [_KIND_PROMPTS, gw.cfg.name, number, prompts]
+            for crashes in self._crash_exchanges:
+                await self._send_crash_report(
+                    crashes, number, routers[hub].address, now_ms
                 )
-                await self._send_to(data, routers[hub].address)
             return
         self._hub_selector.record_message(now_ms)
         self._hub_reports.record(hub, number, counts, now_ms, outcomes)
-        self._prompt_reports.record(hub, prompts, now_ms)
         await self._send_totals(now_ms)
-        await self._send_prompt_totals(now_ms)
+        for crashes in self._crash_exchanges:
+            report = crashes.records.make_report(now_ms)
+            crashes.hub_reports.record(hub, report, now_ms)
+            await self._send_crash_totals(crashes, now_ms)
 
     async def _send_totals(self, now_ms: float) -> None:
         gw = self._gw
@@ -122,21 +176,72 @@
                 data = cbor2.dumps([_KIND_TOTALS, gw.cfg.name, number, packed])
                 await self._send_to(data, self._reporters[router])
 
-    async def _send_prompt_totals(self, now_ms: float) -> None:
-        totals = self._prompt_reports.merge(now_ms)
-        if totals is None or not self._prompt_totals_pacer.is_due(
-            totals, now_ms
-        ):
+    async def _send_crash_report(
+        self,
+        crashes: _CrashExchange,
+        number: int,
+        address: model.Address,
+        now_ms: float,
+    ) -> None:
+        report = crashes.records.make_report(now_ms)
+        if not crashes.pacer.is_due(report, now_ms):
+            return
+        pieces = [report]
+        if report is not None and crashes.is_split:
+            pieces = crash_reports.split_message(report)
+        for piece in pieces:
+            data = cbor2.dumps(
+                [crashes.report_kind, self._gw.cfg.name, number, piece]
+            )
+            await self._send_to(data, address)
+
+    async def _send_crash_totals(
+        self, crashes: _CrashExchange, now_ms: float
+    ) -> None:
+        totals = crashes.hub_reports.merge(now_ms)
+        if totals is None or not crashes.totals_pacer.is_due(totals, now_ms):
             return
         gw = self._gw
-        data = cbor2.dumps([_KIND_PROMPT_TOTALS, gw.cfg.name, 0, totals])
+        crashes.sent += 1
+        pieces = [totals]
+        if crashes.is_split:
+            pieces = [
+                piece for (piece,) in crash_reports.split_message([totals])
+            ]
         for router, _ in self._hub_reports.list_routers():
             if router == gw.cfg.name:
-                quarantine.apply_changes(
-                    gw, gw.prompts.apply_totals(totals, now_ms)
-                )
+                self._apply_crash_totals(crashes, totals, crashes.sent, now_ms)
             elif router in self._reporters:
-                await self._send_to(data, self._reporters[router])
+                for piece in pieces:
+                    data = cbor2.dumps(
+                        [crashes.totals_kind, gw.cfg.name, crashes.sent, piece]
+                    )
+                    await self._send_to(data, self._reporters[router])
+
+    def _apply_crash_totals(
+        self,
+        crashes: _CrashExchange,
+        totals: dict[typing.Any, typing.Any],
+        number: int,
+        now_ms: float,
+    ) -> None:
+        is_continued = crashes.is_split and number == crashes.received
+        crashes.received = number
+        changes = crashes.records.apply_totals(totals, now_ms, is_continued)
+        quarantine.apply_changes(self._gw, crashes.records, changes)
+
+    def _welcome(
+        self, router: types.RouterId, number: int, address: model.Address
+    ) -> None:
+        """Note where a router is; tell one that has started what is known."""
+        before = self._reporters.get(router)
+        self._reporters[router] = address
+        last_number = self._report_numbers.get(router, 0)
+        self._report_numbers[router] = number
+        if before == address and number >= last_number:
+            return
+        for crashes in self._crash_exchanges:
+            crashes.totals_pacer.reset()
 
     async def _send_to(self, data: bytes, address: model.Address) -> None:
         try:
@@ -162,7 +267,7 @@
         now_ms = self._gw.now_ms()
         if kind == _KIND_COUNTS:
             counts, outcomes = _check_sums(contents, 2)
-            self._reporters[router] = address
+            self._welcome(router, number, address)
             self._hub_reports.record(router, number, counts, now_ms, outcomes)
             hub = self._hub_selector.hub
             if hub is not None and hub != self._gw.cfg.name:
@@ -174,17 +279,27 @@
             sums, outcomes = _check_sums(_decode(packed), 3)
             self._hub_selector.record_message(now_ms)
             self._apply_totals(sums, outcomes, number, now_ms)
-        elif kind == _KIND_PROMPTS:
-            report = _check_prompt_report(contents)
-            self._prompt_reports.record(router, report, now_ms)
-        elif kind == _KIND_PROMPT_TOTALS and router == self._hub_selector.hub:
-            totals = _check_prompt_totals(contents)
-            quarantine.apply_changes(
-                self._gw, self._gw.prompts.apply_totals(totals, now_ms)
-            )
         elif kind == _KIND_REDIRECT:
             hub = types.RouterId(_check_single(contents, str))
             self._hub_selector.record_redirect(router, hub)
+        for crashes in self._crash_exchanges:
+            policy = crashes.records.policy
+            if kind == crashes.report_kind:
+                _check(len(contents) == 1, 'one report', contents)
+                crash_reports.check_report(contents[0], policy)
+                crashes.hub_reports.record(
+                    router,
+                    contents[0],
+                    now_ms,
+                    number if crashes.is_split else None,
+                )
+            elif (
+                kind == crashes.totals_kind
+                and router == self._hub_selector.hub
+            ):
+                _check(len(contents) == 1, 'one set of totals', contents)
+                crash_reports.check_totals(contents[0], policy)
+                self._apply_crash_totals(crashes, contents[0], number, now_ms)
 
     def _apply_totals(
         self,
@@ -270,45 +385,6 @@
     return counts, outcomes
 
 
-def _check_prompt_report(contents: list[typing.Any]) -> typing.Any:
-    _check(len(contents) == 1, 'one report', contents)
-    report = contents[0]
-    prompt_reports.check_report(report)
-    if report is not None:
-        ends, sound, quarantines = report
-        _check(
-            all(map(_is_mapping, report))
-            and all(
-                isinstance(name, str) and _is_number(age_ms, _MAX_AGE_MS)
-                for found in ends.values()
-                for name, age_ms in found
-            )
-            and all(_is_number(age, _MAX_AGE_MS) for age in sound.values())
-            and all(map(_is_quarantine, quarantines.values())),
-            'names of endpoints, ages and levels',
-            report,
-        )
-    return report
-
-
-def _check_prompt_totals(contents: list[typing.Any]) -> typing.Any:
-    _check(len(contents) == 1, 'one set of totals', contents)
-    totals = contents[0]
-    prompt_reports.check_totals(totals)
-    _check(
-        _is_mapping(totals)
-        and all(
-            _is_count(ends)
-            and (age_ms is None or _is_number(age_ms, _MAX_AGE_MS))
-            and (quarantined is None or _is_quarantine(quarantined))
-            for ends, age_ms, quarantined in totals.values()
-        ),
-        'ends, an age and a quarantine by prompt part',
-        totals,
-    )
-    return totals
-
-
 def _is_mapping(value: typing.Any) -> bool:
     return isinstance(value, dict) and all(
         isinstance(key, str) for key in value
@@ -324,17 +400,6 @@
     return isinstance(value, int | float) and 0 <= value <= most
 
 
-def _is_quarantine(value: typing.Any) -> bool:
-    if not isinstance(value, list) or len(value) != 3:
-        return False
-    age_ms, level, test_age_ms = value
-    return (
-        _is_number(age_ms, _MAX_AGE_MS)
-        and _is_number(level, _MAX_LEVEL)
-        and (test_age_ms is None or _is_number(test_age_ms, _MAX_AGE_MS))
-    )
-
-
 def _check(is_valid: bool, expected: str, got: typing.Any) -> None:
     if not is_valid:
         raise ValueError(f'expected {expected}, got {got!r:.80}')
--- a/foxtailpick/gateway/relay.py
+++ b/foxtailpick/gateway/relay.py
@@ -223,7 +223,7 @@
 async def _run_attempts(
     gw: context.Gateway, job: job_lib.Job, reply: reply_lib.Reply
 ) -> model.Outcome:
-    quarantine.check_prompt(gw, job)
+    quarantine.check_request(gw, job)
     await admission.wait_for_slot(gw, job)
     outcome = model.Outcome.CALLER_LEFT
     error: Exception | None = None
@@ -268,7 +268,7 @@
             job.counted_attempts,
             job.unreached,
             gw.budget.get_tokens(job.service.name) >= 1,
-            gw.prompts.may_crash(job.shared_parts, gw.now_ms()),
+            quarantine.may_crash(gw, job),
         )
         if (
             plan is retry_decision.RetryDecision.ALLOWED
@@ -358,7 +358,7 @@
         job.counted_attempts,
         group.is_each_silent,
         gw.budget.get_tokens(job.service.name) >= 1,
-        gw.prompts.may_crash(job.shared_parts, gw.now_ms()),
+        quarantine.may_crash(gw, job),
     )
     choice = None
     if decision is hedging.HedgeDecision.ALLOWED:
