Add failing tests of an end check and of lost links

A request that is cancelled while it checks whether an endpoint has ended tells all others that share the check that it lives, so their ends are not recorded. In the routers, the reconnects of a stream are counted over its whole life, not since it last went on, and one silent attempt closes the link of all others: after the third lost link a stream that resumed each time is given up.

No logic changes.

--- a/foxtailpick/tests/test_silent_endpoints_review.py
+++ b/foxtailpick/tests/test_silent_endpoints_review.py
@@ -3,15 +3,22 @@
 import contextlib
 import socket
 import time
+import types
 
 import pytest
 import trio
 
 from foxtailpick.core.dispatch import response_timeout
 from foxtailpick.core.dispatch import retry_decision
+from foxtailpick.core import messages
+from foxtailpick.core import replay
+from foxtailpick.core import settings
 from foxtailpick.gateway import attempt as attempt_lib
 from foxtailpick.gateway import http1
+from foxtailpick.gateway import quarantine
 from foxtailpick.platform.standins import endpoint_server
+from foxtailpick.router import attempt_client
+from foxtailpick.router import chats
 from foxtailpick.tests import gateway_harness
 from foxtailpick.tests import gateway_scripts
 from foxtailpick.tests import test_silent_endpoints as silent
@@ -342,3 +349,100 @@
         assert answer.body == body
         counts = '\n'.join(harness.gw.metrics.format_lines())
     assert 'requests_broken_off' not in counts
+
+
+async def test_check_of_an_endpoint_outlives_the_request_that_began_it(
+    nursery, monkeypatch
+):
+    """BUDGET: the others learned that an endpoint lives that had ended."""
+
+    async def refuse_slowly(endpoint):
+        await trio.sleep(0.1)
+        raise ConnectionRefusedError
+
+    async with gateway_harness.open_harness() as harness:
+        harness.add_endpoint('e1', 'engine', gateway_scripts.hang)
+        await harness.until_known('e1')
+        endpoint = harness.gw.state.table.get('e1')
+        monkeypatch.setattr(harness.gw.pool, 'open', refuse_slowly)
+        scope = trio.CancelScope()
+
+        async def check_until_cancelled():
+            with scope:
+                await quarantine.has_ended(harness.gw, endpoint)
+
+        nursery.start_soon(check_until_cancelled)
+        await trio.sleep(0.02)
+        nursery.start_soon(_cancel_soon, scope)
+        assert await quarantine.has_ended(harness.gw, endpoint)
+
+
+async def _cancel_soon(scope):
+    await trio.sleep(0.02)
+    scope.cancel()
+
+
+class LinkPool:
+    """A pool of links, each of which is lost after one chunk.
+
+    :param texts: the chunks of the stream.
+    """
+
+    def __init__(self, texts):
+        self.buffer = replay.ReplayBuffer('a1')
+        self.chunks = [self.buffer.append(text.encode()) for text in texts]
+        self.end = self.buffer.append(b'', True)
+
+    async def acquire(self, address):
+        return self
+
+    peer = types.SimpleNamespace(incarnation='i1')
+
+    def send_soon(self, message):
+        pass
+
+    @contextlib.contextmanager
+    def subscribe(self, attempt):
+        send, receive = trio.open_memory_channel(1)
+        if self.chunks:
+            chunk = self.chunks.pop(0)
+            send.send_nowait(
+                messages.Chunks(
+                    attempt,
+                    chunk.number,
+                    (chunk.data.decode(),),
+                    (chunk.check,),
+                    0.0,
+                )
+            )
+        else:
+            send.send_nowait(
+                messages.Finished(
+                    attempt, self.end.number, self.end.check, 'stop', 1, 0, 0.0
+                )
+            )
+        send.close()
+        yield receive
+
+
+async def test_stream_that_goes_on_after_each_lost_link_is_not_given_up(
+    autojump_clock, monitor
+):
+    """LOST: links that were lost before the stream went on counted too."""
+    texts = ['one', 'two', 'three', 'four']
+    client = attempt_client.AttemptClient(
+        LinkPool(texts), settings.LimitSettings(), chats.MAX_RECONNECTS
+    )
+    session = attempt_client.AttemptSession(
+        'a1',
+        'guides',
+        'sidecar:1',
+        replay.StreamAssembler(replay.ResumePoint('a1'), monitor),
+    )
+    received = []
+
+    async def deliver(new, first):
+        received.extend(new)
+
+    await client.run(session, object(), deliver)
+    assert received == texts
