--- a/foxtailpick/tests/test_reload.py
+++ b/foxtailpick/tests/test_reload.py
@@ -2,8 +2,11 @@
 
 import contextlib
 import dataclasses
+import os
 import random
 import signal
+import subprocess
+import sys
 import threading
 
 import trio
@@ -11,6 +14,7 @@
 from foxtailpick.gateway import daemon
 from foxtailpick.gateway import decision_log
 from foxtailpick.gateway import settings
+from foxtailpick.platform import boot
 from foxtailpick.tests import gateway_harness
 
 CFG = settings.GatewaySettings(
@@ -89,3 +93,21 @@
         while gw.cfg is CFG:
             await trio.sleep(0.01)
     assert gw.cfg == dataclasses.replace(CFG, max_sockets=500)
+
+
+def test_signal_of_changed_settings_at_the_start_ends_no_process(tmp_path):
+    """It comes before the process waits for signals."""
+    path = tmp_path / 'settings'
+    os.mkfifo(path)
+    with subprocess.Popen(
+        [sys.executable, '-m', 'foxtailpick.platform'],
+        env={**os.environ, boot.BOOT_VARIABLE: str(path)},
+        stderr=subprocess.DEVNULL,
+    ) as process:
+        # Opened once the process reads its settings.
+        with path.open('w') as pipe:
+            process.send_signal(signal.SIGHUP)
+            pipe.write('no settings')
+        process.wait(gateway_harness.LIMIT_S)
+    # The settings are refused.
+    assert process.returncode == 1
