--- a/foxtailpick/core/dispatch/response_timeout.py
+++ b/foxtailpick/core/dispatch/response_timeout.py
@@ -1,9 +1,9 @@
-"""Timeouts after which a request is retried at another endpoint.
+"""Timeouts after which a silent request is sent to another endpoint too.
 
 Load pattern: answers of executed requests are lost, so that a request gets
 no response while the endpoint serves others. The time to first byte is
 estimated per route as a mean and a mean deviation. A request that waits
-much longer is retried at another endpoint if it is idempotent. If all
+much longer is sent to another endpoint as well if it is idempotent. If all
 answers become slow, the timeout grows with them, so that load alone does
 not cause a retry storm.
 """
--- a/foxtailpick/gateway/attempt.py
+++ b/foxtailpick/gateway/attempt.py
@@ -126,6 +126,8 @@
     except errors.RequestError:
         gw.pool.release(endpoint, conn, True)
         raise
+    # Another attempt may answer by now; then this one is not sent.
+    await trio.lowlevel.checkpoint_if_cancelled()
     tested = quarantine.begin_tests(gw, job)
     is_reusable = False
     closed_ms = None
--- a/foxtailpick/gateway/relay.py
+++ b/foxtailpick/gateway/relay.py
@@ -353,6 +353,9 @@
     runner: attempt_group.Runner,
 ) -> None:
     """Send a silent request to another endpoint as well, if possible."""
+    if runner not in group.runners:
+        # It has ended since; its end is the next event.
+        return
     decision = hedging.decide_hedge(
         job.route,
         job.counted_attempts,
