List the third endpoint of a crash test after the crash

The test listed a third endpoint before the first one crashed, so that the request, silent at two endpoints by then, was sent to it before anything was known of a crash. It is listed once the prompt is suspect; that the request isn't sent to it after that is asked as before, and holds on this code.

--- a/foxtailpick/tests/test_silent_endpoints_review.py
+++ b/foxtailpick/tests/test_silent_endpoints_review.py
@@ -246,11 +246,13 @@
         await harness.until(lambda: first.received)
         second = harness.add_endpoint('e2', 'engine', refuse_late)
         await harness.until(lambda: second.received)
-        third = harness.add_endpoint('e3', 'engine', gateway_scripts.hang)
-        await harness.until_known('e3')
         await harness.until(
-            lambda: harness.gw.prompts.may_crash(['ab'], harness.gw.now_ms())
+            lambda: harness.gw.part_records.may_crash(
+                ['ab'], harness.gw.now_ms()
+            )
         )
+        third = harness.add_endpoint('e3', 'engine', gateway_scripts.hang)
+        await harness.until_known('e3')
         await trio.sleep(2.0)
         conn.close()
         assert not third.received
