--- a/foxtailpick/router/attempt_client.py
+++ b/foxtailpick/router/attempt_client.py
@@ -60,7 +60,8 @@
 
     :param pool: links to sidecars.
     :param cfg: limits for the detection of silent attempts.
-    :param max_reconnects: maximum reconnects for one attempt.
+    :param max_reconnects: maximum reconnects of an attempt without any
+        progress.
     """
 
     def __init__(
@@ -97,9 +98,13 @@
         """
         reconnects = 0
         while True:
+            received = session.assembler.resume_point.number
             try:
                 return await self._run_on_link(session, opening, deliver)
             except _LostLinkError as exc:
+                if session.assembler.resume_point.number > received:
+                    # The stream went on since the last reconnect.
+                    reconnects = 0
                 reconnects += 1
                 if reconnects > self._max_reconnects or not session.is_sent:
                     raise self._make_lost_error(session, exc) from exc
