Repeat the check of an ended endpoint if its request is cancelled

The requests that shared a check learned that the endpoint lives when the request that made the check was cancelled, so their ends weren't recorded. The next one makes a check of its own now. test_check_of_an_endpoint_outlives_the_request_that_began_it failed before.

--- a/foxtailpick/gateway/context.py
+++ b/foxtailpick/gateway/context.py
@@ -73,12 +73,13 @@
     """A check whether an endpoint that closed a connection has ended.
 
     :param began_ms: when the check began.
-    :param has_ended: whether the endpoint accepts no connection.
+    :param has_ended: whether the endpoint accepts no connection, None if
+        the check was cancelled.
     :param done: set once that is known.
     """
 
     began_ms: float
-    has_ended: bool = False
+    has_ended: bool | None = None
     done: trio.Event = dataclasses.field(default_factory=trio.Event)
 
 
--- a/foxtailpick/gateway/quarantine.py
+++ b/foxtailpick/gateway/quarantine.py
@@ -96,23 +96,37 @@
     :param gw: the gateway.
     :param endpoint: the endpoint.
     """
-    now_ms = gw.now_ms()
     process = get_process(endpoint)
-    check = gw.end_checks.get(process)
-    if check is None or now_ms - check.began_ms > END_CHECK_TTL_MS:
-        check = context.EndCheck(now_ms)
-        gw.end_checks[process] = check
-        try:
-            conn = await gw.pool.open(endpoint)
-        except OSError:
-            # Not logged here: this is the outcome, which the caller logs.
-            check.has_ended = True
-        else:
-            gw.pool.release(endpoint, conn, True)
-        finally:
-            check.done.set()
-    await check.done.wait()
-    return check.has_ended
+    while True:
+        now_ms = gw.now_ms()
+        check = gw.end_checks.get(process)
+        if check is None or now_ms - check.began_ms > END_CHECK_TTL_MS:
+            check = context.EndCheck(now_ms)
+            gw.end_checks[process] = check
+            await _check_end(gw, endpoint, check)
+        await check.done.wait()
+        if check.has_ended is not None:
+            return check.has_ended
+        # The request that made the check was cancelled.
+        if gw.end_checks.get(process) is check:
+            del gw.end_checks[process]
+
+
+async def _check_end(
+    gw: context.Gateway,
+    endpoint: endpoint_table.Endpoint,
+    check: context.EndCheck,
+) -> None:
+    try:
+        conn = await gw.pool.open(endpoint)
+    except OSError:
+        # Not logged here: this is the outcome, which the caller logs.
+        check.has_ended = True
+    else:
+        check.has_ended = False
+        gw.pool.release(endpoint, conn, True)
+    finally:
+        check.done.set()
 
 
 def record_end(
