Hand a stream over only to an endpoint that has begun it

The bound on work at two endpoints counts from the start at the second one, and a request starts to run with its first token; until then nothing is handed over.

test_stream_is_not_handed_to_an_endpoint_that_is_silent_itself repeats it. test_moved_stream_does_not_run_twice_for_long counted from the arrival of the request; it counts from the start of the stream now, with the same 400 ms. test_endpoint_that_goes_on_keeps_its_stream asks for 1.5 s again.

--- a/foxtailpick/core/dispatch/hedging.py
+++ b/foxtailpick/core/dispatch/hedging.py
@@ -14,9 +14,9 @@
 
 from foxtailpick.core.dispatch import model
 
-# A stream that has begun stays at its endpoint for at most this long after
-# it was sent to a second one, which refuses within a few ms if at all. The
-# operators tolerate 400 ms of work at both.
+# Once a second endpoint has begun a stream, the first one stays for at most
+# this long if no event arrives. Engines of the platform may work on the same
+# stream for 400 ms.
 HANDOVER_MS = 300.0
 # Time until a silent request that could not be hedged is checked again.
 RECHECK_INTERVAL_MS = 250.0
--- a/foxtailpick/gateway/attempt.py
+++ b/foxtailpick/gateway/attempt.py
@@ -58,6 +58,7 @@
     """How an attempt acts on the others of the same request.
 
     :param report_sent: reports that the request is sent.
+    :param report_begun: reports that the endpoint has begun a stream.
     :param report_silence: reports that the endpoint is silent or, with
         False, that it no longer is.
     :param claim: tells whether this attempt may write to the caller, False
@@ -66,6 +67,7 @@
     """
 
     report_sent: typing.Callable[[], None]
+    report_begun: typing.Callable[[], None]
     report_silence: typing.Callable[[bool], None]
     claim: typing.Callable[[bool], bool]
 
@@ -338,6 +340,7 @@
     if is_success and job.answered_ms is None:
         job.answered_ms = now_ms
     if is_success and job.route.kind is model.RequestKind.STREAMING:
+        hooks.report_begun()
         return await _relay_stream(
             gw, job, attempt, conn, reply, hooks, head, meta
         )
--- a/foxtailpick/gateway/attempt_group.py
+++ b/foxtailpick/gateway/attempt_group.py
@@ -23,7 +23,8 @@
     :param choice: the endpoint of the attempt.
     :param started_ms: when it started.
     :param scope: cancel scope of the task.
-    :param sent_ms: when the request was sent, None before that.
+    :param is_sent: whether the request was sent.
+    :param begun_ms: when its stream began, None before that.
     :param is_silent: whether the endpoint sends nothing for too long.
     :param is_replaced: whether another attempt answers instead.
     :param recheck_ms: time before which its silence is not reported again.
@@ -35,7 +36,8 @@
     scope: trio.CancelScope = dataclasses.field(
         default_factory=trio.CancelScope
     )
-    sent_ms: float | None = None
+    is_sent: bool = False
+    begun_ms: float | None = None
     is_silent: bool = False
     is_replaced: bool = False
     recheck_ms: float = -math.inf
@@ -74,7 +76,7 @@
         self._job = job
         self._reply = reply
         self._nursery = nursery
-        # None reports that a request was sent.
+        # None reports that a stream has begun.
         self._send, self._receive = trio.open_memory_channel[
             Ended | Runner | None
         ](math.inf)
@@ -100,29 +102,33 @@
     async def next_event(self) -> Ended | Runner:
         """Return the end of an attempt, or an attempt that is silent.
 
-        Meanwhile, a stream that has begun is handed over to a second
-        endpoint that does not refuse it.
+        Meanwhile, a stream that two endpoints have begun is given to the
+        second one.
         """
         while True:
             with trio.move_on_after(self._compute_handover_s()) as scope:
                 event = await self._receive.receive()
                 if event is not None:
                     return event
-            if scope.cancelled_caught:
-                self._claim(self._find_newest(), True)
+            begun = self._list_begun()
+            if scope.cancelled_caught and len(begun) > 1:
+                self._claim(begun[-1], True)
 
     def _compute_handover_s(self) -> float:
         """Return the time until a stream is handed over, in seconds."""
-        if len(self.runners) < 2 or not self._reply.is_started:
+        begun = self._list_begun()
+        if len(begun) < 2:
             return math.inf
-        sent_ms = self._find_newest().sent_ms
-        if sent_ms is None:
-            return math.inf
-        left_ms = sent_ms + hedging.HANDOVER_MS - self._gw.now_ms()
+        assert begun[-1].begun_ms is not None
+        left_ms = begun[-1].begun_ms + hedging.HANDOVER_MS - self._gw.now_ms()
         return max(0.0, left_ms) / types.SECOND_MS
 
-    def _find_newest(self) -> Runner:
-        return max(self.runners, key=lambda runner: runner.started_ms)
+    def _list_begun(self) -> list[Runner]:
+        """Return the attempts whose stream has begun, the latest one last."""
+        if len(self.runners) < 2:
+            return []
+        begun = (item for item in self.runners if item.begun_ms is not None)
+        return sorted(begun, key=lambda item: item.begun_ms)
 
     async def _run(self, runner: Runner) -> None:
         job = self._job
@@ -145,7 +151,7 @@
             self.runners.discard(runner)
             if isinstance(result, attempt_lib.AttemptResult):
                 attempt_verdict = retry_decision.get_verdict(result.end)
-            elif runner.sent_ms is not None:
+            elif runner.is_sent:
                 attempt_verdict = verdict_lib.Verdict.MAY_HAVE_RUN
             else:
                 attempt_verdict = verdict_lib.Verdict.NOT_RUN
@@ -157,12 +163,16 @@
 
     def _make_hooks(self, runner: Runner) -> attempt_lib.GroupHooks:
         def report_sent() -> None:
-            runner.sent_ms = self._gw.now_ms()
+            runner.is_sent = True
+
+        def report_begun() -> None:
+            runner.begun_ms = self._gw.now_ms()
             if len(self.runners) > 1:
                 self._send.send_nowait(None)
 
         return attempt_lib.GroupHooks(
             report_sent=report_sent,
+            report_begun=report_begun,
             report_silence=lambda is_silent: self._report_silence(
                 runner, is_silent
             ),
