Merge only suspects that several reports name

Each crash makes suspects of all requests in flight, and the hub merged all of them every 150 ms. With 68 routers and 113 suspects at each, all different: 29.6 ms a merge before, 8.6 ms with a first pass that counts, on a busy machine. A report of these was 5,316 bytes and is 3,156 with hashes of process names, in 3 datagrams instead of 5. What the totals say is unchanged; test_request_quarantine passes as before.

--- a/foxtailpick/core/dispatch/crash_quarantine.py
+++ b/foxtailpick/core/dispatch/crash_quarantine.py
@@ -57,6 +57,7 @@
 # Reports and totals older than this are ignored.
 MAX_AGE_MS = 3_500.0
 _SIGNATURE_BYTES = 6
+_PROCESS_BYTES = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -252,6 +253,15 @@
     return Signature(digest.hexdigest())
 
 
+def shorten_process(process: str) -> str:
+    """Return a short hash of a process, for reports of many suspects.
+
+    :param process: name of the process of an endpoint.
+    """
+    data = process.encode()
+    return hashlib.blake2b(data, digest_size=_PROCESS_BYTES).hexdigest()
+
+
 def is_suspect(answered_ms: float | None, closed_ms: float) -> bool:
     """Tell whether a request may have crashed the endpoint it was sent to.
 
@@ -605,8 +615,11 @@
             count = count_ends(ends_ms, self.policy.min_end_gap_ms)
             return count, max(ends_ms)
 
-        worst = sorted(self._ends_ms.items(), key=rank, reverse=True)
-        return worst[: self.policy.max_reported]
+        suspects = list(self._ends_ms.items())
+        if len(suspects) <= self.policy.max_reported:
+            return suspects
+        suspects.sort(key=rank, reverse=True)
+        return suspects[: self.policy.max_reported]
 
     def _is_watched(self, signature: Signature) -> bool:
         return (
--- a/foxtailpick/core/dispatch/crash_reports.py
+++ b/foxtailpick/core/dispatch/crash_reports.py
@@ -6,6 +6,7 @@
 would say the same as the ones before.
 """
 
+import collections
 import math
 import typing
 
@@ -210,9 +211,10 @@
         quarantines: dict[
             crash_quarantine.Signature, crash_quarantine.Quarantine
         ] = {}
+        listed = self._find_listed()
         for received_ms, _, pieces in self._reports.values():
             for piece in pieces:
-                self._merge_report(piece, received_ms, ends, sound_ms)
+                self._merge_report(piece, received_ms, listed, ends, sound_ms)
                 self._merge_quarantines(piece[2], received_ms, quarantines)
         totals = {}
         for signature in {*ends, *quarantines}:
@@ -223,6 +225,7 @@
                 quarantine is None
                 and len(found_ms) < self.policy.min_listed_ends
             ):
+                # Several routers saw one end.
                 continue
             if quarantine is not None and quarantine.started_ms < last_ms:
                 quarantine = None
@@ -246,14 +249,35 @@
         )
         return dict(worst[: self.policy.max_listed]) or None
 
+    def _find_listed(self) -> set[crash_quarantine.Signature]:
+        """Return signatures with enough reports to be listed.
+
+        Each crash makes suspects of all requests in flight, most of which
+        are never suspected again.
+        """
+        counts: collections.Counter[crash_quarantine.Signature] = (
+            collections.Counter()
+        )
+        for _, _, pieces in self._reports.values():
+            for piece in pieces:
+                for signature, found in piece[0].items():
+                    counts[signature] += len(found)
+                counts.update(
+                    dict.fromkeys(piece[2], self.policy.min_listed_ends)
+                )
+        least = self.policy.min_listed_ends
+        return {key for key, count in counts.items() if count >= least}
+
     def _merge_report(
         self,
         report: list[typing.Any],
         received_ms: float,
+        listed: set[crash_quarantine.Signature],
         ends: dict[crash_quarantine.Signature, dict[str, float]],
         sound_ms: dict[crash_quarantine.Signature, float],
     ) -> None:
-        for signature, found in report[0].items():
+        for signature in listed & report[0].keys():
+            found = report[0][signature]
             merged = ends.setdefault(signature, {})
             for endpoint, age_ms in found:
                 end_ms = received_ms - age_ms
--- a/foxtailpick/gateway/quarantine.py
+++ b/foxtailpick/gateway/quarantine.py
@@ -131,9 +131,14 @@
     :param tested: result of `begin_tests`.
     """
     now_ms = gw.now_ms()
+    process = get_process(endpoint)
+    short = crash_quarantine.shorten_process(process)
     started = {
         id(records): records.record_end(
-            signatures, get_process(endpoint), closed_ms, now_ms
+            signatures,
+            short if records is gw.request_records else process,
+            closed_ms,
+            now_ms,
         )
         for records, signatures in _list_kinds(gw, job)
     }
