Let a new hub ask the other gateways for their quarantines

Cause: other gateways read of a new one some seconds later than it reads of them.

The test fails without the queries (its time limit), for the name that makes the new gateway the hub.

--- a/foxtailpick/gateway/peers.py
+++ b/foxtailpick/gateway/peers.py
@@ -32,6 +32,9 @@
 _KIND_PART_TOTALS = 6
 _KIND_REQUESTS = 7
 _KIND_REQUEST_TOTALS = 8
+_KIND_QUERY = 9
+# A hub asks so many of the routers that don't report to it at a time.
+MAX_QUERIES = 4
 
 
 @dataclasses.dataclass(slots=True)
@@ -156,6 +159,7 @@
         self._hub_selector.record_message(now_ms)
         self._hub_reports.record(hub, number, counts, now_ms, outcomes)
         await self._send_totals(now_ms)
+        await self._send_queries(number, routers)
         for crashes in self._crash_exchanges:
             report = crashes.records.make_report(now_ms)
             crashes.hub_reports.record(hub, report, now_ms)
@@ -173,6 +177,32 @@
                 data = cbor2.dumps([_KIND_TOTALS, gw.cfg.name, number, packed])
                 await self._send_to(data, self._reporters[router])
 
+    async def _send_queries(
+        self,
+        number: int,
+        routers: typing.Mapping[types.RouterId, model.RouterEntry],
+    ) -> None:
+        """Ask routers that don't report what they know of crashes.
+
+        They read of a new router some seconds later than it reads of them.
+        If it is to be the hub, it would know nothing until then.
+        """
+        reporting = {name for name, _ in self._hub_reports.list_routers()}
+        silent = [name for name in routers if name not in reporting]
+        if not silent:
+            return
+        first = number * MAX_QUERIES % len(silent)
+        count = min(MAX_QUERIES, len(silent))
+        data = cbor2.dumps([_KIND_QUERY, self._gw.cfg.name, number])
+        for name in [*silent, *silent][first : first + count]:
+            await self._send_to(data, routers[name].address)
+
+    async def _answer_query(self, number: int, address: model.Address) -> None:
+        for crashes in self._crash_exchanges:
+            report = crashes.records.make_report(self._gw.now_ms())
+            if report is not None:
+                await self._send_pieces(crashes, number, report, address)
+
     async def _send_crash_report(
         self,
         crashes: _CrashExchange,
@@ -183,6 +213,15 @@
         report = crashes.records.make_report(now_ms)
         if not crashes.pacer.is_due(report, now_ms):
             return
+        await self._send_pieces(crashes, number, report, address)
+
+    async def _send_pieces(
+        self,
+        crashes: _CrashExchange,
+        number: int,
+        report: list[typing.Any] | None,
+        address: model.Address,
+    ) -> None:
         pieces = [report]
         if report is not None and crashes.is_split:
             pieces = crash_reports.split_message(report)
@@ -279,6 +318,8 @@
             self._apply_totals(sums, outcomes, number, now_ms)
         elif kind == _KIND_REDIRECT:
             self._hub_selector.record_redirect(router, contents[0])
+        elif kind == _KIND_QUERY:
+            await self._answer_query(number, address)
         for crashes in self._crash_exchanges:
             policy = crashes.records.policy
             if kind == crashes.report_kind:
--- a/foxtailpick/tests/test_crashing_requests.py
+++ b/foxtailpick/tests/test_crashing_requests.py
@@ -7,6 +7,7 @@
 
 from foxtailpick.core.dispatch import crash_quarantine
 from foxtailpick.gateway import quarantine
+from foxtailpick.gateway import state as state_lib
 
 from foxtailpick.tests import crashing_fleet
 from foxtailpick.tests import gateway_harness
@@ -99,8 +100,24 @@
     await crashing_fleet.run_with_fleet(check, 2, SERVERS, 'plain')
 
 
-async def test_gateway_that_starts_learns_with_its_first_exchange():
+@pytest.mark.parametrize('name', ['router-late0', 'router-late1'])
+async def test_gateway_that_starts_learns_with_its_first_exchange(
+    name, monkeypatch
+):
+    """The others read of it some seconds later; the first one is a hub."""
+    list_routers = state_lib.GatewayState.list_routers
+
+    def list_known(state):
+        routers = dict(list_routers(state))
+        if state in known:
+            routers.pop(name, None)
+        return routers
+
+    known = []
+
     async def check(fleet):
+        known.extend(harness.gw.state for harness in fleet.harnesses)
+        monkeypatch.setattr(state_lib.GatewayState, 'list_routers', list_known)
         await learn(fleet)
         records = fleet.harnesses[0].gw.request_records
         for _ in range(crash_quarantine.REQUESTS.max_tests):
@@ -109,7 +126,7 @@
         # The totals have no news and are repeated at intervals.
         await trio.sleep(2.5)
         async with gateway_harness.open_harness(
-            name='router-late', store=fleet.harnesses[0].store
+            name=name, store=fleet.harnesses[0].store
         ) as late:
             await late.until_known(*fleet.engines)
             gw = late.gw
