Add a soak of endpoints that fall silent

Cause: no run with real processes had sound endpoints that read and send nothing for about a second, so requests that were lost beside a silence went unseen until operators saw them. The check of LOST looked only at calls that were cut off around a SIGTERM, and not within a disruption.

Change: the scenario `silence` has silences of 0.8 to 1.6 s, with connections accepted or not, and other endpoints full meanwhile, beside changes of routes, timeouts, limits and keys, reloads with changed and unreadable settings, and restarts. Callers stay on a connection until the gateway closes it, and pipeline some calls. `losses` takes each call without a whole answer as lost unless the rule excuses it, tells cut off before a status, cut off within an answer and not answered at all apart, and writes each case with its times, the state of the request and, if lost, the lines of the gateway's log. `large-silence` has six gateways, six endpoints of each service and 48 callers.

The existing check is as before in the other scenarios. A request counts as arrived when it reached the socket of a silent endpoint, not when that read it. A further SIGTERM to a gateway that is stopping is no stop of its own.

--- a/foxtailpick/platform/standins/endpoint_server.py
+++ b/foxtailpick/platform/standins/endpoint_server.py
@@ -1,5 +1,6 @@
 """A scriptable stand-in for the platform's servers."""
 
+import contextlib
 import dataclasses
 import typing
 
@@ -15,12 +16,16 @@
 
 @dataclasses.dataclass(slots=True)
 class ReceivedRequest:
-    """A request as received by an endpoint."""
+    """A request as received by an endpoint.
+
+    :param held_ms: how long it was not read because the endpoint was silent.
+    """
 
     method: bytes
     target: bytes
     headers: dict[bytes, bytes]
     body: bytes
+    held_ms: float = 0.0
 
     @property
     def id(self) -> str:
@@ -32,13 +37,22 @@
 
 
 class Exchange:
-    """One request at an endpoint stand-in, with methods to answer it."""
+    """One request at an endpoint stand-in, with methods to answer it.
+
+    :param sock: the connection of the request.
+    :param received: the request.
+    :param until_awake: waits for the end of a silence of the endpoint.
+    """
 
     def __init__(
-        self, sock: trio.socket.SocketType, received: ReceivedRequest
+        self,
+        sock: trio.socket.SocketType,
+        received: ReceivedRequest,
+        until_awake: typing.Callable[[], typing.Awaitable[None]],
     ) -> None:
         self.sock = sock
         self.received = received
+        self._until_awake = until_awake
         self._is_chunked = True
 
     async def answer(
@@ -56,7 +70,7 @@
             len(body),
             True,
         )
-        await http1.send_all(self.sock, head + body)
+        await self._send(head + body)
 
     def is_for(self, endpoint: str) -> bool:
         """Tell whether the request names an endpoint as its only target."""
@@ -89,7 +103,7 @@
         )
         if not is_chunked:
             head = head.replace(b'Transfer-Encoding: chunked\r\n', b'')
-        await http1.send_all(self.sock, head)
+        await self._send(head)
 
     async def send_events(self, first: int, last: int) -> None:
         """Send the events numbered from first to last."""
@@ -100,13 +114,17 @@
         """Send data of the stream."""
         if self._is_chunked:
             data = http1.format_chunk(data)
-        await http1.send_all(self.sock, data)
+        await self._send(data)
 
     async def end_stream(self) -> None:
         """Complete the stream."""
         if not self._is_chunked:
             raise AbortConnectionError
-        await http1.send_all(self.sock, http1.LAST_CHUNK)
+        await self._send(http1.LAST_CHUNK)
+
+    async def _send(self, data: bytes) -> None:
+        await self._until_awake()
+        await http1.send_all(self.sock, data)
 
     def _make_headers(
         self,
@@ -138,6 +156,8 @@
         self._down_ms = 0.0
         self._accepting = trio.CancelScope()
         self._connections: set[trio.CancelScope] = set()
+        self._awake = trio.Event()
+        self._awake.set()
 
     def crash(self, down_ms: float) -> None:
         """Close all connections, and refuse new ones for some time.
@@ -150,6 +170,18 @@
         for scope in self._connections:
             scope.cancel()
 
+    @contextlib.contextmanager
+    def silence(self) -> typing.Iterator[None]:
+        """Read and send nothing meanwhile, as a process that is suspended.
+
+        Connections stay open, and everything goes on afterwards.
+        """
+        self._awake = trio.Event()
+        try:
+            yield
+        finally:
+            self._awake.set()
+
     async def serve(self, sock: trio.socket.SocketType) -> None:
         """Accept connections and answer requests until cancelled."""
         address = sock.getsockname()
@@ -178,18 +210,27 @@
                     data = await http1.receive(sock)
                     if not data:
                         return
+                    arrived_ms = trio.current_time() * types.SECOND_MS
+                    await self._until_awake()
+                    now_ms = trio.current_time() * types.SECOND_MS
                     for req in reader.feed(data, types.Millis(0.0)):
                         received = ReceivedRequest(
                             req.method,
                             req.target,
                             dict(req.headers),
                             req.body,
+                            now_ms - arrived_ms,
                         )
                         self.received.append(received)
-                        await self._run(Exchange(sock, received))
+                        await self._run(
+                            Exchange(sock, received, self._until_awake)
+                        )
             except (http1.BrokenConnectionError, AbortConnectionError):
                 return
 
+    async def _until_awake(self) -> None:
+        await self._awake.wait()
+
     async def _run(self, exchange: Exchange) -> None:
         """Run the script; cancel it if the caller disconnects."""
         is_aborted = False
--- a/foxtailpick/soak/callers.py
+++ b/foxtailpick/soak/callers.py
@@ -1,5 +1,6 @@
 """Callers of the soak: keep-alive clients that sometimes disconnect."""
 
+import contextlib
 import random
 
 import trio
@@ -21,6 +22,13 @@
 DROPPED_ROUTE_SHARE = 0.15
 KEY_SHARE = 0.1
 REVOKED_KEY_SHARE = 0.15
+# Share of the calls of the first account, if there are several.
+FIRST_ACCOUNT_SHARE = 0.8
+# Requests that are sent close behind each other.
+MAX_PIPELINED = 4
+MAX_PIPELINING_PAUSE_MS = 30.0
+# Steady callers come back this long after a refusal.
+REFUSED_PAUSE_MS = (100.0, 300.0)
 # Includes a body that is too long to be forwarded in a single send.
 BODY_BYTES = (0, 50, 40_000)
 
@@ -64,6 +72,91 @@
         await trio.sleep(rng.uniform(0.0, 0.12))
 
 
+async def run_steady_caller(
+    world: world_lib.World, name: str, seed: int
+) -> None:
+    """Send requests on one connection until the gateway closes it.
+
+    Some are sent close behind each other, before the answer to the first.
+
+    :param world: the gateways and routes, and the record of the calls.
+    :param name: prefix of the request ids.
+    :param seed: seed of the choices of this caller.
+    """
+    rng = random.Random(seed)
+    gateway = world.gateways[0]
+    conn: client_lib.ClientConnection | None = None
+    number = 0
+    while True:
+        if conn is not None and not conn.is_alive():
+            conn.close()
+            conn = None
+        if conn is None:
+            gateway = rng.choice(world.gateways)
+            conn = await _connect(gateway)
+        if conn is not None:
+            count = 1
+            if rng.random() < world.plan.pipelined_share:
+                count = rng.randint(2, MAX_PIPELINED)
+            calls = []
+            for _ in range(count):
+                number += 1
+                call = _make_call(world, f'{name}-{number}', gateway.name, rng)
+                call.predecessor = calls[-1] if calls else None
+                calls.append(call)
+            await _send_calls(world, calls, conn, rng)
+            if calls[-1].status in record_lib.NOT_RUN_STATUSES:
+                await pause(rng.uniform(*REFUSED_PAUSE_MS))
+        await trio.sleep(rng.uniform(0.0, 0.12))
+
+
+async def _connect(
+    gateway: world_lib.Gateway,
+) -> client_lib.ClientConnection | None:
+    try:
+        with trio.fail_after(1.0):
+            return await client_lib.ClientConnection.connect(gateway.address)
+    except (OSError, trio.TooSlowError):
+        # The gateway is restarting.
+        return None
+
+
+async def _send_calls(
+    world: world_lib.World,
+    calls: list[record_lib.Call],
+    conn: client_lib.ClientConnection,
+    rng: random.Random,
+) -> None:
+    """Send calls on one connection, and then read their responses."""
+    timeout_s = _get_call_timeout_s(world)
+    is_leaving = rng.random() < world.plan.disconnect_share
+    if is_leaving:
+        timeout_s = rng.uniform(0.0, timeout_s / 2)
+    with trio.move_on_after(timeout_s) as scope:
+        # The records of the calls show what is missing. Answers may still
+        # arrive on a connection that takes no more requests.
+        with contextlib.suppress(OSError):
+            for call in calls:
+                if call.predecessor is not None:
+                    await pause(rng.uniform(0.0, MAX_PIPELINING_PAUSE_MS))
+                call.sent_ms = world_lib.now_ms()
+                world.record.calls.append(call)
+                await conn.send(_format_call(world, call, rng))
+                call.written_ms = world_lib.now_ms()
+        with contextlib.suppress(OSError):
+            for call in calls:
+                await _read_response(call, conn)
+                call.ended_ms = world_lib.now_ms()
+    for call in calls:
+        if not call.is_complete:
+            call.has_disconnected = scope.cancelled_caught
+            call.has_given_up = scope.cancelled_caught and not is_leaving
+        call.ended_ms = call.ended_ms or world_lib.now_ms()
+    if not calls[-1].is_complete:
+        conn.close()
+        conn.is_clean = False
+
+
 def _make_call(
     world: world_lib.World, request: str, gateway: str, rng: random.Random
 ) -> record_lib.Call:
@@ -98,6 +191,9 @@
         return rng.choice(revoked)
     if world.keys and drawn < REVOKED_KEY_SHARE + KEY_SHARE:
         return rng.choice(world.keys)
+    others = world.account_keys[1:]
+    if others and rng.random() > FIRST_ACCOUNT_SHARE:
+        return rng.choice(others)
     return world_lib.API_KEY
 
 
@@ -107,6 +203,20 @@
     conn: client_lib.ClientConnection,
     rng: random.Random,
 ) -> None:
+    data = _format_call(world, call, rng)
+    timeout_s = _get_call_timeout_s(world)
+    if rng.random() < world.plan.disconnect_share:
+        timeout_s = rng.uniform(0.0, 0.3)
+    with trio.move_on_after(timeout_s) as scope:
+        await conn.send(data)
+        call.written_ms = world_lib.now_ms()
+        await _read_response(call, conn)
+    call.has_disconnected = scope.cancelled_caught
+
+
+def _format_call(
+    world: world_lib.World, call: record_lib.Call, rng: random.Random
+) -> bytes:
     body = b'b' * rng.choice(BODY_BYTES)
     headers = [
         *dialect.encode_caller(call.id, call.key, world.plan.deadline_ms),
@@ -125,13 +235,7 @@
         headers,
         len(body),
     )
-    timeout_s = _get_call_timeout_s(world)
-    if rng.random() < world.plan.disconnect_share:
-        timeout_s = rng.uniform(0.0, 0.3)
-    with trio.move_on_after(timeout_s) as scope:
-        await conn.send(head + body)
-        await _read_response(call, conn)
-    call.has_disconnected = scope.cancelled_caught
+    return head + body
 
 
 async def _read_response(
@@ -140,6 +244,7 @@
     head = await conn.next_event()
     assert isinstance(head, client_lib.ResponseHead)
     call.status = head.status
+    call.begun_ms = world_lib.now_ms()
     meta = dialect.decode_response(head.headers)
     if meta.signature is not None:
         call.signature = meta.signature[1].decode('latin-1')
--- a/foxtailpick/soak/faults.py
+++ b/foxtailpick/soak/faults.py
@@ -1,6 +1,7 @@
 """Faults that the soak injects, each from outside the gateway processes."""
 
 import base64
+import contextlib
 import random
 import signal
 import typing
@@ -11,6 +12,7 @@
 from foxtailpick.platform.standins import store_server
 from foxtailpick.soak import callers
 from foxtailpick.soak import proxy as proxy_lib
+from foxtailpick.soak import record as record_lib
 from foxtailpick.soak import world as world_lib
 
 # Gateways may still show the effects of a fault for this long after it ends.
@@ -25,6 +27,18 @@
 MIN_CRASHING_MS = 7_000.0
 MAX_CRASHING_MS = 8_500.0
 CRASHING_INTERVAL_MS = 120.0
+# Length of a silence of a sound endpoint, and the time between two of them.
+MIN_SILENCE_MS = 800.0
+MAX_SILENCE_MS = 1_600.0
+MIN_SOUND_MS = 150.0
+FULL_SHARE = 0.5
+MAX_SILENCES = 3
+# Route timeouts and limits of callers' connections to choose from. The
+# longer timeouts outlast a stream with a silence.
+TIMEOUTS_MS = (3_500.0, 4_200.0, 5_000.0)
+IDLE_TIMEOUTS_MS = (300.0, 1_000.0, 60_000.0)
+HEADER_TIMEOUTS_MS = (200.0, 1_000.0, 10_000.0)
+UNREADABLE_SETTINGS = (b'', b'\xff\xfe', b'node_name=x\nzone=\n')
 # Evacuations outlast the bound on them, so that it is checked.
 MIN_EVACUATION_MS = 5_300.0
 MAX_EVACUATION_MS = 7_500.0
@@ -343,6 +357,153 @@
     world.slowness = 1.0
 
 
+async def silence_endpoints(
+    world: world_lib.World, rng: random.Random
+) -> None:
+    """Let sound endpoints of a service fall silent, and then go on.
+
+    The others of the service may turn requests away meanwhile.
+    """
+    service = rng.choice(('engine', 'engine', 'plain'))
+    endpoints = [
+        item
+        for item in world.endpoints.values()
+        if item.service == service and not item.is_silent
+    ]
+    if not endpoints:
+        return
+    silent = rng.sample(endpoints, rng.randint(1, len(endpoints)))
+    others = [item for item in endpoints if item not in silent]
+    if rng.random() > FULL_SHARE:
+        others = []
+    for endpoint in others:
+        endpoint.behavior = 'full'
+    async with trio.open_nursery() as nursery:
+        for endpoint in silent:
+            nursery.start_soon(
+                _silence,
+                world,
+                endpoint,
+                rng.uniform(MIN_SILENCE_MS, MAX_SILENCE_MS),
+                rng.random() < 0.5,
+            )
+    for endpoint in others:
+        endpoint.behavior = 'sound'
+
+
+async def _silence(
+    world: world_lib.World,
+    endpoint: world_lib.Endpoint,
+    for_ms: float,
+    accepts: bool,
+) -> None:
+    endpoint.is_silent = True
+    with contextlib.ExitStack() as stack:
+        stack.enter_context(endpoint.standin.silence())
+        start_ms = world_lib.now_ms()
+        if accepts:
+            await callers.pause(for_ms)
+        else:
+            async with endpoint.proxy.hold_connects():
+                await callers.pause(for_ms)
+    world.record.silences.append(
+        record_lib.Silence(endpoint.id, accepts, start_ms, world_lib.now_ms())
+    )
+    await callers.pause(MIN_SOUND_MS)
+    endpoint.is_silent = False
+
+
+async def silence_repeatedly(
+    world: world_lib.World, rng: random.Random
+) -> None:
+    """Let endpoints fall silent several times in a row."""
+    for _ in range(rng.randint(2, MAX_SILENCES)):
+        await silence_endpoints(world, rng)
+        await callers.pause(rng.uniform(0.0, 300.0))
+
+
+async def restart_in_silence(
+    world: world_lib.World, rng: random.Random
+) -> None:
+    """Send SIGTERM to gateways while endpoints are silent."""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(silence_endpoints, world, rng)
+        await callers.pause(rng.uniform(0.0, MAX_SILENCE_MS))
+        count = rng.randint(1, len(world.gateways) - 1)
+        for gateway in rng.sample(world.gateways, count):
+            world.stop_gateway(gateway)
+
+
+async def restart_gateway(world: world_lib.World, rng: random.Random) -> None:
+    """Send SIGTERM to one gateway."""
+    world.stop_gateway(rng.choice(world.gateways))
+
+
+async def reload_changed(world: world_lib.World, rng: random.Random) -> None:
+    """Change settings of some gateways and send them SIGHUP."""
+    count = rng.randint(1, len(world.gateways))
+    for gateway in rng.sample(world.gateways, count):
+        text = gateway.boot.read_text('utf-8', 'replace')
+        if 'node_name' not in text:
+            # Unreadable at the moment.
+            continue
+        extra = rng.randint(20, 80)
+        line = f'bounds.retry_budget_extra={extra}\n'
+        gateway.boot.write_text(text + line, 'utf-8')
+        gateway.send(signal.SIGHUP)
+
+
+async def reload_unreadable(
+    world: world_lib.World, rng: random.Random
+) -> None:
+    """Send SIGHUP while the settings of a gateway can't be read."""
+    gateway = rng.choice(world.gateways)
+    data = gateway.boot.read_bytes()
+    if data in UNREADABLE_SETTINGS:
+        return
+    gateway.boot.write_bytes(rng.choice(UNREADABLE_SETTINGS))
+    gateway.send(signal.SIGHUP)
+    await callers.pause(rng.uniform(100.0, 800.0))
+    gateway.boot.write_bytes(data)
+    gateway.send(signal.SIGHUP)
+
+
+async def change_limits(world: world_lib.World, rng: random.Random) -> None:
+    """Change the time limits of callers' connections."""
+    world.limits = {
+        'idle_timeout_ms': rng.choice(IDLE_TIMEOUTS_MS),
+        'header_timeout_ms': rng.choice(HEADER_TIMEOUTS_MS),
+    }
+    world.write_config()
+
+
+async def change_timeouts(world: world_lib.World, rng: random.Random) -> None:
+    """Change the timeouts of routes, some in quick succession."""
+    for _ in range(rng.randint(1, 3)):
+        route = rng.choice(list(world.routes))
+        world.set_timeout(route, rng.choice(TIMEOUTS_MS))
+        world.write_config()
+        await callers.pause(rng.uniform(0.0, STORE_CHANGE_PAUSE_MS))
+
+
+# Silences of sound endpoints beside planned work.
+SILENCE_FAULTS: tuple[Fault, ...] = (
+    silence_endpoints,
+    silence_endpoints,
+    silence_endpoints,
+    silence_repeatedly,
+    silence_repeatedly,
+    restart_in_silence,
+    roll_gateways,
+    restart_gateway,
+    reload_changed,
+    reload_unreadable,
+    change_config,
+    change_keys,
+    change_limits,
+    change_timeouts,
+)
+
 # Restarts while streams are long, and slower than those before.
 LONG_STREAM_FAULTS: tuple[Fault, ...] = (roll_gateways, slow_engines)
 
--- a/foxtailpick/soak/plan.py
+++ b/foxtailpick/soak/plan.py
@@ -16,6 +16,17 @@
     :param faults: number of faults.
     :param fault_window_ms: time in which they begin.
     :param settling_ms: time after them until all bounds apply again.
+    :param planned_ms: length of the planned work at the end.
+    :param is_planned_only: whether no fault of the run excuses an answer
+        that is cut off.
+    :param gateways: number of gateways.
+    :param endpoints: number of endpoints of each service.
+    :param slots: slots of an endpoint.
+    :param accounts: number of client accounts.
+    :param keeps_connections: whether callers stay on a connection until the
+        gateway closes it.
+    :param pipelined_share: share of the sends, by such callers, that are
+        several requests close behind each other.
     """
 
     grace_ms: float = 4_000.0
@@ -27,6 +38,16 @@
     faults: int = 9
     fault_window_ms: float = 8_000.0
     settling_ms: float = 3_800.0
+    # Covers the planned changes and the bounds on removed endpoints and
+    # routes.
+    planned_ms: float = 4_500.0
+    is_planned_only: bool = False
+    gateways: int = 3
+    endpoints: int = 3
+    slots: int = 16
+    accounts: int = 1
+    keeps_connections: bool = False
+    pipelined_share: float = 0.0
 
 
 # Streams that last for a large part of the grace period.
@@ -41,3 +62,27 @@
     fault_window_ms=20_000.0,
     settling_ms=16_000.0,
 )
+
+# Streams that run on after a silence of their endpoint, nearly as many as
+# there are slots, so that a silence also leads to queues.
+SILENCE = Plan(
+    grace_ms=6_000.0,
+    deadline_ms=5_000.0,
+    target_ms=300.0,
+    event_interval_ms=60.0,
+    disconnect_share=0.03,
+    callers=24,
+    faults=16,
+    fault_window_ms=8_000.0,
+    settling_ms=4_000.0,
+    planned_ms=1_500.0,
+    is_planned_only=True,
+    slots=5,
+    accounts=2,
+    keeps_connections=True,
+    pipelined_share=0.15,
+)
+
+LARGE_SILENCE = dataclasses.replace(
+    SILENCE, callers=48, faults=26, gateways=6, endpoints=6
+)
--- a/foxtailpick/soak/proxy.py
+++ b/foxtailpick/soak/proxy.py
@@ -1,5 +1,6 @@
 """TCP proxy on loopback that injects network faults."""
 
+import contextlib
 import enum
 import socket
 import struct
@@ -13,6 +14,11 @@
 
 # SO_LINGER with a zero timeout: closing the socket sends a reset.
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+BACKLOG = 256
+# Connections that fill the shortest accept queue: the first may still be
+# accepted, the second is queued, and the third is dropped.
+FILLERS = 3
+FILLER_INTERVAL_MS = 3.0
 
 
 class Fault(enum.Enum):
@@ -40,7 +46,7 @@
 
     def __init__(self, target: model.Address) -> None:
         self._target = target
-        self._sock = http1.listen(('127.0.0.1', 0), 256)
+        self._sock = http1.listen(('127.0.0.1', 0), BACKLOG)
         self._epoch = 0
         self._open: set[trio.socket.SocketType] = set()
         self.address: model.Address = self._sock.getsockname()
@@ -48,6 +54,8 @@
         self.delay_ms = 0.0
         self._accepting = trio.CancelScope()
         self._down_ms = 0.0
+        self._accepts = trio.Event()
+        self._accepts.set()
 
     def set_fault(self, fault: Fault, delay_ms: float = 0.0) -> None:
         """Start a fault, or end it with `NONE`.
@@ -74,16 +82,37 @@
         for sock in list(self._open):
             _reset(sock)
 
+    @contextlib.asynccontextmanager
+    async def hold_connects(self) -> typing.AsyncIterator[None]:
+        """Let attempts to connect hang meanwhile, as with a full backlog.
+
+        Open connections are not affected.
+        """
+        self._accepts = trio.Event()
+        self._sock.listen(0)
+        with contextlib.ExitStack() as stack:
+            try:
+                for _ in range(FILLERS):
+                    filler = stack.enter_context(socket.socket())
+                    filler.setblocking(False)
+                    filler.connect_ex(self.address)
+                    await trio.sleep(FILLER_INTERVAL_MS / types.SECOND_MS)
+                yield
+            finally:
+                self._sock.listen(BACKLOG)
+                self._accepts.set()
+
     async def serve(self) -> None:
         """Forward connections until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
                 with self._sock, trio.CancelScope() as self._accepting:
                     while True:
+                        await self._accepts.wait()
                         client, _ = await self._sock.accept()
                         nursery.start_soon(self._serve_one, client)
                 await trio.sleep(self._down_ms / types.SECOND_MS)
-                self._sock = http1.listen(self.address, 256)
+                self._sock = http1.listen(self.address, BACKLOG)
 
     async def _serve_one(self, client: trio.socket.SocketType) -> None:
         if self.fault is Fault.RESET:
--- a/foxtailpick/soak/record.py
+++ b/foxtailpick/soak/record.py
@@ -101,6 +101,10 @@
     :param body: the part of the body that arrived.
     :param expected: the complete body to expect.
     :param has_disconnected: whether the caller disconnected before the end.
+    :param written_ms: when its last byte was sent, 0 if it was not.
+    :param begun_ms: when the status arrived, 0 if it did not.
+    :param has_given_up: whether the caller left well after the deadline.
+    :param predecessor: the call sent close before on the connection, if any.
     """
 
     id: str
@@ -117,6 +121,10 @@
     expected: bytes = b''
     has_disconnected: bool = False
     key: str = ''
+    written_ms: float = 0.0
+    begun_ms: float = 0.0
+    has_given_up: bool = False
+    predecessor: 'Call | None' = None
 
     @property
     def is_idempotent(self) -> bool:
@@ -133,7 +141,7 @@
     :param endpoint: the endpoint.
     :param domain: failure domain of the endpoint.
     :param route: name of the route.
-    :param at_ms: when the endpoint started to process it.
+    :param at_ms: when it arrived at the endpoint.
     :param ended_ms: when processing ended, None while in progress.
     :param start: number of starts of the endpoint before, after its first.
     """
@@ -164,6 +172,22 @@
     to_ms: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Silence:
+    """A time in which a sound endpoint read and sent nothing.
+
+    :param endpoint: the endpoint.
+    :param accepts: whether it accepted connections.
+    :param from_ms: when it began.
+    :param to_ms: when the endpoint went on.
+    """
+
+    endpoint: str
+    accepts: bool
+    from_ms: float
+    to_ms: float
+
+
 @dataclasses.dataclass(slots=True)
 class CrashingPart:
     """A prompt part that crashes endpoints.
@@ -183,11 +207,12 @@
     Times are in milliseconds of the trio clock. A disruption is a period in
     which a gateway is affected by a fault, so that most bounds do not apply.
 
-    :param grace_ms: time between SIGTERM and the end of a gateway.
+    :param plan: parameters of the run.
     """
 
-    def __init__(self, grace_ms: float = plan_lib.Plan().grace_ms) -> None:
-        self.grace_ms = grace_ms
+    def __init__(self, plan: plan_lib.Plan = plan_lib.Plan()) -> None:
+        self.plan = plan
+        self.grace_ms = plan.grace_ms
         self.calls: list[Call] = []
         self.runs: list[Run] = []
         self.removed_ms: dict[str, float] = {}
@@ -200,6 +225,17 @@
         )
         # Requests that reached an endpoint, also those that it refused.
         self.arrivals: list[tuple[str, str, float]] = []
+        # The same by request: endpoint, and when.
+        self.passed_on: dict[str, list[tuple[str, float]]] = (
+            collections.defaultdict(list)
+        )
+        self.silences: list[Silence] = []
+        # Difference between the system clock and the trio clock.
+        self.wall_offset_ms = 0.0
+        # Timeouts of a route, each with the time from which on it applies.
+        self.timeouts_ms: dict[str, list[tuple[float, float]]] = (
+            collections.defaultdict(list)
+        )
         self.evacuated: list[tuple[str, float, float]] = []
         self.dropped_routes: dict[str, float] = {}
         self.added_routes: dict[str, float] = {}
@@ -302,7 +338,8 @@
             for run in runs
         ):
             add(Rule.CONFIG, f'ran with revoked key {call.key}')
-        if self._is_lost(call, runs):
+        # Otherwise `losses` finds these and more.
+        if not self.plan.is_planned_only and self._is_lost(call, runs):
             add(
                 Rule.LOST,
                 'cut off by a graceful shutdown without other faults',
--- a/foxtailpick/soak/run.py
+++ b/foxtailpick/soak/run.py
@@ -4,22 +4,21 @@
 import random
 import shutil
 import tempfile
+import time
 
 import trio
 
 from foxtailpick.core import types
 from foxtailpick.soak import callers
 from foxtailpick.soak import faults
+from foxtailpick.soak import losses
 from foxtailpick.soak import plan as plan_lib
 from foxtailpick.soak import record as record_lib
 from foxtailpick.soak import world as world_lib
 
-GATEWAY_COUNT = 3
-ENDPOINT_COUNTS = {'engine': 3, 'plain': 3}
+SERVICES = ('engine', 'plain')
 # Limit on the start-up of all gateways.
 START_TIMEOUT_S = 30.0
-# Covers the planned changes and the bounds on removed endpoints and routes.
-PLANNED_WORK_S = 4.5
 
 
 def run_long_streams(seed: int) -> None:
@@ -31,6 +30,24 @@
     run_seed(seed, plan_lib.LONG_STREAMS, faults.LONG_STREAM_FAULTS)
 
 
+def run_silence(seed: int) -> None:
+    """Run the soak with silences of sound endpoints during planned work.
+
+    :param seed: as of `run_seed`.
+    :raises SoakError: as `run_seed`.
+    """
+    run_seed(seed, plan_lib.SILENCE, faults.SILENCE_FAULTS, ())
+
+
+def run_large_silence(seed: int) -> None:
+    """Run `run_silence` with more gateways, endpoints and callers.
+
+    :param seed: as of `run_seed`.
+    :raises SoakError: as `run_seed`.
+    """
+    run_seed(seed, plan_lib.LARGE_SILENCE, faults.SILENCE_FAULTS, ())
+
+
 class SoakError(AssertionError):
     """A run violated an invariant."""
 
@@ -39,18 +56,27 @@
     seed: int,
     plan: plan_lib.Plan = plan_lib.Plan(),
     kinds: tuple[faults.Fault, ...] = faults.FAULTS,
+    planned: tuple[faults.Fault, ...] = faults.PLANNED,
 ) -> None:
     """Run the soak once; settings and logs are kept only if it fails.
 
     :param seed: determines the faults and callers, and their timing.
     :param plan: parameters of the run.
     :param kinds: the faults to choose from.
+    :param planned: work of operators at the end.
     :raises SoakError: with the first violations; all are in the file
-        `breaches` beside the logs.
+        `breaches` beside the logs, and the calls without a success, of runs
+        with planned work only, in the file `cases`.
     """
     path = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
     log: list[str] = []
-    breaches = trio.run(_run, seed, path, log, plan, kinds)
+    record = trio.run(_run, seed, path, log, plan, kinds, planned)
+    breaches = record.check()
+    if plan.is_planned_only:
+        breaches.extend(losses.check(record))
+        lines = losses.read_lines(path.glob('*.log'))
+        losses.write_cases(record, lines, path / 'cases')
+        print(f'seed {seed}: {losses.format_summary(record, lines)}')
     if breaches:
         lines = [f'{item.rule.value}: {item.detail}' for item in breaches]
         (path / 'breaches').write_text('\n'.join([*log, *lines]), 'utf-8')
@@ -67,16 +93,23 @@
     log: list[str],
     plan: plan_lib.Plan,
     kinds: tuple[faults.Fault, ...],
-) -> list[record_lib.Breach]:
+    planned: tuple[faults.Fault, ...],
+) -> record_lib.Record:
     rng = random.Random(seed)
+    run_caller = callers.run_caller
+    if plan.keeps_connections:
+        run_caller = callers.run_steady_caller
     async with trio.open_nursery() as nursery:
         with world_lib.World(nursery, rng, path, plan) as world:
+            world.record.wall_offset_ms = losses.compute_wall_offset_ms(
+                time.time(), trio.current_time()
+            )
             await _start(world)
             start_ms = world_lib.now_ms()
             nursery.start_soon(world.restart_gateways)
             for number in range(plan.callers):
                 nursery.start_soon(
-                    callers.run_caller, world, f'c{number}', rng.random()
+                    run_caller, world, f'c{number}', rng.random()
                 )
             async with trio.open_nursery() as fault_nursery:
                 for at_s in sorted(
@@ -92,16 +125,16 @@
                         random.Random(rng.random()),
                         start_ms / types.SECOND_MS + at_s,
                     )
-            await trio.sleep(plan.settling_ms / types.SECOND_MS)
+            await callers.pause(plan.settling_ms)
             world.record.recovery_from_ms = world_lib.now_ms()
-            for fault in faults.PLANNED:
+            for fault in planned:
                 nursery.start_soon(fault, world, random.Random(rng.random()))
-            await trio.sleep(PLANNED_WORK_S)
+            await callers.pause(plan.planned_ms)
             world.record.calls = [
                 call for call in world.record.calls if call.ended_ms
             ]
             nursery.cancel_scope.cancel()
-    return world.record.check()
+    return world.record
 
 
 async def _start(world: world_lib.World) -> None:
@@ -110,10 +143,10 @@
     world.add_route('fixed', 'streaming', max_attempts=1)
     world.add_route('movable', 'streaming', stream_resumption=True)
     world.write_config()
-    for service, count in ENDPOINT_COUNTS.items():
-        for _ in range(count):
+    for service in SERVICES:
+        for _ in range(world.plan.endpoints):
             world.add_endpoint(service)
-    for number in range(GATEWAY_COUNT):
+    for number in range(world.plan.gateways):
         world.add_gateway(f'g{number}')
     with trio.fail_after(START_TIMEOUT_S):
         for gateway in world.gateways:
--- a/foxtailpick/soak/world.py
+++ b/foxtailpick/soak/world.py
@@ -27,6 +27,8 @@
 
 HOST = 'soak.example'
 API_KEY = 'soak-key'
+# Module that runs as a gateway process.
+GATEWAY_MODULE = 'foxtailpick.platform'
 # Names the gateway that a caller used; gateways forward it unchanged.
 GATEWAY_HEADER = b'X-Soak-Gateway'
 DOMAINS = ('north', 'south')
@@ -89,7 +91,7 @@
         """Start the process, or a new one after it has exited."""
         env = {**os.environ, boot.BOOT_VARIABLE: str(self.boot)}
         self.process = subprocess.Popen(
-            [sys.executable, '-m', 'foxtailpick.platform'],
+            [sys.executable, '-m', GATEWAY_MODULE],
             cwd=_ROOT,
             env=env,
             stdout=self.log,
@@ -125,15 +127,18 @@
         `breaking` closes the connection in the middle of a stream.
     :param is_leaving: whether it announces in its responses that it leaves.
     :param starts: number of its starts after the first.
+    :param is_silent: whether it reads and sends nothing.
     """
 
     id: str
     service: str
     domain: str
     proxy: proxy_lib.Proxy
+    standin: endpoint_server.EndpointStandIn | None = None
     behavior: str = 'sound'
     is_leaving: bool = False
     starts: int = 0
+    is_silent: bool = False
 
 
 class World:
@@ -158,7 +163,7 @@
         self.plan = plan
         # Factor on the time between two events of a stream.
         self.slowness = 1.0
-        self.record = record_lib.Record(plan.grace_ms)
+        self.record = record_lib.Record(plan)
         self.store = store_server.PlatformStoreStandIn()
         self.store.era = 1
         self.gateways: list[Gateway] = []
@@ -167,6 +172,8 @@
         # Routes and keys that are no longer valid, to be tried by callers.
         self.dropped_routes: dict[str, dict[str, typing.Any]] = {}
         self.keys: list[str] = []
+        # Limits of callers' connections, beside the defaults.
+        self.limits: dict[str, float] = {}
         self.version = 0
         # Held while the operators write again after a return of the store.
         self.operator_lock = trio.Lock()
@@ -186,6 +193,12 @@
             gateway.log.close()
         self._ports_guard.close()
 
+    @property
+    def account_keys(self) -> list[str]:
+        """The first key of each client account."""
+        others = range(1, self.plan.accounts)
+        return [API_KEY, *(f'{API_KEY}-{number}' for number in others)]
+
     def write_config(self) -> None:
         """Store the routes as a new version of the configuration."""
         self.version += self.rng.randint(1, 4)
@@ -199,8 +212,13 @@
                     for name in ('engine', 'plain')
                 ],
                 'tenants': [
-                    {'name': 'soak', 'api_keys': [API_KEY, *self.keys]}
+                    {'name': 'soak', 'api_keys': [API_KEY, *self.keys]},
+                    *(
+                        {'name': f'soak-{number}', 'api_keys': [key]}
+                        for number, key in enumerate(self.account_keys[1:], 1)
+                    ),
                 ],
+                'limits': self.limits,
             },
         )
 
@@ -223,6 +241,12 @@
             'max_attempts': 2,
             **fields,
         }
+        self.set_timeout(name, self.routes[name]['timeout_ms'])
+
+    def set_timeout(self, name: str, timeout_ms: float) -> None:
+        """Set the timeout of a route, as of the next `write_config`."""
+        self.routes[name]['timeout_ms'] = timeout_ms
+        self.record.timeouts_ms[name].append((now_ms(), timeout_ms))
 
     def add_gateway(self, name: str) -> None:
         """Start a gateway process behind a store proxy of its own."""
@@ -259,10 +283,10 @@
             proxy_lib.Proxy(sock.getsockname()),
         )
         self.endpoints[endpoint.id] = endpoint
-        standin = endpoint_server.EndpointStandIn(
+        endpoint.standin = endpoint_server.EndpointStandIn(
             lambda exchange: self._serve(endpoint, exchange)
         )
-        self.nursery.start_soon(standin.serve, sock)
+        self.nursery.start_soon(endpoint.standin.serve, sock)
         self.nursery.start_soon(endpoint.proxy.serve)
         self.list_endpoint(endpoint)
         return endpoint
@@ -276,7 +300,7 @@
                 'service': endpoint.service,
                 'address': f'{host}:{port}',
                 'zone': endpoint.domain,
-                'slots': 16,
+                'slots': self.plan.slots,
                 'state': 'ready',
                 'warmup_left_ms': 0,
                 'sequence': 1,
@@ -301,7 +325,9 @@
             await exchange.answer(421, b'', is_signed=False)
             return
         gateway = seen.headers[GATEWAY_HEADER.lower()].decode()
-        self.record.arrivals.append((gateway, endpoint.id, now_ms()))
+        at_ms = now_ms() - seen.held_ms
+        self.record.arrivals.append((gateway, endpoint.id, at_ms))
+        self.record.passed_on[seen.id].append((endpoint.id, at_ms))
         if endpoint.behavior == 'full':
             await exchange.refuse()
             return
@@ -323,7 +349,7 @@
             endpoint.id,
             endpoint.domain,
             seen.target.decode().split('/')[1],
-            now_ms(),
+            at_ms,
             start=endpoint.starts,
         )
         self.record.runs.append(run)
@@ -424,10 +450,15 @@
                 self.record.starts[gateway.name].append(now_ms())
 
     def stop_gateway(self, gateway: Gateway) -> None:
-        """Send SIGTERM to a gateway, as planned maintenance does."""
+        """Send SIGTERM to a gateway, as planned maintenance does.
+
+        A further one to the same process is no stop of its own.
+        """
         if not gateway.is_running():
             return
-        self.record.stops[gateway.name].append(now_ms())
+        stops = self.record.stops[gateway.name]
+        if not stops or stops[-1] < self.record.starts[gateway.name][-1]:
+            stops.append(now_ms())
         gateway.send(signal.SIGTERM)
 
 
