--- a/foxtailpick/soak/world.py
+++ b/foxtailpick/soak/world.py
@@ -300,6 +300,7 @@
                 'service': endpoint.service,
                 'address': f'{host}:{port}',
                 'zone': endpoint.domain,
+                'version': 'v1',
                 'slots': self.plan.slots,
                 'state': 'ready',
                 'warmup_left_ms': 0,
