Ignore the trailers of callers' requests

Cause: httptools reports trailers like headers, and they were appended to the headers that came before the body. The last value of a name counts.

Callers saw: a trailer replaced a header, also the key, the deadline or the id of a request, and both were forwarded.

Change: trailers count toward the limit of a head, and are ignored otherwise, as RFC 9110 section 6.5.1 allows.

Evidence: the test of a second id in a trailer failed before and passes with the change.

--- a/foxtailpick/gateway/http1.py
+++ b/foxtailpick/gateway/http1.py
@@ -156,10 +156,11 @@
         self._header_bytes += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header."""
+        """Store a header; ignore a trailer."""
         self._header_bytes += len(name) + len(value) + 4
         self._check_header_bytes()
-        self._headers.append((name.lower(), value))
+        if self.is_in_headers:
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Check the sizes and handle `Expect: 100-continue`."""
--- a/foxtailpick/tests/test_caller_server.py
+++ b/foxtailpick/tests/test_caller_server.py
@@ -333,3 +333,21 @@
         answer = await gateway_harness.read_answer(conn)
         conn.close()
     assert answer.status == 413
+
+
+async def test_trailers_are_no_headers():
+    """They would replace headers that were sent before the body."""
+
+    async def echo_id(req, reply):
+        await reply.send_response(200, (), dict(req.headers)[b'x-attempt-id'])
+
+    async with open_callers(echo_id) as (_, _, address):
+        conn = await client_lib.ClientConnection.connect(address)
+        await conn.send(
+            b'POST /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: 1\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\n'
+            b'4\r\ndata\r\n0\r\nX-Attempt-Id: 2\r\n\r\n'
+        )
+        answer = await gateway_harness.read_answer(conn)
+        conn.close()
+    assert answer.body == b'1'
