Test that lowered settings cut no request off

A lowered limit of descriptors closes idle connections only, and settings are not read any more once the gateway stops, so that a shorter grace period does not apply to requests that it has accepted. Both held before; there was no test.

--- a/foxtailpick/tests/test_caller_server.py
+++ b/foxtailpick/tests/test_caller_server.py
@@ -351,3 +351,33 @@
         answer = await gateway_harness.read_answer(conn)
         conn.close()
     assert answer.body == b'1'
+
+
+async def test_lowered_limit_of_descriptors_closes_no_busy_connection():
+    goes_on = trio.Event()
+
+    async def wait(req, reply):
+        await goes_on.wait()
+        await reply.send_response(200, (), req.target)
+
+    async with open_callers(wait) as (gw, callers, address):
+        conns = []
+        for number in range(3):
+            conn = await client_lib.ClientConnection.connect(address)
+            await conn.send(gateway_harness.format_ask(f'/{number}'))
+            conns.append(conn)
+        with trio.fail_after(gateway_harness.LIMIT_S):
+            while sum(caller.is_busy for caller in callers._callers) < 3:
+                await trio.sleep(0)
+            gw.cfg = dataclasses.replace(gw.cfg, max_sockets=1)
+            conns.append(await client_lib.ClientConnection.connect(address))
+            while callers.connections < 4:
+                await trio.sleep(0)
+        goes_on.set()
+        answers = [
+            (await gateway_harness.read_answer(conn)).body
+            for conn in conns[:3]
+        ]
+        for conn in conns:
+            conn.close()
+    assert answers == [b'/0', b'/1', b'/2']
--- a/foxtailpick/tests/test_reload.py
+++ b/foxtailpick/tests/test_reload.py
@@ -95,6 +95,25 @@
     assert gw.cfg == dataclasses.replace(CFG, max_sockets=500)
 
 
+async def test_settings_do_not_change_once_the_gateway_stops():
+    """A shorter grace period would cut requests off that it has accepted."""
+    gw = make_gateway()
+    changed = dataclasses.replace(CFG, grace_ms=500.0)
+    checks = []
+
+    def check_settings():
+        checks.append(changed)
+        return changed
+
+    async with open_reload(gw, check_settings) as (send, stopped):
+        await send.send(signal.SIGTERM)
+        await stopped.wait()
+        await send.send(signal.SIGHUP)
+        await trio.sleep(0.1)
+    assert checks == []
+    assert gw.cfg is CFG
+
+
 def test_signal_of_changed_settings_at_the_start_ends_no_process(tmp_path):
     """It comes before the process waits for signals."""
     path = tmp_path / 'settings'
