--- a/foxtailpick/gateway/peers.py
+++ b/foxtailpick/gateway/peers.py
@@ -4,6 +4,7 @@
 counts would queue behind its retransmission.
 """
 
+import math
 import socket
 import typing
 
@@ -12,7 +13,6 @@
 
 from foxtailpick.core.dispatch import load_exchange
 from foxtailpick.core.dispatch import model
-from foxtailpick.core.dispatch import peer_messages
 from foxtailpick.core.dispatch import prompt_reports
 from foxtailpick.core import types
 from foxtailpick.gateway import context
@@ -29,6 +29,10 @@
 _KIND_REDIRECT = 4
 _KIND_PROMPTS = 5
 _KIND_PROMPT_TOTALS = 6
+# Numbers above these are no counts of requests, durations or levels.
+_MAX_COUNT = 1_000_000
+_MAX_AGE_MS = 1e12
+_MAX_LEVEL = 100
 
 
 class PeerExchange:
@@ -146,7 +150,7 @@
         while True:
             try:
                 data, address = await self._sock.recvfrom(MAX_DATAGRAM_BYTES)
-                await self._handle_message(peer_messages.decode(data), address)
+                await self._handle_message(_decode(data), address)
             except (OSError, ValueError) as exc:
                 self._gw.metrics.count('peer_messages_bad')
                 self._gw.log.emit_request('peer-message-bad', why=repr(exc))
@@ -154,10 +158,10 @@
     async def _handle_message(
         self, message: typing.Any, address: model.Address
     ) -> None:
-        kind, router, number, *contents = peer_messages.check_head(message)
+        kind, router, number, *contents = _check_head(message)
         now_ms = self._gw.now_ms()
         if kind == _KIND_COUNTS:
-            counts, outcomes = peer_messages.check_sums(contents, 2)
+            counts, outcomes = _check_sums(contents, 2)
             self._reporters[router] = address
             self._hub_reports.record(router, number, counts, now_ms, outcomes)
             hub = self._hub_selector.hub
@@ -166,22 +170,20 @@
                 data = cbor2.dumps([_KIND_REDIRECT, name, number, hub])
                 await self._send_to(data, address)
         elif kind == _KIND_TOTALS and router == self._hub_selector.hub:
-            packed = peer_messages.check_single(contents, bytes)
-            sums, outcomes = peer_messages.check_sums(
-                peer_messages.decode(packed), 3
-            )
+            packed = _check_single(contents, bytes)
+            sums, outcomes = _check_sums(_decode(packed), 3)
             self._hub_selector.record_message(now_ms)
             self._apply_totals(sums, outcomes, number, now_ms)
         elif kind == _KIND_PROMPTS:
-            report = peer_messages.check_prompt_report(contents)
+            report = _check_prompt_report(contents)
             self._prompt_reports.record(router, report, now_ms)
         elif kind == _KIND_PROMPT_TOTALS and router == self._hub_selector.hub:
-            totals = peer_messages.check_prompt_totals(contents)
+            totals = _check_prompt_totals(contents)
             quarantine.apply_changes(
                 self._gw, self._gw.prompts.apply_totals(totals, now_ms)
             )
         elif kind == _KIND_REDIRECT:
-            hub = types.RouterId(peer_messages.check_single(contents, str))
+            hub = types.RouterId(_check_single(contents, str))
             self._hub_selector.record_redirect(router, hub)
 
     def _apply_totals(
@@ -208,6 +210,136 @@
             )
 
 
+def _decode(data: bytes) -> typing.Any:
+    """Decode a message.
+
+    :raises ValueError: if it is malformed.
+    """
+    try:
+        return cbor2.loads(data)
+    except Exception as exc:
+        # The decoder of a tagged value may raise errors of any type.
+        raise ValueError(f'expected CBOR, got {data[:40]!r}') from exc
+
+
+def _check_head(message: typing.Any) -> list[typing.Any]:
+    _check(
+        isinstance(message, list)
+        and len(message) >= 3
+        and isinstance(message[1], str)
+        and _is_number(message[2], math.inf),
+        'a kind, a router and a number',
+        message,
+    )
+    return message
+
+
+def _check_single(contents: list[typing.Any], kind: type) -> typing.Any:
+    _check(
+        len(contents) == 1 and isinstance(contents[0], kind),
+        f'one item of type {kind.__name__}',
+        contents,
+    )
+    return contents[0]
+
+
+def _check_sums(
+    contents: typing.Any, numbers: int
+) -> tuple[load_exchange.Counts, typing.Mapping[types.EndpointId, typing.Any]]:
+    """Return counts and outcomes by endpoint.
+
+    :param contents: both of them, decoded.
+    :param numbers: how many numbers the outcomes of an endpoint have.
+    :raises ValueError: if they are malformed.
+    """
+    _check(
+        isinstance(contents, list)
+        and len(contents) == 2
+        and all(map(_is_mapping, contents))
+        and all(_is_count(count) for count in contents[0].values())
+        and all(
+            isinstance(item, list | tuple)
+            and len(item) == numbers
+            and all(_is_number(number, _MAX_COUNT) for number in item)
+            for item in contents[1].values()
+        ),
+        f'counts and outcomes of {numbers} numbers by endpoint',
+        contents,
+    )
+    counts, outcomes = contents
+    return counts, outcomes
+
+
+def _check_prompt_report(contents: list[typing.Any]) -> typing.Any:
+    _check(len(contents) == 1, 'one report', contents)
+    report = contents[0]
+    prompt_reports.check_report(report)
+    if report is not None:
+        ends, sound, quarantines = report
+        _check(
+            all(map(_is_mapping, report))
+            and all(
+                isinstance(name, str) and _is_number(age_ms, _MAX_AGE_MS)
+                for found in ends.values()
+                for name, age_ms in found
+            )
+            and all(_is_number(age, _MAX_AGE_MS) for age in sound.values())
+            and all(map(_is_quarantine, quarantines.values())),
+            'names of endpoints, ages and levels',
+            report,
+        )
+    return report
+
+
+def _check_prompt_totals(contents: list[typing.Any]) -> typing.Any:
+    _check(len(contents) == 1, 'one set of totals', contents)
+    totals = contents[0]
+    prompt_reports.check_totals(totals)
+    _check(
+        _is_mapping(totals)
+        and all(
+            _is_count(ends)
+            and (age_ms is None or _is_number(age_ms, _MAX_AGE_MS))
+            and (quarantined is None or _is_quarantine(quarantined))
+            for ends, age_ms, quarantined in totals.values()
+        ),
+        'ends, an age and a quarantine by prompt part',
+        totals,
+    )
+    return totals
+
+
+def _is_mapping(value: typing.Any) -> bool:
+    return isinstance(value, dict) and all(
+        isinstance(key, str) for key in value
+    )
+
+
+def _is_count(value: typing.Any) -> bool:
+    return isinstance(value, int) and 0 <= value <= _MAX_COUNT
+
+
+def _is_number(value: typing.Any, most: float) -> bool:
+    # nan is not within any bounds.
+    return isinstance(value, int | float) and 0 <= value <= most
+
+
+def _is_quarantine(value: typing.Any) -> bool:
+    if not isinstance(value, list) or len(value) != 3:
+        return False
+    age_ms, level, test_age_ms = value
+    return (
+        _is_number(age_ms, _MAX_AGE_MS)
+        and _is_number(level, _MAX_LEVEL)
+        and (test_age_ms is None or _is_number(test_age_ms, _MAX_AGE_MS))
+    )
+
+
+def _check(is_valid: bool, expected: str, got: typing.Any) -> None:
+    if not is_valid:
+        raise ValueError(f'expected {expected}, got {got!r:.80}')
+
+
 def open_socket(address: model.Address) -> trio.socket.SocketType:
     """Open a bound datagram socket.
 
