--- a/foxtailpick/gateway/client.py
+++ b/foxtailpick/gateway/client.py
@@ -16,8 +16,8 @@
 from foxtailpick.gateway import http1
 
 # The kernel closes a connection whose peer does not acknowledge data for
-# this time. The gateway's own timeouts are shorter, so this only affects
-# connections on which no request waits.
+# this time. It ends attempts whose endpoint stays silent, and connections on
+# which no request waits.
 USER_TIMEOUT_MS = 5_000
 # Limit of data that is neither a body nor the end of a response: a head with
 # the interim responses before it, the framing of chunks, trailers.
@@ -111,8 +111,8 @@
     def abort(self) -> None:
         """Make the pending or next read fail as timed out.
 
-        Unlike cancelling the reading task, this interrupts only its wait
-        for the peer.
+        Used to withdraw a request. Unlike cancelling the reading task, this
+        interrupts only its wait for the peer.
         """
         self._is_aborted = True
         self.is_clean = False
--- a/foxtailpick/tests/prompt_fleet_model.py
+++ b/foxtailpick/tests/crash_fleet_model.py
@@ -1,10 +1,11 @@
-"""Simulation of routers and engines that crash on some prompts.
+"""Simulation of routers and engines that crash on some requests.
 
-Virtual time. Routers use the decisions of `prompt_quarantine` and exchange
+Virtual time. Routers use the decisions of `crash_quarantine` and exchange
 reports through a hub, whose messages may get lost. Engines queue a request,
 begin to answer it and stream the answer; one that begins to answer a
-crashing prompt ends shortly afterwards, with all its requests, and comes
-back as a new process.
+crashing request ends shortly afterwards, with all its requests, and comes
+back as a new process. Either each request whose prompt has a certain part
+crashes engines, or one plain request that comes again and again.
 """
 
 import dataclasses
@@ -12,8 +13,8 @@
 import itertools
 import random
 
-from foxtailpick.core.dispatch import prompt_quarantine
-from foxtailpick.core.dispatch import prompt_reports
+from foxtailpick.core.dispatch import crash_quarantine
+from foxtailpick.core.dispatch import crash_reports
 
 TICK_MS = 10
 EXCHANGE_MS = 150
@@ -23,6 +24,7 @@
 ACCOUNTS = 10
 MAX_SENDS = 2
 BAD_PART = 'bad'
+BAD_REQUEST = 'bad-request'
 
 
 @dataclasses.dataclass(order=True)
@@ -33,13 +35,53 @@
     number: int
     router: int
     parts: tuple
+    request: str
     is_bad: bool
     answered_ms: float
     sends: int
-    tested: tuple = ()
+    tested: list = ()
     is_sound_recorded: bool = False
 
 
+class Exchange:
+    """Records of all routers about signatures of one kind, and their hub.
+
+    :param policy: the policy for the kind.
+    :param routers: number of routers.
+    """
+
+    def __init__(self, policy, routers):
+        self.records = [
+            crash_quarantine.CrashRecords(policy) for _ in range(routers)
+        ]
+        self.hub = crash_reports.HubCrashReports(policy)
+        self.pacers = [crash_reports.Pacer() for _ in range(routers)]
+        self.totals_pacer = crash_reports.Pacer()
+
+    def run(self, now_ms, is_lost):
+        """Exchange reports and totals; each piece may get lost."""
+        for router, records in enumerate(self.records):
+            report = records.make_report(now_ms)
+            if not self.pacers[router].is_due(report, now_ms):
+                continue
+            pieces = [None]
+            if report is not None:
+                pieces = crash_reports.split_message(report)
+            for piece in pieces:
+                if not is_lost():
+                    name = f'router-{router}'
+                    self.hub.record(name, piece, now_ms, now_ms)
+        totals = self.hub.merge(now_ms)
+        if totals is None or not self.totals_pacer.is_due(totals, now_ms):
+            return
+        for records in self.records:
+            is_continued = False
+            for (piece,) in crash_reports.split_message([totals]):
+                if not is_lost():
+                    records.apply_totals(piece, now_ms, is_continued)
+                    is_continued = True
+
+
 class Fleet:
     """Routers, their hub and engines.
 
@@ -47,22 +89,31 @@
     :param engines: number of engines.
     :param has_quarantine: False for the baseline.
     :param loses_start: whether a crash also loses the start of the answer.
+    :param is_plain: whether requests are plain ones without a prompt, and
+        the one that crashes engines is always the same.
     :param seed: seed of the random draws.
     """
 
     def __init__(
-        self, routers, engines, has_quarantine=True, loses_start=False, seed=1
+        self,
+        routers,
+        engines,
+        has_quarantine=True,
+        loses_start=False,
+        is_plain=False,
+        seed=1,
     ):
         self.rng = random.Random(seed)
+        # Of its own, so that each kind of evidence sees the same draws
+        # whatever is sent about the other one.
+        self._request_rng = random.Random(seed + 1_000)
+        self.is_plain = is_plain
         self.has_quarantine = has_quarantine
         self.loses_start = loses_start
         self.loss = 0.05
-        self.records = [
-            prompt_quarantine.PromptRecords() for _ in range(routers)
-        ]
-        self.hub = prompt_reports.HubPromptReports()
-        self.pacers = [prompt_reports.Pacer() for _ in range(routers)]
-        self.totals_pacer = prompt_reports.Pacer()
+        self.routers = routers
+        self.parts = Exchange(crash_quarantine.PARTS, routers)
+        self.requests = Exchange(crash_quarantine.REQUESTS, routers)
         self.engines = [[] for _ in range(engines)]
         self.up_ms = [0.0] * engines
         self.now_ms = 0.0
@@ -105,17 +156,20 @@
 
     def _arrive(self, is_bad):
         document = int(self.rng.paretovariate(0.6)) % DOCUMENTS
-        parts = (
-            'route',
-            f'account-{self.rng.randrange(ACCOUNTS)}',
-            BAD_PART if is_bad else f'document-{document}',
-        )
-        router = self.rng.randrange(len(self.records))
-        is_sent = self._send(router, parts, is_bad, 0)
+        account = f'account-{self.rng.randrange(ACCOUNTS)}'
+        router = self.rng.randrange(self.routers)
+        if self.is_plain:
+            parts = ()
+            request = BAD_REQUEST if is_bad else f'{account}/{document}'
+        else:
+            part = BAD_PART if is_bad else f'document-{document}'
+            parts = ('route', account, part)
+            request = f'request-{next(self._numbers)}'
+        is_sent = self._send(router, parts, request, is_bad, 0)
         if not is_bad and is_sent is not None:
             self.sound.append((self.now_ms, is_sent))
 
-    def _send(self, router, parts, is_bad, sends):
+    def _send(self, router, parts, request, is_bad, sends):
         """Send a request; None if no engine is up."""
         up = [
             engine
@@ -124,25 +178,29 @@
         ]
         if not up:
             return None
-        records = self.records[router]
-        tested = ()
+        tested = []
         if self.has_quarantine:
-            refusal = records.find_refusal(
-                parts, lambda part: router, self.now_ms
-            )
-            if refusal is not None:
+            kinds = self._list_kinds(router, parts, request)
+            refusals = [
+                records.find_refusal(found, lambda item: router, self.now_ms)
+                for records, found in kinds
+            ]
+            if any(refusals):
                 return False
-            tested = tuple(records.begin_tests(parts, self.now_ms))
+            for records, found in kinds:
+                tests = records.begin_tests(found, self.now_ms, f'r{router}')
+                tested.append((records, tests))
         if is_bad:
             self.bad_sent_ms.append(self.now_ms)
             self.repeated_bad += sends > 0
         answered_ms = self.now_ms + self.rng.uniform(30, 300)
-        lasts_ms = self.rng.uniform(100, 3_000)
+        lasts_ms = 0 if self.is_plain else self.rng.uniform(100, 3_000)
         run = Run(
             answered_ms + (CRASH_AFTER_MS if is_bad else lasts_ms),
             next(self._numbers),
             router,
             parts,
+            request,
             is_bad,
             answered_ms,
             sends + 1,
@@ -151,11 +209,17 @@
         heapq.heappush(self.engines[self.rng.choice(up)], run)
         return True
 
+    def _list_kinds(self, router, parts, request):
+        return [
+            (self.parts.records[router], parts),
+            (self.requests.records[router], (request,)),
+        ]
+
     def _advance(self, engine):
         runs = self.engines[engine]
         for run in runs:
             age_ms = self.now_ms - run.answered_ms
-            is_sound = age_ms >= prompt_quarantine.SOUND_MS
+            is_sound = age_ms >= crash_quarantine.SOUND_MS
             if is_sound and not run.is_sound_recorded:
                 run.is_sound_recorded = True
                 self._record_sound(run)
@@ -166,7 +230,10 @@
             self._record_sound(heapq.heappop(runs))
 
     def _record_sound(self, run):
-        self.records[run.router].record_sound(run.parts, self.now_ms)
+        for records, found in self._list_kinds(
+            run.router, run.parts, run.request
+        ):
+            records.record_sound(found, self.now_ms)
 
     def _crash(self, engine):
         runs, self.engines[engine] = self.engines[engine], []
@@ -174,35 +241,35 @@
         self.up_ms[engine] = self.now_ms + DOWN_MS
         self.crashed_ms.append(self.now_ms)
         for run in runs:
-            records = self.records[run.router]
+            kinds = self._list_kinds(run.router, run.parts, run.request)
             is_seen = run.answered_ms <= self.now_ms and not (
-                run.is_bad and self.loses_start
+                run.is_bad and (self.loses_start or self.is_plain)
             )
-            is_suspect = prompt_quarantine.is_suspect(
+            is_suspect = crash_quarantine.is_suspect(
                 run.answered_ms if is_seen else None, self.now_ms
             )
             if is_suspect:
-                records.record_end(
-                    run.parts, process, self.now_ms, self.now_ms
-                )
-                records.fail_tests(run.tested, self.now_ms)
+                for records, found in kinds:
+                    records.record_end(
+                        found, process, self.now_ms, self.now_ms
+                    )
+                for records, tests in run.tested:
+                    records.fail_tests(tests, self.now_ms)
             is_repeated = run.sends < MAX_SENDS and not (
                 self.has_quarantine
-                and records.may_crash(run.parts, self.now_ms)
+                and any(
+                    records.may_crash(found, self.now_ms)
+                    for records, found in kinds
+                )
             )
             if is_repeated:
-                self._send(run.router, run.parts, run.is_bad, run.sends)
+                self._send(
+                    run.router, run.parts, run.request, run.is_bad, run.sends
+                )
 
     def _exchange(self):
-        for router, records in enumerate(self.records):
-            report = records.make_report(self.now_ms)
-            if not self.pacers[router].is_due(report, self.now_ms):
-                continue
-            if self.rng.random() >= self.loss:
-                self.hub.record(f'router-{router}', report, self.now_ms)
-        totals = self.hub.merge(self.now_ms)
-        if totals is None or not self.totals_pacer.is_due(totals, self.now_ms):
-            return
-        for records in self.records:
-            if self.rng.random() >= self.loss:
-                records.apply_totals(totals, self.now_ms)
+        for exchange, rng in (
+            (self.parts, self.rng),
+            (self.requests, self._request_rng),
+        ):
+            exchange.run(self.now_ms, lambda rng=rng: rng.random() < self.loss)
--- a/foxtailpick/tests/test_peer_messages.py
+++ b/foxtailpick/tests/test_peer_messages.py
@@ -141,7 +141,8 @@
         await trio.sleep(0.4)
         endpoint = gw.state.table.get('e1')
         assert endpoint.remote_load == 0
-        assert not gw.prompts.quarantines
+        assert not gw.part_records.quarantines
+        assert not gw.request_records.quarantines
         # The next proper message counts.
         good = [COUNTS, PEER, 1, {'e1': 3}, {}]
         if own_share < 1:
