--- a/foxtailpick/tests/test_caller_server.py
+++ b/foxtailpick/tests/test_caller_server.py
@@ -333,3 +333,51 @@
         answer = await gateway_harness.read_answer(conn)
         conn.close()
     assert answer.status == 413
+
+
+async def test_trailers_are_no_headers():
+    """They would replace headers that were sent before the body."""
+
+    async def echo_id(req, reply):
+        await reply.send_response(200, (), dict(req.headers)[b'x-attempt-id'])
+
+    async with open_callers(echo_id) as (_, _, address):
+        conn = await client_lib.ClientConnection.connect(address)
+        await conn.send(
+            b'POST /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: 1\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\n'
+            b'4\r\ndata\r\n0\r\nX-Attempt-Id: 2\r\n\r\n'
+        )
+        answer = await gateway_harness.read_answer(conn)
+        conn.close()
+    assert answer.body == b'1'
+
+
+async def test_lowered_limit_of_descriptors_closes_no_busy_connection():
+    goes_on = trio.Event()
+
+    async def wait(req, reply):
+        await goes_on.wait()
+        await reply.send_response(200, (), req.target)
+
+    async with open_callers(wait) as (gw, callers, address):
+        conns = []
+        for number in range(3):
+            conn = await client_lib.ClientConnection.connect(address)
+            await conn.send(gateway_harness.format_ask(f'/{number}'))
+            conns.append(conn)
+        with trio.fail_after(gateway_harness.LIMIT_S):
+            while sum(caller.is_busy for caller in callers._callers) < 3:
+                await trio.sleep(0)
+            gw.cfg = dataclasses.replace(gw.cfg, max_sockets=1)
+            conns.append(await client_lib.ClientConnection.connect(address))
+            while callers.connections < 4:
+                await trio.sleep(0)
+        goes_on.set()
+        answers = [
+            (await gateway_harness.read_answer(conn)).body
+            for conn in conns[:3]
+        ]
+        for conn in conns:
+            conn.close()
+    assert answers == [b'/0', b'/1', b'/2']
