Count and print the explored steps of the store drill model

The issue asks for at least 20,000 steps by hand; the test told none. The count is a recorded property, printed after the run, also beside other test processes.

--- a/foxtailpick/tests/conftest.py
+++ b/foxtailpick/tests/conftest.py
@@ -47,6 +47,17 @@
             item.add_marker(pytest.mark.xfail(**options), append=False)
 
 
+def pytest_terminal_summary(terminalreporter):
+    """Print the properties that tests recorded, such as counts of steps."""
+    for reports in terminalreporter.stats.values():
+        for report in reports:
+            for name, value in getattr(report, 'user_properties', ()):
+                if report.when == 'call':
+                    terminalreporter.write_line(
+                        f'{report.nodeid}: {name} {value}'
+                    )
+
+
 def _read_known_failures():
     path = pathlib.Path(__file__).parents[2] / 'KNOWN-RED.txt'
     if not path.exists():
--- a/foxtailpick/tests/test_store_drill_model.py
+++ b/foxtailpick/tests/test_store_drill_model.py
@@ -248,12 +248,22 @@
         await trio.sleep(0.02)
 
 
-@hypothesis.settings(max_examples=EXAMPLES, deadline=None)
-@hypothesis.given(
-    st.lists(STEPS, min_size=5, max_size=MAX_STEPS), st.integers(0, 999)
-)
-def test_no_drill_brings_back_what_was_taken_away(steps, seed):
-    trio.run(
-        functools.partial(explore, steps, seed),
-        clock=trio.testing.MockClock(autojump_threshold=0),
+def test_no_drill_brings_back_what_was_taken_away(record_property):
+    explored = 0
+
+    @hypothesis.settings(max_examples=EXAMPLES, deadline=None)
+    @hypothesis.given(
+        st.lists(STEPS, min_size=5, max_size=MAX_STEPS), st.integers(0, 999)
     )
+    def run(steps, seed):
+        nonlocal explored
+        explored += len(steps)
+        trio.run(
+            functools.partial(explore, steps, seed),
+            clock=trio.testing.MockClock(autojump_threshold=0),
+        )
+
+    try:
+        run()
+    finally:
+        record_property('steps', explored)
