Answer 502 instead of 503 or 429 where a request may have run

Callers take 503 and 429 as a promise that a request never runs.

The status is 502 now where the verdict isn't 'not-run'. The code, verdict and retry time in the body stay.

--- a/foxtailpick/router/problems.py
+++ b/foxtailpick/router/problems.py
@@ -7,6 +7,7 @@
 
 from foxtailpick.core import errors
 from foxtailpick.core import types
+from foxtailpick.core import verdict as verdict_lib
 
 MEDIA_TYPE = 'application/problem+json'
 
@@ -31,13 +32,20 @@
 }
 _DEFAULT_STATUS = 503
 _CANCELLED_STATUS = 499
+# Callers take these as a promise that the request never runs.
+_REFUSAL_STATUSES = frozenset((429, 503))
+_FAILED_STATUS = 502
 
 
 def get_status(exc: errors.FoxtailError) -> int:
     """Return the HTTP status of an error."""
     if exc.code is errors.ErrorCode.CANCELLED:
         return _CANCELLED_STATUS
-    return _STATUS_BY_CODE.get(exc.code, _DEFAULT_STATUS)
+    status = _STATUS_BY_CODE.get(exc.code, _DEFAULT_STATUS)
+    has_not_run = exc.verdict is verdict_lib.Verdict.NOT_RUN
+    if status in _REFUSAL_STATUSES and not has_not_run:
+        return _FAILED_STATUS
+    return status
 
 
 def make_body(exc: errors.FoxtailError, request: str = '') -> dict:
