Tell other routers of endpoints that announce that they leave

With 68 gateways each of them learned of a departure only by a request of its own, or from the store.

Messages of their own, which older gateways ignore, name the process by id and start. What a gateway was told keeps requests off the endpoint while another is left; only the endpoint's own answer ends its use as the last one, so a service whose endpoints all leave is served as before. Only what a gateway read itself is reported, so no rumour outlives its witness.

test_departure_is_told_to_other_routers failed before: TooSlowError, the second gateway never knew.

--- a/foxtailpick/core/dispatch/announcements.py
+++ b/foxtailpick/core/dispatch/announcements.py
@@ -6,11 +6,18 @@
 request from this router, whatever the store or other routers say, until it
 starts again. One that asks for a rest gets none until the rest is over. Both
 are the endpoint's own word and no failure: its health is not affected.
+
+With many routers each of them gets an answer of an engine only every few
+seconds, so that many requests reach an endpoint that leaves before the
+store shows it. So routers tell each other, through the hub, which endpoints
+announced to them that they leave. What a router was told is not handed on.
 """
 
 import dataclasses
+import typing
 
 from foxtailpick.core.dispatch import model
+from foxtailpick.core import types
 
 # Longest rest that is believed.
 MAX_REST_MS = 600_000.0
@@ -21,6 +28,15 @@
 LAST_USE_MS = 1_000.0
 # Cached prompts are fetched from a leaving endpoint for this time.
 FETCH_MS = 1_000.0
+# TTL of a router's report of departures at the hub; it is repeated earlier.
+REPORT_TTL_MS = 3_000.0
+# Largest number of departures in a report and in the totals.
+MAX_REPORTED = 32
+MAX_TOTAL = 128
+
+# Id and start of an endpoint, and the age of its announcement in ms: a list,
+# as it is sent.
+Departure = list[typing.Any]
 
 
 @dataclasses.dataclass(slots=True)
@@ -28,16 +44,18 @@
     """The latest announcements of one incarnation of an endpoint.
 
     :param left_ms: when it first announced that it leaves, if it did.
+    :param is_told: whether it announced that to another router.
     :param rest_until_ms: end of the rest that it asked for.
     """
 
     left_ms: float | None = None
+    is_told: bool = False
     rest_until_ms: float = 0.0
 
     @property
     def is_leaving(self) -> bool:
-        """Whether it announced that it leaves."""
-        return self.left_ms is not None
+        """Whether it announced that it leaves, to any router."""
+        return self.left_ms is not None or self.is_told
 
     def is_resting(self, now_ms: float) -> bool:
         """Tell whether it asked for a rest that is not over.
@@ -49,10 +67,15 @@
     def has_left_since(self, limit_ms: float, now_ms: float) -> bool:
         """Tell whether it announced for the first time not long ago.
 
+        Where it announced only to other routers, it is not known for how
+        long it has been leaving, so it stays usable as a last resort.
+
         :param limit_ms: how long ago it may be.
         :param now_ms: current time.
         """
-        return self.left_ms is not None and now_ms - self.left_ms < limit_ms
+        if self.left_ms is None:
+            return self.is_told
+        return now_ms - self.left_ms < limit_ms
 
     def record_leaving(self, now_ms: float) -> bool:
         """Note that it leaves; return whether this is new.
@@ -64,6 +87,12 @@
         self.left_ms = now_ms
         return True
 
+    def record_told(self) -> bool:
+        """Note that it leaves, as other routers say; return if it is new."""
+        is_new = not self.is_leaving
+        self.is_told = True
+        return is_new
+
     def record_rest(self, rest_ms: float, now_ms: float) -> float:
         """Note that it asked for a rest; return the time that is kept.
 
@@ -98,3 +127,86 @@
                 del self._used_ms[key]
                 self._by_incarnation.pop(key, None)
         return self._by_incarnation.setdefault(endpoint, Announcement())
+
+
+class HubDepartures:
+    """The departures that routers report, kept by the hub."""
+
+    def __init__(self) -> None:
+        self._reports: dict[
+            types.RouterId, tuple[float, typing.Sequence[Departure]]
+        ] = {}
+
+    def record(
+        self,
+        router: types.RouterId,
+        departures: typing.Sequence[Departure],
+        now_ms: float,
+    ) -> None:
+        """Store the report of a router, replacing its previous one.
+
+        :param router: the router.
+        :param departures: endpoints that announced to it that they leave.
+        :param now_ms: current time.
+        """
+        self._reports[router] = (now_ms, departures)
+
+    def merge(self, now_ms: float) -> list[Departure] | None:
+        """Return the departures that routers reported, None if none.
+
+        :param now_ms: current time.
+        """
+        self._reports = {
+            router: (received_ms, departures)
+            for router, (received_ms, departures) in self._reports.items()
+            if now_ms - received_ms <= REPORT_TTL_MS
+        }
+        ages_ms: dict[model.EndpointIncarnation, int] = {}
+        for received_ms, departures in self._reports.values():
+            for name, started, age_ms in departures:
+                total_ms = age_ms + round(now_ms - received_ms)
+                known_ms = ages_ms.get((name, started), 0)
+                ages_ms[name, started] = max(total_ms, known_ms)
+        return _list_latest(ages_ms, MAX_TOTAL)
+
+
+def make_report(
+    left_ms: typing.Mapping[model.EndpointIncarnation, float], now_ms: float
+) -> list[Departure] | None:
+    """Return the latest departures for the hub, None if there are none.
+
+    :param left_ms: when endpoints announced that they leave.
+    :param now_ms: current time.
+    """
+    ages_ms = {key: round(now_ms - at_ms) for key, at_ms in left_ms.items()}
+    return _list_latest(ages_ms, MAX_REPORTED)
+
+
+def decode_departures(message: typing.Any) -> list[Departure]:
+    """Decode departures that another router sent.
+
+    :param message: lists of an endpoint's id, its start and the age of the
+        announcement; None if none.
+    :raises ValueError: if it has another form.
+    """
+    if message is None:
+        return []
+    is_valid = isinstance(message, list) and all(
+        isinstance(item, list)
+        and [type(part) for part in item] == [str, str, int]
+        and item[2] >= 0
+        for item in message
+    )
+    if not is_valid:
+        raise ValueError(
+            'expected lists of an id, a start and an age, got '
+            f'{str(message)[:80]}'
+        )
+    return message
+
+
+def _list_latest(
+    ages_ms: typing.Mapping[model.EndpointIncarnation, int], limit: int
+) -> list[Departure] | None:
+    latest = sorted(ages_ms, key=lambda item: (ages_ms[item], item))[:limit]
+    return [[*item, ages_ms[item]] for item in latest] or None
--- a/foxtailpick/gateway/announced.py
+++ b/foxtailpick/gateway/announced.py
@@ -1,5 +1,8 @@
-"""Reads what endpoints announce in their responses."""
+"""Reads what endpoints announce in their responses, and tells others."""
 
+import typing
+
+from foxtailpick.core.dispatch import announcements
 from foxtailpick.core.dispatch import endpoint_table
 from foxtailpick.core.dispatch import model
 from foxtailpick.core.dispatch import retry_decision
@@ -66,3 +69,41 @@
             asked_ms=round(meta.retry_after_ms),
             for_ms=round(kept_ms),
         )
+
+
+def make_report(
+    gw: context.Gateway, now_ms: float
+) -> list[announcements.Departure] | None:
+    """Return which endpoints announced here that they leave, None if none.
+
+    :param gw: the gateway.
+    :param now_ms: current time.
+    """
+    left_ms = {
+        item.entry.incarnation: item.announced.left_ms
+        for item in gw.state.table.list_all()
+        if item.announced.left_ms is not None
+    }
+    return announcements.make_report(left_ms, now_ms)
+
+
+def apply_departures(
+    gw: context.Gateway, departures: typing.Iterable[announcements.Departure]
+) -> None:
+    """Note which endpoints leave, as they announced to other routers.
+
+    :param gw: the gateway.
+    :param departures: the endpoints.
+    """
+    for name, started, age_ms in departures:
+        item = gw.state.table.get(name)
+        if item is None or item.entry.started != started:
+            continue
+        if item.announced.record_told():
+            gw.metrics.count('endpoint_departures_told')
+            gw.log.emit(
+                'endpoint-leaving',
+                endpoint=name,
+                started=started,
+                told_age_ms=age_ms,
+            )
--- a/foxtailpick/gateway/peers.py
+++ b/foxtailpick/gateway/peers.py
@@ -10,10 +10,12 @@
 import cbor2
 import trio
 
+from foxtailpick.core.dispatch import announcements
 from foxtailpick.core.dispatch import load_exchange
 from foxtailpick.core.dispatch import model
 from foxtailpick.core.dispatch import prompt_reports
 from foxtailpick.core import types
+from foxtailpick.gateway import announced
 from foxtailpick.gateway import context
 from foxtailpick.gateway import quarantine
 
@@ -28,6 +30,8 @@
 _KIND_REDIRECT = 4
 _KIND_PROMPTS = 5
 _KIND_PROMPT_TOTALS = 6
+_KIND_DEPARTURES = 7
+_KIND_DEPARTURE_TOTALS = 8
 
 
 class PeerExchange:
@@ -51,6 +55,9 @@
         self._prompt_reports = prompt_reports.HubPromptReports()
         self._prompt_pacer = prompt_reports.Pacer()
         self._prompt_totals_pacer = prompt_reports.Pacer()
+        self._departures = announcements.HubDepartures()
+        self._departures_pacer = prompt_reports.Pacer()
+        self._departure_totals_pacer = prompt_reports.Pacer()
         # Addresses that reports came from. A router that has just started
         # may not be listed yet.
         self._reporters: dict[types.RouterId, model.Address] = {}
@@ -88,6 +95,7 @@
         number, counts = self._sent_counts.next_counts(gw.state.table)
         outcomes = self._sent_counts.collect_outcomes(gw.state.table, now_ms)
         prompts = gw.prompts.make_report(now_ms)
+        departures = announced.make_report(gw, now_ms)
         if hub != gw.cfg.name:
             data = cbor2.dumps(
                 [_KIND_COUNTS, gw.cfg.name, number, counts, outcomes]
@@ -98,12 +106,19 @@
                     [_KIND_PROMPTS, gw.cfg.name, number, prompts]
                 )
                 await self._send_to(data, routers[hub].address)
+            if self._departures_pacer.is_due(departures, now_ms):
+                data = cbor2.dumps(
+                    [_KIND_DEPARTURES, gw.cfg.name, number, departures]
+                )
+                await self._send_to(data, routers[hub].address)
             return
         self._hub_selector.record_message(now_ms)
         self._hub_reports.record(hub, number, counts, now_ms, outcomes)
         self._prompt_reports.record(hub, prompts, now_ms)
+        self._departures.record(hub, departures or (), now_ms)
         await self._send_totals(now_ms)
         await self._send_prompt_totals(now_ms)
+        await self._send_departure_totals(now_ms)
 
     async def _send_totals(self, now_ms: float) -> None:
         gw = self._gw
@@ -133,6 +148,18 @@
             elif router in self._reporters:
                 await self._send_to(data, self._reporters[router])
 
+    async def _send_departure_totals(self, now_ms: float) -> None:
+        totals = self._departures.merge(now_ms)
+        if not self._departure_totals_pacer.is_due(totals, now_ms):
+            return
+        gw = self._gw
+        data = cbor2.dumps([_KIND_DEPARTURE_TOTALS, gw.cfg.name, 0, totals])
+        for router, _ in self._hub_reports.list_routers():
+            if router == gw.cfg.name:
+                announced.apply_departures(gw, totals or ())
+            elif router in self._reporters:
+                await self._send_to(data, self._reporters[router])
+
     async def _send_to(self, data: bytes, address: model.Address) -> None:
         try:
             await self._sock.sendto(data, address)
@@ -178,6 +205,14 @@
             quarantine.apply_changes(
                 self._gw, self._gw.prompts.apply_totals(contents[0], now_ms)
             )
+        elif kind == _KIND_DEPARTURES:
+            departures = announcements.decode_departures(contents[0])
+            self._departures.record(router, departures, now_ms)
+        elif (
+            kind == _KIND_DEPARTURE_TOTALS and router == self._hub_selector.hub
+        ):
+            departures = announcements.decode_departures(contents[0])
+            announced.apply_departures(self._gw, departures)
         elif kind == _KIND_REDIRECT:
             self._hub_selector.record_redirect(router, contents[0])
 
--- a/foxtailpick/tests/test_announcements.py
+++ b/foxtailpick/tests/test_announcements.py
@@ -3,16 +3,20 @@
 import email.utils
 import random
 import time
+import types
 
 import pytest
 import trio
 
 from foxtailpick.core.dispatch import announcements
 from foxtailpick.core.dispatch import placing
+from foxtailpick.core.dispatch import prompt_reports
 from foxtailpick.core.dispatch import refusal
+from foxtailpick.gateway import announced
 from foxtailpick.platform import dialect
 from foxtailpick.tests import gateway_harness
 from foxtailpick.tests import gateway_scripts
+from foxtailpick.tests import leaving_fleet_model
 from foxtailpick.tests import test_dispatch
 
 LEAVING = (b'Server-Leaving', b'1')
@@ -66,6 +70,32 @@
         assert len(leaving.received) == 2
 
 
+async def test_departure_is_told_to_other_routers():
+    async with gateway_harness.open_harness() as harness:
+        leaving = harness.add_endpoint('p1', 'plain', leave)
+        await harness.until_known('p1')
+        async with gateway_harness.open_harness(
+            name='router-2', store=harness.store
+        ) as other:
+            await other.until_known('p1')
+            assert (await harness.ask('/safe/x')).status == 200
+            item = other.gw.state.table.get('p1')
+            await other.until(lambda: item.announced.is_leaving)
+            address = item.entry.address
+            harness.add_endpoint('p2', 'plain', gateway_scripts.answer_plainly)
+            await other.until_known('p2')
+            assert set(await ask_often(other)) == {200}
+            assert len(leaving.received) == 1
+            # A new process of the same name is another endpoint.
+            entry = gateway_harness.make_entry('plain', address, sequence=2)
+            entry['born'] += 1
+            harness.store.put('servers/p1', entry)
+            table = other.gw.state.table
+            await other.until(lambda: len(table.list_service('plain')) == 2)
+            await trio.sleep(0.4)
+            assert len(table.list_service('plain')) == 2
+
+
 async def test_announcement_is_not_passed_on_to_callers():
     async with gateway_harness.open_harness() as harness:
         harness.add_endpoint('p1', 'plain', leave)
@@ -222,3 +252,106 @@
     table.get('e0').announced.record_leaving(0.0)
     assert [item.id for item in table.list_leaving('engine', 500.0)] == ['e0']
     assert table.list_leaving('engine', announcements.FETCH_MS) == []
+
+
+def sum_requests(routers, engines, tells, seeds, **fields):
+    """Return the counts of several departures of one engine."""
+    counts = [
+        leaving_fleet_model.Fleet(
+            routers, engines, tells, seed=seed, **fields
+        ).run()
+        for seed in range(seeds)
+    ]
+    return [
+        sum(getattr(item, name) for item in counts)
+        for name in ('reached', 'cut', 'late')
+    ]
+
+
+@pytest.mark.parametrize(
+    ('routers', 'engines', 'seeds'), [(4, 6, 10), (68, 47, 2)]
+)
+def test_telling_of_a_departure_saves_requests(routers, engines, seeds):
+    """The store lists the engine until it ends."""
+    fields = {'listed_ms': 1_000.0, 'serves_ms': 0.0, 'seeds': seeds}
+    reached, cut, late = sum_requests(routers, engines, True, **fields)
+    untold = sum_requests(routers, engines, False, **fields)
+    assert reached <= untold[0] / 2
+    assert cut + late <= (untold[1] + untold[2]) / 2
+
+
+def test_hub_keeps_what_other_routers_say():
+    hub = announcements.HubDepartures()
+    assert hub.merge(0.0) is None
+    hub.record('r1', [['e1', '1', 50], ['e2', '1', 0]], 0.0)
+    hub.record('r2', [['e1', '1', 10]], 2_000.0)
+    assert hub.merge(2_000.0) == [['e2', '1', 2_000], ['e1', '1', 2_050]]
+    late_ms = announcements.REPORT_TTL_MS + 1.0
+    assert hub.merge(late_ms) == [['e1', '1', 1_011]]
+    hub.record('r2', (), late_ms)
+    assert hub.merge(late_ms) is None
+
+
+def test_departures_are_news_for_a_short_time():
+    """Messages may get lost, so that a new one is repeated at once."""
+    hub = announcements.HubDepartures()
+    pacer = prompt_reports.Pacer()
+    sent_ms = []
+    for now_ms in range(0, 10_000, 150):
+        hub.record('r1', [['e1', '1', now_ms]], now_ms)
+        if pacer.is_due(hub.merge(now_ms), now_ms):
+            sent_ms.append(now_ms)
+    assert sent_ms[:5] == [0, 150, 300, 450, 600]
+    assert len([at_ms for at_ms in sent_ms if at_ms >= 3_000]) <= 7
+
+
+def test_what_a_router_was_told_binds_less_than_its_own_answer():
+    table = test_dispatch.make_table(1)
+    leaving = table.get('e0').announced
+    assert leaving.record_told()
+    assert not leaving.record_told()
+    assert table.list_service('engine') == []
+    # It may serve for many seconds more, so the last one stays usable.
+    assert table.list_last_resort('engine', 60_000.0)
+    assert leaving.record_leaving(60_000.0)
+    assert table.list_last_resort('engine', 60_500.0)
+    assert table.list_last_resort('engine', 61_000.0) == []
+    # Nothing that is told later brings it back.
+    assert not leaving.record_told()
+    assert table.list_last_resort('engine', 61_000.0) == []
+
+
+def test_a_router_hands_on_only_what_was_announced_to_it():
+    table = test_dispatch.make_table(3)
+    table.get('e0').announced.record_told()
+    state = types.SimpleNamespace(table=table)
+    gw = types.SimpleNamespace(state=state)
+    assert announced.make_report(gw, 2.0) is None
+    table.get('e1').announced.record_leaving(1.0)
+    table.get('e2').announced.record_leaving(2.0)
+    expected = [['e2', '1', 0], ['e1', '1', 1]]
+    assert announced.make_report(gw, 2.0) == expected
+
+
+@pytest.mark.parametrize(
+    'message',
+    [
+        'e1',
+        ['e1x'],
+        [['e1']],
+        [['e1', '1']],
+        [['e1', 1, 1]],
+        [[None, '1', 1]],
+        [['e1', '1', -1]],
+        [['e1', '1', 1.5]],
+    ],
+)
+def test_malformed_departures_are_rejected(message):
+    with pytest.raises(ValueError, match='expected lists'):
+        announcements.decode_departures(message)
+
+
+def test_departures_are_decoded():
+    assert announcements.decode_departures(None) == []
+    message = [['e1', '1', 5]]
+    assert announcements.decode_departures(message) == [['e1', '1', 5]]
