Pause the sidecar of a scenario while work waits in it

The sidecar is paused now in the step of its own loop that sees chats in its queue; more chats are sent until some wait. It wakes up by an event, after 3 s for the change and 2 s without a run, and is watched for 4 s more, counted from before it wakes. The pause is as long as before, the watch longer. A first form that waited for work in its connections only was not enough: upon waking it read the configuration before them.

--- a/foxtailpick/tests/features/domain_out.feature
+++ b/foxtailpick/tests/features/domain_out.feature
@@ -33,8 +33,9 @@
 
   Scenario: A paused sidecar wakes up after its domain was taken out
     Given the sidecar of m1 runs in a process that can be paused
-    When the sidecar of m1 is paused for 5 s
+    When the sidecar of m1 is paused while chats wait in its queue
     And operators take alue-kaksi out of service through r1
     And a wait of 3 s
-    Then no run starts in alue-kaksi for 4 s
+    Then no run starts in alue-kaksi for 2 s
+    And no run starts in alue-kaksi for 4 s after the sidecar of m1 wakes up
     And every chat received its complete answer
--- a/foxtailpick/tests/steps_fleet.py
+++ b/foxtailpick/tests/steps_fleet.py
@@ -1,8 +1,8 @@
 """Steps for the deployment, its failure domains and its traffic."""
 
 import functools
+import itertools
 import threading
-import time
 
 import pytest
 import pytest_bdd as bdd
@@ -14,6 +14,9 @@
 from foxtailpick.tests import scenario_harness
 
 CHAT_TOKENS = 20
+# Above the numbers of the chats that other steps start.
+FIRST_EXTRA_CHAT = 1_000
+EXTRA_CHAT_INTERVAL_S = 0.05
 
 
 @pytest.fixture
@@ -136,7 +139,7 @@
 def make_pausable(harness, endpoint):
     harness.run(harness.fleet.kill, endpoint)
     started = threading.Event()
-    handle = {}
+    handle = {'wake': threading.Event()}
     run = functools.partial(
         _run_in_own_loop, harness, endpoint, handle, started
     )
@@ -145,7 +148,8 @@
     assert started.wait(scenario_harness.STEP_TIMEOUT_S)
 
     def close():
-        handle['token'].run_sync_soon(handle['scope'].cancel)
+        handle['wake'].set()
+        handle['token'].run_sync_soon(handle['nursery'].cancel_scope.cancel)
         thread.join(scenario_harness.STEP_TIMEOUT_S)
 
     harness.cleanups.append(close)
@@ -156,12 +160,12 @@
 async def _run_in_own_loop(harness, endpoint, handle, started):
     fleet = harness.fleet
     cfg = fleet.make_sidecar_settings(endpoint)
-    with trio.CancelScope() as scope:
+    async with trio.open_nursery() as nursery:
         async with sidecar_daemon.open_sidecar(
             cfg, harness.monitor
         ) as sidecar:
             handle['sidecar'] = sidecar
-            handle['scope'] = scope
+            handle['nursery'] = nursery
             handle['token'] = trio.lowlevel.current_trio_token()
             started.set()
             await trio.sleep_forever()
@@ -187,20 +191,70 @@
 
 
 @bdd.when(
-    bdd.parsers.parse('the sidecar of {endpoint} is paused for {seconds:d} s')
+    bdd.parsers.parse(
+        'the sidecar of {endpoint} is paused while chats wait in its queue'
+    )
+)
+def pause_sidecar(harness, endpoint):
+    """Pause a sidecar as soon as chats wait in its queue.
+
+    Blocks its trio loop, so none of its tasks runs. More chats are sent until
+    some wait.
+    """
+    handle = harness.context['pausable']
+    gate = handle['sidecar'].worker.gate
+    is_paused = threading.Event()
+
+    async def block():
+        await scenario_harness.wait_until(lambda: gate.queue_length)
+        is_paused.set()
+        handle['wake'].wait(scenario_harness.STEP_TIMEOUT_S)
+
+    async def send_until_paused():
+        for index in itertools.count(FIRST_EXTRA_CHAT):
+            await trio.sleep(EXTRA_CHAT_INTERVAL_S)
+            if is_paused.is_set():
+                return
+            harness.nursery.start_soon(
+                harness.run_chat, 'r1', 'hiker', index, CHAT_TOKENS
+            )
+
+    handle['token'].run_sync_soon(handle['nursery'].start_soon, block)
+    harness.run(send_until_paused)
+    assert gate.queue_length
+
+
+@bdd.then(
+    bdd.parsers.parse(
+        'no run starts in {domain} for {seconds:d} s after the sidecar of '
+        '{endpoint} wakes up'
+    )
 )
-def pause_sidecar(harness, endpoint, seconds):
-    # Blocks the trio loop of the sidecar, so none of its tasks runs.
-    harness.context['pausable']['token'].run_sync_soon(time.sleep, seconds)
+def check_no_runs_after_waking(harness, domain, seconds, endpoint):
+    _check_no_runs(
+        harness, domain, seconds, harness.context['pausable']['wake'].set
+    )
 
 
 @bdd.then(bdd.parsers.parse('no run starts in {domain} for {seconds:d} s'))
 def check_no_runs(harness, domain, seconds):
+    _check_no_runs(harness, domain, seconds)
+
+
+def _check_no_runs(harness, domain, seconds, act=lambda: None):
     before = harness.count_runs_in(domain)
     answered = len(harness.traffic.answers)
-    harness.run(trio.sleep, seconds)
+
+    async def watch():
+        await trio.sleep(seconds)
+        # The rest of the fleet serves, however slow the machine is.
+        await scenario_harness.wait_until(
+            lambda: len(harness.traffic.answers) > answered
+        )
+
+    act()
+    harness.run(watch)
     assert harness.count_runs_in(domain) == before
-    assert len(harness.traffic.answers) > answered
 
 
 @bdd.then(bdd.parsers.parse('runs start again in {domain}'))
