Report a load that falls at once, and keep the guard for long prompts

test_many_requests_of_one_chat_want_the_same_engine: an engine took a request that brought it to 1.33 times the mean. Sidecars reported their loads four times a second, so that a mean was reckoned with that had fallen meanwhile, and it was extrapolated along its last rise. A request larger than the headroom of the bound is counted with the headroom only, which leaves nothing of the guard against such errors.

A sidecar whose load has fallen by a tenth since its last report sends the next one at once, at most one in 10 ms. For a request larger than the headroom the mean counts as reported, without the request itself and without a rise to come; an engine at the mean still admits it, to a token.

--- a/foxtailpick/core/load_bound.py
+++ b/foxtailpick/core/load_bound.py
@@ -18,6 +18,11 @@
 GUARD = 0.06
 FLOOR_TOKENS = 4_096.0
 MAX_HINTS = 3
+# Reports carry whole tokens.
+ROUNDING_TOKENS = 1.0
+# A load that has fallen by this fraction since its last report is news: peers
+# that still reckon with it admit too much.
+REPORTED_FALL = 0.1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -103,6 +108,7 @@
         self._rng = rng or random.Random()
         self._costs: dict[types.AttemptId, float] = {}
         self._load_tokens = 0.0
+        self._reported_tokens = 0.0
         self._estimates: dict[
             types.ModelId | None, mean_estimate.MeanEstimate
         ] = {}
@@ -112,6 +118,11 @@
         """Outstanding tokens per unit of capacity."""
         return self._load_tokens / self._capacity
 
+    @property
+    def has_fallen(self) -> bool:
+        """Whether the load is much lower than last reported to peers."""
+        return self.load_tokens < (1.0 - REPORTED_FALL) * self._reported_tokens
+
     def set_pool(
         self, model: types.ModelId | None, pool_capacity: float
     ) -> mean_estimate.MeanEstimate:
@@ -152,9 +163,14 @@
             cost = cost_tokens = 0.0
         floored_mean = self._get_floored_mean_tokens(estimate, cost, now_ms)
         limit = self._cfg.admit_multiple * floored_mean
-        # A request larger than the headroom above the mean would fit on no
-        # engine. Its cost is capped to the headroom, so that an engine at
-        # the mean admits it.
+        if cost > limit - floored_mean:
+            # A request larger than the headroom above the mean would fit on
+            # no engine. Its cost is capped to the headroom, so that an engine
+            # at the mean admits it. That leaves no guard, so the mean counts
+            # as last reported, without the request and a rise to come.
+            reported_mean = self._get_floored_mean_tokens(estimate, 0.0, None)
+            floored_mean = min(floored_mean, reported_mean + ROUNDING_TOKENS)
+            limit = self._cfg.admit_multiple * floored_mean
         counted_cost = min(cost, limit - floored_mean)
         is_admitted = self.load_tokens + counted_cost <= limit
         if attempt in self._costs:
@@ -191,10 +207,14 @@
         :param model: the model of the pool.
         :param now_ms: the current time.
         """
+        self._reported_tokens = self.load_tokens
         return self._estimates[model].make_report(self.load_tokens, now_ms)
 
     def _get_floored_mean_tokens(
-        self, estimate: mean_estimate.MeanEstimate, cost: float, now_ms: float
+        self,
+        estimate: mean_estimate.MeanEstimate,
+        cost: float,
+        now_ms: float | None,
     ) -> float:
         load_tokens = self.load_tokens + cost
         mean_tokens = estimate.get_mean_tokens(load_tokens, now_ms)
--- a/foxtailpick/core/load_gossip.py
+++ b/foxtailpick/core/load_gossip.py
@@ -1,7 +1,8 @@
 """Gossip of load reports among the sidecars of a pool.
 
-Four times a second a sidecar sends a report to a few peers, sampled uniformly
-from the member list. Lost reports are not retransmitted.
+Four times a second, and when its load has fallen, a sidecar sends a report to
+a few peers, sampled uniformly from the member list. Lost reports are not
+retransmitted.
 """
 
 import math
@@ -16,6 +17,8 @@
 from foxtailpick.core import types
 
 REPORT_INTERVAL_MS = 250.0
+# Shortest time between two reports of a load that falls.
+MIN_REPORT_INTERVAL_MS = 10.0
 FANOUT = 3
 
 # Weights are sent as integers, in hundredths.
--- a/foxtailpick/sidecar/gossip.py
+++ b/foxtailpick/sidecar/gossip.py
@@ -12,6 +12,7 @@
 
 from foxtailpick.core import clock as clock_lib
 from foxtailpick.core import load_gossip
+from foxtailpick.core import types
 from foxtailpick.sidecar import pool_load
 
 MAX_DATAGRAM_BYTES = 1_400
@@ -43,7 +44,9 @@
         self._rng = rng
         self._is_counted = is_counted
         self._clock = clock_lib.Clock.from_trio()
+        self._fallen = trio.Event()
         self.sent_bytes = 0
+        load.on_fall = self._note_fall
 
     async def run(self) -> None:
         """Send and receive reports until cancelled."""
@@ -53,10 +56,22 @@
                 nursery.start_soon(self._send, sock)
                 await self._receive(sock)
 
+    def _note_fall(self) -> None:
+        self._fallen.set()
+
+    async def _wait(self) -> None:
+        """Wait until the next report is due, or the load has fallen."""
+        spread = self._rng.uniform(1 - JITTER, 1 + JITTER)
+        interval_ms = load_gossip.REPORT_INTERVAL_MS * spread
+        await clock_lib.sleep_ms(load_gossip.MIN_REPORT_INTERVAL_MS)
+        remaining_ms = interval_ms - load_gossip.MIN_REPORT_INTERVAL_MS
+        with trio.move_on_after(remaining_ms / types.SECOND_MS):
+            await self._fallen.wait()
+        self._fallen = trio.Event()
+
     async def _send(self, sock: trio.socket.SocketType) -> None:
         while True:
-            spread = self._rng.uniform(1 - JITTER, 1 + JITTER)
-            await clock_lib.sleep_ms(load_gossip.REPORT_INTERVAL_MS * spread)
+            await self._wait()
             now_ms = self._clock.now()
             data, addresses = self._load.prepare_report(
                 self._is_counted(now_ms), now_ms
--- a/foxtailpick/sidecar/pool_load.py
+++ b/foxtailpick/sidecar/pool_load.py
@@ -1,6 +1,7 @@
 """Load of an endpoint, bounded against the mean of its pool."""
 
 import random
+import typing
 
 from loguru import logger
 
@@ -43,6 +44,8 @@
     :param cfg: settings of the sidecar.
     :param monitor: checks the load bound.
     :param rng: random source for sampling peers.
+
+    `on_fall` is called when the load falls well below what was reported.
     """
 
     def __init__(
@@ -72,6 +75,7 @@
         self._typical_cost = INITIAL_TYPICAL_COST_TOKENS
         if cfg.endpoint.kind is types.EndpointKind.PLAIN:
             self._typical_cost = 1.0
+        self.on_fall: typing.Callable[[], None] = lambda: None
         self._peers: dict[types.EndpointId, base.Member] = {}
         self._peers_by_hash: dict[int, tuple[types.EndpointId, float]] = {}
 
@@ -140,6 +144,8 @@
     def release(self, attempt: types.AttemptId) -> None:
         """Subtract the cost of an attempt; an unknown one is ignored."""
         self._bound.release(attempt)
+        if self._bound.has_fallen:
+            self.on_fall()
 
     def can_carry_mean(self, limit: float) -> bool:
         """Return whether the endpoint can carry the mean load of the pool.
--- a/foxtailpick/tests/test_load_bound.py
+++ b/foxtailpick/tests/test_load_bound.py
@@ -1,6 +1,9 @@
 """Tests of admission with bounded load and of its mean estimate."""
 
 import dataclasses
+import heapq
+import itertools
+import random
 
 import cbor2
 import hypothesis
@@ -214,3 +217,119 @@
     expected = 50_000.0 + slope * (20_000.0 + age_ms)
     carried = mean.get_mean_tokens(0.0, later_ms)
     assert carried == pytest.approx(expected, rel=0.01)
+
+
+class LongPrompts:
+    """Requests of one chat, each larger than the headroom of an engine.
+
+    Virtual time; messages take 1 to 5 ms. Engines report their load as
+    sidecars do. All requests ask the engines in the same order.
+    """
+
+    COST = 1_201.0
+    REQUESTS = 24
+    ENGINES = 4
+    RETRY_MS = 250.0
+
+    def __init__(self, monitor, seed):
+        self.rng = random.Random(seed)
+        self.bounds = {
+            f'ep-{number}': make_bound(monitor, f'ep-{number}', self.ENGINES)
+            for number in range(self.ENGINES)
+        }
+        self.max_ratio = 0.0
+        self.admitted = 0
+        self._events = []
+        self._numbers = itertools.count()
+        self._reported_ms = dict.fromkeys(self.bounds, 0.0)
+
+    def run(self):
+        """Send the requests, and run until 4 s later."""
+        for name in self.bounds:
+            self._at(self.rng.uniform(0, 250), self._report_often, name)
+        for number in range(self.REQUESTS):
+            at_ms = 1_000.0 + self.rng.uniform(0, 30)
+            self._at(at_ms, self._ask, f'a-{number}', list(self.bounds))
+        now_ms = 0.0
+        while now_ms < 5_000.0:
+            now_ms, _, act, args = heapq.heappop(self._events)
+            act(now_ms, *args)
+
+    def _at(self, at_ms, act, *args):
+        heapq.heappush(self._events, (at_ms, next(self._numbers), act, args))
+
+    def _draw_delay(self):
+        return self.rng.uniform(1, 5)
+
+    def _list_loads(self):
+        return [bound.load_tokens for bound, _ in self.bounds.values()]
+
+    def _ask(self, now_ms, attempt, names):
+        if not names:
+            later_ms = now_ms + self.RETRY_MS + self.rng.uniform(0, 100)
+            self._at(later_ms, self._ask, attempt, list(self.bounds))
+            return
+        name, *rest = names
+        bound, _ = self.bounds[name]
+        before = self._list_loads()
+        result = bound.admit(attempt, None, self.COST, now_ms, rest)
+        if not result.is_admitted:
+            hints = [hint for hint in result.hints if hint in rest]
+            rest = list(dict.fromkeys([*hints, *rest]))
+            self._at(now_ms + self._draw_delay(), self._ask, attempt, rest)
+            return
+        self.admitted += 1
+        means = [
+            sum(loads) / len(loads) for loads in (before, self._list_loads())
+        ]
+        ratio = bound.load_tokens / max(*means, FLOOR)
+        self.max_ratio = max(self.max_ratio, ratio)
+        end_ms = now_ms + self.rng.uniform(100, 800)
+        self._at(end_ms, self._end, name, attempt)
+
+    def _end(self, now_ms, name, attempt):
+        bound, _ = self.bounds[name]
+        bound.release(attempt)
+        if bound.has_fallen:
+            earliest_ms = (
+                self._reported_ms[name] + load_gossip.MIN_REPORT_INTERVAL_MS
+            )
+            self._at(max(now_ms, earliest_ms), self._report, name)
+
+    def _report_often(self, now_ms, name):
+        self._report(now_ms, name)
+        interval_ms = load_gossip.REPORT_INTERVAL_MS
+        later_ms = now_ms + interval_ms * self.rng.uniform(0.8, 1.2)
+        self._at(later_ms, self._report_often, name)
+
+    def _report(self, now_ms, name):
+        self._reported_ms[name] = now_ms
+        report = self.bounds[name][0].make_report(None, now_ms)
+        for _, mean in self.bounds.values():
+            self._at(now_ms + self._draw_delay(), self._observe, mean, report)
+
+    def _observe(self, now_ms, mean, report):
+        sample = dataclasses.replace(report.sample, at_ms=now_ms)
+        mean.observe(dataclasses.replace(report, sample=sample), now_ms)
+
+
+def test_long_prompts_of_one_chat_keep_the_bound(monitor):
+    """The load falls within a report interval as requests end together."""
+    for seed in range(30):
+        pool = LongPrompts(monitor, seed)
+        pool.run()
+        assert pool.admitted == pool.REQUESTS
+        assert pool.max_ratio <= load_bound.MULTIPLE, seed
+
+
+def test_load_that_has_fallen_is_news_until_it_is_reported(monitor):
+    bound, _ = make_bound(monitor)
+    for number in range(10):
+        assert bound.admit(f'a-{number}', None, 100.0, 0.0).is_admitted
+    bound.make_report(None, 0.0)
+    bound.release('a-0')
+    assert not bound.has_fallen
+    bound.release('a-1')
+    assert bound.has_fallen
+    bound.make_report(None, 0.0)
+    assert not bound.has_fallen
--- a/foxtailpick/tests/test_pool_load.py
+++ b/foxtailpick/tests/test_pool_load.py
@@ -4,6 +4,7 @@
 import random
 
 import pytest
+import trio
 
 from foxtailpick.adapters import base
 from foxtailpick.core import load_gossip
@@ -11,6 +12,7 @@
 from foxtailpick.core import messages
 from foxtailpick.core import settings
 from foxtailpick.core import types
+from foxtailpick.sidecar import gossip
 from foxtailpick.sidecar import pool_load
 
 SETTINGS = """
@@ -108,3 +110,32 @@
     mean_before = pool.mean
     pool.process_datagram(b'\xff', 1.0)
     assert pool.mean == mean_before
+
+
+def test_fall_of_the_load_is_announced(pool):
+    falls = []
+    pool.on_fall = lambda: falls.append(pool.load)
+    for number in range(4):
+        work = dataclasses.replace(OPEN_CHAT, attempt=f'a-{number}')
+        pool.admit(work, 0.0)
+    pool.prepare_report(True, 0.0)
+    assert falls == []
+    pool.release('a-0')
+    assert falls == [1_500.0]
+
+
+async def test_fall_of_the_load_is_reported_at_once(pool, autojump_clock):
+    gossiper = gossip.Gossip(
+        pool, '127.0.0.1', 0, random.Random(1), lambda now_ms: True
+    )
+    pool.admit(OPEN_CHAT, 0.0)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(gossiper.run)
+        # The next regular report is due 200 ms after the first at least.
+        await trio.sleep(0.3)
+        sent_bytes = gossiper.sent_bytes
+        assert sent_bytes
+        pool.release(OPEN_CHAT.attempt)
+        await trio.sleep(0.05)
+        assert gossiper.sent_bytes > sent_bytes
+        nursery.cancel_scope.cancel()
