--- a/foxtailpick/gateway/peers.py
+++ b/foxtailpick/gateway/peers.py
@@ -12,11 +12,13 @@
 import cbor2
 import trio
 
+from foxtailpick.core.dispatch import announcements
 from foxtailpick.core.dispatch import crash_quarantine
 from foxtailpick.core.dispatch import crash_reports
 from foxtailpick.core.dispatch import load_exchange
 from foxtailpick.core.dispatch import model
 from foxtailpick.core import types
+from foxtailpick.gateway import announced
 from foxtailpick.gateway import context
 from foxtailpick.gateway import quarantine
 
@@ -34,6 +36,8 @@
 _KIND_REQUESTS = 7
 _KIND_REQUEST_TOTALS = 8
 _KIND_QUERY = 9
+_KIND_DEPARTURES = 10
+_KIND_DEPARTURE_TOTALS = 11
 # A hub asks so many of the routers that don't report to it at a time.
 MAX_QUERIES = 4
 # A larger number is no count of requests.
@@ -110,6 +114,9 @@
                 gw.request_records, _KIND_REQUESTS, _KIND_REQUEST_TOTALS
             ),
         )
+        self._departures = announcements.HubDepartures()
+        self._departures_pacer = crash_reports.Pacer()
+        self._departure_totals_pacer = crash_reports.Pacer()
         # Addresses that reports came from. A router that has just started
         # may not be listed yet.
         self._reporters: dict[types.RouterId, model.Address] = {}
@@ -149,6 +156,7 @@
             return
         number, counts = self._sent_counts.next_counts(gw.state.table)
         outcomes = self._sent_counts.collect_outcomes(gw.state.table, now_ms)
+        departures = announced.make_report(gw, now_ms)
         if hub != gw.cfg.name:
             data = cbor2.dumps(
                 [_KIND_COUNTS, gw.cfg.name, number, counts, outcomes]
@@ -158,6 +166,11 @@
                 await self._send_crash_report(
                     crashes, number, routers[hub].address, now_ms
                 )
+            if self._departures_pacer.is_due(departures, now_ms):
+                data = cbor2.dumps(
+                    [_KIND_DEPARTURES, gw.cfg.name, number, departures]
+                )
+                await self._send_to(data, routers[hub].address)
             return
         self._hub_selector.record_message(now_ms)
         self._hub_reports.record(hub, number, counts, now_ms, outcomes)
@@ -167,6 +180,8 @@
             report = crashes.records.make_report(now_ms)
             crashes.hub_reports.record(hub, report, now_ms)
             await self._send_crash_totals(crashes, now_ms)
+        self._departures.record(hub, departures or (), now_ms)
+        await self._send_departure_totals(now_ms)
 
     async def _send_totals(self, now_ms: float) -> None:
         gw = self._gw
@@ -282,6 +297,18 @@
         for crashes in self._crash_exchanges:
             crashes.totals_pacer.reset()
 
+    async def _send_departure_totals(self, now_ms: float) -> None:
+        totals = self._departures.merge(now_ms)
+        if not self._departure_totals_pacer.is_due(totals, now_ms):
+            return
+        gw = self._gw
+        data = cbor2.dumps([_KIND_DEPARTURE_TOTALS, gw.cfg.name, 0, totals])
+        for router, _ in self._hub_reports.list_routers():
+            if router == gw.cfg.name:
+                announced.apply_departures(gw, totals or ())
+            elif router in self._reporters:
+                await self._send_to(data, self._reporters[router])
+
     async def _send_to(self, data: bytes, address: model.Address) -> None:
         try:
             await self._sock.sendto(data, address)
@@ -314,23 +341,31 @@
                 data = cbor2.dumps([_KIND_REDIRECT, name, number, hub])
                 await self._send_to(data, address)
         elif kind == _KIND_TOTALS and router == self._hub_selector.hub:
-            packed = _check_single(contents, bytes)
+            packed = _get_only(contents, bytes)
             sums, outcomes = _check_sums(_decode(packed), 3)
             self._hub_selector.record_message(now_ms)
             self._apply_totals(sums, outcomes, number, now_ms)
+        elif kind == _KIND_DEPARTURES:
+            departures = announcements.decode_departures(_get_only(contents))
+            self._departures.record(router, departures, now_ms)
+        elif (
+            kind == _KIND_DEPARTURE_TOTALS and router == self._hub_selector.hub
+        ):
+            departures = announcements.decode_departures(_get_only(contents))
+            announced.apply_departures(self._gw, departures)
         elif kind == _KIND_REDIRECT:
-            hub = types.RouterId(_check_single(contents, str))
+            hub = types.RouterId(_get_only(contents, str))
             self._hub_selector.record_redirect(router, hub)
         elif kind == _KIND_QUERY:
             await self._answer_query(number, address)
         for crashes in self._crash_exchanges:
             policy = crashes.records.policy
             if kind == crashes.report_kind:
-                _check(len(contents) == 1, 'one report', contents)
-                crash_reports.check_report(contents[0], policy)
+                report = _get_only(contents)
+                crash_reports.check_report(report, policy)
                 crashes.hub_reports.record(
                     router,
-                    contents[0],
+                    report,
                     now_ms,
                     number if crashes.is_split else None,
                 )
@@ -338,9 +373,9 @@
                 kind == crashes.totals_kind
                 and router == self._hub_selector.hub
             ):
-                _check(len(contents) == 1, 'one set of totals', contents)
-                crash_reports.check_totals(contents[0], policy)
-                self._apply_crash_totals(crashes, contents[0], number, now_ms)
+                totals = _get_only(contents)
+                crash_reports.check_totals(totals, policy)
+                self._apply_crash_totals(crashes, totals, number, now_ms)
 
     def _apply_totals(
         self,
@@ -390,7 +425,7 @@
     return message
 
 
-def _check_single(contents: list[typing.Any], kind: type) -> typing.Any:
+def _get_only(contents: list[typing.Any], kind: type = object) -> typing.Any:
     _check(
         len(contents) == 1 and isinstance(contents[0], kind),
         f'one item of type {kind.__name__}',
