Count no silence of a link while this process doesn't read it

The router takes a link for lost 1.5 s after the last message of an attempt, and closes it with all its attempts. While the process stalls, or while a slow caller takes the tokens of a chat, messages wait unread: the check came first, and the link of a sound sidecar was closed, also for the other callers' chats.

--- a/foxtailpick/core/progress.py
+++ b/foxtailpick/core/progress.py
@@ -22,6 +22,9 @@
     :param probe_timeout_ms: time allowed for the answer to a probe.
     :param max_probes: unanswered probes on new connections after which the
         attempt is given up.
+    :param max_lateness_ms: how late a check may come. A later one shows that
+        this process was stalled.
+    :param max_late_checks: late checks in a row that are passed over.
     """
 
     report_ms: float = 1.0 * types.SECOND_MS
@@ -29,6 +32,8 @@
     missed_tokens: float = 20.0
     probe_timeout_ms: float = 1.0 * types.SECOND_MS
     max_probes: int = 3
+    max_lateness_ms: float = 100.0
+    max_late_checks: int = 3
 
     def __post_init__(self) -> None:
         """Check the ranges."""
@@ -90,6 +95,7 @@
     :param is_sent: whether any of its bytes may have reached the sidecar.
     :param is_streaming: whether tokens have arrived.
     :param probes: unanswered probes since the last progress.
+    :param late_checks: late checks passed over since the last progress.
     """
 
     sent_ms: float
@@ -98,12 +104,14 @@
     is_sent: bool = True
     is_streaming: bool = False
     probes: int = 0
+    late_checks: int = 0
     _last_progress_ms: float | None = None
 
     def on_report(self, now_ms: float) -> None:
         """Record a report of a queue position or of a running request."""
         self._last_progress_ms = now_ms
         self.probes = 0
+        self.late_checks = 0
 
     def on_token(self, now_ms: float) -> None:
         """Record a token."""
@@ -147,6 +155,35 @@
     return StallDecision(Action.PROBE, 'no progress', next_check_ms)
 
 
+def decide_on_late_check(
+    progress: AttemptProgress,
+    options: ProgressOptions,
+    due_ms: float,
+    now_ms: float,
+) -> StallDecision:
+    """Choose the next action at a check that was due earlier.
+
+    While this process was stalled it read nothing, so that a silence in that
+    time shows nothing about the sidecar. What arrived meanwhile, or is
+    reported next, decides.
+
+    :param progress: progress of the attempt; the late checks are counted
+        there.
+    :param options: the settings.
+    :param due_ms: when the check was due.
+    :param now_ms: the current time.
+    """
+    decision = decide_on_stall(progress, options, now_ms)
+    is_late = now_ms - due_ms > options.max_lateness_ms
+    if decision.action is not Action.PROBE or not is_late:
+        return decision
+    if progress.late_checks >= options.max_late_checks:
+        return decision
+    progress.late_checks += 1
+    next_check_ms = min(now_ms + options.report_ms, progress.deadline_ms)
+    return StallDecision(Action.WAIT, 'this process stalled', next_check_ms)
+
+
 def decide_on_probe(
     progress: AttemptProgress,
     result: ProbeResult,
--- a/foxtailpick/router/attempt_client.py
+++ b/foxtailpick/router/attempt_client.py
@@ -185,7 +185,8 @@
         inbox: trio.MemoryReceiveChannel,
         session: AttemptSession,
     ) -> messages.Message:
-        decision = self._check_progress(session)
+        # Nothing was read while the message before was delivered.
+        decision = self._check_late(session, -math.inf)
         while decision.action is progress_lib.Action.WAIT:
             with trio.move_on_at(decision.next_check_ms / types.SECOND_MS):
                 try:
@@ -194,18 +195,18 @@
                     raise _LostLinkError('a lost link') from exc
                 _record_progress(session, message, self._clock.now())
                 return message
-            decision = self._check_progress(session)
+            decision = self._check_late(session, decision.next_check_ms)
         # Closing the link makes its other attempts reconnect as well.
         self._pool.discard(link)
         if decision.action is not progress_lib.Action.PROBE:
             raise self._make_lost_error(session, decision.reason)
         raise _LostLinkError(decision.reason)
 
-    def _check_progress(
-        self, session: AttemptSession
+    def _check_late(
+        self, session: AttemptSession, due_ms: float
     ) -> progress_lib.StallDecision:
-        return progress_lib.decide_on_stall(
-            session.progress, self._options, self._clock.now()
+        return progress_lib.decide_on_late_check(
+            session.progress, self._options, due_ms, self._clock.now()
         )
 
     async def _handle_chunks(
--- a/foxtailpick/tests/test_progress.py
+++ b/foxtailpick/tests/test_progress.py
@@ -81,3 +81,45 @@
     assert decision.action is action
     assert attempt.probes == 0
     assert attempt.last_progress_ms == 9_000.0
+
+
+def test_late_check_waits_for_one_more_report():
+    attempt = progress.AttemptProgress(0.0)
+    due_ms = 2_500.0
+
+    def decide(now_ms):
+        return progress.decide_on_late_check(attempt, OPTIONS, due_ms, now_ms)
+
+    assert decide(due_ms).action is progress.Action.PROBE
+    in_time_ms = due_ms + OPTIONS.max_lateness_ms
+    assert decide(in_time_ms).action is progress.Action.PROBE
+    late = decide(in_time_ms + 1.0)
+    assert late.action is progress.Action.WAIT
+    assert late.next_check_ms == in_time_ms + 1.0 + OPTIONS.report_ms
+    due_ms = late.next_check_ms
+    assert decide(due_ms).action is progress.Action.PROBE
+
+
+def test_late_check_keeps_the_deadline():
+    attempt = progress.AttemptProgress(0.0, deadline_ms=3_000.0)
+    late = progress.decide_on_late_check(attempt, OPTIONS, 0.0, 2_900.0)
+    assert late.next_check_ms == 3_000.0
+    over = progress.decide_on_late_check(attempt, OPTIONS, 0.0, 3_000.0)
+    assert over.action is progress.Action.REFUSE_MAY_HAVE_RUN
+
+
+def test_silence_is_detected_though_all_checks_are_late():
+    attempt = progress.AttemptProgress(0.0)
+    due_ms, checks = 2_500.0, 0
+    while True:
+        now_ms = due_ms + 500.0
+        decision = progress.decide_on_late_check(
+            attempt, OPTIONS, due_ms, now_ms
+        )
+        if decision.action is progress.Action.PROBE:
+            break
+        checks += 1
+        due_ms = decision.next_check_ms
+    assert checks == OPTIONS.max_late_checks
+    attempt.on_report(now_ms)
+    assert attempt.late_checks == 0
