See the end of an endpoint whose listener closes last

Cause: a request is suspect if the endpoint that closed its connection accepts no other. Where the listener closed some milliseconds after the connections, the new connection was still accepted by the backlog, and the end wasn't counted.

The new connection now has to stay open for 40 ms. Only requests whose connection an endpoint closed wait for it.

--- a/foxtailpick/gateway/quarantine.py
+++ b/foxtailpick/gateway/quarantine.py
@@ -3,6 +3,8 @@
 import math
 import typing
 
+import trio
+
 from foxtailpick.core.dispatch import crash_quarantine
 from foxtailpick.core.dispatch import endpoint_table
 from foxtailpick.core.dispatch import model
@@ -17,6 +19,9 @@
 RETRY_SPREAD = 0.2
 # An answer to whether an endpoint has ended is used for this long.
 END_CHECK_TTL_MS = 100.0
+# The listener of a process that ends may close this much later than its
+# connections.
+LISTENER_CLOSE_MS = 40.0
 # Shortest retry time, for a signature that is being tested.
 MIN_RETRY_MS = 1_000.0
 
@@ -90,7 +95,8 @@
 ) -> bool:
     """Tell whether an endpoint that closed a connection accepts no other.
 
-    An endpoint that lives may close or reset one connection. All requests
+    An endpoint that lives may close or reset one connection, and keeps the
+    next one open. All requests
     whose connections it closed share one check.
 
     :param gw: the gateway.
@@ -108,7 +114,12 @@
             # Not logged here: this is the outcome, which the caller logs.
             check.has_ended = True
         else:
-            gw.pool.release(endpoint, conn, True)
+            try:
+                await trio.sleep(LISTENER_CLOSE_MS / types.SECOND_MS)
+                # Closed by now if it only waited to be accepted.
+                check.has_ended = not conn.is_alive()
+            finally:
+                gw.pool.release(endpoint, conn, not check.has_ended)
         finally:
             check.done.set()
     await check.done.wait()
--- a/foxtailpick/platform/standins/endpoint_server.py
+++ b/foxtailpick/platform/standins/endpoint_server.py
@@ -139,14 +139,21 @@
         self._accepting = trio.CancelScope()
         self._connections: set[trio.CancelScope] = set()
 
-    def crash(self, down_ms: float) -> None:
+    def crash(self, down_ms: float, listens_ms: float = 0.0) -> None:
         """Close all connections, and refuse new ones for some time.
 
         :param down_ms: time until the process has started again.
+        :param listens_ms: time from the close of its connections until it
+            refuses new ones.
         """
         self.crashes += 1
         self._down_ms = down_ms
-        self._accepting.cancel()
+        self._accepting.deadline = (
+            trio.current_time() + listens_ms / types.SECOND_MS
+        )
+        self._close_connections()
+
+    def _close_connections(self) -> None:
         for scope in self._connections:
             scope.cancel()
 
@@ -159,6 +166,7 @@
                     while True:
                         peer, _ = await sock.accept()
                         nursery.start_soon(self._serve_connection, peer)
+                self._close_connections()
                 await trio.sleep(self._down_ms / types.SECOND_MS)
                 sock = http1.listen(address, BACKLOG)
 
--- a/foxtailpick/tests/crashing_fleet.py
+++ b/foxtailpick/tests/crashing_fleet.py
@@ -33,6 +33,9 @@
     def __init__(self, harnesses, down_ms=DOWN_MS, seed=1):
         self.harnesses = harnesses
         self.down_ms = down_ms
+        # An engine accepts connections for this time after it closed those
+        # that it had.
+        self.listens_ms = 0.0
         self.rng = random.Random(seed)
         self.engines = {}
         # Times of sends of crashing requests, and of the engines' ends.
@@ -90,7 +93,7 @@
 
     async def _restart(self, standin, service):
         """Crash an engine; it comes back as a new process."""
-        standin.crash(self.down_ms)
+        standin.crash(self.down_ms, self.listens_ms)
         await trio.sleep(self.down_ms / 1_000)
         harness = self.harnesses[0]
         for name, item in self.engines.items():
--- a/foxtailpick/tests/test_crashing_requests.py
+++ b/foxtailpick/tests/test_crashing_requests.py
@@ -82,6 +82,17 @@
         await trio.sleep(0.05)
 
 
+async def test_end_is_seen_if_the_listener_closes_last():
+    async def check(fleet):
+        fleet.listens_ms = 10.0
+        for _ in range(2):
+            await fleet.ask_plain(True)
+        (records,) = (item.gw.request_records for item in fleet.harnesses)
+        assert len(records.quarantines) == 1
+
+    await crashing_fleet.run_with_fleet(check, 1, SERVERS, 'plain', 5_000.0)
+
+
 async def test_refusal_says_when_a_test_is_due():
     async def check(fleet):
         await learn(fleet)
