--- a/foxtailpick/soak/callers.py
+++ b/foxtailpick/soak/callers.py
@@ -184,6 +184,35 @@
         headers,
         0,
     )
+    await _send_crashing(world, gateway, head)
+
+
+async def send_crashing_request(
+    world: world_lib.World, path: str, request: str, rng: random.Random
+) -> None:
+    """Send a plain request that crashes the engine that runs it.
+
+    :param world: the gateways.
+    :param path: its path.
+    :param request: id of the request.
+    :param rng: source of the choice of gateway.
+    """
+    gateway = rng.choice(world.gateways)
+    headers = [
+        *dialect.encode_caller(
+            request, world_lib.API_KEY, world.plan.deadline_ms
+        ),
+        (world_lib.GATEWAY_HEADER, gateway.name.encode()),
+    ]
+    head = http1.format_request(
+        b'GET', path.encode(), world_lib.HOST.encode(), headers, 0
+    )
+    await _send_crashing(world, gateway, head)
+
+
+async def _send_crashing(
+    world: world_lib.World, gateway: world_lib.Gateway, head: bytes
+) -> None:
     with trio.move_on_after(_get_call_timeout_s(world)):
         try:
             conn = await client_lib.ClientConnection.connect(gateway.address)
--- a/foxtailpick/soak/faults.py
+++ b/foxtailpick/soak/faults.py
@@ -268,6 +268,29 @@
             await callers.pause(CRASHING_INTERVAL_MS * rng.uniform(0.5, 1.5))
 
 
+async def send_crashing_requests(
+    world: world_lib.World, rng: random.Random
+) -> None:
+    """Send one plain request again and again; it crashes each engine."""
+    name = f'{world_lib.CRASHING_PREFIX}{rng.randrange(10**6)}'
+    path = f'/{rng.choice(("safe", "unsafe"))}/{name}'
+    until_ms = world_lib.now_ms() + rng.uniform(
+        MIN_CRASHING_MS, MAX_CRASHING_MS
+    )
+    number = 0
+    async with trio.open_nursery() as nursery:
+        while world_lib.now_ms() < until_ms:
+            number += 1
+            nursery.start_soon(
+                callers.send_crashing_request,
+                world,
+                path,
+                f'{name}-{number}',
+                rng,
+            )
+            await callers.pause(CRASHING_INTERVAL_MS * rng.uniform(0.5, 1.5))
+
+
 async def evacuate(world: world_lib.World, rng: random.Random) -> None:
     """Take a failure domain out of service for a short time."""
     await _evacuate(world, rng, _draw_duration_ms(rng))
@@ -377,6 +400,7 @@
     announce_leaving,
     announce_rest,
     send_crashing_prompts,
+    send_crashing_requests,
     change_config,
     change_keys,
     change_keys,
--- a/foxtailpick/soak/record.py
+++ b/foxtailpick/soak/record.py
@@ -25,6 +25,8 @@
 # Requests with a part that crashes endpoints may reach endpoints this many
 # times later than SETTLING_MS after the part has crashed so many endpoints.
 CRASHES_TO_LEARN = 5
+# The same for one request that comes again.
+CRASHES_OF_REQUEST_TO_LEARN = 3
 MAX_CRASHING_REQUESTS = 3
 # Minimum share of requests to be served after all faults have ended.
 RECOVERED_SHARE = 0.25
@@ -166,15 +168,17 @@
 
 @dataclasses.dataclass(slots=True)
 class CrashingPart:
-    """A prompt part that crashes endpoints.
+    """A prompt part that crashes endpoints, or a request that comes again.
 
     :param crashes_ms: when an endpoint crashed.
     :param arrivals: requests with the part that reached an endpoint: their
         gateway, and when.
+    :param crashes_to_learn: number of crashes until it has to be contained.
     """
 
     crashes_ms: list[float] = dataclasses.field(default_factory=list)
     arrivals: list[tuple[str, float]] = dataclasses.field(default_factory=list)
+    crashes_to_learn: int = CRASHES_TO_LEARN
 
 
 class Record:
@@ -370,16 +374,17 @@
         return [Breach(Rule.REST, f'{what} while it rested')]
 
     def _check_crashes(self, name: str, part: CrashingPart) -> list[Breach]:
-        if len(part.crashes_ms) < CRASHES_TO_LEARN:
+        if len(part.crashes_ms) < part.crashes_to_learn:
             return []
-        fifth_ms = sorted(part.crashes_ms)[CRASHES_TO_LEARN - 1]
+        learned_ms = sorted(part.crashes_ms)[part.crashes_to_learn - 1]
         count = sum(
-            at_ms > fifth_ms + SETTLING_MS and self.is_settled(gateway, at_ms)
+            at_ms > learned_ms + SETTLING_MS
+            and self.is_settled(gateway, at_ms)
             for gateway, at_ms in part.arrivals
         )
         if count <= MAX_CRASHING_REQUESTS:
             return []
-        what = f'{count} requests with part {name} reached endpoints'
+        what = f'{count} requests with {name} reached endpoints'
         return [Breach(Rule.CRASH, f'{what} after it should be contained')]
 
     def _check_leaving(self, run: Run) -> list[Breach]:
--- a/foxtailpick/soak/world.py
+++ b/foxtailpick/soak/world.py
@@ -33,8 +33,9 @@
 ANY_PORT = ('127.0.0.1', 0)
 # Rest that an endpoint asks for.
 REST_S = 2
-# Prefix of prompt parts that crash engines, time from the start of an answer
-# until the engine ends, and time until it has started again.
+# Prefix of prompt parts, and of paths within a route, that crash engines, time
+# from the start of an answer until the engine ends, and time until it has
+# started again.
 CRASHING_PREFIX = 'crash'
 CRASH_AFTER_MS = 20.0
 CRASH_DOWN_MS = 300.0
@@ -329,6 +330,12 @@
         self.record.runs.append(run)
         try:
             part = _find_crashing_part(exchange)
+            path = seen.target.decode().rpartition('/')[2]
+            if path.startswith(CRASHING_PREFIX):
+                part = path
+                self.record.crashing_parts[
+                    part
+                ].crashes_to_learn = record_lib.CRASHES_OF_REQUEST_TO_LEARN
             if part is not None:
                 await self._crash(endpoint, exchange, gateway, part)
                 return
@@ -343,10 +350,11 @@
         gateway: str,
         part: str,
     ) -> None:
-        """Begin to answer a request, and crash the endpoint."""
+        """Begin to answer a stream, and crash the endpoint."""
         seen = self.record.crashing_parts[part]
         seen.arrivals.append((gateway, now_ms()))
-        await exchange.begin_stream()
+        if exchange.received.headers.get(b'x-prefix-hash'):
+            await exchange.begin_stream()
         await trio.sleep(CRASH_AFTER_MS / types.SECOND_MS)
         seen.crashes_ms.append(now_ms())
         self.record.crashes_ms[endpoint.id].append(now_ms())
--- a/foxtailpick/tests/test_soak.py
+++ b/foxtailpick/tests/test_soak.py
@@ -186,6 +186,19 @@
     assert record.Rule.CRASH not in {item.rule for item in seen.check()}
 
 
+def test_crashing_requests_that_are_not_contained_are_found():
+    """They have to be contained after fewer crashes than prompts."""
+    seen = record.Record()
+    part = seen.crashing_parts['crash1']
+    part.crashes_ms = [1_000.0, 1_100.0, 1_200.0]
+    part.arrivals = [('g1', 6_000.0)] * 4
+    assert record.Rule.CRASH not in {item.rule for item in seen.check()}
+    part.crashes_to_learn = record.CRASHES_OF_REQUEST_TO_LEARN
+    assert record.Rule.CRASH in {item.rule for item in seen.check()}
+    part.arrivals.pop()
+    assert record.Rule.CRASH not in {item.rule for item in seen.check()}
+
+
 def test_safe_call_may_run_twice():
     runs = [make_run(), make_run(endpoint='e2')]
     assert find_rules(make_call(SAFE), runs) == set()
