--- a/foxtailpick/tests/leaving_fleet_model.py
+++ b/foxtailpick/tests/leaving_fleet_model.py
@@ -12,10 +12,10 @@
 import types
 
 from foxtailpick.core.dispatch import announcements
+from foxtailpick.core.dispatch import crash_reports
 from foxtailpick.core.dispatch import endpoint_table
 from foxtailpick.core.dispatch import model
 from foxtailpick.core.dispatch import placing
-from foxtailpick.core.dispatch import crash_reports
 from foxtailpick.gateway import announced
 from foxtailpick.tests import gateway_harness
 
--- a/foxtailpick/tests/test_announcements.py
+++ b/foxtailpick/tests/test_announcements.py
@@ -9,8 +9,8 @@
 import trio
 
 from foxtailpick.core.dispatch import announcements
-from foxtailpick.core.dispatch import placing
 from foxtailpick.core.dispatch import crash_reports
+from foxtailpick.core.dispatch import placing
 from foxtailpick.core.dispatch import refusal
 from foxtailpick.gateway import announced
 from foxtailpick.platform import dialect
