Split the quarantine of crashing requests into three modules

No logic changes: the policies of the kinds are in `crash_policy`, what a router knows in `crash_records`; `crash_quarantine` keeps what is suspect and the life of a quarantine.

--- a/foxtailpick/core/dispatch/crash_reports.py
+++ b/foxtailpick/core/dispatch/crash_reports.py
@@ -12,6 +12,7 @@
 
 import cbor2
 
+from foxtailpick.core.dispatch import crash_policy
 from foxtailpick.core.dispatch import crash_quarantine
 from foxtailpick.core import types
 
@@ -25,7 +26,7 @@
 
 def check_report(
     report: typing.Any,
-    policy: crash_quarantine.Policy = crash_quarantine.PARTS,
+    policy: crash_policy.Policy = crash_policy.PARTS,
 ) -> None:
     """Check the form of a report that was received.
 
@@ -54,7 +55,7 @@
 
 def check_totals(
     totals: typing.Any,
-    policy: crash_quarantine.Policy = crash_quarantine.PARTS,
+    policy: crash_policy.Policy = crash_policy.PARTS,
 ) -> None:
     """Check the form of totals that were received.
 
@@ -95,7 +96,7 @@
     return pieces
 
 
-def _is_quarantine(value: typing.Any, policy: crash_quarantine.Policy) -> bool:
+def _is_quarantine(value: typing.Any, policy: crash_policy.Policy) -> bool:
     if policy.max_tests is None:
         has_form = _is_list(value, 3) and _is_age(value[1])
     else:
@@ -160,7 +161,7 @@
     """
 
     def __init__(
-        self, policy: crash_quarantine.Policy = crash_quarantine.PARTS
+        self, policy: crash_policy.Policy = crash_policy.PARTS
     ) -> None:
         self.policy = policy
         # By router: when the report arrived, its number and its pieces.
--- a/foxtailpick/gateway/context.py
+++ b/foxtailpick/gateway/context.py
@@ -9,7 +9,8 @@
 
 from foxtailpick.core.dispatch import account_usage as account_usage_lib
 from foxtailpick.core.dispatch import admission_queue
-from foxtailpick.core.dispatch import crash_quarantine
+from foxtailpick.core.dispatch import crash_policy
+from foxtailpick.core.dispatch import crash_records
 from foxtailpick.core.dispatch import endpoint_table
 from foxtailpick.core.dispatch import model
 from foxtailpick.core.dispatch import response_timeout
@@ -120,12 +121,12 @@
     metrics: metrics_lib.Metrics
     rng: random.Random
     started_ms: float = 0.0
-    part_records: crash_quarantine.CrashRecords = dataclasses.field(
-        default_factory=crash_quarantine.CrashRecords
+    part_records: crash_records.CrashRecords = dataclasses.field(
+        default_factory=crash_records.CrashRecords
     )
-    request_records: crash_quarantine.CrashRecords = dataclasses.field(
+    request_records: crash_records.CrashRecords = dataclasses.field(
         default_factory=functools.partial(
-            crash_quarantine.CrashRecords, crash_quarantine.REQUESTS
+            crash_records.CrashRecords, crash_policy.REQUESTS
         )
     )
     end_checks: dict[str, EndCheck] = dataclasses.field(default_factory=dict)
--- a/foxtailpick/gateway/peers.py
+++ b/foxtailpick/gateway/peers.py
@@ -11,7 +11,7 @@
 import cbor2
 import trio
 
-from foxtailpick.core.dispatch import crash_quarantine
+from foxtailpick.core.dispatch import crash_records
 from foxtailpick.core.dispatch import crash_reports
 from foxtailpick.core.dispatch import load_exchange
 from foxtailpick.core.dispatch import model
@@ -51,7 +51,7 @@
     :param received: number of the totals received last.
     """
 
-    records: crash_quarantine.CrashRecords
+    records: crash_records.CrashRecords
     report_kind: int
     totals_kind: int
     hub_reports: crash_reports.HubCrashReports
@@ -67,7 +67,7 @@
     @classmethod
     def from_records(
         cls,
-        records: crash_quarantine.CrashRecords,
+        records: crash_records.CrashRecords,
         report_kind: int,
         totals_kind: int,
     ) -> '_CrashExchange':
--- a/foxtailpick/gateway/quarantine.py
+++ b/foxtailpick/gateway/quarantine.py
@@ -5,7 +5,9 @@
 
 import trio
 
+from foxtailpick.core.dispatch import crash_policy
 from foxtailpick.core.dispatch import crash_quarantine
+from foxtailpick.core.dispatch import crash_records
 from foxtailpick.core.dispatch import endpoint_table
 from foxtailpick.core.dispatch import model
 from foxtailpick.core import errors
@@ -27,7 +29,7 @@
 
 _Signatures = typing.Sequence[crash_quarantine.Signature]
 # Signatures of a request, with the records of their kind.
-Kinds = list[tuple[crash_quarantine.CrashRecords, _Signatures]]
+Kinds = list[tuple[crash_records.CrashRecords, _Signatures]]
 
 
 def check_request(gw: context.Gateway, job: job_lib.Job) -> None:
@@ -165,7 +167,7 @@
     for records, signatures in tested:
         started[id(records)].extend(records.fail_tests(signatures, now_ms))
     for records, _ in _list_kinds(gw, job):
-        changes = crash_quarantine.Changes(started[id(records)], [])
+        changes = crash_records.Changes(started[id(records)], [])
         apply_changes(gw, records, changes)
 
 
@@ -173,7 +175,7 @@
     """Record a sound answer to a request."""
     for records, signatures in _list_watched(gw, job):
         cleared = records.record_sound(signatures, gw.now_ms())
-        changes = crash_quarantine.Changes([], cleared)
+        changes = crash_records.Changes([], cleared)
         apply_changes(gw, records, changes)
 
 
@@ -188,8 +190,8 @@
 
 def apply_changes(
     gw: context.Gateway,
-    records: crash_quarantine.CrashRecords,
-    changes: crash_quarantine.Changes,
+    records: crash_records.CrashRecords,
+    changes: crash_records.Changes,
 ) -> None:
     """Log changes, and withdraw requests that are not answered yet.
 
@@ -260,12 +262,12 @@
 
 
 def _is_withdrawn(
-    records: crash_quarantine.CrashRecords,
+    records: crash_records.CrashRecords,
     started: set[crash_quarantine.Signature],
     job: job_lib.Job,
 ) -> bool:
     """Tell whether to withdraw a request that waits at an endpoint."""
-    if records.policy is crash_quarantine.PARTS:
+    if records.policy is crash_policy.PARTS:
         return not started.isdisjoint(job.shared_parts)
     # A plain request may already run. Its answer, if it gets one, ends a
     # quarantine that is wrong.
--- a/foxtailpick/tests/crash_fleet_model.py
+++ b/foxtailpick/tests/crash_fleet_model.py
@@ -13,7 +13,9 @@
 import itertools
 import random
 
+from foxtailpick.core.dispatch import crash_policy
 from foxtailpick.core.dispatch import crash_quarantine
+from foxtailpick.core.dispatch import crash_records
 from foxtailpick.core.dispatch import crash_reports
 
 TICK_MS = 10
@@ -52,7 +54,7 @@
 
     def __init__(self, policy, routers):
         self.records = [
-            crash_quarantine.CrashRecords(policy) for _ in range(routers)
+            crash_records.CrashRecords(policy) for _ in range(routers)
         ]
         self.hub = crash_reports.HubCrashReports(policy)
         self.pacers = [crash_reports.Pacer() for _ in range(routers)]
@@ -112,8 +114,8 @@
         self.loses_start = loses_start
         self.loss = 0.05
         self.routers = routers
-        self.parts = Exchange(crash_quarantine.PARTS, routers)
-        self.requests = Exchange(crash_quarantine.REQUESTS, routers)
+        self.parts = Exchange(crash_policy.PARTS, routers)
+        self.requests = Exchange(crash_policy.REQUESTS, routers)
         self.engines = [[] for _ in range(engines)]
         self.up_ms = [0.0] * engines
         self.now_ms = 0.0
--- a/foxtailpick/tests/test_crash_quarantine.py
+++ b/foxtailpick/tests/test_crash_quarantine.py
@@ -2,7 +2,9 @@
 
 import pytest
 
+from foxtailpick.core.dispatch import crash_policy
 from foxtailpick.core.dispatch import crash_quarantine
+from foxtailpick.core.dispatch import crash_records
 from foxtailpick.core.dispatch import crash_reports
 from foxtailpick.core.dispatch import retry_decision
 from foxtailpick.tests import crash_fleet_model
@@ -28,7 +30,7 @@
 
 def make_quarantined(now_ms=10_000.0):
     """Return records with a quarantine that started at some time."""
-    records = crash_quarantine.CrashRecords()
+    records = crash_records.CrashRecords()
     for number in range(3):
         at_ms = now_ms - 1_000.0 * (2 - number)
         records.record_end([BAD], f'e{number}', at_ms, at_ms)
@@ -49,7 +51,7 @@
 
 
 def test_part_is_quarantined_after_several_ends():
-    records = crash_quarantine.CrashRecords()
+    records = crash_records.CrashRecords()
     parts = ['route', BAD]
     for number in range(2):
         at_ms = 1_000.0 * number
@@ -57,12 +59,12 @@
         records.record_sound(['route'], at_ms + 10)
     assert records.record_end(parts, 'e2', 2_000.0, 2_000.0) == [BAD]
     refusal = records.find_refusal(parts, get_first, 2_000.0)
-    assert refusal == (BAD, crash_quarantine.PARTS.first_quarantine_ms)
+    assert refusal == (BAD, crash_policy.PARTS.first_quarantine_ms)
     assert records.find_refusal(['route'], get_first, 2_000.0) is None
 
 
 def test_ends_of_one_process_count_once():
-    records = crash_quarantine.CrashRecords()
+    records = crash_records.CrashRecords()
     for number in range(5):
         at_ms = 1_000.0 * number
         assert not records.record_end([BAD], 'e1', at_ms, at_ms)
@@ -76,7 +78,7 @@
 
 
 def test_sound_answer_at_another_router_ends_a_quarantine():
-    first, second = make_quarantined(), crash_quarantine.CrashRecords()
+    first, second = make_quarantined(), crash_records.CrashRecords()
     hub = crash_reports.HubCrashReports()
     hub.record('r1', first.make_report(10_000.0), 10_000.0)
     changes = second.apply_totals(hub.merge(10_000.0), 10_000.0)
@@ -90,7 +92,7 @@
 
 def test_ends_at_several_routers_add_up():
     hub = crash_reports.HubCrashReports()
-    routers = [crash_quarantine.CrashRecords() for _ in range(3)]
+    routers = [crash_records.CrashRecords() for _ in range(3)]
     for number, records in enumerate(routers):
         at_ms = 1_000.0 * number
         assert not records.record_end([BAD], f'e{number}', at_ms, at_ms)
@@ -102,12 +104,12 @@
 
 
 def test_quarantine_outlives_the_router_that_saw_the_ends():
-    first, second = make_quarantined(), crash_quarantine.CrashRecords()
+    first, second = make_quarantined(), crash_records.CrashRecords()
     hub = crash_reports.HubCrashReports()
     hub.record('r1', first.make_report(10_000.0), 10_000.0)
     second.apply_totals(hub.merge(10_000.0), 10_000.0)
     third, new_hub = (
-        crash_quarantine.CrashRecords(),
+        crash_records.CrashRecords(),
         crash_reports.HubCrashReports(),
     )
     new_hub.record('r2', second.make_report(13_000.0), 13_000.0)
@@ -117,10 +119,10 @@
 
 def test_part_is_tested_by_one_request_after_the_quarantine():
     records = make_quarantined()
-    due_ms = 10_000.0 + crash_quarantine.PARTS.first_quarantine_ms
+    due_ms = 10_000.0 + crash_policy.PARTS.first_quarantine_ms
     assert records.find_refusal([BAD], get_first, due_ms - 1) is not None
     assert records.find_refusal([BAD], get_first, due_ms) is None
-    stagger_ms = crash_quarantine.TEST_STAGGER_MS
+    stagger_ms = crash_records.TEST_STAGGER_MS
     assert records.find_refusal([BAD], lambda part: 1, due_ms) == (
         BAD,
         stagger_ms,
@@ -133,19 +135,19 @@
 
 def test_test_that_crashes_an_endpoint_lengthens_the_quarantine():
     records = make_quarantined()
-    due_ms = 10_000.0 + crash_quarantine.PARTS.first_quarantine_ms
+    due_ms = 10_000.0 + crash_policy.PARTS.first_quarantine_ms
     records.begin_tests([BAD], due_ms)
     assert records.fail_tests([BAD], due_ms) == [BAD]
     refusal = records.find_refusal([BAD], get_first, due_ms)
     assert refusal.due_ms == (
-        crash_quarantine.PARTS.first_quarantine_ms
-        * crash_quarantine.PARTS.quarantine_factor
+        crash_policy.PARTS.first_quarantine_ms
+        * crash_policy.PARTS.quarantine_factor
     )
 
 
 def test_test_under_way_is_known_at_other_routers():
     first, second = make_quarantined(), make_quarantined()
-    due_ms = 10_000.0 + crash_quarantine.PARTS.first_quarantine_ms
+    due_ms = 10_000.0 + crash_policy.PARTS.first_quarantine_ms
     first.begin_tests([BAD], due_ms)
     hub = crash_reports.HubCrashReports()
     hub.record('r1', first.make_report(due_ms + 50), due_ms + 50)
@@ -155,13 +157,13 @@
 
 def test_unasked_quarantine_expires():
     records = make_quarantined()
-    due_ms = 10_000.0 + crash_quarantine.PARTS.first_quarantine_ms
+    due_ms = 10_000.0 + crash_policy.PARTS.first_quarantine_ms
     assert records.make_report(due_ms + crash_quarantine.EXPIRY_MS)
     assert not records.make_report(due_ms + crash_quarantine.EXPIRY_MS + 1)
 
 
 def test_messages_without_news_are_sent_at_intervals():
-    records = crash_quarantine.CrashRecords()
+    records = crash_records.CrashRecords()
     pacer = crash_reports.Pacer()
     records.record_end([BAD], 'e1', 0.0, 0.0)
     sent_ms = [
@@ -215,14 +217,14 @@
 
 
 def test_memory_and_messages_are_bounded():
-    records = crash_quarantine.CrashRecords()
-    for number in range(2 * crash_quarantine.PARTS.max_sound):
+    records = crash_records.CrashRecords()
+    for number in range(2 * crash_policy.PARTS.max_sound):
         records.record_sound([f's{number}'], 0.0)
         records.record_end([f'p{number}'], f'e{number}', 1.0, 1.0)
-    assert len(records._sound_ms) == crash_quarantine.PARTS.max_sound
-    assert len(records._ends_ms) == crash_quarantine.MAX_SUSPECTS
+    assert len(records._sound_ms) == crash_policy.PARTS.max_sound
+    assert len(records._ends_ms) == crash_policy.MAX_SUSPECTS
     ends, _, _ = records.make_report(1.0)
-    assert len(ends) == crash_quarantine.PARTS.max_reported
+    assert len(ends) == crash_policy.PARTS.max_reported
 
 
 @pytest.mark.parametrize(
@@ -231,13 +233,13 @@
         (None, None, False),
         (None, 1_000.0, True),
         (900.0, 1_000.0, False),
-        (1_000.0 - crash_quarantine.PARTS.proven_ms, 1_000.0, True),
+        (1_000.0 - crash_policy.PARTS.proven_ms, 1_000.0, True),
     ],
 )
 def test_request_is_not_repeated_if_it_may_crash_an_endpoint(
     sound_ms, end_ms, may_crash
 ):
-    records = crash_quarantine.CrashRecords()
+    records = crash_records.CrashRecords()
     if sound_ms is not None:
         records.record_sound([BAD], sound_ms)
     if end_ms is not None:
--- a/foxtailpick/tests/test_crashing_requests.py
+++ b/foxtailpick/tests/test_crashing_requests.py
@@ -5,6 +5,7 @@
 import pytest
 import trio
 
+from foxtailpick.core.dispatch import crash_policy
 from foxtailpick.core.dispatch import crash_quarantine
 from foxtailpick.gateway import quarantine
 from foxtailpick.gateway import state as state_lib
@@ -131,7 +132,7 @@
         monkeypatch.setattr(state_lib.GatewayState, 'list_routers', list_known)
         await learn(fleet)
         records = fleet.harnesses[0].gw.request_records
-        for _ in range(crash_quarantine.REQUESTS.max_tests):
+        for _ in range(crash_policy.REQUESTS.max_tests):
             now_ms = fleet.now_ms()
             records.begin_tests(records.quarantines, now_ms, 'router-1')
         # The totals have no news and are repeated at intervals.
@@ -143,7 +144,7 @@
             gw = late.gw
             await late.until(lambda: gw.request_records.quarantines)
             (found,) = gw.request_records.quarantines.values()
-            assert found.level == crash_quarantine.REQUESTS.max_tests
+            assert found.level == crash_policy.REQUESTS.max_tests
             answer = await late.ask(f'/safe/x?{crashing_fleet.CRASHING_QUERY}')
             assert answer.status == 503
 
--- a/foxtailpick/tests/test_request_quarantine.py
+++ b/foxtailpick/tests/test_request_quarantine.py
@@ -3,12 +3,14 @@
 import cbor2
 import pytest
 
+from foxtailpick.core.dispatch import crash_policy
 from foxtailpick.core.dispatch import crash_quarantine
+from foxtailpick.core.dispatch import crash_records
 from foxtailpick.core.dispatch import crash_reports
 from foxtailpick.tests import crash_fleet_model
 
 BAD = crash_quarantine.Signature('bad')
-POLICY = crash_quarantine.REQUESTS
+POLICY = crash_policy.REQUESTS
 FIRST_MS = POLICY.first_quarantine_ms
 SECOND_MS = FIRST_MS * POLICY.quarantine_factor
 MAX_DATAGRAM_BYTES = 1_400
@@ -20,7 +22,7 @@
 
 def make_records():
     """Return records of whole requests."""
-    return crash_quarantine.CrashRecords(POLICY)
+    return crash_records.CrashRecords(POLICY)
 
 
 def make_quarantined(now_ms=10_000.0):
@@ -155,7 +157,7 @@
     now_ms = 10_000.0 + FIRST_MS
     assert all(refuses(records, now_ms) for records in routers)
     exchange(routers, now_ms)
-    late_ms = now_ms + crash_quarantine.MAX_TEST_TOTALS_AGE_MS + 1
+    late_ms = now_ms + crash_records.MAX_TEST_TOTALS_AGE_MS + 1
     assert not refuses(routers[1], now_ms)
     assert refuses(routers[1], late_ms)
 
@@ -288,16 +290,16 @@
         for process in range(3):
             name = f'e{number}-{process}'
             records.record_end([f's{number}'], name, 1.0, 1.0)
-    assert len(records._ends_ms) == crash_quarantine.MAX_SUSPECTS
+    assert len(records._ends_ms) == crash_policy.MAX_SUSPECTS
     records.make_report(2.0)
-    assert len(records.quarantines) <= crash_quarantine.MAX_QUARANTINES
+    assert len(records.quarantines) <= crash_records.MAX_QUARANTINES
 
 
 def test_suspect_with_more_ends_outlasts_newer_ones():
     records = make_records()
     for process in ('e0', 'e1'):
         records.record_end([BAD], process, 1.0, 1.0)
-    for number in range(2 * crash_quarantine.MAX_SUSPECTS):
+    for number in range(2 * crash_policy.MAX_SUSPECTS):
         records.record_end([f's{number}'], 'e2', 2.0, 2.0)
     assert records.count_ends(BAD, 3.0) == (2, 0)
 
@@ -321,7 +323,7 @@
 
 
 def test_messages_about_prompt_parts_keep_the_form_of_the_last_version():
-    records = crash_quarantine.CrashRecords()
+    records = crash_records.CrashRecords()
     for number in range(3):
         at_ms = 1_000.0 * number
         records.record_end(['p'], f'e{number}', at_ms, at_ms)
