--- a/foxtailpick/core/dispatch/crash_reports.py
+++ b/foxtailpick/core/dispatch/crash_reports.py
@@ -18,6 +18,10 @@
 
 # Longer messages are split, so that each fits into one packet.
 MAX_PIECE_BYTES = 1_300
+# Larger numbers are no number of ends or tests, no level and no age.
+MAX_COUNT = 1_000_000
+MAX_LEVEL = 100
+MAX_MESSAGE_AGE_MS = 1e12
 # Reports and totals without news are repeated at this interval.
 REPEAT_INTERVAL_MS = 1_000.0
 # What happened less than this time ago is news.
@@ -37,10 +41,10 @@
     if report is not None and not (
         isinstance(report, list)
         and len(report) == 3
-        and all(isinstance(item, dict) for item in report)
+        and all(_is_mapping(item) for item in report)
         and all(_is_list(ends) for ends in report[0].values())
         and all(
-            _is_list(end, 2) and _is_age(end[1])
+            _is_list(end, 2) and isinstance(end[0], str) and _is_age(end[1])
             for ends in report[0].values()
             for end in ends
         )
@@ -63,9 +67,9 @@
     :param policy: the policy for the kind of their signatures.
     :raises ValueError: if they have another form.
     """
-    if not isinstance(totals, dict) or not all(
+    if not _is_mapping(totals) or not all(
         _is_list(item, 3)
-        and _is_age(item[0])
+        and _is_count(item[0])
         and (item[1] is None or _is_age(item[1]))
         and (item[2] is None or _is_quarantine(item[2], policy))
         for item in totals.values()
@@ -98,12 +102,12 @@
 
 def _is_quarantine(value: typing.Any, policy: crash_policy.Policy) -> bool:
     if policy.max_tests is None:
-        has_form = _is_list(value, 3) and _is_age(value[1])
+        has_form = _is_list(value, 3) and _is_count(value[1], MAX_LEVEL)
     else:
         has_form = (
             _is_list(value, 4)
-            and isinstance(value[1], dict)
-            and all(_is_age(count) for count in value[1].values())
+            and _is_mapping(value[1])
+            and all(_is_count(count, MAX_LEVEL) for count in value[1].values())
             and _is_age(value[3])
         )
     return (
@@ -117,8 +121,19 @@
     return isinstance(value, list) and length in (None, len(value))
 
 
+def _is_mapping(value: typing.Any) -> bool:
+    return isinstance(value, dict) and all(
+        isinstance(key, str) for key in value
+    )
+
+
+def _is_count(value: typing.Any, most: int = MAX_COUNT) -> bool:
+    return isinstance(value, int) and 0 <= value <= most
+
+
 def _is_age(value: typing.Any) -> bool:
-    return isinstance(value, int | float) and 0 <= value < math.inf
+    # nan is not within any bounds.
+    return isinstance(value, int | float) and 0 <= value <= MAX_MESSAGE_AGE_MS
 
 
 class Pacer:
--- a/foxtailpick/gateway/context.py
+++ b/foxtailpick/gateway/context.py
@@ -43,12 +43,13 @@
     :param endpoint: the endpoint.
     :param conn: the connection to it.
     :param last_received_ms: when data of the response last arrived.
-    :param read_timeout_ms: time without data after which it is retried at
-        another endpoint, if possible.
-    :param can_retry_elsewhere: tells whether that is possible.
+    :param read_timeout_ms: time without data after which it is silent.
+    :param report_silence: reports that it is silent or, with False, that
+        it no longer is.
     :param job: the request.
     :param is_reading: whether it is reading from the endpoint, as opposed
         to writing to the caller.
+    :param is_silent: whether its silence was reported.
     :param is_failure_recorded: whether its timeout was recorded as a failure.
     :param answered_ms: when the endpoint began to respond, None before that.
     :param is_withdrawn: whether it was aborted since one of the request's
@@ -59,9 +60,10 @@
     conn: client_lib.ClientConnection
     last_received_ms: float
     read_timeout_ms: float
-    can_retry_elsewhere: typing.Callable[[], bool]
+    report_silence: typing.Callable[[bool], None]
     job: job_lib.Job
     is_reading: bool = False
+    is_silent: bool = False
     is_failure_recorded: bool = False
     answered_ms: float | None = None
     is_withdrawn: bool = False
@@ -72,12 +74,13 @@
     """A check whether an endpoint that closed a connection has ended.
 
     :param began_ms: when the check began.
-    :param has_ended: whether the endpoint accepts no connection.
+    :param has_ended: whether the endpoint accepts no connection, None if
+        the check was cancelled.
     :param done: set once that is known.
     """
 
     began_ms: float
-    has_ended: bool = False
+    has_ended: bool | None = None
     done: trio.Event = dataclasses.field(default_factory=trio.Event)
 
 
--- a/foxtailpick/gateway/daemon.py
+++ b/foxtailpick/gateway/daemon.py
@@ -1,5 +1,6 @@
 """The gateway process: start-up, servers, reload and graceful shutdown."""
 
+import contextlib
 import dataclasses
 import functools
 import random
@@ -44,6 +45,17 @@
 # Fraction of the fleet's retry budget that is used, since the number of
 # routers is known with a delay.
 BUDGET_SHARE = 0.85
+# Settings that are in use from the start of the process to its end: the
+# sockets are bound, and the registration is written.
+_FIXED_SETTINGS = (
+    'name',
+    'domain',
+    'listen',
+    'readiness',
+    'metrics',
+    'peers',
+    'store',
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -276,35 +288,46 @@
     signals: typing.AsyncIterator[int],
     check_settings: typing.Callable[[], settings_lib.GatewaySettings],
 ) -> None:
+    hang_up, changed = trio.open_memory_channel[None](1)
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_poll_settings, gw, check_settings)
+        nursery.start_soon(_follow_settings, gw, check_settings, changed)
         async for number in signals:
             if number != signal.SIGHUP:
                 gw.log.emit('stopping', signal=number)
                 break
-            _reload_settings(gw, check_settings)
+            with contextlib.suppress(trio.WouldBlock):
+                hang_up.send_nowait(None)
         nursery.cancel_scope.cancel()
 
 
-async def _poll_settings(
+async def _follow_settings(
     gw: context.Gateway,
     check_settings: typing.Callable[[], settings_lib.GatewaySettings],
+    changed: trio.MemoryReceiveChannel[None],
 ) -> None:
+    """Reload the settings periodically and when they are said to change."""
     while True:
-        await trio.sleep(SETTINGS_POLL_INTERVAL_MS / types.SECOND_MS)
-        _reload_settings(gw, check_settings)
+        with trio.move_on_after(SETTINGS_POLL_INTERVAL_MS / types.SECOND_MS):
+            await changed.receive()
+        await _reload_settings(gw, check_settings)
 
 
-def _reload_settings(
+async def _reload_settings(
     gw: context.Gateway,
     check_settings: typing.Callable[[], settings_lib.GatewaySettings],
 ) -> None:
     """Apply changed settings; keep the current ones if they are invalid."""
     try:
-        cfg = check_settings()
+        # The disk may take long to answer.
+        cfg = await trio.to_thread.run_sync(
+            check_settings, abandon_on_cancel=True
+        )
     except errors.SettingsError as exc:
         gw.log.emit('reload-failed', error=exc.message)
         return
+    fixed = {name: getattr(gw.cfg, name) for name in _FIXED_SETTINGS}
+    if any(getattr(cfg, name) != value for name, value in fixed.items()):
+        cfg = dataclasses.replace(cfg, **fixed)
     if cfg == gw.cfg:
         return
     gw.cfg = cfg
@@ -324,13 +347,22 @@
         if callers.is_idle():
             break
     callers.stop_accepting()
+    # Requests may have arrived on connections that were about to close.
+    await _close_callers(gw, callers, gw.shutdown_deadline_ms)
     gw.log.emit('drained', under_way=len(gw.attempts))
     gw.is_ending = True
     for scope in list(gw.request_scopes):
         scope.cancel()
-    with trio.move_on_after(FINAL_ANSWERS_MS / types.SECOND_MS):
-        while gw.request_scopes or not callers.is_idle():
-            await trio.sleep(FINAL_CHECK_INTERVAL_MS / types.SECOND_MS)
+    await _close_callers(gw, callers, gw.now_ms() + FINAL_ANSWERS_MS)
+
+
+async def _close_callers(
+    gw: context.Gateway, callers: server.CallerServer, until_ms: float
+) -> None:
+    """Close connections as they become idle, until all are closed."""
+    while callers.connections and gw.now_ms() < until_ms:
+        callers.close_idle(0.0)
+        await trio.sleep(FINAL_CHECK_INTERVAL_MS / types.SECOND_MS)
 
 
 async def _sweep(gw: context.Gateway) -> None:
--- a/foxtailpick/gateway/mirror.py
+++ b/foxtailpick/gateway/mirror.py
@@ -1,5 +1,6 @@
 """Synchronizes the gateway state with the platform's store."""
 
+import contextlib
 import dataclasses
 import math
 import random
@@ -9,6 +10,7 @@
 
 from foxtailpick.adapters import base
 from foxtailpick.core.dispatch import endpoint_table
+from foxtailpick.core.dispatch import item_check
 from foxtailpick.core.dispatch import model
 from foxtailpick.core.dispatch import store_pacing
 from foxtailpick.core import errors
@@ -99,6 +101,22 @@
     ended: trio.Event = dataclasses.field(default_factory=trio.Event)
 
 
+@contextlib.contextmanager
+def _expect_well_formed() -> typing.Iterator[None]:
+    """Treat a reply of an unexpected form like a failed call.
+
+    :raises errors.StoreError: if a field is missing or of another type.
+    """
+    try:
+        yield
+    except (AttributeError, LookupError, TypeError, ValueError) as exc:
+        raise errors.StoreError(
+            errors.ErrorCode.STORE_UNAVAILABLE,
+            f'expected a well-formed reply from the store, reading it failed '
+            f'with {exc!r:.200}; retry later',
+        ) from exc
+
+
 class Mirror:
     """Watches the store and applies its content to the gateway state.
 
@@ -182,7 +200,8 @@
             try:
                 if position is None:
                     is_behind = False
-                    snapshot = await self._store.read_snapshot(prefix)
+                    with _expect_well_formed():
+                        snapshot = await self._store.read_snapshot(prefix)
                     self._record_contact()
                     replace(self._decode_entries(snapshot))
                     position = snapshot.position
@@ -229,9 +248,10 @@
             await trio.sleep(delay_ms / types.SECOND_MS)
             reads += 1
             try:
-                snapshot = await self._store.read_snapshot(
-                    self._layout.router_prefix, is_stale_ok=True
-                )
+                with _expect_well_formed():
+                    snapshot = await self._store.read_snapshot(
+                        self._layout.router_prefix, is_stale_ok=True
+                    )
             except errors.StoreError as exc:
                 if exc.code is errors.ErrorCode.STORE_RESTORED:
                     self._record_restored()
@@ -250,10 +270,13 @@
         while True:
             try:
                 if lease is None:
-                    granted = await self._store.grant_lease(self._lease_ttl_ms)
-                    await self._store.transact(
-                        [], [base.Put(key, value, granted)]
-                    )
+                    with _expect_well_formed():
+                        granted = await self._store.grant_lease(
+                            self._lease_ttl_ms
+                        )
+                        await self._store.transact(
+                            [], [base.Put(key, value, granted)]
+                        )
                     # Set only now: a lease without the key is of no use.
                     lease = granted
                     self._log.emit('registered', key=key, lease=lease)
@@ -307,7 +330,8 @@
         :param keys: keys of the items at the position.
         :param position: the position.
         """
-        snapshot = await self._store.read_snapshot(prefix)
+        with _expect_well_formed():
+            snapshot = await self._store.read_snapshot(prefix)
         self._record_contact()
         listed = {entry.key for entry in snapshot.entries}
         changes = [base.Change(key, None) for key in sorted(keys - listed)]
@@ -340,9 +364,10 @@
         with trio.CancelScope() as scope:
             self._waiting.add(scope)
             try:
-                changes, reached = await self._store.poll_changes(
-                    prefix, position, wait_ms
-                )
+                with _expect_well_formed():
+                    changes, reached = await self._store.poll_changes(
+                        prefix, position, wait_ms
+                    )
             finally:
                 self._waiting.discard(scope)
         if scope.cancelled_caught:
@@ -367,9 +392,13 @@
         self, key: str, value: bytes | None
     ) -> model.Item | None:
         try:
-            return self._layout.decode(key, value)
-        except ValueError as exc:
-            self._log.emit('item-skipped', key=key, error=str(exc))
+            item = self._layout.decode(key, value)
+            item_check.check_item(item)
+            return item
+        except Exception as exc:
+            # Other writers may leave values of any kind, and decoding them
+            # raises errors of many types.
+            self._log.emit('item-skipped', key=key, error=f'{exc!r:.200}')
             return None
 
     async def _back_off(self, exc: errors.StoreError) -> None:
--- a/foxtailpick/gateway/peers.py
+++ b/foxtailpick/gateway/peers.py
@@ -5,17 +5,20 @@
 """
 
 import dataclasses
+import math
 import socket
 import typing
 
 import cbor2
 import trio
 
+from foxtailpick.core.dispatch import announcements
 from foxtailpick.core.dispatch import crash_records
 from foxtailpick.core.dispatch import crash_reports
 from foxtailpick.core.dispatch import load_exchange
 from foxtailpick.core.dispatch import model
 from foxtailpick.core import types
+from foxtailpick.gateway import announced
 from foxtailpick.gateway import context
 from foxtailpick.gateway import quarantine
 
@@ -33,8 +36,12 @@
 _KIND_REQUESTS = 7
 _KIND_REQUEST_TOTALS = 8
 _KIND_QUERY = 9
+_KIND_DEPARTURES = 10
+_KIND_DEPARTURE_TOTALS = 11
 # A hub asks so many of the routers that don't report to it at a time.
 MAX_QUERIES = 4
+# A larger number is no count of requests.
+_MAX_COUNT = 1_000_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -107,6 +114,9 @@
                 gw.request_records, _KIND_REQUESTS, _KIND_REQUEST_TOTALS
             ),
         )
+        self._departures = announcements.HubDepartures()
+        self._departures_pacer = crash_reports.Pacer()
+        self._departure_totals_pacer = crash_reports.Pacer()
         # Addresses that reports came from. A router that has just started
         # may not be listed yet.
         self._reporters: dict[types.RouterId, model.Address] = {}
@@ -146,6 +156,7 @@
             return
         number, counts = self._sent_counts.next_counts(gw.state.table)
         outcomes = self._sent_counts.collect_outcomes(gw.state.table, now_ms)
+        departures = announced.make_report(gw, now_ms)
         if hub != gw.cfg.name:
             data = cbor2.dumps(
                 [_KIND_COUNTS, gw.cfg.name, number, counts, outcomes]
@@ -155,6 +166,11 @@
                 await self._send_crash_report(
                     crashes, number, routers[hub].address, now_ms
                 )
+            if self._departures_pacer.is_due(departures, now_ms):
+                data = cbor2.dumps(
+                    [_KIND_DEPARTURES, gw.cfg.name, number, departures]
+                )
+                await self._send_to(data, routers[hub].address)
             return
         self._hub_selector.record_message(now_ms)
         self._hub_reports.record(hub, number, counts, now_ms, outcomes)
@@ -164,6 +180,8 @@
             report = crashes.records.make_report(now_ms)
             crashes.hub_reports.record(hub, report, now_ms)
             await self._send_crash_totals(crashes, now_ms)
+        self._departures.record(hub, departures or (), now_ms)
+        await self._send_departure_totals(now_ms)
 
     async def _send_totals(self, now_ms: float) -> None:
         gw = self._gw
@@ -279,6 +297,18 @@
         for crashes in self._crash_exchanges:
             crashes.totals_pacer.reset()
 
+    async def _send_departure_totals(self, now_ms: float) -> None:
+        totals = self._departures.merge(now_ms)
+        if not self._departure_totals_pacer.is_due(totals, now_ms):
+            return
+        gw = self._gw
+        data = cbor2.dumps([_KIND_DEPARTURE_TOTALS, gw.cfg.name, 0, totals])
+        for router, _ in self._hub_reports.list_routers():
+            if router == gw.cfg.name:
+                announced.apply_departures(gw, totals or ())
+            elif router in self._reporters:
+                await self._send_to(data, self._reporters[router])
+
     async def _send_to(self, data: bytes, address: model.Address) -> None:
         try:
             await self._sock.sendto(data, address)
@@ -291,42 +321,51 @@
         while True:
             try:
                 data, address = await self._sock.recvfrom(MAX_DATAGRAM_BYTES)
-                await self._handle_message(cbor2.loads(data), address)
-            except (OSError, ValueError, TypeError) as exc:
+                await self._handle_message(_decode(data), address)
+            except (OSError, ValueError) as exc:
                 self._gw.metrics.count('peer_messages_bad')
                 self._gw.log.emit_request('peer-message-bad', why=repr(exc))
 
     async def _handle_message(
         self, message: typing.Any, address: model.Address
     ) -> None:
-        kind, router, number, *contents = message
+        kind, router, number, *contents = _check_head(message)
         now_ms = self._gw.now_ms()
         if kind == _KIND_COUNTS:
-            counts, outcomes = contents
+            counts, outcomes = _check_sums(contents, 2)
             self._welcome(router, number, address)
-            self._hub_reports.record(
-                router, number, dict(counts), now_ms, dict(outcomes)
-            )
+            self._hub_reports.record(router, number, counts, now_ms, outcomes)
             hub = self._hub_selector.hub
             if hub is not None and hub != self._gw.cfg.name:
                 name = self._gw.cfg.name
                 data = cbor2.dumps([_KIND_REDIRECT, name, number, hub])
                 await self._send_to(data, address)
         elif kind == _KIND_TOTALS and router == self._hub_selector.hub:
+            packed = _get_only(contents, bytes)
+            sums, outcomes = _check_sums(_decode(packed), 3)
             self._hub_selector.record_message(now_ms)
-            sums, outcomes = cbor2.loads(contents[0])
             self._apply_totals(sums, outcomes, number, now_ms)
+        elif kind == _KIND_DEPARTURES:
+            departures = announcements.decode_departures(_get_only(contents))
+            self._departures.record(router, departures, now_ms)
+        elif (
+            kind == _KIND_DEPARTURE_TOTALS and router == self._hub_selector.hub
+        ):
+            departures = announcements.decode_departures(_get_only(contents))
+            announced.apply_departures(self._gw, departures)
         elif kind == _KIND_REDIRECT:
-            self._hub_selector.record_redirect(router, contents[0])
+            hub = types.RouterId(_get_only(contents, str))
+            self._hub_selector.record_redirect(router, hub)
         elif kind == _KIND_QUERY:
             await self._answer_query(number, address)
         for crashes in self._crash_exchanges:
             policy = crashes.records.policy
             if kind == crashes.report_kind:
-                crash_reports.check_report(contents[0], policy)
+                report = _get_only(contents)
+                crash_reports.check_report(report, policy)
                 crashes.hub_reports.record(
                     router,
-                    contents[0],
+                    report,
                     now_ms,
                     number if crashes.is_split else None,
                 )
@@ -334,8 +373,9 @@
                 kind == crashes.totals_kind
                 and router == self._hub_selector.hub
             ):
-                crash_reports.check_totals(contents[0], policy)
-                self._apply_crash_totals(crashes, contents[0], number, now_ms)
+                totals = _get_only(contents)
+                crash_reports.check_totals(totals, policy)
+                self._apply_crash_totals(crashes, totals, number, now_ms)
 
     def _apply_totals(
         self,
@@ -361,6 +401,86 @@
             )
 
 
+def _decode(data: bytes) -> typing.Any:
+    """Decode a message.
+
+    :raises ValueError: if it is malformed.
+    """
+    try:
+        return cbor2.loads(data)
+    except Exception as exc:
+        # The decoder of a tagged value may raise errors of any type.
+        raise ValueError(f'expected CBOR, got {data[:40]!r}') from exc
+
+
+def _check_head(message: typing.Any) -> list[typing.Any]:
+    _check(
+        isinstance(message, list)
+        and len(message) >= 3
+        and isinstance(message[1], str)
+        and _is_number(message[2], math.inf),
+        'a kind, a router and a number',
+        message,
+    )
+    return message
+
+
+def _get_only(contents: list[typing.Any], kind: type = object) -> typing.Any:
+    _check(
+        len(contents) == 1 and isinstance(contents[0], kind),
+        f'one item of type {kind.__name__}',
+        contents,
+    )
+    return contents[0]
+
+
+def _check_sums(
+    contents: typing.Any, numbers: int
+) -> tuple[load_exchange.Counts, typing.Mapping[types.EndpointId, typing.Any]]:
+    """Return counts and outcomes by endpoint.
+
+    :param contents: both of them, decoded.
+    :param numbers: how many numbers the outcomes of an endpoint have.
+    :raises ValueError: if they are malformed.
+    """
+    _check(
+        isinstance(contents, list)
+        and len(contents) == 2
+        and all(map(_is_mapping, contents))
+        and all(_is_count(count) for count in contents[0].values())
+        and all(
+            isinstance(item, list | tuple)
+            and len(item) == numbers
+            and all(_is_number(number, _MAX_COUNT) for number in item)
+            for item in contents[1].values()
+        ),
+        f'counts and outcomes of {numbers} numbers by endpoint',
+        contents,
+    )
+    counts, outcomes = contents
+    return counts, outcomes
+
+
+def _is_mapping(value: typing.Any) -> bool:
+    return isinstance(value, dict) and all(
+        isinstance(key, str) for key in value
+    )
+
+
+def _is_count(value: typing.Any) -> bool:
+    return isinstance(value, int) and 0 <= value <= _MAX_COUNT
+
+
+def _is_number(value: typing.Any, most: float) -> bool:
+    # nan is not within any bounds.
+    return isinstance(value, int | float) and 0 <= value <= most
+
+
+def _check(is_valid: bool, expected: str, got: typing.Any) -> None:
+    if not is_valid:
+        raise ValueError(f'expected {expected}, got {got!r:.80}')
+
+
 def open_socket(address: model.Address) -> trio.socket.SocketType:
     """Open a bound datagram socket.
 
--- a/foxtailpick/gateway/server.py
+++ b/foxtailpick/gateway/server.py
@@ -1,8 +1,11 @@
 """Accepts callers' connections and handles their requests in order."""
 
+import contextlib
 import errno
 import functools
+import math
 import socket
+import traceback
 import typing
 
 import trio
@@ -26,6 +29,8 @@
 MAX_PIPELINED_REQUESTS = 8
 # Pause after a failed accept, such as when no descriptor is left.
 ACCEPT_RETRY_MS = 50.0
+# Time for a caller to read why its request was rejected, and to close.
+LINGER_MS = 1_000.0
 _NO_DESCRIPTOR_ERRNOS = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS))
 
 Handler = typing.Callable[
@@ -43,13 +48,29 @@
         # Whether a part of a request was read.
         self.is_reading = False
         self.idle_since_ms = 0.0
-        self.scope = trio.CancelScope()
+        # Whether to close the connection once no request is in flight.
+        self.is_closing = False
+        # The wait for the next bytes.
+        self.wait = trio.CancelScope()
 
     @property
     def is_busy(self) -> bool:
         """Whether a request was read, also in part, and not yet answered."""
         return self.is_reading or self.open_requests > 0
 
+    @property
+    def has_next(self) -> bool:
+        """Whether a request after the current one was read, also in part."""
+        return self.is_reading or self.open_requests > 1
+
+    def close_when_idle(self) -> None:
+        """Close the connection unless a request has already arrived.
+
+        Only the wait for a request is cancelled, never its handling.
+        """
+        self.is_closing = True
+        self.wait.cancel()
+
 
 class CallerServer:
     """Serves callers on one listening socket.
@@ -76,7 +97,7 @@
         now_ms = self._gw.now_ms()
         for caller in list(self._callers):
             if not caller.is_busy and now_ms - caller.idle_since_ms >= idle_ms:
-                caller.scope.cancel()
+                caller.close_when_idle()
 
     def _evict_idle(self) -> None:
         """Close the longest idle connection if there are too many."""
@@ -86,7 +107,7 @@
         idle = [caller for caller in self._callers if not caller.is_busy]
         if idle:
             oldest = min(idle, key=lambda caller: caller.idle_since_ms)
-            oldest.scope.cancel()
+            oldest.close_when_idle()
             self._gw.metrics.count('callers_closed_for_room')
             self._gw.log.emit_request(
                 'caller-closed',
@@ -127,15 +148,21 @@
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             send, receive = trio.open_memory_channel(MAX_PIPELINED_REQUESTS)
-            with caller.scope:
-                async with trio.open_nursery() as nursery:
-                    nursery.start_soon(self._read, caller, send, nursery)
-                    try:
-                        await self._answer(caller, receive, handle)
-                    except http1.BrokenConnectionError as exc:
-                        # The caller disconnected during the response.
-                        self._gw.log.emit_request('caller-lost', why=str(exc))
-                    nursery.cancel_scope.cancel()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._read, caller, send, nursery)
+                try:
+                    await self._answer(caller, receive, handle)
+                except http1.BrokenConnectionError as exc:
+                    # The caller disconnected during the response.
+                    self._gw.log.emit_request('caller-lost', why=str(exc))
+                nursery.cancel_scope.cancel()
+        except Exception as exc:
+            # The other connections are not affected.
+            self._gw.metrics.count('defects')
+            trace = ''.join(traceback.format_exception(exc))
+            self._gw.log.emit(
+                'defect', error=trace[-relay.MAX_TRACEBACK_CHARS :]
+            )
         finally:
             self._callers.discard(caller)
             sock.close()
@@ -148,45 +175,77 @@
     ) -> None:
         gw = self._gw
         reader = http1.RequestReader(lambda: gw.state.limits)
-        deadline = trio.CancelScope()
         try:
-            while True:
-                limits = gw.state.limits
-                limit_ms = limits.idle_timeout_ms
-                if reader.is_in_headers:
-                    limit_ms = limits.header_timeout_ms
-                elif caller.open_requests:
-                    limit_ms = float('inf')
-                with trio.move_on_after(
-                    limit_ms / types.SECOND_MS
-                ) as deadline:
-                    data = await http1.receive(caller.sock)
-                if deadline.cancelled_caught:
-                    if reader.is_in_request:
-                        raise http1.RequestRejected(408, 'request timed out')
-                    if caller.open_requests:
-                        continue
-                    break
-                if not data:
-                    break
+            while data := await self._receive(caller, reader):
                 requests = reader.feed(data, gw.now_ms())
                 caller.is_reading = reader.is_in_request
-                caller.open_requests += len(requests)
-                for req in requests:
-                    await send.send(req)
+                await self._queue_requests(caller, send, requests)
                 if reader.expects_continue:
                     reader.expects_continue = False
-                    await http1.send_all(
-                        caller.sock, b'HTTP/1.1 100 Continue\r\n\r\n'
-                    )
+                    # Sent by the task that sends the responses, after
+                    # those to earlier requests.
+                    await send.send(http1.CONTINUE)
         except http1.RequestRejected as exc:
+            # Until the rejection is sent.
+            caller.is_reading = True
+            await self._queue_requests(caller, send, exc.preceding)
             await send.send(exc)
-            return
+            await self._discard(caller)
         except http1.BrokenConnectionError:
             # A reset is handled like a close.
             pass
         nursery.cancel_scope.cancel()
 
+    async def _discard(self, caller: Caller) -> None:
+        """Wait until a caller disconnects, and ignore what it sends."""
+        with contextlib.suppress(http1.BrokenConnectionError):
+            while await http1.receive(caller.sock):
+                pass
+
+    async def _queue_requests(
+        self,
+        caller: Caller,
+        send: trio.MemorySendChannel,
+        requests: typing.Sequence[http1.Request],
+    ) -> None:
+        caller.open_requests += len(requests)
+        for req in requests:
+            await send.send(req)
+
+    async def _receive(
+        self, caller: Caller, reader: http1.RequestReader
+    ) -> bytes:
+        """Return the next bytes of a caller, none if it left or was idle.
+
+        :raises http1.RequestRejected: if a request takes too long to arrive.
+        """
+        began_s = trio.current_time()
+        while True:
+            limit_s = self._get_wait_limit_ms(caller, reader) / types.SECOND_MS
+            with trio.CancelScope(deadline=began_s + limit_s) as caller.wait:
+                return await http1.receive(caller.sock)
+            # Bytes may have arrived after the last poll for events.
+            data = http1.receive_arrived(caller.sock)
+            if data is not None:
+                return data
+            # A new configuration may have changed the limit.
+            limit_ms = self._get_wait_limit_ms(caller, reader)
+            if trio.current_time() - began_s < limit_ms / types.SECOND_MS:
+                continue
+            if reader.is_in_request:
+                raise http1.RequestRejected(408, 'request timed out')
+            return b''
+
+    def _get_wait_limit_ms(
+        self, caller: Caller, reader: http1.RequestReader
+    ) -> float:
+        limits = self._gw.state.limits
+        if reader.is_in_headers:
+            return limits.header_timeout_ms
+        if caller.open_requests:
+            return math.inf
+        return 0.0 if caller.is_closing else limits.idle_timeout_ms
+
     async def _answer(
         self,
         caller: Caller,
@@ -197,7 +256,10 @@
             if isinstance(item, http1.RequestRejected):
                 await self._reject(caller, item)
                 return
-            keeps_alive = item.keeps_alive and not self._gw.is_stopping
+            if item is http1.CONTINUE:
+                await http1.send_all(caller.sock, http1.CONTINUE)
+                continue
+            keeps_alive = functools.partial(self._keeps_alive, caller, item)
             reply = reply_lib.Reply(caller.sock, keeps_alive)
             await handle(item, reply)
             caller.open_requests -= 1
@@ -205,15 +267,27 @@
             if not reply.is_finished or not reply.keeps_alive:
                 return
 
+    def _keeps_alive(self, caller: Caller, req: http1.Request) -> bool:
+        """Tell whether the connection stays open after a response."""
+        if not req.keeps_alive:
+            return False
+        is_closing = self._gw.is_stopping or caller.is_closing
+        return not is_closing or caller.has_next
+
     async def _reject(
         self, caller: Caller, exc: http1.RequestRejected
     ) -> None:
         headers, body = reply_lib.format_error(
             errors.ErrorCode.REQUEST_MALFORMED.value, str(exc), None
         )
-        reply = reply_lib.Reply(caller.sock, False)
+        reply = reply_lib.Reply(caller.sock, lambda: False)
         await reply.send_response(exc.status, headers, body)
         self._gw.log.emit_request('rejected', status=exc.status, why=str(exc))
+        # A close with unread bytes resets the connection, and the caller
+        # may lose the response. The other task reads until it disconnects.
+        with contextlib.suppress(OSError):
+            caller.sock.shutdown(socket.SHUT_WR)
+        await trio.sleep(LINGER_MS / types.SECOND_MS)
 
 
 def make_handler(gw: context.Gateway) -> Handler:
