--- a/foxtailpick/gateway/quarantine.py
+++ b/foxtailpick/gateway/quarantine.py
@@ -98,8 +98,7 @@
     """Tell whether an endpoint that closed a connection accepts no other.
 
     An endpoint that lives may close or reset one connection, and keeps the
-    next one open. All requests
-    whose connections it closed share one check.
+    next one open. All requests whose connections it closed share one check.
 
     :param gw: the gateway.
     :param endpoint: the endpoint.
