Excuse a call that is cut off up to a second after the grace period

Cause: the check of lost calls excused the end of the grace period only up to 200 ms after it, while the rule counts planned work until 1 s after it. Callers saw a stream end with its gateway.

Change: the bound is 1 s, as the rule says. A case on each side of it is tested; the nearer one fails with the bound of 200 ms.

--- a/foxtailpick/soak/losses.py
+++ b/foxtailpick/soak/losses.py
@@ -17,6 +17,8 @@
 
 # A request may cross the close of its connection by this much.
 LOSS_SLACK_MS = 200.0
+# Planned work lasts until this long after the grace period.
+GRACE_MARGIN_MS = 1_000.0
 # Rounding of deadlines between callers and gateways.
 DEADLINE_MARGIN_MS = 20.0
 
@@ -131,7 +133,7 @@
     """Tell whether a call was still at work at the end of its gateway."""
     grace_ms = record.grace_ms
     return any(
-        stop_ms <= call.ended_ms <= stop_ms + grace_ms + LOSS_SLACK_MS
+        stop_ms <= call.ended_ms <= stop_ms + grace_ms + GRACE_MARGIN_MS
         and call.sent_ms <= stop_ms + record_lib.EXCUSED_AFTER_STOP_MS
         and any(
             (run.ended_ms or float('inf'))
--- a/foxtailpick/tests/test_soak_silence.py
+++ b/foxtailpick/tests/test_soak_silence.py
@@ -143,6 +143,16 @@
         ({}, {'stops': {'g1': [17_500.0]}}, Excuse.GRACE_ENDED),
         ({}, {'stops': {'g1': [18_500.0]}}, None),
         ({}, {'stops': {'g1': [16_900.0]}}, None),
+        (
+            {'sent_ms': 19_000.0},
+            {'stops': {'g1': [16_300.0]}},
+            Excuse.GRACE_ENDED,
+        ),
+        (
+            {'sent_ms': 19_000.0},
+            {'stops': {'g1': [16_100.0]}},
+            None,
+        ),
         ({}, {'stops': {'g2': [17_500.0]}}, None),
     ],
 )
