Keep the port of a crashed endpoint of the soak reserved

Cause: an endpoint that crashes closed its listening socket and bound the port again 300 ms later; meanwhile another process could get the port.

Change: the port is bound again at once and listened on only later, so that connections are refused meanwhile. test_port_of_a_crashed_endpoint_stays_reserved failed before.

--- a/foxtailpick/soak/proxy.py
+++ b/foxtailpick/soak/proxy.py
@@ -111,8 +111,15 @@
                         await self._accepts.wait()
                         client, _ = await self._sock.accept()
                         nursery.start_soon(self._serve_one, client)
+                # Bound but not listening: connections are refused, and no
+                # other process gets the port.
+                self._sock = trio.socket.socket()
+                self._sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_REUSEADDR, 1
+                )
+                await self._sock.bind(self.address)
                 await trio.sleep(self._down_ms / types.SECOND_MS)
-                self._sock = http1.listen(self.address, BACKLOG)
+                self._sock.listen(BACKLOG)
 
     async def _serve_one(self, client: trio.socket.SocketType) -> None:
         if self.fault is Fault.RESET:
--- a/foxtailpick/tests/test_soak.py
+++ b/foxtailpick/tests/test_soak.py
@@ -2,6 +2,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from foxtailpick.core.dispatch import model
 from foxtailpick.soak import proxy
@@ -248,6 +249,21 @@
         conn.close()
 
 
+async def test_port_of_a_crashed_endpoint_stays_reserved(nursery):
+    fault_proxy = proxy.Proxy(('127.0.0.1', 1))
+    nursery.start_soon(fault_proxy.serve)
+    await trio.testing.wait_all_tasks_blocked()
+    fault_proxy.crash(100.0)
+    await trio.testing.wait_all_tasks_blocked(0.01)
+    with trio.socket.socket() as sock, pytest.raises(ConnectionRefusedError):
+        await sock.connect(fault_proxy.address)
+    with trio.socket.socket() as sock, pytest.raises(OSError):
+        await sock.bind(fault_proxy.address)
+    await trio.sleep(0.2)
+    with trio.socket.socket() as sock:
+        await sock.connect(fault_proxy.address)
+
+
 @pytest.mark.parametrize('seed', [1, 2])
 def test_seeded_run_of_real_processes(seed):
     run.run_seed(seed)
