Split the execution of requests from the relay, and streams from attempts

Placement, retries and hedging of a request move to gateway/execution, the relay of one stream to gateway/stream_relay; no decision changes.

--- a/foxtailpick/gateway/attempt.py
+++ b/foxtailpick/gateway/attempt.py
@@ -1,13 +1,11 @@
 """Executes one attempt of a request at one endpoint."""
 
 import dataclasses
-import typing
 
 import trio
 
 from foxtailpick.core.dispatch import crash_quarantine
 from foxtailpick.core.dispatch import endpoint_table
-from foxtailpick.core.dispatch import event_stream
 from foxtailpick.core.dispatch import health
 from foxtailpick.core.dispatch import model
 from foxtailpick.core.dispatch import placing
@@ -24,6 +22,7 @@
 from foxtailpick.gateway import job as job_lib
 from foxtailpick.gateway import quarantine
 from foxtailpick.gateway import reply as reply_lib
+from foxtailpick.gateway import stream_relay
 
 # Late answers to earlier requests that are skipped on a reused connection.
 MAX_FOREIGN_ANSWERS = 4
@@ -53,25 +52,6 @@
     silent_ms: float | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class GroupHooks:
-    """How an attempt acts on the others of the same request.
-
-    :param report_sent: reports that the request is sent.
-    :param report_begun: reports that the endpoint has begun a stream.
-    :param report_silence: reports that the endpoint is silent or, with
-        False, that it no longer is.
-    :param claim: tells whether this attempt may write to the caller, False
-        if another one does. With True, as for a whole event or response,
-        the others are cancelled.
-    """
-
-    report_sent: typing.Callable[[], None]
-    report_begun: typing.Callable[[], None]
-    report_silence: typing.Callable[[bool], None]
-    claim: typing.Callable[[bool], bool]
-
-
 def reserve(endpoint: endpoint_table.Endpoint, now_ms: float) -> None:
     """Count an attempt at an endpoint, which is about to start.
 
@@ -100,7 +80,7 @@
     job: job_lib.Job,
     choice: placing.Choice,
     reply: reply_lib.Reply,
-    hooks: GroupHooks,
+    hooks: context.GroupHooks,
 ) -> AttemptResult:
     """Send a request to an endpoint and relay the response.
 
@@ -233,7 +213,7 @@
     attempt: context.Attempt,
     conn: client_lib.ClientConnection,
     reply: reply_lib.Reply,
-    hooks: GroupHooks,
+    hooks: context.GroupHooks,
 ) -> AttemptResult:
     data = _format_request(gw, job, choice)
     if len(data) <= http1.INLINE_BODY_BYTES:
@@ -302,7 +282,7 @@
     attempt: context.Attempt,
     conn: client_lib.ClientConnection,
     reply: reply_lib.Reply,
-    hooks: GroupHooks,
+    hooks: context.GroupHooks,
 ) -> AttemptResult:
     sent_ms = gw.now_ms()
     head, meta = await _read_head(gw, job, attempt, conn)
@@ -341,9 +321,10 @@
         job.answered_ms = now_ms
     if is_success and job.route.kind is model.RequestKind.STREAMING:
         hooks.report_begun()
-        return await _relay_stream(
+        await stream_relay.relay_stream(
             gw, job, attempt, conn, reply, hooks, head, meta
         )
+        return AttemptResult(retry_decision.AttemptEnd.DELIVERED)
     body = await endpoint_io.read_body(gw, conn)
     if not is_success:
         if head.status >= _SERVER_ERROR:
@@ -355,9 +336,11 @@
             f'status {head.status}',
             job_lib.BufferedResponse(head.status, meta, body),
         )
-    await _claim_response(hooks, True)
+    await stream_relay.claim_response(hooks, True)
     await reply.send_response(
-        head.status, [*meta.forwarded, *_get_signature_headers(meta)], body
+        head.status,
+        [*meta.forwarded, *stream_relay.get_signature_headers(meta)],
+        body,
     )
     return AttemptResult(retry_decision.AttemptEnd.DELIVERED)
 
@@ -389,131 +372,6 @@
     )
 
 
-async def _relay_stream(
-    gw: context.Gateway,
-    job: job_lib.Job,
-    attempt: context.Attempt,
-    conn: client_lib.ClientConnection,
-    reply: reply_lib.Reply,
-    hooks: GroupHooks,
-    head: client_lib.ResponseHead,
-    meta: model.ResponseMeta,
-) -> AttemptResult:
-    splitter = job.splitter
-    boundary = event_stream.EventBoundary()
-    is_closed = head.framing is client_lib.Framing.CLOSE
-    is_sound = False
-    # Data before the first whole event: until then another attempt may go
-    # on, and the splitter holds the state of its stream.
-    early = b''
-    is_taken_over = False
-    while True:
-        chunk, is_ended = await _read_chunk(gw, attempt, conn)
-        _feed(boundary, chunk)
-        job.is_within_event = boundary.is_within_event
-        if not is_taken_over:
-            early += chunk
-            is_whole = is_ended and not is_closed
-            if not (boundary.has_event or is_whole or splitter is None):
-                await _claim_response(hooks, False)
-                if is_ended:
-                    break
-                continue
-            chunk = early
-        await _claim_response(hooks, not boundary.is_within_event)
-        if not is_taken_over:
-            is_taken_over = True
-            _take_over_stream(job, reply, head, meta)
-        if splitter is not None:
-            chunk = _split_events(splitter, chunk)
-        if not is_sound and _is_past_start(gw, attempt):
-            is_sound = True
-            quarantine.record_sound(gw, job)
-        if chunk:
-            await reply.send_chunk(chunk)
-        if is_ended:
-            break
-    if boundary.is_within_event or (
-        splitter is not None and not splitter.is_at_boundary
-    ):
-        raise endpoint_io.InvalidResponseError(
-            'stream ended within an event', is_closed
-        )
-    if boundary.is_empty and is_closed:
-        # Only the close of the connection says that this is all.
-        raise endpoint_io.InvalidResponseError(
-            'stream closed before its first event', is_closed
-        )
-    await reply.finish()
-    return AttemptResult(retry_decision.AttemptEnd.DELIVERED)
-
-
-async def _read_chunk(
-    gw: context.Gateway,
-    attempt: context.Attempt,
-    conn: client_lib.ClientConnection,
-) -> tuple[bytes, bool]:
-    """Return what has arrived of a body, and whether it ends there."""
-    data: list[bytes] = []
-    event = await endpoint_io.next_event(gw, attempt, conn)
-    while event is not client_lib.END:
-        if not isinstance(event, bytes):
-            raise endpoint_io.InvalidResponseError(
-                'expected a body, got a second head'
-            )
-        data.append(event)
-        # Parts that have already arrived go out in the same write.
-        if not conn.has_events():
-            return b''.join(data), False
-        event = await conn.next_event()
-    return b''.join(data), True
-
-
-async def _claim_response(hooks: GroupHooks, is_answer: bool) -> None:
-    if not hooks.claim(is_answer):
-        # Another attempt answers, and this one is already cancelled.
-        await trio.sleep_forever()
-
-
-def _take_over_stream(
-    job: job_lib.Job,
-    reply: reply_lib.Reply,
-    head: client_lib.ResponseHead,
-    meta: model.ResponseMeta,
-) -> None:
-    if not reply.is_started:
-        reply.begin(
-            head.status, [*meta.forwarded, *_get_signature_headers(meta)]
-        )
-    if job.splitter is not None:
-        job.splitter.drop_incomplete_event()
-
-
-def _is_past_start(gw: context.Gateway, attempt: context.Attempt) -> bool:
-    return (
-        attempt.answered_ms is not None
-        and gw.now_ms() - attempt.answered_ms >= crash_quarantine.SOUND_MS
-    )
-
-
-def _feed(boundary: event_stream.EventBoundary, data: bytes) -> None:
-    try:
-        boundary.feed(data)
-    except ValueError as exc:
-        raise endpoint_io.InvalidResponseError(str(exc)) from exc
-
-
-def _split_events(splitter: event_stream.EventSplitter, data: bytes) -> bytes:
-    try:
-        return splitter.feed(data)
-    except ValueError as exc:
-        raise endpoint_io.InvalidResponseError(str(exc)) from exc
-
-
-def _get_signature_headers(meta: model.ResponseMeta) -> list[model.RawHeader]:
-    return [meta.signature] if meta.signature is not None else []
-
-
 def record_failure(
     gw: context.Gateway,
     endpoint: endpoint_table.Endpoint,
--- a/foxtailpick/gateway/attempt_group.py
+++ b/foxtailpick/gateway/attempt_group.py
@@ -161,7 +161,7 @@
         if result is not None and not runner.is_replaced:
             self._send.send_nowait(Ended(runner, result))
 
-    def _make_hooks(self, runner: Runner) -> attempt_lib.GroupHooks:
+    def _make_hooks(self, runner: Runner) -> context.GroupHooks:
         def report_sent() -> None:
             runner.is_sent = True
 
@@ -170,7 +170,7 @@
             if len(self.runners) > 1:
                 self._send.send_nowait(None)
 
-        return attempt_lib.GroupHooks(
+        return context.GroupHooks(
             report_sent=report_sent,
             report_begun=report_begun,
             report_silence=lambda is_silent: self._report_silence(
--- a/foxtailpick/gateway/context.py
+++ b/foxtailpick/gateway/context.py
@@ -69,6 +69,25 @@
     is_withdrawn: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class GroupHooks:
+    """How an attempt acts on the others of the same request.
+
+    :param report_sent: reports that the request is sent.
+    :param report_begun: reports that the endpoint has begun a stream.
+    :param report_silence: reports that the endpoint is silent or, with
+        False, that it no longer is.
+    :param claim: tells whether this attempt may write to the caller, False
+        if another one does. With True, as for a whole event or response,
+        the others are cancelled.
+    """
+
+    report_sent: typing.Callable[[], None]
+    report_begun: typing.Callable[[], None]
+    report_silence: typing.Callable[[bool], None]
+    claim: typing.Callable[[bool], bool]
+
+
 @dataclasses.dataclass(slots=True)
 class EndCheck:
     """A check whether an endpoint that closed a connection has ended.
--- /dev/null
+++ b/foxtailpick/gateway/execution.py
@@ -0,0 +1,349 @@
+"""Executes a request: chooses endpoints, retries and hedges its attempts."""
+
+import typing
+
+import trio
+
+from foxtailpick.core.dispatch import admission_queue
+from foxtailpick.core.dispatch import endpoint_table
+from foxtailpick.core.dispatch import hedging
+from foxtailpick.core.dispatch import model
+from foxtailpick.core.dispatch import placing
+from foxtailpick.core.dispatch import refusal
+from foxtailpick.core.dispatch import retry_decision
+from foxtailpick.core import errors
+from foxtailpick.core import types
+from foxtailpick.core import verdict as verdict_lib
+from foxtailpick.gateway import admission
+from foxtailpick.gateway import attempt as attempt_lib
+from foxtailpick.gateway import attempt_group
+from foxtailpick.gateway import context
+from foxtailpick.gateway import job as job_lib
+from foxtailpick.gateway import quarantine
+from foxtailpick.gateway import reply as reply_lib
+
+# Interval between attempts to choose an endpoint while none is available.
+PLACEMENT_RETRY_INTERVAL_MS = 15.0
+# Prompt parts named in a log line, besides the request's own last one.
+MAX_LOGGED_PARTS = 8
+
+_NOT_REACHED = (
+    retry_decision.AttemptEnd.UNREACHABLE,
+    retry_decision.AttemptEnd.MISDIRECTED,
+)
+
+
+async def run_attempts(
+    gw: context.Gateway, job: job_lib.Job, reply: reply_lib.Reply
+) -> model.Outcome:
+    """Send a request to endpoints until one answers, and relay the answer.
+
+    :param gw: the gateway.
+    :param job: the request.
+    :param reply: writer of the response to the caller.
+    :raises errors.RequestError: if no endpoint answers.
+    :raises http1.BrokenConnectionError: if the caller disconnected.
+    """
+    quarantine.check_request(gw, job)
+    await admission.wait_for_slot(gw, job)
+    outcome = model.Outcome.CALLER_LEFT
+    error: Exception | None = None
+    async with trio.open_nursery() as nursery:
+        group = attempt_group.AttemptGroup(gw, job, reply, nursery)
+        try:
+            outcome = await _relay_attempts(gw, job, reply, group)
+        except Exception as exc:
+            # Raised below: the nursery would wrap it in an exception group.
+            error = exc
+        nursery.cancel_scope.cancel()
+    if error is not None:
+        raise error
+    return outcome
+
+
+async def _relay_attempts(
+    gw: context.Gateway,
+    job: job_lib.Job,
+    reply: reply_lib.Reply,
+    group: attempt_group.AttemptGroup,
+) -> model.Outcome:
+    while True:
+        choice = await _wait_for_endpoint(gw, job)
+        job.error_response = None
+        group.start(choice)
+        runner, result, end = await _wait_for_result(gw, job, reply, group)
+        if result.end is retry_decision.AttemptEnd.DELIVERED:
+            admission_queue.record_run(
+                gw.get_queue(job.service.name),
+                gw.now_ms() - runner.started_ms,
+            )
+            if job.route.kind is model.RequestKind.STREAMING:
+                gw.stream_timing.observe(
+                    gw.now_ms() - job.req.received_ms,
+                    job.meta.output_tokens,
+                )
+            return model.Outcome.ANSWERED
+        plan = retry_decision.decide_retry(
+            end,
+            job.route,
+            job.counted_attempts,
+            job.unreached,
+            gw.budget.get_tokens(job.service.name) >= 1,
+            quarantine.may_crash(gw, job),
+        )
+        if (
+            plan is retry_decision.RetryDecision.ALLOWED
+            and not _has_untried_endpoint(gw, job)
+        ):
+            plan = retry_decision.RetryDecision.NO_ATTEMPT_LEFT
+        _log_failed_attempt(gw, job, reply, runner, result, plan)
+        if plan is retry_decision.RetryDecision.ALLOWED:
+            if job.sends:
+                gw.budget.withdraw(job.service.name)
+                gw.metrics.count('repeats')
+            continue
+        if job.error_response is not None and not reply.is_started:
+            return await attempt_lib.deliver_error(
+                job, job.error_response, reply
+            )
+        raise _make_attempt_error(gw, job, result)
+
+
+class _Result(typing.NamedTuple):
+    """Outcome of the attempts that were in flight together.
+
+    :param runner: the attempt with the result.
+    :param result: the delivered response or, if there is none, the last
+        error response or failure.
+    :param end: the end that decides on a retry.
+    """
+
+    runner: attempt_group.Runner
+    result: attempt_lib.AttemptResult
+    end: retry_decision.AttemptEnd
+
+
+async def _wait_for_result(
+    gw: context.Gateway,
+    job: job_lib.Job,
+    reply: reply_lib.Reply,
+    group: attempt_group.AttemptGroup,
+) -> _Result:
+    """Wait until a response was delivered or no attempt is in flight."""
+    ended: list[attempt_group.Ended] = []
+    while True:
+        event = await group.next_event()
+        if isinstance(event, attempt_group.Runner):
+            _hedge(gw, job, group, event)
+            continue
+        result = event.result
+        if isinstance(result, errors.RequestError) and group.runners:
+            gw.log.emit_request(
+                'attempt-refused', request=job.meta.id, why=result.message
+            )
+            continue
+        if isinstance(result, Exception):
+            raise result
+        if result.end in _NOT_REACHED:
+            job.unreached += 1
+        if result.end is retry_decision.AttemptEnd.DELIVERED:
+            return _Result(event.runner, result, result.end)
+        if result.response is not None:
+            job.error_response = result.response
+        ended.append(event)
+        if not group.runners:
+            break
+        _log_failed_attempt(
+            gw,
+            job,
+            reply,
+            event.runner,
+            result,
+            retry_decision.RetryDecision.ATTEMPT_PENDING,
+        )
+    ends = [item.result.end for item in ended]
+    return _Result(
+        event.runner, result, retry_decision.choose_decisive_end(ends)
+    )
+
+
+def _hedge(
+    gw: context.Gateway,
+    job: job_lib.Job,
+    group: attempt_group.AttemptGroup,
+    runner: attempt_group.Runner,
+) -> None:
+    """Send a silent request to another endpoint as well, if possible."""
+    if runner not in group.runners:
+        # It has ended since; its end is the next event.
+        return
+    decision = hedging.decide_hedge(
+        job.route,
+        job.counted_attempts,
+        group.is_each_silent,
+        gw.budget.get_tokens(job.service.name) >= 1,
+        quarantine.may_crash(gw, job),
+    )
+    choice = None
+    if decision is hedging.HedgeDecision.ALLOWED:
+        found = _choose_endpoint(gw, job).found
+        if (
+            isinstance(found, placing.Choice)
+            and found.reason is not placing.Reason.LAST_RESORT
+        ):
+            choice = found
+        else:
+            decision = hedging.HedgeDecision.NO_ENDPOINT
+    if decision is not runner.decision:
+        runner.decision = decision
+        gw.log.emit_request(
+            'silent',
+            request=job.meta.id,
+            endpoint=runner.choice.endpoint.id,
+            ms_taken=round(gw.now_ms() - runner.started_ms, 1),
+            hedge=decision.value,
+            sent=job.counted_attempts,
+        )
+    if choice is None:
+        return
+    gw.budget.withdraw(job.service.name)
+    gw.metrics.count('repeats')
+    gw.metrics.count('hedges')
+    _log_placement(gw, job, choice, gw.now_ms())
+    group.start(choice)
+
+
+class _Placement(typing.NamedTuple):
+    """Outcome of one try to choose an endpoint.
+
+    :param found: the choice, or the reason why there is none.
+    :param endpoints: the endpoints to choose from.
+    """
+
+    found: placing.Choice | placing.Obstacle
+    endpoints: list[endpoint_table.Endpoint]
+
+
+def _choose_endpoint(gw: context.Gateway, job: job_lib.Job) -> _Placement:
+    now_ms = gw.now_ms()
+    table = gw.state.table
+    service = job.service.name
+    query = placing.Query(
+        service=job.service,
+        prefix=job.prefix,
+        tried=frozenset(job.tried),
+        routers=gw.state.router_count,
+        now_ms=now_ms,
+        service_mean_load=table.compute_mean_load(service),
+        leaving=table.list_leaving(service, now_ms),
+    )
+    endpoints = table.list_service(service) or table.list_last_resort(
+        service, now_ms
+    )
+    found = placing.choose_endpoint(endpoints, query, gw.rng)
+    return _Placement(found, endpoints)
+
+
+async def _wait_for_endpoint(
+    gw: context.Gateway, job: job_lib.Job
+) -> placing.Choice:
+    began_ms = gw.now_ms()
+    while True:
+        found, endpoints = _choose_endpoint(gw, job)
+        now_ms = gw.now_ms()
+        if isinstance(found, placing.Choice):
+            _log_placement(gw, job, found, now_ms)
+            return found
+        rest_ms = 0.0
+        if found is placing.Obstacle.ALL_RESTING:
+            rest_ms = placing.compute_rest_ms(endpoints, job.tried, now_ms)
+        longest_ms = refusal.compute_max_wait_ms(
+            found, job.route.target_ms, rest_ms
+        )
+        if now_ms - began_ms >= longest_ms:
+            raise admission.make_unavailable_error(
+                gw, job, found, len(endpoints), rest_ms
+            )
+        await trio.sleep(PLACEMENT_RETRY_INTERVAL_MS / types.SECOND_MS)
+
+
+def _has_untried_endpoint(gw: context.Gateway, job: job_lib.Job) -> bool:
+    return any(
+        item.id not in job.tried
+        for item in gw.state.table.list_service(job.service.name)
+    )
+
+
+def _make_attempt_error(
+    gw: context.Gateway, job: job_lib.Job, result: attempt_lib.AttemptResult
+) -> errors.RequestError:
+    if job.verdict is verdict_lib.Verdict.NOT_RUN:
+        return admission.make_unavailable_error(
+            gw, job, placing.Obstacle.ALL_TRIED, len(job.tried)
+        )
+    return errors.RequestError(
+        errors.ErrorCode.ENDPOINT_FAILED,
+        f'expected an answer of an endpoint, got {result.detail}; the '
+        f'request may have run',
+        job.verdict,
+    )
+
+
+def _log_failed_attempt(
+    gw: context.Gateway,
+    job: job_lib.Job,
+    reply: reply_lib.Reply,
+    runner: attempt_group.Runner,
+    result: attempt_lib.AttemptResult,
+    plan: retry_decision.RetryDecision,
+) -> None:
+    gw.log.emit_request(
+        'attempt-failed',
+        request=job.meta.id,
+        endpoint=runner.choice.endpoint.id,
+        end=result.end.value,
+        why=result.detail,
+        ms_answering=_compute_answering_ms(gw, result),
+        ms_silent=_round_ms(result.silent_ms),
+        relayed=reply.is_started,
+        repeat=plan.value,
+        sent=job.counted_attempts,
+    )
+    gw.metrics.count('attempts_failed')
+
+
+def _log_placement(
+    gw: context.Gateway,
+    job: job_lib.Job,
+    choice: placing.Choice,
+    now_ms: float,
+) -> None:
+    endpoint = choice.endpoint
+    gw.log.emit_request(
+        'placed',
+        request=job.meta.id,
+        route=job.route.name,
+        endpoint=endpoint.id,
+        why=choice.reason.value,
+        prompt=job.prefix,
+        parts=[part.id for part in job.meta.parts[:-1][:MAX_LOGGED_PARTS]],
+        load=round(endpoint.load, 1),
+        mean=round(choice.mean_load, 1),
+        of=choice.candidates,
+        service_mean=round(choice.service_mean_load, 1),
+        fetch=choice.holder.id if choice.holder else None,
+        load_age_ms=endpoint.compute_load_age_ms(now_ms),
+        config=gw.state.cfg.number if gw.state.cfg else None,
+    )
+
+
+def _compute_answering_ms(
+    gw: context.Gateway, result: attempt_lib.AttemptResult
+) -> float | None:
+    if result.answered_ms is None:
+        return None
+    return round(gw.now_ms() - result.answered_ms, 1)
+
+
+def _round_ms(took_ms: float | None) -> float | None:
+    return None if took_ms is None else round(took_ms, 1)
