--- a/foxtailpick/core/dispatch/crash_quarantine.py
+++ b/foxtailpick/core/dispatch/crash_quarantine.py
@@ -36,7 +36,8 @@
 # An answer of this length is sound; the endpoint has survived its start.
 SOUND_MS = 1_000.0
 MAX_QUARANTINE_MS = 600_000.0
-# A quarantine ends if nobody asks for it for this long after a test is due.
+# A quarantine ends if no request has its signature for this long after a test
+# is due.
 EXPIRY_MS = 600_000.0
 # The age of the latest request is sent in these steps, rounded up, so that
 # it is no news each time.
@@ -94,7 +95,7 @@
         )
 
     def is_expired(self, now_ms: float) -> bool:
-        """Tell whether nobody has asked for it for a long time.
+        """Tell whether no request has had its signature for a long time.
 
         :param now_ms: current time.
         """
--- a/foxtailpick/gateway/quarantine.py
+++ b/foxtailpick/gateway/quarantine.py
@@ -264,7 +264,7 @@
 
 
 def _list_watched(gw: context.Gateway, job: job_lib.Job) -> Kinds:
-    """Like `_list_kinds`, without a signature that nobody asks for.
+    """Like `_list_kinds`, without the whole request if none is suspected.
 
     The body of a request is hashed only while one is suspected.
     """
