--- a/foxtailpick/tests/test_announcements.py
+++ b/foxtailpick/tests/test_announcements.py
@@ -316,7 +316,7 @@
     assert leaving.record_leaving(60_000.0)
     assert table.list_last_resort('engine', 60_500.0)
     assert table.list_last_resort('engine', 61_000.0) == []
-    # Nothing that is told later brings it back.
+    # No later report of another router reverts it.
     assert not leaving.record_told()
     assert table.list_last_resort('engine', 61_000.0) == []
 
