--- a/foxtailpick/tests/engine_model.py
+++ b/foxtailpick/tests/engine_model.py
@@ -15,6 +15,7 @@
 from foxtailpick.core.dispatch import account_usage
 from foxtailpick.core.dispatch import admission_queue
 from foxtailpick.core.dispatch import endpoint_table
+from foxtailpick.core.dispatch import load_exchange
 from foxtailpick.core.dispatch import placing
 from foxtailpick.tests import gateway_harness
 
@@ -197,11 +198,12 @@
 class Router:
     """State and queue of one simulated router."""
 
-    def __init__(self, engines, seed, evacuated=()):
+    def __init__(self, engines, seed, evacuated=(), domains=DOMAINS):
         self.table = endpoint_table.EndpointTable()
+        self.sent = load_exchange.SentCounts()
         for number, name in enumerate(engines):
             entry = gateway_harness.make_endpoint_entry(
-                name, slots=SLOTS, domain=f'd{number % DOMAINS}'
+                name, slots=SLOTS, domain=f'd{number % domains}'
             )
             self.table.put(entry, 0.0)
         self.table.set_evacuated(evacuated, {}, 0.0)
@@ -249,17 +251,34 @@
 
     :param has_shares: whether accounts have equal shares of a full service.
     :param evacuated: failure domains whose engines get no requests.
+    :param domains: number of failure domains.
+    :param has_hub: whether the first router sums the counts that the others
+        report to it, as in the program; otherwise all routers know each
+        other's counts at the same moment.
     """
 
     def __init__(
-        self, service, has_shares=True, engines=6, routers=4, evacuated=()
+        self,
+        service,
+        has_shares=True,
+        engines=6,
+        routers=4,
+        evacuated=(),
+        domains=DOMAINS,
+        has_hub=False,
     ):
         self.service = service
         self.has_shares = has_shares
         self.engines = {f'e{n}': Engine(f'e{n}') for n in range(engines)}
         self.routers = [
-            Router(self.engines, seed, evacuated) for seed in range(routers)
+            Router(self.engines, seed, evacuated, domains)
+            for seed in range(routers)
         ]
+        self.has_hub = has_hub
+        self._reports = load_exchange.HubReports()
+        # Routers send at different moments.
+        rng = random.Random(routers)
+        self._report_ms = [rng.uniform(0, EXCHANGE_MS) for _ in self.routers]
         self.now_ms = 0.0
 
     def run(self, runs):
@@ -268,7 +287,9 @@
             sorted(runs, key=lambda run: run.arrived_ms)
         )
         while pending or self._is_busy():
-            if self.now_ms % EXCHANGE_MS == 0:
+            if self.has_hub:
+                self._report()
+            elif self.now_ms % EXCHANGE_MS == 0:
                 _exchange([router.table for router in self.routers], 0.0)
             while pending and pending[0].arrived_ms <= self.now_ms:
                 run = pending.popleft()
@@ -286,6 +307,22 @@
             router.queue.items for router in self.routers
         )
 
+    def _report(self):
+        for number, router in enumerate(self.routers):
+            if self.now_ms < self._report_ms[number]:
+                continue
+            self._report_ms[number] += EXCHANGE_MS
+            sequence, counts = router.sent.next_counts(router.table)
+            self._reports.record(number, sequence, counts, self.now_ms)
+            if number == 0:
+                self._send_totals()
+
+    def _send_totals(self):
+        sums = self._reports.sum_counts(self.now_ms)
+        for number, sequence in self._reports.list_routers():
+            router = self.routers[number]
+            router.sent.apply_counts(router.table, sums, sequence, self.now_ms)
+
     def _release(self):
         for router in self.routers:
             for run in router.release(len(self.routers), self.now_ms):
--- a/foxtailpick/tests/test_load_limit.py
+++ b/foxtailpick/tests/test_load_limit.py
@@ -76,3 +76,26 @@
     simulation.run(runs)
     above = sum(run.is_above_limit for run in runs)
     assert above <= MAX_SHARE_ABOVE * len(runs)
+
+
+@pytest.mark.parametrize('rate_per_s', [100, 150])
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_limit_holds_while_half_of_a_service_is_out(seed, rate_per_s):
+    """Simulates a hunted day: the limit is the mean of the rest plus three."""
+    runs = engine_model.make_runs(
+        rate_per_s,
+        8,
+        seed=seed,
+        prompt=lambda rng: f'p{int(40 * rng.random() ** 3)}',
+    )
+    simulation = engine_model.Simulation(
+        SERVICE,
+        has_shares=False,
+        engines=8,
+        domains=2,
+        evacuated=['d1'],
+        has_hub=True,
+    )
+    simulation.run(runs)
+    above = sum(run.is_above_limit for run in runs)
+    assert above <= MAX_SHARE_ABOVE * len(runs)
