Spread requests by stale counts where the load limit leaves little room

Cause: the bound shrinks towards the mean of the endpoints in use while part of a service is out, but it is checked against counts that are 80 to 300 ms old and alike at all gateways. All of them chose the endpoint shown below the mean until the next totals of the hub.

Change: where the room is less than what other gateways may have sent unseen, requests are spread at random, weighted by load; counts are then exchanged every 50 ms, as far as the hub can take it. Outcomes of requests are still applied at the usual interval. load-above-limit logs what the next totals show.

--- a/foxtailpick/core/dispatch/load_exchange.py
+++ b/foxtailpick/core/dispatch/load_exchange.py
@@ -4,7 +4,10 @@
 response from an engine only every few seconds, while requests for hot
 prompts accumulate at one engine. One router, the hub, sums the requests in
 flight of all routers and sends the totals to each. The number of messages
-grows linearly with the number of routers, not with its square. A router that
+grows linearly with the number of routers, not with its square. While part of
+a service is unavailable, the others are close to their limit, and counts are
+exchanged at shorter intervals, as far as the hub can handle them. A router
+that
 is taken for the hub and is not names the hub it knows. Without a reachable
 hub, a router falls back to the load reports in responses.
 """
@@ -29,6 +32,14 @@
 HUB_TIMEOUT_MS = 700.0
 # Time until a replaced hub is tried again.
 HUB_BACKOFF_MS = 4_000.0
+# Interval of the exchange. Under the usual load an engine starts about one
+# request in this time, so a shorter interval would hardly improve the counts.
+INTERVAL_MS = 150.0
+# Interval while the load bound leaves little room above the mean.
+FAST_INTERVAL_MS = 50.0
+# Shortest interval for each router, since the hub reads a message of each and
+# writes one to each.
+FAST_INTERVAL_PER_ROUTER_MS = 3.0
 # Number of sent counts kept because totals in flight may contain them.
 MAX_SENT_COUNTS = 8
 
@@ -98,6 +109,18 @@
         ]
 
 
+def compute_interval_ms(routers: int, needs_fresh_counts: bool) -> float:
+    """Return the time between two messages of a router.
+
+    :param routers: number of routers.
+    :param needs_fresh_counts: whether a load bound leaves little room.
+    """
+    if not needs_fresh_counts:
+        return INTERVAL_MS
+    shortest_ms = max(FAST_INTERVAL_MS, FAST_INTERVAL_PER_ROUTER_MS * routers)
+    return min(INTERVAL_MS, shortest_ms)
+
+
 class HubSelector:
     """Selects the hub that a router reports to."""
 
--- a/foxtailpick/core/dispatch/placing.py
+++ b/foxtailpick/core/dispatch/placing.py
@@ -6,7 +6,9 @@
 coordination. A load bound sends the overflow of a hot prompt to the next
 endpoint in its rendezvous order before the first one is overloaded. While
 part of a service is unavailable, the rest has more than its mean load; the
-bound follows the mean of the service, to which the limit applies. An
+bound follows the mean of the service, to which the limit applies. If this
+leaves less room than routers with the same stale counts may use up together,
+requests are spread over the rest without affinity. An
 overflowing request fetches the cached prompt from its home endpoint, the
 first in that order, instead of having it processed again. If nearly all
 slots are in use, prompt affinity does not queue requests at a full
@@ -26,6 +28,7 @@
 from foxtailpick.core.dispatch import endpoint_table
 from foxtailpick.core.dispatch import model
 from foxtailpick.core.dispatch import shared_health
+from foxtailpick.core.dispatch import stale_load
 from foxtailpick.core.dispatch import token_bucket
 from foxtailpick.core import ring
 from foxtailpick.core import types
@@ -33,12 +36,22 @@
 # Load bounds: a multiple of the mean load plus a number of requests. Between
 # the two bounds the probability of overflow rises from 0 to 1; with a single
 # bound, routers acting on the same stale counts would all leave or enter an
-# endpoint at once. The guaranteed limit is twice the mean of the
-# service plus three.
+# endpoint at once.
 SOFT_BOUND_MULTIPLE = 1.3
 SOFT_BOUND_SLACK = 2.0
 HARD_BOUND_MULTIPLE = 1.7
 HARD_BOUND_SLACK = 3.0
+# Guaranteed limit of a load: a multiple of the mean of the service, with
+# endpoints that accept no new work, plus a number of requests.
+LIMIT_MULTIPLE = 2.0
+LIMIT_SLACK = 3.0
+# The bound leaves too little room if it is below the mean of the candidates
+# plus so many times what other routers may have sent unseen, plus one.
+UNSEEN_MULTIPLE = 2.0
+# Counts are exchanged faster if the bound leaves less room than this share of
+# the mean of the candidates. In a usual interval of the exchange, about a
+# tenth of an endpoint's requests are replaced by others.
+FAST_EXCHANGE_ROOM_SHARE = 0.3
 # Usable share of an endpoint's connection limit: the endpoint accepts fewer
 # connections while its queue is long, and resets those above its limit.
 USABLE_CONNECTION_SHARE = 0.9
@@ -58,6 +71,7 @@
 
     PREFIX = 'prefix'
     OVERFLOW = 'overflow'
+    SPREAD = 'spread'
     LEAST_LOADED = 'least-loaded'
     LAST_RESORT = 'last-resort'
 
@@ -106,6 +120,7 @@
         service, including those that accept no new work.
     :param leaving: endpoints that accept no new work, but whose cached
         prompts may be fetched.
+    :param rate_per_s: placements of this router at the service, per second.
     """
 
     service: model.Service
@@ -115,6 +130,7 @@
     now_ms: float
     service_mean_load: float
     leaving: typing.Sequence[endpoint_table.Endpoint] = ()
+    rate_per_s: float = 0.0
 
 
 def choose_endpoint(
@@ -278,6 +294,8 @@
     query: Query,
     rng: random.Random,
 ) -> Choice:
+    if _has_little_room(items, mean, query):
+        return _spread(items, mean, query, rng)
     # One random draw for all endpoints: a request that skips a loaded
     # endpoint also skips others with the same load.
     draw = rng.random()
@@ -293,6 +311,73 @@
     return _make_choice(best, Reason.LEAST_LOADED, mean, items, query)
 
 
+def _has_little_room(
+    items: typing.Sequence[endpoint_table.Endpoint],
+    mean: float,
+    query: Query,
+) -> bool:
+    """Tell whether routers together may exceed the bound before they know."""
+    if not _is_bound_reduced(mean, query.service_mean_load):
+        return False
+    unseen = stale_load.estimate_unseen(
+        items, query.rate_per_s, query.routers, query.now_ms
+    )
+    room = _compute_limit(query.service_mean_load) - mean
+    return room < UNSEEN_MULTIPLE * unseen + 1
+
+
+def _spread(
+    items: typing.Sequence[endpoint_table.Endpoint],
+    mean: float,
+    query: Query,
+    rng: random.Random,
+) -> Choice:
+    """Choose at random, so that routers don't all choose the same one."""
+    free = [
+        item for item in items if item.load < _compute_max_load(item, mean)
+    ]
+    unseen = stale_load.estimate_unseen(
+        items, query.rate_per_s, query.routers, query.now_ms
+    )
+    weights = stale_load.compute_weights(free, mean, unseen)
+    if sum(weights) <= 0:
+        best = min(items, key=lambda item: item.load)
+        return _make_choice(best, Reason.LEAST_LOADED, mean, items, query)
+    (chosen,) = rng.choices(free, weights)
+    return _make_choice(chosen, Reason.SPREAD, mean, items, query)
+
+
+def needs_fresh_counts(mean: float, service_mean: float) -> bool:
+    """Tell whether the bound leaves little room above the mean.
+
+    :param mean: mean load of the endpoints that accept work.
+    :param service_mean: mean load of all listed endpoints of the service.
+    """
+    room = _compute_limit(service_mean) - mean
+    is_narrow = room < mean * FAST_EXCHANGE_ROOM_SHARE
+    return is_narrow and _is_bound_reduced(mean, service_mean)
+
+
+def compute_guaranteed_limit(service_mean: float) -> float:
+    """Return the load above which an endpoint should get no requests.
+
+    :param service_mean: mean load of all listed endpoints of the service.
+    """
+    return service_mean * LIMIT_MULTIPLE + LIMIT_SLACK
+
+
+def _is_bound_reduced(mean: float, service_mean: float) -> bool:
+    """Tell whether unavailable endpoints lower the bound."""
+    return _compute_limit(service_mean) < (
+        mean * HARD_BOUND_MULTIPLE + HARD_BOUND_SLACK
+    )
+
+
+def _compute_limit(service_mean: float) -> float:
+    """Return the load at which overflow of a service is complete."""
+    return service_mean * HARD_BOUND_MULTIPLE + HARD_BOUND_SLACK
+
+
 def _make_choice(
     endpoint: endpoint_table.Endpoint,
     reason: Reason,
@@ -316,9 +401,9 @@
     """
     soft_bound = mean * SOFT_BOUND_MULTIPLE + SOFT_BOUND_SLACK
     hard_bound = mean * HARD_BOUND_MULTIPLE + HARD_BOUND_SLACK
-    limit = service_mean * HARD_BOUND_MULTIPLE + HARD_BOUND_SLACK
-    if hard_bound <= limit:
+    if not _is_bound_reduced(mean, service_mean):
         return soft_bound, hard_bound
+    limit = _compute_limit(service_mean)
     share = max(1.0, limit - mean) / (hard_bound - mean)
     return (
         mean + share * (soft_bound - mean),
--- a/foxtailpick/gateway/attempt_group.py
+++ b/foxtailpick/gateway/attempt_group.py
@@ -97,6 +97,8 @@
         self.runners.add(runner)
         self._job.tried.add(choice.endpoint.id)
         attempt_lib.reserve(choice.endpoint, runner.started_ms)
+        rate = self._gw.get_placement_rate(self._job.service.name)
+        rate.record(runner.started_ms)
         self._nursery.start_soon(self._run, runner)
 
     async def next_event(self) -> Ended | Runner:
--- a/foxtailpick/gateway/context.py
+++ b/foxtailpick/gateway/context.py
@@ -14,6 +14,7 @@
 from foxtailpick.core.dispatch import endpoint_table
 from foxtailpick.core.dispatch import model
 from foxtailpick.core.dispatch import response_timeout
+from foxtailpick.core.dispatch import stale_load
 from foxtailpick.core.dispatch import stopping
 from foxtailpick.core import retry
 from foxtailpick.core import types
@@ -124,6 +125,7 @@
     :param account_usage: usage of each service by its accounts.
     :param queues: admission queue of each service.
     :param first_byte_estimates: times to the first byte on each route.
+    :param placement_rates: rate of this gateway's requests to each service.
     :param stream_timing: durations of recent streams, per allowed token.
     :param buffered: memory used by responses that are being read.
     :param request_scopes: cancel scopes of the requests in flight.
@@ -162,6 +164,9 @@
     first_byte_estimates: dict[str, response_timeout.FirstByteEstimate] = (
         dataclasses.field(default_factory=dict)
     )
+    placement_rates: dict[types.ServiceId, stale_load.PlacementRate] = (
+        dataclasses.field(default_factory=dict)
+    )
     stream_timing: stopping.StreamTiming = dataclasses.field(
         default_factory=stopping.StreamTiming
     )
@@ -183,6 +188,14 @@
             service, admission_queue.AdmissionQueue()
         )
 
+    def get_placement_rate(
+        self, service: types.ServiceId
+    ) -> stale_load.PlacementRate:
+        """Return the rate of this gateway's requests to a service."""
+        return self.placement_rates.setdefault(
+            service, stale_load.PlacementRate()
+        )
+
     @property
     def is_stopping(self) -> bool:
         """Whether the process was told to stop."""
--- a/foxtailpick/gateway/peers.py
+++ b/foxtailpick/gateway/peers.py
@@ -20,12 +20,13 @@
 from foxtailpick.core import types
 from foxtailpick.gateway import announced
 from foxtailpick.gateway import context
+from foxtailpick.gateway import load_watch
 from foxtailpick.gateway import quarantine
 
-# Under the usual load an engine starts about one request in this time, so
-# a shorter interval would hardly improve the counts.
-EXCHANGE_INTERVAL_MS = 150.0
 MAX_DATAGRAM_BYTES = 65_507
+# Outcomes of requests are applied at the usual interval of the exchange, less
+# its jitter.
+MIN_OUTCOMES_INTERVAL_MS = 0.8 * load_exchange.INTERVAL_MS
 # Message kinds. Unknown ones are ignored, so that routers of different
 # versions interoperate; kinds 0 and 1 carried no failure counts.
 _KIND_COUNTS = 2
@@ -106,6 +107,8 @@
         self._hub_reports = load_exchange.HubReports()
         self._hub_selector = load_exchange.HubSelector()
         self._sent_counts = load_exchange.SentCounts()
+        self._load_watch = load_watch.LoadWatch(gw)
+        self._outcomes_ms = 0.0
         self._crash_exchanges = (
             _CrashExchange.from_records(
                 gw.part_records, _KIND_PARTS, _KIND_PART_TOTALS
@@ -133,9 +136,11 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._receive)
             while True:
-                pause_ms = EXCHANGE_INTERVAL_MS * self._gw.rng.uniform(
-                    0.9, 1.1
+                interval_ms = load_exchange.compute_interval_ms(
+                    self._gw.state.router_count,
+                    self._load_watch.needs_fresh_counts(),
                 )
+                pause_ms = interval_ms * self._gw.rng.uniform(0.9, 1.1)
                 await trio.sleep(pause_ms / types.SECOND_MS)
                 await self._send()
 
@@ -386,6 +391,11 @@
     ) -> None:
         gw = self._gw
         self._sent_counts.apply_counts(gw.state.table, sums, number, now_ms)
+        self._load_watch.report()
+        # Ejection counts messages, which come faster at times.
+        if now_ms - self._outcomes_ms < MIN_OUTCOMES_INTERVAL_MS:
+            return
+        self._outcomes_ms = now_ms
         for item in self._sent_counts.apply_outcomes(
             gw.state.table, outcomes, now_ms
         ):
--- a/foxtailpick/tests/engine_model.py
+++ b/foxtailpick/tests/engine_model.py
@@ -17,6 +17,7 @@
 from foxtailpick.core.dispatch import endpoint_table
 from foxtailpick.core.dispatch import load_exchange
 from foxtailpick.core.dispatch import placing
+from foxtailpick.core.dispatch import stale_load
 from foxtailpick.tests import gateway_harness
 
 # As documented for the operators' smaller deployments.
@@ -201,6 +202,7 @@
     def __init__(self, engines, seed, evacuated=(), domains=DOMAINS):
         self.table = endpoint_table.EndpointTable()
         self.sent = load_exchange.SentCounts()
+        self.rate = stale_load.PlacementRate()
         for number, name in enumerate(engines):
             entry = gateway_harness.make_endpoint_entry(
                 name, slots=SLOTS, domain=f'd{number % domains}'
@@ -311,12 +313,22 @@
         for number, router in enumerate(self.routers):
             if self.now_ms < self._report_ms[number]:
                 continue
-            self._report_ms[number] += EXCHANGE_MS
+            self._report_ms[number] += self._compute_interval_ms(router)
             sequence, counts = router.sent.next_counts(router.table)
             self._reports.record(number, sequence, counts, self.now_ms)
             if number == 0:
                 self._send_totals()
 
+    def _compute_interval_ms(self, router):
+        name = self.service.name
+        mean = router.table.compute_mean_load(name)
+        usable = router.table.list_service(name)
+        usable_mean = sum(item.load for item in usable) / len(usable)
+        return load_exchange.compute_interval_ms(
+            len(self.routers),
+            placing.needs_fresh_counts(usable_mean, mean),
+        )
+
     def _send_totals(self):
         sums = self._reports.sum_counts(self.now_ms)
         for number, sequence in self._reports.list_routers():
@@ -337,7 +349,9 @@
             len(self.routers),
             self.now_ms,
             router.table.compute_mean_load(self.service.name),
+            rate_per_s=router.rate.compute_per_s(self.now_ms),
         )
+        router.rate.record(self.now_ms)
         choice = placing.choose_endpoint(
             router.table.list_service(self.service.name), query, router.rng
         )
--- a/foxtailpick/tests/test_load_exchange.py
+++ b/foxtailpick/tests/test_load_exchange.py
@@ -8,7 +8,6 @@
 from foxtailpick.core.dispatch import model
 from foxtailpick.core.dispatch import placing
 from foxtailpick.core import ring
-from foxtailpick.gateway import peers
 from foxtailpick.tests import gateway_harness
 from foxtailpick.tests import test_dispatch
 
@@ -93,7 +92,7 @@
     """
     assert simulate_restart(has_redirect=False) > 2_000
     # The time-out of the old hub, and a few messages.
-    limit_ms = load_exchange.HUB_TIMEOUT_MS + 4 * peers.EXCHANGE_INTERVAL_MS
+    limit_ms = load_exchange.HUB_TIMEOUT_MS + 4 * load_exchange.INTERVAL_MS
     assert simulate_restart(has_redirect=True) <= limit_ms
 
 
@@ -134,7 +133,7 @@
         while reports and reports[0][0] <= now_ms:
             at_ms, endpoint, report = reports.pop(0)
             endpoint.update_load(report, at_ms)
-        if has_exchange and now_ms - shared_ms > peers.EXCHANGE_INTERVAL_MS:
+        if has_exchange and now_ms - shared_ms > load_exchange.INTERVAL_MS:
             shared_ms = now_ms
             for table in tables:
                 for item in table.list_all():
--- a/foxtailpick/tests/test_shared_health.py
+++ b/foxtailpick/tests/test_shared_health.py
@@ -7,7 +7,6 @@
 from foxtailpick.core.dispatch import load_exchange
 from foxtailpick.core.dispatch import placing
 from foxtailpick.core.dispatch import shared_health
-from foxtailpick.gateway import peers
 from foxtailpick.tests import test_dispatch
 
 ROUTERS = 21
@@ -36,7 +35,7 @@
         """Report to the hub and apply its totals, once per period."""
         if (
             not self.has_exchange
-            or now_ms - self.exchanged_ms < peers.EXCHANGE_INTERVAL_MS
+            or now_ms - self.exchanged_ms < load_exchange.INTERVAL_MS
         ):
             return
         self.exchanged_ms = now_ms
