--- a/foxtailpick/tests/test_dispatch.py
+++ b/foxtailpick/tests/test_dispatch.py
@@ -160,6 +160,34 @@
     assert len(sent) > 40
 
 
+@pytest.mark.parametrize('idle_ms', [0, 1_000])
+@pytest.mark.parametrize('seed', [1, 2, 3])
+@pytest.mark.parametrize('routers', [6, 21, 32, 68])
+def test_cold_endpoint_is_not_flooded_by_many_routers(routers, seed, idle_ms):
+    """All routers get requests for it at once, as other endpoints crash."""
+    tables = [make_table(1, warmup_left_ms=3_000.0) for _ in range(routers)]
+    sent = []
+    for now_ms in range(0, 3_000, 20):
+        for number, table in enumerate(tables):
+            choice = choose(
+                table,
+                now_ms=float(now_ms),
+                routers=routers,
+                seed=seed * 1_000 + number,
+            )
+            if now_ms >= idle_ms and isinstance(choice, placing.Choice):
+                token_bucket.take_token(choice.endpoint.warmup_bucket)
+                sent.append(now_ms)
+    worst = max(
+        sum(start <= at < start + 1_000 for at in sent)
+        for start in range(0, 2_000, 50)
+    )
+    # warmup_per_s times the allowed overrun, plus slack, as configured.
+    assert worst <= 20 * 1.5 + 5
+    # At least half of the rate that the endpoint sustains is used.
+    assert len(sent) >= 20 * (3_000 - idle_ms) / 1_000 / 2
+
+
 def test_routers_share_the_connections_that_an_endpoint_takes():
     """Requests accumulate at a slow endpoint because none completes."""
     service = model.Service('engine', 96, 0.0, 0.0)
