Share the rate of a cold endpoint in slots that lapse

Operators saw FAILBACK on the large site: an engine that had just started, cold, got 28 requests within 15 ms; 26 in a second are allowed, and it ended.

Cause: each gateway could save one request for a cold endpoint. 68 of them, all with requests waiting while the other engines are full, use theirs in the moment in which they learn of the endpoint.

Change: a gateway's share of the rate comes in slots at different times, which lapse if they are not used, so that all gateways together save one request on average; up to five may save one each. The module that takes the place of token_bucket serves any rate that routers share.

--- a/foxtailpick/core/dispatch/endpoint_table.py
+++ b/foxtailpick/core/dispatch/endpoint_table.py
@@ -7,9 +7,9 @@
 from foxtailpick.core.dispatch import announcements
 from foxtailpick.core.dispatch import health as health_lib
 from foxtailpick.core.dispatch import model
+from foxtailpick.core.dispatch import rate_share
 from foxtailpick.core.dispatch import restored_store
 from foxtailpick.core.dispatch import shared_health
-from foxtailpick.core.dispatch import token_bucket
 from foxtailpick.core import types
 
 # Endpoints whose entries expired during a store outage register again within
@@ -43,6 +43,7 @@
         if no router reported failures.
     :param is_ejected: whether it is ejected because of them.
     :param announced: what it announced in its responses.
+    :param warmup_share: this router's share of its rate during the warm-up.
     """
 
     entry: model.EndpointEntry
@@ -62,8 +63,8 @@
     health: health_lib.Health = dataclasses.field(
         default_factory=health_lib.Health
     )
-    warmup_bucket: token_bucket.TokenBucket = dataclasses.field(
-        default_factory=token_bucket.TokenBucket
+    warmup_share: rate_share.RateShare = dataclasses.field(
+        default_factory=rate_share.RateShare
     )
 
     @property
--- a/foxtailpick/core/dispatch/placing.py
+++ b/foxtailpick/core/dispatch/placing.py
@@ -27,9 +27,9 @@
 
 from foxtailpick.core.dispatch import endpoint_table
 from foxtailpick.core.dispatch import model
+from foxtailpick.core.dispatch import rate_share
 from foxtailpick.core.dispatch import shared_health
 from foxtailpick.core.dispatch import stale_load
-from foxtailpick.core.dispatch import token_bucket
 from foxtailpick.core import ring
 from foxtailpick.core import types
 
@@ -155,7 +155,7 @@
     ]
     if not awake:
         return Obstacle.ALL_RESTING
-    accepting = [item for item in awake if _can_accept(item, query)]
+    accepting = [item for item in awake if _can_accept(item, query, rng)]
     if not accepting:
         is_cold = any(item.is_cold(query.now_ms) for item in awake)
         return Obstacle.ALL_COLD if is_cold else Obstacle.ALL_FULL
@@ -205,14 +205,16 @@
     return parts[-2].id if len(parts) > 1 else parts[-1].id
 
 
-def _can_accept(item: endpoint_table.Endpoint, query: Query) -> bool:
+def _can_accept(
+    item: endpoint_table.Endpoint, query: Query, rng: random.Random
+) -> bool:
     if item.running >= _compute_max_connections(query):
         return False
     rate = query.service.warmup_per_s
     if rate <= 0 or not item.is_cold(query.now_ms):
         return True
-    return token_bucket.has_token(
-        item.warmup_bucket, rate / query.routers, query.now_ms
+    return rate_share.has_slot(
+        item.warmup_share, rate, query.routers, query.now_ms, rng
     )
 
 
--- a/foxtailpick/gateway/attempt.py
+++ b/foxtailpick/gateway/attempt.py
@@ -9,9 +9,9 @@
 from foxtailpick.core.dispatch import health
 from foxtailpick.core.dispatch import model
 from foxtailpick.core.dispatch import placing
+from foxtailpick.core.dispatch import rate_share
 from foxtailpick.core.dispatch import response_timeout
 from foxtailpick.core.dispatch import retry_decision
-from foxtailpick.core.dispatch import token_bucket
 from foxtailpick.core import errors
 from foxtailpick.core import verdict as verdict_lib
 from foxtailpick.gateway import announced
@@ -59,7 +59,7 @@
     :param now_ms: current time.
     """
     if endpoint.is_cold(now_ms):
-        token_bucket.take_token(endpoint.warmup_bucket)
+        rate_share.take_slot(endpoint.warmup_share)
     endpoint.running += 1
     if endpoint.health.awaiting_since_ms is None:
         endpoint.health.awaiting_since_ms = now_ms
--- a/foxtailpick/gateway/execution.py
+++ b/foxtailpick/gateway/execution.py
@@ -334,6 +334,8 @@
         service_mean=round(choice.service_mean_load, 1),
         fetch=choice.holder.id if choice.holder else None,
         load_age_ms=endpoint.compute_load_age_ms(now_ms),
+        cold_ms=max(0, round(endpoint.warm_at_ms - now_ms)),
+        routers=gw.state.router_count,
         config=gw.state.cfg.number if gw.state.cfg else None,
     )
 
--- a/foxtailpick/tests/test_dispatch.py
+++ b/foxtailpick/tests/test_dispatch.py
@@ -10,12 +10,12 @@
 from foxtailpick.core.dispatch import health
 from foxtailpick.core.dispatch import model
 from foxtailpick.core.dispatch import placing
+from foxtailpick.core.dispatch import rate_share
 from foxtailpick.core.dispatch import refusal
 from foxtailpick.core.dispatch import response_timeout
 from foxtailpick.core.dispatch import retry_decision
 from foxtailpick.core.dispatch import route_table
 from foxtailpick.core.dispatch import stopping
-from foxtailpick.core.dispatch import token_bucket
 from foxtailpick.core import errors
 from foxtailpick.tests import gateway_harness
 
@@ -149,7 +149,7 @@
         for table in routers:
             choice = choose(table, now_ms=float(now_ms), routers=4)
             if isinstance(choice, placing.Choice):
-                token_bucket.take_token(choice.endpoint.warmup_bucket)
+                rate_share.take_slot(choice.endpoint.warmup_share)
                 sent.append(now_ms)
     worst = max(
         sum(start <= at < start + 1_000 for at in sent)
@@ -176,7 +176,7 @@
                 seed=seed * 1_000 + number,
             )
             if now_ms >= idle_ms and isinstance(choice, placing.Choice):
-                token_bucket.take_token(choice.endpoint.warmup_bucket)
+                rate_share.take_slot(choice.endpoint.warmup_share)
                 sent.append(now_ms)
     worst = max(
         sum(start <= at < start + 1_000 for at in sent)
@@ -637,8 +637,7 @@
         order[0], started='2', warmup_left_ms=3_000.0
     )
     home = table.put(entry, 0.0)
-    token_bucket.has_token(home.warmup_bucket, 1.0, 100.0)
-    token_bucket.take_token(home.warmup_bucket)
+    home.warmup_share.slots = 0.0
     choice = choose(table, now_ms=100.0, routers=9)
     assert choice.endpoint.id == order[1]
     assert choice.holder is None
--- a/foxtailpick/tests/test_gateway.py
+++ b/foxtailpick/tests/test_gateway.py
@@ -7,7 +7,6 @@
 import trio
 
 from foxtailpick.core.dispatch import placing
-from foxtailpick.core.dispatch import token_bucket
 from foxtailpick.core import errors
 from foxtailpick.gateway import client as client_lib
 from foxtailpick.gateway import daemon
@@ -190,9 +189,9 @@
         )
         await harness.until_known('p1')
         if not is_sent:
-            bucket = harness.gw.state.table.get('p1').warmup_bucket
-            token_bucket.has_token(bucket, 0.001, harness.gw.now_ms())
-            token_bucket.take_token(bucket)
+            share = harness.gw.state.table.get('p1').warmup_share
+            share.slots = 0.0
+            share.updated_ms = harness.gw.now_ms()
         answer = await harness.ask('/safe/x')
     assert answer.status == 504
     assert (b'may have run' in answer.body) is is_sent
--- a/foxtailpick/tests/test_load_limit.py
+++ b/foxtailpick/tests/test_load_limit.py
@@ -27,7 +27,7 @@
 def set_cold(table):
     put_in_south(table, warmup_left_ms=3_000.0)
     for item in list_south(table):
-        item.warmup_bucket.tokens = 0.0
+        item.warmup_share.slots = 0.0
 
 
 def pause(table):
