--- a/foxtailpick/gateway/execution.py
+++ b/foxtailpick/gateway/execution.py
@@ -236,6 +236,7 @@
         now_ms=now_ms,
         service_mean_load=table.compute_mean_load(service),
         leaving=table.list_leaving(service, now_ms),
+        rate_per_s=gw.get_placement_rate(service).compute_per_s(now_ms),
     )
     endpoints = table.list_service(service) or table.list_last_resort(
         service, now_ms
@@ -333,6 +334,8 @@
         service_mean=round(choice.service_mean_load, 1),
         fetch=choice.holder.id if choice.holder else None,
         load_age_ms=endpoint.compute_load_age_ms(now_ms),
+        cold_ms=max(0, round(endpoint.warm_at_ms - now_ms)),
+        routers=gw.state.router_count,
         config=gw.state.cfg.number if gw.state.cfg else None,
     )
 
