Keep the rate of requests that endpoints name

Operators' new term: a server in need names in its answers Server-Limit, the requests a second that it takes from all machines together.

Change: the gateways tell each other, through the hub, what endpoints named, how many requests they have for them and how many they sent. The rest goes to endpoints with free slots, or is refused at once with the time of its turn. Nothing is fetched from a limited endpoint. The latest answer that names a limit or none decides, of whichever gateway it was read by.

--- a/foxtailpick/core/dispatch/announcements.py
+++ b/foxtailpick/core/dispatch/announcements.py
@@ -17,6 +17,7 @@
 import typing
 
 from foxtailpick.core.dispatch import model
+from foxtailpick.core.dispatch import rate_limits
 from foxtailpick.core import types
 
 # Longest rest that is believed.
@@ -48,11 +49,15 @@
     :param left_ms: when it first announced that it leaves, if it did.
     :param is_told: whether it announced that to another router.
     :param rest_until_ms: end of the rest that it asked for.
+    :param rate_limit: the rate of requests that it names.
     """
 
     left_ms: float | None = None
     is_told: bool = False
     rest_until_ms: float = 0.0
+    rate_limit: rate_limits.RateLimit = dataclasses.field(
+        default_factory=rate_limits.RateLimit
+    )
 
     @property
     def is_leaving(self) -> bool:
--- a/foxtailpick/core/dispatch/endpoint_table.py
+++ b/foxtailpick/core/dispatch/endpoint_table.py
@@ -150,6 +150,20 @@
     return item.is_ejected is not before
 
 
+def compute_mean_load(endpoints: typing.Iterable[Endpoint]) -> float:
+    """Return the mean load of endpoints, 0 if there are none.
+
+    Those that limit the rate of their requests hold little by their own
+    word, and don't count unless all do.
+
+    :param endpoints: the endpoints.
+    """
+    items = list(endpoints)
+    free = [item for item in items if not item.announced.rate_limit.is_limited]
+    loads = [item.load for item in free or items]
+    return sum(loads) / len(loads) if loads else 0.0
+
+
 class EndpointTable:
     """All endpoints, indexed by service.
 
@@ -225,8 +239,7 @@
 
         Includes those that accept no new work. 0 if none is listed.
         """
-        loads = [item.load for item in self._by_service.get(service, ())]
-        return sum(loads) / len(loads) if loads else 0.0
+        return compute_mean_load(self._by_service.get(service, ()))
 
     def list_leaving(
         self, service: types.ServiceId, now_ms: float
--- a/foxtailpick/core/dispatch/model.py
+++ b/foxtailpick/core/dispatch/model.py
@@ -235,6 +235,9 @@
     :param is_leaving: whether the endpoint announces that it leaves.
     :param retry_after_ms: time until a retry is welcome, if stated.
     :param bad_retry_after: a statement of that time that is invalid, if any.
+    :param rate_limit_per_s: requests per second that the endpoint takes from
+        all routers, if it names a limit.
+    :param bad_rate_limit: a statement of that rate that is invalid, if any.
     :param forwarded: headers that are forwarded unchanged.
     :param signature: the header with the signature, if any.
     """
@@ -249,6 +252,8 @@
     is_leaving: bool = False
     retry_after_ms: float | None = None
     bad_retry_after: str | None = None
+    rate_limit_per_s: float | None = None
+    bad_rate_limit: str | None = None
     forwarded: list[RawHeader] = dataclasses.field(default_factory=list)
     signature: RawHeader | None = None
 
--- a/foxtailpick/core/dispatch/placing.py
+++ b/foxtailpick/core/dispatch/placing.py
@@ -8,13 +8,14 @@
 part of a service is unavailable, the rest has more than its mean load; the
 bound follows the mean of the service, to which the limit applies. If this
 leaves less room than routers with the same stale counts may use up together,
-requests are spread over the rest without affinity. An
-overflowing request fetches the cached prompt from its home endpoint, the
-first in that order, instead of having it processed again. If nearly all
-slots are in use, prompt affinity does not queue requests at a full
-endpoint. If all endpoints fail part of their requests, pausing each of them
-in turn would scatter the prompts without serving more callers, so only a
-third of a service is paused for partial failures. Requests without a prompt
+requests are spread over the rest without affinity. An overflowing request
+fetches the cached prompt from its home endpoint, the first in that order,
+instead of having it processed again. An endpoint that limits the rate of its
+requests is skipped for those above the limit. If nearly all slots are in use,
+prompt affinity does not queue requests at a full endpoint. If all endpoints
+fail part of their requests, pausing each of them in turn would scatter the
+prompts without serving more callers, so only a third of a service is paused
+for partial failures. Requests without a prompt
 go to the less loaded of two random endpoints, so that routers with the same
 stale load report do not all choose the same endpoint.
 """
@@ -27,6 +28,7 @@
 
 from foxtailpick.core.dispatch import endpoint_table
 from foxtailpick.core.dispatch import model
+from foxtailpick.core.dispatch import rate_limits
 from foxtailpick.core.dispatch import rate_share
 from foxtailpick.core.dispatch import shared_health
 from foxtailpick.core.dispatch import stale_load
@@ -84,6 +86,7 @@
     ALL_TRIED = 'all-tried'
     ALL_FULL = 'all-full'
     ALL_RESTING = 'all-resting'
+    ALL_LIMITED = 'all-limited'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -96,6 +99,8 @@
     :param candidates: number of candidates.
     :param service_mean_load: mean load of all listed endpoints of the service.
     :param holder: another endpoint that probably has the prompt cached.
+    :param is_within_limit: whether the request counts towards the rate limit
+        that the endpoint names.
     """
 
     endpoint: endpoint_table.Endpoint
@@ -104,6 +109,7 @@
     candidates: int
     service_mean_load: float
     holder: endpoint_table.Endpoint | None = None
+    is_within_limit: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -165,7 +171,7 @@
     usable = [item for item in healthy if item.id not in ejected]
     if not usable:
         return _choose_last_resort(accepting, query)
-    mean = sum(item.load for item in healthy) / len(healthy)
+    mean = endpoint_table.compute_mean_load(healthy)
     if query.prefix is None:
         return _choose_of_two(usable, mean, query, rng)
     choice = _choose_by_prefix(usable, mean, query, rng)
@@ -173,6 +179,70 @@
     return dataclasses.replace(choice, holder=holder)
 
 
+def choose_within_limits(
+    endpoints: typing.Sequence[endpoint_table.Endpoint],
+    query: Query,
+    rng: random.Random,
+) -> Choice | Obstacle:
+    """Choose an endpoint for a request that is sent at once.
+
+    Endpoints that limit the rate of their requests are tried in the same
+    order as others; one that can't take the request is skipped. The others
+    get what the limited ones can't take while they have free slots: beyond
+    that they would be in need next, one after the other.
+
+    :param endpoints: endpoints of the service that accept new work.
+    :param query: the other inputs of the placement.
+    :param rng: source of random numbers.
+    :returns: the choice, or the reason why there is none.
+    """
+    tried = query.tried
+    while True:
+        found = choose_endpoint(endpoints, query, rng)
+        has_skipped = query.tried != tried
+        if not isinstance(found, Choice):
+            is_limited = has_skipped and found is Obstacle.ALL_TRIED
+            return Obstacle.ALL_LIMITED if is_limited else found
+        limit = found.endpoint.announced.rate_limit
+        if not limit.is_limited:
+            if has_skipped and not _has_free_slot(found):
+                return Obstacle.ALL_LIMITED
+            limit.wanted.record(query.now_ms)
+            return found
+        if rate_limits.admit(limit, query.routers, query.now_ms, rng):
+            return dataclasses.replace(found, is_within_limit=True)
+        skipped = query.tried | {found.endpoint.id}
+        query = dataclasses.replace(query, tried=skipped)
+
+
+def _has_free_slot(choice: Choice) -> bool:
+    endpoint = choice.endpoint
+    return (
+        choice.reason is not Reason.LAST_RESORT
+        and endpoint.load < endpoint.entry.slots
+    )
+
+
+def compute_limited_rate_per_s(
+    endpoints: typing.Iterable[endpoint_table.Endpoint],
+    routers: int,
+    now_ms: float,
+) -> float:
+    """Return the requests a second that limited endpoints take from here.
+
+    :param endpoints: endpoints of a service.
+    :param routers: number of routers, including this one.
+    :param now_ms: current time.
+    """
+    return sum(
+        rate_limits.compute_share_per_s(
+            item.announced.rate_limit, routers, now_ms
+        )
+        for item in endpoints
+        if item.announced.rate_limit.is_limited
+    )
+
+
 def compute_rest_ms(
     endpoints: typing.Iterable[endpoint_table.Endpoint],
     tried: typing.Container[types.EndpointId],
@@ -444,11 +514,14 @@
         or not _is_suspect(item, now_ms)
     ]
     leaving = [item for item in query.leaving if not _is_suspect(item, now_ms)]
-    # A cold endpoint has few prompts, and must not get more work.
+    # A cold endpoint has few prompts, and must not get more work. Neither
+    # must one that limits its requests.
     holders = [
         item
         for item in [*reachable, *leaving]
-        if item is not chosen and not item.is_cold(now_ms)
+        if item is not chosen
+        and not item.is_cold(now_ms)
+        and not item.announced.rate_limit.is_limited
     ]
     ranked = _rank([chosen, *holders], query.prefix)
     if ranked[0] is not chosen:
--- a/foxtailpick/core/dispatch/refusal.py
+++ b/foxtailpick/core/dispatch/refusal.py
@@ -3,12 +3,15 @@
 Load pattern: endpoints are briefly cold, gone or full, and many callers are
 refused at once. The retry times have jitter, so that the callers do not
 return at the same moment. Urgent requests get shorter times, so that they
-reach freed slots first.
+reach freed slots first. Where endpoints limit the rate of their requests, the
+callers that were refused return one after the other at that rate.
 """
 
+import dataclasses
 import random
 
 from foxtailpick.core.dispatch import placing
+from foxtailpick.core import types
 
 # Typical time until an obstacle has passed. Endpoints are listed or removed
 # within a heartbeat; a cold one accepts the next request of this router
@@ -44,9 +47,44 @@
     placing.Obstacle.ALL_TRIED: TRIED_MS,
     placing.Obstacle.ALL_FULL: FULL_MS,
     placing.Obstacle.ALL_RESTING: RESTED_SPREAD_MS,
+    placing.Obstacle.ALL_LIMITED: TRIED_MS,
 }
 
 
+@dataclasses.dataclass(slots=True)
+class ReturnSchedule:
+    """When the callers return that were refused because of rate limits.
+
+    :param next_ms: when the next one may return.
+    """
+
+    next_ms: float = 0.0
+
+
+def schedule_return(
+    schedule: ReturnSchedule,
+    rate_per_s: float,
+    left_ms: float,
+    now_ms: float,
+) -> float:
+    """Return the time until a refused request may be served, in ms.
+
+    A caller that does not wait for so long takes no place of others.
+
+    :param schedule: the schedule of its service at this router.
+    :param rate_per_s: requests per second that limited endpoints take from
+        this router, above 0.
+    :param left_ms: time left until the deadline of the request.
+    :param now_ms: current time.
+    """
+    interval_ms = types.SECOND_MS / rate_per_s
+    return_ms = max(schedule.next_ms, now_ms) + interval_ms
+    wait_ms = return_ms - now_ms
+    if wait_ms <= MAX_RETRY_SHARE * left_ms:
+        schedule.next_ms = return_ms
+    return wait_ms
+
+
 def compute_max_wait_ms(
     obstacle: placing.Obstacle, target_ms: float, rest_ms: float = 0.0
 ) -> float:
@@ -104,6 +142,9 @@
     usual = _BASE_MS[obstacle] * (1 + PRIORITY_FACTOR * priority)
     base = max(usual, expected_ms)
     retry_ms = base * rng.uniform(1 - JITTER, 1 + JITTER)
+    if obstacle is placing.Obstacle.ALL_LIMITED:
+        # The true time, also for callers that will not wait for so long.
+        return max(usual, expected_ms) * rng.uniform(1, 1 + JITTER)
     if obstacle is placing.Obstacle.ALL_RESTING:
         # Callers that return earlier would only be refused again.
         retry_ms = expected_ms + usual * rng.random()
--- a/foxtailpick/core/dispatch/stale_load.py
+++ b/foxtailpick/core/dispatch/stale_load.py
@@ -10,15 +10,11 @@
 mean get most of the requests; where they are old, all get nearly the same.
 """
 
-import dataclasses
-import math
 import typing
 
 from foxtailpick.core.dispatch import endpoint_table
 from foxtailpick.core import types
 
-# Time constant of the rate of placements; an answer takes about this long.
-RATE_TIME_MS = 2_000.0
 # Age of the counts in a message of the hub when it arrives: half an interval
 # of the reports, and the way to the hub and back.
 REPORT_AGE_MS = 80.0
@@ -26,39 +22,6 @@
 MAX_AGE_MS = 1_500.0
 
 
-@dataclasses.dataclass(slots=True)
-class PlacementRate:
-    """Exponentially decayed count of placements of one router.
-
-    :param count: the decayed count.
-    :param decayed_ms: time up to which it is decayed.
-    """
-
-    count: float = 0.0
-    decayed_ms: float = 0.0
-
-    def record(self, now_ms: float) -> None:
-        """Record a placement.
-
-        :param now_ms: current time.
-        """
-        self._decay(now_ms)
-        self.count += 1
-
-    def compute_per_s(self, now_ms: float) -> float:
-        """Return the placements per second.
-
-        :param now_ms: current time.
-        """
-        self._decay(now_ms)
-        return self.count * types.SECOND_MS / RATE_TIME_MS
-
-    def _decay(self, now_ms: float) -> None:
-        passed_ms = now_ms - self.decayed_ms
-        self.count *= math.exp(-passed_ms / RATE_TIME_MS)
-        self.decayed_ms = now_ms
-
-
 def estimate_unseen(
     endpoints: typing.Sequence[endpoint_table.Endpoint],
     rate_per_s: float,
--- a/foxtailpick/gateway/announced.py
+++ b/foxtailpick/gateway/announced.py
@@ -1,10 +1,12 @@
 """Reads what endpoints announce in their responses, and tells others."""
 
+import math
 import typing
 
 from foxtailpick.core.dispatch import announcements
 from foxtailpick.core.dispatch import endpoint_table
 from foxtailpick.core.dispatch import model
+from foxtailpick.core.dispatch import rate_limits
 from foxtailpick.core.dispatch import retry_decision
 from foxtailpick.core import errors
 from foxtailpick.gateway import context
@@ -71,6 +73,109 @@
         )
 
 
+def record_rate_limit(
+    gw: context.Gateway,
+    endpoint: endpoint_table.Endpoint,
+    meta: model.ResponseMeta,
+    sent_ms: float,
+) -> None:
+    """Note the rate limit that a response names, or that it names none.
+
+    :param gw: the gateway.
+    :param endpoint: the endpoint that responded.
+    :param meta: the decoded headers of the response.
+    :param sent_ms: when its request was sent.
+    """
+    if meta.bad_rate_limit is not None:
+        gw.log.emit_request(
+            'server-limit-invalid',
+            endpoint=endpoint.id,
+            code=errors.ErrorCode.ENDPOINT_HEADER_INVALID.value,
+            why=f'expected requests per second, got '
+            f'{meta.bad_rate_limit[:40]!r}',
+        )
+        return
+    limit = endpoint.announced.rate_limit
+    if limit.record(meta.rate_limit_per_s, sent_ms, gw.now_ms()):
+        _log_rate_limit(gw, endpoint, None)
+
+
+def is_within_limit(
+    gw: context.Gateway, endpoint: endpoint_table.Endpoint
+) -> bool:
+    """Tell whether a request that was placed without a limit may be sent.
+
+    :param gw: the gateway.
+    :param endpoint: its endpoint, which may have named a limit since.
+    """
+    limit = endpoint.announced.rate_limit
+    return not limit.is_limited or rate_limits.admit(
+        limit, gw.state.router_count, gw.now_ms(), gw.rng
+    )
+
+
+def make_limit_report(
+    gw: context.Gateway, now_ms: float
+) -> list[rate_limits.Statement]:
+    """Return what this gateway knows of limited endpoints.
+
+    :param gw: the gateway.
+    :param now_ms: current time.
+    """
+    statements = (
+        rate_limits.make_statement(
+            item.entry.incarnation, item.announced.rate_limit, now_ms
+        )
+        for item in gw.state.table.list_all()
+    )
+    known = [item for item in statements if item is not None]
+    return known[: rate_limits.MAX_REPORTED]
+
+
+def apply_limits(
+    gw: context.Gateway, statements: typing.Iterable[rate_limits.Statement]
+) -> None:
+    """Note what other routers know of limited endpoints.
+
+    :param gw: the gateway.
+    :param statements: the totals of the hub.
+    """
+    now_ms = gw.now_ms()
+    for statement in statements:
+        name, started, _, age_ms, *_ = statement
+        item = gw.state.table.get(name)
+        if item is None or item.entry.started != started:
+            continue
+        if rate_limits.apply_statement(
+            item.announced.rate_limit, statement, now_ms
+        ):
+            _log_rate_limit(gw, item, age_ms)
+
+
+def _log_rate_limit(
+    gw: context.Gateway,
+    endpoint: endpoint_table.Endpoint,
+    told_age_ms: float | None,
+) -> None:
+    limit = endpoint.announced.rate_limit
+    now_ms = gw.now_ms()
+    gw.metrics.count('endpoint_limits')
+    gw.log.emit(
+        'endpoint-limits',
+        endpoint=endpoint.id,
+        per_s=limit.per_s,
+        told_age_ms=told_age_ms,
+        routers=gw.state.router_count,
+        own_per_s=round(limit.wanted.compute_per_s(now_ms), 2),
+        others_per_s=round(limit.others_per_s, 2),
+        others_age_ms=(
+            round(now_ms - limit.others_ms)
+            if math.isfinite(limit.others_ms)
+            else None
+        ),
+    )
+
+
 def make_report(
     gw: context.Gateway, now_ms: float
 ) -> list[announcements.Departure] | None:
--- a/foxtailpick/gateway/attempt.py
+++ b/foxtailpick/gateway/attempt.py
@@ -103,6 +103,14 @@
             retry_decision.AttemptEnd.UNREACHABLE,
             'endpoint left or rests; nothing was sent',
         )
+    if not choice.is_within_limit and not announced.is_within_limit(
+        gw, endpoint
+    ):
+        gw.pool.release(endpoint, conn, True)
+        return AttemptResult(
+            retry_decision.AttemptEnd.UNREACHABLE,
+            'endpoint has named a limit meanwhile; nothing was sent',
+        )
     try:
         quarantine.check_request(gw, job)
     except errors.RequestError:
@@ -285,7 +293,7 @@
     hooks: context.GroupHooks,
 ) -> AttemptResult:
     sent_ms = gw.now_ms()
-    head, meta = await _read_head(gw, job, attempt, conn)
+    head, meta = await _read_head(gw, job, attempt, conn, sent_ms)
     now_ms = gw.now_ms()
     gw.first_byte_estimates[job.route.name].observe(
         now_ms - sent_ms, attempt.read_timeout_ms
@@ -350,6 +358,7 @@
     job: job_lib.Job,
     attempt: context.Attempt,
     conn: client_lib.ClientConnection,
+    sent_ms: float,
 ) -> tuple[client_lib.ResponseHead, model.ResponseMeta]:
     for _ in range(MAX_FOREIGN_ANSWERS + 1):
         head = await endpoint_io.next_event(gw, attempt, conn)
@@ -360,6 +369,10 @@
         meta = gw.dialect.decode_response(head.headers)
         announced.record_announcements(gw, attempt.endpoint, head.status, meta)
         if meta.request is None or meta.request == job.meta.id:
+            if head.status != _MISDIRECTED:
+                announced.record_rate_limit(
+                    gw, attempt.endpoint, meta, sent_ms
+                )
             return head, meta
         # A late response to an earlier request on a reused connection.
         gw.log.emit_request(
--- a/foxtailpick/gateway/context.py
+++ b/foxtailpick/gateway/context.py
@@ -11,10 +11,11 @@
 from foxtailpick.core.dispatch import admission_queue
 from foxtailpick.core.dispatch import crash_policy
 from foxtailpick.core.dispatch import crash_records
+from foxtailpick.core.dispatch import decayed_rate
 from foxtailpick.core.dispatch import endpoint_table
 from foxtailpick.core.dispatch import model
+from foxtailpick.core.dispatch import refusal
 from foxtailpick.core.dispatch import response_timeout
-from foxtailpick.core.dispatch import stale_load
 from foxtailpick.core.dispatch import stopping
 from foxtailpick.core import retry
 from foxtailpick.core import types
@@ -126,6 +127,7 @@
     :param queues: admission queue of each service.
     :param first_byte_estimates: times to the first byte on each route.
     :param placement_rates: rate of this gateway's requests to each service.
+    :param return_schedules: when refused callers of each service return.
     :param stream_timing: durations of recent streams, per allowed token.
     :param buffered: memory used by responses that are being read.
     :param request_scopes: cancel scopes of the requests in flight.
@@ -164,7 +166,10 @@
     first_byte_estimates: dict[str, response_timeout.FirstByteEstimate] = (
         dataclasses.field(default_factory=dict)
     )
-    placement_rates: dict[types.ServiceId, stale_load.PlacementRate] = (
+    placement_rates: dict[types.ServiceId, decayed_rate.DecayedRate] = (
+        dataclasses.field(default_factory=dict)
+    )
+    return_schedules: dict[types.ServiceId, refusal.ReturnSchedule] = (
         dataclasses.field(default_factory=dict)
     )
     stream_timing: stopping.StreamTiming = dataclasses.field(
@@ -190,10 +195,10 @@
 
     def get_placement_rate(
         self, service: types.ServiceId
-    ) -> stale_load.PlacementRate:
+    ) -> decayed_rate.DecayedRate:
         """Return the rate of this gateway's requests to a service."""
         return self.placement_rates.setdefault(
-            service, stale_load.PlacementRate()
+            service, decayed_rate.DecayedRate()
         )
 
     @property
--- a/foxtailpick/gateway/execution.py
+++ b/foxtailpick/gateway/execution.py
@@ -241,7 +241,7 @@
     endpoints = table.list_service(service) or table.list_last_resort(
         service, now_ms
     )
-    found = placing.choose_endpoint(endpoints, query, gw.rng)
+    found = placing.choose_within_limits(endpoints, query, gw.rng)
     return _Placement(found, endpoints)
 
 
@@ -255,19 +255,40 @@
         if isinstance(found, placing.Choice):
             _log_placement(gw, job, found, now_ms)
             return found
-        rest_ms = 0.0
+        expected_ms = 0.0
         if found is placing.Obstacle.ALL_RESTING:
-            rest_ms = placing.compute_rest_ms(endpoints, job.tried, now_ms)
+            expected_ms = placing.compute_rest_ms(endpoints, job.tried, now_ms)
         longest_ms = refusal.compute_max_wait_ms(
-            found, job.route.target_ms, rest_ms
+            found, job.route.target_ms, expected_ms
         )
         if now_ms - began_ms >= longest_ms:
+            if found is placing.Obstacle.ALL_LIMITED:
+                expected_ms = _schedule_return(gw, job, endpoints, now_ms)
             raise admission.make_unavailable_error(
-                gw, job, found, len(endpoints), rest_ms
+                gw, job, found, len(endpoints), expected_ms
             )
         await trio.sleep(PLACEMENT_RETRY_INTERVAL_MS / types.SECOND_MS)
 
 
+def _schedule_return(
+    gw: context.Gateway,
+    job: job_lib.Job,
+    endpoints: list[endpoint_table.Endpoint],
+    now_ms: float,
+) -> float:
+    """Return when a request above the limits of its service may be served."""
+    gw.metrics.count('requests_above_limits')
+    rate_per_s = placing.compute_limited_rate_per_s(
+        endpoints, gw.state.router_count, now_ms
+    )
+    schedule = gw.return_schedules.setdefault(
+        job.service.name, refusal.ReturnSchedule()
+    )
+    return refusal.schedule_return(
+        schedule, rate_per_s, job.deadline_ms - now_ms, now_ms
+    )
+
+
 def _has_untried_endpoint(gw: context.Gateway, job: job_lib.Job) -> bool:
     return any(
         item.id not in job.tried
@@ -335,6 +356,7 @@
         fetch=choice.holder.id if choice.holder else None,
         load_age_ms=endpoint.compute_load_age_ms(now_ms),
         cold_ms=max(0, round(endpoint.warm_at_ms - now_ms)),
+        limit_per_s=endpoint.announced.rate_limit.per_s,
         routers=gw.state.router_count,
         config=gw.state.cfg.number if gw.state.cfg else None,
     )
--- a/foxtailpick/gateway/load_watch.py
+++ b/foxtailpick/gateway/load_watch.py
@@ -65,7 +65,7 @@
                 table.list_service(service), self._gw.now_ms()
             )
             if usable:
-                mean = sum(item.load for item in usable) / len(usable)
+                mean = endpoint_table.compute_mean_load(usable)
                 yield service, mean, table.compute_mean_load(service)
 
 
--- a/foxtailpick/gateway/peers.py
+++ b/foxtailpick/gateway/peers.py
@@ -17,6 +17,7 @@
 from foxtailpick.core.dispatch import crash_reports
 from foxtailpick.core.dispatch import load_exchange
 from foxtailpick.core.dispatch import model
+from foxtailpick.core.dispatch import rate_limits
 from foxtailpick.core import types
 from foxtailpick.gateway import announced
 from foxtailpick.gateway import context
@@ -39,6 +40,8 @@
 _KIND_QUERY = 9
 _KIND_DEPARTURES = 10
 _KIND_DEPARTURE_TOTALS = 11
+_KIND_LIMITS = 12
+_KIND_LIMIT_TOTALS = 13
 # A hub asks so many of the routers that don't report to it at a time.
 MAX_QUERIES = 4
 # A larger number is no count of requests.
@@ -118,6 +121,7 @@
             ),
         )
         self._departures = announcements.HubDepartures()
+        self._limits = rate_limits.HubLimits()
         self._departures_pacer = crash_reports.Pacer()
         self._departure_totals_pacer = crash_reports.Pacer()
         # Addresses that reports came from. A router that has just started
@@ -162,6 +166,7 @@
         number, counts = self._sent_counts.next_counts(gw.state.table)
         outcomes = self._sent_counts.collect_outcomes(gw.state.table, now_ms)
         departures = announced.make_report(gw, now_ms)
+        limits = announced.make_limit_report(gw, now_ms)
         if hub != gw.cfg.name:
             data = cbor2.dumps(
                 [_KIND_COUNTS, gw.cfg.name, number, counts, outcomes]
@@ -176,6 +181,9 @@
                     [_KIND_DEPARTURES, gw.cfg.name, number, departures]
                 )
                 await self._send_to(data, routers[hub].address)
+            if limits:
+                data = cbor2.dumps([_KIND_LIMITS, gw.cfg.name, number, limits])
+                await self._send_to(data, routers[hub].address)
             return
         self._hub_selector.record_message(now_ms)
         self._hub_reports.record(hub, number, counts, now_ms, outcomes)
@@ -187,6 +195,8 @@
             await self._send_crash_totals(crashes, now_ms)
         self._departures.record(hub, departures or (), now_ms)
         await self._send_departure_totals(now_ms)
+        self._limits.record(hub, limits, now_ms)
+        await self._send_limit_totals(now_ms)
 
     async def _send_totals(self, now_ms: float) -> None:
         gw = self._gw
@@ -314,6 +324,18 @@
             elif router in self._reporters:
                 await self._send_to(data, self._reporters[router])
 
+    async def _send_limit_totals(self, now_ms: float) -> None:
+        totals = self._limits.merge(now_ms)
+        if not totals:
+            return
+        gw = self._gw
+        data = cbor2.dumps([_KIND_LIMIT_TOTALS, gw.cfg.name, 0, totals])
+        for router, _ in self._hub_reports.list_routers():
+            if router == gw.cfg.name:
+                announced.apply_limits(gw, totals)
+            elif router in self._reporters:
+                await self._send_to(data, self._reporters[router])
+
     async def _send_to(self, data: bytes, address: model.Address) -> None:
         try:
             await self._sock.sendto(data, address)
@@ -358,6 +380,12 @@
         ):
             departures = announcements.decode_departures(_get_only(contents))
             announced.apply_departures(self._gw, departures)
+        elif kind == _KIND_LIMITS:
+            statements = rate_limits.decode_statements(_get_only(contents))
+            self._limits.record(router, statements, now_ms)
+        elif kind == _KIND_LIMIT_TOTALS and router == self._hub_selector.hub:
+            statements = rate_limits.decode_statements(_get_only(contents))
+            announced.apply_limits(self._gw, statements)
         elif kind == _KIND_REDIRECT:
             hub = types.RouterId(_get_only(contents, str))
             self._hub_selector.record_redirect(router, hub)
--- a/foxtailpick/platform/dialect.py
+++ b/foxtailpick/platform/dialect.py
@@ -172,6 +172,11 @@
         elif name == b'server-leaving':
             meta.is_leaving = value.strip() == b'1'
             continue
+        elif name == b'server-limit':
+            meta.rate_limit_per_s = _parse_rate(value)
+            if meta.rate_limit_per_s is None:
+                meta.bad_rate_limit = value.decode('latin-1')
+            continue
         if name not in _HOP_BY_HOP:
             meta.forwarded.append((name, value))
     return meta
@@ -231,6 +236,15 @@
     return None
 
 
+def _parse_rate(value: bytes) -> float | None:
+    """Return a rate per second, None if it is invalid."""
+    try:
+        rate = float(value)
+    except ValueError:
+        return None
+    return rate if math.isfinite(rate) and rate >= 0 else None
+
+
 def _parse_retry_after(value: bytes) -> float | None:
     """Return the time in ms of seconds or an HTTP date, None if invalid."""
     text = value.decode('latin-1').strip()
--- a/foxtailpick/tests/engine_model.py
+++ b/foxtailpick/tests/engine_model.py
@@ -14,10 +14,10 @@
 
 from foxtailpick.core.dispatch import account_usage
 from foxtailpick.core.dispatch import admission_queue
+from foxtailpick.core.dispatch import decayed_rate
 from foxtailpick.core.dispatch import endpoint_table
 from foxtailpick.core.dispatch import load_exchange
 from foxtailpick.core.dispatch import placing
-from foxtailpick.core.dispatch import stale_load
 from foxtailpick.tests import gateway_harness
 
 # As documented for the operators' smaller deployments.
@@ -202,7 +202,7 @@
     def __init__(self, engines, seed, evacuated=(), domains=DOMAINS):
         self.table = endpoint_table.EndpointTable()
         self.sent = load_exchange.SentCounts()
-        self.rate = stale_load.PlacementRate()
+        self.rate = decayed_rate.DecayedRate()
         for number, name in enumerate(engines):
             entry = gateway_harness.make_endpoint_entry(
                 name, slots=SLOTS, domain=f'd{number % domains}'
