Soak: endpoints that limit the rate of their requests

A scenario of its own, limits, so that the draws of the others stay as they are: endpoints name 0.2 to 1.5 requests a second for 8 to 11 s, beside kills, pauses, rolls, cuts from the store, departures and an evacuation.

--- a/foxtailpick/soak/faults.py
+++ b/foxtailpick/soak/faults.py
@@ -33,6 +33,12 @@
 MIN_SOUND_MS = 150.0
 FULL_SHARE = 0.5
 MAX_SILENCES = 3
+# Rate that an endpoint names, and for how long: longer than the time until it
+# has to be kept.
+MIN_LIMIT_PER_S = 0.2
+MAX_LIMIT_PER_S = 1.5
+MIN_LIMITED_MS = 8_000.0
+MAX_LIMITED_MS = 11_000.0
 # Route timeouts and limits of callers' connections to choose from. The
 # longer timeouts outlast a stream with a silence.
 TIMEOUTS_MS = (3_500.0, 4_200.0, 5_000.0)
@@ -260,6 +266,23 @@
     endpoint.behavior = 'sound'
 
 
+async def limit_rate(world: world_lib.World, rng: random.Random) -> None:
+    """Make an endpoint name the rate that it takes from all gateways."""
+    endpoint = rng.choice(list(world.endpoints.values()))
+    if endpoint.rate_limit is not None:
+        return
+    limit = record_lib.RateLimit(
+        endpoint.id,
+        rng.uniform(MIN_LIMIT_PER_S, MAX_LIMIT_PER_S),
+        world_lib.now_ms(),
+    )
+    world.record.rate_limits.append(limit)
+    endpoint.rate_limit = limit
+    await callers.pause(rng.uniform(MIN_LIMITED_MS, MAX_LIMITED_MS))
+    endpoint.rate_limit = None
+    limit.to_ms = world_lib.now_ms()
+
+
 async def send_crashing_prompts(
     world: world_lib.World, rng: random.Random
 ) -> None:
@@ -528,6 +551,22 @@
 )
 
 # Restarts while streams are long, and slower than those before.
+# Limits of rates beside what changes the gateways that share them.
+LIMIT_FAULTS: tuple[Fault, ...] = (
+    limit_rate,
+    limit_rate,
+    limit_rate,
+    kill_gateways,
+    pause_gateway,
+    roll_gateways,
+    disrupt_store_path,
+    degrade_endpoints,
+    replace_endpoint,
+    announce_leaving,
+    evacuate,
+    send_crashing_requests,
+)
+
 LONG_STREAM_FAULTS: tuple[Fault, ...] = (roll_gateways, slow_engines)
 
 # Maintenance by operators. It runs once more after all faults have ended,
--- a/foxtailpick/soak/plan.py
+++ b/foxtailpick/soak/plan.py
@@ -91,3 +91,12 @@
     endpoints=6,
     event_interval_ms=90.0,
 )
+
+# Enough callers that endpoints get several times the rates that they name.
+LIMITS = Plan(
+    callers=24,
+    faults=8,
+    fault_window_ms=10_000.0,
+    settling_ms=11_500.0,
+    gateways=4,
+)
--- a/foxtailpick/soak/record.py
+++ b/foxtailpick/soak/record.py
@@ -5,6 +5,7 @@
 import enum
 
 from foxtailpick.core.dispatch import model
+from foxtailpick.core import types
 from foxtailpick.soak import plan as plan_lib
 
 # Bounds that the deployments must meet. They apply to a gateway after
@@ -22,6 +23,13 @@
 # counted from this time after it asked.
 REST_REQUESTS = 2
 REST_SLACK_MS = 500.0
+# An endpoint that limits its rate may get so many times as many requests, and
+# so many more, in a window of this length, from gateways that it told this
+# time before.
+LIMIT_OVERRUN = 1.5
+LIMIT_SLACK = 5
+LIMIT_WINDOW_MS = 4_000.0
+LIMIT_TOLD_MS = 500.0
 # Requests with a part that crashes endpoints may reach endpoints this many
 # times later than SETTLING_MS after the part has crashed so many endpoints.
 CRASHES_TO_LEARN = 5
@@ -48,6 +56,7 @@
     `DRAIN`: an endpoint that was removed, or announced to the gateway that
         it leaves, receives no new requests.
     `REST`: an endpoint that asked for a rest receives hardly any.
+    `LIMIT`: an endpoint that limits its rate gets no more from all gateways.
     `CRASH`: requests that crash endpoints are contained.
     `EVACUATION`: a failure domain out of service receives no requests.
     `CONFIG`: an added or removed route or key takes effect in time.
@@ -64,6 +73,7 @@
     REFUSED = 'refused'
     DRAIN = 'drain'
     REST = 'rest'
+    LIMIT = 'limit'
     CRASH = 'crash'
     EVACUATION = 'evacuation'
     CONFIG = 'config'
@@ -174,6 +184,24 @@
     to_ms: float
 
 
+@dataclasses.dataclass(slots=True)
+class RateLimit:
+    """A rate that an endpoint named for some time.
+
+    :param endpoint: the endpoint.
+    :param per_s: requests per second from all gateways.
+    :param from_ms: when it began to name it.
+    :param to_ms: when it ceased to.
+    :param told_ms: when it first told a gateway, by gateway.
+    """
+
+    endpoint: str
+    per_s: float
+    from_ms: float
+    to_ms: float = float('inf')
+    told_ms: dict[str, float] = dataclasses.field(default_factory=dict)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Silence:
     """A time in which a sound endpoint read and sent nothing.
@@ -224,6 +252,7 @@
         # to the gateway that it leaves.
         self.leaving_ms: dict[tuple[str, str, int], float] = {}
         self.rests: list[Rest] = []
+        self.rate_limits: list[RateLimit] = []
         self.crashing_parts: dict[str, CrashingPart] = collections.defaultdict(
             CrashingPart
         )
@@ -298,6 +327,8 @@
             breaches.extend(self._check_run(run))
         for rest in self.rests:
             breaches.extend(self._check_rest(rest))
+        for limit in self.rate_limits:
+            breaches.extend(self._check_rate_limit(limit))
         for name, part in self.crashing_parts.items():
             breaches.extend(self._check_crashes(name, part))
         breaches.extend(self._check_regress(runs))
@@ -419,6 +450,32 @@
         what = f'{rest.endpoint} got {count} requests from {rest.gateway}'
         return [Breach(Rule.REST, f'{what} while it rested')]
 
+    def _check_rate_limit(self, limit: RateLimit) -> list[Breach]:
+        counted_ms = sorted(
+            at_ms
+            for gateway, endpoint, at_ms in self.arrivals
+            if endpoint == limit.endpoint
+            and limit.from_ms + SETTLING_MS <= at_ms < limit.to_ms
+            and limit.told_ms.get(gateway, at_ms) + LIMIT_TOLD_MS <= at_ms
+            and self.is_settled(gateway, at_ms)
+        )
+        worst = max(
+            (
+                sum(
+                    from_ms <= at_ms < from_ms + LIMIT_WINDOW_MS
+                    for at_ms in counted_ms
+                )
+                for from_ms in counted_ms
+            ),
+            default=0,
+        )
+        window_s = LIMIT_WINDOW_MS / types.SECOND_MS
+        allowed = limit.per_s * window_s * LIMIT_OVERRUN + LIMIT_SLACK
+        if worst <= allowed:
+            return []
+        what = f'{limit.endpoint} got {worst} requests in {window_s:.0f} s'
+        return [Breach(Rule.LIMIT, f'{what}, allowed {allowed:.1f}')]
+
     def _check_crashes(self, name: str, part: CrashingPart) -> list[Breach]:
         if len(part.crashes_ms) < part.crashes_to_learn:
             return []
--- a/foxtailpick/soak/run.py
+++ b/foxtailpick/soak/run.py
@@ -50,6 +50,15 @@
     run_seed(seed, plan_lib.LARGE_SILENCE, faults.SILENCE_FAULTS, ())
 
 
+def run_limits(seed: int) -> None:
+    """Run with endpoints that limit the rate of their requests.
+
+    :param seed: as of `run_seed`.
+    :raises SoakError: as `run_seed`.
+    """
+    run_seed(seed, plan_lib.LIMITS, faults.LIMIT_FAULTS)
+
+
 class SoakError(AssertionError):
     """A run violated an invariant."""
 
--- a/foxtailpick/soak/world.py
+++ b/foxtailpick/soak/world.py
@@ -15,6 +15,7 @@
 
 import trio
 
+from foxtailpick.core.dispatch import model
 from foxtailpick.core import types
 from foxtailpick.gateway import http1
 from foxtailpick.platform import boot
@@ -129,6 +130,7 @@
     :param is_leaving: whether it announces in its responses that it leaves.
     :param starts: number of its starts after the first.
     :param is_silent: whether it reads and sends nothing.
+    :param rate_limit: the rate that it names in its responses, if any.
     """
 
     id: str
@@ -140,6 +142,14 @@
     is_leaving: bool = False
     starts: int = 0
     is_silent: bool = False
+    rate_limit: record_lib.RateLimit | None = None
+
+    def make_limit_headers(self, gateway: str) -> list[model.RawHeader]:
+        """Return the header that names its limit to a gateway, if any."""
+        if self.rate_limit is None:
+            return []
+        self.rate_limit.told_ms.setdefault(gateway, now_ms())
+        return [(b'Server-Limit', b'%.2f' % self.rate_limit.per_s)]
 
 
 class World:
@@ -331,10 +341,12 @@
         self.record.arrivals.append((gateway, endpoint.id, at_ms))
         self.record.passed_on[seen.id].append((endpoint.id, at_ms))
         if endpoint.behavior == 'full':
-            await exchange.refuse()
+            await exchange.refuse(endpoint.make_limit_headers(gateway))
             return
         if endpoint.behavior == 'resting':
-            await exchange.refuse([(b'Retry-After', b'%d' % REST_S)])
+            rest = (b'Retry-After', b'%d' % REST_S)
+            limit_headers = endpoint.make_limit_headers(gateway)
+            await exchange.refuse([rest, *limit_headers])
             at_ms = now_ms()
             self.record.rests.append(
                 record_lib.Rest(
@@ -407,6 +419,7 @@
         is_leaving = endpoint.is_leaving
         if is_leaving:
             headers.append((b'Server-Leaving', b'1'))
+        headers.extend(endpoint.make_limit_headers(gateway))
         if behavior == 'mute':
             await trio.sleep_forever()
         if behavior == 'cut':
--- a/foxtailpick/tests/test_soak.py
+++ b/foxtailpick/tests/test_soak.py
@@ -123,6 +123,23 @@
     assert record.Rule.REST in {item.rule for item in seen.check()}
 
 
+def test_requests_above_a_rate_limit_are_found():
+    seen = record.Record()
+    limit = record.RateLimit('e1', 1.0, 10_000.0)
+    limit.told_ms = {'g1': 10_100.0, 'g2': 13_400.0}
+    seen.rate_limits = [limit]
+    # Before the limit has to be kept, and from a gateway that just knows.
+    seen.arrivals = [('g1', 'e1', 12_000.0)] * 20
+    seen.arrivals += [('g2', 'e1', 13_500.0)] * 20
+    # Six in 4 s, and five.
+    seen.arrivals += [('g1', 'e1', 14_000.0 + 300 * n) for n in range(11)]
+    assert record.Rule.LIMIT not in {item.rule for item in seen.check()}
+    seen.arrivals.append(('g2', 'e1', 15_000.0))
+    assert record.Rule.LIMIT in {item.rule for item in seen.check()}
+    seen.record_disruption('g2', 14_900.0, 14_950.0)
+    assert record.Rule.LIMIT not in {item.rule for item in seen.check()}
+
+
 def make_regress(item, status, **starts):
     """Return calls that ran, were refused and ran again at one gateway."""
     seen = record.Record()
