Soak: a request that a gateway has read hasn't crossed a close

A call without an answer was excused if its connection was closed within 200 ms of its last byte and no endpoint had got it. It is excused now only if the gateways' logs don't name it either: a gateway that drops a request which it has read would have passed.

--- a/foxtailpick/soak/losses.py
+++ b/foxtailpick/soak/losses.py
@@ -88,6 +88,7 @@
     if (
         not call.status
         and call.id not in record.passed_on
+        and call.id not in record.logged
         and call.ended_ms
         - call.written_ms
         - record.compute_stalled_ms(call.written_ms, call.ended_ms)
--- a/foxtailpick/soak/record.py
+++ b/foxtailpick/soak/record.py
@@ -262,6 +262,8 @@
         self.passed_on: dict[str, list[tuple[str, float]]] = (
             collections.defaultdict(list)
         )
+        # Requests that a gateway has read, by its log.
+        self.logged: set[str] = set()
         self.silences: list[Silence] = []
         # When the process of the run did not run, as on a busy machine.
         self.stalls: list[tuple[float, float]] = []
--- a/foxtailpick/soak/run.py
+++ b/foxtailpick/soak/run.py
@@ -84,8 +84,9 @@
     record = trio.run(_run, seed, path, log, plan, kinds, planned)
     breaches = record.check()
     if plan.is_planned_only:
-        breaches.extend(losses.check(record))
         lines = losses.read_lines(path.glob('*.log'))
+        record.logged = set(lines)
+        breaches.extend(losses.check(record))
         losses.write_cases(record, lines, path / 'cases')
         print(f'seed {seed}: {losses.format_summary(record, lines)}')
     if breaches:
--- a/foxtailpick/tests/test_soak_silence.py
+++ b/foxtailpick/tests/test_soak_silence.py
@@ -118,6 +118,7 @@
         ({**NO_STATUS, 'written_ms': 0.0}, {}, Excuse.NOT_SENT),
         (CROSSED, {}, Excuse.CROSSED),
         (CROSSED, {'passed_on': {'a1': [('e1', 20_050.0)]}}, None),
+        (CROSSED, {'logged': {'a1'}}, None),
         ({'ended_ms': 22_500.0}, {}, Excuse.TIMED_OUT),
         ({'ended_ms': 22_400.0}, {}, None),
         (
