--- a/foxtailpick/gateway/peers.py
+++ b/foxtailpick/gateway/peers.py
@@ -5,7 +5,6 @@
 """
 
 import dataclasses
-import math
 import socket
 import typing
 
@@ -22,6 +21,7 @@
 from foxtailpick.gateway import announced
 from foxtailpick.gateway import context
 from foxtailpick.gateway import load_watch
+from foxtailpick.gateway import peer_messages
 from foxtailpick.gateway import quarantine
 
 MAX_DATAGRAM_BYTES = 65_507
@@ -44,8 +44,6 @@
 _KIND_LIMIT_TOTALS = 13
 # A hub asks so many of the routers that don't report to it at a time.
 MAX_QUERIES = 4
-# A larger number is no count of requests.
-_MAX_COUNT = 1_000_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -348,7 +346,7 @@
         while True:
             try:
                 data, address = await self._sock.recvfrom(MAX_DATAGRAM_BYTES)
-                await self._handle_message(_decode(data), address)
+                await self._handle_message(peer_messages.decode(data), address)
             except (OSError, ValueError) as exc:
                 self._gw.metrics.count('peer_messages_bad')
                 self._gw.log.emit_request('peer-message-bad', why=repr(exc))
@@ -356,10 +354,10 @@
     async def _handle_message(
         self, message: typing.Any, address: model.Address
     ) -> None:
-        kind, router, number, *contents = _check_head(message)
+        kind, router, number, *contents = peer_messages.check_head(message)
         now_ms = self._gw.now_ms()
         if kind == _KIND_COUNTS:
-            counts, outcomes = _check_sums(contents, 2)
+            counts, outcomes = peer_messages.check_sums(contents, 2)
             self._welcome(router, number, address)
             self._hub_reports.record(router, number, counts, now_ms, outcomes)
             hub = self._hub_selector.hub
@@ -368,33 +366,43 @@
                 data = cbor2.dumps([_KIND_REDIRECT, name, number, hub])
                 await self._send_to(data, address)
         elif kind == _KIND_TOTALS and router == self._hub_selector.hub:
-            packed = _get_only(contents, bytes)
-            sums, outcomes = _check_sums(_decode(packed), 3)
+            packed = peer_messages.get_only(contents, bytes)
+            sums, outcomes = peer_messages.check_sums(
+                peer_messages.decode(packed), 3
+            )
             self._hub_selector.record_message(now_ms)
             self._apply_totals(sums, outcomes, number, now_ms)
         elif kind == _KIND_DEPARTURES:
-            departures = announcements.decode_departures(_get_only(contents))
+            departures = announcements.decode_departures(
+                peer_messages.get_only(contents)
+            )
             self._departures.record(router, departures, now_ms)
         elif (
             kind == _KIND_DEPARTURE_TOTALS and router == self._hub_selector.hub
         ):
-            departures = announcements.decode_departures(_get_only(contents))
+            departures = announcements.decode_departures(
+                peer_messages.get_only(contents)
+            )
             announced.apply_departures(self._gw, departures)
         elif kind == _KIND_LIMITS:
-            statements = rate_limits.decode_statements(_get_only(contents))
+            statements = rate_limits.decode_statements(
+                peer_messages.get_only(contents)
+            )
             self._limits.record(router, statements, now_ms)
         elif kind == _KIND_LIMIT_TOTALS and router == self._hub_selector.hub:
-            statements = rate_limits.decode_statements(_get_only(contents))
+            statements = rate_limits.decode_statements(
+                peer_messages.get_only(contents)
+            )
             announced.apply_limits(self._gw, statements)
         elif kind == _KIND_REDIRECT:
-            hub = types.RouterId(_get_only(contents, str))
+            hub = types.RouterId(peer_messages.get_only(contents, str))
             self._hub_selector.record_redirect(router, hub)
         elif kind == _KIND_QUERY:
             await self._answer_query(number, address)
         for crashes in self._crash_exchanges:
             policy = crashes.records.policy
             if kind == crashes.report_kind:
-                report = _get_only(contents)
+                report = peer_messages.get_only(contents)
                 crash_reports.check_report(report, policy)
                 crashes.hub_reports.record(
                     router,
@@ -406,7 +414,7 @@
                 kind == crashes.totals_kind
                 and router == self._hub_selector.hub
             ):
-                totals = _get_only(contents)
+                totals = peer_messages.get_only(contents)
                 crash_reports.check_totals(totals, policy)
                 self._apply_crash_totals(crashes, totals, number, now_ms)
 
@@ -439,86 +447,6 @@
             )
 
 
-def _decode(data: bytes) -> typing.Any:
-    """Decode a message.
-
-    :raises ValueError: if it is malformed.
-    """
-    try:
-        return cbor2.loads(data)
-    except Exception as exc:
-        # The decoder of a tagged value may raise errors of any type.
-        raise ValueError(f'expected CBOR, got {data[:40]!r}') from exc
-
-
-def _check_head(message: typing.Any) -> list[typing.Any]:
-    _check(
-        isinstance(message, list)
-        and len(message) >= 3
-        and isinstance(message[1], str)
-        and _is_number(message[2], math.inf),
-        'a kind, a router and a number',
-        message,
-    )
-    return message
-
-
-def _get_only(contents: list[typing.Any], kind: type = object) -> typing.Any:
-    _check(
-        len(contents) == 1 and isinstance(contents[0], kind),
-        f'one item of type {kind.__name__}',
-        contents,
-    )
-    return contents[0]
-
-
-def _check_sums(
-    contents: typing.Any, numbers: int
-) -> tuple[load_exchange.Counts, typing.Mapping[types.EndpointId, typing.Any]]:
-    """Return counts and outcomes by endpoint.
-
-    :param contents: both of them, decoded.
-    :param numbers: how many numbers the outcomes of an endpoint have.
-    :raises ValueError: if they are malformed.
-    """
-    _check(
-        isinstance(contents, list)
-        and len(contents) == 2
-        and all(map(_is_mapping, contents))
-        and all(_is_count(count) for count in contents[0].values())
-        and all(
-            isinstance(item, list | tuple)
-            and len(item) == numbers
-            and all(_is_number(number, _MAX_COUNT) for number in item)
-            for item in contents[1].values()
-        ),
-        f'counts and outcomes of {numbers} numbers by endpoint',
-        contents,
-    )
-    counts, outcomes = contents
-    return counts, outcomes
-
-
-def _is_mapping(value: typing.Any) -> bool:
-    return isinstance(value, dict) and all(
-        isinstance(key, str) for key in value
-    )
-
-
-def _is_count(value: typing.Any) -> bool:
-    return isinstance(value, int) and 0 <= value <= _MAX_COUNT
-
-
-def _is_number(value: typing.Any, most: float) -> bool:
-    # nan is not within any bounds.
-    return isinstance(value, int | float) and 0 <= value <= most
-
-
-def _check(is_valid: bool, expected: str, got: typing.Any) -> None:
-    if not is_valid:
-        raise ValueError(f'expected {expected}, got {got!r:.80}')
-
-
 def open_socket(address: model.Address) -> trio.socket.SocketType:
     """Open a bound datagram socket.
 
--- a/foxtailpick/tests/test_peer_messages.py
+++ b/foxtailpick/tests/test_peer_messages.py
@@ -18,6 +18,7 @@
 OWN = 'router-1'
 PEER = 'router-2'
 COUNTS, TOTALS, REDIRECT, PROMPTS, PROMPT_TOTALS = range(2, 7)
+LIMITS, LIMIT_TOTALS = range(12, 14)
 HUGE = 10**400
 
 
@@ -74,6 +75,18 @@
             [PROMPTS, PEER, 1, [{}, {'p': HUGE}, {}]],
             [PROMPTS, PEER, 1, [{}, {}, {'p': [1, HUGE, None]}]],
             [PROMPTS, PEER, 1, [{}, {}, {'p': [1, 1e300, None]}]],
+            [LIMITS, PEER, 1],
+            [LIMITS, PEER, 1, 7],
+            [LIMITS, PEER, 1, [7]],
+            [LIMITS, PEER, 1, [['e1', '1', 2.0, 3, 0.5]]],
+            [LIMITS, PEER, 1, [['e1', '1', 'few', 3, 0.5, 1]]],
+            [LIMITS, PEER, 1, [['e1', '1', 2.0, -3, 0.5, 1]]],
+            [LIMITS, PEER, 1, [['e1', '1', 2.0, HUGE, 0.5, 1]]],
+            [LIMITS, PEER, 1, [['e1', '1', float('nan'), 3, 0.5, 1]]],
+            [LIMITS, PEER, 1, [['e1', 1, 2.0, 3, 0.5, 1]]],
+            [LIMIT_TOTALS, PEER, 0, 7],
+            [LIMIT_TOTALS, PEER, 0, [['e1', '1', 2.0, 3, None, 1]]],
+            [LIMIT_TOTALS, PEER, 0, [['e1', '1', 2.0, 3, 0.5, float('inf')]]],
             [PROMPT_TOTALS, PEER, 0, 7],
             [PROMPT_TOTALS, PEER, 0, {'p': ['x', None, None]}],
             [PROMPT_TOTALS, PEER, 0, {'p': [1, 'x', None]}],
