Keep the returns of refused callers above a rate of zero

A router that had no request for a limited endpoint when it last reported, while others had, got a share of zero; the time for a refused caller to return was then divided by zero, which answers 500. Found by reading the change; test_share_is_above_zero_at_a_router_without_requests failed before. The hub also sends its totals of limits at the usual interval only, also while counts are exchanged faster.

--- a/foxtailpick/core/dispatch/load_exchange.py
+++ b/foxtailpick/core/dispatch/load_exchange.py
@@ -1,15 +1,14 @@
 """Exchange of per-endpoint load between routers through a hub.
 
 Load pattern: many routers share many engines, so that each router gets a
-response from an engine only every few seconds, while requests for hot
-prompts accumulate at one engine. One router, the hub, sums the requests in
-flight of all routers and sends the totals to each. The number of messages
-grows linearly with the number of routers, not with its square. While part of
-a service is unavailable, the others are close to their limit, and counts are
-exchanged at shorter intervals, as far as the hub can handle them. A router
-that
-is taken for the hub and is not names the hub it knows. Without a reachable
-hub, a router falls back to the load reports in responses.
+response from an engine only every few seconds, while requests for hot prompts
+accumulate at one engine. One router, the hub, sums the requests in flight of
+all routers and sends the totals to each. The number of messages grows linearly
+with the number of routers, not with its square. While part of a service is
+unavailable, the others are close to their limit, and counts are exchanged at
+shorter intervals, as far as the hub can handle them. A router that is taken
+for the hub and is not names the hub it knows. Without a reachable hub, a
+router falls back to the load reports in responses.
 """
 
 import dataclasses
--- a/foxtailpick/core/dispatch/rate_limits.py
+++ b/foxtailpick/core/dispatch/rate_limits.py
@@ -25,7 +25,7 @@
 from foxtailpick.core.dispatch import model
 from foxtailpick.core import types
 
-# Usable share of a limit, as the wishes of the other routers are known late.
+# Usable share of a limit, as the demand at other routers is known late.
 USABLE_SHARE = 0.85
 # Requests a second that all routers together send to an endpoint whatever it
 # names. Five in 4 s are tolerated at any limit.
@@ -37,6 +37,8 @@
 WINDOW_SLACK = 2.0
 # Totals of the hub are used for this time.
 TOTALS_TTL_MS = 1_500.0
+# Shortest time between two totals that the hub sends.
+TOTALS_INTERVAL_MS = 140.0
 # A router reports what it read from an endpoint for this time.
 REPORT_TTL_MS = 3_000.0
 # Largest number of endpoints in a report and in the totals.
@@ -156,16 +158,16 @@
 def compute_share_per_s(
     limit: RateLimit, routers: int, now_ms: float
 ) -> float:
-    """Return the requests a second that this router may send.
+    """Return the requests a second that this router may send, above 0.
 
     :param limit: the limit of an endpoint that names one.
     :param routers: number of routers, including this one.
     :param now_ms: current time.
     """
     usable_per_s = _get_usable_per_s(limit)
-    wanted_per_s = limit.reported_per_s + limit.others_per_s
-    if not _has_totals(limit, now_ms) or wanted_per_s <= 0:
+    if not _has_totals(limit, now_ms) or limit.reported_per_s <= 0:
         return usable_per_s / routers
+    wanted_per_s = limit.reported_per_s + limit.others_per_s
     # At the time of a report the own rate is known as that of the others is;
     # now, at a request or after a pause, it would be too high or too low.
     return usable_per_s * limit.reported_per_s / wanted_per_s
@@ -228,7 +230,7 @@
         self._reports[router] = (now_ms, statements)
 
     def merge(self, now_ms: float) -> list[Statement]:
-        """Return the latest word of each endpoint and the summed wishes.
+        """Return the latest word of each endpoint and the summed demand.
 
         :param now_ms: current time.
         """
--- a/foxtailpick/gateway/peers.py
+++ b/foxtailpick/gateway/peers.py
@@ -120,6 +120,7 @@
         )
         self._departures = announcements.HubDepartures()
         self._limits = rate_limits.HubLimits()
+        self._limits_ms = 0.0
         self._departures_pacer = crash_reports.Pacer()
         self._departure_totals_pacer = crash_reports.Pacer()
         # Addresses that reports came from. A router that has just started
@@ -323,9 +324,12 @@
                 await self._send_to(data, self._reporters[router])
 
     async def _send_limit_totals(self, now_ms: float) -> None:
+        if now_ms - self._limits_ms < rate_limits.TOTALS_INTERVAL_MS:
+            return
         totals = self._limits.merge(now_ms)
         if not totals:
             return
+        self._limits_ms = now_ms
         gw = self._gw
         data = cbor2.dumps([_KIND_LIMIT_TOTALS, gw.cfg.name, 0, totals])
         for router, _ in self._hub_reports.list_routers():
--- a/foxtailpick/tests/test_server_limit.py
+++ b/foxtailpick/tests/test_server_limit.py
@@ -200,6 +200,19 @@
     assert schedule.next_ms == before_ms
 
 
+def test_share_is_above_zero_at_a_router_without_requests():
+    limit = rate_limits.RateLimit()
+    limit.record(3.0, 0.0, 0.0)
+    statement = rate_limits.make_statement(('e', '1'), limit, 1.0)
+    statement[4] += 5.0
+    rate_limits.apply_statement(limit, statement, 2.0)
+    share_per_s = rate_limits.compute_share_per_s(limit, 4, 3.0)
+    assert 0 < share_per_s <= 3.0
+    schedule = refusal.ReturnSchedule()
+    wait_ms = refusal.schedule_return(schedule, share_per_s, 9_000.0, 3.0)
+    assert wait_ms > 0
+
+
 def test_others_get_no_more_than_they_have_free_slots_for():
     table = test_dispatch.make_table(3, slots=4)
     prefix = next(
