Estimate what other routers sent by their requests in flight

Cause: a router took the other 67 for as busy as itself; callers are spread unevenly, so busy routers expected several times what the others sent. The ratio of the requests in flight, which the exchange knows, is used instead.

--- a/foxtailpick/core/dispatch/stale_load.py
+++ b/foxtailpick/core/dispatch/stale_load.py
@@ -30,12 +30,13 @@
 ) -> float:
     """Return how many requests of other routers an endpoint has got unseen.
 
-    Callers are spread over the routers, so the others place requests at
-    about the same rate.
+    The others place requests at a rate that is to this router's as their
+    requests in flight are to its own: callers are spread unevenly.
 
     :param endpoints: the candidates, at least one.
     :param rate_per_s: placements of this router at the service, per second.
-    :param routers: number of routers, including this one.
+    :param routers: number of routers, including this one, for a router that
+        has no requests in flight.
     :param now_ms: current time.
     """
     ages_ms = [
@@ -45,7 +46,10 @@
         for item in endpoints
     ]
     age_s = sum(ages_ms) / len(ages_ms) / types.SECOND_MS
-    return rate_per_s * (routers - 1) * age_s / len(endpoints)
+    own = sum(item.running for item in endpoints)
+    others = sum(item.remote_load for item in endpoints)
+    ratio = others / own if own else routers - 1
+    return rate_per_s * ratio * age_s / len(endpoints)
 
 
 def compute_weights(
--- a/foxtailpick/tests/test_load_limit.py
+++ b/foxtailpick/tests/test_load_limit.py
@@ -7,6 +7,7 @@
 import pytest
 
 from foxtailpick.core.dispatch import model
+from foxtailpick.core.dispatch import stale_load
 from foxtailpick.tests import engine_model
 from foxtailpick.tests import gateway_harness
 from foxtailpick.tests import test_dispatch
@@ -99,3 +100,14 @@
     simulation.run(runs)
     above = sum(run.is_above_limit for run in runs)
     assert above <= MAX_SHARE_ABOVE * len(runs)
+
+
+def test_busy_router_does_not_take_the_others_for_as_busy():
+    """With a fifth of a service out, 68 routers keep prompt affinity."""
+    table = test_dispatch.make_table(10, slots=64)
+    for item in table.list_all():
+        item.running = 1
+        item.set_remote_load(15.0, 0.0)
+    unseen = stale_load.estimate_unseen(table.list_all(), 30.0, 68, 75.0)
+    # 450 a second in all at ten endpoints, 155 ms old.
+    assert unseen == pytest.approx(450 / 10 * 0.155)
