--- a/foxtailpick/core/dispatch/placing.py
+++ b/foxtailpick/core/dispatch/placing.py
@@ -48,8 +48,9 @@
 LIMIT_MULTIPLE = 2.0
 LIMIT_SLACK = 3.0
 # The bound leaves too little room if it is below the mean of the candidates
-# plus so many times what other routers may have sent unseen, plus one.
-UNSEEN_MULTIPLE = 2.0
+# plus so many times what other routers are expected to have sent unseen, plus
+# one.
+UNSEEN_MULTIPLE = 1.0
 # Counts are exchanged faster if the bound leaves less room than this share of
 # the mean of the candidates. In a usual interval of the exchange, about a
 # tenth of an endpoint's requests are replaced by others.
