--- a/foxtailpick/core/dispatch/rate_limits.py
+++ b/foxtailpick/core/dispatch/rate_limits.py
@@ -46,10 +46,10 @@
 # A larger number is no age and no rate.
 MAX_MESSAGE_NUMBER = 1e12
 
-# Id and start of an endpoint, the rate that it named (None: no limit), the
-# age of that in ms (None: it was only told), the requests a second that
-# routers have for it, and the number of those sent in the window: a list, as
-# it is sent.
+# A list, as it is sent: id and start of an endpoint, the rate that it named
+# (None: no limit), the age of that word in ms (None: not read by this router),
+# the requests a second that routers have for it, and the number sent in the
+# window.
 Statement = list[typing.Any]
 
 
--- a/foxtailpick/soak/record.py
+++ b/foxtailpick/soak/record.py
@@ -23,9 +23,9 @@
 # counted from this time after it asked.
 REST_REQUESTS = 2
 REST_SLACK_MS = 500.0
-# An endpoint that limits its rate may get so many times as many requests, and
-# so many more, in a window of this length, from gateways that it told this
-# time before.
+# Bound on the requests to an endpoint that limits its rate, in each window of
+# this length: a multiple of the limit plus a number. Counted are gateways that
+# have known the limit for LIMIT_TOLD_MS.
 LIMIT_OVERRUN = 1.5
 LIMIT_SLACK = 5
 LIMIT_WINDOW_MS = 4_000.0
--- a/foxtailpick/tests/test_server_limit.py
+++ b/foxtailpick/tests/test_server_limit.py
@@ -175,7 +175,7 @@
     )
     fleet.run(60_000)
     late = [at_ms for at_ms, _ in fleet.sent_ms if at_ms >= 4_000]
-    assert len(late) > 0.5 * per_s * 56
+    assert len(late) >= 0.6 * per_s * 56
 
 
 def test_callers_return_at_the_rate_that_endpoints_take():
