--- a/foxtailpick/core/dispatch/model.py
+++ b/foxtailpick/core/dispatch/model.py
@@ -150,6 +150,7 @@
     :param slots: number of requests that it runs concurrently.
     :param is_draining: whether it accepts no new work.
     :param warmup_left_ms: remaining warm-up at the time of writing.
+    :param version: version of its software, empty if not stated.
     """
 
     id: types.EndpointId
@@ -160,6 +161,7 @@
     slots: int
     is_draining: bool
     warmup_left_ms: float
+    version: types.Version = types.Version('')
 
     @property
     def incarnation(self) -> EndpointIncarnation:
@@ -167,6 +169,31 @@
         return self.id, self.started
 
 
+class RolloutState(enum.Enum):
+    """State of a roll-out, as the operators read it."""
+
+    IN_PROGRESS = 'in_progress'
+    COMPLETED = 'completed'
+    ROLLED_BACK = 'rolled_back'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RolloutOrder:
+    """An order of the operators to move a service to a version.
+
+    :param id: identifies the order; an order that is given again has
+        another id.
+    :param service: the service.
+    :param version: version of the endpoints that the traffic moves to.
+    :param duration_ms: time until the roll-out has to be completed.
+    """
+
+    id: types.RolloutId
+    service: types.ServiceId
+    version: types.Version
+    duration_ms: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RouterEntry:
     """Registration of a router in the platform's store.
@@ -289,4 +316,12 @@
     entry: RouterEntry | None
 
 
-Item = ConfigItem | EndpointItem | EvacuationItem | RouterItem
+@dataclasses.dataclass(frozen=True, slots=True)
+class RolloutItem:
+    """A roll-out of a service; the order is None once it is withdrawn."""
+
+    service: types.ServiceId
+    order: RolloutOrder | None
+
+
+Item = ConfigItem | EndpointItem | EvacuationItem | RouterItem | RolloutItem
--- a/foxtailpick/core/types.py
+++ b/foxtailpick/core/types.py
@@ -26,8 +26,10 @@
 RegionId = typing.NewType('RegionId', str)
 RequestId = typing.NewType('RequestId', str)
 Revision = typing.NewType('Revision', int)
+RolloutId = typing.NewType('RolloutId', str)
 RouterId = typing.NewType('RouterId', str)
 ServiceId = typing.NewType('ServiceId', str)
+Version = typing.NewType('Version', str)
 
 SECOND_MS = 1_000.0
 MINUTE_MS = 60_000.0
