Take an endpoint for gone once a later process has its address

Cause: when a failure domain loses power, its endpoints return together at their addresses under new ids, while the entries of the old processes stay listed for some seconds. A request placed by an old entry is answered 421 by the new process, and after a few of these it is refused although there is room. Change: core/dispatch/address_owner decides by the stated starts which of two processes at one address has ended; the table gives it no work from then on. Entries that state no start decide nothing. Two fixtures gave all endpoints one address; each has its own now, nothing else of these tests changed.

--- a/foxtailpick/core/dispatch/endpoint_table.py
+++ b/foxtailpick/core/dispatch/endpoint_table.py
@@ -4,6 +4,7 @@
 import math
 import typing
 
+from foxtailpick.core.dispatch import address_owner
 from foxtailpick.core.dispatch import announcements
 from foxtailpick.core.dispatch import health as health_lib
 from foxtailpick.core.dispatch import model
@@ -42,6 +43,7 @@
     :param shared_outcomes: request outcomes summed over all routers, None
         if no router reported failures.
     :param is_ejected: whether it is ejected because of them.
+    :param is_replaced: whether a later process has its address.
     :param announced: what it announced in its responses.
     :param warmup_share: this router's share of its rate during the warm-up.
     """
@@ -57,6 +59,7 @@
     absent_until_ms: float | None = None
     shared_outcomes: shared_health.SharedOutcomes | None = None
     is_ejected: bool = False
+    is_replaced: bool = False
     announced: announcements.Announcement = dataclasses.field(
         default_factory=announcements.Announcement
     )
@@ -230,6 +233,7 @@
     def _is_listed(self, endpoint: Endpoint) -> bool:
         return (
             self._endpoints.get(endpoint.id) is endpoint
+            and not endpoint.is_replaced
             and not endpoint.entry.is_draining
             and endpoint.entry.domain not in self._evacuated_ms
         )
@@ -300,9 +304,18 @@
         known.warm_at_ms = max(known.warm_at_ms, now_ms + entry.warmup_left_ms)
         if entry.warmup_left_ms <= 0:
             known.warm_at_ms = min(known.warm_at_ms, now_ms)
+        self._mark_replaced(known)
         self._index()
         return known
 
+    def _mark_replaced(self, endpoint: Endpoint) -> None:
+        """Find out which processes at an endpoint's address have ended."""
+        for other in self._endpoints.values():
+            if address_owner.is_replaced(other.entry, endpoint.entry):
+                other.is_replaced = True
+            elif address_owner.is_replaced(endpoint.entry, other.entry):
+                endpoint.is_replaced = True
+
     def remove(self, endpoint: types.EndpointId, now_ms: float) -> None:
         """Remove an endpoint; ignored if it is unknown.
 
--- a/foxtailpick/tests/gateway_harness.py
+++ b/foxtailpick/tests/gateway_harness.py
@@ -3,6 +3,7 @@
 import contextlib
 import dataclasses
 import random
+import zlib
 
 import trio
 
@@ -24,6 +25,7 @@
 HOST = 'chat.example'
 KEY = 'key-1'
 LIMIT_S = 20.0
+MAX_PORT = 65_535
 
 
 def make_route(name, prefix, kind, **fields):
@@ -230,7 +232,8 @@
         'id': endpoint,
         'started': '1',
         'service': 'engine',
-        'address': ('127.0.0.1', 1),
+        # Only one process listens at an address.
+        'address': ('127.0.0.1', 1 + zlib.crc32(endpoint.encode()) % MAX_PORT),
         'domain': 'north',
         'slots': 8,
         'is_draining': False,
--- a/foxtailpick/tests/test_store_drill_model.py
+++ b/foxtailpick/tests/test_store_drill_model.py
@@ -71,7 +71,7 @@
         state = self.states[endpoint]
         entry = gateway_harness.make_entry(
             'engine',
-            ('127.0.0.1', 1),
+            ('127.0.0.1', 1 + ENDPOINTS.index(endpoint)),
             zone=DOMAINS[ENDPOINTS.index(endpoint) % 2],
             state=state or 'ready',
             born=self.births[endpoint],
