Check a configuration of the platform before it is sent

Cause: the store takes any well-formed configuration; a route that can never match, a key of two accounts or a target above its timeout show only when callers fail. The operators asked for a check before sending. Change: foxtailpick check-config names errors, entries that never match, limits that contradict each other and, against the version in force, each field that changes; for people or as JSON lines, with exit statuses.

--- a/foxtailpick/cli.py
+++ b/foxtailpick/cli.py
@@ -64,6 +64,26 @@
     return 0
 
 
+def check_config(
+    file: pathlib.Path,
+    *,
+    against: pathlib.Path | None = None,
+    json_lines: bool = False,
+) -> int:
+    """Check a configuration of the platform before it is sent.
+
+    Exits with 0 if nothing is wrong, 1 if something is, 2 if a file can't be
+    read or a gateway could not use it.
+
+    :param file: JSON file with the whole configuration.
+    :param against: JSON file with the version in force, to compare with.
+    :param json_lines: whether to print each finding as a JSON object.
+    """
+    from foxtailpick.platform import config_report
+
+    return config_report.print_report(file, against, json_lines)
+
+
 def create(file: pathlib.Path, *, store: str, prefix: str = PREFIX) -> int:
     """Write the first configuration of a deployment.
 
@@ -186,6 +206,7 @@
         router,
         sidecar,
         check,
+        check_config,
         create,
         show,
         patch,
