Count routers that the totals of a limited endpoint lack

An endpoint that limits its rate (Server-Limit) got up to twice what all routers together may send, for some seconds after the restart of the hub.

Cause: the survivors avoid the hub that fell silent for 4 s and report to the next one, while the restarted router, which knows of no loss, takes itself for the hub. Both send totals of those that report to them, and each group takes them for the whole fleet, so that each uses the whole limit.

The totals now name the number of routers that they contain, in the field that earlier versions send as 0, which still means all of them. A router scales the summed demand and the number sent by its own count of routers, so a router without reporters takes an equal part, as without totals.

Evidence (virtual time): test_restarted_hub_keeps_a_limit, 4 to 68 routers, hub and others restarted, limit 3.1 a second, 96 cases. A number of routers that is no count is refused as a malformed message.

--- a/foxtailpick/core/dispatch/rate_limits.py
+++ b/foxtailpick/core/dispatch/rate_limits.py
@@ -8,6 +8,8 @@
 requests they have for a limited endpoint, and each sends the same share of
 its own, chosen at random. They also tell how many they sent, which ends a
 random excess. Without fresh totals a router assumes that all do as it does.
+After the loss or the return of a hub there may be two for some seconds. Totals
+name how many routers they contain, and the others count as these.
 
 A limit is the word of the endpoint, in its answers. The latest word applies,
 of whichever router it was read by, so a limit is over with the first answer
@@ -67,6 +69,8 @@
     :param reported_per_s: their rate in the latest report to the hub.
     :param others_per_s: rate of the other routers' requests for it.
     :param others_ms: when the hub told that.
+    :param reporters: number of routers that the hub's totals contain,
+        including this one; None if they contain all.
     :param sent_ms: when this router sent requests in the window.
     :param reported_sent: their number in the latest report to the hub.
     :param others_sent: requests that the other routers sent in the window.
@@ -82,6 +86,7 @@
     reported_per_s: float = 0.0
     others_per_s: float = 0.0
     others_ms: float = -math.inf
+    reporters: int | None = None
     sent_ms: collections.deque[float] = dataclasses.field(
         default_factory=collections.deque
     )
@@ -167,9 +172,9 @@
     usable_per_s = _get_usable_per_s(limit)
     if not _has_totals(limit, now_ms) or limit.reported_per_s <= 0:
         return usable_per_s / routers
-    wanted_per_s = limit.reported_per_s + limit.others_per_s
     # At the time of a report the own rate is known as that of the others is;
     # now, at a request or after a pause, it would be too high or too low.
+    wanted_per_s = _estimate_wanted_per_s(limit, routers, now_ms)
     return usable_per_s * limit.reported_per_s / wanted_per_s
 
 
@@ -186,16 +191,25 @@
 ) -> float:
     """Return the rate of the requests of all routers for the endpoint."""
     if _has_totals(limit, now_ms):
-        return limit.reported_per_s + limit.others_per_s
+        reported_per_s = limit.reported_per_s + limit.others_per_s
+        return reported_per_s * _count_per_reporter(limit, routers)
     return limit.wanted.compute_per_s(now_ms) * routers
 
 
+def _count_per_reporter(limit: RateLimit, routers: int) -> float:
+    """Return how many routers each one in the hub's totals stands for."""
+    if limit.reporters is None:
+        return 1.0
+    return max(1.0, routers / limit.reporters)
+
+
 def _is_window_full(limit: RateLimit, routers: int, now_ms: float) -> bool:
     """Tell whether as many were sent lately as the limit allows at most."""
     own = _count_sent(limit, now_ms)
-    total = own * routers
+    total: float = own * routers
     if _has_totals(limit, now_ms):
         total = own + limit.others_sent
+        total *= _count_per_reporter(limit, routers)
     rate_per_s = max(limit.per_s or 0.0, MIN_PER_S)
     allowed = rate_per_s * WINDOW_MULTIPLE * WINDOW_MS / types.SECOND_MS
     return total + 1 > allowed + WINDOW_SLACK
@@ -215,6 +229,11 @@
             types.RouterId, tuple[float, typing.Sequence[Statement]]
         ] = {}
 
+    @property
+    def router_count(self) -> int:
+        """Number of routers in the latest totals."""
+        return len(self._reports)
+
     def record(
         self,
         router: types.RouterId,
@@ -286,18 +305,23 @@
 
 
 def apply_statement(
-    limit: RateLimit, statement: Statement, now_ms: float
+    limit: RateLimit,
+    statement: Statement,
+    reporters: int | None,
+    now_ms: float,
 ) -> bool:
     """Apply the totals of an endpoint; return whether its limit changed.
 
     :param limit: its limit.
     :param statement: the totals.
+    :param reporters: number of routers that the totals contain, None if all.
     :param now_ms: current time.
     """
     _, _, per_s, age_ms, wanted_per_s, sent = statement
     limit.others_per_s = max(0.0, wanted_per_s - limit.reported_per_s)
     limit.others_sent = max(0, sent - limit.reported_sent)
     limit.others_ms = now_ms
+    limit.reporters = reporters
     return age_ms is not None and limit.record_told(per_s, age_ms, now_ms)
 
 
--- a/foxtailpick/gateway/announced.py
+++ b/foxtailpick/gateway/announced.py
@@ -133,12 +133,15 @@
 
 
 def apply_limits(
-    gw: context.Gateway, statements: typing.Iterable[rate_limits.Statement]
+    gw: context.Gateway,
+    statements: typing.Iterable[rate_limits.Statement],
+    reporters: int | None,
 ) -> None:
     """Note what other routers know of limited endpoints.
 
     :param gw: the gateway.
     :param statements: the totals of the hub.
+    :param reporters: number of routers that the totals contain, None if all.
     """
     now_ms = gw.now_ms()
     for statement in statements:
@@ -147,7 +150,7 @@
         if item is None or item.entry.started != started:
             continue
         if rate_limits.apply_statement(
-            item.announced.rate_limit, statement, now_ms
+            item.announced.rate_limit, statement, reporters, now_ms
         ):
             _log_rate_limit(gw, item, age_ms)
 
@@ -166,6 +169,7 @@
         per_s=limit.per_s,
         told_age_ms=told_age_ms,
         routers=gw.state.router_count,
+        reporters=limit.reporters,
         own_per_s=round(limit.wanted.compute_per_s(now_ms), 2),
         others_per_s=round(limit.others_per_s, 2),
         others_age_ms=(
--- a/foxtailpick/gateway/peer_messages.py
+++ b/foxtailpick/gateway/peer_messages.py
@@ -59,6 +59,16 @@
     return contents[0]
 
 
+def check_count(value: typing.Any) -> int:
+    """Return a number that counts something.
+
+    :param value: the number, decoded.
+    :raises ValueError: if it is no whole number within bounds.
+    """
+    _check(_is_count(value), 'a count', value)
+    return value
+
+
 def check_sums(
     contents: typing.Any, numbers: int
 ) -> tuple[load_exchange.Counts, typing.Mapping[types.EndpointId, typing.Any]]:
--- a/foxtailpick/gateway/peers.py
+++ b/foxtailpick/gateway/peers.py
@@ -331,10 +331,13 @@
             return
         self._limits_ms = now_ms
         gw = self._gw
-        data = cbor2.dumps([_KIND_LIMIT_TOTALS, gw.cfg.name, 0, totals])
+        reporters = self._limits.router_count
+        data = cbor2.dumps(
+            [_KIND_LIMIT_TOTALS, gw.cfg.name, reporters, totals]
+        )
         for router, _ in self._hub_reports.list_routers():
             if router == gw.cfg.name:
-                announced.apply_limits(gw, totals)
+                announced.apply_limits(gw, totals, reporters)
             elif router in self._reporters:
                 await self._send_to(data, self._reporters[router])
 
@@ -397,7 +400,9 @@
             statements = rate_limits.decode_statements(
                 peer_messages.get_only(contents)
             )
-            announced.apply_limits(self._gw, statements)
+            # Earlier versions send 0 for the number of routers.
+            reporters = peer_messages.check_count(number) or None
+            announced.apply_limits(self._gw, statements, reporters)
         elif kind == _KIND_REDIRECT:
             hub = types.RouterId(peer_messages.get_only(contents, str))
             self._hub_selector.record_redirect(router, hub)
--- a/foxtailpick/tests/test_server_limit.py
+++ b/foxtailpick/tests/test_server_limit.py
@@ -153,6 +153,38 @@
     assert fleet.count_worst_window() <= 1.5 * per_s * WINDOW_S + 5
 
 
+@pytest.mark.parametrize('seed', range(1, 9))
+@pytest.mark.parametrize('down_ms', [0.0, 1_000.0, 2_000.0])
+@pytest.mark.parametrize(
+    'routers, restarted', [(4, 1), (4, 2), (16, 5), (68, 20)]
+)
+def test_restarted_hub_keeps_a_limit(routers, restarted, down_ms, seed):
+    """It takes itself for the hub while the others report to another one."""
+    per_s = 3.1
+    fleet = limited_fleet_model.Fleet(
+        routers, per_s, 20.0 * (1 + seed % 2), seed, is_uneven=seed % 3 == 0
+    )
+    fleet.run(8_000)
+    others = [number for number in range(routers) if number != fleet.hub]
+    random.Random(seed).shuffle(others)
+    for number in [fleet.hub, *others[: restarted - 1]]:
+        fleet.restart(number, down_ms)
+    fleet.run(18_000)
+    assert fleet.count_worst_window() <= 1.5 * per_s * WINDOW_S + 5
+
+
+def test_routers_missing_in_the_totals_count_as_those_in_them():
+    limit = rate_limits.RateLimit()
+    limit.record(3.0, 0.0, 0.0)
+    limit.wanted.record(0.0)
+    statement = rate_limits.make_statement(('e', '1'), limit, 1.0)
+    shares_per_s = []
+    for reporters in (None, 4, 1):
+        rate_limits.apply_statement(limit, statement, reporters, 2.0)
+        shares_per_s.append(rate_limits.compute_share_per_s(limit, 4, 3.0))
+    assert shares_per_s[0] == shares_per_s[1] == 4 * shares_per_s[2]
+
+
 @pytest.mark.parametrize('seed', [1, 2, 3])
 @pytest.mark.parametrize('per_s', [0.7, 3.0, 12.0])
 @pytest.mark.parametrize('routers', [4, 21, 68])
@@ -174,7 +206,7 @@
         routers, per_s, 3 * per_s, seed=5, is_uneven=is_uneven
     )
     fleet.run(60_000)
-    late = [at_ms for at_ms, _ in fleet.sent_ms if at_ms >= 4_000]
+    late = [at_ms for at_ms, *_ in fleet.sent if at_ms >= 4_000]
     assert len(late) >= 0.6 * per_s * 56
 
 
@@ -205,7 +237,7 @@
     limit.record(3.0, 0.0, 0.0)
     statement = rate_limits.make_statement(('e', '1'), limit, 1.0)
     statement[4] += 5.0
-    rate_limits.apply_statement(limit, statement, 2.0)
+    rate_limits.apply_statement(limit, statement, None, 2.0)
     share_per_s = rate_limits.compute_share_per_s(limit, 4, 3.0)
     assert 0 < share_per_s <= 3.0
     schedule = refusal.ReturnSchedule()
