Read the list of routers again soon until the first one

A router takes itself for the only one until it has read the list of routers. If the store refused the first four reads, over some 3.5 s after a start, it asked again after 5 s, and later the larger the fleet is. Meanwhile it used the whole of each shared bound: the limit that an endpoint names, the rate of cold endpoints, retries and connections. It also took no part in the exchange between routers.

Until the first list it now asks every 2 s.

Evidence: test_router_that_starts_beside_a_busy_store_counts_the_others (virtual time, 9 s of refusals) failed before, with one router counted 3 s after the end of the refusals, when the operators expect bounds to hold again; it passes now.

--- a/foxtailpick/core/dispatch/store_pacing.py
+++ b/foxtailpick/core/dispatch/store_pacing.py
@@ -40,6 +40,7 @@
 # The first reads of the list of routers, while the fleet starts, and the
 # interval of later ones for each router.
 FIRST_LIST_DELAYS_MS = (0.0, 500.0, 1_000.0, 2_000.0)
+FIRST_LISTS = len(FIRST_LIST_DELAYS_MS)
 LIST_INTERVAL_PER_ROUTER_MS = 150.0
 MIN_LIST_INTERVAL_MS = 5_000.0
 
@@ -85,7 +86,7 @@
     :param routers: number of routers in the list.
     :param rng: source of random numbers.
     """
-    if reads < len(FIRST_LIST_DELAYS_MS):
+    if reads < FIRST_LISTS:
         delay_ms = FIRST_LIST_DELAYS_MS[reads]
     else:
         delay_ms = max(
--- a/foxtailpick/gateway/mirror.py
+++ b/foxtailpick/gateway/mirror.py
@@ -239,8 +239,13 @@
                 restarts += 1
 
     async def list_routers(self) -> None:
-        """Read the list of routers at intervals, until cancelled."""
+        """Read the list of routers at intervals, until cancelled.
+
+        Until the first list a router takes itself for the only one, and its
+        share of each budget is too large.
+        """
         reads = 0
+        is_known = False
         while True:
             delay_ms = store_pacing.compute_list_delay_ms(
                 reads, self._state.router_count, self._rng
@@ -256,8 +261,11 @@
                 if exc.code is errors.ErrorCode.STORE_RESTORED:
                     self._record_restored()
                 self._log.emit('routers-not-read', error=str(exc))
+                if not is_known:
+                    reads = min(reads, store_pacing.FIRST_LISTS - 1)
                 continue
             self._state.replace_routers(self._decode_entries(snapshot))
+            is_known = True
 
     async def register(self, key: str, value: bytes) -> None:
         """Register this router under a leased key and renew the lease.
--- a/foxtailpick/tests/test_mirror.py
+++ b/foxtailpick/tests/test_mirror.py
@@ -362,3 +362,36 @@
     await trio.sleep(state.ROUTER_GRACE_MS / 1_000)
     own.replace_routers([one])
     assert own.router_count == 1
+
+
+class BusyStore(ChangingStore):
+    """A store that refuses lists of routers until some time."""
+
+    busy_until_s = 9.0
+
+    async def read_snapshot(self, prefix, is_stale_ok=False):
+        """Return two routers."""
+        if trio.current_time() < self.busy_until_s:
+            raise errors.StoreError(
+                errors.ErrorCode.STORE_UNAVAILABLE, 'busy; retry later'
+            )
+        entry = model.RouterEntry(('127.0.0.1', 1), 1.0)
+        value = items.encode_router(entry)
+        entries = [
+            base.Entry(f'{prefix}{name}', value, types.Revision(1))
+            for name in 'ab'
+        ]
+        return base.Snapshot(entries, self._get_position())
+
+
+async def test_router_that_starts_beside_a_busy_store_counts_the_others(
+    autojump_clock,
+):
+    """Before the operators expect it to keep bounds, after 3 s."""
+    contact_s = 3.0
+    follower, own = make_mirror(BusyStore())
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(follower.list_routers)
+        await trio.sleep(BusyStore.busy_until_s + contact_s)
+        assert own.router_count == 2
+        nursery.cancel_scope.cancel()
