Read the fourth figure of an endpoint's load report

Cause: the decoder took exactly three figures, requests running, waiting and slots. Endpoints on shared machines add how long work takes there at the moment, and their whole report was dropped: routers knew only their own requests and those of other routers. Change: LoadReport.pace holds the figure as a multiple of the usual time. The stand-in endpoint may report a load. Nothing uses the pace yet.

--- a/foxtailpick/core/dispatch/model.py
+++ b/foxtailpick/core/dispatch/model.py
@@ -240,11 +240,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoadReport:
-    """Load reported by an endpoint in a response."""
+    """Load reported by an endpoint in a response.
+
+    :param running: requests that it runs.
+    :param waiting: requests in its queue.
+    :param slots: requests that it runs concurrently at most.
+    :param pace: time that work takes there at this moment, as a multiple of
+        the usual time, None if not stated.
+    """
 
     running: int
     waiting: int
     slots: int
+    pace: float | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -259,6 +267,7 @@
     :param is_closing: whether the endpoint closes the connection.
     :param keep_alive_ms: idle timeout of the connection, if stated.
     :param load: the reported load, if any.
+    :param bad_load: a report of the load that is invalid, if any.
     :param is_leaving: whether the endpoint announces that it leaves.
     :param retry_after_ms: time until a retry is welcome, if stated.
     :param bad_retry_after: a statement of that time that is invalid, if any.
@@ -276,6 +285,7 @@
     is_closing: bool = False
     keep_alive_ms: float | None = None
     load: LoadReport | None = None
+    bad_load: str | None = None
     is_leaving: bool = False
     retry_after_ms: float | None = None
     bad_retry_after: str | None = None
--- a/foxtailpick/gateway/attempt.py
+++ b/foxtailpick/gateway/attempt.py
@@ -20,6 +20,7 @@
 from foxtailpick.gateway import endpoint_io
 from foxtailpick.gateway import http1
 from foxtailpick.gateway import job as job_lib
+from foxtailpick.gateway import load_reports
 from foxtailpick.gateway import quarantine
 from foxtailpick.gateway import reply as reply_lib
 from foxtailpick.gateway import stream_relay
@@ -304,8 +305,7 @@
         )
         attempt.is_failure_recorded = False
     attempt.read_timeout_ms = response_timeout.EVENT_GAP_TIMEOUT_MS
-    if meta.load is not None:
-        attempt.endpoint.update_load(meta.load, gw.now_ms())
+    load_reports.record_report(gw, attempt.endpoint, meta)
     conn.keep_alive_ms = meta.keep_alive_ms
     if not head.is_reusable or meta.is_closing:
         conn.is_clean = False
--- a/foxtailpick/platform/dialect.py
+++ b/foxtailpick/platform/dialect.py
@@ -44,6 +44,12 @@
 _LOWEST_PRIORITY = 9
 # Number of requests beyond which a load report is invalid.
 _MAX_LOAD = 1_000_000
+# Time that work takes, in percent, on a machine that is as fast as usual,
+# and figure beyond which a load report is invalid.
+_USUAL_PACE = 100
+_MAX_PACE = 100_000
+# Digits of the largest valid figure.
+_MAX_DIGITS = 7
 
 
 def decode_request(
@@ -158,6 +164,8 @@
             continue
         elif name == b'x-server-load':
             meta.load = _parse_load(value)
+            if meta.load is None:
+                meta.bad_load = value.decode('latin-1')
             continue
         elif name == b'content-encoding':
             meta.is_encoded = True
@@ -218,14 +226,23 @@
 
 
 def _parse_load(value: bytes) -> model.LoadReport | None:
-    try:
-        counts = [int(part) for part in value.split(b',')]
-    except ValueError:
-        counts = []
-    if len(counts) != 3 or not all(0 <= n <= _MAX_LOAD for n in counts):
-        # The report only refines an estimate, so an invalid one is ignored.
+    """Return the reported load, None if the report is invalid.
+
+    Endpoints on shared machines add how long work takes there at the moment,
+    in percent of the usual time.
+    """
+    parts = [part.strip() for part in value.split(b',')]
+    if not all(part.isdigit() and len(part) <= _MAX_DIGITS for part in parts):
+        return None
+    figures = [int(part) for part in parts]
+    if len(figures) not in (3, 4) or max(figures[:3]) > _MAX_LOAD:
+        return None
+    if len(figures) == 3:
+        return model.LoadReport(*figures)
+    *counts, pace = figures
+    if not 0 < pace <= _MAX_PACE:
         return None
-    return model.LoadReport(*counts)
+    return model.LoadReport(*counts, pace / _USUAL_PACE)
 
 
 def _parse_keep_alive(value: bytes) -> float | None:
--- a/foxtailpick/platform/standins/endpoint_server.py
+++ b/foxtailpick/platform/standins/endpoint_server.py
@@ -42,6 +42,7 @@
     :param sock: the connection of the request.
     :param received: the request.
     :param until_awake: waits for the end of a silence of the endpoint.
+    :param load: the load that it reports, None if it reports none.
     """
 
     def __init__(
@@ -49,10 +50,12 @@
         sock: trio.socket.SocketType,
         received: ReceivedRequest,
         until_awake: typing.Callable[[], typing.Awaitable[None]],
+        load: bytes | None = None,
     ) -> None:
         self.sock = sock
         self.received = received
         self._until_awake = until_awake
+        self._load = load
         self._is_chunked = True
 
     async def answer(
@@ -134,7 +137,8 @@
     ) -> list[model.RawHeader]:
         echo = (b'X-Attempt-Id', (request or self.received.id).encode())
         signed = [SIGNATURE] if is_signed else []
-        return [echo, *signed, *headers]
+        load = [] if self._load is None else [(b'X-Server-Load', self._load)]
+        return [echo, *signed, *load, *headers]
 
 
 def format_event(number: int) -> bytes:
@@ -146,10 +150,14 @@
     """A stand-in for a server, at one address.
 
     :param script: answers a request; an exception closes the connection.
+    :param load: report of its load that its responses contain: requests
+        running and waiting, slots and, as a fourth figure, how long work
+        takes on its machine, in percent of the usual time.
     """
 
-    def __init__(self, script: Script) -> None:
+    def __init__(self, script: Script, load: bytes | None = None) -> None:
         self.script = script
+        self.load = load
         self.received: list[ReceivedRequest] = []
         self.disconnects = 0
         self.crashes = 0
@@ -231,7 +239,9 @@
                         )
                         self.received.append(received)
                         await self._run(
-                            Exchange(sock, received, self._until_awake)
+                            Exchange(
+                                sock, received, self._until_awake, self.load
+                            )
                         )
             except (http1.BrokenConnectionError, AbortConnectionError):
                 return
