Keep the estimated work of each request in progress

Cause: decisions after the admission of a request know its route and prompt parts, not how much work it is; those on overload and on the load of endpoints need the same estimate. Change: Job.work, made from the lengths that the caller states. Result: nothing uses it yet; the tests of work and of the gateway pass, lint passes.

--- a/foxtailpick/gateway/job.py
+++ b/foxtailpick/gateway/job.py
@@ -5,6 +5,7 @@
 from foxtailpick.core.dispatch import crash_quarantine
 from foxtailpick.core.dispatch import event_stream
 from foxtailpick.core.dispatch import model
+from foxtailpick.core.dispatch import request_work
 from foxtailpick.core import types
 from foxtailpick.core import verdict as verdict_lib
 from foxtailpick.gateway import client as client_lib
@@ -33,6 +34,7 @@
     :param deadline_ms: time after which the response is useless.
     :param splitter: position in the stream, for a resumable stream.
     :param prefix: id of the prompt prefix for cache affinity, if any.
+    :param work: what it is expected to cost an endpoint.
     :param share_ratio: its account's usage of the service, as a multiple of
         the equal share.
     :param tried: endpoints with a failed attempt.
@@ -60,6 +62,7 @@
     deadline_ms: float
     splitter: event_stream.EventSplitter | None
     prefix: str | None
+    work: request_work.Work
     share_ratio: float = 0.0
     tried: set[types.EndpointId] = dataclasses.field(default_factory=set)
     counted_attempts: int = 0
--- a/foxtailpick/gateway/relay.py
+++ b/foxtailpick/gateway/relay.py
@@ -11,6 +11,7 @@
 from foxtailpick.core.dispatch import model
 from foxtailpick.core.dispatch import placing
 from foxtailpick.core.dispatch import refusal
+from foxtailpick.core.dispatch import request_work
 from foxtailpick.core.dispatch import route_table
 from foxtailpick.core.dispatch import stopping
 from foxtailpick.core import errors
@@ -169,6 +170,9 @@
         deadline_ms=req.received_ms + left_ms,
         splitter=splitter,
         prefix=placing.find_affinity_part(meta.parts),
+        work=request_work.estimate_work(
+            meta.prompt_tokens, meta.output_tokens
+        ),
         share_ratio=share_ratio,
     )
 
