Move load bounds and prompt holders out of placing

Change: load_limit computes the bounds of loads, prompt_holder finds who has a prompt cached; Health.is_suspect replaces a private function. No decision changes.

--- a/foxtailpick/core/dispatch/health.py
+++ b/foxtailpick/core/dispatch/health.py
@@ -94,6 +94,13 @@
         last_ms = max(self.awaiting_since_ms, self.last_received_ms)
         return now_ms - last_ms > SILENCE_MS
 
+    def is_suspect(self, now_ms: float) -> bool:
+        """Tell whether the endpoint is paused or not responding.
+
+        :param now_ms: current time.
+        """
+        return self.is_paused(now_ms) or self.is_silent(now_ms)
+
 
 def record_success(health: Health, now_ms: float) -> None:
     """Record a complete answer.
--- a/foxtailpick/core/dispatch/placing.py
+++ b/foxtailpick/core/dispatch/placing.py
@@ -27,40 +27,22 @@
 import typing
 
 from foxtailpick.core.dispatch import endpoint_table
+from foxtailpick.core.dispatch import load_limit
 from foxtailpick.core.dispatch import model
+from foxtailpick.core.dispatch import prompt_holder
 from foxtailpick.core.dispatch import rate_limits
 from foxtailpick.core.dispatch import rate_share
 from foxtailpick.core.dispatch import shared_health
 from foxtailpick.core.dispatch import stale_load
-from foxtailpick.core import ring
 from foxtailpick.core import types
 
-# Load bounds: a multiple of the mean load plus a number of requests. Between
-# the two bounds the probability of overflow rises from 0 to 1; with a single
-# bound, routers acting on the same stale counts would all leave or enter an
-# endpoint at once.
-SOFT_BOUND_MULTIPLE = 1.3
-SOFT_BOUND_SLACK = 2.0
-HARD_BOUND_MULTIPLE = 1.7
-HARD_BOUND_SLACK = 3.0
-# Guaranteed limit of a load: a multiple of the mean of the service, with
-# endpoints that accept no new work, plus a number of requests.
-LIMIT_MULTIPLE = 2.0
-LIMIT_SLACK = 3.0
 # The bound leaves too little room if it is below the mean of the candidates
 # plus so many times what other routers are expected to have sent unseen, plus
 # one.
 UNSEEN_MULTIPLE = 1.0
-# Counts are exchanged faster if the bound leaves less room than this share of
-# the mean of the candidates. In a usual interval of the exchange, about a
-# tenth of an endpoint's requests are replaced by others.
-FAST_EXCHANGE_ROOM_SHARE = 0.3
 # Usable share of an endpoint's connection limit: the endpoint accepts fewer
 # connections while its queue is long, and resets those above its limit.
 USABLE_CONNECTION_SHARE = 0.9
-# Endpoints that came into service within this time of each other started
-# together, so that none of them was the home of a prompt before the other.
-SAME_START_MS = 1_000.0
 # Largest share of a service that is paused for failing part of its requests.
 MAX_PAUSED_SHARE = 1 / 3
 # If all endpoints are full, a queue of this share of the slots delays a
@@ -176,7 +158,13 @@
     if query.prefix is None:
         return _choose_of_two(usable, mean, query, rng)
     choice = _choose_by_prefix(usable, mean, query, rng)
-    holder = _find_holder(choice.endpoint, endpoints, query)
+    holder = prompt_holder.find_holder(
+        choice.endpoint,
+        endpoints,
+        query.leaving,
+        query.prefix,
+        query.now_ms,
+    )
     return dataclasses.replace(choice, holder=holder)
 
 
@@ -334,14 +322,10 @@
         item.id
         for item in endpoints
         if item.id in worst
-        or (item.id not in partly and _is_suspect(item, now_ms))
+        or (item.id not in partly and item.health.is_suspect(now_ms))
     }
 
 
-def _is_suspect(item: endpoint_table.Endpoint, now_ms: float) -> bool:
-    return item.health.is_paused(now_ms) or item.health.is_silent(now_ms)
-
-
 def _choose_last_resort(
     items: typing.Sequence[endpoint_table.Endpoint], query: Query
 ) -> Choice:
@@ -372,10 +356,12 @@
     # One random draw for all endpoints: a request that skips a loaded
     # endpoint also skips others with the same load.
     draw = rng.random()
-    soft_bound, hard_bound = _compute_bounds(mean, query.service_mean_load)
+    soft_bound, hard_bound = load_limit.compute_bounds(
+        mean, query.service_mean_load
+    )
     bound = soft_bound + draw * (hard_bound - soft_bound)
     assert query.prefix is not None
-    ranked = _rank(items, query.prefix)
+    ranked = prompt_holder.rank_homes(items, query.prefix)
     for rank, item in enumerate(ranked):
         if item.load + 1 <= min(bound, _compute_max_load(item, mean)):
             reason = Reason.OVERFLOW if rank else Reason.PREFIX
@@ -390,12 +376,12 @@
     query: Query,
 ) -> bool:
     """Tell whether routers together may exceed the bound before they know."""
-    if not _is_bound_reduced(mean, query.service_mean_load):
+    if not load_limit.is_bound_reduced(mean, query.service_mean_load):
         return False
     unseen = stale_load.estimate_unseen(
         items, query.rate_per_s, query.routers, query.now_ms
     )
-    room = _compute_limit(query.service_mean_load) - mean
+    room = load_limit.compute_room(mean, query.service_mean_load)
     return room < UNSEEN_MULTIPLE * unseen + 1
 
 
@@ -420,37 +406,6 @@
     return _make_choice(chosen, Reason.SPREAD, mean, items, query)
 
 
-def needs_fresh_counts(mean: float, service_mean: float) -> bool:
-    """Tell whether the bound leaves little room above the mean.
-
-    :param mean: mean load of the endpoints that accept work.
-    :param service_mean: mean load of all listed endpoints of the service.
-    """
-    room = _compute_limit(service_mean) - mean
-    is_narrow = room < mean * FAST_EXCHANGE_ROOM_SHARE
-    return is_narrow and _is_bound_reduced(mean, service_mean)
-
-
-def compute_guaranteed_limit(service_mean: float) -> float:
-    """Return the load above which an endpoint should get no requests.
-
-    :param service_mean: mean load of all listed endpoints of the service.
-    """
-    return service_mean * LIMIT_MULTIPLE + LIMIT_SLACK
-
-
-def _is_bound_reduced(mean: float, service_mean: float) -> bool:
-    """Tell whether unavailable endpoints lower the bound."""
-    return _compute_limit(service_mean) < (
-        mean * HARD_BOUND_MULTIPLE + HARD_BOUND_SLACK
-    )
-
-
-def _compute_limit(service_mean: float) -> float:
-    """Return the load at which overflow of a service is complete."""
-    return service_mean * HARD_BOUND_MULTIPLE + HARD_BOUND_SLACK
-
-
 def _make_choice(
     endpoint: endpoint_table.Endpoint,
     reason: Reason,
@@ -461,29 +416,6 @@
     return Choice(endpoint, reason, mean, len(items), query.service_mean_load)
 
 
-def _compute_bounds(mean: float, service_mean: float) -> tuple[float, float]:
-    """Return the loads at which overflow begins and is complete.
-
-    A lower mean of the service lowers both in proportion to their distance
-    from the mean of the candidates. An endpoint with that mean stays usable:
-    if most of the service is unavailable, the candidates cannot keep the
-    limit, and an even distribution is all that is left.
-
-    :param mean: mean load of the candidates.
-    :param service_mean: mean load of all listed endpoints of the service.
-    """
-    soft_bound = mean * SOFT_BOUND_MULTIPLE + SOFT_BOUND_SLACK
-    hard_bound = mean * HARD_BOUND_MULTIPLE + HARD_BOUND_SLACK
-    if not _is_bound_reduced(mean, service_mean):
-        return soft_bound, hard_bound
-    limit = _compute_limit(service_mean)
-    share = max(1.0, limit - mean) / (hard_bound - mean)
-    return (
-        mean + share * (soft_bound - mean),
-        mean + share * (hard_bound - mean),
-    )
-
-
 def _compute_max_load(item: endpoint_table.Endpoint, mean: float) -> float:
     """Return the load up to which prompt affinity outweighs queueing.
 
@@ -491,52 +423,3 @@
     """
     slots = item.entry.slots
     return max(slots, mean + slots * FULL_QUEUE_SHARE)
-
-
-def _find_holder(
-    chosen: endpoint_table.Endpoint,
-    endpoints: typing.Sequence[endpoint_table.Endpoint],
-    query: Query,
-) -> endpoint_table.Endpoint | None:
-    """Return another endpoint that probably has the prompt cached.
-
-    This is the home endpoint of the prompt or, if the chosen endpoint is
-    the home but has just started, the home before it did.
-    An endpoint that fails part of its requests still has its cache. One that
-    does not respond is skipped, because the request would wait for its
-    reply.
-    """
-    assert query.prefix is not None
-    now_ms = query.now_ms
-    reachable = [
-        item
-        for item in endpoints
-        if item.health.is_partly_failing(now_ms)
-        or not _is_suspect(item, now_ms)
-    ]
-    leaving = [item for item in query.leaving if not _is_suspect(item, now_ms)]
-    # A cold endpoint has few prompts, and must not get more work. Neither
-    # must one that limits its requests.
-    holders = [
-        item
-        for item in [*reachable, *leaving]
-        if item is not chosen
-        and not item.is_cold(now_ms)
-        and not item.announced.rate_limit.is_limited
-    ]
-    ranked = _rank([chosen, *holders], query.prefix)
-    if ranked[0] is not chosen:
-        return ranked[0]
-    if not chosen.is_cache_filling(now_ms) or len(ranked) == 1:
-        return None
-    started_ms = chosen.in_service_ms - SAME_START_MS
-    earlier = [item for item in ranked if item.in_service_ms < started_ms]
-    return earlier[0] if earlier else ranked[1]
-
-
-def _rank(
-    items: typing.Sequence[endpoint_table.Endpoint], prefix: str
-) -> list[endpoint_table.Endpoint]:
-    by_id = {item.id: item for item in items}
-    capacities = {item.id: float(item.entry.slots) for item in items}
-    return [by_id[key] for key in ring.rank_by_rendezvous(prefix, capacities)]
--- a/foxtailpick/gateway/load_watch.py
+++ b/foxtailpick/gateway/load_watch.py
@@ -3,7 +3,7 @@
 import typing
 
 from foxtailpick.core.dispatch import endpoint_table
-from foxtailpick.core.dispatch import placing
+from foxtailpick.core.dispatch import load_limit
 from foxtailpick.core import types
 from foxtailpick.gateway import context
 
@@ -24,7 +24,7 @@
     def needs_fresh_counts(self) -> bool:
         """Tell whether some service has little room below its load bound."""
         return any(
-            placing.needs_fresh_counts(mean, service_mean)
+            load_limit.needs_fresh_counts(mean, service_mean)
             for _, mean, service_mean in self._list_means()
         )
 
@@ -32,7 +32,7 @@
         """Log endpoints above the limit, after the counts were updated."""
         now_ms = self._gw.now_ms()
         for service, mean, service_mean in self._list_means():
-            limit = placing.compute_guaranteed_limit(service_mean)
+            limit = load_limit.compute_guaranteed_limit(service_mean)
             loads = {
                 item.id: round(item.load)
                 for item in self._gw.state.table.list_service(service)
--- a/foxtailpick/tests/engine_model.py
+++ b/foxtailpick/tests/engine_model.py
@@ -17,6 +17,7 @@
 from foxtailpick.core.dispatch import decayed_rate
 from foxtailpick.core.dispatch import endpoint_table
 from foxtailpick.core.dispatch import load_exchange
+from foxtailpick.core.dispatch import load_limit
 from foxtailpick.core.dispatch import placing
 from foxtailpick.tests import gateway_harness
 
@@ -326,7 +327,7 @@
         usable_mean = sum(item.load for item in usable) / len(usable)
         return load_exchange.compute_interval_ms(
             len(self.routers),
-            placing.needs_fresh_counts(usable_mean, mean),
+            load_limit.needs_fresh_counts(usable_mean, mean),
         )
 
     def _send_totals(self):
--- a/foxtailpick/tests/test_dispatch.py
+++ b/foxtailpick/tests/test_dispatch.py
@@ -10,6 +10,7 @@
 from foxtailpick.core.dispatch import health
 from foxtailpick.core.dispatch import model
 from foxtailpick.core.dispatch import placing
+from foxtailpick.core.dispatch import prompt_holder
 from foxtailpick.core.dispatch import rate_share
 from foxtailpick.core.dispatch import refusal
 from foxtailpick.core.dispatch import response_timeout
@@ -575,7 +576,8 @@
 )
 def test_new_home_fetches_from_the_home_before(starts_ms, holder):
     table = make_table(6)
-    order = [item.id for item in placing._rank(table.list_all(), 'p')]
+    ranked = prompt_holder.rank_homes(table.list_all(), 'p')
+    order = [item.id for item in ranked]
     for endpoint, start_ms in zip(order, starts_ms, strict=False):
         entry = gateway_harness.make_endpoint_entry(
             endpoint, started='2', warmup_left_ms=1.0
@@ -632,7 +634,8 @@
 def test_nothing_is_fetched_from_a_home_that_is_cold():
     """A new home that has used up its rate for now has an empty cache."""
     table = make_table(6)
-    order = [item.id for item in placing._rank(table.list_all(), 'p')]
+    ranked = prompt_holder.rank_homes(table.list_all(), 'p')
+    order = [item.id for item in ranked]
     entry = gateway_harness.make_endpoint_entry(
         order[0], started='2', warmup_left_ms=3_000.0
     )
--- a/foxtailpick/tests/test_load_exchange.py
+++ b/foxtailpick/tests/test_load_exchange.py
@@ -5,8 +5,8 @@
 import trio
 
 from foxtailpick.core.dispatch import load_exchange
+from foxtailpick.core.dispatch import load_limit
 from foxtailpick.core.dispatch import model
-from foxtailpick.core.dispatch import placing
 from foxtailpick.core import ring
 from foxtailpick.tests import gateway_harness
 from foxtailpick.tests import test_dispatch
@@ -164,9 +164,11 @@
     assert with_exchange < simulate_many_routers(has_exchange=False)
     # Baseline: all routers apply the same single bound at once.
     monkeypatch.setattr(
-        placing, 'SOFT_BOUND_MULTIPLE', placing.HARD_BOUND_MULTIPLE
+        load_limit, 'SOFT_BOUND_MULTIPLE', load_limit.HARD_BOUND_MULTIPLE
+    )
+    monkeypatch.setattr(
+        load_limit, 'SOFT_BOUND_SLACK', load_limit.HARD_BOUND_SLACK
     )
-    monkeypatch.setattr(placing, 'SOFT_BOUND_SLACK', placing.HARD_BOUND_SLACK)
     assert simulate_many_routers(has_exchange=True) > 0.03
 
 
