Let only identified answers end the limit of an endpoint

An answer that names no limit ends it at all routers at once. That held also for one without the id of its request, as broken endpoints or what stands before them send it, and until the next proper answer all routers sent what they had; none of it counted in the window afterwards.

An answer without an id now ends no limit; one that names a limit still sets it. Found by reading; no run showed it.

Evidence: test_answer_without_an_id_does_not_end_a_limit failed before (the limit was gone after the first such answer) and passes now.

--- a/foxtailpick/gateway/announced.py
+++ b/foxtailpick/gateway/announced.py
@@ -95,6 +95,9 @@
             f'{meta.bad_rate_limit[:40]!r}',
         )
         return
+    if meta.rate_limit_per_s is None and meta.request is None:
+        # A broken answer need not be the endpoint's, and ends no limit.
+        return
     limit = endpoint.announced.rate_limit
     if limit.record(meta.rate_limit_per_s, sent_ms, gw.now_ms()):
         _log_rate_limit(gw, endpoint, None)
--- a/foxtailpick/tests/test_server_limit.py
+++ b/foxtailpick/tests/test_server_limit.py
@@ -9,6 +9,7 @@
 from foxtailpick.core.dispatch import placing
 from foxtailpick.core.dispatch import rate_limits
 from foxtailpick.core.dispatch import refusal
+from foxtailpick.gateway import http1
 from foxtailpick.platform import dialect
 from foxtailpick.tests import gateway_harness
 from foxtailpick.tests import gateway_scripts
@@ -97,6 +98,25 @@
     assert len(endpoint.received) == 12
 
 
+async def test_answer_without_an_id_does_not_end_a_limit():
+    answers = itertools.chain(['own'], itertools.repeat('unknown'))
+
+    async def answer(exchange):
+        if next(answers) == 'own':
+            await exchange.answer(headers=[LIMITED])
+            return
+        head = http1.format_response(500, [], 0, True)
+        await http1.send_all(exchange.sock, head)
+
+    async with gateway_harness.open_harness() as harness:
+        harness.add_endpoint('p1', 'plain', answer)
+        await harness.until_known('p1')
+        statuses = await test_announcements.ask_often(harness, 20)
+        limit = harness.gw.state.table.get('p1').announced.rate_limit
+        assert limit.is_limited
+    assert 500 in statuses or 502 in statuses
+
+
 @pytest.mark.parametrize('value', [b'', b'-1', b'nan', b'inf', b'few'])
 async def test_invalid_limit_is_logged_and_passed_over(value):
     async with gateway_harness.open_harness() as harness:
