--- a/foxtailpick/tests/limited_fleet_model.py
+++ b/foxtailpick/tests/limited_fleet_model.py
@@ -54,10 +54,20 @@
     :param wanted_per_s: requests that all routers have for it.
     :param seed: seed of the random draws.
     :param is_uneven: whether a quarter of the routers has most requests.
+    :param loss: share of the messages between routers that get lost.
     """
 
-    def __init__(self, routers, per_s, wanted_per_s, seed, is_uneven=False):
+    def __init__(
+        self,
+        routers,
+        per_s,
+        wanted_per_s,
+        seed,
+        is_uneven=False,
+        loss=LOSS,
+    ):
         self.rng = random.Random(seed)
+        self._loss = loss
         self.per_s = per_s
         self.wanted_per_s = wanted_per_s
         self.now_ms = 0.0
@@ -182,7 +192,7 @@
         if router is other:
             return False
         is_cut = router.is_cut_off or other.is_cut_off
-        return is_cut or self.rng.random() < LOSS
+        return is_cut or self.rng.random() < self._loss
 
     def count_worst_window(self, after_ms=0.0):
         """Return the most requests in a window that the limit applies to.
--- a/foxtailpick/tests/test_server_limit.py
+++ b/foxtailpick/tests/test_server_limit.py
@@ -193,6 +193,25 @@
     assert fleet.count_worst_window() <= 1.5 * per_s * WINDOW_S + 5
 
 
+@pytest.mark.parametrize('seed', [1, 2, 3, 4])
+@pytest.mark.parametrize('loss', [0.05, 0.3])
+@pytest.mark.parametrize('routers', [4, 16, 68])
+def test_lower_limit_is_kept_beside_a_restarted_hub(routers, loss, seed):
+    """The demand rises while the endpoint names half of its limit."""
+    fleet = limited_fleet_model.Fleet(
+        routers, 6.0, 20.0, seed, is_uneven=seed == 2, loss=loss
+    )
+    fleet.run(8_000)
+    for number in {fleet.hub, seed % routers}:
+        fleet.restart(number, 1_000.0)
+    fleet.run(9_000)
+    fleet.per_s = per_s = 3.1
+    fleet.wanted_per_s = 60.0
+    fleet.run(18_000)
+    worst = fleet.count_worst_window(after_ms=9_500)
+    assert worst <= 1.5 * per_s * WINDOW_S + 5
+
+
 def test_routers_missing_in_the_totals_count_as_those_in_them():
     limit = rate_limits.RateLimit()
     limit.record(3.0, 0.0, 0.0)
@@ -205,7 +224,7 @@
     assert shares_per_s[0] == shares_per_s[1] == 4 * shares_per_s[2]
 
 
-@pytest.mark.parametrize('seed', [1, 2, 3])
+@pytest.mark.parametrize('seed', range(1, 9))
 @pytest.mark.parametrize('per_s', [0.7, 3.0, 12.0])
 @pytest.mark.parametrize('routers', [4, 21, 68])
 def test_surge_at_all_routers_keeps_a_limit(routers, per_s, seed):
