Give late copies of answers to no other request

Operators of similar systems told of servers that send an answer again, late, on a connection that is in use again. Copies with the id of their request were passed over; three kinds were not:

- A copy without an id was taken for the answer to the next request on the connection, and its caller got another one's body with a 200.
On a connection that had an answer before, one without an id is now an invalid response: the request fails with 502 or is repeated, if it may be.
Requests that carry no id themselves get a new connection.
- A copy that broke off in its head took in the head of the next answer: the caller got the status of the copy (201 instead of 200).
A response with two ids that differ now belongs to no request.
- A part of a copy that arrived with the answer before it didn't keep the connection from being used again, and the next request failed with 502.
A connection on which a response has begun is no longer reused.

Sound copies, also behind an answer or before the next request is written, were handled before.

--- a/foxtailpick/gateway/attempt.py
+++ b/foxtailpick/gateway/attempt.py
@@ -93,7 +93,7 @@
     """
     endpoint = choice.endpoint
     try:
-        conn = await gw.pool.acquire(endpoint)
+        conn = await _acquire(gw, job, endpoint)
     except OSError as exc:
         record_failure(gw, endpoint, f'cannot connect: {exc}', True)
         return AttemptResult(retry_decision.AttemptEnd.UNREACHABLE, str(exc))
@@ -188,6 +188,15 @@
     return result
 
 
+async def _acquire(
+    gw: context.Gateway, job: job_lib.Job, endpoint: endpoint_table.Endpoint
+) -> client_lib.ClientConnection:
+    if job.meta.id:
+        return await gw.pool.acquire(endpoint)
+    # On a reused connection its answer could not be told from late ones.
+    return await gw.pool.open(endpoint)
+
+
 async def deliver_error(
     job: job_lib.Job,
     answer: job_lib.BufferedResponse,
@@ -360,6 +369,7 @@
     conn: client_lib.ClientConnection,
     sent_ms: float,
 ) -> tuple[client_lib.ResponseHead, model.ResponseMeta]:
+    is_reused = conn.received_bytes > 0
     for _ in range(MAX_FOREIGN_ANSWERS + 1):
         head = await endpoint_io.next_event(gw, attempt, conn)
         if not isinstance(head, client_lib.ResponseHead):
@@ -368,6 +378,12 @@
             )
         meta = gw.dialect.decode_response(head.headers)
         announced.record_announcements(gw, attempt.endpoint, head.status, meta)
+        if meta.request is None and is_reused:
+            # It may be a late one, to an earlier request.
+            raise endpoint_io.InvalidResponseError(
+                'expected the id of the request on a reused connection, got '
+                f'none with status {head.status}'
+            )
         if meta.request is None or meta.request == job.meta.id:
             if head.status != _MISDIRECTED:
                 announced.record_rate_limit(
--- a/foxtailpick/gateway/client.py
+++ b/foxtailpick/gateway/client.py
@@ -122,7 +122,7 @@
 
     def is_alive(self) -> bool:
         """Tell whether an idle connection is open and has no unread data."""
-        if not self.is_clean or self._events:
+        if not self.is_clean or self._events or self._is_in_message:
             return False
         try:
             self._sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
--- a/foxtailpick/platform/dialect.py
+++ b/foxtailpick/platform/dialect.py
@@ -148,7 +148,7 @@
     meta = model.ResponseMeta()
     for name, value in headers:
         if name == b'x-attempt-id':
-            meta.request = types.RequestId(value.decode('latin-1'))
+            meta.request = _merge_ids(meta.request, value)
         elif name == b'x-server-stamp':
             meta.is_signed = True
             meta.signature = (name, value)
@@ -182,6 +182,14 @@
     return meta
 
 
+def _merge_ids(known: types.RequestId | None, value: bytes) -> types.RequestId:
+    """Return the id of a response; several that differ match no request."""
+    text = value.decode('latin-1')
+    if known is not None and known != text:
+        text = f'{known},{text}'
+    return types.RequestId(text)
+
+
 def _list_connection_headers(
     values: typing.Mapping[bytes, bytes],
 ) -> frozenset[bytes]:
