Place requests with short runs by the router's own requests

Cause: the less loaded of two endpoints was chosen by counts that are 80 to 300 ms old. A run of a plain service takes 60 to 90 ms, so that nothing in the counts is still in flight; all routers sent to the same server until the next counts came. Seen by callers: refused bookings and lookups while servers had free slots. Not covered: a full server rejects at once and then has no request of this router, so that it isn't avoided.

--- a/foxtailpick/core/dispatch/placing.py
+++ b/foxtailpick/core/dispatch/placing.py
@@ -17,7 +17,8 @@
 prompts without serving more callers, so only a third of a service is paused
 for partial failures. Requests without a prompt
 go to the less loaded of two random endpoints, so that routers with the same
-stale load report do not all choose the same endpoint.
+stale load report do not all choose the same endpoint; if runs are shorter than
+the counts are old, to the one with the fewest requests of this router.
 """
 
 import dataclasses
@@ -31,6 +32,7 @@
 from foxtailpick.core.dispatch import rate_limits
 from foxtailpick.core.dispatch import rate_share
 from foxtailpick.core.dispatch import shared_health
+from foxtailpick.core.dispatch import short_runs
 from foxtailpick.core.dispatch import stale_load
 from foxtailpick.core import ring
 from foxtailpick.core import types
@@ -128,6 +130,7 @@
     :param leaving: endpoints that accept no new work, but whose cached
         prompts may be fetched.
     :param rate_per_s: placements of this router at the service, per second.
+    :param mean_run_ms: mean run time of the service's requests, 0 if unknown.
     """
 
     service: model.Service
@@ -138,6 +141,7 @@
     service_mean_load: float
     leaving: typing.Sequence[endpoint_table.Endpoint] = ()
     rate_per_s: float = 0.0
+    mean_run_ms: float = 0.0
 
 
 def choose_endpoint(
@@ -356,6 +360,9 @@
     query: Query,
     rng: random.Random,
 ) -> Choice:
+    if short_runs.has_stale_counts(query.mean_run_ms):
+        best = short_runs.choose_by_own_requests(items, rng)
+        return _make_choice(best, Reason.LEAST_LOADED, mean, items, query)
     pair = rng.sample(items, min(2, len(items)))
     best = min(pair, key=lambda item: item.load / item.entry.slots)
     return _make_choice(best, Reason.LEAST_LOADED, mean, items, query)
--- a/foxtailpick/gateway/execution.py
+++ b/foxtailpick/gateway/execution.py
@@ -237,6 +237,7 @@
         service_mean_load=table.compute_mean_load(service),
         leaving=table.list_leaving(service, now_ms),
         rate_per_s=gw.get_placement_rate(service).compute_per_s(now_ms),
+        mean_run_ms=gw.get_queue(service).mean_run_ms,
     )
     endpoints = table.list_service(service) or table.list_last_resort(
         service, now_ms
--- a/foxtailpick/tests/engine_model.py
+++ b/foxtailpick/tests/engine_model.py
@@ -7,9 +7,11 @@
 again.
 """
 
+import bisect
 import collections
 import dataclasses
 import heapq
+import math
 import random
 
 from foxtailpick.core.dispatch import account_usage
@@ -18,6 +20,7 @@
 from foxtailpick.core.dispatch import endpoint_table
 from foxtailpick.core.dispatch import load_exchange
 from foxtailpick.core.dispatch import placing
+from foxtailpick.core.dispatch import refusal
 from foxtailpick.tests import gateway_harness
 
 # As documented for the operators' smaller deployments.
@@ -39,6 +42,8 @@
 ABANDON_AFTER_MS = 2_000.0
 # Time to fetch a cached prompt of 4,000 tokens from another engine.
 FETCH_MS = 15.0
+# Time until the routers pause an engine that is dark.
+DARK_FOUND_MS = 1_000.0
 # Maximum share of a tick spent on processing prompts.
 PREFILL_SHARE = 0.7
 
@@ -55,6 +60,7 @@
     account: str = 'a'
     router: int = 0
     engine: str = ''
+    is_at_engine: bool = False
     holder: 'Engine | None' = None
     unprocessed_tokens: float = 0.0
     fetched_ms: float = 0.0
@@ -65,6 +71,13 @@
     rejected_ms: float = 0.0
     preempted_ms: float = 0.0
     is_done: bool = False
+    kind: str = ''
+    target_ms: float = 500.0
+    deadline_ms: float = 10_000.0
+    first_arrived_ms: float | None = None
+    placed_ms: float = 0.0
+    retry_ms: float | None = None
+    caller: int = 0
     free_slots_elsewhere: int = 0
     is_above_limit: bool = False
 
@@ -75,13 +88,24 @@
             return float('inf')
         return self.first_ms - self.arrived_ms
 
+    @property
+    def is_in_time(self):
+        """Whether the caller got its first token within the target."""
+        began_ms = self.first_arrived_ms or self.arrived_ms
+        return self.is_done and self.first_ms <= began_ms + self.target_ms
+
 
 class Engine:
-    """One simulated engine."""
+    """One simulated engine.
+
+    :param slots: requests that it runs at once.
+    :param max_waiting: requests that it queues; it rejects others.
+    """
 
-    def __init__(self, name, slots=SLOTS):
+    def __init__(self, name, slots=SLOTS, max_waiting=math.inf):
         self.name = name
         self.slots = slots
+        self.max_waiting = max_waiting
         self.running = []
         self.waiting = []
         self.cached = collections.OrderedDict()
@@ -96,6 +120,7 @@
         """Queue a request."""
         self._order += 1
         run.engine = self.name
+        run.is_at_engine = True
         run.tokens_left = run.tokens
         run.was_queued = self.load >= self.slots
         heapq.heappush(self.waiting, (run.priority, self._order, run))
@@ -164,8 +189,8 @@
         ][-1]
         self.running.remove(newest)
         newest.preempted_ms = now_ms
-        heapq.heappush(self.waiting, (newest.priority, self._order, newest))
         self._order += 1
+        heapq.heappush(self.waiting, (newest.priority, self._order, newest))
         return True
 
     def _cache(self, prompt):
@@ -199,19 +224,46 @@
 class Router:
     """State and queue of one simulated router."""
 
-    def __init__(self, engines, seed, evacuated=(), domains=DOMAINS):
+    def __init__(
+        self, engines, seed, evacuated=(), domains=DOMAINS, slots=SLOTS
+    ):
         self.table = endpoint_table.EndpointTable()
         self.sent = load_exchange.SentCounts()
         self.rate = decayed_rate.DecayedRate()
         for number, name in enumerate(engines):
             entry = gateway_harness.make_endpoint_entry(
-                name, slots=SLOTS, domain=f'd{number % domains}'
+                name, slots=slots, domain=f'd{number % domains}'
             )
             self.table.put(entry, 0.0)
         self.table.set_evacuated(evacuated, {}, 0.0)
         self.rng = random.Random(seed)
         self.usage = account_usage.AccountUsage()
         self.queue = admission_queue.AdmissionQueue()
+        self.rejected = []
+
+    @property
+    def is_waiting(self):
+        """Whether requests wait here."""
+        return bool(self.queue.items)
+
+    def record_placed(self, run):
+        """Note a request that is sent; not in this order."""
+
+    def exchange_sums(self, routers, now_ms):
+        """Learn what waits at the other routers; not in this order."""
+
+    def reject(self, run, expected_ms, now_ms):
+        """Reject a request and tell its caller when to return."""
+        run.is_rejected = True
+        run.rejected_ms = now_ms
+        self.rejected.append(run)
+        run.retry_ms = refusal.compute_retry_after_ms(
+            placing.Obstacle.ALL_FULL,
+            run.priority,
+            run.arrived_ms + run.deadline_ms - now_ms,
+            self.rng,
+            expected_ms,
+        )
 
     def admit(self, run, now_ms):
         """Tell whether to dispatch a request now; else queue or reject it."""
@@ -222,11 +274,11 @@
         if not account_usage.is_above_share(ratio, utilization, self.rng):
             return True
         max_wait_ms = admission_queue.compute_max_wait_ms(
-            ABANDON_AFTER_MS, 10_000.0
+            ABANDON_AFTER_MS, run.deadline_ms
         )
-        if admission_queue.estimate_wait_ms(self.queue, now_ms) > max_wait_ms:
-            run.is_rejected = True
-            run.rejected_ms = now_ms
+        expected_ms = admission_queue.estimate_wait_ms(self.queue, now_ms)
+        if expected_ms > max_wait_ms:
+            self.reject(run, expected_ms, now_ms)
         else:
             until_ms = now_ms + max_wait_ms
             admission_queue.add(
@@ -243,8 +295,8 @@
         )
         admitted = admission_queue.pop_admitted(self.queue, free, now_ms)
         for run in admission_queue.pop_hopeless(self.queue, now_ms):
-            run.is_rejected = True
-            run.rejected_ms = now_ms
+            expected_ms = admission_queue.estimate_wait_ms(self.queue, now_ms)
+            self.reject(run, expected_ms, now_ms)
         return admitted
 
 
@@ -257,6 +309,12 @@
     :param has_hub: whether the first router sums the counts that the others
         report to it, as in the program; otherwise all routers know each
         other's counts at the same moment.
+    :param slots: slots of an engine.
+    :param max_waiting: requests that an engine queues.
+    :param make_router: makes a router, with its own order of requests.
+    :param repeat: called with a rejected request and the time; returns the
+        request with which its caller comes again, None if it doesn't.
+    :param dark_from_ms: since when engines are dark, by name.
     """
 
     def __init__(
@@ -268,14 +326,24 @@
         evacuated=(),
         domains=DOMAINS,
         has_hub=False,
+        slots=SLOTS,
+        max_waiting=math.inf,
+        make_router=Router,
+        repeat=lambda run, now_ms: None,
+        dark_from_ms=None,
     ):
         self.service = service
         self.has_shares = has_shares
-        self.engines = {f'e{n}': Engine(f'e{n}') for n in range(engines)}
+        self.engines = {
+            f'e{n}': Engine(f'e{n}', slots, max_waiting)
+            for n in range(engines)
+        }
         self.routers = [
-            Router(self.engines, seed, evacuated, domains)
+            make_router(self.engines, seed, evacuated, domains, slots)
             for seed in range(routers)
         ]
+        self.repeat = repeat
+        self.dark_from_ms = dark_from_ms or {}
         self.has_hub = has_hub
         self._reports = load_exchange.HubReports()
         # Routers send at different moments.
@@ -288,26 +356,56 @@
         pending = collections.deque(
             sorted(runs, key=lambda run: run.arrived_ms)
         )
+        runs = list(runs)
         while pending or self._is_busy():
             if self.has_hub:
                 self._report()
             elif self.now_ms % EXCHANGE_MS == 0:
                 _exchange([router.table for router in self.routers], 0.0)
+            if self.now_ms % EXCHANGE_MS == 0:
+                for router in self.routers:
+                    router.exchange_sums(self.routers, self.now_ms)
             while pending and pending[0].arrived_ms <= self.now_ms:
                 run = pending.popleft()
                 router = self.routers[run.router]
                 if not self.has_shares or router.admit(run, self.now_ms):
                     self._place(run)
+            self._pause_dark()
             if self.now_ms % admission_queue.CHECK_INTERVAL_MS == 0:
                 self._release()
             self._advance()
+            again = self._list_repeats()
+            runs.extend(again)
+            for run in again:
+                bisect.insort(pending, run, key=lambda run: run.arrived_ms)
             self.now_ms += TICK_MS
         return runs
 
+    def _list_repeats(self):
+        again = []
+        for router in self.routers:
+            rejected, router.rejected = router.rejected, []
+            again += [self.repeat(run, self.now_ms) for run in rejected]
+        return [run for run in again if run is not None]
+
     def _is_busy(self):
-        return any(engine.load for engine in self.engines.values()) or any(
-            router.queue.items for router in self.routers
-        )
+        engines = self.engines.values()
+        return any(
+            engine.load and not self._is_dark(engine) for engine in engines
+        ) or any(router.is_waiting for router in self.routers)
+
+    def _is_dark(self, engine):
+        return self.now_ms >= self.dark_from_ms.get(engine.name, math.inf)
+
+    def _pause_dark(self):
+        """Pause engines as the routers do that hear nothing of them."""
+        for name, from_ms in self.dark_from_ms.items():
+            if self.now_ms < from_ms + DARK_FOUND_MS:
+                continue
+            for router in self.routers:
+                item = router.table.get(name)
+                item.health.paused_until_ms = math.inf
+                item.running = 0
 
     def _report(self):
         for number, router in enumerate(self.routers):
@@ -350,34 +448,44 @@
             self.now_ms,
             router.table.compute_mean_load(self.service.name),
             rate_per_s=router.rate.compute_per_s(self.now_ms),
+            mean_run_ms=router.queue.mean_run_ms,
         )
         router.rate.record(self.now_ms)
         choice = placing.choose_endpoint(
             router.table.list_service(self.service.name), query, router.rng
         )
+        engine = self.engines[choice.endpoint.id]
+        run.free_slots_elsewhere = sum(
+            max(0, item.slots - item.load)
+            for item in self.engines.values()
+            if item is not engine and not self._is_dark(item)
+        )
+        if engine.load >= engine.slots + engine.max_waiting:
+            router.reject(run, 0.0, self.now_ms)
+            return
         choice.endpoint.running += 1
+        run.placed_ms = self.now_ms
+        router.record_placed(run)
         if choice.holder is not None:
             run.holder = self.engines[choice.holder.id]
-        engine = self.engines[choice.endpoint.id]
         loads = [item.load for item in self.engines.values()]
         run.is_above_limit = engine.load > (
             LIMIT_MULTIPLE * sum(loads) / len(loads) + LIMIT_SLACK
         )
         engine.enqueue(run)
-        run.free_slots_elsewhere = sum(
-            max(0, engine.slots - engine.load)
-            for engine in self.engines.values()
-        )
 
     def _advance(self):
         for engine in self.engines.values():
+            if self._is_dark(engine):
+                continue
             abandoned = engine.drop_abandoned(self.now_ms)
             for run in [*abandoned, *engine.advance(self.now_ms)]:
+                run.is_at_engine = False
                 router = self.routers[run.router]
                 router.table.get(engine.name).running -= 1
                 if run.is_done:
                     admission_queue.record_run(
-                        router.queue, self.now_ms - run.arrived_ms
+                        router.queue, self.now_ms - run.placed_ms
                     )
 
 
