--- a/foxtailpick/tests/engine_model.py
+++ b/foxtailpick/tests/engine_model.py
@@ -170,7 +170,7 @@
                 self._cache(run.prompt)
             run.tokens_left -= generated
             if run.tokens_left <= 0:
-                run.is_done = True
+                run.is_done = now_ms <= run.arrived_ms + run.deadline_ms
                 ended.append(run)
         self.running = [run for run in self.running if run.tokens_left > 0]
         return ended
