Let gateways order requests to services that routes share

Cause: gateways queued requests above their account's equal share only. Change: in a configuration with client accounts, requests to a service that several routes share wait in order while it is overloaded, or are refused at once with the time at which room is expected. The priority for the endpoint is that of the request, or of the one that it was let before. Services with one route, and configurations without accounts, keep the former queue. Each admission, wait and refusal is logged with its rank and inputs, and counted by kind of request and cause. The two tests of the former queue now use a configuration with one route, for which it stays, with the same assertions; three new ones test the order.

--- a/foxtailpick/gateway/admission.py
+++ b/foxtailpick/gateway/admission.py
@@ -1,4 +1,8 @@
-"""Queues requests above their account's equal share of a full service."""
+"""Queues requests to a full service.
+
+Where requests are ordered under overload, `ordered_admission` decides; for
+other services, requests above their account's equal share queue.
+"""
 
 import dataclasses
 
@@ -12,6 +16,7 @@
 from foxtailpick.core import types
 from foxtailpick.gateway import context
 from foxtailpick.gateway import job as job_lib
+from foxtailpick.gateway import ordered_admission
 
 
 @dataclasses.dataclass(eq=False, slots=True)
@@ -29,8 +34,9 @@
 async def wait_for_slot(gw: context.Gateway, job: job_lib.Job) -> None:
     """Wait until a request may be sent to an endpoint.
 
-    Only requests above the equal share of a full service wait; for all
-    others the function returns immediately.
+    Only requests to an overloaded service wait, or, where no order is called
+    for, those above the equal share of a full service; for all others the
+    function returns immediately.
 
     :param gw: the gateway.
     :param job: the request, not yet sent to any endpoint.
@@ -38,6 +44,9 @@
         none does, within the longest time that the request may be queued.
     """
     queue = gw.get_queue(job.service.name)
+    if ordered_admission.is_ordered(gw, job.service.name):
+        await ordered_admission.wait_for_room(gw, job)
+        return
     if not account_usage.is_above_share(
         job.share_ratio, queue.utilization, gw.rng
     ):
@@ -96,6 +105,7 @@
     while True:
         await trio.sleep(admission_queue.CHECK_INTERVAL_MS / types.SECOND_MS)
         now_ms = gw.now_ms()
+        ordered_admission.check_services(gw, now_ms)
         for service, queue in gw.queues.items():
             endpoints = gw.state.table.list_service(service)
             admission_queue.update_utilization(queue, endpoints, now_ms)
--- a/foxtailpick/gateway/attempt.py
+++ b/foxtailpick/gateway/attempt.py
@@ -21,6 +21,7 @@
 from foxtailpick.gateway import http1
 from foxtailpick.gateway import job as job_lib
 from foxtailpick.gateway import load_reports
+from foxtailpick.gateway import ordered_admission
 from foxtailpick.gateway import quarantine
 from foxtailpick.gateway import reply as reply_lib
 from foxtailpick.gateway import stream_relay
@@ -329,6 +330,7 @@
         job.answered_ms = now_ms
     if is_success and job.route.kind is model.RequestKind.STREAMING:
         hooks.report_begun()
+        ordered_admission.record_first_event(gw, job, now_ms)
         await stream_relay.relay_stream(
             gw, job, attempt, conn, reply, hooks, head, meta
         )
--- a/foxtailpick/gateway/context.py
+++ b/foxtailpick/gateway/context.py
@@ -14,6 +14,7 @@
 from foxtailpick.core.dispatch import decayed_rate
 from foxtailpick.core.dispatch import endpoint_table
 from foxtailpick.core.dispatch import model
+from foxtailpick.core.dispatch import overload_order
 from foxtailpick.core.dispatch import refusal
 from foxtailpick.core.dispatch import response_timeout
 from foxtailpick.core.dispatch import stopping
@@ -125,6 +126,9 @@
     :param attempts: attempts in flight.
     :param account_usage: usage of each service by its accounts.
     :param queues: admission queue of each service.
+    :param orders: requests to each service that wait under overload.
+    :param ordered_services: a configuration, and the shortest target of each
+        service whose requests are ordered under it; None before the first.
     :param first_byte_estimates: times to the first byte on each route.
     :param placement_rates: rate of this gateway's requests to each service.
     :param return_schedules: when refused callers of each service return.
@@ -163,6 +167,12 @@
     queues: dict[types.ServiceId, admission_queue.AdmissionQueue] = (
         dataclasses.field(default_factory=dict)
     )
+    orders: dict[types.ServiceId, overload_order.Order] = dataclasses.field(
+        default_factory=dict
+    )
+    ordered_services: (
+        tuple[model.GatewayConfig | None, dict[types.ServiceId, float]] | None
+    ) = None
     first_byte_estimates: dict[str, response_timeout.FirstByteEstimate] = (
         dataclasses.field(default_factory=dict)
     )
@@ -193,6 +203,10 @@
             service, admission_queue.AdmissionQueue()
         )
 
+    def get_order(self, service: types.ServiceId) -> overload_order.Order:
+        """Return the order of the requests to a service."""
+        return self.orders.setdefault(service, overload_order.Order())
+
     def get_placement_rate(
         self, service: types.ServiceId
     ) -> decayed_rate.DecayedRate:
