Share what waits and the work of accounts between gateways

Cause: each gateway counted accounts and waiting requests alone. An account whose callers meet few gateways was within its share at each of them, and a crowded gateway got as much room as an idle one. Change: while a service is overloaded, gateways report with their counts how many requests wait by priority, the work of the 32 heaviest accounts and the prompts that aren't read (kind 16); the hub returns the totals (kind 17).

--- a/foxtailpick/core/dispatch/overload_usage.py
+++ b/foxtailpick/core/dispatch/overload_usage.py
@@ -173,14 +173,14 @@
     :param now_ms: current time.
     """
     work = _decay(usage.own, now_ms)
-    heaviest = sorted(work, key=work.__getitem__, reverse=True)[:MAX_ACCOUNTS]
     levels = sorted(waiting)[:MAX_LEVELS]
-    return Sums(
+    sums = Sums(
         {level: waiting[level] for level in levels},
-        {key: round(work[key]) for key in heaviest},
+        {key: round(cost) for key, cost in work.items()},
         round(backlog.tokens),
         round(backlog.read.compute_per_s(now_ms)),
     )
+    return keep_heaviest(sums, MAX_ACCOUNTS)
 
 
 def compute_part(
@@ -216,6 +216,17 @@
     return (own_room + left / routers) / room
 
 
+def keep_heaviest(sums: Sums, count: int) -> Sums:
+    """Return sums with the accounts with most work only.
+
+    :param sums: the sums.
+    :param count: most accounts that are kept.
+    """
+    heaviest = sorted(sums.work, key=sums.work.__getitem__, reverse=True)
+    kept = {key: sums.work[key] for key in heaviest[:count]}
+    return dataclasses.replace(sums, work=kept)
+
+
 class SentReports:
     """Reports sent to the hub, subtracted again from its totals."""
 
@@ -263,11 +274,16 @@
     ) -> None:
         """Store the report of a router, replacing its previous one.
 
+        Reports with the same number are parts of one.
+
         :param router: the router.
         :param number: sequence number of its message.
         :param report: the report.
         :param now_ms: current time.
         """
+        before = self._reports.get(router)
+        if before is not None and before[0] == number:
+            report = {**before[1], **report}
         self._reports[router] = (number, report, now_ms)
 
     def list_routers(self, now_ms: float) -> list[tuple[types.RouterId, int]]:
@@ -300,15 +316,10 @@
                 _add(read, {service: sums.read_per_s})
         totals = {}
         for service, accounts in work.items():
-            heaviest = sorted(
-                accounts, key=accounts.__getitem__, reverse=True
-            )[:MAX_ACCOUNTS]
-            totals[service] = Sums(
-                waiting[service],
-                {key: accounts[key] for key in heaviest},
-                unread[service],
-                read[service],
+            sums = Sums(
+                waiting[service], accounts, unread[service], read[service]
             )
+            totals[service] = keep_heaviest(sums, MAX_ACCOUNTS)
         return totals
 
 
@@ -339,14 +350,18 @@
             types.ServiceId(service): Sums(
                 _check(waiting, int, _MAX_WAITING, MAX_LEVELS),
                 _check(work, str, _MAX_WORK, MAX_ACCOUNTS),
-                *_check(dict(enumerate(rest)), int, _MAX_WORK, 2).values(),
+                _check({0: unread}, int, _MAX_WORK, 1)[0],
+                _check({0: read}, int, _MAX_WORK, 1)[0],
             )
-            for service, (waiting, work, *rest) in content.items()
+            for service, (waiting, work, unread, read) in content.items()
         }
     except (AttributeError, TypeError, ValueError) as exc:
         raise ValueError(f'expected sums, got {content!r:.80}') from exc
-    if len(report) > MAX_SERVICES:
-        raise ValueError(f'expected few services, got {len(report)}')
+    is_valid = len(report) <= MAX_SERVICES and all(
+        isinstance(service, str) for service in report
+    )
+    if not is_valid:
+        raise ValueError(f'expected few services, got {content!r:.80}')
     return report
 
 
--- a/foxtailpick/gateway/peers.py
+++ b/foxtailpick/gateway/peers.py
@@ -21,6 +21,7 @@
 from foxtailpick.gateway import announced
 from foxtailpick.gateway import context
 from foxtailpick.gateway import load_watch
+from foxtailpick.gateway import overload_exchange
 from foxtailpick.gateway import peer_messages
 from foxtailpick.gateway import quarantine
 
@@ -109,6 +110,7 @@
         self._hub_selector = load_exchange.HubSelector()
         self._sent_counts = load_exchange.SentCounts()
         self._load_watch = load_watch.LoadWatch(gw)
+        self._overload = overload_exchange.OverloadExchange(gw)
         self._outcomes_ms = 0.0
         self._crash_exchanges = (
             _CrashExchange.from_records(
@@ -183,6 +185,8 @@
             if limits:
                 data = cbor2.dumps([_KIND_LIMITS, gw.cfg.name, number, limits])
                 await self._send_to(data, routers[hub].address)
+            for data in self._overload.make_reports(number):
+                await self._send_to(data, routers[hub].address)
             return
         self._hub_selector.record_message(now_ms)
         self._hub_reports.record(hub, number, counts, now_ms, outcomes)
@@ -196,6 +200,9 @@
         await self._send_departure_totals(now_ms)
         self._limits.record(hub, limits, now_ms)
         await self._send_limit_totals(now_ms)
+        for router, data in self._overload.make_totals(number):
+            if router in self._reporters:
+                await self._send_to(data, self._reporters[router])
 
     async def _send_totals(self, now_ms: float) -> None:
         gw = self._gw
@@ -398,6 +405,17 @@
                 peer_messages.get_only(contents)
             )
             announced.apply_limits(self._gw, statements)
+        elif kind == overload_exchange.REPORT_KIND:
+            self._overload.record_report(
+                router, number, peer_messages.get_only(contents)
+            )
+        elif (
+            kind == overload_exchange.TOTALS_KIND
+            and router == self._hub_selector.hub
+        ):
+            self._overload.apply_totals(
+                number, peer_messages.get_only(contents)
+            )
         elif kind == _KIND_REDIRECT:
             hub = types.RouterId(peer_messages.get_only(contents, str))
             self._hub_selector.record_redirect(router, hub)
--- a/foxtailpick/tests/test_peer_messages.py
+++ b/foxtailpick/tests/test_peer_messages.py
@@ -19,6 +19,7 @@
 PEER = 'router-2'
 COUNTS, TOTALS, REDIRECT, PROMPTS, PROMPT_TOTALS = range(2, 7)
 LIMITS, LIMIT_TOTALS = range(12, 14)
+OVERLOAD, OVERLOAD_TOTALS = range(16, 18)
 HUGE = 10**400
 
 
@@ -87,6 +88,11 @@
             [LIMIT_TOTALS, PEER, 0, 7],
             [LIMIT_TOTALS, PEER, 0, [['e1', '1', 2.0, 3, None, 1]]],
             [LIMIT_TOTALS, PEER, 0, [['e1', '1', 2.0, 3, 0.5, float('inf')]]],
+            [OVERLOAD, PEER, 1],
+            [OVERLOAD, PEER, 1, 7],
+            [OVERLOAD, PEER, 1, {'engine': [{0: HUGE}, {}, 0, 0]}],
+            [OVERLOAD_TOTALS, PEER, 1, {'engine': [{}, {'a': -1}, 0, 0]}],
+            [OVERLOAD_TOTALS, PEER, 1, {'engine': []}],
             [PROMPT_TOTALS, PEER, 0, 7],
             [PROMPT_TOTALS, PEER, 0, {'p': ['x', None, None]}],
             [PROMPT_TOTALS, PEER, 0, {'p': [1, 'x', None]}],
