Treat an unasked change of protocol as an invalid response

An endpoint that answered 101 with Connection: upgrade raised an exception of the parser that nobody handled: callers got 500 as for an internal error, the request was not repeated elsewhere, and the endpoint's failure was not counted. It is now an invalid response like others. Found while answers that arrive on reused connections were looked through.

Evidence: test_change_of_protocol_is_an_invalid_response failed before (500 at each request placed there) and passes now.

--- a/foxtailpick/gateway/client.py
+++ b/foxtailpick/gateway/client.py
@@ -154,7 +154,10 @@
             self._overhead_bytes += len(data)
             try:
                 self._parser.feed_data(data)
-            except httptools.HttpParserError as exc:
+            except (
+                httptools.HttpParserError,
+                httptools.HttpParserUpgrade,
+            ) as exc:
                 self.is_clean = False
                 if not self._events:
                     raise http1.BrokenConnectionError(
--- a/foxtailpick/tests/test_operators_reports.py
+++ b/foxtailpick/tests/test_operators_reports.py
@@ -5,6 +5,7 @@
 from foxtailpick.gateway import http1
 from foxtailpick.platform import dialect
 from foxtailpick.tests import gateway_harness
+from foxtailpick.tests import gateway_scripts
 
 STAMP = b'X-Server-Stamp: stamp\r\n'
 # A response that breaks off in its head.
@@ -90,3 +91,27 @@
     assert dialect.decode_response(headers).request not in ('a1', 'a2')
     headers = [(b'x-attempt-id', b'a1'), (b'x-attempt-id', b'a1')]
     assert dialect.decode_response(headers).request == 'a1'
+
+
+async def test_change_of_protocol_is_an_invalid_response():
+    """Nobody asked for it, and the request is repeated elsewhere."""
+    upgrade = (
+        b'HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n'
+        b'Connection: upgrade\r\n\r\nabc'
+    )
+
+    async def answer(exchange):
+        await http1.send_all(exchange.sock, upgrade)
+
+    async with gateway_harness.open_harness() as harness:
+        harness.add_endpoint('p1', 'plain', answer)
+        await harness.until_known('p1')
+        alone = await harness.ask('/safe/x')
+        harness.add_endpoint('p2', 'plain', gateway_scripts.answer_plainly)
+        await harness.until_known('p1', 'p2')
+        answers = [
+            await harness.ask('/safe/x', X_Attempt_Id=f'b{number}')
+            for number in range(10)
+        ]
+    assert alone.status == 502
+    assert {item.status for item in answers} == {200}
