Relay answers to HEAD without waiting for a body

The head of an answer to HEAD announces the length that a body would have. The gateway waited for that body until the deadline and answered 504; if a late copy of another answer came meanwhile on the connection, its first bytes were taken for the body and relayed as a success. Its own errors had a body, which callers read as the next response.

Answers to HEAD now end with their head, in both directions, and the connection to the endpoint is not reused, as the parser expects a body.

Evidence: test_answer_to_head_takes_in_no_copy failed before and passes now.

--- a/foxtailpick/gateway/attempt.py
+++ b/foxtailpick/gateway/attempt.py
@@ -233,6 +233,7 @@
     hooks: context.GroupHooks,
 ) -> AttemptResult:
     data = _format_request(gw, job, choice)
+    conn.has_bodies = job.req.method != http1.HEAD
     if len(data) <= http1.INLINE_BODY_BYTES:
         await endpoint_io.send(conn, data)
         return await _receive(gw, job, attempt, conn, reply, hooks)
--- a/foxtailpick/gateway/client.py
+++ b/foxtailpick/gateway/client.py
@@ -74,6 +74,9 @@
         # Received since the last event.
         self._overhead_bytes = 0
         self.is_clean = True
+        # Whether responses have the bodies that their heads announce; those
+        # to HEAD have none.
+        self.has_bodies = True
         self.received_bytes = 0
         self.idle_since_ms = 0.0
         self.keep_alive_ms: float | None = None
@@ -202,11 +205,16 @@
             ResponseHead(
                 status,
                 self._headers,
-                self._parser.should_keep_alive()
+                self.has_bodies
+                and self._parser.should_keep_alive()
                 and self._framing is not Framing.CLOSE,
                 self._framing,
             )
         )
+        if not self.has_bodies:
+            # The parser takes what comes next for the body.
+            self.is_clean = False
+            self._events.append(END)
 
     def on_body(self, data: bytes) -> None:
         """Emit a part of the body."""
--- a/foxtailpick/gateway/http1.py
+++ b/foxtailpick/gateway/http1.py
@@ -18,6 +18,9 @@
 # sent concurrently with reading, since a peer may respond early.
 INLINE_BODY_BYTES = 16_384
 
+# Responses to this method have no body.
+HEAD = b'HEAD'
+
 REASONS = {
     200: b'OK',
     400: b'Bad Request',
@@ -266,7 +269,7 @@
     """
     lines = [b'%s %s HTTP/1.1\r\nHost: %s' % (method, target, host)]
     lines.extend(b'%s: %s' % item for item in headers)
-    if body_bytes or method not in (b'GET', b'HEAD', b'DELETE'):
+    if body_bytes or method not in (b'GET', HEAD, b'DELETE'):
         lines.append(b'Content-Length: %d' % body_bytes)
     return b'\r\n'.join(lines) + b'\r\n\r\n'
 
--- a/foxtailpick/gateway/reply.py
+++ b/foxtailpick/gateway/reply.py
@@ -22,15 +22,18 @@
     :param sock: the caller's connection.
     :param decide_keep_alive: tells whether the connection stays open
         afterwards; called when the response begins.
+    :param has_body: whether a body is sent; the response to HEAD has none.
     """
 
     def __init__(
         self,
         sock: trio.socket.SocketType,
         decide_keep_alive: typing.Callable[[], bool],
+        has_body: bool = True,
     ) -> None:
         self._sock = sock
         self._decide_keep_alive = decide_keep_alive
+        self._has_body = has_body
         self._pending_head = b''
         self._unsent = memoryview(b'')
         self.keeps_alive = False
@@ -56,7 +59,7 @@
         head = http1.format_response(
             status, headers, len(body), self.keeps_alive
         )
-        self._unsent = memoryview(head + body)
+        self._unsent = memoryview(head + body if self._has_body else head)
         try:
             await self._send_rest()
         except trio.Cancelled:
@@ -93,13 +96,15 @@
         """Send a chunk of the body."""
         head, self._pending_head = self._pending_head, b''
         self.is_started = True
-        await http1.send_all(self._sock, head + http1.format_chunk(data))
+        part = http1.format_chunk(data) if self._has_body else b''
+        await http1.send_all(self._sock, head + part)
 
     async def finish(self) -> None:
         """Complete a chunked response."""
         head, self._pending_head = self._pending_head, b''
         self.is_started = True
-        await http1.send_all(self._sock, head + http1.LAST_CHUNK)
+        part = http1.LAST_CHUNK if self._has_body else b''
+        await http1.send_all(self._sock, head + part)
         self.is_finished = True
 
 
--- a/foxtailpick/gateway/server.py
+++ b/foxtailpick/gateway/server.py
@@ -260,7 +260,8 @@
                 await http1.send_all(caller.sock, http1.CONTINUE)
                 continue
             keeps_alive = functools.partial(self._keeps_alive, caller, item)
-            reply = reply_lib.Reply(caller.sock, keeps_alive)
+            has_body = item.method != http1.HEAD
+            reply = reply_lib.Reply(caller.sock, keeps_alive, has_body)
             await handle(item, reply)
             caller.open_requests -= 1
             caller.idle_since_ms = self._gw.now_ms()
--- a/foxtailpick/tests/test_operators_reports.py
+++ b/foxtailpick/tests/test_operators_reports.py
@@ -1,7 +1,9 @@
 """Failures that operators of similar systems reported."""
 
 import pytest
+import trio
 
+from foxtailpick.gateway import client as client_lib
 from foxtailpick.gateway import http1
 from foxtailpick.platform import dialect
 from foxtailpick.tests import gateway_harness
@@ -93,6 +95,43 @@
     assert dialect.decode_response(headers).request == 'a1'
 
 
+async def test_answer_to_head_takes_in_no_copy():
+    """It has no body, although its head announces one."""
+
+    async def answer(exchange):
+        if exchange.received.method != http1.HEAD:
+            await gateway_scripts.answer_plainly(exchange)
+            return
+        echo = b'X-Attempt-Id: ' + exchange.received.id.encode()
+        copy = make_copy(b'', echo).replace(b'Length: 0', b'Length: 9')
+        await http1.send_all(exchange.sock, copy)
+        await trio.sleep(0.1)
+        await http1.send_all(exchange.sock, make_copy(b'a1'))
+
+    async with gateway_harness.open_harness() as harness:
+        harness.add_endpoint('p1', 'plain', answer)
+        await harness.until_known('p1')
+        data = b''.join(
+            gateway_harness.format_ask(path, method, X_Attempt_Id=name)
+            for name, path, method in (
+                ('b1', '/safe/x', http1.HEAD),
+                ('b2', '/none/x', http1.HEAD),
+                ('b3', '/safe/x', b'GET'),
+            )
+        )
+        conn = await client_lib.ClientConnection.connect(harness.address)
+        await conn.send(data)
+        received = b''
+        with trio.fail_after(gateway_harness.LIMIT_S):
+            while b'hello' not in received:
+                received += await http1.receive(conn._sock)
+        conn.close()
+    first, second, third = received.split(b'HTTP/1.1 ')[1:]
+    assert first.startswith(b'200') and first.endswith(b'\r\n\r\n')
+    assert second.startswith(b'404') and second.endswith(b'\r\n\r\n')
+    assert third.startswith(b'200') and third.endswith(b'hello')
+
+
 async def test_change_of_protocol_is_an_invalid_response():
     """Nobody asked for it, and the request is repeated elsewhere."""
     upgrade = (
