Serve connections in the accept queue when the listener closes

Operators of similar systems told of requests that were cut off without an answer during a planned stop under load. It could happen here to those whose connection was complete in the kernel and not yet accepted when the listener was closed: they were reset, also if their request had arrived. One that had just been accepted was not counted until its task ran, so a stop could end the process before it read the request.

The listener now accepts what has arrived before it closes, and counts a connection as soon as it is accepted. A connection that completes between the last accept and the close is still reset; its caller sees a close before anything was read.

--- a/foxtailpick/gateway/http1.py
+++ b/foxtailpick/gateway/http1.py
@@ -229,6 +229,21 @@
         raise BrokenConnectionError(exc.errno, str(exc)) from exc
 
 
+def accept_arrived(
+    sock: trio.socket.SocketType,
+) -> typing.Iterator[trio.socket.SocketType]:
+    """Accept the connections that wait at a listening socket.
+
+    :raises OSError: if one cannot be accepted.
+    """
+    while True:
+        try:
+            peer, _ = sock._sock.accept()
+        except BlockingIOError:
+            return
+        yield trio.socket.from_stdlib_socket(peer)
+
+
 async def send_some(sock: trio.socket.SocketType, data: memoryview) -> int:
     """Send some bytes; return how many were sent.
 
--- a/foxtailpick/gateway/server.py
+++ b/foxtailpick/gateway/server.py
@@ -82,6 +82,8 @@
         self._gw = gw
         self._callers: set[Caller] = set()
         self._accepting = trio.CancelScope()
+        # Accepts the connections that have arrived.
+        self._accept_arrived: typing.Callable[[], None] | None = None
 
     @property
     def connections(self) -> int:
@@ -117,7 +119,13 @@
             )
 
     def stop_accepting(self) -> None:
-        """Close the listening socket; open connections stay."""
+        """Close the listening socket; connections stay.
+
+        Those that were not yet accepted would be reset with it.
+        """
+        if self._accept_arrived is not None:
+            self._accept_arrived()
+            self._accept_arrived = None
         self._accepting.cancel()
 
     async def serve(
@@ -127,6 +135,22 @@
         nursery: trio.Nursery,
     ) -> None:
         """Accept connections until cancelled or told to stop."""
+
+        def start(peer: trio.socket.SocketType) -> None:
+            # Counted at once, so that a stop waits for it.
+            caller = Caller(peer)
+            caller.idle_since_ms = self._gw.now_ms()
+            self._callers.add(caller)
+            nursery.start_soon(self._serve_caller, caller, handle)
+
+        def accept_arrived() -> None:
+            try:
+                for peer in http1.accept_arrived(sock):
+                    start(peer)
+            except OSError as exc:
+                self._gw.log.emit('accept-failed', error=str(exc))
+
+        self._accept_arrived = accept_arrived
         with sock, self._accepting:
             while True:
                 try:
@@ -137,14 +161,10 @@
                     await trio.sleep(ACCEPT_RETRY_MS / types.SECOND_MS)
                     continue
                 self._evict_idle()
-                nursery.start_soon(self._serve_caller, peer, handle)
+                start(peer)
 
-    async def _serve_caller(
-        self, sock: trio.socket.SocketType, handle: Handler
-    ) -> None:
-        caller = Caller(sock)
-        caller.idle_since_ms = self._gw.now_ms()
-        self._callers.add(caller)
+    async def _serve_caller(self, caller: Caller, handle: Handler) -> None:
+        sock = caller.sock
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             send, receive = trio.open_memory_channel(MAX_PIPELINED_REQUESTS)
--- a/foxtailpick/tests/test_operators_reports.py
+++ b/foxtailpick/tests/test_operators_reports.py
@@ -1,10 +1,15 @@
 """Failures that operators of similar systems reported."""
 
+import contextlib
+import socket
+
 import pytest
 import trio
 
 from foxtailpick.gateway import client as client_lib
+from foxtailpick.gateway import daemon
 from foxtailpick.gateway import http1
+from foxtailpick.gateway import server
 from foxtailpick.platform import dialect
 from foxtailpick.tests import gateway_harness
 from foxtailpick.tests import gateway_scripts
@@ -154,3 +159,35 @@
         ]
     assert alone.status == 502
     assert {item.status for item in answers} == {200}
+
+
+async def test_requests_in_the_accept_queue_are_answered_at_a_stop():
+    """They came with the last connections before the listener closes."""
+    async with gateway_harness.open_harness() as harness:
+        harness.add_endpoint('p1', 'plain', gateway_scripts.answer_plainly)
+        await harness.until_known('p1')
+        gw = harness.gw
+        callers = server.CallerServer(gw)
+        sock = http1.listen(gateway_harness.ANY_PORT, 64)
+        address = sock.getsockname()
+        async with trio.open_nursery() as nursery:
+            handle = server.make_handler(gw)
+            nursery.start_soon(callers.serve, sock, handle, nursery)
+            await trio.sleep(0.05)
+            # Blocking calls, during which nothing is accepted.
+            conns = [socket.create_connection(address) for _ in range(20)]
+            for number, conn in enumerate(conns):
+                conn.sendall(
+                    gateway_harness.format_ask(
+                        '/safe/x', X_Attempt_Id=f'a{number}'
+                    )
+                )
+            callers.stop_accepting()
+            await daemon._close_callers(gw, callers, gw.now_ms() + 5_000)
+            nursery.cancel_scope.cancel()
+    statuses = []
+    for conn in conns:
+        conn.settimeout(1.0)
+        with contextlib.suppress(ConnectionError), conn:
+            statuses.append(conn.recv(16)[:12])
+    assert statuses == [b'HTTP/1.1 200'] * 20
