Take only whole events for the progress of a stream

Operators of similar systems told of stalled streams that sent a byte now and then and never ended, and of slow but sound ones that were cut. The second doesn't happen here: a silent stream is sent to another endpoint as well, and stays until that one answers. The first did: each byte counted as progress, so a stream that stalls within an event was never silent, and was not moved before its route's timeout; callers give up 2 s after the last event.

Streams now make progress with the end of an event only; other responses with any data, as before. The age of an endpoint's last byte, by which it counts as alive, is unchanged. Comments that end with a blank line are events here, as endpoints send them to show that they work.

--- a/foxtailpick/core/dispatch/event_stream.py
+++ b/foxtailpick/core/dispatch/event_stream.py
@@ -23,8 +23,8 @@
         self._event_bytes = 0
         self.has_event = False
 
-    def feed(self, data: bytes) -> None:
-        """Add received bytes.
+    def feed(self, data: bytes) -> bool:
+        """Add received bytes; return whether an event ends in them.
 
         :param data: bytes of the stream.
         :raises ValueError: if an event exceeds the maximum length.
@@ -35,6 +35,7 @@
             recent.rfind(line) + len(line) if line in recent else 0
             for line in _BLANK_LINES
         )
+        has_ended = end > len(self._tail)
         if end:
             self.has_event = True
             self._event_bytes = len(recent) - end
@@ -46,6 +47,7 @@
                 f'expected the end of an event within {MAX_EVENT_BYTES} '
                 f'bytes, got none in {self._event_bytes}'
             )
+        return has_ended
 
     @property
     def is_empty(self) -> bool:
--- a/foxtailpick/gateway/attempt.py
+++ b/foxtailpick/gateway/attempt.py
@@ -124,10 +124,12 @@
     estimate = gw.first_byte_estimates.setdefault(
         job.route.name, response_timeout.FirstByteEstimate()
     )
+    now_ms = gw.now_ms()
     attempt = context.Attempt(
         endpoint,
         conn,
-        gw.now_ms(),
+        now_ms,
+        now_ms,
         estimate.compute_timeout_ms(
             job.route.target_ms,
             job.route.kind is model.RequestKind.STREAMING,
--- a/foxtailpick/gateway/context.py
+++ b/foxtailpick/gateway/context.py
@@ -45,10 +45,13 @@
     :param endpoint: the endpoint.
     :param conn: the connection to it.
     :param last_received_ms: when data of the response last arrived.
-    :param read_timeout_ms: time without data after which it is silent.
+    :param last_progress_ms: when the response last made progress: with any
+        data or, in a stream, with the end of an event.
+    :param read_timeout_ms: time without progress after which it is silent.
     :param report_silence: reports that it is silent or, with False, that
         it no longer is.
     :param job: the request.
+    :param is_in_stream: whether it reads the events of a stream.
     :param is_reading: whether it is reading from the endpoint, as opposed
         to writing to the caller.
     :param is_silent: whether its silence was reported.
@@ -61,9 +64,11 @@
     endpoint: endpoint_table.Endpoint
     conn: client_lib.ClientConnection
     last_received_ms: float
+    last_progress_ms: float
     read_timeout_ms: float
     report_silence: typing.Callable[[bool], None]
     job: job_lib.Job
+    is_in_stream: bool = False
     is_reading: bool = False
     is_silent: bool = False
     is_failure_recorded: bool = False
--- a/foxtailpick/gateway/endpoint_io.py
+++ b/foxtailpick/gateway/endpoint_io.py
@@ -62,6 +62,19 @@
         attempt.is_reading = False
     now_ms = gw.now_ms()
     attempt.last_received_ms = now_ms
+    attempt.endpoint.health.last_received_ms = now_ms
+    if not attempt.is_in_stream:
+        record_progress(attempt, now_ms)
+    return event
+
+
+def record_progress(attempt: context.Attempt, now_ms: float) -> None:
+    """Record that the response to an attempt made progress.
+
+    :param attempt: the attempt.
+    :param now_ms: current time.
+    """
+    attempt.last_progress_ms = now_ms
     if attempt.is_silent:
         attempt.is_silent = False
         attempt.report_silence(False)
@@ -70,8 +83,6 @@
         # with the head.
         attempt.is_failure_recorded = False
         health.revert_failed_request(attempt.endpoint.health, now_ms)
-    attempt.endpoint.health.last_received_ms = now_ms
-    return event
 
 
 async def read_body(
--- a/foxtailpick/gateway/stream_relay.py
+++ b/foxtailpick/gateway/stream_relay.py
@@ -38,6 +38,8 @@
     """
     splitter = job.splitter
     boundary = event_stream.EventBoundary()
+    # A stalled endpoint may send parts of an event now and then.
+    attempt.is_in_stream = True
     is_closed = head.framing is client_lib.Framing.CLOSE
     is_sound = False
     # Data before the first whole event: until then another attempt may go
@@ -46,7 +48,8 @@
     is_taken_over = False
     while True:
         chunk, is_ended = await _read_chunk(gw, attempt, conn)
-        _feed(boundary, chunk)
+        if _feed(boundary, chunk):
+            endpoint_io.record_progress(attempt, gw.now_ms())
         job.is_within_event = boundary.is_within_event
         if not is_taken_over:
             early += chunk
@@ -137,9 +140,9 @@
     )
 
 
-def _feed(boundary: event_stream.EventBoundary, data: bytes) -> None:
+def _feed(boundary: event_stream.EventBoundary, data: bytes) -> bool:
     try:
-        boundary.feed(data)
+        return boundary.feed(data)
     except ValueError as exc:
         raise endpoint_io.InvalidResponseError(str(exc)) from exc
 
--- a/foxtailpick/gateway/watchdog.py
+++ b/foxtailpick/gateway/watchdog.py
@@ -13,7 +13,7 @@
 
 
 async def watch_attempts(gw: context.Gateway) -> None:
-    """Report attempts that get no data, again at each check."""
+    """Report attempts that make no progress, again at each check."""
     while True:
         due_ms = gw.now_ms() + CHECK_INTERVAL_MS
         await trio.sleep(CHECK_INTERVAL_MS / types.SECOND_MS)
@@ -24,7 +24,7 @@
             # What the endpoints sent meanwhile is not yet read.
             continue
         for attempt in list(gw.attempts):
-            quiet_ms = now_ms - attempt.last_received_ms
+            quiet_ms = now_ms - attempt.last_progress_ms
             is_silent = attempt.endpoint.health.is_silent(now_ms)
             limit_ms = attempt.read_timeout_ms
             if is_silent:
--- a/foxtailpick/tests/test_operators_reports.py
+++ b/foxtailpick/tests/test_operators_reports.py
@@ -6,11 +6,13 @@
 import pytest
 import trio
 
+from foxtailpick.core.dispatch import event_stream
 from foxtailpick.gateway import client as client_lib
 from foxtailpick.gateway import daemon
 from foxtailpick.gateway import http1
 from foxtailpick.gateway import server
 from foxtailpick.platform import dialect
+from foxtailpick.platform.standins import endpoint_server
 from foxtailpick.tests import gateway_harness
 from foxtailpick.tests import gateway_scripts
 
@@ -191,3 +193,85 @@
         with contextlib.suppress(ConnectionError), conn:
             statuses.append(conn.recv(16)[:12])
     assert statuses == [b'HTTP/1.1 200'] * 20
+
+
+SLOW_CONFIG = gateway_harness.make_config(
+    routes=[
+        gateway_harness.make_route(
+            'movable',
+            '/movable/',
+            'streaming',
+            stream_resumption=True,
+            timeout_ms=9_000,
+        )
+    ]
+)
+STREAM = {
+    'method': b'POST',
+    'X_Prefix_Hash': gateway_scripts.PROMPT,
+    'X_Deadline_Ms': '9000',
+}
+
+
+def send_slowly(first, pause_s):
+    """Return a script that sends a byte of the next event now and then."""
+
+    async def stream(exchange):
+        await exchange.begin_stream()
+        await exchange.send_events(1, first)
+        for byte in endpoint_server.format_event(first + 1):
+            await trio.sleep(pause_s)
+            await exchange.send_data(bytes([byte]))
+        await exchange.end_stream()
+
+    return stream
+
+
+async def resume(exchange):
+    """Send what is left of three events."""
+    last = int(exchange.received.headers.get(b'last-event-id', b'0'))
+    await exchange.begin_stream()
+    await exchange.send_events(last + 1, 3)
+    await exchange.end_stream()
+
+
+async def test_stream_that_stalls_byte_by_byte_moves_elsewhere():
+    """Callers give up 2 s after the last event."""
+    async with gateway_harness.open_harness(SLOW_CONFIG) as harness:
+        stalled = harness.add_endpoint(
+            'e1', 'engine', send_slowly(2, pause_s=0.2)
+        )
+        await harness.until_known('e1')
+        conn = await harness.send('/movable/x', **STREAM)
+        await harness.until(lambda: stalled.received)
+        began_s = trio.current_time()
+        harness.add_endpoint('e2', 'engine', resume)
+        answer = await gateway_harness.read_answer(conn)
+        took_s = trio.current_time() - began_s
+        conn.close()
+    assert answer.body == gateway_scripts.get_events(1, 3)
+    assert took_s < 2.0
+
+
+async def test_slow_but_sound_stream_is_not_cut_off():
+    """No other endpoint has the service, and its last event takes 2 s."""
+    script = send_slowly(2, pause_s=0.1)
+    async with gateway_harness.open_harness(SLOW_CONFIG) as harness:
+        endpoint = harness.add_endpoint('e1', 'engine', script)
+        await harness.until_known('e1')
+        answer = await harness.ask('/movable/x', **STREAM)
+    assert answer.status == 200
+    assert answer.body == gateway_scripts.get_events(1, 3)
+    assert len(endpoint.received) == 1
+    assert endpoint.disconnects == 0
+
+
+@pytest.mark.parametrize('line_end', [b'\n', b'\r\n', b'\r'])
+def test_only_whole_events_are_progress(line_end):
+    event = b'id: 1' + line_end + b'data: token' + line_end * 2
+    boundary = event_stream.EventBoundary()
+    ends = [boundary.feed(bytes([byte])) for byte in event * 3]
+    found = {index for index, is_end in enumerate(ends, 1) if is_end}
+    last = {count * len(event) for count in (1, 2, 3)}
+    # A blank line that begins with a carriage return ends with it as well.
+    assert found in (last, last | {index - 1 for index in last})
