Limit the time of a caller's headers as a whole

The operators' header timeout began anew with each part of the headers, so a caller that sent a byte now and then held its connection for as long as it liked, past the first timeout as well. It now runs from the first part of a request's headers. A raised limit still applies to requests that arrive, and the time of a body is limited between its parts, as before.

Evidence: test_caller_that_sends_its_headers_byte_by_byte_is_rejected failed before (the request was accepted after 11 s, the limit is 0.5 s) and passes now.

--- a/foxtailpick/gateway/server.py
+++ b/foxtailpick/gateway/server.py
@@ -47,6 +47,8 @@
         self.open_requests = 0
         # Whether a part of a request was read.
         self.is_reading = False
+        # When a part of a request's headers was read first.
+        self.headers_began_s: float | None = None
         self.idle_since_ms = 0.0
         # Whether to close the connection once no request is in flight.
         self.is_closing = False
@@ -199,6 +201,10 @@
             while data := await self._receive(caller, reader):
                 requests = reader.feed(data, gw.now_ms())
                 caller.is_reading = reader.is_in_request
+                if not reader.is_in_headers:
+                    caller.headers_began_s = None
+                elif requests or caller.headers_began_s is None:
+                    caller.headers_began_s = trio.current_time()
                 await self._queue_requests(caller, send, requests)
                 if reader.expects_continue:
                     reader.expects_continue = False
@@ -240,6 +246,9 @@
         :raises http1.RequestRejected: if a request takes too long to arrive.
         """
         began_s = trio.current_time()
+        if caller.headers_began_s is not None:
+            # Their time is limited as a whole, however they are cut.
+            began_s = caller.headers_began_s
         while True:
             limit_s = self._get_wait_limit_ms(caller, reader) / types.SECOND_MS
             with trio.CancelScope(deadline=began_s + limit_s) as caller.wait:
