Test that answers that break off are no complete successes

Operators of similar systems told of answers that broke off halfway and reached the caller as a complete success. A body without a length that ends with a plain close counts as complete, as the operators state it.

--- a/foxtailpick/tests/test_operators_reports.py
+++ b/foxtailpick/tests/test_operators_reports.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket
+import struct
 
 import pytest
 import trio
@@ -294,3 +295,67 @@
             nursery.cancel_scope.cancel()
         conn.close()
     assert answer.status == 408
+
+
+SIGNED = b'HTTP/1.1 200 OK\r\n' + STAMP + b'X-Attempt-Id: a1\r\n'
+CHUNKED = SIGNED + b'Transfer-Encoding: chunked\r\n\r\n'
+EVENT = endpoint_server.format_event(1)
+BROKEN_OFF = {
+    'head': SIGNED,
+    'body with a length': SIGNED + b'Content-Length: 9\r\n\r\npart',
+    'chunk': CHUNKED + b'9\r\npart',
+    'after a chunk': CHUNKED + http1.format_chunk(EVENT),
+    'last chunk': CHUNKED + http1.format_chunk(EVENT) + b'0\r\n',
+}
+
+
+def break_off(data, is_reset):
+    """Return a script that sends some bytes and closes the connection."""
+
+    async def answer(exchange):
+        await http1.send_all(exchange.sock, data)
+        if is_reset:
+            # What was sent before still arrives.
+            await trio.sleep(0.05)
+            linger = struct.pack('ii', 1, 0)
+            exchange.sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, linger
+            )
+        raise endpoint_server.AbortConnectionError
+
+    return answer
+
+
+async def ask_for_whole(harness, path):
+    """Return the status of an answer, None if it is not whole."""
+    method = b'GET' if path.startswith('/safe') else b'POST'
+    try:
+        return (await harness.ask(path, method)).status
+    except http1.BrokenConnectionError:
+        return None
+
+
+@pytest.mark.parametrize('is_reset', [False, True])
+@pytest.mark.parametrize('part', sorted(BROKEN_OFF))
+@pytest.mark.parametrize('path', ['/safe/x', '/unsafe/x', '/fixed/x'])
+async def test_answer_that_breaks_off_is_no_complete_success(
+    path, part, is_reset
+):
+    script = break_off(BROKEN_OFF[part], is_reset)
+    service = 'engine' if path == '/fixed/x' else 'plain'
+    async with gateway_harness.open_harness() as harness:
+        harness.add_endpoint('e1', service, script)
+        await harness.until_known('e1')
+        status = await ask_for_whole(harness, path)
+    assert status in (None, 502)
+
+
+@pytest.mark.parametrize('path', ['/unsafe/x', '/fixed/x'])
+async def test_reset_is_no_end_of_an_answer_without_a_length(path):
+    script = break_off(SIGNED + b'\r\n' + EVENT, is_reset=True)
+    service = 'engine' if path == '/fixed/x' else 'plain'
+    async with gateway_harness.open_harness() as harness:
+        harness.add_endpoint('e1', service, script)
+        await harness.until_known('e1')
+        status = await ask_for_whole(harness, path)
+    assert status in (None, 502)
