Test that silent or unlisted machines keep their work

Operators of similar systems told of machines that were only silent or slow to report for a while, whose running work was started again elsewhere or given up. Requests that may run twice are sent to a second endpoint after a silence by design, and the first one is left only once the other one answers.

--- a/foxtailpick/tests/test_operators_reports.py
+++ b/foxtailpick/tests/test_operators_reports.py
@@ -1,6 +1,8 @@
 """Failures that operators of similar systems reported."""
 
+import base64
 import contextlib
+import json
 import socket
 import struct
 
@@ -359,3 +361,89 @@
         await harness.until_known('e1')
         status = await ask_for_whole(harness, path)
     assert status in (None, 502)
+
+
+async def remove_entry(harness, entry):
+    harness.store.remove('servers/e1')
+    await harness.until(lambda: harness.gw.state.table.get('e1') is None)
+
+
+async def list_as_draining(harness, entry):
+    harness.store.put('servers/e1', {**entry, 'state': 'draining'})
+    table = harness.gw.state.table
+    await harness.until(lambda: table.get('e1').entry.is_draining)
+
+
+async def lapse_in_an_outage(harness, entry):
+    harness.store.expire_without_history('servers/e1')
+    await trio.sleep(0.2)
+
+
+async def fall_silent(harness, entry):
+    with harness.endpoint.silence():
+        await trio.sleep(2.5)
+
+
+async def evacuate(harness, entry):
+    harness.store.put('op/evacuate/north', {})
+    await trio.sleep(0.3)
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        remove_entry,
+        list_as_draining,
+        lapse_in_an_outage,
+        fall_silent,
+        evacuate,
+    ],
+)
+@pytest.mark.parametrize('path', ['/unsafe/x', '/fixed/x'])
+async def test_work_of_a_machine_that_does_not_report_is_left_to_it(
+    path, change
+):
+    """It is neither started again elsewhere nor given up."""
+    is_stream = path == '/fixed/x'
+    service = 'engine' if is_stream else 'plain'
+    go_on = trio.Event()
+
+    async def work(exchange):
+        if not is_stream:
+            await go_on.wait()
+            await exchange.answer(body=b'whole')
+            return
+        await exchange.begin_stream()
+        await exchange.send_events(1, 1)
+        await go_on.wait()
+        await exchange.send_events(2, 3)
+        await exchange.end_stream()
+
+    cfg = gateway_harness.make_config(
+        routes=[
+            gateway_harness.make_route(
+                'unsafe', '/unsafe/', 'unsafe', timeout_ms=9_000
+            ),
+            gateway_harness.make_route(
+                'fixed', '/fixed/', 'streaming', timeout_ms=9_000
+            ),
+        ]
+    )
+    async with gateway_harness.open_harness(cfg) as harness:
+        endpoint = harness.add_endpoint('e1', service, work)
+        await harness.until_known('e1')
+        harness.endpoint = endpoint
+        item = harness.store.items['servers/e1']
+        entry = json.loads(base64.b64decode(item['value']))
+        conn = await harness.send(path, b'POST', X_Deadline_Ms='9000')
+        await harness.until(lambda: endpoint.received)
+        other = harness.add_endpoint('e2', service, work)
+        await harness.until_known('e2')
+        await change(harness, entry)
+        go_on.set()
+        answer = await gateway_harness.read_answer(conn)
+        conn.close()
+    whole = gateway_scripts.get_events(1, 3) if is_stream else b'whole'
+    assert (answer.status, answer.body) == (200, whole)
+    assert len(endpoint.received) == 1
+    assert not other.received
