Repeat for a minute which endpoints other gateways saw leave

Operators of similar systems told of servers that had left and were in use again after a restart of one of the system's processes. It could happen here: an endpoint announces its departure in an answer, seconds before the store shows it. The gateway that read this tells the others, which did not hand it on. After a restart of that gateway nobody told it, and it sent its next request for the endpoint there again.

Gateways now repeat what they were told, with its age, until a minute after the announcement, so that a wrong report still ends. A test asserted that nothing told is handed on, for that reason; it now asserts that it is repeated for that time only, also if it is told again.

Withdrawn keys and removed servers are not in use again: a gateway keeps nothing across a restart, reads all from the store, and answers 503 until then. A test of that passed on the code as it was.

Evidence: test_restarted_gateway_is_told_what_it_had_read_of_a_departure failed before (not told within 20 s) and passes now.

--- a/foxtailpick/core/dispatch/announcements.py
+++ b/foxtailpick/core/dispatch/announcements.py
@@ -10,7 +10,8 @@
 With many routers each of them gets an answer of an engine only every few
 seconds, so that many requests reach an endpoint that leaves before the
 store shows it. So routers tell each other, through the hub, which endpoints
-announced to them that they leave. What a router was told is not handed on.
+announced to them that they leave. For a while they repeat what they were
+told: the router that read it may restart before the store shows it.
 """
 
 import dataclasses
@@ -31,6 +32,9 @@
 FETCH_MS = 1_000.0
 # TTL of a router's report of departures at the hub; it is repeated earlier.
 REPORT_TTL_MS = 3_000.0
+# What a router was told is repeated for this time after the announcement, so
+# that a wrong report ends. The store lists endpoints that leave for seconds.
+REPEAT_MS = 60_000.0
 # A larger number is no age of an announcement.
 MAX_MESSAGE_AGE_MS = 1e12
 # Largest number of departures in a report and in the totals.
@@ -47,13 +51,13 @@
     """The latest announcements of one incarnation of an endpoint.
 
     :param left_ms: when it first announced that it leaves, if it did.
-    :param is_told: whether it announced that to another router.
+    :param told_ms: when it did so to another router, if it did.
     :param rest_until_ms: end of the rest that it asked for.
     :param rate_limit: the rate of requests that it names.
     """
 
     left_ms: float | None = None
-    is_told: bool = False
+    told_ms: float | None = None
     rest_until_ms: float = 0.0
     rate_limit: rate_limits.RateLimit = dataclasses.field(
         default_factory=rate_limits.RateLimit
@@ -62,7 +66,17 @@
     @property
     def is_leaving(self) -> bool:
         """Whether it announced that it leaves, to any router."""
-        return self.left_ms is not None or self.is_told
+        return self.left_ms is not None or self.told_ms is not None
+
+    def get_reported_ms(self, now_ms: float) -> float | None:
+        """Return when it announced that it leaves, None if not to report.
+
+        :param now_ms: current time.
+        """
+        if self.left_ms is None and self.told_ms is not None:
+            is_recent = now_ms - self.told_ms < REPEAT_MS
+            return self.told_ms if is_recent else None
+        return self.left_ms
 
     def is_resting(self, now_ms: float) -> bool:
         """Tell whether it asked for a rest that is not over.
@@ -81,7 +95,7 @@
         :param now_ms: current time.
         """
         if self.left_ms is None:
-            return self.is_told
+            return self.told_ms is not None
         return now_ms - self.left_ms < limit_ms
 
     def record_leaving(self, now_ms: float) -> bool:
@@ -94,10 +108,14 @@
         self.left_ms = now_ms
         return True
 
-    def record_told(self) -> bool:
-        """Note that it leaves, as other routers say; return if it is new."""
+    def record_told(self, announced_ms: float) -> bool:
+        """Note that it leaves, as other routers say; return if it is new.
+
+        :param announced_ms: when it announced that, as they say.
+        """
         is_new = not self.is_leaving
-        self.is_told = True
+        if self.told_ms is None:
+            self.told_ms = announced_ms
         return is_new
 
     def record_rest(self, rest_ms: float, now_ms: float) -> float:
--- a/foxtailpick/gateway/announced.py
+++ b/foxtailpick/gateway/announced.py
@@ -186,15 +186,15 @@
 def make_report(
     gw: context.Gateway, now_ms: float
 ) -> list[announcements.Departure] | None:
-    """Return which endpoints announced here that they leave, None if none.
+    """Return which endpoints announced that they leave, None if none.
 
     :param gw: the gateway.
     :param now_ms: current time.
     """
     left_ms = {
-        item.entry.incarnation: item.announced.left_ms
+        item.entry.incarnation: at_ms
         for item in gw.state.table.list_all()
-        if item.announced.left_ms is not None
+        if (at_ms := item.announced.get_reported_ms(now_ms)) is not None
     }
     return announcements.make_report(left_ms, now_ms)
 
@@ -207,11 +207,12 @@
     :param gw: the gateway.
     :param departures: the endpoints.
     """
+    now_ms = gw.now_ms()
     for name, started, age_ms in departures:
         item = gw.state.table.get(name)
         if item is None or item.entry.started != started:
             continue
-        if item.announced.record_told():
+        if item.announced.record_told(now_ms - age_ms):
             gw.metrics.count('endpoint_departures_told')
             gw.log.emit(
                 'endpoint-leaving',
--- a/foxtailpick/tests/leaving_fleet_model.py
+++ b/foxtailpick/tests/leaving_fleet_model.py
@@ -182,7 +182,9 @@
                     remote = loads[item.id] - item.running
                     item.set_remote_load(remote, self.now_ms)
             if totals and is_due and not self._is_lost(router):
-                table.get(LEAVING).announced.record_told()
+                table.get(LEAVING).announced.record_told(
+                    self.now_ms - totals[0][2]
+                )
 
     def _is_lost(self, router):
         return router > 0 and self.rng.random() < LOSS
--- a/foxtailpick/tests/test_announcements.py
+++ b/foxtailpick/tests/test_announcements.py
@@ -308,8 +308,8 @@
 def test_what_a_router_was_told_binds_less_than_its_own_answer():
     table = test_dispatch.make_table(1)
     leaving = table.get('e0').announced
-    assert leaving.record_told()
-    assert not leaving.record_told()
+    assert leaving.record_told(0.0)
+    assert not leaving.record_told(0.0)
     assert table.list_service('engine') == []
     # It may serve for many seconds more, so the last one stays usable.
     assert table.list_last_resort('engine', 60_000.0)
@@ -317,20 +317,26 @@
     assert table.list_last_resort('engine', 60_500.0)
     assert table.list_last_resort('engine', 61_000.0) == []
     # No later report of another router reverts it.
-    assert not leaving.record_told()
+    assert not leaving.record_told(0.0)
     assert table.list_last_resort('engine', 61_000.0) == []
 
 
-def test_a_router_hands_on_only_what_was_announced_to_it():
+def test_a_router_repeats_what_it_was_told_for_a_limited_time():
     table = test_dispatch.make_table(3)
-    table.get('e0').announced.record_told()
+    table.get('e0').announced.record_told(0.0)
     state = types.SimpleNamespace(table=table)
     gw = types.SimpleNamespace(state=state)
-    assert announced.make_report(gw, 2.0) is None
+    assert announced.make_report(gw, 2.0) == [['e0', '1', 2]]
+    # Otherwise routers would tell each other a wrong report without end.
+    after_ms = announcements.REPEAT_MS
+    assert announced.make_report(gw, after_ms) is None
+    table.get('e0').announced.record_told(after_ms - 1.0)
+    assert announced.make_report(gw, after_ms) is None
     table.get('e1').announced.record_leaving(1.0)
     table.get('e2').announced.record_leaving(2.0)
-    expected = [['e2', '1', 0], ['e1', '1', 1]]
-    assert announced.make_report(gw, 2.0) == expected
+    age_ms = round(after_ms)
+    expected = [['e2', '1', age_ms - 2], ['e1', '1', age_ms - 1]]
+    assert announced.make_report(gw, after_ms) == expected
 
 
 @pytest.mark.parametrize(
--- a/foxtailpick/tests/test_operators_reports.py
+++ b/foxtailpick/tests/test_operators_reports.py
@@ -447,3 +447,72 @@
     assert (answer.status, answer.body) == (200, whole)
     assert len(endpoint.received) == 1
     assert not other.received
+
+
+async def leave(exchange):
+    """Answer, and announce the departure that the store doesn't list yet."""
+    await exchange.answer(headers=[(b'Server-Leaving', b'1')])
+
+
+async def test_restarted_gateway_is_told_what_it_had_read_of_a_departure():
+    """It was the only one that the endpoint had told."""
+
+    def is_leaving(harness):
+        return harness.gw.state.table.get('p1').announced.is_leaving
+
+    async with gateway_harness.open_harness(name='router-2') as other:
+        leaving = other.add_endpoint('p1', 'plain', leave)
+        await other.until_known('p1')
+        async with gateway_harness.open_harness(
+            name='router-1', store=other.store
+        ) as first:
+            await first.until_known('p1')
+            assert (await first.ask('/safe/x')).status == 200
+            await other.until(lambda: is_leaving(other))
+        async with gateway_harness.open_harness(
+            name='router-1', store=other.store
+        ) as again:
+            await again.until_known('p1')
+            await again.until(lambda: is_leaving(again))
+    assert len(leaving.received) == 1
+
+
+async def test_restarted_gateway_uses_nothing_that_was_withdrawn():
+    """Neither a key nor a server, also while the store does not answer."""
+    tenants = [{'name': 'guides', 'api_keys': ['key-2']}]
+    async with gateway_harness.open_harness(name='router-2') as other:
+        gone = other.add_endpoint(
+            'p1', 'plain', gateway_scripts.answer_plainly
+        )
+        left = other.add_endpoint(
+            'p2', 'plain', gateway_scripts.answer_plainly
+        )
+        await other.until_known('p1', 'p2')
+        async with gateway_harness.open_harness(
+            name='router-1', store=other.store
+        ) as first:
+            await first.until_known('p1', 'p2')
+            assert (await first.ask('/safe/x')).status == 200
+        other.store.put(
+            'op/config', gateway_harness.make_config(2, tenants=tenants)
+        )
+        other.store.remove('servers/p1')
+        received = len(gone.received)
+        other.store.refuse_with = 503
+        async with gateway_harness.open_harness(
+            name='router-1', store=other.store
+        ) as again:
+            early = await again.ask('/safe/x', X_Deadline_Ms='500')
+            other.store.refuse_with = None
+            await again.until_known('p2')
+            answers = [
+                await again.ask(
+                    '/safe/x', X_Attempt_Id=f'{key}-{number}', X_Key=key
+                )
+                for key in (gateway_harness.KEY, 'key-2')
+                for number in range(10)
+            ]
+    assert early.status == 503
+    assert [item.status for item in answers] == [401] * 10 + [200] * 10
+    assert len(gone.received) == received
+    assert len(left.received) >= 10
