--- a/foxtailpick/gateway/attempt.py
+++ b/foxtailpick/gateway/attempt.py
@@ -126,10 +126,12 @@
     estimate = gw.first_byte_estimates.setdefault(
         job.route.name, response_timeout.FirstByteEstimate()
     )
+    now_ms = gw.now_ms()
     attempt = context.Attempt(
         endpoint,
         conn,
-        gw.now_ms(),
+        now_ms,
+        now_ms,
         estimate.compute_timeout_ms(
             job.route.target_ms,
             job.route.kind is model.RequestKind.STREAMING,
@@ -235,6 +237,7 @@
     hooks: context.GroupHooks,
 ) -> AttemptResult:
     data = _format_request(gw, job, choice)
+    conn.has_bodies = job.req.method != http1.HEAD
     if len(data) <= http1.INLINE_BODY_BYTES:
         await endpoint_io.send(conn, data)
         return await _receive(gw, job, attempt, conn, reply, hooks)
