Estimate the pace of endpoints, and let shares follow it

Cause: placement took all endpoints of a service for equally fast. One that takes five times as long gets as many requests as the others, and all of them are late. Change: endpoint_pace keeps decayed evidence of stated figures and of answers, which smooths, ages and adds up over routers; pace_exchange is the part of the exchange without input and output. The choice of two compares the expected time, pace times load and half of the slots, and the bounds of engines that stay slow are divided by their pace. Rendezvous weights stay. Nothing changes while no pace is known.

--- a/foxtailpick/core/dispatch/endpoint_table.py
+++ b/foxtailpick/core/dispatch/endpoint_table.py
@@ -5,6 +5,7 @@
 import typing
 
 from foxtailpick.core.dispatch import announcements
+from foxtailpick.core.dispatch import endpoint_pace
 from foxtailpick.core.dispatch import health as health_lib
 from foxtailpick.core.dispatch import model
 from foxtailpick.core.dispatch import rate_share
@@ -44,6 +45,7 @@
     :param is_ejected: whether it is ejected because of them.
     :param announced: what it announced in its responses.
     :param warmup_share: this router's share of its rate during the warm-up.
+    :param pace: how long work takes there.
     """
 
     entry: model.EndpointEntry
@@ -66,6 +68,9 @@
     warmup_share: rate_share.RateShare = dataclasses.field(
         default_factory=rate_share.RateShare
     )
+    pace: endpoint_pace.EndpointPace = dataclasses.field(
+        default_factory=endpoint_pace.EndpointPace
+    )
 
     @property
     def id(self) -> types.EndpointId:
@@ -180,6 +185,8 @@
         # Entries of a copy that are older than what is known.
         self._doubtful: dict[types.EndpointId, model.EndpointEntry] = {}
         self._announcements = announcements.Announcements()
+        # Whether endpoints of this deployment state their pace.
+        self.has_paces = False
 
     def get(self, endpoint: types.EndpointId) -> Endpoint | None:
         """Return an endpoint, None if it is unknown."""
--- /dev/null
+++ b/foxtailpick/core/dispatch/paced_load.py
@@ -0,0 +1,82 @@
+"""Compares loads of endpoints that take different times for the same work.
+
+Load pattern: an endpoint that takes five times as long holds as many requests
+as the others, and all of them are late. It gets a smaller share while it is
+slow. Shares are uneven only downwards: a fast endpoint gets no more requests
+than its bound, which counts requests. The order of a prompt's endpoints stays,
+so that prompts return once their home is as fast as the others again.
+"""
+
+import statistics
+import typing
+
+from foxtailpick.core.dispatch import endpoint_table
+from foxtailpick.core import types
+
+# A plain endpoint that runs fewer requests than it has slots delays none, so
+# that its pace matters more than its load. Half of its slots, added to the
+# load, lets it get less work the longer it takes, also while it is idle.
+IDLE_SLOTS_SHARE = 0.5
+# The bounds of an endpoint stay up to this lasting pace, relative to the usual
+# one: prompts that move lose their cache, which costs more than a short delay.
+TOLERANCE = 1.3
+
+
+def has_paces(items: typing.Iterable[endpoint_table.Endpoint]) -> bool:
+    """Tell whether the pace of some endpoint is known."""
+    return any(item.pace.heard_ms is not None for item in items)
+
+
+def estimate_time(item: endpoint_table.Endpoint, now_ms: float) -> float:
+    """Return how long the next request would take there, in no unit.
+
+    :param item: the endpoint.
+    :param now_ms: current time.
+    """
+    slots = item.entry.slots
+    waiting = item.load + IDLE_SLOTS_SHARE * slots
+    return item.pace.compute(now_ms) * waiting / slots
+
+
+def compute_divisors(
+    items: typing.Sequence[endpoint_table.Endpoint], now_ms: float
+) -> dict[types.EndpointId, float]:
+    """Return by how much the bounds of lastingly slow endpoints are divided.
+
+    Paces count relative to the median: if all endpoints are slow, none is
+    relieved.
+
+    :param items: the candidates, at least one.
+    :param now_ms: current time.
+    :returns: divisor by endpoint, above 1; nothing for the others.
+    """
+    if not has_paces(items):
+        return {}
+    paces = {item.id: item.pace.compute_lasting(now_ms) for item in items}
+    tolerated = statistics.median(paces.values()) * TOLERANCE
+    return {
+        key: pace / tolerated
+        for key, pace in paces.items()
+        if pace > tolerated
+    }
+
+
+def adjust_weights(
+    items: typing.Sequence[endpoint_table.Endpoint],
+    weights: typing.Sequence[float],
+    now_ms: float,
+) -> list[float]:
+    """Return smaller shares for slow endpoints.
+
+    :param items: the candidates.
+    :param weights: their shares of the next requests.
+    :param now_ms: current time.
+    """
+    if not items or not has_paces(items):
+        return list(weights)
+    paces = [item.pace.compute(now_ms) for item in items]
+    usual = statistics.median(paces)
+    return [
+        weight / max(1.0, pace / usual)
+        for weight, pace in zip(weights, paces, strict=True)
+    ]
--- a/foxtailpick/core/dispatch/placing.py
+++ b/foxtailpick/core/dispatch/placing.py
@@ -17,7 +17,8 @@
 prompts without serving more callers, so only a third of a service is paused
 for partial failures. Requests without a prompt
 go to the less loaded of two random endpoints, so that routers with the same
-stale load report do not all choose the same endpoint.
+stale load report do not all choose the same endpoint. Where endpoints differ
+in pace, slow ones overflow earlier, and the less expected time of two counts.
 """
 
 import dataclasses
@@ -29,6 +30,7 @@
 from foxtailpick.core.dispatch import endpoint_table
 from foxtailpick.core.dispatch import load_limit
 from foxtailpick.core.dispatch import model
+from foxtailpick.core.dispatch import paced_load
 from foxtailpick.core.dispatch import prompt_holder
 from foxtailpick.core.dispatch import rate_limits
 from foxtailpick.core.dispatch import rate_share
@@ -341,7 +343,15 @@
     rng: random.Random,
 ) -> Choice:
     pair = rng.sample(items, min(2, len(items)))
-    best = min(pair, key=lambda item: item.load / item.entry.slots)
+    if paced_load.has_paces(items):
+        limit = load_limit.compute_guaranteed_limit(query.service_mean_load)
+        below = [item for item in pair if item.load + 1 <= limit]
+        best = min(
+            below or pair,
+            key=lambda item: paced_load.estimate_time(item, query.now_ms),
+        )
+    else:
+        best = min(pair, key=lambda item: item.load / item.entry.slots)
     return _make_choice(best, Reason.LEAST_LOADED, mean, items, query)
 
 
@@ -362,8 +372,10 @@
     bound = soft_bound + draw * (hard_bound - soft_bound)
     assert query.prefix is not None
     ranked = prompt_holder.rank_homes(items, query.prefix)
+    divisors = paced_load.compute_divisors(items, query.now_ms)
     for rank, item in enumerate(ranked):
-        if item.load + 1 <= min(bound, _compute_max_load(item, mean)):
+        most = min(bound, _compute_max_load(item, mean))
+        if item.load + 1 <= most / divisors.get(item.id, 1.0):
             reason = Reason.OVERFLOW if rank else Reason.PREFIX
             return _make_choice(item, reason, mean, items, query)
     best = min(ranked, key=lambda item: item.load)
@@ -398,7 +410,9 @@
     unseen = stale_load.estimate_unseen(
         items, query.rate_per_s, query.routers, query.now_ms
     )
-    weights = stale_load.compute_weights(free, mean, unseen)
+    weights = paced_load.adjust_weights(
+        free, stale_load.compute_weights(free, mean, unseen), query.now_ms
+    )
     if sum(weights) <= 0:
         best = min(items, key=lambda item: item.load)
         return _make_choice(best, Reason.LEAST_LOADED, mean, items, query)
--- a/foxtailpick/tests/engine_model.py
+++ b/foxtailpick/tests/engine_model.py
@@ -18,6 +18,7 @@
 from foxtailpick.core.dispatch import endpoint_table
 from foxtailpick.core.dispatch import load_exchange
 from foxtailpick.core.dispatch import load_limit
+from foxtailpick.core.dispatch import pace_exchange
 from foxtailpick.core.dispatch import placing
 from foxtailpick.tests import gateway_harness
 
@@ -61,6 +62,8 @@
     fetched_ms: float = 0.0
     tokens_left: float = 0.0
     first_ms: float | None = None
+    done_ms: float = 0.0
+    own_tokens: int = 0
     was_queued: bool = False
     is_rejected: bool = False
     rejected_ms: float = 0.0
@@ -76,12 +79,20 @@
             return float('inf')
         return self.first_ms - self.arrived_ms
 
+    @property
+    def token_ms(self):
+        """Mean time of a token after the first, infinite if there was none."""
+        if not self.is_done:
+            return float('inf')
+        return (self.done_ms - self.first_ms) / self.tokens
+
 
 class Engine:
     """One simulated engine."""
 
-    def __init__(self, name, slots=SLOTS):
+    def __init__(self, name, slots=SLOTS, compute_pace=None):
         self.name = name
+        self.compute_pace = compute_pace
         self.slots = slots
         self.running = []
         self.waiting = []
@@ -128,15 +139,19 @@
                 run.fetched_ms = now_ms + FETCH_MS
             else:
                 run.unprocessed_tokens = run.prompt_tokens
+            run.unprocessed_tokens += run.own_tokens
             self.running.append(run)
-        budget = TICK_MS * PREFILL_SHARE * PREFILL_TOKENS_PER_MS
+        tick_ms = TICK_MS
+        if self.compute_pace is not None:
+            tick_ms /= self.compute_pace(now_ms)
+        budget = tick_ms * PREFILL_SHARE * PREFILL_TOKENS_PER_MS
         for run in self.running:
             part = min(run.unprocessed_tokens, budget)
             run.unprocessed_tokens -= part
             budget -= part
-        prefill_ms = TICK_MS * PREFILL_SHARE - budget / PREFILL_TOKENS_PER_MS
+        prefill_ms = tick_ms * PREFILL_SHARE - budget / PREFILL_TOKENS_PER_MS
         step_ms = STEP_MS + STEP_MS_PER_REQUEST * len(self.running)
-        generated = (TICK_MS - prefill_ms) / step_ms
+        generated = (tick_ms - prefill_ms) / step_ms
         ended = []
         for run in self.running:
             if run.unprocessed_tokens or run.fetched_ms > now_ms:
@@ -147,6 +162,7 @@
             run.tokens_left -= generated
             if run.tokens_left <= 0:
                 run.is_done = True
+                run.done_ms = now_ms
                 ended.append(run)
         self.running = [run for run in self.running if run.tokens_left > 0]
         return ended
@@ -203,6 +219,7 @@
     def __init__(self, engines, seed, evacuated=(), domains=DOMAINS):
         self.table = endpoint_table.EndpointTable()
         self.sent = load_exchange.SentCounts()
+        self.paces = pace_exchange.SentPaces()
         self.rate = decayed_rate.DecayedRate()
         for number, name in enumerate(engines):
             entry = gateway_harness.make_endpoint_entry(
@@ -258,6 +275,8 @@
     :param has_hub: whether the first router sums the counts that the others
         report to it, as in the program; otherwise all routers know each
         other's counts at the same moment.
+    :param paces: function of the time by engine, which returns its pace.
+    :param states_paces: whether engines state it in their responses.
     """
 
     def __init__(
@@ -269,16 +288,22 @@
         evacuated=(),
         domains=DOMAINS,
         has_hub=False,
+        paces=(),
+        states_paces=True,
     ):
         self.service = service
         self.has_shares = has_shares
         self.engines = {f'e{n}': Engine(f'e{n}') for n in range(engines)}
+        for engine, pace in zip(self.engines.values(), paces, strict=False):
+            engine.compute_pace = pace
+        self.states_paces = states_paces
         self.routers = [
             Router(self.engines, seed, evacuated, domains)
             for seed in range(routers)
         ]
         self.has_hub = has_hub
         self._reports = load_exchange.HubReports()
+        self._hub_paces = pace_exchange.HubPaces()
         # Routers send at different moments.
         rng = random.Random(routers)
         self._report_ms = [rng.uniform(0, EXCHANGE_MS) for _ in self.routers]
@@ -317,6 +342,10 @@
             self._report_ms[number] += self._compute_interval_ms(router)
             sequence, counts = router.sent.next_counts(router.table)
             self._reports.record(number, sequence, counts, self.now_ms)
+            sequence, paces = router.paces.next_report(
+                router.table, self.now_ms
+            )
+            self._hub_paces.record(number, sequence, paces, self.now_ms)
             if number == 0:
                 self._send_totals()
 
@@ -335,6 +364,12 @@
         for number, sequence in self._reports.list_routers():
             router = self.routers[number]
             router.sent.apply_counts(router.table, sums, sequence, self.now_ms)
+        paces = self._hub_paces.merge(self.now_ms)
+        for number, sequence in self._hub_paces.list_routers():
+            router = self.routers[number]
+            router.paces.apply_totals(
+                router.table, paces, sequence, self.now_ms
+            )
 
     def _release(self):
         for router in self.routers:
@@ -373,7 +408,10 @@
     def _advance(self):
         for engine in self.engines.values():
             abandoned = engine.drop_abandoned(self.now_ms)
-            for run in [*abandoned, *engine.advance(self.now_ms)]:
+            unanswered = [run for run in engine.running if not run.first_ms]
+            ended = engine.advance(self.now_ms)
+            self._state_pace(engine, unanswered)
+            for run in [*abandoned, *ended]:
                 router = self.routers[run.router]
                 router.table.get(engine.name).running -= 1
                 if run.is_done:
@@ -381,6 +419,17 @@
                         router.queue, self.now_ms - run.arrived_ms
                     )
 
+    def _state_pace(self, engine, runs):
+        """Tell the routers of requests that have begun to be answered."""
+        if engine.compute_pace is None or not self.states_paces:
+            return
+        for run in runs:
+            if run.first_ms is not None:
+                table = self.routers[run.router].table
+                table.get(engine.name).pace.record_stated(
+                    engine.compute_pace(self.now_ms), self.now_ms
+                )
+
 
 def _exchange(tables, now_ms):
     for table in tables:
--- a/foxtailpick/tests/test_request_work.py
+++ b/foxtailpick/tests/test_request_work.py
@@ -18,7 +18,7 @@
     prompt_tokens, output_tokens, cost, memory_tokens
 ):
     work = request_work.estimate_work(prompt_tokens, output_tokens)
-    assert work == request_work.Work(cost, memory_tokens)
+    assert work == request_work.Work(cost, memory_tokens, prompt_tokens)
 
 
 async def test_request_in_flight_has_its_work():
