Let shares follow the lasting pace only

Cause: the choice of two followed what answers of the last 0.7 s told. Where machines are shared, that is over before it is known. Change: the lasting pace counts for plain requests and for the spread too. Engines as before.

--- a/foxtailpick/core/dispatch/endpoint_pace.py
+++ b/foxtailpick/core/dispatch/endpoint_pace.py
@@ -11,7 +11,8 @@
 on the usual pace takes over as it does: an old figure is worth less, and an
 endpoint that nobody hears of counts as usual. Sums of evidence smooth figures
 that change many times a second, and those of several routers add up. The
-lasting pace follows the pace slowly, for decisions that are costly to undo.
+lasting pace follows the pace slowly, for decisions that take some time to
+have an effect.
 """
 
 import dataclasses
@@ -20,7 +21,7 @@
 # Time constant of the decay. A change is followed within about this time.
 TIME_CONSTANT_MS = 700.0
 # Time constant of the lasting pace, well above the time for which a machine
-# is usually busy: prompts that move lose their cache.
+# is usually busy.
 LASTING_TIME_CONSTANT_MS = 2_500.0
 # Weights of a stated figure, of an answer, whose time depends on its request
 # as well, and of the usual pace.
--- a/foxtailpick/core/dispatch/paced_load.py
+++ b/foxtailpick/core/dispatch/paced_load.py
@@ -2,7 +2,9 @@
 
 Load pattern: an endpoint that takes five times as long holds as many requests
 as the others, and all of them are late. It gets a smaller share while it is
-slow. Shares are uneven only downwards: a fast endpoint gets no more requests
+slow. What is over before it is known, as a machine that is busy for half a
+second, is no reason to send requests elsewhere: they follow the lasting pace.
+Shares are uneven only downwards: a fast endpoint gets no more requests
 than its bound, which counts requests. The order of a prompt's endpoints stays,
 so that prompts return once their home is as fast as the others again.
 """
@@ -35,7 +37,7 @@
     """
     slots = item.entry.slots
     waiting = item.load + IDLE_SLOTS_SHARE * slots
-    return item.pace.compute(now_ms) * waiting / slots
+    return item.pace.compute_lasting(now_ms) * waiting / slots
 
 
 def compute_divisors(
@@ -74,7 +76,7 @@
     """
     if not items or not has_paces(items):
         return list(weights)
-    paces = [item.pace.compute(now_ms) for item in items]
+    paces = [item.pace.compute_lasting(now_ms) for item in items]
     usual = statistics.median(paces)
     return [
         weight / max(1.0, pace / usual)
