Learn and exchange paces at the gateways, and hedge safe requests in time

Cause: nothing kept the fourth figure of load reports, and most plain endpoints state none. A safe request at a slow endpoint was sent elsewhere once it took five mean deviations more than others, often too late. Change: where a load report states a pace, a gateway keeps it, learns from plain answers what is usual on a route (times at slow endpoints count by their pace), and exchanges evidence on unusual endpoints through the hub (messages 14 and 15; none while all are as usual). A safe request is sent elsewhere while another endpoint can still answer in time, within the retry budget. A slow endpoint isn't an ill one: such a hedge is no failure of it, and timeouts grow with its pace. Log lines `placed` (pace and its age), `silent` (late), `paces-known`; metric endpoints_slow. The tests of gateways, silent endpoints, messages, dispatch and exchange pass, lint passes.

--- a/foxtailpick/core/dispatch/pace_exchange.py
+++ b/foxtailpick/core/dispatch/pace_exchange.py
@@ -27,6 +27,7 @@
 MAX_REPORTED = 64
 # Number of sent reports kept because totals in flight may contain them.
 MAX_SENT_REPORTS = 8
+_NO_REPORT: Report = {}
 _HUNDREDTHS = 100
 # Larger numbers are no evidence and no age.
 _MAX_NUMBER = 10_000_000
@@ -143,13 +144,15 @@
         :param table: the endpoints.
         :param totals: the sums of all routers.
         :param number: sequence number of this router's report that they
-            include.
+            include, 0 if they include none.
         :param now_ms: current time.
         :returns: False if that report is no longer kept.
         """
-        if number not in self._sent:
-            return False
-        sent_ms, own = self._sent[number]
+        sent_ms, own = now_ms, _NO_REPORT
+        if number:
+            if number not in self._sent:
+                return False
+            sent_ms, own = self._sent[number]
         for endpoint, (weight, total, age_ms) in totals.items():
             item = table.get(endpoint)
             if item is None:
--- a/foxtailpick/core/dispatch/paced_load.py
+++ b/foxtailpick/core/dispatch/paced_load.py
@@ -13,6 +13,7 @@
 import typing
 
 from foxtailpick.core.dispatch import endpoint_table
+from foxtailpick.core.dispatch import request_work
 from foxtailpick.core import types
 
 # A plain endpoint that runs fewer requests than it has slots delays none, so
@@ -40,6 +41,33 @@
     return item.pace.compute_lasting(now_ms) * waiting / slots
 
 
+def record_answer(
+    usual: request_work.UsualValue,
+    item: endpoint_table.Endpoint,
+    items: typing.Sequence[endpoint_table.Endpoint],
+    took_ms: float,
+    now_ms: float,
+) -> None:
+    """Learn from an answer that did not wait for a slot.
+
+    An answer of a slow endpoint shows its pace, but not that answers usually
+    take longer. If all endpoints are slow, they usually do.
+
+    :param usual: usual time of answers on the route.
+    :param item: the endpoint.
+    :param items: the endpoints of its service.
+    :param took_ms: time of the answer, above 0.
+    :param now_ms: current time.
+    """
+    if usual.is_known and usual.value is not None:
+        item.pace.record_answer(took_ms, usual.value, now_ms)
+    paces = [other.pace.compute(now_ms) for other in items]
+    relative = 1.0
+    if paces:
+        relative = item.pace.compute(now_ms) / statistics.median(paces)
+    usual.observe(took_ms / max(1.0, relative))
+
+
 def compute_divisors(
     items: typing.Sequence[endpoint_table.Endpoint], now_ms: float
 ) -> dict[types.EndpointId, float]:
--- a/foxtailpick/gateway/attempt.py
+++ b/foxtailpick/gateway/attempt.py
@@ -125,16 +125,22 @@
     estimate = gw.first_byte_estimates.setdefault(
         job.route.name, response_timeout.FirstByteEstimate()
     )
+    timeout_ms = estimate.compute_timeout_ms(
+        job.route.target_ms,
+        job.route.kind is model.RequestKind.STREAMING,
+    )
     attempt = context.Attempt(
         endpoint,
         conn,
         gw.now_ms(),
-        estimate.compute_timeout_ms(
-            job.route.target_ms,
-            job.route.kind is model.RequestKind.STREAMING,
+        response_timeout.adjust_to_pace(
+            timeout_ms, endpoint.pace.compute(gw.now_ms())
         ),
         hooks.report_silence,
         job,
+        hedge_ms=_compute_hedge_ms(gw, job),
+        report_late=hooks.report_late,
+        has_queued=endpoint.load > endpoint.entry.slots,
     )
     gw.attempts.add(attempt)
     try:
@@ -189,6 +195,14 @@
     return result
 
 
+def _compute_hedge_ms(gw: context.Gateway, job: job_lib.Job) -> float | None:
+    usual = gw.usual_times.get(job.route.name)
+    if job.route.kind is not model.RequestKind.SAFE or usual is None:
+        return None
+    left_ms = job.req.received_ms + job.route.target_ms - gw.now_ms()
+    return response_timeout.compute_hedge_ms(usual, left_ms)
+
+
 async def deliver_error(
     job: job_lib.Job,
     answer: job_lib.BufferedResponse,
@@ -325,8 +339,10 @@
         )
     job.framing = head.framing
     attempt.answered_ms = now_ms
-    if is_success and job.answered_ms is None:
-        job.answered_ms = now_ms
+    if is_success:
+        load_reports.record_answer(gw, attempt, now_ms - sent_ms)
+        if job.answered_ms is None:
+            job.answered_ms = now_ms
     if is_success and job.route.kind is model.RequestKind.STREAMING:
         hooks.report_begun()
         await stream_relay.relay_stream(
--- a/foxtailpick/gateway/attempt_group.py
+++ b/foxtailpick/gateway/attempt_group.py
@@ -26,6 +26,8 @@
     :param is_sent: whether the request was sent.
     :param begun_ms: when its stream began, None before that.
     :param is_silent: whether the endpoint sends nothing for too long.
+    :param is_late: whether another endpoint has to be asked soon for the
+        request to be answered in time.
     :param is_replaced: whether another attempt answers instead.
     :param recheck_ms: time before which its silence is not reported again.
     :param decision: the latest decision on hedging the request, if any.
@@ -39,6 +41,7 @@
     is_sent: bool = False
     begun_ms: float | None = None
     is_silent: bool = False
+    is_late: bool = False
     is_replaced: bool = False
     recheck_ms: float = -math.inf
     decision: hedging.HedgeDecision | None = None
@@ -84,8 +87,10 @@
 
     @property
     def is_each_silent(self) -> bool:
-        """Whether all attempts in flight are silent."""
-        return all(runner.is_silent for runner in self.runners)
+        """Whether all attempts in flight are silent, or late."""
+        return all(
+            runner.is_silent or runner.is_late for runner in self.runners
+        )
 
     def start(self, choice: placing.Choice) -> None:
         """Start an attempt at an endpoint.
@@ -178,6 +183,7 @@
             report_silence=lambda is_silent: self._report_silence(
                 runner, is_silent
             ),
+            report_late=lambda: self._report_late(runner),
             claim=lambda is_answer: self._claim(runner, is_answer),
         )
 
@@ -188,6 +194,10 @@
             runner.recheck_ms = now_ms + hedging.RECHECK_INTERVAL_MS
             self._send.send_nowait(runner)
 
+    def _report_late(self, runner: Runner) -> None:
+        runner.is_late = True
+        self._send.send_nowait(runner)
+
     def _claim(self, runner: Runner, is_answer: bool) -> bool:
         """Give the response to an attempt, and cancel the other ones.
 
@@ -219,7 +229,7 @@
             silent=other.is_silent,
             ms_taken=round(now_ms - other.started_ms, 1),
         )
-        if other.is_silent:
+        if other.is_silent and not endpoint.pace.is_slow(now_ms):
             attempt_lib.record_failure(
                 gw,
                 endpoint,
--- a/foxtailpick/gateway/context.py
+++ b/foxtailpick/gateway/context.py
@@ -15,6 +15,7 @@
 from foxtailpick.core.dispatch import endpoint_table
 from foxtailpick.core.dispatch import model
 from foxtailpick.core.dispatch import refusal
+from foxtailpick.core.dispatch import request_work
 from foxtailpick.core.dispatch import response_timeout
 from foxtailpick.core.dispatch import stopping
 from foxtailpick.core import retry
@@ -56,6 +57,12 @@
     :param answered_ms: when the endpoint began to respond, None before that.
     :param is_withdrawn: whether it was aborted since one of the request's
         signatures was quarantined.
+    :param hedge_ms: time without an answer after which another endpoint is
+        asked too, though this one need not be silent; None if never.
+    :param report_late: reports that this time is over.
+    :param is_late: whether that was reported.
+    :param has_queued: whether its endpoint had no free slot when it was
+        placed.
     """
 
     endpoint: endpoint_table.Endpoint
@@ -69,6 +76,10 @@
     is_failure_recorded: bool = False
     answered_ms: float | None = None
     is_withdrawn: bool = False
+    hedge_ms: float | None = None
+    report_late: typing.Callable[[], None] = lambda: None
+    is_late: bool = False
+    has_queued: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -79,6 +90,8 @@
     :param report_begun: reports that the endpoint has begun a stream.
     :param report_silence: reports that the endpoint is silent or, with
         False, that it no longer is.
+    :param report_late: reports that another endpoint has to be asked soon
+        for the request to be answered in time.
     :param claim: tells whether this attempt may write to the caller, False
         if another one does. With True, as for a whole event or response,
         the others are cancelled.
@@ -87,6 +100,7 @@
     report_sent: typing.Callable[[], None]
     report_begun: typing.Callable[[], None]
     report_silence: typing.Callable[[bool], None]
+    report_late: typing.Callable[[], None]
     claim: typing.Callable[[bool], bool]
 
 
@@ -126,6 +140,7 @@
     :param account_usage: usage of each service by its accounts.
     :param queues: admission queue of each service.
     :param first_byte_estimates: times to the first byte on each route.
+    :param usual_times: usual times of plain answers on each route.
     :param placement_rates: rate of this gateway's requests to each service.
     :param return_schedules: when refused callers of each service return.
     :param stream_timing: durations of recent streams, per allowed token.
@@ -166,6 +181,9 @@
     first_byte_estimates: dict[str, response_timeout.FirstByteEstimate] = (
         dataclasses.field(default_factory=dict)
     )
+    usual_times: dict[str, request_work.UsualValue] = dataclasses.field(
+        default_factory=dict
+    )
     placement_rates: dict[types.ServiceId, decayed_rate.DecayedRate] = (
         dataclasses.field(default_factory=dict)
     )
--- a/foxtailpick/gateway/daemon.py
+++ b/foxtailpick/gateway/daemon.py
@@ -272,6 +272,7 @@
             f'foxtailpick_endpoint_connections_total {gw.pool.opened}',
             f'foxtailpick_log_lines_dropped_total {gw.log.dropped}',
             f'foxtailpick_routers {gw.state.router_count}',
+            f'foxtailpick_endpoints_slow {_count_slow(gw)}',
             'foxtailpick_config_version '
             f'{gw.state.cfg.number if gw.state.cfg else 0}',
         ]
@@ -283,6 +284,11 @@
     return handle
 
 
+def _count_slow(gw: context.Gateway) -> int:
+    now_ms = gw.now_ms()
+    return sum(item.pace.is_slow(now_ms) for item in gw.state.table.list_all())
+
+
 async def _wait_for_stop(
     gw: context.Gateway,
     signals: typing.AsyncIterator[int],
--- a/foxtailpick/gateway/execution.py
+++ b/foxtailpick/gateway/execution.py
@@ -202,6 +202,7 @@
             endpoint=runner.choice.endpoint.id,
             ms_taken=round(gw.now_ms() - runner.started_ms, 1),
             hedge=decision.value,
+            late=runner.is_late,
             sent=job.counted_attempts,
         )
     if choice is None:
@@ -355,6 +356,8 @@
         service_mean=round(choice.service_mean_load, 1),
         fetch=choice.holder.id if choice.holder else None,
         load_age_ms=endpoint.compute_load_age_ms(now_ms),
+        pace=_get_pace(endpoint, now_ms),
+        pace_age_ms=endpoint.pace.compute_age_ms(now_ms),
         cold_ms=max(0, round(endpoint.warm_at_ms - now_ms)),
         limit_per_s=endpoint.announced.rate_limit.per_s,
         routers=gw.state.router_count,
@@ -362,6 +365,14 @@
     )
 
 
+def _get_pace(
+    endpoint: endpoint_table.Endpoint, now_ms: float
+) -> float | None:
+    if endpoint.pace.heard_ms is None:
+        return None
+    return round(endpoint.pace.compute_lasting(now_ms), 2)
+
+
 def _compute_answering_ms(
     gw: context.Gateway, result: attempt_lib.AttemptResult
 ) -> float | None:
--- a/foxtailpick/gateway/watchdog.py
+++ b/foxtailpick/gateway/watchdog.py
@@ -25,6 +25,9 @@
             continue
         for attempt in list(gw.attempts):
             quiet_ms = now_ms - attempt.last_received_ms
+            if _is_due_for_hedge(attempt, quiet_ms):
+                attempt.is_late = True
+                attempt.report_late()
             is_silent = attempt.endpoint.health.is_silent(now_ms)
             limit_ms = attempt.read_timeout_ms
             if is_silent:
@@ -37,3 +40,14 @@
                 health.record_failed_request(attempt.endpoint.health, now_ms)
             attempt.is_silent = True
             attempt.report_silence(True)
+
+
+def _is_due_for_hedge(attempt: context.Attempt, quiet_ms: float) -> bool:
+    # The next check would be too late.
+    return (
+        attempt.hedge_ms is not None
+        and not attempt.is_late
+        and attempt.is_reading
+        and attempt.answered_ms is None
+        and quiet_ms + CHECK_INTERVAL_MS > attempt.hedge_ms
+    )
--- a/foxtailpick/tests/plain_model.py
+++ b/foxtailpick/tests/plain_model.py
@@ -15,8 +15,10 @@
 from foxtailpick.core.dispatch import load_exchange
 from foxtailpick.core.dispatch import model
 from foxtailpick.core.dispatch import pace_exchange
+from foxtailpick.core.dispatch import paced_load
 from foxtailpick.core.dispatch import placing
 from foxtailpick.core.dispatch import request_work
+from foxtailpick.core.dispatch import response_timeout
 from foxtailpick.tests import gateway_harness
 
 TICK_MS = 5.0
@@ -41,6 +43,9 @@
     has_queued: bool = False
     done_ms: float = math.inf
     is_above_limit: bool = False
+    is_safe: bool = False
+    endpoints: list = dataclasses.field(default_factory=list)
+    hedge_ms: float = math.inf
 
     @property
     def took_ms(self):
@@ -53,19 +58,15 @@
 
     def __init__(self, compute_pace):
         self.compute_pace = compute_pace
-        self.held = collections.deque()
+        # Work left of the requests that it holds, in order.
+        self.held = {}
 
     def advance(self, now_ms):
         """Simulate one tick; return the requests that ended."""
         pace = self.compute_pace(now_ms)
-        ended = []
         for request in list(self.held)[:SLOTS]:
-            request.work_ms -= TICK_MS / pace
-            if request.work_ms <= 0:
-                request.done_ms = now_ms
-                self.held.remove(request)
-                ended.append(request)
-        return ended
+            self.held[request] -= TICK_MS / pace
+        return [request for request, left in self.held.items() if left <= 0]
 
 
 class Router:
@@ -78,6 +79,7 @@
             self.table.put(entry, 0.0)
         self.rng = random.Random(seed)
         self.usual = request_work.UsualValue()
+        self.first_byte = response_timeout.FirstByteEstimate()
         self.counts = load_exchange.SentCounts()
         self.paces = pace_exchange.SentPaces()
 
@@ -87,14 +89,17 @@
 
     :param paces: function of the time by endpoint, which returns its pace.
     :param learns: whether routers learn paces.
+    :param hedges_early: whether safe requests are sent elsewhere to be in
+        time, and not only if they take far longer than others.
     """
 
-    def __init__(self, paces, routers=10, learns=True):
+    def __init__(self, paces, routers=10, learns=True, hedges_early=True):
         self.servers = {
             f'e{number}': Server(pace) for number, pace in enumerate(paces)
         }
         self.routers = [Router(self.servers, seed) for seed in range(routers)]
         self.learns = learns
+        self.hedges_early = hedges_early
         self._hub_counts = load_exchange.HubReports()
         self._hub_paces = pace_exchange.HubPaces()
         rng = random.Random(routers)
@@ -111,6 +116,7 @@
             for name, server in self.servers.items():
                 for request in server.advance(now_ms):
                     self._end(request, name, now_ms)
+            self._hedge(now_ms)
             now_ms += TICK_MS
         return requests
 
@@ -141,7 +147,7 @@
         query = placing.Query(
             SERVICE,
             None,
-            frozenset(),
+            frozenset(request.endpoints),
             len(self.routers),
             now_ms,
             router.table.compute_mean_load(SERVICE.name),
@@ -156,18 +162,46 @@
         request.is_above_limit = len(server.held) > (
             LIMIT_MULTIPLE * statistics.mean(loads) + LIMIT_SLACK
         )
-        server.held.append(request)
+        server.held[request] = request.work_ms
+        request.endpoints.append(endpoint.id)
+        if request.is_safe and len(request.endpoints) == 1:
+            hedge_ms = router.first_byte.compute_timeout_ms(TARGET_MS, False)
+            if self.hedges_early:
+                early_ms = response_timeout.compute_hedge_ms(
+                    router.usual, TARGET_MS
+                )
+                hedge_ms = min(hedge_ms, early_ms or hedge_ms)
+            request.hedge_ms = now_ms + hedge_ms
+
+    def _hedge(self, now_ms):
+        due = {
+            request
+            for server in self.servers.values()
+            for request in server.held
+            if now_ms >= request.hedge_ms and len(request.endpoints) == 1
+        }
+        for request in due:
+            self._place(request, now_ms)
 
     def _end(self, request, name, now_ms):
         router = self.routers[request.router]
-        endpoint = router.table.get(name)
-        endpoint.running -= 1
+        request.done_ms = min(request.done_ms, now_ms)
+        for other in request.endpoints:
+            if self.servers[other].held.pop(request, None) is not None:
+                router.table.get(other).running -= 1
+        sent_ms = request.arrived_ms
+        if name != request.endpoints[0]:
+            sent_ms = request.hedge_ms
+        took_ms = max(TICK_MS, now_ms - sent_ms)
+        router.first_byte.observe(took_ms)
         if self.learns and not request.has_queued:
-            if router.usual.is_known:
-                endpoint.pace.record_answer(
-                    request.took_ms, router.usual.value, now_ms
-                )
-            router.usual.observe(request.took_ms)
+            paced_load.record_answer(
+                router.usual,
+                router.table.get(name),
+                router.table.list_all(),
+                took_ms,
+                now_ms,
+            )
 
 
 def make_noise(seed, share=0.15, multiple=2.5, every_ms=600.0):
@@ -188,7 +222,9 @@
     return lambda now_ms: multiple if from_ms <= now_ms < until_ms else 1.0
 
 
-def make_requests(rate_per_s, seed, length_s=16, routers=10, clump=3):
+def make_requests(
+    rate_per_s, seed, length_s=16, routers=10, clump=3, safe_share=0.0
+):
     """Generate requests that come in clumps, with log-normal work."""
     rng = random.Random(seed)
     requests = []
@@ -198,7 +234,8 @@
         for _ in range(clump):
             work_ms = rng.lognormvariate(math.log(MEDIAN_WORK_MS), 0.5)
             router = rng.randrange(routers)
-            requests.append(Request(at_ms, work_ms, router))
+            is_safe = rng.random() < safe_share
+            requests.append(Request(at_ms, work_ms, router, is_safe=is_safe))
     return requests
 
 
--- a/foxtailpick/tests/test_pace_exchange.py
+++ b/foxtailpick/tests/test_pace_exchange.py
@@ -103,6 +103,14 @@
     assert router.compute('e1', 0.0) == 1.0
 
 
+def test_router_without_a_report_hears_of_others():
+    router = Router()
+    assert router.sent.apply_totals(
+        router.table, {'e1': [100, 500, 0], 'gone': [100, 500, 0]}, 0, 0.0
+    )
+    assert router.compute('e1', 0.0) > 3
+
+
 def test_messages_are_bounded():
     router = Router(200)
     for item in router.table.list_all():
--- a/foxtailpick/tests/test_peer_messages.py
+++ b/foxtailpick/tests/test_peer_messages.py
@@ -18,7 +18,7 @@
 OWN = 'router-1'
 PEER = 'router-2'
 COUNTS, TOTALS, REDIRECT, PROMPTS, PROMPT_TOTALS = range(2, 7)
-LIMITS, LIMIT_TOTALS = range(12, 14)
+LIMITS, LIMIT_TOTALS, PACES, PACE_TOTALS = range(12, 16)
 HUGE = 10**400
 
 
@@ -84,6 +84,13 @@
             [LIMITS, PEER, 1, [['e1', '1', 2.0, HUGE, 0.5, 1]]],
             [LIMITS, PEER, 1, [['e1', '1', float('nan'), 3, 0.5, 1]]],
             [LIMITS, PEER, 1, [['e1', 1, 2.0, 3, 0.5, 1]]],
+            [PACES, PEER, 1],
+            [PACES, PEER, 1, 7],
+            [PACES, PEER, 1, {'e1': [100, 500]}],
+            [PACES, PEER, 1, {'e1': [100, 500, HUGE]}],
+            [PACE_TOTALS, PEER, 0, {'e1': [100, 500, 0]}],
+            [PACE_TOTALS, PEER, 0, b'not CBOR'],
+            [PACE_TOTALS, PEER, 0, cbor2.dumps({'e1': [100, -500, 0]})],
             [LIMIT_TOTALS, PEER, 0, 7],
             [LIMIT_TOTALS, PEER, 0, [['e1', '1', 2.0, 3, None, 1]]],
             [LIMIT_TOTALS, PEER, 0, [['e1', '1', 2.0, 3, 0.5, float('inf')]]],
