Keep messages about paces in one module

The kinds are 18 and 19 now, and pace_messages encodes and decodes them. Nothing else changes; the tests of messages, of the exchange and of early hedges pass, lint passes.

--- a/foxtailpick/gateway/peers.py
+++ b/foxtailpick/gateway/peers.py
@@ -16,7 +16,6 @@
 from foxtailpick.core.dispatch import crash_reports
 from foxtailpick.core.dispatch import load_exchange
 from foxtailpick.core.dispatch import model
-from foxtailpick.core.dispatch import pace_exchange
 from foxtailpick.core.dispatch import rate_limits
 from foxtailpick.core import types
 from foxtailpick.gateway import announced
@@ -44,8 +43,6 @@
 _KIND_DEPARTURE_TOTALS = 11
 _KIND_LIMITS = 12
 _KIND_LIMIT_TOTALS = 13
-_KIND_PACES = 14
-_KIND_PACE_TOTALS = 15
 # A hub asks so many of the routers that don't report to it at a time.
 MAX_QUERIES = 4
 
@@ -171,7 +168,6 @@
         outcomes = self._sent_counts.collect_outcomes(gw.state.table, now_ms)
         departures = announced.make_report(gw, now_ms)
         limits = announced.make_limit_report(gw, now_ms)
-        paces = self._paces.make_report(now_ms)
         if hub != gw.cfg.name:
             data = cbor2.dumps(
                 [_KIND_COUNTS, gw.cfg.name, number, counts, outcomes]
@@ -189,8 +185,7 @@
             if limits:
                 data = cbor2.dumps([_KIND_LIMITS, gw.cfg.name, number, limits])
                 await self._send_to(data, routers[hub].address)
-            if paces:
-                data = cbor2.dumps([_KIND_PACES, gw.cfg.name, *paces])
+            for data in self._paces.make_reports(now_ms):
                 await self._send_to(data, routers[hub].address)
             return
         self._hub_selector.record_message(now_ms)
@@ -205,9 +200,9 @@
         await self._send_departure_totals(now_ms)
         self._limits.record(hub, limits, now_ms)
         await self._send_limit_totals(now_ms)
-        if paces:
-            self._paces.record(hub, *paces, now_ms)
-        await self._send_pace_totals(now_ms)
+        for router, data in self._paces.make_totals(now_ms):
+            if router in self._reporters:
+                await self._send_to(data, self._reporters[router])
 
     async def _send_totals(self, now_ms: float) -> None:
         gw = self._gw
@@ -350,23 +345,6 @@
             elif router in self._reporters:
                 await self._send_to(data, self._reporters[router])
 
-    async def _send_pace_totals(self, now_ms: float) -> None:
-        made = self._paces.make_totals(now_ms)
-        if made is None:
-            return
-        totals, numbers = made
-        gw = self._gw
-        packed = cbor2.dumps(totals)
-        for router, _ in self._hub_reports.list_routers():
-            number = numbers.get(router, 0)
-            if router == gw.cfg.name:
-                self._paces.apply_totals(totals, number, now_ms)
-            elif router in self._reporters:
-                data = cbor2.dumps(
-                    [_KIND_PACE_TOTALS, gw.cfg.name, number, packed]
-                )
-                await self._send_to(data, self._reporters[router])
-
     async def _send_to(self, data: bytes, address: model.Address) -> None:
         try:
             await self._sock.sendto(data, address)
@@ -427,15 +405,10 @@
                 peer_messages.get_only(contents)
             )
             announced.apply_limits(self._gw, statements)
-        elif kind == _KIND_PACES:
-            paces = pace_exchange.decode_report(
-                peer_messages.get_only(contents)
-            )
-            self._paces.record(router, number, paces, now_ms)
-        elif kind == _KIND_PACE_TOTALS and router == self._hub_selector.hub:
-            packed = peer_messages.get_only(contents, bytes)
-            paces = pace_exchange.decode_report(peer_messages.decode(packed))
-            self._paces.apply_totals(paces, number, now_ms)
+        elif kind == pace_messages.REPORT:
+            self._paces.handle_report(router, number, contents, now_ms)
+        elif kind == pace_messages.TOTALS and router == self._hub_selector.hub:
+            self._paces.handle_totals(number, contents, now_ms)
         elif kind == _KIND_REDIRECT:
             hub = types.RouterId(peer_messages.get_only(contents, str))
             self._hub_selector.record_redirect(router, hub)
--- a/foxtailpick/tests/test_peer_messages.py
+++ b/foxtailpick/tests/test_peer_messages.py
@@ -18,7 +18,8 @@
 OWN = 'router-1'
 PEER = 'router-2'
 COUNTS, TOTALS, REDIRECT, PROMPTS, PROMPT_TOTALS = range(2, 7)
-LIMITS, LIMIT_TOTALS, PACES, PACE_TOTALS = range(12, 16)
+LIMITS, LIMIT_TOTALS = range(12, 14)
+PACES, PACE_TOTALS = range(18, 20)
 HUGE = 10**400
 
 
