--- a/foxtailpick/gateway/announced.py
+++ b/foxtailpick/gateway/announced.py
@@ -95,6 +95,9 @@
             f'{meta.bad_rate_limit[:40]!r}',
         )
         return
+    if meta.rate_limit_per_s is None and meta.request is None:
+        # A broken answer need not be the endpoint's, and ends no limit.
+        return
     limit = endpoint.announced.rate_limit
     if limit.record(meta.rate_limit_per_s, sent_ms, gw.now_ms()):
         _log_rate_limit(gw, endpoint, None)
@@ -133,12 +136,15 @@
 
 
 def apply_limits(
-    gw: context.Gateway, statements: typing.Iterable[rate_limits.Statement]
+    gw: context.Gateway,
+    statements: typing.Iterable[rate_limits.Statement],
+    reporters: int | None,
 ) -> None:
     """Note what other routers know of limited endpoints.
 
     :param gw: the gateway.
     :param statements: the totals of the hub.
+    :param reporters: number of routers that the totals contain, None if all.
     """
     now_ms = gw.now_ms()
     for statement in statements:
@@ -147,7 +153,7 @@
         if item is None or item.entry.started != started:
             continue
         if rate_limits.apply_statement(
-            item.announced.rate_limit, statement, now_ms
+            item.announced.rate_limit, statement, reporters, now_ms
         ):
             _log_rate_limit(gw, item, age_ms)
 
@@ -166,6 +172,7 @@
         per_s=limit.per_s,
         told_age_ms=told_age_ms,
         routers=gw.state.router_count,
+        reporters=limit.reporters,
         own_per_s=round(limit.wanted.compute_per_s(now_ms), 2),
         others_per_s=round(limit.others_per_s, 2),
         others_age_ms=(
