Place requests with short runs by own requests and pace

Cause: where runs are shorter than counts are old, requests go to the endpoint with the fewest requests of this router, so a slow one that has none is as good as any other. Change: where paces are known, the requests of this router there, and one, times the pace, as far as it is above 1.3 times the usual.

--- a/foxtailpick/core/dispatch/paced_load.py
+++ b/foxtailpick/core/dispatch/paced_load.py
@@ -9,6 +9,7 @@
 so that prompts return once their home is as fast as the others again.
 """
 
+import random
 import statistics
 import typing
 
@@ -20,8 +21,8 @@
 # that its pace matters more than its load. Half of its slots, added to the
 # load, lets it get less work the longer it takes, also while it is idle.
 IDLE_SLOTS_SHARE = 0.5
-# The bounds of an endpoint stay up to this lasting pace, relative to the usual
-# one: prompts that move lose their cache, which costs more than a short delay.
+# An endpoint counts as slow from this multiple of the usual pace on. Prompts
+# that move lose their cache, which costs more than a short delay.
 TOLERANCE = 1.3
 
 
@@ -41,6 +42,28 @@
     return item.pace.compute_lasting(now_ms) * waiting / slots
 
 
+def choose_by_own_requests(
+    items: typing.Sequence[endpoint_table.Endpoint],
+    now_ms: float,
+    rng: random.Random,
+) -> endpoint_table.Endpoint:
+    """Choose an endpoint where runs are shorter than counts are old.
+
+    The time that the next request would take is estimated by the requests of
+    this router alone. Small differences in pace don't matter.
+
+    :param items: the candidates, at least one.
+    :param now_ms: current time.
+    :param rng: source of random numbers, for a choice among equals.
+    """
+
+    def estimate(item: endpoint_table.Endpoint) -> float:
+        pace = max(1.0, item.pace.compute_lasting(now_ms) / TOLERANCE)
+        return pace * (item.running + 1) / item.entry.slots
+
+    return min(items, key=lambda item: (estimate(item), rng.random()))
+
+
 def record_answer(
     usual: request_work.UsualValue,
     item: endpoint_table.Endpoint,
--- a/foxtailpick/core/dispatch/placing.py
+++ b/foxtailpick/core/dispatch/placing.py
@@ -348,7 +348,10 @@
     rng: random.Random,
 ) -> Choice:
     if short_runs.has_stale_counts(query.mean_run_ms):
-        best = short_runs.choose_by_own_requests(items, rng)
+        if paced_load.has_paces(items):
+            best = paced_load.choose_by_own_requests(items, query.now_ms, rng)
+        else:
+            best = short_runs.choose_by_own_requests(items, rng)
         return _make_choice(best, Reason.LEAST_LOADED, mean, items, query)
     pair = rng.sample(items, min(2, len(items)))
     if paced_load.has_paces(items):
--- a/foxtailpick/tests/plain_model.py
+++ b/foxtailpick/tests/plain_model.py
@@ -89,17 +89,26 @@
 
     :param paces: function of the time by endpoint, which returns its pace.
     :param learns: whether routers learn paces.
+    :param mean_run_ms: run time by which requests are placed.
     :param hedges_early: whether safe requests are sent elsewhere to be in
         time, and not only if they take far longer than others.
     """
 
-    def __init__(self, paces, routers=10, learns=True, hedges_early=True):
+    def __init__(
+        self,
+        paces,
+        routers=10,
+        learns=True,
+        hedges_early=True,
+        mean_run_ms=MEDIAN_WORK_MS,
+    ):
         self.servers = {
             f'e{number}': Server(pace) for number, pace in enumerate(paces)
         }
         self.routers = [Router(self.servers, seed) for seed in range(routers)]
         self.learns = learns
         self.hedges_early = hedges_early
+        self.mean_run_ms = mean_run_ms
         self._hub_counts = load_exchange.HubReports()
         self._hub_paces = pace_exchange.HubPaces()
         rng = random.Random(routers)
@@ -151,6 +160,7 @@
             len(self.routers),
             now_ms,
             router.table.compute_mean_load(SERVICE.name),
+            mean_run_ms=self.mean_run_ms,
         )
         endpoint = placing.choose_endpoint(
             router.table.list_service(SERVICE.name), query, router.rng
--- a/foxtailpick/tests/test_endpoint_pace.py
+++ b/foxtailpick/tests/test_endpoint_pace.py
@@ -206,17 +206,23 @@
     assert 'e2' not in chosen
 
 
-def simulate_plain(rate_per_s, paces, seed, learns, clump=3):
+def simulate_plain(rate_per_s, paces, seed, learns, clump=3, mean_run_ms=80.0):
     requests = plain_model.make_requests(rate_per_s, seed, clump=clump)
-    simulation = plain_model.Simulation(paces, learns=learns)
+    simulation = plain_model.Simulation(
+        paces, learns=learns, mean_run_ms=mean_run_ms
+    )
     simulation.run(requests)
     above = sum(request.is_above_limit for request in requests)
     assert above <= MAX_SHARE_ABOVE_LIMIT * len(requests)
     return plain_model.compute_late_share(requests)
 
 
+# Placed by the counts of all routers, or by the requests of each alone.
+@pytest.mark.parametrize('mean_run_ms', [0.0, 80.0])
 @pytest.mark.parametrize(('rate_per_s', 'clump'), [(54, 1), (90, 3)])
-def test_plain_callers_are_served_beside_a_slow_endpoint(rate_per_s, clump):
+def test_plain_callers_are_served_beside_a_slow_endpoint(
+    rate_per_s, clump, mean_run_ms
+):
     """One of three endpoints takes five times as long for 6.5 of 16 s."""
     late = {
         learns: statistics.mean(
@@ -226,6 +232,7 @@
                 seed,
                 learns,
                 clump,
+                mean_run_ms,
             )
             for seed in range(3)
         )
