--- a/foxtailpick/tests/test_peer_messages.py
+++ b/foxtailpick/tests/test_peer_messages.py
@@ -20,6 +20,7 @@
 COUNTS, TOTALS, REDIRECT, PROMPTS, PROMPT_TOTALS = range(2, 7)
 LIMITS, LIMIT_TOTALS = range(12, 14)
 OVERLOAD, OVERLOAD_TOTALS = range(16, 18)
+PACES, PACE_TOTALS = range(18, 20)
 HUGE = 10**400
 
 
@@ -85,6 +86,13 @@
             [LIMITS, PEER, 1, [['e1', '1', 2.0, HUGE, 0.5, 1]]],
             [LIMITS, PEER, 1, [['e1', '1', float('nan'), 3, 0.5, 1]]],
             [LIMITS, PEER, 1, [['e1', 1, 2.0, 3, 0.5, 1]]],
+            [PACES, PEER, 1],
+            [PACES, PEER, 1, 7],
+            [PACES, PEER, 1, {'e1': [100, 500]}],
+            [PACES, PEER, 1, {'e1': [100, 500, HUGE]}],
+            [PACE_TOTALS, PEER, 0, {'e1': [100, 500, 0]}],
+            [PACE_TOTALS, PEER, 0, b'not CBOR'],
+            [PACE_TOTALS, PEER, 0, cbor2.dumps({'e1': [100, -500, 0]})],
             [LIMIT_TOTALS, PEER, 0, 7],
             [LIMIT_TOTALS, PEER, 0.5, []],
             [LIMIT_TOTALS, PEER, float('inf'), []],
