Decide about roll-outs: share, evidence, verdict, first form

Cause: nothing in the program can move the traffic of a service to another version or withdraw a bad one.

--- /dev/null
+++ b/foxtailpick/core/dispatch/rollouts.py
@@ -0,0 +1,476 @@
+"""Moves the traffic of a service to endpoints of another version.
+
+Load pattern: the operators order that a service moves to endpoints of another
+version within some time. A bad version may get only a small part of the
+requests until it is rolled back, while 4 to 68 routers with few requests each
+share them, see each other's counts late, and may restart or be cut off. Each
+router sends at most a fixed part of its own requests to the new version, with
+a random rounding, so that the bound holds for their sum without an exchange.
+The routers tell each other what they saw; each of them judges the sum.
+
+Few endpoints of the new version get this part, so that each of them has about
+the load of an old one. Shortly before the deadline a version without evidence
+against it gets more in steps, at last everything, so that it is judged under
+its full load and the old endpoints are idle when they are stopped.
+"""
+
+import dataclasses
+import enum
+import math
+import typing
+
+from foxtailpick.core.dispatch import endpoint_table
+from foxtailpick.core.dispatch import model
+from foxtailpick.core.dispatch import rollout_evidence
+from foxtailpick.core.dispatch import rollout_verdict
+from foxtailpick.core import transition_table
+from foxtailpick.core import types
+
+# Parts of the tolerated exposure: of the canary's share, of the most that a
+# router sends before the last steps, and of the requests beyond the share.
+CANARY_PART = 0.4
+BUDGET_PART = 0.9
+SLACK_PART = 0.3
+# A route with few requests gets a larger share, up to this one, until it has
+# so many answers of the new version.
+MAX_ROUTE_SHARE = 0.2
+MIN_ROUTE_ANSWERS = 30
+# A route needs fewer answers of the new version than that if it has less than
+# this share of those of the old one. All routes together need so many.
+MIN_ANSWER_SHARE = 0.6
+MIN_ANSWERS = 10
+# A router that had totals and gets none for this time sends nothing to the
+# new version; after a longer time without any it goes by its own evidence.
+TOTALS_TTL_MS = 2_000.0
+LONE_MS = 8_000.0
+# Time kept before the deadline for writing the state while the store is slow.
+MARGIN_SHARE = 0.15
+MIN_MARGIN_MS = 5_000.0
+MAX_MARGIN_MS = 20_000.0
+MAX_MARGIN_SHARE = 0.4
+# The last steps, before that margin: their length in all, the shares of the
+# traffic, and the part of the time at which each step begins.
+STEPS_SHARE = 0.3
+MAX_STEPS_MS = 20_000.0
+MIN_STEPS_MS = 2_000.0
+STEP_SHARES = (0.1, 0.25, 0.5, 1.0)
+STEP_STARTS = (0.0, 1 / 6, 2 / 6, 3 / 6)
+# The new version is judged again at this interval.
+JUDGE_INTERVAL_MS = 250.0
+# The new endpoints bear the load if it takes at most this share of their slots
+# and they have this share of the slots of the old ones.
+USABLE_SLOT_SHARE = 0.8
+# A cold endpoint, or one with an empty cache, may be so many times slower.
+COLD_FACTOR = 2.0
+
+_TRIGGERS = {
+    model.RolloutState.COMPLETED: 'complete',
+    model.RolloutState.ROLLED_BACK: 'roll_back',
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RolloutBounds:
+    """What the operators tolerate of a bad version.
+
+    :param exposure_share: share of a service's requests that it may get.
+    :param exposure_slack: requests that it may get beyond that.
+    :param rollback_ms: time after its 50th bad answer until which it may
+        get requests.
+    """
+
+    exposure_share: float = 0.1
+    exposure_slack: float = 50.0
+    rollback_ms: float = 5_000.0
+
+
+class Action(enum.Enum):
+    """What a router should do about a roll-out."""
+
+    WAIT = 'wait'
+    COMPLETE = 'complete'
+    ROLL_BACK = 'roll-back'
+
+
+class Reason(enum.Enum):
+    """Why, as written to the log."""
+
+    IS_FINAL = 'is-final'
+    BAD = 'bad'
+    DEADLINE = 'deadline'
+    TOO_EARLY = 'too-early'
+    NO_FRESH_TOTALS = 'no-fresh-totals'
+    FEW_ANSWERS = 'few-answers'
+    DOUBTFUL = 'doubtful'
+    FEW_ENDPOINTS = 'few-endpoints'
+    MOVING = 'moving'
+    MOVED = 'moved'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Decision:
+    """A decision and its inputs.
+
+    :param action: what to do.
+    :param reason: why.
+    :param verdict: the worst verdict on a route, None without answers.
+    :param share: share of the requests that the new version gets.
+    :param sent: requests that this router sent to both versions.
+    :param sent_new: those of them sent to the new one.
+    :param totals_age_ms: age of the totals, None before the first.
+    """
+
+    action: Action
+    reason: Reason
+    verdict: rollout_verdict.Verdict | None
+    share: float
+    sent: int
+    sent_new: int
+    totals_age_ms: int | None
+
+
+@dataclasses.dataclass(slots=True)
+class Exposure:
+    """Requests that this router sent to a service since the order.
+
+    :param sent: to either version.
+    :param sent_new: to the new version.
+    :param rounding: random part of a request that the new version gets
+        first, None before the first choice.
+    """
+
+    sent: int = 0
+    sent_new: int = 0
+    rounding: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Capacity:
+    """Endpoints of both versions.
+
+    :param new: warm endpoints of the new version.
+    :param old_slots: slots of the old ones.
+    :param new_slots: slots of the warm new ones.
+    :param load: requests at both.
+    """
+
+    new: int = 0
+    old_slots: int = 0
+    new_slots: int = 0
+    load: float = 0.0
+
+    @property
+    def is_enough(self) -> bool:
+        """Whether the warm new endpoints bear the whole load."""
+        usable = self.new_slots * USABLE_SLOT_SHARE
+        return self.new > 0 and (
+            usable >= self.load
+            and self.new_slots >= USABLE_SLOT_SHARE * self.old_slots
+        )
+
+
+@dataclasses.dataclass(slots=True)
+class Rollout:
+    """One order at this router.
+
+    :param order: the order.
+    :param began_ms: when it was given.
+    :param bounds: what the operators tolerate.
+    :param state: what the record says.
+    :param evidence: what this router saw.
+    :param totals: what all routers saw, from the hub.
+    :param exposure: requests that this router sent.
+    :param capacity: endpoints of both versions.
+    :param routers: number of routers, including this one.
+    :param is_condemned: whether some router found the version bad.
+    :param totals_ms: when the last totals came, None before the first.
+    :param steps_began_ms: when the last steps began, None if they did not.
+    :param route_shares: share of the canary on routes with few requests.
+    """
+
+    order: model.RolloutOrder
+    began_ms: float
+    bounds: RolloutBounds = RolloutBounds()
+    state: model.RolloutState = model.RolloutState.IN_PROGRESS
+    evidence: rollout_evidence.Evidence = dataclasses.field(
+        default_factory=rollout_evidence.Evidence
+    )
+    totals: dict[rollout_evidence.Key, rollout_evidence.Tally] = (
+        dataclasses.field(default_factory=dict)
+    )
+    exposure: Exposure = dataclasses.field(default_factory=Exposure)
+    capacity: Capacity = Capacity()
+    routers: int = 1
+    is_condemned: bool = False
+    totals_ms: float | None = None
+    steps_began_ms: float | None = None
+    steps_length_ms: float = 0.0
+    route_shares: dict[str, float] = dataclasses.field(default_factory=dict)
+    verdict: rollout_verdict.Verdict | None = None
+    doubt: Reason | None = Reason.FEW_ANSWERS
+    judged_ms: float = -math.inf
+    reported_ms: float = -math.inf
+    has_reported_verdict: bool = False
+
+    @classmethod
+    def from_order(
+        cls,
+        order: model.RolloutOrder,
+        began_ms: float,
+        bounds: RolloutBounds | None = None,
+    ) -> 'Rollout':
+        """Return the roll-out of an order.
+
+        :param order: the order.
+        :param began_ms: when it was given.
+        :param bounds: what the operators tolerate.
+        """
+        return cls(order, began_ms, bounds or RolloutBounds())
+
+    @property
+    def deadline_ms(self) -> float:
+        """Time by which the roll-out has to be completed."""
+        return self.began_ms + self.order.duration_ms
+
+    @property
+    def margin_ms(self) -> float:
+        """Time kept before the deadline for writing the state."""
+        duration_ms = self.order.duration_ms
+        margin_ms = max(MIN_MARGIN_MS, MARGIN_SHARE * duration_ms)
+        return min(margin_ms, MAX_MARGIN_MS, MAX_MARGIN_SHARE * duration_ms)
+
+    @property
+    def last_steps_ms(self) -> float:
+        """When the last steps begin."""
+        duration_ms = self.order.duration_ms
+        steps_ms = min(MAX_STEPS_MS, STEPS_SHARE * duration_ms)
+        return self.deadline_ms - self.margin_ms - steps_ms
+
+    def get_window(self, now_ms: float) -> int:
+        """Return the number of the current window of the evidence."""
+        window_ms = rollout_evidence.compute_window_ms(self.order.duration_ms)
+        passed_ms = max(0.0, now_ms - self.began_ms)
+        window = int(passed_ms / window_ms)
+        return min(window, rollout_evidence.MAX_WINDOW)
+
+    def is_new(self, endpoint: endpoint_table.Endpoint) -> bool:
+        """Tell whether an endpoint has the version that is moved to."""
+        return endpoint.entry.version == self.order.version
+
+
+def record_sent(
+    rollout: Rollout, version: types.Version, now_ms: float
+) -> None:
+    """Count a request, or its repeat, in the same step as its choice.
+
+    :param rollout: the roll-out.
+    :param version: version of the endpoint that it is sent to.
+    :param now_ms: current time.
+    """
+    rollout.exposure.sent += 1
+    if version == rollout.order.version:
+        rollout.exposure.sent_new += 1
+
+
+def record_unsent(rollout: Rollout, version: types.Version) -> None:
+    """Take back the count of a request that reached no endpoint.
+
+    :param rollout: the roll-out.
+    :param version: version of the endpoint that it was meant for.
+    """
+    rollout.exposure.sent -= 1
+    if version == rollout.order.version:
+        rollout.exposure.sent_new -= 1
+
+
+def record_outcome(
+    rollout: Rollout,
+    route: str,
+    version: types.Version,
+    is_failure: bool,
+    took_ms: float,
+    now_ms: float,
+    endpoint: types.EndpointId = types.EndpointId(''),
+    is_cold: bool = False,
+) -> None:
+    """Count the end of a request that was sent.
+
+    :param rollout: the roll-out.
+    :param route: the request's route.
+    :param version: version of the endpoint.
+    :param is_failure: whether the endpoint failed it.
+    :param took_ms: time until its answer began, or until it was given up.
+    :param now_ms: current time.
+    :param endpoint: the endpoint.
+    :param is_cold: whether the endpoint was cold or its cache was filling.
+    """
+    group = rollout_evidence.OLD_GROUP
+    if version == rollout.order.version:
+        group = rollout_evidence.find_group(endpoint)
+    if is_cold:
+        took_ms /= COLD_FACTOR
+    name = route[: rollout_evidence.MAX_NAME_CHARS]
+    rollout.evidence.count(
+        (rollout.get_window(now_ms), name, group),
+        is_failure,
+        rollout_evidence.find_class(took_ms),
+    )
+
+
+def apply_state(rollout: Rollout, state: model.RolloutState) -> None:
+    """Apply what the record says; a final state is never left.
+
+    :param rollout: the roll-out.
+    :param state: state of the record.
+    """
+    table = transition_table.load_transition_table(
+        'rollout', model.RolloutState
+    )
+    trigger = _TRIGGERS.get(state, '')
+    rollout.state = table.get((rollout.state, trigger), rollout.state)
+
+
+def decide(rollout: Rollout, now_ms: float) -> Decision:
+    """Decide about a roll-out; called often, at every router.
+
+    :param rollout: the roll-out.
+    :param now_ms: current time.
+    """
+    if rollout.state is not model.RolloutState.IN_PROGRESS:
+        return _make_decision(rollout, Action.WAIT, Reason.IS_FINAL, now_ms)
+    if now_ms - rollout.judged_ms >= JUDGE_INTERVAL_MS:
+        rollout.judged_ms = now_ms
+        _judge(rollout, now_ms)
+    if rollout.is_condemned:
+        return _make_decision(rollout, Action.ROLL_BACK, Reason.BAD, now_ms)
+    _update_steps(rollout, now_ms)
+    if rollout.steps_began_ms is not None:
+        passed_ms = now_ms - rollout.steps_began_ms
+        if passed_ms >= rollout.steps_length_ms:
+            return _make_decision(
+                rollout, Action.COMPLETE, Reason.MOVED, now_ms
+            )
+        return _make_decision(rollout, Action.WAIT, Reason.MOVING, now_ms)
+    if now_ms >= rollout.deadline_ms + rollout.margin_ms:
+        return _make_decision(
+            rollout, Action.ROLL_BACK, Reason.DEADLINE, now_ms
+        )
+    reason = rollout.doubt or Reason.TOO_EARLY
+    return _make_decision(rollout, Action.WAIT, reason, now_ms)
+
+
+def _make_decision(
+    rollout: Rollout, action: Action, reason: Reason, now_ms: float
+) -> Decision:
+    age_ms = None
+    if rollout.totals_ms is not None:
+        age_ms = round(now_ms - rollout.totals_ms)
+    return Decision(
+        action,
+        reason,
+        rollout.verdict,
+        get_share(rollout, find_step(rollout, now_ms), ''),
+        rollout.exposure.sent,
+        rollout.exposure.sent_new,
+        age_ms,
+    )
+
+
+def is_informed(rollout: Rollout, now_ms: float) -> bool:
+    """Tell whether the router knows what the others saw, or has no others."""
+    if rollout.totals_ms is None:
+        return True
+    age_ms = now_ms - rollout.totals_ms
+    return age_ms <= TOTALS_TTL_MS or age_ms > LONE_MS
+
+
+def _uses_totals(rollout: Rollout, now_ms: float) -> bool:
+    return (
+        rollout.totals_ms is not None and now_ms - rollout.totals_ms <= LONE_MS
+    )
+
+
+def _judge(rollout: Rollout, now_ms: float) -> None:
+    """Update the verdict, and why the version isn't taken for good yet."""
+    tallies: rollout_evidence.Tallies = rollout.evidence.tallies
+    if _uses_totals(rollout, now_ms):
+        tallies = rollout.totals
+    routes = rollout_verdict.group_by_route(tallies)
+    steady = rollout.get_window(rollout.last_steps_ms)
+    rollout.verdict = rollout_verdict.judge(routes, steady)
+    standing = rollout_verdict.Standing.SOUND
+    if rollout.verdict is not None:
+        standing = rollout.verdict.standing
+    if standing is rollout_verdict.Standing.BAD:
+        rollout.is_condemned = True
+    _update_route_shares(rollout, routes, now_ms)
+    rollout.doubt = None
+    if not is_informed(rollout, now_ms):
+        rollout.doubt = Reason.NO_FRESH_TOTALS
+    elif not rollout.capacity.is_enough:
+        rollout.doubt = Reason.FEW_ENDPOINTS
+    elif standing is not rollout_verdict.Standing.SOUND:
+        rollout.doubt = Reason.DOUBTFUL
+    elif not _has_enough_answers(rollout, routes):
+        rollout.doubt = Reason.FEW_ANSWERS
+
+
+def _has_enough_answers(
+    rollout: Rollout,
+    routes: typing.Mapping[str, rollout_verdict.RouteTallies],
+) -> bool:
+    total = 0
+    canary_share = CANARY_PART * rollout.bounds.exposure_share
+    for item in routes.values():
+        new = item.count_answers(is_old=False)
+        old = item.count_answers(is_old=True)
+        usual = MIN_ANSWER_SHARE * canary_share * old
+        if new < min(MIN_ROUTE_ANSWERS, int(usual)):
+            return False
+        total += new
+    return total >= MIN_ANSWERS
+
+
+def _update_route_shares(
+    rollout: Rollout,
+    routes: typing.Mapping[str, rollout_verdict.RouteTallies],
+    now_ms: float,
+) -> None:
+    """Set the shares with which each route gets its answers in time."""
+    passed_ms = now_ms - rollout.began_ms
+    left_ms = rollout.last_steps_ms - now_ms
+    rollout.route_shares = {}
+    if passed_ms <= 0 or left_ms <= 0:
+        return
+    for route, item in routes.items():
+        new = item.count_answers(is_old=False)
+        seen = new + item.count_answers(is_old=True)
+        # The answers are wanted before the time is half over.
+        coming = seen / passed_ms * max(left_ms / 2, passed_ms / 4)
+        if seen and new < MIN_ROUTE_ANSWERS:
+            share = (MIN_ROUTE_ANSWERS - new) / coming
+            rollout.route_shares[route] = min(MAX_ROUTE_SHARE, share)
+
+
+def _update_steps(rollout: Rollout, now_ms: float) -> None:
+    if rollout.doubt is not None or now_ms < rollout.last_steps_ms:
+        rollout.steps_began_ms = None
+    elif rollout.steps_began_ms is None:
+        rollout.steps_began_ms = now_ms
+        end_ms = rollout.deadline_ms - rollout.margin_ms
+        rollout.steps_length_ms = max(MIN_STEPS_MS, end_ms - now_ms)
+
+
+def find_step(rollout: Rollout, now_ms: float) -> int | None:
+    """Return the number of the current step, None before the first."""
+    if rollout.steps_began_ms is None:
+        return None
+    part = (now_ms - rollout.steps_began_ms) / rollout.steps_length_ms
+    return sum(part >= start for start in STEP_STARTS) - 1
+
+
+def get_share(rollout: Rollout, step: int | None, route: str) -> float:
+    if step is not None:
+        return STEP_SHARES[step]
+    usual = CANARY_PART * rollout.bounds.exposure_share
+    return max(usual, rollout.route_shares.get(route, 0.0))
