--- a/foxtailpick/core/dispatch/rollout_choice.py
+++ b/foxtailpick/core/dispatch/rollout_choice.py
@@ -21,6 +21,8 @@
 from foxtailpick.core import ring
 from foxtailpick.core import types
 
+# Decay of the peak of the load with each observation.
+PEAK_DECAY = 0.98
 # The budget holds before this step.
 FIRST_FREE_STEP = 2
 # Endpoints of the new version that share the canary's requests at least.
@@ -49,11 +51,18 @@
         if rollout.is_new(item) and not item.is_cold(now_ms)
     ]
     rollout.routers = max(1, routers)
+    if rollout.routers > 1:
+        rollout.alone_since_ms = None
+    elif rollout.alone_since_ms is None:
+        rollout.alone_since_ms = now_ms
     rollout.capacity = rollouts.Capacity(
         len(warm),
         sum(i.entry.slots for i in endpoints if not rollout.is_new(i)),
         sum(item.entry.slots for item in warm),
-        sum(item.load for item in endpoints),
+        max(
+            sum(item.load for item in endpoints),
+            rollout.capacity.load * PEAK_DECAY,
+        ),
     )
 
 
@@ -85,6 +94,9 @@
         return old
     step = rollouts.find_step(rollout, now_ms)
     is_moved = step is not None and rollouts.STEP_SHARES[step] >= 1
+    if not old and rollout.doubt is None and not rollout.is_condemned:
+        # A version without evidence against it serves rather than none.
+        return new
     if is_repeat and not is_moved:
         return old
     if not _is_chosen(rollout, step, key, route, now_ms, rng):
@@ -106,6 +118,9 @@
     """Tell whether a request goes to the new version."""
     if rollout.is_condemned or not rollouts.is_informed(rollout, now_ms):
         return False
+    if step is None and now_ms >= rollout.deadline_ms:
+        # It can't be completed any more.
+        return False
     bounds = rollout.bounds
     exposure = rollout.exposure
     if exposure.rounding is None:
--- a/foxtailpick/core/dispatch/rollout_evidence.py
+++ b/foxtailpick/core/dispatch/rollout_evidence.py
@@ -19,8 +19,8 @@
 from foxtailpick.core import types
 
 # Latency classes: each is this many times as long as the one before.
-CLASS_FACTOR = math.sqrt(2.0)
-MAX_CLASS = 40
+CLASS_FACTOR = 2.0 ** (1 / 3)
+MAX_CLASS = 50
 # Endpoints of the new version are counted in so many groups by their ids, as
 # a single bad endpoint is no bad version. The old version is group 0.
 GROUPS = 8
@@ -32,7 +32,7 @@
 MAX_ENTRY_BYTES = 1_200
 MAX_ENTRIES = 3
 # Rows without news that are repeated in a message, since any may get lost.
-MAX_REPEATED = 4
+MAX_REPEATED = 8
 # Rows on more routes than this are not kept.
 MAX_ROUTES = 64
 MAX_NAME_CHARS = 200
@@ -124,6 +124,10 @@
             known.subtract(before)
         known.add(tally)
 
+    def repeat_all(self) -> None:
+        """Send all rows again with the next messages."""
+        self._changed |= dict.fromkeys(self.tallies)
+
     def take_rows(self) -> list[list[Row]]:
         """Return the rows to send now, in pieces that fit into packets.
 
--- a/foxtailpick/core/dispatch/rollout_reports.py
+++ b/foxtailpick/core/dispatch/rollout_reports.py
@@ -40,6 +40,15 @@
     )
 
 
+def repeat_all(rollout: rollouts.Rollout) -> None:
+    """Tell everything again, as there is a new hub.
+
+    :param rollout: the roll-out.
+    """
+    rollout.evidence.repeat_all()
+    rollout.has_reported_verdict = False
+
+
 def apply_totals(
     rollout: rollouts.Rollout,
     totals: typing.Iterable[typing.Any],
--- a/foxtailpick/core/dispatch/rollout_verdict.py
+++ b/foxtailpick/core/dispatch/rollout_verdict.py
@@ -18,26 +18,41 @@
 
 # Answers so many times slower than the old version's median count as slow.
 SLOW_FACTOR = 2.5
+# Endpoints of a service differ in speed. A group whose median is up to so many
+# times the old version's is held to a multiple of its own.
+MAX_SPEED_FACTOR = 1.6
+MIN_SPEED_ANSWERS = 10
 # A version is worse if its share of bad answers exceeds this multiple of the
-# old one's plus this margin.
+# old one's plus a margin.
 WORSE_FACTOR = 1.5
-WORSE_MARGIN = 0.02
 # Probability of as many bad answers by chance, at the most that is tolerated:
-# of a verdict against the version, of its confirmation without the worst
-# group of endpoints, and of a doubt that delays its completion.
+# of a verdict against the version, and of a doubt that delays its completion.
 BAD_CHANCE = 1e-6
-CONFIRMING_CHANCE = 1e-3
-DOUBT_CHANCE = 1e-3
+DOUBT_CHANCE = 1e-2
 MIN_BAD = 6
-MIN_CONFIRMING_BAD = 3
-# Groups with fewer answers don't count as another group of endpoints.
-MIN_GROUP_ANSWERS = 4
+# With so many bad answers beyond the expected ones, a verdict needs less: the
+# operators count 50 of them until the version has to be withdrawn.
+MANY_BAD = 30
+MANY_BAD_CHANCE = 1e-3
+# Bad answers without the worst group of endpoints, whose share has to be
+# beyond what is tolerated, too.
+MIN_REST_BAD = 3
+MIN_REST_DOUBT = 2
 # Spans of the latest windows that are judged.
 SPANS = (2, 6)
 # With fewer old answers in a span, the earlier ones are the reference.
 MIN_OLD_ANSWERS = 10
 # Weight of the mean of all windows in that of a single one.
 SHRINKAGE = 4.0
+MAX_TOLERATED = 0.99
+# Smaller terms of a sum, relative to it, are left out.
+MIN_TERM = 1e-9
+# The name under which the answers on all routes are judged together.
+ALL_ROUTES = '*'
+
+_SLOW_CLASSES = math.log(SLOW_FACTOR, rollout_evidence.CLASS_FACTOR)
+_MAX_ALLOWANCE = math.log(MAX_SPEED_FACTOR, rollout_evidence.CLASS_FACTOR)
+_NO_ANSWERS = rollout_evidence.Tally()
 
 
 class Kind(enum.Enum):
@@ -47,6 +62,9 @@
     FAILED_OR_SLOW = 'failed-or-slow'
 
 
+WORSE_MARGINS = {Kind.FAILED: 0.01, Kind.FAILED_OR_SLOW: 0.03}
+
+
 class Standing(enum.Enum):
     """What the evidence says of a version."""
 
@@ -95,6 +113,10 @@
         default_factory=dict
     )
 
+    def sum_group(self, group: int) -> rollout_evidence.Tally:
+        """Return the answers of a group in all windows."""
+        return _sum_group(self.windows.values(), group)
+
     def count_answers(self, is_old: bool) -> int:
         """Return the answers of the old or the new version."""
         return sum(
@@ -119,162 +141,251 @@
     return routes
 
 
+@dataclasses.dataclass(slots=True)
+class _Comparison:
+    """Bad answers of the new version beside what the old one's share gives.
+
+    :param groups: bad answers and answers of each group of endpoints.
+    :param expected: bad answers with the share of the old version.
+    :param old_answers: answers of the old version.
+    :param is_old_earlier: whether some of them are from earlier windows.
+    """
+
+    groups: dict[int, list[int]] = dataclasses.field(default_factory=dict)
+    expected: float = 0.0
+    old_answers: int = 0
+    is_old_earlier: bool = False
+
+    @property
+    def bad(self) -> int:
+        """Bad answers of the new version."""
+        return sum(bad for bad, _ in self.groups.values())
+
+    @property
+    def answers(self) -> int:
+        """Answers of the new version."""
+        return sum(answers for _, answers in self.groups.values())
+
+    def count(self, group: int, bad: int, answers: int) -> None:
+        """Count answers of a group."""
+        sums = self.groups.setdefault(group, [0, 0])
+        sums[0] += bad
+        sums[1] += answers
+
+    def add(self, other: '_Comparison') -> None:
+        """Add the answers on another route."""
+        for group, (bad, answers) in other.groups.items():
+            self.count(group, bad, answers)
+        self.expected += other.expected
+        self.old_answers += other.old_answers
+        self.is_old_earlier |= other.is_old_earlier
+
+
 def judge(
     routes: typing.Mapping[str, RouteTallies], steady_windows: int
 ) -> Verdict | None:
     """Return the worst verdict on the new version, None without answers.
 
     :param routes: tallies by route.
-    :param steady_windows: number of windows in which the new version had
-        the same share of the requests; these are judged as a whole, too.
+    :param steady_windows: number of windows before the last steps; these and
+        the later ones are judged as a whole, too.
     """
     latest = max((max(item.windows) for item in routes.values()), default=0)
     spans = [
         range(max(0, latest - length + 1), latest + 1) for length in SPANS
     ]
-    spans.append(range(min(steady_windows, latest + 1)))
-    found = [
-        verdict
-        for route, item in routes.items()
-        for span in spans
-        for kind in Kind
-        if (verdict := _judge_span(route, item, span, kind)) is not None
-    ]
+    steady = min(steady_windows, latest + 1)
+    spans += [range(steady), range(steady, latest + 1)]
+    allowances = {
+        route: _find_allowances(item) for route, item in routes.items()
+    }
+    is_single = _has_single_group(routes)
+    found = []
+    for kind in Kind:
+        for span in spans:
+            every = _Comparison()
+            for route, item in routes.items():
+                comparison = _compare(item, span, kind, allowances[route])
+                every.add(comparison)
+                found.append(
+                    _make_verdict(route, comparison, span, kind, is_single)
+                )
+            found.append(
+                _make_verdict(ALL_ROUTES, every, span, kind, is_single)
+            )
     order = list(Standing)
     return max(
-        found,
+        (item for item in found if item.answers),
         key=lambda item: (order.index(item.standing), -item.chance),
         default=None,
     )
 
 
-def bound_chance(bad: int, answers: int, share: float) -> float:
-    """Return a bound of the probability of so many bad answers or more.
-
-    The Chernoff bound of the binomial distribution.
+def compute_chance(bad: int, answers: int, share: float) -> float:
+    """Return the probability of so many bad answers or more by chance.
 
     :param bad: number of bad answers.
     :param answers: number of answers.
-    :param share: expected share of bad answers.
+    :param share: expected share of bad answers, between 0 and 1.
     """
-    if not answers or bad <= share * answers:
+    if bad <= share * answers:
+        # Large enough that it doesn't matter.
         return 1.0
-    found = bad / answers
-    exponent = found * math.log(found / share)
-    if found < 1:
-        exponent += (1 - found) * math.log((1 - found) / (1 - share))
-    return math.exp(-answers * exponent)
+    odds = share / (1 - share)
+    term = math.exp(
+        math.lgamma(answers + 1)
+        - math.lgamma(bad + 1)
+        - math.lgamma(answers - bad + 1)
+        + bad * math.log(share)
+        + (answers - bad) * math.log1p(-share)
+    )
+    total = 0.0
+    for count in range(bad, answers + 1):
+        total += term
+        term *= odds * (answers - count) / (count + 1)
+        if term < total * MIN_TERM:
+            break
+    return min(1.0, total)
 
 
-def _judge_span(
-    route: str, item: RouteTallies, span: range, kind: Kind
-) -> Verdict | None:
+def _compare(
+    item: RouteTallies,
+    span: range,
+    kind: Kind,
+    allowances: typing.Mapping[int, float],
+) -> _Comparison:
     windows = [item.windows[index] for index in span if index in item.windows]
-    new_answers = sum(
-        tally.answers
-        for groups in windows
-        for group, tally in groups.items()
-        if group != rollout_evidence.OLD_GROUP
-    )
-    if not new_answers:
-        return None
-    old = _sum_old(windows)
+    old = _sum_group(windows, rollout_evidence.OLD_GROUP)
     is_old_earlier = old.answers < MIN_OLD_ANSWERS
     if is_old_earlier:
-        old = _sum_old(item.windows.values())
-    slow_class = _find_slow_class(old)
+        old = item.sum_group(rollout_evidence.OLD_GROUP)
+    median = _find_median(old)
 
-    def count_bad(tally: rollout_evidence.Tally) -> int:
-        if kind is Kind.FAILED:
+    def count_bad(group: int, tally: rollout_evidence.Tally) -> int:
+        if kind is Kind.FAILED or median is None:
             return tally.failures
-        return tally.failures + tally.count_beyond(slow_class)
+        slow = median + _SLOW_CLASSES + allowances.get(group, 0.0)
+        return tally.failures + tally.count_beyond(1 + round(slow))
 
-    mean_share = (count_bad(old) + 1) / (old.answers + 2)
-    expected = 0.0
-    groups_bad: dict[int, list[int]] = {}
+    old_bad = count_bad(rollout_evidence.OLD_GROUP, old)
+    mean_share = (old_bad + 1) / (old.answers + 2)
+    found = _Comparison(old_answers=old.answers, is_old_earlier=is_old_earlier)
     for groups in windows:
-        old_tally = groups.get(
-            rollout_evidence.OLD_GROUP, rollout_evidence.Tally()
-        )
-        share = (count_bad(old_tally) + SHRINKAGE * mean_share) / (
-            old_tally.answers + SHRINKAGE
+        tally = groups.get(rollout_evidence.OLD_GROUP, _NO_ANSWERS)
+        old_bad = count_bad(rollout_evidence.OLD_GROUP, tally)
+        share = (old_bad + SHRINKAGE * mean_share) / (
+            tally.answers + SHRINKAGE
         )
         for group, tally in groups.items():
-            if group == rollout_evidence.OLD_GROUP:
-                continue
-            expected += share * tally.answers
-            sums = groups_bad.setdefault(group, [0, 0])
-            sums[0] += count_bad(tally)
-            sums[1] += tally.answers
-    old_share = expected / new_answers
-    bad = sum(sums[0] for sums in groups_bad.values())
-    tolerated = min(0.99, WORSE_MARGIN + WORSE_FACTOR * old_share)
-    chance = bound_chance(bad, new_answers, tolerated)
-    rest_bad, rest_answers = _leave_out_worst(groups_bad)
-    rest_chance = bound_chance(rest_bad, rest_answers, tolerated)
+            if group != rollout_evidence.OLD_GROUP:
+                found.expected += share * tally.answers
+                found.count(group, count_bad(group, tally), tally.answers)
+    return found
+
+
+def _make_verdict(
+    route: str,
+    comparison: _Comparison,
+    span: range,
+    kind: Kind,
+    is_single: bool,
+) -> Verdict:
+    bad = comparison.bad
+    answers = comparison.answers
+    old_share = comparison.expected / answers if answers else 0.0
+    tolerated = WORSE_MARGINS[kind] + WORSE_FACTOR * old_share
+    tolerated = min(MAX_TOLERATED, tolerated)
+    chance = compute_chance(bad, answers, tolerated)
+    rest_bad, rest_answers = _leave_out_worst(comparison.groups, is_single)
+    needed = BAD_CHANCE
+    if bad - comparison.expected >= MANY_BAD:
+        needed = MANY_BAD_CHANCE
     standing = Standing.SOUND
-    if (
-        bad >= MIN_BAD
-        and chance <= BAD_CHANCE
-        and rest_bad >= MIN_CONFIRMING_BAD
-        and rest_chance <= CONFIRMING_CHANCE
-    ):
-        standing = Standing.BAD
-    elif rest_bad >= MIN_CONFIRMING_BAD and rest_chance <= DOUBT_CHANCE:
-        standing = Standing.DOUBTFUL
+    if rest_bad > tolerated * rest_answers:
+        if bad >= MIN_BAD and rest_bad >= MIN_REST_BAD and chance <= needed:
+            standing = Standing.BAD
+        elif rest_bad >= MIN_REST_DOUBT and chance <= DOUBT_CHANCE:
+            standing = Standing.DOUBTFUL
     return Verdict(
         standing,
         route,
         kind,
-        len(windows),
+        len(span),
         bad,
-        new_answers,
+        answers,
         old_share,
-        old.answers,
+        comparison.old_answers,
         chance,
-        is_old_earlier,
+        comparison.is_old_earlier,
     )
 
 
-def _sum_old(
+def _has_single_group(
+    routes: typing.Mapping[str, RouteTallies],
+) -> bool:
+    """Tell whether all endpoints of the new version are in one group."""
+    found = {
+        group
+        for item in routes.values()
+        for groups in item.windows.values()
+        for group in groups
+    }
+    return len(found - {rollout_evidence.OLD_GROUP}) < 2
+
+
+def _sum_group(
     windows: typing.Iterable[typing.Mapping[int, rollout_evidence.Tally]],
+    group: int,
 ) -> rollout_evidence.Tally:
     total = rollout_evidence.Tally()
     for groups in windows:
-        if rollout_evidence.OLD_GROUP in groups:
-            total.add(groups[rollout_evidence.OLD_GROUP])
+        if group in groups:
+            total.add(groups[group])
     return total
 
 
-def _find_slow_class(old: rollout_evidence.Tally) -> int:
-    """Return the first latency class that is slow for the old version."""
-    half = old.classes.total() / 2
-    if not half:
-        return rollout_evidence.MAX_CLASS + 1
+def _find_median(tally: rollout_evidence.Tally) -> float | None:
+    """Return the median latency, as a logarithm to the class factor."""
+    half = tally.classes.total() / 2
     seen = 0
-    for cls in sorted(old.classes):
-        count = old.classes[cls]
+    for cls in sorted(tally.classes):
+        count = tally.classes[cls]
         if count and seen + count >= half:
             # Interpolated within the class.
-            median = cls - 1 + (half - seen) / count
-            break
+            return cls - 1 + (half - seen) / count
         seen += count
-    shift = math.log(SLOW_FACTOR, rollout_evidence.CLASS_FACTOR)
-    return 1 + round(median + shift)
+    return None
+
+
+def _find_allowances(item: RouteTallies) -> dict[int, float]:
+    """Return by how many latency classes each group is slower."""
+    old = _find_median(item.sum_group(rollout_evidence.OLD_GROUP))
+    groups = {group for groups in item.windows.values() for group in groups}
+    allowances = {}
+    for group in groups - {rollout_evidence.OLD_GROUP}:
+        tally = item.sum_group(group)
+        median = _find_median(tally)
+        if (
+            old is not None
+            and median is not None
+            and tally.classes.total() >= MIN_SPEED_ANSWERS
+        ):
+            slower = max(0.0, median - old)
+            allowances[group] = min(slower, _MAX_ALLOWANCE)
+    return allowances
 
 
 def _leave_out_worst(
-    groups: typing.Mapping[int, typing.Sequence[int]],
+    groups: typing.Mapping[int, typing.Sequence[int]], is_single: bool
 ) -> tuple[int, int]:
-    """Return bad answers and answers without the worst group, if others."""
-    usable = {
-        group: sums
-        for group, sums in groups.items()
-        if sums[1] >= MIN_GROUP_ANSWERS
-    }
+    """Return bad answers and answers without those of the worst group.
+
+    :param groups: bad answers and answers by group.
+    :param is_single: whether all endpoints are in one group.
+    """
     bad = sum(sums[0] for sums in groups.values())
     answers = sum(sums[1] for sums in groups.values())
-    if len(usable) < 2:
+    if is_single or not groups:
         return bad, answers
-    worst = max(usable.values(), key=lambda sums: sums[0] / sums[1])
+    worst = max(groups.values(), key=lambda sums: (sums[0], -sums[1]))
     return bad - worst[0], answers - worst[1]
--- a/foxtailpick/core/dispatch/rollouts.py
+++ b/foxtailpick/core/dispatch/rollouts.py
@@ -32,17 +32,21 @@
 BUDGET_PART = 0.9
 SLACK_PART = 0.3
 # A route with few requests gets a larger share, up to this one, until it has
-# so many answers of the new version.
+# so many answers of the new version, or so many times more if they are in
+# doubt.
 MAX_ROUTE_SHARE = 0.2
-MIN_ROUTE_ANSWERS = 30
-# A route needs fewer answers of the new version than that if it has less than
-# this share of those of the old one. All routes together need so many.
-MIN_ANSWER_SHARE = 0.6
+MIN_ROUTE_ANSWERS = 60
+DOUBT_MULTIPLE = 2
+# A route needs fewer answers of the new version if that is this part of the
+# tolerated share of those of the old one. All routes together need so many.
+MIN_ANSWER_PART = 0.4
 MIN_ANSWERS = 10
-# A router that had totals and gets none for this time sends nothing to the
-# new version; after a longer time without any it goes by its own evidence.
+# A router without totals of this age sends nothing to the new version, unless
+# it is the only one.
 TOTALS_TTL_MS = 2_000.0
-LONE_MS = 8_000.0
+# A router that knows of no other for this time decides by its own evidence. A
+# list of routers may be some seconds old.
+LONE_MS = 10_000.0
 # Time kept before the deadline for writing the state while the store is slow.
 MARGIN_SHARE = 0.15
 MIN_MARGIN_MS = 5_000.0
@@ -50,15 +54,17 @@
 MAX_MARGIN_SHARE = 0.4
 # The last steps, before that margin: their length in all, the shares of the
 # traffic, and the part of the time at which each step begins.
-STEPS_SHARE = 0.3
+STEPS_SHARE = 0.2
 MAX_STEPS_MS = 20_000.0
 MIN_STEPS_MS = 2_000.0
 STEP_SHARES = (0.1, 0.25, 0.5, 1.0)
 STEP_STARTS = (0.0, 1 / 6, 2 / 6, 3 / 6)
 # The new version is judged again at this interval.
 JUDGE_INTERVAL_MS = 250.0
-# The new endpoints bear the load if it takes at most this share of their slots
-# and they have this share of the slots of the old ones.
+# The new endpoints bear the load if they have about the slots of the old ones,
+# or at least a part of them, of which the peak of the load takes this share.
+EQUAL_SLOT_SHARE = 0.9
+MIN_SLOT_SHARE = 0.5
 USABLE_SLOT_SHARE = 0.8
 # A cold endpoint, or one with an empty cache, may be so many times slower.
 COLD_FACTOR = 2.0
@@ -151,7 +157,7 @@
     :param new: warm endpoints of the new version.
     :param old_slots: slots of the old ones.
     :param new_slots: slots of the warm new ones.
-    :param load: requests at both.
+    :param load: requests at both, the peak of the last seconds.
     """
 
     new: int = 0
@@ -162,10 +168,11 @@
     @property
     def is_enough(self) -> bool:
         """Whether the warm new endpoints bear the whole load."""
-        usable = self.new_slots * USABLE_SLOT_SHARE
-        return self.new > 0 and (
-            usable >= self.load
-            and self.new_slots >= USABLE_SLOT_SHARE * self.old_slots
+        if self.new_slots >= EQUAL_SLOT_SHARE * self.old_slots:
+            return self.new > 0
+        return (
+            self.new_slots >= MIN_SLOT_SHARE * self.old_slots
+            and self.new_slots * USABLE_SLOT_SHARE >= self.load
         )
 
 
@@ -182,6 +189,7 @@
     :param exposure: requests that this router sent.
     :param capacity: endpoints of both versions.
     :param routers: number of routers, including this one.
+    :param alone_since_ms: since when it is the only one, None if it isn't.
     :param is_condemned: whether some router found the version bad.
     :param totals_ms: when the last totals came, None before the first.
     :param steps_began_ms: when the last steps began, None if they did not.
@@ -201,10 +209,12 @@
     exposure: Exposure = dataclasses.field(default_factory=Exposure)
     capacity: Capacity = Capacity()
     routers: int = 1
+    alone_since_ms: float | None = None
     is_condemned: bool = False
     totals_ms: float | None = None
     steps_began_ms: float | None = None
     steps_length_ms: float = 0.0
+    has_failed_steps: bool = False
     route_shares: dict[str, float] = dataclasses.field(default_factory=dict)
     verdict: rollout_verdict.Verdict | None = None
     doubt: Reason | None = Reason.FEW_ANSWERS
@@ -356,6 +366,8 @@
             rollout, Action.ROLL_BACK, Reason.DEADLINE, now_ms
         )
     reason = rollout.doubt or Reason.TOO_EARLY
+    if rollout.has_failed_steps:
+        reason = Reason.DOUBTFUL
     return _make_decision(rollout, Action.WAIT, reason, now_ms)
 
 
@@ -378,22 +390,27 @@
 
 def is_informed(rollout: Rollout, now_ms: float) -> bool:
     """Tell whether the router knows what the others saw, or has no others."""
-    if rollout.totals_ms is None:
-        return True
-    age_ms = now_ms - rollout.totals_ms
-    return age_ms <= TOTALS_TTL_MS or age_ms > LONE_MS
+    return rollout.routers == 1 or _has_totals(rollout, now_ms)
 
 
-def _uses_totals(rollout: Rollout, now_ms: float) -> bool:
+def _has_totals(rollout: Rollout, now_ms: float) -> bool:
     return (
-        rollout.totals_ms is not None and now_ms - rollout.totals_ms <= LONE_MS
+        rollout.totals_ms is not None
+        and now_ms - rollout.totals_ms <= TOTALS_TTL_MS
+    )
+
+
+def _is_lone(rollout: Rollout, now_ms: float) -> bool:
+    return (
+        rollout.alone_since_ms is not None
+        and now_ms - rollout.alone_since_ms >= LONE_MS
     )
 
 
 def _judge(rollout: Rollout, now_ms: float) -> None:
     """Update the verdict, and why the version isn't taken for good yet."""
     tallies: rollout_evidence.Tallies = rollout.evidence.tallies
-    if _uses_totals(rollout, now_ms):
+    if _has_totals(rollout, now_ms):
         tallies = rollout.totals
     routes = rollout_verdict.group_by_route(tallies)
     steady = rollout.get_window(rollout.last_steps_ms)
@@ -405,7 +422,7 @@
         rollout.is_condemned = True
     _update_route_shares(rollout, routes, now_ms)
     rollout.doubt = None
-    if not is_informed(rollout, now_ms):
+    if not _has_totals(rollout, now_ms) and not _is_lone(rollout, now_ms):
         rollout.doubt = Reason.NO_FRESH_TOTALS
     elif not rollout.capacity.is_enough:
         rollout.doubt = Reason.FEW_ENDPOINTS
@@ -420,12 +437,11 @@
     routes: typing.Mapping[str, rollout_verdict.RouteTallies],
 ) -> bool:
     total = 0
-    canary_share = CANARY_PART * rollout.bounds.exposure_share
+    least_share = MIN_ANSWER_PART * rollout.bounds.exposure_share
     for item in routes.values():
         new = item.count_answers(is_old=False)
         old = item.count_answers(is_old=True)
-        usual = MIN_ANSWER_SHARE * canary_share * old
-        if new < min(MIN_ROUTE_ANSWERS, int(usual)):
+        if new < min(MIN_ROUTE_ANSWERS, int(least_share * old)):
             return False
         total += new
     return total >= MIN_ANSWERS
@@ -440,22 +456,33 @@
     passed_ms = now_ms - rollout.began_ms
     left_ms = rollout.last_steps_ms - now_ms
     rollout.route_shares = {}
-    if passed_ms <= 0 or left_ms <= 0:
+    if passed_ms <= 0:
         return
     for route, item in routes.items():
         new = item.count_answers(is_old=False)
         seen = new + item.count_answers(is_old=True)
         # The answers are wanted before the time is half over.
         coming = seen / passed_ms * max(left_ms / 2, passed_ms / 4)
-        if seen and new < MIN_ROUTE_ANSWERS:
-            share = (MIN_ROUTE_ANSWERS - new) / coming
+        wanted = MIN_ROUTE_ANSWERS
+        if rollout.verdict is not None and rollout.verdict.route == route:
+            if rollout.verdict.standing is rollout_verdict.Standing.DOUBTFUL:
+                wanted *= DOUBT_MULTIPLE
+        if seen and new < wanted:
+            share = (wanted - new) / coming
             rollout.route_shares[route] = min(MAX_ROUTE_SHARE, share)
 
 
 def _update_steps(rollout: Rollout, now_ms: float) -> None:
     if rollout.doubt is not None or now_ms < rollout.last_steps_ms:
+        if rollout.doubt is Reason.DOUBTFUL and rollout.steps_began_ms:
+            # With the canary's share, a fault under load would not show again.
+            rollout.has_failed_steps = True
         rollout.steps_began_ms = None
-    elif rollout.steps_began_ms is None:
+    elif (
+        rollout.steps_began_ms is None
+        and not rollout.has_failed_steps
+        and now_ms < rollout.deadline_ms
+    ):
         rollout.steps_began_ms = now_ms
         end_ms = rollout.deadline_ms - rollout.margin_ms
         rollout.steps_length_ms = max(MIN_STEPS_MS, end_ms - now_ms)
