--- a/foxtailpick/core/dispatch/rollout_choice.py
+++ b/foxtailpick/core/dispatch/rollout_choice.py
@@ -16,6 +16,7 @@
 
 from foxtailpick.core.dispatch import endpoint_table
 from foxtailpick.core.dispatch import model
+from foxtailpick.core.dispatch import rollout_capacity
 from foxtailpick.core.dispatch import rollout_evidence
 from foxtailpick.core.dispatch import rollouts
 from foxtailpick.core import ring
@@ -27,6 +28,8 @@
 FIRST_FREE_STEP = 2
 # Endpoints of the new version that share the canary's requests at least.
 MIN_CANARIES = 2
+# A smaller share of the old version has no load to compare with.
+MIN_OLD_SHARE = 0.05
 # Load of a canary over the mean of the old endpoints, and slack.
 CANARY_LOAD_MULTIPLE = 1.25
 CANARY_LOAD_SLACK = 2.0
@@ -55,7 +58,7 @@
         rollout.alone_since_ms = None
     elif rollout.alone_since_ms is None:
         rollout.alone_since_ms = now_ms
-    rollout.capacity = rollouts.Capacity(
+    rollout.capacity = rollout_capacity.Capacity(
         len(warm),
         sum(i.entry.slots for i in endpoints if not rollout.is_new(i)),
         sum(item.entry.slots for item in warm),
@@ -174,7 +177,9 @@
             groups.add(group)
             first.append(endpoint)
     ranked = [*first, *(item for item in ranked if item not in first)]
-    count = max(MIN_CANARIES, math.ceil(share * max(len(old), len(new))))
+    # With this number, none has more load than an old one.
+    equal = share * len(old) / max(MIN_OLD_SHARE, 1 - share)
+    count = max(MIN_CANARIES, math.ceil(equal))
     canaries = [usable[types.EndpointId(item)] for item in ranked[:count]]
     if rollout.steps_began_ms is not None:
         return canaries
--- a/foxtailpick/core/dispatch/rollout_evidence.py
+++ b/foxtailpick/core/dispatch/rollout_evidence.py
@@ -8,7 +8,6 @@
 fault that affects both shows as such.
 """
 
-import collections
 import dataclasses
 import math
 import typing
@@ -52,34 +51,40 @@
     """Answers in one window, on one route, of one group of endpoints.
 
     :param failures: failures of the endpoint.
-    :param classes: the other answers by latency class.
+    :param answered: number of the other answers.
+    :param classes: these by latency class.
     """
 
     failures: int = 0
-    classes: collections.Counter[int] = dataclasses.field(
-        default_factory=collections.Counter
-    )
+    answered: int = 0
+    classes: dict[int, int] = dataclasses.field(default_factory=dict)
 
     @property
     def answers(self) -> int:
         """Number of answers, with failures."""
-        return self.failures + self.classes.total()
+        return self.failures + self.answered
 
     def count_beyond(self, first_class: int) -> int:
         """Return the answers of a latency class or a higher one."""
         return sum(
-            count for cls, count in self.classes.items() if cls >= first_class
+            [
+                count
+                for cls, count in self.classes.items()
+                if cls >= first_class
+            ]
         )
 
-    def add(self, other: 'Tally') -> None:
-        """Add the answers of another tally."""
-        self.failures += other.failures
-        self.classes.update(other.classes)
+    def add(self, other: 'Tally', sign: int = 1) -> None:
+        """Add the answers of another tally, or subtract them.
 
-    def subtract(self, other: 'Tally') -> None:
-        """Subtract the answers of another tally that was added."""
-        self.failures -= other.failures
-        self.classes.subtract(other.classes)
+        :param other: the other one.
+        :param sign: -1 to subtract what was added.
+        """
+        self.failures += sign * other.failures
+        self.answered += sign * other.answered
+        classes = self.classes
+        for cls, count in other.classes.items():
+            classes[cls] = classes.get(cls, 0) + sign * count
 
 
 Tallies = typing.Mapping[Key, Tally]
@@ -108,7 +113,9 @@
         if is_failure:
             tally.failures += 1
         else:
-            tally.classes[latency_class] += 1
+            tally.answered += 1
+            known = tally.classes.get(latency_class, 0)
+            tally.classes[latency_class] = known + 1
 
     def replace(self, key: Key, before: Tally | None, tally: Tally) -> None:
         """Replace what was added of one source.
@@ -121,7 +128,7 @@
         if known is None:
             return
         if before is not None:
-            known.subtract(before)
+            known.add(before, -1)
         known.add(tally)
 
     def repeat_all(self) -> None:
@@ -210,7 +217,7 @@
     """
     window, route, group, failures, classes = row
     counts = dict(zip(classes[::2], classes[1::2], strict=True))
-    tally = Tally(failures, collections.Counter(counts))
+    tally = Tally(failures, sum(counts.values()), counts)
     return (window, route, group), tally
 
 
--- a/foxtailpick/core/dispatch/rollout_reports.py
+++ b/foxtailpick/core/dispatch/rollout_reports.py
@@ -181,4 +181,5 @@
         and isinstance(item[2], list)
         and len(item[2]) <= rollout_evidence.MAX_ROWS
         and all(map(rollout_evidence.is_row, item[2]))
+        and len({tuple(row[:3]) for row in item[2]}) == len(item[2])
     )
--- a/foxtailpick/core/dispatch/rollout_verdict.py
+++ b/foxtailpick/core/dispatch/rollout_verdict.py
@@ -22,6 +22,11 @@
 # times the old version's is held to a multiple of its own.
 MAX_SPEED_FACTOR = 1.6
 MIN_SPEED_ANSWERS = 10
+# In a window with fewer old answers for each new one, the latency of the old
+# version under the same load isn't known; an answer is slow there if it takes
+# so many times longer than elsewhere.
+MIN_PAIRED_SHARE = 0.25
+UNPAIRED_FACTOR = 2.0
 # A version is worse if its share of bad answers exceeds this multiple of the
 # old one's plus a margin.
 WORSE_FACTOR = 1.5
@@ -52,6 +57,7 @@
 
 _SLOW_CLASSES = math.log(SLOW_FACTOR, rollout_evidence.CLASS_FACTOR)
 _MAX_ALLOWANCE = math.log(MAX_SPEED_FACTOR, rollout_evidence.CLASS_FACTOR)
+_UNPAIRED_ALLOWANCE = math.log(UNPAIRED_FACTOR, rollout_evidence.CLASS_FACTOR)
 _NO_ANSWERS = rollout_evidence.Tally()
 
 
@@ -261,25 +267,30 @@
         old = item.sum_group(rollout_evidence.OLD_GROUP)
     median = _find_median(old)
 
-    def count_bad(group: int, tally: rollout_evidence.Tally) -> int:
+    def count_bad(
+        group: int, tally: rollout_evidence.Tally, allowance: float
+    ) -> int:
         if kind is Kind.FAILED or median is None:
             return tally.failures
-        slow = median + _SLOW_CLASSES + allowances.get(group, 0.0)
+        slow = median + _SLOW_CLASSES + allowances.get(group, 0.0) + allowance
         return tally.failures + tally.count_beyond(1 + round(slow))
 
-    old_bad = count_bad(rollout_evidence.OLD_GROUP, old)
-    mean_share = (old_bad + 1) / (old.answers + 2)
+    old_group = rollout_evidence.OLD_GROUP
+    mean_share = (count_bad(old_group, old, 0.0) + 1) / (old.answers + 2)
     found = _Comparison(old_answers=old.answers, is_old_earlier=is_old_earlier)
     for groups in windows:
-        tally = groups.get(rollout_evidence.OLD_GROUP, _NO_ANSWERS)
-        old_bad = count_bad(rollout_evidence.OLD_GROUP, tally)
-        share = (old_bad + SHRINKAGE * mean_share) / (
-            tally.answers + SHRINKAGE
-        )
+        old = groups.get(old_group, _NO_ANSWERS)
+        new = sum(tally.answers for tally in groups.values()) - old.answers
+        allowance = 0.0
+        if old.answers < MIN_PAIRED_SHARE * new:
+            allowance = _UNPAIRED_ALLOWANCE
+        share = count_bad(old_group, old, allowance) + SHRINKAGE * mean_share
+        share /= old.answers + SHRINKAGE
         for group, tally in groups.items():
-            if group != rollout_evidence.OLD_GROUP:
+            if group != old_group:
                 found.expected += share * tally.answers
-                found.count(group, count_bad(group, tally), tally.answers)
+                bad = count_bad(group, tally, allowance)
+                found.count(group, bad, tally.answers)
     return found
 
 
@@ -346,7 +357,7 @@
 
 def _find_median(tally: rollout_evidence.Tally) -> float | None:
     """Return the median latency, as a logarithm to the class factor."""
-    half = tally.classes.total() / 2
+    half = tally.answered / 2
     seen = 0
     for cls in sorted(tally.classes):
         count = tally.classes[cls]
@@ -368,7 +379,7 @@
         if (
             old is not None
             and median is not None
-            and tally.classes.total() >= MIN_SPEED_ANSWERS
+            and tally.answered >= MIN_SPEED_ANSWERS
         ):
             slower = max(0.0, median - old)
             allowances[group] = min(slower, _MAX_ALLOWANCE)
--- a/foxtailpick/core/dispatch/rollouts.py
+++ b/foxtailpick/core/dispatch/rollouts.py
@@ -21,6 +21,7 @@
 
 from foxtailpick.core.dispatch import endpoint_table
 from foxtailpick.core.dispatch import model
+from foxtailpick.core.dispatch import rollout_capacity
 from foxtailpick.core.dispatch import rollout_evidence
 from foxtailpick.core.dispatch import rollout_verdict
 from foxtailpick.core import transition_table
@@ -60,12 +61,7 @@
 STEP_SHARES = (0.1, 0.25, 0.5, 1.0)
 STEP_STARTS = (0.0, 1 / 6, 2 / 6, 3 / 6)
 # The new version is judged again at this interval.
-JUDGE_INTERVAL_MS = 250.0
-# The new endpoints bear the load if they have about the slots of the old ones,
-# or at least a part of them, of which the peak of the load takes this share.
-EQUAL_SLOT_SHARE = 0.9
-MIN_SLOT_SHARE = 0.5
-USABLE_SLOT_SHARE = 0.8
+JUDGE_INTERVAL_MS = 300.0
 # A cold endpoint, or one with an empty cache, may be so many times slower.
 COLD_FACTOR = 2.0
 
@@ -150,32 +146,6 @@
     rounding: float | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Capacity:
-    """Endpoints of both versions.
-
-    :param new: warm endpoints of the new version.
-    :param old_slots: slots of the old ones.
-    :param new_slots: slots of the warm new ones.
-    :param load: requests at both, the peak of the last seconds.
-    """
-
-    new: int = 0
-    old_slots: int = 0
-    new_slots: int = 0
-    load: float = 0.0
-
-    @property
-    def is_enough(self) -> bool:
-        """Whether the warm new endpoints bear the whole load."""
-        if self.new_slots >= EQUAL_SLOT_SHARE * self.old_slots:
-            return self.new > 0
-        return (
-            self.new_slots >= MIN_SLOT_SHARE * self.old_slots
-            and self.new_slots * USABLE_SLOT_SHARE >= self.load
-        )
-
-
 @dataclasses.dataclass(slots=True)
 class Rollout:
     """One order at this router.
@@ -207,7 +177,7 @@
         dataclasses.field(default_factory=dict)
     )
     exposure: Exposure = dataclasses.field(default_factory=Exposure)
-    capacity: Capacity = Capacity()
+    capacity: rollout_capacity.Capacity = rollout_capacity.Capacity()
     routers: int = 1
     alone_since_ms: float | None = None
     is_condemned: bool = False
