Read orders to roll out a version, and plan what answers them

Cause: `op/rollout/SERVICE` and the version in an endpoint's entry were not read, so an order was never answered: a good version missed its deadline, and a bad one kept its part of the traffic.

Orders are decoded with an id of revision, version and duration: a repeated order is a new one, and a revision that a restored store gives out again for other contents doesn't make two orders one. The revision reaches the decoder through the mirror. The gateway state keeps the latest order of each service, the records of what was agreed, and, after a return from an older copy, neither drops an order that the copy lacks nor takes up an earlier one.

Bounds on the exposure come from the settings and are checked.

--- a/foxtailpick/core/dispatch/item_check.py
+++ b/foxtailpick/core/dispatch/item_check.py
@@ -24,6 +24,9 @@
         _check(bool(item.id) and item.id.isprintable(), 'an id', item.id)
         if item.entry is not None:
             _check_endpoint(item.entry)
+    elif isinstance(item, model.RolloutItem) and item.order is not None:
+        duration_ms = item.order.duration_ms
+        _check(0 <= duration_ms < math.inf, 'a finite duration', duration_ms)
     elif isinstance(item, model.RouterItem) and item.entry is not None:
         share = item.entry.processor_share
         _check(0 < share < math.inf, 'a processor share above 0', share)
--- a/foxtailpick/core/dispatch/model.py
+++ b/foxtailpick/core/dispatch/model.py
@@ -185,13 +185,39 @@
         another id.
     :param service: the service.
     :param version: version of the endpoints that the traffic moves to.
-    :param duration_ms: time until the roll-out has to be completed.
+    :param duration_ms: time until the roll-out has to be completed, 0 if
+        the stated time cannot be used.
+    :param revision: revision of the store at which it was given.
     """
 
     id: types.RolloutId
     service: types.ServiceId
     version: types.Version
     duration_ms: float
+    revision: types.Revision = types.Revision(0)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RolloutRecord:
+    """What the routers have agreed on about an order, kept in the store.
+
+    :param order: the order.
+    :param version: version of the endpoints that the traffic moves to.
+    :param order_revision: revision of the store at which it was given.
+    :param state: its state; the final ones never change.
+    :param began_unix_ms: wall clock of the first writer when it saw the
+        order, in milliseconds since the Unix epoch.
+    :param barred: versions of earlier orders that were not completed.
+    :param revision: revision at which the record was written, 0 before that.
+    """
+
+    order: types.RolloutId
+    version: types.Version
+    order_revision: types.Revision
+    state: RolloutState
+    began_unix_ms: float
+    barred: tuple[types.Version, ...] = ()
+    revision: types.Revision = types.Revision(0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -318,10 +344,31 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RolloutItem:
-    """A roll-out of a service; the order is None once it is withdrawn."""
+    """A roll-out of a service.
+
+    :param service: the service.
+    :param order: the order, None if it was withdrawn or cannot be read.
+    :param error: why it cannot be read, empty otherwise.
+    """
 
     service: types.ServiceId
     order: RolloutOrder | None
+    error: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RolloutRecordItem:
+    """The record of a service's roll-out; None if it is missing."""
+
+    service: types.ServiceId
+    record: RolloutRecord | None
 
 
-Item = ConfigItem | EndpointItem | EvacuationItem | RouterItem | RolloutItem
+Item = (
+    ConfigItem
+    | EndpointItem
+    | EvacuationItem
+    | RouterItem
+    | RolloutItem
+    | RolloutRecordItem
+)
--- a/foxtailpick/core/dispatch/restored_store.py
+++ b/foxtailpick/core/dispatch/restored_store.py
@@ -11,7 +11,9 @@
   than work in a domain that is being emptied;
 - an endpoint that was removed or drained since the copy stays away until it
   writes its entry again, or until all has been written and it is still
-  listed. This holds for one that only a copy lacked, too.
+  listed. This holds for one that only a copy lacked, too;
+- an order to roll out a version stays in force although the copy lacks it or
+  has an earlier one, and one that was withdrawn stays so.
 
 A removal or a write that a watch reports was made after the return, and
 always counts. A router that starts meanwhile knows the copy only.
@@ -53,6 +55,58 @@
     return set(listed) | unlisted, unlisted
 
 
+def select_orders(
+    listed: typing.Mapping[types.ServiceId, model.RolloutOrder],
+    known: typing.Mapping[types.ServiceId, model.RolloutOrder | None],
+    is_copied: bool,
+) -> tuple[
+    dict[types.ServiceId, model.RolloutOrder],
+    dict[types.ServiceId, model.RolloutOrder | None],
+]:
+    """Return the orders to roll out, and what the store lists instead.
+
+    :param listed: orders in a snapshot.
+    :param known: latest orders before it, None for one that was withdrawn.
+    :param is_copied: whether the snapshot may be an older copy.
+    """
+    if not is_copied:
+        return dict(listed), {}
+    orders = dict(listed)
+    doubtful: dict[types.ServiceId, model.RolloutOrder | None] = {}
+    for service, order in known.items():
+        other = listed.get(service)
+        if other == order or _is_later(other, order):
+            continue
+        doubtful[service] = other
+        orders.pop(service, None)
+        if order is not None:
+            orders[service] = order
+    return orders, doubtful
+
+
+def is_rewritten(
+    order: model.RolloutOrder, before: model.RolloutOrder
+) -> bool:
+    """Tell whether an order has the contents of one that a copy lacked.
+
+    :param order: the order.
+    :param before: the latest order for the service before it.
+    """
+    return (order.version, order.duration_ms) == (
+        before.version,
+        before.duration_ms,
+    )
+
+
+def _is_later(
+    other: model.RolloutOrder | None, order: model.RolloutOrder | None
+) -> bool:
+    """Tell whether a listed order was given after the latest known one."""
+    if other is None or order is None:
+        return False
+    return other.revision > order.revision or is_rewritten(other, order)
+
+
 class RemovedEndpoints:
     """Endpoints removed a short while ago, by incarnation."""
 
--- a/foxtailpick/core/errors.py
+++ b/foxtailpick/core/errors.py
@@ -47,6 +47,7 @@
     PATCH_OUTCOME_UNKNOWN = 'FTP-304'
     CONFIG_UNAVAILABLE = 'FTP-305'
     CONFIG_CORRUPT = 'FTP-306'
+    ROLLOUT_INVALID = 'FTP-307'
 
     # Key-value store of the platform.
     STORE_UNAVAILABLE = 'FTP-401'
--- a/foxtailpick/gateway/mirror.py
+++ b/foxtailpick/gateway/mirror.py
@@ -34,7 +34,10 @@
 # this time.
 REGISTRATION_SPREAD_MS = 500.0
 
-Decode = typing.Callable[[str, bytes | None], model.Item | None]
+Decode = typing.Callable[
+    [str, bytes | None, types.Revision], model.Item | None
+]
+_T = typing.TypeVar('_T')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,12 +48,21 @@
     :param operator_prefix: key prefix of what the operators write.
     :param endpoint_prefix: key prefix of the endpoints' entries.
     :param router_prefix: key prefix of the routers' entries.
+    :param rollout_prefix: key prefix of the records of roll-outs.
+    :param make_order_key: returns the key of the order to roll out a service.
+    :param encode_rollout: returns the writes that set a service's record and
+        its status for the operators.
     """
 
     decode: Decode
     operator_prefix: str
     endpoint_prefix: str
     router_prefix: str
+    rollout_prefix: str
+    make_order_key: typing.Callable[[types.ServiceId], str]
+    encode_rollout: typing.Callable[
+        [types.ServiceId, model.RolloutRecord], list[base.Put]
+    ]
 
 
 class Store(typing.Protocol):
@@ -61,6 +73,9 @@
 
     era: types.Era | None
 
+    async def get(self, key: str) -> base.Entry | None:
+        """Return an entry, None if there is none."""
+
     async def read_snapshot(
         self, prefix: str, is_stale_ok: bool = False
     ) -> base.Snapshot:
@@ -178,10 +193,33 @@
             nursery.start_soon(self.list_routers)
             nursery.start_soon(self.register, key, value)
 
+    async def call(
+        self, make_calls: typing.Callable[[], typing.Awaitable[_T]]
+    ) -> _T:
+        """Call the store until it answers.
+
+        :param make_calls: makes the calls, at least one each time.
+        :returns: their result.
+        """
+        while True:
+            try:
+                with _expect_well_formed():
+                    result = await make_calls()
+            except errors.StoreError as exc:
+                if exc.code is errors.ErrorCode.STORE_RESTORED:
+                    self._record_restored()
+                else:
+                    # The others may be waiting for this task's next call.
+                    await self._back_off(exc)
+                continue
+            self._record_contact()
+            return result
+
     async def follow(
         self,
         prefix: str,
         replace: typing.Callable[[typing.Sequence[model.Item]], None],
+        is_needed: typing.Callable[[], bool] = lambda: True,
     ) -> None:
         """Read a snapshot, then watch for changes, until cancelled.
 
@@ -191,12 +229,13 @@
 
         :param prefix: key prefix of the items.
         :param replace: replaces the state by the items of a snapshot.
+        :param is_needed: tells whether to go on, asked after each response.
         """
         position: base.Position | None = None
         keys: set[str] = set()
         is_behind = False
         restarts = 0
-        while True:
+        while is_needed():
             try:
                 if position is None:
                     is_behind = False
@@ -347,12 +386,9 @@
     ) -> None:
         for change in changes:
             keys.add(change.key)
-            value = None
             if change.entry is None:
                 keys.discard(change.key)
-            else:
-                value = change.entry.value
-            item = self._decode_or_log(change.key, value)
+            item = self._decode_or_log(change.key, change.entry)
             if item is not None:
                 self._state.apply(item)
 
@@ -385,14 +421,17 @@
         return [
             item
             for entry in snapshot.entries
-            if (item := self._decode_or_log(entry.key, entry.value))
+            if (item := self._decode_or_log(entry.key, entry))
         ]
 
     def _decode_or_log(
-        self, key: str, value: bytes | None
+        self, key: str, entry: base.Entry | None
     ) -> model.Item | None:
+        value, revision = None, base.ABSENT
+        if entry is not None:
+            value, revision = entry.value, entry.revision
         try:
-            item = self._layout.decode(key, value)
+            item = self._layout.decode(key, value, revision)
             item_check.check_item(item)
             return item
         except Exception as exc:
--- a/foxtailpick/gateway/settings.py
+++ b/foxtailpick/gateway/settings.py
@@ -27,6 +27,10 @@
     :param retry_ratio: retries allowed per request, for the whole fleet.
     :param retry_extra: burst of retries allowed beyond that, for the whole
         fleet.
+    :param exposure_share: share of a service's requests that a version which
+        turns out bad may get during its roll-out, from the whole fleet.
+    :param exposure_slack: requests that it may get beyond that.
+    :param rollback_ms: time in which a bad version has to be withdrawn.
     :param processor_share: CPU limit of the process, in cores.
     :param max_sockets: maximum number of open file descriptors.
     """
@@ -44,6 +48,9 @@
     grace_ms: float = 8_000.0
     retry_ratio: float = 0.2
     retry_extra: float = 50.0
+    exposure_share: float = 0.1
+    exposure_slack: float = 50.0
+    rollback_ms: float = 5_000.0
     processor_share: float = 1.0
     max_sockets: int = 4_096
 
@@ -56,12 +63,19 @@
             self.grace_ms,
             self.retry_ratio,
             self.retry_extra,
+            self.exposure_share,
+            self.exposure_slack,
+            self.rollback_ms,
             self.processor_share,
         )
         if not all(map(math.isfinite, numbers)):
             raise self._make_error('finite numbers')
         if not 0 <= self.retry_ratio <= 1 or self.retry_extra < 0:
             raise self._make_error('a retry ratio of 0 to 1, extra >= 0')
+        if not 0 <= self.exposure_share <= 1 or self.exposure_slack < 0:
+            raise self._make_error('an exposure share of 0 to 1, slack >= 0')
+        if self.rollback_ms <= 0:
+            raise self._make_error('a time for a roll-back above 0 ms')
         if self.grace_ms <= 0 or self.min_lease_ms <= 0:
             raise self._make_error('grace and lease durations above 0')
         if self.change_bound_ms <= 0:
--- a/foxtailpick/gateway/state.py
+++ b/foxtailpick/gateway/state.py
@@ -2,10 +2,13 @@
 
 import typing
 
+import trio
+
 from foxtailpick.core.dispatch import endpoint_table
 from foxtailpick.core.dispatch import model
 from foxtailpick.core.dispatch import restored_store
 from foxtailpick.core.dispatch import route_table
+from foxtailpick.core import errors
 from foxtailpick.core import types
 from foxtailpick.gateway import decision_log
 
@@ -37,7 +40,21 @@
         self._evacuated: set[types.FailureDomainId] = set()
         # Out of service, but missing in a store restored from a copy.
         self._unlisted: set[types.FailureDomainId] = set()
+        # The latest order for each service, None if it was withdrawn.
+        self._orders: dict[types.ServiceId, model.RolloutOrder | None] = {}
+        # What a restored store lists in place of these.
+        self._doubtful_orders: dict[
+            types.ServiceId, model.RolloutOrder | None
+        ] = {}
+        self._records: dict[types.ServiceId, model.RolloutRecord] = {}
+        # Whether the orders are those of an era before the store's return.
+        self._is_era_over = False
+        # Orders that a watch reported just after they were given.
+        self._fresh: set[types.RolloutId] = set()
+        self._orders_changed = trio.Event()
         self._restored_ms: float | None = None
+        # Since when this router knows of no other, None if it does.
+        self.alone_since_ms: float | None = None
         self.table = endpoint_table.EndpointTable()
         self.cfg: model.GatewayConfig | None = None
         self.routes = route_table.RouteTable(())
@@ -54,6 +71,47 @@
         """Return the registered routers."""
         return self._routers
 
+    @property
+    def is_copied(self) -> bool:
+        """Whether the store may lack what was written before its return."""
+        return restored_store.is_copy(self._restored_ms, self._now_ms())
+
+    @property
+    def restored_ms(self) -> float | None:
+        """Time of the store's last return from an older copy, if any."""
+        return self._restored_ms
+
+    @property
+    def orders_changed(self) -> trio.Event:
+        """Set once an order or the record of one has changed."""
+        return self._orders_changed
+
+    def list_orders(
+        self,
+    ) -> typing.Mapping[types.ServiceId, model.RolloutOrder | None]:
+        """Return the latest order for each service, None if withdrawn."""
+        return self._orders
+
+    def is_order_certain(self, service: types.ServiceId) -> bool:
+        """Tell whether the store has the latest order that is known.
+
+        :param service: the service of the order.
+        """
+        return not self._is_era_over and service not in self._doubtful_orders
+
+    def is_order_fresh(self, order: types.RolloutId) -> bool:
+        """Tell whether an order was read just after it was given.
+
+        :param order: the order, the latest one for its service.
+        """
+        return order in self._fresh
+
+    def get_record(
+        self, service: types.ServiceId
+    ) -> model.RolloutRecord | None:
+        """Return the record of a service's roll-out, as last read."""
+        return self._records.get(service)
+
     def apply(self, item: model.Item) -> None:
         """Apply one change.
 
@@ -75,6 +133,26 @@
             else:
                 evacuated.discard(item.domain)
             self._set_evacuated(evacuated, is_just_now=True)
+        elif isinstance(item, model.RolloutItem):
+            self._doubtful_orders.pop(item.service, None)
+            self._log_invalid(item)
+            if item.order is not None:
+                self._fresh.add(item.order.id)
+            self._set_orders({**self._orders, item.service: item.order})
+        elif isinstance(item, model.RolloutRecordItem):
+            self._set_record(item)
+
+    def replace_rollout_records(
+        self, items: typing.Sequence[model.Item]
+    ) -> None:
+        """Replace the records of roll-outs.
+
+        :param items: all of them.
+        """
+        self._records = {}
+        for item in items:
+            if isinstance(item, model.RolloutRecordItem):
+                self._set_record(item)
 
     def replace_operator_items(
         self, items: typing.Sequence[model.Item]
@@ -84,16 +162,26 @@
         :param items: all of it.
         """
         listed = set()
+        orders: dict[types.ServiceId, model.RolloutOrder] = {}
         for item in items:
             if isinstance(item, model.ConfigItem):
                 self._set_config(item.cfg)
             elif isinstance(item, model.EvacuationItem):
                 listed.add(item.domain)
+            elif isinstance(item, model.RolloutItem):
+                self._log_invalid(item)
+                if item.order is not None:
+                    orders[item.service] = item.order
         evacuated, self._unlisted = restored_store.select_evacuated(
             listed,
             self._evacuated,
-            self._is_copied(),
+            self.is_copied,
+        )
+        self._is_era_over = False
+        listed_orders, self._doubtful_orders = restored_store.select_orders(
+            orders, self._orders, self.is_copied
         )
+        self._set_orders({**dict.fromkeys(self._orders), **listed_orders})
         if self._unlisted:
             self._log.emit('domains-kept-out', domains=sorted(self._unlisted))
         self._set_evacuated(evacuated, is_just_now=False)
@@ -117,7 +205,7 @@
         ]
         now_ms = self._now_ms()
         absent = self.table.replace_all(
-            entries, now_ms, grace_until_ms, self._is_copied()
+            entries, now_ms, grace_until_ms, self.is_copied
         )
         self._log.emit(
             'endpoints-read',
@@ -125,7 +213,7 @@
             endpoints=len(entries),
             absent=absent,
             after_outage=grace_until_ms is not None,
-            after_restore=self._is_copied(),
+            after_restore=self.is_copied,
         )
 
     def replace_routers(self, items: typing.Sequence[model.Item]) -> None:
@@ -154,6 +242,10 @@
             if now_ms - since_ms >= ROUTER_GRACE_MS:
                 del self._routers[router]
                 del self._router_missing_ms[router]
+        if self.router_count > 1:
+            self.alone_since_ms = None
+        elif self.alone_since_ms is None:
+            self.alone_since_ms = now_ms
         changed = before.symmetric_difference(self._routers)
         if changed:
             self._log.emit(
@@ -163,6 +255,9 @@
     def record_restored_store(self) -> None:
         """Note that the store has just returned from an older copy."""
         self._restored_ms = self._now_ms()
+        self._is_era_over = True
+        self._records = {}
+        self._wake()
 
     def expire(self) -> None:
         """End what was kept for a while after an outage.
@@ -174,7 +269,7 @@
         """
         for endpoint in self.table.expire_absent(self._now_ms()):
             self._log.emit('endpoint-gone', endpoint=endpoint, why='lapsed')
-        if self._is_copied():
+        if self.is_copied:
             return
         for endpoint in self.table.accept_doubtful(self._now_ms()):
             self._log.emit('endpoint-accepted', endpoint=endpoint)
@@ -182,9 +277,49 @@
             evacuated = self._evacuated - self._unlisted
             self._unlisted = set()
             self._set_evacuated(evacuated, is_just_now=True)
+        if self._doubtful_orders:
+            doubtful, self._doubtful_orders = self._doubtful_orders, {}
+            self._set_orders({**self._orders, **doubtful})
 
-    def _is_copied(self) -> bool:
-        return restored_store.is_copy(self._restored_ms, self._now_ms())
+    def _log_invalid(self, item: model.RolloutItem) -> None:
+        if item.error:
+            self._log.emit(
+                'rollout-invalid',
+                service=item.service,
+                code=errors.ErrorCode.ROLLOUT_INVALID.value,
+                why=item.error,
+            )
+
+    def _set_orders(
+        self,
+        orders: dict[types.ServiceId, model.RolloutOrder | None],
+    ) -> None:
+        before, self._orders = self._orders, orders
+        if orders != before:
+            self._wake()
+        self._fresh &= {order.id for order in orders.values() if order}
+        for service, order in orders.items():
+            if order == before.get(service):
+                continue
+            self._log.emit(
+                'rollout-ordered' if order else 'rollout-withdrawn',
+                service=service,
+                order=order.id if order else None,
+                version=order.version if order else None,
+                duration_ms=order.duration_ms if order else None,
+                after_restore=self.is_copied,
+            )
+
+    def _wake(self) -> None:
+        self._orders_changed.set()
+        self._orders_changed = trio.Event()
+
+    def _set_record(self, item: model.RolloutRecordItem) -> None:
+        if item.record is None:
+            self._records.pop(item.service, None)
+        else:
+            self._records[item.service] = item.record
+        self._wake()
 
     def _set_config(self, cfg: model.GatewayConfig | None) -> None:
         if cfg is None:
--- a/foxtailpick/platform/boot.py
+++ b/foxtailpick/platform/boot.py
@@ -101,6 +101,9 @@
         retry_ratio=_get_number(fields, 'bounds.retry_budget_ratio', 0.2),
         # Retries that the whole fleet may make beyond the ratio.
         retry_extra=_get_number(fields, 'bounds.retry_budget_extra', 50.0),
+        exposure_share=_get_number(fields, 'bounds.exposure_share', 0.1),
+        exposure_slack=_get_number(fields, 'bounds.exposure_slack', 50.0),
+        rollback_ms=_get_number(fields, 'bounds.rollback_ms', 5_000.0),
         # Share of a core, multiplied by the speed of that core.
         processor_share=_get_number(fields, 'limits.cpu_share', 1.0)
         * _get_number(fields, 'limits.cores', 1.0),
--- a/foxtailpick/platform/items.py
+++ b/foxtailpick/platform/items.py
@@ -5,12 +5,14 @@
 """
 
 import json
-import types as types_lib
 import typing
 
+from foxtailpick.adapters import base
 from foxtailpick.core.dispatch import model
 from foxtailpick.core import types
 from foxtailpick.gateway import mirror
+from foxtailpick.platform import fields as fields_lib
+from foxtailpick.platform import rollout_items
 
 OPERATOR_PREFIX = 'op/'
 CONFIG_KEY = 'op/config'
@@ -25,18 +27,18 @@
 _ABANDON_TARGETS = 4.0
 _ABANDON_GAPS = 8.0
 _STATES = {'ready': False, 'draining': True}
-_Fields = typing.Mapping[str, typing.Any]
+_Fields = fields_lib.Fields
+ItemError = fields_lib.ItemError
 
 
-class ItemError(ValueError):
-    """An item of the store whose value is invalid for its key."""
-
-
-def decode_item(key: str, value: bytes | None) -> model.Item | None:
+def decode_item(
+    key: str, value: bytes | None, revision: types.Revision = base.ABSENT
+) -> model.Item | None:
     """Decode an item of the store.
 
     :param key: its key.
     :param value: the stored bytes, None if the item was removed.
+    :param revision: revision of its last change.
     :returns: None for an item that routers do not use.
     :raises ItemError: if the value is invalid.
     """
@@ -55,7 +57,7 @@
         router = types.RouterId(key.removeprefix(ROUTER_PREFIX))
         entry = None if value is None else _decode_router(value)
         return model.RouterItem(router, entry)
-    return None
+    return rollout_items.decode_item(key, value, revision)
 
 
 def make_endpoint_key(endpoint: types.EndpointId) -> str:
@@ -81,7 +83,7 @@
     :param value: the stored bytes.
     :raises ItemError: if the value is invalid.
     """
-    data = _parse(value)
+    data = fields_lib.parse(value)
     try:
         limits = data.get('limits') or {}
         tenants = data.get('tenants')
@@ -115,57 +117,39 @@
     :param value: the stored bytes.
     :raises ItemError: if the value is invalid.
     """
-    data = _parse(value)
+    data = fields_lib.parse(value)
     state = data.get('state')
     if state not in _STATES:
         raise ItemError(f'expected a known state, got {state!r}')
     # Entries of other writers lack fields or have them of another type.
-    _expect(data, 'version', str)
-    _expect(data, 'sequence', int)
+    fields_lib.expect(data, 'sequence', int)
     started = data.get('born')
     if started is not None:
-        _expect(data, 'born', int)
+        fields_lib.expect(data, 'born', int)
     return model.EndpointEntry(
         id=types.EndpointId(key.removeprefix(ENDPOINT_PREFIX)),
         started=types.Incarnation(str(started) if started else ''),
-        service=types.ServiceId(_expect(data, 'service', str)),
-        address=_parse_address(_expect(data, 'address', str)),
-        domain=types.FailureDomainId(_expect(data, 'zone', str)),
-        slots=max(1, _expect(data, 'slots', int)),
+        service=types.ServiceId(fields_lib.expect(data, 'service', str)),
+        address=_parse_address(fields_lib.expect(data, 'address', str)),
+        domain=types.FailureDomainId(fields_lib.expect(data, 'zone', str)),
+        slots=max(1, fields_lib.expect(data, 'slots', int)),
         is_draining=_STATES[state],
         # Relative to the time of writing, not of reading.
-        warmup_left_ms=float(_expect(data, 'warmup_left_ms', int | float)),
+        warmup_left_ms=float(
+            fields_lib.expect(data, 'warmup_left_ms', int | float)
+        ),
+        version=types.Version(fields_lib.expect(data, 'version', str)),
     )
 
 
 def _decode_router(value: bytes) -> model.RouterEntry:
-    data = _parse(value)
+    data = fields_lib.parse(value)
     return model.RouterEntry(
-        _parse_address(_expect(data, 'address', str)),
+        _parse_address(fields_lib.expect(data, 'address', str)),
         float(data.get('share') or 1.0),
     )
 
 
-def _parse(value: bytes) -> dict[str, typing.Any]:
-    try:
-        data = json.loads(value)
-    except ValueError as exc:
-        raise ItemError(f'expected JSON, got {value[:40]!r}') from exc
-    if not isinstance(data, dict):
-        raise ItemError(f'expected an object, got {type(data).__name__}')
-    return data
-
-
-def _expect(
-    data: _Fields, name: str, kind: type | types_lib.UnionType
-) -> typing.Any:
-    value = data.get(name)
-    if not isinstance(value, kind) or isinstance(value, bool):
-        expected = getattr(kind, '__name__', str(kind))
-        raise ItemError(f'expected {expected} in {name}, got {value!r:.80}')
-    return value
-
-
 def _parse_address(text: str) -> model.Address:
     host, _, port = text.rpartition(':')
     if not host or not port.isdigit():
@@ -243,5 +227,11 @@
 
 
 LAYOUT = mirror.StoreLayout(
-    decode_item, OPERATOR_PREFIX, ENDPOINT_PREFIX, ROUTER_PREFIX
+    decode_item,
+    OPERATOR_PREFIX,
+    ENDPOINT_PREFIX,
+    ROUTER_PREFIX,
+    rollout_items.RECORD_PREFIX,
+    rollout_items.make_order_key,
+    rollout_items.encode_record,
 )
--- a/foxtailpick/tests/test_mirror.py
+++ b/foxtailpick/tests/test_mirror.py
@@ -89,9 +89,9 @@
     store = ChangingStore()
     seen = {}
 
-    def decode(key, value):
+    def decode(key, value, revision):
         seen[key] = trio.current_time()
-        return items.decode_item(key, value)
+        return items.decode_item(key, value, revision)
 
     follower, _ = make_mirror(store, decode)
     written = {}
