Send requests by the version of their endpoint during a roll-out

Each placement, that is the first attempt, repeats, hedges and the last resort, chooses among the endpoints that the roll-out of its service leaves. Sends are counted in the step of the choice, and taken back where nothing was sent or another process has the address (421). An outcome counts once: an answer with the time until it began, a failure of the endpoint, or a request that had no answer by its deadline. A caller that leaves early and a refusal say nothing of a version. A request whose connection opened after a verdict isn't sent.

Where the store lists no endpoint of any other version, an order keeps requests away from nothing: an order for the only version there is would otherwise be an outage. Without an order nothing changes.

--- a/foxtailpick/gateway/attempt.py
+++ b/foxtailpick/gateway/attempt.py
@@ -22,6 +22,7 @@
 from foxtailpick.gateway import job as job_lib
 from foxtailpick.gateway import quarantine
 from foxtailpick.gateway import reply as reply_lib
+from foxtailpick.gateway import rollout_path
 from foxtailpick.gateway import stream_relay
 
 # Late answers to earlier requests that are skipped on a reused connection.
@@ -97,7 +98,10 @@
     except OSError as exc:
         record_failure(gw, endpoint, f'cannot connect: {exc}', True)
         return AttemptResult(retry_decision.AttemptEnd.UNREACHABLE, str(exc))
-    if not gw.state.table.is_sendable(endpoint, gw.now_ms()):
+    if not (
+        gw.state.table.is_sendable(endpoint, gw.now_ms())
+        and rollout_path.is_sendable(gw, endpoint)
+    ):
         gw.pool.release(endpoint, conn, True)
         return AttemptResult(
             retry_decision.AttemptEnd.UNREACHABLE,
@@ -332,7 +336,10 @@
         await stream_relay.relay_stream(
             gw, job, attempt, conn, reply, hooks, head, meta
         )
-        return AttemptResult(retry_decision.AttemptEnd.DELIVERED)
+        return AttemptResult(
+            retry_decision.AttemptEnd.DELIVERED,
+            answered_ms=attempt.answered_ms,
+        )
     body = await endpoint_io.read_body(gw, conn)
     if not is_success:
         if head.status >= _SERVER_ERROR:
@@ -350,7 +357,9 @@
         [*meta.forwarded, *stream_relay.get_signature_headers(meta)],
         body,
     )
-    return AttemptResult(retry_decision.AttemptEnd.DELIVERED)
+    return AttemptResult(
+        retry_decision.AttemptEnd.DELIVERED, answered_ms=attempt.answered_ms
+    )
 
 
 async def _read_head(
--- a/foxtailpick/gateway/attempt_group.py
+++ b/foxtailpick/gateway/attempt_group.py
@@ -14,6 +14,7 @@
 from foxtailpick.gateway import context
 from foxtailpick.gateway import job as job_lib
 from foxtailpick.gateway import reply as reply_lib
+from foxtailpick.gateway import rollout_path
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -29,6 +30,7 @@
     :param is_replaced: whether another attempt answers instead.
     :param recheck_ms: time before which its silence is not reported again.
     :param decision: the latest decision on hedging the request, if any.
+    :param rollout_send: what the roll-out of its service counts, if any.
     """
 
     choice: placing.Choice
@@ -42,6 +44,7 @@
     is_replaced: bool = False
     recheck_ms: float = -math.inf
     decision: hedging.HedgeDecision | None = None
+    rollout_send: rollout_path.Send | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -97,6 +100,9 @@
         self.runners.add(runner)
         self._job.tried.add(choice.endpoint.id)
         attempt_lib.reserve(choice.endpoint, runner.started_ms)
+        runner.rollout_send = rollout_path.record_start(
+            self._gw, self._job, choice.endpoint
+        )
         rate = self._gw.get_placement_rate(self._job.service.name)
         rate.record(runner.started_ms)
         self._nursery.start_soon(self._run, runner)
@@ -151,6 +157,7 @@
             # Runs also if the request is cancelled.
             attempt_lib.release(runner.choice.endpoint)
             self.runners.discard(runner)
+            self._record_rollout(runner, result)
             if isinstance(result, attempt_lib.AttemptResult):
                 attempt_verdict = retry_decision.get_verdict(result.end)
             elif runner.is_sent:
@@ -163,6 +170,25 @@
         if result is not None and not runner.is_replaced:
             self._send.send_nowait(Ended(runner, result))
 
+    def _record_rollout(
+        self,
+        runner: Runner,
+        result: attempt_lib.AttemptResult | Exception | None,
+    ) -> None:
+        if runner.rollout_send is None:
+            return
+        end = rollout_path.End(
+            is_sent=runner.is_sent,
+            is_silent=runner.is_silent,
+            answered_ms=runner.begun_ms,
+        )
+        if isinstance(result, attempt_lib.AttemptResult):
+            end.kind = result.end
+            end.answered_ms = result.answered_ms
+            if result.response is not None:
+                end.status = result.response.status
+        rollout_path.record_end(self._gw, self._job, runner.rollout_send, end)
+
     def _make_hooks(self, runner: Runner) -> context.GroupHooks:
         def report_sent() -> None:
             runner.is_sent = True
--- a/foxtailpick/gateway/context.py
+++ b/foxtailpick/gateway/context.py
@@ -16,6 +16,7 @@
 from foxtailpick.core.dispatch import model
 from foxtailpick.core.dispatch import refusal
 from foxtailpick.core.dispatch import response_timeout
+from foxtailpick.core.dispatch import rollouts as rollouts_lib
 from foxtailpick.core.dispatch import stopping
 from foxtailpick.core import retry
 from foxtailpick.core import types
@@ -128,6 +129,9 @@
     :param first_byte_estimates: times to the first byte on each route.
     :param placement_rates: rate of this gateway's requests to each service.
     :param return_schedules: when refused callers of each service return.
+    :param rollouts: the latest roll-out of each service, if any.
+    :param barred_versions: versions of each service that an earlier order
+        moved to without being completed.
     :param stream_timing: durations of recent streams, per allowed token.
     :param buffered: memory used by responses that are being read.
     :param request_scopes: cancel scopes of the requests in flight.
@@ -172,6 +176,12 @@
     return_schedules: dict[types.ServiceId, refusal.ReturnSchedule] = (
         dataclasses.field(default_factory=dict)
     )
+    rollouts: dict[types.ServiceId, rollouts_lib.Rollout] = dataclasses.field(
+        default_factory=dict
+    )
+    barred_versions: dict[types.ServiceId, frozenset[types.Version]] = (
+        dataclasses.field(default_factory=dict)
+    )
     stream_timing: stopping.StreamTiming = dataclasses.field(
         default_factory=stopping.StreamTiming
     )
--- a/foxtailpick/gateway/execution.py
+++ b/foxtailpick/gateway/execution.py
@@ -21,6 +21,7 @@
 from foxtailpick.gateway import job as job_lib
 from foxtailpick.gateway import quarantine
 from foxtailpick.gateway import reply as reply_lib
+from foxtailpick.gateway import rollout_path
 
 # Interval between attempts to choose an endpoint while none is available.
 PLACEMENT_RETRY_INTERVAL_MS = 15.0
@@ -186,7 +187,7 @@
     )
     choice = None
     if decision is hedging.HedgeDecision.ALLOWED:
-        found = _choose_endpoint(gw, job).found
+        found = _choose_endpoint(gw, job, True).found
         if (
             isinstance(found, placing.Choice)
             and found.reason is not placing.Reason.LAST_RESORT
@@ -224,7 +225,9 @@
     endpoints: list[endpoint_table.Endpoint]
 
 
-def _choose_endpoint(gw: context.Gateway, job: job_lib.Job) -> _Placement:
+def _choose_endpoint(
+    gw: context.Gateway, job: job_lib.Job, is_repeat: bool
+) -> _Placement:
     now_ms = gw.now_ms()
     table = gw.state.table
     service = job.service.name
@@ -238,8 +241,10 @@
         leaving=table.list_leaving(service, now_ms),
         rate_per_s=gw.get_placement_rate(service).compute_per_s(now_ms),
     )
-    endpoints = table.list_service(service) or table.list_last_resort(
-        service, now_ms
+    endpoints = rollout_path.select_endpoints(
+        gw, job, table.list_service(service), is_repeat
+    ) or rollout_path.select_endpoints(
+        gw, job, table.list_last_resort(service, now_ms), is_repeat
     )
     found = placing.choose_within_limits(endpoints, query, gw.rng)
     return _Placement(found, endpoints)
@@ -249,8 +254,10 @@
     gw: context.Gateway, job: job_lib.Job
 ) -> placing.Choice:
     began_ms = gw.now_ms()
+    is_repeat = False
     while True:
-        found, endpoints = _choose_endpoint(gw, job)
+        found, endpoints = _choose_endpoint(gw, job, is_repeat)
+        is_repeat = True
         now_ms = gw.now_ms()
         if isinstance(found, placing.Choice):
             _log_placement(gw, job, found, now_ms)
@@ -290,9 +297,11 @@
 
 
 def _has_untried_endpoint(gw: context.Gateway, job: job_lib.Job) -> bool:
+    service = job.service.name
+    listed = gw.state.table.list_service(service)
     return any(
         item.id not in job.tried
-        for item in gw.state.table.list_service(job.service.name)
+        for item in rollout_path.list_usable(gw, service, listed)
     )
 
 
