Carry out roll-outs: one outcome for an order, told to all gateways

A keeper in each gateway follows the orders, asks for a decision, and writes record and status in one transaction on the condition of the record's revision. It reads order and record before each write, so a lost answer or a write that is executed late gives no second outcome. The records are watched only while an order is open. A verdict against a version takes effect at once; `completed` only by the record or the word of a gateway that read it.

--- a/foxtailpick/gateway/daemon.py
+++ b/foxtailpick/gateway/daemon.py
@@ -24,6 +24,9 @@
 from foxtailpick.gateway import pool as pool_lib
 from foxtailpick.gateway import quarantine
 from foxtailpick.gateway import reply as reply_lib
+from foxtailpick.gateway import rollout_exchange
+from foxtailpick.gateway import rollout_log
+from foxtailpick.gateway import rollouts
 from foxtailpick.gateway import server
 from foxtailpick.gateway import settings as settings_lib
 from foxtailpick.gateway import state as state_lib
@@ -214,12 +217,22 @@
     )
     callers = server.CallerServer(gw)
     with gw.pool, peers.PeerExchange(gw, listeners.peers) as exchange:
+        keeper = rollouts.RolloutKeeper(
+            gw,
+            mirror,
+            store,
+            layout,
+            lambda: exchange.is_hub,
+            clock_lib.Clock.from_wall().now,
+        )
+        exchange.rollouts = rollout_exchange.RolloutExchange(gw, keeper)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(gw.log.run)
             nursery.start_soon(
                 mirror.run, registration.key, registration.value
             )
             nursery.start_soon(exchange.run)
+            nursery.start_soon(keeper.run)
             nursery.start_soon(_sweep, gw)
             nursery.start_soon(watchdog.watch_attempts, gw)
             nursery.start_soon(admission.assign_free_slots, gw)
@@ -267,6 +280,7 @@
     async def handle(req: http1.Request, reply: reply_lib.Reply) -> None:
         lines = [
             *gw.metrics.format_lines(),
+            *rollout_log.format_metrics(gw),
             f'foxtailpick_attempts_running {len(gw.attempts)}',
             f'foxtailpick_caller_connections {callers.connections}',
             f'foxtailpick_endpoint_connections_total {gw.pool.opened}',
--- a/foxtailpick/gateway/peers.py
+++ b/foxtailpick/gateway/peers.py
@@ -23,6 +23,7 @@
 from foxtailpick.gateway import load_watch
 from foxtailpick.gateway import peer_messages
 from foxtailpick.gateway import quarantine
+from foxtailpick.gateway import rollout_exchange
 
 MAX_DATAGRAM_BYTES = 65_507
 # Outcomes of requests are applied at the usual interval of the exchange, less
@@ -121,6 +122,7 @@
         self._departures = announcements.HubDepartures()
         self._limits = rate_limits.HubLimits()
         self._limits_ms = 0.0
+        self.rollouts: rollout_exchange.RolloutExchange | None = None
         self._departures_pacer = crash_reports.Pacer()
         self._departure_totals_pacer = crash_reports.Pacer()
         # Addresses that reports came from. A router that has just started
@@ -134,6 +136,14 @@
     def __exit__(self, *exc_info: typing.Any) -> None:
         self._sock.close()
 
+    @property
+    def is_hub(self) -> bool:
+        """Whether this router is the hub, or the only one."""
+        gw = self._gw
+        return gw.state.router_count < 2 or (
+            self._hub_selector.hub == gw.cfg.name
+        )
+
     async def run(self) -> None:
         """Send and receive until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -160,6 +170,8 @@
             gw.log.emit('hub-changed', hub=hub, before=before)
             for crashes in self._crash_exchanges:
                 crashes.pacer.reset()
+            if self.rollouts is not None:
+                self.rollouts.repeat_all()
         if hub is None:
             return
         number, counts = self._sent_counts.next_counts(gw.state.table)
@@ -183,6 +195,9 @@
             if limits:
                 data = cbor2.dumps([_KIND_LIMITS, gw.cfg.name, number, limits])
                 await self._send_to(data, routers[hub].address)
+            if self.rollouts is not None:
+                for data in self.rollouts.make_reports(now_ms):
+                    await self._send_to(data, routers[hub].address)
             return
         self._hub_selector.record_message(now_ms)
         self._hub_reports.record(hub, number, counts, now_ms, outcomes)
@@ -196,6 +211,7 @@
         await self._send_departure_totals(now_ms)
         self._limits.record(hub, limits, now_ms)
         await self._send_limit_totals(now_ms)
+        await self._send_rollout_totals(now_ms)
 
     async def _send_totals(self, now_ms: float) -> None:
         gw = self._gw
@@ -338,6 +354,14 @@
             elif router in self._reporters:
                 await self._send_to(data, self._reporters[router])
 
+    async def _send_rollout_totals(self, now_ms: float) -> None:
+        if self.rollouts is None:
+            return
+        for data in self.rollouts.make_totals(now_ms):
+            for router, _ in self._hub_reports.list_routers():
+                if router in self._reporters:
+                    await self._send_to(data, self._reporters[router])
+
     async def _send_to(self, data: bytes, address: model.Address) -> None:
         try:
             await self._sock.sendto(data, address)
@@ -403,6 +427,9 @@
             self._hub_selector.record_redirect(router, hub)
         elif kind == _KIND_QUERY:
             await self._answer_query(number, address)
+        if self.rollouts is not None:
+            is_hub = router == self._hub_selector.hub
+            self.rollouts.handle(kind, router, contents, is_hub, now_ms)
         for crashes in self._crash_exchanges:
             policy = crashes.records.policy
             if kind == crashes.report_kind:
