--- a/foxtailpick/tests/test_rollout_status_model.py
+++ b/foxtailpick/tests/test_rollout_status_model.py
@@ -8,6 +8,7 @@
 """
 
 import base64
+import collections
 import contextlib
 import dataclasses
 import functools
@@ -39,6 +40,7 @@
 EXAMPLES = int(os.environ.get('ROLLOUT_EXAMPLES', '40'))
 MAX_STEPS = 25
 ROUTERS = 4
+LARGE_FLEET = 68
 SERVICE = 'plain'
 VERSIONS = ('v2', 'v3')
 # Longer than a run, so that only the steps decide.
@@ -181,13 +183,15 @@
 
     :param standin: the store.
     :param rng: source of the durations.
+    :param seed: seed of the routers' random numbers.
+    :param count: number of routers.
     """
 
-    def __init__(self, standin, rng, seed):
+    def __init__(self, standin, rng, seed, count=ROUTERS):
         self.standin = standin
         self.rng = rng
         self.operator = rollout_operator.RolloutOperator(standin)
-        self.routers = [Router(n, seed + n) for n in range(ROUTERS)]
+        self.routers = [Router(n, seed + n) for n in range(count)]
         self.version = None
         # Final states by order, in each era.
         self.finals = {}
@@ -425,3 +429,51 @@
     with pytest.raises(BaseException) as found:
         explore_contradiction(seed)
     assert found.group_contains(AssertionError)
+
+
+async def count_calls(kind):
+    """Return the calls of a large fleet for an order, by kind.
+
+    :param kind: verdict of all routers, at the same moment.
+    """
+    standin = store_server.PlatformStoreStandIn()
+    standin.era = 1
+    world = World(standin, random.Random(1), 1, LARGE_FLEET)
+    original = rollouts_lib.decide
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(
+            rollouts_lib, 'decide', functools.partial(world.decide, original)
+        )
+        async with (
+            store_harness.open_store(standin, patch),
+            trio.open_nursery() as nursery,
+        ):
+            for router in world.routers:
+                nursery.start_soon(router.run, nursery)
+            await trio.sleep(8)
+            calls = collections.Counter(standin.calls)
+            await world.do('order', 0)
+            await trio.sleep(3)
+            for router in world.routers:
+                router.verdict = f'{world.version}-{kind}'
+            await trio.sleep(10)
+            world.check_agreement()
+            after = collections.Counter(standin.calls)
+            nursery.cancel_scope.cancel()
+    after.subtract(calls)
+    return after
+
+
+@pytest.mark.parametrize('kind', ['good', 'bad'])
+def test_large_fleet_calls_the_store_rarely(kind):
+    calls = trio.run(
+        count_calls,
+        kind,
+        clock=trio.testing.MockClock(autojump_threshold=0),
+    )
+    # The hub writes both states; few others try before they see it.
+    assert 2 <= calls['kv-txn'] <= 2 + LARGE_FLEET // 10
+    assert calls['kv-key'] <= 2 * calls['kv-txn'] + LARGE_FLEET // 10
+    # A watch of the records and one of the orders, each asked anew after the
+    # order, the first record and the final one, and once without a change.
+    assert calls['kv-watch'] <= 5 * LARGE_FLEET
