--- a/foxtailpick/core/dispatch/rollout_choice.py
+++ b/foxtailpick/core/dispatch/rollout_choice.py
@@ -127,13 +127,14 @@
     bounds = rollout.bounds
     exposure = rollout.exposure
     if exposure.rounding is None:
-        slack = rollouts.SLACK_PART * bounds.exposure_slack / rollout.routers
-        exposure.rounding = rng.random() + slack
+        exposure.rounding = rng.random()
     if step is None or step < FIRST_FREE_STEP:
         most = (
-            rollouts.BUDGET_PART * bounds.exposure_share * (exposure.sent + 1)
+            exposure.rounding
+            + rollouts.SLACK_PART * bounds.exposure_slack / rollout.routers
+            + rollouts.BUDGET_PART * bounds.exposure_share * exposure.sent
         )
-        if exposure.sent_new + 1 > exposure.rounding + most:
+        if exposure.sent_new + 1 > most:
             return False
     share = rollouts.get_share(rollout, step, route)
     if key is None:
--- a/foxtailpick/core/dispatch/rollout_verdict.py
+++ b/foxtailpick/core/dispatch/rollout_verdict.py
@@ -39,10 +39,11 @@
 # operators count 50 of them until the version has to be withdrawn.
 MANY_BAD = 30
 MANY_BAD_CHANCE = 1e-3
-# Bad answers without the worst group of endpoints, whose share has to be
-# beyond what is tolerated, too.
-MIN_REST_BAD = 3
-MIN_REST_DOUBT = 2
+# Without the worst group of endpoints there have to be so many bad answers,
+# with this chance at most, for a verdict and for a doubt.
+MIN_REST_BAD = 2
+REST_CHANCE = 0.05
+REST_DOUBT_CHANCE = 0.2
 # Spans of the latest windows that are judged.
 SPANS = (2, 6)
 # With fewer old answers in a span, the earlier ones are the reference.
@@ -311,11 +312,13 @@
     needed = BAD_CHANCE
     if bad - comparison.expected >= MANY_BAD:
         needed = MANY_BAD_CHANCE
+    rest_chance = compute_chance(rest_bad, rest_answers, tolerated)
     standing = Standing.SOUND
-    if rest_bad > tolerated * rest_answers:
-        if bad >= MIN_BAD and rest_bad >= MIN_REST_BAD and chance <= needed:
+    if rest_bad >= MIN_REST_BAD and rest_chance <= REST_DOUBT_CHANCE:
+        is_confirmed = bad >= MIN_BAD and rest_chance <= REST_CHANCE
+        if is_confirmed and chance <= needed:
             standing = Standing.BAD
-        elif rest_bad >= MIN_REST_DOUBT and chance <= DOUBT_CHANCE:
+        elif chance <= DOUBT_CHANCE:
             standing = Standing.DOUBTFUL
     return Verdict(
         standing,
--- a/foxtailpick/core/dispatch/rollouts.py
+++ b/foxtailpick/core/dispatch/rollouts.py
@@ -42,9 +42,9 @@
 # tolerated share of those of the old one. All routes together need so many.
 MIN_ANSWER_PART = 0.4
 MIN_ANSWERS = 10
-# A router without totals of this age sends nothing to the new version, unless
-# it is the only one.
-TOTALS_TTL_MS = 2_000.0
+# A router without totals of this age, as a part of the time for a roll-back,
+# sends nothing to the new version, unless it is the only one.
+TOTALS_TTL_PART = 0.4
 # A router that knows of no other for this time decides by its own evidence. A
 # list of routers may be some seconds old.
 LONE_MS = 10_000.0
@@ -360,13 +360,13 @@
 
 def is_informed(rollout: Rollout, now_ms: float) -> bool:
     """Tell whether the router knows what the others saw, or has no others."""
-    return rollout.routers == 1 or _has_totals(rollout, now_ms)
+    return _has_totals(rollout, now_ms) or _is_lone(rollout, now_ms)
 
 
 def _has_totals(rollout: Rollout, now_ms: float) -> bool:
+    ttl_ms = TOTALS_TTL_PART * rollout.bounds.rollback_ms
     return (
-        rollout.totals_ms is not None
-        and now_ms - rollout.totals_ms <= TOTALS_TTL_MS
+        rollout.totals_ms is not None and now_ms - rollout.totals_ms <= ttl_ms
     )
 
 
@@ -392,7 +392,7 @@
         rollout.is_condemned = True
     _update_route_shares(rollout, routes, now_ms)
     rollout.doubt = None
-    if not _has_totals(rollout, now_ms) and not _is_lone(rollout, now_ms):
+    if not is_informed(rollout, now_ms):
         rollout.doubt = Reason.NO_FRESH_TOTALS
     elif not rollout.capacity.is_enough:
         rollout.doubt = Reason.FEW_ENDPOINTS
@@ -444,7 +444,10 @@
 
 def _update_steps(rollout: Rollout, now_ms: float) -> None:
     if rollout.doubt is not None or now_ms < rollout.last_steps_ms:
-        if rollout.doubt is Reason.DOUBTFUL and rollout.steps_began_ms:
+        if (
+            rollout.doubt is Reason.DOUBTFUL
+            and rollout.steps_began_ms is not None
+        ):
             # With the canary's share, a fault under load would not show again.
             rollout.has_failed_steps = True
         rollout.steps_began_ms = None
