Compare the speed of endpoints by the lower quartile, over all routes

Cause: the allowance for a slower group followed its median on each route, so that a part of slow answers on one route raised its own limit.

--- a/foxtailpick/core/dispatch/rollout_choice.py
+++ b/foxtailpick/core/dispatch/rollout_choice.py
@@ -121,7 +121,8 @@
     """Tell whether a request goes to the new version."""
     if rollout.is_condemned or not rollouts.is_informed(rollout, now_ms):
         return False
-    if step is None and now_ms >= rollout.deadline_ms:
+    is_over = rollout.has_failed_steps or now_ms >= rollout.deadline_ms
+    if step is None and is_over:
         # It can't be completed any more.
         return False
     bounds = rollout.bounds
--- a/foxtailpick/core/dispatch/rollout_verdict.py
+++ b/foxtailpick/core/dispatch/rollout_verdict.py
@@ -18,9 +18,11 @@
 
 # Answers so many times slower than the old version's median count as slow.
 SLOW_FACTOR = 2.5
-# Endpoints of a service differ in speed. A group whose median is up to so many
-# times the old version's is held to a multiple of its own.
+# Endpoints of a service differ in speed. The answers of a group count as slow
+# at a multiple of its own speed, up to this factor. That is compared by the
+# lower quartile, which a part of slow answers hardly shifts.
 MAX_SPEED_FACTOR = 1.6
+SPEED_QUANTILE = 0.25
 MIN_SPEED_ANSWERS = 10
 # In a window with fewer old answers for each new one, the latency of the old
 # version under the same load isn't known; an answer is slow there if it takes
@@ -28,7 +30,7 @@
 MIN_PAIRED_SHARE = 0.25
 UNPAIRED_FACTOR = 2.0
 # A version is worse if its share of bad answers exceeds this multiple of the
-# old one's plus a margin.
+# old one's plus one of `WORSE_MARGINS`.
 WORSE_FACTOR = 1.5
 # Probability of as many bad answers by chance, at the most that is tolerated:
 # of a verdict against the version, and of a doubt that delays its completion.
@@ -69,6 +71,7 @@
     FAILED_OR_SLOW = 'failed-or-slow'
 
 
+# Slow answers are less regular than failures.
 WORSE_MARGINS = {Kind.FAILED: 0.01, Kind.FAILED_OR_SLOW: 0.03}
 
 
@@ -203,16 +206,14 @@
     ]
     steady = min(steady_windows, latest + 1)
     spans += [range(steady), range(steady, latest + 1)]
-    allowances = {
-        route: _find_allowances(item) for route, item in routes.items()
-    }
+    allowances = _find_allowances(routes)
     is_single = _has_single_group(routes)
     found = []
     for kind in Kind:
         for span in spans:
             every = _Comparison()
             for route, item in routes.items():
-                comparison = _compare(item, span, kind, allowances[route])
+                comparison = _compare(item, span, kind, allowances)
                 every.add(comparison)
                 found.append(
                     _make_verdict(route, comparison, span, kind, is_single)
@@ -266,7 +267,7 @@
     is_old_earlier = old.answers < MIN_OLD_ANSWERS
     if is_old_earlier:
         old = item.sum_group(rollout_evidence.OLD_GROUP)
-    median = _find_median(old)
+    median = _find_quantile(old, 0.5)
 
     def count_bad(
         group: int, tally: rollout_evidence.Tally, allowance: float
@@ -358,35 +359,44 @@
     return total
 
 
-def _find_median(tally: rollout_evidence.Tally) -> float | None:
-    """Return the median latency, as a logarithm to the class factor."""
-    half = tally.answered / 2
+def _find_quantile(tally: rollout_evidence.Tally, part: float) -> float | None:
+    """Return a quantile of latency, as a logarithm to the class factor."""
+    wanted = part * tally.answered
     seen = 0
     for cls in sorted(tally.classes):
         count = tally.classes[cls]
-        if count and seen + count >= half:
+        if count and seen + count >= wanted:
             # Interpolated within the class.
-            return cls - 1 + (half - seen) / count
+            return cls - 1 + (wanted - seen) / count
         seen += count
     return None
 
 
-def _find_allowances(item: RouteTallies) -> dict[int, float]:
-    """Return by how many latency classes each group is slower."""
-    old = _find_median(item.sum_group(rollout_evidence.OLD_GROUP))
-    groups = {group for groups in item.windows.values() for group in groups}
-    allowances = {}
-    for group in groups - {rollout_evidence.OLD_GROUP}:
-        tally = item.sum_group(group)
-        median = _find_median(tally)
-        if (
-            old is not None
-            and median is not None
-            and tally.answered >= MIN_SPEED_ANSWERS
-        ):
-            slower = max(0.0, median - old)
-            allowances[group] = min(slower, _MAX_ALLOWANCE)
-    return allowances
+def _find_allowances(
+    routes: typing.Mapping[str, RouteTallies],
+) -> dict[int, float]:
+    """Return by how many latency classes each group is slower on average."""
+    sums: dict[int, list[float]] = {}
+    for item in routes.values():
+        old = _find_quantile(
+            item.sum_group(rollout_evidence.OLD_GROUP), SPEED_QUANTILE
+        )
+        groups = {key for window in item.windows.values() for key in window}
+        for group in groups - {rollout_evidence.OLD_GROUP}:
+            tally = item.sum_group(group)
+            found = _find_quantile(tally, SPEED_QUANTILE)
+            if (
+                old is not None
+                and found is not None
+                and tally.answered >= MIN_SPEED_ANSWERS
+            ):
+                known = sums.setdefault(group, [0.0, 0.0])
+                known[0] += (found - old) * tally.answered
+                known[1] += tally.answered
+    return {
+        group: min(max(0.0, total / answers), _MAX_ALLOWANCE)
+        for group, (total, answers) in sums.items()
+    }
 
 
 def _leave_out_worst(
--- a/foxtailpick/core/dispatch/rollouts.py
+++ b/foxtailpick/core/dispatch/rollouts.py
@@ -27,8 +27,8 @@
 from foxtailpick.core import transition_table
 from foxtailpick.core import types
 
-# Parts of the tolerated exposure: of the canary's share, of the most that a
-# router sends before the last steps, and of the requests beyond the share.
+# Parts of what is tolerated: the canary's share, the most that a router sends
+# before the last steps, and the requests beyond that share.
 CANARY_PART = 0.4
 BUDGET_PART = 0.9
 SLACK_PART = 0.3
@@ -163,7 +163,14 @@
     :param is_condemned: whether some router found the version bad.
     :param totals_ms: when the last totals came, None before the first.
     :param steps_began_ms: when the last steps began, None if they did not.
+    :param steps_length_ms: their length in all.
+    :param has_failed_steps: whether they ended with a doubt.
     :param route_shares: share of the canary on routes with few requests.
+    :param verdict: the latest verdict, the worst one of all routes.
+    :param doubt: why the version isn't taken for good yet, None if it is.
+    :param judged_ms: when it was judged last.
+    :param reported_ms: when this router reported to the hub last.
+    :param has_reported_verdict: whether the hub was told that it is bad.
     """
 
     order: model.RolloutOrder
@@ -443,19 +450,16 @@
 
 
 def _update_steps(rollout: Rollout, now_ms: float) -> None:
+    has_begun = rollout.steps_began_ms is not None
     if rollout.doubt is not None or now_ms < rollout.last_steps_ms:
-        if (
-            rollout.doubt is Reason.DOUBTFUL
-            and rollout.steps_began_ms is not None
-        ):
+        if has_begun and rollout.doubt is Reason.DOUBTFUL:
             # With the canary's share, a fault under load would not show again.
             rollout.has_failed_steps = True
         rollout.steps_began_ms = None
-    elif (
-        rollout.steps_began_ms is None
-        and not rollout.has_failed_steps
-        and now_ms < rollout.deadline_ms
-    ):
+        return
+    if has_begun or rollout.has_failed_steps:
+        return
+    if now_ms < rollout.deadline_ms:
         rollout.steps_began_ms = now_ms
         end_ms = rollout.deadline_ms - rollout.margin_ms
         rollout.steps_length_ms = max(MIN_STEPS_MS, end_ms - now_ms)
--- a/foxtailpick/tests/rollout_fleet_model.py
+++ b/foxtailpick/tests/rollout_fleet_model.py
@@ -40,7 +40,8 @@
     :param store_ms: time of a call of the store.
     :param is_down: tells whether messages between routers are lost at a time.
     :param find_fault: returns 'fail', 'slow' or None for a request of the
-        new version, by route, time, load of the endpoint and its number.
+        new version, by the source of random numbers, route, time, load and number of
+        the endpoint.
     :param find_common_fault: the same for requests of both versions.
     :param scale: returns the rate at a time, relative to the usual one.
     """
@@ -54,8 +55,8 @@
     store_ms: float = 300.0
     keys: int = 300
     is_down: object = lambda now_ms: False
-    find_fault: object = lambda route, now_ms, load, number: None
-    find_common_fault: object = lambda route, now_ms, load, number: None
+    find_fault: object = lambda rng, route, now_ms, load, number: None
+    find_common_fault: object = lambda rng, route, now_ms, load, number: None
     scale: object = lambda now_ms: 1.0
 
 
@@ -180,7 +181,8 @@
         self.later(took_ms, end)
 
     def _find_fault(self, route, version, endpoint, number):
-        args = route, self.now_ms, endpoint.running / SLOTS, number
+        load = endpoint.running / SLOTS
+        args = self.rng, route, self.now_ms, load, number
         common = self.load.find_common_fault(*args)
         if version == OLD or common is not None:
             return common
--- a/foxtailpick/tests/test_rollouts.py
+++ b/foxtailpick/tests/test_rollouts.py
@@ -471,9 +471,8 @@
 
 def make_fault(kind, probability, applies=lambda route, now_ms, load, n: True):
     """Return a fault of a part of the requests to which it applies."""
-    rng = random.Random(1)
 
-    def find_fault(*args):
+    def find_fault(rng, *args):
         if applies(*args) and rng.random() < probability:
             return kind
         return None
