--- a/foxtailpick/tests/rollout_fleet_model.py
+++ b/foxtailpick/tests/rollout_fleet_model.py
@@ -40,8 +40,8 @@
     :param store_ms: time of a call of the store.
     :param is_down: tells whether messages between routers are lost at a time.
     :param find_fault: returns 'fail', 'slow' or None for a request of the
-        new version, by the source of random numbers, route, time, load and number of
-        the endpoint.
+        new version, by the source of random numbers, route, time, and load
+        and number of the endpoint.
     :param find_common_fault: the same for requests of both versions.
     :param scale: returns the rate at a time, relative to the usual one.
     """
--- a/foxtailpick/tests/test_rollouts.py
+++ b/foxtailpick/tests/test_rollouts.py
@@ -350,6 +350,30 @@
     assert judge(evidence).standing is expected
 
 
+def test_slow_part_does_not_raise_its_own_limit():
+    evidence = rollout_evidence.Evidence()
+    for route in 'ab':
+        count(evidence, route, 0, 0, 300, took_ms=70.0)
+        for group in (1, 2):
+            count(evidence, route, group, 0, 15, took_ms=70.0)
+            if route == 'b':
+                count(evidence, route, group, 0, 10, took_ms=250.0)
+    assert judge(evidence).standing is rollout_verdict.Standing.BAD
+
+
+def test_slower_endpoints_are_no_bad_version():
+    evidence = rollout_evidence.Evidence()
+    for took_ms in (60.0, 80.0, 100.0, 120.0):
+        count(evidence, 'a', 0, 0, 300, took_ms=took_ms)
+        for group in (1, 2):
+            count(evidence, 'a', group, 0, 10, took_ms=1.5 * took_ms)
+    # One in twenty takes twice as long.
+    count(evidence, 'a', 0, 0, 60, took_ms=200.0)
+    for group in (1, 2):
+        count(evidence, 'a', group, 0, 4, took_ms=300.0)
+    assert judge(evidence).standing is rollout_verdict.Standing.SOUND
+
+
 def test_earlier_answers_are_the_reference_where_no_old_endpoint_is_left():
     evidence = rollout_evidence.Evidence()
     count(evidence, 'a', 0, 0, 400, window=1)
