Count whole streams beside their first events

Cause: the events of a stream may come several times slower although the first one is in time, and evidence held the time to the first event only. Change: record_outcome takes the time of a complete stream, which is judged as another route; a caller that doesn't state it is judged as before.

--- a/foxtailpick/core/dispatch/rollout_evidence.py
+++ b/foxtailpick/core/dispatch/rollout_evidence.py
@@ -35,6 +35,9 @@
 # Rows on more routes than this are not kept.
 MAX_ROUTES = 64
 MAX_NAME_CHARS = 200
+# Whole streams are counted beside their first events, under the name of the
+# route with this suffix.
+WHOLE_SUFFIX = ' (whole)'
 MAX_COUNT = 10_000_000
 MAX_WINDOW = 10_000
 MAX_ROWS = 400
@@ -185,6 +188,14 @@
     return 1 + xxhash.xxh3_64_intdigest(endpoint.encode()) % GROUPS
 
 
+def is_whole(route: str) -> bool:
+    """Tell whether whole streams are counted under a name.
+
+    :param route: the name.
+    """
+    return route.endswith(WHOLE_SUFFIX)
+
+
 def find_class(took_ms: float) -> int:
     """Return the class of a latency.
 
--- a/foxtailpick/core/dispatch/rollout_verdict.py
+++ b/foxtailpick/core/dispatch/rollout_verdict.py
@@ -214,7 +214,8 @@
             every = _Comparison()
             for route, item in routes.items():
                 comparison = _compare(item, span, kind, allowances)
-                every.add(comparison)
+                if not rollout_evidence.is_whole(route):
+                    every.add(comparison)
                 found.append(
                     _make_verdict(route, comparison, span, kind, is_single)
                 )
@@ -377,7 +378,9 @@
 ) -> dict[int, float]:
     """Return by how many latency classes each group is slower on average."""
     sums: dict[int, list[float]] = {}
-    for item in routes.values():
+    for route, item in routes.items():
+        if rollout_evidence.is_whole(route):
+            continue
         old = _find_quantile(
             item.sum_group(rollout_evidence.OLD_GROUP), SPEED_QUANTILE
         )
--- a/foxtailpick/core/dispatch/rollouts.py
+++ b/foxtailpick/core/dispatch/rollouts.py
@@ -65,6 +65,10 @@
 # A cold endpoint, or one with an empty cache, may be so many times slower.
 COLD_FACTOR = 2.0
 
+MAX_ROUTE_CHARS = rollout_evidence.MAX_NAME_CHARS - len(
+    rollout_evidence.WHOLE_SUFFIX
+)
+
 _TRIGGERS = {
     model.RolloutState.COMPLETED: 'complete',
     model.RolloutState.ROLLED_BACK: 'roll_back',
@@ -279,6 +283,7 @@
     now_ms: float,
     endpoint: types.EndpointId = types.EndpointId(''),
     is_cold: bool = False,
+    whole_ms: float | None = None,
 ) -> None:
     """Count the end of a request that was sent.
 
@@ -290,18 +295,26 @@
     :param now_ms: current time.
     :param endpoint: the endpoint.
     :param is_cold: whether the endpoint was cold or its cache was filling.
+    :param whole_ms: time until the end of a complete stream, whose events may
+        be slow although its first one is not.
     """
     group = rollout_evidence.OLD_GROUP
     if version == rollout.order.version:
         group = rollout_evidence.find_group(endpoint)
-    if is_cold:
-        took_ms /= COLD_FACTOR
-    name = route[: rollout_evidence.MAX_NAME_CHARS]
+    factor = COLD_FACTOR if is_cold else 1.0
+    window = rollout.get_window(now_ms)
+    name = route[:MAX_ROUTE_CHARS]
     rollout.evidence.count(
-        (rollout.get_window(now_ms), name, group),
+        (window, name, group),
         is_failure,
-        rollout_evidence.find_class(took_ms),
+        rollout_evidence.find_class(took_ms / factor),
     )
+    if whole_ms is not None:
+        rollout.evidence.count(
+            (window, name + rollout_evidence.WHOLE_SUFFIX, group),
+            False,
+            rollout_evidence.find_class(whole_ms / factor),
+        )
 
 
 def apply_state(rollout: Rollout, state: model.RolloutState) -> None:
@@ -415,7 +428,9 @@
 ) -> bool:
     total = 0
     least_share = MIN_ANSWER_PART * rollout.bounds.exposure_share
-    for item in routes.values():
+    for route, item in routes.items():
+        if rollout_evidence.is_whole(route):
+            continue
         new = item.count_answers(is_old=False)
         old = item.count_answers(is_old=True)
         if new < min(MIN_ROUTE_ANSWERS, int(least_share * old)):
--- a/foxtailpick/tests/test_rollouts.py
+++ b/foxtailpick/tests/test_rollouts.py
@@ -374,6 +374,23 @@
     assert judge(evidence).standing is rollout_verdict.Standing.SOUND
 
 
+@pytest.mark.parametrize('factor', [1.0, 4.0])
+def test_streams_with_slow_events_are_slow(factor):
+    rollout = make_rollout()
+    for number in range(900):
+        version = NEW if number % 9 == 0 else OLD
+        whole_ms = 900.0 * (factor if version == NEW else 1.0)
+        rollouts.record_outcome(
+            rollout, 'r' * 300, version, False, 50.0, 1.0, f'e{number % 2}',
+            whole_ms=whole_ms,
+        )  # fmt: skip
+    assert rollouts.decide(rollout, 1_000.0).action is (
+        rollouts.Action.WAIT if factor == 1 else rollouts.Action.ROLL_BACK
+    )
+    for entry in rollout_reports.make_report(rollout, 1_000.0):
+        rollout_reports.decode_reports([entry])
+
+
 def test_earlier_answers_are_the_reference_where_no_old_endpoint_is_left():
     evidence = rollout_evidence.Evidence()
     count(evidence, 'a', 0, 0, 400, window=1)
