--- a/foxtailpick/core/dispatch/rollout_choice.py
+++ b/foxtailpick/core/dispatch/rollout_choice.py
@@ -121,19 +121,21 @@
     """Tell whether a request goes to the new version."""
     if rollout.is_condemned or not rollouts.is_informed(rollout, now_ms):
         return False
-    if step is None and now_ms >= rollout.deadline_ms:
+    is_over = rollout.has_failed_steps or now_ms >= rollout.deadline_ms
+    if step is None and is_over:
         # It can't be completed any more.
         return False
     bounds = rollout.bounds
     exposure = rollout.exposure
     if exposure.rounding is None:
-        slack = rollouts.SLACK_PART * bounds.exposure_slack / rollout.routers
-        exposure.rounding = rng.random() + slack
+        exposure.rounding = rng.random()
     if step is None or step < FIRST_FREE_STEP:
         most = (
-            rollouts.BUDGET_PART * bounds.exposure_share * (exposure.sent + 1)
+            exposure.rounding
+            + rollouts.SLACK_PART * bounds.exposure_slack / rollout.routers
+            + rollouts.BUDGET_PART * bounds.exposure_share * exposure.sent
         )
-        if exposure.sent_new + 1 > exposure.rounding + most:
+        if exposure.sent_new + 1 > most:
             return False
     share = rollouts.get_share(rollout, step, route)
     if key is None:
--- a/foxtailpick/core/dispatch/rollouts.py
+++ b/foxtailpick/core/dispatch/rollouts.py
@@ -27,8 +27,8 @@
 from foxtailpick.core import transition_table
 from foxtailpick.core import types
 
-# Parts of the tolerated exposure: of the canary's share, of the most that a
-# router sends before the last steps, and of the requests beyond the share.
+# Parts of what is tolerated: the canary's share, the most that a router sends
+# before the last steps, and the requests beyond that share.
 CANARY_PART = 0.4
 BUDGET_PART = 0.9
 SLACK_PART = 0.3
@@ -42,9 +42,9 @@
 # tolerated share of those of the old one. All routes together need so many.
 MIN_ANSWER_PART = 0.4
 MIN_ANSWERS = 10
-# A router without totals of this age sends nothing to the new version, unless
-# it is the only one.
-TOTALS_TTL_MS = 2_000.0
+# A router without totals of this age, as a part of the time for a roll-back,
+# sends nothing to the new version, unless it is the only one.
+TOTALS_TTL_PART = 0.4
 # A router that knows of no other for this time decides by its own evidence. A
 # list of routers may be some seconds old.
 LONE_MS = 10_000.0
@@ -65,6 +65,10 @@
 # A cold endpoint, or one with an empty cache, may be so many times slower.
 COLD_FACTOR = 2.0
 
+MAX_ROUTE_CHARS = rollout_evidence.MAX_NAME_CHARS - len(
+    rollout_evidence.WHOLE_SUFFIX
+)
+
 _TRIGGERS = {
     model.RolloutState.COMPLETED: 'complete',
     model.RolloutState.ROLLED_BACK: 'roll_back',
@@ -163,7 +167,14 @@
     :param is_condemned: whether some router found the version bad.
     :param totals_ms: when the last totals came, None before the first.
     :param steps_began_ms: when the last steps began, None if they did not.
+    :param steps_length_ms: their length in all.
+    :param has_failed_steps: whether they ended with a doubt.
     :param route_shares: share of the canary on routes with few requests.
+    :param verdict: the latest verdict, the worst one of all routes.
+    :param doubt: why the version isn't taken for good yet, None if it is.
+    :param judged_ms: when it was judged last.
+    :param reported_ms: when this router reported to the hub last.
+    :param has_reported_verdict: whether the hub was told that it is bad.
     """
 
     order: model.RolloutOrder
@@ -272,6 +283,7 @@
     now_ms: float,
     endpoint: types.EndpointId = types.EndpointId(''),
     is_cold: bool = False,
+    whole_ms: float | None = None,
 ) -> None:
     """Count the end of a request that was sent.
 
@@ -283,18 +295,26 @@
     :param now_ms: current time.
     :param endpoint: the endpoint.
     :param is_cold: whether the endpoint was cold or its cache was filling.
+    :param whole_ms: time until the end of a complete stream, whose events may
+        be slow although its first one is not.
     """
     group = rollout_evidence.OLD_GROUP
     if version == rollout.order.version:
         group = rollout_evidence.find_group(endpoint)
-    if is_cold:
-        took_ms /= COLD_FACTOR
-    name = route[: rollout_evidence.MAX_NAME_CHARS]
+    factor = COLD_FACTOR if is_cold else 1.0
+    window = rollout.get_window(now_ms)
+    name = route[:MAX_ROUTE_CHARS]
     rollout.evidence.count(
-        (rollout.get_window(now_ms), name, group),
+        (window, name, group),
         is_failure,
-        rollout_evidence.find_class(took_ms),
+        rollout_evidence.find_class(took_ms / factor),
     )
+    if whole_ms is not None:
+        rollout.evidence.count(
+            (window, name + rollout_evidence.WHOLE_SUFFIX, group),
+            False,
+            rollout_evidence.find_class(whole_ms / factor),
+        )
 
 
 def apply_state(rollout: Rollout, state: model.RolloutState) -> None:
@@ -360,13 +380,13 @@
 
 def is_informed(rollout: Rollout, now_ms: float) -> bool:
     """Tell whether the router knows what the others saw, or has no others."""
-    return rollout.routers == 1 or _has_totals(rollout, now_ms)
+    return _has_totals(rollout, now_ms) or _is_lone(rollout, now_ms)
 
 
 def _has_totals(rollout: Rollout, now_ms: float) -> bool:
+    ttl_ms = TOTALS_TTL_PART * rollout.bounds.rollback_ms
     return (
-        rollout.totals_ms is not None
-        and now_ms - rollout.totals_ms <= TOTALS_TTL_MS
+        rollout.totals_ms is not None and now_ms - rollout.totals_ms <= ttl_ms
     )
 
 
@@ -392,7 +412,7 @@
         rollout.is_condemned = True
     _update_route_shares(rollout, routes, now_ms)
     rollout.doubt = None
-    if not _has_totals(rollout, now_ms) and not _is_lone(rollout, now_ms):
+    if not is_informed(rollout, now_ms):
         rollout.doubt = Reason.NO_FRESH_TOTALS
     elif not rollout.capacity.is_enough:
         rollout.doubt = Reason.FEW_ENDPOINTS
@@ -408,7 +428,9 @@
 ) -> bool:
     total = 0
     least_share = MIN_ANSWER_PART * rollout.bounds.exposure_share
-    for item in routes.values():
+    for route, item in routes.items():
+        if rollout_evidence.is_whole(route):
+            continue
         new = item.count_answers(is_old=False)
         old = item.count_answers(is_old=True)
         if new < min(MIN_ROUTE_ANSWERS, int(least_share * old)):
@@ -443,16 +465,16 @@
 
 
 def _update_steps(rollout: Rollout, now_ms: float) -> None:
+    has_begun = rollout.steps_began_ms is not None
     if rollout.doubt is not None or now_ms < rollout.last_steps_ms:
-        if rollout.doubt is Reason.DOUBTFUL and rollout.steps_began_ms:
+        if has_begun and rollout.doubt is Reason.DOUBTFUL:
             # With the canary's share, a fault under load would not show again.
             rollout.has_failed_steps = True
         rollout.steps_began_ms = None
-    elif (
-        rollout.steps_began_ms is None
-        and not rollout.has_failed_steps
-        and now_ms < rollout.deadline_ms
-    ):
+        return
+    if has_begun or rollout.has_failed_steps:
+        return
+    if now_ms < rollout.deadline_ms:
         rollout.steps_began_ms = now_ms
         end_ms = rollout.deadline_ms - rollout.margin_ms
         rollout.steps_length_ms = max(MIN_STEPS_MS, end_ms - now_ms)
