Tell the evidence again under the id of a rewritten order

After a return of the store from an older copy the operators write an order again, which gives it another id. The hub adds up by id, so what was told under the id before has to be told again, or each router would judge by what came since only. Not seen by a caller; found by reading.

--- a/foxtailpick/gateway/rollouts.py
+++ b/foxtailpick/gateway/rollouts.py
@@ -9,6 +9,7 @@
 from foxtailpick.core.dispatch import model
 from foxtailpick.core.dispatch import restored_store
 from foxtailpick.core.dispatch import rollout_records
+from foxtailpick.core.dispatch import rollout_reports
 from foxtailpick.core.dispatch import rollouts as rollouts_lib
 from foxtailpick.core import errors
 from foxtailpick.core import types
@@ -201,6 +202,8 @@
             # Written again to a store that had lost it.
             before.order = order
             before.rollout.order = order
+            # The hub adds up the evidence by order.
+            rollout_reports.repeat_all(before.rollout)
             gw.log.emit('rollout-again', service=service, order=order.id)
             return
         rollout = rollouts_lib.Rollout.from_order(
