Kill the hub during a roll-out in a test; let answers take longer there

test_bad_version_is_rolled_back[3-slow] failed once in a whole run beside other work: answers of the old version took 60 ms instead of 5, so that a version that takes 40 ms wasn't several times slower, and it was completed with 3 of 6 slow answers. An answer now takes 25 ms, that of a slow version 250, and orders have 12 s. The bounds on exposure and outcome are as before.

--- a/foxtailpick/tests/test_gateway_rollouts.py
+++ b/foxtailpick/tests/test_gateway_rollouts.py
@@ -1,6 +1,7 @@
 """Tests of roll-outs of a version through gateways, over loopback sockets."""
 
 import contextlib
+import functools
 import itertools
 import json
 import random
@@ -12,12 +13,15 @@
 from foxtailpick.core.dispatch import model
 from foxtailpick.core.dispatch import rollout_choice
 from foxtailpick.core.dispatch import rollouts
+from foxtailpick.core import ring
 from foxtailpick.platform.standins import rollout_operator
+from foxtailpick.platform.standins import store_server
 from foxtailpick.tests import gateway_harness
 
 SERVICE = 'plain'
-WORK_MS = 5.0
-DURATION_S = 8
+# Longer than what a busy machine adds, so that a slow version is slow there.
+WORK_MS = 25.0
+DURATION_S = 12
 # Most that a bad version may get, as the operators' documentation says.
 EXPOSURE_SHARE = 0.1
 EXPOSURE_SLACK = 50
@@ -26,7 +30,7 @@
 ROLLED_BACK = model.RolloutState.ROLLED_BACK
 FAULTS = {
     'failing': rollout_operator.Fault(failing_share=0.4),
-    'slow': rollout_operator.Fault(slowness=8.0),
+    'slow': rollout_operator.Fault(slowness=10.0),
     'later': rollout_operator.Fault(failing_share=0.5, after_ms=1_500.0),
     'one-route': rollout_operator.Fault(failing_share=0.6, prefix='/unsafe/'),
 }
@@ -52,7 +56,7 @@
         self.statuses = []
         self.numbers = itertools.count()
 
-    async def run(self, callers=6):
+    async def run(self, callers=12):
         """Send requests until cancelled."""
         async with trio.open_nursery() as nursery:
             for _ in range(callers):
@@ -192,6 +196,57 @@
         assert states == [('in_progress', 'v2'), ('rolled_back', 'v2')]
 
 
+async def run_gateway(
+    name, store, scopes, task_status=trio.TASK_STATUS_IGNORED
+):
+    """Run a gateway that can be killed."""
+    with trio.CancelScope() as scopes[name]:
+        async with gateway_harness.open_harness(
+            name=name, store=store
+        ) as harness:
+            task_status.started(harness)
+            await trio.sleep_forever()
+
+
+@pytest.mark.parametrize('kind', ['sound', 'failing'])
+async def test_hub_is_killed_midway(kind):
+    """The others carry the order out; callers of the hub go elsewhere."""
+    names = ['router-1', 'router-2', 'router-3']
+    hub = ring.rank_by_rendezvous('hub', dict.fromkeys(names, 1.0))[0]
+    standin = store_server.PlatformStoreStandIn()
+    standin.put('op/config', gateway_harness.make_config())
+    fault = FAULTS.get(kind, rollout_operator.SOUND)
+    scopes = {}
+    async with trio.open_nursery() as nursery:
+        harnesses = {
+            name: await nursery.start(
+                functools.partial(run_gateway, name, standin, scopes)
+            )
+            for name in names
+        }
+        others = [harnesses[name] for name in names if name != hub]
+        fleet = Fleet(others[0])
+        fleet.start('v1')
+        for harness in harnesses.values():
+            await harness.until(
+                lambda h=harness: h.gw.state.router_count == len(names)
+            )
+            await fleet.until_known(harness)
+        operator = rollout_operator.RolloutOperator(standin)
+        load = Load(others)
+        nursery.start_soon(load.run)
+        await trio.sleep(0.3)
+        fleet.start('v2', fault)
+        operator.order(SERVICE, 'v2', DURATION_S)
+        await others[0].until(lambda: operator.list_states(SERVICE))
+        scopes[hub].cancel()
+        with trio.fail_after(DURATION_S):
+            state = await operator.wait_for_final(SERVICE, 'v2')
+        assert state is (COMPLETED if kind == 'sound' else ROLLED_BACK)
+        assert len(operator.list_states(SERVICE)) == 2
+        nursery.cancel_scope.cancel()
+
+
 async def test_gateway_that_starts_midway_learns_begin_and_state():
     async with open_fleet() as ((harness,), fleet, operator):
         fleet.start('v2')
