Count whole streams during a roll-out, beside their first events

A version whose events come slowly after a first one in time would pass. The time of a complete stream is passed on as well; a test with late events fails without it.

--- a/foxtailpick/gateway/rollout_path.py
+++ b/foxtailpick/gateway/rollout_path.py
@@ -203,6 +203,8 @@
         end.status is not None and end.status >= _SERVER_ERROR
     )
     until_ms = now_ms if end.answered_ms is None else end.answered_ms
+    is_stream = job.route.kind is model.RequestKind.STREAMING
+    is_whole = end.kind is retry_decision.AttemptEnd.DELIVERED
     endpoint = send.endpoint
     is_filling = bool(job.meta.parts) and endpoint.is_cache_filling(now_ms)
     rollouts_lib.record_outcome(
@@ -214,6 +216,7 @@
         now_ms,
         endpoint.id,
         is_filling or endpoint.is_cold(now_ms),
+        now_ms - send.started_ms if is_stream and is_whole else None,
     )
 
 
--- a/foxtailpick/tests/test_gateway_rollouts.py
+++ b/foxtailpick/tests/test_gateway_rollouts.py
@@ -12,6 +12,7 @@
 
 from foxtailpick.core.dispatch import model
 from foxtailpick.core.dispatch import rollout_choice
+from foxtailpick.core.dispatch import rollout_evidence
 from foxtailpick.core.dispatch import rollouts
 from foxtailpick.core import ring
 from foxtailpick.platform.standins import rollout_operator
@@ -465,6 +466,34 @@
         assert gw.state.table.get('v1-1').health.failures == 0
 
 
+async def answer_stream(exchange):
+    """Send a stream whose second half comes late."""
+    await exchange.begin_stream()
+    await exchange.send_events(1, 2)
+    await trio.sleep(0.1)
+    await exchange.send_events(3, 4)
+    await exchange.end_stream()
+
+
+async def test_streams_count_by_their_begin_and_as_a_whole():
+    async with open_fleet() as ((harness,), _, operator):
+        harness.add_endpoint('e1', 'engine', answer_stream, version='v1')
+        harness.add_endpoint('e2', 'engine', answer_stream, version='v2')
+        await harness.until_known('e1', 'e2')
+        operator.order('engine', 'v2', 60)
+        await harness.until(lambda: 'engine' in harness.gw.rollouts)
+        for number in range(5):
+            answer = await harness.ask('/fixed/x', X_Attempt_Id=f's{number}')
+            assert answer.status == 200
+        tallies = harness.gw.rollouts['engine'].evidence.tallies
+        slowest = {
+            rollout_evidence.is_whole(route): max(tally.classes)
+            for (_, route, _), tally in tallies.items()
+        }
+        late = rollout_evidence.find_class(100.0)
+        assert slowest[False] < late <= slowest[True]
+
+
 async def test_request_is_not_sent_after_a_verdict_while_it_connects(
     monkeypatch,
 ):
