Keep the outcome of an order that is removed after its end

The removal of a completed order marked its version as found bad, in the metrics; requests went by the state. The new test fails without the change. It also checks that the record decides against a verdict of this gateway, and that a version that comes later without an order gets requests.

--- a/foxtailpick/gateway/rollouts.py
+++ b/foxtailpick/gateway/rollouts.py
@@ -164,7 +164,7 @@
             if order is None:
                 if item is not None and not item.is_withdrawn:
                     item.is_withdrawn = True
-                    item.rollout.is_condemned = True
+                    item.rollout.is_condemned |= item.agreed is None
             elif item is None or item.order.id != order.id:
                 if self._is_known(service):
                     self._begin(service, order, item)
--- a/foxtailpick/tests/test_gateway_rollouts.py
+++ b/foxtailpick/tests/test_gateway_rollouts.py
@@ -1,6 +1,7 @@
 """Tests of roll-outs of a version through gateways, over loopback sockets."""
 
 import contextlib
+import dataclasses
 import functools
 import itertools
 import json
@@ -15,6 +16,7 @@
 from foxtailpick.core.dispatch import rollout_evidence
 from foxtailpick.core.dispatch import rollouts
 from foxtailpick.core import ring
+from foxtailpick.platform import items
 from foxtailpick.platform.standins import rollout_operator
 from foxtailpick.platform.standins import store_server
 from foxtailpick.tests import gateway_harness
@@ -306,6 +308,46 @@
         assert fleet.count('v2') == before
 
 
+def write_record(harness, state):
+    """Write the final state of the order under way, as another router."""
+    record = dataclasses.replace(
+        harness.gw.state.get_record(SERVICE), state=state, barred=('v1',)
+    )
+    for item in items.LAYOUT.encode_rollout(SERVICE, record):
+        harness.store.put(item.key, item.value)
+
+
+async def test_record_decides_and_a_completed_order_outlasts_its_removal():
+    async with open_fleet() as ((harness,), fleet, operator):
+        fleet.start('v2')
+        operator.order(SERVICE, 'v2', 60)
+        await harness.until(lambda: harness.gw.state.get_record(SERVICE))
+        # Found bad here, and completed by the others.
+        rollout = harness.gw.rollouts[SERVICE]
+        write_record(harness, COMPLETED)
+        rollout.is_condemned = True
+        await harness.until(lambda: get_state(harness) is COMPLETED)
+        assert not rollout.is_condemned
+        operator.withdraw(SERVICE)
+        await harness.until(
+            lambda: harness.gw.state.list_orders()[SERVICE] is None
+        )
+        await trio.sleep(0.5)
+        assert not rollout.is_condemned
+        before = fleet.count('v1')
+        for _ in range(20):
+            assert (await harness.ask('/safe/x')).status == 200
+        assert fleet.count('v1') == before
+        assert operator.list_states(SERVICE)[-1] == ('completed', 'v2')
+        # A version that comes without an order.
+        fleet.start('v3')
+        await fleet.until_known(harness)
+        for _ in range(40):
+            assert (await harness.ask('/safe/x')).status == 200
+        assert fleet.count('v3') > 0
+        assert fleet.count('v1') == before
+
+
 async def test_replaced_order_ends_without_an_answer_of_its_own():
     async with open_fleet() as ((harness,), fleet, operator):
         fleet.start('v2')
