Fetch no cached prompts from a version that gets nothing

Endpoints that leave still hand out cached prompts for a moment; after a roll-back these are the ones of the version that was found bad, and after a completion those that have stopped.

--- a/foxtailpick/gateway/execution.py
+++ b/foxtailpick/gateway/execution.py
@@ -238,7 +238,9 @@
         routers=gw.state.router_count,
         now_ms=now_ms,
         service_mean_load=table.compute_mean_load(service),
-        leaving=table.list_leaving(service, now_ms),
+        leaving=rollout_path.list_usable(
+            gw, service, table.list_leaving(service, now_ms)
+        ),
         rate_per_s=gw.get_placement_rate(service).compute_per_s(now_ms),
     )
     endpoints = rollout_path.select_endpoints(
--- a/foxtailpick/tests/test_gateway_rollouts.py
+++ b/foxtailpick/tests/test_gateway_rollouts.py
@@ -12,6 +12,7 @@
 import trio
 
 from foxtailpick.core.dispatch import model
+from foxtailpick.core.dispatch import placing
 from foxtailpick.core.dispatch import rollout_choice
 from foxtailpick.core.dispatch import rollout_evidence
 from foxtailpick.core.dispatch import rollouts
@@ -20,6 +21,7 @@
 from foxtailpick.platform.standins import rollout_operator
 from foxtailpick.platform.standins import store_server
 from foxtailpick.tests import gateway_harness
+from foxtailpick.tests import gateway_scripts
 
 SERVICE = 'plain'
 # Longer than what a busy machine adds, so that a slow version is slow there.
@@ -508,6 +510,34 @@
         assert gw.state.table.get('v1-1').health.failures == 0
 
 
+async def test_prompts_are_not_fetched_from_a_version_that_was_rolled_back(
+    monkeypatch,
+):
+    choose = placing.choose_within_limits
+    leaving = []
+
+    def note(endpoints, query, rng):
+        leaving.extend(item.entry.version for item in query.leaving)
+        return choose(endpoints, query, rng)
+
+    monkeypatch.setattr(placing, 'choose_within_limits', note)
+    async with open_fleet() as ((harness,), fleet, operator):
+        for version in ('v1', 'v2'):
+            harness.add_endpoint(
+                f'{version}-gone',
+                SERVICE,
+                gateway_scripts.answer_plainly,
+                version=version,
+                state='draining',
+            )
+        await harness.until_known('v1-gone', 'v2-gone')
+        operator.order(SERVICE, 'v2', 0)
+        await operator.wait_for_final(SERVICE, 'v2')
+        await harness.until(lambda: get_state(harness) is ROLLED_BACK)
+        assert (await harness.ask('/safe/x')).status == 200
+    assert leaving == ['v1']
+
+
 async def answer_stream(exchange):
     """Send a stream whose second half comes late."""
     await exchange.begin_stream()
