Refuse absurd numbers of prompt tokens instead of counting with them

Cause: X-Token-Count and the tokens of prompt parts were read as any integer. The backlog of prompts adds them up: three requests that name 308 digits ended the whole gateway with an OverflowError, and with it every request at it; a negative number hid the unread prompts of others. Change: both are refused with 400 unless they are numbers from 0 to 10 million, as other malformed headers are. Result: the gateway's test and five cases of malformed headers failed before, all pass.

--- a/foxtailpick/platform/dialect.py
+++ b/foxtailpick/platform/dialect.py
@@ -50,6 +50,9 @@
 _MAX_PACE = 100_000
 # Digits of the largest valid figure.
 _MAX_DIGITS = 7
+# Tokens of a prompt or an answer beyond which a statement is invalid.
+_MAX_TOKENS = 10_000_000
+_MAX_TOKEN_DIGITS = 8
 
 
 def decode_request(
@@ -220,7 +223,24 @@
     if not value:
         return 0, 0
     prompt, _, output = value.partition(b',')
-    return int(prompt), int(output or 0)
+    return _parse_tokens(prompt), _parse_tokens(output or b'0')
+
+
+def _parse_tokens(value: bytes) -> int:
+    """Return a number of tokens.
+
+    :param value: the number as text.
+    :raises ValueError: if it is no number of tokens, or an absurd one.
+    """
+    text = value.strip()
+    if not text.isdigit() or len(text) > _MAX_TOKEN_DIGITS:
+        raise ValueError(f'expected a number of tokens, got {value[:40]!r}')
+    tokens = int(text)
+    if tokens > _MAX_TOKENS:
+        raise ValueError(
+            f'expected at most {_MAX_TOKENS} tokens, got {tokens}'
+        )
+    return tokens
 
 
 def _parse_parts(value: bytes | None) -> tuple[model.PromptPart, ...]:
@@ -228,7 +248,9 @@
         return ()
     pairs = (part.partition(':') for part in value.decode('ascii').split(','))
     return tuple(
-        model.PromptPart(types.PartId(part.strip()), int(tokens))
+        model.PromptPart(
+            types.PartId(part.strip()), _parse_tokens(tokens.encode())
+        )
         for part, _, tokens in pairs
     )
 
--- a/foxtailpick/tests/test_gateway_callers.py
+++ b/foxtailpick/tests/test_gateway_callers.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import trio
+
 from foxtailpick.gateway import client as client_lib
 from foxtailpick.gateway import server
 from foxtailpick.tests import gateway_harness
@@ -101,3 +103,26 @@
         for conn in conns:
             conn.close()
     assert again.status == 200
+
+
+async def test_absurd_number_of_tokens_ends_no_gateway():
+    """Each is refused, and others are served beside them."""
+    async with gateway_harness.open_harness() as harness:
+        harness.add_endpoint('e1', 'engine', gateway_scripts.hang)
+        harness.add_endpoint('p1', 'plain', gateway_scripts.answer_plainly)
+        await harness.until_known('e1', 'p1')
+        conns = [
+            await harness.send(
+                '/movable/x',
+                b'POST',
+                X_Attempt_Id=f'a{number}',
+                X_Token_Count='9' * 308 + ',1',
+            )
+            for number in range(3)
+        ]
+        # Some checks of the order of waiting requests.
+        for _ in range(5):
+            assert (await harness.ask('/safe/x')).status == 200
+            await trio.sleep(0.1)
+        for conn in conns:
+            conn.close()
--- a/foxtailpick/tests/test_platform.py
+++ b/foxtailpick/tests/test_platform.py
@@ -211,7 +211,12 @@
     [
         (b'x-deadline-ms', b'soon'),
         (b'x-prefix-hash', b'ab'),
+        (b'x-prefix-hash', b'ab:-1'),
+        (b'x-prefix-hash', b'ab:' + b'9' * 308),
         (b'x-token-count', b'many'),
+        (b'x-token-count', b'-500000,1'),
+        (b'x-token-count', b'9' * 308 + b',1'),
+        (b'x-token-count', b'1,10000001'),
     ],
 )
 def test_malformed_headers_are_refused(header):
