Recognize returning callers by requests with a body only

Cause: equal requests of different callers of an account, as lookups of one item, were taken for one caller that repeats at once, and refused until the first one was due back. Change: requests without a body aren't recognized when they come again. Result: the bounds of the former order under a surge hold for this one, all callers of the other accounts are served; a caller that repeats at once is refused again with the rest of its time.

--- a/foxtailpick/gateway/ordered_admission.py
+++ b/foxtailpick/gateway/ordered_admission.py
@@ -182,7 +182,7 @@
     now_ms: float,
 ) -> overload_rank.Ticket:
     arrival = returning.Arrival(now_ms, now_ms)
-    if len(order.refused):
+    if len(order.refused) and _is_recognizable(job):
         arrival = order.refused.recognize(job.signature, now_ms)
     estimate = gw.first_byte_estimates.get(job.route.name)
     run_ms = gw.get_queue(job.service.name).mean_run_ms
@@ -208,6 +208,14 @@
     )
 
 
+def _is_recognizable(job: job_lib.Job) -> bool:
+    """Tell whether a request is likely to differ from all other callers'.
+
+    Many callers of an account may look up the same item.
+    """
+    return bool(job.req.body)
+
+
 def _refuse(
     gw: context.Gateway,
     order: overload_order.Order,
@@ -224,9 +232,10 @@
     retry_ms = overload_order.refuse(
         order, ticket, job.deadline_ms - now_ms, now_ms, gw.rng
     )
-    order.refused.record(
-        job.signature, ticket.arrival, now_ms + retry_ms, now_ms
-    )
+    if _is_recognizable(job):
+        order.refused.record(
+            job.signature, ticket.arrival, now_ms + retry_ms, now_ms
+        )
     _record(gw, order, job, ticket, cause, expected_ms, retry_ms)
     raise errors.RequestError(
         errors.ErrorCode.OVERLOADED,
--- a/foxtailpick/tests/test_admission.py
+++ b/foxtailpick/tests/test_admission.py
@@ -2,6 +2,7 @@
 
 import contextlib
 
+import pytest
 import trio
 
 from foxtailpick.core.dispatch import account_usage
@@ -154,3 +155,33 @@
         await harness.until(lambda: not order.tickets)
         done.set()
     assert [seen.id for seen in engine.received] == ['first']
+
+
+@pytest.mark.parametrize(
+    ('body', 'is_known'), [(b'prompt', True), (b'', False)]
+)
+async def test_caller_that_repeats_at_once_is_refused_again(
+    body, is_known, monkeypatch
+):
+    """Without a body it may be another caller's equal request."""
+    async with open_full_harness(monkeypatch, routes=None) as (
+        harness,
+        engine,
+        queue,
+        _,
+    ):
+        order = harness.gw.get_order('engine')
+        queue.mean_run_ms = 60_000.0
+        await harness.until(lambda: 0 < order.flow.requests_per_s < 0.1)
+        answers = [
+            await harness.ask('/movable/x', b'POST', body, X_Attempt_Id=name)
+            for name in ('one', 'two')
+        ]
+    assert [answer.status for answer in answers] == [503, 503]
+    first_s, second_s = (
+        float(answer.headers[b'retry-after']) for answer in answers
+    )
+    assert len(order.refused) == is_known
+    if is_known:
+        assert second_s < first_s
+    assert [seen.id for seen in engine.received] == ['first']
--- a/foxtailpick/tests/test_overload_order.py
+++ b/foxtailpick/tests/test_overload_order.py
@@ -11,6 +11,7 @@
 from foxtailpick.tests import engine_model
 from foxtailpick.tests import ordered_router
 from foxtailpick.tests import overload_fleet
+from foxtailpick.tests import test_overload
 from foxtailpick.tests import test_short_runs
 
 ROOM = overload_fleet.ROOM_PER_S
@@ -206,6 +207,30 @@
     assert impatient < sound + MAX_INVERSION
 
 
+class _OneKind(ordered_router.OrderedRouter):
+    target_ms = test_overload.TARGET_MS
+
+
+def test_surge_keeps_the_bounds_of_the_former_order():
+    """As in test_overload, where one kind of request competes."""
+    runs = test_overload.make_surge(1)
+    for number, run in enumerate(runs):
+        run.caller = number
+    engine_model.Simulation(test_overload.SERVICE, make_router=_OneKind).run(
+        runs
+    )
+    calm = [run for run in runs if run.account != 'hot']
+    hot = [run for run in runs if run.account == 'hot']
+    assert all(run.is_done for run in calm)
+    delay_ms = test_overload.compute_delay_quantile(calm, 0.9)
+    assert delay_ms < test_overload.TARGET_MS
+    unserved = [run for run in hot if not run.is_done and not run.is_rejected]
+    assert len(unserved) < 0.01 * len(hot)
+    assert not any(run.is_rejected and run.engine for run in hot)
+    done = sum(run.is_done for run in runs)
+    assert done > 0.9 * 10 * test_overload.CAPACITY
+
+
 def test_nothing_waits_while_there_is_room():
     def make_calm():
         return overload_fleet.make_mix(0.5 * ROOM, 8)
