Count waits of the order in the soak, and explain them with their overload

Cause: the soak tells requests that wait by the event of the former queue, and the timeline of a request left out the changes of its service's state. Change: both know the events of the order.

--- a/foxtailpick/gateway/request_timeline.py
+++ b/foxtailpick/gateway/request_timeline.py
@@ -14,6 +14,8 @@
         'endpoints-read',
         'hub-changed',
         'log-lines-dropped',
+        'overload-over',
+        'overloaded',
         'registration-failed',
         'reloaded',
         'started',
--- a/foxtailpick/soak/losses.py
+++ b/foxtailpick/soak/losses.py
@@ -22,6 +22,9 @@
 # Rounding of deadlines between callers and gateways.
 DEADLINE_MARGIN_MS = 20.0
 
+# Events of a request that waits for a slot or for room.
+_WAIT_EVENTS = frozenset(('held', 'overload-waits'))
+
 # Log lines about requests, by request.
 Lines = typing.Mapping[str, typing.Sequence[request_timeline.Line]]
 
@@ -202,7 +205,7 @@
     events = {line['event'] for line in lines.get(call.id, ())}
     if 'placed' in events:
         return State.CONNECTING
-    if 'held' in events:
+    if not events.isdisjoint(_WAIT_EVENTS):
         return State.QUEUED
     # Some refusals are logged without the id.
     return State.READ if events or call.status else State.UNREAD
@@ -266,7 +269,7 @@
         met.add(State.CONNECTING)
     first_placed_ms = placed[0][0] if placed else call.ended_ms
     is_queued = any(
-        line['event'] == 'held' and at_ms <= silence.to_ms
+        line['event'] in _WAIT_EVENTS and at_ms <= silence.to_ms
         for at_ms, line in events
     )
     if first_placed_ms > silence.from_ms:
