Check in the soak that no request waits beyond its use

Change: with planned work and silent endpoints, each wait for room in the logs of the gateways ends within the time that the request was of use, with a slack of 300 ms for checks and a busy machine. A wait that is too long is found.

--- a/foxtailpick/soak/run.py
+++ b/foxtailpick/soak/run.py
@@ -14,6 +14,7 @@
 from foxtailpick.soak import losses
 from foxtailpick.soak import plan as plan_lib
 from foxtailpick.soak import record as record_lib
+from foxtailpick.soak import waits
 from foxtailpick.soak import world as world_lib
 
 SERVICES = ('engine', 'plain')
@@ -87,6 +88,7 @@
         lines = losses.read_lines(path.glob('*.log'))
         record.logged = set(lines)
         breaches.extend(losses.check(record))
+        breaches.extend(waits.check(record, lines))
         losses.write_cases(record, lines, path / 'cases')
         print(f'seed {seed}: {losses.format_summary(record, lines)}')
     if breaches:
--- a/foxtailpick/tests/engine_model.py
+++ b/foxtailpick/tests/engine_model.py
@@ -374,9 +374,8 @@
             if self.now_ms % admission_queue.CHECK_INTERVAL_MS == 0:
                 self._release()
             self._advance()
-            again = self._list_repeats()
-            runs.extend(again)
-            for run in again:
+            for run in self._list_repeats():
+                runs.append(run)
                 bisect.insort(pending, run, key=lambda run: run.arrived_ms)
             self.now_ms += TICK_MS
         return runs
--- a/foxtailpick/tests/test_soak_silence.py
+++ b/foxtailpick/tests/test_soak_silence.py
@@ -23,6 +23,7 @@
 from foxtailpick.soak import proxy as proxy_lib
 from foxtailpick.soak import record as record_lib
 from foxtailpick.soak import run
+from foxtailpick.soak import waits
 from foxtailpick.soak import world as world_lib
 
 Excuse = losses.Excuse
@@ -317,3 +318,22 @@
 
 if __name__ == '__main__':
     run_hasty_gateway()
+
+
+@pytest.mark.parametrize(
+    ('waited_ms', 'end', 'breaches'),
+    [
+        (800.0, 'overload-refused', 0),
+        (1_400.0, 'overload-refused', 1),
+        (1_400.0, 'overload-admitted', 1),
+        (1_400.0, 'ended', 0),
+    ],
+)
+def test_too_long_a_wait_for_room_is_found(waited_ms, end, breaches):
+    lines = {
+        'a1': [
+            {'ms': 100.0, 'event': 'overload-waits', 'left_ms': 1_000.0},
+            {'ms': 100.0 + waited_ms, 'event': end},
+        ]
+    }
+    assert len(waits.check(make_record(), lines)) == breaches
