Bound the last steps of a roll-out by what a router may send

Cause: the budget ended with the step of 0.25; nothing bounded the steps of 0.5 and 1, and steps that ended for missing totals could begin anew, also near the deadline, and complete after it. What callers saw: a version that turned bad late in the steps got far more than a tenth of the requests, up to being completed. A share of 0.1 goes on after the full step until its answers have reached all routers; the completion needs totals from after the step. Nothing is begun or completed past the deadline. What is tolerated and sent is a module of its own.

--- a/foxtailpick/core/dispatch/rollout_choice.py
+++ b/foxtailpick/core/dispatch/rollout_choice.py
@@ -18,13 +18,14 @@
 from foxtailpick.core.dispatch import model
 from foxtailpick.core.dispatch import rollout_capacity
 from foxtailpick.core.dispatch import rollout_evidence
+from foxtailpick.core.dispatch import rollout_exposure
 from foxtailpick.core.dispatch import rollouts
 from foxtailpick.core import ring
 from foxtailpick.core import types
 
 # Decay of the peak of the load with each observation.
 PEAK_DECAY = 0.98
-# The budget holds before this step.
+# From this step on, what is tolerated until the deadline may be used up.
 FIRST_FREE_STEP = 2
 # Endpoints of the new version that share the canary's requests at least.
 MIN_CANARIES = 2
@@ -96,7 +97,7 @@
     if rollout.state is model.RolloutState.ROLLED_BACK or not new:
         return old
     step = rollouts.find_step(rollout, now_ms)
-    is_moved = step is not None and rollouts.STEP_SHARES[step] >= 1
+    is_moved = rollouts.get_share(rollout, step, route) >= 1
     if not old and rollout.doubt is None and not rollout.is_condemned:
         # A version without evidence against it serves rather than none.
         return new
@@ -121,32 +122,52 @@
     """Tell whether a request goes to the new version."""
     if rollout.is_condemned or not rollouts.is_informed(rollout, now_ms):
         return False
-    is_over = rollout.has_failed_steps or now_ms >= rollout.deadline_ms
-    if step is None and is_over:
+    if now_ms >= rollout.deadline_ms:
+        return False
+    if step is None and rollout.has_failed_steps:
         # It can't be completed any more.
         return False
-    bounds = rollout.bounds
     exposure = rollout.exposure
     if exposure.rounding is None:
         exposure.rounding = rng.random()
-    if step is None or step < FIRST_FREE_STEP:
-        most = (
-            exposure.rounding
-            + rollouts.SLACK_PART * bounds.exposure_slack / rollout.routers
-            + rollouts.BUDGET_PART * bounds.exposure_share * exposure.sent
-        )
-        if exposure.sent_new + 1 > most:
-            return False
+    if exposure.sent_new + 1 > _compute_budget(rollout, step, now_ms):
+        return False
     share = rollouts.get_share(rollout, step, route)
     if key is None:
         return rng.random() < share
     if step is None:
         # Where the keys of this share have too few requests, more keys.
-        lag = rollouts.CANARY_PART * bounds.exposure_share * exposure.sent
+        usual = rollouts.CANARY_PART * rollout.bounds.exposure_share
+        lag = usual * exposure.sent
         share *= 1 + max(0.0, lag - exposure.sent_new - 1)
     return _hash_part(f'{rollout.order.id}\0{key}') < share
 
 
+def _compute_budget(
+    rollout: rollouts.Rollout, step: int | None, now_ms: float
+) -> float:
+    """Return how many requests the new version may have got by now."""
+    bounds = rollout.bounds
+    exposure = rollout.exposure
+    requests: float = exposure.sent
+    if step is not None and step >= FIRST_FREE_STEP:
+        requests = rollout_exposure.estimate_requests(
+            exposure, now_ms - rollout.began_ms, rollout.order.duration_ms
+        )
+    most = rollouts.BUDGET_PART * bounds.exposure_share * requests
+    if step is not None and FIRST_FREE_STEP <= step < len(
+        rollouts.STEP_SHARES
+    ):
+        # What is sent after the last step.
+        part = rollouts.SETTLE_MS / rollout.order.duration_ms
+        most -= rollouts.SETTLE_SHARE * part * requests
+    return (
+        (exposure.rounding or 0.0)
+        + rollouts.SLACK_PART * bounds.exposure_slack / rollout.routers
+        + most
+    )
+
+
 def _hash_part(text: str) -> float:
     return xxhash.xxh3_64_intdigest(text.encode()) / 2.0**64
 
--- a/foxtailpick/core/dispatch/rollouts.py
+++ b/foxtailpick/core/dispatch/rollouts.py
@@ -23,6 +23,7 @@
 from foxtailpick.core.dispatch import model
 from foxtailpick.core.dispatch import rollout_capacity
 from foxtailpick.core.dispatch import rollout_evidence
+from foxtailpick.core.dispatch import rollout_exposure
 from foxtailpick.core.dispatch import rollout_verdict
 from foxtailpick.core import transition_table
 from foxtailpick.core import types
@@ -58,6 +59,12 @@
 STEPS_SHARE = 0.2
 MAX_STEPS_MS = 20_000.0
 MIN_STEPS_MS = 2_000.0
+# After the last step the version gets this share until its answers reached
+# all routers, also if a message is lost.
+SETTLE_MS = 1_700.0
+SETTLE_SHARE = 0.1
+# Of this time, so much is kept as a part of the order's time.
+MAX_SETTLE_SHARE = 0.05
 STEP_SHARES = (0.1, 0.25, 0.5, 1.0)
 STEP_STARTS = (0.0, 1 / 6, 2 / 6, 3 / 6)
 # The new version is judged again at this interval.
@@ -75,21 +82,6 @@
 }
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RolloutBounds:
-    """What the operators tolerate of a bad version.
-
-    :param exposure_share: share of a service's requests that it may get.
-    :param exposure_slack: requests that it may get beyond that.
-    :param rollback_ms: time after its 50th bad answer until which it may
-        get requests.
-    """
-
-    exposure_share: float = 0.1
-    exposure_slack: float = 50.0
-    rollback_ms: float = 5_000.0
-
-
 class Action(enum.Enum):
     """What a router should do about a roll-out."""
 
@@ -135,21 +127,6 @@
     totals_age_ms: int | None
 
 
-@dataclasses.dataclass(slots=True)
-class Exposure:
-    """Requests that this router sent to a service since the order.
-
-    :param sent: to either version.
-    :param sent_new: to the new version.
-    :param rounding: random part of a request that the new version gets
-        first, None before the first choice.
-    """
-
-    sent: int = 0
-    sent_new: int = 0
-    rounding: float | None = None
-
-
 @dataclasses.dataclass(slots=True)
 class Rollout:
     """One order at this router.
@@ -179,7 +156,7 @@
 
     order: model.RolloutOrder
     began_ms: float
-    bounds: RolloutBounds = RolloutBounds()
+    bounds: rollout_exposure.RolloutBounds = rollout_exposure.RolloutBounds()
     state: model.RolloutState = model.RolloutState.IN_PROGRESS
     evidence: rollout_evidence.Evidence = dataclasses.field(
         default_factory=rollout_evidence.Evidence
@@ -187,7 +164,9 @@
     totals: dict[rollout_evidence.Key, rollout_evidence.Tally] = (
         dataclasses.field(default_factory=dict)
     )
-    exposure: Exposure = dataclasses.field(default_factory=Exposure)
+    exposure: rollout_exposure.Exposure = dataclasses.field(
+        default_factory=rollout_exposure.Exposure
+    )
     capacity: rollout_capacity.Capacity = rollout_capacity.Capacity()
     routers: int = 1
     alone_since_ms: float | None = None
@@ -208,7 +187,7 @@
         cls,
         order: model.RolloutOrder,
         began_ms: float,
-        bounds: RolloutBounds | None = None,
+        bounds: rollout_exposure.RolloutBounds | None = None,
     ) -> 'Rollout':
         """Return the roll-out of an order.
 
@@ -216,7 +195,7 @@
         :param began_ms: when it was given.
         :param bounds: what the operators tolerate.
         """
-        return cls(order, began_ms, bounds or RolloutBounds())
+        return cls(order, began_ms, bounds or rollout_exposure.RolloutBounds())
 
     @property
     def deadline_ms(self) -> float:
@@ -234,8 +213,13 @@
     def last_steps_ms(self) -> float:
         """When the last steps begin."""
         duration_ms = self.order.duration_ms
-        steps_ms = min(MAX_STEPS_MS, STEPS_SHARE * duration_ms)
-        return self.deadline_ms - self.margin_ms - steps_ms
+        return self.steps_end_ms - min(MAX_STEPS_MS, STEPS_SHARE * duration_ms)
+
+    @property
+    def steps_end_ms(self) -> float:
+        """When the last steps end, if they began in time."""
+        settle_ms = min(SETTLE_MS, MAX_SETTLE_SHARE * self.order.duration_ms)
+        return self.deadline_ms - self.margin_ms - settle_ms
 
     def get_window(self, now_ms: float) -> int:
         """Return the number of the current window of the evidence."""
@@ -345,8 +329,7 @@
         return _make_decision(rollout, Action.ROLL_BACK, Reason.BAD, now_ms)
     _update_steps(rollout, now_ms)
     if rollout.steps_began_ms is not None:
-        passed_ms = now_ms - rollout.steps_began_ms
-        if passed_ms >= rollout.steps_length_ms:
+        if _is_settled(rollout, now_ms):
             return _make_decision(
                 rollout, Action.COMPLETE, Reason.MOVED, now_ms
             )
@@ -464,9 +447,20 @@
             rollout.route_shares[route] = min(MAX_ROUTE_SHARE, share)
 
 
+def _is_settled(rollout: Rollout, now_ms: float) -> bool:
+    """Tell whether the version was judged by what the full step showed."""
+    assert rollout.steps_began_ms is not None
+    end_ms = rollout.steps_began_ms + rollout.steps_length_ms
+    judged_ms = rollout.judged_ms
+    if not _is_lone(rollout, now_ms):
+        judged_ms = min(judged_ms, rollout.totals_ms or -math.inf)
+    return now_ms >= end_ms + SETTLE_MS and judged_ms > end_ms
+
+
 def _update_steps(rollout: Rollout, now_ms: float) -> None:
     has_begun = rollout.steps_began_ms is not None
-    if rollout.doubt is not None or now_ms < rollout.last_steps_ms:
+    is_time = rollout.last_steps_ms <= now_ms < rollout.deadline_ms
+    if rollout.doubt is not None or not is_time:
         if has_begun and rollout.doubt is Reason.DOUBTFUL:
             # With the canary's share, a fault under load would not show again.
             rollout.has_failed_steps = True
@@ -474,22 +468,25 @@
         return
     if has_begun or rollout.has_failed_steps:
         return
-    if now_ms < rollout.deadline_ms:
-        rollout.steps_began_ms = now_ms
-        end_ms = rollout.deadline_ms - rollout.margin_ms
-        rollout.steps_length_ms = max(MIN_STEPS_MS, end_ms - now_ms)
+    rollout.steps_began_ms = now_ms
+    rollout.steps_length_ms = max(MIN_STEPS_MS, rollout.steps_end_ms - now_ms)
 
 
 def find_step(rollout: Rollout, now_ms: float) -> int | None:
-    """Return the number of the current step, None before the first."""
+    """Return the number of the current step, None before the first.
+
+    After the last step it is the number of steps.
+    """
     if rollout.steps_began_ms is None:
         return None
     part = (now_ms - rollout.steps_began_ms) / rollout.steps_length_ms
+    if part >= 1:
+        return len(STEP_SHARES)
     return sum(part >= start for start in STEP_STARTS) - 1
 
 
 def get_share(rollout: Rollout, step: int | None, route: str) -> float:
     if step is not None:
-        return STEP_SHARES[step]
+        return (*STEP_SHARES, SETTLE_SHARE)[step]
     usual = CANARY_PART * rollout.bounds.exposure_share
     return max(usual, rollout.route_shares.get(route, 0.0))
--- a/foxtailpick/gateway/rollouts.py
+++ b/foxtailpick/gateway/rollouts.py
@@ -8,6 +8,7 @@
 from foxtailpick.adapters import base
 from foxtailpick.core.dispatch import model
 from foxtailpick.core.dispatch import restored_store
+from foxtailpick.core.dispatch import rollout_exposure
 from foxtailpick.core.dispatch import rollout_records
 from foxtailpick.core.dispatch import rollout_reports
 from foxtailpick.core.dispatch import rollouts as rollouts_lib
@@ -243,9 +244,9 @@
             and restored_store.is_rewritten(order, before.order)
         )
 
-    def _make_bounds(self) -> rollouts_lib.RolloutBounds:
+    def _make_bounds(self) -> rollout_exposure.RolloutBounds:
         cfg = self._gw.cfg
-        return rollouts_lib.RolloutBounds(
+        return rollout_exposure.RolloutBounds(
             cfg.exposure_share, cfg.exposure_slack, cfg.rollback_ms
         )
 
