Let a hub of roll-outs go by totals only while most routers report

Cause: the hub recorded its own report and applied its own totals, so a hub cut off from its peers took its own evidence for that of all. What callers saw: such a hub went on sending to a new version and could complete a bad one alone, and first. Evidence: the new test failed before: a hub with 68 routers that heard of no other for 10 s was informed. Change: the hub keeps when each router reported last; without a report of half of the routers within 2 s it tells and applies no totals, only a verdict. Result: the new test passes; a play of a cut-off hub with a bad version was not run, nor the gateway's tests in full after this change.

--- a/foxtailpick/core/dispatch/rollout_reports.py
+++ b/foxtailpick/core/dispatch/rollout_reports.py
@@ -21,6 +21,9 @@
 # An order of which routers tell nothing for this time is dropped.
 ORDER_TTL_MS = 60_000.0
 MAX_ENTRIES_IN_MESSAGE = 16
+# Totals are known while this part of the routers reported within this time.
+MIN_HEARD_PART = 0.5
+HEARD_TTL_MS = 2_000.0
 
 
 def make_report(rollout: rollouts.Rollout, now_ms: float) -> list[typing.Any]:
@@ -85,6 +88,7 @@
     :param rows: tallies by router and key.
     :param sums: their sums.
     :param is_condemned: whether one of them found the version bad.
+    :param heard_ms: when the last report of each router came.
     :param received_ms: when the last report came.
     :param merged_ms: when the totals were told last.
     :param has_told: whether the verdict was told.
@@ -97,6 +101,9 @@
     sums: rollout_evidence.Evidence = dataclasses.field(
         default_factory=rollout_evidence.Evidence
     )
+    heard_ms: dict[types.RouterId, float] = dataclasses.field(
+        default_factory=dict
+    )
     is_condemned: bool = False
     received_ms: float = 0.0
     merged_ms: float = -math.inf
@@ -124,6 +131,7 @@
         for order, is_condemned, rows in report:
             known = self._orders.setdefault(order, _OrderReports())
             known.received_ms = now_ms
+            known.heard_ms[router] = now_ms
             known.is_condemned |= is_condemned
             told = known.rows.setdefault(router, {})
             for row in rows:
@@ -131,10 +139,14 @@
                 known.sums.replace(key, told.get(key), tally)
                 told[key] = tally
 
-    def merge(self, now_ms: float) -> list[typing.Any]:
+    def merge(self, now_ms: float, routers: int = 1) -> list[typing.Any]:
         """Return the totals to tell all routers now, nothing if not due.
 
+        A hub that most routers can't reach has no totals, but tells a
+        verdict.
+
         :param now_ms: current time.
+        :param routers: number of routers, including the hub.
         :returns: entries; each of them fits into one packet.
         """
         self._orders = {
@@ -147,6 +159,12 @@
             is_news = known.is_condemned and not known.has_told
             if now_ms - known.merged_ms < TOTALS_INTERVAL_MS and not is_news:
                 continue
+            heard = sum(
+                now_ms - heard_ms <= HEARD_TTL_MS
+                for heard_ms in known.heard_ms.values()
+            )
+            if heard < MIN_HEARD_PART * routers and not known.is_condemned:
+                continue
             known.merged_ms = now_ms
             known.has_told = known.is_condemned
             entries += _make_entries(order, known.is_condemned, known.sums)
--- a/foxtailpick/gateway/rollout_exchange.py
+++ b/foxtailpick/gateway/rollout_exchange.py
@@ -60,7 +60,7 @@
         """
         own = self._make_entries(now_ms)
         self._hub.record(self._gw.cfg.name, own, now_ms)
-        entries = self._hub.merge(now_ms)
+        entries = self._hub.merge(now_ms, self._gw.state.router_count)
         self._apply(entries, now_ms)
         return self._make_messages(_KIND_TOTALS, entries, now_ms)
 
--- a/foxtailpick/tests/rollout_fleet_model.py
+++ b/foxtailpick/tests/rollout_fleet_model.py
@@ -193,7 +193,7 @@
             report = rollout_reports.make_report(rollout, self.now_ms)
             for entry in report:
                 self._post(self.hub.record, f'r{number}', entry)
-        for entry in self.hub.merge(self.now_ms):
+        for entry in self.hub.merge(self.now_ms, len(self.routers)):
             for number in range(len(self.routers)):
                 self._post(self._apply_totals, number, entry)
         for rollout in self.routers:
--- a/foxtailpick/tests/test_rollout_steps.py
+++ b/foxtailpick/tests/test_rollout_steps.py
@@ -4,6 +4,9 @@
 
 from foxtailpick.core.dispatch import model
 from foxtailpick.core.dispatch import rollout_capacity
+from foxtailpick.core.dispatch import rollout_evidence
+from foxtailpick.core.dispatch import rollout_reports
+from foxtailpick.core.dispatch import rollout_verdict
 from foxtailpick.core.dispatch import rollouts
 from foxtailpick.tests import rollout_fleet_model
 
@@ -78,3 +81,37 @@
     rollout.totals_ms = rollout.judged_ms = now_ms = rollout.deadline_ms
     assert rollouts.decide(rollout, now_ms).action is rollouts.Action.WAIT
     assert rollout.steps_began_ms is None
+
+
+def test_hub_without_reports_of_others_is_not_informed():
+    rollout = rollouts.Rollout.from_order(
+        model.RolloutOrder('o1', 's', 'v2', 40_000.0), 0.0
+    )
+    rollout.routers = 68
+    hub = rollout_reports.HubRollouts()
+    for now_ms in range(0, 10_000, 100):
+        report = rollout_reports.make_report(rollout, now_ms)
+        hub.record('r0', report, now_ms)
+        rollout_reports.apply_totals(
+            rollout, hub.merge(now_ms, rollout.routers), now_ms
+        )
+    assert not rollouts.is_informed(rollout, now_ms)
+
+
+def test_version_slow_for_all_requests_in_the_full_step_is_not_sound():
+    evidence = rollout_evidence.Evidence()
+
+    def count(window, group, answers, took_ms):
+        cls = rollout_evidence.find_class(took_ms)
+        for _ in range(answers):
+            evidence.count((window, 'a', group), False, cls)
+
+    for window in range(12):
+        count(window, rollout_evidence.OLD_GROUP, 100, 50.0)
+        for group in (1, 2):
+            count(window, group, 4, 50.0)
+    for group in (1, 2, 3, 4):
+        count(12, group, 50, 200.0)
+    routes = rollout_verdict.group_by_route(evidence.tallies)
+    verdict = rollout_verdict.judge(routes, 12)
+    assert verdict.standing is not rollout_verdict.Standing.SOUND
