Choose plain endpoints of two, also by the requests of one router

Cause: where runs are shorter than counts are old, a router chose the endpoint with the least expected time of all by its own requests. Most of 33 routers have none in flight, so a pace just above the tolerated one sent all of them to the same endpoint. Found in a review, before any release. Change: the choice is made of two endpoints taken at random, and not above the guaranteed limit while the other one is below it, as with fresh counts.

--- a/foxtailpick/core/dispatch/paced_load.py
+++ b/foxtailpick/core/dispatch/paced_load.py
@@ -50,9 +50,10 @@
     """Choose an endpoint where runs are shorter than counts are old.
 
     The time that the next request would take is estimated by the requests of
-    this router alone. Small differences in pace don't matter.
+    this router alone. Small differences in pace don't matter. Most routers
+    have none in flight, so of all endpoints they would choose the same one.
 
-    :param items: the candidates, at least one.
+    :param items: some of the candidates, chosen at random, at least one.
     :param now_ms: current time.
     :param rng: source of random numbers, for a choice among equals.
     """
--- a/foxtailpick/core/dispatch/placing.py
+++ b/foxtailpick/core/dispatch/placing.py
@@ -347,18 +347,21 @@
     query: Query,
     rng: random.Random,
 ) -> Choice:
-    if short_runs.has_stale_counts(query.mean_run_ms):
-        if paced_load.has_paces(items):
-            best = paced_load.choose_by_own_requests(items, query.now_ms, rng)
-        else:
-            best = short_runs.choose_by_own_requests(items, rng)
+    is_paced = paced_load.has_paces(items)
+    is_stale = short_runs.has_stale_counts(query.mean_run_ms)
+    if is_stale and not is_paced:
+        best = short_runs.choose_by_own_requests(items, rng)
         return _make_choice(best, Reason.LEAST_LOADED, mean, items, query)
     pair = rng.sample(items, min(2, len(items)))
-    if paced_load.has_paces(items):
+    if is_paced:
         limit = load_limit.compute_guaranteed_limit(query.service_mean_load)
         below = [item for item in pair if item.load + 1 <= limit]
+        pair = below or pair
+    if is_stale:
+        best = paced_load.choose_by_own_requests(pair, query.now_ms, rng)
+    elif is_paced:
         best = min(
-            below or pair,
+            pair,
             key=lambda item: paced_load.estimate_time(item, query.now_ms),
         )
     else:
--- a/foxtailpick/tests/test_endpoint_pace.py
+++ b/foxtailpick/tests/test_endpoint_pace.py
@@ -252,6 +252,24 @@
     assert simulate_plain(70, paces, seed, True) <= MAX_LATE_SHARE
 
 
+@pytest.mark.parametrize('seed', range(1, 6))
+def test_limit_of_plain_endpoints_holds_with_many_routers(seed):
+    """Most of 33 routers have no request in flight when they place one."""
+    requests = plain_model.make_requests(54, seed, routers=33, clump=3)
+    paces = [plain_model.make_noise(10 * seed + n) for n in range(3)]
+    simulation = plain_model.Simulation(paces, routers=33)
+    simulation.run(requests)
+    for began_ms in range(0, 11_001, 250):
+        window = [
+            request.is_above_limit
+            for request in requests
+            if began_ms <= request.arrived_ms < began_ms + 5_000
+        ]
+        assert sum(window) < 20 or (
+            sum(window) <= MAX_SHARE_ABOVE_LIMIT * len(window)
+        )
+
+
 def simulate_engines(rate_per_s, paces, seed, states_paces):
     """Return the late share of the callers and the share that moved."""
     runs = engine_model.make_runs(
