Leave half of the retry budget, and full endpoints, to silent requests

Cause: a safe request whose answer is late is sent to a second endpoint early. Once endpoints queue, every request is late: the hedges used up the budget that failed and silent requests need, and added load. Change: such a hedge needs half of the full budget besides its own token, and an endpoint with a free slot.

--- a/foxtailpick/core/dispatch/endpoint_table.py
+++ b/foxtailpick/core/dispatch/endpoint_table.py
@@ -85,6 +85,11 @@
         """Estimated requests of all routers, running or queued there."""
         return self.running + self.remote_load
 
+    @property
+    def has_free_slot(self) -> bool:
+        """Whether a request would run there at once, as far as known."""
+        return self.load < self.entry.slots
+
     def is_cold(self, now_ms: float) -> bool:
         """Tell whether the endpoint is still warming up.
 
--- a/foxtailpick/core/dispatch/hedging.py
+++ b/foxtailpick/core/dispatch/hedging.py
@@ -20,6 +20,9 @@
 HANDOVER_MS = 300.0
 # Time until a silent request that could not be hedged is checked again.
 RECHECK_INTERVAL_MS = 250.0
+# Part of the retry budget that is kept for requests that failed or whose
+# endpoint is silent: a late answer mostly still arrives.
+RESERVED_BUDGET_SHARE = 0.5
 
 
 class HedgeDecision(enum.Enum):
@@ -34,6 +37,15 @@
     MAY_CRASH = 'may-crash-endpoint'
 
 
+def compute_min_tokens(is_silent: bool, burst: float) -> float:
+    """Return the tokens of the retry budget that a hedge needs.
+
+    :param is_silent: whether the endpoint is silent, as opposed to late.
+    :param burst: tokens of the full budget.
+    """
+    return 1.0 if is_silent else 1.0 + RESERVED_BUDGET_SHARE * burst
+
+
 def decide_hedge(
     route: model.Route,
     counted_attempts: int,
--- a/foxtailpick/core/dispatch/placing.py
+++ b/foxtailpick/core/dispatch/placing.py
@@ -213,10 +213,7 @@
 
 def _has_free_slot(choice: Choice) -> bool:
     endpoint = choice.endpoint
-    return (
-        choice.reason is not Reason.LAST_RESORT
-        and endpoint.load < endpoint.entry.slots
-    )
+    return choice.reason is not Reason.LAST_RESORT and endpoint.has_free_slot
 
 
 def compute_limited_rate_per_s(
--- a/foxtailpick/core/retry.py
+++ b/foxtailpick/core/retry.py
@@ -76,6 +76,11 @@
         self._tokens[service] = tokens - 1
         return True
 
+    @property
+    def burst(self) -> float:
+        """Tokens of a full bucket."""
+        return self._options.budget_burst
+
     def get_tokens(self, service: types.ServiceId) -> float:
         """Return the tokens of a service; a new service has a full bucket."""
         return self._tokens.get(service, self._options.budget_burst)
--- a/foxtailpick/gateway/execution.py
+++ b/foxtailpick/gateway/execution.py
@@ -178,11 +178,12 @@
     if runner not in group.runners:
         # It has ended since; its end is the next event.
         return
+    tokens = hedging.compute_min_tokens(runner.is_silent, gw.budget.burst)
     decision = hedging.decide_hedge(
         job.route,
         job.counted_attempts,
         group.is_each_silent,
-        gw.budget.get_tokens(job.service.name) >= 1,
+        gw.budget.get_tokens(job.service.name) >= tokens,
         quarantine.may_crash(gw, job),
     )
     choice = None
@@ -191,6 +192,7 @@
         if (
             isinstance(found, placing.Choice)
             and found.reason is not placing.Reason.LAST_RESORT
+            and (runner.is_silent or found.endpoint.has_free_slot)
         ):
             choice = found
         else:
--- a/foxtailpick/tests/test_retry.py
+++ b/foxtailpick/tests/test_retry.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from foxtailpick.core.dispatch import hedging
 from foxtailpick.core import retry
 from foxtailpick.core import verdict
 
@@ -87,3 +88,17 @@
     ]
     assert 300.0 <= min(delays) < 305.0
     assert 345.0 < max(delays) <= 350.0
+
+
+@pytest.mark.parametrize(
+    ('is_silent', 'spent', 'is_allowed'),
+    [(True, 9, True), (True, 10, False), (False, 4, True), (False, 5, False)],
+)
+def test_late_answers_leave_half_of_the_budget_to_silent_ones(
+    is_silent, spent, is_allowed
+):
+    budget = retry.RetryBudget(retry.RetryOptions(budget_burst=10.0))
+    for _ in range(spent):
+        assert budget.withdraw('plain')
+    tokens = hedging.compute_min_tokens(is_silent, budget.burst)
+    assert (budget.get_tokens('plain') >= tokens) == is_allowed
