Place requests where an engine's memory can take them

Cause: the memory of an engine was in no decision. Long prompts fill one that has free slots; it then preempts running requests or ends. Change: where the configuration states a capacity (services[].engine, kv_capacity), a request is placed where its tokens fit beside this router's and, by the hub, those of the others at engines that are half full (messages 20 and 21; nothing is sent while there is room), each router using an equal share of the room that all were told of. One that finds no room waits for half of the time until its caller gives up; after a quarter of its target it reserves room at one engine, and requests that have waited as long may pass it. Full engines still hand out prompts.

--- a/foxtailpick/core/dispatch/endpoint_table.py
+++ b/foxtailpick/core/dispatch/endpoint_table.py
@@ -48,6 +48,10 @@
     :param announced: what it announced in its responses.
     :param warmup_share: this router's share of its rate during the warm-up.
     :param pace: how long work takes there.
+    :param held_tokens: tokens of this router's requests there.
+    :param told_tokens: tokens of other routers' requests there, as told.
+    :param told_held_tokens: tokens of this router's requests at that time.
+    :param told_ms: when that was told.
     """
 
     entry: model.EndpointEntry
@@ -74,6 +78,10 @@
     pace: endpoint_pace.EndpointPace = dataclasses.field(
         default_factory=endpoint_pace.EndpointPace
     )
+    held_tokens: int = 0
+    told_tokens: int = 0
+    told_held_tokens: int = 0
+    told_ms: float = -math.inf
 
     @property
     def id(self) -> types.EndpointId:
--- a/foxtailpick/core/dispatch/model.py
+++ b/foxtailpick/core/dispatch/model.py
@@ -90,12 +90,15 @@
     :param warmup_ms: duration of an endpoint's warm-up.
     :param warmup_per_s: requests per second that an endpoint sustains
         during its warm-up, 0 for no limit.
+    :param memory_tokens: tokens that the memory of an endpoint holds, 0 if
+        not stated.
     """
 
     name: types.ServiceId
     max_connections: int
     warmup_ms: float
     warmup_per_s: float
+    memory_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/foxtailpick/core/dispatch/placing.py
+++ b/foxtailpick/core/dispatch/placing.py
@@ -75,6 +75,7 @@
     ALL_FULL = 'all-full'
     ALL_RESTING = 'all-resting'
     ALL_LIMITED = 'all-limited'
+    NO_MEMORY = 'no-memory'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/foxtailpick/core/dispatch/refusal.py
+++ b/foxtailpick/core/dispatch/refusal.py
@@ -48,6 +48,7 @@
     placing.Obstacle.ALL_FULL: FULL_MS,
     placing.Obstacle.ALL_RESTING: RESTED_SPREAD_MS,
     placing.Obstacle.ALL_LIMITED: TRIED_MS,
+    placing.Obstacle.NO_MEMORY: FULL_MS,
 }
 
 
--- a/foxtailpick/core/errors.py
+++ b/foxtailpick/core/errors.py
@@ -39,6 +39,7 @@
     ROUTE_UNKNOWN = 'FTP-216'
     ENDPOINT_HEADER_INVALID = 'FTP-217'
     PROMPT_QUARANTINED = 'FTP-218'
+    REQUEST_TOO_LARGE = 'FTP-220'
 
     # Configuration and patches.
     PATCH_MALFORMED = 'FTP-301'
--- a/foxtailpick/gateway/attempt.py
+++ b/foxtailpick/gateway/attempt.py
@@ -53,25 +53,31 @@
     silent_ms: float | None = None
 
 
-def reserve(endpoint: endpoint_table.Endpoint, now_ms: float) -> None:
+def reserve(
+    endpoint: endpoint_table.Endpoint, tokens: int, now_ms: float
+) -> None:
     """Count an attempt at an endpoint, which is about to start.
 
     :param endpoint: the endpoint.
+    :param tokens: tokens that it needs in the endpoint's memory.
     :param now_ms: current time.
     """
     if endpoint.is_cold(now_ms):
         rate_share.take_slot(endpoint.warmup_share)
     endpoint.running += 1
+    endpoint.held_tokens += tokens
     if endpoint.health.awaiting_since_ms is None:
         endpoint.health.awaiting_since_ms = now_ms
 
 
-def release(endpoint: endpoint_table.Endpoint) -> None:
+def release(endpoint: endpoint_table.Endpoint, tokens: int) -> None:
     """End what `reserve` began.
 
     :param endpoint: the endpoint.
+    :param tokens: tokens that the attempt needed.
     """
     endpoint.running -= 1
+    endpoint.held_tokens -= tokens
     if endpoint.running == 0:
         endpoint.health.awaiting_since_ms = None
 
--- a/foxtailpick/gateway/attempt_group.py
+++ b/foxtailpick/gateway/attempt_group.py
@@ -101,7 +101,9 @@
         runner = Runner(choice, self._gw.now_ms())
         self.runners.add(runner)
         self._job.tried.add(choice.endpoint.id)
-        attempt_lib.reserve(choice.endpoint, runner.started_ms)
+        attempt_lib.reserve(
+            choice.endpoint, self._job.work.memory_tokens, runner.started_ms
+        )
         rate = self._gw.get_placement_rate(self._job.service.name)
         rate.record(runner.started_ms)
         self._nursery.start_soon(self._run, runner)
@@ -154,7 +156,7 @@
             result = exc
         finally:
             # Runs also if the request is cancelled.
-            attempt_lib.release(runner.choice.endpoint)
+            attempt_lib.release(runner.choice.endpoint, job.work.memory_tokens)
             self.runners.discard(runner)
             if isinstance(result, attempt_lib.AttemptResult):
                 attempt_verdict = retry_decision.get_verdict(result.end)
--- a/foxtailpick/gateway/context.py
+++ b/foxtailpick/gateway/context.py
@@ -12,6 +12,7 @@
 from foxtailpick.core.dispatch import crash_policy
 from foxtailpick.core.dispatch import crash_records
 from foxtailpick.core.dispatch import decayed_rate
+from foxtailpick.core.dispatch import endpoint_memory
 from foxtailpick.core.dispatch import endpoint_table
 from foxtailpick.core.dispatch import model
 from foxtailpick.core.dispatch import refusal
@@ -140,6 +141,7 @@
     :param account_usage: usage of each service by its accounts.
     :param queues: admission queue of each service.
     :param first_byte_estimates: times to the first byte on each route.
+    :param memories: memory of each service's endpoints, as known here.
     :param usual_times: usual times of plain answers on each route.
     :param placement_rates: rate of this gateway's requests to each service.
     :param return_schedules: when refused callers of each service return.
@@ -181,6 +183,9 @@
     first_byte_estimates: dict[str, response_timeout.FirstByteEstimate] = (
         dataclasses.field(default_factory=dict)
     )
+    memories: dict[types.ServiceId, endpoint_memory.ServiceMemory] = (
+        dataclasses.field(default_factory=dict)
+    )
     usual_times: dict[str, request_work.UsualValue] = dataclasses.field(
         default_factory=dict
     )
--- a/foxtailpick/gateway/execution.py
+++ b/foxtailpick/gateway/execution.py
@@ -19,6 +19,7 @@
 from foxtailpick.gateway import attempt_group
 from foxtailpick.gateway import context
 from foxtailpick.gateway import job as job_lib
+from foxtailpick.gateway import memory_room
 from foxtailpick.gateway import quarantine
 from foxtailpick.gateway import reply as reply_lib
 
@@ -44,6 +45,7 @@
     :raises errors.RequestError: if no endpoint answers.
     :raises http1.BrokenConnectionError: if the caller disconnected.
     """
+    memory_room.check_request(gw, job)
     quarantine.check_request(gw, job)
     await admission.wait_for_slot(gw, job)
     outcome = model.Outcome.CALLER_LEFT
@@ -229,6 +231,12 @@
     now_ms = gw.now_ms()
     table = gw.state.table
     service = job.service.name
+    endpoints = table.list_service(service) or table.list_last_resort(
+        service, now_ms
+    )
+    roomy, full = memory_room.split_by_room(gw, job, endpoints)
+    if _has_untried(job, full) and not _has_untried(job, roomy):
+        return _Placement(placing.Obstacle.NO_MEMORY, endpoints)
     query = placing.Query(
         service=job.service,
         prefix=job.prefix,
@@ -236,19 +244,29 @@
         routers=gw.state.router_count,
         now_ms=now_ms,
         service_mean_load=table.compute_mean_load(service),
-        leaving=table.list_leaving(service, now_ms),
+        # Prompts may be fetched from endpoints without room, too.
+        leaving=[*table.list_leaving(service, now_ms), *full],
         rate_per_s=gw.get_placement_rate(service).compute_per_s(now_ms),
         mean_run_ms=gw.get_queue(service).mean_run_ms,
     )
-    endpoints = table.list_service(service) or table.list_last_resort(
-        service, now_ms
-    )
-    found = placing.choose_within_limits(endpoints, query, gw.rng)
+    found = placing.choose_within_limits(roomy, query, gw.rng)
     return _Placement(found, endpoints)
 
 
 async def _wait_for_endpoint(
     gw: context.Gateway, job: job_lib.Job
+) -> placing.Choice:
+    is_placed = False
+    try:
+        choice = await _poll_for_endpoint(gw, job)
+        is_placed = True
+        return choice
+    finally:
+        memory_room.end_wait(gw, job, is_placed)
+
+
+async def _poll_for_endpoint(
+    gw: context.Gateway, job: job_lib.Job
 ) -> placing.Choice:
     began_ms = gw.now_ms()
     while True:
@@ -263,6 +281,8 @@
         longest_ms = refusal.compute_max_wait_ms(
             found, job.route.target_ms, expected_ms
         )
+        if found is placing.Obstacle.NO_MEMORY:
+            longest_ms = now_ms - began_ms + memory_room.begin_wait(gw, job)
         if now_ms - began_ms >= longest_ms:
             if found is placing.Obstacle.ALL_LIMITED:
                 expected_ms = _schedule_return(gw, job, endpoints, now_ms)
@@ -292,10 +312,13 @@
 
 
 def _has_untried_endpoint(gw: context.Gateway, job: job_lib.Job) -> bool:
-    return any(
-        item.id not in job.tried
-        for item in gw.state.table.list_service(job.service.name)
-    )
+    return _has_untried(job, gw.state.table.list_service(job.service.name))
+
+
+def _has_untried(
+    job: job_lib.Job, endpoints: list[endpoint_table.Endpoint]
+) -> bool:
+    return any(item.id not in job.tried for item in endpoints)
 
 
 def _make_attempt_error(
--- a/foxtailpick/gateway/peers.py
+++ b/foxtailpick/gateway/peers.py
@@ -21,6 +21,7 @@
 from foxtailpick.gateway import announced
 from foxtailpick.gateway import context
 from foxtailpick.gateway import load_watch
+from foxtailpick.gateway import memory_messages
 from foxtailpick.gateway import pace_messages
 from foxtailpick.gateway import peer_messages
 from foxtailpick.gateway import quarantine
@@ -123,6 +124,7 @@
         self._limits = rate_limits.HubLimits()
         self._limits_ms = 0.0
         self._paces = pace_messages.PaceMessages(gw)
+        self._memory = memory_messages.MemoryMessages(gw)
         self._departures_pacer = crash_reports.Pacer()
         self._departure_totals_pacer = crash_reports.Pacer()
         # Addresses that reports came from. A router that has just started
@@ -185,7 +187,10 @@
             if limits:
                 data = cbor2.dumps([_KIND_LIMITS, gw.cfg.name, number, limits])
                 await self._send_to(data, routers[hub].address)
-            for data in self._paces.make_reports(now_ms):
+            for data in [
+                *self._paces.make_reports(now_ms),
+                *self._memory.make_reports(now_ms),
+            ]:
                 await self._send_to(data, routers[hub].address)
             return
         self._hub_selector.record_message(now_ms)
@@ -200,7 +205,10 @@
         await self._send_departure_totals(now_ms)
         self._limits.record(hub, limits, now_ms)
         await self._send_limit_totals(now_ms)
-        for router, data in self._paces.make_totals(now_ms):
+        for router, data in [
+            *self._paces.make_totals(now_ms),
+            *self._memory.make_totals(now_ms),
+        ]:
             if router in self._reporters:
                 await self._send_to(data, self._reporters[router])
 
@@ -414,6 +422,12 @@
             self._paces.handle_report(router, number, contents, now_ms)
         elif kind == pace_messages.TOTALS and router == self._hub_selector.hub:
             self._paces.handle_totals(number, contents, now_ms)
+        elif kind == memory_messages.REPORT:
+            self._memory.handle_report(router, number, contents, now_ms)
+        elif (
+            kind == memory_messages.TOTALS and router == self._hub_selector.hub
+        ):
+            self._memory.handle_totals(number, contents, now_ms)
         elif kind == _KIND_REDIRECT:
             hub = types.RouterId(peer_messages.get_only(contents, str))
             self._hub_selector.record_redirect(router, hub)
--- a/foxtailpick/gateway/relay.py
+++ b/foxtailpick/gateway/relay.py
@@ -41,6 +41,7 @@
     errors.ErrorCode.OVERLOADED: 503,
     errors.ErrorCode.SHUTTING_DOWN: 503,
     errors.ErrorCode.PROMPT_QUARANTINED: 503,
+    errors.ErrorCode.REQUEST_TOO_LARGE: 503,
     errors.ErrorCode.ENDPOINT_FAILED: 502,
     errors.ErrorCode.OUTCOME_UNKNOWN: 502,
     errors.ErrorCode.DEADLINE_EXCEEDED: 504,
--- a/foxtailpick/platform/items.py
+++ b/foxtailpick/platform/items.py
@@ -225,9 +225,17 @@
         # The field is in seconds, all internal durations in milliseconds.
         warmup_ms=float(item.get('warmup_s') or 0) * types.SECOND_MS,
         warmup_per_s=float(item.get('warmup_per_s') or 0),
+        memory_tokens=_decode_capacity(item.get('engine')),
     )
 
 
+def _decode_capacity(engine: typing.Any) -> int:
+    """Return the memory of an engine in tokens, 0 if it is not stated."""
+    if not isinstance(engine, dict):
+        return 0
+    return max(0, int(engine.get('kv_capacity') or 0))
+
+
 def _decode_accounts(
     tenants: typing.Iterable[_Fields],
 ) -> dict[str, model.Account]:
--- a/foxtailpick/tests/test_peer_messages.py
+++ b/foxtailpick/tests/test_peer_messages.py
@@ -19,7 +19,7 @@
 PEER = 'router-2'
 COUNTS, TOTALS, REDIRECT, PROMPTS, PROMPT_TOTALS = range(2, 7)
 LIMITS, LIMIT_TOTALS = range(12, 14)
-PACES, PACE_TOTALS = range(18, 20)
+PACES, PACE_TOTALS, TOKENS, TOKEN_TOTALS = range(18, 22)
 HUGE = 10**400
 
 
@@ -92,6 +92,12 @@
             [PACE_TOTALS, PEER, 0, {'e1': [100, 500, 0]}],
             [PACE_TOTALS, PEER, 0, b'not CBOR'],
             [PACE_TOTALS, PEER, 0, cbor2.dumps({'e1': [100, -500, 0]})],
+            [TOKENS, PEER, 1, 7],
+            [TOKENS, PEER, 1, {'e1': -1}, {}],
+            [TOKENS, PEER, 1, {'e1': HUGE}, {}],
+            [TOKEN_TOTALS, PEER, 0, {'e1': 1}],
+            [TOKEN_TOTALS, PEER, 0, b'not CBOR'],
+            [TOKEN_TOTALS, PEER, 0, cbor2.dumps([{'e1': 'many'}, {}])],
             [LIMIT_TOTALS, PEER, 0, 7],
             [LIMIT_TOTALS, PEER, 0.5, []],
             [LIMIT_TOTALS, PEER, float('inf'), []],
