--- a/foxtailpick/tests/test_endpoint_memory.py
+++ b/foxtailpick/tests/test_endpoint_memory.py
@@ -145,8 +145,12 @@
 @pytest.mark.parametrize('routers', [4, 10])
 def test_routers_that_hear_late_seldom_exceed_the_memory(routers):
     """A request that is preempted is late: 95 in 100 are in time."""
-    fleet = Fleet(routers=routers).simulate()
-    assert fleet.above <= 0.05 * fleet.count
+    fleets = [
+        Fleet(routers=routers, seed=seed).simulate(short_per_s=156)
+        for seed in range(1, 4)
+    ]
+    above = sum(fleet.above for fleet in fleets)
+    assert above <= 0.05 * sum(fleet.count for fleet in fleets)
     before = Fleet(routers=routers, has_limit=False).simulate()
     assert before.above > 0.05 * before.count
 
