--- a/foxtailpick/gateway/attempt.py
+++ b/foxtailpick/gateway/attempt.py
@@ -21,8 +21,10 @@
 from foxtailpick.gateway import http1
 from foxtailpick.gateway import job as job_lib
 from foxtailpick.gateway import load_reports
+from foxtailpick.gateway import ordered_admission
 from foxtailpick.gateway import quarantine
 from foxtailpick.gateway import reply as reply_lib
+from foxtailpick.gateway import rollout_path
 from foxtailpick.gateway import stream_relay
 
 # Late answers to earlier requests that are skipped on a reused connection.
@@ -104,7 +106,10 @@
     except OSError as exc:
         record_failure(gw, endpoint, f'cannot connect: {exc}', True)
         return AttemptResult(retry_decision.AttemptEnd.UNREACHABLE, str(exc))
-    if not gw.state.table.is_sendable(endpoint, gw.now_ms()):
+    if not (
+        gw.state.table.is_sendable(endpoint, gw.now_ms())
+        and rollout_path.is_sendable(gw, endpoint)
+    ):
         gw.pool.release(endpoint, conn, True)
         return AttemptResult(
             retry_decision.AttemptEnd.UNREACHABLE,
@@ -135,12 +140,14 @@
         job.route.target_ms,
         job.route.kind is model.RequestKind.STREAMING,
     )
+    now_ms = gw.now_ms()
     attempt = context.Attempt(
         endpoint,
         conn,
-        gw.now_ms(),
+        now_ms,
+        now_ms,
         response_timeout.adjust_to_pace(
-            timeout_ms, endpoint.pace.compute(gw.now_ms())
+            timeout_ms, endpoint.pace.compute(now_ms)
         ),
         hooks.report_silence,
         job,
@@ -254,6 +261,7 @@
     hooks: context.GroupHooks,
 ) -> AttemptResult:
     data = _format_request(gw, job, choice)
+    conn.has_bodies = job.req.method != http1.HEAD
     if len(data) <= http1.INLINE_BODY_BYTES:
         await endpoint_io.send(conn, data)
         return await _receive(gw, job, attempt, conn, reply, hooks)
@@ -360,10 +368,14 @@
             job.answered_ms = now_ms
     if is_success and job.route.kind is model.RequestKind.STREAMING:
         hooks.report_begun()
+        ordered_admission.record_first_event(gw, job, now_ms)
         await stream_relay.relay_stream(
             gw, job, attempt, conn, reply, hooks, head, meta
         )
-        return AttemptResult(retry_decision.AttemptEnd.DELIVERED)
+        return AttemptResult(
+            retry_decision.AttemptEnd.DELIVERED,
+            answered_ms=attempt.answered_ms,
+        )
     body = await endpoint_io.read_body(gw, conn)
     if not is_success:
         if head.status >= _SERVER_ERROR:
@@ -381,7 +393,9 @@
         [*meta.forwarded, *stream_relay.get_signature_headers(meta)],
         body,
     )
-    return AttemptResult(retry_decision.AttemptEnd.DELIVERED)
+    return AttemptResult(
+        retry_decision.AttemptEnd.DELIVERED, answered_ms=attempt.answered_ms
+    )
 
 
 async def _read_head(
--- a/foxtailpick/gateway/context.py
+++ b/foxtailpick/gateway/context.py
@@ -15,9 +15,11 @@
 from foxtailpick.core.dispatch import endpoint_memory
 from foxtailpick.core.dispatch import endpoint_table
 from foxtailpick.core.dispatch import model
+from foxtailpick.core.dispatch import overload_order
 from foxtailpick.core.dispatch import refusal
 from foxtailpick.core.dispatch import request_work
 from foxtailpick.core.dispatch import response_timeout
+from foxtailpick.core.dispatch import rollouts as rollouts_lib
 from foxtailpick.core.dispatch import stopping
 from foxtailpick.core import retry
 from foxtailpick.core import types
@@ -47,10 +49,13 @@
     :param endpoint: the endpoint.
     :param conn: the connection to it.
     :param last_received_ms: when data of the response last arrived.
-    :param read_timeout_ms: time without data after which it is silent.
+    :param last_progress_ms: when the response last made progress: with any
+        data or, in a stream, with the end of an event.
+    :param read_timeout_ms: time without progress after which it is silent.
     :param report_silence: reports that it is silent or, with False, that
         it no longer is.
     :param job: the request.
+    :param is_in_stream: whether it reads the events of a stream.
     :param is_reading: whether it is reading from the endpoint, as opposed
         to writing to the caller.
     :param is_silent: whether its silence was reported.
@@ -69,9 +74,11 @@
     endpoint: endpoint_table.Endpoint
     conn: client_lib.ClientConnection
     last_received_ms: float
+    last_progress_ms: float
     read_timeout_ms: float
     report_silence: typing.Callable[[bool], None]
     job: job_lib.Job
+    is_in_stream: bool = False
     is_reading: bool = False
     is_silent: bool = False
     is_failure_recorded: bool = False
@@ -140,11 +147,17 @@
     :param attempts: attempts in flight.
     :param account_usage: usage of each service by its accounts.
     :param queues: admission queue of each service.
+    :param orders: requests to each service that wait under overload.
+    :param ordered_services: a configuration, and the shortest target of each
+        service whose requests are ordered under it; None before the first.
     :param first_byte_estimates: times to the first byte on each route.
     :param memories: memory of each service's endpoints, as known here.
     :param usual_times: usual times of plain answers on each route.
     :param placement_rates: rate of this gateway's requests to each service.
     :param return_schedules: when refused callers of each service return.
+    :param rollouts: the latest roll-out of each service, if any.
+    :param barred_versions: versions of each service that an earlier order
+        moved to without being completed.
     :param stream_timing: durations of recent streams, per allowed token.
     :param buffered: memory used by responses that are being read.
     :param request_scopes: cancel scopes of the requests in flight.
@@ -180,6 +193,12 @@
     queues: dict[types.ServiceId, admission_queue.AdmissionQueue] = (
         dataclasses.field(default_factory=dict)
     )
+    orders: dict[types.ServiceId, overload_order.Order] = dataclasses.field(
+        default_factory=dict
+    )
+    ordered_services: (
+        tuple[model.GatewayConfig | None, dict[types.ServiceId, float]] | None
+    ) = None
     first_byte_estimates: dict[str, response_timeout.FirstByteEstimate] = (
         dataclasses.field(default_factory=dict)
     )
@@ -195,6 +214,12 @@
     return_schedules: dict[types.ServiceId, refusal.ReturnSchedule] = (
         dataclasses.field(default_factory=dict)
     )
+    rollouts: dict[types.ServiceId, rollouts_lib.Rollout] = dataclasses.field(
+        default_factory=dict
+    )
+    barred_versions: dict[types.ServiceId, frozenset[types.Version]] = (
+        dataclasses.field(default_factory=dict)
+    )
     stream_timing: stopping.StreamTiming = dataclasses.field(
         default_factory=stopping.StreamTiming
     )
@@ -216,6 +241,10 @@
             service, admission_queue.AdmissionQueue()
         )
 
+    def get_order(self, service: types.ServiceId) -> overload_order.Order:
+        """Return the order of the requests to a service."""
+        return self.orders.setdefault(service, overload_order.Order())
+
     def get_placement_rate(
         self, service: types.ServiceId
     ) -> decayed_rate.DecayedRate:
--- a/foxtailpick/gateway/http1.py
+++ b/foxtailpick/gateway/http1.py
@@ -18,6 +18,9 @@
 # sent concurrently with reading, since a peer may respond early.
 INLINE_BODY_BYTES = 16_384
 
+# Responses to this method have no body.
+HEAD = b'HEAD'
+
 REASONS = {
     200: b'OK',
     400: b'Bad Request',
@@ -226,6 +229,21 @@
         raise BrokenConnectionError(exc.errno, str(exc)) from exc
 
 
+def accept_arrived(
+    sock: trio.socket.SocketType,
+) -> typing.Iterator[trio.socket.SocketType]:
+    """Accept the connections that wait at a listening socket.
+
+    :raises OSError: if one cannot be accepted.
+    """
+    while True:
+        try:
+            peer, _ = sock._sock.accept()
+        except BlockingIOError:
+            return
+        yield trio.socket.from_stdlib_socket(peer)
+
+
 async def send_some(sock: trio.socket.SocketType, data: memoryview) -> int:
     """Send some bytes; return how many were sent.
 
@@ -266,7 +284,7 @@
     """
     lines = [b'%s %s HTTP/1.1\r\nHost: %s' % (method, target, host)]
     lines.extend(b'%s: %s' % item for item in headers)
-    if body_bytes or method not in (b'GET', b'HEAD', b'DELETE'):
+    if body_bytes or method not in (b'GET', HEAD, b'DELETE'):
         lines.append(b'Content-Length: %d' % body_bytes)
     return b'\r\n'.join(lines) + b'\r\n\r\n'
 
--- a/foxtailpick/gateway/peers.py
+++ b/foxtailpick/gateway/peers.py
@@ -22,9 +22,11 @@
 from foxtailpick.gateway import context
 from foxtailpick.gateway import load_watch
 from foxtailpick.gateway import memory_messages
+from foxtailpick.gateway import overload_exchange
 from foxtailpick.gateway import pace_messages
 from foxtailpick.gateway import peer_messages
 from foxtailpick.gateway import quarantine
+from foxtailpick.gateway import rollout_exchange
 
 MAX_DATAGRAM_BYTES = 65_507
 # Outcomes of requests are applied at the usual interval of the exchange, less
@@ -111,6 +113,7 @@
         self._hub_selector = load_exchange.HubSelector()
         self._sent_counts = load_exchange.SentCounts()
         self._load_watch = load_watch.LoadWatch(gw)
+        self._overload = overload_exchange.OverloadExchange(gw)
         self._outcomes_ms = 0.0
         self._crash_exchanges = (
             _CrashExchange.from_records(
@@ -125,6 +128,7 @@
         self._limits_ms = 0.0
         self._paces = pace_messages.PaceMessages(gw)
         self._memory = memory_messages.MemoryMessages(gw)
+        self.rollouts: rollout_exchange.RolloutExchange | None = None
         self._departures_pacer = crash_reports.Pacer()
         self._departure_totals_pacer = crash_reports.Pacer()
         # Addresses that reports came from. A router that has just started
@@ -138,6 +142,14 @@
     def __exit__(self, *exc_info: typing.Any) -> None:
         self._sock.close()
 
+    @property
+    def is_hub(self) -> bool:
+        """Whether this router is the hub, or the only one."""
+        gw = self._gw
+        return gw.state.router_count < 2 or (
+            self._hub_selector.hub == gw.cfg.name
+        )
+
     async def run(self) -> None:
         """Send and receive until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -164,6 +176,8 @@
             gw.log.emit('hub-changed', hub=hub, before=before)
             for crashes in self._crash_exchanges:
                 crashes.pacer.reset()
+            if self.rollouts is not None:
+                self.rollouts.repeat_all()
         if hub is None:
             return
         number, counts = self._sent_counts.next_counts(gw.state.table)
@@ -187,11 +201,15 @@
             if limits:
                 data = cbor2.dumps([_KIND_LIMITS, gw.cfg.name, number, limits])
                 await self._send_to(data, routers[hub].address)
-            for data in [
+            for data in (
+                *self._overload.make_reports(number),
                 *self._paces.make_reports(now_ms),
                 *self._memory.make_reports(now_ms),
-            ]:
+            ):
                 await self._send_to(data, routers[hub].address)
+            if self.rollouts is not None:
+                for data in self.rollouts.make_reports(now_ms):
+                    await self._send_to(data, routers[hub].address)
             return
         self._hub_selector.record_message(now_ms)
         self._hub_reports.record(hub, number, counts, now_ms, outcomes)
@@ -205,12 +223,14 @@
         await self._send_departure_totals(now_ms)
         self._limits.record(hub, limits, now_ms)
         await self._send_limit_totals(now_ms)
-        for router, data in [
+        for router, data in (
+            *self._overload.make_totals(number),
             *self._paces.make_totals(now_ms),
             *self._memory.make_totals(now_ms),
-        ]:
+        ):
             if router in self._reporters:
                 await self._send_to(data, self._reporters[router])
+        await self._send_rollout_totals(now_ms)
 
     async def _send_totals(self, now_ms: float) -> None:
         gw = self._gw
@@ -356,6 +376,14 @@
             elif router in self._reporters:
                 await self._send_to(data, self._reporters[router])
 
+    async def _send_rollout_totals(self, now_ms: float) -> None:
+        if self.rollouts is None:
+            return
+        for data in self.rollouts.make_totals(now_ms):
+            for router, _ in self._hub_reports.list_routers():
+                if router in self._reporters:
+                    await self._send_to(data, self._reporters[router])
+
     async def _send_to(self, data: bytes, address: model.Address) -> None:
         try:
             await self._sock.sendto(data, address)
@@ -418,6 +446,17 @@
             # Earlier versions send 0 for the number of routers.
             reporters = peer_messages.check_count(number) or None
             announced.apply_limits(self._gw, statements, reporters)
+        elif kind == overload_exchange.REPORT_KIND:
+            self._overload.record_report(
+                router, number, peer_messages.get_only(contents)
+            )
+        elif (
+            kind == overload_exchange.TOTALS_KIND
+            and router == self._hub_selector.hub
+        ):
+            self._overload.apply_totals(
+                number, peer_messages.get_only(contents)
+            )
         elif kind == pace_messages.REPORT:
             self._paces.handle_report(router, number, contents, now_ms)
         elif kind == pace_messages.TOTALS and router == self._hub_selector.hub:
@@ -433,6 +472,9 @@
             self._hub_selector.record_redirect(router, hub)
         elif kind == _KIND_QUERY:
             await self._answer_query(number, address)
+        if self.rollouts is not None:
+            is_hub = router == self._hub_selector.hub
+            self.rollouts.handle(kind, router, contents, is_hub, now_ms)
         for crashes in self._crash_exchanges:
             policy = crashes.records.policy
             if kind == crashes.report_kind:
--- a/foxtailpick/gateway/server.py
+++ b/foxtailpick/gateway/server.py
@@ -47,6 +47,8 @@
         self.open_requests = 0
         # Whether a part of a request was read.
         self.is_reading = False
+        # When a part of a request's headers was read first.
+        self.headers_began_s: float | None = None
         self.idle_since_ms = 0.0
         # Whether to close the connection once no request is in flight.
         self.is_closing = False
@@ -82,6 +84,8 @@
         self._gw = gw
         self._callers: set[Caller] = set()
         self._accepting = trio.CancelScope()
+        # Accepts the connections that have arrived.
+        self._accept_arrived: typing.Callable[[], None] | None = None
 
     @property
     def connections(self) -> int:
@@ -117,7 +121,13 @@
             )
 
     def stop_accepting(self) -> None:
-        """Close the listening socket; open connections stay."""
+        """Close the listening socket; connections stay.
+
+        Those that were not yet accepted would be reset with it.
+        """
+        if self._accept_arrived is not None:
+            self._accept_arrived()
+            self._accept_arrived = None
         self._accepting.cancel()
 
     async def serve(
@@ -127,6 +137,22 @@
         nursery: trio.Nursery,
     ) -> None:
         """Accept connections until cancelled or told to stop."""
+
+        def start(peer: trio.socket.SocketType) -> None:
+            # Counted at once, so that a stop waits for it.
+            caller = Caller(peer)
+            caller.idle_since_ms = self._gw.now_ms()
+            self._callers.add(caller)
+            nursery.start_soon(self._serve_caller, caller, handle)
+
+        def accept_arrived() -> None:
+            try:
+                for peer in http1.accept_arrived(sock):
+                    start(peer)
+            except OSError as exc:
+                self._gw.log.emit('accept-failed', error=str(exc))
+
+        self._accept_arrived = accept_arrived
         with sock, self._accepting:
             while True:
                 try:
@@ -137,14 +163,10 @@
                     await trio.sleep(ACCEPT_RETRY_MS / types.SECOND_MS)
                     continue
                 self._evict_idle()
-                nursery.start_soon(self._serve_caller, peer, handle)
+                start(peer)
 
-    async def _serve_caller(
-        self, sock: trio.socket.SocketType, handle: Handler
-    ) -> None:
-        caller = Caller(sock)
-        caller.idle_since_ms = self._gw.now_ms()
-        self._callers.add(caller)
+    async def _serve_caller(self, caller: Caller, handle: Handler) -> None:
+        sock = caller.sock
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             send, receive = trio.open_memory_channel(MAX_PIPELINED_REQUESTS)
@@ -179,6 +201,10 @@
             while data := await self._receive(caller, reader):
                 requests = reader.feed(data, gw.now_ms())
                 caller.is_reading = reader.is_in_request
+                if not reader.is_in_headers:
+                    caller.headers_began_s = None
+                elif requests or caller.headers_began_s is None:
+                    caller.headers_began_s = trio.current_time()
                 await self._queue_requests(caller, send, requests)
                 if reader.expects_continue:
                     reader.expects_continue = False
@@ -220,6 +246,9 @@
         :raises http1.RequestRejected: if a request takes too long to arrive.
         """
         began_s = trio.current_time()
+        if caller.headers_began_s is not None:
+            # Their time is limited as a whole, however they are cut.
+            began_s = caller.headers_began_s
         while True:
             limit_s = self._get_wait_limit_ms(caller, reader) / types.SECOND_MS
             with trio.CancelScope(deadline=began_s + limit_s) as caller.wait:
@@ -260,7 +289,8 @@
                 await http1.send_all(caller.sock, http1.CONTINUE)
                 continue
             keeps_alive = functools.partial(self._keeps_alive, caller, item)
-            reply = reply_lib.Reply(caller.sock, keeps_alive)
+            has_body = item.method != http1.HEAD
+            reply = reply_lib.Reply(caller.sock, keeps_alive, has_body)
             await handle(item, reply)
             caller.open_requests -= 1
             caller.idle_since_ms = self._gw.now_ms()
