--- a/foxtailpick/gateway/attempt_group.py
+++ b/foxtailpick/gateway/attempt_group.py
@@ -104,7 +104,9 @@
         runner = Runner(choice, self._gw.now_ms())
         self.runners.add(runner)
         self._job.tried.add(choice.endpoint.id)
-        attempt_lib.reserve(choice.endpoint, runner.started_ms)
+        attempt_lib.reserve(
+            choice.endpoint, self._job.work.memory_tokens, runner.started_ms
+        )
         runner.rollout_send = rollout_path.record_start(
             self._gw, self._job, choice.endpoint
         )
@@ -160,7 +162,7 @@
             result = exc
         finally:
             # Runs also if the request is cancelled.
-            attempt_lib.release(runner.choice.endpoint)
+            attempt_lib.release(runner.choice.endpoint, job.work.memory_tokens)
             self.runners.discard(runner)
             self._record_rollout(runner, result)
             if isinstance(result, attempt_lib.AttemptResult):
--- a/foxtailpick/gateway/peers.py
+++ b/foxtailpick/gateway/peers.py
@@ -21,6 +21,7 @@
 from foxtailpick.gateway import announced
 from foxtailpick.gateway import context
 from foxtailpick.gateway import load_watch
+from foxtailpick.gateway import memory_messages
 from foxtailpick.gateway import overload_exchange
 from foxtailpick.gateway import pace_messages
 from foxtailpick.gateway import peer_messages
@@ -126,6 +127,7 @@
         self._limits = rate_limits.HubLimits()
         self._limits_ms = 0.0
         self._paces = pace_messages.PaceMessages(gw)
+        self._memory = memory_messages.MemoryMessages(gw)
         self.rollouts: rollout_exchange.RolloutExchange | None = None
         self._departures_pacer = crash_reports.Pacer()
         self._departure_totals_pacer = crash_reports.Pacer()
@@ -202,6 +204,7 @@
             for data in (
                 *self._overload.make_reports(number),
                 *self._paces.make_reports(now_ms),
+                *self._memory.make_reports(now_ms),
             ):
                 await self._send_to(data, routers[hub].address)
             if self.rollouts is not None:
@@ -223,6 +226,7 @@
         for router, data in (
             *self._overload.make_totals(number),
             *self._paces.make_totals(now_ms),
+            *self._memory.make_totals(now_ms),
         ):
             if router in self._reporters:
                 await self._send_to(data, self._reporters[router])
@@ -457,6 +461,12 @@
             self._paces.handle_report(router, number, contents, now_ms)
         elif kind == pace_messages.TOTALS and router == self._hub_selector.hub:
             self._paces.handle_totals(number, contents, now_ms)
+        elif kind == memory_messages.REPORT:
+            self._memory.handle_report(router, number, contents, now_ms)
+        elif (
+            kind == memory_messages.TOTALS and router == self._hub_selector.hub
+        ):
+            self._memory.handle_totals(number, contents, now_ms)
         elif kind == _KIND_REDIRECT:
             hub = types.RouterId(peer_messages.get_only(contents, str))
             self._hub_selector.record_redirect(router, hub)
