List that routers together exceed the memory of an endpoint

Cause: the target is that an endpoint gets no request that its memory can't take; the test of several routers asked for 5 in 100 instead.

--- a/foxtailpick/tests/test_endpoint_memory.py
+++ b/foxtailpick/tests/test_endpoint_memory.py
@@ -155,6 +155,13 @@
     assert before.above > 0.05 * before.count
 
 
+@pytest.mark.parametrize('routers', [4, 10])
+def test_routers_together_never_exceed_the_memory(routers):
+    """An endpoint gets nothing that its memory can't take."""
+    fleet = Fleet(routers=routers).simulate(short_per_s=156)
+    assert fleet.above == 0
+
+
 @pytest.mark.parametrize('routers', [1, 4, 10])
 def test_short_prompts_are_not_held_up_by_long_ones(routers):
     fleet = Fleet(routers=routers).simulate()
