Take the time of a plain run from its route

Cause: how long a request may wait was its time left less the mean run time of its service, over all its routes. Callers saw: beside reports of 1.5 s, lookups with a deadline of 1 s were refused at once, whatever room was expected. Evidence: with a mean run of 1.5 s and a wait of 100 ms expected, a lookup of 50 ms with 1 s left was refused; the new test failed. Change: other than streams, requests count as running for the mean time to the first byte of their route, 0 while it is unknown. Result: the lookup waits, for more than 700 ms if it must.

--- a/foxtailpick/gateway/ordered_admission.py
+++ b/foxtailpick/gateway/ordered_admission.py
@@ -185,7 +185,9 @@
     if len(order.refused) and _is_recognizable(job):
         arrival = order.refused.recognize(job.signature, now_ms)
     estimate = gw.first_byte_estimates.get(job.route.name)
-    run_ms = gw.get_queue(job.service.name).mean_run_ms
+    begin_ms = (estimate.mean_ms or 0.0) if estimate else 0.0
+    # A plain response begins when the request has run.
+    run_ms = begin_ms
     if job.route.kind is model.RequestKind.STREAMING:
         run_ms = job.meta.output_tokens * gw.stream_timing.ms_per_token
     longest_ms = overload_order.compute_longest_wait_ms(
@@ -202,7 +204,7 @@
         job.meta.prompt_tokens,
         arrival,
         job.route.target_ms,
-        (estimate.mean_ms or 0.0) if estimate else 0.0,
+        begin_ms,
         longest_ms,
         now_ms,
     )
--- a/foxtailpick/tests/test_admission.py
+++ b/foxtailpick/tests/test_admission.py
@@ -6,6 +6,8 @@
 import trio
 
 from foxtailpick.core.dispatch import account_usage
+from foxtailpick.core.dispatch import overload_order
+from foxtailpick.core.dispatch import response_timeout
 from foxtailpick.tests import gateway_harness
 
 
@@ -50,7 +52,7 @@
         await harness.until(
             lambda: (
                 order.detector.is_overloaded
-                if routes is None
+                if routes is not ONE_ROUTE
                 else queue.utilization >= account_usage.FULL_UTILIZATION
             )
         )
@@ -185,3 +187,31 @@
     if is_known:
         assert second_s < first_s
     assert [seen.id for seen in engine.received] == ['first']
+
+
+async def test_short_request_waits_beside_long_ones(monkeypatch):
+    """Others of its service run longer than its deadline."""
+    monkeypatch.setattr(overload_order, '_estimate_ms', lambda *args: 100.0)
+    routes = [
+        gateway_harness.make_route('movable', '/movable/', 'streaming'),
+        gateway_harness.make_route(
+            'lookup', '/lookup/', 'safe', service='engine', priority=0
+        ),
+    ]
+    async with open_full_harness(monkeypatch, routes=routes) as (
+        harness,
+        _,
+        queue,
+        _,
+    ):
+        order = harness.gw.get_order('engine')
+        queue.mean_run_ms = 1_500.0
+        harness.gw.first_byte_estimates['lookup'] = (
+            response_timeout.FirstByteEstimate(50.0)
+        )
+        conn = await harness.send('/lookup/x', X_Deadline_Ms='1000')
+        await harness.until(lambda: order.tickets)
+        (ticket,) = order.tickets
+        assert ticket.until_ms - harness.gw.now_ms() > 700
+        conn.close()
+        await harness.until(lambda: not order.tickets)
