Let requests wait while the run time is unknown

Cause: without a mean run time the rate at which requests end was taken as 0, and the expected wait as infinite. Callers saw: a gateway that started during an overload refused nearly all at once, until enough of its own requests had ended. Change: the unknown rate is infinite, so that requests wait as long as they are of use. Those refused then return after a random part of the longest time.

--- a/foxtailpick/core/dispatch/overload.py
+++ b/foxtailpick/core/dispatch/overload.py
@@ -8,6 +8,7 @@
 """
 
 import dataclasses
+import math
 import typing
 
 from foxtailpick.core.dispatch import admission_queue
@@ -283,9 +284,10 @@
 
     :param load: load of the service.
     :param mean_run_ms: mean time of a request at an endpoint, 0 if unknown.
+    :returns: infinite if it is unknown.
     """
     if not mean_run_ms:
-        return 0.0
+        return math.inf
     requests = max(load.requests, load.slots)
     return requests * types.SECOND_MS / mean_run_ms
 
--- a/foxtailpick/core/dispatch/overload_order.py
+++ b/foxtailpick/core/dispatch/overload_order.py
@@ -49,7 +49,7 @@
 class Flow:
     """What ends at the endpoints, and what waits there; of one router.
 
-    :param requests_per_s: requests that end.
+    :param requests_per_s: requests that end, infinite if unknown.
     :param tokens_per_s: tokens of prompts that are read, infinite without a
         bound.
     :param excess_requests: requests that wait for a slot.
@@ -356,7 +356,8 @@
     # The caller's place among those that return, and what waits before them.
     rank = order.make_ranking(now_ms)(ticket)
     own_ms = _estimate_ms(order, ticket, 0, 0, rank, now_ms)
-    if math.isinf(own_ms):
+    if math.isinf(own_ms) or own_ms <= 0:
+        # It isn't known how fast requests end.
         return MAX_RETURN_MS * rng.uniform(1 - refusal.JITTER, 1)
     before_ms = estimate_wait_ms(order, ticket, now_ms) - own_ms
     schedule.next_ms = max(schedule.next_ms, now_ms + before_ms)
--- a/foxtailpick/tests/test_overload_bounds.py
+++ b/foxtailpick/tests/test_overload_bounds.py
@@ -327,6 +327,22 @@
     assert shares['account', 'b'] > 0.9
 
 
+def test_requests_wait_while_the_run_time_is_unknown():
+    """A gateway that just started has seen no request end."""
+    order = overload_order.Order()
+    rng = random.Random(1)
+    load = make_load(44)
+    overload_order.update_room(order, load, 0.0, TARGET_MS, 0.0, 4, 0.0)
+    ticket = make_ticket(0.0)
+    assert not overload_order.arrive(order, ticket, 0.0)
+    assert overload_order.estimate_wait_ms(order, ticket, 0.0) < 1_500
+    overload_order.add(order, ticket)
+    assert overload_order.pop_hopeless(order, 1_400.0) == []
+    assert overload_order.pop_hopeless(order, 1_500.0) == [ticket]
+    retry_ms = overload_order.refuse(order, ticket, 5_000.0, 1_500.0, rng)
+    assert 0 < retry_ms <= overload_order.MAX_RETURN_MS
+
+
 def check_late_requests_yield():
     order = overload_order.Order()
     late = make_ticket(0.0)
