Let the window of unread tokens grow while prompts wait for it

Cause: the window was learned anew from 0.8 of it on, and less urgent requests may use 0.85, 0.7 and 0.55 of it, so that it never seemed to be in use. Callers saw: once engines had read slowly, most prompts waited or were refused for the rest of the overload, while engines were idle. Change: while prompts wait for the window and engines begin to answer sooner than it allows for, it grows by the ratio of the two. Result: about 60,000 tokens/s for all of these mixes.

--- a/foxtailpick/core/dispatch/overload.py
+++ b/foxtailpick/core/dispatch/overload.py
@@ -255,16 +255,19 @@
 
 
 def update_window(
-    window: float | None, load: Load, target_ms: float
+    window: float | None, load: Load, target_ms: float, is_short: bool
 ) -> float | None:
     """Return how many tokens of prompts may wait for their first event.
 
     As many as engines read in a part of the shortest target. While the window
-    isn't used, engines could read more than they do, and it stays.
+    isn't used, engines could read more than they do, and it stays. It grows
+    while prompts wait for it and engines begin to answer sooner than that:
+    less urgent ones may not use all of it.
 
     :param window: the present value, None before the first.
     :param load: load of the service.
     :param target_ms: shortest target for the first event of its routes.
+    :param is_short: whether prompts wait since it is in use.
     :returns: None as long as nothing is read.
     """
     if not load.read_per_s:
@@ -274,6 +277,9 @@
     if window is None:
         return wanted
     is_used = load.unread >= WINDOW_USED_SHARE * window
+    if is_short and 0 < load.delay_ms < kept_ms:
+        wanted = max(wanted, window * kept_ms / load.delay_ms)
+        is_used = True
     if not is_used and load.delay_ms <= kept_ms:
         return window
     return window + WINDOW_WEIGHT * (wanted - window)
--- a/foxtailpick/core/dispatch/overload_order.py
+++ b/foxtailpick/core/dispatch/overload_order.py
@@ -87,6 +87,8 @@
     :param unread: tokens of this router's prompts without a first event.
     :param window: tokens of all routers' prompts that may be, None without a
         bound.
+    :param is_window_short: whether prompts waited for the window at the last
+        check.
     :param own_room: requests that it could send at the last check.
     :param part: this router's mean part of the room, None before the first.
     :param flow: what this router's requests at the endpoints hold up.
@@ -113,6 +115,7 @@
     saved_requests: float = 0.0
     unread: float = 0.0
     window: float | None = None
+    is_window_short: bool = False
     own_room: float = 0.0
     part: float | None = None
     flow: Flow = Flow()
@@ -249,7 +252,9 @@
         min(order.saved_requests, MAX_SAVED) + order.own_room
     )
     order.unread = unread
-    order.window = overload.update_window(order.window, load, target_ms)
+    order.window = overload.update_window(
+        order.window, load, target_ms, order.is_window_short
+    )
     tokens_per_s = math.inf
     excess_tokens = 0.0
     if order.window is not None:
@@ -273,10 +278,12 @@
     :param now_ms: current time.
     """
     admitted = []
+    order.is_window_short = False
     while order.tickets and order.saved_requests >= 1:
         rank = order.make_ranking(now_ms)
         best = min(order.tickets, key=rank)
         if not _has_window(order, rank(best)):
+            order.is_window_short = True
             break
         most_urgent = min(item.level for item in order.tickets)
         best.is_lifted = not rank(best).is_usual
@@ -299,6 +306,7 @@
         _admit(order, ticket, rank(ticket), now_ms)
     order.saved_requests = 0.0
     order.window = None
+    order.is_window_short = False
     order.part = None
     return admitted
 
--- a/foxtailpick/tests/test_overload_bounds.py
+++ b/foxtailpick/tests/test_overload_bounds.py
@@ -1,5 +1,6 @@
 """Tests of the bounds that hold under any overload."""
 
+import itertools
 import random
 
 import hypothesis
@@ -22,6 +23,7 @@
 CHECK_MS = admission_queue.CHECK_INTERVAL_MS
 RUN_MS = 1_000.0
 TARGET_MS = 300.0
+READ_PER_MS = 60
 # No kind, account or size is served less often than this, as a multiple of
 # all, as the operators state it.
 MIN_SHARE = 0.25
@@ -156,6 +158,68 @@
     assert backlog.tokens < 20_000
 
 
+def simulate_reading(levels, seconds=20):
+    """Return the tokens that engines read per second in the last seconds.
+
+    They begin to answer after 130 ms at the earliest. Their rate is a third
+    for three seconds, and plenty of requests wait.
+
+    :param levels: priorities of the requests, in turn.
+    """
+    order = overload_order.Order()
+    order.detector.is_overloaded = True
+    upcoming = itertools.cycle(levels)
+    unread = []
+    free_ms = 0.0
+    read = 0
+    for now_ms in range(0, seconds * 1_000, int(CHECK_MS)):
+        rate = 20 if now_ms < 3_000 else READ_PER_MS
+        for at_ms, tokens in unread:
+            if at_ms <= now_ms:
+                order.backlog.record_first_event(tokens, TARGET_MS, now_ms)
+                read += tokens * (now_ms >= (seconds - 4) * 1_000)
+        unread = [item for item in unread if item[0] > now_ms]
+        waiting = [[tokens for _, tokens in unread]]
+        own = prompt_backlog.update(order.backlog, waiting, CHECK_MS)
+        load = overload_usage.add_backlog(
+            overload.Load(400, 100, 100),
+            order.backlog,
+            order.usage,
+            1,
+            True,
+            now_ms,
+        )
+        overload_order.update_room(
+            order, load, RUN_MS, TARGET_MS, own, 1, now_ms
+        )
+        order.saved_requests = 1_000
+        while len(order.tickets) < 400:
+            ticket = make_ticket(now_ms, next(upcoming), 'a', 200, 1e9)
+            overload_order.add(order, ticket)
+        for ticket in overload_order.pop_admitted(order, now_ms):
+            free_ms = max(free_ms, now_ms) + ticket.prompt_tokens / rate
+            at_ms = max(free_ms, now_ms + 130)
+            unread.append((at_ms, ticket.prompt_tokens))
+    return read / 4
+
+
+@pytest.mark.parametrize(
+    'levels',
+    [
+        [2],
+        [0, 2],
+        [0, 1, 2, 2],
+        [0] + 9 * [1],
+        [0] + 9 * [2],
+        [0] + 39 * [2],
+        [0] + 9 * [3],
+    ],
+    ids=str,
+)
+def test_engines_are_used_again_once_they_read_faster(levels):
+    assert simulate_reading(levels) > 0.9 * READ_PER_MS * 1_000
+
+
 def list_ordered(routes, has_accounts=True):
     cfg = model.GatewayConfig(1, routes, {}, {}, has_accounts, model.Limits())
     return overload.list_ordered(cfg)
