Keep the window for urgent prompts only while they come

Cause: the most urgent level that was ever admitted lowered the part of the window of unread tokens that the others may use, and no level was forgotten. Callers saw: after one urgent request, also one of a former overload, less urgent ones found 0.7 of the window instead of twice it. Evidence: 7 requests of level 2 were admitted instead of 20, 10 s after the urgent one and after the end of the overload; the new tests failed. Change: levels admitted less than once in 10 s don't count, and all are forgotten with the overload. Result: 20 are admitted in both cases; right after the urgent one fewer, as before.

--- a/foxtailpick/core/dispatch/overload_order.py
+++ b/foxtailpick/core/dispatch/overload_order.py
@@ -38,6 +38,8 @@
 # Prompts that may be unread as a multiple of what keeps engines busy, by level
 # below the most urgent one: more urgent requests find room at once.
 WINDOW_SHARES = (2.0, 0.85, 0.7, 0.55)
+# Levels that were admitted less often lately are kept no room for.
+MIN_LEVEL_PER_S = 0.1
 # Room that is not used is kept for requests that come until the next check.
 MAX_SAVED = 1.0
 # Requests for which the room of the next check may be used: one that would be
@@ -170,7 +172,9 @@
     rank = order.make_ranking(now_ms)
     own = rank(ticket)
     borrowed = min(MAX_BORROWED, order.own_room)
-    if order.saved_requests < 1 - borrowed or not _has_window(order, own):
+    if order.saved_requests < 1 - borrowed or not _has_window(
+        order, own, now_ms
+    ):
         return False
     if ticket.arrival.is_early:
         return False
@@ -282,7 +286,7 @@
     while order.tickets and order.saved_requests >= 1:
         rank = order.make_ranking(now_ms)
         best = min(order.tickets, key=rank)
-        if not _has_window(order, rank(best)):
+        if not _has_window(order, rank(best), now_ms):
             order.is_window_short = True
             break
         most_urgent = min(item.level for item in order.tickets)
@@ -307,6 +311,7 @@
     order.saved_requests = 0.0
     order.window = None
     order.is_window_short = False
+    order._admitted.clear()
     order.part = None
     return admitted
 
@@ -416,17 +421,25 @@
     return amount * types.SECOND_MS / left_per_s
 
 
-def _has_window(order: Order, rank: overload_rank.Rank) -> bool:
+def _has_window(order: Order, rank: overload_rank.Rank, now_ms: float) -> bool:
     """Tell whether a request's prompt may be sent to be read.
 
     :param order: order of its service.
     :param rank: its rank.
+    :param now_ms: current time.
     """
     if order.window is None or order.part is None:
         return True
     below = 0
     if rank.is_usual:
-        most_urgent = min(order._admitted, default=rank.level)
+        most_urgent = min(
+            (
+                level
+                for level, admitted in order._admitted.items()
+                if admitted.requests.compute_per_s(now_ms) >= MIN_LEVEL_PER_S
+            ),
+            default=rank.level,
+        )
         below = max(0, rank.level - most_urgent)
     share = WINDOW_SHARES[min(below, len(WINDOW_SHARES) - 1)]
     return order.unread < order.window * order.part * share
--- a/foxtailpick/tests/test_overload_bounds.py
+++ b/foxtailpick/tests/test_overload_bounds.py
@@ -220,6 +220,38 @@
     assert simulate_reading(levels) > 0.9 * READ_PER_MS * 1_000
 
 
+def count_admitted(order, now_ms):
+    """Return how many of level 2 the window of unread prompts holds."""
+    order.window = 10_000.0
+    order.part = 1.0
+    order.unread = 0.0
+    order.saved_requests = 100.0
+    for _ in range(30):
+        overload_order.add(order, make_ticket(now_ms, 2))
+    admitted = overload_order.pop_admitted(order, now_ms)
+    for ticket in list(order.tickets):
+        overload_order.remove(order, ticket)
+    return len(admitted)
+
+
+def test_urgent_request_keeps_room_for_others_like_it_for_a_while():
+    order = overload_order.Order()
+    alone = count_admitted(order, 0.0)
+    order.unread = 0.0
+    assert overload_order.arrive(order, make_ticket(0.0, 0), 0.0)
+    assert count_admitted(order, 50.0) < alone
+    assert count_admitted(order, 10_000.0) == alone
+
+
+def test_urgent_request_of_a_former_overload_keeps_no_room():
+    order = overload_order.Order()
+    alone = count_admitted(order, 0.0)
+    order.unread = 0.0
+    assert overload_order.arrive(order, make_ticket(0.0, 0), 0.0)
+    overload_order.pop_all(order, 50.0)
+    assert count_admitted(order, 100.0) == alone
+
+
 def list_ordered(routes, has_accounts=True):
     cfg = model.GatewayConfig(1, routes, {}, {}, has_accounts, model.Limits())
     return overload.list_ordered(cfg)
