End an overload without endpoints after a while only

Cause: a single check without an endpoint that takes work ended the overload and admitted all that waited; expected waits became infinite meanwhile. Callers saw: when all endpoints were paused or silent for a moment, what waited was sent at once and queued at the engines in any order. Result: at a check without endpoints nothing is released or refused.

--- a/foxtailpick/core/dispatch/overload.py
+++ b/foxtailpick/core/dispatch/overload.py
@@ -175,18 +175,17 @@
     :param now_ms: current time.
     :returns: whether the state changed.
     """
-    if not load.slots:
-        # Without endpoints there is nothing to wait for.
-        changed = detector.is_overloaded
-        detector.is_overloaded = False
-        detector.crossed_ms = None
-        return changed
     weight = 1.0
     if mean_run_ms < admission_queue.SHORT_RUN_MS:
         weight = admission_queue.CHECK_INTERVAL_MS / AVERAGING_MS
-    current = load.in_use / load.slots
-    detector.utilization += weight * (current - detector.utilization)
-    if detector.is_overloaded:
+    if load.slots:
+        current = load.in_use / load.slots
+        detector.utilization += weight * (current - detector.utilization)
+    if not load.slots:
+        # Without endpoints there is nothing to wait for.
+        is_crossed = detector.is_overloaded
+        after_ms = LEAVE_MS
+    elif detector.is_overloaded:
         is_crossed = (
             not is_short
             and detector.utilization < LEAVE_UTILIZATION
--- a/foxtailpick/core/dispatch/overload_order.py
+++ b/foxtailpick/core/dispatch/overload_order.py
@@ -244,6 +244,12 @@
     :param routers: number of routers, including this one.
     :param now_ms: current time.
     """
+    if not load.slots:
+        # What is expected holds until endpoints take work again.
+        order.own_room = 0.0
+        order.saved_requests = min(order.saved_requests, 0.0)
+        order.unread = unread
+        return
     room = overload.compute_room(load, mean_run_ms, target_ms)
     own = overload_usage.compute_part(
         room, order.count_waiting(), order.usage, routers, now_ms
