Tell refused callers apart by what their prompts are

Cause: returning callers were known by method, target, account and body; the prompt may be described by headers, and an admitted request stayed known. Callers saw: requests with equal bodies and other prompts were refused as repeated too early; one that was admitted and came again later was ranked by its first arrival. Evidence: two requests with other token counts were kept as one, and an admitted one was still kept; the new tests failed. Change: prompt parts and token counts belong to what a request is known by, and a request is forgotten once it is admitted. Result: two are kept, and none after admission. Requests of different callers that are equal in all of this still count as one caller, since one that repeats at once can't be told from them.

--- a/foxtailpick/core/dispatch/returning.py
+++ b/foxtailpick/core/dispatch/returning.py
@@ -8,8 +8,13 @@
 
 import collections
 import dataclasses
+import typing
 
 from foxtailpick.core.dispatch import crash_quarantine
+from foxtailpick.core.dispatch import model
+
+# What a request is recognized by, in this process.
+Key = typing.Hashable
 
 # Refused requests that are remembered.
 MAX_REFUSED = 4_096
@@ -48,27 +53,37 @@
     return_ms: float | None = None
 
 
+def compute_key(
+    signature: crash_quarantine.Signature, meta: model.RequestMeta
+) -> Key:
+    """Return what a request is recognized by when it comes again.
+
+    :param signature: hash of the request without its headers.
+    :param meta: its decoded headers, which may describe the prompt.
+    """
+    parts = tuple(part.id for part in meta.parts)
+    return hash((signature, parts, meta.prompt_tokens, meta.output_tokens))
+
+
 class RefusedRequests:
     """Requests that were refused recently, the oldest first."""
 
     def __init__(self) -> None:
-        self._refused: collections.OrderedDict[
-            crash_quarantine.Signature, Refused
-        ] = collections.OrderedDict()
+        self._refused: collections.OrderedDict[Key, Refused] = (
+            collections.OrderedDict()
+        )
 
     def __len__(self) -> int:
         return len(self._refused)
 
-    def recognize(
-        self, signature: crash_quarantine.Signature, now_ms: float
-    ) -> Arrival:
+    def recognize(self, key: Key, now_ms: float) -> Arrival:
         """Return when a request that comes now counts as arrived.
 
-        :param signature: hash of the whole request.
+        :param key: what the request is recognized by.
         :param now_ms: current time.
         """
         self._expire(now_ms)
-        refused = self._refused.get(signature)
+        refused = self._refused.get(key)
         if refused is None:
             return Arrival(now_ms, now_ms)
         if now_ms < refused.return_ms - SLACK_MS:
@@ -81,30 +96,30 @@
 
     def record(
         self,
-        signature: crash_quarantine.Signature,
+        key: Key,
         arrival: Arrival,
         return_ms: float,
         now_ms: float,
     ) -> None:
         """Remember a request that is refused.
 
-        :param signature: hash of the whole request.
+        :param key: what the request is recognized by.
         :param arrival: when it counts as arrived.
         :param return_ms: when its caller is asked to return.
         :param now_ms: current time.
         """
         self._expire(now_ms)
-        self._refused.pop(signature, None)
-        self._refused[signature] = Refused(arrival.first_ms, return_ms)
+        self._refused.pop(key, None)
+        self._refused[key] = Refused(arrival.first_ms, return_ms)
         while len(self._refused) > MAX_REFUSED:
             self._refused.popitem(last=False)
 
-    def forget(self, signature: crash_quarantine.Signature) -> None:
+    def forget(self, key: Key) -> None:
         """Forget a request that was admitted.
 
-        :param signature: hash of the whole request.
+        :param key: what the request is recognized by.
         """
-        self._refused.pop(signature, None)
+        self._refused.pop(key, None)
 
     def _expire(self, now_ms: float) -> None:
         while self._refused:
--- a/foxtailpick/gateway/ordered_admission.py
+++ b/foxtailpick/gateway/ordered_admission.py
@@ -54,6 +54,7 @@
     now_ms = gw.now_ms()
     ticket = _make_ticket(gw, order, job, now_ms)
     if overload_order.arrive(order, ticket, now_ms):
+        _forget(order, job)
         _record(gw, order, job, ticket, 'admitted', 0.0)
         return
     expected_ms = overload_order.estimate_wait_ms(order, ticket, now_ms)
@@ -74,6 +75,7 @@
         _refuse(gw, order, job, ticket, 'refused', expected_ms)
     if ticket.sent_level is not None:
         job.priority = ticket.sent_level
+    _forget(order, job)
     _record(gw, order, job, ticket, 'admitted', expected_ms)
 
 
@@ -183,7 +185,7 @@
 ) -> overload_rank.Ticket:
     arrival = returning.Arrival(now_ms, now_ms)
     if len(order.refused) and _is_recognizable(job):
-        arrival = order.refused.recognize(job.signature, now_ms)
+        arrival = order.refused.recognize(_compute_key(job), now_ms)
     estimate = gw.first_byte_estimates.get(job.route.name)
     begin_ms = (estimate.mean_ms or 0.0) if estimate else 0.0
     # A plain response begins when the request has run.
@@ -218,6 +220,16 @@
     return bool(job.req.body)
 
 
+def _compute_key(job: job_lib.Job) -> returning.Key:
+    return returning.compute_key(job.signature, job.meta)
+
+
+def _forget(order: overload_order.Order, job: job_lib.Job) -> None:
+    """Forget earlier refusals of a request that is admitted."""
+    if len(order.refused) and _is_recognizable(job):
+        order.refused.forget(_compute_key(job))
+
+
 def _refuse(
     gw: context.Gateway,
     order: overload_order.Order,
@@ -236,7 +248,7 @@
     )
     if _is_recognizable(job):
         order.refused.record(
-            job.signature, ticket.arrival, now_ms + retry_ms, now_ms
+            _compute_key(job), ticket.arrival, now_ms + retry_ms, now_ms
         )
     _record(gw, order, job, ticket, cause, expected_ms, retry_ms)
     raise errors.RequestError(
--- a/foxtailpick/tests/test_admission.py
+++ b/foxtailpick/tests/test_admission.py
@@ -189,6 +189,44 @@
     assert [seen.id for seen in engine.received] == ['first']
 
 
+async def test_requests_that_differ_in_their_prompt_are_of_two_callers(
+    monkeypatch,
+):
+    async with open_full_harness(monkeypatch, routes=None) as (
+        harness,
+        _,
+        queue,
+        _,
+    ):
+        order = harness.gw.get_order('engine')
+        queue.mean_run_ms = 60_000.0
+        await harness.until(lambda: 0 < order.flow.requests_per_s < 0.1)
+        for tokens in ('700,80', '900,80'):
+            await harness.ask(
+                '/movable/x', b'POST', b'prompt', X_Token_Count=tokens
+            )
+    assert len(order.refused) == 2
+
+
+async def test_admitted_caller_is_a_new_one_when_it_comes_again(monkeypatch):
+    async with open_full_harness(monkeypatch, routes=None) as (
+        harness,
+        _,
+        queue,
+        done,
+    ):
+        order = harness.gw.get_order('engine')
+        queue.mean_run_ms = 60_000.0
+        await harness.until(lambda: 0 < order.flow.requests_per_s < 0.1)
+        await harness.ask('/movable/x', b'POST', b'prompt')
+        assert len(order.refused) == 1
+        monkeypatch.setattr(overload_order, 'arrive', lambda *args: True)
+        conn = await harness.send('/movable/x', b'POST', b'prompt')
+        await harness.until(lambda: not len(order.refused))
+        conn.close()
+        done.set()
+
+
 async def test_short_request_waits_beside_long_ones(monkeypatch):
     """Others of its service run longer than its deadline."""
     monkeypatch.setattr(overload_order, '_estimate_ms', lambda *args: 100.0)
