--- a/foxtailpick/core/dispatch/overload.py
+++ b/foxtailpick/core/dispatch/overload.py
@@ -8,6 +8,7 @@
 """
 
 import dataclasses
+import math
 import typing
 
 from foxtailpick.core.dispatch import admission_queue
@@ -174,18 +175,17 @@
     :param now_ms: current time.
     :returns: whether the state changed.
     """
-    if not load.slots:
-        # Without endpoints there is nothing to wait for.
-        changed = detector.is_overloaded
-        detector.is_overloaded = False
-        detector.crossed_ms = None
-        return changed
     weight = 1.0
     if mean_run_ms < admission_queue.SHORT_RUN_MS:
         weight = admission_queue.CHECK_INTERVAL_MS / AVERAGING_MS
-    current = load.in_use / load.slots
-    detector.utilization += weight * (current - detector.utilization)
-    if detector.is_overloaded:
+    if load.slots:
+        current = load.in_use / load.slots
+        detector.utilization += weight * (current - detector.utilization)
+    if not load.slots:
+        # Without endpoints there is nothing to wait for.
+        is_crossed = detector.is_overloaded
+        after_ms = LEAVE_MS
+    elif detector.is_overloaded:
         is_crossed = (
             not is_short
             and detector.utilization < LEAVE_UTILIZATION
@@ -254,16 +254,19 @@
 
 
 def update_window(
-    window: float | None, load: Load, target_ms: float
+    window: float | None, load: Load, target_ms: float, is_short: bool
 ) -> float | None:
     """Return how many tokens of prompts may wait for their first event.
 
     As many as engines read in a part of the shortest target. While the window
-    isn't used, engines could read more than they do, and it stays.
+    isn't used, engines could read more than they do, and it stays. It grows
+    while prompts wait for it and engines begin to answer sooner than that:
+    less urgent ones may not use all of it.
 
     :param window: the present value, None before the first.
     :param load: load of the service.
     :param target_ms: shortest target for the first event of its routes.
+    :param is_short: whether prompts wait since it is in use.
     :returns: None as long as nothing is read.
     """
     if not load.read_per_s:
@@ -273,6 +276,9 @@
     if window is None:
         return wanted
     is_used = load.unread >= WINDOW_USED_SHARE * window
+    if is_short and 0 < load.delay_ms < kept_ms:
+        wanted = max(wanted, window * kept_ms / load.delay_ms)
+        is_used = True
     if not is_used and load.delay_ms <= kept_ms:
         return window
     return window + WINDOW_WEIGHT * (wanted - window)
@@ -283,9 +289,10 @@
 
     :param load: load of the service.
     :param mean_run_ms: mean time of a request at an endpoint, 0 if unknown.
+    :returns: infinite if it is unknown.
     """
     if not mean_run_ms:
-        return 0.0
+        return math.inf
     requests = max(load.requests, load.slots)
     return requests * types.SECOND_MS / mean_run_ms
 
--- a/foxtailpick/core/dispatch/overload_order.py
+++ b/foxtailpick/core/dispatch/overload_order.py
@@ -38,6 +38,8 @@
 # Prompts that may be unread as a multiple of what keeps engines busy, by level
 # below the most urgent one: more urgent requests find room at once.
 WINDOW_SHARES = (2.0, 0.85, 0.7, 0.55)
+# Levels that were admitted less often lately are kept no room for.
+MIN_LEVEL_PER_S = 0.1
 # Room that is not used is kept for requests that come until the next check.
 MAX_SAVED = 1.0
 # Requests for which the room of the next check may be used: one that would be
@@ -49,7 +51,7 @@
 class Flow:
     """What ends at the endpoints, and what waits there; of one router.
 
-    :param requests_per_s: requests that end.
+    :param requests_per_s: requests that end, infinite if unknown.
     :param tokens_per_s: tokens of prompts that are read, infinite without a
         bound.
     :param excess_requests: requests that wait for a slot.
@@ -87,6 +89,8 @@
     :param unread: tokens of this router's prompts without a first event.
     :param window: tokens of all routers' prompts that may be, None without a
         bound.
+    :param is_window_short: whether prompts waited for the window at the last
+        check.
     :param own_room: requests that it could send at the last check.
     :param part: this router's mean part of the room, None before the first.
     :param flow: what this router's requests at the endpoints hold up.
@@ -113,6 +117,7 @@
     saved_requests: float = 0.0
     unread: float = 0.0
     window: float | None = None
+    is_window_short: bool = False
     own_room: float = 0.0
     part: float | None = None
     flow: Flow = Flow()
@@ -167,7 +172,9 @@
     rank = order.make_ranking(now_ms)
     own = rank(ticket)
     borrowed = min(MAX_BORROWED, order.own_room)
-    if order.saved_requests < 1 - borrowed or not _has_window(order, own):
+    if order.saved_requests < 1 - borrowed or not _has_window(
+        order, own, now_ms
+    ):
         return False
     if ticket.arrival.is_early:
         return False
@@ -237,6 +244,12 @@
     :param routers: number of routers, including this one.
     :param now_ms: current time.
     """
+    if not load.slots:
+        # What is expected holds until endpoints take work again.
+        order.own_room = 0.0
+        order.saved_requests = min(order.saved_requests, 0.0)
+        order.unread = unread
+        return
     room = overload.compute_room(load, mean_run_ms, target_ms)
     own = overload_usage.compute_part(
         room, order.count_waiting(), order.usage, routers, now_ms
@@ -249,7 +262,9 @@
         min(order.saved_requests, MAX_SAVED) + order.own_room
     )
     order.unread = unread
-    order.window = overload.update_window(order.window, load, target_ms)
+    order.window = overload.update_window(
+        order.window, load, target_ms, order.is_window_short
+    )
     tokens_per_s = math.inf
     excess_tokens = 0.0
     if order.window is not None:
@@ -273,10 +288,12 @@
     :param now_ms: current time.
     """
     admitted = []
+    order.is_window_short = False
     while order.tickets and order.saved_requests >= 1:
         rank = order.make_ranking(now_ms)
         best = min(order.tickets, key=rank)
-        if not _has_window(order, rank(best)):
+        if not _has_window(order, rank(best), now_ms):
+            order.is_window_short = True
             break
         most_urgent = min(item.level for item in order.tickets)
         best.is_lifted = not rank(best).is_usual
@@ -299,6 +316,8 @@
         _admit(order, ticket, rank(ticket), now_ms)
     order.saved_requests = 0.0
     order.window = None
+    order.is_window_short = False
+    order._admitted.clear()
     order.part = None
     return admitted
 
@@ -356,7 +375,8 @@
     # The caller's place among those that return, and what waits before them.
     rank = order.make_ranking(now_ms)(ticket)
     own_ms = _estimate_ms(order, ticket, 0, 0, rank, now_ms)
-    if math.isinf(own_ms):
+    if math.isinf(own_ms) or own_ms <= 0:
+        # It isn't known how fast requests end.
         return MAX_RETURN_MS * rng.uniform(1 - refusal.JITTER, 1)
     before_ms = estimate_wait_ms(order, ticket, now_ms) - own_ms
     schedule.next_ms = max(schedule.next_ms, now_ms + before_ms)
@@ -407,17 +427,25 @@
     return amount * types.SECOND_MS / left_per_s
 
 
-def _has_window(order: Order, rank: overload_rank.Rank) -> bool:
+def _has_window(order: Order, rank: overload_rank.Rank, now_ms: float) -> bool:
     """Tell whether a request's prompt may be sent to be read.
 
     :param order: order of its service.
     :param rank: its rank.
+    :param now_ms: current time.
     """
     if order.window is None or order.part is None:
         return True
     below = 0
     if rank.is_usual:
-        most_urgent = min(order._admitted, default=rank.level)
+        most_urgent = min(
+            (
+                level
+                for level, admitted in order._admitted.items()
+                if admitted.requests.compute_per_s(now_ms) >= MIN_LEVEL_PER_S
+            ),
+            default=rank.level,
+        )
         below = max(0, rank.level - most_urgent)
     share = WINDOW_SHARES[min(below, len(WINDOW_SHARES) - 1)]
     return order.unread < order.window * order.part * share
--- a/foxtailpick/tests/test_admission.py
+++ b/foxtailpick/tests/test_admission.py
@@ -6,6 +6,8 @@
 import trio
 
 from foxtailpick.core.dispatch import account_usage
+from foxtailpick.core.dispatch import overload_order
+from foxtailpick.core.dispatch import response_timeout
 from foxtailpick.tests import gateway_harness
 
 
@@ -50,7 +52,7 @@
         await harness.until(
             lambda: (
                 order.detector.is_overloaded
-                if routes is None
+                if routes is not ONE_ROUTE
                 else queue.utilization >= account_usage.FULL_UTILIZATION
             )
         )
@@ -185,3 +187,69 @@
     if is_known:
         assert second_s < first_s
     assert [seen.id for seen in engine.received] == ['first']
+
+
+async def test_requests_that_differ_in_their_prompt_are_of_two_callers(
+    monkeypatch,
+):
+    async with open_full_harness(monkeypatch, routes=None) as (
+        harness,
+        _,
+        queue,
+        _,
+    ):
+        order = harness.gw.get_order('engine')
+        queue.mean_run_ms = 60_000.0
+        await harness.until(lambda: 0 < order.flow.requests_per_s < 0.1)
+        for tokens in ('700,80', '900,80'):
+            await harness.ask(
+                '/movable/x', b'POST', b'prompt', X_Token_Count=tokens
+            )
+    assert len(order.refused) == 2
+
+
+async def test_admitted_caller_is_a_new_one_when_it_comes_again(monkeypatch):
+    async with open_full_harness(monkeypatch, routes=None) as (
+        harness,
+        _,
+        queue,
+        done,
+    ):
+        order = harness.gw.get_order('engine')
+        queue.mean_run_ms = 60_000.0
+        await harness.until(lambda: 0 < order.flow.requests_per_s < 0.1)
+        await harness.ask('/movable/x', b'POST', b'prompt')
+        assert len(order.refused) == 1
+        monkeypatch.setattr(overload_order, 'arrive', lambda *args: True)
+        conn = await harness.send('/movable/x', b'POST', b'prompt')
+        await harness.until(lambda: not len(order.refused))
+        conn.close()
+        done.set()
+
+
+async def test_short_request_waits_beside_long_ones(monkeypatch):
+    """Others of its service run longer than its deadline."""
+    monkeypatch.setattr(overload_order, '_estimate_ms', lambda *args: 100.0)
+    routes = [
+        gateway_harness.make_route('movable', '/movable/', 'streaming'),
+        gateway_harness.make_route(
+            'lookup', '/lookup/', 'safe', service='engine', priority=0
+        ),
+    ]
+    async with open_full_harness(monkeypatch, routes=routes) as (
+        harness,
+        _,
+        queue,
+        _,
+    ):
+        order = harness.gw.get_order('engine')
+        queue.mean_run_ms = 1_500.0
+        harness.gw.first_byte_estimates['lookup'] = (
+            response_timeout.FirstByteEstimate(50.0)
+        )
+        conn = await harness.send('/lookup/x', X_Deadline_Ms='1000')
+        await harness.until(lambda: order.tickets)
+        (ticket,) = order.tickets
+        assert ticket.until_ms - harness.gw.now_ms() > 700
+        conn.close()
+        await harness.until(lambda: not order.tickets)
--- a/foxtailpick/tests/test_overload_bounds.py
+++ b/foxtailpick/tests/test_overload_bounds.py
@@ -1,5 +1,6 @@
 """Tests of the bounds that hold under any overload."""
 
+import itertools
 import random
 
 import hypothesis
@@ -22,6 +23,7 @@
 CHECK_MS = admission_queue.CHECK_INTERVAL_MS
 RUN_MS = 1_000.0
 TARGET_MS = 300.0
+READ_PER_MS = 60
 # No kind, account or size is served less often than this, as a multiple of
 # all, as the operators state it.
 MIN_SHARE = 0.25
@@ -109,11 +111,29 @@
 
 def test_service_without_endpoints_is_not_overloaded():
     detector, _ = detect([10, 10])
-    load = overload.measure([])
-    assert overload.update(detector, load, RUN_MS, True, 1_000)
+    _, after_ms = detect([], detector=detector, start_ms=1_000)
+    assert after_ms == overload.LEAVE_MS
     assert not detector.is_overloaded
 
 
+def test_check_without_endpoints_releases_and_refuses_nothing():
+    """All endpoints are silent or paused for a moment."""
+    detector, _ = detect([10, 10])
+    order = overload_order.Order(detector)
+    update_room(order, 0.0)
+    ticket = make_ticket(0.0)
+    overload_order.add(order, ticket)
+    load = overload.measure([])
+    assert not overload.update(detector, load, RUN_MS, True, 1_000)
+    overload_order.update_room(order, load, RUN_MS, TARGET_MS, 0, 1, 50.0)
+    assert overload_order.pop_admitted(order, 50.0) == []
+    assert overload_order.pop_hopeless(order, 50.0) == []
+    new = make_ticket(50.0)
+    assert not overload_order.arrive(order, new, 50.0)
+    assert overload_order.estimate_wait_ms(order, new, 50.0) < 1_500
+    assert detector.is_overloaded
+
+
 def test_peaks_of_short_runs_are_no_overload():
     """As test_small_service_with_short_runs_queues_nothing."""
     rng = random.Random(4)
@@ -156,6 +176,100 @@
     assert backlog.tokens < 20_000
 
 
+def simulate_reading(levels, seconds=20):
+    """Return the tokens that engines read per second in the last seconds.
+
+    They begin to answer after 130 ms at the earliest. Their rate is a third
+    for three seconds, and plenty of requests wait.
+
+    :param levels: priorities of the requests, in turn.
+    """
+    order = overload_order.Order()
+    order.detector.is_overloaded = True
+    upcoming = itertools.cycle(levels)
+    unread = []
+    free_ms = 0.0
+    read = 0
+    for now_ms in range(0, seconds * 1_000, int(CHECK_MS)):
+        rate = 20 if now_ms < 3_000 else READ_PER_MS
+        for at_ms, tokens in unread:
+            if at_ms <= now_ms:
+                order.backlog.record_first_event(tokens, TARGET_MS, now_ms)
+                read += tokens * (now_ms >= (seconds - 4) * 1_000)
+        unread = [item for item in unread if item[0] > now_ms]
+        waiting = [[tokens for _, tokens in unread]]
+        own = prompt_backlog.update(order.backlog, waiting, CHECK_MS)
+        load = overload_usage.add_backlog(
+            overload.Load(400, 100, 100),
+            order.backlog,
+            order.usage,
+            1,
+            True,
+            now_ms,
+        )
+        overload_order.update_room(
+            order, load, RUN_MS, TARGET_MS, own, 1, now_ms
+        )
+        order.saved_requests = 1_000
+        while len(order.tickets) < 400:
+            ticket = make_ticket(now_ms, next(upcoming), 'a', 200, 1e9)
+            overload_order.add(order, ticket)
+        for ticket in overload_order.pop_admitted(order, now_ms):
+            free_ms = max(free_ms, now_ms) + ticket.prompt_tokens / rate
+            at_ms = max(free_ms, now_ms + 130)
+            unread.append((at_ms, ticket.prompt_tokens))
+    return read / 4
+
+
+@pytest.mark.parametrize(
+    'levels',
+    [
+        [2],
+        [0, 2],
+        [0, 1, 2, 2],
+        [0] + 9 * [1],
+        [0] + 9 * [2],
+        [0] + 39 * [2],
+        [0] + 9 * [3],
+    ],
+    ids=str,
+)
+def test_engines_are_used_again_once_they_read_faster(levels):
+    assert simulate_reading(levels) > 0.9 * READ_PER_MS * 1_000
+
+
+def count_admitted(order, now_ms):
+    """Return how many of level 2 the window of unread prompts holds."""
+    order.window = 10_000.0
+    order.part = 1.0
+    order.unread = 0.0
+    order.saved_requests = 100.0
+    for _ in range(30):
+        overload_order.add(order, make_ticket(now_ms, 2))
+    admitted = overload_order.pop_admitted(order, now_ms)
+    for ticket in list(order.tickets):
+        overload_order.remove(order, ticket)
+    return len(admitted)
+
+
+def test_urgent_request_keeps_room_for_others_like_it_for_a_while():
+    order = overload_order.Order()
+    alone = count_admitted(order, 0.0)
+    order.unread = 0.0
+    assert overload_order.arrive(order, make_ticket(0.0, 0), 0.0)
+    assert count_admitted(order, 50.0) < alone
+    assert count_admitted(order, 10_000.0) == alone
+
+
+def test_urgent_request_of_a_former_overload_keeps_no_room():
+    order = overload_order.Order()
+    alone = count_admitted(order, 0.0)
+    order.unread = 0.0
+    assert overload_order.arrive(order, make_ticket(0.0, 0), 0.0)
+    overload_order.pop_all(order, 50.0)
+    assert count_admitted(order, 100.0) == alone
+
+
 def list_ordered(routes, has_accounts=True):
     cfg = model.GatewayConfig(1, routes, {}, {}, has_accounts, model.Limits())
     return overload.list_ordered(cfg)
@@ -327,6 +441,22 @@
     assert shares['account', 'b'] > 0.9
 
 
+def test_requests_wait_while_the_run_time_is_unknown():
+    """A gateway that just started has seen no request end."""
+    order = overload_order.Order()
+    rng = random.Random(1)
+    load = make_load(44)
+    overload_order.update_room(order, load, 0.0, TARGET_MS, 0.0, 4, 0.0)
+    ticket = make_ticket(0.0)
+    assert not overload_order.arrive(order, ticket, 0.0)
+    assert overload_order.estimate_wait_ms(order, ticket, 0.0) < 1_500
+    overload_order.add(order, ticket)
+    assert overload_order.pop_hopeless(order, 1_400.0) == []
+    assert overload_order.pop_hopeless(order, 1_500.0) == [ticket]
+    retry_ms = overload_order.refuse(order, ticket, 5_000.0, 1_500.0, rng)
+    assert 0 < retry_ms <= overload_order.MAX_RETURN_MS
+
+
 def check_late_requests_yield():
     order = overload_order.Order()
     late = make_ticket(0.0)
