Leave a router with less urgent callers some room

Cause: each router's part of the room went strictly by level. Callers saw: at a gateway with less urgent callers only nearly all were refused while others had urgent ones. Change: while more requests wait than there is room for, 0.15 of it is divided by all that wait. Result: the test passes, that gateway's callers are served at least 0.25 times as often as all.

--- a/foxtailpick/core/dispatch/overload_usage.py
+++ b/foxtailpick/core/dispatch/overload_usage.py
@@ -18,6 +18,9 @@
 
 # Totals older than this say nothing of who waits now.
 TTL_MS = 1_500.0
+# Share of the room that is divided by what waits, whatever its level: a router
+# with less urgent requests only would get none otherwise.
+COMMON_SHARE = 0.15
 # Most accounts in a message, those with most work.
 MAX_ACCOUNTS = 32
 # Most levels and services in a message.
@@ -193,7 +196,8 @@
     """Return this router's part of the room, from 0 to 1.
 
     The most urgent levels get room first, each router by what waits there.
-    What nobody waits for is divided equally.
+    What nobody waits for is divided equally. A part of the room is divided by
+    all that waits, so that no router is left without any.
 
     :param room: requests that all routers may send.
     :param waiting: this router's waiting requests by priority level.
@@ -213,7 +217,12 @@
         if total:
             own_room += given * own / total
         left -= given
-    return (own_room + left / routers) / room
+    part = (own_room + left / routers) / room
+    if left > 0:
+        return part
+    own = sum(waiting.values())
+    common = own / (own + sum(others.values()))
+    return part + COMMON_SHARE * (common - part)
 
 
 def keep_heaviest(sums: Sums, count: int) -> Sums:
--- a/foxtailpick/tests/test_overload_order.py
+++ b/foxtailpick/tests/test_overload_order.py
@@ -140,6 +140,21 @@
     assert min(shares.values()) > MIN_SHARE * everybody, shares
 
 
+def test_router_with_less_urgent_callers_only_is_not_starved():
+    """It has 40 % of the screens, and nothing else."""
+    rng = random.Random(3)
+    runs = overload_fleet.make_mix(2.5 * ROOM, 10)
+    for run in runs:
+        is_apart = run.kind == 'screen' and rng.random() < 0.4
+        run.router = 3 if is_apart else rng.randrange(3)
+    runs = overload_fleet.serve(ordered_router.OrderedRouter, runs)
+    shares = overload_fleet.compute_shares(
+        runs, lambda run: run.router, overload_fleet.is_done
+    )
+    everybody = overload_fleet.compute_share(runs, overload_fleet.is_done)
+    assert shares[3] > MIN_SHARE * everybody, shares
+
+
 def test_largest_requests_are_not_starved(results):
     """Neither the largest tenth of a kind, nor the fifth below it."""
     _, after = results
