Test that refused callers are told the expected time

Cause: Retry-After is cut to 0.3 of the time that the caller has left. Callers saw: less urgent ones were told 300 ms, 0 or -12 ms instead of 1,025.

--- a/foxtailpick/tests/test_overload_bounds.py
+++ b/foxtailpick/tests/test_overload_bounds.py
@@ -609,3 +609,17 @@
     for times in returns.values():
         per_s = 19 / (max(times) - min(times)) * 1_000
         assert 20 < per_s < 80
+
+
+@pytest.mark.parametrize('left_ms', [-40.0, 0.0, 1_000.0])
+def test_less_urgent_caller_is_told_the_expected_time(left_ms):
+    order = overload_order.Order()
+    update_room(order, 0.0)
+    rng = random.Random(3)
+    for _ in range(40):
+        overload_order.add(order, make_ticket(0.0, 0))
+    ticket = make_ticket(0.0, 2)
+    expected_ms = overload_order.estimate_wait_ms(order, ticket, 0.0)
+    retry_ms = overload_order.refuse(order, ticket, left_ms, 0.0, rng)
+    most_ms = overload_order.MAX_RETURN_MS
+    assert min(0.9 * expected_ms, most_ms) <= retry_ms <= most_ms
