--- a/foxtailpick/core/dispatch/rollout_choice.py
+++ b/foxtailpick/core/dispatch/rollout_choice.py
@@ -101,6 +101,8 @@
     if not old and rollout.doubt is None and not rollout.is_condemned:
         # A version without evidence against it serves rather than none.
         return new
+    if rollout.is_leaving_old and not rollout.is_condemned:
+        return new
     if is_repeat and not is_moved:
         return old
     if not _is_chosen(rollout, step, key, route, now_ms, rng):
--- a/foxtailpick/core/dispatch/rollouts.py
+++ b/foxtailpick/core/dispatch/rollouts.py
@@ -67,6 +67,8 @@
 MAX_SETTLE_SHARE = 0.05
 STEP_SHARES = (0.1, 0.25, 0.5, 1.0)
 STEP_STARTS = (0.0, 1 / 6, 2 / 6, 3 / 6)
+# Part of the margin in which the old endpoints finish their requests.
+LEAVE_PART = 0.3
 # The new version is judged again at this interval.
 JUDGE_INTERVAL_MS = 300.0
 # A cold endpoint, or one with an empty cache, may be so many times slower.
@@ -146,6 +148,8 @@
     :param steps_began_ms: when the last steps began, None if they did not.
     :param steps_length_ms: their length in all.
     :param has_failed_steps: whether they ended with a doubt.
+    :param is_leaving_old: whether all requests go to the new version, which
+        is about to be completed.
     :param route_shares: share of the canary on routes with few requests.
     :param verdict: the latest verdict, the worst one of all routes.
     :param doubt: why the version isn't taken for good yet, None if it is.
@@ -175,6 +179,7 @@
     steps_began_ms: float | None = None
     steps_length_ms: float = 0.0
     has_failed_steps: bool = False
+    is_leaving_old: bool = False
     route_shares: dict[str, float] = dataclasses.field(default_factory=dict)
     verdict: rollout_verdict.Verdict | None = None
     doubt: Reason | None = Reason.FEW_ANSWERS
@@ -209,6 +214,11 @@
         margin_ms = max(MIN_MARGIN_MS, MARGIN_SHARE * duration_ms)
         return min(margin_ms, MAX_MARGIN_MS, MAX_MARGIN_SHARE * duration_ms)
 
+    @property
+    def leave_ms(self) -> float:
+        """Time for requests at old endpoints, which end at the completion."""
+        return LEAVE_PART * self.margin_ms
+
     @property
     def last_steps_ms(self) -> float:
         """When the last steps begin."""
--- a/foxtailpick/gateway/ordered_admission.py
+++ b/foxtailpick/gateway/ordered_admission.py
@@ -54,6 +54,7 @@
     now_ms = gw.now_ms()
     ticket = _make_ticket(gw, order, job, now_ms)
     if overload_order.arrive(order, ticket, now_ms):
+        _forget(order, job)
         _record(gw, order, job, ticket, 'admitted', 0.0)
         return
     expected_ms = overload_order.estimate_wait_ms(order, ticket, now_ms)
@@ -74,6 +75,7 @@
         _refuse(gw, order, job, ticket, 'refused', expected_ms)
     if ticket.sent_level is not None:
         job.priority = ticket.sent_level
+    _forget(order, job)
     _record(gw, order, job, ticket, 'admitted', expected_ms)
 
 
@@ -183,9 +185,11 @@
 ) -> overload_rank.Ticket:
     arrival = returning.Arrival(now_ms, now_ms)
     if len(order.refused) and _is_recognizable(job):
-        arrival = order.refused.recognize(job.signature, now_ms)
+        arrival = order.refused.recognize(_compute_key(job), now_ms)
     estimate = gw.first_byte_estimates.get(job.route.name)
-    run_ms = gw.get_queue(job.service.name).mean_run_ms
+    begin_ms = (estimate.mean_ms or 0.0) if estimate else 0.0
+    # A plain response begins when the request has run.
+    run_ms = begin_ms
     if job.route.kind is model.RequestKind.STREAMING:
         run_ms = job.meta.output_tokens * gw.stream_timing.ms_per_token
     longest_ms = overload_order.compute_longest_wait_ms(
@@ -202,7 +206,7 @@
         job.meta.prompt_tokens,
         arrival,
         job.route.target_ms,
-        (estimate.mean_ms or 0.0) if estimate else 0.0,
+        begin_ms,
         longest_ms,
         now_ms,
     )
@@ -216,6 +220,16 @@
     return bool(job.req.body)
 
 
+def _compute_key(job: job_lib.Job) -> returning.Key:
+    return returning.compute_key(job.signature, job.meta)
+
+
+def _forget(order: overload_order.Order, job: job_lib.Job) -> None:
+    """Forget earlier refusals of a request that is admitted."""
+    if len(order.refused) and _is_recognizable(job):
+        order.refused.forget(_compute_key(job))
+
+
 def _refuse(
     gw: context.Gateway,
     order: overload_order.Order,
@@ -234,7 +248,7 @@
     )
     if _is_recognizable(job):
         order.refused.record(
-            job.signature, ticket.arrival, now_ms + retry_ms, now_ms
+            _compute_key(job), ticket.arrival, now_ms + retry_ms, now_ms
         )
     _record(gw, order, job, ticket, cause, expected_ms, retry_ms)
     raise errors.RequestError(
--- a/foxtailpick/gateway/rollouts.py
+++ b/foxtailpick/gateway/rollouts.py
@@ -343,6 +343,9 @@
         rollout_path.observe_endpoints(gw, item.rollout)
         before = item.decision
         item.decision = rollouts_lib.decide(item.rollout, now_ms)
+        item.rollout.is_leaving_old = (
+            item.decision.action is rollouts_lib.Action.COMPLETE
+        )
         if item.decision.action is rollouts_lib.Action.ROLL_BACK:
             # In effect at once; only the others' word can come first.
             item.rollout.is_condemned = True
@@ -378,8 +381,10 @@
             return False
         if item.write_at_ms is None:
             item.write_at_ms = now_ms + rollout_records.compute_write_delay_ms(
-                self._is_hub(), gw.state.router_count, self._gw.rng
+                self._is_hub(), gw.state.router_count, gw.rng
             )
+            if wanted is model.RolloutState.COMPLETED and item.agreed is None:
+                item.write_at_ms += item.rollout.leave_ms
         first_ms = item.write_at_ms
         if gw.state.is_copied and item.agreed is None:
             restored_ms = gw.state.restored_ms or 0.0
--- a/foxtailpick/tests/test_rollouts.py
+++ b/foxtailpick/tests/test_rollouts.py
@@ -167,6 +167,20 @@
         assert get_versions(found) == {OLD}
 
 
+@pytest.mark.parametrize(
+    ('is_condemned', 'expected'), [(False, {'v2'}), (True, {'v1'})]
+)
+def test_old_endpoints_finish_before_they_are_stopped(is_condemned, expected):
+    """At the completion they end, with the requests that they have."""
+    rollout = make_rollout()
+    rollout.is_leaving_old = True
+    rollout.is_condemned = is_condemned
+    found = rollout_choice.select_endpoints(
+        rollout, make_endpoints(), 'k', 39_000.0, random.Random(1)
+    )
+    assert get_versions(found) == expected
+
+
 def test_new_version_gets_a_share_at_few_endpoints():
     rollout = make_rollout()
     endpoints = make_endpoints()
