Give a bad version nothing when no old endpoint is left

Cause: where no endpoint of another version was listed, requests went to the version on trial whatever was known of it. That is meant for an order to the only version there is; it also held after the old endpoints had gone, for a version that had been found bad, without any bound. Change: it holds only if no other usable version was there since the order. Result: test_bad_version_gets_nothing_when_the_old_one_is_gone failed before and passes, as do the other orders of the file (12 run).

--- a/foxtailpick/core/dispatch/rollouts.py
+++ b/foxtailpick/core/dispatch/rollouts.py
@@ -148,6 +148,7 @@
     :param steps_began_ms: when the last steps began, None if they did not.
     :param steps_length_ms: their length in all.
     :param has_failed_steps: whether they ended with a doubt.
+    :param has_others: whether another version was there since the order.
     :param is_leaving_old: whether all requests go to the new version, which
         is about to be completed.
     :param route_shares: share of the canary on routes with few requests.
@@ -179,6 +180,7 @@
     steps_began_ms: float | None = None
     steps_length_ms: float = 0.0
     has_failed_steps: bool = False
+    has_others: bool = False
     is_leaving_old: bool = False
     route_shares: dict[str, float] = dataclasses.field(default_factory=dict)
     verdict: rollout_verdict.Verdict | None = None
--- a/foxtailpick/gateway/rollout_path.py
+++ b/foxtailpick/gateway/rollout_path.py
@@ -154,6 +154,7 @@
     :param rollout: the roll-out.
     """
     service = rollout.order.service
+    _has_alternative(gw, service)
     rollout_choice.observe_endpoints(
         rollout,
         _list_allowed(gw, service, gw.state.table.list_service(service)),
@@ -260,16 +261,20 @@
 
 
 def _has_alternative(gw: context.Gateway, service: types.ServiceId) -> bool:
-    """Tell whether the store lists an endpoint for what isn't on trial.
+    """Tell whether there is, or was, a version for what isn't on trial.
 
-    Without any, the order is to move to the only version there is, and
-    requests go to it as they did before the order.
+    Without any since the order, it is to move to the only version there is,
+    and requests go to that one as they did before the order. A version on
+    trial doesn't get all requests once the others are gone.
     """
-    barred = list_barred(gw, service)
     rollout = gw.rollouts[service]
+    if rollout.has_others:
+        return True
+    barred = list_barred(gw, service)
     if rollout.state is not model.RolloutState.COMPLETED:
         barred |= {rollout.order.version}
-    return any(
+    rollout.has_others = any(
         item.entry.service == service and item.entry.version not in barred
         for item in gw.state.table.list_all()
     )
+    return rollout.has_others
--- a/foxtailpick/tests/test_gateway_rollouts.py
+++ b/foxtailpick/tests/test_gateway_rollouts.py
@@ -599,3 +599,24 @@
         assert fleet.count('v2') == 0
         assert rollout.exposure.sent_new == 0
         assert rollout.exposure.sent == 1
+
+
+async def test_bad_version_gets_nothing_when_the_old_one_is_gone():
+    async with open_fleet() as (harnesses, fleet, operator):
+        (harness,) = harnesses
+        fleet.start('v2')
+        await fleet.until_known(harness)
+        operator.order(SERVICE, 'v2', DURATION_S)
+        await harness.until(lambda: SERVICE in harness.gw.rollouts)
+        harness.gw.rollouts[SERVICE].is_condemned = True
+        for endpoint in list(fleet.standins):
+            if endpoint.startswith('v1-'):
+                harness.store.remove(f'servers/{endpoint}')
+                await harness.until(
+                    lambda name=endpoint: (
+                        harness.gw.state.table.get(name) is None
+                    )
+                )
+        answer = await harness.ask('/unsafe/x', X_Attempt_Id='a-last')
+    assert answer.status == 503
+    assert fleet.count('v2') == 0
