Log a defect in the order of one service instead of ending the process

Cause: the task that admits waiting requests ended with any exception in the check of one service, and with it the gateway and all its requests. Change: the exception is counted and logged, and what waits for that service is released. Result: the test failed before (the gateway ended) and passes.

--- a/foxtailpick/gateway/ordered_admission.py
+++ b/foxtailpick/gateway/ordered_admission.py
@@ -105,7 +105,13 @@
             _release(overload_order.pop_all(order, now_ms))
             order.detector.is_overloaded = False
             continue
-        _check_service(gw, service, order, target_ms, now_ms)
+        try:
+            _check_service(gw, service, order, target_ms, now_ms)
+        except Exception as exc:
+            # A defect here must not end the process with all its requests.
+            gw.metrics.count('defects')
+            gw.log.emit('defect', service=service, error=repr(exc))
+            _release(overload_order.pop_all(order, now_ms))
 
 
 def _check_service(
--- a/foxtailpick/tests/test_admission.py
+++ b/foxtailpick/tests/test_admission.py
@@ -8,7 +8,9 @@
 from foxtailpick.core.dispatch import account_usage
 from foxtailpick.core.dispatch import overload_order
 from foxtailpick.core.dispatch import response_timeout
+from foxtailpick.gateway import ordered_admission
 from foxtailpick.tests import gateway_harness
+from foxtailpick.tests import gateway_scripts
 
 
 # With several routes to the engine, requests to it are ordered.
@@ -253,3 +255,16 @@
         assert ticket.until_ms - harness.gw.now_ms() > 700
         conn.close()
         await harness.until(lambda: not order.tickets)
+
+
+async def test_defect_in_the_check_of_one_service_ends_no_gateway(monkeypatch):
+    def fail(*args):
+        raise OverflowError('int too large to convert to float')
+
+    async with gateway_harness.open_harness() as harness:
+        harness.add_endpoint('p1', 'plain', gateway_scripts.answer_plainly)
+        await harness.until_known('p1')
+        assert (await harness.ask('/safe/x')).status == 200
+        monkeypatch.setattr(ordered_admission, '_check_service', fail)
+        await trio.sleep(0.2)
+        assert (await harness.ask('/safe/x')).status == 200
