--- a/foxtailpick/tests/test_rollout_status_model.py
+++ b/foxtailpick/tests/test_rollout_status_model.py
@@ -411,11 +411,16 @@
 
 
 def explore_contradiction(seed):
-    """Run the sequence in which two routers contradict each other."""
-    trio.run(
-        functools.partial(explore, CONTRADICTION, seed),
-        clock=trio.testing.MockClock(autojump_threshold=0),
-    )
+    """Run the sequence in which two routers contradict each other.
+
+    Both write at the same moment, without the time to leave old endpoints.
+    """
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(rollouts_lib, 'LEAVE_PART', 0.0)
+        trio.run(
+            functools.partial(explore, CONTRADICTION, seed),
+            clock=trio.testing.MockClock(autojump_threshold=0),
+        )
 
 
 @pytest.mark.parametrize('seed', [1, 2, 3])
