Let only a verdict take back the completion of a roll-out

Cause: while the old endpoints finish, all requests go to the new version, and its answers take longer there than beside the old one. A doubt about that ended the completion that all routers had decided on, so a good version was not completed in time and stayed in doubt. Evidence: a whole run of the checks on without other load (1 failed, 2644 passed: test_good_version_is_completed_without_a_caller_noticing[3]); in its log three routers decide to complete after 8.3 s and to wait as doubtful after 9.1 s, with 8 of 94 answers slow. Change: after that decision a doubt is passed over; a verdict, missing totals or the deadline still end it. The whole checks were not run on this commit.

--- a/foxtailpick/core/dispatch/rollouts.py
+++ b/foxtailpick/core/dispatch/rollouts.py
@@ -472,6 +472,11 @@
 def _update_steps(rollout: Rollout, now_ms: float) -> None:
     has_begun = rollout.steps_began_ms is not None
     is_time = rollout.last_steps_ms <= now_ms < rollout.deadline_ms
+    if rollout.is_leaving_old and is_time:
+        if rollout.doubt is Reason.DOUBTFUL:
+            # Under the whole load answers take longer than beside the old
+            # version. Only a verdict against the version counts now.
+            return
     if rollout.doubt is not None or not is_time:
         if has_begun and rollout.doubt is Reason.DOUBTFUL:
             # With the canary's share, a fault under load would not show again.
--- a/foxtailpick/tests/test_rollouts.py
+++ b/foxtailpick/tests/test_rollouts.py
@@ -181,6 +181,26 @@
     assert get_versions(found) == expected
 
 
+@pytest.mark.parametrize(
+    ('is_condemned', 'expected'),
+    [
+        (False, rollouts.Action.COMPLETE),
+        (True, rollouts.Action.ROLL_BACK),
+    ],
+)
+def test_only_a_verdict_takes_back_a_completion(is_condemned, expected):
+    """While old endpoints finish, the new ones have the whole load."""
+    rollout = make_rollout()
+    now_ms = rollout.deadline_ms - rollout.margin_ms
+    rollout.steps_began_ms = rollout.last_steps_ms
+    rollout.steps_length_ms = rollouts.MIN_STEPS_MS
+    rollout.is_leaving_old = True
+    rollout.doubt = rollouts.Reason.DOUBTFUL
+    rollout.is_condemned = is_condemned
+    rollout.judged_ms = now_ms
+    assert rollouts.decide(rollout, now_ms).action is expected
+
+
 def test_new_version_gets_a_share_at_few_endpoints():
     rollout = make_rollout()
     endpoints = make_endpoints()
