--- a/foxtailpick/tests/gateway_harness.py
+++ b/foxtailpick/tests/gateway_harness.py
@@ -92,6 +92,16 @@
     body: bytes
 
 
+def start_endpoint(nursery, store, endpoint, service, script, **fields):
+    """Start an endpoint and register it in a store."""
+    standin = endpoint_server.EndpointStandIn(script)
+    sock = http1.listen(ANY_PORT, 64)
+    nursery.start_soon(standin.serve, sock)
+    entry = make_entry(service, sock.getsockname(), **fields)
+    store.put(f'servers/{endpoint}', entry)
+    return standin
+
+
 class Harness:
     """A running gateway with its store and endpoints."""
 
@@ -106,12 +116,9 @@
 
     def add_endpoint(self, endpoint, service, script, **fields):
         """Start an endpoint and register it in the store."""
-        standin = endpoint_server.EndpointStandIn(script)
-        sock = http1.listen(ANY_PORT, 64)
-        self.nursery.start_soon(standin.serve, sock)
-        entry = make_entry(service, sock.getsockname(), **fields)
-        self.store.put(f'servers/{endpoint}', entry)
-        return standin
+        return start_endpoint(
+            self.nursery, self.store, endpoint, service, script, **fields
+        )
 
     async def until(self, check):
         """Wait until a condition holds, at most `LIMIT_S`."""
--- a/foxtailpick/tests/test_operators_reports.py
+++ b/foxtailpick/tests/test_operators_reports.py
@@ -16,6 +16,7 @@
 from foxtailpick.gateway import server
 from foxtailpick.platform import dialect
 from foxtailpick.platform.standins import endpoint_server
+from foxtailpick.platform.standins import store_server
 from foxtailpick.tests import gateway_harness
 from foxtailpick.tests import gateway_scripts
 
@@ -477,6 +478,30 @@
     assert len(leaving.received) == 1
 
 
+async def test_departure_outlives_a_restart_of_all_gateways():
+    """The store lists the endpoint as ready for seconds after it."""
+    store = store_server.PlatformStoreStandIn()
+    store.put('op/config', gateway_harness.make_config())
+    async with trio.open_nursery() as nursery:
+        leaving, _ = (
+            gateway_harness.start_endpoint(
+                nursery, store, name, 'plain', script
+            )
+            for name, script in (
+                ('p1', leave),
+                ('p2', gateway_scripts.answer_plainly),
+            )
+        )
+        for process in 'abc':
+            async with gateway_harness.open_harness(store=store) as harness:
+                await harness.until_known('p1', 'p2')
+                for number in range(12):
+                    request = f'{process}{number}'
+                    await harness.ask('/safe/x', X_Attempt_Id=request)
+        nursery.cancel_scope.cancel()
+    assert len(leaving.received) == 1
+
+
 async def test_restarted_gateway_uses_nothing_that_was_withdrawn():
     """Neither a key nor a server, also while the store does not answer."""
     tenants = [{'name': 'guides', 'api_keys': ['key-2']}]
