Keep in the store which endpoints announced that they leave

Operators saw requests to an endpoint that had said it leaves. Cause: what a gateway was told of a departure lives in gateways only. They repeat it to each other, but a restart of all of them ends it, while the store lists the endpoint as ready for seconds; each then sends a request there again. Change: the gateway that reads the word keeps it in the store under a lease of a minute, and each gateway reads what is kept when it starts, also of endpoints that it doesn't know yet. Who was told by another gateway writes nothing. Why it works: the store is the one place that outlives all gateways; the lease ends a wrong report as early as a repeated one ends.

--- a/foxtailpick/core/dispatch/endpoint_table.py
+++ b/foxtailpick/core/dispatch/endpoint_table.py
@@ -336,6 +336,18 @@
             elif address_owner.is_replaced(endpoint.entry, other.entry):
                 endpoint.is_replaced = True
 
+    def record_departure(
+        self, endpoint: model.EndpointIncarnation, now_ms: float
+    ) -> bool:
+        """Note that an endpoint leaves, as it announced to a router.
+
+        :param endpoint: the endpoint and its start; it may not be listed yet.
+        :param now_ms: current time.
+        :returns: whether that is new.
+        """
+        announced = self._announcements.find(endpoint, now_ms)
+        return announced.record_told(now_ms)
+
     def remove(self, endpoint: types.EndpointId, now_ms: float) -> None:
         """Remove an endpoint; ignored if it is unknown.
 
--- a/foxtailpick/core/dispatch/model.py
+++ b/foxtailpick/core/dispatch/model.py
@@ -377,6 +377,13 @@
     record: RolloutRecord | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class DepartureItem:
+    """An endpoint announced to a router that it leaves."""
+
+    endpoint: EndpointIncarnation
+
+
 Item = (
     ConfigItem
     | EndpointItem
@@ -384,4 +391,5 @@
     | RouterItem
     | RolloutItem
     | RolloutRecordItem
+    | DepartureItem
 )
--- a/foxtailpick/gateway/announced.py
+++ b/foxtailpick/gateway/announced.py
@@ -52,6 +52,9 @@
             endpoint=endpoint.id,
             started=endpoint.entry.started,
         )
+        if endpoint.announced.told_ms is None:
+            gw.departures.add(endpoint.entry.incarnation)
+            gw.departure_read.set()
     if status != _UNAVAILABLE:
         return
     if meta.bad_retry_after is not None:
--- a/foxtailpick/gateway/context.py
+++ b/foxtailpick/gateway/context.py
@@ -158,6 +158,9 @@
     :param rollouts: the latest roll-out of each service, if any.
     :param barred_versions: versions of each service that an earlier order
         moved to without being completed.
+    :param departures: endpoints that announced to this router that they
+        leave, and are to be kept in the store.
+    :param departure_read: set once there is one.
     :param stream_timing: durations of recent streams, per allowed token.
     :param buffered: memory used by responses that are being read.
     :param request_scopes: cancel scopes of the requests in flight.
@@ -220,6 +223,10 @@
     barred_versions: dict[types.ServiceId, frozenset[types.Version]] = (
         dataclasses.field(default_factory=dict)
     )
+    departures: set[model.EndpointIncarnation] = dataclasses.field(
+        default_factory=set
+    )
+    departure_read: trio.Event = dataclasses.field(default_factory=trio.Event)
     stream_timing: stopping.StreamTiming = dataclasses.field(
         default_factory=stopping.StreamTiming
     )
--- a/foxtailpick/gateway/daemon.py
+++ b/foxtailpick/gateway/daemon.py
@@ -18,6 +18,7 @@
 from foxtailpick.gateway import admission
 from foxtailpick.gateway import context
 from foxtailpick.gateway import decision_log
+from foxtailpick.gateway import departure_keeper
 from foxtailpick.gateway import http1
 from foxtailpick.gateway import mirror as mirror_lib
 from foxtailpick.gateway import peers
@@ -225,6 +226,9 @@
             lambda: exchange.is_hub,
             clock_lib.Clock.from_wall().now,
         )
+        departures = departure_keeper.DepartureKeeper(
+            gw, mirror, store, layout, gw.cfg.min_lease_ms
+        )
         exchange.rollouts = rollout_exchange.RolloutExchange(gw, keeper)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(gw.log.run)
@@ -233,6 +237,7 @@
             )
             nursery.start_soon(exchange.run)
             nursery.start_soon(keeper.run)
+            nursery.start_soon(departures.run)
             nursery.start_soon(_sweep, gw)
             nursery.start_soon(watchdog.watch_attempts, gw)
             nursery.start_soon(admission.assign_free_slots, gw)
--- a/foxtailpick/gateway/mirror.py
+++ b/foxtailpick/gateway/mirror.py
@@ -52,6 +52,9 @@
     :param make_order_key: returns the key of the order to roll out a service.
     :param encode_rollout: returns the writes that set a service's record and
         its status for the operators.
+    :param departure_prefix: key prefix of the departures that endpoints
+        announced.
+    :param encode_departure: returns the write that keeps a departure.
     """
 
     decode: Decode
@@ -63,6 +66,10 @@
     encode_rollout: typing.Callable[
         [types.ServiceId, model.RolloutRecord], list[base.Put]
     ]
+    departure_prefix: str
+    encode_departure: typing.Callable[
+        [model.EndpointIncarnation, types.LeaseId], base.Put
+    ]
 
 
 class Store(typing.Protocol):
@@ -242,7 +249,7 @@
                     with _expect_well_formed():
                         snapshot = await self._store.read_snapshot(prefix)
                     self._record_contact()
-                    replace(self._decode_entries(snapshot))
+                    replace(self.decode_entries(snapshot))
                     position = snapshot.position
                     keys = {entry.key for entry in snapshot.entries}
                     continue
@@ -303,7 +310,7 @@
                 if not is_known:
                     reads = min(reads, store_pacing.FIRST_LISTS - 1)
                 continue
-            self._state.replace_routers(self._decode_entries(snapshot))
+            self._state.replace_routers(self.decode_entries(snapshot))
             is_known = True
 
     async def register(self, key: str, value: bytes) -> None:
@@ -425,7 +432,8 @@
         self._record_contact()
         return changes, reached
 
-    def _decode_entries(self, snapshot: base.Snapshot) -> list[model.Item]:
+    def decode_entries(self, snapshot: base.Snapshot) -> list[model.Item]:
+        """Decode the entries of a snapshot; invalid ones are left out."""
         return [
             item
             for entry in snapshot.entries
--- a/foxtailpick/platform/items.py
+++ b/foxtailpick/platform/items.py
@@ -11,6 +11,7 @@
 from foxtailpick.core.dispatch import model
 from foxtailpick.core import types
 from foxtailpick.gateway import mirror
+from foxtailpick.platform import departure_items
 from foxtailpick.platform import fields as fields_lib
 from foxtailpick.platform import rollout_items
 
@@ -57,6 +58,8 @@
         router = types.RouterId(key.removeprefix(ROUTER_PREFIX))
         entry = None if value is None else _decode_router(value)
         return model.RouterItem(router, entry)
+    if key.startswith(departure_items.DEPARTURE_PREFIX):
+        return departure_items.decode_item(key, value)
     return rollout_items.decode_item(key, value, revision)
 
 
@@ -242,4 +245,6 @@
     rollout_items.RECORD_PREFIX,
     rollout_items.make_order_key,
     rollout_items.encode_record,
+    departure_items.DEPARTURE_PREFIX,
+    departure_items.encode_departure,
 )
