End the hedges of a stream with its first whole event

Callers could get the events of a stream twice, in one answer. Cause: an attempt ends the others of its request once it has an answer to relay, and that was taken to be so only where its data ends with an event. An endpoint that had been silent could send a whole event and a part of the next one: the event was relayed, the hedge went on, and its stream, asked for from the start, was relayed after it. Change: a whole event ends the others, also if a part of the next one follows. Why it works: the events that are relayed and the hedges that remain agree, as a hedge asks for what was relayed when it was sent.

--- a/foxtailpick/gateway/stream_relay.py
+++ b/foxtailpick/gateway/stream_relay.py
@@ -48,7 +48,8 @@
     is_taken_over = False
     while True:
         chunk, is_ended = await _read_chunk(gw, attempt, conn)
-        if _feed(boundary, chunk):
+        has_event_end = _feed(boundary, chunk)
+        if has_event_end:
             endpoint_io.record_progress(attempt, gw.now_ms())
         job.is_within_event = boundary.is_within_event
         if not is_taken_over:
@@ -60,7 +61,9 @@
                     break
                 continue
             chunk = early
-        await claim_response(hooks, not boundary.is_within_event)
+        # A whole event is relayed even if a part of the next one follows.
+        is_answer = has_event_end or not boundary.is_within_event
+        await claim_response(hooks, is_answer)
         if not is_taken_over:
             is_taken_over = True
             _take_over_stream(job, reply, head, meta)
