Bind each stream to the software version that began it

Callers got whole answers of status 200 whose text was joined of two versions of an endpoint's software, with nothing in them to show it. Cause: a property of the endpoint that began a stream binds all later ones, and nobody kept it: not the choice of the next endpoint within an answer, nor the gateway at which a caller takes the stream up, nor anyone once all gateways were killed, while the caller names only an attempt. Change: a stream is bound to its version with its first event. The store has the versions at which streams of a service may have begun, added before one begins there, and, only while there are several, which stream began at which. Why it works: one version in the store proves that all streams began at it; a loss of what is kept only makes a stream unknown, never one of another version.

--- a/foxtailpick/core/dispatch/model.py
+++ b/foxtailpick/core/dispatch/model.py
@@ -9,6 +9,8 @@
 Address = tuple[str, int]
 RawHeader = tuple[bytes, bytes]
 EndpointIncarnation = tuple[types.EndpointId, types.Incarnation]
+# Streams that have begun, by service and version.
+Begun = dict[types.ServiceId, dict[types.Version, list[types.RequestId]]]
 
 
 class RequestKind(enum.Enum):
@@ -255,6 +257,8 @@
     :param output_tokens: maximum length of the answer, 0 if unknown.
     :param last_event_id: event after which the stream continues, if any.
     :param forwarded: headers that are forwarded unchanged.
+    :param resumes: the attempt that brought the first event of the stream
+        that it continues, if named.
     """
 
     id: types.RequestId
@@ -265,6 +269,7 @@
     output_tokens: int
     last_event_id: str | None
     forwarded: list[RawHeader]
+    resumes: types.RequestId | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -384,6 +389,25 @@
     endpoint: EndpointIncarnation
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamVersionsItem:
+    """Versions of a service at which streams may have begun.
+
+    :param service: the service.
+    :param versions: the versions, None if the item is missing.
+    """
+
+    service: types.ServiceId
+    versions: frozenset[types.Version] | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BegunStreamsItem:
+    """Streams that began through one router."""
+
+    begun: Begun
+
+
 Item = (
     ConfigItem
     | EndpointItem
@@ -392,4 +416,6 @@
     | RolloutItem
     | RolloutRecordItem
     | DepartureItem
+    | StreamVersionsItem
+    | BegunStreamsItem
 )
--- a/foxtailpick/core/errors.py
+++ b/foxtailpick/core/errors.py
@@ -40,6 +40,7 @@
     ENDPOINT_HEADER_INVALID = 'FTP-217'
     PROMPT_QUARANTINED = 'FTP-218'
     REQUEST_TOO_LARGE = 'FTP-220'
+    STREAM_UNKNOWN = 'FTP-221'
 
     # Configuration and patches.
     PATCH_MALFORMED = 'FTP-301'
--- a/foxtailpick/gateway/context.py
+++ b/foxtailpick/gateway/context.py
@@ -21,6 +21,8 @@
 from foxtailpick.core.dispatch import response_timeout
 from foxtailpick.core.dispatch import rollouts as rollouts_lib
 from foxtailpick.core.dispatch import stopping
+from foxtailpick.core.dispatch import stream_origins
+from foxtailpick.core import errors
 from foxtailpick.core import retry
 from foxtailpick.core import types
 from foxtailpick.gateway import client as client_lib
@@ -127,6 +129,22 @@
     done: trio.Event = dataclasses.field(default_factory=trio.Event)
 
 
+async def refuse_unknown_stream(
+    request: types.RequestId | None, service: types.ServiceId
+) -> stream_origins.Origin:
+    """Look up a stream where no store can be asked.
+
+    :param request: the attempt that brought its first event, if named.
+    :param service: the service of the request that takes it up.
+    :raises errors.RequestError: always.
+    """
+    raise errors.RequestError(
+        errors.ErrorCode.STREAM_UNKNOWN,
+        f'expected a store to tell where the stream of {request} to '
+        f'{service} began, got none; begin a new stream',
+    )
+
+
 @dataclasses.dataclass(slots=True)
 class Gateway:
     """State and components of one gateway process.
@@ -161,6 +179,10 @@
     :param departures: endpoints that announced to this router that they
         leave, and are to be kept in the store.
     :param departure_read: set once there is one.
+    :param streams: where streams began, as far as known here.
+    :param stream_versions: versions of each service that has streams which
+        may be resumed.
+    :param look_up_stream: finds out where a stream began that isn't known.
     :param stream_timing: durations of recent streams, per allowed token.
     :param buffered: memory used by responses that are being read.
     :param request_scopes: cancel scopes of the requests in flight.
@@ -227,6 +249,16 @@
         default_factory=set
     )
     departure_read: trio.Event = dataclasses.field(default_factory=trio.Event)
+    streams: stream_origins.StreamOrigins = dataclasses.field(
+        default_factory=stream_origins.StreamOrigins
+    )
+    stream_versions: dict[types.ServiceId, stream_origins.ServiceVersions] = (
+        dataclasses.field(default_factory=dict)
+    )
+    look_up_stream: typing.Callable[
+        [types.RequestId | None, types.ServiceId],
+        typing.Awaitable[stream_origins.Origin],
+    ] = refuse_unknown_stream
     stream_timing: stopping.StreamTiming = dataclasses.field(
         default_factory=stopping.StreamTiming
     )
--- a/foxtailpick/gateway/daemon.py
+++ b/foxtailpick/gateway/daemon.py
@@ -31,6 +31,7 @@
 from foxtailpick.gateway import server
 from foxtailpick.gateway import settings as settings_lib
 from foxtailpick.gateway import state as state_lib
+from foxtailpick.gateway import stream_keeper
 from foxtailpick.gateway import watchdog
 from foxtailpick.node import metrics as metrics_lib
 
@@ -229,6 +230,10 @@
         departures = departure_keeper.DepartureKeeper(
             gw, mirror, store, layout, gw.cfg.min_lease_ms
         )
+        streams = stream_keeper.StreamKeeper(
+            gw, mirror, store, layout, lambda: exchange.is_hub
+        )
+        gw.look_up_stream = streams.look_up
         exchange.rollouts = rollout_exchange.RolloutExchange(gw, keeper)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(gw.log.run)
@@ -238,6 +243,7 @@
             nursery.start_soon(exchange.run)
             nursery.start_soon(keeper.run)
             nursery.start_soon(departures.run)
+            nursery.start_soon(streams.run)
             nursery.start_soon(_sweep, gw)
             nursery.start_soon(watchdog.watch_attempts, gw)
             nursery.start_soon(admission.assign_free_slots, gw)
--- a/foxtailpick/gateway/execution.py
+++ b/foxtailpick/gateway/execution.py
@@ -23,6 +23,7 @@
 from foxtailpick.gateway import quarantine
 from foxtailpick.gateway import reply as reply_lib
 from foxtailpick.gateway import rollout_path
+from foxtailpick.gateway import stream_path
 
 # Interval between attempts to choose an endpoint while none is available.
 PLACEMENT_RETRY_INTERVAL_MS = 15.0
@@ -236,11 +237,15 @@
     now_ms = gw.now_ms()
     table = gw.state.table
     service = job.service.name
-    endpoints = rollout_path.select_endpoints(
-        gw, job, table.list_service(service), is_repeat
-    ) or rollout_path.select_endpoints(
-        gw, job, table.list_last_resort(service, now_ms), is_repeat
-    )
+    endpoints: list[endpoint_table.Endpoint] = []
+    for listed in (
+        table.list_service(service),
+        table.list_last_resort(service, now_ms),
+    ):
+        fitting = stream_path.list_fitting(gw, job, listed)
+        endpoints = endpoints or rollout_path.select_endpoints(
+            gw, job, fitting, is_repeat
+        )
     roomy, full = memory_room.split_by_room(gw, job, endpoints)
     if _has_untried(job, full) and not _has_untried(job, roomy):
         return _Placement(placing.Obstacle.NO_MEMORY, endpoints)
@@ -328,7 +333,8 @@
 def _has_untried_endpoint(gw: context.Gateway, job: job_lib.Job) -> bool:
     service = job.service.name
     listed = gw.state.table.list_service(service)
-    return _has_untried(job, rollout_path.list_usable(gw, service, listed))
+    usable = rollout_path.list_usable(gw, service, listed)
+    return _has_untried(job, stream_path.list_fitting(gw, job, usable))
 
 
 def _has_untried(
--- a/foxtailpick/gateway/job.py
+++ b/foxtailpick/gateway/job.py
@@ -51,6 +51,8 @@
     :param error_response: error response of an endpoint to one of the
         latest attempts, relayed unless another one succeeds.
     :param verdict: whether it may have been executed.
+    :param stream_version: the only software version at which its stream may
+        go on, None before it has begun.
     """
 
     req: http1.Request
@@ -73,6 +75,7 @@
     is_within_event: bool = False
     error_response: BufferedResponse | None = None
     verdict: verdict_lib.Verdict = verdict_lib.Verdict.NOT_RUN
+    stream_version: types.Version | None = None
     _signature: crash_quarantine.Signature | None = None
 
     @property
--- a/foxtailpick/gateway/mirror.py
+++ b/foxtailpick/gateway/mirror.py
@@ -55,6 +55,11 @@
     :param departure_prefix: key prefix of the departures that endpoints
         announced.
     :param encode_departure: returns the write that keeps a departure.
+    :param stream_prefix: key prefix of what routers write of streams.
+    :param make_versions_key: returns the key of a service's versions.
+    :param encode_versions: returns the write that sets them.
+    :param encode_begun: returns the write that sets a part of the streams
+        that began through a router.
     """
 
     decode: Decode
@@ -70,6 +75,14 @@
     encode_departure: typing.Callable[
         [model.EndpointIncarnation, types.LeaseId], base.Put
     ]
+    stream_prefix: str
+    make_versions_key: typing.Callable[[types.ServiceId], str]
+    encode_versions: typing.Callable[
+        [types.ServiceId, frozenset[types.Version]], base.Put
+    ]
+    encode_begun: typing.Callable[
+        [types.RouterId, str, model.Begun, types.LeaseId], base.Put
+    ]
 
 
 class Store(typing.Protocol):
@@ -200,6 +213,11 @@
             nursery.start_soon(self.list_routers)
             nursery.start_soon(self.register, key, value)
 
+    @property
+    def is_store_lost(self) -> bool:
+        """Whether the latest call of the store failed."""
+        return self._outage is not None
+
     async def call(
         self, make_calls: typing.Callable[[], typing.Awaitable[_T]]
     ) -> _T:
--- a/foxtailpick/gateway/relay.py
+++ b/foxtailpick/gateway/relay.py
@@ -23,6 +23,7 @@
 from foxtailpick.gateway import http1
 from foxtailpick.gateway import job as job_lib
 from foxtailpick.gateway import reply as reply_lib
+from foxtailpick.gateway import stream_path
 
 # Interval between checks whether the first configuration has arrived.
 CONFIG_CHECK_INTERVAL_MS = 15.0
@@ -42,6 +43,7 @@
     errors.ErrorCode.SHUTTING_DOWN: 503,
     errors.ErrorCode.PROMPT_QUARANTINED: 503,
     errors.ErrorCode.REQUEST_TOO_LARGE: 503,
+    errors.ErrorCode.STREAM_UNKNOWN: 503,
     errors.ErrorCode.ENDPOINT_FAILED: 502,
     errors.ErrorCode.OUTCOME_UNKNOWN: 502,
     errors.ErrorCode.DEADLINE_EXCEEDED: 504,
@@ -69,6 +71,7 @@
         with trio.CancelScope(deadline=deadline) as scope:
             gw.request_scopes.add(scope)
             try:
+                await stream_path.bind_stream(gw, job)
                 outcome = await execution.run_attempts(gw, job, reply)
             finally:
                 gw.request_scopes.discard(scope)
--- a/foxtailpick/gateway/settings.py
+++ b/foxtailpick/gateway/settings.py
@@ -23,6 +23,7 @@
     :param change_bound_ms: shortest time in which a change in the store has
         to be in force.
     :param history_ms: how long the store keeps the history of changes.
+    :param writes_per_s: write calls that the store accepts from all routers.
     :param grace_ms: time from SIGTERM to the end of the process.
     :param retry_ratio: retries allowed per request, for the whole fleet.
     :param retry_extra: burst of retries allowed beyond that, for the whole
@@ -45,6 +46,7 @@
     min_lease_ms: float = 1_000.0
     change_bound_ms: float = 2_000.0
     history_ms: float = 20_000.0
+    writes_per_s: float = 400.0
     grace_ms: float = 8_000.0
     retry_ratio: float = 0.2
     retry_extra: float = 50.0
@@ -60,6 +62,7 @@
             self.min_lease_ms,
             self.change_bound_ms,
             self.history_ms,
+            self.writes_per_s,
             self.grace_ms,
             self.retry_ratio,
             self.retry_extra,
@@ -82,6 +85,8 @@
             raise self._make_error('a bound on changes above 0 ms')
         if self.history_ms <= 0:
             raise self._make_error('a history of the store above 0 ms')
+        if self.writes_per_s <= 0:
+            raise self._make_error('a rate of writes above 0')
         if self.processor_share <= 0 or self.max_sockets <= 0:
             raise self._make_error('processor and descriptor limits above 0')
 
--- a/foxtailpick/gateway/state.py
+++ b/foxtailpick/gateway/state.py
@@ -52,6 +52,7 @@
         # Orders that a watch reported just after they were given.
         self._fresh: set[types.RolloutId] = set()
         self._orders_changed = trio.Event()
+        self._endpoints_changed = trio.Event()
         self._restored_ms: float | None = None
         # Since when this router knows of no other, None if it does.
         self.alone_since_ms: float | None = None
@@ -86,6 +87,11 @@
         """Set once an order or the record of one has changed."""
         return self._orders_changed
 
+    @property
+    def endpoints_changed(self) -> trio.Event:
+        """Set once a process or the configuration has been added."""
+        return self._endpoints_changed
+
     def list_orders(
         self,
     ) -> typing.Mapping[types.ServiceId, model.RolloutOrder | None]:
@@ -215,6 +221,7 @@
             after_outage=grace_until_ms is not None,
             after_restore=self.is_copied,
         )
+        self._wake_for_endpoints()
 
     def replace_routers(self, items: typing.Sequence[model.Item]) -> None:
         """Update the routers from a list that may be some seconds old.
@@ -314,6 +321,10 @@
         self._orders_changed.set()
         self._orders_changed = trio.Event()
 
+    def _wake_for_endpoints(self) -> None:
+        self._endpoints_changed.set()
+        self._endpoints_changed = trio.Event()
+
     def _set_record(self, item: model.RolloutRecordItem) -> None:
         if item.record is None:
             self._records.pop(item.service, None)
@@ -335,11 +346,15 @@
             routes=len(cfg.routes),
             keys=len(cfg.accounts),
         )
+        self._wake_for_endpoints()
 
     def _set_endpoint(self, item: model.EndpointItem) -> None:
         now_ms = self._now_ms()
         if item.entry is not None:
+            known = self.table.get(item.id)
             endpoint = self.table.put(item.entry, now_ms)
+            if endpoint is not known:
+                self._wake_for_endpoints()
             self._log.emit(
                 'endpoint-listed',
                 endpoint=item.id,
--- a/foxtailpick/gateway/stream_relay.py
+++ b/foxtailpick/gateway/stream_relay.py
@@ -11,6 +11,7 @@
 from foxtailpick.gateway import job as job_lib
 from foxtailpick.gateway import quarantine
 from foxtailpick.gateway import reply as reply_lib
+from foxtailpick.gateway import stream_path
 
 
 async def relay_stream(
@@ -66,6 +67,7 @@
         await claim_response(hooks, is_answer)
         if not is_taken_over:
             is_taken_over = True
+            stream_path.record_begun(gw, job, attempt.endpoint)
             _take_over_stream(job, reply, head, meta)
         if splitter is not None:
             chunk = _split_events(splitter, chunk)
--- a/foxtailpick/platform/boot.py
+++ b/foxtailpick/platform/boot.py
@@ -97,6 +97,7 @@
         # The fields are in seconds, all internal durations in milliseconds.
         history_ms=_get_number(fields, 'platform.history_s', 20.0)
         * types.SECOND_MS,
+        writes_per_s=_get_number(fields, 'platform.writes_per_s', 400.0),
         grace_ms=_get_number(fields, 'bounds.grace_s', 8.0) * types.SECOND_MS,
         retry_ratio=_get_number(fields, 'bounds.retry_budget_ratio', 0.2),
         # Retries that the whole fleet may make beyond the ratio.
--- a/foxtailpick/platform/dialect.py
+++ b/foxtailpick/platform/dialect.py
@@ -76,6 +76,7 @@
         prompt_tokens=prompt_tokens,
         output_tokens=output_tokens,
         last_event_id=_decode_optional(last_event),
+        resumes=_decode_resumed(values.get(b'resumes')),
         forwarded=[item for item in headers if item[0] not in dropped],
     )
 
@@ -219,6 +220,10 @@
     return None if value is None else value.decode('latin-1')
 
 
+def _decode_resumed(value: bytes | None) -> types.RequestId | None:
+    return types.RequestId(value.decode('latin-1')) if value else None
+
+
 def _parse_counts(value: bytes | None) -> tuple[int, int]:
     if not value:
         return 0, 0
--- a/foxtailpick/platform/items.py
+++ b/foxtailpick/platform/items.py
@@ -14,6 +14,7 @@
 from foxtailpick.platform import departure_items
 from foxtailpick.platform import fields as fields_lib
 from foxtailpick.platform import rollout_items
+from foxtailpick.platform import stream_items
 
 OPERATOR_PREFIX = 'op/'
 CONFIG_KEY = 'op/config'
@@ -60,6 +61,8 @@
         return model.RouterItem(router, entry)
     if key.startswith(departure_items.DEPARTURE_PREFIX):
         return departure_items.decode_item(key, value)
+    if key.startswith(stream_items.STREAM_PREFIX):
+        return stream_items.decode_item(key, value)
     return rollout_items.decode_item(key, value, revision)
 
 
@@ -247,4 +250,8 @@
     rollout_items.encode_record,
     departure_items.DEPARTURE_PREFIX,
     departure_items.encode_departure,
+    stream_items.STREAM_PREFIX,
+    stream_items.make_versions_key,
+    stream_items.encode_versions,
+    stream_items.encode_begun,
 )
--- a/foxtailpick/tests/test_stream_versions.py
+++ b/foxtailpick/tests/test_stream_versions.py
@@ -1,17 +1,25 @@
 """A stream goes on at the software version that began it, or not at all."""
 
+import base64
 import contextlib
+import dataclasses
 
 import pytest
 import trio
 
+from foxtailpick.core.dispatch import stream_origins
 from foxtailpick.gateway import http1
+from foxtailpick.gateway import stream_keeper
+from foxtailpick.platform import fields
+from foxtailpick.platform import items
 from foxtailpick.platform.standins import endpoint_server
 from foxtailpick.platform.standins import store_server
+from foxtailpick.platform import stream_items
 from foxtailpick.tests import gateway_harness
 from foxtailpick.tests import gateway_scripts
 
 LAST = 4
+VERSIONS_KEY = stream_items.make_versions_key('engine')
 # Prompts with different homes among the endpoints.
 PROMPTS = ('ab:500,cd:10', 'ef:500,cd:10', '12:500,cd:10', '34:500,cd:10')
 
@@ -82,11 +90,29 @@
         async with gateway_harness.open_harness(
             store=self.store, name=name
         ) as harness:
-            await harness.until_known(*self.endpoints)
-            # Versions are noted before streams begin at them.
-            await trio.sleep(0.3)
+            await self.until_recorded(harness)
             yield harness
 
+    async def until_recorded(self, harness):
+        """Wait until streams may begin at all endpoints."""
+        await harness.until_known(*self.endpoints)
+        versions = {
+            harness.gw.state.table.get(name).entry.version
+            for name in self.endpoints
+        }
+
+        def is_recorded():
+            known = harness.gw.stream_versions.get('engine')
+            return known is not None and versions <= (known.recorded or set())
+
+        await harness.until(is_recorded)
+
+    async def until_written(self, harness):
+        """Wait until the store has the streams of a gateway."""
+        await harness.until(
+            lambda: harness.gw.metrics.counters['streams_begun_writes']
+        )
+
     def count(self, name):
         """Return the number of requests that an endpoint got."""
         return len(self.endpoints[name].received)
@@ -171,8 +197,8 @@
             await begin(harness)
             for name in ('e2', 'e3', 'e4'):
                 fleet.add(name, 'v2')
-            await harness.until_known('e2', 'e3', 'e4')
-            await trio.sleep(0.6)
+            await fleet.until_recorded(harness)
+            await fleet.until_written(harness)
         async with fleet.start_gateway(gateway) as harness:
             answer = await take_up(harness, 'a2', 'a1')
     assert answer.status == 200
@@ -186,8 +212,8 @@
         async with fleet.start_gateway() as harness:
             await begin(harness)
             fleet.add('e2', 'v2')
-            await harness.until_known('e2')
-            await trio.sleep(0.6)
+            await fleet.until_recorded(harness)
+            await fleet.until_written(harness)
         fleet.remove('e1')
         async with fleet.start_gateway() as harness:
             answer = await take_up(harness, 'a2', 'a1')
@@ -232,3 +258,116 @@
         assert answer.status == 503
         assert b'retry-after' in answer.headers
         assert fleet.count('e1') == 0
+
+
+async def test_stream_of_a_lost_lease_is_written_again():
+    async with open_fleet() as fleet:
+        fleet.add('e1', 'v1')
+        fleet.add('e2', 'v2')
+        async with fleet.start_gateway() as harness:
+            first = await begin(harness)
+            await fleet.until_written(harness)
+            for key in [key for key in fleet.store.items if '/begun/' in key]:
+                fleet.store.remove(key)
+            fleet.store.leases.clear()
+            await begin(harness, 'a2')
+            await harness.until(
+                lambda: harness.gw.metrics.counters['streams_begun_writes'] > 1
+            )
+        async with fleet.start_gateway() as harness:
+            answer = await take_up(harness, 'a3', 'a1')
+    version = 'v1' if b'data: v1' in first else 'v2'
+    assert answer.body == make_events(3, LAST, version)
+
+
+async def test_version_is_recorded_again_in_a_restored_store():
+    """The copy is older than the first stream of the new version."""
+    async with open_fleet() as fleet:
+        fleet.store.era = 1
+        fleet.add('e1', 'v1')
+        async with fleet.start_gateway() as harness:
+            copy = fleet.store.take_copy()
+            fleet.add('e2', 'v2')
+            await fleet.until_recorded(harness)
+            entry = fleet.store.items['servers/e2']
+            fleet.store.restore(copy)
+            fleet.store.items['servers/e2'] = entry
+            await harness.until(
+                lambda: (
+                    b'v2'
+                    in base64.b64decode(
+                        fleet.store.items[VERSIONS_KEY]['value']
+                    )
+                )
+            )
+
+
+async def test_version_that_left_is_retired(monkeypatch):
+    monkeypatch.setattr(stream_origins, 'RETIRE_MS', 400.0)
+    monkeypatch.setattr(stream_origins, 'REPEAT_MS', 200.0)
+    monkeypatch.setattr(stream_origins, 'MIN_KEEP_MS', 100.0)
+    monkeypatch.setattr(stream_keeper, 'CHECK_INTERVAL_MS', 50.0)
+    async with open_fleet() as fleet:
+        fleet.add('e1', 'v1')
+        fleet.add('e2', 'v2')
+        async with fleet.start_gateway() as harness:
+            harness.gw.streams.keep_ms = 100.0
+            fleet.remove('e1')
+            versions = harness.gw.stream_versions['engine']
+            await harness.until(lambda: versions.recorded == {'v2'})
+            answer = await take_up(harness, 'a2', 'a1')
+    assert answer.body == make_events(3, LAST, 'v2')
+
+
+async def test_new_version_waits_until_it_is_recorded():
+    """A gateway without the store can't tell the others of it."""
+    async with open_fleet() as fleet:
+        fleet.add('e1', 'v1', breaks_first=False)
+        async with fleet.start_gateway() as harness:
+            table = harness.gw.state.table
+            fleet.store.refuse_with = 503
+            entry = table.get('e1').entry
+            table.put(
+                dataclasses.replace(
+                    entry, id='e2', version='v2', address=('127.0.0.1', 9)
+                ),
+                harness.gw.now_ms(),
+            )
+            for number, prompt in enumerate(PROMPTS):
+                await begin(harness, f'a{number}', prompt)
+            assert fleet.count('e1') == len(PROMPTS)
+
+
+def test_all_routers_together_keep_to_their_share_of_the_writes():
+    for routers in (1, 4, 68, 300):
+        interval_ms = stream_origins.compute_write_interval_ms(routers, 400.0)
+        assert routers * 1_000.0 / interval_ms <= 0.25 * 400.0
+
+
+def test_part_of_the_streams_is_bounded():
+    streams = stream_origins.StreamOrigins()
+    origin = stream_origins.Origin('engine', 'v1')
+    for number in range(20):
+        streams.record(f'a{number}', origin, 1_000.0, 0.0)
+    first = streams.take_unwritten({'engine'}, 15)
+    second = streams.take_unwritten({'engine'}, 15)
+    assert stream_origins.count(first) == 15
+    assert stream_origins.count(second) == 5
+    streams.forget_written()
+    streams.expire(2_000.0)
+    assert streams.take_unwritten({'engine'}, 15) == {}
+
+
+@pytest.mark.parametrize(
+    ('key', 'value'),
+    [
+        ('versions/engine', b'{"versions": 3}'),
+        ('versions/engine', b'{"versions": [3]}'),
+        ('begun/router-9/1', b'{"streams": {"engine": []}}'),
+        ('begun/router-9/1', b'{"streams": {"engine": {"v1": "a1"}}}'),
+        ('begun/router-9/1', b'\xff'),
+    ],
+)
+def test_item_of_another_writer_is_refused(key, value):
+    with pytest.raises(fields.ItemError):
+        items.decode_item(stream_items.STREAM_PREFIX + key, value)
