Let soak callers take up streams of several software versions

Cause: all engines of the soak had one version, no caller took a stream up, and gateways were never all killed as the old engines leave, so that streams joined of two versions went unseen. Change: each version writes events of its own; callers that stay on their connection take up a stream that broke off, at any gateway; releases to a part or all of the engines, at times with a kill of all gateways as they end, beside crashes, kills, stops, an older store and cuts. Checked are streams joined of two versions and the share that goes on.

--- a/foxtailpick/bench/soak.py
+++ b/foxtailpick/bench/soak.py
@@ -25,6 +25,8 @@
     'limits': gateway_soak.run_limits,
     'silence': gateway_soak.run_silence,
     'large-silence': gateway_soak.run_large_silence,
+    'versions': gateway_soak.run_versions,
+    'large-versions': gateway_soak.run_large_versions,
 }
 
 
--- a/foxtailpick/soak/callers.py
+++ b/foxtailpick/soak/callers.py
@@ -13,6 +13,7 @@
 from foxtailpick.platform import dialect
 from foxtailpick.platform.standins import endpoint_server
 from foxtailpick.soak import record as record_lib
+from foxtailpick.soak import resumption
 from foxtailpick.soak import world as world_lib
 
 # Callers leave this long after the deadline of a call.
@@ -69,6 +70,7 @@
                     conns[gateway.name] = conn
                 else:
                     conn.close()
+        await _take_up_broken(world, [call], rng)
         await trio.sleep(rng.uniform(0.0, 0.12))
 
 
@@ -105,6 +107,7 @@
                 call.predecessor = calls[-1] if calls else None
                 calls.append(call)
             await _send_calls(world, calls, conn, rng)
+            await _take_up_broken(world, calls, rng)
             if calls[-1].status in record_lib.NOT_RUN_STATUSES:
                 await pause(rng.uniform(*REFUSED_PAUSE_MS))
         await trio.sleep(rng.uniform(0.0, 0.12))
@@ -157,6 +160,32 @@
         conn.is_clean = False
 
 
+async def _take_up_broken(
+    world: world_lib.World,
+    calls: list[record_lib.Call],
+    rng: random.Random,
+) -> None:
+    """Take up the streams that broke off, if this is part of the run."""
+    if not world.plan.takes_up:
+        return
+
+    async def send(
+        call: record_lib.Call, conn: client_lib.ClientConnection
+    ) -> None:
+        await _send_call(world, call, conn, rng)
+
+    for call in calls:
+        if resumption.is_broken(call):
+            await resumption.take_up(
+                call,
+                {item.name: item.address for item in world.gateways},
+                world.count_version,
+                world.record,
+                send,
+                rng,
+            )
+
+
 def _make_call(
     world: world_lib.World, request: str, gateway: str, rng: random.Random
 ) -> record_lib.Call:
@@ -222,6 +251,9 @@
         *dialect.encode_caller(call.id, call.key, world.plan.deadline_ms),
         (world_lib.GATEWAY_HEADER, call.gateway.encode()),
     ]
+    if call.resumes:
+        headers.append((world_lib.RESUMES_HEADER, call.resumes.encode()))
+        headers.append((b'Last-Event-Id', b'%d' % call.last_event))
     if call.kind is model.RequestKind.STREAMING:
         parts = (
             model.PromptPart(types.PartId(f'p{rng.randrange(9)}'), 100),
--- a/foxtailpick/soak/faults.py
+++ b/foxtailpick/soak/faults.py
@@ -82,6 +82,46 @@
         gateway.send(signal.SIGKILL)
 
 
+async def kill_all_gateways(
+    world: world_lib.World, rng: random.Random
+) -> None:
+    """Send SIGKILL to all gateways at the same time."""
+    _record_disruption(world, _list_gateway_names(world), 2_000.0)
+    for gateway in world.gateways:
+        gateway.send(signal.SIGKILL)
+
+
+async def release_version(world: world_lib.World, rng: random.Random) -> None:
+    """Replace some engines, or all, by those of a new version.
+
+    At times all gateways are killed as the last of the old ones leave.
+    """
+    version = f'v{rng.randrange(2, 10**6)}'
+    old = [
+        item
+        for item in world.endpoints.values()
+        if world.is_listed(item) and item.service == 'engine'
+    ]
+    count = rng.randint(1, len(old)) if rng.random() < 0.5 else len(old)
+    for endpoint in old[:count]:
+        world.add_endpoint('engine', version)
+        await callers.pause(rng.uniform(0.0, 2 * STORE_CHANGE_PAUSE_MS))
+        if world.is_listed(endpoint):
+            world.remove_endpoint(endpoint)
+    if rng.random() < 0.5:
+        await callers.pause(rng.uniform(0.0, 1_000.0))
+        await kill_all_gateways(world, rng)
+
+
+async def crash_engines(world: world_lib.World, rng: random.Random) -> None:
+    """Crash some engines, which start again a moment later."""
+    engines = [
+        item for item in world.endpoints.values() if item.service == 'engine'
+    ]
+    for endpoint in rng.sample(engines, rng.randint(1, len(engines) // 2)):
+        world.crash_endpoint(endpoint)
+
+
 async def pause_gateway(world: world_lib.World, rng: random.Random) -> None:
     """Suspend a gateway process with SIGSTOP and resume it."""
     gateway = rng.choice(world.gateways)
@@ -235,7 +275,7 @@
         # All registrations expired while the store rejected requests.
         return
     endpoint = rng.choice(listed)
-    world.add_endpoint(endpoint.service)
+    world.add_endpoint(endpoint.service, endpoint.version)
     await callers.pause(STORE_CHANGE_PAUSE_MS)
     if world.is_listed(endpoint):
         world.remove_endpoint(endpoint)
@@ -254,7 +294,7 @@
     if not staying:
         return
     endpoint = rng.choice(staying)
-    world.add_endpoint(endpoint.service)
+    world.add_endpoint(endpoint.service, endpoint.version)
     endpoint.is_leaving = True
 
 
@@ -567,6 +607,25 @@
     send_crashing_requests,
 )
 
+# Releases beside all that breaks streams off.
+VERSION_FAULTS: tuple[Fault, ...] = (
+    release_version,
+    release_version,
+    kill_all_gateways,
+    kill_gateways,
+    crash_engines,
+    crash_engines,
+    degrade_endpoints,
+    pause_gateway,
+    roll_gateways,
+    disrupt_store_path,
+    disrupt_store,
+    disrupt_endpoint_path,
+    restore_store,
+    announce_leaving,
+    change_config,
+)
+
 LONG_STREAM_FAULTS: tuple[Fault, ...] = (roll_gateways, slow_engines)
 
 # Maintenance by operators. It runs once more after all faults have ended,
--- a/foxtailpick/soak/plan.py
+++ b/foxtailpick/soak/plan.py
@@ -27,6 +27,7 @@
         gateway closes it.
     :param pipelined_share: share of the sends, by such callers, that are
         several requests close behind each other.
+    :param takes_up: whether callers take up streams that broke off.
     """
 
     grace_ms: float = 4_000.0
@@ -48,6 +49,7 @@
     accounts: int = 1
     keeps_connections: bool = False
     pipelined_share: float = 0.0
+    takes_up: bool = False
 
 
 # Streams that last for a large part of the grace period.
@@ -100,3 +102,23 @@
     settling_ms=11_500.0,
     gateways=4,
 )
+
+# Streams that last for a second, and callers that stay on a connection until
+# its gateway is gone.
+VERSIONS = Plan(
+    deadline_ms=6_000.0,
+    event_interval_ms=45.0,
+    disconnect_share=0.02,
+    callers=24,
+    faults=12,
+    fault_window_ms=12_000.0,
+    settling_ms=9_000.0,
+    endpoints=4,
+    keeps_connections=True,
+    takes_up=True,
+)
+
+# As many processes as a machine bears within the limits.
+LARGE_VERSIONS = dataclasses.replace(
+    VERSIONS, callers=60, faults=20, gateways=12, endpoints=8
+)
--- a/foxtailpick/soak/record.py
+++ b/foxtailpick/soak/record.py
@@ -6,6 +6,7 @@
 
 from foxtailpick.core.dispatch import model
 from foxtailpick.core import types
+from foxtailpick.soak import events
 from foxtailpick.soak import plan as plan_lib
 
 # Bounds that the deployments must meet. They apply to a gateway after
@@ -117,6 +118,10 @@
     :param begun_ms: when the status arrived, 0 if it did not.
     :param has_given_up: whether the caller left well after the deadline.
     :param predecessor: the call sent close before on the connection, if any.
+    :param resumes: the call whose stream it takes up, if any.
+    :param last_event: the last event that its caller has.
+    :param versions: versions that wrote the events before.
+    :param version_endpoints: endpoints of that version that serve.
     """
 
     id: str
@@ -137,6 +142,10 @@
     begun_ms: float = 0.0
     has_given_up: bool = False
     predecessor: 'Call | None' = None
+    resumes: str = ''
+    last_event: int = 0
+    versions: tuple[str, ...] = ()
+    version_endpoints: int = 0
 
     @property
     def is_idempotent(self) -> bool:
@@ -350,15 +359,16 @@
             )
         if not call.is_idempotent and call.status in NOT_RUN_STATUSES and runs:
             add(Rule.REFUSED, f'status {call.status} says not run, but it ran')
+        body = events.strip_versions(call.body)
         if call.status == 200 and call.is_complete:
             if call.signature not in {f'{r.endpoint}/{r.id}' for r in runs}:
                 add(
                     Rule.MIXED,
                     f'no run has signature {call.signature!r}',
                 )
-            if call.body != call.expected:
+            if body != call.expected:
                 add(Rule.MIXED, f'unexpected body {call.body[:60]!r}')
-        elif call.status == 200 and not call.expected.startswith(call.body):
+        elif call.status == 200 and not call.expected.startswith(body):
             add(
                 Rule.ORDER,
                 f'body, ending {call.body[-60:]!r}, is no prefix',
--- a/foxtailpick/soak/run.py
+++ b/foxtailpick/soak/run.py
@@ -14,6 +14,7 @@
 from foxtailpick.soak import losses
 from foxtailpick.soak import plan as plan_lib
 from foxtailpick.soak import record as record_lib
+from foxtailpick.soak import resumption
 from foxtailpick.soak import waits
 from foxtailpick.soak import world as world_lib
 
@@ -60,6 +61,24 @@
     run_seed(seed, plan_lib.LIMITS, faults.LIMIT_FAULTS)
 
 
+def run_versions(seed: int) -> None:
+    """Run with engines of several versions, and streams that are taken up.
+
+    :param seed: as of `run_seed`.
+    :raises SoakError: as `run_seed`.
+    """
+    run_seed(seed, plan_lib.VERSIONS, faults.VERSION_FAULTS)
+
+
+def run_large_versions(seed: int) -> None:
+    """Run `run_versions` with more gateways, endpoints and callers.
+
+    :param seed: as of `run_seed`.
+    :raises SoakError: as `run_seed`.
+    """
+    run_seed(seed, plan_lib.LARGE_VERSIONS, faults.VERSION_FAULTS)
+
+
 class SoakError(AssertionError):
     """A run violated an invariant."""
 
@@ -84,6 +103,9 @@
     log: list[str] = []
     record = trio.run(_run, seed, path, log, plan, kinds, planned)
     breaches = record.check()
+    if plan.takes_up:
+        breaches.extend(resumption.check(record))
+        print(f'seed {seed}: {resumption.format_summary(record)}')
     if plan.is_planned_only:
         lines = losses.read_lines(path.glob('*.log'))
         record.logged = set(lines)
--- a/foxtailpick/soak/world.py
+++ b/foxtailpick/soak/world.py
@@ -22,6 +22,7 @@
 from foxtailpick.platform import items
 from foxtailpick.platform.standins import endpoint_server
 from foxtailpick.platform.standins import store_server
+from foxtailpick.soak import events
 from foxtailpick.soak import plan as plan_lib
 from foxtailpick.soak import proxy as proxy_lib
 from foxtailpick.soak import record as record_lib
@@ -32,6 +33,8 @@
 GATEWAY_MODULE = 'foxtailpick.platform'
 # Names the gateway that a caller used; gateways forward it unchanged.
 GATEWAY_HEADER = b'X-Soak-Gateway'
+# Names the call whose stream is taken up.
+RESUMES_HEADER = b'Resumes'
 DOMAINS = ('north', 'south')
 ANY_PORT = ('127.0.0.1', 0)
 # Rest that an endpoint asks for.
@@ -131,6 +134,7 @@
     :param starts: number of its starts after the first.
     :param is_silent: whether it reads and sends nothing.
     :param rate_limit: the rate that it names in its responses, if any.
+    :param version: version of its software.
     """
 
     id: str
@@ -143,6 +147,7 @@
     starts: int = 0
     is_silent: bool = False
     rate_limit: record_lib.RateLimit | None = None
+    version: str = events.FIRST_VERSION
 
     def make_limit_headers(self, gateway: str) -> list[model.RawHeader]:
         """Return the header that names its limit to a gateway, if any."""
@@ -283,7 +288,9 @@
         self.record.starts[name].append(now_ms())
         self.gateways.append(gateway)
 
-    def add_endpoint(self, service: str) -> Endpoint:
+    def add_endpoint(
+        self, service: str, version: str = events.FIRST_VERSION
+    ) -> Endpoint:
         """Start an endpoint and register it in the store."""
         number = len(self.endpoints)
         sock = http1.listen(ANY_PORT, 256)
@@ -292,6 +299,7 @@
             service,
             DOMAINS[number % len(DOMAINS)],
             proxy_lib.Proxy(sock.getsockname()),
+            version=version,
         )
         self.endpoints[endpoint.id] = endpoint
         endpoint.standin = endpoint_server.EndpointStandIn(
@@ -311,7 +319,7 @@
                 'service': endpoint.service,
                 'address': f'{host}:{port}',
                 'zone': endpoint.domain,
-                'version': 'v1',
+                'version': endpoint.version,
                 'slots': self.plan.slots,
                 'state': 'ready',
                 'warmup_left_ms': 0,
@@ -324,6 +332,17 @@
         """Tell whether an endpoint is registered in the store."""
         return items.make_endpoint_key(endpoint.id) in self.store.items
 
+    def count_version(self, version: str) -> int:
+        """Return how many engines of a version serve."""
+        return sum(
+            item.version == version
+            and item.service == 'engine'
+            and self.is_listed(item)
+            and item.behavior == 'sound'
+            and not item.is_leaving
+            for item in self.endpoints.values()
+        )
+
     def remove_endpoint(self, endpoint: Endpoint) -> None:
         """Deregister an endpoint, which keeps serving requests."""
         self.store.remove(items.make_endpoint_key(endpoint.id))
@@ -396,6 +415,10 @@
             await exchange.begin_stream()
         await trio.sleep(CRASH_AFTER_MS / types.SECOND_MS)
         seen.crashes_ms.append(now_ms())
+        self.crash_endpoint(endpoint)
+
+    def crash_endpoint(self, endpoint: Endpoint) -> None:
+        """End the process of an endpoint; it starts again after a moment."""
         self.record.crashes_ms[endpoint.id].append(now_ms())
         endpoint.starts += 1
         endpoint.proxy.crash(CRASH_DOWN_MS)
@@ -436,18 +459,21 @@
                 self._record_leaving(endpoint, gateway, start)
             return
         last = int(exchange.received.headers.get(b'last-event-id', 0))
-        events = count_events(exchange.received.id)
+        resumed = exchange.received.headers.get(RESUMES_HEADER.lower(), b'')
+        count = count_events(resumed.decode() or exchange.received.id)
         await exchange.begin_stream(headers, False)
         if is_leaving:
             self._record_leaving(endpoint, gateway, start)
-        for number in range(last + 1, events + 1):
+        for number in range(last + 1, count + 1):
             pause_ms = self.plan.event_interval_ms * self.slowness
             await trio.sleep(pause_ms / types.SECOND_MS)
-            if behavior == 'breaking' and number == events // 2:
-                event = endpoint_server.format_event(number)[:5]
+            if behavior == 'breaking' and number == count // 2:
+                event = events.format_event(number, endpoint.version)[:5]
                 await http1.send_all(exchange.sock, http1.format_chunk(event))
                 raise endpoint_server.AbortConnectionError
-            await exchange.send_events(number, number)
+            await exchange.send_data(
+                events.format_event(number, endpoint.version)
+            )
         await exchange.end_stream()
 
     def _record_leaving(
--- a/foxtailpick/tests/test_soak.py
+++ b/foxtailpick/tests/test_soak.py
@@ -5,8 +5,10 @@
 import trio.testing
 
 from foxtailpick.core.dispatch import model
+from foxtailpick.soak import events
 from foxtailpick.soak import proxy
 from foxtailpick.soak import record
+from foxtailpick.soak import resumption
 from foxtailpick.soak import run
 from foxtailpick.tests import gateway_harness
 
@@ -281,6 +283,70 @@
         await sock.connect(fault_proxy.address)
 
 
+def make_stream(request, writers, **fields):
+    body = b''.join(
+        events.format_event(number, version)
+        for number, version in enumerate(writers, 1)
+    )
+    return make_call(
+        model.RequestKind.STREAMING,
+        id=request,
+        is_resumable=True,
+        body=body,
+        **fields,
+    )
+
+
+@pytest.mark.parametrize(
+    ('call', 'is_found'),
+    [
+        (make_stream('a1', ['v1', 'v1']), False),
+        (make_stream('a1', ['v7', 'v7']), False),
+        (make_stream('a1', ['v1', 'v7']), True),
+        (make_stream('a1', ['v7'], resumes='a0', versions=('v1',)), True),
+    ],
+)
+def test_stream_joined_of_two_versions_is_found(call, is_found):
+    seen = record.Record()
+    seen.calls = [call]
+    rules = [breach.rule for breach in resumption.check(seen)]
+    assert rules == ([record.Rule.ORDER] if is_found else [])
+
+
+@pytest.mark.parametrize(
+    ('endpoints', 'is_found'), [(1, False), (2, True), (3, True)]
+)
+def test_streams_that_do_not_go_on_are_found(endpoints, is_found):
+    seen = record.Record()
+    seen.recovery_from_ms = 0.0
+    seen.calls = [make_stream('a1', ['v1'])] + [
+        make_stream(
+            f'a1-r{number}',
+            [],
+            status=503,
+            resumes='a1',
+            versions=('v1',),
+            version_endpoints=endpoints,
+        )
+        for number in range(12)
+    ]
+    rules = [breach.rule for breach in resumption.check(seen)]
+    assert rules == ([record.Rule.LOST] if is_found else [])
+
+
+def test_events_of_a_version_are_compared_without_it():
+    event = events.format_event(3, 'v7')
+    plain = events.format_event(3, events.FIRST_VERSION)
+    assert events.list_versions(event) == ['v7']
+    assert events.strip_versions(event) == plain
+    assert plain.startswith(events.strip_versions(event[:-3]))
+
+
+@pytest.mark.parametrize('seed', [5])
+def test_seeded_run_with_two_versions(seed):
+    run.run_versions(seed)
+
+
 @pytest.mark.parametrize('seed', [1, 2])
 def test_seeded_run_of_real_processes(seed):
     run.run_seed(seed)
