Let no crashed engine of the soak register again after it has left

Cause: an engine that had left was listed again by a store that returned from an older copy, and the soak's engine, which had crashed meanwhile, took that for its registration and wrote it anew. The gateways used an engine that the store listed as ready; the soak expected them not to (DRAIN). Its logs are those of three gateways without a removal of engine-1. Change: an engine that has left doesn't register after a crash; the check stays. Result: test_crashed_engine_that_left_does_not_register_again failed before and passes.

--- a/foxtailpick/soak/world.py
+++ b/foxtailpick/soak/world.py
@@ -426,7 +426,11 @@
 
     async def _list_again(self, endpoint: Endpoint) -> None:
         await trio.sleep(CRASH_DOWN_MS / types.SECOND_MS)
-        if self.is_listed(endpoint):
+        # A restored store may list an engine that has left.
+        if (
+            self.is_listed(endpoint)
+            and endpoint.id not in self.record.removed_ms
+        ):
             self.list_endpoint(endpoint)
 
     async def _run(
--- a/foxtailpick/tests/test_soak.py
+++ b/foxtailpick/tests/test_soak.py
@@ -1,15 +1,19 @@
 """Tests of the invariant checks of the soak, and short seeded runs."""
 
+import random
+
 import pytest
 import trio
 import trio.testing
 
 from foxtailpick.core.dispatch import model
 from foxtailpick.soak import events
+from foxtailpick.soak import plan
 from foxtailpick.soak import proxy
 from foxtailpick.soak import record
 from foxtailpick.soak import resumption
 from foxtailpick.soak import run
+from foxtailpick.soak import world
 from foxtailpick.tests import gateway_harness
 
 UNSAFE = model.RequestKind.UNSAFE
@@ -342,6 +346,24 @@
     assert plain.startswith(events.strip_versions(event[:-3]))
 
 
+async def test_crashed_engine_that_left_does_not_register_again(
+    nursery, tmp_path, autojump_clock
+):
+    """Also while a restored store still lists it."""
+    with world.World(
+        nursery, random.Random(1), tmp_path, plan.Plan()
+    ) as soak_world:
+        endpoint = soak_world.add_endpoint('engine')
+        copy = soak_world.store.take_copy()
+        soak_world.remove_endpoint(endpoint)
+        soak_world.store.restore(copy)
+        soak_world.crash_endpoint(endpoint)
+        await trio.sleep(2 * world.CRASH_DOWN_MS / 1_000)
+        key = f'servers/{endpoint.id}'
+        assert soak_world.store.items[key] is copy.items[key]
+        nursery.cancel_scope.cancel()
+
+
 @pytest.mark.parametrize('seed', [5])
 def test_seeded_run_with_two_versions(seed):
     run.run_versions(seed)
