Take one version in an older copy of the store for no proof

Callers could still get a stream joined of two versions, after the store had returned from an older copy. Cause: the copy lacked a version that had been added since. A gateway that had just started took the one version that it read, and the endpoints that the copy listed, for all there had been. Change: the versions of a service name the era of the store for which they are complete. Why it works: gateways that know more add it meanwhile, as they do for all else that a copy may lack; who knows nothing more can't complete the item before. Without eras, nothing changes.

--- a/foxtailpick/core/dispatch/model.py
+++ b/foxtailpick/core/dispatch/model.py
@@ -395,10 +395,13 @@
 
     :param service: the service.
     :param versions: the versions, None if the item is missing.
+    :param era: era of the store for which they are complete, None if the
+        store doesn't state it, or for none yet.
     """
 
     service: types.ServiceId
     versions: frozenset[types.Version] | None
+    era: types.Era | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/foxtailpick/core/dispatch/stream_origins.py
+++ b/foxtailpick/core/dispatch/stream_origins.py
@@ -159,10 +159,14 @@
 
     :param recorded: those that the store has, None before it was read or if
         it has none.
+    :param era: era of the store for which they are complete. A store that
+        returned from an older copy may lack some until routers that know
+        them have added them again.
     :param listed_ms: when endpoints of each version were last listed.
     """
 
     recorded: frozenset[types.Version] | None = None
+    era: types.Era | None = None
     listed_ms: dict[types.Version, float] = dataclasses.field(
         default_factory=dict
     )
@@ -207,13 +211,14 @@
         )
 
     def find_only(
-        self, listed: typing.Iterable[types.Version]
+        self, listed: typing.Iterable[types.Version], era: types.Era | None
     ) -> types.Version | None:
         """Return the only version at which streams can have begun, if any.
 
         :param listed: versions of the endpoints that are listed now.
+        :param era: era of the store.
         """
-        if self.recorded is None:
+        if self.recorded is None or self.era != era:
             return None
         versions = self.recorded | set(listed)
         return next(iter(versions)) if len(versions) == 1 else None
--- a/foxtailpick/gateway/mirror.py
+++ b/foxtailpick/gateway/mirror.py
@@ -78,7 +78,8 @@
     stream_prefix: str
     make_versions_key: typing.Callable[[types.ServiceId], str]
     encode_versions: typing.Callable[
-        [types.ServiceId, frozenset[types.Version]], base.Put
+        [types.ServiceId, frozenset[types.Version], types.Era | None],
+        base.Put,
     ]
     encode_begun: typing.Callable[
         [types.RouterId, str, model.Begun, types.LeaseId], base.Put
--- a/foxtailpick/gateway/stream_keeper.py
+++ b/foxtailpick/gateway/stream_keeper.py
@@ -10,6 +10,7 @@
 
 from foxtailpick.adapters import base
 from foxtailpick.core.dispatch import model
+from foxtailpick.core.dispatch import restored_store
 from foxtailpick.core.dispatch import rollout_records
 from foxtailpick.core.dispatch import stream_origins
 from foxtailpick.core import errors
@@ -121,7 +122,7 @@
                     origin = await self._find(request, service)
                     if origin is not None:
                         return origin
-                    is_answered = True
+                    is_answered = self._is_complete(service)
                     got = self._describe(service)
         except errors.StoreError as exc:
             got = exc.message
@@ -156,16 +157,28 @@
             origin = gw.streams.find(request)
             if origin is not None:
                 return origin
-            only = self._get_versions(service).find_only(self._list(service))
+            only = self._get_versions(service).find_only(
+                self._list(service), self._store.era
+            )
             if only is not None:
                 return stream_origins.Origin(service, only)
         return None
 
+    def _is_complete(self, service: types.ServiceId) -> bool:
+        """Tell whether the store has all versions of a service."""
+        versions = self._get_versions(service)
+        return (
+            versions.recorded is not None and versions.era == self._store.era
+        )
+
     def _describe(self, service: types.ServiceId) -> str:
         recorded = self._get_versions(service).recorded
         if recorded is None:
             return 'no versions in the store'
-        return f'one of {sorted(recorded | set(self._list(service)))}'
+        found = f'one of {sorted(recorded | set(self._list(service)))}'
+        if self._is_complete(service):
+            return found
+        return f'{found} in a store that may lack others'
 
     def _get_versions(
         self, service: types.ServiceId
@@ -230,17 +243,19 @@
             or before[entry.key].revision != entry.revision
             or entry.lease is None
         ]
-        recorded: dict[types.ServiceId, frozenset[types.Version]] = {}
+        found: dict[types.ServiceId, model.StreamVersionsItem] = {}
         for item in self._mirror.decode_entries(
             base.Snapshot(changed, snapshot.position)
         ):
             if isinstance(item, model.BegunStreamsItem):
                 gw.streams.record_read(item.begun, gw.now_ms())
             elif isinstance(item, model.StreamVersionsItem):
-                if item.versions is not None:
-                    recorded[item.service] = item.versions
+                found[item.service] = item
         for service in self._list_services() | gw.stream_versions.keys():
-            self._get_versions(service).recorded = recorded.get(service)
+            versions = self._get_versions(service)
+            known = found.get(service)
+            versions.recorded = known.versions if known else None
+            versions.era = known.era if known else None
 
     async def _keep_versions(self) -> None:
         """Add versions to the store before streams begin at them."""
@@ -267,11 +282,11 @@
                 await self._forget_old()
 
     async def _forget_old(self) -> None:
-        """Forget old streams, and versions that left long ago."""
+        """Forget old streams, and bring the versions up to date."""
         self._gw.streams.expire(self._gw.now_ms())
-        if self._list_retired():
+        if self._list_retired() or self._list_incomplete():
             await self._wait_for_hub()
-            await self._mirror.call(self._retire)
+            await self._mirror.call(self._update_versions)
 
     async def _wait_for_hub(self) -> None:
         delay_ms = rollout_records.compute_write_delay_ms(
@@ -311,7 +326,7 @@
             versions = self._get_versions(service)
             missing = versions.list_missing(now_ms)
             known = versions.recorded or frozenset()
-            await self._write_versions(service, known | missing)
+            await self._write_versions(service, known | missing, versions.era)
 
     def _list_retired(self) -> list[types.ServiceId]:
         return [
@@ -328,18 +343,38 @@
             gw.streams.keep_ms, gw.started_ms, gw.now_ms()
         )
 
-    async def _retire(self) -> None:
+    def _list_incomplete(self) -> list[types.ServiceId]:
+        """Return services whose versions are complete by now.
+
+        Routers that knew more than a returned store have added it.
+        """
+        gw = self._gw
+        since_ms = max(gw.started_ms, gw.state.restored_ms or -math.inf)
+        if gw.now_ms() - since_ms < restored_store.REWRITE_MS:
+            return []
+        return [
+            service
+            for service, versions in gw.stream_versions.items()
+            if versions.recorded is not None
+            and versions.era != self._store.era
+        ]
+
+    async def _update_versions(self) -> None:
         await self._read_anew()
-        for service in self._list_retired():
+        incomplete = self._list_incomplete()
+        for service in {*self._list_retired(), *incomplete}:
             versions = self._get_versions(service)
-            left = (versions.recorded or frozenset()) - self._find_retired(
-                versions
-            )
-            if left:
-                await self._write_versions(service, left)
+            known = versions.recorded or frozenset()
+            left = known - self._find_retired(versions) or known
+            era = self._store.era if service in incomplete else versions.era
+            if left != known or era != versions.era:
+                await self._write_versions(service, left, era)
 
     async def _write_versions(
-        self, service: types.ServiceId, versions: frozenset[types.Version]
+        self,
+        service: types.ServiceId,
+        versions: frozenset[types.Version],
+        era: types.Era | None,
     ) -> None:
         """Set the versions of a service, unless another router wrote."""
         key = self._layout.make_versions_key(service)
@@ -348,7 +383,7 @@
         before = self._get_versions(service).recorded
         result = await self._store.transact(
             [base.Compare(key, revision)],
-            [self._layout.encode_versions(service, versions)],
+            [self._layout.encode_versions(service, versions, era)],
         )
         self._gw.metrics.count('stream_version_writes')
         self._gw.log.emit(
@@ -356,10 +391,12 @@
             service=service,
             versions=sorted(versions),
             before=sorted(before or ()),
+            era=era,
             applied=result.is_applied,
         )
         if result.is_applied:
-            self._get_versions(service).recorded = versions
+            known = self._get_versions(service)
+            known.recorded, known.era = versions, era
 
     async def _write_streams(self) -> None:
         """Write streams of services with several versions."""
--- a/foxtailpick/platform/stream_items.py
+++ b/foxtailpick/platform/stream_items.py
@@ -24,8 +24,9 @@
     """
     if key.startswith(VERSIONS_PREFIX):
         service = types.ServiceId(key.removeprefix(VERSIONS_PREFIX))
-        versions = None if value is None else _decode_versions(value)
-        return model.StreamVersionsItem(service, versions)
+        if value is None:
+            return model.StreamVersionsItem(service, None)
+        return _decode_versions(service, value)
     if key.startswith(BEGUN_PREFIX):
         return model.BegunStreamsItem(
             {} if value is None else _decode_begun(value)
@@ -39,14 +40,17 @@
 
 
 def encode_versions(
-    service: types.ServiceId, versions: frozenset[types.Version]
+    service: types.ServiceId,
+    versions: frozenset[types.Version],
+    era: types.Era | None,
 ) -> base.Put:
     """Return the write that sets the versions of a service.
 
     :param service: the service.
     :param versions: its versions at which streams may have begun.
+    :param era: era of the store for which they are complete, if any.
     """
-    fields = {'versions': sorted(versions)}
+    fields = {'versions': sorted(versions), 'era': era}
     return base.Put(make_versions_key(service), json.dumps(fields).encode())
 
 
@@ -67,12 +71,19 @@
     return base.Put(key, json.dumps({'streams': begun}).encode(), lease)
 
 
-def _decode_versions(value: bytes) -> frozenset[types.Version]:
+def _decode_versions(
+    service: types.ServiceId, value: bytes
+) -> model.StreamVersionsItem:
     data = fields_lib.parse(value)
     versions = fields_lib.expect(data, 'versions', list)
     if not all(isinstance(item, str) for item in versions):
         raise fields_lib.ItemError(f'expected versions, got {versions!r:.80}')
-    return frozenset(types.Version(item) for item in versions)
+    era = data.get('era')
+    if era is not None:
+        era = types.Era(fields_lib.expect(data, 'era', int))
+    return model.StreamVersionsItem(
+        service, frozenset(types.Version(item) for item in versions), era
+    )
 
 
 def _decode_begun(value: bytes) -> model.Begun:
--- a/foxtailpick/tests/test_stream_versions.py
+++ b/foxtailpick/tests/test_stream_versions.py
@@ -7,6 +7,7 @@
 import pytest
 import trio
 
+from foxtailpick.core.dispatch import restored_store
 from foxtailpick.core.dispatch import stream_origins
 from foxtailpick.gateway import http1
 from foxtailpick.gateway import stream_keeper
@@ -93,6 +94,13 @@
             await self.until_recorded(harness)
             yield harness
 
+    @contextlib.asynccontextmanager
+    async def start_gateway_alone(self):
+        """Run a gateway before the endpoints have registered again."""
+        async with gateway_harness.open_harness(store=self.store) as harness:
+            await harness.until_known('e1')
+            yield harness
+
     async def until_recorded(self, harness):
         """Wait until streams may begin at all endpoints."""
         await harness.until_known(*self.endpoints)
@@ -302,6 +310,41 @@
             )
 
 
+async def test_older_copy_of_the_store_proves_no_version(monkeypatch):
+    """The copy is older than the release; the gateway starts after it."""
+    async with open_fleet() as fleet:
+        fleet.store.era = 1
+        fleet.add('e1', 'v1')
+        with monkeypatch.context() as patch:
+            patch.setattr(restored_store, 'REWRITE_MS', 100.0)
+            patch.setattr(stream_keeper, 'CHECK_INTERVAL_MS', 50.0)
+            async with fleet.start_gateway() as harness:
+                versions = harness.gw.stream_versions['engine']
+                await harness.until(lambda: versions.era == 1)
+                copy = fleet.store.take_copy()
+        fleet.add('e2', 'v2')
+        fleet.store.restore(copy)
+        async with fleet.start_gateway_alone() as harness:
+            answer = await take_up(harness, 'a2', 'a1')
+        assert answer.status == 503
+        assert b'retry-after' in answer.headers
+        assert fleet.count('e1') == 0
+
+
+async def test_store_proves_a_version_once_all_have_written(monkeypatch):
+    monkeypatch.setattr(restored_store, 'REWRITE_MS', 300.0)
+    monkeypatch.setattr(stream_keeper, 'CHECK_INTERVAL_MS', 50.0)
+    async with open_fleet() as fleet:
+        fleet.store.era = 3
+        fleet.add('e1', 'v1')
+        async with fleet.start_gateway() as harness:
+            versions = harness.gw.stream_versions['engine']
+            assert versions.era is None
+            await harness.until(lambda: versions.era == 3)
+            answer = await take_up(harness, 'a2', 'a1')
+    assert answer.body == make_events(3, LAST, 'v1')
+
+
 async def test_version_that_left_is_retired(monkeypatch):
     monkeypatch.setattr(stream_origins, 'RETIRE_MS', 400.0)
     monkeypatch.setattr(stream_origins, 'REPEAT_MS', 200.0)
