Share no read of stream versions that its caller abandoned

A caller could be told of versions by a read that was older than its request, and so a stream could still be joined of two versions. Cause: callers that take up streams share a read that begins after they came. If the one that reads leaves, or its time is over, the read ends unfinished; the others took it for done and went by what was known before. Evidence: found by reading the path; test_abandoned_read_of_the_store_serves_no_other_caller fails before (the waiting caller reads nothing) and passes. Change: only a finished read serves others; the next of them reads itself. Why it works: what a caller goes by has always been read to the end by a call that began after it came.

--- a/foxtailpick/gateway/stream_keeper.py
+++ b/foxtailpick/gateway/stream_keeper.py
@@ -94,6 +94,8 @@
         self._entries: dict[str, base.Entry] = {}
         self._reading = trio.Lock()
         self._reads_begun = 0
+        # Number of the last read that was finished.
+        self._last_read = 0
         self._read_error: errors.StoreError | None = None
         self._has_several = trio.Event()
 
@@ -217,15 +219,20 @@
         """
         arrived = self._reads_begun
         async with self._reading:
-            if self._reads_begun == arrived:
+            # A read whose caller left is not finished, and serves nobody.
+            if self._last_read <= arrived:
                 self._reads_begun += 1
-                self._read_error = None
+                number = self._reads_begun
+                error: errors.StoreError | None = None
                 try:
                     await self._read()
                 except errors.StoreError as exc:
-                    self._read_error = exc
-        if self._read_error is not None:
-            raise self._read_error
+                    error = exc
+                self._last_read = number
+                self._read_error = error
+            shared = self._read_error
+        if shared is not None:
+            raise shared
 
     async def _read(self) -> None:
         gw = self._gw
--- a/foxtailpick/tests/test_stream_versions.py
+++ b/foxtailpick/tests/test_stream_versions.py
@@ -6,6 +6,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from foxtailpick.core.dispatch import restored_store
 from foxtailpick.core.dispatch import stream_origins
@@ -331,6 +332,42 @@
         assert fleet.count('e1') == 0
 
 
+async def test_abandoned_read_of_the_store_serves_no_other_caller(
+    monkeypatch,
+):
+    """A caller that reads leaves, and the one that waits reads itself."""
+    ends = [trio.Event() for _ in range(3)]
+    begun = []
+    served = []
+
+    async def read_slowly():
+        begun.append(len(begun))
+        await ends[begun[-1]].wait()
+
+    async def ask(keeper, name, scope):
+        with scope:
+            await keeper._read_anew()
+            served.append(name)
+
+    async with open_fleet() as fleet:
+        fleet.add('e1', 'v1')
+        async with fleet.start_gateway() as harness:
+            keeper = harness.gw.look_up_stream.__self__
+            monkeypatch.setattr(keeper, '_read', read_slowly)
+            scopes = {name: trio.CancelScope() for name in 'abc'}
+            for name, scope in scopes.items():
+                harness.nursery.start_soon(ask, keeper, name, scope)
+                await trio.testing.wait_all_tasks_blocked(0.01)
+            ends[0].set()
+            await harness.until(lambda: len(begun) == 2)
+            abandoned = 'b' if 'b' not in served else 'c'
+            scopes[abandoned].cancel()
+            await harness.until(lambda: len(begun) == 3)
+            assert served == ['a']
+            ends[2].set()
+            await harness.until(lambda: len(served) == 2)
+
+
 async def test_store_proves_a_version_once_all_have_written(monkeypatch):
     monkeypatch.setattr(restored_store, 'REWRITE_MS', 300.0)
     monkeypatch.setattr(stream_keeper, 'CHECK_INTERVAL_MS', 50.0)
