Tell no caller to return after a negative time

Callers that were refused with no time left got a negative Retry-After. Cause: a retry time is at most three tenths of the time left, which is negative once the deadline has passed; in the order under overload and, by the same line, wherever no endpoint can be chosen. Change: a caller without time left is told the expected time. Also tried: to tell the expected time to all callers, or to those with less time than it.

--- a/foxtailpick/core/dispatch/overload_order.py
+++ b/foxtailpick/core/dispatch/overload_order.py
@@ -382,9 +382,11 @@
     schedule.next_ms = max(schedule.next_ms, now_ms + before_ms)
     rate_per_s = types.SECOND_MS / own_ms
     wait_ms = refusal.schedule_return(schedule, rate_per_s, left_ms, now_ms)
-    wait_ms += own_ms * rng.random()
+    wait_ms = min(wait_ms + own_ms * rng.random(), MAX_RETURN_MS)
+    if left_ms <= 0:
+        return wait_ms
     # A caller that is asked to wait for longer returns earlier, or not at all.
-    return min(wait_ms, MAX_RETURN_MS, refusal.MAX_RETRY_SHARE * left_ms)
+    return min(wait_ms, refusal.MAX_RETRY_SHARE * left_ms)
 
 
 def _estimate_ms(
--- a/foxtailpick/core/dispatch/refusal.py
+++ b/foxtailpick/core/dispatch/refusal.py
@@ -149,4 +149,6 @@
     if obstacle is placing.Obstacle.ALL_RESTING:
         # Callers that return earlier would only be refused again.
         retry_ms = expected_ms + usual * rng.random()
+    if left_ms <= 0:
+        return retry_ms
     return min(retry_ms, left_ms * MAX_RETRY_SHARE)
--- a/foxtailpick/tests/test_dispatch.py
+++ b/foxtailpick/tests/test_dispatch.py
@@ -347,6 +347,15 @@
     assert short <= 100
 
 
+@pytest.mark.parametrize('obstacle', list(placing.Obstacle))
+@pytest.mark.parametrize('left_ms', [-40.0, 0.0])
+def test_caller_without_time_is_told_no_negative_time(obstacle, left_ms):
+    retry_ms = refusal.compute_retry_after_ms(
+        obstacle, 0, left_ms, random.Random(1), 500.0
+    )
+    assert retry_ms > 0
+
+
 def test_retry_time_covers_the_expected_wait():
     """A caller that is told to return earlier would be refused again."""
     obstacle = placing.Obstacle.ALL_FULL
