Move the layout of the store into a module of its own

Change: StoreLayout moves from gateway/mirror to gateway/store_layout; three doc texts of the streams are worded anew. No logic changes. Result: the tests of the store, streams, roll-outs and foreign items pass.

--- a/foxtailpick/core/dispatch/stream_origins.py
+++ b/foxtailpick/core/dispatch/stream_origins.py
@@ -224,7 +224,7 @@
         return next(iter(versions)) if len(versions) == 1 else None
 
     def has_several(self, listed: typing.Iterable[types.Version]) -> bool:
-        """Tell whether streams have to be told apart.
+        """Tell whether the version of a stream has to be kept.
 
         :param listed: versions of the endpoints that are listed now.
         """
--- a/foxtailpick/gateway/daemon.py
+++ b/foxtailpick/gateway/daemon.py
@@ -31,6 +31,7 @@
 from foxtailpick.gateway import server
 from foxtailpick.gateway import settings as settings_lib
 from foxtailpick.gateway import state as state_lib
+from foxtailpick.gateway import store_layout
 from foxtailpick.gateway import stream_keeper
 from foxtailpick.gateway import watchdog
 from foxtailpick.node import metrics as metrics_lib
@@ -144,7 +145,7 @@
     open_store: typing.Callable[
         [model.Address], typing.ContextManager[mirror_lib.Store]
     ],
-    layout: mirror_lib.StoreLayout,
+    layout: store_layout.StoreLayout,
     dialect: context.Dialect,
     registration: Registration,
     check_settings: typing.Callable[[], settings_lib.GatewaySettings],
@@ -182,7 +183,7 @@
     gw: context.Gateway,
     listeners: Listeners,
     store: mirror_lib.Store,
-    layout: mirror_lib.StoreLayout,
+    layout: store_layout.StoreLayout,
     registration: Registration,
     wait_for_stop: typing.Callable[[], typing.Awaitable[None]],
 ) -> None:
--- a/foxtailpick/gateway/departure_keeper.py
+++ b/foxtailpick/gateway/departure_keeper.py
@@ -14,6 +14,7 @@
 from foxtailpick.core import types
 from foxtailpick.gateway import context
 from foxtailpick.gateway import mirror as mirror_lib
+from foxtailpick.gateway import store_layout
 
 # Departures in one write; the store takes 32 entries.
 MAX_WRITTEN = 32
@@ -34,7 +35,7 @@
         gw: context.Gateway,
         mirror: mirror_lib.Mirror,
         store: mirror_lib.Store,
-        layout: mirror_lib.StoreLayout,
+        layout: store_layout.StoreLayout,
         min_lease_ms: float,
     ) -> None:
         self._gw = gw
--- a/foxtailpick/gateway/rollouts.py
+++ b/foxtailpick/gateway/rollouts.py
@@ -18,6 +18,7 @@
 from foxtailpick.gateway import mirror as mirror_lib
 from foxtailpick.gateway import rollout_log
 from foxtailpick.gateway import rollout_path
+from foxtailpick.gateway import store_layout
 
 # Interval between decisions while an order is under way.
 DECISION_INTERVAL_MS = 150.0
@@ -79,7 +80,7 @@
         gw: context.Gateway,
         mirror: mirror_lib.Mirror,
         store: mirror_lib.Store,
-        layout: mirror_lib.StoreLayout,
+        layout: store_layout.StoreLayout,
         is_hub: typing.Callable[[], bool],
         wall_ms: typing.Callable[[], float],
     ) -> None:
--- a/foxtailpick/gateway/stream_keeper.py
+++ b/foxtailpick/gateway/stream_keeper.py
@@ -17,6 +17,7 @@
 from foxtailpick.core import types
 from foxtailpick.gateway import context
 from foxtailpick.gateway import mirror as mirror_lib
+from foxtailpick.gateway import store_layout
 
 # Interval of the check whether versions have left.
 CHECK_INTERVAL_MS = 5_000.0
@@ -79,7 +80,7 @@
         gw: context.Gateway,
         mirror: mirror_lib.Mirror,
         store: mirror_lib.Store,
-        layout: mirror_lib.StoreLayout,
+        layout: store_layout.StoreLayout,
         is_hub: typing.Callable[[], bool],
     ) -> None:
         self._gw = gw
@@ -219,7 +220,7 @@
         """
         arrived = self._reads_begun
         async with self._reading:
-            # A read whose caller left is not finished, and serves nobody.
+            # A cancelled read isn't counted: its caller read nothing.
             if self._last_read <= arrived:
                 self._reads_begun += 1
                 number = self._reads_begun
@@ -429,7 +430,7 @@
             await trio.sleep(self._get_interval_ms() / types.SECOND_MS)
 
     def _list_divided(self) -> set[types.ServiceId]:
-        """Return the services whose streams have to be told apart."""
+        """Return the services with streams of several versions."""
         return {
             service
             for service, versions in self._gw.stream_versions.items()
--- a/foxtailpick/platform/items.py
+++ b/foxtailpick/platform/items.py
@@ -10,7 +10,7 @@
 from foxtailpick.adapters import base
 from foxtailpick.core.dispatch import model
 from foxtailpick.core import types
-from foxtailpick.gateway import mirror
+from foxtailpick.gateway import store_layout
 from foxtailpick.platform import departure_items
 from foxtailpick.platform import fields as fields_lib
 from foxtailpick.platform import rollout_items
@@ -240,7 +240,7 @@
     return accounts
 
 
-LAYOUT = mirror.StoreLayout(
+LAYOUT = store_layout.StoreLayout(
     decode_item,
     OPERATOR_PREFIX,
     ENDPOINT_PREFIX,
