Let the soak use ports that only closed connections hold

Cause: gateways that end leave closed connections at their ports for a minute, and the soak took such ports for used, though its gateways listen there. Change: a port is free unless a socket listens there. Result: test_port_that_only_closed_connections_hold_is_free failed before and passes.

--- a/foxtailpick/soak/world.py
+++ b/foxtailpick/soak/world.py
@@ -561,6 +561,8 @@
         try:
             for port in ports:
                 with socket.socket() as sock:
+                    # Gateways listen beside closed connections, too.
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
                     sock.bind((ANY_PORT[0], port))
         except OSError:
             # At least one port is in use.
--- a/foxtailpick/tests/test_soak.py
+++ b/foxtailpick/tests/test_soak.py
@@ -1,6 +1,8 @@
 """Tests of the invariant checks of the soak, and short seeded runs."""
 
+import contextlib
 import random
+import socket
 
 import pytest
 import trio
@@ -346,6 +348,25 @@
     assert plain.startswith(events.strip_versions(event[:-3]))
 
 
+def test_port_that_only_closed_connections_hold_is_free():
+    """As gateways of an earlier run leave it for a minute."""
+    with socket.socket() as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        for port in range(19_000, 19_800, 4):
+            with contextlib.suppress(OSError):
+                listener.bind(('127.0.0.1', port))
+                break
+        listener.listen()
+        with socket.create_connection(('127.0.0.1', port)) as caller:
+            conn, _ = listener.accept()
+            # The side that closes first keeps the port.
+            conn.close()
+            assert caller.recv(1) == b''
+        with pytest.raises(OSError):
+            world._find_ports(iter([port]))
+    assert world._find_ports(iter([port])) == list(range(port, port + 4))
+
+
 async def test_crashed_engine_that_left_does_not_register_again(
     nursery, tmp_path, autojump_clock
 ):
