Refuse a stream where the store's reply can't be read

A caller that took up a stream got 500, an internal error, where the store answered with a reply of an unexpected form. Cause: the reader of stream versions took such a reply for a defect of its own; the other readers treat it like a failed call. Change: it does so too, and the stream is refused with a Retry-After.

--- a/foxtailpick/gateway/mirror.py
+++ b/foxtailpick/gateway/mirror.py
@@ -90,7 +90,7 @@
 
 
 @contextlib.contextmanager
-def _expect_well_formed() -> typing.Iterator[None]:
+def expect_well_formed() -> typing.Iterator[None]:
     """Treat a reply of an unexpected form like a failed call.
 
     :raises errors.StoreError: if a field is missing or of another type.
@@ -181,7 +181,7 @@
         """
         while True:
             try:
-                with _expect_well_formed():
+                with expect_well_formed():
                     result = await make_calls()
             except errors.StoreError as exc:
                 if exc.code is errors.ErrorCode.STORE_RESTORED:
@@ -217,7 +217,7 @@
             try:
                 if position is None:
                     is_behind = False
-                    with _expect_well_formed():
+                    with expect_well_formed():
                         snapshot = await self._store.read_snapshot(prefix)
                     self._record_contact()
                     replace(self.decode_entries(snapshot))
@@ -270,7 +270,7 @@
             await trio.sleep(delay_ms / types.SECOND_MS)
             reads += 1
             try:
-                with _expect_well_formed():
+                with expect_well_formed():
                     snapshot = await self._store.read_snapshot(
                         self._layout.router_prefix, is_stale_ok=True
                     )
@@ -295,7 +295,7 @@
         while True:
             try:
                 if lease is None:
-                    with _expect_well_formed():
+                    with expect_well_formed():
                         granted = await self._store.grant_lease(
                             self._lease_ttl_ms
                         )
@@ -355,7 +355,7 @@
         :param keys: keys of the items at the position.
         :param position: the position.
         """
-        with _expect_well_formed():
+        with expect_well_formed():
             snapshot = await self._store.read_snapshot(prefix)
         self._record_contact()
         listed = {entry.key for entry in snapshot.entries}
@@ -386,7 +386,7 @@
         with trio.CancelScope() as scope:
             self._waiting.add(scope)
             try:
-                with _expect_well_formed():
+                with expect_well_formed():
                     changes, reached = await self._store.poll_changes(
                         prefix, position, wait_ms
                     )
--- a/foxtailpick/gateway/stream_keeper.py
+++ b/foxtailpick/gateway/stream_keeper.py
@@ -238,7 +238,10 @@
     async def _read(self) -> None:
         gw = self._gw
         gw.metrics.count('stream_version_reads')
-        snapshot = await self._store.read_snapshot(self._layout.stream_prefix)
+        with mirror_lib.expect_well_formed():
+            snapshot = await self._store.read_snapshot(
+                self._layout.stream_prefix
+            )
         before, self._entries = (
             self._entries,
             {entry.key: entry for entry in snapshot.entries},
--- a/foxtailpick/tests/test_stream_versions.py
+++ b/foxtailpick/tests/test_stream_versions.py
@@ -257,12 +257,14 @@
     assert begun == []
 
 
-async def test_gateway_cut_off_from_the_store_joins_no_versions():
+@pytest.mark.parametrize('status', [503, 200])
+async def test_gateway_cut_off_from_the_store_joins_no_versions(status):
     """It can't know of a version that others found since."""
     async with open_fleet() as fleet:
         fleet.add('e1', 'v1')
         async with fleet.start_gateway() as harness:
-            fleet.store.refuse_with = 503
+            # With 200 it answers with an empty object.
+            fleet.store.refuse_with = status
             answer = await take_up(harness, 'a2', 'a1')
         assert answer.status == 503
         assert b'retry-after' in answer.headers
