Log the start and the heartbeat of each listed endpoint

Cause: the log didn't tell an entry that was written late from a new one of the same endpoint, so it couldn't tell the hypotheses on DRAIN apart. Change: entries keep the number of the heartbeat that wrote them; the line endpoint-listed names it and the start. No decision uses it.

--- a/foxtailpick/core/dispatch/model.py
+++ b/foxtailpick/core/dispatch/model.py
@@ -156,6 +156,8 @@
     :param is_draining: whether it accepts no new work.
     :param warmup_left_ms: remaining warm-up at the time of writing.
     :param version: version of its software, empty if not stated.
+    :param sequence: number of the heartbeat that wrote it, counted from the
+        start of the process.
     """
 
     id: types.EndpointId
@@ -167,6 +169,7 @@
     is_draining: bool
     warmup_left_ms: float
     version: types.Version = types.Version('')
+    sequence: int = 0
 
     @property
     def incarnation(self) -> EndpointIncarnation:
--- a/foxtailpick/gateway/state.py
+++ b/foxtailpick/gateway/state.py
@@ -358,6 +358,8 @@
             self._log.emit(
                 'endpoint-listed',
                 endpoint=item.id,
+                started=item.entry.started,
+                sequence=item.entry.sequence,
                 service=item.entry.service,
                 domain=item.entry.domain,
                 draining=item.entry.is_draining,
--- a/foxtailpick/platform/items.py
+++ b/foxtailpick/platform/items.py
@@ -128,7 +128,6 @@
     if state not in _STATES:
         raise ItemError(f'expected a known state, got {state!r}')
     # Entries of other writers lack fields or have them of another type.
-    fields_lib.expect(data, 'sequence', int)
     started = data.get('born')
     if started is not None:
         fields_lib.expect(data, 'born', int)
@@ -145,6 +144,7 @@
             fields_lib.expect(data, 'warmup_left_ms', int | float)
         ),
         version=types.Version(fields_lib.expect(data, 'version', str)),
+        sequence=fields_lib.expect(data, 'sequence', int),
     )
 
 
