Show departures that a silence of the store hides from gateways

Callers were sent to endpoints that had said they leave, and got the answers of an older configuration, up to 15 s after a silence of the store of 0.1 to 2 s. Late heartbeats end a departure as well.

--- a/foxtailpick/platform/standins/store_server.py
+++ b/foxtailpick/platform/standins/store_server.py
@@ -140,6 +140,9 @@
             status, reply = self.refuse_with, {}
         else:
             status, reply = await self._run(call, query, req.body)
+            if self.is_silent:
+                # The reply is lost, and the connection with it.
+                await trio.sleep_forever()
         body = json.dumps(reply).encode()
         era = () if self.era is None else [(b'Store-Era', b'%d' % self.era)]
         head = http1.format_response(status, era, len(body), True)
