Find watches of the store that missed a change

Callers were sent to endpoints that had said they leave (DRAIN), and were answered by an older configuration, up to 15 s after a silence of the store. Cause: the only call that shows a change is a watch that waits 12 s. Class: no news of a source is taken for no change, without a bound on its age. Evidence: all ten gateways learned of departures of seconds 6.8 to 10.5 by the end of their watches in seconds 14.9 to 19.6, without a failed call before. A watch that didn't report a change within its time is asked at once; a probe that fails is an outage; in an outage probes don't wait for each other, and the others wait for them. Calls that failed later but began before the end of an outage open no new one.

--- a/foxtailpick/adapters/base.py
+++ b/foxtailpick/adapters/base.py
@@ -82,10 +82,12 @@
 
     :param key: changed key.
     :param entry: new entry, None if it was deleted.
+    :param revision: revision of the change, None if it isn't known.
     """
 
     key: str
     entry: Entry | None
+    revision: types.Revision | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/foxtailpick/core/dispatch/store_pacing.py
+++ b/foxtailpick/core/dispatch/store_pacing.py
@@ -9,6 +9,11 @@
 was a change, and each router would read everything again. A keep-alive of
 its connection finds out if it went silent.
 
+A store that was silent for a moment may have lost the reply to a watch, which
+then reports nothing although its connection is open. Cheap probes find this:
+each returns the revision of the store, as of some time ago, see
+`store_progress`. One that fails shows an outage that no other call may see.
+
 A watch reports each change in full, also those that later ones supersede. If
 large items change in quick succession over a slow link, their transfer takes
 longer than it takes until the next ones are made. Then the items are read
@@ -34,6 +39,12 @@
 # Share of the shortest time in which a change has to be in force. The rest
 # is left for a lost call and its repetition.
 CHANGE_GAP_SHARE = 0.3
+# Interval of the probes, as a share of the same time. A few of them, and what
+# is kept for a while after an outage, fit into the time after which the
+# operators hold a router to its bounds again.
+PROBE_SHARE = 0.25
+# Wait of a watch that is asked at once.
+CHECK_WAIT_MS = 1.0
 # Superseded data in one response of a watch from which on the items are read
 # instead: at 5 Mbit/s its transfer takes a tenth of a second.
 MAX_SUPERSEDED_BYTES = 65_536
@@ -63,6 +74,15 @@
     return CHANGE_GAP_SHARE * bound_ms
 
 
+def compute_probe_interval_ms(bound_ms: float, rng: random.Random) -> float:
+    """Return the time between two probes of the store.
+
+    :param bound_ms: time in which a change has to be in force.
+    :param rng: source of random numbers.
+    """
+    return PROBE_SHARE * bound_ms * rng.uniform(1 - JITTER, 1 + JITTER)
+
+
 def is_falling_behind(changes: typing.Sequence[base.Change]) -> bool:
     """Tell whether the items should be read instead of their changes.
 
--- a/foxtailpick/gateway/daemon.py
+++ b/foxtailpick/gateway/daemon.py
@@ -217,6 +217,7 @@
         gw.cfg.min_lease_ms,
         store_pacing.compute_change_gap_ms(gw.cfg.change_bound_ms),
         gw.cfg.history_ms,
+        gw.cfg.change_bound_ms,
     )
     callers = server.CallerServer(gw)
     with gw.pool, peers.PeerExchange(gw, listeners.peers) as exchange:
--- a/foxtailpick/gateway/mirror.py
+++ b/foxtailpick/gateway/mirror.py
@@ -13,6 +13,7 @@
 from foxtailpick.core.dispatch import item_check
 from foxtailpick.core.dispatch import model
 from foxtailpick.core.dispatch import store_pacing
+from foxtailpick.core.dispatch import store_progress
 from foxtailpick.core import errors
 from foxtailpick.core import types
 from foxtailpick.gateway import decision_log
@@ -89,6 +90,22 @@
     ended: trio.Event = dataclasses.field(default_factory=trio.Event)
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class _Watch:
+    """A watch that waits for changes.
+
+    :param position: position after which it waits.
+    :param scope: cancel scope of its call.
+    :param is_overdue: whether it has to be asked at once.
+    """
+
+    position: base.Position
+    scope: trio.CancelScope = dataclasses.field(
+        default_factory=trio.CancelScope
+    )
+    is_overdue: bool = False
+
+
 @contextlib.contextmanager
 def expect_well_formed() -> typing.Iterator[None]:
     """Treat a reply of an unexpected form like a failed call.
@@ -117,6 +134,8 @@
     :param min_lease_ms: shortest lease that the store grants.
     :param change_gap_ms: shortest time between two reads of changes.
     :param history_ms: how long the store keeps the history of changes.
+    :param change_bound_ms: shortest time in which a change has to be in
+        force.
     """
 
     def __init__(
@@ -130,10 +149,12 @@
         min_lease_ms: float = 0.0,
         change_gap_ms: float = 0.0,
         history_ms: float = math.inf,
+        change_bound_ms: float = 2_000.0,
     ) -> None:
         self._lease_ttl_ms = max(LEASE_TTL_MS, min_lease_ms)
         self._change_gap_ms = change_gap_ms
         self._history_ms = history_ms
+        self._change_bound_ms = change_bound_ms
         self._store = store
         self._state = state
         self._layout = layout
@@ -142,7 +163,11 @@
         self._rng = rng
         self._outage: _Outage | None = None
         self._outage_ended_ms = -REREGISTRATION_GRACE_MS
-        self._waiting: set[trio.CancelScope] = set()
+        self._waiting: set[_Watch] = set()
+        self._is_probed = False
+        self._progress = store_progress.StoreProgress(
+            change_gap_ms + store_pacing.PROBE_SHARE * change_bound_ms
+        )
         self._has_endpoints = False
         self._restored_era: types.Era | None = None
         self._restored = trio.Event()
@@ -165,6 +190,7 @@
             )
             nursery.start_soon(self.list_routers)
             nursery.start_soon(self.register, key, value)
+            nursery.start_soon(self.probe, key)
 
     @property
     def is_store_lost(self) -> bool:
@@ -180,6 +206,7 @@
         :returns: their result.
         """
         while True:
+            began_ms = self._now_ms()
             try:
                 with expect_well_formed():
                     result = await make_calls()
@@ -188,7 +215,7 @@
                     self._record_restored()
                 else:
                     # The others may be waiting for this task's next call.
-                    await self._back_off(exc)
+                    await self._back_off(exc, began_ms)
                 continue
             self._record_contact()
             return result
@@ -214,6 +241,7 @@
         is_behind = False
         restarts = 0
         while is_needed():
+            began_ms = self._now_ms()
             try:
                 if position is None:
                     is_behind = False
@@ -248,7 +276,7 @@
                 elif exc.code is errors.ErrorCode.STORE_HISTORY_LOST:
                     self._log.emit('store-history-lost', prefix=prefix)
                 else:
-                    await self._back_off(exc)
+                    await self._back_off(exc, began_ms)
                     continue
                 if restarts:
                     # The position of a new snapshot was refused as well.
@@ -293,6 +321,7 @@
         lease: types.LeaseId | None = None
         is_failing = False
         while True:
+            began_ms = self._now_ms()
             try:
                 if lease is None:
                     with expect_well_formed():
@@ -331,7 +360,47 @@
                 else:
                     # A watch that waits throughout an outage does not fail,
                     # but endpoints' entries may expire in it.
-                    await self._back_off(exc)
+                    await self._back_off(exc, began_ms)
+
+    async def probe(self, key: str) -> None:
+        """Compare the watches with the store at intervals, until cancelled.
+
+        A reply may be lost, so that no probe waits for the one before. In an
+        outage the other tasks wait for a probe that succeeds.
+
+        :param key: any key; what it contains is not used.
+        """
+        self._is_probed = True
+        async with trio.open_nursery() as nursery:
+            while True:
+                interval_ms = store_pacing.compute_probe_interval_ms(
+                    self._change_bound_ms, self._rng
+                )
+                await trio.sleep(interval_ms / types.SECOND_MS)
+                nursery.start_soon(self._probe_once, key)
+
+    async def _probe_once(self, key: str) -> None:
+        began_ms = self._now_ms()
+        try:
+            with expect_well_formed():
+                # Old copies may be read in an outage as well.
+                snapshot = await self._store.read_snapshot(
+                    key, is_stale_ok=self._outage is None
+                )
+        except errors.StoreError as exc:
+            if exc.code is errors.ErrorCode.STORE_RESTORED:
+                self._record_restored()
+            elif not self._is_outdated(began_ms):
+                self._log.emit('store-call-failed', error=str(exc))
+                self._record_outage(exc)
+            return
+        self._record_contact()
+        now_ms = self._now_ms()
+        self._progress.record_probe(snapshot.position.revision, now_ms)
+        for watch in self._waiting:
+            if self._progress.is_overdue(watch.position, now_ms):
+                watch.is_overdue = True
+                watch.scope.cancel()
 
     async def _delay_registration(self) -> None:
         spread_ms = self._rng.uniform(0.0, REGISTRATION_SPREAD_MS)
@@ -371,6 +440,8 @@
         self, changes: typing.Sequence[base.Change], keys: set[str]
     ) -> None:
         for change in changes:
+            if change.revision is not None:
+                self._progress.record_report(change.revision)
             keys.add(change.key)
             if change.entry is None:
                 keys.discard(change.key)
@@ -383,16 +454,19 @@
     ) -> tuple[list[base.Change], base.Position] | None:
         """Wait for changes; None if everything has to be read again."""
         wait_ms = store_pacing.compute_watch_ms(self._history_ms, self._rng)
-        with trio.CancelScope() as scope:
-            self._waiting.add(scope)
+        watch = _Watch(position)
+        with watch.scope:
+            self._waiting.add(watch)
             try:
                 with expect_well_formed():
                     changes, reached = await self._store.poll_changes(
                         prefix, position, wait_ms
                     )
             finally:
-                self._waiting.discard(scope)
-        if scope.cancelled_caught:
+                self._waiting.discard(watch)
+        if watch.scope.cancelled_caught and watch.is_overdue:
+            return await self._check_at_once(prefix, position)
+        if watch.scope.cancelled_caught:
             # Asked anew from its position, the store might accept the watch
             # and then drop its history without a word.
             if self._outage is not None:
@@ -403,6 +477,24 @@
         self._record_contact()
         return changes, reached
 
+    async def _check_at_once(
+        self, prefix: str, position: base.Position
+    ) -> tuple[list[base.Change], base.Position]:
+        """Return the changes that a watch should have reported, if any."""
+        with expect_well_formed():
+            changes, reached = await self._store.poll_changes(
+                prefix, position, store_pacing.CHECK_WAIT_MS
+            )
+        self._record_contact()
+        if changes:
+            self._log.emit(
+                'store-watch-forgotten',
+                prefix=prefix,
+                after=position.revision,
+                changes=len(changes),
+            )
+        return changes, reached
+
     def decode_entries(self, snapshot: base.Snapshot) -> list[model.Item]:
         """Decode the entries of a snapshot; invalid ones are left out."""
         return [
@@ -427,12 +519,17 @@
             self._log.emit('item-skipped', key=key, error=f'{exc!r:.200}')
             return None
 
-    async def _back_off(self, exc: errors.StoreError) -> None:
+    async def _back_off(self, exc: errors.StoreError, began_ms: float) -> None:
         """Wait until the store may be called again after a failed call.
 
         During an outage one task calls it, the others wait for its success.
+
+        :param exc: the failure.
+        :param began_ms: when the call began.
         """
         self._log.emit('store-call-failed', error=str(exc))
+        if self._is_outdated(began_ms):
+            return
         outage = self._record_outage(exc)
         if outage.is_probed:
             await outage.ended.wait()
@@ -445,13 +542,21 @@
 
     def _record_outage(self, exc: errors.StoreError) -> _Outage:
         if self._outage is None:
-            self._outage = _Outage(self._now_ms())
+            self._outage = _Outage(self._now_ms(), is_probed=self._is_probed)
             self._log.emit('store-lost', error=str(exc))
             # The store may have forgotten watches that wait.
-            for scope in self._waiting:
-                scope.cancel()
+            for watch in self._waiting:
+                watch.is_overdue = False
+                watch.scope.cancel()
         return self._outage
 
+    def _is_outdated(self, began_ms: float) -> bool:
+        """Tell whether a failed call belongs to an outage that has ended.
+
+        :param began_ms: when the call began.
+        """
+        return self._outage is None and began_ms < self._outage_ended_ms
+
     def _record_restored(self) -> None:
         """React once to the return of the store from an older copy."""
         self._record_contact()
@@ -461,10 +566,12 @@
         self._restored_era = era
         self._log.emit('store-restored', era=era)
         self._outage_ended_ms = self._now_ms()
+        self._progress.clear()
         self._state.record_restored_store()
         # Their positions belong to the era before.
-        for scope in self._waiting:
-            scope.cancel()
+        for watch in self._waiting:
+            watch.is_overdue = False
+            watch.scope.cancel()
         self._restored.set()
         self._restored = trio.Event()
 
--- a/foxtailpick/platform/store.py
+++ b/foxtailpick/platform/store.py
@@ -326,9 +326,10 @@
 
 
 def _decode_change(item: typing.Mapping[str, typing.Any]) -> base.Change:
+    revision = types.Revision(int(item['revision']))
     if item.get('removed'):
-        return base.Change(item['key'], None)
-    return base.Change(item['key'], _decode_entry(item))
+        return base.Change(item['key'], None, revision)
+    return base.Change(item['key'], _decode_entry(item), revision)
 
 
 def _check_status(status: int, reply: typing.Any) -> None:
--- a/foxtailpick/tests/store_harness.py
+++ b/foxtailpick/tests/store_harness.py
@@ -50,7 +50,9 @@
 
 
 @contextlib.asynccontextmanager
-async def follow(store, seed=1, change_gap_ms=0.0, router='r'):
+async def follow(
+    store, seed=1, change_gap_ms=0.0, router='r', change_bound_ms=2_000.0
+):
     """Yield a gateway state that follows a store and is registered in it."""
     log = decision_log.DecisionLog(now_ms, len)
     own = state.GatewayState(types.RouterId(router), now_ms, log)
@@ -62,6 +64,7 @@
         log,
         random.Random(seed),
         change_gap_ms=change_gap_ms,
+        change_bound_ms=change_bound_ms,
     )
 
     async def expire():
--- a/foxtailpick/tests/test_departures.py
+++ b/foxtailpick/tests/test_departures.py
@@ -69,8 +69,9 @@
 
 def follow(store, bounds, seed=1):
     """Return a context with a router that follows a store."""
-    gap_ms = store_pacing.compute_change_gap_ms(bounds.change_s * 1_000)
-    return store_harness.follow(store, seed, gap_ms)
+    bound_ms = bounds.change_s * 1_000
+    gap_ms = store_pacing.compute_change_gap_ms(bound_ms)
+    return store_harness.follow(store, seed, gap_ms, change_bound_ms=bound_ms)
 
 
 async def be_silent(standin, silence_s):
