Probe the store at once when an outage begins, and test cut watches

Found by reading it. Change: the first probe follows the first failed call by 0.1 to 0.2 s. The stand-in of the store plays compactions. New tests: departures in a compaction, and departures beside entries that lapse.

--- a/foxtailpick/gateway/mirror.py
+++ b/foxtailpick/gateway/mirror.py
@@ -165,6 +165,7 @@
         self._outage_ended_ms = -REREGISTRATION_GRACE_MS
         self._waiting: set[_Watch] = set()
         self._is_probed = False
+        self._outage_began = trio.Event()
         self._progress = store_progress.StoreProgress(
             change_gap_ms + store_pacing.PROBE_SHARE * change_bound_ms
         )
@@ -376,7 +377,10 @@
                 interval_ms = store_pacing.compute_probe_interval_ms(
                     self._change_bound_ms, self._rng
                 )
-                await trio.sleep(interval_ms / types.SECOND_MS)
+                with trio.move_on_after(interval_ms / types.SECOND_MS):
+                    await self._outage_began.wait()
+                    pause_ms = INITIAL_BACKOFF_MS * self._rng.uniform(0.5, 1.0)
+                    await trio.sleep(pause_ms / types.SECOND_MS)
                 nursery.start_soon(self._probe_once, key)
 
     async def _probe_once(self, key: str) -> None:
@@ -548,6 +552,8 @@
             for watch in self._waiting:
                 watch.is_overdue = False
                 watch.scope.cancel()
+            self._outage_began.set()
+            self._outage_began = trio.Event()
         return self._outage
 
     def _is_outdated(self, began_ms: float) -> bool:
--- a/foxtailpick/platform/standins/store_server.py
+++ b/foxtailpick/platform/standins/store_server.py
@@ -34,8 +34,9 @@
 
     Tests set `refuse_with`, `is_silent` and `history_from` to inject the
     failures of the platform, `bytes_per_s` to limit the rate of responses,
-    and `stop_after_bytes` to make each of them fall silent midway. `era` is
-    stated in each response, None for a platform that doesn't state it.
+    and `stop_after_bytes` to make each of them fall silent midway. While
+    `is_compacting`, watches report nothing. `era` is stated in each response,
+    None for a platform that doesn't state it.
     """
 
     def __init__(self) -> None:
@@ -46,6 +47,8 @@
         self.leases: dict[int, float] = {}
         self.refuse_with: int | None = None
         self.is_silent = False
+        self.is_compacting = False
+        self._watches: set[trio.CancelScope] = set()
         self.page_items = 500
         self.bytes_per_s = math.inf
         self.stop_after_bytes = math.inf
@@ -73,6 +76,13 @@
         del self.items[key]
         self._record({'key': key, 'revision': self.revision, 'removed': True})
 
+    def drop_history(self) -> None:
+        """End the compaction: drop the history, and cut all watches."""
+        self.is_compacting = False
+        self.history_from = self.revision
+        for scope in self._watches:
+            scope.cancel()
+
     def expire_without_history(self, key: str) -> None:
         """Remove an item and drop the history that contains the change."""
         self.remove(key)
@@ -139,7 +149,13 @@
         if self.refuse_with is not None:
             status, reply = self.refuse_with, {}
         else:
-            status, reply = await self._run(call, query, req.body)
+            with trio.CancelScope() as scope:
+                if call == 'kv-watch':
+                    self._watches.add(scope)
+                status, reply = await self._run(call, query, req.body)
+            self._watches.discard(scope)
+            if scope.cancelled_caught:
+                return False
             if self.is_silent:
                 # The reply is lost, and the connection with it.
                 await trio.sleep_forever()
@@ -213,7 +229,7 @@
                     if item['revision'] > after
                     and item['key'].startswith(prefix)
                 ]
-                if events:
+                if events and not self.is_compacting:
                     return 200, {
                         'events': events,
                         'current_rev': self.revision,
--- a/foxtailpick/tests/test_departures.py
+++ b/foxtailpick/tests/test_departures.py
@@ -146,6 +146,47 @@
             await expect_unused(own, 'e1', 5.0)
 
 
+@EACH_BOUNDS
+@pytest.mark.parametrize('is_announced', [True, False])
+async def test_departure_in_a_compaction_is_known_after_it(
+    autojump_clock, monkeypatch, bounds, is_announced
+):
+    """Watches report nothing for a second and are cut."""
+    async with open_store(monkeypatch) as (standin, store):
+        async with follow(store, bounds) as own:
+            await trio.sleep(SETTLE_S)
+            standin.is_compacting = True
+            depart(standin, 'e1', is_announced)
+            await trio.sleep(1.0)
+            standin.drop_history()
+            await trio.sleep(bounds.change_s - 1.0)
+            await expect_unused(own, 'e1', 5.0)
+
+
+@EACH_BOUNDS
+@pytest.mark.parametrize('gone', [1, 2])
+async def test_departure_beside_lapsed_entries_is_known_in_time(
+    autojump_clock, monkeypatch, bounds, gone
+):
+    """Entries that lapse in an outage are written again after it."""
+    async with open_store(monkeypatch) as (standin, store):
+        async with follow(store, bounds) as own:
+            await trio.sleep(SETTLE_S)
+            standin.is_silent = True
+            for endpoint in ENDPOINTS[1:]:
+                standin.remove(f'servers/{endpoint}')
+            await trio.sleep(5.0)
+            standin.is_silent = False
+            for number, endpoint in enumerate(ENDPOINTS[1 + gone :]):
+                assert endpoint in list_usable(own)
+                await trio.sleep(0.2)
+                put_endpoint(standin, endpoint, sequence=20 + number)
+            await trio.sleep(bounds.contact_s - 0.2 * (7 - gone))
+            for endpoint in ENDPOINTS[1 : 1 + gone]:
+                assert endpoint not in list_usable(own)
+            assert len(list_usable(own)) == len(ENDPOINTS) - gone
+
+
 @EACH_BOUNDS
 @pytest.mark.parametrize('is_removed', [True, False])
 async def test_late_write_does_not_end_a_departure(
