Leave out the few endpoints that a store lists no more after an outage

Callers were sent to endpoints whose entry had been removed, for two seconds after the gateway had read a list without it: 3.4 s after the removal where 2 or 3 s are allowed. Cause: after any failed call, also a watch that was cut, missing entries were taken for expired ones. Class: the delays on the way, each within its own bound, add up beyond the bound of the whole. Change: where one entry is missing, or up to a fifth of a service, these are left out at once while others serve; where more are, most have expired, and all are kept for the two seconds, as before. After a return from a copy nothing changes.

--- a/foxtailpick/core/dispatch/endpoint_table.py
+++ b/foxtailpick/core/dispatch/endpoint_table.py
@@ -17,6 +17,9 @@
 # Endpoints whose entries expired during a store outage register again within
 # two seconds of its end. An entry still absent after that is removed.
 REREGISTRATION_GRACE_MS = 2_000.0
+# Missing entries up to this share of a service, and any single one, rather
+# belong to endpoints that have left than to such that expired.
+MAX_DEPARTED_SHARE = 0.2
 # Most chats send another request within this time, so that a new endpoint
 # has the prompts it is the home of in its cache afterwards.
 CACHE_FILL_MS = 15_000.0
@@ -41,6 +44,8 @@
         prompts of which it is the home.
     :param absent_until_ms: until when it is kept although the store does
         not list it.
+    :param may_have_left: whether the store lists it no more after an outage,
+        without having returned from a copy.
     :param shared_outcomes: request outcomes summed over all routers, None
         if no router reported failures.
     :param is_ejected: whether it is ejected because of them.
@@ -63,6 +68,7 @@
     warm_at_ms: float = 0.0
     cache_filling_until_ms: float = 0.0
     absent_until_ms: float | None = None
+    may_have_left: bool = False
     shared_outcomes: shared_health.SharedOutcomes | None = None
     is_ejected: bool = False
     is_replaced: bool = False
@@ -209,12 +215,21 @@
         return self._endpoints.get(endpoint)
 
     def list_service(self, service: types.ServiceId) -> list[Endpoint]:
-        """Return the endpoints of a service that accept new work."""
-        return [
+        """Return the endpoints of a service that accept new work.
+
+        After an outage the entries of some may be missing. Where few are,
+        these are left out; where many are, most of them have expired.
+        """
+        listed = [
             endpoint
             for endpoint in self._by_service.get(service, ())
             if not endpoint.announced.is_leaving and self._is_listed(endpoint)
         ]
+        certain = [item for item in listed if not item.may_have_left]
+        missing = len(listed) - len(certain)
+        if certain and missing <= max(1, MAX_DEPARTED_SHARE * len(listed)):
+            return certain
+        return listed
 
     def list_last_resort(
         self, service: types.ServiceId, now_ms: float
@@ -321,6 +336,7 @@
                 known.cache_filling_until_ms = now_ms + CACHE_FILL_MS
         known.entry = entry
         known.absent_until_ms = None
+        known.may_have_left = False
         known.warm_at_ms = max(known.warm_at_ms, now_ms + entry.warmup_left_ms)
         if entry.warmup_left_ms <= 0:
             known.warm_at_ms = min(known.warm_at_ms, now_ms)
@@ -394,6 +410,7 @@
                 self._drop(key, now_ms)
             else:
                 self._endpoints[key].absent_until_ms = grace_until_ms
+                self._endpoints[key].may_have_left = not is_copied
         for entry in present.values():
             self.put(entry, now_ms)
         return absent
