Let no late write end the departure of an endpoint

Callers were sent to an endpoint that had said it leaves, once an earlier heartbeat of it was executed after that word: until its next heartbeat, or until its entry expired. Cause: the latest entry of a process counted whole, though a write without a reply may be executed seconds later. Class: a state that is final was kept in a place that older news overwrites. Change: a process that was listed as draining stays so until its next start, also across its removal, for a minute. Entries without a start are taken as before.

--- a/foxtailpick/core/dispatch/endpoint_table.py
+++ b/foxtailpick/core/dispatch/endpoint_table.py
@@ -320,12 +320,13 @@
         :param entry: the entry.
         :param now_ms: current time.
         """
+        entry = self._keep_draining(entry)
         self._removed.discard(entry.incarnation)
         self._doubtful.pop(entry.id, None)
         known = self._endpoints.get(entry.id)
         if known is None or known.entry.started != entry.started:
             if known is not None:
-                self._removed.record(known.entry.incarnation, now_ms)
+                self._removed.record(known.entry, now_ms)
             known = Endpoint(
                 entry,
                 in_service_ms=now_ms,
@@ -344,6 +345,23 @@
         self._index()
         return known
 
+    def _keep_draining(
+        self, entry: model.EndpointEntry
+    ) -> model.EndpointEntry:
+        """Return an entry as draining if its process drained before.
+
+        A process that drains ends; what lists it as ready was written
+        earlier. Without its start it can't be told from the next one.
+        """
+        known = self._endpoints.get(entry.id)
+        if known is not None and known.entry.started == entry.started:
+            has_drained = known.entry.is_draining
+        else:
+            has_drained = self._removed.has_drained(entry.incarnation)
+        if entry.is_draining or not has_drained or not entry.started:
+            return entry
+        return dataclasses.replace(entry, is_draining=True)
+
     def _mark_replaced(self, endpoint: Endpoint) -> None:
         """Find out which processes at an endpoint's address have ended."""
         for other in self._endpoints.values():
@@ -444,7 +462,7 @@
 
     def _drop(self, endpoint: types.EndpointId, now_ms: float) -> None:
         known = self._endpoints.pop(endpoint)
-        self._removed.record(known.entry.incarnation, now_ms)
+        self._removed.record(known.entry, now_ms)
         self._index()
 
     def _is_outdated(self, entry: model.EndpointEntry) -> bool:
--- a/foxtailpick/core/dispatch/restored_store.py
+++ b/foxtailpick/core/dispatch/restored_store.py
@@ -112,23 +112,29 @@
 
     def __init__(self) -> None:
         self._removed_ms: dict[model.EndpointIncarnation, float] = {}
+        self._drained: set[model.EndpointIncarnation] = set()
 
-    def record(
-        self, endpoint: model.EndpointIncarnation, now_ms: float
-    ) -> None:
+    def record(self, entry: model.EndpointEntry, now_ms: float) -> None:
         """Remember a removal, and forget those that no copy contains.
 
-        :param endpoint: the removed incarnation.
+        :param entry: latest entry of the removed incarnation.
         :param now_ms: current time.
         """
-        self._removed_ms[endpoint] = now_ms
+        self._removed_ms[entry.incarnation] = now_ms
+        if entry.is_draining:
+            self._drained.add(entry.incarnation)
         for key, removed_ms in list(self._removed_ms.items()):
             if now_ms - removed_ms >= MAX_COPY_AGE_MS:
-                del self._removed_ms[key]
+                self.discard(key)
 
     def discard(self, endpoint: model.EndpointIncarnation) -> None:
         """Forget a removal, since the endpoint has written again."""
         self._removed_ms.pop(endpoint, None)
+        self._drained.discard(endpoint)
+
+    def has_drained(self, endpoint: model.EndpointIncarnation) -> bool:
+        """Tell whether an incarnation was draining when it was removed."""
+        return endpoint in self._drained
 
     def __contains__(self, endpoint: model.EndpointIncarnation) -> bool:
         return endpoint in self._removed_ms
--- a/foxtailpick/gateway/state.py
+++ b/foxtailpick/gateway/state.py
@@ -362,7 +362,7 @@
                 sequence=item.entry.sequence,
                 service=item.entry.service,
                 domain=item.entry.domain,
-                draining=item.entry.is_draining,
+                draining=endpoint.entry.is_draining,
                 cold_ms=max(0.0, round(endpoint.warm_at_ms - now_ms)),
             )
             return
--- a/foxtailpick/tests/test_departures.py
+++ b/foxtailpick/tests/test_departures.py
@@ -207,3 +207,16 @@
             put_endpoint(standin, 'e1', born=1_700_000_009_000)
             await trio.sleep(bounds.change_s)
             assert 'e1' in list_usable(own)
+
+
+async def test_endpoint_without_a_start_may_be_ready_again(
+    autojump_clock, monkeypatch
+):
+    """Its next process has the same name to the router."""
+    async with open_store(monkeypatch) as (standin, store):
+        async with follow(store, Bounds(3.0, 2.0)) as own:
+            await trio.sleep(SETTLE_S)
+            for state in ('draining', 'ready'):
+                put_endpoint(standin, 'e1', state=state, born=None)
+                await trio.sleep(1.0)
+                assert ('e1' in list_usable(own)) is (state == 'ready')
