--- a/foxtailpick/core/dispatch/endpoint_table.py
+++ b/foxtailpick/core/dispatch/endpoint_table.py
@@ -17,8 +17,8 @@
 # Endpoints whose entries expired during a store outage register again within
 # two seconds of its end. An entry still absent after that is removed.
 REREGISTRATION_GRACE_MS = 2_000.0
-# Missing entries up to this share of a service, and any single one, rather
-# belong to endpoints that have left than to such that expired.
+# Up to this share of a service, and any single one, endpoints that are missing
+# after an outage are taken for gone. Of more, most entries have expired.
 MAX_DEPARTED_SHARE = 0.2
 # Most chats send another request within this time, so that a new endpoint
 # has the prompts it is the home of in its cache afterwards.
--- a/foxtailpick/tests/test_departures.py
+++ b/foxtailpick/tests/test_departures.py
@@ -209,6 +209,33 @@
             assert 'e1' in list_usable(own)
 
 
+async def test_placed_request_is_not_sent_to_an_endpoint_that_drains(
+    autojump_clock, monkeypatch
+):
+    """The departure is read while the connection is opened."""
+    async with open_store(monkeypatch) as (standin, store):
+        async with follow(store, Bounds(3.0, 2.0)) as own:
+            await trio.sleep(SETTLE_S)
+            endpoints = [own.table.get(name) for name in ('e1', 'e2')]
+            for endpoint, is_announced in zip(endpoints, (True, False)):
+                assert own.table.is_sendable(endpoint, 0.0)
+                depart(standin, endpoint.id, is_announced)
+            await trio.sleep(2.0)
+            for endpoint in endpoints:
+                assert not own.table.is_sendable(endpoint, 0.0)
+
+
+async def test_router_that_starts_after_a_departure_knows_it(
+    autojump_clock, monkeypatch
+):
+    async with open_store(monkeypatch) as (standin, store):
+        depart(standin, 'e1', True)
+        depart(standin, 'e2', False)
+        async with follow(store, Bounds(3.0, 2.0)) as own:
+            await expect_unused(own, 'e1', 3.0)
+            assert list_usable(own) == set(ENDPOINTS) - {'e1', 'e2'}
+
+
 @EACH_BOUNDS
 async def test_late_write_does_not_end_an_unannounced_departure(
     autojump_clock, monkeypatch, bounds
