Let probes withdraw no watch whose reply is on its way

Callers were answered by an older configuration for longer on a slow link, and gateways called the store more often than needed after a start. Cause: a watch counted as overdue while its large reply was transferred, and the transfer began again. Starts of routers change the store's revision under a prefix that is listed, not watched, and each watch was asked in vain. Change: the client tells whether the reply to a watch has begun; the list of routers accounts for their starts.

--- a/foxtailpick/gateway/mirror.py
+++ b/foxtailpick/gateway/mirror.py
@@ -60,6 +60,9 @@
     ) -> tuple[list[base.Change], base.Position]:
         """Wait for changes after a position."""
 
+    def is_receiving(self, prefix: str) -> bool:
+        """Tell whether the reply to a watch has begun."""
+
     async def grant_lease(self, ttl_ms: float) -> types.LeaseId:
         """Create a lease."""
 
@@ -94,11 +97,13 @@
 class _Watch:
     """A watch that waits for changes.
 
+    :param prefix: key prefix of the items.
     :param position: position after which it waits.
     :param scope: cancel scope of its call.
     :param is_overdue: whether it has to be asked at once.
     """
 
+    prefix: str
     position: base.Position
     scope: trio.CancelScope = dataclasses.field(
         default_factory=trio.CancelScope
@@ -310,6 +315,8 @@
                 if not is_known:
                     reads = min(reads, store_pacing.FIRST_LISTS - 1)
                 continue
+            for entry in snapshot.entries:
+                self._progress.record_report(entry.revision)
             self._state.replace_routers(self.decode_entries(snapshot))
             is_known = True
 
@@ -402,7 +409,10 @@
         now_ms = self._now_ms()
         self._progress.record_probe(snapshot.position.revision, now_ms)
         for watch in self._waiting:
-            if self._progress.is_overdue(watch.position, now_ms):
+            # The transfer of a large change may take longer.
+            if self._progress.is_overdue(
+                watch.position, now_ms
+            ) and not self._store.is_receiving(watch.prefix):
                 watch.is_overdue = True
                 watch.scope.cancel()
 
@@ -458,7 +468,7 @@
     ) -> tuple[list[base.Change], base.Position] | None:
         """Wait for changes; None if everything has to be read again."""
         wait_ms = store_pacing.compute_watch_ms(self._history_ms, self._rng)
-        watch = _Watch(position)
+        watch = _Watch(prefix, position)
         with watch.scope:
             self._waiting.add(watch)
             try:
--- a/foxtailpick/platform/store.py
+++ b/foxtailpick/platform/store.py
@@ -51,6 +51,8 @@
         self._host = f'{address[0]}:{address[1]}'.encode()
         self._idle: list[client_lib.ClientConnection] = []
         self._leases: set[types.LeaseId] = set()
+        # Prefixes of watches whose reply has begun.
+        self._receiving: set[str] = set()
         self.era: types.Era | None = None
         self.calls = 0
 
@@ -131,9 +133,15 @@
                 'wait_ms': int(min(wait_ms, MAX_WATCH_WAIT_MS)),
             }
         )
-        status, reply = await self._call(
-            'GET', f'kv-watch?{query}', wait_ms + WATCH_SLACK_MS
-        )
+        try:
+            status, reply = await self._call(
+                'GET',
+                f'kv-watch?{query}',
+                wait_ms + WATCH_SLACK_MS,
+                report_begun=lambda: self._receiving.add(prefix),
+            )
+        finally:
+            self._receiving.discard(prefix)
         self._check_era(after)
         if status == 410:
             raise errors.StoreError(
@@ -145,6 +153,13 @@
         changes = [_decode_change(item) for item in reply['events']]
         return changes, self._make_position(reply)
 
+    def is_receiving(self, prefix: str) -> bool:
+        """Tell whether the reply to a watch has begun.
+
+        :param prefix: prefix of the watch.
+        """
+        return prefix in self._receiving
+
     async def transact(
         self,
         compares: typing.Sequence[base.Compare],
@@ -231,6 +246,7 @@
         path: str,
         timeout_ms: float = CALL_TIMEOUT_MS,
         body: typing.Mapping[str, typing.Any] | None = None,
+        report_begun: typing.Callable[[], None] = lambda: None,
     ) -> tuple[int, typing.Any]:
         self.calls += 1
         data = b'' if body is None else json.dumps(body).encode()
@@ -252,6 +268,7 @@
                 is_sent = True
                 await conn.send(head + data)
                 reply = await exchange.read_head(conn)
+            report_begun()
             with trio.fail_after(MAX_TRANSFER_MS / types.SECOND_MS):
                 raw = await exchange.read_body(conn, MAX_SILENCE_MS)
             self._update_era(reply.headers, method, path)
