--- a/foxtailpick/core/dispatch/store_progress.py
+++ b/foxtailpick/core/dispatch/store_progress.py
@@ -5,8 +5,8 @@
 is open, and no call of the router may have fallen into the same moment. So
 the router reads the revision of the store at short intervals. It grows by one
 with each change, also with those that other watches report. After a change of
-an item that no watch covers, such as the start of a router, each watch is
-asked in vain.
+an item that is neither watched nor listed, such as the state of a roll-out,
+each watch is asked in vain.
 """
 
 import collections
