Let servers of the silent-store case say that they leave

Traffic comes in groups, so that the servers answer nothing between their removal and the next group. Gateways in touch still send that group to servers that left, and bookings are lost.

--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -2,6 +2,7 @@
 
 import os
 import pathlib
+import random
 import socket
 import subprocess
 import sys
@@ -57,30 +58,46 @@
 """
 
 
-_next_port = 21_000 + os.getpid() % 500 * 16
+FIRST_PORT, LAST_PORT = 21_000, 31_000
+# Offset of the port that no gateway uses; it is held to reserve the others.
+GUARD_OFFSET = 2
+_guards = []
 
 
 def find_ports(count):
-    """Return the first of free consecutive ports, each time others."""
-    global _next_port
-    for first in range(_next_port, 32_000, count):
-        _next_port = first + count
-        socks = []
+    """Reserve free consecutive ports and return the first.
+
+    Other scripts may look for ports at the same time.
+    """
+    blocks = range(FIRST_PORT, LAST_PORT, count)
+    for first in random.sample(blocks, len(blocks)):
+        guard = socket.socket()
         try:
-            for port in range(first, first + count):
-                for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-                    sock = socket.socket(type=kind)
-                    socks.append(sock)
-                    sock.bind(('127.0.0.1', port))
-            return first
+            guard.bind(('127.0.0.1', first + GUARD_OFFSET))
+            guard.listen(1)
         except OSError:
+            guard.close()
             continue
-        finally:
-            for sock in socks:
-                sock.close()
+        if _are_free(range(first, first + count), first + GUARD_OFFSET):
+            _guards.append(guard)
+            return first
+        guard.close()
     raise OSError('no free ports')
 
 
+def _are_free(ports, guarded):
+    for port in ports:
+        for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+            if port == guarded and kind == socket.SOCK_STREAM:
+                continue
+            with socket.socket(type=kind) as sock:
+                try:
+                    sock.bind(('127.0.0.1', port))
+                except OSError:
+                    return False
+    return True
+
+
 def read_run_line():
     """Return the command and environment of the deploy file's only role."""
     data = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
--- a/review/common/server.py
+++ b/review/common/server.py
@@ -32,6 +32,8 @@
         self.arrivals = []
         self.finished = set()
         self.crashed_at = None
+        # Whether it says in all its answers that it leaves.
+        self.is_leaving = False
         self.sequence = 0
         self.born = int(time.time() * 1000)
         self._writers = set()
@@ -147,20 +149,22 @@
     async def _run(self, echo, request, writer):
         load = f'X-Server-Load: {self.running},0,{self.slots}\r\n'.encode()
         stamp = f'X-Server-Stamp: {self.name}.{request}\r\n'.encode()
+        keep = b'Keep-Alive: timeout=20\r\n'
+        if self.is_leaving:
+            keep = b'Server-Leaving: 1\r\nConnection: close\r\n'
         if not self.events:
             await asyncio.sleep(self.gap_s)
             body = f'{self.name} {request}'.encode()
             writer.write(
                 b'HTTP/1.1 200 OK\r\n' + echo + stamp + load
-                + b'Keep-Alive: timeout=20\r\nContent-Length: %d\r\n\r\n'
-                % len(body) + body
+                + keep + b'Content-Length: %d\r\n\r\n' % len(body) + body
             )
             await writer.drain()
             return
         await asyncio.sleep(self.gap_s)
         writer.write(
             b'HTTP/1.1 200 OK\r\n' + echo + stamp + load
-            + b'Keep-Alive: timeout=20\r\nContent-Type: text/event-stream\r\n'
+            + keep + b'Content-Type: text/event-stream\r\n'
             + b'Transfer-Encoding: chunked\r\n\r\n'
         )
         for number in range(1, self.events + 1):
--- a/review/common/store.py
+++ b/review/common/store.py
@@ -110,6 +110,7 @@
                 data = json.dumps(reply).encode()
                 writer.write(
                     b'HTTP/1.1 %d X\r\nContent-Type: application/json\r\n'
+                    b'Store-Era: 1\r\n'
                     b'Content-Length: %d\r\n\r\n' % (status, len(data)) + data
                 )
                 await writer.drain()
