Let the server of the late-heartbeat case say that it leaves

A group of requests that comes 2.7 s after the removal is sent to the server that the late heartbeat lists again.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -27,11 +27,14 @@
 GATEWAYS = 3
 ZONES = ('kandy-a', 'peradeniya-b', 'gampola-c')
 DRAIN_S = 2.0
-# How much longer than that a server that leaves goes on serving.
-LINGER_S = 2.5
+# How much longer than that a server that leaves goes on serving. It ends while
+# requests of the first group after its removal are in work.
+LINGER_S = 0.8
 REPLACED = 1
 HEARTBEAT_S = 1.2
-REQUESTS_PER_S = 60
+# Crews come in groups: so many requests at once, one group each interval. No
+# request is on its way while the servers leave.
+GROUP, GROUP_S, FIRST_GROUP_S = 18, 3.0, 0.7
 START_NEW_S, LEAVE_S, END_S = 6.0, 10.0, 20.0
 # The heartbeat whose answer is lost is sent this long before the removal; the
 # store is stable again contact_ms later. It is done within 6 s.
@@ -78,18 +81,21 @@
     results[request] = status
 
 
-async def send_traffic(callers, sent, results, end):
+async def send_traffic(callers, sent, results, began):
     rng = random.Random(1)
     tasks = set()
+    due = began + FIRST_GROUP_S
     number = 0
-    while time.monotonic() < end:
-        number += 1
-        task = asyncio.create_task(
-            send_one(rng.choice(callers), number, sent, results)
-        )
-        tasks.add(task)
-        task.add_done_callback(tasks.discard)
-        await asyncio.sleep(rng.expovariate(REQUESTS_PER_S))
+    while due < began + END_S:
+        await sleep_until(due)
+        due += GROUP_S
+        for _ in range(GROUP):
+            number += 1
+            task = asyncio.create_task(
+                send_one(rng.choice(callers), number, sent, results)
+            )
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
     if tasks:
         await asyncio.wait(tasks, timeout=6)
 
@@ -100,7 +106,7 @@
 
 def make_server(number):
     return server.Server(
-        f'i-{number}', 'fieldbook', ZONES[number % 3], events=0, gap_s=0.04,
+        f'i-{number}', 'fieldbook', ZONES[number % 3], events=0, gap_s=0.15,
         slots=6,
     )
 
@@ -129,7 +135,7 @@
                 fleet.fail_to_run(f'{gateway.name} is not ready')
         callers = [client.Caller(gateway.port) for gateway in gateways]
         traffic = asyncio.create_task(
-            send_traffic(callers, sent, results, began + END_S)
+            send_traffic(callers, sent, results, began)
         )
         await sleep_until(began + START_NEW_S)
         for item in new:
@@ -143,6 +149,7 @@
         for item in leaving:
             beats[item].cancel()
             store.remove(f'servers/{item.name}')
+            item.is_leaving = True
         left_at, left = time.time(), time.monotonic()
         if IS_TROUBLED:
             tasks.append(asyncio.create_task(do_late_writes(
