Log for how long a signal to stop may have waited, and when requests ended

The log of a gateway couldn't tell the three hypotheses about requests without an answer around SIGTERM apart: it had neither the delay of the signal, nor the time between it and the end of a request, nor whether a stream that was cut off had been read to its end. The lines of the last 250 ms before a kill were lost.

stopping has ms_held_up: the event loop records its periodic checks, and a late one bounds when the signal came. ended has ms_stopping and read_whole, drained has ms_stopping, and the log is written before the process ends. No decision is changed.

--- a/foxtailpick/gateway/context.py
+++ b/foxtailpick/gateway/context.py
@@ -14,6 +14,7 @@
 from foxtailpick.core.dispatch import decayed_rate
 from foxtailpick.core.dispatch import endpoint_memory
 from foxtailpick.core.dispatch import endpoint_table
+from foxtailpick.core.dispatch import loop_checks as loop_checks_lib
 from foxtailpick.core.dispatch import model
 from foxtailpick.core.dispatch import overload_order
 from foxtailpick.core.dispatch import refusal
@@ -34,6 +35,9 @@
 from foxtailpick.gateway import state as state_lib
 from foxtailpick.node import metrics as metrics_lib
 
+# Interval of the watchdog, well below the read timeouts that it enforces.
+LOOP_CHECK_INTERVAL_MS = 50.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Dialect:
@@ -186,6 +190,7 @@
     :param stream_timing: durations of recent streams, per allowed token.
     :param buffered: memory used by responses that are being read.
     :param request_scopes: cancel scopes of the requests in flight.
+    :param loop_checks: when the event loop ran lately.
     :param shutdown_deadline_ms: when requests in flight are cut off, None
         unless the process is stopping.
     :param shutdown_started_ms: when the signal to stop arrived.
@@ -268,6 +273,11 @@
     request_scopes: set[trio.CancelScope] = dataclasses.field(
         default_factory=set
     )
+    loop_checks: loop_checks_lib.LoopChecks = dataclasses.field(
+        default_factory=functools.partial(
+            loop_checks_lib.LoopChecks, LOOP_CHECK_INTERVAL_MS
+        )
+    )
     shutdown_deadline_ms: float | None = None
     shutdown_started_ms: float = 0.0
     is_ending: bool = False
--- a/foxtailpick/gateway/daemon.py
+++ b/foxtailpick/gateway/daemon.py
@@ -326,7 +326,13 @@
         nursery.start_soon(_follow_settings, gw, check_settings, changed)
         async for number in signals:
             if number != signal.SIGHUP:
-                gw.log.emit('stopping', signal=number)
+                now_ms = gw.now_ms()
+                earliest_ms = gw.loop_checks.find_earliest_ms(now_ms)
+                gw.log.emit(
+                    'stopping',
+                    signal=number,
+                    ms_held_up=round(now_ms - earliest_ms),
+                )
                 break
             with contextlib.suppress(trio.WouldBlock):
                 hang_up.send_nowait(None)
@@ -382,11 +388,17 @@
     callers.stop_accepting()
     # Requests may have arrived on connections that were about to close.
     await _close_callers(gw, callers, gw.shutdown_deadline_ms)
-    gw.log.emit('drained', under_way=len(gw.attempts))
+    gw.log.emit(
+        'drained',
+        under_way=len(gw.attempts),
+        ms_stopping=round(gw.now_ms() - began_ms),
+    )
     gw.is_ending = True
     for scope in list(gw.request_scopes):
         scope.cancel()
     await _close_callers(gw, callers, gw.now_ms() + FINAL_ANSWERS_MS)
+    # The process may be killed before it ends by itself.
+    gw.log.flush()
 
 
 async def _close_callers(
--- a/foxtailpick/gateway/job.py
+++ b/foxtailpick/gateway/job.py
@@ -48,6 +48,8 @@
     :param framing: what marks the end of the last response to it, if any.
     :param is_within_event: whether the last stream received for it ended
         within an event, or has not ended yet and is within one.
+    :param is_answer_read: whether a stream was read to its end, which may
+        not have reached the caller yet.
     :param error_response: error response of an endpoint to one of the
         latest attempts, relayed unless another one succeeds.
     :param verdict: whether it may have been executed.
@@ -73,6 +75,7 @@
     answered_ms: float | None = None
     framing: client_lib.Framing | None = None
     is_within_event: bool = False
+    is_answer_read: bool = False
     error_response: BufferedResponse | None = None
     verdict: verdict_lib.Verdict = verdict_lib.Verdict.NOT_RUN
     stream_version: types.Version | None = None
--- a/foxtailpick/gateway/relay.py
+++ b/foxtailpick/gateway/relay.py
@@ -304,11 +304,19 @@
         sent=job.counted_attempts if job else 0,
         framing=job.framing.value if job and job.framing else None,
         within_event=job.is_within_event if job else False,
+        read_whole=job.is_answer_read if job else False,
+        ms_stopping=_compute_stopping_ms(gw),
         code=exc.code.value if exc else None,
         why=exc.message if exc else None,
     )
 
 
+def _compute_stopping_ms(gw: context.Gateway) -> float | None:
+    if not gw.is_stopping:
+        return None
+    return round(gw.now_ms() - gw.shutdown_started_ms, 1)
+
+
 def _compute_first_ms(job: job_lib.Job | None) -> float | None:
     if job is None or job.answered_ms is None:
         return None
--- a/foxtailpick/gateway/stream_relay.py
+++ b/foxtailpick/gateway/stream_relay.py
@@ -49,6 +49,7 @@
     is_taken_over = False
     while True:
         chunk, is_ended = await _read_chunk(gw, attempt, conn)
+        job.is_answer_read = is_ended
         has_event_end = _feed(boundary, chunk)
         if has_event_end:
             endpoint_io.record_progress(attempt, gw.now_ms())
--- a/foxtailpick/gateway/watchdog.py
+++ b/foxtailpick/gateway/watchdog.py
@@ -6,8 +6,7 @@
 from foxtailpick.core import types
 from foxtailpick.gateway import context
 
-# Check interval of the watchdog, well below the read timeouts it enforces.
-CHECK_INTERVAL_MS = 50.0
+CHECK_INTERVAL_MS = context.LOOP_CHECK_INTERVAL_MS
 # A check that begins this late shows that the process itself stood still.
 STALL_MS = 150.0
 
@@ -18,6 +17,7 @@
         due_ms = gw.now_ms() + CHECK_INTERVAL_MS
         await trio.sleep(CHECK_INTERVAL_MS / types.SECOND_MS)
         now_ms = gw.now_ms()
+        gw.loop_checks.record(now_ms)
         if now_ms - due_ms >= STALL_MS:
             gw.metrics.count('stalls')
             gw.log.emit('stalled', ms_late=round(now_ms - due_ms))
