End the drain of a gateway at its deadline

The drain slept in steps of 250 ms and compared the time with its deadline only between them, so that requests were cut off up to 250 ms late, 7,750 ms after the signal where 7,600 of 8,000 are meant. Of the 400 ms that are reserved for the last answers and the end of the process, 250 were left, and the platform kills a process that needs more.

The last step is now as long as the time that is left. The test of the deadline failed before (7,750 ms) and holds; its entry is taken out.

--- a/foxtailpick/gateway/daemon.py
+++ b/foxtailpick/gateway/daemon.py
@@ -378,8 +378,8 @@
     began_ms = gw.now_ms()
     gw.shutdown_started_ms = began_ms
     gw.shutdown_deadline_ms = began_ms + gw.cfg.grace_ms - EXIT_MARGIN_MS
-    while gw.now_ms() < gw.shutdown_deadline_ms:
-        await trio.sleep(SWEEP_INTERVAL_MS / types.SECOND_MS)
+    while (left_ms := gw.shutdown_deadline_ms - gw.now_ms()) > 0:
+        await trio.sleep(min(SWEEP_INTERVAL_MS, left_ms) / types.SECOND_MS)
         if gw.now_ms() - began_ms < BALANCER_REMOVAL_MS:
             continue
         callers.close_idle(0.0)
