Count a gateway's grace period from when SIGTERM may have come

Callers lost answers around a SIGTERM of a gateway: streams that were passed on and ended with a closed connection. The gateway counted its grace period, and the 3 s in which a stream is accepted by an estimate, from when it handled the signal. A process that doesn't get the processor meanwhile accepts by the estimate for too long and plans to end after the platform kills it. Class of fault: a time that others count from an event is counted from its handling.

A late periodic check of the event loop bounds when the signal came. From then on count the 3 s, the time by which accepted requests have to be complete, and the cut. The signal may as well have come at the end of the delay, so requests at work are not cut off before five sixths of the grace period have passed since it was handled; cutting them off earlier would lose more than a late end.

--- a/foxtailpick/core/dispatch/stopping.py
+++ b/foxtailpick/core/dispatch/stopping.py
@@ -20,6 +20,8 @@
 # accepted: endpoints may turn slow, or fail a stream that another one then
 # continues.
 EXPECT_LONGEST_AFTER_MS = 3_000.0
+# Part of the grace period in which requests at work are not cut off.
+MIN_GRACE_SHARE = 5 / 6
 
 
 class StreamTiming:
@@ -66,3 +68,17 @@
         return longest_ms
     expected_ms = output_tokens * timing.ms_per_token * SAFETY_FACTOR
     return min(longest_ms, route.target_ms + expected_ms)
+
+
+def compute_cut_ms(
+    complete_ms: float, handled_ms: float, grace_ms: float
+) -> float:
+    """Return when to cut off the requests in flight.
+
+    :param complete_ms: when the grace period is over, less what the end of
+        the process takes, if the signal came as early as possible.
+    :param handled_ms: when it was handled, which is when it came at the
+        latest.
+    :param grace_ms: length of the grace period.
+    """
+    return max(complete_ms, handled_ms + MIN_GRACE_SHARE * grace_ms)
--- a/foxtailpick/gateway/context.py
+++ b/foxtailpick/gateway/context.py
@@ -193,7 +193,9 @@
     :param loop_checks: when the event loop ran lately.
     :param shutdown_deadline_ms: when requests in flight are cut off, None
         unless the process is stopping.
-    :param shutdown_started_ms: when the signal to stop arrived.
+    :param shutdown_started_ms: when the signal to stop came at the earliest.
+    :param shutdown_complete_ms: when requests that are accepted meanwhile
+        have to be complete.
     :param is_ending: whether requests in flight are being cut off.
     """
 
@@ -280,6 +282,7 @@
     )
     shutdown_deadline_ms: float | None = None
     shutdown_started_ms: float = 0.0
+    shutdown_complete_ms: float = 0.0
     is_ending: bool = False
 
     def get_queue(
--- a/foxtailpick/gateway/daemon.py
+++ b/foxtailpick/gateway/daemon.py
@@ -11,6 +11,7 @@
 
 from foxtailpick.core import clock as clock_lib
 from foxtailpick.core.dispatch import model
+from foxtailpick.core.dispatch import stopping
 from foxtailpick.core.dispatch import store_pacing
 from foxtailpick.core import errors
 from foxtailpick.core import retry
@@ -376,8 +377,13 @@
 
 async def _drain(gw: context.Gateway, callers: server.CallerServer) -> None:
     began_ms = gw.now_ms()
-    gw.shutdown_started_ms = began_ms
-    gw.shutdown_deadline_ms = began_ms + gw.cfg.grace_ms - EXIT_MARGIN_MS
+    # The platform counts from the signal, which may have waited.
+    signal_ms = gw.loop_checks.find_earliest_ms(began_ms)
+    gw.shutdown_started_ms = signal_ms
+    gw.shutdown_complete_ms = signal_ms + gw.cfg.grace_ms - EXIT_MARGIN_MS
+    gw.shutdown_deadline_ms = stopping.compute_cut_ms(
+        gw.shutdown_complete_ms, began_ms, gw.cfg.grace_ms
+    )
     while (left_ms := gw.shutdown_deadline_ms - gw.now_ms()) > 0:
         await trio.sleep(min(SWEEP_INTERVAL_MS, left_ms) / types.SECOND_MS)
         if gw.now_ms() - began_ms < BALANCER_REMOVAL_MS:
@@ -391,7 +397,7 @@
     gw.log.emit(
         'drained',
         under_way=len(gw.attempts),
-        ms_stopping=round(gw.now_ms() - began_ms),
+        ms_stopping=round(gw.now_ms() - signal_ms),
     )
     gw.is_ending = True
     for scope in list(gw.request_scopes):
--- a/foxtailpick/gateway/relay.py
+++ b/foxtailpick/gateway/relay.py
@@ -196,9 +196,9 @@
 def _check_shutdown_deadline(
     gw: context.Gateway, route: model.Route, meta: model.RequestMeta
 ) -> None:
-    if gw.shutdown_deadline_ms is None:
+    if not gw.is_stopping:
         return
-    left_ms = gw.shutdown_deadline_ms - gw.now_ms()
+    left_ms = gw.shutdown_complete_ms - gw.now_ms()
     need_ms = stopping.estimate_duration_ms(
         route,
         meta.output_tokens,
--- a/foxtailpick/gateway/watchdog.py
+++ b/foxtailpick/gateway/watchdog.py
@@ -13,6 +13,7 @@
 
 async def watch_attempts(gw: context.Gateway) -> None:
     """Report attempts that make no progress, again at each check."""
+    gw.loop_checks.record(gw.now_ms())
     while True:
         due_ms = gw.now_ms() + CHECK_INTERVAL_MS
         await trio.sleep(CHECK_INTERVAL_MS / types.SECOND_MS)
