--- a/foxtailpick/tests/crowd_harness.py
+++ b/foxtailpick/tests/crowd_harness.py
@@ -428,9 +428,29 @@
         contextlib.suppress(OSError),
     ):
         for part in parts:
-            view = memoryview(part)
-            while view:
-                view = view[await sock.send(view) :]
+            await send_all(sock, part)
+
+
+async def send_all(sock: trio.socket.SocketType, data: bytes) -> None:
+    """Send all bytes.
+
+    :raises OSError: if the gateway has closed the connection.
+    """
+    view = memoryview(data)
+    while view:
+        view = view[await sock.send(view) :]
+
+
+async def is_closed(sock: trio.socket.SocketType) -> bool:
+    """Tell whether the gateway has closed a connection."""
+    with trio.move_on_after(READY_POLL_MS / types.SECOND_MS):
+        try:
+            while await sock.recv(http1.RECEIVE_BYTES):
+                pass
+        except OSError:
+            pass
+        return True
+    return False
 
 
 async def hold_open(sock: trio.socket.SocketType, duration_ms: float) -> bytes:
