Run the tests of crowds one at a time, after all others

They measure the memory and the descriptors of a process that a crowd of clients calls, and take the processors of the machine while they do. Beside other tests each would disturb the other; no test is left out.

--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,8 @@
 	$(PY) -m foxtailpick demo
 
 test: setup
-	$(PY) -m pytest -n 4
+	$(PY) -m pytest -n 4 --ignore-glob='*/test_crowd_*.py'
+	$(PY) -m pytest -n 0 foxtailpick/tests/test_crowd_*.py
 
 lint: setup
 	$(PY) -m ruff format --check foxtailpick
