Kill a gateway of the soak that outlives its grace period

The soak sent SIGTERM and let the process end by itself. The platform sends SIGKILL after grace_s (PROTOCOL.md), so a gateway that plans to end too late went unnoticed: its callers got answers that they would not get there.

World.stop_gateway now kills the process grace_ms after the first SIGTERM to it. The runs note how many were killed.

test_gateway_that_outlives_its_grace_period_is_killed failed before: the process, which ignores SIGTERM, still ran 5 s after a grace period of 0.2 s.

--- a/foxtailpick/soak/losses.py
+++ b/foxtailpick/soak/losses.py
@@ -298,6 +298,7 @@
         (
             f'{len(record.silences)} silences',
             f'{len(record.stalls)} stalls of the run itself',
+            f'{len(record.overruns)} gateways killed after the grace period',
             ', '.join(f'{fates[text]} {text}' for text in sorted(fates)),
             'met: '
             + ', '.join(f'{met[state]} {state.value}' for state in State),
--- a/foxtailpick/soak/record.py
+++ b/foxtailpick/soak/record.py
@@ -295,6 +295,8 @@
             collections.defaultdict(list)
         )
         self.stops: dict[str, list[float]] = collections.defaultdict(list)
+        # Gateways that were killed as their grace period ended, and when.
+        self.overruns: list[tuple[str, float]] = []
         self.recovery_from_ms = float('inf')
 
     def record_disruption(
--- a/foxtailpick/soak/world.py
+++ b/foxtailpick/soak/world.py
@@ -511,15 +511,29 @@
     def stop_gateway(self, gateway: Gateway) -> None:
         """Send SIGTERM to a gateway, as planned maintenance does.
 
-        A further one to the same process is no stop of its own.
+        It gets SIGKILL if it still runs after the grace period. A further
+        SIGTERM to the same process is no stop of its own.
         """
         if not gateway.is_running():
             return
         stops = self.record.stops[gateway.name]
         if not stops or stops[-1] < self.record.starts[gateway.name][-1]:
             stops.append(now_ms())
+            self.nursery.start_soon(
+                self._end_grace, gateway, gateway.process, stops[-1]
+            )
         gateway.send(signal.SIGTERM)
 
+    async def _end_grace(
+        self, gateway: Gateway, process: subprocess.Popen, stop_ms: float
+    ) -> None:
+        """Kill a process that outlives its grace period."""
+        end_ms = stop_ms + self.plan.grace_ms
+        await trio.sleep_until(end_ms / types.SECOND_MS)
+        if process.poll() is None:
+            self.record.overruns.append((gateway.name, now_ms()))
+            process.kill()
+
 
 def _find_crashing_part(exchange: endpoint_server.Exchange) -> str | None:
     prompt = exchange.received.headers.get(b'x-prefix-hash', b'').decode()
--- a/foxtailpick/tests/test_soak.py
+++ b/foxtailpick/tests/test_soak.py
@@ -2,7 +2,10 @@
 
 import contextlib
 import random
+import signal
 import socket
+import subprocess
+import sys
 
 import pytest
 import trio
@@ -385,6 +388,43 @@
         nursery.cancel_scope.cancel()
 
 
+_IGNORE_SIGTERM = """
+import signal
+signal.signal(signal.SIGTERM, signal.SIG_IGN)
+print(flush=True)
+signal.pause()
+"""
+
+
+async def test_gateway_that_outlives_its_grace_period_is_killed(
+    nursery, tmp_path
+):
+    command = [sys.executable, '-c', _IGNORE_SIGTERM]
+    process = subprocess.Popen(command, stdout=subprocess.PIPE)
+    log = (tmp_path / 'g1.log').open('wb')
+    gateway = world.Gateway(
+        'g1', tmp_path / 'g1.boot', ('127.0.0.1', 1), None, log, process
+    )
+    with (
+        process.stdout as output,
+        world.World(
+            nursery, random.Random(1), tmp_path, plan.Plan(grace_ms=200.0)
+        ) as soak_world,
+    ):
+        soak_world.gateways.append(gateway)
+        assert output.readline() == b'\n'
+        soak_world.record.starts['g1'].append(world.now_ms())
+        soak_world.stop_gateway(gateway)
+        # It is no stop of its own.
+        soak_world.stop_gateway(gateway)
+        await trio.sleep(0.5)
+        assert process.wait(5.0) == -signal.SIGKILL
+        (stop_ms,) = soak_world.record.stops['g1']
+        ((name, end_ms),) = soak_world.record.overruns
+        assert name == 'g1' and end_ms >= stop_ms + 200.0
+        nursery.cancel_scope.cancel()
+
+
 @pytest.mark.parametrize('seed', [5])
 def test_seeded_run_with_two_versions(seed):
     run.run_versions(seed)
