Show that a request's time counts from when it is read

The deadline of a request counts from when the gateway reads its first bytes. A gateway that did not run meanwhile reads it late, so its caller gets the final answer late by as much, and its endpoint is given time that has passed. The class of fault is that of signals which are handled late.

The test is listed.

--- a/foxtailpick/tests/test_shutdown_review.py
+++ b/foxtailpick/tests/test_shutdown_review.py
@@ -9,16 +9,21 @@
 import trio
 
 from foxtailpick.core import clock
+from foxtailpick.gateway import client as client_lib
 from foxtailpick.gateway import daemon
 from foxtailpick.gateway import decision_log
 from foxtailpick.gateway import server
 from foxtailpick.gateway import settings
 from foxtailpick.gateway import watchdog
 from foxtailpick.tests import gateway_harness
+from foxtailpick.tests import gateway_scripts
 
 GRACE_MS = 8_000.0
 ROUNDS = 8
 TURNS = 20
+TIMEOUT_MS = 1_000
+# A final answer is due this long after the time-out of its route.
+FINAL_ANSWER_MS = 500.0
 
 
 def make_gateway():
@@ -96,3 +101,31 @@
         end_ms.append(complete_ms + daemon.FINAL_ANSWERS_MS)
     # The platform kills the process then.
     assert max(end_ms) <= GRACE_MS
+
+
+async def test_deadline_counts_from_the_arrival_while_held_up():
+    """A request waits in its socket while the gateway does not run."""
+    routes = [
+        gateway_harness.make_route(
+            'unsafe', '/unsafe/', 'unsafe', timeout_ms=TIMEOUT_MS
+        )
+    ]
+    async with gateway_harness.open_harness(
+        gateway_harness.make_config(routes=routes)
+    ) as harness:
+        harness.add_endpoint('p1', 'plain', gateway_scripts.hang)
+        await harness.until_known('p1')
+        conn = await client_lib.ClientConnection.connect(harness.address)
+        await trio.sleep(0.2)
+        sent_ms = harness.gw.now_ms()
+        await conn.send(
+            gateway_harness.format_ask(
+                '/unsafe/x', b'POST', X_Deadline_Ms=str(TIMEOUT_MS)
+            )
+        )
+        time.sleep(0.9)
+        answer = await gateway_harness.read_answer(conn)
+        took_ms = harness.gw.now_ms() - sent_ms
+        conn.close()
+    assert answer.status == 504
+    assert took_ms <= TIMEOUT_MS + FINAL_ANSWER_MS
