Date the signal to stop in its handler

A review showed that a busy gateway still forgets how late it handled SIGTERM: it dated the signal by the last three checks of its event loop, some turns after the signal was handled. Requests that came while it was held up make these turns long, each with a check, and the signal then counts as just come.

The signal handler runs between any two steps of the event loop, however long its turns are. It now dates the signal, by the last check of the loop if the process itself did not run, and the drain uses this date.

--- a/foxtailpick/core/dispatch/loop_checks.py
+++ b/foxtailpick/core/dispatch/loop_checks.py
@@ -33,12 +33,14 @@
         """
         self._checked_ms.append(now_ms)
 
-    def find_earliest_ms(self, now_ms: float) -> float:
+    def find_earliest_ms(self, now_ms: float, turns: int = CHECKS) -> float:
         """Return when a signal that is handled now came at the earliest.
 
         :param now_ms: current time.
+        :param turns: turns of the event loop that it may have waited, 1 for
+            a signal handler, which runs between any two of its steps.
         """
-        times_ms = [*self._checked_ms, now_ms]
+        times_ms = [*self._checked_ms, now_ms][-turns - 1 :]
         for before_ms, after_ms in zip(times_ms, times_ms[1:], strict=False):
             if after_ms - before_ms > self._longest_ms:
                 return before_ms
--- a/foxtailpick/gateway/context.py
+++ b/foxtailpick/gateway/context.py
@@ -191,6 +191,8 @@
     :param buffered: memory used by responses that are being read.
     :param request_scopes: cancel scopes of the requests in flight.
     :param loop_checks: when the event loop ran lately.
+    :param stop_signal_ms: when the process was told to stop at the earliest,
+        None before that and without a signal.
     :param shutdown_deadline_ms: when requests in flight are cut off, None
         unless the process is stopping.
     :param shutdown_started_ms: when the signal to stop came at the earliest.
@@ -280,6 +282,7 @@
             loop_checks_lib.LoopChecks, LOOP_CHECK_INTERVAL_MS
         )
     )
+    stop_signal_ms: float | None = None
     shutdown_deadline_ms: float | None = None
     shutdown_started_ms: float = 0.0
     shutdown_complete_ms: float = 0.0
--- a/foxtailpick/gateway/daemon.py
+++ b/foxtailpick/gateway/daemon.py
@@ -5,6 +5,7 @@
 import functools
 import random
 import signal
+import types as types_lib
 import typing
 
 import trio
@@ -37,6 +38,7 @@
 from foxtailpick.gateway import watchdog
 from foxtailpick.node import metrics as metrics_lib
 
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 # Interval of the sweep for idle connections and expired entries.
 SWEEP_INTERVAL_MS = 250.0
 # The load balancer removes a gateway after two failed readiness checks 1 s
@@ -323,21 +325,55 @@
     check_settings: typing.Callable[[], settings_lib.GatewaySettings],
 ) -> None:
     hang_up, changed = trio.open_memory_channel[None](1)
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(_follow_settings, gw, check_settings, changed)
-        async for number in signals:
-            if number != signal.SIGHUP:
-                now_ms = gw.now_ms()
-                earliest_ms = gw.loop_checks.find_earliest_ms(now_ms)
-                gw.log.emit(
-                    'stopping',
-                    signal=number,
-                    ms_held_up=round(now_ms - earliest_ms),
-                )
-                break
-            with contextlib.suppress(trio.WouldBlock):
-                hang_up.send_nowait(None)
-        nursery.cancel_scope.cancel()
+    with _date_stop_signal(gw):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_follow_settings, gw, check_settings, changed)
+            async for number in signals:
+                if number != signal.SIGHUP:
+                    gw.log.emit(
+                        'stopping',
+                        signal=number,
+                        ms_held_up=round(gw.now_ms() - _find_signal_ms(gw)),
+                    )
+                    break
+                with contextlib.suppress(trio.WouldBlock):
+                    hang_up.send_nowait(None)
+            nursery.cancel_scope.cancel()
+
+
+@contextlib.contextmanager
+def _date_stop_signal(gw: context.Gateway) -> typing.Iterator[None]:
+    """Note when the first signal to stop came, until the context exits.
+
+    The event loop hands signals on in its next turns, which may be long.
+    """
+    handlers = {
+        number: handler
+        for number in _STOP_SIGNALS
+        if callable(handler := signal.getsignal(number))
+    }
+
+    def handle(number: int, frame: types_lib.FrameType | None) -> None:
+        if gw.stop_signal_ms is None:
+            gw.stop_signal_ms = gw.loop_checks.find_earliest_ms(
+                gw.now_ms(), turns=1
+            )
+        handlers[number](number, frame)
+
+    for number in handlers:
+        signal.signal(number, handle)
+    try:
+        yield
+    finally:
+        for number, handler in handlers.items():
+            signal.signal(number, handler)
+
+
+def _find_signal_ms(gw: context.Gateway) -> float:
+    """Return when the signal to stop came at the earliest."""
+    if gw.stop_signal_ms is not None:
+        return gw.stop_signal_ms
+    return gw.loop_checks.find_earliest_ms(gw.now_ms())
 
 
 async def _follow_settings(
@@ -378,7 +414,7 @@
 async def _drain(gw: context.Gateway, callers: server.CallerServer) -> None:
     began_ms = gw.now_ms()
     # The platform counts from the signal, which may have waited.
-    signal_ms = gw.loop_checks.find_earliest_ms(began_ms)
+    signal_ms = _find_signal_ms(gw)
     gw.shutdown_started_ms = signal_ms
     gw.shutdown_complete_ms = signal_ms + gw.cfg.grace_ms - EXIT_MARGIN_MS
     gw.shutdown_deadline_ms = stopping.compute_cut_ms(
