Bound the connections of callers, and of endpoints beside them

What callers saw: nothing while the machine had descriptors; the process went beyond limits.max_fds, where the platform refuses descriptors to all.

Cause: room was made only by closing idle connections. One that holds a part of a request isn't idle, nothing ended the accepting, and until an idle one had closed it was chosen again for each further one. A request also takes a connection to an endpoint, which nothing counted.

Evidence: 500 clients that stay open, limits.max_fds 400: 519 descriptors with unfinished bodies or heads, 411 with connections that send nothing.

Change: connection_room decides which connection gives way: one that was rejected, one idle for a second at least, the oldest unfinished request (408; it isn't run), a fresh idle one. If all others are handled, the new one is closed unread. Connections to endpoints have what the accepted ones leave: the longest idle one is closed, else the request is refused with 503, unsent.

--- a/foxtailpick/gateway/attempt.py
+++ b/foxtailpick/gateway/attempt.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from foxtailpick.core.dispatch import connection_room
 from foxtailpick.core.dispatch import crash_quarantine
 from foxtailpick.core.dispatch import endpoint_table
 from foxtailpick.core.dispatch import health
@@ -29,6 +30,8 @@
 
 # Late answers to earlier requests that are skipped on a reused connection.
 MAX_FOREIGN_ANSWERS = 4
+# Requests that hold a connection usually end in this time.
+NO_DESCRIPTOR_RETRY_MS = 500.0
 _SERVER_ERROR = 500
 _MISDIRECTED = 421
 # Statuses that tell the caller that the request was not executed.
@@ -219,12 +222,37 @@
 async def _acquire(
     gw: context.Gateway, job: job_lib.Job, endpoint: endpoint_table.Endpoint
 ) -> client_lib.ClientConnection:
+    _make_room(gw, job, endpoint)
     if job.meta.id:
         return await gw.pool.acquire(endpoint)
     # On a reused connection its answer could not be told from late ones.
     return await gw.pool.open(endpoint)
 
 
+def _make_room(
+    gw: context.Gateway, job: job_lib.Job, endpoint: endpoint_table.Endpoint
+) -> None:
+    """Make room for a connection to an endpoint.
+
+    :raises errors.RequestError: if no descriptor is left for it.
+    """
+    if job.meta.id and gw.pool.has_idle(endpoint):
+        return
+    limit = connection_room.compute_endpoint_limit(
+        gw.cfg.max_sockets, gw.accepted
+    )
+    if gw.pool.count < limit or gw.pool.make_room(limit, gw.state.table):
+        return
+    gw.metrics.count('requests_without_descriptor')
+    raise errors.RequestError(
+        errors.ErrorCode.OVERLOADED,
+        f'expected less than {limit} connections to endpoints, got '
+        f'{gw.pool.count}, all in use; retry later',
+        job.verdict,
+        NO_DESCRIPTOR_RETRY_MS * gw.rng.uniform(0.6, 1.4),
+    )
+
+
 async def deliver_error(
     job: job_lib.Job,
     answer: job_lib.BufferedResponse,
--- a/foxtailpick/gateway/context.py
+++ b/foxtailpick/gateway/context.py
@@ -185,6 +185,7 @@
     :param look_up_stream: finds out where a stream began that isn't known.
     :param stream_timing: durations of recent streams, per allowed token.
     :param buffered: memory used by responses that are being read.
+    :param accepted: open connections that its listeners have accepted.
     :param request_scopes: cancel scopes of the requests in flight.
     :param shutdown_deadline_ms: when requests in flight are cut off, None
         unless the process is stopping.
@@ -265,6 +266,7 @@
     buffered: exchange_lib.BufferedTotal = dataclasses.field(
         default_factory=exchange_lib.BufferedTotal
     )
+    accepted: int = 0
     request_scopes: set[trio.CancelScope] = dataclasses.field(
         default_factory=set
     )
--- a/foxtailpick/gateway/pool.py
+++ b/foxtailpick/gateway/pool.py
@@ -36,6 +36,8 @@
             list[client_lib.ClientConnection],
         ] = {}
         self.opened = 0
+        # Connections that are open, idle or not.
+        self.count = 0
 
     def __enter__(self) -> 'Pool':
         return self
@@ -58,10 +60,34 @@
             conn = conns.pop()
             if self._is_fresh(conn) and conn.is_alive():
                 return conn
-            conn.close()
-            endpoint.connections -= 1
+            self._close(conn, endpoint)
         return await self.open(endpoint)
 
+    def has_idle(self, endpoint: endpoint_table.Endpoint) -> bool:
+        """Tell whether there is an idle connection to an endpoint."""
+        return bool(self._idle.get(endpoint.entry.incarnation))
+
+    def make_room(
+        self, limit: int, table: endpoint_table.EndpointTable
+    ) -> bool:
+        """Close idle connections if there are too many to open another one.
+
+        :param limit: limit of open connections.
+        :param table: the endpoints.
+        :returns: whether another one may be opened.
+        """
+        known = {item.entry.incarnation: item for item in table.list_all()}
+        while self.count >= limit:
+            key = min(
+                (key for key, conns in self._idle.items() if conns),
+                key=lambda key: self._idle[key][0].idle_since_ms,
+                default=None,
+            )
+            if key is None:
+                return False
+            self._close(self._idle[key].pop(0), known.get(key))
+        return True
+
     async def open(
         self, endpoint: endpoint_table.Endpoint
     ) -> client_lib.ClientConnection:
@@ -70,16 +96,17 @@
         :raises OSError: if none can be opened.
         """
         endpoint.connections += 1
+        self.count += 1
         try:
             with trio.fail_after(CONNECT_TIMEOUT_MS / types.SECOND_MS):
                 conn = await client_lib.ClientConnection.connect(
                     endpoint.entry.address
                 )
         except trio.TooSlowError as exc:
-            endpoint.connections -= 1
+            self._discount(endpoint)
             raise TimeoutError('connect timed out') from exc
         except BaseException:
-            endpoint.connections -= 1
+            self._discount(endpoint)
             raise
         self.opened += 1
         return conn
@@ -92,8 +119,7 @@
     ) -> None:
         """Return a connection to the pool, or close it if not reusable."""
         if not is_reusable or not conn.is_clean:
-            conn.close()
-            endpoint.connections -= 1
+            self._close(conn, endpoint)
             return
         conn.idle_since_ms = self._now_ms()
         key = endpoint.entry.incarnation
@@ -109,14 +135,25 @@
                 if endpoint is not None and self._is_fresh(conn):
                     kept.append(conn)
                     continue
-                conn.close()
-                if endpoint is not None:
-                    endpoint.connections -= 1
+                self._close(conn, endpoint)
             if kept:
                 self._idle[key] = kept
             else:
                 del self._idle[key]
 
+    def _close(
+        self,
+        conn: client_lib.ClientConnection,
+        endpoint: endpoint_table.Endpoint | None,
+    ) -> None:
+        conn.close()
+        self._discount(endpoint)
+
+    def _discount(self, endpoint: endpoint_table.Endpoint | None) -> None:
+        self.count -= 1
+        if endpoint is not None:
+            endpoint.connections -= 1
+
     def _is_fresh(self, conn: client_lib.ClientConnection) -> bool:
         longest_ms = DEFAULT_IDLE_MS
         if conn.keep_alive_ms is not None:
--- a/foxtailpick/gateway/server.py
+++ b/foxtailpick/gateway/server.py
@@ -10,6 +10,7 @@
 
 import trio
 
+from foxtailpick.core.dispatch import connection_room
 from foxtailpick.core import errors
 from foxtailpick.core import types
 from foxtailpick.gateway import context
@@ -20,11 +21,8 @@
 # Length of the accept queue, more than a burst of new callers: when the
 # queue is full, connecting takes a caller seconds.
 BACKLOG = 1_024
-# Descriptors for files and listening sockets, as stated by the operators.
-RESERVED_DESCRIPTORS = 200
-# Fraction of the descriptors for callers' connections; relaying a request
-# takes a further descriptor.
-CALLER_DESCRIPTOR_SHARE = 0.6
+RESERVED_DESCRIPTORS = connection_room.RESERVED_DESCRIPTORS
+CALLER_DESCRIPTOR_SHARE = connection_room.CALLER_DESCRIPTOR_SHARE
 # Maximum number of pipelined requests that are read ahead.
 MAX_PIPELINED_REQUESTS = 8
 # Pause after a failed accept, such as when no descriptor is left.
@@ -39,21 +37,60 @@
 
 
 class Caller:
-    """One caller's connection."""
+    """One caller's connection.
 
-    def __init__(self, sock: trio.socket.SocketType) -> None:
+    :param sock: its socket.
+    :param now_ms: function that returns the current time.
+    """
+
+    def __init__(
+        self,
+        sock: trio.socket.SocketType,
+        now_ms: typing.Callable[[], float],
+    ) -> None:
         self.sock = sock
+        self._now_ms = now_ms
         # Requests that were read and not yet answered.
         self.open_requests = 0
-        # Whether a part of a request was read.
-        self.is_reading = False
+        self._is_reading = False
+        self._reading_since_ms = 0.0
         # When a part of a request's headers was read first.
         self.headers_began_s: float | None = None
-        self.idle_since_ms = 0.0
+        self.idle_since_ms = now_ms()
         # Whether to close the connection once no request is in flight.
         self.is_closing = False
+        # Whether its last request is being rejected.
+        self.is_rejected = False
         # The wait for the next bytes.
         self.wait = trio.CancelScope()
+        # Everything that is done for it.
+        self._scope = trio.CancelScope()
+
+    def __enter__(self) -> 'Caller':
+        self._scope.__enter__()
+        return self
+
+    def __exit__(self, *exc_info: typing.Any) -> bool | None:
+        self.sock.close()
+        return self._scope.__exit__(*exc_info)
+
+    @property
+    def is_reading(self) -> bool:
+        """Whether a part of a request was read."""
+        return self._is_reading
+
+    @is_reading.setter
+    def is_reading(self, value: bool) -> None:
+        if value and not self._is_reading:
+            self._reading_since_ms = self._now_ms()
+        self._is_reading = value
+
+    @property
+    def unfinished_since_ms(self) -> float | None:
+        """Since when it holds only a part of a request, None if it doesn't."""
+        if not self._is_reading or self.open_requests or self.is_rejected:
+            return None
+        return max(self._reading_since_ms, self.idle_since_ms)
 
     @property
     def is_busy(self) -> bool:
@@ -73,6 +110,27 @@
         self.is_closing = True
         self.wait.cancel()
 
+    def cut(self) -> None:
+        """Close the connection now; no request on it may be in flight."""
+        # A task that waits for the socket has to leave it first.
+        self._scope.cancel()
+        self.sock.close()
+
+    def refuse_unfinished(self, why: str) -> None:
+        """Answer 408 to a request that has arrived in part, and close.
+
+        :param why: why its rest is not awaited.
+        """
+        headers, body = reply_lib.format_error(
+            errors.ErrorCode.REQUEST_MALFORMED.value, why, None
+        )
+        data = http1.format_response(408, headers, len(body), False) + body
+        with contextlib.suppress(OSError):
+            # A close with unread bytes would discard the response.
+            http1.receive_arrived(self.sock)
+            self.sock._sock.send(data)
+        self.cut()
+
 
 class CallerServer:
     """Serves callers on one listening socket.
@@ -103,22 +161,45 @@
             if not caller.is_busy and now_ms - caller.idle_since_ms >= idle_ms:
                 caller.close_when_idle()
 
-    def _evict_idle(self) -> None:
-        """Close the longest idle connection if there are too many."""
-        usable = self._gw.cfg.max_sockets - RESERVED_DESCRIPTORS
-        if len(self._callers) < CALLER_DESCRIPTOR_SHARE * usable:
-            return
-        idle = [caller for caller in self._callers if not caller.is_busy]
-        if idle:
-            oldest = min(idle, key=lambda caller: caller.idle_since_ms)
-            oldest.close_when_idle()
-            self._gw.metrics.count('callers_closed_for_room')
-            self._gw.log.emit_request(
-                'caller-closed',
-                why='too many connections',
-                connections=len(self._callers),
-                idle_ms=round(self._gw.now_ms() - oldest.idle_since_ms),
-            )
+    def _get_limit(self) -> int:
+        """Return the limit of open connections."""
+        return connection_room.compute_caller_limit(self._gw.cfg.max_sockets)
+
+    def _evict_idle(self) -> bool:
+        """Close connections if there are too many, idle ones first.
+
+        :returns: whether another connection is accepted.
+        """
+        limit = self._get_limit()
+        count = len(self._callers)
+        if count < limit:
+            return True
+        victims = connection_room.choose_victims(
+            self._callers, limit, self._gw.now_ms()
+        )
+        for caller in victims:
+            self._evict(caller)
+        return connection_room.has_room(count, limit, bool(victims))
+
+    def _evict(self, caller: Caller) -> None:
+        gw = self._gw
+        since_ms = caller.unfinished_since_ms
+        gw.metrics.count('callers_closed_for_room')
+        gw.log.emit_request(
+            'caller-closed',
+            why='too many connections',
+            connections=len(self._callers),
+            idle_ms=round(gw.now_ms() - caller.idle_since_ms),
+            ms_unfinished=None
+            if since_ms is None
+            else round(gw.now_ms() - since_ms),
+        )
+        if caller.is_rejected:
+            caller.cut()
+        elif since_ms is not None:
+            caller.refuse_unfinished('too many connections')
+        else:
+            caller.close_when_idle()
 
     def stop_accepting(self) -> None:
         """Close the listening socket; connections stay.
@@ -139,10 +220,15 @@
         """Accept connections until cancelled or told to stop."""
 
         def start(peer: trio.socket.SocketType) -> None:
+            if not self._evict_idle():
+                # Its request wasn't read, so that it may be sent again.
+                self._gw.metrics.count('callers_refused_for_room')
+                peer.close()
+                return
             # Counted at once, so that a stop waits for it.
-            caller = Caller(peer)
-            caller.idle_since_ms = self._gw.now_ms()
+            caller = Caller(peer, self._gw.now_ms)
             self._callers.add(caller)
+            self._gw.accepted += 1
             nursery.start_soon(self._serve_caller, caller, handle)
 
         def accept_arrived() -> None:
@@ -162,22 +248,12 @@
                         self._gw.log.emit('accept-failed', error=str(exc))
                     await trio.sleep(ACCEPT_RETRY_MS / types.SECOND_MS)
                     continue
-                self._evict_idle()
                 start(peer)
 
     async def _serve_caller(self, caller: Caller, handle: Handler) -> None:
-        sock = caller.sock
         try:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            send, receive = trio.open_memory_channel(MAX_PIPELINED_REQUESTS)
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._read, caller, send, nursery)
-                try:
-                    await self._answer(caller, receive, handle)
-                except http1.BrokenConnectionError as exc:
-                    # The caller disconnected during the response.
-                    self._gw.log.emit_request('caller-lost', why=str(exc))
-                nursery.cancel_scope.cancel()
+            with caller:
+                await self._handle_requests(caller, handle)
         except Exception as exc:
             # The other connections are not affected.
             self._gw.metrics.count('defects')
@@ -187,7 +263,21 @@
             )
         finally:
             self._callers.discard(caller)
-            sock.close()
+            self._gw.accepted -= 1
+
+    async def _handle_requests(self, caller: Caller, handle: Handler) -> None:
+        # A connection may be closed before its first request is awaited.
+        await trio.lowlevel.checkpoint_if_cancelled()
+        caller.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        send, receive = trio.open_memory_channel(MAX_PIPELINED_REQUESTS)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._read, caller, send, nursery)
+            try:
+                await self._answer(caller, receive, handle)
+            except http1.BrokenConnectionError as exc:
+                # The caller disconnected during the response.
+                self._gw.log.emit_request('caller-lost', why=str(exc))
+            nursery.cancel_scope.cancel()
 
     async def _read(
         self,
@@ -283,6 +373,7 @@
     ) -> None:
         async for item in receive:
             if isinstance(item, http1.RequestRejected):
+                caller.is_rejected = True
                 await self._reject(caller, item)
                 return
             if item is http1.CONTINUE:
