Bound connections and requests at the addresses of readiness and metrics

What callers saw: nothing while memory and descriptors lasted.

Cause: each listener counted its own connections against the descriptors of the whole process, and the limits of callers' requests held at all of them.

Evidence: 500 clients at one of them that stay open, limits.max_fds 400: 482 to 590 sockets and pipes of 200. 150 clients with a head or a body of 1 MB, which callers may send: 221 and 201 MB of 120.

Change: these listeners have 8 connections each, headers of 8,192 bytes and a body of 1,024. They choose which connections give way as callers do, among their own.

--- a/foxtailpick/core/dispatch/connection_room.py
+++ b/foxtailpick/core/dispatch/connection_room.py
@@ -17,11 +17,14 @@
 # further descriptor.
 CALLER_DESCRIPTOR_SHARE = 0.6
 # Descriptors of listeners, signals, messages of peers and calls to the store.
-SYSTEM_DESCRIPTORS = 16
-# Connections that are served whatever the limit of descriptors.
+SYSTEM_DESCRIPTORS = 24
+# Limit of the connections of the listeners for readiness and for metrics: a
+# few load balancers and collectors, with some that are left over.
+SIDE_CONNECTIONS = 8
+# Connections that are served however low the limit of descriptors is.
 MIN_CONNECTIONS = 16
 # Connections beyond the limit while those that give way are being closed.
-MAX_CLOSING = 8
+MAX_CLOSING = 4
 # An idle connection that is younger may be about to bring a request.
 FRESH_MS = 1_000.0
 # Connections that give way at a time, as a fraction of the limit.
@@ -109,5 +112,4 @@
     :param limit: limit of their number.
     :param gives_way: whether an open connection gives way to it.
     """
-    most = max(limit, MIN_CONNECTIONS)
-    return count < most + (MAX_CLOSING if gives_way else 0)
+    return count < limit + (MAX_CLOSING if gives_way else 0)
--- a/foxtailpick/gateway/daemon.py
+++ b/foxtailpick/gateway/daemon.py
@@ -266,12 +266,12 @@
         (listeners.callers, callers, server.make_handler(gw)),
         (
             listeners.readiness,
-            server.CallerServer(gw),
+            server.CallerServer(gw, server.SideLimits()),
             _make_readiness(gw),
         ),
         (
             listeners.metrics,
-            server.CallerServer(gw),
+            server.CallerServer(gw, server.SideLimits()),
             _make_metrics(gw, callers),
         ),
     ):
--- a/foxtailpick/gateway/server.py
+++ b/foxtailpick/gateway/server.py
@@ -1,6 +1,7 @@
 """Accepts callers' connections and handles their requests in order."""
 
 import contextlib
+import dataclasses
 import errno
 import functools
 import math
@@ -11,6 +12,7 @@
 import trio
 
 from foxtailpick.core.dispatch import connection_room
+from foxtailpick.core.dispatch import model
 from foxtailpick.core import errors
 from foxtailpick.core import types
 from foxtailpick.gateway import context
@@ -132,14 +134,32 @@
         self.cut()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SideLimits:
+    """Limits of a listener that isn't for callers.
+
+    :param max_connections: its connections.
+    :param max_header_bytes: headers of a request.
+    :param max_body_bytes: body of a request.
+    """
+
+    max_connections: int = connection_room.SIDE_CONNECTIONS
+    max_header_bytes: int = 8_192
+    max_body_bytes: int = 1_024
+
+
 class CallerServer:
     """Serves callers on one listening socket.
 
     :param gw: the gateway.
+    :param side: limits of a listener that isn't for callers.
     """
 
-    def __init__(self, gw: context.Gateway) -> None:
+    def __init__(
+        self, gw: context.Gateway, side: SideLimits | None = None
+    ) -> None:
         self._gw = gw
+        self._side = side
         self._callers: set[Caller] = set()
         self._accepting = trio.CancelScope()
         # Accepts the connections that have arrived.
@@ -163,8 +183,21 @@
 
     def _get_limit(self) -> int:
         """Return the limit of open connections."""
+        if self._side is not None:
+            return self._side.max_connections
         return connection_room.compute_caller_limit(self._gw.cfg.max_sockets)
 
+    def _get_limits(self) -> model.Limits:
+        """Return the limits of a request and of the time that it takes."""
+        limits = self._gw.state.limits
+        if self._side is None:
+            return limits
+        return dataclasses.replace(
+            limits,
+            max_header_bytes=self._side.max_header_bytes,
+            max_body_bytes=self._side.max_body_bytes,
+        )
+
     def _evict_idle(self) -> bool:
         """Close connections if there are too many, idle ones first.
 
@@ -179,6 +212,8 @@
         )
         for caller in victims:
             self._evict(caller)
+        if self._side is None:
+            limit = max(limit, connection_room.MIN_CONNECTIONS)
         return connection_room.has_room(count, limit, bool(victims))
 
     def _evict(self, caller: Caller) -> None:
@@ -286,7 +321,7 @@
         nursery: trio.Nursery,
     ) -> None:
         gw = self._gw
-        reader = http1.RequestReader(lambda: gw.state.limits)
+        reader = http1.RequestReader(self._get_limits)
         try:
             while data := await self._receive(caller, reader):
                 requests = reader.feed(data, gw.now_ms())
