Bound the time in which a whole request arrives

What callers saw: nothing; a client held its place for as long as it liked.

Cause: only the time between two parts of a body was limited.

Evidence: 20 bodies of one byte every 50 ms, routes with a timeout of 4 s: all still held after 20 s.

Change: a request that hasn't arrived within the longest timeout of a route, or header_timeout_ms if that is longer, is answered 408 and isn't run.

--- a/foxtailpick/gateway/server.py
+++ b/foxtailpick/gateway/server.py
@@ -13,6 +13,7 @@
 
 from foxtailpick.core.dispatch import connection_room
 from foxtailpick.core.dispatch import model
+from foxtailpick.core.dispatch import request_arrival
 from foxtailpick.core import errors
 from foxtailpick.core import types
 from foxtailpick.gateway import context
@@ -236,6 +237,30 @@
         else:
             caller.close_when_idle()
 
+    async def _end_slow_requests(self) -> None:
+        """Reject requests that take too long to arrive, until cancelled."""
+        gw = self._gw
+        while True:
+            await trio.sleep(
+                request_arrival.CHECK_INTERVAL_MS / types.SECOND_MS
+            )
+            routes = gw.state.cfg.routes if gw.state.cfg else ()
+            limit_ms = request_arrival.compute_limit_ms(
+                routes, self._get_limits()
+            )
+            for caller in list(self._callers):
+                since_ms = caller.unfinished_since_ms
+                if since_ms is None or gw.now_ms() - since_ms < limit_ms:
+                    continue
+                gw.metrics.count('requests_too_slow')
+                gw.log.emit_request(
+                    'rejected',
+                    status=408,
+                    why='request took too long to arrive',
+                    ms_unfinished=round(gw.now_ms() - since_ms),
+                )
+                caller.refuse_unfinished('request took too long to arrive')
+
     def stop_accepting(self) -> None:
         """Close the listening socket; connections stay.
 
@@ -274,6 +299,7 @@
                 self._gw.log.emit('accept-failed', error=str(exc))
 
         self._accept_arrived = accept_arrived
+        nursery.start_soon(self._end_slow_requests)
         with sock, self._accepting:
             while True:
                 try:
