Keep no connections that requests without an id opened

What callers saw: endpoints reset connections beyond those they accept.

Cause: a request without X-Attempt-Id needs a new connection, as its answer could not be told from a late one. Afterwards the connection went to the pool, where only requests with an id use it again.

Evidence: 30 clients with 60 pipelined requests each: 232 open connections at an endpoint that accepts 8.

Change: such a connection is closed after its request, and takes the place of an idle one, if there is one.

--- a/foxtailpick/gateway/attempt.py
+++ b/foxtailpick/gateway/attempt.py
@@ -113,7 +113,7 @@
         gw.state.table.is_sendable(endpoint, gw.now_ms())
         and rollout_path.is_sendable(gw, endpoint)
     ):
-        gw.pool.release(endpoint, conn, True)
+        _release(gw, job, endpoint, conn)
         return AttemptResult(
             retry_decision.AttemptEnd.UNREACHABLE,
             'endpoint left or rests; nothing was sent',
@@ -121,7 +121,7 @@
     if not choice.is_within_limit and not announced.is_within_limit(
         gw, endpoint
     ):
-        gw.pool.release(endpoint, conn, True)
+        _release(gw, job, endpoint, conn)
         return AttemptResult(
             retry_decision.AttemptEnd.UNREACHABLE,
             'endpoint has named a limit meanwhile; nothing was sent',
@@ -129,7 +129,7 @@
     try:
         quarantine.check_request(gw, job)
     except errors.RequestError:
-        gw.pool.release(endpoint, conn, True)
+        _release(gw, job, endpoint, conn)
         raise
     # Another attempt may answer by now; then this one is not sent.
     await trio.lowlevel.checkpoint_if_cancelled()
@@ -179,7 +179,7 @@
             closed_ms = gw.now_ms()
     finally:
         gw.attempts.discard(attempt)
-        gw.pool.release(endpoint, conn, is_reusable)
+        _release(gw, job, endpoint, conn, is_reusable)
     if attempt.is_withdrawn and result.end is retry_decision.AttemptEnd.BROKEN:
         job.verdict = verdict_lib.merge_verdicts(
             job.verdict, retry_decision.get_verdict(result.end)
@@ -225,10 +225,23 @@
     _make_room(gw, job, endpoint)
     if job.meta.id:
         return await gw.pool.acquire(endpoint)
-    # On a reused connection its answer could not be told from late ones.
+    # On a reused connection its answer could not be told from late ones. An
+    # idle one gives way, so that the endpoint has no more than without it.
+    gw.pool.close_idle(endpoint)
     return await gw.pool.open(endpoint)
 
 
+def _release(
+    gw: context.Gateway,
+    job: job_lib.Job,
+    endpoint: endpoint_table.Endpoint,
+    conn: client_lib.ClientConnection,
+    is_reusable: bool = True,
+) -> None:
+    # Requests without an id would leave one connection each.
+    gw.pool.release(endpoint, conn, is_reusable and bool(job.meta.id))
+
+
 def _make_room(
     gw: context.Gateway, job: job_lib.Job, endpoint: endpoint_table.Endpoint
 ) -> None:
--- a/foxtailpick/gateway/pool.py
+++ b/foxtailpick/gateway/pool.py
@@ -67,6 +67,12 @@
         """Tell whether there is an idle connection to an endpoint."""
         return bool(self._idle.get(endpoint.entry.incarnation))
 
+    def close_idle(self, endpoint: endpoint_table.Endpoint) -> None:
+        """Close the longest idle connection to an endpoint, if any."""
+        conns = self._idle.get(endpoint.entry.incarnation)
+        if conns:
+            self._close(conns.pop(0), endpoint)
+
     def make_room(
         self, limit: int, table: endpoint_table.EndpointTable
     ) -> bool:
