Bound the ids of prompt parts that are kept

What callers saw: nothing; a gateway's memory grew with what clients named.

Cause: up to 4,096 parts with a sound answer are kept by the id that the client sent, which may be as long as all headers. Reports list such ids, too; one that no datagram takes is never sent, so that a part that crashes endpoints is quarantined at each gateway by itself.

Evidence: 2,000 requests with a part of 60,000 bytes: 169 MB of 120. 100 suspected parts: a report of 960,160 bytes, 65,507 is the most.

Change: a digest stands for an id of more than 128 characters, the same at each gateway. The header is passed on as it came.

--- a/foxtailpick/platform/dialect.py
+++ b/foxtailpick/platform/dialect.py
@@ -6,6 +6,7 @@
 import typing
 
 from foxtailpick.core.dispatch import model
+from foxtailpick.core.dispatch import short_ids
 from foxtailpick.core import types
 
 _HOP_BY_HOP = frozenset(
@@ -254,7 +255,8 @@
     pairs = (part.partition(':') for part in value.decode('ascii').split(','))
     return tuple(
         model.PromptPart(
-            types.PartId(part.strip()), _parse_tokens(tokens.encode())
+            types.PartId(short_ids.shorten(part.strip())),
+            _parse_tokens(tokens.encode()),
         )
         for part, _, tokens in pairs
     )
