Bound the ids of streams that are kept

What callers saw: streams that could not be taken up through another gateway, as the store refused the item that lists them.

Cause: the id of the attempt that began a stream is kept as it was sent, up to 100,000 of them, and 256 make an item of the store.

Evidence: ids of 60,000 bytes take 6 GB in a machine of 300 MB, and an item of 15,361,057 bytes, of which the store takes 1,048,576.

Change: ids are shortened as those of prompt parts are.

Result: 100,000 long ids take 3.9 MB, and 256 fit an item.

--- a/foxtailpick/core/dispatch/stream_origins.py
+++ b/foxtailpick/core/dispatch/stream_origins.py
@@ -13,6 +13,7 @@
 import typing
 
 from foxtailpick.core.dispatch import model
+from foxtailpick.core.dispatch import short_ids
 from foxtailpick.core import types
 
 # Longest time for which a stream can be taken up, from its beginning.
@@ -83,6 +84,7 @@
         :param left_ms: how long it can be taken up.
         :param now_ms: current time.
         """
+        request = _shorten(request)
         if not request or request in self._streams:
             return
         left_ms = min(left_ms, MAX_KEEP_MS)
@@ -102,7 +104,8 @@
                 origin = Origin(service, version)
                 for request in requests:
                     self._streams.setdefault(
-                        request, _Stream(origin, now_ms + self.keep_ms, True)
+                        _shorten(request),
+                        _Stream(origin, now_ms + self.keep_ms, True),
                     )
 
     def find(self, request: types.RequestId | None) -> Origin | None:
@@ -112,7 +115,7 @@
         """
         if request is None:
             return None
-        stream = self._streams.get(request)
+        stream = self._streams.get(_shorten(request))
         return None if stream is None else stream.origin
 
     def take_unwritten(
@@ -231,6 +234,10 @@
         return len((self.recorded or frozenset()) | set(listed)) > 1
 
 
+def _shorten(request: types.RequestId) -> types.RequestId:
+    return types.RequestId(short_ids.shorten(request))
+
+
 def compute_write_interval_ms(routers: int, writes_per_s: float) -> float:
     """Return the shortest time between two writes of a router.
 
