Bound what is kept of gateways that aren't listed

What callers saw: nothing; whoever reaches the port for messages of other gateways could fill the memory.

Cause: a report is kept under the name that it gives, as gateways that have just started aren't listed yet. Only the hub forgets old ones, and names had no limit.

Change: names have at most 200 characters, and of gateways that aren't listed at most 4 MB of messages are kept, one of each kind. A fleet of 360 that starts at once needs 2.9 MB.

--- a/foxtailpick/gateway/peer_messages.py
+++ b/foxtailpick/gateway/peer_messages.py
@@ -9,6 +9,7 @@
 import cbor2
 
 from foxtailpick.core.dispatch import load_exchange
+from foxtailpick.core.dispatch import unlisted_routers
 from foxtailpick.core import types
 
 # A larger number is no count of requests.
@@ -37,6 +38,7 @@
         isinstance(message, list)
         and len(message) >= 3
         and isinstance(message[1], str)
+        and len(message[1]) <= unlisted_routers.MAX_NAME_CHARS
         and _is_number(message[2], math.inf),
         'a kind, a router and a number',
         message,
--- a/foxtailpick/gateway/peers.py
+++ b/foxtailpick/gateway/peers.py
@@ -17,6 +17,7 @@
 from foxtailpick.core.dispatch import load_exchange
 from foxtailpick.core.dispatch import model
 from foxtailpick.core.dispatch import rate_limits
+from foxtailpick.core.dispatch import unlisted_routers
 from foxtailpick.core import types
 from foxtailpick.gateway import announced
 from foxtailpick.gateway import context
@@ -135,6 +136,7 @@
         # may not be listed yet.
         self._reporters: dict[types.RouterId, model.Address] = {}
         self._report_numbers: dict[types.RouterId, int] = {}
+        self._unlisted = unlisted_routers.UnlistedRouters()
 
     def __enter__(self) -> 'PeerExchange':
         return self
@@ -396,15 +398,33 @@
         while True:
             try:
                 data, address = await self._sock.recvfrom(MAX_DATAGRAM_BYTES)
-                await self._handle_message(peer_messages.decode(data), address)
+                message = peer_messages.check_head(peer_messages.decode(data))
+                self._check_sender(message, len(data))
+                await self._handle_message(message, address)
             except (OSError, ValueError) as exc:
                 self._gw.metrics.count('peer_messages_bad')
                 self._gw.log.emit_request('peer-message-bad', why=repr(exc))
 
+    def _check_sender(self, message: list[typing.Any], size: int) -> None:
+        """Check whether what a message says may be kept.
+
+        :raises ValueError: if too much is kept of routers not listed.
+        """
+        kind, router = message[:2]
+        if router in self._gw.state.list_routers():
+            self._unlisted.record_listed(router)
+        elif not (
+            isinstance(kind, int) and self._unlisted.admit(router, kind, size)
+        ):
+            raise ValueError(
+                f'expected a listed router, got {router!r:.80} beside many '
+                f'others that are not listed'
+            )
+
     async def _handle_message(
-        self, message: typing.Any, address: model.Address
+        self, message: list[typing.Any], address: model.Address
     ) -> None:
-        kind, router, number, *contents = peer_messages.check_head(message)
+        kind, router, number, *contents = message
         now_ms = self._gw.now_ms()
         if kind == _KIND_COUNTS:
             counts, outcomes = peer_messages.check_sums(contents, 2)
