Bound the answers that wait for callers to read them

What callers saw: nothing while memory lasted; the platform ends a process above its limit, with all requests in flight.

Cause: an answer is kept whole, twice, until its caller has read it, and nothing bounds their sum: the bound on responses that are being read ends once they are read.

Evidence: 500 clients that read nothing, limits.memory_mb 120: 287 MB with answers of 600,000 bytes, 124 MB with 200,000, which send buffers take in part; 426 and 419 descriptors of 400.

Change: a long body isn't copied behind its head. If the answers that wait exceed 32 MB, those that have waited longest are broken off; they are incomplete by their length. An ordinary caller reads its answer at once.

--- a/foxtailpick/gateway/context.py
+++ b/foxtailpick/gateway/context.py
@@ -22,6 +22,7 @@
 from foxtailpick.core.dispatch import rollouts as rollouts_lib
 from foxtailpick.core.dispatch import stopping
 from foxtailpick.core.dispatch import stream_origins
+from foxtailpick.core.dispatch import unsent_answers
 from foxtailpick.core import errors
 from foxtailpick.core import retry
 from foxtailpick.core import types
@@ -185,6 +186,7 @@
     :param look_up_stream: finds out where a stream began that isn't known.
     :param stream_timing: durations of recent streams, per allowed token.
     :param buffered: memory used by responses that are being read.
+    :param unsent: answers that wait to be read by their callers.
     :param accepted: open connections that its listeners have accepted.
     :param request_scopes: cancel scopes of the requests in flight.
     :param shutdown_deadline_ms: when requests in flight are cut off, None
@@ -266,6 +268,9 @@
     buffered: exchange_lib.BufferedTotal = dataclasses.field(
         default_factory=exchange_lib.BufferedTotal
     )
+    unsent: unsent_answers.UnsentAnswers = dataclasses.field(
+        default_factory=unsent_answers.UnsentAnswers
+    )
     accepted: int = 0
     request_scopes: set[trio.CancelScope] = dataclasses.field(
         default_factory=set
--- a/foxtailpick/gateway/reply.py
+++ b/foxtailpick/gateway/reply.py
@@ -6,6 +6,7 @@
 import trio
 
 from foxtailpick.core.dispatch import model
+from foxtailpick.core.dispatch import unsent_answers
 from foxtailpick.core import types
 from foxtailpick.gateway import http1
 
@@ -23,6 +24,7 @@
     :param decide_keep_alive: tells whether the connection stays open
         afterwards; called when the response begins.
     :param has_body: whether a body is sent; the response to HEAD has none.
+    :param unsent: the answers of all callers that wait to be read.
     """
 
     def __init__(
@@ -30,12 +32,18 @@
         sock: trio.socket.SocketType,
         decide_keep_alive: typing.Callable[[], bool],
         has_body: bool = True,
+        unsent: unsent_answers.UnsentAnswers | None = None,
     ) -> None:
         self._sock = sock
         self._decide_keep_alive = decide_keep_alive
         self._has_body = has_body
         self._pending_head = b''
-        self._unsent = memoryview(b'')
+        self._unsent: list[memoryview] = []
+        self._unsent_answers = unsent or unsent_answers.UnsentAnswers()
+        self._is_waiting = False
+        self.is_given_up = False
+        # Cancelled when the response is given up.
+        self._sending = trio.CancelScope()
         self.keeps_alive = False
         self.is_started = False
         self.is_finished = False
@@ -59,10 +67,24 @@
         head = http1.format_response(
             status, headers, len(body), self.keeps_alive
         )
-        self._unsent = memoryview(head + body if self._has_body else head)
+        self._unsent = _split(head, body if self._has_body else b'')
+        try:
+            with self._sending:
+                await self._send_in_time()
+        finally:
+            self._unsent_answers.discard(self)
+
+    def give_up(self) -> None:
+        """Stop to send the response, so that its connection is closed."""
+        self.is_given_up = True
+        self._sending.cancel()
+
+    async def _send_in_time(self) -> None:
         try:
             await self._send_rest()
         except trio.Cancelled:
+            if self._sending.cancel_called:
+                raise
             with trio.move_on_after(
                 FINAL_SEND_TIMEOUT_MS / types.SECOND_MS, shield=True
             ):
@@ -76,12 +98,27 @@
             with trio.move_on_after(
                 SEND_STALL_TIMEOUT_MS / types.SECOND_MS
             ) as stall:
-                sent = await http1.send_some(self._sock, self._unsent)
-                self._unsent = self._unsent[sent:]
+                await self._send_piece()
             if stall.cancelled_caught:
                 return
+            if self._unsent:
+                self._wait_in_turn()
         self.is_finished = True
 
+    async def _send_piece(self) -> None:
+        sent = await http1.send_some(self._sock, self._unsent[0])
+        self._unsent[0] = self._unsent[0][sent:]
+        if not self._unsent[0]:
+            del self._unsent[0]
+
+    def _wait_in_turn(self) -> None:
+        if self._is_waiting:
+            return
+        self._is_waiting = True
+        size = sum(map(len, self._unsent))
+        for reply in self._unsent_answers.add(self, size):
+            reply.give_up()
+
     def begin(
         self, status: int, headers: typing.Iterable[model.RawHeader]
     ) -> None:
@@ -108,6 +145,13 @@
         self.is_finished = True
 
 
+def _split(head: bytes, body: bytes) -> list[memoryview]:
+    """Return what is sent in turn; a long body isn't copied."""
+    if len(body) <= http1.INLINE_BODY_BYTES:
+        return [memoryview(head + body)]
+    return [memoryview(head), memoryview(body)]
+
+
 def format_error(
     code: str, message: str, retry_after_ms: float | None
 ) -> tuple[list[model.RawHeader], bytes]:
--- a/foxtailpick/gateway/server.py
+++ b/foxtailpick/gateway/server.py
@@ -442,8 +442,12 @@
                 continue
             keeps_alive = functools.partial(self._keeps_alive, caller, item)
             has_body = item.method != http1.HEAD
-            reply = reply_lib.Reply(caller.sock, keeps_alive, has_body)
+            reply = reply_lib.Reply(
+                caller.sock, keeps_alive, has_body, self._gw.unsent
+            )
             await handle(item, reply)
+            if reply.is_given_up:
+                self._gw.metrics.count('answers_given_up')
             caller.open_requests -= 1
             caller.idle_since_ms = self._gw.now_ms()
             if not reply.is_finished or not reply.keeps_alive:
