Search for connections that give way at intervals while none does

What callers saw: nothing yet. Cause: with all places taken by requests that are handled, each new connection led to a search among all of them, which takes 1.1 ms for 2,400; some 900 connections a second that are refused would take the whole processor.

Change: after a search that found none, the next one follows 20 ms later. Until then new connections are closed without a search.

Result: the test, which failed before with 200 searches for 200 connections in 200 ms, finds 10.

--- a/foxtailpick/gateway/server.py
+++ b/foxtailpick/gateway/server.py
@@ -30,6 +30,8 @@
 MAX_PIPELINED_REQUESTS = 8
 # Pause after a failed accept, such as when no descriptor is left.
 ACCEPT_RETRY_MS = 50.0
+# Interval between searches for a connection that gives way, if none did.
+SEARCH_INTERVAL_MS = 20.0
 # Time for a caller to read why its request was rejected, and to close.
 LINGER_MS = 1_000.0
 _NO_DESCRIPTOR_ERRNOS = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS))
@@ -162,6 +164,8 @@
         self._gw = gw
         self._side = side
         self._callers: set[Caller] = set()
+        # While no connection gives way, they are searched at intervals.
+        self._next_search_ms = -math.inf
         self._accepting = trio.CancelScope()
         # Accepts the connections that have arrived.
         self._accept_arrived: typing.Callable[[], None] | None = None
@@ -208,15 +212,22 @@
         count = len(self._callers)
         if count < limit:
             return True
-        victims = connection_room.choose_victims(
-            self._callers, limit, self._gw.now_ms()
-        )
+        victims = self._find_victims(limit)
         for caller in victims:
             self._evict(caller)
         if self._side is None:
             limit = max(limit, connection_room.MIN_CONNECTIONS)
         return connection_room.has_room(count, limit, bool(victims))
 
+    def _find_victims(self, limit: int) -> list[Caller]:
+        now_ms = self._gw.now_ms()
+        if now_ms < self._next_search_ms:
+            return []
+        victims = connection_room.choose_victims(self._callers, limit, now_ms)
+        if not victims:
+            self._next_search_ms = now_ms + SEARCH_INTERVAL_MS
+        return victims
+
     def _evict(self, caller: Caller) -> None:
         gw = self._gw
         since_ms = caller.unfinished_since_ms
--- a/foxtailpick/tests/test_caller_room.py
+++ b/foxtailpick/tests/test_caller_room.py
@@ -9,6 +9,7 @@
 from foxtailpick.core.dispatch import request_arrival
 from foxtailpick.gateway import client as client_lib
 from foxtailpick.gateway import http1
+from foxtailpick.gateway import server
 from foxtailpick.tests import gateway_harness
 from foxtailpick.tests import gateway_scripts
 from foxtailpick.tests import test_caller_server
@@ -193,3 +194,22 @@
         assert not pool.make_room(0, table)
         assert pool.count == endpoint.connections == 0
         assert pool.make_room(1, table)
+
+
+async def test_crowd_that_is_refused_costs_few_searches(monkeypatch):
+    """A search among all connections takes a millisecond."""
+    searches = []
+
+    def search(conns, limit, now_ms):
+        searches.append(now_ms)
+        return []
+
+    monkeypatch.setattr(connection_room, 'choose_victims', search)
+    times_ms = iter(range(1_000))
+    async with test_caller_server.open_callers() as (gw, callers, _):
+        gw.cfg = dataclasses.replace(gw.cfg, max_sockets=1)
+        gw.now_ms = lambda: float(next(times_ms))
+        for _ in range(200):
+            callers._evict_idle()
+    most = 200 / server.SEARCH_INTERVAL_MS
+    assert 2 <= len(searches) <= most + 1
