--- a/foxtailpick/gateway/attempt.py
+++ b/foxtailpick/gateway/attempt.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from foxtailpick.core.dispatch import connection_room
 from foxtailpick.core.dispatch import crash_quarantine
 from foxtailpick.core.dispatch import endpoint_table
 from foxtailpick.core.dispatch import health
@@ -29,6 +30,8 @@
 
 # Late answers to earlier requests that are skipped on a reused connection.
 MAX_FOREIGN_ANSWERS = 4
+# Requests that hold a connection usually end in this time.
+NO_DESCRIPTOR_RETRY_MS = 500.0
 _SERVER_ERROR = 500
 _MISDIRECTED = 421
 # Statuses that tell the caller that the request was not executed.
@@ -110,7 +113,7 @@
         gw.state.table.is_sendable(endpoint, gw.now_ms())
         and rollout_path.is_sendable(gw, endpoint)
     ):
-        gw.pool.release(endpoint, conn, True)
+        _release(gw, job, endpoint, conn)
         return AttemptResult(
             retry_decision.AttemptEnd.UNREACHABLE,
             'endpoint left or rests; nothing was sent',
@@ -118,7 +121,7 @@
     if not choice.is_within_limit and not announced.is_within_limit(
         gw, endpoint
     ):
-        gw.pool.release(endpoint, conn, True)
+        _release(gw, job, endpoint, conn)
         return AttemptResult(
             retry_decision.AttemptEnd.UNREACHABLE,
             'endpoint has named a limit meanwhile; nothing was sent',
@@ -126,7 +129,7 @@
     try:
         quarantine.check_request(gw, job)
     except errors.RequestError:
-        gw.pool.release(endpoint, conn, True)
+        _release(gw, job, endpoint, conn)
         raise
     # Another attempt may answer by now; then this one is not sent.
     await trio.lowlevel.checkpoint_if_cancelled()
@@ -176,7 +179,7 @@
             closed_ms = gw.now_ms()
     finally:
         gw.attempts.discard(attempt)
-        gw.pool.release(endpoint, conn, is_reusable)
+        _release(gw, job, endpoint, conn, is_reusable)
     if attempt.is_withdrawn and result.end is retry_decision.AttemptEnd.BROKEN:
         job.verdict = verdict_lib.merge_verdicts(
             job.verdict, retry_decision.get_verdict(result.end)
@@ -219,12 +222,50 @@
 async def _acquire(
     gw: context.Gateway, job: job_lib.Job, endpoint: endpoint_table.Endpoint
 ) -> client_lib.ClientConnection:
+    _make_room(gw, job, endpoint)
     if job.meta.id:
         return await gw.pool.acquire(endpoint)
-    # On a reused connection its answer could not be told from late ones.
+    # On a reused connection its answer could not be told from late ones. An
+    # idle one gives way, so that the endpoint has no more than without it.
+    gw.pool.close_idle(endpoint)
     return await gw.pool.open(endpoint)
 
 
+def _release(
+    gw: context.Gateway,
+    job: job_lib.Job,
+    endpoint: endpoint_table.Endpoint,
+    conn: client_lib.ClientConnection,
+    is_reusable: bool = True,
+) -> None:
+    # Requests without an id would leave one connection each.
+    gw.pool.release(endpoint, conn, is_reusable and bool(job.meta.id))
+
+
+def _make_room(
+    gw: context.Gateway, job: job_lib.Job, endpoint: endpoint_table.Endpoint
+) -> None:
+    """Make room for a connection to an endpoint.
+
+    :raises errors.RequestError: if no descriptor is left for it.
+    """
+    if job.meta.id and gw.pool.has_idle(endpoint):
+        return
+    limit = connection_room.compute_endpoint_limit(
+        gw.cfg.max_sockets, gw.accepted
+    )
+    if gw.pool.count < limit or gw.pool.make_room(limit, gw.state.table):
+        return
+    gw.metrics.count('requests_without_descriptor')
+    raise errors.RequestError(
+        errors.ErrorCode.OVERLOADED,
+        f'expected less than {limit} connections to endpoints, got '
+        f'{gw.pool.count}, all in use; retry later',
+        job.verdict,
+        NO_DESCRIPTOR_RETRY_MS * gw.rng.uniform(0.6, 1.4),
+    )
+
+
 async def deliver_error(
     job: job_lib.Job,
     answer: job_lib.BufferedResponse,
--- a/foxtailpick/gateway/server.py
+++ b/foxtailpick/gateway/server.py
@@ -1,6 +1,7 @@
 """Accepts callers' connections and handles their requests in order."""
 
 import contextlib
+import dataclasses
 import errno
 import functools
 import math
@@ -10,6 +11,9 @@
 
 import trio
 
+from foxtailpick.core.dispatch import connection_room
+from foxtailpick.core.dispatch import model
+from foxtailpick.core.dispatch import request_arrival
 from foxtailpick.core import errors
 from foxtailpick.core import types
 from foxtailpick.gateway import context
@@ -20,15 +24,14 @@
 # Length of the accept queue, more than a burst of new callers: when the
 # queue is full, connecting takes a caller seconds.
 BACKLOG = 1_024
-# Descriptors for files and listening sockets, as stated by the operators.
-RESERVED_DESCRIPTORS = 200
-# Fraction of the descriptors for callers' connections; relaying a request
-# takes a further descriptor.
-CALLER_DESCRIPTOR_SHARE = 0.6
+RESERVED_DESCRIPTORS = connection_room.RESERVED_DESCRIPTORS
+CALLER_DESCRIPTOR_SHARE = connection_room.CALLER_DESCRIPTOR_SHARE
 # Maximum number of pipelined requests that are read ahead.
 MAX_PIPELINED_REQUESTS = 8
 # Pause after a failed accept, such as when no descriptor is left.
 ACCEPT_RETRY_MS = 50.0
+# Interval between searches for a connection that gives way, if none did.
+SEARCH_INTERVAL_MS = 20.0
 # Time for a caller to read why its request was rejected, and to close.
 LINGER_MS = 1_000.0
 _NO_DESCRIPTOR_ERRNOS = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS))
@@ -39,21 +42,60 @@
 
 
 class Caller:
-    """One caller's connection."""
+    """One caller's connection.
 
-    def __init__(self, sock: trio.socket.SocketType) -> None:
+    :param sock: its socket.
+    :param now_ms: function that returns the current time.
+    """
+
+    def __init__(
+        self,
+        sock: trio.socket.SocketType,
+        now_ms: typing.Callable[[], float],
+    ) -> None:
         self.sock = sock
+        self._now_ms = now_ms
         # Requests that were read and not yet answered.
         self.open_requests = 0
-        # Whether a part of a request was read.
-        self.is_reading = False
+        self._is_reading = False
+        self._reading_since_ms = 0.0
         # When a part of a request's headers was read first.
         self.headers_began_s: float | None = None
-        self.idle_since_ms = 0.0
+        self.idle_since_ms = now_ms()
         # Whether to close the connection once no request is in flight.
         self.is_closing = False
+        # Whether its last request is being rejected.
+        self.is_rejected = False
         # The wait for the next bytes.
         self.wait = trio.CancelScope()
+        # Everything that is done for it.
+        self._scope = trio.CancelScope()
+
+    def __enter__(self) -> 'Caller':
+        self._scope.__enter__()
+        return self
+
+    def __exit__(self, *exc_info: typing.Any) -> bool | None:
+        self.sock.close()
+        return self._scope.__exit__(*exc_info)
+
+    @property
+    def is_reading(self) -> bool:
+        """Whether a part of a request was read."""
+        return self._is_reading
+
+    @is_reading.setter
+    def is_reading(self, value: bool) -> None:
+        if value and not self._is_reading:
+            self._reading_since_ms = self._now_ms()
+        self._is_reading = value
+
+    @property
+    def unfinished_since_ms(self) -> float | None:
+        """Since when it holds only a part of a request, None if it doesn't."""
+        if not self._is_reading or self.open_requests or self.is_rejected:
+            return None
+        return max(self._reading_since_ms, self.idle_since_ms)
 
     @property
     def is_busy(self) -> bool:
@@ -73,16 +115,57 @@
         self.is_closing = True
         self.wait.cancel()
 
+    def cut(self) -> None:
+        """Close the connection now; no request on it may be in flight."""
+        # A task that waits for the socket has to leave it first.
+        self._scope.cancel()
+        self.sock.close()
+
+    def refuse_unfinished(self, why: str) -> None:
+        """Answer 408 to a request that has arrived in part, and close.
+
+        :param why: why its rest is not awaited.
+        """
+        headers, body = reply_lib.format_error(
+            errors.ErrorCode.REQUEST_MALFORMED.value, why, None
+        )
+        data = http1.format_response(408, headers, len(body), False) + body
+        with contextlib.suppress(OSError):
+            # A close with unread bytes would discard the response.
+            http1.receive_arrived(self.sock)
+            self.sock._sock.send(data)
+        self.cut()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SideLimits:
+    """Limits of a listener that isn't for callers.
+
+    :param max_connections: its connections.
+    :param max_header_bytes: headers of a request.
+    :param max_body_bytes: body of a request.
+    """
+
+    max_connections: int = connection_room.SIDE_CONNECTIONS
+    max_header_bytes: int = 8_192
+    max_body_bytes: int = 1_024
+
 
 class CallerServer:
     """Serves callers on one listening socket.
 
     :param gw: the gateway.
+    :param side: limits of a listener that isn't for callers.
     """
 
-    def __init__(self, gw: context.Gateway) -> None:
+    def __init__(
+        self, gw: context.Gateway, side: SideLimits | None = None
+    ) -> None:
         self._gw = gw
+        self._side = side
         self._callers: set[Caller] = set()
+        # While no connection gives way, they are searched at intervals.
+        self._next_search_ms = -math.inf
         self._accepting = trio.CancelScope()
         # Accepts the connections that have arrived.
         self._accept_arrived: typing.Callable[[], None] | None = None
@@ -103,22 +186,91 @@
             if not caller.is_busy and now_ms - caller.idle_since_ms >= idle_ms:
                 caller.close_when_idle()
 
-    def _evict_idle(self) -> None:
-        """Close the longest idle connection if there are too many."""
-        usable = self._gw.cfg.max_sockets - RESERVED_DESCRIPTORS
-        if len(self._callers) < CALLER_DESCRIPTOR_SHARE * usable:
-            return
-        idle = [caller for caller in self._callers if not caller.is_busy]
-        if idle:
-            oldest = min(idle, key=lambda caller: caller.idle_since_ms)
-            oldest.close_when_idle()
-            self._gw.metrics.count('callers_closed_for_room')
-            self._gw.log.emit_request(
-                'caller-closed',
-                why='too many connections',
-                connections=len(self._callers),
-                idle_ms=round(self._gw.now_ms() - oldest.idle_since_ms),
+    def _get_limit(self) -> int:
+        """Return the limit of open connections."""
+        if self._side is not None:
+            return self._side.max_connections
+        return connection_room.compute_caller_limit(self._gw.cfg.max_sockets)
+
+    def _get_limits(self) -> model.Limits:
+        """Return the limits of a request and of the time that it takes."""
+        limits = self._gw.state.limits
+        if self._side is None:
+            return limits
+        return dataclasses.replace(
+            limits,
+            max_header_bytes=self._side.max_header_bytes,
+            max_body_bytes=self._side.max_body_bytes,
+        )
+
+    def _evict_idle(self) -> bool:
+        """Close connections if there are too many, idle ones first.
+
+        :returns: whether another connection is accepted.
+        """
+        limit = self._get_limit()
+        count = len(self._callers)
+        if count < limit:
+            return True
+        victims = self._find_victims(limit)
+        for caller in victims:
+            self._evict(caller)
+        if self._side is None:
+            limit = max(limit, connection_room.MIN_CONNECTIONS)
+        return connection_room.has_room(count, limit, bool(victims))
+
+    def _find_victims(self, limit: int) -> list[Caller]:
+        now_ms = self._gw.now_ms()
+        if now_ms < self._next_search_ms:
+            return []
+        victims = connection_room.choose_victims(self._callers, limit, now_ms)
+        if not victims:
+            self._next_search_ms = now_ms + SEARCH_INTERVAL_MS
+        return victims
+
+    def _evict(self, caller: Caller) -> None:
+        gw = self._gw
+        since_ms = caller.unfinished_since_ms
+        gw.metrics.count('callers_closed_for_room')
+        gw.log.emit_request(
+            'caller-closed',
+            why='too many connections',
+            connections=len(self._callers),
+            idle_ms=round(gw.now_ms() - caller.idle_since_ms),
+            ms_unfinished=None
+            if since_ms is None
+            else round(gw.now_ms() - since_ms),
+        )
+        if caller.is_rejected:
+            caller.cut()
+        elif since_ms is not None:
+            caller.refuse_unfinished('too many connections')
+        else:
+            caller.close_when_idle()
+
+    async def _end_slow_requests(self) -> None:
+        """Reject requests that take too long to arrive, until cancelled."""
+        gw = self._gw
+        while True:
+            await trio.sleep(
+                request_arrival.CHECK_INTERVAL_MS / types.SECOND_MS
             )
+            routes = gw.state.cfg.routes if gw.state.cfg else ()
+            limit_ms = request_arrival.compute_limit_ms(
+                routes, self._get_limits()
+            )
+            for caller in list(self._callers):
+                since_ms = caller.unfinished_since_ms
+                if since_ms is None or gw.now_ms() - since_ms < limit_ms:
+                    continue
+                gw.metrics.count('requests_too_slow')
+                gw.log.emit_request(
+                    'rejected',
+                    status=408,
+                    why='request took too long to arrive',
+                    ms_unfinished=round(gw.now_ms() - since_ms),
+                )
+                caller.refuse_unfinished('request took too long to arrive')
 
     def stop_accepting(self) -> None:
         """Close the listening socket; connections stay.
@@ -139,10 +291,15 @@
         """Accept connections until cancelled or told to stop."""
 
         def start(peer: trio.socket.SocketType) -> None:
+            if not self._evict_idle():
+                # Its request wasn't read, so that it may be sent again.
+                self._gw.metrics.count('callers_refused_for_room')
+                peer.close()
+                return
             # Counted at once, so that a stop waits for it.
-            caller = Caller(peer)
-            caller.idle_since_ms = self._gw.now_ms()
+            caller = Caller(peer, self._gw.now_ms)
             self._callers.add(caller)
+            self._gw.accepted += 1
             nursery.start_soon(self._serve_caller, caller, handle)
 
         def accept_arrived() -> None:
@@ -153,6 +310,7 @@
                 self._gw.log.emit('accept-failed', error=str(exc))
 
         self._accept_arrived = accept_arrived
+        nursery.start_soon(self._end_slow_requests)
         with sock, self._accepting:
             while True:
                 try:
@@ -162,22 +320,12 @@
                         self._gw.log.emit('accept-failed', error=str(exc))
                     await trio.sleep(ACCEPT_RETRY_MS / types.SECOND_MS)
                     continue
-                self._evict_idle()
                 start(peer)
 
     async def _serve_caller(self, caller: Caller, handle: Handler) -> None:
-        sock = caller.sock
         try:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            send, receive = trio.open_memory_channel(MAX_PIPELINED_REQUESTS)
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._read, caller, send, nursery)
-                try:
-                    await self._answer(caller, receive, handle)
-                except http1.BrokenConnectionError as exc:
-                    # The caller disconnected during the response.
-                    self._gw.log.emit_request('caller-lost', why=str(exc))
-                nursery.cancel_scope.cancel()
+            with caller:
+                await self._handle_requests(caller, handle)
         except Exception as exc:
             # The other connections are not affected.
             self._gw.metrics.count('defects')
@@ -187,7 +335,21 @@
             )
         finally:
             self._callers.discard(caller)
-            sock.close()
+            self._gw.accepted -= 1
+
+    async def _handle_requests(self, caller: Caller, handle: Handler) -> None:
+        # A connection may be closed before its first request is awaited.
+        await trio.lowlevel.checkpoint_if_cancelled()
+        caller.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        send, receive = trio.open_memory_channel(MAX_PIPELINED_REQUESTS)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._read, caller, send, nursery)
+            try:
+                await self._answer(caller, receive, handle)
+            except http1.BrokenConnectionError as exc:
+                # The caller disconnected during the response.
+                self._gw.log.emit_request('caller-lost', why=str(exc))
+            nursery.cancel_scope.cancel()
 
     async def _read(
         self,
@@ -196,7 +358,7 @@
         nursery: trio.Nursery,
     ) -> None:
         gw = self._gw
-        reader = http1.RequestReader(lambda: gw.state.limits)
+        reader = http1.RequestReader(self._get_limits)
         try:
             while data := await self._receive(caller, reader):
                 requests = reader.feed(data, gw.now_ms())
@@ -283,6 +445,7 @@
     ) -> None:
         async for item in receive:
             if isinstance(item, http1.RequestRejected):
+                caller.is_rejected = True
                 await self._reject(caller, item)
                 return
             if item is http1.CONTINUE:
@@ -290,8 +453,12 @@
                 continue
             keeps_alive = functools.partial(self._keeps_alive, caller, item)
             has_body = item.method != http1.HEAD
-            reply = reply_lib.Reply(caller.sock, keeps_alive, has_body)
+            reply = reply_lib.Reply(
+                caller.sock, keeps_alive, has_body, self._gw.unsent
+            )
             await handle(item, reply)
+            if reply.is_given_up:
+                self._gw.metrics.count('answers_given_up')
             caller.open_requests -= 1
             caller.idle_since_ms = self._gw.now_ms()
             if not reply.is_finished or not reply.keeps_alive:
--- a/foxtailpick/tests/test_gateway_shutdown.py
+++ b/foxtailpick/tests/test_gateway_shutdown.py
@@ -210,7 +210,7 @@
     )
     gw.loop_checks.record(now_ms() - held_up_ms)
     callers = server.CallerServer(gw)
-    caller = server.Caller(None)
+    caller = server.Caller(None, gw.now_ms)
     caller.open_requests = 1
     callers._callers.add(caller)
     cut_ms = []
--- a/foxtailpick/tests/test_shutdown_review.py
+++ b/foxtailpick/tests/test_shutdown_review.py
@@ -57,7 +57,7 @@
     :param block_ms: length of the turns of the event loop after that.
     """
     callers = server.CallerServer(gw)
-    caller = server.Caller(None)
+    caller = server.Caller(None, gw.now_ms)
     caller.open_requests = 1
     callers._callers.add(caller)
 
