Keep the time for the end of a process in a short grace period

Requests are not cut off before five sixths of the grace period have passed, which below 2.4 s left less than the 400 ms that are reserved for the last answers and the end of the process, 167 ms of 1,000, also where the signal was handled at once. Found in a review by calculation. The bound is now the earlier of the two.

--- a/foxtailpick/core/dispatch/stopping.py
+++ b/foxtailpick/core/dispatch/stopping.py
@@ -71,14 +71,16 @@
 
 
 def compute_cut_ms(
-    complete_ms: float, handled_ms: float, grace_ms: float
+    signal_ms: float, handled_ms: float, grace_ms: float, margin_ms: float
 ) -> float:
     """Return when to cut off the requests in flight.
 
-    :param complete_ms: when the grace period is over, less what the end of
-        the process takes, if the signal came as early as possible.
+    :param signal_ms: when the signal came at the earliest.
     :param handled_ms: when it was handled, which is when it came at the
         latest.
     :param grace_ms: length of the grace period.
+    :param margin_ms: part of it that the end of the process takes.
     """
-    return max(complete_ms, handled_ms + MIN_GRACE_SHARE * grace_ms)
+    usable_ms = grace_ms - margin_ms
+    served_ms = min(usable_ms, MIN_GRACE_SHARE * grace_ms)
+    return max(signal_ms + usable_ms, handled_ms + served_ms)
--- a/foxtailpick/gateway/daemon.py
+++ b/foxtailpick/gateway/daemon.py
@@ -418,7 +418,7 @@
     gw.shutdown_started_ms = signal_ms
     gw.shutdown_complete_ms = signal_ms + gw.cfg.grace_ms - EXIT_MARGIN_MS
     gw.shutdown_deadline_ms = stopping.compute_cut_ms(
-        gw.shutdown_complete_ms, began_ms, gw.cfg.grace_ms
+        signal_ms, began_ms, gw.cfg.grace_ms, EXIT_MARGIN_MS
     )
     while (left_ms := gw.shutdown_deadline_ms - gw.now_ms()) > 0:
         await trio.sleep(min(SWEEP_INTERVAL_MS, left_ms) / types.SECOND_MS)
--- a/foxtailpick/tests/test_loop_checks.py
+++ b/foxtailpick/tests/test_loop_checks.py
@@ -3,6 +3,7 @@
 import pytest
 
 from foxtailpick.core.dispatch import loop_checks
+from foxtailpick.core.dispatch import stopping
 
 INTERVAL_MS = 50.0
 
@@ -34,3 +35,9 @@
 ):
     checks = make_checks(*times_ms)
     assert checks.find_earliest_ms(now_ms) == earliest_ms
+
+
+@pytest.mark.parametrize('grace_ms', [1_000.0, 2_000.0, 8_000.0])
+def test_short_grace_period_keeps_the_time_for_the_end(grace_ms):
+    cut_ms = stopping.compute_cut_ms(0.0, 0.0, grace_ms, 400.0)
+    assert cut_ms == grace_ms - 400.0
