Stop gateways of the soak that do not get the processor

The soak's gateways ran whenever they had something to do, so each handled SIGTERM within milliseconds. The users' processes on machines of their own lost 56 streams around SIGTERM; whether a process that is held up just then loses some could not be seen.

The scenario held-up-stops has, in series: SIGTERM to gateways that do not run for 0.2 to 1 s around it, or shortly before the end of the grace period; repeated SIGTERM and SIGHUP; slower engines; engines that break off streams; changes of settings and configuration. Callers stay on their connections, and one in five reads slowly, so that a part of its answer waits in the gateway (events are padded for that). Excused are calls that their last endpoint broke off, and calls for which the gateway did not run from their sending to their end, as it can't have read them. Other scenarios draw the same choices as before.

--- a/foxtailpick/bench/soak.py
+++ b/foxtailpick/bench/soak.py
@@ -22,6 +22,7 @@
     'patches': patches_scenario.run,
     'gateway': gateway_soak.run_seed,
     'long-streams': gateway_soak.run_long_streams,
+    'held-up-stops': gateway_soak.run_held_up_stops,
     'limits': gateway_soak.run_limits,
     'silence': gateway_soak.run_silence,
     'large-silence': gateway_soak.run_large_silence,
--- a/foxtailpick/soak/callers.py
+++ b/foxtailpick/soak/callers.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import random
+import socket
 
 import trio
 
@@ -11,7 +12,7 @@
 from foxtailpick.gateway import exchange
 from foxtailpick.gateway import http1
 from foxtailpick.platform import dialect
-from foxtailpick.platform.standins import endpoint_server
+from foxtailpick.soak import events
 from foxtailpick.soak import record as record_lib
 from foxtailpick.soak import resumption
 from foxtailpick.soak import world as world_lib
@@ -30,6 +31,9 @@
 MAX_PIPELINING_PAUSE_MS = 30.0
 # Steady callers come back this long after a refusal.
 REFUSED_PAUSE_MS = (100.0, 300.0)
+# Slow callers read a part of a stream at this interval, with small buffers.
+SLOW_READ_MS = 50.0
+SLOW_BUFFER_BYTES = 4_096
 # Includes a body that is too long to be forwarded in a single send.
 BODY_BYTES = (0, 50, 40_000)
 
@@ -86,6 +90,8 @@
     :param seed: seed of the choices of this caller.
     """
     rng = random.Random(seed)
+    slow_share = world.plan.slow_share
+    is_slow = slow_share > 0 and rng.random() < slow_share
     gateway = world.gateways[0]
     conn: client_lib.ClientConnection | None = None
     number = 0
@@ -95,7 +101,7 @@
             conn = None
         if conn is None:
             gateway = rng.choice(world.gateways)
-            conn = await _connect(gateway)
+            conn = await _connect(gateway, is_slow)
         if conn is not None:
             count = 1
             if rng.random() < world.plan.pipelined_share:
@@ -106,7 +112,8 @@
                 call = _make_call(world, f'{name}-{number}', gateway.name, rng)
                 call.predecessor = calls[-1] if calls else None
                 calls.append(call)
-            await _send_calls(world, calls, conn, rng)
+            pause_ms = SLOW_READ_MS if is_slow else 0.0
+            await _send_calls(world, calls, conn, rng, pause_ms)
             await _take_up_broken(world, calls, rng)
             if calls[-1].status in record_lib.NOT_RUN_STATUSES:
                 await pause(rng.uniform(*REFUSED_PAUSE_MS))
@@ -114,23 +121,47 @@
 
 
 async def _connect(
-    gateway: world_lib.Gateway,
+    gateway: world_lib.Gateway, is_slow: bool
 ) -> client_lib.ClientConnection | None:
     try:
         with trio.fail_after(1.0):
+            if is_slow:
+                return await _connect_slowly(gateway)
             return await client_lib.ClientConnection.connect(gateway.address)
     except (OSError, trio.TooSlowError):
         # The gateway is restarting.
         return None
 
 
+async def _connect_slowly(
+    gateway: world_lib.Gateway,
+) -> client_lib.ClientConnection:
+    """Connect with a receive buffer that a slow reader fills at once."""
+    sock = trio.socket.socket()
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_BUFFER_BYTES)
+        await sock.connect(gateway.address)
+    except BaseException:
+        sock.close()
+        raise
+    return client_lib.ClientConnection(sock)
+
+
 async def _send_calls(
     world: world_lib.World,
     calls: list[record_lib.Call],
     conn: client_lib.ClientConnection,
     rng: random.Random,
+    pause_ms: float,
 ) -> None:
-    """Send calls on one connection, and then read their responses."""
+    """Send calls on one connection, and then read their responses.
+
+    :param world: the gateways and routes, and the record of the calls.
+    :param calls: the calls.
+    :param conn: the connection.
+    :param rng: source of the choices of the caller.
+    :param pause_ms: pause of the caller after each part that it reads.
+    """
     timeout_s = _get_call_timeout_s(world)
     is_leaving = rng.random() < world.plan.disconnect_share
     if is_leaving:
@@ -148,7 +179,7 @@
                 call.written_ms = world_lib.now_ms()
         with contextlib.suppress(OSError):
             for call in calls:
-                await _read_response(call, conn)
+                await _read_response(call, conn, pause_ms)
                 call.ended_ms = world_lib.now_ms()
     for call in calls:
         if not call.is_complete:
@@ -207,7 +238,7 @@
     call.expected = world_lib.make_body(request)
     if kind is model.RequestKind.STREAMING:
         call.expected = b''.join(
-            endpoint_server.format_event(number)
+            events.format_event(number, padding_bytes=world.plan.padding_bytes)
             for number in range(1, world_lib.count_events(request) + 1)
         )
     return call
@@ -271,7 +302,9 @@
 
 
 async def _read_response(
-    call: record_lib.Call, conn: client_lib.ClientConnection
+    call: record_lib.Call,
+    conn: client_lib.ClientConnection,
+    pause_ms: float = 0.0,
 ) -> None:
     head = await conn.next_event()
     assert isinstance(head, client_lib.ResponseHead)
@@ -288,6 +321,8 @@
         return
     while (event := await conn.next_event()) is not client_lib.END:
         call.body += event
+        if pause_ms:
+            await pause(pause_ms)
     call.is_complete = True
 
 
--- a/foxtailpick/soak/events.py
+++ b/foxtailpick/soak/events.py
@@ -12,9 +12,18 @@
 _EVENT = re.compile(rb'id: (\d+)\ndata: token\d+(?:\.(\w+))?\n\n')
 
 
-def format_event(number: int, version: str) -> bytes:
-    """Return an event as a version writes it."""
+def format_event(
+    number: int, version: str = FIRST_VERSION, padding_bytes: int = 0
+) -> bytes:
+    """Return an event as a version writes it.
+
+    :param number: its number.
+    :param version: the version.
+    :param padding_bytes: length of a comment before it, 0 for none.
+    """
     event = endpoint_server.format_event(number)
+    if padding_bytes:
+        event = b': ' + b'.' * padding_bytes + b'\n' + event
     if version == FIRST_VERSION:
         return event
     return event.replace(b'\n\n', f'.{version}\n\n'.encode())
--- a/foxtailpick/soak/faults.py
+++ b/foxtailpick/soak/faults.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from foxtailpick.core import types
 from foxtailpick.platform import items
 from foxtailpick.platform.standins import store_server
 from foxtailpick.soak import callers
@@ -49,6 +50,12 @@
 MIN_EVACUATION_MS = 5_300.0
 MAX_EVACUATION_MS = 7_500.0
 
+# How long a gateway is held up, and the number of signals to stop it.
+MIN_HOLD_MS = 200.0
+MAX_HOLD_MS = 1_000.0
+HOLD_CHECK_MS = 10.0
+MAX_REPEATED_STOPS = 4
+
 FAULTY_BEHAVIORS = ('mute', 'cut', 'late', 'failing', 'breaking', 'full')
 
 Fault = typing.Callable[
@@ -583,6 +590,120 @@
         await callers.pause(rng.uniform(0.0, STORE_CHANGE_PAUSE_MS))
 
 
+async def stop_held_up(world: world_lib.World, rng: random.Random) -> None:
+    """Send SIGTERM to gateways that do not get the processor just then.
+
+    As on a busy machine: the rules excuse no request for it.
+    """
+    async with trio.open_nursery() as nursery:
+        for gateway in _choose_some(world, rng):
+            nursery.start_soon(
+                _hold_up,
+                world,
+                gateway,
+                rng.uniform(MIN_HOLD_MS, MAX_HOLD_MS),
+            )
+            await callers.pause(rng.uniform(0.0, MIN_HOLD_MS))
+            world.stop_gateway(gateway)
+
+
+async def hold_up_at_end(world: world_lib.World, rng: random.Random) -> None:
+    """Send SIGTERM to gateways that are held up as their time runs out."""
+    async with trio.open_nursery() as nursery:
+        for gateway in _choose_some(world, rng):
+            world.stop_gateway(gateway)
+            nursery.start_soon(
+                _hold_up_later,
+                world,
+                gateway,
+                world.plan.grace_ms - rng.uniform(MIN_HOLD_MS, MAX_HOLD_MS),
+                rng.uniform(MIN_HOLD_MS, MAX_HOLD_MS),
+            )
+            await callers.pause(rng.uniform(0.0, 1_000.0))
+
+
+def _choose_some(
+    world: world_lib.World, rng: random.Random
+) -> list[world_lib.Gateway]:
+    return rng.sample(world.gateways, rng.randint(1, len(world.gateways) - 1))
+
+
+async def _hold_up_later(
+    world: world_lib.World,
+    gateway: world_lib.Gateway,
+    after_ms: float,
+    for_ms: float,
+) -> None:
+    process = gateway.process
+    await callers.pause(after_ms)
+    if gateway.process is process:
+        await _hold_up(world, gateway, for_ms)
+
+
+async def _hold_up(
+    world: world_lib.World, gateway: world_lib.Gateway, for_ms: float
+) -> None:
+    """Take the processor from a gateway for a while."""
+    process = gateway.process
+    if not gateway.is_running():
+        return
+    from_ms = world_lib.now_ms()
+    # The bounds other than on lost requests.
+    record_disruption(world, [gateway.name], for_ms)
+    process.send_signal(signal.SIGSTOP)
+    try:
+        with trio.move_on_after(for_ms / types.SECOND_MS):
+            while process.poll() is None:
+                await callers.pause(HOLD_CHECK_MS)
+    finally:
+        if process.poll() is None:
+            process.send_signal(signal.SIGCONT)
+        world.record.holds[gateway.name].append((from_ms, world_lib.now_ms()))
+
+
+async def stop_repeatedly(world: world_lib.World, rng: random.Random) -> None:
+    """Send SIGTERM and SIGHUP several times to one gateway."""
+    gateway = rng.choice(world.gateways)
+    for _ in range(rng.randint(2, MAX_REPEATED_STOPS)):
+        world.stop_gateway(gateway)
+        await callers.pause(rng.uniform(0.0, 2_000.0))
+        gateway.send(signal.SIGHUP)
+
+
+async def break_streams(world: world_lib.World, rng: random.Random) -> None:
+    """Let some engines break off streams, which others may continue."""
+    engines = [
+        item
+        for item in world.endpoints.values()
+        if item.service == 'engine' and item.behavior == 'sound'
+    ]
+    broken = rng.sample(engines, len(engines) // 2)
+    for endpoint in broken:
+        endpoint.behavior = 'breaking'
+    await callers.pause(_draw_duration_ms(rng))
+    for endpoint in broken:
+        endpoint.behavior = 'sound'
+
+
+# Stops of gateways that are held up, beside what makes streams last longer
+# than those before.
+HELD_UP_FAULTS: tuple[Fault, ...] = (
+    stop_held_up,
+    stop_held_up,
+    stop_held_up,
+    stop_held_up,
+    hold_up_at_end,
+    hold_up_at_end,
+    roll_gateways,
+    stop_repeatedly,
+    slow_engines,
+    slow_engines,
+    slow_engines,
+    break_streams,
+    reload_changed,
+    change_config,
+)
+
 # Silences of sound endpoints beside planned work.
 SILENCE_FAULTS: tuple[Fault, ...] = (
     silence_endpoints,
--- a/foxtailpick/soak/losses.py
+++ b/foxtailpick/soak/losses.py
@@ -17,6 +17,8 @@
 
 # A request may cross the close of its connection by this much.
 LOSS_SLACK_MS = 200.0
+# A caller may see the end of a process that was held up this much later.
+HOLD_SLACK_MS = 50.0
 # Planned work lasts until this long after the grace period.
 GRACE_MARGIN_MS = 1_000.0
 # Rounding of deadlines between callers and gateways.
@@ -45,9 +47,11 @@
     CALLER_LEFT = 'its caller left'
     NOT_SENT = 'it was not sent whole'
     CROSSED = 'it crossed the close of its connection'
+    UNREAD = 'its gateway did not run from its sending on'
     TIMED_OUT = 'its deadline or timeout was reached'
     GRACE_ENDED = 'the grace period ended'
     ENDPOINT_ENDED = 'its endpoint ended'
+    BROKEN_OFF = 'its endpoint broke it off'
     PREDECESSOR = 'the answer before it was cut off with an excuse'
 
 
@@ -98,6 +102,8 @@
         <= LOSS_SLACK_MS
     ):
         return Excuse.CROSSED
+    if not call.status and _is_unread(record, call):
+        return Excuse.UNREAD
     if _has_timed_out(record, call):
         return Excuse.TIMED_OUT
     runs = [run for run in record.runs if run.id == call.id]
@@ -107,6 +113,8 @@
         for crash_ms in record.crashes_ms[run.endpoint]
     ):
         return Excuse.ENDPOINT_ENDED
+    if runs and runs[-1].is_broken:
+        return Excuse.BROKEN_OFF
     if _has_grace_ended(record, call, runs):
         return Excuse.GRACE_ENDED
     if call.predecessor is not None and not call.predecessor.is_complete:
@@ -116,6 +124,22 @@
     return None
 
 
+def _is_unread(record: record_lib.Record, call: record_lib.Call) -> bool:
+    """Tell whether a gateway was held up from a call's sending to its end."""
+    return any(
+        from_ms <= call.sent_ms <= to_ms
+        and (
+            call.ended_ms <= to_ms + HOLD_SLACK_MS
+            # A process that was killed may take a while to end.
+            or any(
+                gateway == call.gateway and from_ms <= at_ms <= to_ms
+                for gateway, at_ms in record.overruns
+            )
+        )
+        for from_ms, to_ms in record.holds[call.gateway]
+    )
+
+
 def _has_timed_out(record: record_lib.Record, call: record_lib.Call) -> bool:
     limits_ms = [record.plan.deadline_ms]
     timeouts = record.timeouts_ms[call.route]
@@ -366,6 +390,11 @@
             for at_ms in record.stops[call.gateway]
             if at_ms <= call.ended_ms
         ],
+        'holds': [
+            (to_wall(from_ms), to_wall(to_ms))
+            for from_ms, to_ms in record.holds[call.gateway]
+            if from_ms <= call.ended_ms
+        ],
         'silences': [
             (
                 item.endpoint,
--- a/foxtailpick/soak/plan.py
+++ b/foxtailpick/soak/plan.py
@@ -28,6 +28,10 @@
     :param pipelined_share: share of the sends, by such callers, that are
         several requests close behind each other.
     :param takes_up: whether callers take up streams that broke off.
+    :param plain_timeout_ms: timeout of routes without streams, None for
+        `deadline_ms`.
+    :param slow_share: share of the callers that read slowly.
+    :param padding_bytes: bytes added to each event of a stream.
     """
 
     grace_ms: float = 4_000.0
@@ -50,6 +54,9 @@
     keeps_connections: bool = False
     pipelined_share: float = 0.0
     takes_up: bool = False
+    plain_timeout_ms: float | None = None
+    slow_share: float = 0.0
+    padding_bytes: int = 0
 
 
 # Streams that last for a large part of the grace period.
@@ -94,6 +101,30 @@
     event_interval_ms=90.0,
 )
 
+# Stops of gateways that do not get the processor in time, during long streams
+# that some callers read slowly. Plain requests are accepted for long after
+# the signal, as their timeout is short.
+HELD_UP_STOPS = Plan(
+    grace_ms=8_000.0,
+    deadline_ms=12_000.0,
+    target_ms=500.0,
+    event_interval_ms=130.0,
+    disconnect_share=0.02,
+    callers=30,
+    faults=16,
+    fault_window_ms=24_000.0,
+    settling_ms=9_500.0,
+    planned_ms=2_000.0,
+    is_planned_only=True,
+    gateways=4,
+    slots=24,
+    keeps_connections=True,
+    pipelined_share=0.1,
+    plain_timeout_ms=1_500.0,
+    slow_share=0.2,
+    padding_bytes=4_000,
+)
+
 # Enough callers that endpoints get several times the rates that they name.
 LIMITS = Plan(
     callers=24,
--- a/foxtailpick/soak/record.py
+++ b/foxtailpick/soak/record.py
@@ -165,6 +165,7 @@
     :param at_ms: when it arrived at the endpoint.
     :param ended_ms: when processing ended, None while in progress.
     :param start: number of starts of the endpoint before, after its first.
+    :param is_broken: whether the endpoint broke off its answer.
     """
 
     id: str
@@ -175,6 +176,7 @@
     at_ms: float
     ended_ms: float | None = None
     start: int = 0
+    is_broken: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -295,6 +297,10 @@
             collections.defaultdict(list)
         )
         self.stops: dict[str, list[float]] = collections.defaultdict(list)
+        # When a gateway did not get the processor, by gateway.
+        self.holds: dict[str, list[tuple[float, float]]] = (
+            collections.defaultdict(list)
+        )
         # Gateways that were killed as their grace period ended, and when.
         self.overruns: list[tuple[str, float]] = []
         self.recovery_from_ms = float('inf')
--- a/foxtailpick/soak/run.py
+++ b/foxtailpick/soak/run.py
@@ -35,6 +35,15 @@
     run_seed(seed, plan_lib.LONG_STREAMS, faults.LONG_STREAM_FAULTS)
 
 
+def run_held_up_stops(seed: int) -> None:
+    """Run with stops of gateways that do not get the processor in time.
+
+    :param seed: as of `run_seed`.
+    :raises SoakError: as `run_seed`.
+    """
+    run_seed(seed, plan_lib.HELD_UP_STOPS, faults.HELD_UP_FAULTS, ())
+
+
 def run_silence(seed: int) -> None:
     """Run the soak with silences of sound endpoints during planned work.
 
--- a/foxtailpick/soak/world.py
+++ b/foxtailpick/soak/world.py
@@ -250,7 +250,7 @@
             'host': HOST,
             'prefix': f'/{name}/',
             'kind': kind,
-            'timeout_ms': self.plan.deadline_ms,
+            'timeout_ms': self._get_timeout_ms(kind),
             'target_latency_ms': self.plan.target_ms,
             'priority': 1,
             'service': 'engine' if kind == 'streaming' else 'plain',
@@ -259,6 +259,12 @@
         }
         self.set_timeout(name, self.routes[name]['timeout_ms'])
 
+    def _get_timeout_ms(self, kind: str) -> float:
+        plain_ms = self.plan.plain_timeout_ms
+        if kind == 'streaming' or plain_ms is None:
+            return self.plan.deadline_ms
+        return plain_ms
+
     def set_timeout(self, name: str, timeout_ms: float) -> None:
         """Set the timeout of a route, as of the next `write_config`."""
         self.routes[name]['timeout_ms'] = timeout_ms
@@ -404,7 +410,7 @@
             if part is not None:
                 await self._crash(endpoint, exchange, gateway, part)
                 return
-            await self._run(endpoint, exchange, gateway, run.start)
+            await self._run(endpoint, exchange, gateway, run)
         finally:
             run.ended_ms = now_ms()
 
@@ -445,7 +451,7 @@
         endpoint: Endpoint,
         exchange: endpoint_server.Exchange,
         gateway: str,
-        start: int,
+        run: record_lib.Run,
     ) -> None:
         signature = f'{endpoint.id}/{exchange.received.id}'.encode()
         behavior = endpoint.behavior if self.rng.random() < 0.5 else 'sound'
@@ -467,26 +473,29 @@
                 status, make_body(exchange.received.id), headers, False
             )
             if is_leaving:
-                self._record_leaving(endpoint, gateway, start)
+                self._record_leaving(endpoint, gateway, run.start)
             return
         last = int(exchange.received.headers.get(b'last-event-id', 0))
         resumed = exchange.received.headers.get(RESUMES_HEADER.lower(), b'')
         count = count_events(resumed.decode() or exchange.received.id)
         await exchange.begin_stream(headers, False)
         if is_leaving:
-            self._record_leaving(endpoint, gateway, start)
+            self._record_leaving(endpoint, gateway, run.start)
         for number in range(last + 1, count + 1):
             pause_ms = self.plan.event_interval_ms * self.slowness
             await trio.sleep(pause_ms / types.SECOND_MS)
             if behavior == 'breaking' and number == count // 2:
-                event = events.format_event(number, endpoint.version)[:5]
+                event = self._format_event(number, endpoint)[:5]
                 await http1.send_all(exchange.sock, http1.format_chunk(event))
+                run.is_broken = True
                 raise endpoint_server.AbortConnectionError
-            await exchange.send_data(
-                events.format_event(number, endpoint.version)
-            )
+            await exchange.send_data(self._format_event(number, endpoint))
         await exchange.end_stream()
 
+    def _format_event(self, number: int, endpoint: Endpoint) -> bytes:
+        padding_bytes = self.plan.padding_bytes
+        return events.format_event(number, endpoint.version, padding_bytes)
+
     def _record_leaving(
         self, endpoint: Endpoint, gateway: str, start: int
     ) -> None:
--- a/foxtailpick/tests/test_soak.py
+++ b/foxtailpick/tests/test_soak.py
@@ -351,6 +351,15 @@
     assert plain.startswith(events.strip_versions(event[:-3]))
 
 
+def test_padded_events_are_those_without_padding():
+    event = events.format_event(3, 'v7', 200)
+    assert len(event) > 200
+    assert events.list_versions(event) == ['v7']
+    assert events.find_last_event(event) == 3
+    plain = events.format_event(3, padding_bytes=200)
+    assert events.strip_versions(event) == plain
+
+
 def test_port_that_only_closed_connections_hold_is_free():
     """As gateways of an earlier run leave it for a minute."""
     with socket.socket() as listener:
--- a/foxtailpick/tests/test_soak_silence.py
+++ b/foxtailpick/tests/test_soak_silence.py
@@ -165,6 +165,40 @@
     assert bool(losses.check(seen)) is (excuse is None)
 
 
+def test_stream_is_excused_if_its_last_endpoint_broke_it_off():
+    seen = make_record(
+        make_call(),
+        runs=[make_run(is_broken=True), make_run(endpoint='e2')],
+    )
+    # The second endpoint went on with it.
+    assert losses.find_lost(seen) == seen.calls
+    seen.runs[1].is_broken = True
+    assert losses.find_excuse(seen, seen.calls[0]) is Excuse.BROKEN_OFF
+
+
+@pytest.mark.parametrize(
+    ('from_ms', 'to_ms', 'excuse'),
+    [
+        (19_900.0, 21_160.0, Excuse.UNREAD),
+        # Sent before, and ended after the gateway ran again.
+        (20_010.0, 21_300.0, None),
+        (19_900.0, 21_100.0, None),
+    ],
+)
+def test_only_a_gateway_that_did_not_run_has_not_read(from_ms, to_ms, excuse):
+    call = make_call(**NO_STATUS)
+    seen = make_record(call, holds={'g1': [(from_ms, to_ms)]})
+    assert losses.find_excuse(seen, call) is excuse
+    seen.overruns = [('g2', to_ms - 1.0)]
+    assert losses.find_excuse(seen, call) is excuse
+    if from_ms < call.sent_ms:
+        # It never ran again.
+        seen.overruns = [('g1', to_ms - 1.0)]
+        assert losses.find_excuse(seen, call) is Excuse.UNREAD
+    seen = make_record(make_call(), holds={'g1': [(from_ms, to_ms)]})
+    assert losses.find_lost(seen) == seen.calls
+
+
 def test_stall_of_the_run_is_not_held_against_a_gateway():
     call = make_call(**NO_STATUS, ended_ms=20_900.0)
     seen = make_record(call)
