Show that a gateway that handles SIGTERM late loses streams

Callers see a stream that was accepted, passed on and begun end with its connection, as in the users' record. The gateway counts the 3 s in which it accepts streams by an estimate, and the grace period, from when it handles SIGTERM. A process that is held up just then accepts for too long, and the platform kills it before it has ended what it accepted.

The test runs one gateway process that doesn't run for 0, 0.3 and 0.9 s from just before SIGTERM, keeps it busy with an earlier stream, and sends a stream of 5.3 s when 3.05 s and seven tenths of that delay have passed. The grace period is 5 s.

--- a/foxtailpick/tests/test_soak_held_up.py
+++ b/foxtailpick/tests/test_soak_held_up.py
@@ -5,11 +5,14 @@
 import subprocess
 import sys
 
+import pytest
 import trio
+import trio.testing
 
 from foxtailpick.core.dispatch import model
 from foxtailpick.soak import callers
 from foxtailpick.soak import faults
+from foxtailpick.soak import losses
 from foxtailpick.soak import plan as plan_lib
 from foxtailpick.soak import record as record_lib
 from foxtailpick.soak import world as world_lib
@@ -81,3 +84,60 @@
         assert len(made.expected) > 5 * plan.padding_bytes
         conn.close()
         nursery.cancel_scope.cancel()
+
+
+async def ask(world, request, route, rng):
+    """Send a request on a connection of its own, and record the call."""
+    (gateway,) = world.gateways
+    call = callers._make_call(world, request, gateway.name, rng)
+    while call.route != route:
+        call = callers._make_call(world, request, gateway.name, rng)
+    conn = await callers._connect(gateway, is_slow=False)
+    if conn is None:
+        return call
+    await callers._send_calls(world, [call], conn, rng, 0.0)
+    conn.close()
+    return call
+
+
+@pytest.mark.parametrize('held_ms', [0.0, 300.0, 900.0])
+async def test_stream_is_not_lost_at_a_gateway_that_handles_sigterm_late(
+    nursery, tmp_path, held_ms
+):
+    """It is sent more than 3 s after SIGTERM, and outlasts the gateway."""
+    rng = random.Random(1)
+    plan = plan_lib.Plan(
+        grace_ms=5_000.0,
+        deadline_ms=10_000.0,
+        target_ms=500.0,
+        event_interval_ms=170.0,
+        disconnect_share=0.0,
+        is_planned_only=True,
+        plain_timeout_ms=1_500.0,
+    )
+    with world_lib.World(nursery, rng, tmp_path, plan) as world:
+        world.add_route('safe', 'safe')
+        world.add_route('fixed', 'streaming', max_attempts=1)
+        world.write_config()
+        world.add_endpoint('plain')
+        world.add_endpoint('engine')
+        world.add_gateway('g1')
+        with trio.fail_after(30.0):
+            while (await ask(world, 'a0', 'safe', rng)).status != 200:
+                await trio.sleep(0.1)
+        (gateway,) = world.gateways
+        with trio.fail_after(20.0):
+            async with trio.open_nursery() as early:
+                # Keeps the process running, and may be cut off.
+                early.start_soon(ask, world, 'a2', 'fixed', rng)
+                await callers.pause(200.0)
+                if held_ms:
+                    early.start_soon(faults._hold_up, world, gateway, held_ms)
+                    await callers.pause(1.0)
+                world.stop_gateway(gateway)
+                await callers.pause(3_050.0 + 0.7 * held_ms)
+                call = await ask(world, 'a1', 'fixed', rng)
+        assert world_lib.count_events(call.id) > 30
+        assert call.status in (200, 503)
+        assert losses.find_lost(world.record) == []
+        nursery.cancel_scope.cancel()
