Bound what a router keeps of the bodies of all requests

A router reads up to 900,000 bytes of each body and nothing bounds their sum. Clients that stop short of the end of a body keep it there for good, on HTTP/1.1 connections as well as on the streams of HTTP/2 ones, and at the listener of the operators too. Ordinary callers lose a router that runs out of memory.

All requests of a process now share a budget for their bodies, the new setting `bodies` in `[limits]`, 64 MB. If a part finds no room, requests whose body is not complete are refused with 503 and Retry-After, the oldest first: a caller sends its body at once, so its request is not the one that stays incomplete. If all others are at work, the new one is refused.

--- a/foxtailpick/core/settings.py
+++ b/foxtailpick/core/settings.py
@@ -155,6 +155,7 @@
     :param shutdown: longest wait for requests in flight on shutdown.
     :param replay: bytes kept of each stream for replay.
     :param max_links: maximum number of links that a router keeps open.
+    :param bodies: bytes kept of the bodies of all open requests together.
     """
 
     load_multiple: float = _option(_parse_multiple, 1.25)
@@ -167,6 +168,7 @@
     shutdown: float = _option(units.parse_duration_ms, 30_000.0)
     replay: int = _option(units.parse_size_bytes, 262_144)
     max_links: int = _option(_parse_count, 256)
+    bodies: int = _option(units.parse_size_bytes, 64_000_000)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/foxtailpick/router/app.py
+++ b/foxtailpick/router/app.py
@@ -15,6 +15,7 @@
 from foxtailpick.core import types
 from foxtailpick.core import verdict as verdict_lib
 from foxtailpick.node import health
+from foxtailpick.node import request_bodies
 from foxtailpick.router import calls
 from foxtailpick.router import chats
 from foxtailpick.router import context as context_lib
@@ -22,7 +23,6 @@
 from foxtailpick.router import problems
 from foxtailpick.router import responses as router_responses
 
-MAX_BODY_BYTES = 900_000
 CHAT_PATH = '/v1/chat/completions'
 CALL_PATH = '/v1/services/{service}/{path:path}'
 SAFE_METHODS = frozenset({'GET', 'HEAD'})
@@ -194,7 +194,7 @@
     ctx: context_lib.RouterContext, req: requests.Request
 ) -> jobs.ChatJob:
     caller = await _read_caller(ctx, req)
-    body = await read_body(req)
+    body = await request_bodies.read_body(req)
     return jobs.ChatJob(
         caller=caller,
         chat=types.ChatId(jobs.parse_name(req.headers, jobs.HEADER_CHAT)),
@@ -234,7 +234,7 @@
         path=path,
         key=key,
         content_type=req.headers.get('content-type', ''),
-        body=await read_body(req),
+        body=await request_bodies.read_body(req),
         is_idempotent=is_idempotent,
     )
 
@@ -252,21 +252,3 @@
     raise jobs.make_header_error(
         jobs.HEADER_KEY, 'a key for a call that runs at most once', ''
     )
-
-
-async def read_body(req: requests.Request) -> bytes:
-    """Read the body of a request.
-
-    :param req: the request.
-    :raises errors.RequestError: if it is too large for one frame.
-    """
-    body = bytearray()
-    async for part in req.stream():
-        body += part
-        if len(body) > MAX_BODY_BYTES:
-            raise errors.RequestError(
-                errors.ErrorCode.REQUEST_MALFORMED,
-                f'body: expected at most {MAX_BODY_BYTES} bytes, got more; '
-                f'shorten the request',
-            )
-    return bytes(body)
--- a/foxtailpick/router/daemon.py
+++ b/foxtailpick/router/daemon.py
@@ -21,6 +21,7 @@
 from foxtailpick.node import http_server
 from foxtailpick.node import links as links_lib
 from foxtailpick.node import member_feed
+from foxtailpick.node import request_bodies
 from foxtailpick.router import app as app_lib
 from foxtailpick.router import context as context_lib
 from foxtailpick.router import fleet_view
@@ -83,9 +84,12 @@
             functools.partial(_update_members, cfg, node, fleet),
             fleet.on_list_failed,
         )
+        bodies = request_bodies.BodyBudget(cfg.limits.bodies)
         url = await stack.enter_async_context(
             http_server.serve_app(
-                app_lib.make_caller_app(ctx),
+                request_bodies.limit_bodies(
+                    app_lib.make_caller_app(ctx), bodies
+                ),
                 cfg.listen.host,
                 cfg.listen.port,
                 CONNECTION_GRACE_MS,
@@ -96,7 +100,9 @@
         )
         admin_url = await stack.enter_async_context(
             http_server.serve_app(
-                operators.make_operator_app(ctx, writer),
+                request_bodies.limit_bodies(
+                    operators.make_operator_app(ctx, writer), bodies
+                ),
                 cfg.listen.host,
                 cfg.listen.admin_port,
                 CONNECTION_GRACE_MS,
--- a/foxtailpick/router/operators.py
+++ b/foxtailpick/router/operators.py
@@ -13,6 +13,7 @@
 from foxtailpick.core import errors
 from foxtailpick.core import types
 from foxtailpick.node import health
+from foxtailpick.node import request_bodies
 from foxtailpick.router import app as app_lib
 from foxtailpick.router import context as context_lib
 
@@ -44,7 +45,7 @@
         )
 
     async def submit(req: requests.Request) -> responses.Response:
-        text = (await app_lib.read_body(req)).decode('utf-8', 'replace')
+        text = (await request_bodies.read_body(req)).decode('utf-8', 'replace')
         answer = await writer.submit(text)
         ctx.node.on_accepted(answer)
         return responses.JSONResponse(
