Bound the body of an order to a sidecar

It now reads at most 900,000 bytes, as a router does, and its operators share the budget of `bodies`. A refusal is answered as one: 400, or 503 with Retry-After.

--- a/foxtailpick/sidecar/daemon.py
+++ b/foxtailpick/sidecar/daemon.py
@@ -25,6 +25,7 @@
 from foxtailpick.node import http_server
 from foxtailpick.node import links as links_lib
 from foxtailpick.node import member_feed
+from foxtailpick.node import request_bodies
 from foxtailpick.router import jobs
 from foxtailpick.sidecar import connections
 from foxtailpick.sidecar import gate as gate_lib
@@ -110,7 +111,10 @@
         nursery.start_soon(gossiper.run)
         admin_url = await stack.enter_async_context(
             http_server.serve_app(
-                operators.make_operator_app(worker, node, monitor, desk),
+                request_bodies.limit_bodies(
+                    operators.make_operator_app(worker, node, monitor, desk),
+                    request_bodies.BodyBudget(cfg.limits.bodies),
+                ),
                 cfg.listen.host,
                 cfg.listen.admin_port,
                 ADMIN_GRACE_MS,
--- a/foxtailpick/sidecar/order_desk.py
+++ b/foxtailpick/sidecar/order_desk.py
@@ -1,5 +1,6 @@
 """Accepts orders to the endpoint from operators and applies them."""
 
+import json
 import random
 import typing
 
@@ -16,6 +17,7 @@
 from foxtailpick.core import settings
 from foxtailpick.core import types
 from foxtailpick.core import weight_loads
+from foxtailpick.node import request_bodies
 from foxtailpick.router import problems
 
 
@@ -130,11 +132,13 @@
 
     async def post_order(req: requests.Request) -> responses.Response:
         try:
-            message = await req.json()
+            message = json.loads(await request_bodies.read_body(req))
             kind = base.OrderKind(message['kind'])
             fields = [message[key] for key in ('target', 'issuer', 'change')]
             if not all(isinstance(item, str) and item for item in fields):
                 raise ValueError('expected non-empty strings')
+        except errors.RequestError as exc:
+            return problems.make_response(exc)
         except (ValueError, LookupError, TypeError) as exc:
             return problems.make_response(
                 errors.RequestError(
