Close connections whose requests are refused unread

The server queues the parts of a body for the application and waits while the queue of ten is full; it also waits there before it closes a connection. A request that was answered before its body had been read, with more than ten parts sent by then, got its answer, and then its connection and descriptor stayed for good, even after the client had gone. A request of an account that the router has to load first is such a case, and any request to the operators' listener that reads from the store.

What is left of a body is now read and dropped while the answer is sent.

--- a/foxtailpick/node/http_server.py
+++ b/foxtailpick/node/http_server.py
@@ -34,7 +34,7 @@
     stop = trio.Event()
     serve = functools.partial(
         hypercorn_trio.serve,
-        _log_failures(app),
+        discard_unread(_log_failures(app)),
         _make_config(host, port, grace_ms),
         shutdown_trigger=stop.wait,
     )
@@ -44,6 +44,55 @@
         stop.set()
 
 
+def discard_unread(app: typing.Any) -> typing.Any:
+    """Return an application that reads bodies to their end.
+
+    The server waits until each part of a body is taken, also before it
+    closes a connection, so a request that is refused before its body has
+    been read would keep its connection.
+
+    :param app: the ASGI application.
+    """
+
+    async def serve(
+        scope: typing.Any,
+        receive: typing.Callable,
+        send: typing.Callable,
+    ) -> None:
+        if scope['type'] != 'http':
+            await app(scope, receive, send)
+            return
+        is_read = False
+        failure = None
+
+        async def receive_tracked() -> dict:
+            nonlocal is_read
+            message = await receive()
+            is_read = is_read or not message.get('more_body', False)
+            return message
+
+        async def discard() -> None:
+            while (await receive())['type'] != 'http.disconnect':
+                pass
+
+        async with trio.open_nursery() as nursery:
+
+            async def send_and_discard(message: dict) -> None:
+                if message['type'] == 'http.response.start' and not is_read:
+                    nursery.start_soon(discard)
+                await send(message)
+
+            try:
+                await app(scope, receive_tracked, send_and_discard)
+            except Exception as exc:
+                failure = exc
+            nursery.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+
+    return serve
+
+
 def _log_failures(app: typing.Any) -> typing.Any:
     async def serve(
         scope: typing.Any,
