Keep a router when one connection of a client fails

The server runs its connections in one nursery, and an exception that it doesn't expect in one of them ends all the others, the listeners and the process. Clients can cause several: data of an HTTP/2 stream that has been answered (KeyError), a path or method that isn't ASCII (UnicodeDecodeError), settings of an upgrade that aren't base64 (binascii.Error). One request of one client was enough, without a credential, at the listener for callers as well as at the one for operators; all callers of the router lost theirs.

The process accepts connections by itself now, and an exception ends only its own connection, which is closed and logged.

--- a/foxtailpick/node/http_server.py
+++ b/foxtailpick/node/http_server.py
@@ -5,7 +5,9 @@
 import typing
 
 from hypercorn import config as hypercorn_config
-from hypercorn import trio as hypercorn_trio
+from hypercorn.trio import tcp_server
+from hypercorn.trio import worker_context
+from hypercorn import utils
 from loguru import logger
 from starlette import requests
 import trio
@@ -19,29 +21,49 @@
 
 @contextlib.asynccontextmanager
 async def serve_app(
-    app: typing.Any, host: str, port: int, grace_ms: float
+    app: typing.Any,
+    host: str,
+    port: int,
+    grace_ms: float,
 ) -> typing.AsyncIterator[str]:
     """Serve an application until the context exits.
 
     On exit the server stops listening, then lets responses in flight finish.
 
-    :param app: the ASGI application; it handles lifespan events.
+    :param app: the ASGI application; it gets no lifespan events.
     :param host: IP address to listen on.
     :param port: TCP port, 0 for any free one.
     :param grace_ms: longest wait for responses in flight.
     :returns: context whose value is the base URL.
     """
-    stop = trio.Event()
-    serve = functools.partial(
-        hypercorn_trio.serve,
-        discard_unread(_log_failures(app)),
-        _make_config(host, port, grace_ms),
-        shutdown_trigger=stop.wait,
+    cfg = _make_config(host, port, grace_ms)
+    context = worker_context.WorkerContext(None)
+    wrapped = utils.wrap_app(discard_unread(_log_failures(app)), 0, 'asgi')
+
+    async def serve(stream: trio.SocketStream) -> None:
+        try:
+            await tcp_server.TCPServer(wrapped, cfg, context, {}, stream)
+        except Exception as exc:
+            # An error of one connection must not end the others.
+            logger.warning('HTTP connection failed. {!r:.200}', exc)
+
+    listeners = await trio.open_tcp_listeners(
+        port, host=host, backlog=cfg.backlog
     )
-    async with trio.open_nursery() as nursery:
-        binds = await nursery.start(serve)
-        yield binds[0]
-        stop.set()
+    sock = listeners[0].socket
+    address = utils.repr_socket_addr(sock.family, sock.getsockname())
+    async with trio.open_nursery() as serving:
+        accept = functools.partial(
+            trio.serve_listeners, serve, listeners, handler_nursery=serving
+        )
+        async with trio.open_nursery() as accepting:
+            await accepting.start(accept)
+            yield f'http://{address}'
+            accepting.cancel_scope.cancel()
+        await context.terminated.set()
+        serving.cancel_scope.deadline = (
+            trio.current_time() + cfg.graceful_timeout
+        )
 
 
 def discard_unread(app: typing.Any) -> typing.Any:
