Bound the connections of clients by the descriptors of a process

Nothing bounds how many connections clients keep open. One that sends nothing, half a head or half a body stays for 75 s or for good, and holds a descriptor. When none is left, nobody is accepted, and links and calls of the store fail as well. The operators' listener takes its descriptors from the same process.

At the limit the connection is closed whose client has kept the process waiting for longest: since its connection, its request or its last answer began. A connection on which the process owes an answer is kept, so that a caller that sends its request at once isn't displaced by clients that send little.

--- a/foxtailpick/core/settings.py
+++ b/foxtailpick/core/settings.py
@@ -156,6 +156,8 @@
     :param replay: bytes kept of each stream for replay.
     :param max_links: maximum number of links that a router keeps open.
     :param bodies: bytes kept of the bodies of all open requests together.
+    :param max_connections: maximum number of connections that the clients
+        of a process keep open.
     """
 
     load_multiple: float = _option(_parse_multiple, 1.25)
@@ -169,6 +171,7 @@
     replay: int = _option(units.parse_size_bytes, 262_144)
     max_links: int = _option(_parse_count, 256)
     bodies: int = _option(units.parse_size_bytes, 64_000_000)
+    max_connections: int = _option(_parse_count, 2_048)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/foxtailpick/node/http_server.py
+++ b/foxtailpick/node/http_server.py
@@ -13,11 +13,15 @@
 import trio
 
 from foxtailpick.core import types
+from foxtailpick.node import client_connections
 
 # Longer than the idle time-outs of load balancers and callers, so that they
 # close idle connections first and no request races with a close.
 KEEP_ALIVE_S = 75.0
 
+# Key of a connection in the state of its requests.
+_STREAM = 'foxtailpick.stream'
+
 
 @contextlib.asynccontextmanager
 async def serve_app(
@@ -25,6 +29,7 @@
     host: str,
     port: int,
     grace_ms: float,
+    limit: client_connections.ConnectionLimit | None = None,
 ) -> typing.AsyncIterator[str]:
     """Serve an application until the context exits.
 
@@ -34,22 +39,30 @@
     :param host: IP address to listen on.
     :param port: TCP port, 0 for any free one.
     :param grace_ms: longest wait for responses in flight.
+    :param limit: bounds the connections, None for no bound.
     :returns: context whose value is the base URL.
     """
     cfg = _make_config(host, port, grace_ms)
     context = worker_context.WorkerContext(None)
-    wrapped = utils.wrap_app(discard_unread(_log_failures(app)), 0, 'asgi')
+    wrapped = utils.wrap_app(
+        _track_requests(discard_unread(_log_failures(app))), 0, 'asgi'
+    )
 
-    async def serve(stream: trio.SocketStream) -> None:
+    async def serve(stream: client_connections.ClientStream) -> None:
+        state = {_STREAM: stream}
         try:
-            await tcp_server.TCPServer(wrapped, cfg, context, {}, stream)
+            await tcp_server.TCPServer(wrapped, cfg, context, state, stream)
         except Exception as exc:
             # An error of one connection must not end the others.
             logger.warning('HTTP connection failed. {!r:.200}', exc)
 
-    listeners = await trio.open_tcp_listeners(
-        port, host=host, backlog=cfg.backlog
-    )
+    bound = limit or client_connections.ConnectionLimit()
+    listeners = [
+        client_connections.ClientListener(listener, bound)
+        for listener in await trio.open_tcp_listeners(
+            port, host=host, backlog=cfg.backlog
+        )
+    ]
     sock = listeners[0].socket
     address = utils.repr_socket_addr(sock.family, sock.getsockname())
     async with trio.open_nursery() as serving:
@@ -66,6 +79,35 @@
         )
 
 
+def _track_requests(app: typing.Any) -> typing.Any:
+    """Return an application that tells connections what they wait for."""
+
+    async def serve(
+        scope: typing.Any,
+        receive: typing.Callable,
+        send: typing.Callable,
+    ) -> None:
+        stream = scope.get('state', {}).pop(_STREAM, None)
+        if scope['type'] != 'http' or stream is None:
+            await app(scope, receive, send)
+            return
+        is_read = False
+
+        async def receive_tracked() -> dict:
+            nonlocal is_read
+            if is_read:
+                return await receive()
+            with stream.read_request():
+                message = await receive()
+            is_read = not message.get('more_body', False)
+            return message
+
+        with stream.open_request():
+            await app(scope, receive_tracked, send)
+
+    return serve
+
+
 def discard_unread(app: typing.Any) -> typing.Any:
     """Return an application that reads bodies to their end.
 
--- a/foxtailpick/router/daemon.py
+++ b/foxtailpick/router/daemon.py
@@ -17,6 +17,7 @@
 from foxtailpick.core import invariants
 from foxtailpick.core import messages
 from foxtailpick.core import settings
+from foxtailpick.node import client_connections
 from foxtailpick.node import config_node as config_node_lib
 from foxtailpick.node import http_server
 from foxtailpick.node import links as links_lib
@@ -85,6 +86,9 @@
             fleet.on_list_failed,
         )
         bodies = request_bodies.BodyBudget(cfg.limits.bodies)
+        connections = client_connections.ConnectionLimit.from_settings(
+            cfg.limits
+        )
         url = await stack.enter_async_context(
             http_server.serve_app(
                 request_bodies.limit_bodies(
@@ -93,6 +97,7 @@
                 cfg.listen.host,
                 cfg.listen.port,
                 CONNECTION_GRACE_MS,
+                connections,
             )
         )
         writer = config_writer.ConfigWriter(
@@ -106,6 +111,7 @@
                 cfg.listen.host,
                 cfg.listen.admin_port,
                 CONNECTION_GRACE_MS,
+                connections,
             )
         )
         logger.info(
--- a/foxtailpick/sidecar/daemon.py
+++ b/foxtailpick/sidecar/daemon.py
@@ -21,6 +21,7 @@
 from foxtailpick.core import messages
 from foxtailpick.core import settings
 from foxtailpick.core import types
+from foxtailpick.node import client_connections
 from foxtailpick.node import config_node as config_node_lib
 from foxtailpick.node import http_server
 from foxtailpick.node import links as links_lib
@@ -99,6 +100,7 @@
             cfg.node.id,
             functools.partial(_update_members, cfg, gate, node),
         )
+        clients = client_connections.ConnectionLimit.from_settings(cfg.limits)
         address = await _serve_routers(nursery, cfg, worker, node, incarnation)
         port = int(address.rsplit(':', 1)[1])
         gossiper = gossip.Gossip(
@@ -118,6 +120,7 @@
                 cfg.listen.host,
                 cfg.listen.admin_port,
                 ADMIN_GRACE_MS,
+                clients,
             )
         )
         logger.info(
