Bound the connections of a sidecar's peers

The listener for routers counts in the limit of connections that its HTTP listener has. A link is kept while an attempt is sent on it. A router whose idle link is closed to make room opens it again with its next request.

--- a/foxtailpick/sidecar/connections.py
+++ b/foxtailpick/sidecar/connections.py
@@ -1,5 +1,6 @@
 """Connections from routers: receives frames, sends streams and answers."""
 
+import contextlib
 import itertools
 import typing
 
@@ -45,6 +46,8 @@
     :param node: holds the configuration in force.
     :param on_frame: called with this connection and each received frame.
     :param meter: counts sent and received bytes.
+    :param count_work: returns a context that is open while an attempt of the
+        router is sent.
     """
 
     def __init__(
@@ -55,6 +58,9 @@
         node: config_node_lib.ConfigNode,
         on_frame: OnFrame,
         meter: wire.TrafficMeter,
+        count_work: typing.Callable[
+            [], typing.ContextManager
+        ] = contextlib.nullcontext,
     ) -> None:
         self.peer: messages.Hello | None = None
         self.name = f'connection/{next(_connection_ids)}'
@@ -63,6 +69,7 @@
         self._hello = hello
         self._node = node
         self._on_frame = on_frame
+        self._count_work = count_work
         self._clock = clock_lib.Clock.from_trio()
         self._sent_after_ms = self._clock.now()
         self._probe_nonce = 0
@@ -261,7 +268,7 @@
         scope: trio.CancelScope,
     ) -> None:
         try:
-            with scope:
+            with scope, self._count_work():
                 await self._send_chunks(run, point)
                 await self.send(run.end)
         finally:
--- a/foxtailpick/sidecar/daemon.py
+++ b/foxtailpick/sidecar/daemon.py
@@ -101,7 +101,9 @@
             functools.partial(_update_members, cfg, gate, node),
         )
         clients = client_connections.ConnectionLimit.from_settings(cfg.limits)
-        address = await _serve_routers(nursery, cfg, worker, node, incarnation)
+        address = await _serve_routers(
+            nursery, cfg, worker, node, incarnation, clients
+        )
         port = int(address.rsplit(':', 1)[1])
         gossiper = gossip.Gossip(
             gate.pool,
@@ -164,6 +166,7 @@
     worker: worker_lib.Worker,
     node: config_node_lib.ConfigNode,
     incarnation: types.Incarnation,
+    clients: client_connections.ConnectionLimit,
 ) -> str:
     hello = messages.Hello(messages.PROTOCOL_VERSION, cfg.node.id, incarnation)
 
@@ -177,15 +180,26 @@
 
     async def handle(conn: typing.Any) -> None:
         connection = connections.Connection(
-            conn, worker, hello, node, on_frame, meter
+            conn,
+            worker,
+            hello,
+            node,
+            on_frame,
+            meter,
+            conn.stream.open_request,
         )
         await connection.serve()
 
+    listeners = [
+        client_connections.ClientListener(listener, clients)
+        for listener in await trio.open_tcp_listeners(
+            cfg.listen.port, host=cfg.listen.host
+        )
+    ]
     serve = functools.partial(
         ws_server.serve,
         handle,
-        cfg.listen.port,
-        host=cfg.listen.host,
+        listeners=listeners,
         **wire.CONNECTION_OPTIONS,
     )
     server = await nursery.start(serve)
