End a process whose clients do not read

The server writes to its connections shielded from cancellation, and a write waits for a client that doesn't read. Such a client kept a process from ending after SIGTERM: beyond `shutdown` and beyond the grace of its connections, without a limit.

What is still open at the end of the grace is closed, which ends the write.

--- a/foxtailpick/node/http_server.py
+++ b/foxtailpick/node/http_server.py
@@ -47,14 +47,18 @@
     wrapped = utils.wrap_app(
         _track_requests(discard_unread(_log_failures(app))), 0, 'asgi'
     )
+    streams: set[client_connections.ClientStream] = set()
 
     async def serve(stream: client_connections.ClientStream) -> None:
+        streams.add(stream)
         state = {_STREAM: stream}
         try:
             await tcp_server.TCPServer(wrapped, cfg, context, state, stream)
         except Exception as exc:
             # An error of one connection must not end the others.
             logger.warning('HTTP connection failed. {!r:.200}', exc)
+        finally:
+            streams.discard(stream)
 
     bound = limit or client_connections.ConnectionLimit()
     listeners = [
@@ -65,18 +69,33 @@
     ]
     sock = listeners[0].socket
     address = utils.repr_socket_addr(sock.family, sock.getsockname())
-    async with trio.open_nursery() as serving:
-        accept = functools.partial(
-            trio.serve_listeners, serve, listeners, handler_nursery=serving
-        )
-        async with trio.open_nursery() as accepting:
-            await accepting.start(accept)
-            yield f'http://{address}'
-            accepting.cancel_scope.cancel()
-        await context.terminated.set()
-        serving.cancel_scope.deadline = (
-            trio.current_time() + cfg.graceful_timeout
-        )
+    async with trio.open_nursery() as closing:
+        async with trio.open_nursery() as serving:
+            accept = functools.partial(
+                trio.serve_listeners, serve, listeners, handler_nursery=serving
+            )
+            async with trio.open_nursery() as accepting:
+                await accepting.start(accept)
+                yield f'http://{address}'
+                accepting.cancel_scope.cancel()
+            await context.terminated.set()
+            end_s = trio.current_time() + cfg.graceful_timeout
+            serving.cancel_scope.deadline = end_s
+            closing.start_soon(_close_streams, streams, end_s)
+        closing.cancel_scope.cancel()
+
+
+async def _close_streams(
+    streams: set[client_connections.ClientStream], end_s: float
+) -> None:
+    """Close connections at the end of the grace period.
+
+    Writes are shielded from cancellation and wait for a client that does not
+    read; they end with their connection.
+    """
+    await trio.sleep_until(end_s)
+    for stream in list(streams):
+        stream.close()
 
 
 def _track_requests(app: typing.Any) -> typing.Any:
