Bound the replies to a peer that does not read

A sidecar sends what a peer asks of the configuration in a task for each reply.

A peer is disconnected when 256 replies to it wait. A router that reads leaves none: each question is read in a step of its own, in which replies are written.

--- a/foxtailpick/sidecar/connections.py
+++ b/foxtailpick/sidecar/connections.py
@@ -28,6 +28,7 @@
 IDLE_PROBE_INTERVAL_MS = 45_000.0
 WINDOW_CHUNKS = 512
 MAX_CHUNKS_PER_FRAME = 64
+MAX_PENDING_REPLIES = 256
 
 # Longest time that a frame may have waited for its account to load.
 MAX_ACCOUNT_WAIT_MS = 30_000.0
@@ -75,6 +76,7 @@
         self._probe_nonce = 0
         self._opened_count = 0
         self._probe_sent_ms = self._sent_after_ms
+        self._pending_replies = 0
         self._nursery: trio.Nursery | None = None
         self._handlers = {
             messages.OpenChat: self._on_open,
@@ -114,8 +116,21 @@
         await self._stream.send(frame)
 
     def send_soon(self, message: messages.Message) -> None:
-        """Send a message in a background task of the connection."""
-        self._nursery.start_soon(self.send, message)
+        """Send a message in a background task of the connection.
+
+        A peer that does not read what it asks for is disconnected.
+        """
+        if self._pending_replies >= MAX_PENDING_REPLIES:
+            self._nursery.cancel_scope.cancel()
+            return
+        self._pending_replies += 1
+        self._nursery.start_soon(self._send_reply, message)
+
+    async def _send_reply(self, message: messages.Message) -> None:
+        try:
+            await self.send(message)
+        finally:
+            self._pending_replies -= 1
 
     async def _handshake(self) -> None:
         with trio.fail_after(wire.OPEN_TIMEOUT_S):
