Bound the unread frames of all peers of a sidecar

A peer may send a frame of up to 1 MB, and the sidecar keeps what has come of it until it is whole.

The bytes received on all connections and not read yet share a budget as large as that of `bodies`. Beyond it the peer that holds most is disconnected. The choice is tested without a network.

--- a/foxtailpick/adapters/wire.py
+++ b/foxtailpick/adapters/wire.py
@@ -19,6 +19,8 @@
 OPEN_TIMEOUT_S = 1.0
 CLOSE_TIMEOUT_S = 0.5
 MAX_REASON_BYTES = 120
+# Longest head of a frame of the WebSocket protocol.
+MAX_HEAD_BYTES = 14
 
 # The library does not log: the links log each lost connection.
 _library_log = logging.getLogger('foxtailpick.websockets')
--- a/foxtailpick/node/client_connections.py
+++ b/foxtailpick/node/client_connections.py
@@ -42,13 +42,18 @@
 
     :param stream: the connection.
     :param limit: the limit that it counts in.
+    :param budget: accounts for what it receives, None for no account.
     """
 
     def __init__(
-        self, stream: trio.SocketStream, limit: 'ConnectionLimit'
+        self,
+        stream: trio.SocketStream,
+        limit: 'ConnectionLimit',
+        budget: 'ReceiveBudget | None' = None,
     ) -> None:
         self._stream = stream
         self._limit = limit
+        self._budget = budget
         self._clock = clock_lib.Clock.from_trio()
         self._opened_ms = self._clock.now()
         self._open_requests = 0
@@ -92,7 +97,18 @@
 
     async def receive_some(self, max_bytes: int | None = None) -> bytes:
         """Receive bytes of the client."""
-        return await self._stream.receive_some(max_bytes)
+        data = await self._stream.receive_some(max_bytes)
+        if self._budget is not None:
+            self._budget.add(self, len(data))
+        return data
+
+    def release(self, size: int) -> None:
+        """Account for received bytes that have been read.
+
+        :param size: number of bytes.
+        """
+        if self._budget is not None:
+            self._budget.release(self, size)
 
     async def send_all(self, data: bytes) -> None:
         """Send bytes to the client."""
@@ -118,6 +134,8 @@
     def close(self) -> None:
         """Close the connection; its tasks see a closed stream."""
         self._limit.remove(self)
+        if self._budget is not None:
+            self._budget.remove(self)
         self._stream.socket.close()
 
 
@@ -145,12 +163,17 @@
             )
         )
 
-    def add(self, stream: trio.SocketStream) -> ClientStream | None:
+    def add(
+        self,
+        stream: trio.SocketStream,
+        budget: 'ReceiveBudget | None' = None,
+    ) -> ClientStream | None:
         """Add a connection; another one may be closed to make room.
 
         :param stream: the new connection, closed if there is no room.
+        :param budget: accounts for what it receives, None for no account.
         """
-        conn = ClientStream(stream, self)
+        conn = ClientStream(stream, self, budget)
         self._connections[conn] = None
         if len(self._connections) > self._max_connections:
             closed = choose_to_close(self._connections) or conn
@@ -164,6 +187,50 @@
         self._connections.pop(conn, None)
 
 
+class ReceiveBudget:
+    """The bytes received on all connections that are not read yet.
+
+    :param limit_bytes: the most bytes.
+    """
+
+    def __init__(self, limit_bytes: int) -> None:
+        self.held_bytes = 0
+        self._limit_bytes = limit_bytes
+        self._held_by_conn: dict[ClientStream, int] = {}
+
+    def add(self, conn: ClientStream, size: int) -> None:
+        """Account for received bytes.
+
+        If there is no room, the connection that holds most is closed.
+
+        :param conn: the connection.
+        :param size: number of bytes.
+        """
+        held = self._held_by_conn
+        held[conn] = held.get(conn, 0) + size
+        self.held_bytes += size
+        while self.held_bytes > self._limit_bytes:
+            max(held, key=held.get).close()
+
+    def release(self, conn: ClientStream, size: int) -> None:
+        """Account for bytes that have been read.
+
+        :param conn: the connection.
+        :param size: number of bytes.
+        """
+        held = self._held_by_conn.get(conn, 0)
+        released = min(size, held)
+        self.held_bytes -= released
+        if released < held:
+            self._held_by_conn[conn] = held - released
+        else:
+            self._held_by_conn.pop(conn, None)
+
+    def remove(self, conn: ClientStream) -> None:
+        """Forget a connection that is closed."""
+        self.held_bytes -= self._held_by_conn.pop(conn, 0)
+
+
 def choose_to_close(
     conns: typing.Iterable[ClientStream],
 ) -> ClientStream | None:
@@ -185,13 +252,18 @@
 
     :param listener: the listening socket.
     :param limit: the limit.
+    :param budget: accounts for what they receive, None for no account.
     """
 
     def __init__(
-        self, listener: trio.SocketListener, limit: ConnectionLimit
+        self,
+        listener: trio.SocketListener,
+        limit: ConnectionLimit,
+        budget: ReceiveBudget | None = None,
     ) -> None:
         self._listener = listener
         self._limit = limit
+        self._budget = budget
 
     @property
     def socket(self) -> trio.socket.SocketType:
@@ -201,7 +273,8 @@
     async def accept(self) -> ClientStream:
         """Accept a connection."""
         while True:
-            conn = self._limit.add(await self._listener.accept())
+            stream = await self._listener.accept()
+            conn = self._limit.add(stream, self._budget)
             if conn is not None:
                 return conn
 
--- a/foxtailpick/sidecar/daemon.py
+++ b/foxtailpick/sidecar/daemon.py
@@ -160,6 +160,15 @@
     return worker_lib.Worker(gate, cfg.limits, None, service, runner)
 
 
+class _PeerConnection(ws_server.ServerConnection):
+    """A connection that accounts for the messages that are read."""
+
+    async def recv(self, decode: bool | None = None) -> str | bytes:
+        data = await super().recv(decode)
+        self.stream.release(len(data) + wire.MAX_HEAD_BYTES)
+        return data
+
+
 async def _serve_routers(
     nursery: trio.Nursery,
     cfg: settings.SidecarSettings,
@@ -190,8 +199,9 @@
         )
         await connection.serve()
 
+    budget = client_connections.ReceiveBudget(cfg.limits.bodies)
     listeners = [
-        client_connections.ClientListener(listener, clients)
+        client_connections.ClientListener(listener, clients, budget)
         for listener in await trio.open_tcp_listeners(
             cfg.listen.port, host=cfg.listen.host
         )
@@ -200,6 +210,7 @@
         ws_server.serve,
         handle,
         listeners=listeners,
+        create_connection=_PeerConnection,
         **wire.CONNECTION_OPTIONS,
     )
     server = await nursery.start(serve)
--- a/foxtailpick/tests/test_client_connections.py
+++ b/foxtailpick/tests/test_client_connections.py
@@ -48,6 +48,30 @@
     assert bound == expected
 
 
+class Stream:
+    """A stand-in of a connection that can be closed."""
+
+    def __init__(self, budget):
+        self._budget = budget
+        self.is_closed = False
+
+    def close(self):
+        """Close the connection."""
+        self.is_closed = True
+        self._budget.remove(self)
+
+
+def test_connection_that_holds_most_is_closed():
+    budget = client_connections.ReceiveBudget(100)
+    small, large = Stream(budget), Stream(budget)
+    budget.add(small, 30)
+    budget.add(large, 60)
+    budget.add(small, 20)
+    assert (small.is_closed, large.is_closed) == (False, True)
+    budget.release(small, 60)
+    assert budget.held_bytes == 0
+
+
 def test_new_connection_displaces_an_idle_one():
     async def main():
         limit = client_connections.ConnectionLimit(1)
