--- a/foxtailpick/sidecar/daemon.py
+++ b/foxtailpick/sidecar/daemon.py
@@ -21,10 +21,12 @@
 from foxtailpick.core import messages
 from foxtailpick.core import settings
 from foxtailpick.core import types
+from foxtailpick.node import client_connections
 from foxtailpick.node import config_node as config_node_lib
 from foxtailpick.node import http_server
 from foxtailpick.node import links as links_lib
 from foxtailpick.node import member_feed
+from foxtailpick.node import request_bodies
 from foxtailpick.router import jobs
 from foxtailpick.sidecar import connections
 from foxtailpick.sidecar import gate as gate_lib
@@ -98,7 +100,10 @@
             cfg.node.id,
             functools.partial(_update_members, cfg, gate, node),
         )
-        address = await _serve_routers(nursery, cfg, worker, node, incarnation)
+        clients = client_connections.ConnectionLimit.from_settings(cfg.limits)
+        address = await _serve_routers(
+            nursery, cfg, worker, node, incarnation, clients
+        )
         port = int(address.rsplit(':', 1)[1])
         gossiper = gossip.Gossip(
             gate.pool,
@@ -110,10 +115,14 @@
         nursery.start_soon(gossiper.run)
         admin_url = await stack.enter_async_context(
             http_server.serve_app(
-                operators.make_operator_app(worker, node, monitor, desk),
+                request_bodies.limit_bodies(
+                    operators.make_operator_app(worker, node, monitor, desk),
+                    request_bodies.BodyBudget(cfg.limits.bodies),
+                ),
                 cfg.listen.host,
                 cfg.listen.admin_port,
                 ADMIN_GRACE_MS,
+                clients,
             )
         )
         logger.info(
@@ -151,12 +160,22 @@
     return worker_lib.Worker(gate, cfg.limits, None, service, runner)
 
 
+class _PeerConnection(ws_server.ServerConnection):
+    """A connection that accounts for the messages that are read."""
+
+    async def recv(self, decode: bool | None = None) -> str | bytes:
+        data = await super().recv(decode)
+        self.stream.release(len(data) + wire.MAX_HEAD_BYTES)
+        return data
+
+
 async def _serve_routers(
     nursery: trio.Nursery,
     cfg: settings.SidecarSettings,
     worker: worker_lib.Worker,
     node: config_node_lib.ConfigNode,
     incarnation: types.Incarnation,
+    clients: client_connections.ConnectionLimit,
 ) -> str:
     hello = messages.Hello(messages.PROTOCOL_VERSION, cfg.node.id, incarnation)
 
@@ -170,15 +189,28 @@
 
     async def handle(conn: typing.Any) -> None:
         connection = connections.Connection(
-            conn, worker, hello, node, on_frame, meter
+            conn,
+            worker,
+            hello,
+            node,
+            on_frame,
+            meter,
+            conn.stream.open_request,
         )
         await connection.serve()
 
+    budget = client_connections.ReceiveBudget(cfg.limits.bodies)
+    listeners = [
+        client_connections.ClientListener(listener, clients, budget)
+        for listener in await trio.open_tcp_listeners(
+            cfg.listen.port, host=cfg.listen.host
+        )
+    ]
     serve = functools.partial(
         ws_server.serve,
         handle,
-        cfg.listen.port,
-        host=cfg.listen.host,
+        listeners=listeners,
+        create_connection=_PeerConnection,
         **wire.CONNECTION_OPTIONS,
     )
     server = await nursery.start(serve)
