Count the unfinished part of a head towards its limit

The bytes of a head were counted once a header was complete, and the parser keeps what came before: a header name or value without end, or a trailer, filled the memory until the header timeout. A gateway with a limit of 120 MB reached 290 and 306 MB with 30 such clients.

The reader now counts what it received since the last complete part, feeds heads to the parser in pieces of 4 KiB, and answers 431 beyond max_header_bytes. This also bounds chunk extensions and trailers.

A head of exactly the limit is accepted, however it is cut.

--- a/foxtailpick/gateway/http1.py
+++ b/foxtailpick/gateway/http1.py
@@ -18,6 +18,11 @@
 # sent concurrently with reading, since a peer may respond early.
 INLINE_BODY_BYTES = 16_384
 
+# Heads are parsed in pieces of this size, so that a limit takes effect early.
+HEAD_PIECE_BYTES = 4_096
+# Method, version and line ends, which `max_header_bytes` does not count.
+REQUEST_LINE_BYTES = 64
+
 # Responses to this method have no body.
 HEAD = b'HEAD'
 
@@ -101,6 +106,8 @@
         self._body: list[bytes] = []
         self._header_bytes = 0
         self._body_bytes = 0
+        # Received since the last complete part, which the parser may keep.
+        self._pending_bytes = 0
         self._began_ms = 0.0
         self.is_in_request = False
         self.is_in_headers = False
@@ -121,6 +128,16 @@
         return self._take_ready()
 
     def _parse(self, data: bytes) -> None:
+        view = memoryview(data)
+        while view:
+            is_in_body = self.is_in_request and not self.is_in_headers
+            piece = view if is_in_body else view[:HEAD_PIECE_BYTES]
+            view = view[len(piece) :]
+            self._pending_bytes += len(piece)
+            self._parse_piece(piece)
+            self._check_pending_bytes()
+
+    def _parse_piece(self, data: memoryview) -> None:
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserCallbackError as exc:
@@ -133,8 +150,15 @@
             raise RequestRejected(400, 'upgrades are not supported') from exc
         except httptools.HttpParserError as exc:
             raise RequestRejected(400, f'bad request: {exc}') from exc
+
+    def _check_pending_bytes(self) -> None:
+        if not self.is_in_request:
+            return
+        kept = self._pending_bytes
         if self.is_in_headers:
-            self._check_header_bytes()
+            kept += self._header_bytes
+        if kept > self._limits.max_header_bytes + REQUEST_LINE_BYTES:
+            raise RequestRejected(431, 'the headers are too long')
 
     def _take_ready(self) -> list[Request]:
         ready = self._ready
@@ -150,6 +174,7 @@
         self._body = []
         self._header_bytes = 0
         self._body_bytes = 0
+        self._pending_bytes = 0
         self.is_in_request = True
         self.is_in_headers = True
 
@@ -157,10 +182,13 @@
         """Append a part of the target."""
         self._target += url
         self._header_bytes += len(url)
+        self._pending_bytes = 0
+        self._check_header_bytes()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; ignore a trailer."""
         self._header_bytes += len(name) + len(value) + 4
+        self._pending_bytes = 0
         self._check_header_bytes()
         if self.is_in_headers:
             self._headers.append((name.lower(), value))
@@ -168,6 +196,7 @@
     def on_headers_complete(self) -> None:
         """Check the sizes and handle `Expect: 100-continue`."""
         self.is_in_headers = False
+        self._pending_bytes = 0
         self._check_header_bytes()
         for name, value in self._headers:
             if name == b'content-length':
@@ -178,6 +207,7 @@
     def on_body(self, data: bytes) -> None:
         """Append a part of the body."""
         self._body_bytes += len(data)
+        self._pending_bytes = 0
         self._check_body_bytes(self._body_bytes)
         self._body.append(data)
 
@@ -185,6 +215,7 @@
         """Queue the complete request."""
         self.is_in_request = False
         self.expects_continue = False
+        self._pending_bytes = 0
         self._ready.append(
             Request(
                 self._parser.get_method(),
