Bound what is read after a rejected request

After a rejected request everything that the caller sent was read and thrown away until its response was sent, and for a second after that. The response waits for earlier requests on the connection, so that a client with a long request in flight could keep the gateway reading without an end.

No more is read now than 16 MiB, or max_body_bytes if that is more: callers that read the response only after they have sent it all get it still. The connection is closed as before.

test_no_more_is_read_than_a_caller_may_still_send failed before: all of 64 MiB were read beside a request in flight.

--- a/foxtailpick/gateway/server.py
+++ b/foxtailpick/gateway/server.py
@@ -27,6 +27,8 @@
 CALLER_DESCRIPTOR_SHARE = 0.6
 # Maximum number of pipelined requests that are read ahead.
 MAX_PIPELINED_REQUESTS = 8
+# Maximum of what is read after a rejected request, if bodies are not longer.
+MAX_DISCARDED_BYTES = 16_777_216
 # Pause after a failed accept, such as when no descriptor is left.
 ACCEPT_RETRY_MS = 50.0
 # Time for a caller to read why its request was rejected, and to close.
@@ -223,10 +225,17 @@
         nursery.cancel_scope.cancel()
 
     async def _discard(self, caller: Caller) -> None:
-        """Wait until a caller disconnects, and ignore what it sends."""
+        """Wait until a caller disconnects, and ignore what it sends.
+
+        Most callers read the response only after they have sent it all.
+        """
+        left = max(MAX_DISCARDED_BYTES, self._gw.state.limits.max_body_bytes)
         with contextlib.suppress(http1.BrokenConnectionError):
-            while await http1.receive(caller.sock):
-                pass
+            while size := len(await http1.receive(caller.sock)):
+                left -= size
+                if left <= 0:
+                    # Its connection is closed once it is answered.
+                    await trio.sleep_forever()
 
     async def _queue_requests(
         self,
