Bound the memory of the requests of all callers

Each request was within its own limits, but nothing bounded what all of them hold together, nor what their headers cost as objects. With a limit of 120 MB a gateway reached 201 MB with 150 bodies that stopped short of 1 MiB and stayed, 180 MB with 400 heads of short headers, 392 MB with 150 whole bodies at once, all inside the limits, and 271 MB with 20 connections that pipeline ten bodies each.

The requests of all callers now share a part of limits.memory_mb, which the gateway reads as a new setting. A request is charged from its head on, with the body that it announces, a cost for each header and one for the request, until it has been answered. To make room, unfinished requests that make no progress end with 408 first, those without progress for longest before the others, so that clients that stop short and stay don't keep ordinary callers out. Short requests have a part to themselves. On one connection, long requests are no longer read ahead without regard to their size, and neither reader nor server keeps a request that has been answered. A single request inside the limits always fits when there are no others. The decision is in core/dispatch/request_memory, without sockets.

No request ran whose status promises that it did not.

--- a/foxtailpick/core/errors.py
+++ b/foxtailpick/core/errors.py
@@ -41,6 +41,7 @@
     PROMPT_QUARANTINED = 'FTP-218'
     REQUEST_TOO_LARGE = 'FTP-220'
     STREAM_UNKNOWN = 'FTP-221'
+    NO_REQUEST_MEMORY = 'FTP-222'
 
     # Configuration and patches.
     PATCH_MALFORMED = 'FTP-301'
--- a/foxtailpick/gateway/context.py
+++ b/foxtailpick/gateway/context.py
@@ -17,6 +17,7 @@
 from foxtailpick.core.dispatch import model
 from foxtailpick.core.dispatch import overload_order
 from foxtailpick.core.dispatch import refusal
+from foxtailpick.core.dispatch import request_memory as request_memory_lib
 from foxtailpick.core.dispatch import request_work
 from foxtailpick.core.dispatch import response_timeout
 from foxtailpick.core.dispatch import rollouts as rollouts_lib
@@ -185,6 +186,7 @@
     :param look_up_stream: finds out where a stream began that isn't known.
     :param stream_timing: durations of recent streams, per allowed token.
     :param buffered: memory used by responses that are being read.
+    :param request_memory: memory of the requests of all callers.
     :param request_scopes: cancel scopes of the requests in flight.
     :param shutdown_deadline_ms: when requests in flight are cut off, None
         unless the process is stopping.
@@ -265,6 +267,9 @@
     buffered: exchange_lib.BufferedTotal = dataclasses.field(
         default_factory=exchange_lib.BufferedTotal
     )
+    request_memory: request_memory_lib.RequestMemory = dataclasses.field(
+        default_factory=request_memory_lib.RequestMemory
+    )
     request_scopes: set[trio.CancelScope] = dataclasses.field(
         default_factory=set
     )
--- a/foxtailpick/gateway/http1.py
+++ b/foxtailpick/gateway/http1.py
@@ -12,6 +12,8 @@
 import trio
 
 from foxtailpick.core.dispatch import model
+from foxtailpick.core.dispatch import request_memory
+from foxtailpick.core import errors
 
 RECEIVE_BYTES = 65_536
 # Requests up to this size fit the smallest socket buffers; longer ones are
@@ -58,6 +60,7 @@
     :param received_ms: when its first bytes arrived.
     :param keeps_alive: whether the caller allows the connection to be
         reused.
+    :param held_bytes: memory that it takes.
     """
 
     method: bytes
@@ -66,6 +69,7 @@
     body: bytes | bytearray
     received_ms: float
     keeps_alive: bool
+    held_bytes: int = 0
 
     def get_host(self) -> str:
         """Return the Host header, empty if there is none."""
@@ -76,15 +80,25 @@
 
 
 class RequestRejected(Exception):
-    """A request that exceeds a limit or is invalid HTTP.
+    """A request that exceeds a limit, finds no room or is invalid HTTP.
 
     :param status: status code of the response.
     :param reason: what is wrong with the request.
+    :param code: stable error code.
+    :param retry_after_ms: delay until a retry may succeed, if any.
     """
 
-    def __init__(self, status: int, reason: str) -> None:
+    def __init__(
+        self,
+        status: int,
+        reason: str,
+        code: errors.ErrorCode = errors.ErrorCode.REQUEST_MALFORMED,
+        retry_after_ms: float | None = None,
+    ) -> None:
         super().__init__(reason)
         self.status = status
+        self.code = code
+        self.retry_after_ms = retry_after_ms
         # Complete requests that were received just before it.
         self.preceding: list[Request] = []
 
@@ -106,6 +120,8 @@
         self._body = bytearray()
         self._header_bytes = 0
         self._body_bytes = 0
+        self._announced_bytes = 0
+        self.received_bytes = 0
         # Received since the last complete part, which the parser may keep.
         self._pending_bytes = 0
         self._began_ms = 0.0
@@ -120,6 +136,7 @@
             Complete requests before it are attached to the exception.
         """
         self._began_ms = now_ms if not self.is_in_request else self._began_ms
+        self.received_bytes += len(data)
         try:
             self._parse(data)
         except RequestRejected as exc:
@@ -128,6 +145,15 @@
             raise
         return self._take_ready()
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory of the unfinished request, with the body it announces."""
+        return request_memory.compute_cost(
+            self._header_bytes + self._pending_bytes,
+            len(self._headers),
+            max(self._announced_bytes, len(self._body)),
+        )
+
     def drop(self) -> None:
         """Release what is kept of a request that will not be completed."""
         self._headers = []
@@ -177,6 +203,7 @@
         """Start a request."""
         self._limits = self._get_limits()
         self.drop()
+        self._announced_bytes = 0
         self._header_bytes = 0
         self._body_bytes = 0
         self._pending_bytes = 0
@@ -205,7 +232,8 @@
         self._check_header_bytes()
         for name, value in self._headers:
             if name == b'content-length':
-                self._check_body_bytes(int(value))
+                self._announced_bytes = int(value)
+                self._check_body_bytes(self._announced_bytes)
             elif name == b'expect':
                 self.expects_continue = True
 
@@ -229,6 +257,7 @@
                 self._body,
                 self._began_ms,
                 self._parser.should_keep_alive(),
+                self.held_bytes,
             )
         )
         # The request is the only owner of its parts from here on.
--- a/foxtailpick/gateway/server.py
+++ b/foxtailpick/gateway/server.py
@@ -1,5 +1,6 @@
 """Accepts callers' connections and handles their requests in order."""
 
+import collections
 import contextlib
 import errno
 import functools
@@ -10,6 +11,7 @@
 
 import trio
 
+from foxtailpick.core.dispatch import request_memory
 from foxtailpick.core import errors
 from foxtailpick.core import types
 from foxtailpick.gateway import context
@@ -27,6 +29,9 @@
 CALLER_DESCRIPTOR_SHARE = 0.6
 # Maximum number of pipelined requests that are read ahead.
 MAX_PIPELINED_REQUESTS = 8
+# No more is read ahead once requests that wait for another one on the same
+# connection take this much memory.
+MAX_READ_AHEAD_BYTES = 65_536
 # Maximum of what is read after a rejected request, if bodies are not longer.
 MAX_DISCARDED_BYTES = 16_777_216
 # Pause after a failed accept, such as when no descriptor is left.
@@ -49,6 +54,16 @@
         self.open_requests = 0
         # Whether a part of a request was read.
         self.is_reading = False
+        # Memory of the requests that are not yet answered, in order, and of
+        # the one that is being read.
+        self.holdings: collections.deque[request_memory.Holding] = (
+            collections.deque()
+        )
+        self.unfinished: request_memory.Holding | None = None
+        # Whether the request that is being read gave way to others.
+        self.has_given_way = False
+        # Set when a request has been answered, and then replaced.
+        self.answered = trio.Event()
         # When a part of a request's headers was read first.
         self.headers_began_s: float | None = None
         self.idle_since_ms = 0.0
@@ -190,6 +205,7 @@
         finally:
             self._callers.discard(caller)
             sock.close()
+            self._release_all(caller)
 
     async def _read(
         self,
@@ -197,33 +213,143 @@
         send: trio.MemorySendChannel,
         nursery: trio.Nursery,
     ) -> None:
-        gw = self._gw
-        reader = http1.RequestReader(lambda: gw.state.limits)
+        reader = http1.RequestReader(lambda: self._gw.state.limits)
+        exc: http1.RequestRejected | None = None
         try:
-            while data := await self._receive(caller, reader):
-                requests = reader.feed(data, gw.now_ms())
-                caller.is_reading = reader.is_in_request
-                if not reader.is_in_headers:
-                    caller.headers_began_s = None
-                elif requests or caller.headers_began_s is None:
-                    caller.headers_began_s = trio.current_time()
-                await self._queue_requests(caller, send, requests)
-                if reader.expects_continue:
-                    reader.expects_continue = False
-                    # Sent by the task that sends the responses, after
-                    # those to earlier requests.
-                    await send.send(http1.CONTINUE)
-        except http1.RequestRejected as exc:
+            while await self._read_some(caller, reader, send):
+                pass
+        except http1.RequestRejected as rejected:
+            exc = rejected
+        except http1.BrokenConnectionError:
+            # A reset is handled like a close.
+            pass
+        if exc is not None:
             # Until the rejection is sent.
             caller.is_reading = True
-            await self._queue_requests(caller, send, exc.preceding)
+            preceding, exc.preceding = exc.preceding, []
+            await self._queue_requests(caller, send, preceding)
+            del preceding
             await send.send(exc)
             await self._discard(caller)
-        except http1.BrokenConnectionError:
-            # A reset is handled like a close.
-            pass
         nursery.cancel_scope.cancel()
 
+    async def _read_some(
+        self,
+        caller: Caller,
+        reader: http1.RequestReader,
+        send: trio.MemorySendChannel,
+    ) -> bool:
+        """Read what arrives next; tell whether the caller is still there.
+
+        What was read belongs to the requests only, once they are queued.
+
+        :raises http1.RequestRejected: if a request is rejected.
+        """
+        while (
+            sum(item.held_bytes for item in list(caller.holdings)[1:])
+            > MAX_READ_AHEAD_BYTES
+        ):
+            await caller.answered.wait()
+        data = await self._receive(caller, reader)
+        if not data:
+            return False
+        if caller.has_given_way:
+            raise _make_gave_way_error()
+        try:
+            requests = reader.feed(data, self._gw.now_ms())
+        except http1.RequestRejected as exc:
+            self._charge(caller, reader, exc.preceding)
+            self._release_unfinished(caller)
+            raise
+        del data
+        self._charge(caller, reader, requests)
+        caller.is_reading = reader.is_in_request
+        if not reader.is_in_headers:
+            caller.headers_began_s = None
+        elif requests or caller.headers_began_s is None:
+            caller.headers_began_s = trio.current_time()
+        await self._queue_requests(caller, send, requests)
+        if reader.expects_continue:
+            reader.expects_continue = False
+            # Sent by the task that sends the responses, after
+            # those to earlier requests.
+            await send.send(http1.CONTINUE)
+        return True
+
+    def _charge(
+        self,
+        caller: Caller,
+        reader: http1.RequestReader,
+        requests: typing.Sequence[http1.Request],
+    ) -> None:
+        """Give requests that were read, also in part, their memory.
+
+        :raises http1.RequestRejected: if there is no room for one of them.
+        """
+        for number, req in enumerate(requests):
+            self._take(caller, reader, req.held_bytes, requests[:number])
+            holding, caller.unfinished = caller.unfinished, None
+            self._gw.request_memory.unfinished.discard(holding)
+            caller.holdings.append(holding)
+        if reader.is_in_request:
+            self._take(caller, reader, reader.held_bytes, requests)
+
+    def _take(
+        self,
+        caller: Caller,
+        reader: http1.RequestReader,
+        need_bytes: int,
+        preceding: typing.Sequence[http1.Request],
+    ) -> None:
+        gw, memory = self._gw, self._gw.request_memory
+        now_ms = gw.now_ms()
+        holding = caller.unfinished
+        if holding is None:
+            holding = caller.unfinished = request_memory.Holding(
+                functools.partial(self._give_way, caller, reader),
+                now_ms,
+                reader.received_bytes,
+            )
+            memory.unfinished.add(holding)
+        request_memory.record_received(holding, reader.received_bytes, now_ms)
+        bounds = request_memory.Bounds.from_config(
+            gw.cfg.memory_mb, gw.state.limits
+        )
+        if request_memory.take(memory, holding, need_bytes, bounds, now_ms):
+            return
+        reader.drop()
+        self._release_unfinished(caller)
+        gw.metrics.count('requests_without_memory')
+        exc = http1.RequestRejected(
+            503,
+            f'expected room for {need_bytes} bytes, got none beside '
+            f'{memory.used_bytes} bytes of other requests; come back later',
+            errors.ErrorCode.NO_REQUEST_MEMORY,
+            request_memory.RETRY_MS * gw.rng.uniform(0.6, 1.4),
+        )
+        exc.preceding = list(preceding)
+        raise exc
+
+    def _give_way(self, caller: Caller, reader: http1.RequestReader) -> None:
+        """End a request that is being read, in favour of others."""
+        reader.drop()
+        caller.unfinished = None
+        caller.has_given_way = True
+        caller.wait.cancel()
+        self._gw.metrics.count('requests_given_way')
+
+    def _release_unfinished(self, caller: Caller) -> None:
+        if caller.unfinished is not None:
+            request_memory.release(self._gw.request_memory, caller.unfinished)
+            caller.unfinished = None
+
+    def _release_all(self, caller: Caller) -> None:
+        self._release_unfinished(caller)
+        while caller.holdings:
+            request_memory.release(
+                self._gw.request_memory, caller.holdings.popleft()
+            )
+
     async def _discard(self, caller: Caller) -> None:
         """Wait until a caller disconnects, and ignore what it sends.
 
@@ -259,9 +385,13 @@
             # Their time is limited as a whole, however they are cut.
             began_s = caller.headers_began_s
         while True:
+            if caller.has_given_way:
+                raise _make_gave_way_error()
             limit_s = self._get_wait_limit_ms(caller, reader) / types.SECOND_MS
             with trio.CancelScope(deadline=began_s + limit_s) as caller.wait:
                 return await http1.receive(caller.sock)
+            if caller.has_given_way:
+                continue
             # Bytes may have arrived after the last poll for events.
             data = http1.receive_arrived(caller.sock)
             if data is not None:
@@ -297,15 +427,29 @@
             if item is http1.CONTINUE:
                 await http1.send_all(caller.sock, http1.CONTINUE)
                 continue
-            keeps_alive = functools.partial(self._keeps_alive, caller, item)
-            has_body = item.method != http1.HEAD
-            reply = reply_lib.Reply(caller.sock, keeps_alive, has_body)
-            await handle(item, reply)
+            is_open = await self._answer_one(caller, item, handle)
+            # The next one may be long in coming.
+            del item
+            request_memory.release(
+                self._gw.request_memory, caller.holdings.popleft()
+            )
             caller.open_requests -= 1
             caller.idle_since_ms = self._gw.now_ms()
-            if not reply.is_finished or not reply.keeps_alive:
+            caller.answered.set()
+            caller.answered = trio.Event()
+            if not is_open:
                 return
 
+    async def _answer_one(
+        self, caller: Caller, req: http1.Request, handle: Handler
+    ) -> bool:
+        """Answer a request; tell whether the connection stays open."""
+        keeps_alive = functools.partial(self._keeps_alive, caller, req)
+        has_body = req.method != http1.HEAD
+        reply = reply_lib.Reply(caller.sock, keeps_alive, has_body)
+        await handle(req, reply)
+        return reply.is_finished and reply.keeps_alive
+
     def _keeps_alive(self, caller: Caller, req: http1.Request) -> bool:
         """Tell whether the connection stays open after a response."""
         if not req.keeps_alive:
@@ -317,7 +461,7 @@
         self, caller: Caller, exc: http1.RequestRejected
     ) -> None:
         headers, body = reply_lib.format_error(
-            errors.ErrorCode.REQUEST_MALFORMED.value, str(exc), None
+            exc.code.value, str(exc), exc.retry_after_ms
         )
         reply = reply_lib.Reply(caller.sock, lambda: False)
         await reply.send_response(exc.status, headers, body)
@@ -329,6 +473,14 @@
         await trio.sleep(LINGER_MS / types.SECOND_MS)
 
 
+def _make_gave_way_error() -> http1.RequestRejected:
+    return http1.RequestRejected(
+        408,
+        'the request made no progress while others needed its memory',
+        errors.ErrorCode.NO_REQUEST_MEMORY,
+    )
+
+
 def make_handler(gw: context.Gateway) -> Handler:
     """Return the handler of callers' requests."""
     return functools.partial(relay.handle_request, gw)
--- a/foxtailpick/gateway/settings.py
+++ b/foxtailpick/gateway/settings.py
@@ -34,6 +34,7 @@
     :param rollback_ms: time in which a bad version has to be withdrawn.
     :param processor_share: CPU limit of the process, in cores.
     :param max_sockets: maximum number of open file descriptors.
+    :param memory_mb: memory limit of the process, in megabytes.
     """
 
     name: types.RouterId
@@ -55,6 +56,7 @@
     rollback_ms: float = 5_000.0
     processor_share: float = 1.0
     max_sockets: int = 4_096
+    memory_mb: float = 300.0
 
     def __post_init__(self) -> None:
         """Check the ranges."""
@@ -70,6 +72,7 @@
             self.exposure_slack,
             self.rollback_ms,
             self.processor_share,
+            self.memory_mb,
         )
         if not all(map(math.isfinite, numbers)):
             raise self._make_error('finite numbers')
@@ -89,6 +92,8 @@
             raise self._make_error('a rate of writes above 0')
         if self.processor_share <= 0 or self.max_sockets <= 0:
             raise self._make_error('processor and descriptor limits above 0')
+        if self.memory_mb <= 0:
+            raise self._make_error('a memory limit above 0')
 
     def _make_error(self, expected: str) -> errors.SettingsError:
         return errors.SettingsError(
--- a/foxtailpick/platform/boot.py
+++ b/foxtailpick/platform/boot.py
@@ -109,6 +109,7 @@
         processor_share=_get_number(fields, 'limits.cpu_share', 1.0)
         * _get_number(fields, 'limits.cores', 1.0),
         max_sockets=int(_get_number(fields, 'limits.max_fds', 4_096.0)),
+        memory_mb=_get_number(fields, 'limits.memory_mb', 300.0),
     )
 
 
