Bound empty lines before a request

The parser skips empty lines before a request, and each of them started the idle timeout anew. Clients that sent nothing else were neither answered nor closed: 0 of 20 connections were closed after 32 MiB each, and a line each 200 ms kept a connection open for 20 s with an idle timeout of 1 s.

Empty lines count towards max_header_bytes, with 400 beyond it, and the idle timeout counts from the connection's begin or its last answer.

Six new cases of the reader's tests failed before.

--- a/foxtailpick/gateway/http1.py
+++ b/foxtailpick/gateway/http1.py
@@ -186,6 +186,9 @@
 
     def _check_pending_bytes(self) -> None:
         if not self.is_in_request:
+            # The parser skips empty lines before a request.
+            if self._pending_bytes > self._limits.max_header_bytes:
+                raise RequestRejected(400, 'expected a request, got none')
             return
         kept = self._pending_bytes
         if self.is_in_headers:
--- a/foxtailpick/gateway/server.py
+++ b/foxtailpick/gateway/server.py
@@ -67,6 +67,8 @@
         # When a part of a request's headers was read first.
         self.headers_began_s: float | None = None
         self.idle_since_ms = 0.0
+        # When it connected, or its last request was answered.
+        self.idle_began_s = trio.current_time()
         # Whether to close the connection once no request is in flight.
         self.is_closing = False
         # The wait for the next bytes.
@@ -384,6 +386,9 @@
         if caller.headers_began_s is not None:
             # Their time is limited as a whole, however they are cut.
             began_s = caller.headers_began_s
+        elif not caller.is_busy:
+            # Empty lines are no request.
+            began_s = caller.idle_began_s
         while True:
             if caller.has_given_way:
                 raise _make_gave_way_error()
@@ -435,6 +440,7 @@
             )
             caller.open_requests -= 1
             caller.idle_since_ms = self._gw.now_ms()
+            caller.idle_began_s = trio.current_time()
             caller.answered.set()
             caller.answered = trio.Event()
             if not is_open:
--- a/foxtailpick/tests/test_request_reader.py
+++ b/foxtailpick/tests/test_request_reader.py
@@ -69,3 +69,16 @@
     data = (CHUNKED + chunks + http1.LAST_CHUNK) * 2
     received = feed_parts(make_reader(), data, size)
     assert [req.body for req in received] == [body, body]
+
+
+@pytest.mark.parametrize('line', [b'\r\n', b'\n', b'\r'])
+@pytest.mark.parametrize('size', [2, 5_000])
+def test_empty_lines_without_end_are_rejected(line, size):
+    """They are skipped before a request, up to the limit of a head."""
+    reader = make_reader()
+    few = line * (MAX_HEADER_BYTES // len(line) // 2)
+    (req,) = feed_parts(reader, few + b'GET / HTTP/1.1\r\n\r\n', size)
+    assert req.target == b'/'
+    with pytest.raises(http1.RequestRejected) as caught:
+        feed_parts(reader, line * (MAX_HEADER_BYTES + 5_000), size)
+    assert caught.value.status == 400
