--- a/foxtailpick/gateway/context.py
+++ b/foxtailpick/gateway/context.py
@@ -18,6 +18,7 @@
 from foxtailpick.core.dispatch import model
 from foxtailpick.core.dispatch import overload_order
 from foxtailpick.core.dispatch import refusal
+from foxtailpick.core.dispatch import request_memory as request_memory_lib
 from foxtailpick.core.dispatch import request_work
 from foxtailpick.core.dispatch import response_timeout
 from foxtailpick.core.dispatch import rollouts as rollouts_lib
@@ -192,6 +193,7 @@
     :param buffered: memory used by responses that are being read.
     :param unsent: answers that wait to be read by their callers.
     :param accepted: open connections that its listeners have accepted.
+    :param request_memory: memory of the requests of all callers.
     :param request_scopes: cancel scopes of the requests in flight.
     :param loop_checks: when the event loop ran lately.
     :param stop_signal_ms: when the process was told to stop at the earliest,
@@ -281,6 +283,9 @@
         default_factory=unsent_answers.UnsentAnswers
     )
     accepted: int = 0
+    request_memory: request_memory_lib.RequestMemory = dataclasses.field(
+        default_factory=request_memory_lib.RequestMemory
+    )
     request_scopes: set[trio.CancelScope] = dataclasses.field(
         default_factory=set
     )
--- a/foxtailpick/gateway/http1.py
+++ b/foxtailpick/gateway/http1.py
@@ -12,12 +12,19 @@
 import trio
 
 from foxtailpick.core.dispatch import model
+from foxtailpick.core.dispatch import request_memory
+from foxtailpick.core import errors
 
 RECEIVE_BYTES = 65_536
 # Requests up to this size fit the smallest socket buffers; longer ones are
 # sent concurrently with reading, since a peer may respond early.
 INLINE_BODY_BYTES = 16_384
 
+# Heads are parsed in pieces of this size, so that a limit takes effect early.
+HEAD_PIECE_BYTES = 4_096
+# Method, version and line ends, which `max_header_bytes` does not count.
+REQUEST_LINE_BYTES = 64
+
 # Responses to this method have no body.
 HEAD = b'HEAD'
 
@@ -53,14 +60,16 @@
     :param received_ms: when its first bytes arrived.
     :param keeps_alive: whether the caller allows the connection to be
         reused.
+    :param held_bytes: memory that it takes.
     """
 
     method: bytes
     target: bytes
     headers: list[model.RawHeader]
-    body: bytes
+    body: bytes | bytearray
     received_ms: float
     keeps_alive: bool
+    held_bytes: int = 0
 
     def get_host(self) -> str:
         """Return the Host header, empty if there is none."""
@@ -71,15 +80,25 @@
 
 
 class RequestRejected(Exception):
-    """A request that exceeds a limit or is invalid HTTP.
+    """A request that exceeds a limit, finds no room or is invalid HTTP.
 
     :param status: status code of the response.
     :param reason: what is wrong with the request.
+    :param code: stable error code.
+    :param retry_after_ms: delay until a retry may succeed, if any.
     """
 
-    def __init__(self, status: int, reason: str) -> None:
+    def __init__(
+        self,
+        status: int,
+        reason: str,
+        code: errors.ErrorCode = errors.ErrorCode.REQUEST_MALFORMED,
+        retry_after_ms: float | None = None,
+    ) -> None:
         super().__init__(reason)
         self.status = status
+        self.code = code
+        self.retry_after_ms = retry_after_ms
         # Complete requests that were received just before it.
         self.preceding: list[Request] = []
 
@@ -98,9 +117,13 @@
         self._ready: list[Request] = []
         self._headers: list[model.RawHeader] = []
         self._target = b''
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._header_bytes = 0
         self._body_bytes = 0
+        self._announced_bytes = 0
+        self.received_bytes = 0
+        # Received since the last complete part, which the parser may keep.
+        self._pending_bytes = 0
         self._began_ms = 0.0
         self.is_in_request = False
         self.is_in_headers = False
@@ -113,14 +136,41 @@
             Complete requests before it are attached to the exception.
         """
         self._began_ms = now_ms if not self.is_in_request else self._began_ms
+        self.received_bytes += len(data)
         try:
             self._parse(data)
         except RequestRejected as exc:
             exc.preceding = self._take_ready()
+            self.drop()
             raise
         return self._take_ready()
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory of the unfinished request, with the body it announces."""
+        return request_memory.compute_cost(
+            self._header_bytes + self._pending_bytes,
+            len(self._headers),
+            max(self._announced_bytes, len(self._body)),
+        )
+
+    def drop(self) -> None:
+        """Release what is kept of a request that will not be completed."""
+        self._headers = []
+        self._target = b''
+        self._body = bytearray()
+
     def _parse(self, data: bytes) -> None:
+        view = memoryview(data)
+        while view:
+            is_in_body = self.is_in_request and not self.is_in_headers
+            piece = view if is_in_body else view[:HEAD_PIECE_BYTES]
+            view = view[len(piece) :]
+            self._pending_bytes += len(piece)
+            self._parse_piece(piece)
+            self._check_pending_bytes()
+
+    def _parse_piece(self, data: memoryview) -> None:
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserCallbackError as exc:
@@ -133,8 +183,18 @@
             raise RequestRejected(400, 'upgrades are not supported') from exc
         except httptools.HttpParserError as exc:
             raise RequestRejected(400, f'bad request: {exc}') from exc
+
+    def _check_pending_bytes(self) -> None:
+        if not self.is_in_request:
+            # The parser skips empty lines before a request.
+            if self._pending_bytes > self._limits.max_header_bytes:
+                raise RequestRejected(400, 'expected a request, got none')
+            return
+        kept = self._pending_bytes
         if self.is_in_headers:
-            self._check_header_bytes()
+            kept += self._header_bytes
+        if kept > self._limits.max_header_bytes + REQUEST_LINE_BYTES:
+            raise RequestRejected(431, 'the headers are too long')
 
     def _take_ready(self) -> list[Request]:
         ready = self._ready
@@ -145,11 +205,11 @@
     def on_message_begin(self) -> None:
         """Start a request."""
         self._limits = self._get_limits()
-        self._headers = []
-        self._target = b''
-        self._body = []
+        self.drop()
+        self._announced_bytes = 0
         self._header_bytes = 0
         self._body_bytes = 0
+        self._pending_bytes = 0
         self.is_in_request = True
         self.is_in_headers = True
 
@@ -157,10 +217,13 @@
         """Append a part of the target."""
         self._target += url
         self._header_bytes += len(url)
+        self._pending_bytes = 0
+        self._check_header_bytes()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; ignore a trailer."""
         self._header_bytes += len(name) + len(value) + 4
+        self._pending_bytes = 0
         self._check_header_bytes()
         if self.is_in_headers:
             self._headers.append((name.lower(), value))
@@ -168,33 +231,40 @@
     def on_headers_complete(self) -> None:
         """Check the sizes and handle `Expect: 100-continue`."""
         self.is_in_headers = False
+        self._pending_bytes = 0
         self._check_header_bytes()
         for name, value in self._headers:
             if name == b'content-length':
-                self._check_body_bytes(int(value))
+                self._announced_bytes = int(value)
+                self._check_body_bytes(self._announced_bytes)
             elif name == b'expect':
                 self.expects_continue = True
 
     def on_body(self, data: bytes) -> None:
         """Append a part of the body."""
         self._body_bytes += len(data)
+        self._pending_bytes = 0
         self._check_body_bytes(self._body_bytes)
-        self._body.append(data)
+        self._body += data
 
     def on_message_complete(self) -> None:
         """Queue the complete request."""
         self.is_in_request = False
         self.expects_continue = False
+        self._pending_bytes = 0
         self._ready.append(
             Request(
                 self._parser.get_method(),
                 self._target,
                 self._headers,
-                b''.join(self._body),
+                self._body,
                 self._began_ms,
                 self._parser.should_keep_alive(),
+                self.held_bytes,
             )
         )
+        # The request is the only owner of its parts from here on.
+        self.drop()
 
     def _check_header_bytes(self) -> None:
         if self._header_bytes > self._limits.max_header_bytes:
