Show that a gateway that handles SIGTERM late loses plain requests

Callers see the connection of a request end without an answer, before the timeout of its route. The same cause as for streams: the end of the grace period is counted from when the gateway handles SIGTERM, so it accepts a request whose timeout ends before that time, but after SIGKILL.

An unsafe request with a timeout of 1.5 s is sent 3.68 s after SIGTERM to a gateway that handles it 0.9 s late, with a grace period of 5 s; its endpoint is silent.

--- a/foxtailpick/tests/test_soak_held_up.py
+++ b/foxtailpick/tests/test_soak_held_up.py
@@ -1,5 +1,6 @@
 """Tests of stops of gateways that do not get the processor in time."""
 
+import contextlib
 import dataclasses
 import random
 import subprocess
@@ -7,7 +8,6 @@
 
 import pytest
 import trio
-import trio.testing
 
 from foxtailpick.core.dispatch import model
 from foxtailpick.soak import callers
@@ -100,12 +100,9 @@
     return call
 
 
-@pytest.mark.parametrize('held_ms', [0.0, 300.0, 900.0])
-async def test_stream_is_not_lost_at_a_gateway_that_handles_sigterm_late(
-    nursery, tmp_path, held_ms
-):
-    """It is sent more than 3 s after SIGTERM, and outlasts the gateway."""
-    rng = random.Random(1)
+@contextlib.asynccontextmanager
+async def open_world(nursery, path, rng):
+    """Run a gateway with an endpoint of each service."""
     plan = plan_lib.Plan(
         grace_ms=5_000.0,
         deadline_ms=10_000.0,
@@ -115,8 +112,9 @@
         is_planned_only=True,
         plain_timeout_ms=1_500.0,
     )
-    with world_lib.World(nursery, rng, tmp_path, plan) as world:
+    with world_lib.World(nursery, rng, path, plan) as world:
         world.add_route('safe', 'safe')
+        world.add_route('unsafe', 'unsafe')
         world.add_route('fixed', 'streaming', max_attempts=1)
         world.write_config()
         world.add_endpoint('plain')
@@ -125,19 +123,53 @@
         with trio.fail_after(30.0):
             while (await ask(world, 'a0', 'safe', rng)).status != 200:
                 await trio.sleep(0.1)
-        (gateway,) = world.gateways
-        with trio.fail_after(20.0):
-            async with trio.open_nursery() as early:
-                # Keeps the process running, and may be cut off.
-                early.start_soon(ask, world, 'a2', 'fixed', rng)
-                await callers.pause(200.0)
-                if held_ms:
-                    early.start_soon(faults._hold_up, world, gateway, held_ms)
-                    await callers.pause(1.0)
-                world.stop_gateway(gateway)
-                await callers.pause(3_050.0 + 0.7 * held_ms)
-                call = await ask(world, 'a1', 'fixed', rng)
+        yield world
+
+
+async def ask_after_late_stop(world, route, held_ms, rng):
+    """Send a request more than 3 s after SIGTERM, which is handled late."""
+    (gateway,) = world.gateways
+    with trio.fail_after(20.0):
+        async with trio.open_nursery() as early:
+            # Keeps the process running, and may be cut off.
+            early.start_soon(ask, world, 'a2', 'fixed', rng)
+            await callers.pause(200.0)
+            if held_ms:
+                early.start_soon(faults._hold_up, world, gateway, held_ms)
+                await callers.pause(1.0)
+            world.stop_gateway(gateway)
+            await callers.pause(3_050.0 + 0.7 * held_ms)
+            return await ask(world, 'a1', route, rng)
+
+
+@pytest.mark.parametrize('held_ms', [0.0, 300.0, 900.0])
+async def test_stream_is_not_lost_at_a_gateway_that_handles_sigterm_late(
+    nursery, tmp_path, held_ms
+):
+    """It is sent more than 3 s after SIGTERM, and outlasts the gateway."""
+    rng = random.Random(1)
+    async with open_world(nursery, tmp_path, rng) as world:
+        call = await ask_after_late_stop(world, 'fixed', held_ms, rng)
         assert world_lib.count_events(call.id) > 30
         assert call.status in (200, 503)
         assert losses.find_lost(world.record) == []
         nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize('held_ms', [0.0, 300.0, 900.0])
+async def test_request_is_not_lost_at_a_gateway_that_handles_sigterm_late(
+    nursery, tmp_path, held_ms
+):
+    """Its endpoint falls silent for longer than its timeout."""
+    rng = random.Random(1)
+    async with open_world(nursery, tmp_path, rng) as world:
+        (plain,) = (
+            item
+            for item in world.endpoints.values()
+            if item.service == 'plain'
+        )
+        with plain.standin.silence():
+            call = await ask_after_late_stop(world, 'unsafe', held_ms, rng)
+        assert losses.find_lost(world.record) == []
+        assert call.status in (503, 504)
+        nursery.cancel_scope.cancel()
