Allow for stalls of the soak's process at the end of a grace period

The soak's own process sends SIGKILL when a grace period ends, and notes when a connection closes. Where it doesn't get the processor, both come late. A call that was cut off then was held against the gateway, though the rule excuses it: it was sent at most 3 s after SIGTERM, and its endpoint was at work in the last sixth of the grace period.

Calls that were sent later stay losses.

test_stall_of_the_run_may_delay_the_end_of_a_grace_period failed before.

--- a/foxtailpick/soak/losses.py
+++ b/foxtailpick/soak/losses.py
@@ -161,7 +161,13 @@
     """Tell whether a call was still at work at the end of its gateway."""
     grace_ms = record.grace_ms
     return any(
-        stop_ms <= call.ended_ms <= stop_ms + grace_ms + GRACE_MARGIN_MS
+        # The run itself sends SIGKILL, and may be late with it.
+        stop_ms
+        <= call.ended_ms
+        <= stop_ms
+        + grace_ms
+        + GRACE_MARGIN_MS
+        + record.compute_stalled_ms(stop_ms, call.ended_ms)
         and call.sent_ms <= stop_ms + record_lib.EXCUSED_AFTER_STOP_MS
         and any(
             (run.ended_ms or float('inf'))
--- a/foxtailpick/tests/test_soak_silence.py
+++ b/foxtailpick/tests/test_soak_silence.py
@@ -209,6 +209,19 @@
     assert losses.find_excuse(seen, call) is Excuse.CROSSED
 
 
+def test_stall_of_the_run_may_delay_the_end_of_a_grace_period():
+    call = make_call(sent_ms=19_000.0, ended_ms=21_400.0)
+    seen = make_record(call, runs=[make_run()], stops={'g1': [16_300.0]})
+    assert losses.find_lost(seen) == [call]
+    seen.stalls = [(20_000.0, 20_050.0)]
+    assert losses.find_lost(seen) == [call]
+    seen.stalls = [(20_000.0, 20_110.0)]
+    assert losses.find_excuse(seen, call) is Excuse.GRACE_ENDED
+    # Not if it was sent too late.
+    call.sent_ms = 19_400.0
+    assert losses.find_lost(seen) == [call]
+
+
 def test_call_behind_a_stream_that_is_cut_off_shares_its_excuse():
     stream = make_call(id='a0', ended_ms=22_500.0)
     call = make_call(**NO_STATUS, predecessor=stream, ended_ms=22_400.0)
