Hold up a gateway of the soak once at a time

Two holds of one gateway could overlap: the end of the first let the process run within the second one. A call that was sent then and got no answer was excused as one that the gateway can't have read.

A second hold is left out now. test_gateway_is_held_up_once_at_a_time needs the check: without it two holds are recorded.

--- a/foxtailpick/soak/faults.py
+++ b/foxtailpick/soak/faults.py
@@ -643,10 +643,11 @@
 async def _hold_up(
     world: world_lib.World, gateway: world_lib.Gateway, for_ms: float
 ) -> None:
-    """Take the processor from a gateway for a while."""
+    """Take the processor from a gateway for a while, unless it is taken."""
     process = gateway.process
-    if not gateway.is_running():
+    if gateway.is_held_up or not gateway.is_running():
         return
+    gateway.is_held_up = True
     from_ms = world_lib.now_ms()
     # The bounds other than on lost requests.
     record_disruption(world, [gateway.name], for_ms)
@@ -658,6 +659,7 @@
     finally:
         if process.poll() is None:
             process.send_signal(signal.SIGCONT)
+        gateway.is_held_up = False
         world.record.holds[gateway.name].append((from_ms, world_lib.now_ms()))
 
 
--- a/foxtailpick/soak/world.py
+++ b/foxtailpick/soak/world.py
@@ -83,6 +83,7 @@
     :param store_proxy: proxy between the gateway and the store.
     :param log: file that receives its output.
     :param process: the process, None before the first start.
+    :param is_held_up: whether the process does not get the processor.
     """
 
     name: str
@@ -91,6 +92,7 @@
     store_proxy: proxy_lib.Proxy
     log: typing.BinaryIO
     process: subprocess.Popen | None = None
+    is_held_up: bool = False
 
     def start(self) -> None:
         """Start the process, or a new one after it has exited."""
--- a/foxtailpick/tests/test_soak_held_up.py
+++ b/foxtailpick/tests/test_soak_held_up.py
@@ -54,6 +54,7 @@
         ((from_ms, to_ms),) = world.record.holds['g1']
         assert from_ms <= stop_ms <= to_ms
         assert to_ms - from_ms >= faults.MIN_HOLD_MS
+        assert not gateway.is_held_up
         assert not world.record.overruns
         nursery.cancel_scope.cancel()
 
@@ -100,6 +101,26 @@
     return call
 
 
+async def test_gateway_is_held_up_once_at_a_time(nursery, tmp_path):
+    """The end of one hold would end another one early, too."""
+    process = subprocess.Popen(
+        [sys.executable, '-c', _TICK], stdout=subprocess.DEVNULL
+    )
+    log = (tmp_path / 'g1.log').open('wb')
+    gateway = world_lib.Gateway(
+        'g1', tmp_path / 'g1.boot', ('127.0.0.1', 1), None, log, process
+    )
+    with world_lib.World(
+        nursery, random.Random(1), tmp_path, plan_lib.HELD_UP_STOPS
+    ) as world:
+        world.gateways.append(gateway)
+        async with trio.open_nursery() as holds:
+            holds.start_soon(faults._hold_up, world, gateway, 200.0)
+            holds.start_soon(faults._hold_up, world, gateway, 50.0)
+        assert len(world.record.holds['g1']) == 1
+        nursery.cancel_scope.cancel()
+
+
 @contextlib.asynccontextmanager
 async def open_world(nursery, path, rng):
     """Run a gateway with an endpoint of each service."""
