--- a/foxtailpick/tests/test_soak_held_up.py
+++ b/foxtailpick/tests/test_soak_held_up.py
@@ -15,8 +15,13 @@
 from foxtailpick.soak import losses
 from foxtailpick.soak import plan as plan_lib
 from foxtailpick.soak import record as record_lib
+from foxtailpick.soak import run
 from foxtailpick.soak import world as world_lib
 
+# A run of about 30 s.
+SHORT = dataclasses.replace(
+    plan_lib.HELD_UP_STOPS, callers=20, faults=5, fault_window_ms=3_000.0
+)
 # Prints a line each 10 ms, and at last one for SIGTERM.
 _TICK = """
 import signal, time
@@ -194,3 +199,8 @@
         assert losses.find_lost(world.record) == []
         assert call.status in (503, 504)
         nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize('seed', [1])
+def test_seeded_run_with_held_up_stops(seed):
+    run.run_seed(seed, SHORT, faults.HELD_UP_FAULTS, ())
