Count an answer until its caller has it

An answer of a plain service counted towards the memory of all answers only while it was read. It was then joined, and copied once more with its head, and waited uncounted for a caller that reads slowly or not at all. With a limit of 120 MB a gateway reached 414 MB with 40 callers that don't read answers of 4 MiB. An answer beyond the limit also counted as a failure of its endpoint.

An answer is now kept in one buffer, which counts until it has been sent, or is dropped on an error. The limit follows limits.memory_mb, and long answers leave a part of it to short ones. Without room the caller gets 502, since its request may have run, and neither endpoint nor retry budget is charged.

Two new tests of the gateway failed before.

--- a/foxtailpick/gateway/attempt.py
+++ b/foxtailpick/gateway/attempt.py
@@ -248,7 +248,8 @@
         return model.Outcome.OUTCOME_UNKNOWN
     if answer.meta.signature is not None:
         headers.append(answer.meta.signature)
-    await reply.send_response(status, headers, answer.body)
+    with answer.body:
+        await reply.send_response(status, headers, answer.body)
     return model.Outcome.FAILED_BY_ENDPOINT
 
 
@@ -390,12 +391,13 @@
             f'status {head.status}',
             job_lib.BufferedResponse(head.status, meta, body),
         )
-    await stream_relay.claim_response(hooks, True)
-    await reply.send_response(
-        head.status,
-        [*meta.forwarded, *stream_relay.get_signature_headers(meta)],
-        body,
-    )
+    with body:
+        await stream_relay.claim_response(hooks, True)
+        await reply.send_response(
+            head.status,
+            [*meta.forwarded, *stream_relay.get_signature_headers(meta)],
+            body,
+        )
     return AttemptResult(
         retry_decision.AttemptEnd.DELIVERED, answered_ms=attempt.answered_ms
     )
--- a/foxtailpick/gateway/endpoint_io.py
+++ b/foxtailpick/gateway/endpoint_io.py
@@ -3,6 +3,8 @@
 import errno
 
 from foxtailpick.core.dispatch import health
+from foxtailpick.core import errors
+from foxtailpick.core import verdict as verdict_lib
 from foxtailpick.gateway import client as client_lib
 from foxtailpick.gateway import context
 from foxtailpick.gateway import exchange
@@ -87,13 +89,26 @@
 
 async def read_body(
     gw: context.Gateway, conn: client_lib.ClientConnection
-) -> bytes:
+) -> exchange.BufferedBody:
     """Read the rest of a response.
 
     :raises EndpointConnectionError: if the connection fails.
+    :raises errors.RequestError: if there is no memory for it.
     """
     try:
-        return await exchange.read_body(conn, total=gw.buffered)
+        return await exchange.read_body(
+            conn,
+            total=gw.buffered,
+            max_total_bytes=exchange.compute_max_buffered(gw.cfg.memory_mb),
+        )
+    except exchange.BufferFullError as exc:
+        # Not a failure of the endpoint, and another one could not help.
+        gw.metrics.count('answers_without_memory')
+        raise errors.RequestError(
+            errors.ErrorCode.ENDPOINT_FAILED,
+            f'{exc}; the request may have run',
+            verdict_lib.Verdict.MAY_HAVE_RUN,
+        ) from exc
     except http1.BrokenConnectionError as exc:
         raise _make_connection_error('broke off', exc) from exc
 
--- a/foxtailpick/gateway/job.py
+++ b/foxtailpick/gateway/job.py
@@ -9,6 +9,7 @@
 from foxtailpick.core import types
 from foxtailpick.core import verdict as verdict_lib
 from foxtailpick.gateway import client as client_lib
+from foxtailpick.gateway import exchange
 from foxtailpick.gateway import http1
 
 
@@ -18,7 +19,7 @@
 
     status: int
     meta: model.ResponseMeta
-    body: bytes
+    body: exchange.BufferedBody
 
 
 @dataclasses.dataclass(slots=True)
--- a/foxtailpick/gateway/reply.py
+++ b/foxtailpick/gateway/reply.py
@@ -35,7 +35,7 @@
         self._decide_keep_alive = decide_keep_alive
         self._has_body = has_body
         self._pending_head = b''
-        self._unsent = memoryview(b'')
+        self._unsent: list[memoryview] = []
         self.keeps_alive = False
         self.is_started = False
         self.is_finished = False
@@ -45,7 +45,7 @@
         self,
         status: int,
         headers: typing.Iterable[model.RawHeader],
-        body: bytes,
+        body: bytes | bytearray,
     ) -> None:
         """Send a complete response.
 
@@ -59,7 +59,13 @@
         head = http1.format_response(
             status, headers, len(body), self.keeps_alive
         )
-        self._unsent = memoryview(head + body if self._has_body else head)
+        if not self._has_body:
+            body = b''
+        # A long body is not copied.
+        parts = [head, body]
+        if len(body) <= http1.INLINE_BODY_BYTES:
+            parts = [head + body]
+        self._unsent = [memoryview(part) for part in parts]
         try:
             await self._send_rest()
         except trio.Cancelled:
@@ -76,8 +82,10 @@
             with trio.move_on_after(
                 SEND_STALL_TIMEOUT_MS / types.SECOND_MS
             ) as stall:
-                sent = await http1.send_some(self._sock, self._unsent)
-                self._unsent = self._unsent[sent:]
+                sent = await http1.send_some(self._sock, self._unsent[0])
+                self._unsent[0] = self._unsent[0][sent:]
+                if not self._unsent[0]:
+                    del self._unsent[0]
             if stall.cancelled_caught:
                 return
         self.is_finished = True
--- a/foxtailpick/tests/test_caller_memory.py
+++ b/foxtailpick/tests/test_caller_memory.py
@@ -1,6 +1,7 @@
 """Tests of what callers make a gateway keep."""
 
 import dataclasses
+import socket
 
 import trio
 
@@ -11,6 +12,7 @@
 
 MAX_BODY_BYTES = 100_000
 LIMITS = {'max_body_bytes': MAX_BODY_BYTES, 'max_header_bytes': 4_000}
+LONG_ANSWER = b'x' * 6_000_000
 
 
 def open_small():
@@ -108,3 +110,46 @@
         await harness.until(lambda: memory.used_bytes == 0)
     assert statuses == [200] * 8
     assert most < 3_200_000
+
+
+async def test_answer_counts_until_its_caller_has_it():
+    """A slow reader holds the memory of the gateway."""
+
+    async def answer(exchange):
+        await exchange.answer(body=LONG_ANSWER)
+
+    async with gateway_harness.open_harness() as harness:
+        harness.add_endpoint('p1', 'plain', answer)
+        await harness.until_known('p1')
+        total = harness.gw.buffered
+        with trio.socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+            await sock.connect(harness.address)
+            await sock.send(gateway_harness.format_ask('/unsafe/x', b'POST'))
+            await harness.until(lambda: total.used_bytes == len(LONG_ANSWER))
+            await trio.sleep(0.2)
+            assert total.used_bytes == len(LONG_ANSWER)
+            size = 0
+            while size < len(LONG_ANSWER):
+                size += len(await sock.recv(1_000_000))
+        await harness.until(lambda: total.used_bytes == 0)
+
+
+async def test_long_answers_leave_memory_to_short_ones():
+    """Those beyond it are no failures of their endpoint."""
+
+    async def answer(exchange):
+        is_long = exchange.received.target.endswith(b'long')
+        await exchange.answer(body=LONG_ANSWER if is_long else b'short')
+
+    async with gateway_harness.open_harness() as harness:
+        harness.gw.cfg = dataclasses.replace(harness.gw.cfg, memory_mb=1.0)
+        harness.add_endpoint('p1', 'plain', answer)
+        await harness.until_known('p1')
+        harness.gw.buffered.used_bytes = 7_000_000
+        long = await harness.ask('/unsafe/long', b'POST')
+        short = await harness.ask('/unsafe/x', b'POST')
+        harness.gw.buffered.used_bytes -= 7_000_000
+        again = await harness.ask('/unsafe/long', b'POST')
+        assert harness.gw.metrics.counters['endpoint_pauses'] == 0
+    assert (long.status, short.status, again.status) == (502, 200, 200)
