--- a/foxtailpick/gateway/reply.py
+++ b/foxtailpick/gateway/reply.py
@@ -53,7 +53,7 @@
         self,
         status: int,
         headers: typing.Iterable[model.RawHeader],
-        body: bytes,
+        body: bytes | bytearray,
     ) -> None:
         """Send a complete response.
 
