Leave room for an unnoticed delay in the 3 s after SIGTERM

The users count from when they send the signal, and delays up to 100 ms, below a late check of the event loop, are not noticed. The estimate is now used for 2.9 s.

--- a/foxtailpick/core/dispatch/stopping.py
+++ b/foxtailpick/core/dispatch/stopping.py
@@ -18,8 +18,9 @@
 # From this time after the shutdown signal on, callers have had time to use
 # another router, so only a request that will end in time whatever happens is
 # accepted: endpoints may turn slow, or fail a stream that another one then
-# continues.
-EXPECT_LONGEST_AFTER_MS = 3_000.0
+# continues. The operators count 3 s from when they send the signal; a delay
+# of up to 100 ms is not noticed.
+EXPECT_LONGEST_AFTER_MS = 2_900.0
 # Part of the grace period in which requests at work are not cut off.
 MIN_GRACE_SHARE = 5 / 6
 
--- a/foxtailpick/tests/test_dispatch.py
+++ b/foxtailpick/tests/test_dispatch.py
@@ -509,6 +509,9 @@
     early = stopping.estimate_duration_ms(route, 400, learned, 2_900.0)
     late = stopping.estimate_duration_ms(route, 400, learned, 3_100.0)
     assert early < 4_000.0 < late
+    # The signal may have come earlier by a delay that is not noticed.
+    just_late = stopping.estimate_duration_ms(route, 400, learned, 2_950.0)
+    assert just_late == late
 
 
 def fail_partly(item, now_ms, failures, successes):
