--- a/foxtailpick/tests/test_crowd_objects.py
+++ b/foxtailpick/tests/test_crowd_objects.py
@@ -3,6 +3,8 @@
 import contextlib
 import json
 
+import h2.config
+import h2.connection
 import pytest
 import trio
 
@@ -56,6 +58,43 @@
     trio.run(main)
 
 
+async def open_streams(port, count):
+    """Open requests without their bodies on one HTTP/2 connection."""
+    conn = h2.connection.H2Connection(h2.config.H2Configuration())
+    conn.initiate_connection()
+    for _ in range(count):
+        conn.send_headers(
+            conn.get_next_available_stream_id(),
+            [
+                (':method', 'POST'),
+                (':scheme', 'http'),
+                (':authority', harness.LOOPBACK),
+                (':path', CHAT_PATH),
+                ('authorization', f'Bearer {harness.CREDENTIAL}'),
+            ],
+        )
+    return await harness.send_parts(port, [conn.data_to_send()], CROWD_S)
+
+
+def test_open_streams_of_http2_exceed_the_memory(record_property):
+    async def main():
+        async with contextlib.AsyncExitStack() as stack:
+            platform = await stack.enter_async_context(harness.open_platform())
+            await stack.enter_async_context(platform.open_sidecar())
+            router = await stack.enter_async_context(platform.open_router())
+
+            async def client():
+                return await open_streams(router.port, 95)
+
+            async with harness.open_crowd(client, 600):
+                assert await harness.ask(router.port) == 200
+                router.check_bounds(record_property)
+            router.check_bounds(record_property)
+            assert await harness.ask(router.port) == 200
+
+    trio.run(main)
+
+
 def make_chats(peer):
     """Yield frames that open many small chats."""
     for first in range(0, 5_000, 50):
