Register a router again that the list of routers lacks

A registration that is written late puts the key under an earlier lease. Nobody renews that, the key is removed as it ends, and the router renews its later lease, which holds no key: each router takes itself for the only one, for good, and uses the whole rate of a cold endpoint.

A list of routers that was read 5 s or more after the registration and lacks the key makes the router register again. The test failed before: one write instead of two.

--- a/foxtailpick/gateway/mirror.py
+++ b/foxtailpick/gateway/mirror.py
@@ -35,6 +35,9 @@
 # After the store was restored from a copy, all routers register again within
 # this time.
 REGISTRATION_SPREAD_MS = 500.0
+# A list of routers that was read this long after a registration contains it,
+# though it may be some seconds old.
+REGISTRATION_VISIBLE_MS = 5_000.0
 
 _T = typing.TypeVar('_T')
 
@@ -177,6 +180,10 @@
         self._has_endpoints = False
         self._restored_era: types.Era | None = None
         self._restored = trio.Event()
+        self._own_key: str | None = None
+        self._registered_ms = 0.0
+        # Whether a list of routers lacked this one though it is registered.
+        self._is_unlisted = False
 
     async def run(self, key: str, value: bytes) -> None:
         """Follow the store and stay registered in it, until cancelled.
@@ -303,6 +310,7 @@
             )
             await trio.sleep(delay_ms / types.SECOND_MS)
             reads += 1
+            began_ms = self._now_ms()
             try:
                 with expect_well_formed():
                     snapshot = await self._store.read_snapshot(
@@ -318,8 +326,24 @@
             for entry in snapshot.entries:
                 self._progress.record_report(entry.revision)
             self._state.replace_routers(self.decode_entries(snapshot))
+            self._check_registration(snapshot, began_ms)
             is_known = True
 
+    def _check_registration(
+        self, snapshot: base.Snapshot, began_ms: float
+    ) -> None:
+        """Note whether a list of routers lacks the registered key.
+
+        A write that was done late may have put the key under an earlier
+        lease, which nobody renews.
+        """
+        if self._own_key is None:
+            return
+        if began_ms - self._registered_ms < REGISTRATION_VISIBLE_MS:
+            return
+        keys = {entry.key for entry in snapshot.entries}
+        self._is_unlisted = self._own_key not in keys
+
     async def register(self, key: str, value: bytes) -> None:
         """Register this router under a leased key and renew the lease.
 
@@ -330,6 +354,9 @@
         is_failing = False
         while True:
             began_ms = self._now_ms()
+            if self._is_unlisted:
+                self._log.emit('registration-lost', key=key, lease=lease)
+                lease = None
             try:
                 if lease is None:
                     with expect_well_formed():
@@ -341,6 +368,9 @@
                         )
                     # Set only now: a lease without the key is of no use.
                     lease = granted
+                    self._own_key = key
+                    self._registered_ms = self._now_ms()
+                    self._is_unlisted = False
                     self._log.emit('registered', key=key, lease=lease)
                 else:
                     await self._store.renew_lease(lease)
--- a/foxtailpick/tests/test_mirror.py
+++ b/foxtailpick/tests/test_mirror.py
@@ -349,6 +349,47 @@
     assert [write.key for write in store.written] == ['key']
 
 
+class LateWriteStore(FailingStore):
+    """A store whose list of routers may lack the one that registers."""
+
+    def __init__(self):
+        super().__init__()
+        self.listed = []
+
+    async def read_snapshot(self, prefix, is_stale_ok=False):
+        """Return the keys that are listed."""
+        await super().read_snapshot(prefix, is_stale_ok)
+        entries = [
+            base.Entry(key, b'value', types.Revision(1)) for key in self.listed
+        ]
+        return base.Snapshot(entries, base.Position(types.Revision(1)))
+
+    async def transact(self, compares, writes):
+        """List what is written."""
+        result = await super().transact(compares, writes)
+        self.listed = [write.key for write in self.written]
+        return result
+
+
+async def test_registration_that_lapsed_under_an_earlier_lease_is_repeated(
+    autojump_clock,
+):
+    """A late write put the key under a lease that nobody renews."""
+    store = LateWriteStore()
+    follower, _ = make_mirror(store)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(follower.list_routers)
+        nursery.start_soon(follower.register, 'key', b'value')
+        await trio.sleep(20)
+        assert len(store.written) == 1
+        store.listed = []
+        await trio.sleep(12)
+        assert store.listed == ['key', 'key']
+        await trio.sleep(20)
+        nursery.cancel_scope.cancel()
+    assert len(store.written) == 2
+
+
 async def test_missing_router_is_counted_for_a_grace_period(autojump_clock):
     """A list that lacks a router may be old, or its lease may have lapsed."""
     _, own = make_mirror(ChangingStore())
