Limit the idle time after a response

The wait for the next request of a connection begins while one is in flight, so that it had no limit, and none was set after the response: a client that sends one request held its connection until it closed it, or others needed the room. The response now sets the limit. The test failed before: the connection was still open after 20 s with an idle time-out of 0.2 s.

--- a/foxtailpick/gateway/server.py
+++ b/foxtailpick/gateway/server.py
@@ -563,6 +563,8 @@
             data = http1.receive_arrived(caller.sock)
             if data is not None:
                 return data
+            if not caller.is_busy:
+                began_s = max(began_s, caller.idle_began_s)
             # A new configuration may have changed the limit.
             limit_ms = self._get_wait_limit_ms(caller, reader)
             if trio.current_time() - began_s < limit_ms / types.SECOND_MS:
@@ -606,6 +608,12 @@
             caller.idle_began_s = trio.current_time()
             caller.answered.set()
             caller.answered = trio.Event()
+            if not caller.is_busy:
+                # The wait for the next request began before the response.
+                limit_ms = self._get_limits().idle_timeout_ms
+                caller.wait.deadline = (
+                    caller.idle_began_s + limit_ms / types.SECOND_MS
+                )
             if not is_open:
                 return
 
--- a/foxtailpick/tests/test_caller_server.py
+++ b/foxtailpick/tests/test_caller_server.py
@@ -381,3 +381,17 @@
         for conn in conns:
             conn.close()
     assert answers == [b'/0', b'/1', b'/2']
+
+
+async def test_idle_time_after_a_response_is_limited():
+    """The wait for the next request began while one was in flight."""
+    async with open_callers() as (gw, _, address):
+        gw.state.limits = model.Limits(idle_timeout_ms=200.0)
+        conn = await client_lib.ClientConnection.connect(address)
+        for target in ('/a', '/b'):
+            await conn.send(gateway_harness.format_ask(target))
+            await gateway_harness.read_answer(conn)
+        with trio.fail_after(gateway_harness.LIMIT_S):
+            with pytest.raises(http1.BrokenConnectionError):
+                await conn.next_event()
+        conn.close()
