Show that a close behind a long pipelined request is not noticed

The reader stops reading while requests that wait take more than 1 MiB, so that it doesn't see the caller's close, and the request at work goes on at its endpoint until it is answered or times out.

The test fails: the attempt is still in flight 0.5 s after the close.

--- a/foxtailpick/tests/test_limits_review.py
+++ b/foxtailpick/tests/test_limits_review.py
@@ -2,11 +2,14 @@
 
 import dataclasses
 
+import trio
 
 from foxtailpick.gateway import client as client_lib
 from foxtailpick.tests import gateway_harness
+from foxtailpick.tests import gateway_scripts
 
 LONG_ANSWER = b'x' * 6_000_000
+BODY_BYTES = 2_000_000
 
 
 async def test_body_far_over_the_limit_is_too_long():
@@ -40,3 +43,25 @@
         harness.gw.buffered.used_bytes -= 7_000_000
     assert (reply.status, defects) == (502, 0)
     assert b'FTP-' in reply.body
+
+
+async def test_close_behind_a_long_pipelined_request_is_noticed():
+    """The request at work is cancelled, and the next one is not sent."""
+    async with gateway_harness.open_harness() as harness:
+        harness.add_endpoint('p1', 'plain', gateway_scripts.hang)
+        await harness.until_known('p1')
+        conn = await client_lib.ClientConnection.connect(harness.address)
+        await conn.send(gateway_harness.format_ask('/safe/x'))
+        await harness.until(lambda: len(harness.gw.attempts) == 1)
+        await conn.send(
+            gateway_harness.format_ask('/safe/x', b'POST', b'x' * BODY_BYTES)
+        )
+        memory = harness.gw.request_memory
+        await harness.until(
+            lambda: memory.used_bytes > BODY_BYTES and not memory.unfinished
+        )
+        conn.close()
+        with trio.move_on_after(0.5) as scope:
+            while harness.gw.attempts:
+                await trio.sleep(0.01)
+    assert not scope.cancelled_caught
