Show 408 for a long body on a connection that is being closed

A connection that is idle is told to close, and the first part of a request has just arrived. The limit of the wait for the rest is then 0 ms, so that the caller gets 408 though the rest is under way.

--- a/foxtailpick/tests/test_limits_review.py
+++ b/foxtailpick/tests/test_limits_review.py
@@ -1,12 +1,15 @@
 """Tests of refusals of requests at the limits of a gateway's memory."""
 
+import contextlib
 import dataclasses
 
 import trio
 
 from foxtailpick.gateway import client as client_lib
+from foxtailpick.gateway import http1
 from foxtailpick.tests import gateway_harness
 from foxtailpick.tests import gateway_scripts
+from foxtailpick.tests import test_caller_server
 
 LONG_ANSWER = b'x' * 6_000_000
 BODY_BYTES = 2_000_000
@@ -65,3 +68,20 @@
             while harness.gw.attempts:
                 await trio.sleep(0.01)
     assert not scope.cancelled_caught
+
+
+async def test_long_body_on_a_connection_that_closes_is_awaited():
+    """It began before the close, and its rest is under way."""
+    async with test_caller_server.open_callers() as (_, callers, address):
+        conn = await client_lib.ClientConnection.connect(address)
+        await trio.sleep(0.05)
+        ask = gateway_harness.format_ask('/x', b'POST', b'x' * 72_000)
+        # No other task runs between these two steps.
+        conn._sock._sock.send(ask[:40_000])
+        callers.close_idle(0.0)
+        await trio.sleep(0.02)
+        with contextlib.suppress(http1.BrokenConnectionError):
+            await conn.send(ask[40_000:])
+        answer = await gateway_harness.read_answer(conn)
+        conn.close()
+    assert answer.status == 200
