Answer a long request whose answer finds no room

With the answers that wait for slow readers at their limit, a request of more than 16 KiB got 500 instead of 502: the nursery that sends it wrapped the error in an exception group, which counts as a defect. The error is carried out of the nursery like a failed connection.

--- a/foxtailpick/gateway/attempt.py
+++ b/foxtailpick/gateway/attempt.py
@@ -312,12 +312,12 @@
     # endpoint may respond before it has read the whole body.
     sent = trio.Event()
     result: AttemptResult | None = None
-    error: OSError | None = None
+    error: OSError | errors.RequestError | None = None
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_send_concurrently, conn, (head, body), sent)
         try:
             result = await _receive(gw, job, attempt, conn, reply, hooks)
-        except OSError as exc:
+        except (OSError, errors.RequestError) as exc:
             # Raised below: the nursery would wrap it in an exception group.
             error = exc
         nursery.cancel_scope.cancel()
