--- a/foxtailpick/gateway/server.py
+++ b/foxtailpick/gateway/server.py
@@ -427,6 +427,8 @@
             raise
         del data
         self._charge(caller, reader, requests)
+        if reader.is_in_request:
+            self._take(caller, reader, reader.held_bytes, requests)
         caller.is_reading = reader.is_in_request
         if not reader.is_in_headers:
             caller.headers_began_s = None
@@ -446,7 +448,7 @@
         reader: http1.RequestReader,
         requests: typing.Sequence[http1.Request],
     ) -> None:
-        """Give requests that were read, also in part, their memory.
+        """Give requests that were read their memory.
 
         :raises http1.RequestRejected: if there is no room for one of them.
         """
@@ -455,8 +457,6 @@
             holding, caller.unfinished = caller.unfinished, None
             self._gw.request_memory.unfinished.discard(holding)
             caller.holdings.append(holding)
-        if reader.is_in_request:
-            self._take(caller, reader, reader.held_bytes, requests)
 
     def _take(
         self,
