Wait for the rest of a body on a connection that closes

The wait for a request that has begun is no idle wait any more; it ends as before with the usual limits.

--- a/foxtailpick/gateway/server.py
+++ b/foxtailpick/gateway/server.py
@@ -581,7 +581,9 @@
             return limits.header_timeout_ms
         if caller.open_requests:
             return math.inf
-        return 0.0 if caller.is_closing else limits.idle_timeout_ms
+        if caller.is_closing and not reader.is_in_request:
+            return 0.0
+        return limits.idle_timeout_ms
 
     async def _answer(
         self,
