Read half a megabyte of pipelined requests ahead

With 1 MiB a connection with pipelined bodies of 1 MB took 4 MB instead of 3, and test_pipelined_long_requests_are_not_all_read_ahead failed.

--- a/foxtailpick/gateway/server.py
+++ b/foxtailpick/gateway/server.py
@@ -32,7 +32,7 @@
 MAX_PIPELINED_REQUESTS = 8
 # No more is read ahead once requests that wait for another one on the same
 # connection take this much memory.
-MAX_READ_AHEAD_BYTES = 1_048_576
+MAX_READ_AHEAD_BYTES = 524_288
 # Maximum of what is read after a rejected request, if bodies are not longer.
 MAX_DISCARDED_BYTES = 16_777_216
 # Pause after a failed accept, such as when no descriptor is left.
