--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -137,7 +137,8 @@
 
     def get_error(self):
         """Return the last lines that the process wrote outside its log."""
-        lines = self.log.read_text('utf-8', 'replace').splitlines()
+        text = self.log.read_text('utf-8', 'replace')
+        lines = text.replace(f'{ROOT}/', '').splitlines()
         return [line for line in lines if not line.startswith('{')][-12:]
 
 
--- a/review/common-2/lost_routers.py
+++ b/review/common-2/lost_routers.py
@@ -1,4 +1,4 @@
-"""Three of four gateways are lost for good; the fourth has to carry on."""
+"""All gateways but one are lost for good; the last one has to carry on."""
 
 import asyncio
 import collections
@@ -11,22 +11,26 @@
 import standins
 
 # Processor time that the traffic takes at all gateways together, in cores.
-CORES = 2.6
+CORES = 3.0
 SHEET_RATE = 1.0
 # Machines are lost in waves, this many seconds apart.
-WAVES = 4
-WAVE_S = 5.0
+WAVES = 5
+WAVE_S = 4.5
 PLAY_S = 55.0
-GATEWAYS = 10
-MAX_RATE = 5.0
+GATEWAYS = 11
+MAX_RATE = 6.0
 RECORD = pathlib.Path(os.environ['CASE']) / 'record.txt'
 
 
 async def measure_cores(dep, seconds):
-    before = [g.get_cpu_s() or 0.0 for g in dep.gateways]
+    before = {g.process.pid: g.get_cpu_s() for g in dep.gateways}
     await asyncio.sleep(seconds)
-    after = [g.get_cpu_s() or 0.0 for g in dep.gateways]
-    return sum(b - a for a, b in zip(before, after)) / seconds
+    after = {g.process.pid: g.get_cpu_s() for g in dep.gateways}
+    return sum(
+        used - before[pid]
+        for pid, used in after.items()
+        if used is not None and before.get(pid) is not None
+    ) / seconds
 
 
 async def play(dep, has_trouble, note):
@@ -48,6 +52,8 @@
     await asyncio.sleep(3.0)
     note(f'rate from here on {dep.rate:.2f}, at {dep.count} gateways')
     began = standins.now()
+    # Planned work: the operator empties the zone that lost most machines.
+    dep.store.put(f'op/evacuate/{deployment.ZONES[1]}', b'{}')
     waves = [dep.gateways[1:][n::WAVES] for n in range(WAVES)]
     while standins.now() - began < PLAY_S:
         if waves and standins.now() - began >= (WAVES - len(waves)) * WAVE_S:
