Break off answers whose connection is reset during an upload

Callers saw: a server answered a long request at once with 200 and no length, sent a part of its body and reset the connection.

Cause: the request is sent by one task while another one reads. The kernel reports a reset to one call only. If the send gets it, the reader gets the end of the stream, and took it for the end of a body that the close of the connection ends. `_send_concurrently` assumed that the reader sees the same failure. To record the failure in the sender isn't enough: trio yields between a send that fails at once and its exception, and the reader may run meanwhile.

Evidence: `limit_reads` lets the blocked send fail before the reader gets to the end of the stream. `test_reset_reported_to_a_send_in_progress_ends_an_answer_as_whole` shows the other order, with a send that fails at once.

Change: the end of the stream counts as the end of a body only if no call on the connection has failed and the connection is not disconnected. That is a state of the connection, which all tasks see, whichever was told. An answer that is whole by its length or its last chunk stays whole, and a close in order is served as before. The verdict is the one of other truncated answers: the request may have run, so a booking is not sent again. The metric `answers_reset` counts them, in either order of calls, and the log names the cause.

--- a/foxtailpick/gateway/attempt.py
+++ b/foxtailpick/gateway/attempt.py
@@ -1,5 +1,6 @@
 """Executes one attempt of a request at one endpoint."""
 
+import contextlib
 import dataclasses
 import typing
 
@@ -334,13 +335,12 @@
     parts: typing.Iterable[bytes | bytearray],
     sent: trio.Event,
 ) -> None:
-    try:
+    # The connection keeps a failure for the reading task, which reports it
+    # unless the answer is whole without the end of the stream.
+    with contextlib.suppress(http1.BrokenConnectionError):
         for part in parts:
             await conn.send(part)
         sent.set()
-    except http1.BrokenConnectionError:
-        # The reading task sees the same failure and reports it.
-        conn.is_clean = False
 
 
 def _format_head(
--- a/foxtailpick/gateway/client.py
+++ b/foxtailpick/gateway/client.py
@@ -5,12 +5,14 @@
 import dataclasses
 import enum
 import errno
+import os
 import socket
 import typing
 
 import httptools
 import trio
 
+from foxtailpick.adapters import tcp
 from foxtailpick.core.dispatch import model
 from foxtailpick.core import types
 from foxtailpick.gateway import http1
@@ -49,6 +51,10 @@
     framing: Framing
 
 
+class AnswerResetError(http1.BrokenConnectionError):
+    """The connection was reset, or timed out, within a response."""
+
+
 class _End(typing.NamedTuple):
     """Marks the end of a response."""
 
@@ -71,6 +77,7 @@
         self._framing = Framing.LENGTH
         self._is_in_message = False
         self._is_aborted = False
+        self._send_error: http1.BrokenConnectionError | None = None
         # Received since the last event.
         self._overhead_bytes = 0
         self.is_clean = True
@@ -140,16 +147,23 @@
 
         :raises http1.BrokenConnectionError: if the connection is closed.
         """
-        await http1.send_all(self._sock, data)
+        try:
+            await http1.send_all(self._sock, data)
+        except http1.BrokenConnectionError as exc:
+            self.is_clean = False
+            self._send_error = exc
+            raise
 
     async def next_event(self) -> Event:
         """Return the next part of the response.
 
+        :raises AnswerResetError: if the connection fails within the
+            response, whichever task is told of it.
         :raises http1.BrokenConnectionError: if the response is truncated
             or is not HTTP.
         """
         while not self._events:
-            data = await http1.receive(self._sock)
+            data = await self._receive()
             self.received_bytes += len(data)
             if not data:
                 self._on_eof()
@@ -226,10 +240,22 @@
         if self._parser.get_status_code() >= 200:
             self._events.append(END)
 
+    async def _receive(self) -> bytes:
+        """Receive some bytes; none at the end of the stream."""
+        try:
+            return await http1.receive(self._sock)
+        except http1.BrokenConnectionError as exc:
+            self.is_clean = False
+            if self._is_in_message and not self._is_aborted:
+                raise _make_reset_error(exc) from exc
+            raise
+
     def _on_eof(self) -> None:
         self.is_clean = False
         if self._is_aborted:
             raise http1.BrokenConnectionError(errno.ETIMEDOUT, 'silence')
+        if self._is_in_message:
+            self._check_closed()
         if self._is_in_message and self._framing is Framing.CLOSE:
             self._is_in_message = False
             self._events.append(END)
@@ -238,6 +264,28 @@
             errno.ECONNRESET, 'closed by the peer'
         )
 
+    def _check_closed(self) -> None:
+        """Check that the peer has closed the connection.
+
+        The kernel reports a reset to one call only, which may be a send of
+        another task. It reports the end of the stream to the others.
+
+        :raises AnswerResetError: if the connection has failed.
+        """
+        if self._send_error is not None:
+            raise _make_reset_error(self._send_error) from self._send_error
+        if tcp.is_disconnected(self._sock):
+            raise AnswerResetError(
+                errno.ECONNRESET, 'connection failed within the answer'
+            )
+
+
+def _make_reset_error(exc: OSError) -> AnswerResetError:
+    return AnswerResetError(
+        exc.errno,
+        f'connection failed within the answer: {os.strerror(exc.errno)}',
+    )
+
 
 def _enable_keep_alive(
     sock: trio.socket.SocketType, interval_ms: float
--- a/foxtailpick/gateway/endpoint_io.py
+++ b/foxtailpick/gateway/endpoint_io.py
@@ -59,7 +59,7 @@
     try:
         event = await conn.next_event()
     except http1.BrokenConnectionError as exc:
-        raise _make_connection_error('broke off', exc) from exc
+        raise _make_answer_error(gw, exc) from exc
     finally:
         attempt.is_reading = False
     now_ms = gw.now_ms()
@@ -110,7 +110,15 @@
             verdict_lib.Verdict.MAY_HAVE_RUN,
         ) from exc
     except http1.BrokenConnectionError as exc:
-        raise _make_connection_error('broke off', exc) from exc
+        raise _make_answer_error(gw, exc) from exc
+
+
+def _make_answer_error(
+    gw: context.Gateway, exc: http1.BrokenConnectionError
+) -> EndpointConnectionError:
+    if isinstance(exc, client_lib.AnswerResetError):
+        gw.metrics.count('answers_reset')
+    return _make_connection_error('broke off', exc)
 
 
 def _make_connection_error(
