Reject answers whose status is below 100

Here it did not, but one without a body was passed over like an interim response: the caller waited until the time-out of its route and got 504, a call to the store lasted 1.5 s, and a 200 that followed on the same connection was passed on as the answer.

Cause: the parser accepts any three digits, and all below 200 counted as interim.

Change: a status below 100 is no HTTP, and ends the connection. The log names it. An attempt that got one may have run, as before.

--- a/foxtailpick/gateway/client.py
+++ b/foxtailpick/gateway/client.py
@@ -24,6 +24,7 @@
 # Limit of data that is neither a body nor the end of a response: a head with
 # the interim responses before it, the framing of chunks, trailers.
 MAX_OVERHEAD_BYTES = 65_536
+MIN_STATUS = 100
 _NO_BODY = frozenset((204, 304))
 
 
@@ -177,8 +178,10 @@
             ) as exc:
                 self.is_clean = False
                 if not self._events:
+                    # The parser hides what one of its callbacks raised.
+                    cause = exc.__context__ or exc
                     raise http1.BrokenConnectionError(
-                        errno.EPROTO, f'invalid HTTP response: {exc}'
+                        errno.EPROTO, f'invalid HTTP response: {cause}'
                     ) from exc
             if not self._events and self._overhead_bytes > MAX_OVERHEAD_BYTES:
                 self.is_clean = False
@@ -207,6 +210,9 @@
     def on_headers_complete(self) -> None:
         """Emit the head of a final response; skip interim (1xx) ones."""
         status = self._parser.get_status_code()
+        if status < MIN_STATUS:
+            # The parser accepts any three digits.
+            raise ValueError(f'invalid status {status:03}')
         if status < 200:
             return
         names = {name for name, _ in self._headers}
