Break off answers to routers and sidecars that end by a reset

A 503 of an engine that was cut also claimed that the request has not run.

Change: all pools of the adapters open their connections with `http_connections`. A read that gets the end of the stream within an answer raises an error if a write failed or the connection is disconnected. The verdict is that of other failed reads: it may have run. A sound server that ends by a close, and an answer that is whole by its length, are served as before. `answers_reset_total` counts the answers at routers and sidecars, and a line of the log names the server.

Held before, and kept: the stream of an engine (its end marker), answers to short calls, a watch, the client of the platform's store (it doesn't read after a failed send), and links between processes (their library delivers whole frames only).

--- a/foxtailpick/adapters/etcd.py
+++ b/foxtailpick/adapters/etcd.py
@@ -14,6 +14,7 @@
 
 from foxtailpick.adapters import base
 from foxtailpick.adapters import http
+from foxtailpick.adapters import http_connections
 from foxtailpick.core import errors
 from foxtailpick.core import types
 from foxtailpick.core import verdict as verdict_lib
@@ -37,9 +38,7 @@
     def __init__(self, urls: tuple[str, ...], timeout_ms: float) -> None:
         self._urls = urls
         self._timeouts = _make_timeouts(timeout_ms)
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=_MAX_CONNECTIONS
-        )
+        self._pool = http_connections.open_pool(_MAX_CONNECTIONS)
         self._url_index = 0
         self.exchanged_bytes = 0
 
--- a/foxtailpick/adapters/http.py
+++ b/foxtailpick/adapters/http.py
@@ -6,6 +6,7 @@
 
 import httpcore
 
+from foxtailpick.adapters import http_connections
 from foxtailpick.core import errors
 from foxtailpick.core import types
 from foxtailpick.core import verdict as verdict_lib
@@ -66,9 +67,8 @@
             'read': read_timeout_ms / types.SECOND_MS,
             'write': read_timeout_ms / types.SECOND_MS,
         }
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=MAX_CONNECTIONS,
-            keepalive_expiry=keepalive_expiry_ms / types.SECOND_MS,
+        self._pool = http_connections.open_pool(
+            MAX_CONNECTIONS, keepalive_expiry_ms / types.SECOND_MS
         )
 
     async def __aenter__(self) -> 'JsonClient':
--- a/foxtailpick/router/operators.py
+++ b/foxtailpick/router/operators.py
@@ -8,6 +8,7 @@
 from starlette import responses
 from starlette import routing
 
+from foxtailpick.adapters import http_connections
 from foxtailpick.core import config_answers
 from foxtailpick.core import config_writer
 from foxtailpick.core import errors
@@ -79,6 +80,7 @@
     async def metrics(req: requests.Request) -> responses.Response:
         lines = [
             *ctx.metrics.format_lines(),
+            *http_connections.format_metrics(),
             *health.format_invariants(ctx.monitor),
         ]
         return responses.PlainTextResponse('\n'.join(lines) + '\n')
--- a/foxtailpick/sidecar/operators.py
+++ b/foxtailpick/sidecar/operators.py
@@ -7,6 +7,7 @@
 from starlette import responses
 from starlette import routing
 
+from foxtailpick.adapters import http_connections
 from foxtailpick.core import invariants
 from foxtailpick.core import types
 from foxtailpick.node import config_node as config_node_lib
@@ -62,6 +63,7 @@
             f'foxtailpick_waiting {worker.gate.queue_length}',
             f'foxtailpick_load {worker.gate.pool.load:g}',
             *health.format_invariants(monitor),
+            *http_connections.format_metrics(),
         ]
         return responses.PlainTextResponse('\n'.join(lines) + '\n')
 
