Report a reply to a command that ends by a reset

Operators saw: `foxtailpick patch` printed a part of a reply and exited with 0 if its peer reset the connection while a long patch was being sent.

Cause: the one of the adapters; the commands used a pool of httpcore of their own.

Evidence: `test_part_of_the_reply_to_a_patch_is_printed` failed before, with a reset and with a close that leaves data unread.

Change: the commands use the pool of the adapters.

--- a/foxtailpick/cli.py
+++ b/foxtailpick/cli.py
@@ -8,7 +8,9 @@
 import defopt
 import httpcore
 from loguru import logger
+import trio
 
+from foxtailpick.adapters import http_connections
 from foxtailpick.core import errors
 from foxtailpick.core import settings
 from foxtailpick.gateway import request_timeline
@@ -244,13 +246,17 @@
 
 
 def _print_reply(method: str, url: str, body: str = '') -> int:
-    with httpcore.ConnectionPool() as pool:
-        response = pool.request(method, url, content=body.encode())
+    response = trio.run(_request, method, url, body.encode())
     text = response.content.decode('utf-8', 'replace')
     print(_indent_json(text))
     return 0 if response.status == HTTP_OK else EXIT_FAILED
 
 
+async def _request(method: str, url: str, body: bytes) -> httpcore.Response:
+    async with http_connections.open_pool(1) as pool:
+        return await pool.request(method, url, content=body)
+
+
 def _indent_json(text: str) -> str:
     try:
         return json.dumps(json.loads(text), indent=2, ensure_ascii=False)
--- a/foxtailpick/tests/test_reset_adapters.py
+++ b/foxtailpick/tests/test_reset_adapters.py
@@ -6,6 +6,7 @@
 import functools
 import json
 
+import httpcore
 import pytest
 import trio
 from websockets.trio import server as ws_server
@@ -16,6 +17,7 @@
 from foxtailpick.adapters import http_connections
 from foxtailpick.adapters import membership as membership_adapter
 from foxtailpick.adapters import service as service_adapter
+from foxtailpick import cli
 from foxtailpick.core import codec
 from foxtailpick.core import errors
 from foxtailpick.core import messages
@@ -204,6 +206,26 @@
     assert exc.verdict is verdict.Verdict.MAY_HAVE_RUN
 
 
+@ENDS
+async def test_part_of_the_reply_to_a_patch_is_printed(end, tmp_path, capsys):
+    file = tmp_path / 'patch.ini'
+    file.write_bytes(cutting_server.LONG_BODY)
+    answer = cutting_server.UNFRAMED + PART
+    async with cutting_server.open_server(answer, end) as (_, address):
+        patch = functools.partial(
+            cli.patch,
+            file,
+            base=1,
+            author='a',
+            reason='r',
+            id='p1',
+            url=f'http://{address[0]}:{address[1]}',
+        )
+        with pytest.raises(httpcore.ReadError):
+            await trio.to_thread.run_sync(patch)
+    assert capsys.readouterr().out == 'patch id p1\n'
+
+
 @pytest.mark.parametrize('is_framed', [True, False])
 async def test_sound_answer_to_a_long_call_is_not_served(is_framed):
     """The server ends an answer without a length by a close in order."""
