Show that no part of a booking becomes its stored answer

Through a whole router and sidecar the caller of a booking got the part before a reset as its answer, and got it again for the same key, since the sidecar had stored it as the outcome.

--- a/foxtailpick/tests/test_path.py
+++ b/foxtailpick/tests/test_path.py
@@ -1,13 +1,17 @@
 """Tests from caller to engine or service, over loopback sockets."""
 
+import json
+
 import pytest
 import trio
 
+from foxtailpick.adapters import service as service_adapter
 from foxtailpick.core import configuration
 from foxtailpick.standins import caller
 from foxtailpick.standins import engine_state
 from foxtailpick.standins import fleet as fleet_lib
 from foxtailpick.standins import service
+from foxtailpick.tests import cutting_server
 
 CREDENTIAL = 'hiker:secret'
 DIGEST = configuration.digest_credential(CREDENTIAL).hex()
@@ -31,6 +35,8 @@
 """
 DOMAINS = ('alue-yksi', 'alue-kaksi')
 TIMEOUT_S = 30
+# Just below the longest body that a router takes.
+LONG_CHARACTERS = 899_000
 
 
 def _make_spec(name, domain, models=('malli',), service='malli-palvelin'):
@@ -201,6 +207,32 @@
     assert _count_runs(bookings, 'k1') == 1
 
 
+@pytest.mark.parametrize('end', [cutting_server.reset, cutting_server.close])
+async def test_part_of_a_booking_is_stored_as_its_answer(
+    fleet, client, monkeypatch, end
+):
+    from_url = service_adapter.HttpService.from_url
+    body = json.dumps('x' * LONG_CHARACTERS)
+    answer = cutting_server.UNFRAMED + b'{"hut": 1}'
+    async with cutting_server.open_server(answer, end) as (server, address):
+        monkeypatch.setattr(
+            service_adapter.HttpService,
+            'from_url',
+            lambda url: from_url(f'http://{address[0]}:{address[1]}'),
+        )
+        spec = _make_spec('s0', DOMAINS[0], (), 'lupa-sovellus')
+        await fleet.start_endpoint(spec)
+        statuses = fleet.get('r1').ctx.fleet.list_statuses
+        await _wait_until(lambda: len(statuses()) == len(DOMAINS) + 1)
+        answers = [
+            await client.call_service('lupa-sovellus', 'bookings', body, 'k1')
+            for _ in range(2)
+        ]
+    assert [item.status for item in answers] == [502, 502]
+    assert {item.body['verdict'] for item in answers} == {'may-have-run'}
+    assert server.requests == 1
+
+
 @pytest.mark.parametrize(
     ('fault', 'code', 'verdict', 'runs'),
     [
