Check that log and metrics name the cause of a reset answer

Only the error of one of the parser's callbacks is looked up behind the parser's own, since the context of another error could be a foreign one.

--- a/foxtailpick/gateway/client.py
+++ b/foxtailpick/gateway/client.py
@@ -178,10 +178,9 @@
             ) as exc:
                 self.is_clean = False
                 if not self._events:
-                    # The parser hides what one of its callbacks raised.
-                    cause = exc.__context__ or exc
                     raise http1.BrokenConnectionError(
-                        errno.EPROTO, f'invalid HTTP response: {cause}'
+                        errno.EPROTO,
+                        f'invalid HTTP response: {_get_cause(exc)}',
                     ) from exc
             if not self._events and self._overhead_bytes > MAX_OVERHEAD_BYTES:
                 self.is_clean = False
@@ -286,6 +285,13 @@
             )
 
 
+def _get_cause(exc: Exception) -> BaseException:
+    """Return what a callback of the parser raised, else the error itself."""
+    if isinstance(exc, httptools.HttpParserCallbackError):
+        return exc.__context__ or exc
+    return exc
+
+
 def _make_reset_error(exc: OSError) -> AnswerResetError:
     return AnswerResetError(
         exc.errno,
--- a/foxtailpick/tests/test_path.py
+++ b/foxtailpick/tests/test_path.py
@@ -2,9 +2,11 @@
 
 import json
 
+import httpcore
 import pytest
 import trio
 
+from foxtailpick.adapters import http_connections
 from foxtailpick.adapters import service as service_adapter
 from foxtailpick.core import configuration
 from foxtailpick.standins import caller
@@ -214,6 +216,7 @@
     from_url = service_adapter.HttpService.from_url
     body = json.dumps('x' * LONG_CHARACTERS)
     answer = cutting_server.UNFRAMED + b'{"hut": 1}'
+    began = http_connections.COUNTERS.answers_reset
     async with cutting_server.open_server(answer, end) as (server, address):
         monkeypatch.setattr(
             service_adapter.HttpService,
@@ -228,6 +231,12 @@
             await client.call_service('lupa-sovellus', 'bookings', body, 'k1')
             for _ in range(2)
         ]
+        async with httpcore.AsyncConnectionPool() as pool:
+            url = f'{fleet.get("s0").admin_url}/metrics'
+            metrics = (await pool.request('GET', url)).content.decode()
+    (line,) = http_connections.format_metrics()
+    assert line in metrics.splitlines()
+    assert http_connections.COUNTERS.answers_reset == began + 1
     assert [item.status for item in answers] == [502, 502]
     assert {item.body['verdict'] for item in answers} == {'may-have-run'}
     assert server.requests == 1
--- a/foxtailpick/tests/test_reset_answers.py
+++ b/foxtailpick/tests/test_reset_answers.py
@@ -5,6 +5,7 @@
 the end of the stream, each time.
 """
 
+from loguru import logger
 import pytest
 import trio
 
@@ -29,6 +30,14 @@
     cutting_server.limit_reads(monkeypatch)
 
 
+@pytest.fixture
+def log_lines():
+    lines = []
+    sink = logger.add(lines.append, format='{message}')
+    yield lines
+    logger.remove(sink)
+
+
 def make_server(answer, end, **kwargs):
     return cutting_server.CuttingServer(answer, end, **kwargs)
 
@@ -57,7 +66,9 @@
     [cutting_server.UNFRAMED, cutting_server.CHUNKED, LENGTH],
     ids=['unframed', 'chunked', 'length'],
 )
-async def test_part_of_a_booking_reaches_the_caller_as_whole(end, start):
+async def test_part_of_a_booking_reaches_the_caller_as_whole(
+    end, start, log_lines
+):
     data = PART
     if start is cutting_server.CHUNKED:
         data = http1.format_chunk(PART)
@@ -69,6 +80,9 @@
         assert counters['defects'] == 0
     # It may have run, so it is neither sent again nor refused.
     assert outcomes == [(502, 1, 1)] * REPEATS
+    failed = [line for line in log_lines if '"attempt-failed"' in line]
+    assert len(failed) == REPEATS
+    assert all('connection failed within the answer' in i for i in failed)
 
 
 @ENDS
