Show that malformed answers of plain services are errors

Statuses 000, 099, 99, 0200 and 1000, and the malformed names of fields of the gateway's tests, at the client of plain services: an error that says that the request may have run.

A line that begins with a blank is tested behind the status line. Behind another field it is a folded value, which the library joins with a blank, as RFC 9112 allows.

--- a/foxtailpick/tests/test_malformed_answers.py
+++ b/foxtailpick/tests/test_malformed_answers.py
@@ -3,17 +3,39 @@
 import pytest
 import trio
 
+from foxtailpick.adapters import service as service_adapter
 from foxtailpick.core import errors
+from foxtailpick.core import verdict
 from foxtailpick.gateway import http1
 from foxtailpick.tests import cutting_server
 from foxtailpick.tests import gateway_harness
 from foxtailpick.tests import gateway_scripts
 from foxtailpick.tests import store_harness
 
+NO_STATUSES = [b'000', b'099', b'99', b'0200', b'1000']
+MALFORMED_LINES = [
+    b'X Field: 1',
+    b'X\tField: 1',
+    b'X\x01Field: 1',
+    b'X\x00Field: 1',
+    b'X\x7fField: 1',
+    b' X-Field: 1',
+    b'X-Field : 1',
+    b'Content-Length : 1',
+    b'Transfer-Encoding : chunked',
+    b'X-Field',
+]
+
+
+def put_first(line):
+    """Return a head with a line before all others of its fields."""
+    status_line, fields = cutting_server.SIGNED.split(b'\r\n', 1)
+    return b'\r\n'.join([status_line, line, fields])
+
 
 @pytest.mark.parametrize('path', ['/unsafe/x', '/fixed/x'])
 @pytest.mark.parametrize('body', [b'', b'hi'])
-@pytest.mark.parametrize('status', [b'000', b'099', b'99', b'0200', b'1000'])
+@pytest.mark.parametrize('status', NO_STATUSES)
 async def test_status_that_is_none_reaches_the_caller(path, body, status):
     await check_malformed(
         path,
@@ -37,30 +59,14 @@
 
 
 @pytest.mark.parametrize('path', ['/unsafe/x', '/fixed/x'])
-@pytest.mark.parametrize(
-    'line',
-    [
-        b'X Field: 1',
-        b'X\tField: 1',
-        b'X\x01Field: 1',
-        b'X\x00Field: 1',
-        b'X\x7fField: 1',
-        b' X-Field: 1',
-        b'X-Field : 1',
-        b'Content-Length : 1',
-        b'Transfer-Encoding : chunked',
-        b'X-Field',
-    ],
-)
+@pytest.mark.parametrize('line', MALFORMED_LINES)
 @pytest.mark.parametrize('is_first', [True, False])
 async def test_malformed_name_of_a_field_reaches_the_caller(
     path, line, is_first
 ):
-    lines = cutting_server.SIGNED.split(b'\r\n', 1)
+    head = cutting_server.SIGNED + line + b'\r\n'
     if is_first:
-        head = lines[0] + b'\r\n' + line + b'\r\n' + lines[1]
-    else:
-        head = cutting_server.SIGNED + line + b'\r\n'
+        head = put_first(line)
     body = gateway_scripts.get_events(1, 2)
     await check_malformed(
         path, head + b'Content-Length: %d\r\n\r\n' % len(body) + body
@@ -95,6 +101,30 @@
     assert len(endpoint.received) == 1
 
 
+@pytest.mark.parametrize(
+    'head',
+    [
+        *(
+            cutting_server.SIGNED.replace(b'200', status)
+            for status in NO_STATUSES
+        ),
+        *(put_first(line) for line in MALFORMED_LINES),
+    ],
+)
+async def test_malformed_answer_is_the_answer_of_a_plain_service(head):
+    answer = head + b'Content-Length: 2\r\n\r\nhi'
+    async with cutting_server.open_server(answer, cutting_server.close) as (
+        server,
+        address,
+    ):
+        url = f'http://{address[0]}:{address[1]}'
+        async with service_adapter.HttpService.from_url(url) as adapter:
+            with pytest.raises(errors.RequestError) as caught:
+                await adapter.call('POST', '/', b'', {})
+    assert caught.value.verdict is verdict.Verdict.MAY_HAVE_RUN
+    assert server.requests == 1
+
+
 @pytest.mark.parametrize('status', [b'000', b'099'])
 async def test_status_that_is_none_lets_a_call_to_the_store_time_out(
     autojump_clock, monkeypatch, status
