--- a/foxtailpick/adapters/http_connections.py
+++ b/foxtailpick/adapters/http_connections.py
@@ -34,7 +34,7 @@
     """Return a connection pool, an async context manager.
 
     Reading a response raises `httpcore.ReadError` if its connection failed,
-    also if a write was told of that before.
+    also if a write has reported that before.
 
     :param max_connections: the most connections.
     :param keepalive_expiry_s: idle time after which a connection is not
--- a/foxtailpick/gateway/client.py
+++ b/foxtailpick/gateway/client.py
@@ -159,7 +159,7 @@
         """Return the next part of the response.
 
         :raises AnswerResetError: if the connection fails within the
-            response, whichever task is told of it.
+            response, whichever call has reported that.
         :raises http1.BrokenConnectionError: if the response is truncated
             or is not HTTP.
         """
--- a/foxtailpick/tests/test_reset_connection.py
+++ b/foxtailpick/tests/test_reset_connection.py
@@ -1,4 +1,4 @@
-"""Tests of a connection whose tasks are told differently how it ended.
+"""Tests of a connection that ends differently for each of its tasks.
 
 A socket reports a reset to one call only. The calls after it get the end of
 the stream, as after a close.
