Believe a close only once the server has the whole request

Callers saw: a server answered a long request at once with 200 and no length, sent a part of its body and failed while nothing was left unread.

Cause: the kernel of such a server closes the connection in order, and resets it when more of the request arrives, a round trip later. Between the two the connection is connected and no send has failed, so the reader believed the end of the stream, though its own side still had bytes of the request that nobody would take.

Evidence: the stand-in closes, and resets 50 ms later, over real sockets.

Change: the end of the stream ends a body without a length once no send is in progress and the peer has acknowledged all that was sent. A server that has failed acknowledges nothing more and resets. One that closes after it has read the request acknowledges that with the close, so that nothing waits; one that reads on is served when it has the rest. The wait ends with the limits of the attempt.

--- a/foxtailpick/gateway/client.py
+++ b/foxtailpick/gateway/client.py
@@ -78,6 +78,7 @@
         self._framing = Framing.LENGTH
         self._is_in_message = False
         self._is_aborted = False
+        self._is_sending = False
         self._send_error: http1.BrokenConnectionError | None = None
         # Received since the last event.
         self._overhead_bytes = 0
@@ -148,12 +149,15 @@
 
         :raises http1.BrokenConnectionError: if the connection is closed.
         """
+        self._is_sending = True
         try:
             await http1.send_all(self._sock, data)
         except http1.BrokenConnectionError as exc:
             self.is_clean = False
             self._send_error = exc
             raise
+        finally:
+            self._is_sending = False
 
     async def next_event(self) -> Event:
         """Return the next part of the response.
@@ -167,7 +171,7 @@
             data = await self._receive()
             self.received_bytes += len(data)
             if not data:
-                self._on_eof()
+                await self._on_eof()
                 continue
             self._overhead_bytes += len(data)
             try:
@@ -255,12 +259,18 @@
                 raise _make_reset_error(exc) from exc
             raise
 
-    def _on_eof(self) -> None:
+    async def _on_eof(self) -> None:
         self.is_clean = False
+        if self._is_in_message and self._framing is Framing.CLOSE:
+            # A server that has failed doesn't take the rest of the request.
+            await tcp.wait_acknowledged(
+                self._sock, self._has_failed, lambda: self._is_sending
+            )
         if self._is_aborted:
             raise http1.BrokenConnectionError(errno.ETIMEDOUT, 'silence')
-        if self._is_in_message:
-            self._check_closed()
+        if self._is_in_message and self._has_failed():
+            error = self._send_error
+            raise _make_reset_error(error) from error
         if self._is_in_message and self._framing is Framing.CLOSE:
             self._is_in_message = False
             self._events.append(END)
@@ -269,20 +279,17 @@
             errno.ECONNRESET, 'closed by the peer'
         )
 
-    def _check_closed(self) -> None:
-        """Check that the peer has closed the connection.
+    def _has_failed(self) -> bool:
+        """Tell whether the connection has failed, rather than been closed.
 
         The kernel reports a reset to one call only, which may be a send of
         another task. It reports the end of the stream to the others.
-
-        :raises AnswerResetError: if the connection has failed.
         """
-        if self._send_error is not None:
-            raise _make_reset_error(self._send_error) from self._send_error
-        if tcp.is_disconnected(self._sock):
-            raise AnswerResetError(
-                errno.ECONNRESET, 'connection failed within the answer'
-            )
+        return (
+            self._is_aborted
+            or self._send_error is not None
+            or tcp.is_disconnected(self._sock)
+        )
 
 
 def _get_cause(exc: Exception) -> BaseException:
@@ -292,10 +299,10 @@
     return exc
 
 
-def _make_reset_error(exc: OSError) -> AnswerResetError:
+def _make_reset_error(exc: OSError | None) -> AnswerResetError:
+    code = errno.ECONNRESET if exc is None else exc.errno
     return AnswerResetError(
-        exc.errno,
-        f'connection failed within the answer: {os.strerror(exc.errno)}',
+        code, f'connection failed within the answer: {os.strerror(code)}'
     )
 
 
--- a/foxtailpick/tests/cutting_server.py
+++ b/foxtailpick/tests/cutting_server.py
@@ -14,8 +14,16 @@
 # answer comes.
 RECEIVE_BUFFER_BYTES = 32_768
 LONG_BODY = b'x' * 4_100_000
+# Less than `BUFFERED_BODY`. Even a client that keeps little unsent has sent
+# all of that body when the answer comes, though the server has not got it.
+TINY_BUFFER_BYTES = 2_048
+BUFFERED_BODY = b'x' * 5_500
 # Time in which the sender fills the buffers, and then waits.
 FILL_S = 0.1
+# Time after which a server that has failed gets more of the request.
+ROUND_TRIP_S = 0.05
+# Limit of a test whose failure is a wait without end.
+LIMIT_S = 5.0
 # Longer than one read of a gateway with `limit_reads`.
 PART_BYTES = 16_384
 READ_BYTES = 4_096
@@ -48,10 +56,24 @@
     sock.close()
 
 
-def listen() -> trio.socket.SocketType:
-    """Open a listening socket with a small receive buffer."""
+def close_before_reset(sock: socket.socket) -> None:
+    """Close a connection, which is reset a round trip later.
+
+    So ends a server that fails when nothing is left unread: the kernel
+    closes the connection, and resets it when more of the request arrives.
+    """
+    sock.shutdown(socket.SHUT_WR)
+
+
+def listen(
+    receive_bytes: int = RECEIVE_BUFFER_BYTES,
+) -> trio.socket.SocketType:
+    """Open a listening socket with a small receive buffer.
+
+    :param receive_bytes: size of the buffer; the kernel doubles it.
+    """
     sock = trio.socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
     sock._sock.bind(gateway_harness.ANY_PORT)
     sock.listen(8)
     return sock
@@ -96,6 +118,9 @@
             # runs again.
             sock._sock.send(self._answer)
             self._end(sock._sock)
+            if sock.fileno() >= 0:
+                await trio.sleep(ROUND_TRIP_S)
+                reset(sock._sock)
 
 
 async def read_head(sock: trio.socket.SocketType) -> bytes:
@@ -111,11 +136,11 @@
 
 @contextlib.asynccontextmanager
 async def open_server(
-    answer: bytes, end: End
+    answer: bytes, end: End, receive_bytes: int = RECEIVE_BUFFER_BYTES
 ) -> typing.AsyncIterator[tuple[CuttingServer, tuple[str, int]]]:
     """Yield a running server and its address."""
     server = CuttingServer(answer, end)
-    listener = listen()
+    listener = listen(receive_bytes)
     address = listener.getsockname()
     async with trio.open_nursery() as nursery:
         nursery.start_soon(server.serve, listener)
@@ -128,9 +153,10 @@
     endpoint: str,
     service: str,
     server: CuttingServer,
+    receive_bytes: int = RECEIVE_BUFFER_BYTES,
 ) -> None:
     """Start a server and register it in the store of a gateway."""
-    listener = listen()
+    listener = listen(receive_bytes)
     entry = gateway_harness.make_entry(service, listener.getsockname())
     harness.nursery.start_soon(server.serve, listener)
     harness.store.put(f'servers/{endpoint}', entry)
--- a/foxtailpick/tests/test_reset_answers.py
+++ b/foxtailpick/tests/test_reset_answers.py
@@ -42,17 +42,22 @@
     return cutting_server.CuttingServer(answer, end, **kwargs)
 
 
-async def ask(path, service, server):
+async def ask(
+    path,
+    service,
+    server,
+    body=cutting_server.LONG_BODY,
+    receive_bytes=cutting_server.RECEIVE_BUFFER_BYTES,
+):
     """Ask a gateway with one endpoint; return the outcome and its metrics."""
     async with gateway_harness.open_harness() as harness:
-        cutting_server.add_endpoint(harness, 'p1', service, server)
+        cutting_server.add_endpoint(
+            harness, 'p1', service, server, receive_bytes
+        )
         await harness.until_known('p1')
         try:
             answer = await harness.ask(
-                path,
-                b'POST',
-                cutting_server.LONG_BODY,
-                X_Prefix_Hash=gateway_scripts.PROMPT,
+                path, b'POST', body, X_Prefix_Hash=gateway_scripts.PROMPT
             )
             outcome = answer.status
         except http1.BrokenConnectionError:
@@ -110,6 +115,38 @@
     assert outcomes == [('broken off', 1, 1)] * REPEATS
 
 
+@pytest.mark.parametrize(
+    ('body', 'receive_bytes'),
+    [
+        (cutting_server.LONG_BODY, cutting_server.RECEIVE_BUFFER_BYTES),
+        (cutting_server.BUFFERED_BODY, cutting_server.TINY_BUFFER_BYTES),
+    ],
+    ids=['being-sent', 'sent'],
+)
+@pytest.mark.parametrize(
+    ('path', 'service', 'part', 'expected'),
+    [
+        ('/unsafe/x', 'plain', PART, 502),
+        ('/fixed/x', 'engine', STREAM, 'broken off'),
+    ],
+    ids=['booking', 'stream'],
+)
+async def test_close_before_a_reset_ends_an_answer_as_whole(
+    path, service, part, expected, body, receive_bytes
+):
+    outcomes = []
+    for _ in range(REPEATS):
+        server = make_server(
+            cutting_server.UNFRAMED + part, cutting_server.close_before_reset
+        )
+        outcome, counters = await ask(
+            path, service, server, body, receive_bytes
+        )
+        outcomes.append((outcome, server.requests, counters['answers_reset']))
+        assert counters['defects'] == 0
+    assert outcomes == [(expected, 1, 1)] * REPEATS
+
+
 @ENDS
 async def test_stream_is_not_resumed_after_a_reset(end):
     async def resume(exchange):
@@ -189,6 +226,30 @@
     assert (answer.status, answer.body) == (200, PART)
 
 
+async def test_request_that_is_not_taken_has_a_whole_answer():
+    """The server has closed, but neither takes the request nor resets."""
+
+    async def serve(listener):
+        sock, _ = await listener.accept()
+        with sock:
+            await cutting_server.read_head(sock)
+            await http1.send_all(sock, cutting_server.UNFRAMED + PART)
+            sock.shutdown(trio.socket.SHUT_WR)
+            await trio.sleep_forever()
+
+    async with gateway_harness.open_harness() as harness:
+        listener = cutting_server.listen()
+        harness.nursery.start_soon(serve, listener)
+        entry = gateway_harness.make_entry('plain', listener.getsockname())
+        harness.store.put('servers/p1', entry)
+        await harness.until_known('p1')
+        answer = await harness.ask(
+            '/unsafe/x', b'POST', cutting_server.LONG_BODY
+        )
+        assert harness.gw.metrics.counters['defects'] == 0
+    assert answer.status in (502, 504)
+
+
 @ENDS
 async def test_framed_answer_before_a_reset_is_not_served(end):
     length = b'Content-Length: %d\r\n\r\n' % len(PART)
--- a/foxtailpick/tests/test_reset_connection.py
+++ b/foxtailpick/tests/test_reset_connection.py
@@ -118,6 +118,29 @@
             await conn.next_event()
 
 
+async def test_withdrawal_of_a_request_waits_for_its_server():
+    """The server has closed, but takes nothing more of the request."""
+    outcomes = []
+    async with open_connection() as (conn, peer):
+        await fill(conn)
+        await read_part(conn, peer)
+        peer.shutdown(socket.SHUT_WR)
+
+        async def read():
+            try:
+                outcomes.append(await conn.next_event())
+            except http1.BrokenConnectionError as exc:
+                outcomes.append(exc.errno)
+
+        with trio.fail_after(cutting_server.LIMIT_S):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(read)
+                await trio.sleep(ARRIVAL_S)
+                assert not outcomes
+                conn.abort()
+    assert outcomes == [errno.ETIMEDOUT]
+
+
 async def test_failed_send_leaves_the_end_of_an_answer_believed(monkeypatch):
     """A send may fail without the connection, as when memory is short."""
     async with open_connection() as (conn, peer):
