Believe a close to routers and sidecars only once the request is taken

Callers saw: as at the gateway, a part of an answer without a length of a plain service became the answer, and a router or sidecar believed a part of an answer of its store or engine, if the server closed its connection in order and reset it a round trip later.

Evidence: `test_close_before_a_reset_ends_an_answer_as_whole` in `test_reset_adapters`, with a receive buffer of 2 KiB at the server. A watch held there but for the metric.

The wait ends with the time-out of a read.

Result: all of them pass. `test_answer_that_ends_by_close_is_not_served`, for a server that answers early and reads on, held before.

--- a/foxtailpick/adapters/http_connections.py
+++ b/foxtailpick/adapters/http_connections.py
@@ -7,10 +7,12 @@
 """
 
 import dataclasses
+import math
 import typing
 
 import httpcore
 from loguru import logger
+import trio
 
 from foxtailpick.adapters import tcp
 
@@ -89,7 +91,7 @@
         except httpcore.ReadError as exc:
             self._record(exc)
             raise
-        if not data and self._is_in_answer and self._has_failed():
+        if not data and self._is_in_answer and await self._is_cut(timeout):
             error = httpcore.ReadError(
                 'connection failed within the answer, which may lack its end'
             )
@@ -119,6 +121,24 @@
     def get_extra_info(self, info: str) -> typing.Any:
         return self._stream.get_extra_info(info)
 
+    async def _is_cut(self, timeout: float | None) -> bool:
+        """Tell whether the end of the stream is not a close in order.
+
+        :param timeout: longest wait in seconds, None for no limit.
+        :raises httpcore.ReadTimeout: if it is not known in that time.
+        """
+        limit_s = math.inf if timeout is None else timeout
+        with trio.move_on_after(limit_s) as scope:
+            # A server that has failed doesn't take the rest of the request.
+            await tcp.wait_acknowledged(
+                self.get_extra_info('socket'), self._has_failed
+            )
+        if scope.cancelled_caught:
+            raise httpcore.ReadTimeout(
+                'server closed, but did not take the request in time'
+            )
+        return self._has_failed()
+
     def _has_failed(self) -> bool:
         return self._write_error is not None or tcp.is_disconnected(
             self.get_extra_info('socket')
--- a/foxtailpick/tests/test_reset_adapters.py
+++ b/foxtailpick/tests/test_reset_adapters.py
@@ -49,6 +49,7 @@
     }
 ).encode()
 TOKEN = b'data: {"choices": [{"delta": {"content": "a"}}]}\n\n'
+TIMEOUT_MS = 200.0
 # More than the peer of a link reads ahead.
 LONG_FRAMES = 40
 LONG_MESSAGE = messages.ChunkOffer(
@@ -144,10 +145,15 @@
 PLATFORM_CALLS = (read_platform_store, write_to_platform_store)
 
 
-async def call(function, answer, end):
+async def call(
+    function, answer, end, receive_bytes=cutting_server.RECEIVE_BUFFER_BYTES
+):
     """Call a server that cuts; return the error, and the requests it got."""
     began = http_connections.COUNTERS.answers_reset
-    async with cutting_server.open_server(answer, end) as (server, address):
+    async with cutting_server.open_server(answer, end, receive_bytes) as (
+        server,
+        address,
+    ):
         with pytest.raises(errors.FoxtailError) as caught:
             await function(f'http://{address[0]}:{address[1]}')
     if function not in PLATFORM_CALLS:
@@ -182,6 +188,37 @@
     assert requests == 1
 
 
+@pytest.mark.parametrize(
+    'function',
+    [
+        call_service,
+        cancel_at_engine,
+        order_engine,
+        write_to_etcd,
+        renew_in_etcd,
+        get_from_etcd,
+        list_in_etcd,
+        watch_etcd,
+        write_to_platform_store,
+    ],
+)
+async def test_close_before_a_reset_ends_an_answer_as_whole(
+    function, monkeypatch
+):
+    """The whole request has been sent, but the server has not got it."""
+    body = cutting_server.BUFFERED_BODY
+    monkeypatch.setattr(cutting_server, 'LONG_BODY', body)
+    monkeypatch.setitem(globals(), 'LONG_TEXT', body.decode())
+    answer = cutting_server.UNFRAMED + PART
+    _, requests = await call(
+        function,
+        answer,
+        cutting_server.close_before_reset,
+        cutting_server.TINY_BUFFER_BYTES,
+    )
+    assert requests == 1
+
+
 @pytest.mark.parametrize(
     'function',
     [read_load, read_cache_events, list_members, read_platform_store],
@@ -254,6 +291,55 @@
     assert (answer.status, answer.body) == (200, PART)
 
 
+async def test_answer_that_ends_by_close_is_not_served():
+    """The server takes the rest of the request after its answer."""
+
+    async def serve(listener):
+        sock, _ = await listener.accept()
+        with sock:
+            await cutting_server.read_head(sock)
+            await sock.send(cutting_server.UNFRAMED + PART)
+            sock.shutdown(trio.socket.SHUT_WR)
+            await trio.sleep(cutting_server.ROUND_TRIP_S)
+            while await sock.recv(65_536):
+                pass
+
+    began = http_connections.COUNTERS.answers_reset
+    async with trio.open_nursery() as nursery:
+        listener = cutting_server.listen()
+        host, port = listener.getsockname()
+        nursery.start_soon(serve, listener)
+        answer = await call_service(f'http://{host}:{port}')
+        listener.close()
+    assert (answer.status, answer.body) == (200, PART)
+    assert http_connections.COUNTERS.answers_reset == began
+
+
+async def test_server_that_takes_no_more_is_waited_for_without_end():
+    """It has closed, but neither takes the request nor resets."""
+
+    async def serve(listener):
+        sock, _ = await listener.accept()
+        with sock:
+            await cutting_server.read_head(sock)
+            await sock.send(cutting_server.UNFRAMED + PART)
+            sock.shutdown(trio.socket.SHUT_WR)
+            await trio.sleep_forever()
+
+    key = cutting_server.BUFFERED_BODY.decode()
+    async with trio.open_nursery() as nursery:
+        listener = cutting_server.listen(cutting_server.TINY_BUFFER_BYTES)
+        host, port = listener.getsockname()
+        nursery.start_soon(serve, listener)
+        store = etcd.EtcdKeyValue((f'http://{host}:{port}',), TIMEOUT_MS)
+        with trio.fail_after(cutting_server.LIMIT_S):
+            async with store:
+                with pytest.raises(errors.FoxtailError) as caught:
+                    await store.transact([], [base.Put(key, b'')])
+        nursery.cancel_scope.cancel()
+    assert caught.value.verdict is verdict.Verdict.MAY_HAVE_RUN
+
+
 @ENDS
 async def test_part_of_a_frame_reaches_a_router(end):
     """A send of the link fails, and its reader has got a part of a frame."""
