--- a/review/common-3/stage.py
+++ b/review/common-3/stage.py
@@ -214,7 +214,7 @@
                 writer.write(
                     format_message(
                         f'HTTP/1.1 {status} Status',
-                        {'Content-Type': 'application/json'},
+                        {'Content-Type': 'application/json', 'Store-Era': '1'},
                         json.dumps(reply).encode(),
                     )
                 )
@@ -224,9 +224,7 @@
         finally:
             writer.close()
 
-    async def _answer(
-        self, req: Message
-    ) -> tuple[int, dict[str, typing.Any]]:
+    async def _answer(self, req: Message) -> tuple[int, dict[str, typing.Any]]:
         url = urllib.parse.urlsplit(req.target)
         query = dict(urllib.parse.parse_qsl(url.query))
         call = url.path.removeprefix('/foxtailpick/')
@@ -268,7 +266,9 @@
             'current_rev': self.revision,
         }
 
-    async def _watch(self, query: Headers) -> tuple[int, dict[str, typing.Any]]:
+    async def _watch(
+        self, query: Headers
+    ) -> tuple[int, dict[str, typing.Any]]:
         after, prefix = int(query['after']), query.get('prefix', '')
         until = now() + int(query['wait_ms']) / 1000
         while True:
@@ -401,21 +401,12 @@
         self._count = 0
         self.processes: dict[str, subprocess.Popen] = {}
         self.addresses: dict[str, tuple[str, str]] = {}
-        self.logs: dict[str, pathlib.Path] = {}
-
-    def start(
-        self, is_fit: typing.Callable[[str], bool] = lambda name: True
-    ) -> str:
-        """Start a gateway on a machine of its own; return its name.
 
-        :param is_fit: tells whether a machine may have a name.
-        """
+    def start(self) -> str:
+        """Start a gateway on a machine of its own; return its name."""
         self._count += 1
         ip = f'{self._network}.{10 + self._count}'
-        name = ''
-        while not name or not is_fit(name):
-            number = random.randrange(1000)
-            name = f'edge-{ZONES[self._count % 3]}-{number}'
+        name = f'edge-{ZONES[self._count % 3]}-{self._count}'
         settings = make_settings(name, ip, self._store.address)
         path = self._folder / f'{name}.conf'
         path.write_text(settings)
@@ -428,16 +419,14 @@
         env['PYTHONDONTWRITEBYTECODE'] = '1'
         env['FOXTAILPICK_BOOT'] = str(path)
         env.update(self._role.get('env', {}))
-        self.logs[name] = self._folder / f'{name}.log'
-        with self.logs[name].open('wb') as log:
-            self.processes[name] = subprocess.Popen(
-                self._role['run'].split(),
-                cwd=ROOT,
-                env=env,
-                stdin=subprocess.DEVNULL,
-                stdout=log,
-                stderr=subprocess.STDOUT,
-            )
+        self.processes[name] = subprocess.Popen(
+            self._role['run'].split(),
+            cwd=ROOT,
+            env=env,
+            stdin=subprocess.DEVNULL,
+            stdout=subprocess.DEVNULL,
+            stderr=subprocess.DEVNULL,
+        )
         self.addresses[name] = (f'{ip}:8227', f'{ip}:8220')
         self._record.write(f'{name} started at {ip}')
         return name
@@ -471,25 +460,14 @@
         finally:
             writer.close()
 
-    def kill(self, name: str) -> None:
-        """Remove a machine for good, without SIGTERM."""
-        process = self.processes.pop(name)
-        process.send_signal(signal.SIGKILL)
-        process.wait()
-        del self.addresses[name]
-        self._record.write(f'{name} removed with SIGKILL')
+    def check(self) -> None:
+        """Check that all gateways still run.
 
-    def find_ended(self) -> list[tuple[str, int]]:
-        """Return the gateways that ended by themselves, with their status."""
-        return [
-            (name, code)
-            for name, process in self.processes.items()
-            if (code := process.poll()) is not None
-        ]
-
-    def read_log(self, name: str) -> str:
-        """Return what a gateway wrote."""
-        return self.logs[name].read_text(errors='replace')
+        :raises RuntimeError: if one ended.
+        """
+        for name, process in self.processes.items():
+            if process.poll() is not None:
+                raise RuntimeError(f'gateway {name} ended')
 
     def stop(self) -> None:
         """End all gateways and remove their files."""
@@ -617,7 +595,9 @@
         'X-Deadline-Ms': str(deadline_ms),
         'X-Key': KEY,
     }
-    return attempt, format_message(f'{method} {target} HTTP/1.1', headers, body)
+    return attempt, format_message(
+        f'{method} {target} HTTP/1.1', headers, body
+    )
 
 
 class Connection:
@@ -733,7 +713,7 @@
                 'born': born,
                 **server,
             }
-            store.put(f"servers/{entry.pop('id')}", entry)
+            store.put(f'servers/{entry.pop("id")}', entry)
         await asyncio.sleep(BEAT_S)
 
 
@@ -754,6 +734,8 @@
         loop.set_exception_handler(lambda *_: None)
         return await play(record)
 
+    # What was started is ended then, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     record = Record(folder)
     try:
         status = asyncio.run(play_quietly())
