--- a/review/common-3/stage.py
+++ b/review/common-3/stage.py
@@ -717,11 +717,6 @@
         await asyncio.sleep(BEAT_S)
 
 
-def is_trouble() -> bool:
-    """Tell whether the disruption is wanted."""
-    return os.environ.get('TROUBLE', '1') != '0'
-
-
 def run(
     folder: pathlib.Path,
     play: typing.Callable[[Record], typing.Awaitable[int]],
